--- /dev/null
+++ b/eslint.config.mjs
@@ -0,0 +1,120 @@
+import { configs, plugins } from 'eslint-config-airbnb-extended';
+import prettier from 'eslint-config-prettier';
+import jsdoc from 'eslint-plugin-jsdoc';
+
+/** Layers from the bottom up; a layer imports only from those before it. */
+const SUBSYSTEMS = ['entry', 'scheduler', 'operator', 'peers'];
+const PROGRAMS = ['daemon', 'cli'];
+
+const forbidden = (target, from, message) => ({ target, from, message });
+
+const layerZones = [
+  forbidden(
+    './src/base',
+    ['./src/platform', ...[...SUBSYSTEMS, ...PROGRAMS].map((name) => `./src/${name}`)],
+    'base imports nothing of the layers above it',
+  ),
+  forbidden(
+    './src/platform',
+    [...SUBSYSTEMS, ...PROGRAMS].map((name) => `./src/${name}`),
+    'platform imports nothing of subsystems or programs',
+  ),
+  ...SUBSYSTEMS.map((name) =>
+    forbidden(
+      `./src/${name}`,
+      [...SUBSYSTEMS.filter((other) => other !== name), ...PROGRAMS].map(
+        (other) => `./src/${other}`,
+      ),
+      'subsystems import neither one another nor programs',
+    ),
+  ),
+  forbidden(
+    ['./src/**/common/**', './src/**/node/**'],
+    ['./standIns', './bench'],
+    'the product imports no stand-ins',
+  ),
+];
+
+export default [
+  { ignores: ['dist/**', 'node_modules/**', 'coverage/**'] },
+  plugins.stylistic,
+  plugins.importX,
+  plugins.node,
+  plugins.typescriptEslint,
+  ...configs.base.recommended,
+  ...configs.node.recommended,
+  ...configs.base.typescript,
+  prettier,
+  {
+    files: ['**/*.ts'],
+    plugins: { jsdoc },
+    languageOptions: { parserOptions: { projectService: true } },
+    rules: {
+      'import-x/no-restricted-paths': ['error', { zones: layerZones }],
+      'import-x/prefer-default-export': 'off',
+      'import-x/extensions': 'off',
+      'import-x/order': 'off',
+      'import-x/no-rename-default': 'off',
+      // A resource or rule may stand beside the class it serves.
+      'max-classes-per-file': 'off',
+      // Floating promises are marked with `void`, as the compiler's lint asks for.
+      'no-void': 'off',
+      'no-underscore-dangle': ['error', { allow: ['_tag'] }],
+      'max-lines': ['error', { max: 400, skipBlankLines: true, skipComments: true }],
+      // A type and the constant it is made of share a name.
+      '@typescript-eslint/no-redeclare': 'off',
+      '@typescript-eslint/no-use-before-define': ['error', { functions: false }],
+      'n/no-process-exit': 'off',
+      'n/hashbang': 'off',
+      // A policy may need no state of its own; its interface still asks for methods.
+      'class-methods-use-this': 'off',
+      '@typescript-eslint/class-methods-use-this': [
+        'error',
+        { ignoreClassesThatImplementAnInterface: true },
+      ],
+      '@typescript-eslint/no-floating-promises': 'error',
+      'jsdoc/require-file-overview': 'off',
+    },
+  },
+  {
+    // The deciding core knows no sockets, files, timers or clock.
+    files: ['src/**/common/**/*.ts'],
+    rules: {
+      'no-restricted-imports': [
+        'error',
+        {
+          patterns: [
+            { group: ['node:*'], message: 'common/ is free of input and output' },
+            { group: ['**/node/**'], message: 'common/ imports nothing from node/' },
+            { group: ['undici', 'fastify', 'consola', 'citty'], message: 'belongs in node/' },
+          ],
+        },
+      ],
+      'no-restricted-globals': [
+        'error',
+        'setTimeout',
+        'setInterval',
+        'setImmediate',
+        'process',
+        'performance',
+        'fetch',
+      ],
+      'no-restricted-properties': [
+        'error',
+        { object: 'Date', property: 'now', message: 'time is an argument' },
+        { object: 'Math', property: 'random', message: 'randomness is an argument' },
+      ],
+    },
+  },
+  {
+    files: ['tools/**/*.mjs'],
+    rules: { 'n/no-sync': 'off', 'n/no-process-exit': 'off', 'no-console': 'off' },
+  },
+  {
+    files: ['*.config.ts', '*.config.mjs', '**/test/**/*.ts'],
+    rules: {
+      'import-x/no-extraneous-dependencies': 'off',
+      'import-x/no-default-export': 'off',
+    },
+  },
+];
--- /dev/null
+++ b/src/cli/node/operatorClient.ts
@@ -0,0 +1,59 @@
+/** Calls the operators' interface of a daemon. */
+import { type Either, left, right } from 'fp-ts/lib/Either.js';
+import { request } from 'undici';
+
+import type { ErrorBody } from '../../platform/errors/common/errorKinds.js';
+import { ErrorKind, WorkOutcome } from '../../platform/errors/common/errorKinds.js';
+
+const FIRST_ERROR_STATUS = 400;
+const CALL_TIMEOUT_MS = 30_000;
+
+const unreachable = (message: string): ErrorBody => ({
+  error: ErrorKind.StoreAnswerLost,
+  message,
+  workOutcome: WorkOutcome.Unknown,
+  isWorthRetrying: true,
+  retryAfterMs: 1_000,
+});
+
+export class OperatorClient {
+  readonly #origin: string;
+
+  readonly #token: string;
+
+  constructor(origin: string, token: string) {
+    this.#origin = origin;
+    this.#token = token;
+  }
+
+  get(path: string): Promise<Either<ErrorBody, unknown>> {
+    return this.#call('GET', path, undefined);
+  }
+
+  post(path: string, body: unknown): Promise<Either<ErrorBody, unknown>> {
+    return this.#call('POST', path, body);
+  }
+
+  async #call(
+    method: 'GET' | 'POST',
+    path: string,
+    body: unknown,
+  ): Promise<Either<ErrorBody, unknown>> {
+    try {
+      const response = await request(`${this.#origin}${path}`, {
+        method,
+        headers: {
+          authorization: `Bearer ${this.#token}`,
+          ...(body === undefined ? {} : { 'content-type': 'application/json' }),
+        },
+        body: body === undefined ? null : JSON.stringify(body),
+        signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
+      });
+      const answer: unknown = await response.body.json();
+      if (response.statusCode >= FIRST_ERROR_STATUS) return left(answer as ErrorBody);
+      return right(answer);
+    } catch (error) {
+      return left(unreachable((error as Error).message));
+    }
+  }
+}
--- /dev/null
+++ b/src/daemon/node/daemon.ts
@@ -0,0 +1,145 @@
+/** Wires the parts of one daemon together; nothing is decided here. */
+import { randomInt, randomUUID } from 'node:crypto';
+import { setTimeout as delay } from 'node:timers/promises';
+
+import { DisposableStore } from '../../base/common/lifecycle.js';
+import { SeededRandom } from '../../base/common/random.js';
+import { systemClock } from '../../base/node/systemClock.js';
+import { LeastInFlightOfTwo } from '../../entry/common/serverChoice.js';
+import { BackendConnections } from '../../entry/node/backendConnections.js';
+import { CallerServer } from '../../entry/node/callerServer.js';
+import { RequestHandler } from '../../entry/node/requestHandler.js';
+import { RoutingReader } from '../../entry/node/routingReader.js';
+import { OperatorQueries } from '../../operator/node/operatorQueries.js';
+import { OperatorServer } from '../../operator/node/operatorServer.js';
+import { PlanService } from '../../operator/node/planService.js';
+import { PeerService } from '../../peers/node/peerService.js';
+import { ConfigurationReader } from '../../platform/configuration/node/configurationReader.js';
+import { HttpInstanceList } from '../../platform/instanceList/node/httpInstanceList.js';
+import { InstanceListReader } from '../../platform/instanceList/node/instanceListReader.js';
+import { ConsolaLog } from '../../platform/log/node/consolaLog.js';
+import { PrometheusMetrics } from '../../platform/metrics/node/prometheusMetrics.js';
+import { Role, type Settings } from '../../platform/settings/common/settings.js';
+import { HttpTableService } from '../../platform/table/node/httpTableService.js';
+import { OpenTelemetryTracing } from '../../platform/tracing/node/openTelemetryTracing.js';
+import { CellTasks } from '../../scheduler/node/cellTasks.js';
+
+const SEED_LIMIT = 2 ** 31;
+
+/** The ports a daemon listens on. */
+export interface DaemonPorts {
+  readonly callers: number;
+  readonly operators: number;
+  readonly peers: number;
+}
+
+export class Daemon {
+  readonly #settings: Settings;
+
+  readonly #log: ConsolaLog;
+
+  readonly #disposables = new DisposableStore();
+
+  readonly #configuration: ConfigurationReader;
+
+  readonly #callerServer: CallerServer | undefined;
+
+  readonly #operatorServer: OperatorServer;
+
+  readonly #peers: PeerService;
+
+  #isDraining = false;
+
+  constructor(settings: Settings) {
+    this.#settings = settings;
+    const { platform, instanceId, roles, entry } = settings;
+    const own = this.#disposables;
+    const clock = systemClock;
+    const random = new SeededRandom(randomInt(SEED_LIMIT));
+    const log = new ConsolaLog(settings.log.format, { instance: instanceId });
+    const metrics = new PrometheusMetrics();
+    const tracing = new OpenTelemetryTracing(
+      settings.tracing.sampleRatio,
+      settings.tracing.ringCapacity,
+      random,
+    );
+    const { callTimeoutMs, tableConnectionCount } = platform;
+    const table = own.add(
+      new HttpTableService(platform.tableOrigin, callTimeoutMs, tableConnectionCount),
+    );
+    const list = own.add(new HttpInstanceList(platform.instanceListOrigin, callTimeoutMs));
+    const directory = own.add(
+      new InstanceListReader(list, metrics, platform.instanceListIntervalMs),
+    );
+    const configuration = own.add(
+      new ConfigurationReader(table, clock, log, metrics, platform.configurationIntervalMs),
+    );
+    if (roles.includes(Role.Scheduler)) {
+      const services = { table, configuration, directory, clock, log, metrics };
+      own.add(new CellTasks(services, settings, `${instanceId}#${randomUUID()}`));
+    }
+    if (roles.includes(Role.Entry)) {
+      const { configurationIntervalMs } = platform;
+      const routing = own.add(
+        new RoutingReader(table, configuration, directory, metrics, configurationIntervalMs),
+      );
+      const connections = own.add(new BackendConnections(entry.maximumEntryCount));
+      const chooser = new LeastInFlightOfTwo(random);
+      const handler = own.add(
+        new RequestHandler(
+          { routing, connections, chooser, configuration, clock, metrics, tracing },
+          entry,
+        ),
+      );
+      this.#callerServer = new CallerServer(handler, entry);
+    }
+    this.#operatorServer = new OperatorServer(
+      {
+        plans: new PlanService(table, settings.operator.planLifetimeMs),
+        queries: new OperatorQueries(table),
+        configuration,
+        directory,
+        metrics,
+        spans: tracing.ring,
+        isReady: () => !this.#isDraining && configuration.current !== undefined,
+      },
+      settings.operator,
+    );
+    this.#peers = own.add(new PeerService(settings, configuration, directory, clock, metrics));
+    this.#configuration = configuration;
+    this.#log = log;
+  }
+
+  /** Opens the listeners and logs the ports. */
+  async start(): Promise<DaemonPorts> {
+    const { callers, operators, peers } = this.#settings.listen;
+    const ports = {
+      callers: (await this.#callerServer?.listen(callers.host, callers.port)) ?? 0,
+      operators: await this.#operatorServer.listen(operators.host, operators.port),
+      peers: await this.#peers.listen(peers.host, peers.port),
+    };
+    this.#log.info('listening', {
+      callersPort: ports.callers,
+      operatorsPort: ports.operators,
+      peersPort: ports.peers,
+    });
+    return ports;
+  }
+
+  /**
+   * Leaves without cutting a request off. Readiness falls first; the listener stays open until
+   * the balancer has seen that and sends no more; then everything in flight is answered.
+   */
+  async drain(): Promise<void> {
+    if (this.#isDraining) return;
+    this.#isDraining = true;
+    this.#log.info('draining', { version: this.#configuration.current?.version ?? 0 });
+    this.#callerServer?.startDraining();
+    await delay(this.#settings.entry.drainDelayMs);
+    const timeout = delay(this.#settings.entry.drainTimeoutMs, undefined, { ref: false });
+    await Promise.race([this.#callerServer?.close(), timeout]);
+    await Promise.race([this.#operatorServer.close(), timeout]);
+    this.#disposables.dispose();
+    this.#log.info('drained');
+  }
+}
--- /dev/null
+++ b/src/entry/common/routing.ts
@@ -0,0 +1,67 @@
+/** Which backend servers may receive requests of a service. */
+import {
+  type ConfigurationView,
+  isZoneInUse,
+} from '../../platform/configuration/common/configurationView.js';
+import {
+  type Instance,
+  InstanceState,
+  isWorker,
+  toOrigin,
+  type WorkerInstance,
+} from '../../platform/instanceList/common/instanceList.js';
+import type { EndpointRow } from '../../platform/work/common/workRows.js';
+
+/** A backend server as an entry sees it. One worker has one, for all its services. */
+export interface BackendServer {
+  readonly workerId: string;
+  readonly origin: string;
+  readonly availabilityZone: string;
+  readonly slotCount: number;
+  readonly connectionCount: number;
+}
+
+/** Backend servers by service name; a known service may have none. */
+export type RoutingTable = ReadonlyMap<string, readonly BackendServer[]>;
+
+const toBackendServer = (worker: WorkerInstance): BackendServer => ({
+  workerId: worker.id,
+  origin: toOrigin(worker.backendAddress),
+  availabilityZone: worker.availabilityZone,
+  slotCount: worker.slotCount,
+  connectionCount: worker.connectionCount,
+});
+
+const isUsable = (view: ConfigurationView, worker: WorkerInstance): boolean =>
+  worker.state === InstanceState.Live &&
+  isZoneInUse(view, worker.availabilityZone) &&
+  view.workers.get(worker.id)?.isDraining !== true;
+
+/**
+ * Joins what the schedulers published with the configuration and the instance list. Each of the
+ * three can be the first to know that a server is leaving, so any of them takes it out.
+ */
+export const toRoutingTable = (
+  view: ConfigurationView,
+  endpointRows: readonly EndpointRow[],
+  instances: readonly Instance[],
+): RoutingTable => {
+  const workers = new Map(
+    instances
+      .filter(isWorker)
+      .filter((worker) => isUsable(view, worker))
+      .map((worker) => [worker.id, toBackendServer(worker)]),
+  );
+  const table = new Map<string, BackendServer[]>(
+    [...view.services.keys()].map((serviceName) => [serviceName, []]),
+  );
+  endpointRows
+    .flatMap((row) => row.servers)
+    .forEach(({ serviceName, workerId }) => {
+      const server = workers.get(workerId);
+      const servers = table.get(serviceName);
+      if (server === undefined || servers === undefined || servers.includes(server)) return;
+      servers.push(server);
+    });
+  return table;
+};
--- /dev/null
+++ b/src/operator/common/intent.ts
@@ -0,0 +1,70 @@
+/** What operators can ask for. An intent changes nothing; it is answered with a plan. */
+import { z } from 'zod';
+
+import {
+  nameSchema,
+  serviceDocumentSchema,
+  urgencySchema,
+} from '../../platform/configuration/common/documents.js';
+import { resourcesSchema } from '../../platform/worker/common/resources.js';
+
+export const IntentKind = {
+  CreateService: 'create-service',
+  ChangeService: 'change-service',
+  RemoveService: 'remove-service',
+  SubmitJob: 'submit-job',
+  CancelJobs: 'cancel-jobs',
+  WithdrawZone: 'withdraw-zone',
+  UseZone: 'use-zone',
+  DrainWorker: 'drain-worker',
+  ReturnWorker: 'return-worker',
+  SetQuota: 'set-quota',
+} as const;
+export type IntentKind = (typeof IntentKind)[keyof typeof IntentKind];
+
+const MAXIMUM_TASK_COUNT = 10_000;
+const MAXIMUM_CANCELLED_JOBS = 10_000;
+
+export const submitJobSchema = z.strictObject({
+  intent: z.literal(IntentKind.SubmitJob),
+  team: nameSchema,
+  /** Repeating a submission under the same key submits nothing more. */
+  submissionKey: nameSchema,
+  taskCount: z.number().int().min(1).max(MAXIMUM_TASK_COUNT),
+  size: resourcesSchema,
+  urgency: urgencySchema.default('normal'),
+  /** How long one task runs, as far as the submitter knows. */
+  workMs: z.number().nonnegative(),
+});
+export type SubmitJobIntent = z.infer<typeof submitJobSchema>;
+
+export const intentSchema = z.discriminatedUnion('intent', [
+  z.strictObject({
+    intent: z.literal(IntentKind.CreateService),
+    service: serviceDocumentSchema,
+  }),
+  z.strictObject({
+    intent: z.literal(IntentKind.ChangeService),
+    service: serviceDocumentSchema,
+  }),
+  z.strictObject({ intent: z.literal(IntentKind.RemoveService), name: nameSchema }),
+  submitJobSchema,
+  z.strictObject({
+    intent: z.literal(IntentKind.CancelJobs),
+    jobIds: z.array(z.string().min(1)).min(1).max(MAXIMUM_CANCELLED_JOBS),
+  }),
+  z.strictObject({ intent: z.literal(IntentKind.WithdrawZone), zone: nameSchema }),
+  z.strictObject({
+    intent: z.literal(IntentKind.UseZone),
+    zone: nameSchema,
+    region: nameSchema,
+  }),
+  z.strictObject({ intent: z.literal(IntentKind.DrainWorker), workerId: nameSchema }),
+  z.strictObject({ intent: z.literal(IntentKind.ReturnWorker), workerId: nameSchema }),
+  z.strictObject({
+    intent: z.literal(IntentKind.SetQuota),
+    team: nameSchema,
+    limit: resourcesSchema,
+  }),
+]);
+export type Intent = z.infer<typeof intentSchema>;
--- /dev/null
+++ b/src/operator/node/operatorAccess.ts
@@ -0,0 +1,38 @@
+/** Who may do what on the operators' interface. */
+import { createHash, timingSafeEqual } from 'node:crypto';
+
+import { type Either, left, right } from 'fp-ts/lib/Either.js';
+
+import { ErrorKind, failure, type Failure } from '../../platform/errors/common/errorKinds.js';
+import { OperatorRole, type Settings } from '../../platform/settings/common/settings.js';
+
+const RANKS: Readonly<Record<OperatorRole, number>> = {
+  [OperatorRole.View]: 0,
+  [OperatorRole.Plan]: 1,
+  [OperatorRole.Confirm]: 2,
+};
+
+const BEARER = /^Bearer (\S+)$/u;
+
+export class OperatorAccess {
+  readonly #tokens: Settings['operator']['tokens'];
+
+  constructor(tokens: Settings['operator']['tokens']) {
+    this.#tokens = tokens;
+  }
+
+  /** The operator's name when the token is known and its role suffices. */
+  check(authorization: string | undefined, needed: OperatorRole): Either<Failure, string> {
+    const [, token = ''] = BEARER.exec(authorization ?? '') ?? [];
+    const hash = createHash('sha256').update(token).digest();
+    // All are compared, so the time taken tells nothing about which one matched.
+    const [known] = this.#tokens.filter(({ sha256 }) =>
+      timingSafeEqual(Buffer.from(sha256, 'hex'), hash),
+    );
+    if (known === undefined) return left(failure(ErrorKind.Unauthorised, 'unknown token'));
+    if (RANKS[known.role] < RANKS[needed]) {
+      return left(failure(ErrorKind.Forbidden, `this needs the role ${needed}`));
+    }
+    return right(known.name);
+  }
+}
--- /dev/null
+++ b/src/operator/node/operatorServer.ts
@@ -0,0 +1,152 @@
+/** The HTTP server for operators: plans, queries, health, metrics and traces. */
+import Fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from 'fastify';
+import { type Either, isLeft } from 'fp-ts/lib/Either.js';
+import { z } from 'zod';
+
+import type { ConfigurationService } from '../../platform/configuration/common/configurationService.js';
+import { ErrorKind, failure, type Failure } from '../../platform/errors/common/errorKinds.js';
+import { replyWithFailure } from '../../platform/http/node/errorReply.js';
+import { listeningPort } from '../../platform/http/node/listening.js';
+import type { InstanceDirectory } from '../../platform/instanceList/common/instanceDirectory.js';
+import type { PrometheusMetrics } from '../../platform/metrics/node/prometheusMetrics.js';
+import { OperatorRole, type Settings } from '../../platform/settings/common/settings.js';
+import type { SpanRing } from '../../platform/tracing/node/openTelemetryTracing.js';
+import { intentSchema } from '../common/intent.js';
+import { OperatorAccess } from './operatorAccess.js';
+import type { OperatorQueries } from './operatorQueries.js';
+import type { PlanService } from './planService.js';
+
+export interface OperatorServerServices {
+  readonly plans: PlanService;
+  readonly queries: OperatorQueries;
+  readonly configuration: ConfigurationService;
+  readonly directory: InstanceDirectory;
+  readonly metrics: PrometheusMetrics;
+  readonly spans: SpanRing;
+  /** Whether the daemon wants traffic from the balancer. */
+  readonly isReady: () => boolean;
+}
+
+type Handler = (
+  request: FastifyRequest,
+  author: string,
+) => Promise<Either<Failure, unknown>> | Either<Failure, unknown>;
+
+const planBodySchema = z.strictObject({ intent: intentSchema });
+const confirmBodySchema = z.strictObject({ digest: z.string().min(1) });
+const idParamsSchema = z.object({ id: z.string().min(1) });
+const HTTP_UNAVAILABLE = 503;
+const FIRST_SERVER_ERROR = 500;
+
+const firstFault = (error: z.ZodError): Either<Failure, never> => {
+  const [issue] = error.issues;
+  const path = issue === undefined || issue.path.length === 0 ? 'body' : issue.path.join('.');
+  const message = `${path}: ${issue?.message ?? 'is not valid'}`;
+  return { _tag: 'Left', left: failure(ErrorKind.BadRequest, message) };
+};
+
+const toFailure = (error: { statusCode?: number; message: string }): Failure => {
+  const statusCode = error.statusCode ?? FIRST_SERVER_ERROR;
+  if (statusCode === 413) return failure(ErrorKind.BodyTooLarge, error.message);
+  const isFault = statusCode >= FIRST_SERVER_ERROR;
+  return failure(isFault ? ErrorKind.Internal : ErrorKind.BadRequest, error.message);
+};
+
+export class OperatorServer {
+  readonly #services: OperatorServerServices;
+
+  readonly #access: OperatorAccess;
+
+  readonly #server: FastifyInstance;
+
+  constructor(services: OperatorServerServices, settings: Settings['operator']) {
+    this.#services = services;
+    this.#access = new OperatorAccess(settings.tokens);
+    this.#server = Fastify({ bodyLimit: settings.maximumIntentBytes });
+    this.#server.setErrorHandler((error, _request, reply) =>
+      replyWithFailure(reply, toFailure(error as Error)),
+    );
+    this.#server.setNotFoundHandler((request, reply) =>
+      replyWithFailure(reply, failure(ErrorKind.UnknownObject, `no ${request.url}`)),
+    );
+    this.#addHealthRoutes();
+    this.#addPlanRoutes();
+    this.#addQueryRoutes();
+  }
+
+  /** Starts to listen and returns the port, which the system may have chosen. */
+  async listen(host: string, port: number): Promise<number> {
+    await this.#server.listen({ host, port });
+    return listeningPort(this.#server);
+  }
+
+  async close(): Promise<void> {
+    await this.#server.close();
+  }
+
+  #addHealthRoutes(): void {
+    const { metrics, isReady } = this.#services;
+    this.#server.get('/healthz', () => ({ status: 'ok' }));
+    this.#server.get('/readyz', (_request, reply) =>
+      isReady() ? { status: 'ready' } : reply.code(HTTP_UNAVAILABLE).send({ status: 'not ready' }),
+    );
+    this.#server.get('/metrics', async (_request, reply) =>
+      reply.type('text/plain; version=0.0.4').send(await metrics.exposition()),
+    );
+  }
+
+  #addPlanRoutes(): void {
+    const { plans } = this.#services;
+    this.#route('POST', '/v1/plans', OperatorRole.Plan, (request, author) => {
+      const body = planBodySchema.safeParse(request.body);
+      return body.success ? plans.plan(body.data.intent, author) : firstFault(body.error);
+    });
+    this.#route('GET', '/v1/plans/:id', OperatorRole.View, (request) =>
+      plans.find(idParamsSchema.parse(request.params).id),
+    );
+    this.#route('POST', '/v1/plans/:id/confirm', OperatorRole.Confirm, (request, author) => {
+      const body = confirmBodySchema.safeParse(request.body);
+      if (!body.success) return firstFault(body.error);
+      const { id } = idParamsSchema.parse(request.params);
+      return plans.confirm({ planId: id, digest: body.data.digest, author });
+    });
+  }
+
+  #addQueryRoutes(): void {
+    const { queries, configuration, directory, spans } = this.#services;
+    const found = (value: unknown): Either<Failure, unknown> => ({ _tag: 'Right', right: value });
+    this.#route('GET', '/v1/services', OperatorRole.View, async () => {
+      const read = await queries.configuration();
+      return isLeft(read) ? read : found([...read.right.services.values()]);
+    });
+    this.#route('GET', '/v1/zones', OperatorRole.View, async () => {
+      const read = await queries.configuration();
+      return isLeft(read) ? read : found([...read.right.zones.values()]);
+    });
+    this.#route('GET', '/v1/instances', OperatorRole.View, () => found(directory.instances));
+    this.#route('GET', '/v1/version', OperatorRole.View, () =>
+      found({ version: configuration.current?.version ?? 0 }),
+    );
+    this.#route('GET', '/v1/history', OperatorRole.View, () => queries.history());
+    this.#route('GET', '/v1/tasks', OperatorRole.View, () => queries.tasks());
+    this.#route('GET', '/v1/jobs/:id', OperatorRole.View, (request) =>
+      queries.job(idParamsSchema.parse(request.params).id),
+    );
+    this.#route('GET', '/v1/traces/:id', OperatorRole.View, (request) =>
+      found(spans.find(idParamsSchema.parse(request.params).id)),
+    );
+  }
+
+  #route(method: 'GET' | 'POST', url: string, role: OperatorRole, handler: Handler): void {
+    this.#server.route({
+      method,
+      url,
+      handler: async (request, reply): Promise<FastifyReply> => {
+        const author = this.#access.check(request.headers.authorization, role);
+        if (isLeft(author)) return replyWithFailure(reply, author.left);
+        const result = await handler(request, author.right);
+        return isLeft(result) ? replyWithFailure(reply, result.left) : reply.send(result.right);
+      },
+    });
+  }
+}
--- /dev/null
+++ b/src/peers/node/peerLink.ts
@@ -0,0 +1,87 @@
+/** The connection to one peer: sends heartbeats, replaces itself when the peer goes silent. */
+import { connect, type Socket } from 'node:net';
+
+import { JSONRPCClient, type JSONRPCResponse } from 'json-rpc-2.0';
+import split from 'split2';
+
+import type { Clock } from '../../base/common/clock.js';
+import type { Disposable } from '../../base/common/lifecycle.js';
+import type { InstanceAddress } from '../../platform/instanceList/common/instanceList.js';
+import type { Metrics } from '../../platform/metrics/common/metrics.js';
+import { type Heartbeat, HEARTBEAT_METHOD, heartbeatSchema } from '../common/peerMessages.js';
+import { isSilent } from '../common/peerTable.js';
+
+export class PeerLink implements Disposable {
+  readonly #address: InstanceAddress;
+
+  readonly #clock: Clock;
+
+  readonly #metrics: Metrics;
+
+  readonly #silenceTimeoutMs: number;
+
+  #socket: Socket | undefined;
+
+  #client: JSONRPCClient | undefined;
+
+  #heardAtMs: number;
+
+  constructor(address: InstanceAddress, clock: Clock, metrics: Metrics, silenceTimeoutMs: number) {
+    this.#address = address;
+    this.#clock = clock;
+    this.#metrics = metrics;
+    this.#silenceTimeoutMs = silenceTimeoutMs;
+    this.#heardAtMs = clock.nowMs();
+  }
+
+  /** Sends a heartbeat and gives the peer's answer, or undefined when none came. */
+  async beat(heartbeat: Heartbeat): Promise<Heartbeat | undefined> {
+    if (isSilent(this.#heardAtMs, this.#silenceTimeoutMs, this.#clock.nowMs())) this.#reset();
+    const client = this.#client ?? this.#open();
+    try {
+      const answer: unknown = await client
+        .timeout(this.#silenceTimeoutMs)
+        .request(HEARTBEAT_METHOD, heartbeat);
+      this.#heardAtMs = this.#clock.nowMs();
+      return heartbeatSchema.parse(answer);
+    } catch {
+      this.#metrics.count('peer_heartbeat_failed');
+      return undefined;
+    }
+  }
+
+  dispose(): void {
+    this.#socket?.destroy();
+  }
+
+  #open(): JSONRPCClient {
+    const socket = connect(this.#address.port, this.#address.host);
+    const client = new JSONRPCClient((payload) => {
+      socket.write(`${JSON.stringify(payload)}\n`);
+    });
+    socket.on('error', () => {});
+    socket.on('close', () => {
+      client.rejectAllPendingRequests('the connection closed');
+      if (this.#socket === socket) this.#forget();
+    });
+    socket
+      .pipe(split((line: string) => JSON.parse(line) as JSONRPCResponse))
+      .on('data', (response: JSONRPCResponse) => client.receive(response))
+      .on('error', () => socket.destroy());
+    this.#socket = socket;
+    this.#client = client;
+    this.#heardAtMs = this.#clock.nowMs();
+    return client;
+  }
+
+  #reset(): void {
+    this.#metrics.count('peer_link_replaced');
+    this.#socket?.destroy();
+    this.#forget();
+  }
+
+  #forget(): void {
+    this.#socket = undefined;
+    this.#client = undefined;
+  }
+}
--- /dev/null
+++ b/src/platform/instanceList/node/instanceListReader.ts
@@ -0,0 +1,56 @@
+/** Reads the instance list at an interval; while it is out, the last list stays in use. */
+import { isLeft } from 'fp-ts/lib/Either.js';
+
+import { Emitter } from '../../../base/common/event.js';
+import { canonicalJson } from '../../../base/common/json.js';
+import type { Disposable } from '../../../base/common/lifecycle.js';
+import { PeriodicTimer } from '../../../base/node/periodicTimer.js';
+import type { Metrics } from '../../metrics/common/metrics.js';
+import type { InstanceDirectory } from '../common/instanceDirectory.js';
+import type { Instance, InstanceList } from '../common/instanceList.js';
+
+export class InstanceListReader implements InstanceDirectory, Disposable {
+  readonly #list: InstanceList;
+
+  readonly #metrics: Metrics;
+
+  readonly #timer: PeriodicTimer;
+
+  readonly #didChange = new Emitter<readonly Instance[]>();
+
+  #instances: readonly Instance[] = [];
+
+  #fingerprint = '';
+
+  constructor(list: InstanceList, metrics: Metrics, intervalMs: number) {
+    this.#list = list;
+    this.#metrics = metrics;
+    this.#timer = new PeriodicTimer(intervalMs, () => this.#read());
+  }
+
+  get instances(): readonly Instance[] {
+    return this.#instances;
+  }
+
+  get onDidChange(): Emitter<readonly Instance[]>['event'] {
+    return this.#didChange.event;
+  }
+
+  dispose(): void {
+    this.#timer.dispose();
+    this.#didChange.dispose();
+  }
+
+  async #read(): Promise<void> {
+    const read = await this.#list.list()();
+    if (isLeft(read)) {
+      this.#metrics.count('instance_list_read_failed');
+      return;
+    }
+    const fingerprint = canonicalJson(read.right);
+    if (fingerprint === this.#fingerprint) return;
+    this.#fingerprint = fingerprint;
+    this.#instances = read.right;
+    this.#didChange.fire(read.right);
+  }
+}
--- /dev/null
+++ b/src/platform/log/node/consolaLog.ts
@@ -0,0 +1,44 @@
+/** Log lines through consola: one JSON object a line, or a form for people. */
+import { type ConsolaInstance, createConsola } from 'consola';
+
+import type { Log, LogFields } from '../common/log.js';
+
+export const LogFormat = { Json: 'json', Pretty: 'pretty' } as const;
+export type LogFormat = (typeof LogFormat)[keyof typeof LogFormat];
+
+const createJsonConsola = (): ConsolaInstance =>
+  createConsola({
+    reporters: [
+      {
+        log: (entry) => {
+          const [event, fields] = entry.args as [string, LogFields];
+          const line = { time: entry.date.toISOString(), level: entry.type, event, ...fields };
+          process.stdout.write(`${JSON.stringify(line)}\n`);
+        },
+      },
+    ],
+  });
+
+export class ConsolaLog implements Log {
+  readonly #consola: ConsolaInstance;
+
+  readonly #context: LogFields;
+
+  /** The context's fields are added to every line. */
+  constructor(format: LogFormat, context: LogFields) {
+    this.#consola = format === LogFormat.Json ? createJsonConsola() : createConsola();
+    this.#context = context;
+  }
+
+  info(event: string, fields: LogFields = {}): void {
+    this.#consola.info(event, { ...this.#context, ...fields });
+  }
+
+  warn(event: string, fields: LogFields = {}): void {
+    this.#consola.warn(event, { ...this.#context, ...fields });
+  }
+
+  error(event: string, fields: LogFields = {}): void {
+    this.#consola.error(event, { ...this.#context, ...fields });
+  }
+}
--- /dev/null
+++ b/src/platform/objectStore/common/objectStore.ts
@@ -0,0 +1,9 @@
+/** The platform's object store; workers keep checkpoints there. */
+import type { TaskEither } from 'fp-ts/lib/TaskEither.js';
+
+import type { Failure } from '../../errors/common/errorKinds.js';
+
+export interface ObjectStore {
+  /** True when an object of that name is kept. */
+  hasObject(name: string): TaskEither<Failure, boolean>;
+}
--- /dev/null
+++ b/src/platform/settings/common/settings.ts
@@ -0,0 +1,172 @@
+/** The daemon's settings: their schema, defaults and the rules between fields. */
+import { z } from 'zod';
+
+const portSchema = z.number().int().min(0).max(65_535);
+const positiveMs = z.number().int().positive();
+const positiveCount = z.number().int().positive();
+
+/** Port zero lets the system choose; the ready line of the log then names the port. */
+const listenSchema = z.strictObject({
+  host: z.string().min(1),
+  port: portSchema.default(0),
+});
+
+const originSchema = z.string().regex(/^http:\/\/[^/]+$/u, 'must be an origin: http://HOST:PORT');
+
+export const Role = { Entry: 'entry', Scheduler: 'scheduler', Operator: 'operator' } as const;
+export type Role = (typeof Role)[keyof typeof Role];
+
+export const OperatorRole = { View: 'view', Plan: 'plan', Confirm: 'confirm' } as const;
+export type OperatorRole = (typeof OperatorRole)[keyof typeof OperatorRole];
+
+const platformSchema = z.strictObject({
+  tableOrigin: originSchema,
+  objectStoreOrigin: originSchema,
+  instanceListOrigin: originSchema,
+  callTimeoutMs: positiveMs.default(800),
+  tableConnectionCount: positiveCount.default(4),
+  instanceListIntervalMs: positiveMs.default(1_000),
+  configurationIntervalMs: positiveMs.default(700),
+});
+
+const entrySchema = z.strictObject({
+  /** The largest body of a request or an answer. */
+  maximumBodyBytes: positiveCount.default(1_048_576),
+  /** How long a caller may take to send its request. */
+  receiveTimeoutMs: positiveMs.default(10_000),
+  defaultDeadlineMs: positiveMs.default(5_000),
+  maximumDeadlineMs: positiveMs.default(60_000),
+  queueCapacity: positiveCount.default(1_000),
+  /** Entries that may exist at a time, the restarting ones included; each gets a fair share. */
+  maximumEntryCount: positiveCount.default(8),
+  maximumAttemptCount: positiveCount.default(3),
+  retryBudgetRatio: z.number().min(0).max(1).default(0.1),
+  drainDelayMs: z.number().int().nonnegative().default(1_000),
+  drainTimeoutMs: positiveMs.default(30_000),
+});
+
+const schedulerSchema = z.strictObject({
+  tickIntervalMs: positiveMs.default(200),
+  cellHeartbeatIntervalMs: positiveMs.default(700),
+  /** How long a cell's heartbeat must stand still before another daemon takes the cell over. */
+  cellLeaseMs: positiveMs.default(2_500),
+  workerRenewalIntervalMs: positiveMs.default(1_000),
+  workerLeaseMs: positiveMs.default(10_000),
+  workerTimeoutMs: positiveMs.default(800),
+  /** How long a start message stays good on the worker's clock. */
+  startValidityMs: positiveMs.default(1_000),
+  /** How long a service's tasks go on in a zone that was withdrawn, so that requests finish. */
+  serviceDrainMs: positiveMs.default(4_000),
+  /** How long an owner that cannot reach the table goes on renewing its workers' leases. */
+  maximumRenewalWithoutTableMs: positiveMs.default(600_000),
+});
+
+const peersSchema = z.strictObject({
+  heartbeatIntervalMs: positiveMs.default(1_000),
+  silenceTimeoutMs: positiveMs.default(3_000),
+});
+
+const operatorSchema = z.strictObject({
+  planLifetimeMs: positiveMs.default(600_000),
+  maximumIntentBytes: positiveCount.default(1_048_576),
+  /** Bearer tokens, kept as the SHA-256 of the token in hexadecimal digits. */
+  tokens: z
+    .array(
+      z.strictObject({
+        name: z.string().min(1),
+        role: z.enum([OperatorRole.View, OperatorRole.Plan, OperatorRole.Confirm]),
+        sha256: z.string().regex(/^[0-9a-f]{64}$/u, 'must be 64 hexadecimal digits'),
+      }),
+    )
+    .default([]),
+});
+
+const logSchema = z.strictObject({ format: z.enum(['json', 'pretty']).default('json') });
+
+const tracingSchema = z.strictObject({
+  sampleRatio: z.number().min(0).max(1).default(0.01),
+  ringCapacity: positiveCount.default(200),
+});
+
+export const settingsSchema = z
+  .strictObject({
+    instanceId: z.string().min(1),
+    availabilityZone: z.string().min(1),
+    roles: z
+      .array(z.enum([Role.Entry, Role.Scheduler, Role.Operator]))
+      .min(1)
+      .default([Role.Entry, Role.Scheduler, Role.Operator]),
+    listen: z.strictObject({
+      callers: listenSchema,
+      operators: listenSchema,
+      peers: listenSchema,
+    }),
+    platform: platformSchema,
+    entry: entrySchema.prefault({}),
+    scheduler: schedulerSchema.prefault({}),
+    peers: peersSchema.prefault({}),
+    operator: operatorSchema.prefault({}),
+    log: logSchema.prefault({}),
+    tracing: tracingSchema.prefault({}),
+  })
+  .superRefine((settings, context) => {
+    const rule = (isBroken: boolean, path: string[], message: string): void => {
+      if (isBroken) context.addIssue({ code: 'custom', path, message });
+    };
+    const { scheduler, entry, peers, platform } = settings;
+    rule(
+      scheduler.workerLeaseMs < scheduler.workerRenewalIntervalMs * 3,
+      ['scheduler', 'workerLeaseMs'],
+      'must be at least three times scheduler.workerRenewalIntervalMs',
+    );
+    rule(
+      scheduler.cellLeaseMs < scheduler.cellHeartbeatIntervalMs * 3,
+      ['scheduler', 'cellLeaseMs'],
+      'must be at least three times scheduler.cellHeartbeatIntervalMs',
+    );
+    rule(
+      scheduler.startValidityMs > scheduler.workerLeaseMs,
+      ['scheduler', 'startValidityMs'],
+      'must not exceed scheduler.workerLeaseMs',
+    );
+    rule(
+      entry.defaultDeadlineMs > entry.maximumDeadlineMs,
+      ['entry', 'defaultDeadlineMs'],
+      'must not exceed entry.maximumDeadlineMs',
+    );
+    rule(
+      peers.silenceTimeoutMs < peers.heartbeatIntervalMs * 2,
+      ['peers', 'silenceTimeoutMs'],
+      'must be at least twice peers.heartbeatIntervalMs',
+    );
+    rule(
+      platform.configurationIntervalMs + platform.callTimeoutMs > 3_000,
+      ['platform', 'configurationIntervalMs'],
+      'with platform.callTimeoutMs must stay within 3000, so that a change is in force in time',
+    );
+  });
+
+export type Settings = z.infer<typeof settingsSchema>;
+/** The settings as an operator may write them, defaults left out. */
+export type SettingsInput = z.input<typeof settingsSchema>;
+
+/** One fault in a settings file: the path of the field and what is wrong with it. */
+export interface SettingsFault {
+  readonly path: string;
+  readonly message: string;
+}
+
+const toPath = (segments: readonly PropertyKey[]): string =>
+  segments.length === 0 ? '(root)' : segments.map(String).join('.');
+
+/** All faults of a value, an unknown key counted as a fault of its own path. */
+export const settingsFaults = (error: z.ZodError): readonly SettingsFault[] =>
+  error.issues.flatMap((issue) => {
+    if (issue.code !== 'unrecognized_keys') {
+      return [{ path: toPath(issue.path), message: issue.message }];
+    }
+    return issue.keys.map((key) => ({
+      path: toPath([...issue.path, key]),
+      message: 'is not a setting',
+    }));
+  });
--- /dev/null
+++ b/src/platform/settings/test/settings.test.ts
@@ -0,0 +1,49 @@
+import { describe, expect, it } from 'vitest';
+
+import { settingsFaults, settingsSchema } from '../common/settings.js';
+
+const valid = {
+  instanceId: 'entry-1',
+  availabilityZone: 'zone-a',
+  listen: {
+    callers: { host: '127.0.0.1' },
+    operators: { host: '127.0.0.1' },
+    peers: { host: '127.0.0.1' },
+  },
+  platform: {
+    tableOrigin: 'http://127.0.0.1:1',
+    objectStoreOrigin: 'http://127.0.0.1:1',
+    instanceListOrigin: 'http://127.0.0.1:1',
+  },
+};
+
+const faultPaths = (settings: unknown): readonly string[] => {
+  const parsed = settingsSchema.safeParse(settings);
+  return parsed.success ? [] : settingsFaults(parsed.error).map(({ path }) => path);
+};
+
+describe('settings', () => {
+  it('need only addresses; all else has a default', () => {
+    expect(faultPaths(valid)).toEqual([]);
+  });
+
+  it('name every fault by its path, unknown keys included', () => {
+    const faulty = {
+      ...valid,
+      instanceId: '',
+      colour: 'red',
+      entry: { queueCapacity: -1, queueLength: 5 },
+    };
+    expect([...faultPaths(faulty)].sort()).toEqual([
+      'colour',
+      'entry.queueCapacity',
+      'entry.queueLength',
+      'instanceId',
+    ]);
+  });
+
+  it('refuse a lease that is shorter than its renewals allow', () => {
+    const faulty = { ...valid, scheduler: { workerLeaseMs: 2_000 } };
+    expect(faultPaths(faulty)).toEqual(['scheduler.workerLeaseMs']);
+  });
+});
--- /dev/null
+++ b/src/platform/tracing/common/tracing.ts
@@ -0,0 +1,42 @@
+/** Traces with a span for each hop, by W3C trace context. */
+
+export const Hop = {
+  Entry: 'entry',
+  Queue: 'queue',
+  Attempt: 'attempt',
+  PeerCall: 'peer-call',
+  TableCall: 'table-call',
+  WorkerCall: 'worker-call',
+} as const;
+export type Hop = (typeof Hop)[keyof typeof Hop];
+
+export type SpanFields = Readonly<Record<string, string | number | boolean>>;
+
+/** One hop of a sampled request. */
+export interface TraceSpan {
+  /** The `traceparent` that names this span to the next hop. */
+  readonly traceparent: string;
+  child(hop: Hop, fields?: SpanFields): TraceSpan;
+  end(fields?: SpanFields): void;
+}
+
+export interface Tracing {
+  /**
+   * Starts a trace, or continues the one that `traceparent` names. Undefined when the request
+   * is not sampled; callers then pass the received header on as it is.
+   */
+  startTrace(hop: Hop, traceparent: string | undefined): TraceSpan | undefined;
+}
+
+/** A finished span as kept in the ring of recent traces. */
+export interface RecordedSpan {
+  readonly traceId: string;
+  readonly spanId: string;
+  readonly parentSpanId: string;
+  readonly hop: string;
+  readonly startedAt: string;
+  readonly durationMs: number;
+  readonly fields: SpanFields;
+}
+
+export const silentTracing: Tracing = { startTrace: () => undefined };
--- /dev/null
+++ b/src/platform/work/common/workRows.ts
@@ -0,0 +1,135 @@
+/**
+ * Rows of the table that hold work: jobs, their tasks in each cell, the ledger of assignments
+ * and the backend servers that services have. A cell is the workers of one availability zone.
+ */
+import { z } from 'zod';
+
+import { nameSchema, urgencySchema } from '../../configuration/common/documents.js';
+import { resourcesSchema } from '../../worker/common/resources.js';
+import { taskAttemptSchema, taskClassSchema } from '../../worker/common/workerClient.js';
+
+/** The record of a job, inserted once under its submitter's idempotency key. */
+export const jobRowSchema = z.strictObject({
+  jobId: z.string(),
+  team: nameSchema,
+  submissionKey: nameSchema,
+  taskCount: z.number().int().positive(),
+  size: resourcesSchema,
+  urgency: urgencySchema,
+  workMs: z.number().nonnegative(),
+});
+export type JobRow = z.infer<typeof jobRowSchema>;
+
+export const BatchTaskState = {
+  Queued: 'queued',
+  Assigned: 'assigned',
+  Done: 'done',
+  Failed: 'failed',
+  Cancelled: 'cancelled',
+} as const;
+export type BatchTaskState = (typeof BatchTaskState)[keyof typeof BatchTaskState];
+
+export const batchTaskSchema = z.strictObject({
+  index: z.number().int().nonnegative(),
+  state: z.enum([
+    BatchTaskState.Queued,
+    BatchTaskState.Assigned,
+    BatchTaskState.Done,
+    BatchTaskState.Failed,
+    BatchTaskState.Cancelled,
+  ]),
+  /** The attempt that runs or, while queued, the one that comes next. */
+  attempt: z.number().int().positive(),
+  checkpoint: z.string().nullable(),
+  evictionCount: z.number().int().nonnegative(),
+  failureCount: z.number().int().nonnegative(),
+});
+export type BatchTask = z.infer<typeof batchTaskSchema>;
+
+/** A shard: those tasks of a job that were given to one cell and stay together when moved. */
+export const workRowSchema = z.strictObject({
+  shardId: z.string(),
+  jobId: z.string(),
+  team: nameSchema,
+  size: resourcesSchema,
+  urgency: urgencySchema,
+  workMs: z.number().nonnegative(),
+  tasks: z.array(batchTaskSchema),
+});
+export type WorkRow = z.infer<typeof workRowSchema>;
+
+/** One attempt of a task, committed to a worker. */
+export const assignmentSchema = z.strictObject({
+  ...taskAttemptSchema.shape,
+  workerId: z.string(),
+  /** The incarnation that the task was given to; another one has lost it. */
+  incarnation: z.string(),
+  taskClass: taskClassSchema,
+  /** Empty for batch tasks. */
+  serviceName: z.string(),
+  /** Empty for tasks of services. */
+  shardId: z.string(),
+  taskIndex: z.number().int().nonnegative(),
+  size: resourcesSchema,
+  workMs: z.number().nonnegative(),
+  checkpoint: z.string().nullable(),
+});
+export type Assignment = z.infer<typeof assignmentSchema>;
+
+/** All assignments on the workers of one rack. */
+export const ledgerRowSchema = z.strictObject({ assignments: z.array(assignmentSchema) });
+export type LedgerRow = z.infer<typeof ledgerRowSchema>;
+
+/** The backend servers of one cell that may receive requests. */
+export const endpointRowSchema = z.strictObject({
+  servers: z.array(
+    z.strictObject({ serviceName: z.string(), workerId: z.string(), taskId: z.string() }),
+  ),
+});
+export type EndpointRow = z.infer<typeof endpointRowSchema>;
+
+/** Jobs that one confirmed plan cancelled; the same row is written for every cell. */
+export const cancellationRowSchema = z.strictObject({ jobIds: z.array(z.string()) });
+export type CancellationRow = z.infer<typeof cancellationRowSchema>;
+
+export const cellOwnerRowSchema = z.strictObject({
+  ownerId: z.string(),
+  epoch: z.number().int().positive(),
+});
+export type CellOwnerRow = z.infer<typeof cellOwnerRowSchema>;
+
+export const heartbeatRowSchema = z.strictObject({ counter: z.number().int().nonnegative() });
+
+export const cellOwnerKey = (cell: string): string => `cell/${cell}/owner`;
+export const cellHeartbeatKey = (cell: string): string => `cell/${cell}/heartbeat`;
+/** Written by whoever adds work to a cell, so that its owner looks again. */
+export const cellInboxKey = (cell: string): string => `cell/${cell}/inbox`;
+export const ledgerPrefix = (cell: string): string => `ledger/${cell}/`;
+export const ledgerKey = (cell: string, rack: string): string => `${ledgerPrefix(cell)}${rack}`;
+export const workPrefix = (cell: string): string => `work/${cell}/`;
+export const workKey = (cell: string, shardId: string): string => `${workPrefix(cell)}${shardId}`;
+export const finishedPrefix = (cell: string): string => `finished/${cell}/`;
+export const finishedKey = (cell: string, shardId: string): string =>
+  `${finishedPrefix(cell)}${shardId}`;
+/** The id of the shard of a job that is first given to `cell`; shards of a job share a prefix. */
+export const toShardId = (jobId: string, cell: string): string => `${jobId}~${cell}`;
+export const cancellationPrefix = (cell: string): string => `cancellation/${cell}/`;
+export const cancellationKey = (cell: string, planId: string): string =>
+  `${cancellationPrefix(cell)}${planId}`;
+export const ENDPOINT_PREFIX = 'endpoints/';
+export const endpointKey = (cell: string): string => `${ENDPOINT_PREFIX}${cell}`;
+export const JOB_PREFIX = 'job/';
+export const jobKey = (jobId: string): string => `${JOB_PREFIX}${jobId}`;
+
+/** The id of a job: the same submission of the same team is the same job. */
+export const toJobId = (team: string, submissionKey: string): string => `${team}.${submissionKey}`;
+
+export const batchTaskId = (jobId: string, index: number): string => `${jobId}/${index}`;
+
+const ENDED_STATES: ReadonlySet<BatchTaskState> = new Set([
+  BatchTaskState.Done,
+  BatchTaskState.Failed,
+  BatchTaskState.Cancelled,
+]);
+
+export const isEnded = (task: BatchTask): boolean => ENDED_STATES.has(task.state);
--- /dev/null
+++ b/src/platform/worker/common/resources.ts
@@ -0,0 +1,38 @@
+/** What a task takes from an instance and what an instance has. */
+import { z } from 'zod';
+
+export const resourcesSchema = z.strictObject({
+  processorMillis: z.number().int().nonnegative(),
+  memoryBytes: z.number().int().nonnegative(),
+  acceleratorCount: z.number().int().nonnegative(),
+});
+
+/** Processors are counted in thousandths of one. */
+export type Resources = z.infer<typeof resourcesSchema>;
+
+export const NO_RESOURCES: Resources = {
+  processorMillis: 0,
+  memoryBytes: 0,
+  acceleratorCount: 0,
+};
+
+export const addResources = (left: Resources, right: Resources): Resources => ({
+  processorMillis: left.processorMillis + right.processorMillis,
+  memoryBytes: left.memoryBytes + right.memoryBytes,
+  acceleratorCount: left.acceleratorCount + right.acceleratorCount,
+});
+
+export const subtractResources = (left: Resources, right: Resources): Resources => ({
+  processorMillis: left.processorMillis - right.processorMillis,
+  memoryBytes: left.memoryBytes - right.memoryBytes,
+  acceleratorCount: left.acceleratorCount - right.acceleratorCount,
+});
+
+export const sumResources = (sizes: readonly Resources[]): Resources =>
+  sizes.reduce(addResources, NO_RESOURCES);
+
+/** True when `size` fits into `free` in every dimension. */
+export const fitsInto = (size: Resources, free: Resources): boolean =>
+  size.processorMillis <= free.processorMillis &&
+  size.memoryBytes <= free.memoryBytes &&
+  size.acceleratorCount <= free.acceleratorCount;
--- /dev/null
+++ b/src/scheduler/common/cellLease.ts
@@ -0,0 +1,207 @@
+/**
+ * Who schedules a cell. The owner raises a heartbeat counter in the table; another daemon takes
+ * over after it has seen the counter stand still for a whole lease on its own clock. Clocks of
+ * different machines are never compared. Every write of an owner is conditional on the version
+ * of the owner row, so a former owner that wakes up from a pause can commit nothing.
+ */
+import {
+  ABSENT_VERSION,
+  type ReadRequest,
+  rowsByKey,
+  type TableRow,
+  type Transaction,
+} from '../../platform/table/common/table.js';
+import {
+  cellHeartbeatKey,
+  type CellOwnerRow,
+  cellOwnerKey,
+  cellOwnerRowSchema,
+  heartbeatRowSchema,
+} from '../../platform/work/common/workRows.js';
+
+export interface CellLeaseTiming {
+  readonly heartbeatIntervalMs: number;
+  readonly leaseMs: number;
+  /** Extra patience of daemons that should not be first to take this cell. */
+  readonly acquireDelayMs: number;
+}
+
+/** What one daemon knows of a cell's lease. */
+export interface CellLease {
+  readonly cell: string;
+  /** Names this life of this process; a restarted daemon is another owner. */
+  readonly selfId: string;
+  readonly isOwner: boolean;
+  readonly epoch: number;
+  readonly ownerRowVersion: number;
+  readonly heartbeatRowVersion: number;
+  readonly heartbeatCounter: number;
+  /** Since when the heartbeat row has been seen unchanged. */
+  readonly unchangedSinceMs: number;
+  /** When the last heartbeat known to be committed was sent. */
+  readonly heldAtMs: number;
+  readonly nextStepAtMs: number;
+  readonly isStepInFlight: boolean;
+}
+
+export const LeaseStepKind = { Watch: 'watch', Acquire: 'acquire', Renew: 'renew' } as const;
+export type LeaseStepKind = (typeof LeaseStepKind)[keyof typeof LeaseStepKind];
+
+/** A table call the lease asks for; at most one is in flight. */
+export type LeaseStep =
+  | { readonly kind: typeof LeaseStepKind.Watch; readonly request: ReadRequest }
+  | {
+      readonly kind: typeof LeaseStepKind.Acquire | typeof LeaseStepKind.Renew;
+      readonly transaction: Transaction;
+    };
+
+export const initialCellLease = (cell: string, selfId: string, nowMs: number): CellLease => ({
+  cell,
+  selfId,
+  isOwner: false,
+  epoch: 0,
+  ownerRowVersion: ABSENT_VERSION,
+  heartbeatRowVersion: -1,
+  heartbeatCounter: 0,
+  unchangedSinceMs: nowMs,
+  heldAtMs: Number.NEGATIVE_INFINITY,
+  nextStepAtMs: nowMs,
+  isStepInFlight: false,
+});
+
+const hasStoodStill = (lease: CellLease, timing: CellLeaseTiming, nowMs: number): boolean => {
+  // A cell that nobody ever owned needs no lease to run out.
+  const patienceMs = lease.ownerRowVersion === ABSENT_VERSION ? 0 : timing.leaseMs;
+  return nowMs - lease.unchangedSinceMs >= patienceMs + timing.acquireDelayMs;
+};
+
+const acquireStep = (lease: CellLease, operationId: string): LeaseStep => ({
+  kind: LeaseStepKind.Acquire,
+  transaction: {
+    operationId,
+    conditions: [
+      { key: cellOwnerKey(lease.cell), version: lease.ownerRowVersion },
+      { key: cellHeartbeatKey(lease.cell), version: lease.heartbeatRowVersion },
+    ],
+    writes: [
+      {
+        key: cellOwnerKey(lease.cell),
+        value: { ownerId: lease.selfId, epoch: lease.epoch + 1 } satisfies CellOwnerRow,
+      },
+      { key: cellHeartbeatKey(lease.cell), value: { counter: lease.heartbeatCounter + 1 } },
+    ],
+  },
+});
+
+const renewStep = (lease: CellLease, operationId: string): LeaseStep => ({
+  kind: LeaseStepKind.Renew,
+  transaction: {
+    operationId,
+    conditions: [{ key: cellOwnerKey(lease.cell), version: lease.ownerRowVersion }],
+    writes: [{ key: cellHeartbeatKey(lease.cell), value: { counter: lease.heartbeatCounter + 1 } }],
+  },
+});
+
+const watchStep = (lease: CellLease): LeaseStep => ({
+  kind: LeaseStepKind.Watch,
+  request: { keys: [cellOwnerKey(lease.cell), cellHeartbeatKey(lease.cell)], prefixes: [] },
+});
+
+/** The next table call, if one is due. `hasWatched` tells a first look from a later one. */
+export const nextLeaseStep = (
+  lease: CellLease,
+  timing: CellLeaseTiming,
+  operationId: string,
+  nowMs: number,
+): { readonly lease: CellLease; readonly step: LeaseStep } | undefined => {
+  if (lease.isStepInFlight || nowMs < lease.nextStepAtMs) return undefined;
+  const inFlight = { ...lease, isStepInFlight: true };
+  if (lease.isOwner) return { lease: inFlight, step: renewStep(lease, operationId) };
+  const hasWatched = lease.heartbeatRowVersion >= ABSENT_VERSION;
+  if (hasWatched && hasStoodStill(lease, timing, nowMs)) {
+    return { lease: inFlight, step: acquireStep(lease, operationId) };
+  }
+  return { lease: inFlight, step: watchStep(lease) };
+};
+
+const rested = (lease: CellLease, timing: CellLeaseTiming, nowMs: number): CellLease => ({
+  ...lease,
+  isStepInFlight: false,
+  nextStepAtMs: nowMs + timing.heartbeatIntervalMs,
+});
+
+/** Takes in the owner and heartbeat rows that a watcher has read. */
+export const withLeaseRows = (
+  lease: CellLease,
+  timing: CellLeaseTiming,
+  rows: readonly TableRow[],
+  sentAtMs: number,
+  nowMs: number,
+): CellLease => {
+  const byKey = rowsByKey(rows);
+  const ownerRow = byKey.get(cellOwnerKey(lease.cell));
+  const heartbeatRow = byKey.get(cellHeartbeatKey(lease.cell));
+  const owner = ownerRow === undefined ? undefined : cellOwnerRowSchema.parse(ownerRow.value);
+  const heartbeatRowVersion = heartbeatRow?.version ?? ABSENT_VERSION;
+  const isUnchanged = heartbeatRowVersion === lease.heartbeatRowVersion;
+  const isOwner = owner?.ownerId === lease.selfId;
+  return {
+    ...rested(lease, timing, nowMs),
+    // Found to be the owner: an acquisition whose answer was lost had taken effect.
+    isOwner,
+    epoch: owner?.epoch ?? 0,
+    ownerRowVersion: ownerRow?.version ?? ABSENT_VERSION,
+    heartbeatRowVersion,
+    heartbeatCounter:
+      heartbeatRow === undefined ? 0 : heartbeatRowSchema.parse(heartbeatRow.value).counter,
+    unchangedSinceMs: isUnchanged ? lease.unchangedSinceMs : nowMs,
+    heldAtMs: isOwner ? sentAtMs : lease.heldAtMs,
+  };
+};
+
+/** Takes in a committed acquisition or renewal that was sent at `sentAtMs`. */
+export const withLeaseCommitted = (
+  lease: CellLease,
+  timing: CellLeaseTiming,
+  kind: LeaseStepKind,
+  version: number,
+  sentAtMs: number,
+  nowMs: number,
+): CellLease => {
+  const isAcquired = kind === LeaseStepKind.Acquire;
+  return {
+    ...rested(lease, timing, nowMs),
+    isOwner: true,
+    epoch: isAcquired ? lease.epoch + 1 : lease.epoch,
+    ownerRowVersion: isAcquired ? version : lease.ownerRowVersion,
+    heartbeatRowVersion: version,
+    heartbeatCounter: lease.heartbeatCounter + 1,
+    unchangedSinceMs: nowMs,
+    heldAtMs: sentAtMs,
+  };
+};
+
+/** Takes in a conflict: somebody else owns the cell or has been quicker. */
+export const withLeaseLost = (
+  lease: CellLease,
+  timing: CellLeaseTiming,
+  nowMs: number,
+): CellLease => ({
+  ...rested(lease, timing, nowMs),
+  isOwner: false,
+  // The next look counts as the first, so the whole lease has to pass again.
+  heartbeatRowVersion: -1,
+  unchangedSinceMs: nowMs,
+});
+
+/** Takes in a failed call. An owner stays owner: while the table is out nobody can take over. */
+export const withLeaseCallFailed = (
+  lease: CellLease,
+  timing: CellLeaseTiming,
+  nowMs: number,
+): CellLease => ({
+  ...rested(lease, timing, nowMs),
+  // A lost acquisition may have raised the epoch, so the rows must be read again.
+  heartbeatRowVersion: lease.isOwner ? lease.heartbeatRowVersion : -1,
+  unchangedSinceMs: lease.isOwner ? lease.unchangedSinceMs : nowMs,
+});
--- /dev/null
+++ b/src/scheduler/common/cellState.ts
@@ -0,0 +1,101 @@
+/** The state of one daemon with regard to one cell, and the events and effects around it. */
+import type { Either } from 'fp-ts/lib/Either.js';
+
+import type { ConfigurationView } from '../../platform/configuration/common/configurationView.js';
+import type { Failure } from '../../platform/errors/common/errorKinds.js';
+import type { WorkerInstance } from '../../platform/instanceList/common/instanceList.js';
+import type {
+  ReadRequest,
+  ReadResult,
+  Transaction,
+  TransactionResult,
+} from '../../platform/table/common/table.js';
+import type { WorkerCommand, WorkerReport } from '../../platform/worker/common/workerClient.js';
+import type { CellLease, CellLeaseTiming, LeaseStepKind } from './cellLease.js';
+import type { CellDraft, CellRows } from './cellRows.js';
+import type { WorkerView } from './workerView.js';
+
+/** Limits and intervals of a cell's scheduling, from the settings. */
+export interface CellTiming extends CellLeaseTiming {
+  readonly workerRenewalIntervalMs: number;
+  readonly workerLeaseMs: number;
+  readonly startValidityMs: number;
+  readonly serviceDrainMs: number;
+  readonly maximumRenewalWithoutTableMs: number;
+  /** How old the last confirmation of the configuration may be for a start. */
+  readonly configurationFreshnessMs: number;
+  /** How old a worker's last report may be for a new assignment. */
+  readonly reportFreshnessMs: number;
+}
+
+/** The configuration with the instant at which it was last known to be the newest. */
+export interface ConfirmedConfiguration {
+  readonly view: ConfigurationView;
+  readonly confirmedAtMs: number;
+}
+
+/** What the owner's one table call in flight is for. */
+export type PendingCall =
+  | { readonly kind: 'load' }
+  | { readonly kind: 'look' }
+  | { readonly kind: 'commit'; readonly draft: CellDraft; readonly sentAtMs: number };
+
+export interface CellState {
+  readonly cell: string;
+  readonly timing: CellTiming;
+  readonly lease: CellLease;
+  /** Undefined while not owner, and after a lost answer until the rows are read again. */
+  readonly rows: CellRows | undefined;
+  readonly workers: ReadonlyMap<string, WorkerView>;
+  readonly pending: PendingCall | undefined;
+  readonly configuration: ConfirmedConfiguration | undefined;
+  /** When a committed transaction last proved that the zone was in use; when it was sent. */
+  readonly zoneProvedAtMs: number;
+  /** Since when the zone is known to be withdrawn. */
+  readonly withdrawnSinceMs: number | undefined;
+  readonly tookOverAtMs: number;
+  /** When to look again whether work has been added to the cell. */
+  readonly nextLookAtMs: number;
+  readonly operationCount: number;
+}
+
+export type CellEvent =
+  | { readonly kind: 'tick' }
+  | { readonly kind: 'configuration'; readonly configuration: ConfirmedConfiguration }
+  | { readonly kind: 'instances'; readonly workers: readonly WorkerInstance[] }
+  | {
+      readonly kind: 'lease-read';
+      readonly result: Either<Failure, ReadResult>;
+      readonly sentAtMs: number;
+    }
+  | {
+      readonly kind: 'lease-written';
+      readonly step: LeaseStepKind;
+      readonly result: Either<Failure, TransactionResult>;
+      readonly sentAtMs: number;
+    }
+  | { readonly kind: 'loaded'; readonly result: Either<Failure, ReadResult> }
+  | { readonly kind: 'committed'; readonly result: Either<Failure, TransactionResult> }
+  | {
+      readonly kind: 'worker-answered';
+      readonly workerId: string;
+      readonly result: Either<Failure, WorkerReport>;
+    };
+
+export type CellEffect =
+  | { readonly kind: 'lease-read'; readonly request: ReadRequest }
+  | {
+      readonly kind: 'lease-write';
+      readonly step: LeaseStepKind;
+      readonly transaction: Transaction;
+    }
+  | { readonly kind: 'load'; readonly request: ReadRequest }
+  | { readonly kind: 'commit'; readonly transaction: Transaction }
+  | { readonly kind: 'command'; readonly workerId: string; readonly command: WorkerCommand }
+  | { readonly kind: 'count'; readonly counter: string; readonly amount: number }
+  | { readonly kind: 'log'; readonly event: string };
+
+export interface CellDecision {
+  readonly state: CellState;
+  readonly effects: readonly CellEffect[];
+}
--- /dev/null
+++ b/src/scheduler/common/placement.ts
@@ -0,0 +1,82 @@
+/** Chooses a worker for a task. */
+import type { Resources } from '../../platform/worker/common/resources.js';
+import { fitsInto, subtractResources } from '../../platform/worker/common/resources.js';
+
+/** A worker that may take tasks, with what is left on it. */
+export interface PlacementCandidate {
+  readonly workerId: string;
+  readonly rack: string;
+  readonly incarnation: string;
+  readonly capacity: Resources;
+  readonly free: Resources;
+  /** Tasks of the same service already on the worker and in its rack. */
+  readonly sameServiceOnWorkerCount: number;
+  readonly sameServiceInRackCount: number;
+}
+
+export interface PlacementRequest {
+  readonly size: Resources;
+  /** Tasks of services are spread, batch tasks are packed. */
+  readonly isSpread: boolean;
+}
+
+/** A policy that picks one of the candidates, all of which the task fits into. */
+export interface PlacementPolicy {
+  choose(
+    request: PlacementRequest,
+    candidates: readonly PlacementCandidate[],
+  ): PlacementCandidate | undefined;
+}
+
+const share = (part: number, whole: number): number => (whole === 0 ? 0 : part / whole);
+
+/** The share left of the scarcest of processors and memory after placing. */
+const remainingShare = (request: PlacementRequest, candidate: PlacementCandidate): number => {
+  const left = subtractResources(candidate.free, request.size);
+  return Math.min(
+    share(left.processorMillis, candidate.capacity.processorMillis),
+    share(left.memoryBytes, candidate.capacity.memoryBytes),
+  );
+};
+
+const ACCELERATOR_PENALTY = 10;
+const WORKER_SPREAD_PENALTY = 100;
+const RACK_SPREAD_PENALTY = 5;
+
+/**
+ * Made for a cell of a hundred workers with short batch tasks and long-lived services. Batch
+ * tasks go where least is left over, which keeps large gaps for large tasks; services go apart,
+ * so that one worker or rack takes few of their replicas along. Work that needs no accelerator
+ * keeps off workers that have one, which would otherwise be stranded behind full processors.
+ */
+export class SpreadAndPackPolicy implements PlacementPolicy {
+  choose(
+    request: PlacementRequest,
+    candidates: readonly PlacementCandidate[],
+  ): PlacementCandidate | undefined {
+    let best: PlacementCandidate | undefined;
+    let bestCost = Number.POSITIVE_INFINITY;
+    candidates.forEach((candidate) => {
+      if (!fitsInto(request.size, candidate.free)) return;
+      const cost = SpreadAndPackPolicy.#cost(request, candidate);
+      if (cost >= bestCost) return;
+      best = candidate;
+      bestCost = cost;
+    });
+    return best;
+  }
+
+  static #cost(request: PlacementRequest, candidate: PlacementCandidate): number {
+    const wastesAccelerator =
+      request.size.acceleratorCount === 0 && candidate.capacity.acceleratorCount > 0;
+    const accelerator = wastesAccelerator ? ACCELERATOR_PENALTY : 0;
+    const left = remainingShare(request, candidate);
+    if (!request.isSpread) return accelerator + left;
+    return (
+      accelerator +
+      candidate.sameServiceOnWorkerCount * WORKER_SPREAD_PENALTY +
+      candidate.sameServiceInRackCount * RACK_SPREAD_PENALTY -
+      left
+    );
+  }
+}
--- /dev/null
+++ b/src/scheduler/common/round.ts
@@ -0,0 +1,119 @@
+/** One round of a cell's owner: everything that is due goes into one transaction. */
+import { zonesInUse } from '../../platform/configuration/common/configurationView.js';
+import {
+  addResources,
+  fitsInto,
+  NO_RESOURCES,
+  type Resources,
+} from '../../platform/worker/common/resources.js';
+import { TaskClass, WorkerTaskState } from '../../platform/worker/common/workerClient.js';
+import {
+  type Assignment,
+  type BatchTask,
+  BatchTaskState,
+  type EndpointRow,
+  isEnded,
+} from '../../platform/work/common/workRows.js';
+import { assignQueuedWork } from './assigning.js';
+import { CellDraft, type CellRows } from './cellRows.js';
+import type { CellState } from './cellState.js';
+import type { PlacementPolicy } from './placement.js';
+import { type AssignmentEnd, recordEnds } from './taskEnds.js';
+import { isWorkerDraining } from './wantedEvictions.js';
+import { reportedTask } from './workerView.js';
+
+export interface Round {
+  readonly draft: CellDraft;
+  readonly ends: readonly AssignmentEnd[];
+  readonly assignedCount: number;
+}
+
+/** Ends the queued tasks of cancelled jobs; running ones end when their workers say so. */
+const cancelQueuedTasks = (draft: CellDraft): void => {
+  draft.shardIds.forEach((shardId) => {
+    const row = draft.work(shardId);
+    if (row === undefined || !draft.cancelledJobIds.has(row.jobId)) return;
+    if (!row.tasks.some((task) => task.state === BatchTaskState.Queued)) return;
+    const cancel = (task: BatchTask): BatchTask =>
+      task.state === BatchTaskState.Queued ? { ...task, state: BatchTaskState.Cancelled } : task;
+    draft.setWork({ ...row, tasks: row.tasks.map(cancel) });
+  });
+};
+
+/** Hands shards of a withdrawn zone, once nothing of them runs here, to zones in use. */
+const moveShards = (state: CellState, draft: CellDraft): void => {
+  const view = state.configuration?.view;
+  const zones = view === undefined ? [] : zonesInUse(view);
+  if (state.withdrawnSinceMs === undefined || zones.length === 0) return;
+  draft.shardIds.forEach((shardId, index) => {
+    const row = draft.work(shardId);
+    const isRunning = row?.tasks.some((task) => task.state === BatchTaskState.Assigned) ?? true;
+    if (row === undefined || isRunning || row.tasks.every(isEnded)) return;
+    draft.moveWork(shardId, zones[index % zones.length] as string);
+  });
+};
+
+const isServing = (state: CellState, assignment: Assignment): boolean => {
+  const view = state.workers.get(assignment.workerId);
+  if (view === undefined || isWorkerDraining(state, assignment.workerId)) return false;
+  return reportedTask(view, assignment)?.state === WorkerTaskState.Running;
+};
+
+const wantedEndpoints = (state: CellState, draft: CellDraft): EndpointRow => {
+  if (state.withdrawnSinceMs !== undefined) return { servers: [] };
+  const servers = draft.racks
+    .flatMap((rack) => draft.assignments(rack))
+    .filter((assignment) => assignment.taskClass === TaskClass.LatencyCritical)
+    .filter((assignment) => isServing(state, assignment))
+    .map(({ serviceName, workerId, taskId }) => ({ serviceName, workerId, taskId }))
+    .sort((left, right) => (left.taskId < right.taskId ? -1 : 1));
+  return { servers };
+};
+
+const updateEndpoints = (state: CellState, draft: CellDraft): void => {
+  const wanted = wantedEndpoints(state, draft);
+  if (JSON.stringify(wanted) !== JSON.stringify(draft.endpoints)) draft.setEndpoints(wanted);
+};
+
+/**
+ * Invariant: no worker is committed beyond what it has. It is checked on what is about to be
+ * written, whatever the policy came to, and a round that breaks it is not written.
+ */
+export const overcommittedWorkers = (state: CellState, draft: CellDraft): readonly string[] => {
+  const used = new Map<string, Resources>();
+  draft.racks
+    .flatMap((rack) => draft.assignments(rack))
+    .forEach(({ workerId, size }) =>
+      used.set(workerId, addResources(used.get(workerId) ?? NO_RESOURCES, size)),
+    );
+  return [...used.keys()].filter((workerId) => {
+    const capacity = state.workers.get(workerId)?.instance.capacity;
+    return capacity !== undefined && !fitsInto(used.get(workerId) ?? NO_RESOURCES, capacity);
+  });
+};
+
+/** True when the configuration is fresh enough, and allows, to start work in this zone. */
+const mayAssign = (state: CellState, nowMs: number): boolean => {
+  if (state.configuration === undefined || state.withdrawnSinceMs !== undefined) return false;
+  const ageMs = nowMs - state.configuration.confirmedAtMs;
+  return ageMs <= state.timing.configurationFreshnessMs;
+};
+
+/** Works out all changes that are due now. */
+export const planRound = (
+  state: CellState,
+  rows: CellRows,
+  policy: PlacementPolicy,
+  operationId: string,
+  nowMs: number,
+): Round => {
+  const draft = new CellDraft(state.cell, rows);
+  const ends = recordEnds(state, draft, nowMs);
+  cancelQueuedTasks(draft);
+  const assignedCount = mayAssign(state, nowMs)
+    ? assignQueuedWork(state, draft, policy, operationId, nowMs)
+    : 0;
+  moveShards(state, draft);
+  updateEndpoints(state, draft);
+  return { draft, ends, assignedCount };
+};
--- /dev/null
+++ b/src/scheduler/common/taskEnds.ts
@@ -0,0 +1,134 @@
+/** Removes assignments that have ended and queues again what has to run once more. */
+import {
+  WorkerTaskState,
+  type WorkerTaskReport,
+} from '../../platform/worker/common/workerClient.js';
+import {
+  type Assignment,
+  type BatchTask,
+  BatchTaskState,
+} from '../../platform/work/common/workRows.js';
+import type { CellDraft } from './cellRows.js';
+import type { CellState } from './cellState.js';
+import { reportedTask, type WorkerView } from './workerView.js';
+
+export const AssignmentEnd = {
+  Finished: 'finished',
+  Failed: 'failed',
+  Evicted: 'evicted',
+  /** The worker lost the task: its lease ran out, it restarted, or it is gone. */
+  Lost: 'lost',
+  /** The start message can no longer take effect. */
+  NeverStarted: 'never-started',
+} as const;
+export type AssignmentEnd = (typeof AssignmentEnd)[keyof typeof AssignmentEnd];
+
+/** Failures after which a task is given up. */
+export const MAXIMUM_FAILURE_COUNT = 5;
+
+const ENDS_BY_REPORT: Readonly<Record<WorkerTaskState, AssignmentEnd | undefined>> = {
+  [WorkerTaskState.Running]: undefined,
+  [WorkerTaskState.Finished]: AssignmentEnd.Finished,
+  [WorkerTaskState.Failed]: AssignmentEnd.Failed,
+  [WorkerTaskState.Evicted]: AssignmentEnd.Evicted,
+  [WorkerTaskState.Lapsed]: AssignmentEnd.Lost,
+};
+
+/**
+ * Tells whether an assignment has surely ended. Giving a task to another worker while the first
+ * may still run it would run it twice, so silence alone never ends an assignment: either the
+ * worker says so, or its incarnation is gone, or its leases have surely run out on its clock.
+ */
+export const assignmentEnd = (
+  state: CellState,
+  view: WorkerView | undefined,
+  assignment: Assignment,
+  nowMs: number,
+): AssignmentEnd | undefined => {
+  if (view === undefined) return undefined;
+  if (nowMs > view.leasesOverAtMs) return AssignmentEnd.Lost;
+  if (view.report === undefined) return undefined;
+  if (view.report.incarnation !== assignment.incarnation) return AssignmentEnd.Lost;
+  const task = reportedTask(view, assignment);
+  if (task !== undefined) return ENDS_BY_REPORT[task.state];
+  // Not started yet. It is taken back only when the zone is withdrawn and no start that was
+  // sent can still take effect on the worker's clock.
+  const isStartPast = view.report.workerNowMs > view.startsGoodUntilWorkerMs;
+  if (state.withdrawnSinceMs === undefined || !isStartPast) return undefined;
+  return AssignmentEnd.NeverStarted;
+};
+
+const endedTask = (
+  task: BatchTask,
+  end: AssignmentEnd,
+  report: WorkerTaskReport | undefined,
+): BatchTask => {
+  const checkpoint = report?.checkpoint ?? task.checkpoint;
+  const nextAttempt = { ...task, checkpoint, attempt: task.attempt + 1 };
+  switch (end) {
+    case AssignmentEnd.Finished:
+      return { ...task, state: BatchTaskState.Done };
+    case AssignmentEnd.Evicted:
+      return {
+        ...nextAttempt,
+        state: BatchTaskState.Queued,
+        evictionCount: task.evictionCount + 1,
+      };
+    case AssignmentEnd.Failed: {
+      const failureCount = task.failureCount + 1;
+      const isGivenUp = failureCount >= MAXIMUM_FAILURE_COUNT;
+      const taskState = isGivenUp ? BatchTaskState.Failed : BatchTaskState.Queued;
+      return { ...nextAttempt, state: taskState, failureCount };
+    }
+    default:
+      return { ...nextAttempt, state: BatchTaskState.Queued };
+  }
+};
+
+/** Puts the end of an assignment into the work row of its shard. */
+const recordBatchEnd = (
+  draft: CellDraft,
+  assignment: Assignment,
+  end: AssignmentEnd,
+  report: WorkerTaskReport | undefined,
+): void => {
+  const row = draft.work(assignment.shardId);
+  if (row === undefined) return;
+  const isCancelled = draft.cancelledJobIds.has(row.jobId);
+  const tasks = row.tasks.map((task) => {
+    if (task.index !== assignment.taskIndex || task.attempt !== assignment.attempt) return task;
+    const ended = endedTask(task, end, report);
+    const isDropped = isCancelled && ended.state === BatchTaskState.Queued;
+    return isDropped ? { ...ended, state: BatchTaskState.Cancelled } : ended;
+  });
+  draft.setWork({ ...row, tasks });
+};
+
+/** One rack's assignments without those that have ended. */
+const recordRackEnds = (
+  state: CellState,
+  draft: CellDraft,
+  rack: string,
+  nowMs: number,
+): readonly AssignmentEnd[] => {
+  const ends: AssignmentEnd[] = [];
+  const remaining = draft.assignments(rack).filter((assignment) => {
+    const view = state.workers.get(assignment.workerId);
+    const end = assignmentEnd(state, view, assignment, nowMs);
+    if (end === undefined) return true;
+    ends.push(end);
+    const report = view === undefined ? undefined : reportedTask(view, assignment);
+    if (assignment.shardId !== '') recordBatchEnd(draft, assignment, end, report);
+    return false;
+  });
+  if (ends.length > 0) draft.setAssignments(rack, remaining);
+  return ends;
+};
+
+/** Records all ends that are certain by now and returns them for the counters. */
+export const recordEnds = (
+  state: CellState,
+  draft: CellDraft,
+  nowMs: number,
+): readonly AssignmentEnd[] =>
+  draft.racks.flatMap((rack) => recordRackEnds(state, draft, rack, nowMs));
--- /dev/null
+++ b/src/scheduler/node/cellTask.ts
@@ -0,0 +1,137 @@
+/** Runs the state machine of one cell: owns its timer, its table calls and worker clients. */
+import type { Clock } from '../../base/common/clock.js';
+import { type Disposable, DisposableStore } from '../../base/common/lifecycle.js';
+import { PeriodicTimer } from '../../base/node/periodicTimer.js';
+import type { ConfigurationService } from '../../platform/configuration/common/configurationService.js';
+import type { InstanceDirectory } from '../../platform/instanceList/common/instanceDirectory.js';
+import { isWorker, toOrigin } from '../../platform/instanceList/common/instanceList.js';
+import type { Log } from '../../platform/log/common/log.js';
+import type { Metrics } from '../../platform/metrics/common/metrics.js';
+import type { TableService } from '../../platform/table/common/table.js';
+import { HttpWorkerClient } from '../../platform/worker/node/httpWorkerClient.js';
+import { decide, initialCellState } from '../common/cellScheduler.js';
+import type { CellEffect, CellEvent, CellState, CellTiming } from '../common/cellState.js';
+import type { PlacementPolicy } from '../common/placement.js';
+
+export interface CellTaskServices {
+  readonly table: TableService;
+  readonly configuration: ConfigurationService;
+  readonly directory: InstanceDirectory;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly metrics: Metrics;
+}
+
+export interface CellTaskOptions {
+  readonly cell: string;
+  readonly selfId: string;
+  readonly timing: CellTiming;
+  readonly tickIntervalMs: number;
+  readonly workerTimeoutMs: number;
+}
+
+export class CellTask implements Disposable {
+  readonly #services: CellTaskServices;
+
+  readonly #options: CellTaskOptions;
+
+  readonly #policy: PlacementPolicy;
+
+  readonly #disposables = new DisposableStore();
+
+  readonly #clients = new Map<string, HttpWorkerClient>();
+
+  #state: CellState;
+
+  constructor(services: CellTaskServices, options: CellTaskOptions, policy: PlacementPolicy) {
+    this.#services = services;
+    this.#options = options;
+    this.#policy = policy;
+    const nowMs = services.clock.nowMs();
+    this.#state = initialCellState(options.cell, options.selfId, options.timing, nowMs);
+    this.#disposables.add(services.directory.onDidChange(() => this.#handleInstances()));
+    this.#disposables.add(services.configuration.onDidChange(() => this.#handleConfiguration()));
+    this.#handleInstances();
+    this.#disposables.add(new PeriodicTimer(options.tickIntervalMs, () => this.#handleTick()));
+  }
+
+  get isOwner(): boolean {
+    return this.#state.lease.isOwner;
+  }
+
+  dispose(): void {
+    this.#disposables.dispose();
+    this.#clients.forEach((client) => client.dispose());
+    this.#clients.clear();
+  }
+
+  #handleTick(): void {
+    this.#handleConfiguration();
+    this.#handle({ kind: 'tick' });
+    this.#services.metrics.gauge('cell_is_owned', this.isOwner ? 1 : 0, {
+      cell: this.#options.cell,
+    });
+  }
+
+  #handleConfiguration(): void {
+    const { current, confirmedAtMs } = this.#services.configuration;
+    if (current === undefined) return;
+    this.#handle({ kind: 'configuration', configuration: { view: current, confirmedAtMs } });
+  }
+
+  #handleInstances(): void {
+    const workers = this.#services.directory.instances.filter(isWorker);
+    this.#handle({ kind: 'instances', workers });
+  }
+
+  #handle(event: CellEvent): void {
+    if (this.#disposables.isDisposed) return;
+    const decision = decide(this.#state, event, this.#policy, this.#services.clock.nowMs());
+    this.#state = decision.state;
+    decision.effects.forEach((effect) => void this.#perform(effect));
+  }
+
+  async #perform(effect: CellEffect): Promise<void> {
+    const { table, clock, log, metrics } = this.#services;
+    const { cell } = this.#options;
+    const sentAtMs = clock.nowMs();
+    switch (effect.kind) {
+      case 'lease-read': {
+        const result = await table.read(effect.request)();
+        this.#handle({ kind: 'lease-read', result, sentAtMs });
+        return;
+      }
+      case 'lease-write': {
+        const result = await table.transact(effect.transaction)();
+        this.#handle({ kind: 'lease-written', step: effect.step, result, sentAtMs });
+        return;
+      }
+      case 'load':
+        this.#handle({ kind: 'loaded', result: await table.read(effect.request)() });
+        return;
+      case 'commit':
+        this.#handle({ kind: 'committed', result: await table.transact(effect.transaction)() });
+        return;
+      case 'command': {
+        const result = await this.#client(effect.workerId).command(effect.command)();
+        this.#handle({ kind: 'worker-answered', workerId: effect.workerId, result });
+        return;
+      }
+      case 'count':
+        if (effect.amount > 0) metrics.count(effect.counter, { cell }, effect.amount);
+        return;
+      default:
+        log.info(effect.event, { cell });
+    }
+  }
+
+  #client(workerId: string): HttpWorkerClient {
+    const known = this.#clients.get(workerId);
+    if (known !== undefined) return known;
+    const view = this.#state.workers.get(workerId);
+    const origin = view === undefined ? '' : toOrigin(view.instance.controlAddress);
+    const client = new HttpWorkerClient(origin, this.#options.workerTimeoutMs);
+    this.#clients.set(workerId, client);
+    return client;
+  }
+}
--- /dev/null
+++ b/src/scheduler/node/cellTasks.ts
@@ -0,0 +1,83 @@
+/** Keeps one task for each cell that the instance list shows. */
+import type { Disposable } from '../../base/common/lifecycle.js';
+import { isWorker } from '../../platform/instanceList/common/instanceList.js';
+import type { Settings } from '../../platform/settings/common/settings.js';
+import { SpreadAndPackPolicy } from '../common/placement.js';
+import { CellTask, type CellTaskServices } from './cellTask.js';
+
+/** Extra patience per rank with cells of other zones, so that cells spread over daemons. */
+const FOREIGN_CELL_DELAY_MS = 400;
+const FOREIGN_RANK_COUNT = 4;
+const HASH_FACTOR = 31;
+const HASH_LIMIT = 2 ** 31;
+const START_FRESHNESS_MS = 1_000;
+const REPORT_FRESHNESS_MS = 3_000;
+
+const hashOf = (text: string): number =>
+  [...text].reduce((hash, char) => (hash * HASH_FACTOR + char.charCodeAt(0)) % HASH_LIMIT, 7);
+
+/** How long this daemon lets others go first for a cell; none for the cell of its own zone. */
+export const acquireDelayMs = (cell: string, ownZone: string, instanceId: string): number => {
+  if (cell === ownZone) return 0;
+  const rank = 1 + (hashOf(`${cell}/${instanceId}`) % FOREIGN_RANK_COUNT);
+  return rank * FOREIGN_CELL_DELAY_MS;
+};
+
+export class CellTasks implements Disposable {
+  readonly #services: CellTaskServices;
+
+  readonly #settings: Settings;
+
+  readonly #selfId: string;
+
+  readonly #tasks = new Map<string, CellTask>();
+
+  readonly #subscription: Disposable;
+
+  /** `selfId` names this life of this process. */
+  constructor(services: CellTaskServices, settings: Settings, selfId: string) {
+    this.#services = services;
+    this.#settings = settings;
+    this.#selfId = selfId;
+    this.#subscription = services.directory.onDidChange(() => this.#addCells());
+    this.#addCells();
+  }
+
+  dispose(): void {
+    this.#subscription.dispose();
+    this.#tasks.forEach((task) => task.dispose());
+    this.#tasks.clear();
+  }
+
+  #addCells(): void {
+    const workers = this.#services.directory.instances.filter(isWorker);
+    const cells = new Set(workers.map(({ availabilityZone }) => availabilityZone));
+    cells.forEach((cell) => {
+      if (!this.#tasks.has(cell)) this.#tasks.set(cell, this.#createTask(cell));
+    });
+  }
+
+  #createTask(cell: string): CellTask {
+    const { scheduler, availabilityZone, instanceId } = this.#settings;
+    const timing = {
+      heartbeatIntervalMs: scheduler.cellHeartbeatIntervalMs,
+      leaseMs: scheduler.cellLeaseMs,
+      acquireDelayMs: acquireDelayMs(cell, availabilityZone, instanceId),
+      workerRenewalIntervalMs: scheduler.workerRenewalIntervalMs,
+      workerLeaseMs: scheduler.workerLeaseMs,
+      startValidityMs: scheduler.startValidityMs,
+      serviceDrainMs: scheduler.serviceDrainMs,
+      maximumRenewalWithoutTableMs: scheduler.maximumRenewalWithoutTableMs,
+      configurationFreshnessMs: START_FRESHNESS_MS,
+      reportFreshnessMs: REPORT_FRESHNESS_MS,
+    };
+    const options = {
+      cell,
+      selfId: this.#selfId,
+      timing,
+      tickIntervalMs: scheduler.tickIntervalMs,
+      workerTimeoutMs: scheduler.workerTimeoutMs,
+    };
+    return new CellTask(this.#services, options, new SpreadAndPackPolicy());
+  }
+}
--- /dev/null
+++ b/standIns/demo/childProcesses.ts
@@ -0,0 +1,75 @@
+/** Starts the demo's processes and runs the command-line tool. */
+import { type ChildProcess, execFile, spawn } from 'node:child_process';
+import { createInterface } from 'node:readline';
+import { fileURLToPath } from 'node:url';
+
+import type { Disposable } from '../../src/base/common/lifecycle.js';
+
+const START_TIMEOUT_MS = 15_000;
+const TOOL_TIMEOUT_MS = 40_000;
+
+const scriptPath = (relative: string): string =>
+  fileURLToPath(new URL(`../../${relative}`, import.meta.url));
+
+/** What a run of the tool came to. */
+export interface ToolResult {
+  readonly exitCode: number;
+  readonly output: string;
+}
+
+export class ChildProcesses implements Disposable {
+  readonly #children: ChildProcess[] = [];
+
+  /** Starts a script and resolves with the first of its lines that `pick` makes something of. */
+  start<T>(
+    script: string,
+    args: readonly string[],
+    pick: (line: Record<string, unknown>) => T | undefined,
+  ): Promise<{ readonly child: ChildProcess; readonly ready: T }> {
+    const child = spawn(process.execPath, [scriptPath(script), ...args], {
+      stdio: ['ignore', 'pipe', 'inherit'],
+    });
+    this.#children.push(child);
+    return new Promise((resolve, reject) => {
+      const timer = setTimeout(
+        () => reject(new Error(`${script} did not start`)),
+        START_TIMEOUT_MS,
+      );
+      child.once('exit', (code) => reject(new Error(`${script} ended with ${code}`)));
+      createInterface({ input: child.stdout }).on('line', (line) => {
+        const ready = pick(JSON.parse(line) as Record<string, unknown>);
+        if (ready === undefined) return;
+        clearTimeout(timer);
+        resolve({ child, ready });
+      });
+    });
+  }
+
+  dispose(): void {
+    this.#children.forEach((child) => child.kill('SIGKILL'));
+  }
+}
+
+/** Runs `snipethread` as an operator would. */
+export const runTool = (
+  args: readonly string[],
+  environment: Readonly<Record<string, string>>,
+  input = '',
+): Promise<ToolResult> =>
+  new Promise((resolve, reject) => {
+    const script = scriptPath('src/cli/node/snipethread.js');
+    const child = execFile(
+      process.execPath,
+      [script, ...args],
+      { env: { ...process.env, ...environment }, timeout: TOOL_TIMEOUT_MS },
+      (error, stdout, stderr) => {
+        if (error !== null && typeof error.code !== 'number') {
+          reject(new Error(`snipethread ${args.join(' ')}: ${error.message}`));
+          return;
+        }
+        const exitCode = error === null ? 0 : Number(error.code);
+        resolve({ exitCode, output: `${stdout}${stderr}` });
+      },
+    );
+    child.stdin?.end(input);
+  });
--- /dev/null
+++ b/standIns/demo/demo.ts
@@ -0,0 +1,263 @@
+/** The demo: the whole system as separate processes, driven as an operator would. */
+import { createHash } from 'node:crypto';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { setTimeout as delay } from 'node:timers/promises';
+
+import { request } from 'undici';
+
+import { systemClock } from '../../src/base/node/systemClock.js';
+import type {
+  DaemonInstance,
+  Instance,
+} from '../../src/platform/instanceList/common/instanceList.js';
+import type { SettingsInput } from '../../src/platform/settings/common/settings.js';
+import type { Verdict } from '../workers/judge.js';
+import { Caller } from './caller.js';
+import { ChildProcesses, runTool } from './childProcesses.js';
+
+const ZONES = ['zone-a', 'zone-b', 'zone-c'] as const;
+const TOKEN = 'demo-operator';
+const HOST = '127.0.0.1';
+const GIBIBYTE = 1024 ** 3;
+const TASK_COUNT = 50;
+const REQUEST_COUNT = 500;
+const REQUEST_DURATION_MS = 9_000;
+const WITHDRAWAL_BOUND_MS = 3_000;
+const WITHDRAWN_FOR_MS = 5_000;
+const EXIT_HAS_CHANGES = 3;
+
+const say = (text: string): void => {
+  process.stdout.write(`${text}\n`);
+};
+
+const post = async (url: string, body: unknown): Promise<void> => {
+  const response = await request(url, {
+    method: 'POST',
+    headers: { 'content-type': 'application/json' },
+    body: JSON.stringify(body),
+  });
+  await response.body.dump();
+};
+
+const daemonSettings = (zone: string, platformOrigin: string): SettingsInput => ({
+  instanceId: `entry-${zone}`,
+  availabilityZone: zone,
+  listen: {
+    callers: { host: HOST, port: 0 },
+    operators: { host: HOST, port: 0 },
+    peers: { host: HOST, port: 0 },
+  },
+  platform: {
+    tableOrigin: platformOrigin,
+    objectStoreOrigin: platformOrigin,
+    instanceListOrigin: platformOrigin,
+  },
+  operator: {
+    tokens: [
+      {
+        name: 'demo',
+        role: 'confirm',
+        sha256: createHash('sha256').update(TOKEN).digest('hex'),
+      },
+    ],
+  },
+  tracing: { sampleRatio: 1 },
+});
+
+interface DaemonProcess {
+  readonly instance: DaemonInstance;
+  readonly callerOrigin: string;
+}
+
+const startDaemon = async (
+  children: ChildProcesses,
+  folder: string,
+  zone: string,
+  platformOrigin: string,
+): Promise<DaemonProcess> => {
+  const file = join(folder, `${zone}.json`);
+  const settings = daemonSettings(zone, platformOrigin);
+  await writeFile(file, JSON.stringify(settings, undefined, 2));
+  const { ready } = await children.start(
+    'src/daemon/node/snipethreadd.js',
+    ['--settings', file],
+    (line) => (line.event === 'listening' ? line : undefined),
+  );
+  return {
+    instance: {
+      kind: 'daemon',
+      id: settings.instanceId,
+      availabilityZone: zone,
+      state: 'live',
+      peerAddress: { host: HOST, port: Number(ready.peersPort) },
+      operatorAddress: { host: HOST, port: Number(ready.operatorsPort) },
+    },
+    callerOrigin: `http://${HOST}:${Number(ready.callersPort)}`,
+  };
+};
+
+/** An operator at the command line, who reads each plan before confirming it. */
+class DemoOperator {
+  readonly #environment: Readonly<Record<string, string>>;
+
+  constructor(operatorPort: number) {
+    this.#environment = {
+      SNIPETHREAD_ADDRESS: `${HOST}:${operatorPort}`,
+      SNIPETHREAD_TOKEN: TOKEN,
+    };
+  }
+
+  async carryOut(intent: Readonly<Record<string, unknown>>): Promise<void> {
+    const shown = await runTool(['plan', '--json'], this.#environment, JSON.stringify(intent));
+    if (shown.exitCode !== EXIT_HAS_CHANGES) {
+      throw new Error(`the plan for ${JSON.stringify(intent)} failed: ${shown.output}`);
+    }
+    const plan = JSON.parse(shown.output) as {
+      planId: string;
+      digest: string;
+      summary: string;
+      steps: readonly unknown[];
+    };
+    say(`  plan: ${plan.summary} (${plan.steps.length} rows)`);
+    const done = await runTool(['confirm', plan.planId, plan.digest], this.#environment);
+    if (done.exitCode !== 0) throw new Error(`not confirmed: ${done.output}`);
+    say(`  ${done.output.trim()}`);
+  }
+
+  async watch(jobId: string): Promise<boolean> {
+    const result = await runTool(['watch', jobId, '--timeout-ms', '20000'], this.#environment);
+    say(`  job ${jobId}: ${result.output.trim().split('\n').at(-1) ?? ''}`);
+    return result.exitCode === 0;
+  }
+}
+
+const waitForAnswers = async (origin: string, serviceName: string): Promise<void> => {
+  const tries = 100;
+  for (let index = 0; index < tries; index += 1) {
+    // eslint-disable-next-line no-await-in-loop -- waits for the service to come up
+    const response = await request(`${origin}/services/${serviceName}/ready`);
+    // eslint-disable-next-line no-await-in-loop
+    await response.body.dump();
+    if (response.statusCode === 200) return;
+    // eslint-disable-next-line no-await-in-loop
+    await delay(100);
+  }
+  throw new Error(`${serviceName} did not come up`);
+};
+
+const readVerdict = async (judgeOrigin: string): Promise<Verdict> =>
+  (await (await request(`${judgeOrigin}/verdict`)).body.json()) as Verdict;
+
+const runDemo = async (children: ChildProcesses, folder: string): Promise<boolean> => {
+  const startedAtMs = systemClock.nowMs();
+  say('starting the platform, the workers and three daemons');
+  const platform = await children.start('standIns/platform/platformProcess.js', ['1'], (line) => ({
+    origin: `http://${HOST}:${Number(line.port)}`,
+  }));
+  const workerOptions = {
+    zones: ZONES,
+    workersPerZone: 4,
+    workersPerRack: 2,
+    serviceTimeMs: 4,
+    withdrawalBoundMs: WITHDRAWAL_BOUND_MS,
+  };
+  const workers = await children.start(
+    'standIns/workers/workersProcess.js',
+    [JSON.stringify(workerOptions)],
+    (line) => ({
+      judgeOrigin: `http://${HOST}:${Number(line.port)}`,
+      instances: line.instances as readonly Instance[],
+    }),
+  );
+  const { origin } = platform.ready;
+  const daemons = await Promise.all(
+    ZONES.map((zone) => startDaemon(children, folder, zone, origin)),
+  );
+  const instances = [...workers.ready.instances, ...daemons.map(({ instance }) => instance)];
+  await post(`${origin}/control/instances`, { instances });
+  const [first] = daemons as [DaemonProcess, ...DaemonProcess[]];
+  const operator = new DemoOperator(first.instance.operatorAddress.port);
+
+  say('bringing the availability zones into use');
+  await ZONES.reduce(async (before, zone) => {
+    await before;
+    await operator.carryOut({ intent: 'use-zone', zone, region: 'demo' });
+  }, Promise.resolve());
+
+  say('creating a service');
+  const size = { processorMillis: 2_000, memoryBytes: 2 * GIBIBYTE, acceleratorCount: 0 };
+  await operator.carryOut({
+    intent: 'create-service',
+    service: { name: 'rounds', team: 'kitchen', replicaCount: 6, size, urgency: 'urgent' },
+  });
+  await waitForAnswers(first.callerOrigin, 'rounds');
+
+  say('sending requests through all entries; submitting a batch job');
+  const caller = new Caller(
+    daemons.map(({ callerOrigin }) => callerOrigin),
+    'rounds',
+  );
+  const calls = caller.run(REQUEST_COUNT, REQUEST_DURATION_MS);
+  await operator.carryOut({
+    intent: 'submit-job',
+    team: 'kitchen',
+    submissionKey: 'weekly-plan',
+    taskCount: TASK_COUNT,
+    size,
+    workMs: 2_000,
+  });
+
+  say('taking a zone out and bringing it back');
+  await operator.carryOut({ intent: 'withdraw-zone', zone: 'zone-b' });
+  await post(`${workers.ready.judgeOrigin}/mark`, { zone: 'zone-b', isWithdrawn: true });
+  await delay(WITHDRAWN_FOR_MS);
+  await post(`${workers.ready.judgeOrigin}/mark`, { zone: 'zone-b', isWithdrawn: false });
+  await operator.carryOut({ intent: 'use-zone', zone: 'zone-b', region: 'demo' });
+
+  const [isJobDone] = await Promise.all([operator.watch('kitchen.weekly-plan'), calls]);
+  const verdict = await readVerdict(workers.ready.judgeOrigin);
+  const isOk =
+    isJobDone &&
+    verdict.completedBatchCount === TASK_COUNT &&
+    verdict.doubleRuns.length === 0 &&
+    verdict.doubleCompletions.length === 0 &&
+    verdict.overcommittedWorkers.length === 0 &&
+    verdict.startsInWithdrawnZones === 0 &&
+    caller.report.wrongAnswers === 0;
+  const summary = {
+    ok: isOk,
+    requests: caller.report,
+    latencyMs: { p50: caller.latencyMs(50), p99: caller.latencyMs(99) },
+    tasks: { submitted: TASK_COUNT, doneOnce: verdict.completedBatchCount },
+    doubleRuns: verdict.doubleRuns.length,
+    doubleCompletions: verdict.doubleCompletions.length,
+    overcommittedWorkers: verdict.overcommittedWorkers.length,
+    startsInWithdrawnZone: verdict.startsInWithdrawnZones,
+    evictions: verdict.evictionCount,
+    durationMs: Math.round(systemClock.nowMs() - startedAtMs),
+  };
+  say('');
+  say(
+    `requests: ${summary.requests.whole} whole, ${summary.requests.refused} refused, ${summary.requests.unknown} unknown, ${summary.requests.wrongAnswers} with another's answer`,
+  );
+  say(`latency: p50 ${summary.latencyMs.p50} ms, p99 ${summary.latencyMs.p99} ms`);
+  say(
+    `tasks: ${summary.tasks.doneOnce} of ${TASK_COUNT} done, ${summary.doubleCompletions} more than once, ${summary.doubleRuns} in two places, ${summary.overcommittedWorkers} workers overcommitted`,
+  );
+  say(
+    `withdrawn zone: ${summary.startsInWithdrawnZone} starts after ${WITHDRAWAL_BOUND_MS} ms; evictions: ${summary.evictions}`,
+  );
+  say(JSON.stringify(summary));
+  return isOk;
+};
+
+const children = new ChildProcesses();
+const folder = await mkdtemp(join(tmpdir(), 'snipethread-demo-'));
+try {
+  process.exitCode = (await runDemo(children, folder)) ? 0 : 1;
+} finally {
+  children.dispose();
+  await rm(folder, { recursive: true, force: true });
+}
--- /dev/null
+++ b/standIns/workers/judge.ts
@@ -0,0 +1,94 @@
+/** Judges from the workers' own records what the system has done to them. */
+import { TaskClass, WorkerTaskState } from '../../src/platform/worker/common/workerClient.js';
+import type { WorkerEvent } from './workerStandIn.js';
+
+export interface Verdict {
+  readonly startCount: number;
+  /** Tasks that ran in two places at a time. */
+  readonly doubleRuns: readonly string[];
+  /** Batch tasks that were completed more than once. */
+  readonly doubleCompletions: readonly string[];
+  readonly completedBatchCount: number;
+  readonly overcommittedWorkers: readonly string[];
+  readonly evictionCount: number;
+  readonly lapsedCount: number;
+  /** Starts per availability zone while it was marked as withdrawn for longer than the bound. */
+  readonly startsInWithdrawnZones: number;
+}
+
+export class Judge {
+  readonly #runningOn = new Map<string, string>();
+
+  readonly #completions = new Map<string, number>();
+
+  readonly #doubleRuns = new Set<string>();
+
+  readonly #overcommitted = new Set<string>();
+
+  readonly #zoneOf: ReadonlyMap<string, string>;
+
+  readonly #withdrawnAtMs = new Map<string, number>();
+
+  readonly #boundMs: number;
+
+  #startCount = 0;
+
+  #evictionCount = 0;
+
+  #lapsedCount = 0;
+
+  #startsInWithdrawnZones = 0;
+
+  /** A zone counts as withdrawn `boundMs` after it was marked so. */
+  constructor(zoneOf: ReadonlyMap<string, string>, boundMs: number) {
+    this.#zoneOf = zoneOf;
+    this.#boundMs = boundMs;
+  }
+
+  markZone(zone: string, isWithdrawn: boolean, nowMs: number): void {
+    if (isWithdrawn) this.#withdrawnAtMs.set(zone, nowMs);
+    else this.#withdrawnAtMs.delete(zone);
+  }
+
+  note(event: WorkerEvent, nowMs: number): void {
+    if (event.kind === 'overcommitted') this.#overcommitted.add(event.workerId);
+    if (event.kind === 'started') this.#noteStart(event, nowMs);
+    if (event.kind === 'ended') this.#noteEnd(event);
+  }
+
+  verdict(): Verdict {
+    const completions = [...this.#completions];
+    return {
+      startCount: this.#startCount,
+      doubleRuns: [...this.#doubleRuns],
+      doubleCompletions: completions.filter(([, count]) => count > 1).map(([taskId]) => taskId),
+      completedBatchCount: completions.length,
+      overcommittedWorkers: [...this.#overcommitted],
+      evictionCount: this.#evictionCount,
+      lapsedCount: this.#lapsedCount,
+      startsInWithdrawnZones: this.#startsInWithdrawnZones,
+    };
+  }
+
+  #noteStart(event: WorkerEvent, nowMs: number): void {
+    this.#startCount += 1;
+    if (this.#runningOn.has(event.taskId)) this.#doubleRuns.add(event.taskId);
+    this.#runningOn.set(event.taskId, event.workerId);
+    const zone = this.#zoneOf.get(event.workerId) ?? '';
+    const withdrawnAtMs = this.#withdrawnAtMs.get(zone);
+    if (withdrawnAtMs !== undefined && nowMs - withdrawnAtMs > this.#boundMs) {
+      this.#startsInWithdrawnZones += 1;
+    }
+  }
+
+  #noteEnd(event: WorkerEvent): void {
+    if (this.#runningOn.get(event.taskId) === event.workerId) {
+      this.#runningOn.delete(event.taskId);
+    }
+    if (event.state === WorkerTaskState.Evicted) this.#evictionCount += 1;
+    if (event.state === WorkerTaskState.Lapsed) this.#lapsedCount += 1;
+    if (event.state === WorkerTaskState.Finished && event.taskClass === TaskClass.Batch) {
+      this.#completions.set(event.taskId, (this.#completions.get(event.taskId) ?? 0) + 1);
+    }
+  }
+}
--- /dev/null
+++ b/standIns/workers/workerStandIn.ts
@@ -0,0 +1,179 @@
+/**
+ * A worker without input or output: runs tasks under leases on its own clock, checks its own
+ * capacity and records every attempt it ever ran.
+ */
+import {
+  fitsInto,
+  type Resources,
+  subtractResources,
+  sumResources,
+} from '../../src/platform/worker/common/resources.js';
+import {
+  type StartRequest,
+  TaskClass,
+  type TaskAttempt,
+  type WorkerCommand,
+  type WorkerReport,
+  WorkerTaskState,
+  type WorkerTaskReport,
+} from '../../src/platform/worker/common/workerClient.js';
+
+interface WorkerTask {
+  readonly request: StartRequest;
+  state: WorkerTaskState;
+  leaseUntilMs: number;
+  readonly startedAtMs: number;
+  /** Work done in earlier attempts, taken from the checkpoint. */
+  readonly doneBeforeMs: number;
+  checkpoint: string | null;
+}
+
+/** What judges outside the system learn of a worker. */
+export interface WorkerEvent {
+  readonly kind: 'started' | 'ended' | 'overcommitted';
+  readonly workerId: string;
+  readonly taskId: string;
+  readonly attempt: number;
+  readonly taskClass: TaskClass;
+  readonly state: WorkerTaskState;
+}
+
+export class WorkerStandIn {
+  readonly workerId: string;
+
+  readonly incarnation: string;
+
+  readonly #capacity: Resources;
+
+  readonly #onEvent: (event: WorkerEvent) => void;
+
+  readonly #tasks = new Map<string, WorkerTask>();
+
+  /** Attempts ever started, so that no repeated message starts one again. */
+  readonly #seenAttempts = new Set<string>();
+
+  #highestEpoch = 0;
+
+  constructor(
+    workerId: string,
+    incarnation: string,
+    capacity: Resources,
+    onEvent: (event: WorkerEvent) => void,
+  ) {
+    this.workerId = workerId;
+    this.incarnation = incarnation;
+    this.#capacity = capacity;
+    this.#onEvent = onEvent;
+  }
+
+  /** Services whose requests this worker answers now. */
+  hasService(serviceName: string): boolean {
+    return this.#running().some(({ request }) => request.serviceName === serviceName);
+  }
+
+  command(command: WorkerCommand, nowMs: number): WorkerReport {
+    this.advance(nowMs);
+    const isCurrent = command.cellEpoch >= this.#highestEpoch;
+    if (isCurrent) this.#highestEpoch = command.cellEpoch;
+    if (isCurrent && command.incarnation === this.incarnation) {
+      command.renewals.forEach((renewal) => this.#renew(renewal));
+      command.evictions.forEach((attempt) => this.#evict(attempt, nowMs));
+      command.acknowledgements.forEach((attempt) => this.#forget(attempt));
+      command.starts.forEach((request) => this.#start(request, nowMs));
+    }
+    return this.report(nowMs);
+  }
+
+  report(nowMs: number): WorkerReport {
+    this.advance(nowMs);
+    return {
+      workerId: this.workerId,
+      incarnation: this.incarnation,
+      workerNowMs: nowMs,
+      tasks: [...this.#tasks.values()].map(WorkerStandIn.#toReport),
+    };
+  }
+
+  /** Ends tasks whose work is done or whose lease has run out. */
+  advance(nowMs: number): void {
+    this.#running().forEach((task) => {
+      const { request } = task;
+      const doneMs = task.doneBeforeMs + (nowMs - task.startedAtMs);
+      if (nowMs > task.leaseUntilMs) this.#end(task, WorkerTaskState.Lapsed);
+      else if (request.taskClass === TaskClass.Batch && doneMs >= request.workMs) {
+        this.#end(task, WorkerTaskState.Finished);
+      }
+    });
+  }
+
+  #running(): readonly WorkerTask[] {
+    return [...this.#tasks.values()].filter((task) => task.state === WorkerTaskState.Running);
+  }
+
+  #start(request: StartRequest, nowMs: number): void {
+    const key = WorkerStandIn.#key(request);
+    if (this.#seenAttempts.has(key) || nowMs > request.startBeforeWorkerMs) return;
+    this.#seenAttempts.add(key);
+    const used = sumResources(this.#running().map((task) => task.request.size));
+    const task: WorkerTask = {
+      request,
+      state: WorkerTaskState.Running,
+      leaseUntilMs: request.leaseUntilWorkerMs,
+      startedAtMs: nowMs,
+      doneBeforeMs: request.checkpoint === null ? 0 : Number(request.checkpoint.split('@')[1]),
+      checkpoint: request.checkpoint,
+    };
+    this.#tasks.set(key, task);
+    this.#emit('started', task);
+    if (!fitsInto(request.size, subtractResources(this.#capacity, used))) {
+      this.#emit('overcommitted', task);
+    }
+  }
+
+  #renew(renewal: TaskAttempt & { readonly leaseUntilWorkerMs: number }): void {
+    const task = this.#tasks.get(WorkerStandIn.#key(renewal));
+    if (task === undefined) return;
+    task.leaseUntilMs = Math.max(task.leaseUntilMs, renewal.leaseUntilWorkerMs);
+  }
+
+  #evict(attempt: TaskAttempt, nowMs: number): void {
+    const task = this.#tasks.get(WorkerStandIn.#key(attempt));
+    if (task?.state !== WorkerTaskState.Running) return;
+    const doneMs = task.doneBeforeMs + (nowMs - task.startedAtMs);
+    task.checkpoint = `${task.request.taskId}@${Math.floor(doneMs)}`;
+    this.#end(task, WorkerTaskState.Evicted);
+  }
+
+  #forget(attempt: TaskAttempt): void {
+    const key = WorkerStandIn.#key(attempt);
+    if (this.#tasks.get(key)?.state !== WorkerTaskState.Running) this.#tasks.delete(key);
+  }
+
+  #end(task: WorkerTask, state: WorkerTaskState): void {
+    // The record is the worker's own and changes in place.
+    // eslint-disable-next-line no-param-reassign
+    task.state = state;
+    this.#emit('ended', task);
+  }
+
+  #emit(kind: WorkerEvent['kind'], { request, state }: WorkerTask): void {
+    const { taskId, attempt, taskClass } = request;
+    this.#onEvent({ kind, workerId: this.workerId, taskId, attempt, taskClass, state });
+  }
+
+  static #key({ taskId, attempt }: TaskAttempt): string {
+    return `${taskId}#${attempt}`;
+  }
+
+  static #toReport({ request, state, checkpoint, leaseUntilMs }: WorkerTask): WorkerTaskReport {
+    return {
+      taskId: request.taskId,
+      attempt: request.attempt,
+      state,
+      size: request.size,
+      usage: request.size,
+      checkpoint,
+      leaseUntilWorkerMs: leaseUntilMs,
+    };
+  }
+}
