Configuration is followed by its changes and never reverts across a restart

Cause: the reader fetched every document on each change, let two looks overlap, ended the process on a malformed row, told nobody when it could not learn the configuration, and a daemon that had just started took any read for the newest, so an old answer of the store brought back a version that the same instance had left before its restart.

For the start: trusting peers' versions (hints may be lost) against a transaction that writes nothing and commits only if the version row is as it was read. The second is kept; it costs one transaction a start, and a daemon that starts while the table takes no transactions is not ready.

A daemon behind what its peers have heard of for 3 s is not ready; in an outage of the store, where none is behind, routing goes on.

Bound: a change is in force within 3 s of a store that answers within callTimeoutMs. The settings rule counts the interval and three calls, so configurationIntervalMs defaults to 600 in place of 700.

--- a/src/daemon/node/daemon.ts
+++ b/src/daemon/node/daemon.ts
@@ -14,6 +14,7 @@
 import { OperatorServer } from '../../operator/node/operatorServer.js';
 import { PlanService } from '../../operator/node/planService.js';
 import { PeerService } from '../../peers/node/peerService.js';
+import { isServable } from '../../platform/configuration/common/configurationService.js';
 import { ConfigurationReader } from '../../platform/configuration/node/configurationReader.js';
 import { HttpInstanceList } from '../../platform/instanceList/node/httpInstanceList.js';
 import { InstanceListReader } from '../../platform/instanceList/node/instanceListReader.js';
@@ -101,7 +102,7 @@
         directory,
         metrics,
         spans: tracing.ring,
-        isReady: () => !this.#isDraining && configuration.current !== undefined,
+        isReady: () => !this.#isDraining && isServable(configuration.health),
       },
       settings.operator,
     );
--- a/src/operator/common/confirmation.ts
+++ b/src/operator/common/confirmation.ts
@@ -5,6 +5,7 @@
   changeKey,
   type ChangeRow,
   changeRowSchema,
+  DOCUMENT_PREFIX,
   VERSION_KEY,
   versionRowSchema,
 } from '../../platform/configuration/common/documents.js';
@@ -66,6 +67,9 @@
     acceptedAt,
     summary: plan.summary,
     keys: plan.steps.map((step) => step.key),
+    documents: plan.steps
+      .filter(({ key }) => key.startsWith(DOCUMENT_PREFIX))
+      .map(({ key, before, after }) => ({ key, before, after })),
   });
   const transaction: Transaction = {
     operationId,
--- a/src/operator/node/operatorServer.ts
+++ b/src/operator/node/operatorServer.ts
@@ -3,7 +3,10 @@
 import { type Either, isLeft } from 'fp-ts/lib/Either.js';
 import { z } from 'zod';
 
-import type { ConfigurationService } from '../../platform/configuration/common/configurationService.js';
+import type {
+  ConfigurationHealth,
+  ConfigurationService,
+} from '../../platform/configuration/common/configurationService.js';
 import { ErrorKind, failure, type Failure } from '../../platform/errors/common/errorKinds.js';
 import { replyWithFailure } from '../../platform/http/node/errorReply.js';
 import { listeningPort } from '../../platform/http/node/listening.js';
@@ -19,7 +22,7 @@
 export interface OperatorServerServices {
   readonly plans: PlanService;
   readonly queries: OperatorQueries;
-  readonly configuration: ConfigurationService;
+  readonly configuration: ConfigurationService & { readonly health: ConfigurationHealth };
   readonly directory: InstanceDirectory;
   readonly metrics: PrometheusMetrics;
   readonly spans: SpanRing;
@@ -35,6 +38,7 @@
 const planBodySchema = z.strictObject({ intent: intentSchema });
 const confirmBodySchema = z.strictObject({ digest: z.string().min(1) });
 const idParamsSchema = z.object({ id: z.string().min(1) });
+const HTTP_OK = 200;
 const HTTP_UNAVAILABLE = 503;
 const FIRST_SERVER_ERROR = 500;
 
@@ -87,9 +91,12 @@
   #addHealthRoutes(): void {
     const { metrics, isReady } = this.#services;
     this.#server.get('/healthz', () => ({ status: 'ok' }));
-    this.#server.get('/readyz', (_request, reply) =>
-      isReady() ? { status: 'ready' } : reply.code(HTTP_UNAVAILABLE).send({ status: 'not ready' }),
-    );
+    this.#server.get('/readyz', (_request, reply) => {
+      const { health } = this.#services.configuration;
+      const statusCode = isReady() ? HTTP_OK : HTTP_UNAVAILABLE;
+      const status = isReady() ? 'ready' : 'not ready';
+      return reply.code(statusCode).send({ status, configuration: health });
+    });
     this.#server.get('/metrics', async (_request, reply) =>
       reply.type('text/plain; version=0.0.4').send(await metrics.exposition()),
     );
--- a/src/peers/node/peerService.ts
+++ b/src/peers/node/peerService.ts
@@ -106,7 +106,8 @@
 
   #handleHeartbeat(heartbeat: Heartbeat): void {
     const ownVersion = this.#configuration.current?.version ?? 0;
-    if (heartbeat.configurationVersion > ownVersion) void this.#configuration.refresh();
+    const { configurationVersion } = heartbeat;
+    if (configurationVersion > ownVersion) void this.#configuration.refresh(configurationVersion);
   }
 
   #handleConnection(socket: Socket): void {
--- a/src/platform/configuration/common/documents.ts
+++ b/src/platform/configuration/common/documents.ts
@@ -4,6 +4,8 @@
  */
 import { z } from 'zod';
 
+import type { JsonValue } from '../../../base/common/json.js';
+import type { TableRow } from '../../table/common/table.js';
 import { resourcesSchema } from '../../worker/common/resources.js';
 
 /** How urgent work is; a higher class is served and placed first. */
@@ -47,19 +49,50 @@
 });
 export type QuotaDocument = z.infer<typeof quotaDocumentSchema>;
 
+/** Limits that every later plan must keep; what is in force already is not touched by them. */
+export const policyDocumentSchema = z.strictObject({
+  /** False while operators want no new batch work, as in an emergency. */
+  isSubmissionOpen: z.boolean(),
+  maximumTaskCountOfJob: z.number().int().min(1).max(10_000),
+  maximumReplicaCount: z.number().int().min(1).max(10_000),
+  /** Bounds the harm of one mistaken cancellation. */
+  maximumCancelledJobCount: z.number().int().min(1).max(1_000),
+});
+export type PolicyDocument = z.infer<typeof policyDocumentSchema>;
+
+export const DEFAULT_POLICY: PolicyDocument = {
+  isSubmissionOpen: true,
+  maximumTaskCountOfJob: 10_000,
+  maximumReplicaCount: 10_000,
+  maximumCancelledJobCount: 1_000,
+};
+
 export const versionRowSchema = z.strictObject({
   version: z.number().int().nonnegative(),
 });
 
-/** What one accepted plan changed; the row is never written again. */
+/** A document before and after an accepted plan; null where there is none. */
+export const documentChangeSchema = z.strictObject({
+  key: z.string().min(1),
+  before: z.custom<JsonValue>((value) => value !== undefined),
+  after: z.custom<JsonValue>((value) => value !== undefined),
+});
+export type DocumentChange = z.infer<typeof documentChangeSchema>;
+
+/**
+ * What one accepted plan changed; the row is never written again. It carries the documents, so
+ * that a daemon follows the configuration by reading the changes it has not seen, and a plan
+ * that undoes a version finds what was there before.
+ */
 export const changeRowSchema = z.strictObject({
   version: z.number().int().positive(),
   planId: z.string(),
   author: z.string(),
   acceptedAt: z.string(),
   summary: z.string(),
-  /** Keys of all rows the plan wrote, so that readers fetch just these. */
+  /** Keys of all rows the plan wrote, by which a plan is told what it lost to. */
   keys: z.array(z.string()),
+  documents: z.array(documentChangeSchema),
 });
 export type ChangeRow = z.infer<typeof changeRowSchema>;
 
@@ -69,6 +102,7 @@
 export const ZONE_PREFIX = `${DOCUMENT_PREFIX}zone/`;
 export const WORKER_PREFIX = `${DOCUMENT_PREFIX}worker/`;
 export const QUOTA_PREFIX = `${DOCUMENT_PREFIX}quota/`;
+export const POLICY_KEY = `${DOCUMENT_PREFIX}policy`;
 export const CHANGE_PREFIX = 'configuration/change/';
 
 const VERSION_DIGITS = 12;
@@ -79,3 +113,12 @@
 export const quotaKey = (team: string): string => `${QUOTA_PREFIX}${team}`;
 export const changeKey = (version: number): string =>
   `${CHANGE_PREFIX}${String(version).padStart(VERSION_DIGITS, '0')}`;
+
+/**
+ * The version that a reading tells; zero before the first plan was accepted.
+ * @throws {z.ZodError} when the version row is not of its form
+ */
+export const toVersion = (rows: readonly TableRow[]): number => {
+  const row = rows.find(({ key }) => key === VERSION_KEY);
+  return row === undefined ? 0 : versionRowSchema.parse(row.value).version;
+};
--- a/src/platform/settings/common/settings.ts
+++ b/src/platform/settings/common/settings.ts
@@ -26,7 +26,7 @@
   callTimeoutMs: positiveMs.default(800),
   tableConnectionCount: positiveCount.default(4),
   instanceListIntervalMs: positiveMs.default(1_000),
-  configurationIntervalMs: positiveMs.default(700),
+  configurationIntervalMs: positiveMs.default(600),
 });
 
 const entrySchema = z.strictObject({
@@ -140,9 +140,9 @@
       'must be at least twice peers.heartbeatIntervalMs',
     );
     rule(
-      platform.configurationIntervalMs + platform.callTimeoutMs > 3_000,
+      platform.configurationIntervalMs + platform.callTimeoutMs * 3 > 3_000,
       ['platform', 'configurationIntervalMs'],
-      'with platform.callTimeoutMs must stay within 3000, so that a change is in force in time',
+      'with three times platform.callTimeoutMs must stay within 3000, so that a change is in force in time',
     );
   });
 
--- a/src/platform/settings/test/settings.test.ts
+++ b/src/platform/settings/test/settings.test.ts
@@ -46,4 +46,9 @@
     const faulty = { ...valid, scheduler: { workerLeaseMs: 2_000 } };
     expect(faultPaths(faulty)).toEqual(['scheduler.workerLeaseMs']);
   });
+
+  it('refuse an interval with which a change would be in force too late', () => {
+    const platform = { ...valid.platform, configurationIntervalMs: 601 };
+    expect(faultPaths({ ...valid, platform })).toEqual(['platform.configurationIntervalMs']);
+  });
 });
