--- a/src/daemon/node/daemon.ts
+++ b/src/daemon/node/daemon.ts
@@ -1,5 +1,5 @@
 /** Wires the parts of one daemon together; nothing is decided here. */
-import { randomInt, randomUUID } from 'node:crypto';
+import { randomBytes, randomInt, randomUUID } from 'node:crypto';
 import { setTimeout as delay } from 'node:timers/promises';
 
 import { DisposableStore } from '../../base/common/lifecycle.js';
@@ -26,6 +26,7 @@
 import { CellTasks } from '../../scheduler/node/cellTasks.js';
 
 const SEED_LIMIT = 2 ** 31;
+const PLAN_SUFFIX_BYTES = 6;
 
 /** The ports a daemon listens on. */
 export interface DaemonPorts {
@@ -94,9 +95,28 @@
       );
       this.#callerServer = new CallerServer(handler, entry);
     }
+    const plans = own.add(
+      new PlanService(
+        {
+          table,
+          configuration,
+          directory,
+          clock,
+          metrics,
+          random,
+          delay,
+          wallNowMs: Date.now,
+          newSuffix: () => randomBytes(PLAN_SUFFIX_BYTES).toString('hex'),
+          newOperationId: randomUUID,
+        },
+        settings.operator,
+      ),
+    );
+    // This daemon knows of the new version first; its peers hear of it from here.
+    own.add(plans.onDidAccept(({ acceptedVersion }) => configuration.refresh(acceptedVersion)));
     this.#operatorServer = new OperatorServer(
       {
-        plans: new PlanService(table, settings.operator.planLifetimeMs),
+        plans,
         queries: new OperatorQueries(table),
         configuration,
         directory,
--- a/src/operator/common/confirmation.ts
+++ b/src/operator/common/confirmation.ts
@@ -1,22 +1,24 @@
 /** Decides what confirming a plan means against the rows as they stand now. */
 import { type Either, left, right } from 'fp-ts/lib/Either.js';
 
+import { canonicalJson } from '../../base/common/json.js';
 import {
   changeKey,
   type ChangeRow,
   changeRowSchema,
   DOCUMENT_PREFIX,
+  toVersion,
   VERSION_KEY,
-  versionRowSchema,
 } from '../../platform/configuration/common/documents.js';
 import { ErrorKind, failure, type Failure } from '../../platform/errors/common/errorKinds.js';
 import {
   ABSENT_VERSION,
   type TableRow,
   type Transaction,
+  unchangedSince,
 } from '../../platform/table/common/table.js';
 import { cellInboxKey } from '../../platform/work/common/workRows.js';
-import { isEmptyPlan, type Plan, planKey, planSchema, PlanState } from './plan.js';
+import { isEmptyPlan, type Plan, PLAN_PREFIX, planKey, planSchema, PlanState } from './plan.js';
 
 export interface ConfirmationRequest {
   readonly planId: string;
@@ -25,6 +27,7 @@
   readonly author: string;
 }
 
+/** What an attempt to confirm does next. */
 export type ConfirmationStep =
   | { readonly kind: 'accepted'; readonly plan: Plan }
   | { readonly kind: 'write'; readonly plan: Plan; readonly transaction: Transaction };
@@ -33,55 +36,64 @@
 export const confirmationKeys = (plan: Plan): readonly string[] => [
   planKey(plan.planId),
   VERSION_KEY,
-  ...plan.steps.map((step) => step.key),
+  ...plan.steps.map(({ key }) => key),
+  ...plan.guards.map(({ key }) => key),
 ];
 
-const currentVersion = (rows: ReadonlyMap<string, TableRow>): number => {
-  const row = rows.get(VERSION_KEY);
-  return row === undefined ? 0 : versionRowSchema.parse(row.value).version;
-};
-
-/** Names what the plan lost to: the key that has changed since the plan was made. */
-const staleKey = (plan: Plan, rows: ReadonlyMap<string, TableRow>): string | undefined =>
-  plan.steps.find((step) => (rows.get(step.key)?.version ?? ABSENT_VERSION) !== step.baseRowVersion)
-    ?.key;
+/** What the plan lost to: the first key that has changed since the plan was made. */
+export const staleKey = (plan: Plan, rows: ReadonlyMap<string, TableRow>): string | undefined =>
+  [...plan.steps, ...plan.guards].find(
+    ({ key, baseRowVersion }) => (rows.get(key)?.version ?? ABSENT_VERSION) !== baseRowVersion,
+  )?.key;
 
-/**
- * The transaction that accepts a plan: the version row moves by one, the change row tells what
- * was changed, and every step's row must still be as the plan showed it. The plan's own row is
- * a condition too, so a plan is accepted at most once, however often it is confirmed.
- */
-const toTransaction = (
+const toChangeRow = (
   plan: Plan,
   request: ConfirmationRequest,
-  rows: ReadonlyMap<string, TableRow>,
-  operationId: string,
+  version: number,
   acceptedAt: string,
-): { readonly plan: Plan; readonly transaction: Transaction } => {
-  const version = currentVersion(rows) + 1;
-  const accepted: Plan = { ...plan, state: PlanState.Confirmed, acceptedVersion: version };
-  const changeRow: ChangeRow = changeRowSchema.parse({
+): ChangeRow =>
+  changeRowSchema.parse({
     version,
     planId: plan.planId,
     author: request.author,
     acceptedAt,
     summary: plan.summary,
-    keys: plan.steps.map((step) => step.key),
+    keys: plan.steps.map(({ key }) => key),
     documents: plan.steps
       .filter(({ key }) => key.startsWith(DOCUMENT_PREFIX))
       .map(({ key, before, after }) => ({ key, before, after })),
   });
+
+/**
+ * The transaction that accepts a plan: the version row moves by one, the change row tells what
+ * was changed, and every row that the plan shows or relies on must still be as it was. The
+ * plan's own row is a condition too, so a plan is accepted at most once, however often it is
+ * confirmed, and the change row must not exist, so history has one entry for each version.
+ */
+const toTransaction = (
+  plan: Plan,
+  request: ConfirmationRequest,
+  rows: ReadonlyMap<string, TableRow>,
+  operationId: string,
+  acceptedAt: string,
+): { readonly plan: Plan; readonly transaction: Transaction } => {
+  const version = toVersion([...rows.values()]) + 1;
+  const accepted: Plan = { ...plan, state: PlanState.Confirmed, acceptedVersion: version };
   const transaction: Transaction = {
     operationId,
     conditions: [
-      { key: planKey(plan.planId), version: rows.get(planKey(plan.planId))?.version ?? 0 },
-      { key: VERSION_KEY, version: rows.get(VERSION_KEY)?.version ?? ABSENT_VERSION },
-      ...plan.steps.map(({ key, baseRowVersion }) => ({ key, version: baseRowVersion })),
+      unchangedSince(planKey(plan.planId), rows),
+      unchangedSince(VERSION_KEY, rows),
+      { key: changeKey(version), version: ABSENT_VERSION },
+      ...[...plan.steps, ...plan.guards].map(({ key, baseRowVersion }) => ({
+        key,
+        version: baseRowVersion,
+      })),
     ],
     writes: [
       { key: planKey(plan.planId), value: accepted },
       { key: VERSION_KEY, value: { version } },
-      { key: changeKey(version), value: changeRow },
+      { key: changeKey(version), value: toChangeRow(plan, request, version, acceptedAt) },
       ...plan.steps.map(({ key, after }) => ({ key, value: after })),
       ...plan.notifiedCells.map((cell) => ({ key: cellInboxKey(cell), value: { operationId } })),
     ],
@@ -112,8 +124,77 @@
   }
   const changedKey = staleKey(plan, rows);
   if (changedKey !== undefined) {
-    const message = `${changedKey} has changed since the plan was made; plan again`;
+    const message = `${changedKey} has changed since the plan was made`;
     return left(failure(ErrorKind.PlanStale, message));
   }
   return right({ kind: 'write', ...toTransaction(plan, request, rows, operationId, nowAt) });
 };
+
+/** Invariants on what the operators' side writes; the values name the counters. */
+export const WriteInvariant = {
+  OnlyPlansBeforeConfirmation: 'invariant_nothing_changes_before_confirmation',
+  OnlyWhatWasShown: 'invariant_only_what_was_shown',
+  HistoryIsOneLine: 'invariant_history_is_one_line',
+} as const;
+export type WriteInvariant = (typeof WriteInvariant)[keyof typeof WriteInvariant];
+
+/** Invariant: making or removing plans touches rows of plans and no other. */
+export const planningFault = (transaction: Transaction): WriteInvariant | undefined =>
+  transaction.writes.every(({ key }) => key.startsWith(PLAN_PREFIX))
+    ? undefined
+    : WriteInvariant.OnlyPlansBeforeConfirmation;
+
+/**
+ * Invariant: a confirmation writes what the plan showed, each row on the condition that it is as
+ * shown, and makes the version that follows the one it was decided from. It is checked on what
+ * is about to be sent, whatever the code before it came to.
+ */
+export const confirmationFault = (
+  plan: Plan,
+  rows: ReadonlyMap<string, TableRow>,
+  { conditions, writes }: Transaction,
+): WriteInvariant | undefined => {
+  const version = toVersion([...rows.values()]) + 1;
+  const own = [planKey(plan.planId), VERSION_KEY, changeKey(version)];
+  const conditioned = new Set(conditions.map(({ key }) => key));
+  if (!own.every((key) => conditioned.has(key) && writes.some((write) => write.key === key))) {
+    return WriteInvariant.HistoryIsOneLine;
+  }
+  const shown = new Map(plan.steps.map((step) => [step.key, step]));
+  const inboxes = new Set(plan.notifiedCells.map((cell) => cellInboxKey(cell)));
+  const isAsShown = writes.every(({ key, value }) => {
+    if (own.includes(key) || inboxes.has(key)) return true;
+    return conditioned.has(key) && canonicalJson(shown.get(key)?.after) === canonicalJson(value);
+  });
+  const isWhole = plan.steps.every(({ key }) => writes.some((write) => write.key === key));
+  return isAsShown && isWhole ? undefined : WriteInvariant.OnlyWhatWasShown;
+};
+
+/**
+ * Transactions of one confirmation whose answers were lost. Each may have taken effect, or may
+ * still do so as long as the rows that it names stand as it found them.
+ */
+export class OpenAttempts {
+  readonly #versionRowVersions = new Set<number>();
+
+  get isAnyOpen(): boolean {
+    return this.#versionRowVersions.size > 0;
+  }
+
+  addLost(transaction: Transaction): void {
+    const condition = transaction.conditions.find(({ key }) => key === VERSION_KEY);
+    this.#versionRowVersions.add(condition?.version ?? ABSENT_VERSION);
+  }
+
+  /**
+   * Takes in a snapshot in which the plan is pending. An attempt that named an older version row
+   * did not take effect and cannot any more. One that names a newer row was made after the
+   * snapshot, which then is an old read and tells nothing of it.
+   */
+  noteStillPending(rows: ReadonlyMap<string, TableRow>): void {
+    const current = rows.get(VERSION_KEY)?.version ?? ABSENT_VERSION;
+    this.#versionRowVersions.forEach((version) => {
+      if (version < current) this.#versionRowVersions.delete(version);
+    });
+  }
+}
--- a/src/operator/common/intent.ts
+++ b/src/operator/common/intent.ts
@@ -3,6 +3,7 @@
 
 import {
   nameSchema,
+  policyDocumentSchema,
   serviceDocumentSchema,
   urgencySchema,
 } from '../../platform/configuration/common/documents.js';
@@ -19,11 +20,15 @@
   DrainWorker: 'drain-worker',
   ReturnWorker: 'return-worker',
   SetQuota: 'set-quota',
+  SetPolicy: 'set-policy',
+  Revert: 'revert',
 } as const;
 export type IntentKind = (typeof IntentKind)[keyof typeof IntentKind];
 
 const MAXIMUM_TASK_COUNT = 10_000;
-const MAXIMUM_CANCELLED_JOBS = 10_000;
+/** A cancellation is written for every cell; this many ids keep its transaction under 1 MB. */
+const MAXIMUM_CANCELLED_JOBS = 1_000;
+const MAXIMUM_JOB_ID_LENGTH = 127;
 
 export const submitJobSchema = z.strictObject({
   intent: z.literal(IntentKind.SubmitJob),
@@ -51,7 +56,10 @@
   submitJobSchema,
   z.strictObject({
     intent: z.literal(IntentKind.CancelJobs),
-    jobIds: z.array(z.string().min(1)).min(1).max(MAXIMUM_CANCELLED_JOBS),
+    jobIds: z
+      .array(z.string().min(1).max(MAXIMUM_JOB_ID_LENGTH))
+      .min(1)
+      .max(MAXIMUM_CANCELLED_JOBS),
   }),
   z.strictObject({ intent: z.literal(IntentKind.WithdrawZone), zone: nameSchema }),
   z.strictObject({
@@ -66,5 +74,15 @@
     team: nameSchema,
     limit: resourcesSchema,
   }),
+  z.strictObject({
+    intent: z.literal(IntentKind.SetPolicy),
+    /** Members that are left out stay as they are. */
+    policy: policyDocumentSchema.partial(),
+  }),
+  z.strictObject({
+    /** Undoes what one version changed; the version itself only grows. */
+    intent: z.literal(IntentKind.Revert),
+    version: z.number().int().positive(),
+  }),
 ]);
 export type Intent = z.infer<typeof intentSchema>;
--- /dev/null
+++ b/src/operator/common/jobPlanning.ts
@@ -0,0 +1,144 @@
+/** Plans that submit or cancel batch jobs. */
+import { isLeft } from 'fp-ts/lib/Either.js';
+
+import { canonicalJson } from '../../base/common/json.js';
+import { zonesInUse } from '../../platform/configuration/common/configurationView.js';
+import { POLICY_KEY, quotaKey, zoneKey } from '../../platform/configuration/common/documents.js';
+import { fitsInto } from '../../platform/worker/common/resources.js';
+import {
+  type BatchTask,
+  BatchTaskState,
+  cancellationKey,
+  jobKey,
+  type JobRow,
+  toJobId,
+  toShardId,
+  workKey,
+  type WorkRow,
+} from '../../platform/work/common/workRows.js';
+import type { SubmitJobIntent } from './intent.js';
+import {
+  guardDocument,
+  impossible,
+  planned,
+  type Planned,
+  type PlanningBasis,
+  setRow,
+} from './planningBasis.js';
+import { multipliedResources } from './replicas.js';
+import { checkPlaceable, sizeText } from './sizeChecks.js';
+
+const NAMED_JOB_COUNT = 5;
+
+const newTask = (index: number): BatchTask => ({
+  index,
+  state: BatchTaskState.Queued,
+  attempt: 1,
+  checkpoint: null,
+  evictionCount: 0,
+  failureCount: 0,
+});
+
+/** Deals a job's tasks out to the zones in use, each of which gets a shard. */
+const toShards = (intent: SubmitJobIntent, jobId: string, zones: readonly string[]): WorkRow[] =>
+  zones
+    .map((zone, zoneIndex): WorkRow => {
+      const indexes = Array.from({ length: intent.taskCount }, (_, index) => index);
+      const own = indexes.filter((index) => index % zones.length === zoneIndex);
+      return {
+        shardId: toShardId(jobId, zone),
+        jobId,
+        team: intent.team,
+        size: intent.size,
+        urgency: intent.urgency,
+        workMs: intent.workMs,
+        tasks: own.map(newTask),
+      };
+    })
+    .filter((shard) => shard.tasks.length > 0);
+
+const toJobRow = (intent: SubmitJobIntent, jobId: string): JobRow => ({
+  jobId,
+  team: intent.team,
+  submissionKey: intent.submissionKey,
+  taskCount: intent.taskCount,
+  size: intent.size,
+  urgency: intent.urgency,
+  workMs: intent.workMs,
+});
+
+/** Why a job can never run, or may not be submitted; undefined when there is no reason. */
+const refusalOf = (basis: PlanningBasis, intent: SubmitJobIntent): string | undefined => {
+  const { policy, quotas } = basis.view;
+  if (!policy.isSubmissionOpen) return 'the policy takes no new jobs at present';
+  if (intent.taskCount > policy.maximumTaskCountOfJob) {
+    return `the policy allows a job ${policy.maximumTaskCountOfJob} tasks, not ${intent.taskCount}`;
+  }
+  const limit = quotas.get(intent.team)?.limit;
+  if (limit !== undefined && !fitsInto(intent.size, limit)) {
+    return `one task (${sizeText(intent.size)}) exceeds the quota of ${intent.team} (${sizeText(limit)})`;
+  }
+  return undefined;
+};
+
+const jobWarnings = (basis: PlanningBasis, intent: SubmitJobIntent): readonly string[] => {
+  const limit = basis.view.quotas.get(intent.team)?.limit;
+  const whole = multipliedResources(intent.size, intent.taskCount);
+  if (limit === undefined || fitsInto(whole, limit)) return [];
+  return [`all ${intent.taskCount} tasks at once would exceed the quota of ${intent.team}`];
+};
+
+/**
+ * A job is dealt out to the zones that are in use when it is planned. Were one of them withdrawn
+ * before the confirmation, its shard would be written to a cell that starts nothing, so the plan
+ * relies on the zones' rows, and on the quota and policy that it was checked against.
+ */
+export const planJob = (basis: PlanningBasis, intent: SubmitJobIntent): Planned => {
+  const jobId = toJobId(intent.team, intent.submissionKey);
+  const row = toJobRow(intent, jobId);
+  const existing = basis.rows.get(jobKey(jobId));
+  if (existing !== undefined) {
+    const isSame = canonicalJson(existing.value) === canonicalJson(row);
+    if (isSame) return planned(`job ${jobId} has been submitted before`, []);
+    return impossible(`job ${jobId} was submitted with other contents`);
+  }
+  const refusal = refusalOf(basis, intent);
+  if (refusal !== undefined) return impossible(refusal);
+  const placeable = checkPlaceable(basis, intent.size);
+  if (isLeft(placeable)) return placeable;
+  const zones = zonesInUse(basis.view);
+  if (zones.length === 0) return impossible('no availability zone is in use');
+  const steps = [
+    ...setRow(basis, jobKey(jobId), row),
+    ...toShards(intent, jobId, zones).flatMap((shard, index) =>
+      setRow(basis, workKey(zones[index] as string, shard.shardId), shard),
+    ),
+  ];
+  return planned(`submit job ${jobId} of ${intent.taskCount} tasks`, steps, {
+    guards: [...zones.map(zoneKey), quotaKey(intent.team), POLICY_KEY].map((key) =>
+      guardDocument(basis, key),
+    ),
+    notifiedCells: zones,
+    warnings: [...placeable.right, ...jobWarnings(basis, intent)],
+  });
+};
+
+export const planCancellation = (basis: PlanningBasis, jobIds: readonly string[]): Planned => {
+  const allowed = basis.view.policy.maximumCancelledJobCount;
+  if (jobIds.length > allowed) {
+    return impossible(
+      `the policy allows ${allowed} jobs in one cancellation, not ${jobIds.length}`,
+    );
+  }
+  const missing = jobIds.filter((jobId) => !basis.rows.has(jobKey(jobId)));
+  if (missing.length > 0) {
+    return impossible(`no such jobs: ${missing.slice(0, NAMED_JOB_COUNT).join(', ')}`);
+  }
+  // Every cell gets the same row, for shards may move between cells.
+  const zones = [...basis.view.zones.keys()];
+  const uniqueIds = [...new Set(jobIds)];
+  const steps = zones.flatMap((zone) =>
+    setRow(basis, cancellationKey(zone, basis.planId), { jobIds: uniqueIds }),
+  );
+  return planned(`cancel ${uniqueIds.length} jobs`, steps, { notifiedCells: zones });
+};
--- /dev/null
+++ b/src/operator/common/planEffects.ts
@@ -0,0 +1,242 @@
+/** Works out what would follow from a plan's steps by comparing the views before and after. */
+import {
+  type ConfigurationView,
+  zonesInUse,
+} from '../../platform/configuration/common/configurationView.js';
+import { type ServiceDocument, Urgency } from '../../platform/configuration/common/documents.js';
+import { InstanceState } from '../../platform/instanceList/common/instanceList.js';
+import {
+  fitsInto,
+  type Resources,
+  subtractResources,
+  sumResources,
+} from '../../platform/worker/common/resources.js';
+import type { AffectedTask, PlanEffects, TaskGroup } from './plan.js';
+import type { PlanningBasis } from './planningBasis.js';
+import { multipliedResources, ServiceTotals } from './replicas.js';
+
+/** How many of a group's tasks a plan names. */
+const NAMED_TASK_COUNT = 5;
+
+const URGENCY_ORDER: Readonly<Record<Urgency, number>> = {
+  [Urgency.Urgent]: 0,
+  [Urgency.Normal]: 1,
+  [Urgency.Low]: 2,
+};
+
+const isLarger = (one: Resources, other: Resources): number =>
+  other.acceleratorCount - one.acceleratorCount ||
+  other.processorMillis - one.processorMillis ||
+  other.memoryBytes - one.memoryBytes;
+
+/** Tasks of one kind, of which a service or job has several of the same size. */
+interface CountedTasks extends AffectedTask {
+  readonly count: number;
+}
+
+const toGroup = (tasks: readonly CountedTasks[]): TaskGroup => {
+  const present = tasks.filter(({ count }) => count > 0);
+  const largest = [...present]
+    .sort((one, other) => isLarger(one.size, other.size))
+    .slice(0, NAMED_TASK_COUNT)
+    .map(({ taskId, size, count }) => ({
+      taskId: count === 1 ? taskId : `${taskId} (${count} tasks)`,
+      size,
+    }));
+  return { count: present.reduce((sum, { count }) => sum + count, 0), largest };
+};
+
+interface ServiceShift {
+  readonly service: ServiceDocument;
+  readonly starting: number;
+  readonly moving: number;
+  readonly ending: number;
+}
+
+/** The views that a plan leads from and to, with their sums. */
+interface Comparison {
+  readonly basis: PlanningBasis;
+  readonly before: ConfigurationView;
+  readonly after: ConfigurationView;
+  readonly totalsBefore: ServiceTotals;
+  readonly totalsAfter: ServiceTotals;
+}
+
+/** How many replicas of a service come, go, or go from one zone to another. */
+const serviceShift = (comparison: Comparison, name: string): ServiceShift => {
+  const { before, after, totalsBefore, totalsAfter } = comparison;
+  const zones = new Set([...totalsBefore.zones, ...totalsAfter.zones]);
+  const differences = [...zones].map(
+    (zone) => totalsAfter.replicas(name, zone) - totalsBefore.replicas(name, zone),
+  );
+  const coming = differences.reduce((sum, difference) => sum + Math.max(0, difference), 0);
+  const going = differences.reduce((sum, difference) => sum + Math.max(0, -difference), 0);
+  const moving = Math.min(coming, going);
+  const service = (after.services.get(name) ?? before.services.get(name)) as ServiceDocument;
+  return { service, moving, starting: coming - moving, ending: going - moving };
+};
+
+const serviceShifts = (comparison: Comparison): readonly ServiceShift[] => {
+  const { before, after } = comparison;
+  const names = new Set([...before.services.keys(), ...after.services.keys()]);
+  return [...names].map((name) => serviceShift(comparison, name));
+};
+
+const capacityOfZone = (
+  basis: PlanningBasis,
+  view: ConfigurationView,
+  zone: string,
+): readonly Resources[] =>
+  zonesInUse(view).includes(zone)
+    ? basis.workers
+        .filter((worker) => worker.availabilityZone === zone && worker.state === InstanceState.Live)
+        .filter((worker) => view.workers.get(worker.id)?.isDraining !== true)
+        .map((worker) => worker.capacity)
+    : [];
+
+const countThatFits = (size: Resources, free: Resources, wanted: number): number => {
+  const limits = [
+    size.processorMillis === 0 ? wanted : free.processorMillis / size.processorMillis,
+    size.memoryBytes === 0 ? wanted : free.memoryBytes / size.memoryBytes,
+    size.acceleratorCount === 0 ? wanted : free.acceleratorCount / size.acceleratorCount,
+  ];
+  return Math.max(0, Math.min(wanted, ...limits.map(Math.floor)));
+};
+
+/**
+ * Replicas that find no room in a zone, urgent services first, batch work given up for them.
+ * Free room is added up over the zone's workers, so this is the least number that is missing;
+ * a size that no single worker has room for is missing whole.
+ */
+const missingTasks = (
+  view: ConfigurationView,
+  totals: ServiceTotals,
+  zone: string,
+  workers: readonly Resources[],
+): number => {
+  let free = sumResources(workers);
+  return [...view.services.values()]
+    .sort((one, other) => URGENCY_ORDER[one.urgency] - URGENCY_ORDER[other.urgency])
+    .reduce((missing, { name, size }) => {
+      const wanted = totals.replicas(name, zone);
+      if (wanted === 0) return missing;
+      const isPlaceable = workers.some((capacity) => fitsInto(size, capacity));
+      const placed = isPlaceable ? countThatFits(size, free, wanted) : 0;
+      free = subtractResources(free, multipliedResources(size, placed));
+      return missing + wanted - placed;
+    }, 0);
+};
+
+const zoneCapacity = (comparison: Comparison, zone: string): PlanEffects['capacity'][number] => {
+  const { basis, before, after, totalsBefore, totalsAfter } = comparison;
+  const workersAfter = capacityOfZone(basis, after, zone);
+  const isKnown = basis.workers.length > 0;
+  return {
+    zone,
+    totalBefore: sumResources(capacityOfZone(basis, before, zone)),
+    totalAfter: sumResources(workersAfter),
+    reservedBefore: totalsBefore.inZone(zone),
+    reservedAfter: totalsAfter.inZone(zone),
+    missingTaskCount: isKnown ? missingTasks(after, totalsAfter, zone, workersAfter) : 0,
+  };
+};
+
+const isSame = (one: unknown, other: unknown): boolean =>
+  JSON.stringify(one) === JSON.stringify(other);
+
+const capacityEffects = (comparison: Comparison): PlanEffects['capacity'] =>
+  [...new Set([...comparison.before.zones.keys(), ...comparison.after.zones.keys()])]
+    .sort()
+    .map((zone) => zoneCapacity(comparison, zone))
+    .filter(
+      (zone) =>
+        !isSame(zone.totalBefore, zone.totalAfter) ||
+        !isSame(zone.reservedBefore, zone.reservedAfter),
+    );
+
+const quotaEffects = (comparison: Comparison): PlanEffects['quotas'] => {
+  const { before, after, totalsBefore, totalsAfter } = comparison;
+  const teams = new Set([
+    ...totalsBefore.teams,
+    ...totalsAfter.teams,
+    ...before.quotas.keys(),
+    ...after.quotas.keys(),
+  ]);
+  return [...teams].flatMap((team) => {
+    const limitBefore = before.quotas.get(team)?.limit ?? null;
+    const limit = after.quotas.get(team)?.limit ?? null;
+    const usedBefore = totalsBefore.ofTeam(team);
+    const usedAfter = totalsAfter.ofTeam(team);
+    if (isSame(limitBefore, limit) && isSame(usedBefore, usedAfter)) return [];
+    return [{ team, limit, before: usedBefore, after: usedAfter }];
+  });
+};
+
+/** Tasks of jobs that would have to leave: their worker or their zone is taken out. */
+const evictedTasks = (basis: PlanningBasis, after: ConfigurationView): readonly CountedTasks[] => {
+  const zoneOf = new Map(basis.workers.map(({ id, availabilityZone }) => [id, availabilityZone]));
+  const inUse = new Set(zonesInUse(after));
+  return basis.running
+    .filter(({ serviceName }) => serviceName === '')
+    .filter(({ workerId }) => {
+      const isDraining = after.workers.get(workerId)?.isDraining === true;
+      const zone = zoneOf.get(workerId);
+      return isDraining || (zone !== undefined && !inUse.has(zone));
+    })
+    .map(({ taskId, size }) => ({ taskId, size, count: 1 }));
+};
+
+/** Tasks of services that leave a worker without leaving its zone. */
+const drainedTasks = (basis: PlanningBasis, after: ConfigurationView): readonly CountedTasks[] =>
+  basis.running
+    .filter(({ serviceName }) => serviceName !== '')
+    .filter(({ workerId }) => after.workers.get(workerId)?.isDraining === true)
+    .filter(({ workerId }) => basis.view.workers.get(workerId)?.isDraining !== true)
+    .map(({ taskId, size }) => ({ taskId, size, count: 1 }));
+
+const toCounted = (
+  shifts: readonly ServiceShift[],
+  member: 'starting' | 'moving' | 'ending',
+): readonly CountedTasks[] =>
+  shifts.map((shift) => ({
+    taskId: shift.service.name,
+    size: shift.service.size,
+    count: shift[member],
+  }));
+
+/** Tasks of jobs that a plan starts or ends, which the configuration does not tell of. */
+export interface JobTasks {
+  readonly starting: readonly CountedTasks[];
+  readonly ending: readonly CountedTasks[];
+}
+
+/** The effects of going from the basis's view to another one. */
+export const planEffects = (
+  basis: PlanningBasis,
+  after: ConfigurationView,
+  jobs: JobTasks,
+): PlanEffects => {
+  const comparison = {
+    basis,
+    before: basis.view,
+    after,
+    totalsBefore: new ServiceTotals(basis.view),
+    totalsAfter: new ServiceTotals(after),
+  };
+  const shifts = serviceShifts(comparison);
+  const capacity = capacityEffects(comparison);
+  return {
+    starting: toGroup([...toCounted(shifts, 'starting'), ...jobs.starting]),
+    moving: toGroup([...toCounted(shifts, 'moving'), ...drainedTasks(basis, after)]),
+    evicted: toGroup(evictedTasks(basis, after)),
+    ending: toGroup([...toCounted(shifts, 'ending'), ...jobs.ending]),
+    quotas: quotaEffects(comparison),
+    capacity,
+    notDone: capacity
+      .filter(({ missingTaskCount }) => missingTaskCount > 0)
+      .map(({ zone, missingTaskCount }) => {
+        const wait = 'which wait until there is room';
+        return `${zone} lacks capacity for at least ${missingTaskCount} tasks, ${wait}`;
+      }),
+  };
+};
--- /dev/null
+++ b/src/operator/common/replicas.ts
@@ -0,0 +1,61 @@
+/** How services' replicas are dealt out to zones, and what that adds up to. */
+import {
+  type ConfigurationView,
+  zonesInUse,
+} from '../../platform/configuration/common/configurationView.js';
+import {
+  addResources,
+  NO_RESOURCES,
+  type Resources,
+} from '../../platform/worker/common/resources.js';
+
+export const multipliedResources = (size: Resources, count: number): Resources => ({
+  processorMillis: size.processorMillis * count,
+  memoryBytes: size.memoryBytes * count,
+  acceleratorCount: size.acceleratorCount * count,
+});
+
+/** The sums over one view, worked out once: a plan asks for them per zone, team and service. */
+export class ServiceTotals {
+  readonly zones: readonly string[];
+
+  readonly #view: ConfigurationView;
+
+  readonly #byTeam = new Map<string, Resources>();
+
+  constructor(view: ConfigurationView) {
+    this.#view = view;
+    this.zones = zonesInUse(view);
+    view.services.forEach(({ team, size, replicaCount }) => {
+      const sum = this.#byTeam.get(team) ?? NO_RESOURCES;
+      this.#byTeam.set(team, addResources(sum, multipliedResources(size, replicaCount)));
+    });
+  }
+
+  /** A service's share in a zone, as the cells' owners work it out: even, first zones get more. */
+  replicas(serviceName: string, zone: string): number {
+    const index = this.zones.indexOf(zone);
+    const count = this.#view.services.get(serviceName)?.replicaCount ?? 0;
+    if (index < 0) return 0;
+    const base = Math.floor(count / this.zones.length);
+    return index < count % this.zones.length ? base + 1 : base;
+  }
+
+  /** What a team's services ask for, whether or not all their replicas have found room. */
+  ofTeam(team: string): Resources {
+    return this.#byTeam.get(team) ?? NO_RESOURCES;
+  }
+
+  get teams(): readonly string[] {
+    return [...this.#byTeam.keys()];
+  }
+
+  /** What services reserve in a zone. */
+  inZone(zone: string): Resources {
+    return [...this.#view.services.values()].reduce(
+      (sum, { name, size }) =>
+        addResources(sum, multipliedResources(size, this.replicas(name, zone))),
+      NO_RESOURCES,
+    );
+  }
+}
--- /dev/null
+++ b/src/operator/node/ledgerSurvey.ts
@@ -0,0 +1,56 @@
+/** Reads running tasks out of the ledger, a few racks at a time. */
+import { setImmediate as nextTurn } from 'node:timers/promises';
+
+import { type Either, isLeft, right } from 'fp-ts/lib/Either.js';
+
+import type { Failure } from '../../platform/errors/common/errorKinds.js';
+import type { TableService } from '../../platform/table/common/table.js';
+import {
+  type Assignment,
+  ledgerKey,
+  ledgerRowSchema,
+} from '../../platform/work/common/workRows.js';
+import type { RunningTask } from '../common/planningBasis.js';
+
+export interface LedgerRack {
+  readonly cell: string;
+  readonly rack: string;
+}
+
+/**
+ * A rack of 8 workers has some 160 tasks. Reading all 17,500 at once would hold up requests for
+ * tens of milliseconds while the answer is parsed; two racks take about two.
+ */
+const RACKS_PER_READ = 2;
+
+export const toRunningTask = (assignment: Assignment): RunningTask => ({
+  taskId: assignment.taskId,
+  workerId: assignment.workerId,
+  serviceName: assignment.serviceName,
+  jobId: assignment.shardId.split('~')[0] ?? '',
+  size: assignment.size,
+});
+
+/** Running tasks of the racks for which `isWanted`; requests get their turn between reads. */
+export const surveyLedger = async (
+  table: TableService,
+  racks: readonly LedgerRack[],
+  isWanted: (task: RunningTask) => boolean,
+): Promise<Either<Failure, readonly RunningTask[]>> => {
+  const tasks: RunningTask[] = [];
+  for (let index = 0; index < racks.length; index += RACKS_PER_READ) {
+    const part = racks.slice(index, index + RACKS_PER_READ);
+    const keys = part.map(({ cell, rack }) => ledgerKey(cell, rack));
+    // One part at a time keeps each pause of the event loop short.
+    // eslint-disable-next-line no-await-in-loop
+    const read = await table.read({ keys, prefixes: [] })();
+    if (isLeft(read)) return read;
+    read.right.rows.forEach((row) => {
+      const { assignments } = ledgerRowSchema.parse(row.value);
+      tasks.push(...assignments.map(toRunningTask).filter(isWanted));
+    });
+    // eslint-disable-next-line no-await-in-loop
+    await nextTurn();
+  }
+  return right(tasks);
+};
--- a/src/operator/node/operatorServer.ts
+++ b/src/operator/node/operatorServer.ts
@@ -17,7 +17,7 @@
 import { intentSchema } from '../common/intent.js';
 import { OperatorAccess } from './operatorAccess.js';
 import type { OperatorQueries } from './operatorQueries.js';
-import type { PlanService } from './planService.js';
+import type { ConfirmationRefusal, PlanService } from './planService.js';
 
 export interface OperatorServerServices {
   readonly plans: PlanService;
@@ -33,7 +33,7 @@
 type Handler = (
   request: FastifyRequest,
   author: string,
-) => Promise<Either<Failure, unknown>> | Either<Failure, unknown>;
+) => Promise<Either<ConfirmationRefusal, unknown>> | Either<ConfirmationRefusal, unknown>;
 
 const planBodySchema = z.strictObject({ intent: intentSchema });
 const confirmBodySchema = z.strictObject({ digest: z.string().min(1) });
@@ -152,7 +152,9 @@
         const author = this.#access.check(request.headers.authorization, role);
         if (isLeft(author)) return replyWithFailure(reply, author.left);
         const result = await handler(request, author.right);
-        return isLeft(result) ? replyWithFailure(reply, result.left) : reply.send(result.right);
+        if (!isLeft(result)) return reply.send(result.right);
+        const { newPlan } = result.left;
+        return replyWithFailure(reply, result.left, newPlan === undefined ? {} : { newPlan });
       },
     });
   }
--- /dev/null
+++ b/src/operator/node/planMaker.ts
@@ -0,0 +1,240 @@
+/** Makes plans: reads what an intent needs, works the plan out and keeps it. */
+import { createHash } from 'node:crypto';
+
+import { type Either, isLeft, left, right } from 'fp-ts/lib/Either.js';
+
+import { canonicalJson } from '../../base/common/json.js';
+import type { ConfigurationService } from '../../platform/configuration/common/configurationService.js';
+import type { ConfigurationView } from '../../platform/configuration/common/configurationView.js';
+import { DOCUMENT_PREFIX } from '../../platform/configuration/common/documents.js';
+import { ErrorKind, failure, type Failure } from '../../platform/errors/common/errorKinds.js';
+import type { InstanceDirectory } from '../../platform/instanceList/common/instanceDirectory.js';
+import { isWorker, type WorkerInstance } from '../../platform/instanceList/common/instanceList.js';
+import type { Metrics } from '../../platform/metrics/common/metrics.js';
+import {
+  ABSENT_VERSION,
+  rowsByKey,
+  type TableRow,
+  type TableService,
+  type Transaction,
+  TransactionOutcome,
+} from '../../platform/table/common/table.js';
+import {
+  isEnded,
+  workPrefix,
+  type WorkRow,
+  workRowSchema,
+} from '../../platform/work/common/workRows.js';
+import { planningFault } from '../common/confirmation.js';
+import { type Intent, IntentKind } from '../common/intent.js';
+import { digestContents, type Plan, planKey, PlanState, toPlanId } from '../common/plan.js';
+import {
+  furtherRowsToRead,
+  type PlannedChange,
+  planIntent,
+  rowsToRead,
+} from '../common/planner.js';
+import type { RunningTask } from '../common/planningBasis.js';
+import { type LedgerRack, surveyLedger } from './ledgerSurvey.js';
+
+export interface PlanMakerServices {
+  readonly table: TableService;
+  readonly configuration: ConfigurationService;
+  readonly directory: Pick<InstanceDirectory, 'instances'>;
+  readonly metrics: Metrics;
+  /** The wall clock, in milliseconds since 1970; only expiry and history are told by it. */
+  readonly wallNowMs: () => number;
+  /** A short text that no two calls share. */
+  readonly newSuffix: () => string;
+}
+
+/** Tries at catching a moment in which the view and the rows agree. */
+const MAXIMUM_READ_TRIES = 5;
+/** Jobs whose shards are looked up to tell what a cancellation would end. */
+const MAXIMUM_SURVEYED_JOBS = 20;
+
+/** A view and rows that agree with it. */
+interface Reading {
+  readonly view: ConfigurationView;
+  readonly rows: ReadonlyMap<string, TableRow>;
+}
+
+const isInAgreement = (
+  view: ConfigurationView,
+  keys: readonly string[],
+  rows: ReadonlyMap<string, TableRow>,
+): boolean =>
+  keys
+    .filter((key) => key.startsWith(DOCUMENT_PREFIX))
+    .every((key) => rows.get(key)?.version === view.rowVersions.get(key));
+
+export const planDigest = (plan: Parameters<typeof digestContents>[0]): string =>
+  createHash('sha256')
+    .update(canonicalJson(digestContents(plan)))
+    .digest('hex');
+
+export class PlanMaker {
+  readonly #services: PlanMakerServices;
+
+  readonly #planLifetimeMs: number;
+
+  constructor(services: PlanMakerServices, planLifetimeMs: number) {
+    this.#services = services;
+    this.#planLifetimeMs = planLifetimeMs;
+  }
+
+  /** Makes a plan and keeps it; nothing else changes. */
+  async plan(intent: Intent, author: string): Promise<Either<Failure, Plan>> {
+    const reading = await this.#readBasis(intent);
+    if (isLeft(reading)) return reading;
+    const { view, rows } = reading.right;
+    const workers = this.#services.directory.instances.filter(isWorker);
+    const running = await this.#running(intent, workers);
+    if (isLeft(running)) return running;
+    const ending = await this.#ending(view, intent);
+    if (isLeft(ending)) return ending;
+    const planId = toPlanId(this.#services.wallNowMs(), this.#services.newSuffix());
+    const basis = { view, rows, workers, running: running.right, planId };
+    const planned = planIntent(basis, intent, ending.right);
+    if (isLeft(planned)) return planned;
+    return this.#keep(this.#toPlan(planId, intent, author, view.version, planned.right));
+  }
+
+  /**
+   * The view is the one in force here, brought up to date; only the rows that the intent names
+   * are read. Reading every document for each of 11,000 plans a day would cost more than all
+   * daemons together spend on following the configuration. View and rows need not be of one
+   * version, which in a burst of confirmations they hardly ever are, but must agree on the
+   * documents that both hold; all else that the plan relies on is a condition of its confirmation.
+   */
+  async #readBasis(intent: Intent): Promise<Either<Failure, Reading>> {
+    const { configuration, table } = this.#services;
+    const keys = new Set(rowsToRead(intent));
+    for (let tryCount = 0; tryCount < MAXIMUM_READ_TRIES; tryCount += 1) {
+      // Each try depends on what the one before has found.
+      // eslint-disable-next-line no-await-in-loop
+      await configuration.refresh();
+      // eslint-disable-next-line no-await-in-loop
+      const read = await table.read({ keys: [...keys], prefixes: [] })();
+      if (isLeft(read)) return read;
+      const rows = rowsByKey(read.right.rows);
+      const knownKeyCount = keys.size;
+      furtherRowsToRead(intent, rows).forEach((key) => keys.add(key));
+      const view = configuration.current;
+      const isWhole = view !== undefined && keys.size === knownKeyCount;
+      if (isWhole && isInAgreement(view, [...keys], rows)) return right({ view, rows });
+    }
+    const message = 'the configuration in force could not be read';
+    return left(failure(ErrorKind.ConfigurationUnknown, message));
+  }
+
+  async #running(
+    intent: Intent,
+    workers: readonly WorkerInstance[],
+  ): Promise<Either<Failure, readonly RunningTask[]>> {
+    const racksOf = (isWanted: (worker: WorkerInstance) => boolean): readonly LedgerRack[] => {
+      const racks = workers
+        .filter(isWanted)
+        .map(({ availabilityZone, rack }) => [
+          `${availabilityZone}/${rack}`,
+          availabilityZone,
+          rack,
+        ]);
+      return [
+        ...new Map(racks.map(([id, cell, rack]) => [id, { cell, rack }])).values(),
+      ] as LedgerRack[];
+    };
+    const { table } = this.#services;
+    switch (intent.intent) {
+      case IntentKind.WithdrawZone: {
+        const racks = racksOf((worker) => worker.availabilityZone === intent.zone);
+        return surveyLedger(table, racks, () => true);
+      }
+      case IntentKind.DrainWorker: {
+        const racks = racksOf((worker) => worker.id === intent.workerId);
+        return surveyLedger(table, racks, (task) => task.workerId === intent.workerId);
+      }
+      case IntentKind.SetQuota: {
+        const racks = racksOf(() => true);
+        return surveyLedger(table, racks, ({ jobId }) => jobId.startsWith(`${intent.team}.`));
+      }
+      default:
+        return right([]);
+    }
+  }
+
+  /** What is left of the jobs that a cancellation names, or of the first of them. */
+  async #ending(
+    view: ConfigurationView,
+    intent: Intent,
+  ): Promise<Either<Failure, readonly WorkRow[]>> {
+    if (intent.intent !== IntentKind.CancelJobs) return right([]);
+    const zones = [...view.zones.keys()];
+    const prefixes = intent.jobIds
+      .slice(0, MAXIMUM_SURVEYED_JOBS)
+      .flatMap((jobId) => zones.map((zone) => `${workPrefix(zone)}${jobId}~`));
+    const read = await this.#services.table.read({ keys: [], prefixes })();
+    if (isLeft(read)) return read;
+    const shards = read.right.rows.map((row) => workRowSchema.parse(row.value));
+    return right(
+      shards.map((shard) => ({ ...shard, tasks: shard.tasks.filter((task) => !isEnded(task)) })),
+    );
+  }
+
+  /**
+   * Keeps a plan. The plan's row is written under a fresh id, so after a lost answer writing it
+   * once more is harmless: the second try finds the row there, or writes it.
+   */
+  async #keep(plan: Plan): Promise<Either<Failure, Plan>> {
+    const { table, metrics } = this.#services;
+    const key = planKey(plan.planId);
+    const transaction: Transaction = {
+      operationId: plan.planId,
+      conditions: [{ key, version: ABSENT_VERSION }],
+      writes: [{ key, value: plan }],
+    };
+    const fault = planningFault(transaction);
+    if (fault !== undefined) {
+      metrics.count(fault);
+      return left(failure(ErrorKind.Internal, 'a plan would have changed more than plans'));
+    }
+    const first = await table.transact(transaction)();
+    if (!isLeft(first)) {
+      if (first.right.outcome === TransactionOutcome.Committed) return right(plan);
+      return left(failure(ErrorKind.Internal, `the plan id ${plan.planId} is taken`));
+    }
+    if (first.left.kind !== ErrorKind.StoreAnswerLost) return first;
+    const second = await table.transact(transaction)();
+    return isLeft(second) ? first : right(plan);
+  }
+
+  #toPlan(
+    planId: string,
+    intent: Intent,
+    author: string,
+    baseVersion: number,
+    planned: PlannedChange,
+  ): Plan {
+    const createdAtMs = this.#services.wallNowMs();
+    const contents = {
+      planId,
+      intent,
+      baseVersion,
+      steps: [...planned.steps],
+      guards: [...planned.guards],
+      notifiedCells: [...planned.notifiedCells],
+    };
+    return {
+      ...contents,
+      author,
+      summary: planned.summary,
+      effects: planned.effects,
+      warnings: [...planned.warnings],
+      createdAt: new Date(createdAtMs).toISOString(),
+      expiresAt: new Date(createdAtMs + this.#planLifetimeMs).toISOString(),
+      digest: planDigest(contents),
+      state: PlanState.Pending,
+      acceptedVersion: 0,
+    };
+  }
+}
--- a/src/operator/node/planService.ts
+++ b/src/operator/node/planService.ts
@@ -1,65 +1,109 @@
 /** Makes plans and confirms them against the table. */
-import { createHash, randomUUID } from 'node:crypto';
-
 import { type Either, isLeft, left, right } from 'fp-ts/lib/Either.js';
 
-import { canonicalJson } from '../../base/common/json.js';
-import { toConfigurationView } from '../../platform/configuration/common/configurationView.js';
-import { DOCUMENT_PREFIX, VERSION_KEY } from '../../platform/configuration/common/documents.js';
-import { ErrorKind, failure, type Failure } from '../../platform/errors/common/errorKinds.js';
+import type { Clock } from '../../base/common/clock.js';
+import { Emitter } from '../../base/common/event.js';
+import type { Disposable } from '../../base/common/lifecycle.js';
+import type { RandomSource } from '../../base/common/random.js';
+import { changeKeysBetween } from '../../platform/configuration/common/configurationSteps.js';
+import { changeRowSchema, toVersion } from '../../platform/configuration/common/documents.js';
+import {
+  ErrorKind,
+  failure,
+  type Failure,
+  WorkOutcome,
+} from '../../platform/errors/common/errorKinds.js';
 import {
   ABSENT_VERSION,
   rowsByKey,
-  type TableService,
+  type TableRow,
+  type Transaction,
   TransactionOutcome,
 } from '../../platform/table/common/table.js';
 import {
+  confirmationFault,
   confirmationKeys,
   type ConfirmationRequest,
   decideConfirmation,
+  OpenAttempts,
+  staleKey,
+  WriteInvariant,
 } from '../common/confirmation.js';
 import type { Intent } from '../common/intent.js';
-import { type Plan, planKey, planSchema, PlanState } from '../common/plan.js';
-import { planIntent, rowsToRead } from '../common/planner.js';
+import { type Plan, planKey, planSchema } from '../common/plan.js';
+import { planDigest, PlanMaker, type PlanMakerServices } from './planMaker.js';
+
+export interface PlanServices extends PlanMakerServices {
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly delay: (delayMs: number) => Promise<void>;
+  /** A text that no two calls share. */
+  readonly newOperationId: () => string;
+}
+
+export interface PlanLimits {
+  readonly planLifetimeMs: number;
+  /** How long a confirmation goes on before it answers that the outcome is not known. */
+  readonly confirmTimeoutMs: number;
+}
+
+/** Why a plan was not accepted; a stale one comes with a plan made anew. */
+export interface ConfirmationRefusal extends Failure {
+  readonly newPlan?: Plan;
+}
+
+type ConfirmationResult = Either<ConfirmationRefusal, Plan>;
 
 /**
- * Plans on different things conflict only on the version row and are tried again. With twenty
- * operators at once each try lets one through, so the last needs twenty.
+ * Plans on different things conflict only on the version row, and each round lets one through.
+ * With twenty operators at once, waits that grow to 200 ms spread the rest over a second or
+ * two; without the random part all would come back at the same moment and conflict again.
  */
-const MAXIMUM_CONFIRMATION_TRIES = 40;
+const FIRST_WAIT_MS = 5;
+const LONGEST_WAIT_MS = 200;
+
+/** How far back it is looked up who changed what a stale plan was made from. */
+const MAXIMUM_CHANGES_SEARCHED = 100;
+
+const isStoreFault = ({ kind }: Failure): boolean =>
+  kind === ErrorKind.StoreUnavailable || kind === ErrorKind.StoreAnswerLost;
 
-export class PlanService {
-  readonly #table: TableService;
+const OUTCOME_UNKNOWN = failure(
+  ErrorKind.StoreAnswerLost,
+  'it is not known whether the plan was accepted; confirm it again to find out',
+);
 
-  readonly #planLifetimeMs: number;
+export class PlanService implements Disposable {
+  readonly #services: PlanServices;
 
-  constructor(table: TableService, planLifetimeMs: number) {
-    this.#table = table;
-    this.#planLifetimeMs = planLifetimeMs;
+  readonly #limits: PlanLimits;
+
+  readonly #maker: PlanMaker;
+
+  readonly #didAccept = new Emitter<Plan>();
+
+  constructor(services: PlanServices, limits: PlanLimits) {
+    this.#services = services;
+    this.#limits = limits;
+    this.#maker = new PlanMaker(services, limits.planLifetimeMs);
+  }
+
+  /** Fires for each plan that was found accepted here. */
+  get onDidAccept(): Emitter<Plan>['event'] {
+    return this.#didAccept.event;
+  }
+
+  dispose(): void {
+    this.#didAccept.dispose();
   }
 
   /** Makes a plan and keeps it; nothing else changes. */
-  async plan(intent: Intent, author: string): Promise<Either<Failure, Plan>> {
-    const read = await this.#table.read({
-      keys: [VERSION_KEY, ...rowsToRead(intent)],
-      prefixes: [DOCUMENT_PREFIX],
-    })();
-    if (isLeft(read)) return read;
-    const view = toConfigurationView(read.right.rows);
-    const planId = randomUUID();
-    const planned = planIntent({ view, rows: rowsByKey(read.right.rows), planId }, intent);
-    if (isLeft(planned)) return planned;
-    const plan = this.#toPlan(planId, intent, author, view.version, planned.right);
-    const kept = await this.#table.transact({
-      operationId: planId,
-      conditions: [{ key: planKey(planId), version: ABSENT_VERSION }],
-      writes: [{ key: planKey(planId), value: plan }],
-    })();
-    return isLeft(kept) ? kept : right(plan);
+  plan(intent: Intent, author: string): Promise<Either<Failure, Plan>> {
+    return this.#maker.plan(intent, author);
   }
 
   async find(planId: string): Promise<Either<Failure, Plan>> {
-    const read = await this.#table.read({ keys: [planKey(planId)], prefixes: [] })();
+    const read = await this.#services.table.read({ keys: [planKey(planId)], prefixes: [] })();
     if (isLeft(read)) return read;
     const row = read.right.rows[0];
     if (row === undefined) return left(failure(ErrorKind.UnknownObject, `no plan ${planId}`));
@@ -67,70 +111,134 @@
   }
 
   /**
-   * Confirms a plan. After a lost answer the plan's row tells whether the confirmation took
-   * effect, so the next try finds it confirmed instead of accepting it twice.
+   * Confirms a plan. It is tried again after conflicts with other plans and after lost answers,
+   * until the plan's row tells what has become of it or the time is up.
    */
-  async confirm(request: ConfirmationRequest): Promise<Either<Failure, Plan>> {
-    const found = await this.find(request.planId);
-    if (isLeft(found)) return found;
-    let lastFailure = failure(ErrorKind.PlanConflict, 'too many plans are confirmed at once');
-    for (let tryCount = 0; tryCount < MAXIMUM_CONFIRMATION_TRIES; tryCount += 1) {
+  async confirm(request: ConfirmationRequest): Promise<ConfirmationResult> {
+    const { clock, delay, random } = this.#services;
+    const giveUpAtMs = clock.nowMs() + this.#limits.confirmTimeoutMs;
+    const attempts = new OpenAttempts();
+    for (let waitMs = FIRST_WAIT_MS; ; waitMs = Math.min(waitMs * 2, LONGEST_WAIT_MS)) {
       // Each try depends on what the one before has found.
       // eslint-disable-next-line no-await-in-loop
-      const result = await this.#tryConfirm(request, found.right);
-      if (result !== undefined && !isLeft(result)) return result;
-      if (result !== undefined && result.left.kind !== ErrorKind.StoreAnswerLost) return result;
-      if (result !== undefined) lastFailure = result.left;
+      const result = await this.#tryConfirm(request, attempts);
+      if (result !== undefined) {
+        if (!isLeft(result)) this.#didAccept.fire(result.right);
+        return result;
+      }
+      if (clock.nowMs() + waitMs > giveUpAtMs) return left(OUTCOME_UNKNOWN);
+      // eslint-disable-next-line no-await-in-loop
+      await delay(waitMs * (1 + random.nextFraction()));
     }
-    return left(lastFailure);
   }
 
-  /** Undefined when another plan was quicker and this one should be tried again. */
+  /** Undefined when the plan should be tried again. */
   async #tryConfirm(
     request: ConfirmationRequest,
-    known: Plan,
-  ): Promise<Either<Failure, Plan> | undefined> {
-    const read = await this.#table.read({ keys: confirmationKeys(known), prefixes: [] })();
-    if (isLeft(read)) return read;
+    attempts: OpenAttempts,
+  ): Promise<ConfirmationResult | undefined> {
+    const { table, newOperationId, wallNowMs } = this.#services;
+    const known = await this.find(request.planId);
+    if (isLeft(known)) return this.#afterFailure(known.left, request, attempts, new Map());
+    const read = await table.read({ keys: confirmationKeys(known.right), prefixes: [] })();
+    if (isLeft(read)) return this.#afterFailure(read.left, request, attempts, new Map());
     const rows = rowsByKey(read.right.rows);
-    const nowAt = new Date().toISOString();
-    const step = decideConfirmation(request, rows, randomUUID(), nowAt);
-    if (isLeft(step)) return step;
+    const nowAt = new Date(wallNowMs()).toISOString();
+    const step = decideConfirmation(request, rows, newOperationId(), nowAt);
+    if (isLeft(step)) return this.#afterFailure(step.left, request, attempts, rows);
     if (step.right.kind === 'accepted') return right(step.right.plan);
-    const written = await this.#table.transact(step.right.transaction)();
-    if (isLeft(written)) return written;
-    if (written.right.outcome === TransactionOutcome.Conflict) return undefined;
-    return right(step.right.plan);
+    attempts.noteStillPending(rows);
+    return this.#write(known.right, step.right.plan, step.right.transaction, rows, attempts);
+  }
+
+  async #write(
+    pending: Plan,
+    accepted: Plan,
+    transaction: Transaction,
+    rows: ReadonlyMap<string, TableRow>,
+    attempts: OpenAttempts,
+  ): Promise<ConfirmationResult | undefined> {
+    const { table, metrics } = this.#services;
+    const isAltered = planDigest(pending) !== pending.digest;
+    const fault = isAltered
+      ? WriteInvariant.OnlyWhatWasShown
+      : confirmationFault(pending, rows, transaction);
+    if (fault !== undefined) {
+      metrics.count(fault);
+      const workOutcome = attempts.isAnyOpen ? WorkOutcome.Unknown : WorkOutcome.NotRun;
+      return left({ ...failure(ErrorKind.Internal, 'the plan is not as shown'), workOutcome });
+    }
+    const written = await table.transact(transaction)();
+    if (!isLeft(written)) {
+      return written.right.outcome === TransactionOutcome.Committed ? right(accepted) : undefined;
+    }
+    if (written.left.kind === ErrorKind.StoreAnswerLost) attempts.addLost(transaction);
+    if (!isStoreFault(written.left)) return written;
+    // A store that is out cannot tell what became of an earlier attempt; it may come back.
+    return attempts.isAnyOpen ? undefined : left(OUTCOME_UNKNOWN);
+  }
+
+  /**
+   * What a failure of one try means. A refusal that says "not run" must be true for ever, so it
+   * is proved against the table first: the read may come from the past, and an attempt whose
+   * answer was lost, of this call or of another daemon's, may still be on its way. While the
+   * store cannot be asked, an earlier call may have been accepted, so that is "unknown" too.
+   * Undefined when it is worth another try.
+   */
+  async #afterFailure(
+    cause: Failure,
+    request: ConfirmationRequest,
+    attempts: OpenAttempts,
+    rows: ReadonlyMap<string, TableRow>,
+  ): Promise<ConfirmationResult | undefined> {
+    if (isStoreFault(cause)) return attempts.isAnyOpen ? undefined : left(OUTCOME_UNKNOWN);
+    const row = rows.get(planKey(request.planId));
+    if (!(await this.#isProved(request.planId, row))) return undefined;
+    if (cause.kind !== ErrorKind.PlanStale || row === undefined) return left(cause);
+    return left(await this.#staleRefusal(cause, planSchema.parse(row.value), request, rows));
+  }
+
+  /**
+   * Proves that the plan's row is as read by writing it again as it is, or that there is none.
+   * The row's version moves, and any attempt under way named the former one, so none of them can
+   * take effect any more.
+   */
+  async #isProved(planId: string, row: TableRow | undefined): Promise<boolean> {
+    const key = planKey(planId);
+    const result = await this.#services.table.transact({
+      operationId: this.#services.newOperationId(),
+      conditions: [{ key, version: row?.version ?? ABSENT_VERSION }],
+      writes: row === undefined ? [] : [{ key, value: row.value }],
+    })();
+    return !isLeft(result) && result.right.outcome === TransactionOutcome.Committed;
+  }
+
+  /** Tells what the plan lost to and offers one made from where things stand now. */
+  async #staleRefusal(
+    cause: Failure,
+    plan: Plan,
+    request: ConfirmationRequest,
+    rows: ReadonlyMap<string, TableRow>,
+  ): Promise<ConfirmationRefusal> {
+    const winner = await this.#winnerOf(plan, rows);
+    const message = winner === undefined ? cause.message : `${cause.message} by ${winner}`;
+    const again = await this.#maker.plan(plan.intent, request.author);
+    if (isLeft(again)) {
+      return { ...cause, message: `${message}; planned anew: ${again.left.message}` };
+    }
+    return { ...cause, message, newPlan: again.right };
   }
 
-  #toPlan(
-    planId: string,
-    intent: Intent,
-    author: string,
-    baseVersion: number,
-    planned: Pick<Plan, 'summary'> & {
-      readonly steps: readonly Plan['steps'][number][];
-      readonly notifiedCells: readonly string[];
-      readonly warnings: readonly string[];
-    },
-  ): Plan {
-    const createdAt = new Date();
-    const contents = { planId, intent, baseVersion, steps: planned.steps };
-    const digest = createHash('sha256').update(canonicalJson(contents)).digest('hex');
-    return {
-      planId,
-      intent,
-      author,
-      baseVersion,
-      summary: planned.summary,
-      steps: [...planned.steps],
-      notifiedCells: [...planned.notifiedCells],
-      warnings: [...planned.warnings],
-      createdAt: createdAt.toISOString(),
-      expiresAt: new Date(createdAt.getTime() + this.#planLifetimeMs).toISOString(),
-      digest,
-      state: PlanState.Pending,
-      acceptedVersion: 0,
-    };
+  async #winnerOf(plan: Plan, rows: ReadonlyMap<string, TableRow>): Promise<string | undefined> {
+    const key = staleKey(plan, rows);
+    const version = toVersion([...rows.values()]);
+    const from = Math.max(plan.baseVersion, version - MAXIMUM_CHANGES_SEARCHED);
+    if (key === undefined || from >= version) return undefined;
+    const keys = changeKeysBetween(from, version);
+    const read = await this.#services.table.read({ keys, prefixes: [] })();
+    if (isLeft(read)) return undefined;
+    const changes = read.right.rows.map((row) => changeRowSchema.parse(row.value));
+    const winner = changes.filter((change) => change.keys.includes(key)).at(-1);
+    return winner && `version ${winner.version} of ${winner.author}: ${winner.summary}`;
   }
 }
--- a/src/operator/test/confirmation.test.ts
+++ b/src/operator/test/confirmation.test.ts
@@ -1,57 +1,181 @@
-import { isLeft, right } from 'fp-ts/lib/Either.js';
-import { fromEither } from 'fp-ts/lib/TaskEither.js';
+import { isLeft, left, right } from 'fp-ts/lib/Either.js';
 import { describe, expect, it } from 'vitest';
 
-import { TableStandIn } from '../../../standIns/platform/tableStandIn.js';
-import { CHANGE_PREFIX } from '../../platform/configuration/common/documents.js';
-import type { TableService } from '../../platform/table/common/table.js';
+import { ErrorKind, errorBody, failure } from '../../platform/errors/common/errorKinds.js';
+import type { TableService, Transaction } from '../../platform/table/common/table.js';
+import type { Intent } from '../common/intent.js';
 import type { Plan } from '../common/plan.js';
-import { PlanService } from '../node/planService.js';
+import type { ConfirmationRefusal } from '../node/planService.js';
+import { OperatorHarness } from './operatorHarness.js';
 
-const PLAN_LIFETIME_MS = 60_000;
+const useZone = (zone: string): Intent => ({ intent: 'use-zone', zone, region: 'r' });
 
-const serviceOver = (table: TableStandIn): TableService => ({
-  read: (request) => fromEither(right(table.read(request))),
-  transact: (transaction) => fromEither(right(table.transact(transaction))),
-});
-
-const planZone = async (plans: PlanService, zone: string): Promise<Plan> => {
-  const plan = await plans.plan({ intent: 'use-zone', zone, region: 'r' }, 'ann');
-  if (isLeft(plan)) throw new Error(plan.left.message);
-  return plan.right;
-};
-
-const historyLength = (table: TableStandIn): number =>
-  table.read({ keys: [], prefixes: [CHANGE_PREFIX] }).rows.length;
+const outcomeOf = (refusal: ConfirmationRefusal): string => errorBody(refusal).workOutcome;
 
 describe('confirming a plan', () => {
   it('changes nothing before, and changes once however often it is confirmed', async () => {
-    const table = new TableStandIn();
-    const plans = new PlanService(serviceOver(table), PLAN_LIFETIME_MS);
-    const plan = await planZone(plans, 'zone-a');
-    expect(historyLength(table)).toBe(0);
-    const request = { planId: plan.planId, digest: plan.digest, author: 'ann' };
-    const first = await plans.confirm(request);
-    const second = await plans.confirm(request);
+    const harness = new OperatorHarness(1);
+    const plans = harness.daemon();
+    const plan = await harness.plan(plans, useZone('zone-a'));
+    expect(harness.otherRows).toEqual([]);
+    const first = await harness.confirm(plans, plan);
+    const second = await harness.confirm(harness.daemon(), plan);
     expect(first).toEqual(second);
-    expect(historyLength(table)).toBe(1);
+    expect(first._tag).toBe('Right');
+    expect(harness.history).toHaveLength(1);
   });
 
   // Two operators plan for the same zone from the same state. The first confirmation wins; the
-  // second plan was made from rows that have changed since, so it is refused as stale.
+  // second plan was made from rows that have changed since, so it is refused as stale, is told
+  // what it lost to and gets a plan made from where things stand now.
   it('refuses the loser of a race on the same object and lets others through', async () => {
-    const table = new TableStandIn();
-    const plans = new PlanService(serviceOver(table), PLAN_LIFETIME_MS);
-    const [winner, loser, other] = await Promise.all([
-      planZone(plans, 'zone-a'),
-      planZone(plans, 'zone-a'),
-      planZone(plans, 'zone-b'),
-    ]);
-    const confirm = ({ planId, digest }: Plan) => plans.confirm({ planId, digest, author: 'ann' });
-    expect((await confirm(winner))._tag).toBe('Right');
-    const refused = await confirm(loser);
+    const harness = new OperatorHarness(1);
+    const [first, second] = [harness.daemon(), harness.daemon()];
+    const winner = await harness.plan(first, useZone('zone-a'));
+    const other = await harness.plan(first, useZone('zone-b'));
+    const loser = await harness.plan(second, { ...useZone('zone-a'), region: 's' } as Intent);
+    expect((await harness.confirm(first, winner, 'bob'))._tag).toBe('Right');
+    const refused = await harness.confirm(second, loser);
+    expect((await harness.confirm(first, other))._tag).toBe('Right');
+    expect(harness.history).toHaveLength(2);
+    if (!isLeft(refused)) throw new Error('the loser was accepted');
+    expect(refused.left.kind).toBe('plan-stale');
+    expect(refused.left.message).toContain('version 1 of bob: use availability zone zone-a');
+    const newPlan = refused.left.newPlan as Plan;
+    expect(newPlan.baseVersion).toBe(1);
+    expect((await harness.confirm(second, newPlan))._tag).toBe('Right');
+  });
+
+  // The plan's row in the table is not the one that was shown: a fault of a program or a hand
+  // in the table. What would be written was never read by anybody, so it is refused.
+  it('does nothing that was not shown', async () => {
+    const harness = new OperatorHarness(1);
+    const plans = harness.daemon();
+    const plan = await harness.plan(plans, useZone('zone-a'));
+    const [step] = plan.steps as [Plan['steps'][number]];
+    const altered = {
+      ...plan,
+      steps: [{ ...step, after: { ...(step.after as object), region: 'x' } }],
+    };
+    harness.table.truth.transact({
+      operationId: 'alteration',
+      conditions: [],
+      writes: [{ key: `plan/${plan.planId}`, value: altered }],
+    });
+    const refused = await harness.confirm(plans, plan);
+    expect(isLeft(refused) && refused.left.kind).toBe('internal');
+    expect(harness.otherRows).toEqual([]);
+    expect(harness.brokenInvariants).toEqual(['invariant_only_what_was_shown']);
+  });
+
+  it('refuses a plan that has expired, for good', async () => {
+    const harness = new OperatorHarness(1);
+    const plans = harness.daemon();
+    const plan = await harness.plan(plans, useZone('zone-a'));
+    harness.wallSkewMs = 61_000;
+    const refused = await harness.confirm(plans, plan);
+    expect(isLeft(refused) && refused.left.kind).toBe('plan-expired');
+    expect(harness.otherRows).toEqual([]);
+  });
+
+  // A job is dealt out to three zones; one is withdrawn before the plan is confirmed. The shard
+  // would be written to a cell that starts nothing and its tasks would wait for a return.
+  it('refuses a job that was planned for a zone which is withdrawn since', async () => {
+    const harness = new OperatorHarness(1);
+    const plans = harness.daemon();
+    await harness.carryOut(plans, useZone('zone-a'));
+    await harness.carryOut(plans, useZone('zone-b'));
+    const size = { processorMillis: 1, memoryBytes: 1, acceleratorCount: 0 };
+    const job = { team: 't', submissionKey: 'k', taskCount: 4, size, workMs: 1 };
+    const submission: Intent = { intent: 'submit-job', ...job, urgency: 'normal' };
+    const plan = await harness.plan(plans, submission);
+    await harness.carryOut(plans, { intent: 'withdraw-zone', zone: 'zone-b' });
+    const refused = await harness.confirm(plans, plan);
     expect(isLeft(refused) && refused.left.kind).toBe('plan-stale');
-    expect((await confirm(other))._tag).toBe('Right');
-    expect(historyLength(table)).toBe(2);
+    const newPlan = (refused as { left: ConfirmationRefusal }).left.newPlan as Plan;
+    expect(newPlan.notifiedCells).toEqual(['zone-a']);
+    expect(harness.rows('job/')).toEqual([]);
+  });
+});
+
+/** A table whose calls a test answers, with the real table behind it. */
+const scripted = (
+  harness: OperatorHarness,
+  transact: (transaction: Transaction, applied: () => void) => 'lost' | 'down' | 'pass',
+): TableService => ({
+  read: (request) => harness.table.read(request),
+  transact: (transaction) => {
+    const verdict = transact(transaction, () => harness.table.truth.transact(transaction));
+    if (verdict === 'pass') return harness.table.transact(transaction);
+    const kind = verdict === 'lost' ? ErrorKind.StoreAnswerLost : ErrorKind.StoreUnavailable;
+    return () => Promise.resolve(left(failure(kind, verdict)));
+  },
+});
+
+const isConfirmation = (transaction: Transaction): boolean =>
+  transaction.writes.some(({ key }) => key.startsWith('configuration/'));
+
+describe('a confirmation whose answer is lost', () => {
+  // The transaction took effect, its answer was lost, and then the store goes out altogether.
+  // The operator would start over if told "not run", and the change would be made twice.
+  it('ends as unknown while the store is out and as accepted when asked again', async () => {
+    const harness = new OperatorHarness(1);
+    let isOut = false;
+    const table = scripted(harness, (transaction, apply) => {
+      if (isOut) return 'down';
+      if (!isConfirmation(transaction)) return 'pass';
+      apply();
+      isOut = true;
+      harness.table.behaviour.isDown = true;
+      return 'lost';
+    });
+    const plans = harness.daemon(table);
+    const plan = await harness.plan(plans, useZone('zone-a'));
+    const first = await harness.confirm(plans, plan);
+    expect(isLeft(first) && outcomeOf(first.left)).toBe('unknown');
+    const second = await harness.confirm(plans, plan);
+    expect(isLeft(second) && outcomeOf(second.left)).toBe('unknown');
+    isOut = false;
+    harness.table.behaviour.isDown = false;
+    expect((await harness.confirm(plans, plan))._tag).toBe('Right');
+    expect(harness.history).toHaveLength(1);
+  });
+
+  // The transaction hangs about in the network. The plan expires meanwhile and the operator is
+  // told that it was not run; then the transaction arrives. It must not take effect any more.
+  it('cannot take effect after a refusal that says not-run', async () => {
+    const harness = new OperatorHarness(1);
+    let applyLate = (): void => {};
+    const table = scripted(harness, (transaction, apply) => {
+      if (!isConfirmation(transaction)) return 'pass';
+      applyLate = apply;
+      harness.wallSkewMs = 61_000;
+      return 'lost';
+    });
+    const plans = harness.daemon(table);
+    const plan = await harness.plan(plans, useZone('zone-a'));
+    const refused = await harness.confirm(plans, plan);
+    expect(isLeft(refused) && refused.left.kind).toBe('plan-expired');
+    expect(isLeft(refused) && outcomeOf(refused.left)).toBe('not-run');
+    applyLate();
+    expect(harness.otherRows).toEqual([]);
+  });
+
+  // The plan itself was kept but the answer was lost. A second write under the same id finds it.
+  it('of the plan itself still gives the plan', async () => {
+    const harness = new OperatorHarness(1);
+    let lostCount = 0;
+    const table = scripted(harness, (transaction, apply) => {
+      if (lostCount > 0 || !transaction.writes.some(({ key }) => key.startsWith('plan/'))) {
+        return 'pass';
+      }
+      lostCount += 1;
+      apply();
+      return 'lost';
+    });
+    const plans = harness.daemon(table);
+    const plan = await harness.plan(plans, useZone('zone-a'));
+    expect(lostCount).toBe(1);
+    expect(await harness.settle(plans.find(plan.planId))).toEqual(right(plan));
   });
 });
--- a/src/platform/configuration/test/virtualTable.ts
+++ b/src/platform/configuration/test/virtualTable.ts
@@ -120,8 +120,11 @@
       new Promise((resolve) => {
         const { isDown } = this.behaviour;
         this.#time.after(this.#legMs(), () => {
-          const result = (this.oldReader ?? ((asked) => this.truth.read(asked)))(request);
-          this.readByteCount += JSON.stringify(result).length;
+          const read = (this.oldReader ?? ((asked) => this.truth.read(asked)))(request);
+          // As over a wire: what was read shares no object with the table or with another read.
+          const text = JSON.stringify(read);
+          const result = JSON.parse(text) as ReadResult;
+          this.readByteCount += text.length;
           this.#time.after(this.#legMs(), () => resolve(isDown ? left(down) : right(result)));
         });
       });
--- a/src/platform/http/node/errorReply.ts
+++ b/src/platform/http/node/errorReply.ts
@@ -8,7 +8,12 @@
 /** To callers and operators, with errors: `not-run`, `ran` or `unknown`. */
 export const WORK_OUTCOME_HEADER = 'snipethread-work';
 
-export const replyWithFailure = (reply: FastifyReply, cause: Failure): FastifyReply => {
+/** `details` are members of the body beside those that every error answer has. */
+export const replyWithFailure = (
+  reply: FastifyReply,
+  cause: Failure,
+  details: Readonly<Record<string, unknown>> = {},
+): FastifyReply => {
   const body = errorBody(cause);
   void reply
     .code(ERROR_ANSWERS[cause.kind].statusCode)
@@ -16,5 +21,5 @@
   if (body.isWorthRetrying) {
     void reply.header('retry-after', Math.ceil(body.retryAfterMs / MS_PER_SECOND));
   }
-  return reply.send(body);
+  return reply.send({ ...body, ...details });
 };
--- a/src/platform/settings/common/settings.ts
+++ b/src/platform/settings/common/settings.ts
@@ -68,6 +68,10 @@
 
 const operatorSchema = z.strictObject({
   planLifetimeMs: positiveMs.default(600_000),
+  /** How long a confirmation is tried before its outcome is answered as unknown. */
+  confirmTimeoutMs: positiveMs.default(10_000),
+  /** How long plans are kept, so that confirming once more finds what became of them. */
+  planRetentionMs: positiveMs.default(86_400_000),
   maximumIntentBytes: positiveCount.default(1_048_576),
   /** Bearer tokens, kept as the SHA-256 of the token in hexadecimal digits. */
   tokens: z
@@ -113,7 +117,12 @@
     const rule = (isBroken: boolean, path: string[], message: string): void => {
       if (isBroken) context.addIssue({ code: 'custom', path, message });
     };
-    const { scheduler, entry, peers, platform } = settings;
+    const { scheduler, entry, peers, platform, operator } = settings;
+    rule(
+      operator.planRetentionMs < operator.planLifetimeMs + operator.confirmTimeoutMs,
+      ['operator', 'planRetentionMs'],
+      'must be at least operator.planLifetimeMs and operator.confirmTimeoutMs together',
+    );
     rule(
       scheduler.workerLeaseMs < scheduler.workerRenewalIntervalMs * 3,
       ['scheduler', 'workerLeaseMs'],
