Benchmark: requests through a daemon beside a bare pass-through

Cause: nothing measured what the request path costs or what a daemon holds resident. Change: npm run bench -- pass-through, with bounds in bench/bounds.json; every process is separate, the ways take turns within one run.

--- a/bench/bench.ts
+++ b/bench/bench.ts
@@ -1,12 +1,9 @@
 /** The benchmarks: `npm run bench -- NAME`, all of them without a name. */
 
-/** One benchmark; it prints its figures and returns false when a committed bound is crossed. */
-export interface Benchmark {
-  readonly name: string;
-  readonly run: (args: readonly string[]) => Promise<boolean>;
-}
+import type { Benchmark } from './benchmark.js';
+import { passThrough } from './passThrough/passThrough.js';
 
-const BENCHMARKS: readonly Benchmark[] = [];
+const BENCHMARKS: readonly Benchmark[] = [passThrough];
 
 const [wanted, ...args] = process.argv.slice(2);
 const chosen = BENCHMARKS.filter(({ name }) => wanted === undefined || name === wanted);
--- /dev/null
+++ b/bench/passThrough/passThrough.ts
@@ -0,0 +1,150 @@
+/**
+ * What the daemon's request path costs: the same closed loop of requests through a daemon with
+ * all safeguards on, through a bare pass-through and directly at the backend server, in turns
+ * within one run, so that a busy machine slows all three alike.
+ */
+import { setTimeout as delay } from 'node:timers/promises';
+
+import { ChildProcesses } from '../../standIns/demo/childProcesses.js';
+import type { Benchmark } from '../benchmark.js';
+import { readBounds } from '../bounds.js';
+import { CONNECTION_COUNT, type LoadResult, runLoad } from './load.js';
+import { processorMs, ResidentMemoryPeak, residentMegabytes } from './processUsage.js';
+import { SERVICE_NAME, startSystem, WORKER_COUNT } from './system.js';
+
+const ROUND_COUNT = 7;
+const ROUND_MS = 2_000;
+const WARM_UP_MS = 2_000;
+const SETTLING_MS = 5_000;
+
+const WAYS = ['direct', 'bare', 'daemon'] as const;
+type Way = (typeof WAYS)[number];
+
+/** One way's round, with the processor time of the process in the middle for each request. */
+interface WayResult extends LoadResult {
+  readonly processorMicroseconds: number;
+}
+type Round = Readonly<Record<Way, WayResult>>;
+
+interface Target {
+  readonly origin: string;
+  readonly pid: number;
+}
+
+const say = (text: string): void => {
+  process.stdout.write(`${text}\n`);
+};
+
+const median = (values: readonly number[]): number =>
+  [...values].sort((left, right) => left - right)[Math.floor(values.length / 2)] ?? 0;
+
+const medianOf = (rounds: readonly Round[], way: Way, field: keyof WayResult): number =>
+  median(rounds.map((round) => round[way][field]));
+
+interface Measured {
+  readonly rounds: readonly Round[];
+  readonly idleMegabytes: number;
+  readonly loadedMegabytes: number;
+}
+
+const runRounds = async (targets: Readonly<Record<Way, Target>>): Promise<readonly Round[]> => {
+  const runWay = async (way: Way, durationMs: number): Promise<WayResult> => {
+    const { origin, pid } = targets[way];
+    const usedBeforeMs = await processorMs(pid);
+    const result = await runLoad(origin, `/services/${SERVICE_NAME}/echo`, durationMs);
+    const usedMs = (await processorMs(pid)) - usedBeforeMs;
+    return { ...result, processorMicroseconds: (usedMs * 1_000) / result.requestCount };
+  };
+  const runRound = async (durationMs: number): Promise<Round> => {
+    const direct = await runWay('direct', durationMs);
+    const bare = await runWay('bare', durationMs);
+    return { direct, bare, daemon: await runWay('daemon', durationMs) };
+  };
+  await runRound(WARM_UP_MS);
+  const rounds: Round[] = [];
+  for (let index = 0; index < ROUND_COUNT; index += 1) {
+    // eslint-disable-next-line no-await-in-loop -- rounds follow one another
+    rounds.push(await runRound(ROUND_MS));
+  }
+  return rounds;
+};
+
+const measure = async (children: ChildProcesses): Promise<Measured> => {
+  const backend = await children.start(
+    'bench/passThrough/backendProcess.js',
+    [String(WORKER_COUNT)],
+    (line) => line.ports as readonly number[],
+  );
+  const direct = `http://127.0.0.1:${backend.ready[0] ?? 0}`;
+  const bare = await children.start(
+    'bench/passThrough/bareProcess.js',
+    [direct],
+    (line) => `http://127.0.0.1:${Number(line.port)}`,
+  );
+  const daemon = await startSystem(children, backend.ready);
+  await delay(SETTLING_MS);
+  const idleMegabytes = await residentMegabytes(daemon.pid);
+  const peak = new ResidentMemoryPeak(daemon.pid);
+  const rounds = await runRounds({
+    direct: { origin: direct, pid: backend.child.pid ?? 0 },
+    bare: { origin: bare.ready, pid: bare.child.pid ?? 0 },
+    daemon: { origin: daemon.callerOrigin, pid: daemon.pid },
+  });
+  peak.dispose();
+  return { rounds, idleMegabytes, loadedMegabytes: peak.peakMegabytes };
+};
+
+const report = ({ rounds }: Measured): void => {
+  say(`${CONNECTION_COUNT} connections, ${ROUND_COUNT} rounds of ${ROUND_MS} ms each, medians`);
+  WAYS.forEach((way) => {
+    const rate = Math.round(medianOf(rounds, way, 'requestsPerSecond'));
+    const p50 = medianOf(rounds, way, 'p50Ms').toFixed(2);
+    const p99 = medianOf(rounds, way, 'p99Ms').toFixed(2);
+    const processor = Math.round(medianOf(rounds, way, 'processorMicroseconds'));
+    say(
+      `${way.padEnd(6)}  ${rate} requests/s  p50 ${p50} ms  p99 ${p99} ms  ${processor} µs of processor each`,
+    );
+  });
+};
+
+const isWithinBounds = async (measured: Measured): Promise<boolean> => {
+  const { rounds, idleMegabytes, loadedMegabytes } = measured;
+  const bounds = await readBounds('pass-through');
+  const ratios = rounds.map(
+    ({ daemon, bare }) => daemon.requestsPerSecond / bare.requestsPerSecond,
+  );
+  const failures = rounds.flatMap((round) => WAYS.map((way) => round[way].failureCount));
+  const failureCount = failures.reduce((sum, count) => sum + count, 0);
+  const ratio = median(ratios);
+  const { minimumRatioToBare = 0, maximumIdleMegabytes = 0, maximumLoadedMegabytes = 0 } = bounds;
+  say(
+    `daemon / bare  ${ratio.toFixed(3)} (rounds ${Math.min(...ratios).toFixed(3)} to ${Math.max(...ratios).toFixed(3)}), bound ${minimumRatioToBare}`,
+  );
+  const processorRatio =
+    medianOf(rounds, 'bare', 'processorMicroseconds') /
+    medianOf(rounds, 'daemon', 'processorMicroseconds');
+  say(`processor time, bare / daemon  ${processorRatio.toFixed(3)}`);
+  say(`resident idle  ${idleMegabytes.toFixed(1)} MB, bound ${maximumIdleMegabytes}`);
+  say(`resident peak  ${loadedMegabytes.toFixed(1)} MB, bound ${maximumLoadedMegabytes}`);
+  say(`requests without a whole answer  ${failureCount}`);
+  return (
+    ratio >= minimumRatioToBare &&
+    idleMegabytes <= maximumIdleMegabytes &&
+    loadedMegabytes <= maximumLoadedMegabytes &&
+    failureCount === 0
+  );
+};
+
+export const passThrough: Benchmark = {
+  name: 'pass-through',
+  run: async () => {
+    const children = new ChildProcesses();
+    try {
+      const measured = await measure(children);
+      report(measured);
+      return await isWithinBounds(measured);
+    } finally {
+      children.dispose();
+    }
+  },
+};
