--- a/src/daemon/node/daemon.ts
+++ b/src/daemon/node/daemon.ts
@@ -5,9 +5,12 @@
 import { DisposableStore } from '../../base/common/lifecycle.js';
 import { SeededRandom } from '../../base/common/random.js';
 import { systemClock } from '../../base/node/systemClock.js';
-import { LeastInFlightOfTwo } from '../../entry/common/serverChoice.js';
+import { Admission } from '../../entry/common/admission.js';
+import { LatencyWeightedOfTwo } from '../../entry/common/serverChoice.js';
 import { BackendConnections } from '../../entry/node/backendConnections.js';
 import { CallerServer } from '../../entry/node/callerServer.js';
+import { ClaimKeeper } from '../../entry/node/claimKeeper.js';
+import type { Journey } from '../../entry/node/requestDispatch.js';
 import { RequestHandler } from '../../entry/node/requestHandler.js';
 import { RoutingReader } from '../../entry/node/routingReader.js';
 import { OperatorQueries } from '../../operator/node/operatorQueries.js';
@@ -83,15 +86,15 @@
       const routing = own.add(
         new RoutingReader(table, configuration, directory, metrics, configurationIntervalMs),
       );
-      const connections = own.add(new BackendConnections(entry.maximumEntryCount));
-      const chooser = new LeastInFlightOfTwo(random);
+      const connections = own.add(new BackendConnections(entry, metrics));
+      const chooser = new LatencyWeightedOfTwo(random);
+      const admission = new Admission<Journey>(entry, chooser, random);
+      const claims = own.add(new ClaimKeeper(table, clock, metrics, entry));
+      const services = { routing, admission, connections, claims, configuration };
       const handler = own.add(
-        new RequestHandler(
-          { routing, connections, chooser, configuration, clock, metrics, tracing },
-          entry,
-        ),
+        new RequestHandler({ ...services, clock, metrics, tracing, wallNowMs: Date.now }, entry),
       );
-      this.#callerServer = new CallerServer(handler, entry);
+      this.#callerServer = new CallerServer(handler, entry, metrics);
     }
     this.#operatorServer = new OperatorServer(
       {
--- /dev/null
+++ b/src/entry/common/admission.ts
@@ -0,0 +1,411 @@
+/** Decides which request goes to which server now, which waits and which is refused. */
+import type { RandomSource } from '../../base/common/random.js';
+import { Urgency } from '../../platform/configuration/common/documents.js';
+import { ErrorKind, failure, type Failure } from '../../platform/errors/common/errorKinds.js';
+import { connectionShare, pooledShare } from './connectionShare.js';
+import { ConcurrencyLimit } from './concurrencyLimit.js';
+import { FairQueue, type WaitingRequest } from './fairQueue.js';
+import { RetryBudget } from './retryBudget.js';
+import type { BackendServer, RoutingTable } from './routing.js';
+import type { ServerChooser } from './serverChoice.js';
+import { ServerRecord, ServiceRecord, WorkerRecord } from './serverRecords.js';
+
+export interface AdmissionSettings {
+  readonly queueCapacity: number;
+  readonly maximumWaitMs: number;
+  readonly maximumEntryCount: number;
+  readonly retryBudgetRatio: number;
+  readonly hedgeBudgetRatio: number;
+  readonly maximumSetAsideRatio: number;
+  readonly leavingHoldMs: number;
+}
+
+export const AdmissionKind = {
+  Admitted: 'admitted',
+  Queued: 'queued',
+  Refused: 'refused',
+} as const;
+export type AdmissionKind = (typeof AdmissionKind)[keyof typeof AdmissionKind];
+
+/** What becomes of a request at its arrival. */
+export type AdmissionDecision<Waiting extends WaitingRequest> =
+  | { readonly kind: 'admitted'; readonly server: ServerRecord<Waiting> }
+  | { readonly kind: 'queued'; readonly displaced: Rejected<Waiting> | undefined }
+  | { readonly kind: 'refused'; readonly failure: Failure };
+
+/** A request that waited and may be sent now; its place has been taken. */
+export interface Dispatched<Waiting extends WaitingRequest> {
+  readonly waiting: Waiting;
+  readonly server: ServerRecord<Waiting>;
+}
+
+/** A request that waited and is given up; it has to be answered at once. */
+export interface Rejected<Waiting extends WaitingRequest> {
+  readonly waiting: Waiting;
+  readonly failure: Failure;
+}
+
+/** What an attempt says about its server. */
+export const ServerVerdict = {
+  /** An answer that is no server error. */
+  Success: 'success',
+  /** A server error, a refusal or no answer; its latency says nothing. */
+  Failure: 'failure',
+  /** Given up because another attempt was answered; slow for at least this latency. */
+  Overtaken: 'overtaken',
+  /** The place was not used. */
+  Unused: 'unused',
+} as const;
+export type ServerVerdict = (typeof ServerVerdict)[keyof typeof ServerVerdict];
+
+/** How a request that had a place ended, as far as choosing servers goes. */
+export interface PlaceEnd {
+  readonly latencyMs: number;
+  readonly verdict: ServerVerdict;
+  readonly isServerLeaving: boolean;
+}
+
+/** Why a request under way is sent a second time. */
+export const ExtraReason = { Hedge: 'hedge', Silence: 'silence' } as const;
+export type ExtraReason = (typeof ExtraReason)[keyof typeof ExtraReason];
+
+const URGENCY_RANK: Readonly<Record<Urgency, number>> = {
+  [Urgency.Urgent]: 0,
+  [Urgency.Normal]: 1,
+  [Urgency.Low]: 2,
+};
+const EARLIEST_RETURN_MS = 1_000;
+const RETURN_SPREAD_MS = 2_000;
+
+/**
+ * Made for bursts and saturation on servers that several services and several entries share.
+ *
+ * A request goes out at once while its service's limit has room, where the requests of all
+ * services on the same workers count: two services together must not fill what each alone may.
+ * Else it waits here, and when a place falls free the most urgent service is served first,
+ * equal ones in turn, so that low work cannot stand before urgent work inside a worker.
+ *
+ * A request is refused at once when it would wait longer than the setting allows or than its
+ * deadline leaves: work that is answered too late is paid for and worth nothing. The time to
+ * come back is spread, so that those refused together do not return together.
+ */
+export class Admission<Waiting extends WaitingRequest> {
+  readonly #settings: AdmissionSettings;
+
+  readonly #chooser: ServerChooser;
+
+  readonly #random: RandomSource;
+
+  readonly #services = new Map<string, ServiceRecord<Waiting>>();
+
+  readonly #workers = new Map<string, WorkerRecord<Waiting>>();
+
+  /** Workers that left the routes while requests were in flight on them. */
+  readonly #departed = new Map<string, WorkerRecord<Waiting>>();
+
+  #servedCount = 0;
+
+  constructor(settings: AdmissionSettings, chooser: ServerChooser, random: RandomSource) {
+    this.#settings = settings;
+    this.#chooser = chooser;
+    this.#random = random;
+  }
+
+  service(name: string): ServiceRecord<Waiting> | undefined {
+    return this.#services.get(name);
+  }
+
+  get services(): ReadonlyMap<string, ServiceRecord<Waiting>> {
+    return this.#services;
+  }
+
+  /** Takes new routes over; what is known of servers that stay is kept. */
+  updateRoutes(routes: RoutingTable, urgencyOf: (serviceName: string) => Urgency): void {
+    const known = new Map([...this.#departed, ...this.#workers]);
+    this.#workers.clear();
+    this.#departed.clear();
+    routes.forEach((servers) => servers.forEach((server) => this.#keepWorker(server, known)));
+    known.forEach((worker, workerId) => {
+      if (this.#workers.has(workerId)) return;
+      // The record is this class's own.
+      // eslint-disable-next-line no-param-reassign
+      worker.services = [];
+      if (worker.inFlightCount > 0) this.#departed.set(workerId, worker);
+    });
+    [...this.#services.keys()]
+      .filter((name) => !routes.has(name) && this.#services.get(name)?.queue.length === 0)
+      .forEach((name) => this.#services.delete(name));
+    this.#services.forEach((service) => {
+      if (!routes.has(service.name)) this.#setServers(service, []);
+    });
+    routes.forEach((servers, name) => {
+      const service = this.#services.get(name) ?? this.#newService(name, urgencyOf(name), servers);
+      service.urgency = urgencyOf(name);
+      this.#setServers(service, servers);
+    });
+    this.#workers.forEach((worker) =>
+      worker.services.sort(
+        (left, right) => URGENCY_RANK[left.urgency] - URGENCY_RANK[right.urgency],
+      ),
+    );
+  }
+
+  admit(serviceName: string, waiting: Waiting, nowMs: number): AdmissionDecision<Waiting> {
+    const service = this.#services.get(serviceName);
+    if (service === undefined) {
+      return Admission.#refused(failure(ErrorKind.UnknownService, `no service ${serviceName}`));
+    }
+    if (service.servers.length === 0) {
+      return Admission.#refused(this.#spread(ErrorKind.NoServer, `no server for ${serviceName}`));
+    }
+    if (service.queue.length === 0 && service.hasRoom) {
+      const server = this.#chooser.choose(service.servers, nowMs, waiting.avoidedWorkerId);
+      if (server !== undefined) {
+        Admission.#occupy(server);
+        return { kind: AdmissionKind.Admitted, server };
+      }
+    }
+    if (this.#wouldWaitTooLong(service, waiting, nowMs)) {
+      return Admission.#refused(this.#spread(ErrorKind.Saturated, `${serviceName} is saturated`));
+    }
+    const { isAdded, displaced } = service.queue.add(waiting);
+    if (!isAdded) {
+      return Admission.#refused(this.#spread(ErrorKind.Saturated, `${serviceName}: queue full`));
+    }
+    if (displaced === undefined) return { kind: AdmissionKind.Queued, displaced };
+    const cause = this.#spread(ErrorKind.Saturated, `${serviceName}: others have fewer waiting`);
+    return { kind: AdmissionKind.Queued, displaced: { waiting: displaced, failure: cause } };
+  }
+
+  /**
+   * A place beside the queue, for an attempt that repeats one under way. A hedge gets it only
+   * while nothing waits and the limit has room, so that no extra work is done under saturation.
+   * One for a connection that seems silent gets it always; the retry budget bounds these.
+   */
+  tryAdmitExtra(
+    serviceName: string,
+    without: ServerRecord<Waiting>,
+    reason: ExtraReason,
+    nowMs: number,
+  ): ServerRecord<Waiting> | undefined {
+    const service = this.#services.get(serviceName);
+    if (service === undefined) return undefined;
+    const isBusy = service.queue.length > 0 || !service.hasRoom;
+    if (reason === ExtraReason.Hedge && isBusy) return undefined;
+    const { workerId } = without.worker;
+    const server = this.#chooser.choose(service.servers, nowMs, workerId);
+    if (server !== undefined) Admission.#occupy(server);
+    return server;
+  }
+
+  /** Gives a place back and returns what may be sent in its stead. */
+  finish(
+    serviceName: string,
+    server: ServerRecord<Waiting>,
+    end: PlaceEnd,
+    nowMs: number,
+  ): readonly Dispatched<Waiting>[] {
+    const { worker } = server;
+    const service = this.#services.get(serviceName);
+    if (service !== undefined) this.#learn(service, server, end, nowMs);
+    if (end.isServerLeaving) worker.leavingUntilMs = nowMs + this.#settings.leavingHoldMs;
+    worker.inFlightCount -= 1;
+    if (worker.inFlightCount === 0) this.#departed.delete(worker.workerId);
+    worker.services.forEach((each) => {
+      // The record is this class's own.
+      // eslint-disable-next-line no-param-reassign
+      each.occupiedCount -= 1;
+    });
+    return this.#dispatch(worker.services, nowMs);
+  }
+
+  /** Gives up what can no longer be answered in time, and serves what has room again. */
+  sweep(nowMs: number): {
+    readonly rejected: readonly Rejected<Waiting>[];
+    readonly dispatched: readonly Dispatched<Waiting>[];
+  } {
+    const rejected: Rejected<Waiting>[] = [];
+    const waitingServices: ServiceRecord<Waiting>[] = [];
+    this.#services.forEach((service) => {
+      if (service.queue.length === 0) return;
+      service.queue
+        .takeGivenUp((waiting) => service.servers.length === 0 || this.#isLate(waiting, nowMs))
+        .forEach((waiting) => rejected.push(this.#giveUp(service, waiting, nowMs)));
+      waitingServices.push(service);
+    });
+    waitingServices.sort((left, right) => URGENCY_RANK[left.urgency] - URGENCY_RANK[right.urgency]);
+    return { rejected, dispatched: this.#dispatch(waitingServices, nowMs) };
+  }
+
+  static #refused(cause: Failure): { readonly kind: 'refused'; readonly failure: Failure } {
+    return { kind: AdmissionKind.Refused, failure: cause };
+  }
+
+  #isLate(waiting: Waiting, nowMs: number): boolean {
+    return (
+      nowMs >= waiting.deadlineAtMs ||
+      nowMs - waiting.waitingSinceMs >= this.#settings.maximumWaitMs
+    );
+  }
+
+  #giveUp(service: ServiceRecord<Waiting>, waiting: Waiting, nowMs: number): Rejected<Waiting> {
+    if (service.servers.length === 0) {
+      return { waiting, failure: this.#spread(ErrorKind.NoServer, `no server: ${service.name}`) };
+    }
+    const isPast = nowMs >= waiting.deadlineAtMs;
+    const kind = isPast ? ErrorKind.DeadlineExceeded : ErrorKind.Saturated;
+    return { waiting, failure: this.#spread(kind, `${service.name}: waited too long`) };
+  }
+
+  #spread(kind: ErrorKind, message: string): Failure {
+    const spreadMs = Math.floor(this.#random.nextFraction() * RETURN_SPREAD_MS);
+    return { ...failure(kind, message), retryAfterMs: EARLIEST_RETURN_MS + spreadMs };
+  }
+
+  /** Estimates the wait from the queue's length, the limit and the latency seen last. */
+  #wouldWaitTooLong(service: ServiceRecord<Waiting>, waiting: Waiting, nowMs: number): boolean {
+    const { medianMs, value } = service.limit;
+    const waitMs = (service.queue.length * medianMs) / value;
+    const remainingMs = waiting.deadlineAtMs - nowMs;
+    return waitMs > this.#settings.maximumWaitMs || waitMs + medianMs > remainingMs;
+  }
+
+  #dispatch(
+    services: readonly ServiceRecord<Waiting>[],
+    nowMs: number,
+  ): readonly Dispatched<Waiting>[] {
+    const dispatched: Dispatched<Waiting>[] = [];
+    for (;;) {
+      const service = Admission.#nextService(services);
+      if (service === undefined) return dispatched;
+      const waiting = service.queue.peek();
+      if (waiting === undefined) return dispatched;
+      const server = this.#chooser.choose(service.servers, nowMs, waiting.avoidedWorkerId);
+      if (server === undefined) return dispatched;
+      service.queue.takeNext();
+      Admission.#occupy(server);
+      this.#servedCount += 1;
+      service.lastServedOrder = this.#servedCount;
+      dispatched.push({ waiting, server });
+    }
+  }
+
+  /** The most urgent service that waits and has room; equal ones take turns. */
+  static #nextService<Waiting extends WaitingRequest>(
+    services: readonly ServiceRecord<Waiting>[],
+  ): ServiceRecord<Waiting> | undefined {
+    let next: ServiceRecord<Waiting> | undefined;
+    services.forEach((service) => {
+      if (service.queue.length === 0 || !service.hasRoom) return;
+      const isSooner =
+        next === undefined ||
+        URGENCY_RANK[service.urgency] < URGENCY_RANK[next.urgency] ||
+        (service.urgency === next.urgency && service.lastServedOrder < next.lastServedOrder);
+      if (isSooner) next = service;
+    });
+    return next;
+  }
+
+  static #occupy<Waiting extends WaitingRequest>(server: ServerRecord<Waiting>): void {
+    const { worker } = server;
+    worker.inFlightCount += 1;
+    worker.services.forEach((service) => {
+      // The record is this class's own.
+      // eslint-disable-next-line no-param-reassign
+      service.occupiedCount += 1;
+    });
+  }
+
+  #learn(
+    service: ServiceRecord<Waiting>,
+    server: ServerRecord<Waiting>,
+    end: PlaceEnd,
+    nowMs: number,
+  ): void {
+    if (end.verdict === ServerVerdict.Unused) return;
+    if (end.verdict !== ServerVerdict.Failure) server.latency.note(end.latencyMs, nowMs);
+    if (end.verdict === ServerVerdict.Overtaken) return;
+    if (end.verdict === ServerVerdict.Success) {
+      server.health.noteSuccess();
+      service.limit.note(end.latencyMs, service.occupiedCount);
+      return;
+    }
+    if (!server.health.noteFailure() || server.health.isSetAside(nowMs)) return;
+    if (this.#maySetAside(service, nowMs)) server.health.setAside(nowMs, this.#random);
+  }
+
+  /**
+   * Only a part of a service's servers is ever set aside. When more than that fail, the cause
+   * is hardly the servers, and the few that are left would only be overrun.
+   */
+  #maySetAside(service: ServiceRecord<Waiting>, nowMs: number): boolean {
+    const { servers } = service;
+    if (servers.length < 2) return false;
+    const allowed = Math.max(1, Math.floor(servers.length * this.#settings.maximumSetAsideRatio));
+    const asideCount = servers.filter(({ health }) => health.isSetAside(nowMs)).length;
+    return asideCount < allowed;
+  }
+
+  #keepWorker(server: BackendServer, known: ReadonlyMap<string, WorkerRecord<Waiting>>): void {
+    if (this.#workers.has(server.workerId)) return;
+    const worker = known.get(server.workerId) ?? new WorkerRecord<Waiting>(server.workerId);
+    worker.inFlightLimit = this.#pooledShare(server);
+    worker.services = [];
+    this.#workers.set(server.workerId, worker);
+  }
+
+  #newService(
+    name: string,
+    urgency: Urgency,
+    servers: readonly BackendServer[],
+  ): ServiceRecord<Waiting> {
+    const { queueCapacity, retryBudgetRatio, hedgeBudgetRatio } = this.#settings;
+    const service = new ServiceRecord<Waiting>(
+      name,
+      urgency,
+      new ConcurrencyLimit(this.#slotShare(servers), this.#highestLimit(servers)),
+      new FairQueue<Waiting>(queueCapacity),
+      new RetryBudget(retryBudgetRatio),
+      new RetryBudget(hedgeBudgetRatio),
+    );
+    this.#services.set(name, service);
+    return service;
+  }
+
+  #setServers(service: ServiceRecord<Waiting>, servers: readonly BackendServer[]): void {
+    const known = new Map(service.servers.map((record) => [record.worker.workerId, record]));
+    const before = service.servers.reduce((sum, { server }) => sum + server.slotCount, 0);
+    const records = servers.flatMap((server) => {
+      const worker = this.#workers.get(server.workerId);
+      if (worker === undefined) return [];
+      const kept = known.get(server.workerId);
+      const record = kept?.worker === worker ? kept : new ServerRecord<Waiting>(server, worker);
+      record.server = server;
+      worker.services.push(service);
+      return [record];
+    });
+    // The record is this class's own.
+    /* eslint-disable no-param-reassign */
+    service.servers = records;
+    service.occupiedCount = records.reduce((sum, { worker }) => sum + worker.inFlightCount, 0);
+    /* eslint-enable no-param-reassign */
+    const after = servers.reduce((sum, { slotCount }) => sum + slotCount, 0);
+    if (after === 0 || after === before) return;
+    const share = this.#slotShare(servers);
+    const limit = before === 0 ? share : (service.limit.value * after) / before;
+    service.limit.rescale(limit, this.#highestLimit(servers));
+  }
+
+  #slotShare(servers: readonly BackendServer[]): number {
+    const slotCount = servers.reduce((sum, server) => sum + server.slotCount, 0);
+    return slotCount / this.#settings.maximumEntryCount;
+  }
+
+  #highestLimit(servers: readonly BackendServer[]): number {
+    return servers.reduce((sum, server) => sum + this.#pooledShare(server), 0);
+  }
+
+  #pooledShare(server: BackendServer): number {
+    return pooledShare(connectionShare(server, this.#settings.maximumEntryCount));
+  }
+}
--- a/src/entry/common/attempt.ts
+++ b/src/entry/common/attempt.ts
@@ -1,4 +1,4 @@
-/** How an attempt at a backend server ended and what follows from it. */
+/** How an attempt at a backend server ended. */
 
 export const AttemptEnd = {
   Answered: 'answered',
@@ -6,26 +6,7 @@
   NotRun: 'not-run',
   /** Sent, and no whole answer came. */
   Lost: 'lost',
-  /** Sent, and the deadline passed first. */
+  /** Sent, and given up before the answer came. */
   TimedOut: 'timed-out',
 } as const;
 export type AttemptEnd = (typeof AttemptEnd)[keyof typeof AttemptEnd];
-
-export interface RetryQuestion {
-  readonly end: AttemptEnd;
-  readonly isIdempotent: boolean;
-  readonly attemptCount: number;
-  readonly maximumAttemptCount: number;
-  readonly deadlineAtMs: number;
-}
-
-/**
- * Whether another attempt is allowed, apart from the retry budget. Work that may have run is
- * sent again only when that does no harm.
- */
-export const mayRetry = (question: RetryQuestion, nowMs: number): boolean => {
-  if (question.end === AttemptEnd.Answered || question.end === AttemptEnd.TimedOut) return false;
-  if (question.attemptCount >= question.maximumAttemptCount) return false;
-  if (nowMs >= question.deadlineAtMs) return false;
-  return question.end === AttemptEnd.NotRun || question.isIdempotent;
-};
--- a/src/entry/common/callerRequest.ts
+++ b/src/entry/common/callerRequest.ts
@@ -2,7 +2,12 @@
 import { type Either, left, right } from 'fp-ts/lib/Either.js';
 
 import { ErrorKind, failure, type Failure } from '../../platform/errors/common/errorKinds.js';
-import { DEADLINE_HEADER, IDEMPOTENCY_KEY_HEADER, IDEMPOTENT_HEADER } from './headers.js';
+import {
+  CALLER_HEADER,
+  DEADLINE_HEADER,
+  IDEMPOTENCY_KEY_HEADER,
+  IDEMPOTENT_HEADER,
+} from './headers.js';
 
 export interface CallerRequest {
   readonly serviceName: string;
@@ -17,6 +22,8 @@
   readonly timeoutMs: number;
   readonly isIdempotent: boolean;
   readonly idempotencyKey: string | undefined;
+  /** Empty for callers that do not say who they are. */
+  readonly callerId: string;
 }
 
 export interface TermLimits {
@@ -35,6 +42,8 @@
 const KEY_FORM = /^[\x21-\x7e]{1,128}$/u;
 const TIMEOUT_FORM = /^[1-9][0-9]{0,8}$/u;
 
+const LONGEST_CALLER_ID = 64;
+
 const badRequest = (message: string): Either<Failure, never> =>
   left(failure(ErrorKind.BadRequest, message));
 
@@ -63,5 +72,6 @@
     isIdempotent:
       idempotent === undefined ? IDEMPOTENT_METHODS.has(request.method) : idempotent === 'true',
     idempotencyKey,
+    callerId: (single(request.headers[CALLER_HEADER]) ?? '').slice(0, LONGEST_CALLER_ID),
   });
 };
--- /dev/null
+++ b/src/entry/common/fairQueue.ts
@@ -0,0 +1,95 @@
+/** The bounded queue of a service's requests that wait until a server has room. */
+
+export interface WaitingRequest {
+  /** Who sent it; callers that do not say are one. */
+  readonly callerId: string;
+  readonly deadlineAtMs: number;
+  readonly waitingSinceMs: number;
+  /** The worker of a failed attempt, which the next one leaves out if there is another. */
+  readonly avoidedWorkerId: string | undefined;
+}
+
+/** What became of a request that wanted to wait. */
+export interface QueueResult<Waiting> {
+  readonly isAdded: boolean;
+  /** A request of a greedier caller that had to leave for it. */
+  readonly displaced: Waiting | undefined;
+}
+
+/**
+ * Made for bursts of a few seconds above what the servers can take, and for one caller's storm
+ * of retries. Callers take turns, each with its own requests by age, so a caller who sends a
+ * hundred times as much waits behind itself. When the queue is full the newest request of the
+ * caller with the most waiting makes place for one who has fewer; it gets its final answer at
+ * once. The length is bounded, for a queue that outlasts its callers' deadlines only delays the
+ * refusal.
+ */
+export class FairQueue<Waiting extends WaitingRequest> {
+  readonly #capacity: number;
+
+  /** Callers with something waiting, in the order of their turns. */
+  readonly #lanes = new Map<string, Waiting[]>();
+
+  #length = 0;
+
+  constructor(capacity: number) {
+    this.#capacity = capacity;
+  }
+
+  get length(): number {
+    return this.#length;
+  }
+
+  add(waiting: Waiting): QueueResult<Waiting> {
+    const displaced = this.#length < this.#capacity ? undefined : this.#displaceFor(waiting);
+    if (this.#length >= this.#capacity) return { isAdded: false, displaced: undefined };
+    const lane = this.#lanes.get(waiting.callerId);
+    if (lane === undefined) this.#lanes.set(waiting.callerId, [waiting]);
+    else lane.push(waiting);
+    this.#length += 1;
+    return { isAdded: true, displaced };
+  }
+
+  /** The request to serve next. */
+  peek(): Waiting | undefined {
+    const first = this.#lanes.values().next();
+    return first.done === true ? undefined : first.value[0];
+  }
+
+  /** The request to serve next, removed; its caller's next turn comes last. */
+  takeNext(): Waiting | undefined {
+    const first = this.#lanes.entries().next();
+    if (first.done === true) return undefined;
+    const [callerId, lane] = first.value;
+    const waiting = lane.shift();
+    this.#lanes.delete(callerId);
+    if (lane.length > 0) this.#lanes.set(callerId, lane);
+    this.#length -= 1;
+    return waiting;
+  }
+
+  /** Removes and returns the requests that `isGivenUp` names. */
+  takeGivenUp(isGivenUp: (waiting: Waiting) => boolean): readonly Waiting[] {
+    const givenUp: Waiting[] = [];
+    [...this.#lanes].forEach(([callerId, lane]) => {
+      const kept = lane.filter((waiting) => !isGivenUp(waiting));
+      if (kept.length === lane.length) return;
+      givenUp.push(...lane.filter(isGivenUp));
+      if (kept.length === 0) this.#lanes.delete(callerId);
+      else this.#lanes.set(callerId, kept);
+    });
+    this.#length -= givenUp.length;
+    return givenUp;
+  }
+
+  #displaceFor(waiting: Waiting): Waiting | undefined {
+    let [longestId, longest] = ['', 0];
+    this.#lanes.forEach((lane, callerId) => {
+      if (lane.length > longest) [longestId, longest] = [callerId, lane.length];
+    });
+    const ownCount = this.#lanes.get(waiting.callerId)?.length ?? 0;
+    if (longest <= ownCount + 1) return undefined;
+    this.#length -= 1;
+    return this.#lanes.get(longestId)?.pop();
+  }
+}
--- a/src/entry/common/headers.ts
+++ b/src/entry/common/headers.ts
@@ -13,3 +13,7 @@
 /** To backend servers: the service that the request is for. */
 export const SERVICE_HEADER = 'snipethread-service';
 export const TRACEPARENT_HEADER = 'traceparent';
+/** From callers: who sends, so that callers take turns when requests have to wait. */
+export const CALLER_HEADER = 'snipethread-caller';
+/** To callers: `true` when an answer recorded under the idempotency key is given again. */
+export const REPLAYED_HEADER = 'snipethread-replayed';
--- /dev/null
+++ b/src/entry/common/requestProgress.ts
@@ -0,0 +1,91 @@
+/** What has been tried for one request, and what may be tried or said next. */
+import {
+  ERROR_ANSWERS,
+  ErrorKind,
+  failure,
+  type Failure,
+  WorkOutcome,
+} from '../../platform/errors/common/errorKinds.js';
+import { AttemptEnd } from './attempt.js';
+
+export interface ProgressTerms {
+  readonly isIdempotent: boolean;
+  readonly maximumAttemptCount: number;
+  readonly deadlineAtMs: number;
+}
+
+/**
+ * Keeps the one fact that every answer depends on: whether the work may have run. An attempt
+ * that was sent and lost makes it so for good; that a later attempt was refused, or found no
+ * room, changes nothing about the first.
+ */
+export class RequestProgress {
+  readonly #terms: ProgressTerms;
+
+  #attemptCount = 0;
+
+  #unendedCount = 0;
+
+  #mayHaveRun = false;
+
+  #lastEnd: AttemptEnd = AttemptEnd.NotRun;
+
+  constructor(terms: ProgressTerms) {
+    this.#terms = terms;
+  }
+
+  get attemptCount(): number {
+    return this.#attemptCount;
+  }
+
+  /** Whether an attempt is under way or was sent without a known outcome. */
+  get mayHaveRun(): boolean {
+    return this.#mayHaveRun || this.#unendedCount > 0;
+  }
+
+  /**
+   * Begins an attempt. False, and the attempt must not be made, when work that is not
+   * idempotent may have run already: the caller would be billed twice.
+   */
+  tryStart(): boolean {
+    if (!this.#terms.isIdempotent && this.mayHaveRun) return false;
+    this.#attemptCount += 1;
+    this.#unendedCount += 1;
+    return true;
+  }
+
+  noteEnd(end: AttemptEnd): void {
+    this.#unendedCount -= 1;
+    this.#lastEnd = end;
+    if (end !== AttemptEnd.NotRun) this.#mayHaveRun = true;
+  }
+
+  /** Whether another attempt is allowed, apart from the retry budget. */
+  mayRetry(nowMs: number): boolean {
+    const { isIdempotent, maximumAttemptCount, deadlineAtMs } = this.#terms;
+    if (this.#attemptCount >= maximumAttemptCount || nowMs >= deadlineAtMs) return false;
+    return isIdempotent || !this.mayHaveRun;
+  }
+
+  /** The final answer when the attempts have come to nothing. */
+  finalFailure(nowMs: number): Failure {
+    const isPast = nowMs >= this.#terms.deadlineAtMs;
+    if (this.mayHaveRun) {
+      return isPast
+        ? failure(ErrorKind.DeadlineExceededAfterSend, 'no answer before the deadline')
+        : failure(ErrorKind.AnswerLost, 'the connection ended before the whole answer');
+    }
+    if (isPast) return failure(ErrorKind.DeadlineExceeded, 'nothing was sent before the deadline');
+    const isRefusal = this.#lastEnd === AttemptEnd.NotRun;
+    return isRefusal
+      ? failure(ErrorKind.ServerRefused, 'the backend server did not take the request')
+      : failure(ErrorKind.Internal, 'the request was given up');
+  }
+
+  /** A refusal as it may be told: never as not run when an earlier attempt may have run. */
+  tellable(cause: Failure): Failure {
+    const outcome = cause.workOutcome ?? ERROR_ANSWERS[cause.kind].workOutcome;
+    if (!this.mayHaveRun || outcome !== WorkOutcome.NotRun) return cause;
+    return { ...cause, workOutcome: WorkOutcome.Unknown };
+  }
+}
--- a/src/entry/common/retryBudget.ts
+++ b/src/entry/common/retryBudget.ts
@@ -23,6 +23,10 @@
     this.#tokens = Math.min(MAXIMUM_TOKENS, this.#tokens + this.#ratio);
   }
 
+  get hasToken(): boolean {
+    return this.#tokens >= 1;
+  }
+
   /** Takes one retry out of the budget, if there is one. */
   trySpend(): boolean {
     if (this.#tokens < 1) return false;
--- a/src/entry/common/serverChoice.ts
+++ b/src/entry/common/serverChoice.ts
@@ -1,27 +1,45 @@
 /** Chooses the backend server of a request. */
 import type { RandomSource } from '../../base/common/random.js';
-import type { BackendServer } from './routing.js';
-
-/** What this entry itself has observed of a server. */
-export interface ServerLoad {
-  inFlightCount(workerId: string): number;
-  /** How many requests this entry may have in flight on the server. */
-  inFlightLimit(server: BackendServer): number;
-}
+import type { WaitingRequest } from './fairQueue.js';
+import type { ServerRecord } from './serverRecords.js';
 
 export interface ServerChooser {
-  /** Undefined when every candidate is full. */
-  choose(servers: readonly BackendServer[], load: ServerLoad): BackendServer | undefined;
+  /** Undefined when no server is eligible. */
+  choose<Waiting extends WaitingRequest>(
+    servers: readonly ServerRecord<Waiting>[],
+    nowMs: number,
+    avoidedWorkerId?: string,
+  ): ServerRecord<Waiting> | undefined;
 }
 
-const hasRoom = (server: BackendServer, load: ServerLoad): boolean =>
-  load.inFlightCount(server.workerId) < load.inFlightLimit(server);
+/** Draws before all servers are looked at; enough unless most of them are full. */
+const DRAW_LIMIT = 6;
+
+/** A random eligible server; looks at all only after several draws have failed. */
+export const drawEligible = <Waiting extends WaitingRequest>(
+  servers: readonly ServerRecord<Waiting>[],
+  nowMs: number,
+  random: RandomSource,
+  avoidedWorkerId?: string,
+): ServerRecord<Waiting> | undefined => {
+  if (servers.length === 0) return undefined;
+  const avoided = servers.length > 1 ? avoidedWorkerId : undefined;
+  for (let draw = 0; draw < DRAW_LIMIT; draw += 1) {
+    const drawn = servers[random.nextIndex(servers.length)];
+    if (drawn?.isEligible(nowMs) === true && drawn.worker.workerId !== avoided) return drawn;
+  }
+  const start = random.nextIndex(servers.length);
+  for (let step = 0; step < servers.length; step += 1) {
+    const server = servers[(start + step) % servers.length];
+    if (server?.isEligible(nowMs) === true) return server;
+  }
+  return undefined;
+};
 
 /**
  * Of two servers drawn at random, the one with fewer requests in flight. Made for several
  * entries that each see a part of the traffic: always taking the least loaded would send all
- * entries to the same server at once; two draws avoid that and still avoid a slow server, whose
- * requests stay in flight longer. Two are enough: a third draw gains little and costs a look.
+ * entries to the same server at once. It notices a slow server only by what stays in flight.
  */
 export class LeastInFlightOfTwo implements ServerChooser {
   readonly #random: RandomSource;
@@ -30,18 +48,41 @@
     this.#random = random;
   }
 
-  choose(servers: readonly BackendServer[], load: ServerLoad): BackendServer | undefined {
-    const first = this.#draw(servers);
-    const second = this.#draw(servers);
-    if (first === undefined || second === undefined) return undefined;
-    const isFirstBusier = load.inFlightCount(first.workerId) > load.inFlightCount(second.workerId);
-    const [better, other] = isFirstBusier ? [second, first] : [first, second];
-    if (hasRoom(better, load)) return better;
-    if (hasRoom(other, load)) return other;
-    return servers.find((server) => hasRoom(server, load));
+  choose<Waiting extends WaitingRequest>(
+    servers: readonly ServerRecord<Waiting>[],
+    nowMs: number,
+    avoidedWorkerId?: string,
+  ): ServerRecord<Waiting> | undefined {
+    const first = drawEligible(servers, nowMs, this.#random, avoidedWorkerId);
+    const second = drawEligible(servers, nowMs, this.#random, avoidedWorkerId);
+    if (first === undefined || second === undefined) return first ?? second;
+    return second.worker.inFlightCount < first.worker.inFlightCount ? second : first;
+  }
+}
+
+/**
+ * Of two servers drawn at random, the one whose latency times what this entry has in flight
+ * there is lower. Made for one slow server among many when an entry sees a seventh of the
+ * traffic: its own requests in flight say little about a worker's load, the latency of the
+ * answers also tells what the other entries and the neighbouring tasks do there.
+ */
+export class LatencyWeightedOfTwo implements ServerChooser {
+  readonly #random: RandomSource;
+
+  constructor(random: RandomSource) {
+    this.#random = random;
   }
 
-  #draw(servers: readonly BackendServer[]): BackendServer | undefined {
-    return servers.length === 0 ? undefined : servers[this.#random.nextIndex(servers.length)];
+  choose<Waiting extends WaitingRequest>(
+    servers: readonly ServerRecord<Waiting>[],
+    nowMs: number,
+    avoidedWorkerId?: string,
+  ): ServerRecord<Waiting> | undefined {
+    const first = drawEligible(servers, nowMs, this.#random, avoidedWorkerId);
+    const second = drawEligible(servers, nowMs, this.#random, avoidedWorkerId);
+    if (first === undefined || second === undefined) return first ?? second;
+    const firstCost = first.latency.valueMs(nowMs) * (first.worker.inFlightCount + 1);
+    const secondCost = second.latency.valueMs(nowMs) * (second.worker.inFlightCount + 1);
+    return secondCost < firstCost ? second : first;
   }
 }
--- /dev/null
+++ b/src/entry/common/serverRecords.ts
@@ -0,0 +1,98 @@
+/** What an entry itself knows of workers, services and the servers that join them. */
+import { type Urgency } from '../../platform/configuration/common/documents.js';
+import { ConcurrencyLimit } from './concurrencyLimit.js';
+import { LatencyEstimate } from './latencyEstimate.js';
+import { RetryBudget } from './retryBudget.js';
+import type { BackendServer } from './routing.js';
+import { ServerHealth } from './serverHealth.js';
+import { FairQueue, type WaitingRequest } from './fairQueue.js';
+
+/** A worker with the requests of all services that this entry has in flight on it. */
+export class WorkerRecord<Waiting extends WaitingRequest> {
+  readonly workerId: string;
+
+  /** Services with a server here, the most urgent first. */
+  services: ServiceRecord<Waiting>[] = [];
+
+  inFlightCount = 0;
+
+  /** This entry's share of the worker's connections. */
+  inFlightLimit = 1;
+
+  /** Until when the worker's own word that it is leaving counts. */
+  leavingUntilMs = 0;
+
+  constructor(workerId: string) {
+    this.workerId = workerId;
+  }
+}
+
+/** A service's backend server on one worker. */
+export class ServerRecord<Waiting extends WaitingRequest = WaitingRequest> {
+  readonly health = new ServerHealth();
+
+  readonly latency = new LatencyEstimate();
+
+  readonly worker: WorkerRecord<Waiting>;
+
+  server: BackendServer;
+
+  constructor(server: BackendServer, worker: WorkerRecord<Waiting>) {
+    this.server = server;
+    this.worker = worker;
+  }
+
+  /**
+   * Whether the server may get one more request: it is not leaving, not set aside, this entry's
+   * share of its connections is not used up and a returned one is tried by one at a time.
+   */
+  isEligible(nowMs: number): boolean {
+    const { worker, health } = this;
+    if (worker.inFlightCount >= worker.inFlightLimit) return false;
+    if (nowMs < worker.leavingUntilMs || health.isSetAside(nowMs)) return false;
+    return !health.isOnTrial || worker.inFlightCount === 0;
+  }
+}
+
+/** A service with its servers, its limit and those who wait for it. */
+export class ServiceRecord<Waiting extends WaitingRequest> {
+  readonly name: string;
+
+  readonly limit: ConcurrencyLimit;
+
+  readonly queue: FairQueue<Waiting>;
+
+  readonly budget: RetryBudget;
+
+  readonly hedgeBudget: RetryBudget;
+
+  servers: readonly ServerRecord<Waiting>[] = [];
+
+  urgency: Urgency;
+
+  /** Requests of all services in flight on the workers of this one. */
+  occupiedCount = 0;
+
+  /** The place in the order of serving; the least recently served goes first. */
+  lastServedOrder = 0;
+
+  constructor(
+    name: string,
+    urgency: Urgency,
+    limit: ConcurrencyLimit,
+    queue: FairQueue<Waiting>,
+    budget: RetryBudget,
+    hedgeBudget: RetryBudget,
+  ) {
+    this.name = name;
+    this.urgency = urgency;
+    this.limit = limit;
+    this.queue = queue;
+    this.budget = budget;
+    this.hedgeBudget = hedgeBudget;
+  }
+
+  get hasRoom(): boolean {
+    return this.occupiedCount < this.limit.value;
+  }
+}
--- /dev/null
+++ b/src/entry/node/attemptRun.ts
@@ -0,0 +1,183 @@
+/** One attempt at a backend server over one connection of undici. */
+import type { Dispatcher } from 'undici';
+
+import type { Metrics } from '../../platform/metrics/common/metrics.js';
+import { AttemptEnd } from '../common/attempt.js';
+import { LEAVING_HEADER, NOT_RUN_HEADER } from '../common/headers.js';
+
+type Headers = Readonly<Record<string, string | string[] | undefined>>;
+
+export interface BackendAnswer {
+  readonly statusCode: number;
+  readonly headers: Headers;
+  readonly body: Buffer;
+}
+
+export interface AttemptResult {
+  readonly end: AttemptEnd;
+  readonly answer: BackendAnswer | undefined;
+  readonly isServerLeaving: boolean;
+}
+
+const FIRST_FINAL_STATUS = 200;
+const HTTP_NO_CONTENT = 204;
+const HTTP_NOT_MODIFIED = 304;
+const HTTP_UNAVAILABLE = 503;
+
+class GivenUpError extends Error {}
+
+/**
+ * Follows the attempt's connection and settles once.
+ *
+ * Whether anything was sent is known exactly: `onRequestStart` is called just before the first
+ * byte is written, and an attempt that was given up before then is stopped there. An error code
+ * would not tell: a broken route gives the same code on a connection that has carried the
+ * request as on one that never opened.
+ *
+ * An answer counts as whole only when its framing says where it ends and that end was reached.
+ * One that ends with the connection, without a length, looks the same when its server died in
+ * the middle; it is taken as lost.
+ */
+export class AttemptRun implements Dispatcher.DispatchHandler {
+  readonly result: Promise<AttemptResult>;
+
+  readonly #method: string;
+
+  readonly #maximumBodyBytes: number;
+
+  readonly #metrics: Metrics;
+
+  #settle: ((result: AttemptResult) => void) | undefined;
+
+  #controller: Dispatcher.DispatchController | undefined;
+
+  #isSent = false;
+
+  #hasProgress = false;
+
+  #isFramed = false;
+
+  #statusCode = 0;
+
+  #headers: Headers = {};
+
+  #chunks: Buffer[] = [];
+
+  #lengthBytes = 0;
+
+  constructor(method: string, maximumBodyBytes: number, metrics: Metrics) {
+    this.#method = method;
+    this.#maximumBodyBytes = maximumBodyBytes;
+    this.#metrics = metrics;
+    this.result = new Promise((resolve) => {
+      this.#settle = resolve;
+    });
+  }
+
+  /** Whether any byte of the answer has come. */
+  get hasProgress(): boolean {
+    return this.#hasProgress;
+  }
+
+  /** Ends the attempt; a connection that carries it is closed, so its answer meets nobody. */
+  giveUp(): void {
+    this.#end(AttemptEnd.TimedOut);
+    this.#controller?.abort(new GivenUpError('given up'));
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    if (this.#isSent) {
+      this.#breach('invariant_attempt_sent_twice', controller);
+      return;
+    }
+    if (this.#settle === undefined) {
+      controller.abort(new GivenUpError('given up before it was sent'));
+      return;
+    }
+    this.#controller = controller;
+    this.#isSent = true;
+  }
+
+  onResponseStart(
+    controller: Dispatcher.DispatchController,
+    statusCode: number,
+    headers: Headers,
+  ): void {
+    this.#hasProgress = true;
+    if (statusCode < FIRST_FINAL_STATUS) return;
+    if (this.#statusCode !== 0) {
+      this.#breach('invariant_second_answer', controller);
+      return;
+    }
+    this.#statusCode = statusCode;
+    this.#headers = headers;
+    this.#isFramed =
+      this.#hasNoBody() ||
+      headers['content-length'] !== undefined ||
+      headers['transfer-encoding'] !== undefined;
+  }
+
+  onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.#lengthBytes += chunk.length;
+    if (this.#lengthBytes <= this.#maximumBodyBytes) {
+      this.#chunks.push(chunk);
+      return;
+    }
+    this.#metrics.count('answers_too_large');
+    this.#end(AttemptEnd.Lost);
+    controller.abort(new GivenUpError('the answer is too large'));
+  }
+
+  onResponseEnd(): void {
+    if (!this.#isFramed || !this.#hasStatedLength()) {
+      this.#metrics.count('answers_cut');
+      this.#end(AttemptEnd.Lost);
+      return;
+    }
+    const headers = this.#headers;
+    const isNotRun = this.#statusCode === HTTP_UNAVAILABLE && headers[NOT_RUN_HEADER] === 'true';
+    if (isNotRun) {
+      this.#end(AttemptEnd.NotRun);
+      return;
+    }
+    const body = this.#chunks.length === 1 ? this.#chunks[0] : Buffer.concat(this.#chunks);
+    this.#end(AttemptEnd.Answered, {
+      statusCode: this.#statusCode,
+      headers,
+      body: body ?? Buffer.alloc(0),
+    });
+  }
+
+  onResponseError(_controller: Dispatcher.DispatchController, _error: Error): void {
+    if (this.#statusCode !== 0) this.#metrics.count('answers_cut');
+    this.#end(AttemptEnd.Lost);
+  }
+
+  #end(end: AttemptEnd, answer?: BackendAnswer): void {
+    const settle = this.#settle;
+    if (settle === undefined) return;
+    this.#settle = undefined;
+    this.#chunks = [];
+    const isServerLeaving = this.#headers[LEAVING_HEADER] === 'true';
+    settle({ end: this.#isSent ? end : AttemptEnd.NotRun, answer, isServerLeaving });
+  }
+
+  #breach(invariant: string, controller: Dispatcher.DispatchController): void {
+    this.#metrics.count(invariant);
+    this.#end(AttemptEnd.Lost);
+    controller.abort(new GivenUpError(invariant));
+  }
+
+  #hasNoBody(): boolean {
+    return (
+      this.#method === 'HEAD' ||
+      this.#statusCode === HTTP_NO_CONTENT ||
+      this.#statusCode === HTTP_NOT_MODIFIED
+    );
+  }
+
+  #hasStatedLength(): boolean {
+    const stated = this.#headers['content-length'];
+    return stated === undefined || this.#hasNoBody() || Number(stated) === this.#lengthBytes;
+  }
+}
--- a/src/entry/node/backendConnections.ts
+++ b/src/entry/node/backendConnections.ts
@@ -1,11 +1,11 @@
-/** Connections to backend servers and single attempts over them. */
-import { type Dispatcher, Pool } from 'undici';
+/** Connections to backend servers and the attempts over them. */
+import { Client, type Dispatcher, Pool } from 'undici';
 
 import type { Disposable } from '../../base/common/lifecycle.js';
-import { isSurelyNotSent } from '../../platform/http/node/httpCall.js';
-import { AttemptEnd } from '../common/attempt.js';
-import { LEAVING_HEADER, NOT_RUN_HEADER } from '../common/headers.js';
+import type { Metrics } from '../../platform/metrics/common/metrics.js';
+import { connectionShare, pooledShare } from '../common/connectionShare.js';
 import type { BackendServer } from '../common/routing.js';
+import { AttemptRun } from './attemptRun.js';
 
 export interface AttemptRequest {
   readonly server: BackendServer;
@@ -13,119 +13,159 @@
   readonly path: string;
   readonly headers: Record<string, string | string[]>;
   readonly body: Uint8Array | undefined;
-  readonly timeoutMs: number;
-  readonly maximumBodyBytes: number;
+  /** Whether a connection that has carried nothing yet is wanted. */
+  readonly isFreshWanted: boolean;
 }
 
-export interface BackendAnswer {
-  readonly statusCode: number;
-  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
-  readonly body: Buffer;
+export interface BackendConnectionSettings {
+  readonly maximumEntryCount: number;
+  readonly maximumBodyBytes: number;
+  readonly idleConnectionMs: number;
+  readonly connectTimeoutMs: number;
 }
 
-export interface AttemptResult {
-  readonly end: AttemptEnd;
-  readonly answer: BackendAnswer | undefined;
-  readonly isServerLeaving: boolean;
+/** The connections to one server, with the account of what is open. */
+interface ServerConnections {
+  readonly pool: Pool;
+  readonly share: number;
+  openCount: number;
+  inFlightCount: number;
+  /** Whether the one connection outside the pool is in use. */
+  hasFresh: boolean;
 }
 
-const CONNECT_TIMEOUT_MS = 1_000;
-const HTTP_UNAVAILABLE = 503;
-const TIMEOUT_ERROR = 'TimeoutError';
-
-const ended = (end: AttemptEnd): AttemptResult => ({
-  end,
-  answer: undefined,
-  isServerLeaving: false,
-});
-
 /**
- * One pool for each backend server, bounded by this entry's share of the server's connections.
+ * One pool for each backend server, bounded by this entry's share of the server's connections,
+ * and one connection kept back for an attempt that must not meet an old one that is silent.
+ *
+ * The share is fixed by the number of entries there may be at most, the overlapping ones of a
+ * restart included, so the server's limit holds while entries disagree about who exists. The
+ * pool of a server that left the routes stays until nothing is in flight on it; a second pool
+ * beside it, should the server come back, would double the share.
+ *
  * A connection carries one request at a time and is closed when its request is given up, so a
  * late answer can meet no other request.
  */
 export class BackendConnections implements Disposable {
-  readonly #pools = new Map<string, Pool>();
+  readonly #servers = new Map<string, ServerConnections>();
 
-  readonly #maximumEntryCount: number;
+  readonly #settings: BackendConnectionSettings;
 
-  constructor(maximumEntryCount: number) {
-    this.#maximumEntryCount = maximumEntryCount;
-  }
+  readonly #metrics: Metrics;
 
-  /**
-   * This entry's share of a server's connections. The share is fixed by the number of entries
-   * there may be at most, so the server's limit holds while entries disagree about who exists.
-   */
-  connectionShare(server: BackendServer): number {
-    return Math.max(1, Math.floor(server.connectionCount / this.#maximumEntryCount));
+  #wanted: ReadonlySet<string> | undefined;
+
+  constructor(settings: BackendConnectionSettings, metrics: Metrics) {
+    this.#settings = settings;
+    this.#metrics = metrics;
   }
 
-  async attempt(request: AttemptRequest): Promise<AttemptResult> {
-    try {
-      const response = await this.#pool(request.server).request({
-        method: request.method,
-        path: request.path,
-        headers: request.headers,
-        body: request.body ?? null,
-        signal: AbortSignal.timeout(request.timeoutMs),
-      });
-      const body = await BackendConnections.#readBody(response, request.maximumBodyBytes);
-      if (body === undefined) return ended(AttemptEnd.Lost);
-      const isServerLeaving = response.headers[LEAVING_HEADER] === 'true';
-      const isNotRun =
-        response.statusCode === HTTP_UNAVAILABLE && response.headers[NOT_RUN_HEADER] === 'true';
-      if (isNotRun) return { end: AttemptEnd.NotRun, answer: undefined, isServerLeaving };
-      const { statusCode, headers } = response;
-      return { end: AttemptEnd.Answered, answer: { statusCode, headers, body }, isServerLeaving };
-    } catch (error) {
-      if ((error as Error).name === TIMEOUT_ERROR) return ended(AttemptEnd.TimedOut);
-      return ended(isSurelyNotSent(error) ? AttemptEnd.NotRun : AttemptEnd.Lost);
+  /** Starts an attempt; its run settles in every case. */
+  attempt(request: AttemptRequest): AttemptRun {
+    const connections = this.#connections(request.server);
+    const run = new AttemptRun(request.method, this.#settings.maximumBodyBytes, this.#metrics);
+    if (connections.inFlightCount >= connections.share) {
+      this.#metrics.count('invariant_connection_share_used_up');
+      run.giveUp();
+      return run;
     }
+    connections.inFlightCount += 1;
+    const isFresh = request.isFreshWanted && !connections.hasFresh && connections.share > 1;
+    if (isFresh) this.#dispatchFresh(connections, request, run);
+    else connections.pool.dispatch(BackendConnections.#options(request), run);
+    void run.result.then(() => {
+      connections.inFlightCount -= 1;
+      if (connections.inFlightCount === 0) this.#closeUnwanted(request.server.origin);
+    });
+    return run;
   }
 
-  /** Closes the pools of servers that are gone; requests in flight on them finish. */
+  /** Closes what leads to servers that are gone, as soon as nothing is in flight there. */
   retainOnly(origins: ReadonlySet<string>): void {
-    this.#pools.forEach((pool, origin) => {
-      if (origins.has(origin)) return;
-      this.#pools.delete(origin);
-      void pool.close();
-    });
+    this.#wanted = origins;
+    [...this.#servers.keys()].forEach((origin) => this.#closeUnwanted(origin));
   }
 
   dispose(): void {
-    this.#pools.forEach((pool) => void pool.destroy());
-    this.#pools.clear();
+    this.#servers.forEach(({ pool }) => void pool.destroy());
+    this.#servers.clear();
   }
 
-  #pool(server: BackendServer): Pool {
-    const known = this.#pools.get(server.origin);
+  #closeUnwanted(origin: string): void {
+    const connections = this.#servers.get(origin);
+    const isWanted = this.#wanted === undefined || this.#wanted.has(origin);
+    if (connections === undefined || isWanted || connections.inFlightCount > 0) return;
+    this.#servers.delete(origin);
+    void connections.pool.destroy();
+  }
+
+  #connections(server: BackendServer): ServerConnections {
+    const known = this.#servers.get(server.origin);
     if (known !== undefined) return known;
+    const share = connectionShare(server, this.#settings.maximumEntryCount);
     const pool = new Pool(server.origin, {
-      connections: this.connectionShare(server),
-      pipelining: 1,
-      connect: { timeout: CONNECT_TIMEOUT_MS },
+      ...this.#clientOptions(),
+      connections: pooledShare(share),
     });
-    this.#pools.set(server.origin, pool);
-    return pool;
+    const connections = { pool, share, openCount: 0, inFlightCount: 0, hasFresh: false };
+    this.#watch(pool, connections);
+    this.#servers.set(server.origin, connections);
+    return connections;
   }
 
-  /** The whole body, or undefined when it is larger than allowed. */
-  static async #readBody(
-    response: Dispatcher.ResponseData,
-    maximumBodyBytes: number,
-  ): Promise<Buffer | undefined> {
-    const chunks: Buffer[] = [];
-    let lengthBytes = 0;
-    // eslint-disable-next-line no-restricted-syntax -- a stream is read piece by piece
-    for await (const chunk of response.body as AsyncIterable<Buffer>) {
-      lengthBytes += chunk.length;
-      if (lengthBytes > maximumBodyBytes) {
-        response.body.destroy();
-        return undefined;
+  #dispatchFresh(connections: ServerConnections, request: AttemptRequest, run: AttemptRun): void {
+    const client = new Client(request.server.origin, this.#clientOptions());
+    this.#watch(client, connections);
+    // The record is this class's own.
+    /* eslint-disable no-param-reassign */
+    connections.hasFresh = true;
+    client.dispatch({ ...BackendConnections.#options(request), reset: true }, run);
+    void run.result.then(async () => {
+      await client.destroy();
+      connections.hasFresh = false;
+    });
+    /* eslint-enable no-param-reassign */
+  }
+
+  /** Keeps the account of open connections and refuses to be silent about a breach. */
+  #watch(dispatcher: Pool | Client, connections: ServerConnections): void {
+    // The record is this class's own.
+    /* eslint-disable no-param-reassign */
+    dispatcher.on('connect', () => {
+      connections.openCount += 1;
+      if (connections.openCount > connections.share) {
+        this.#metrics.count('invariant_connection_share_exceeded');
       }
-      chunks.push(chunk);
-    }
-    return chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
+    });
+    dispatcher.on('disconnect', () => {
+      connections.openCount -= 1;
+    });
+    /* eslint-enable no-param-reassign */
+  }
+
+  /**
+   * Idle connections are closed after a short time whatever the server offers: what stands
+   * between may forget them, and only an unused connection goes silent unnoticed. Deadlines are
+   * kept by the caller of `attempt`, so undici's own timeouts are off.
+   */
+  #clientOptions(): Client.Options {
+    const { idleConnectionMs, connectTimeoutMs } = this.#settings;
+    return {
+      pipelining: 1,
+      keepAliveTimeout: idleConnectionMs,
+      keepAliveMaxTimeout: idleConnectionMs,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      connect: { timeout: connectTimeoutMs },
+    };
+  }
+
+  static #options(request: AttemptRequest): Dispatcher.DispatchOptions {
+    return {
+      method: request.method,
+      path: request.path,
+      headers: request.headers,
+      body: request.body ?? null,
+    };
   }
 }
--- a/src/entry/node/callerServer.ts
+++ b/src/entry/node/callerServer.ts
@@ -1,16 +1,29 @@
 /** The HTTP server for callers. */
+import type { Socket } from 'node:net';
+
 import Fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from 'fastify';
 import { isLeft } from 'fp-ts/lib/Either.js';
 
-import { ErrorKind, failure, type Failure } from '../../platform/errors/common/errorKinds.js';
+import {
+  ERROR_ANSWERS,
+  errorBody,
+  ErrorKind,
+  failure,
+  type Failure,
+} from '../../platform/errors/common/errorKinds.js';
+import { replyWithFailure, WORK_OUTCOME_HEADER } from '../../platform/http/node/errorReply.js';
 import { listeningPort } from '../../platform/http/node/listening.js';
-import { replyWithFailure } from '../../platform/http/node/errorReply.js';
+import type { Metrics } from '../../platform/metrics/common/metrics.js';
 import type { Settings } from '../../platform/settings/common/settings.js';
-import { endToEndHeaders, type RequestHandler } from './requestHandler.js';
+import { endToEndHeaders } from '../common/passedHeaders.js';
+import type { RequestHandler } from './requestHandler.js';
 
 const SERVICE_PATH = /^\/services\/([^/?]+)(.*)$/u;
 const BODY_TOO_LARGE_CODE = 'FST_ERR_CTP_BODY_TOO_LARGE';
+const REQUEST_TIMEOUT_CODE = 'ERR_HTTP_REQUEST_TIMEOUT';
 const FIRST_SERVER_ERROR = 500;
+/** How often connections are looked over for callers that send too slowly. */
+const SLOW_SENDER_CHECK_MS = 1_000;
 
 const toFailure = (error: { code?: string; statusCode?: number; message: string }): Failure => {
   if (error.code === BODY_TOO_LARGE_CODE) return failure(ErrorKind.BodyTooLarge, error.message);
@@ -18,30 +31,72 @@
   return failure(isFault ? ErrorKind.Internal : ErrorKind.BadRequest, error.message);
 };
 
+/**
+ * Answers what is no HTTP request, or was not sent in time, by the table of error kinds. Nothing
+ * of it was passed on, so the work surely did not run.
+ */
+const answerMalformed = (error: { readonly code?: string }, socket: Socket): void => {
+  if (!socket.writable) {
+    socket.destroy();
+    return;
+  }
+  const message =
+    error.code === REQUEST_TIMEOUT_CODE ? 'the request took too long to send' : 'malformed HTTP';
+  const cause = failure(ErrorKind.BadRequest, message);
+  const body = JSON.stringify(errorBody(cause));
+  socket.end(
+    [
+      `HTTP/1.1 ${ERROR_ANSWERS[cause.kind].statusCode} Bad Request`,
+      'content-type: application/json',
+      `content-length: ${Buffer.byteLength(body)}`,
+      `${WORK_OUTCOME_HEADER}: ${errorBody(cause).workOutcome}`,
+      'connection: close',
+      '',
+      body,
+    ].join('\r\n'),
+  );
+};
+
+/**
+ * Made for many callers that send slowly or much at once: the bodies held at a time are bounded
+ * in bytes before they are read, a body without a stated length counts as the largest allowed,
+ * and connections are bounded in number. Without this an entry of 128 MB dies of memory and cuts
+ * off everybody's requests.
+ */
 export class CallerServer {
   readonly #server: FastifyInstance;
 
   readonly #handler: RequestHandler;
 
+  readonly #settings: Settings['entry'];
+
+  readonly #metrics: Metrics;
+
+  #heldBytes = 0;
+
   #isDraining = false;
 
-  constructor(handler: RequestHandler, settings: Settings['entry']) {
+  constructor(handler: RequestHandler, settings: Settings['entry'], metrics: Metrics) {
     this.#handler = handler;
+    this.#settings = settings;
+    this.#metrics = metrics;
     this.#server = Fastify({
       bodyLimit: settings.maximumBodyBytes,
       requestTimeout: settings.receiveTimeoutMs,
+      http: {
+        connectionsCheckingInterval: SLOW_SENDER_CHECK_MS,
+        headersTimeout: settings.receiveTimeoutMs,
+      },
       exposeHeadRoutes: false,
+      // What still comes in over kept-alive connections during a shutdown is served.
+      return503OnClosing: false,
+      clientErrorHandler: (error, socket) => {
+        metrics.count('caller_connection_errors');
+        answerMalformed(error, socket);
+      },
     });
-    this.#server.removeAllContentTypeParsers();
-    this.#server.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) =>
-      done(null, body),
-    );
-    this.#server.setErrorHandler((error, _request, reply) =>
-      replyWithFailure(reply, toFailure(error as Error)),
-    );
-    this.#server.setNotFoundHandler((_request, reply) =>
-      replyWithFailure(reply, failure(ErrorKind.UnknownService, 'paths start with /services/NAME')),
-    );
+    this.#server.server.maxConnections = settings.maximumCallerConnections;
+    this.#addHooks();
     this.#server.all('/services/*', (request, reply) => this.#handle(request, reply));
   }
 
@@ -61,8 +116,45 @@
     await this.#server.close();
   }
 
+  #addHooks(): void {
+    this.#server.removeAllContentTypeParsers();
+    this.#server.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) =>
+      done(null, body),
+    );
+    this.#server.addHook('onRequest', (request, reply, done) => {
+      if (this.#isDraining) void reply.header('connection', 'close');
+      if (this.#tryHold(request, reply)) done();
+    });
+    this.#server.setErrorHandler((error, _request, reply) =>
+      replyWithFailure(reply, toFailure(error as Error)),
+    );
+    this.#server.setNotFoundHandler((_request, reply) =>
+      replyWithFailure(reply, failure(ErrorKind.UnknownService, 'paths start with /services/NAME')),
+    );
+  }
+
+  /** Sets memory for the body aside, or refuses the request before its body is read. */
+  #tryHold(request: FastifyRequest, reply: FastifyReply): boolean {
+    const { 'content-length': length, 'transfer-encoding': encoding } = request.headers;
+    if (length === undefined && encoding === undefined) return true;
+    const { maximumBodyBytes, maximumHeldBytes } = this.#settings;
+    const bytes = encoding === undefined ? Number(length) : maximumBodyBytes;
+    // Longer bodies are refused by the body limit, which has its own error kind.
+    if (bytes > maximumBodyBytes) return true;
+    if (this.#heldBytes + bytes > maximumHeldBytes) {
+      this.#metrics.count('requests_over_held_bytes');
+      void reply.header('connection', 'close');
+      void replyWithFailure(reply, failure(ErrorKind.Saturated, 'too much is being sent'));
+      return false;
+    }
+    this.#heldBytes += bytes;
+    reply.raw.once('close', () => {
+      this.#heldBytes -= bytes;
+    });
+    return true;
+  }
+
   async #handle(request: FastifyRequest, reply: FastifyReply): Promise<FastifyReply> {
-    if (this.#isDraining) void reply.header('connection', 'close');
     const match = SERVICE_PATH.exec(request.raw.url ?? '');
     const [, serviceName = '', rest = ''] = match ?? [];
     const result = await this.#handler.handle({
--- /dev/null
+++ b/src/entry/node/claimKeeper.ts
@@ -0,0 +1,207 @@
+/** Holds the claims of idempotency keys in the platform's table. */
+import { createHash, randomUUID } from 'node:crypto';
+
+import { type Either, isLeft, left, right } from 'fp-ts/lib/Either.js';
+
+import type { Clock } from '../../base/common/clock.js';
+import type { Disposable } from '../../base/common/lifecycle.js';
+import { PeriodicTimer } from '../../base/node/periodicTimer.js';
+import { ErrorKind, failure, type Failure } from '../../platform/errors/common/errorKinds.js';
+import type { Metrics } from '../../platform/metrics/common/metrics.js';
+import {
+  type TableService,
+  type Transaction,
+  TransactionOutcome,
+} from '../../platform/table/common/table.js';
+import { claimGeneration, type RecordedAnswer } from '../../platform/work/common/claimRow.js';
+import type { CallerRequest } from '../common/callerRequest.js';
+import {
+  answerTransaction,
+  claimKeys,
+  type ClaimRequest,
+  claimTransaction,
+  type ClaimVerdict,
+  judgeClaim,
+  releaseTransaction,
+  StoreGate,
+} from '../common/claims.js';
+
+/** A claim that was made, with the version of its row. */
+export interface HeldClaim {
+  readonly claim: ClaimRequest;
+  readonly version: number;
+}
+
+export type ClaimResult =
+  | { readonly kind: 'held'; readonly held: HeldClaim }
+  | { readonly kind: 'replay'; readonly answer: RecordedAnswer };
+
+export interface ClaimKeeperSettings {
+  readonly claimLifetimeMs: number;
+  readonly maximumRecordedBytes: number;
+}
+
+/** Rounds of asking the store before a request is refused as not run. */
+const MAXIMUM_ROUNDS = 4;
+/** Tries to write an answer or a release, whose loss harms nobody but repeats. */
+const MAXIMUM_WRITE_TRIES = 3;
+const STORE_RETURN_MS = 2_000;
+const ABANDONMENT_INTERVAL_MS = 200;
+const MAXIMUM_ABANDONED = 1_000;
+
+const storeOut = (): Failure => ({
+  ...failure(ErrorKind.StoreUnavailable, 'the store that keeps idempotency keys is out'),
+  retryAfterMs: STORE_RETURN_MS,
+});
+
+const digestOf = ({ method, path, body }: CallerRequest): string =>
+  createHash('sha256')
+    .update(`${method} ${path}\n`)
+    .update(body ?? new Uint8Array())
+    .digest('base64');
+
+export class ClaimKeeper implements Disposable {
+  readonly #table: TableService;
+
+  readonly #clock: Clock;
+
+  readonly #metrics: Metrics;
+
+  readonly #settings: ClaimKeeperSettings;
+
+  readonly #gate = new StoreGate();
+
+  readonly #writes = new Set<Promise<void>>();
+
+  /** Claims whose insertion may have taken effect although nothing was sent. */
+  readonly #abandoned = new Set<ClaimRequest>();
+
+  readonly #abandonmentTimer: PeriodicTimer;
+
+  constructor(table: TableService, clock: Clock, metrics: Metrics, settings: ClaimKeeperSettings) {
+    this.#table = table;
+    this.#clock = clock;
+    this.#metrics = metrics;
+    this.#settings = settings;
+    this.#abandonmentTimer = new PeriodicTimer(ABANDONMENT_INTERVAL_MS, () =>
+      this.#withdrawAbandoned(),
+    );
+  }
+
+  dispose(): void {
+    this.#abandonmentTimer.dispose();
+  }
+
+  /**
+   * Claims the key of a request, whose work may run only after this has resolved as held. Every
+   * failure means that nothing was sent. A lost answer is resolved by reading, and an absent row
+   * by inserting again under the same id: the late copy of an insertion can then only conflict.
+   */
+  async claim(
+    request: CallerRequest,
+    idempotencyKey: string,
+    wallMs: number,
+  ): Promise<Either<Failure, ClaimResult>> {
+    const claim: ClaimRequest = {
+      serviceName: request.serviceName,
+      idempotencyKey,
+      claimId: randomUUID(),
+      requestDigest: digestOf(request),
+      generation: claimGeneration(wallMs, this.#settings.claimLifetimeMs),
+    };
+    for (let round = 0; round < MAXIMUM_ROUNDS; round += 1) {
+      if (!this.#gate.mayAsk(this.#clock.nowMs())) return this.#refuseForStore();
+      // eslint-disable-next-line no-await-in-loop -- each round depends on the one before
+      const verdict = await this.#ask(claim);
+      if (isLeft(verdict)) return this.#refuseForStore(claim);
+      if (verdict.right.kind === 'held') {
+        const { version } = verdict.right;
+        return right({ kind: 'held', held: { claim, version } });
+      }
+      if (verdict.right.kind === 'replay') return right(verdict.right);
+      if (verdict.right.kind === 'refused') return left(verdict.right.failure);
+    }
+    return this.#refuseForStore(claim);
+  }
+
+  /** Records an answer for repeats, without keeping the caller waiting for it. */
+  recordAnswer(held: HeldClaim, answer: RecordedAnswer): void {
+    const isSmall = answer.bodyBase64.length <= this.#settings.maximumRecordedBytes;
+    void this.#write(answerTransaction(held.claim, held.version, isSmall ? answer : null));
+  }
+
+  /** Gives the key back, so that a repeat may run. */
+  release(held: HeldClaim): Promise<void> {
+    return this.#write(releaseTransaction(held.claim, held.version));
+  }
+
+  /** Resolves when the writes under way have ended; they are bounded. */
+  async settle(): Promise<void> {
+    await Promise.all(this.#writes);
+  }
+
+  async #ask(claim: ClaimRequest): Promise<Either<Failure, ClaimVerdict>> {
+    const inserted = await this.#table.transact(claimTransaction(claim))();
+    if (isLeft(inserted)) {
+      this.#gate.noteFailure(this.#clock.nowMs());
+      this.#metrics.count('claim_store_failures', { kind: inserted.left.kind });
+      if (inserted.left.kind !== ErrorKind.StoreAnswerLost) return inserted;
+    } else {
+      this.#gate.noteAnswer();
+      if (inserted.right.outcome === TransactionOutcome.Committed) {
+        return right({ kind: 'held', version: inserted.right.version });
+      }
+    }
+    const read = await this.#table.read({ keys: claimKeys(claim), prefixes: [] })();
+    if (isLeft(read)) {
+      this.#gate.noteFailure(this.#clock.nowMs());
+      return read;
+    }
+    this.#gate.noteAnswer();
+    return right(judgeClaim(claim, read.right.rows));
+  }
+
+  #refuseForStore(claim?: ClaimRequest): Either<Failure, never> {
+    this.#metrics.count('claims_refused');
+    if (claim !== undefined && this.#abandoned.size < MAXIMUM_ABANDONED) {
+      this.#abandoned.add(claim);
+    }
+    return left(storeOut());
+  }
+
+  /**
+   * Takes back what a refused request may have left in the table, so that its repeat is not
+   * told that the key is taken. A claim that is not found counts as taken back.
+   */
+  async #withdrawAbandoned(): Promise<void> {
+    const [claim] = this.#abandoned;
+    if (claim === undefined || !this.#gate.mayAsk(this.#clock.nowMs())) return;
+    const read = await this.#table.read({ keys: claimKeys(claim), prefixes: [] })();
+    if (isLeft(read)) {
+      this.#gate.noteFailure(this.#clock.nowMs());
+      return;
+    }
+    this.#gate.noteAnswer();
+    const verdict = judgeClaim(claim, read.right.rows);
+    if (verdict.kind === 'held') {
+      const released = await this.#table.transact(releaseTransaction(claim, verdict.version))();
+      if (isLeft(released)) return;
+    }
+    this.#abandoned.delete(claim);
+  }
+
+  #write(transaction: Transaction): Promise<void> {
+    const writing = this.#writeWithTries(transaction).finally(() => this.#writes.delete(writing));
+    this.#writes.add(writing);
+    return writing;
+  }
+
+  async #writeWithTries(transaction: Transaction): Promise<void> {
+    for (let tries = 0; tries < MAXIMUM_WRITE_TRIES; tries += 1) {
+      // eslint-disable-next-line no-await-in-loop -- tries follow one another
+      const written = await this.#table.transact(transaction)();
+      if (!isLeft(written)) return;
+    }
+    this.#metrics.count('claim_writes_lost');
+  }
+}
--- /dev/null
+++ b/src/entry/node/requestDispatch.ts
@@ -0,0 +1,276 @@
+/** Drives requests through admission and attempts; all that is decided is in common/. */
+import { type Either, left, right } from 'fp-ts/lib/Either.js';
+
+import type { Clock } from '../../base/common/clock.js';
+import { type Disposable, DisposableStore } from '../../base/common/lifecycle.js';
+import { PeriodicTimer } from '../../base/node/periodicTimer.js';
+import { ErrorKind, failure, type Failure } from '../../platform/errors/common/errorKinds.js';
+import type { Metrics } from '../../platform/metrics/common/metrics.js';
+import type { Settings } from '../../platform/settings/common/settings.js';
+import { Hop, type TraceSpan } from '../../platform/tracing/common/tracing.js';
+import {
+  type Admission,
+  AdmissionKind,
+  type Dispatched,
+  ExtraReason,
+  ServerVerdict,
+} from '../common/admission.js';
+import type { CallerRequest, RequestTerms } from '../common/callerRequest.js';
+import type { WaitingRequest } from '../common/fairQueue.js';
+import { SERVICE_HEADER, TRACEPARENT_HEADER } from '../common/headers.js';
+import { endToEndHeaders } from '../common/passedHeaders.js';
+import type { RequestProgress } from '../common/requestProgress.js';
+import { secondAttemptReason } from '../common/secondAttempt.js';
+import type { ServerRecord, ServiceRecord } from '../common/serverRecords.js';
+import type { AttemptResult, AttemptRun, BackendAnswer } from './attemptRun.js';
+import type { BackendConnections } from './backendConnections.js';
+
+/**
+ * How often deadlines, waiting times and silence are looked at. One timer for all requests: a
+ * timer each would cost more than the decisions, and nothing here needs a finer grain.
+ */
+const SWEEP_INTERVAL_MS = 10;
+const FIRST_SERVER_ERROR = 500;
+
+/** A request under way: what it is, by when it must be answered and its trace. */
+export interface Journey extends WaitingRequest {
+  readonly request: CallerRequest;
+  readonly terms: RequestTerms;
+  readonly progress: RequestProgress;
+  readonly span: TraceSpan | undefined;
+  waitingSinceMs: number;
+  avoidedWorkerId: string | undefined;
+  queueSpan: TraceSpan | undefined;
+  readonly running: RunningAttempt[];
+  isDone: boolean;
+  settle: (result: Either<Failure, BackendAnswer>) => void;
+}
+
+interface RunningAttempt {
+  readonly server: ServerRecord<Journey>;
+  readonly run: AttemptRun;
+  readonly startedAtMs: number;
+  readonly extra: ExtraReason | undefined;
+  readonly span: TraceSpan | undefined;
+  isOvertaken: boolean;
+}
+
+export interface RequestDispatchServices {
+  readonly admission: Admission<Journey>;
+  readonly connections: BackendConnections;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+}
+
+export class RequestDispatch implements Disposable {
+  readonly #services: RequestDispatchServices;
+
+  readonly #settings: Settings['entry'];
+
+  readonly #journeys = new Set<Journey>();
+
+  readonly #disposables = new DisposableStore();
+
+  constructor(services: RequestDispatchServices, settings: Settings['entry']) {
+    this.#services = services;
+    this.#settings = settings;
+    this.#disposables.add(new PeriodicTimer(SWEEP_INTERVAL_MS, () => this.#sweep()));
+  }
+
+  dispose(): void {
+    this.#disposables.dispose();
+  }
+
+  get underWayCount(): number {
+    return this.#journeys.size;
+  }
+
+  /** Serves a request; the result comes once, at the deadline at the latest. */
+  serve(journey: Journey): Promise<Either<Failure, BackendAnswer>> {
+    return new Promise((settle) => {
+      // The record is this class's own from here on.
+      // eslint-disable-next-line no-param-reassign
+      journey.settle = settle;
+      this.#journeys.add(journey);
+      const service = this.#service(journey);
+      service?.budget.earn();
+      service?.hedgeBudget.earn();
+      this.#admit(journey, this.#services.clock.nowMs());
+    });
+  }
+
+  #service(journey: Journey): ServiceRecord<Journey> | undefined {
+    return this.#services.admission.service(journey.request.serviceName);
+  }
+
+  #admit(journey: Journey, nowMs: number): void {
+    const decision = this.#services.admission.admit(journey.request.serviceName, journey, nowMs);
+    switch (decision.kind) {
+      case AdmissionKind.Admitted:
+        this.#send(journey, decision.server, undefined, nowMs);
+        return;
+      case AdmissionKind.Refused:
+        this.#finish(journey, left(decision.failure));
+        return;
+      default:
+        this.#services.metrics.count('requests_queued');
+        // The record is this class's own.
+        // eslint-disable-next-line no-param-reassign
+        journey.queueSpan = journey.span?.child(Hop.Queue);
+        if (decision.displaced === undefined) return;
+        this.#services.metrics.count('requests_displaced');
+        this.#finish(decision.displaced.waiting, left(decision.displaced.failure));
+    }
+  }
+
+  #send(
+    journey: Journey,
+    server: ServerRecord<Journey>,
+    extra: ExtraReason | undefined,
+    nowMs: number,
+  ): void {
+    const { request, progress } = journey;
+    journey.queueSpan?.end();
+    if (journey.isDone || !progress.tryStart()) {
+      if (!journey.isDone) this.#services.metrics.count('invariant_non_idempotent_sent_twice');
+      this.#giveBack(journey, server, nowMs);
+      this.#finish(journey, left(failure(ErrorKind.AnswerLost, 'it may have run already')));
+      return;
+    }
+    const span = journey.span?.child(Hop.Attempt, { worker: server.worker.workerId });
+    const headers = endToEndHeaders(request.headers);
+    headers[SERVICE_HEADER] = request.serviceName;
+    if (span !== undefined) headers[TRACEPARENT_HEADER] = span.traceparent;
+    const run = this.#services.connections.attempt({
+      server: server.server,
+      method: request.method,
+      path: request.path,
+      headers,
+      body: request.body,
+      isFreshWanted: extra === ExtraReason.Silence,
+    });
+    const attempt = { server, run, startedAtMs: nowMs, extra, span, isOvertaken: false };
+    journey.running.push(attempt);
+    void run.result.then((result) => this.#handleEnd(journey, attempt, result));
+  }
+
+  /** Gives a place back that was not used after all. */
+  #giveBack(journey: Journey, server: ServerRecord<Journey>, nowMs: number): void {
+    const { serviceName } = journey.request;
+    const end = { latencyMs: 0, verdict: ServerVerdict.Unused, isServerLeaving: false };
+    this.#sendAll(this.#services.admission.finish(serviceName, server, end, nowMs), nowMs);
+  }
+
+  #sendAll(dispatched: readonly Dispatched<Journey>[], nowMs: number): void {
+    dispatched.forEach(({ waiting, server }) => this.#send(waiting, server, undefined, nowMs));
+  }
+
+  #handleEnd(journey: Journey, attempt: RunningAttempt, result: AttemptResult): void {
+    const nowMs = this.#services.clock.nowMs();
+    const { server, startedAtMs, span } = attempt;
+    span?.end({ end: result.end });
+    journey.running.splice(journey.running.indexOf(attempt), 1);
+    journey.progress.noteEnd(result.end);
+    const end = {
+      latencyMs: nowMs - startedAtMs,
+      verdict: RequestDispatch.#verdict(attempt, result),
+      isServerLeaving: result.isServerLeaving,
+    };
+    if (end.isServerLeaving) this.#services.metrics.count('servers_said_leaving');
+    const { serviceName } = journey.request;
+    const dispatched = this.#services.admission.finish(serviceName, server, end, nowMs);
+    this.#proceed(journey, attempt, result, nowMs);
+    this.#sendAll(dispatched, nowMs);
+  }
+
+  static #verdict(attempt: RunningAttempt, result: AttemptResult): ServerVerdict {
+    if (attempt.isOvertaken) return ServerVerdict.Overtaken;
+    const isServerError =
+      result.answer === undefined || result.answer.statusCode >= FIRST_SERVER_ERROR;
+    return isServerError ? ServerVerdict.Failure : ServerVerdict.Success;
+  }
+
+  #proceed(journey: Journey, attempt: RunningAttempt, result: AttemptResult, nowMs: number): void {
+    if (journey.isDone) return;
+    if (result.answer !== undefined) {
+      if (attempt.extra !== undefined) {
+        this.#services.metrics.count('second_attempts_won', { reason: attempt.extra });
+      }
+      this.#finish(journey, right(result.answer));
+      return;
+    }
+    if (journey.running.length > 0) return;
+    const { progress } = journey;
+    const mayRetry = progress.mayRetry(nowMs);
+    if (!mayRetry || this.#service(journey)?.budget.trySpend() !== true) {
+      if (mayRetry) this.#services.metrics.count('retries_over_budget');
+      this.#finish(journey, left(progress.finalFailure(nowMs)));
+      return;
+    }
+    this.#services.metrics.count('request_retries');
+    /* eslint-disable no-param-reassign -- the record is this class's own */
+    journey.waitingSinceMs = nowMs;
+    journey.avoidedWorkerId = attempt.server.worker.workerId;
+    /* eslint-enable no-param-reassign */
+    this.#admit(journey, nowMs);
+  }
+
+  /** Answers at once and closes the connections of attempts that no longer matter. */
+  #finish(journey: Journey, result: Either<Failure, BackendAnswer>): void {
+    if (journey.isDone) return;
+    const { progress, running } = journey;
+    // The record is this class's own.
+    // eslint-disable-next-line no-param-reassign
+    journey.isDone = true;
+    this.#journeys.delete(journey);
+    journey.queueSpan?.end();
+    journey.settle(result._tag === 'Left' ? left(progress.tellable(result.left)) : result);
+    [...running].forEach((attempt) => {
+      // The record is this class's own.
+      // eslint-disable-next-line no-param-reassign
+      attempt.isOvertaken = result._tag === 'Right';
+      if (attempt.isOvertaken && !attempt.run.hasProgress) {
+        this.#services.metrics.count('connections_overtaken');
+      }
+      attempt.run.giveUp();
+    });
+  }
+
+  #sweep(): void {
+    const nowMs = this.#services.clock.nowMs();
+    const { rejected, dispatched } = this.#services.admission.sweep(nowMs);
+    rejected.forEach(({ waiting, failure: cause }) => this.#finish(waiting, left(cause)));
+    this.#sendAll(dispatched, nowMs);
+    this.#journeys.forEach((journey) => {
+      if (journey.running.length === 0) return;
+      if (nowMs < journey.deadlineAtMs) this.#considerSecond(journey, nowMs);
+      else this.#finish(journey, left(journey.progress.finalFailure(nowMs)));
+    });
+  }
+
+  #considerSecond(journey: Journey, nowMs: number): void {
+    const [first, second] = journey.running;
+    const service = this.#service(journey);
+    if (first === undefined || second !== undefined || service === undefined) return;
+    const reason = secondAttemptReason(
+      {
+        isIdempotent: journey.terms.isIdempotent,
+        attemptCount: journey.progress.attemptCount,
+        maximumAttemptCount: this.#settings.maximumAttemptCount,
+        ageMs: nowMs - first.startedAtMs,
+        hasProgress: first.run.hasProgress,
+        highLatencyMs: service.limit.highMs,
+      },
+      this.#settings,
+    );
+    if (reason === undefined) return;
+    const { admission, metrics } = this.#services;
+    const budget = reason === ExtraReason.Silence ? service.budget : service.hedgeBudget;
+    if (!budget.hasToken) return;
+    const server = admission.tryAdmitExtra(service.name, first.server, reason, nowMs);
+    if (server === undefined) return;
+    budget.trySpend();
+    metrics.count('second_attempts', { reason });
+    this.#send(journey, server, reason, nowMs);
+  }
+}
--- a/src/entry/node/requestHandler.ts
+++ b/src/entry/node/requestHandler.ts
@@ -1,107 +1,96 @@
-/** Carries a caller's request through admission, attempts and the answer. */
+/** Takes a caller's request: its terms, the claim of its idempotency key, its answer. */
 import { type Either, isLeft, left, right } from 'fp-ts/lib/Either.js';
 
 import type { Clock } from '../../base/common/clock.js';
 import { type Disposable, DisposableStore } from '../../base/common/lifecycle.js';
-import { PeriodicTimer } from '../../base/node/periodicTimer.js';
 import type { ConfigurationService } from '../../platform/configuration/common/configurationService.js';
 import { Urgency } from '../../platform/configuration/common/documents.js';
-import { ErrorKind, failure, type Failure } from '../../platform/errors/common/errorKinds.js';
+import {
+  ERROR_ANSWERS,
+  ErrorKind,
+  failure,
+  type Failure,
+  WorkOutcome,
+} from '../../platform/errors/common/errorKinds.js';
 import type { Metrics } from '../../platform/metrics/common/metrics.js';
 import type { Settings } from '../../platform/settings/common/settings.js';
 import { Hop, type TraceSpan, type Tracing } from '../../platform/tracing/common/tracing.js';
-import { AttemptEnd, mayRetry } from '../common/attempt.js';
+import type { RecordedAnswer } from '../../platform/work/common/claimRow.js';
+import type { Admission } from '../common/admission.js';
 import { type CallerRequest, readTerms, type RequestTerms } from '../common/callerRequest.js';
-import { SERVICE_HEADER, TRACEPARENT_HEADER } from '../common/headers.js';
-import { RetryBudget } from '../common/retryBudget.js';
-import type { BackendServer } from '../common/routing.js';
-import type { ServerChooser } from '../common/serverChoice.js';
-import { WaitingQueue, type WaitingRequest } from '../common/waitingQueue.js';
-import type { AttemptResult, BackendAnswer, BackendConnections } from './backendConnections.js';
+import { REPLAYED_HEADER, TRACEPARENT_HEADER } from '../common/headers.js';
+import { endToEndHeaders } from '../common/passedHeaders.js';
+import { RequestProgress } from '../common/requestProgress.js';
+import type { BackendAnswer } from './attemptRun.js';
+import type { BackendConnections } from './backendConnections.js';
+import type { ClaimKeeper, HeldClaim } from './claimKeeper.js';
+import { type Journey, RequestDispatch } from './requestDispatch.js';
 import type { RoutingReader } from './routingReader.js';
 
-/** Headers that concern one connection only and are never passed on. */
-const HOP_BY_HOP_HEADERS: ReadonlySet<string> = new Set([
-  'connection',
-  'content-length',
-  'expect',
-  'host',
-  'keep-alive',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-]);
-const EXPIRY_INTERVAL_MS = 20;
-
-/** The headers of a message that go on to the next hop. */
-export const endToEndHeaders = (
-  headers: Readonly<Record<string, string | string[] | undefined>>,
-): Record<string, string | string[]> => {
-  const kept: Record<string, string | string[]> = {};
-  Object.entries(headers).forEach(([name, value]) => {
-    if (value !== undefined && !HOP_BY_HOP_HEADERS.has(name)) kept[name] = value;
-  });
-  return kept;
-};
-
-interface QueuedRequest extends WaitingRequest {
-  readonly serviceName: string;
-  readonly settle: (server: Either<Failure, BackendServer>) => void;
-}
-
-/** A request under way: what it is, by when it must be answered and its trace. */
-interface Journey {
-  readonly request: CallerRequest;
-  readonly terms: RequestTerms;
-  readonly deadlineAtMs: number;
-  readonly span: TraceSpan | undefined;
-}
+type Result = Either<Failure, BackendAnswer>;
 
 export interface RequestHandlerServices {
-  readonly routing: RoutingReader;
+  readonly routing: Pick<RoutingReader, 'routes' | 'onDidChange'>;
+  readonly admission: Admission<Journey>;
   readonly connections: BackendConnections;
-  readonly chooser: ServerChooser;
-  readonly configuration: ConfigurationService;
+  readonly claims: ClaimKeeper;
+  readonly configuration: Pick<ConfigurationService, 'current'>;
   readonly clock: Clock;
   readonly metrics: Metrics;
   readonly tracing: Tracing;
+  /** The wall clock, which only names the generation of a claim. */
+  readonly wallNowMs: () => number;
 }
 
+const toRecorded = (answer: BackendAnswer): RecordedAnswer => ({
+  statusCode: answer.statusCode,
+  headers: endToEndHeaders(answer.headers),
+  bodyBase64: answer.body.toString('base64'),
+});
+
+const fromRecorded = (answer: RecordedAnswer): BackendAnswer => ({
+  statusCode: answer.statusCode,
+  headers: { ...answer.headers, [REPLAYED_HEADER]: 'true' },
+  body: Buffer.from(answer.bodyBase64, 'base64'),
+});
+
+const outcomeOf = (cause: Failure): WorkOutcome =>
+  cause.workOutcome ?? ERROR_ANSWERS[cause.kind].workOutcome;
+
 export class RequestHandler implements Disposable {
   readonly #services: RequestHandlerServices;
 
   readonly #settings: Settings['entry'];
 
-  readonly #inFlight = new Map<string, number>();
-
-  readonly #queues = new Map<string, WaitingQueue<QueuedRequest>>();
-
-  readonly #budgets = new Map<string, RetryBudget>();
+  readonly #dispatch: RequestDispatch;
 
   readonly #disposables = new DisposableStore();
 
   constructor(services: RequestHandlerServices, settings: Settings['entry']) {
     this.#services = services;
     this.#settings = settings;
-    this.#disposables.add(new PeriodicTimer(EXPIRY_INTERVAL_MS, () => this.#expire()));
+    this.#dispatch = this.#disposables.add(new RequestDispatch(services, settings));
+    this.#disposables.add(services.routing.onDidChange(() => this.#takeRoutes()));
+    this.#takeRoutes();
   }
 
   dispose(): void {
     this.#disposables.dispose();
   }
 
-  async handle(request: CallerRequest): Promise<Either<Failure, BackendAnswer>> {
+  /** Resolves when the answers of idempotent requests are recorded, as far as they can be. */
+  async settle(): Promise<void> {
+    await this.#services.claims.settle();
+  }
+
+  async handle(request: CallerRequest): Promise<Result> {
     const { clock, tracing, metrics } = this.#services;
     const startedAtMs = clock.nowMs();
     const terms = readTerms(request, this.#settings);
     if (isLeft(terms)) return terms;
     const header = request.headers[TRACEPARENT_HEADER];
     const span = tracing.startTrace(Hop.Entry, typeof header === 'string' ? header : undefined);
-    const deadlineAtMs = startedAtMs + terms.right.timeoutMs;
-    const result = await this.#serve({ request, terms: terms.right, deadlineAtMs, span });
+    const result = await this.#serve(request, terms.right, startedAtMs, span);
     const outcome = isLeft(result) ? result.left.kind : 'answered';
     span?.end({ service: request.serviceName, outcome });
     metrics.count('requests', { outcome });
@@ -109,150 +98,83 @@
     return result;
   }
 
-  async #serve(journey: Journey): Promise<Either<Failure, BackendAnswer>> {
-    const { request, terms } = journey;
+  #serve(
+    request: CallerRequest,
+    terms: RequestTerms,
+    nowMs: number,
+    span: TraceSpan | undefined,
+  ): Promise<Result> {
     if (!this.#services.routing.routes.has(request.serviceName)) {
-      return left(failure(ErrorKind.UnknownService, `no service ${request.serviceName}`));
-    }
-    const budget = this.#budget(request.serviceName);
-    budget.earn();
-    for (let attemptCount = 1; ; attemptCount += 1) {
-      // Attempts follow one another by nature.
-      // eslint-disable-next-line no-await-in-loop
-      const server = await this.#admit(journey);
-      if (isLeft(server)) return server;
-      // eslint-disable-next-line no-await-in-loop
-      const result = await this.#attempt(journey, server.right);
-      if (result.answer !== undefined) return right(result.answer);
-      const question = {
-        end: result.end,
-        isIdempotent: terms.isIdempotent,
-        attemptCount,
-        maximumAttemptCount: this.#settings.maximumAttemptCount,
-        deadlineAtMs: journey.deadlineAtMs,
-      };
-      const isRetried = mayRetry(question, this.#services.clock.nowMs()) && budget.trySpend();
-      if (!isRetried) return left(RequestHandler.#finalFailure(result.end));
-      this.#services.metrics.count('request_retries');
-    }
-  }
-
-  static #finalFailure(end: AttemptEnd): Failure {
-    switch (end) {
-      case AttemptEnd.NotRun:
-        return failure(ErrorKind.ServerRefused, 'the backend server did not take the request');
-      case AttemptEnd.TimedOut:
-        return failure(ErrorKind.DeadlineExceededAfterSend, 'no answer before the deadline');
-      default:
-        return failure(ErrorKind.AnswerLost, 'the connection ended before the whole answer');
+      const cause = failure(ErrorKind.UnknownService, `no service ${request.serviceName}`);
+      return Promise.resolve(left(cause));
     }
-  }
-
-  async #attempt(journey: Journey, server: BackendServer): Promise<AttemptResult> {
-    const { request, span } = journey;
-    const attemptSpan = span?.child(Hop.Attempt, { worker: server.workerId });
-    const headers = endToEndHeaders(request.headers);
-    headers[SERVICE_HEADER] = request.serviceName;
-    if (attemptSpan !== undefined) headers[TRACEPARENT_HEADER] = attemptSpan.traceparent;
-    try {
-      const remainingMs = journey.deadlineAtMs - this.#services.clock.nowMs();
-      const result = await this.#services.connections.attempt({
-        server,
-        method: request.method,
-        path: request.path,
-        headers,
-        body: request.body,
-        timeoutMs: Math.max(1, Math.ceil(remainingMs)),
-        maximumBodyBytes: this.#settings.maximumBodyBytes,
-      });
-      attemptSpan?.end({ end: result.end });
-      return result;
-    } finally {
-      this.#release(server, request.serviceName);
-    }
-  }
-
-  /** Waits until a server has room; the slot taken has to be released. */
-  async #admit(journey: Journey): Promise<Either<Failure, BackendServer>> {
-    const { serviceName } = journey.request;
-    const servers = this.#services.routing.routes.get(serviceName) ?? [];
-    if (servers.length === 0) {
-      return left(failure(ErrorKind.NoServer, `no backend server for ${serviceName}`));
-    }
-    const queue = this.#queue(serviceName);
-    const server = queue.length === 0 ? this.#choose(serviceName) : undefined;
-    if (server !== undefined) {
-      this.#occupy(server);
-      return right(server);
-    }
-    const urgency =
-      this.#services.configuration.current?.services.get(serviceName)?.urgency ?? Urgency.Normal;
-    const span = journey.span?.child(Hop.Queue);
-    const admitted = await new Promise<Either<Failure, BackendServer>>((settle) => {
-      const waiting = { urgency, deadlineAtMs: journey.deadlineAtMs, serviceName, settle };
-      if (queue.tryAdd(waiting)) return;
-      settle(left(failure(ErrorKind.Saturated, `${serviceName} is saturated`)));
-    });
-    span?.end();
-    return admitted;
-  }
-
-  #choose(serviceName: string): BackendServer | undefined {
-    const servers = this.#services.routing.routes.get(serviceName) ?? [];
-    return this.#services.chooser.choose(servers, {
-      inFlightCount: (workerId) => this.#inFlight.get(workerId) ?? 0,
-      inFlightLimit: (server) => this.#services.connections.connectionShare(server),
+    const deadlineAtMs = nowMs + terms.timeoutMs;
+    const progress = new RequestProgress({
+      isIdempotent: terms.isIdempotent,
+      maximumAttemptCount: this.#settings.maximumAttemptCount,
+      deadlineAtMs,
     });
+    const journey: Journey = {
+      request,
+      terms,
+      progress,
+      span,
+      deadlineAtMs,
+      callerId: terms.callerId,
+      waitingSinceMs: nowMs,
+      avoidedWorkerId: undefined,
+      queueSpan: undefined,
+      running: [],
+      isDone: false,
+      settle: () => {},
+    };
+    const { idempotencyKey, isIdempotent } = terms;
+    if (isIdempotent || idempotencyKey === undefined) return this.#dispatchChecked(journey);
+    return this.#serveClaimed(journey, idempotencyKey);
   }
 
-  #occupy(server: BackendServer): void {
-    this.#inFlight.set(server.workerId, (this.#inFlight.get(server.workerId) ?? 0) + 1);
-  }
-
-  #release(server: BackendServer, serviceName: string): void {
-    const count = (this.#inFlight.get(server.workerId) ?? 1) - 1;
-    if (count === 0) this.#inFlight.delete(server.workerId);
-    else this.#inFlight.set(server.workerId, count);
-    this.#serveQueue(serviceName);
+  /** Sends work that is not idempotent only under the claim of its key. */
+  async #serveClaimed(journey: Journey, idempotencyKey: string): Promise<Result> {
+    const { claims, clock, wallNowMs } = this.#services;
+    const claimed = await claims.claim(journey.request, idempotencyKey, wallNowMs());
+    if (isLeft(claimed)) return claimed;
+    if (claimed.right.kind === 'replay') return right(fromRecorded(claimed.right.answer));
+    const { held } = claimed.right;
+    // The record is still this class's own.
+    // eslint-disable-next-line no-param-reassign
+    journey.waitingSinceMs = clock.nowMs();
+    const result = await this.#dispatchChecked(journey);
+    await this.#endClaim(held, result, journey);
+    return result;
   }
 
-  #serveQueue(serviceName: string): void {
-    const queue = this.#queue(serviceName);
-    while (queue.length > 0) {
-      const server = this.#choose(serviceName);
-      if (server === undefined) return;
-      const next = queue.takeNext();
-      if (next === undefined) return;
-      this.#occupy(server);
-      next.settle(right(server));
+  async #endClaim(held: HeldClaim, result: Result, journey: Journey): Promise<void> {
+    const { claims } = this.#services;
+    if (!isLeft(result)) claims.recordAnswer(held, toRecorded(result.right));
+    else if (outcomeOf(result.left) === WorkOutcome.NotRun && !journey.progress.mayHaveRun) {
+      void claims.release(held);
     }
   }
 
-  #expire(): void {
-    const nowMs = this.#services.clock.nowMs();
-    this.#queues.forEach((queue, serviceName) => {
-      queue
-        .takeExpired(nowMs)
-        .forEach((waiting) =>
-          waiting.settle(left(failure(ErrorKind.DeadlineExceeded, 'waited until the deadline'))),
-        );
-      this.#serveQueue(serviceName);
-    });
-  }
-
-  #queue(serviceName: string): WaitingQueue<QueuedRequest> {
-    const known = this.#queues.get(serviceName);
-    if (known !== undefined) return known;
-    const queue = new WaitingQueue<QueuedRequest>(this.#settings.queueCapacity);
-    this.#queues.set(serviceName, queue);
-    return queue;
+  /** The last check before a caller is told that its work did not run. */
+  async #dispatchChecked(journey: Journey): Promise<Result> {
+    const result = await this.#dispatch.serve(journey);
+    if (!isLeft(result) || outcomeOf(result.left) !== WorkOutcome.NotRun) return result;
+    if (!journey.progress.mayHaveRun) return result;
+    this.#services.metrics.count('invariant_false_not_run');
+    return left({ ...result.left, workOutcome: WorkOutcome.Unknown });
   }
 
-  #budget(serviceName: string): RetryBudget {
-    const known = this.#budgets.get(serviceName);
-    if (known !== undefined) return known;
-    const budget = new RetryBudget(this.#settings.retryBudgetRatio);
-    this.#budgets.set(serviceName, budget);
-    return budget;
+  #takeRoutes(): void {
+    const { routing, admission, connections, configuration } = this.#services;
+    const { routes } = routing;
+    const view = configuration.current;
+    admission.updateRoutes(
+      routes,
+      (serviceName) => view?.services.get(serviceName)?.urgency ?? Urgency.Normal,
+    );
+    const origins = new Set<string>();
+    routes.forEach((servers) => servers.forEach(({ origin }) => origins.add(origin)));
+    connections.retainOnly(origins);
   }
 }
--- a/src/entry/node/routingReader.ts
+++ b/src/entry/node/routingReader.ts
@@ -1,6 +1,7 @@
 /** Keeps the routing table of this entry up to date. */
 import { isLeft } from 'fp-ts/lib/Either.js';
 
+import { Emitter } from '../../base/common/event.js';
 import { type Disposable, DisposableStore } from '../../base/common/lifecycle.js';
 import { PeriodicTimer } from '../../base/node/periodicTimer.js';
 import type { ConfigurationService } from '../../platform/configuration/common/configurationService.js';
@@ -29,6 +30,10 @@
 
   readonly #rows = new Map<string, EndpointRow>();
 
+  readonly #didChange = this.#disposables.add(new Emitter<RoutingTable>());
+
+  readonly onDidChange = this.#didChange.event;
+
   #routes: RoutingTable = new Map();
 
   constructor(
@@ -76,5 +81,6 @@
     const view = this.#configuration.current;
     if (view === undefined) return;
     this.#routes = toRoutingTable(view, [...this.#rows.values()], this.#directory.instances);
+    this.#didChange.fire(this.#routes);
   }
 }
--- /dev/null
+++ b/src/entry/test/wholeAnswers.test.ts
@@ -0,0 +1,159 @@
+import { createServer, type Socket } from 'node:net';
+
+import { afterEach, describe, expect, it } from 'vitest';
+
+import { backendServer, EntryHarness, workOutcome } from './entryHarness.js';
+import { type RawAnswer, RawBackend, wholeAnswer } from './rawBackend.js';
+
+const cleanups: (() => unknown)[] = [];
+afterEach(async () => {
+  await Promise.all(cleanups.splice(0).map((cleanup) => cleanup()));
+});
+
+const start = async (answer: RawAnswer): Promise<{ entry: EntryHarness; backend: RawBackend }> => {
+  const backend = new RawBackend(answer);
+  const entry = new EntryHarness();
+  cleanups.push(() => backend.close());
+  cleanups.push(() => entry.dispose());
+  entry.route('s', [backendServer(await backend.listen())]);
+  await entry.listen();
+  return { entry, backend };
+};
+
+const endAfter =
+  (text: string): RawAnswer =>
+  (socket) => {
+    socket.end(text);
+  };
+
+/** Work that is not idempotent is never repeated, so each cut shows as it is. */
+const callOnce = (entry: EntryHarness, path = '/a') => entry.call(path, {}, 'POST', 'order');
+
+describe('an answer that is cut', () => {
+  // The caller must see an error, never a short success. The server sends the beginning of an
+  // answer and its connection ends, as it does when its process dies. What marks the end of the
+  // answer differs: a length, chunks, or only the end of the connection.
+  it.each([
+    ['before its head is whole', 'HTTP/1.1 200 OK\r\ncontent-le'],
+    ['in the body, with a length', 'HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhalf'],
+    ['between chunks', 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n'],
+    ['in a chunk', 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n8\r\nhalf'],
+    ['where only the connection marks its end', 'HTTP/1.1 200 OK\r\n\r\nhalf'],
+    ['where HTTP/1.0 marks no end', 'HTTP/1.0 200 OK\r\nconnection: close\r\n\r\nhalf'],
+  ])('is an error whose work is unknown: %s', async (_name, text) => {
+    const { entry, backend } = await start(endAfter(text));
+    const answer = await callOnce(entry);
+    expect(answer.statusCode).toBe(502);
+    expect(workOutcome(answer)).toBe('unknown');
+    expect(backend.requests).toHaveLength(1);
+    expect(entry.breaches).toEqual([]);
+  });
+
+  it('is tried again for idempotent work', async () => {
+    const { entry } = await start((socket, index) => {
+      if (index === 0) socket.end('HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhalf');
+      else socket.write(wholeAnswer('whole'));
+    });
+    const answer = await entry.call('/a');
+    expect([answer.statusCode, answer.text]).toEqual([200, 'whole']);
+  });
+});
+
+describe('an answer with more bytes than it states', () => {
+  // The server states four bytes and sends more. The caller gets the four; what comes after them
+  // must not be read as the answer to the next request on the connection.
+  it('is cut to its length, and the rest meets no other request', async () => {
+    const { entry } = await start((socket, index) => {
+      const extra = index === 0 ? wholeAnswer('stray') : '';
+      socket.write(`${wholeAnswer(`own${index}`)}${extra}`);
+    });
+    const texts: string[] = [];
+    for (let index = 0; index < 5; index += 1) {
+      // eslint-disable-next-line no-await-in-loop -- one after the other on one connection
+      texts.push((await entry.call('/a')).text);
+    }
+    expect(texts).toEqual(['own0', 'own1', 'own2', 'own3', 'own4']);
+  });
+
+  // As before, but the stray answer comes a moment later, on the idle connection.
+  it('closes the connection when a stray answer comes while it is idle', async () => {
+    const { entry } = await start((socket, index) => {
+      socket.write(wholeAnswer(`own${index}`));
+      if (index === 0) setTimeout(() => socket.write(wholeAnswer('stray')), 20);
+    });
+    expect((await entry.call('/a')).text).toBe('own0');
+    await new Promise((resolve) => {
+      setTimeout(resolve, 100);
+    });
+    expect((await entry.call('/a')).text).toBe('own1');
+  });
+});
+
+describe('a late answer', () => {
+  // The caller's time runs out and the server answers afterwards. The next request must not
+  // receive that answer: the connection that carried the first is closed.
+  it('reaches neither the next request nor anybody else', async () => {
+    const { entry, backend } = await start((socket, index) => {
+      const delayMs = index === 0 ? 150 : 0;
+      setTimeout(() => socket.write(wholeAnswer(`own${index}`)), delayMs);
+    });
+    const late = await entry.call('/a', { 'snipethread-timeout-ms': '60' });
+    expect(late.statusCode).toBe(504);
+    expect(workOutcome(late)).toBe('unknown');
+    const texts = [await entry.call('/b'), await entry.call('/c')].map(({ text }) => text);
+    expect(texts).toEqual(['own1', 'own2']);
+    expect(backend.mostConnections).toBeLessThanOrEqual(2);
+  });
+
+  // Many requests at a time, answered in the reverse order of their arrival. Each caller must
+  // get what belongs to its own path.
+  it('out of order goes to its own caller', async () => {
+    const waiting: (() => void)[] = [];
+    const answerAll = (): void =>
+      waiting
+        .splice(0)
+        .reverse()
+        .forEach((answer) => answer());
+    const { entry } = await start((socket, _index, head) => {
+      const path = /^GET (\S+)/u.exec(head)?.[1] ?? '';
+      waiting.push(() => socket.write(wholeAnswer(path)));
+      setTimeout(answerAll, 20);
+    });
+    const paths = Array.from({ length: 40 }, (_, index) => `/p${index}`);
+    const answers = await Promise.all(paths.map((path) => entry.call(path)));
+    expect(answers.map(({ text }) => text)).toEqual(paths);
+  });
+});
+
+describe('an answer before the request was read', () => {
+  // The server answers on the first bytes of a large body and reads no more; it then closes, or
+  // keeps the connection open. The answer is either whole or an error, and the unread rest of
+  // the body must not be taken for a request.
+  it.each([true, false])('is whole or an error (closes: %s)', async (isClosing) => {
+    const sockets: Socket[] = [];
+    const early = createServer((socket) => {
+      sockets.push(socket);
+      socket.on('error', () => {});
+      socket.once('data', () => {
+        socket.pause();
+        socket.write(wholeAnswer('early'));
+        if (isClosing) setTimeout(() => socket.resetAndDestroy(), 50);
+      });
+    });
+    await new Promise<void>((resolve) => {
+      early.listen(0, '127.0.0.1', resolve);
+    });
+    cleanups.push(() => {
+      sockets.forEach((socket) => socket.destroy());
+      early.close();
+    });
+    const entry = new EntryHarness();
+    cleanups.push(() => entry.dispose());
+    entry.route('s', [backendServer((early.address() as { port: number }).port)]);
+    await entry.listen();
+    const answer = await entry.call('/a', {}, 'POST', 'x'.repeat(1_000_000));
+    const isWhole = answer.statusCode === 200 && answer.text === 'early';
+    expect(isWhole || workOutcome(answer) === 'unknown').toBe(true);
+    expect(sockets).toHaveLength(1);
+  });
+});
--- a/src/platform/settings/common/settings.ts
+++ b/src/platform/settings/common/settings.ts
@@ -32,15 +32,36 @@
 const entrySchema = z.strictObject({
   /** The largest body of a request or an answer. */
   maximumBodyBytes: positiveCount.default(1_048_576),
+  /** All bodies of requests that may be held at a time. */
+  maximumHeldBytes: positiveCount.default(33_554_432),
+  maximumCallerConnections: positiveCount.default(2_000),
   /** How long a caller may take to send its request. */
   receiveTimeoutMs: positiveMs.default(10_000),
   defaultDeadlineMs: positiveMs.default(5_000),
   maximumDeadlineMs: positiveMs.default(60_000),
+  /** Requests of one service that may wait. */
   queueCapacity: positiveCount.default(1_000),
+  /** How long a request may wait before it is refused. */
+  maximumWaitMs: positiveMs.default(500),
   /** Entries that may exist at a time, the restarting ones included; each gets a fair share. */
   maximumEntryCount: positiveCount.default(8),
   maximumAttemptCount: positiveCount.default(3),
+  /** Retries allowed for each first attempt. */
   retryBudgetRatio: z.number().min(0).max(1).default(0.1),
+  /** Second attempts of slow requests allowed for each first attempt. */
+  hedgeBudgetRatio: z.number().min(0).max(1).default(0.02),
+  /** The least time without a byte after which a connection is taken for silent. */
+  silenceFloorMs: positiveMs.default(1_000),
+  /** The largest part of a service's servers that may be set aside at a time. */
+  maximumSetAsideRatio: z.number().min(0).max(1).default(0.3),
+  /** How long a server's own word that it is leaving counts. */
+  leavingHoldMs: positiveMs.default(10_000),
+  idleConnectionMs: positiveMs.default(4_000),
+  connectTimeoutMs: positiveMs.default(1_000),
+  /** How long an idempotency key is remembered at least. */
+  claimLifetimeMs: positiveMs.default(86_400_000),
+  /** The largest answer that is kept for repeats, in base64 digits. */
+  maximumRecordedBytes: z.number().int().nonnegative().default(4_096),
   drainDelayMs: z.number().int().nonnegative().default(1_000),
   drainTimeoutMs: positiveMs.default(30_000),
 });
@@ -134,6 +155,16 @@
       ['entry', 'defaultDeadlineMs'],
       'must not exceed entry.maximumDeadlineMs',
     );
+    rule(
+      entry.maximumHeldBytes < entry.maximumBodyBytes,
+      ['entry', 'maximumHeldBytes'],
+      'must hold at least one body of entry.maximumBodyBytes',
+    );
+    rule(
+      entry.silenceFloorMs >= entry.defaultDeadlineMs,
+      ['entry', 'silenceFloorMs'],
+      'must be below entry.defaultDeadlineMs, or a silent connection is found too late',
+    );
     rule(
       peers.silenceTimeoutMs < peers.heartbeatIntervalMs * 2,
       ['peers', 'silenceTimeoutMs'],
