--- a/src/daemon/node/daemon.ts
+++ b/src/daemon/node/daemon.ts
@@ -10,6 +10,7 @@
 import { BackendConnections } from '../../entry/node/backendConnections.js';
 import { CallerServer } from '../../entry/node/callerServer.js';
 import { ClaimKeeper } from '../../entry/node/claimKeeper.js';
+import { ClaimSweeper } from '../../entry/node/claimSweeper.js';
 import type { Journey } from '../../entry/node/requestDispatch.js';
 import { RequestHandler } from '../../entry/node/requestHandler.js';
 import { RoutingReader } from '../../entry/node/routingReader.js';
@@ -90,6 +91,9 @@
       const chooser = new LatencyWeightedOfTwo(random);
       const admission = new Admission<Journey>(entry, chooser, random);
       const claims = own.add(new ClaimKeeper(table, clock, metrics, entry));
+      own.add(
+        new ClaimSweeper(table, metrics, entry.claimLifetimeMs, Date.now, randomInt(SEED_LIMIT)),
+      );
       const services = { routing, admission, connections, claims, configuration };
       const handler = own.add(
         new RequestHandler({ ...services, clock, metrics, tracing, wallNowMs: Date.now }, entry),
