Randomised runs in virtual time; a new assignment to an idle worker is not taken for lost

Cause: an assignment whose worker holds no lease was taken for lost (nowMs is after leasesOverAtMs) in the same step in which its start went out. Weighed: letting a commit count as a lease (the bound would be a guess of ours, not the worker's word); ruled out. Change: an assignment that a worker heard from lately does not list was not sent and stays; an assignment that the commit under way takes back is neither started nor renewed. soak/ holds the runs: fast-check model commands, stand-ins of workers and table, a judge.

--- /dev/null
+++ b/soak/test/soakCommands.ts
@@ -0,0 +1,288 @@
+/** What happens in a randomised run: work, operators' changes and faults, as model commands. */
+import fc from 'fast-check';
+
+import { isEnded, workRowSchema } from '../../src/platform/work/common/workRows.js';
+import { FAILING_JOB_MARK } from './soakWorker.js';
+import {
+  CAPACITY,
+  DAEMON_COUNT,
+  SERVICE,
+  type SoakWorld,
+  TASK_SIZE,
+  WORKERS_PER_ZONE,
+  ZONES,
+} from './soakWorld.js';
+
+/** What the run has asked for; the rest of the truth is in the stand-ins. */
+export interface SoakModel {
+  jobCount: number;
+  stepCount: number;
+}
+
+type Action = (world: SoakWorld, model: SoakModel) => void;
+
+export const assertNothingFound = (world: SoakWorld): void => {
+  const broken = [...world.counters]
+    .filter(([name, count]) => name.startsWith('invariant_') && count > 0)
+    .map(([name, count]) => `${name} ${count}`);
+  const findings = [...world.judge.allFindings(), ...broken];
+  if (findings.length > 0) throw new Error(findings.join('\n'));
+};
+
+/** One step: something happens, then time passes. */
+class Step implements fc.AsyncCommand<SoakModel, SoakWorld> {
+  readonly #name: string;
+
+  readonly #gapMs: number;
+
+  readonly #action: Action;
+
+  constructor(name: string, gapMs: number, action: Action) {
+    this.#name = name;
+    this.#gapMs = gapMs;
+    this.#action = action;
+  }
+
+  check(): boolean {
+    return true;
+  }
+
+  async run(model: SoakModel, world: SoakWorld): Promise<void> {
+    // fast-check's model is changed in place.
+    // eslint-disable-next-line no-param-reassign
+    model.stepCount += 1;
+    this.#action(world, model);
+    await world.runFor(this.#gapMs);
+    assertNothingFound(world);
+  }
+
+  toString(): string {
+    return `${this.#name} +${this.#gapMs}`;
+  }
+}
+
+const gap = fc.oneof(fc.integer({ min: 1, max: 400 }), fc.integer({ min: 400, max: 5_000 }));
+const duration = fc.integer({ min: 200, max: 9_000 });
+const anyDaemon = fc.nat({ max: DAEMON_COUNT - 1 });
+const anyWorker = fc.nat({ max: ZONES.length * WORKERS_PER_ZONE - 1 });
+const anyZone = fc.constantFrom(...ZONES);
+
+const step = <Arguments extends unknown[]>(
+  name: string,
+  args: fc.Arbitrary<Arguments>,
+  action: (...values: Arguments) => Action,
+): fc.Arbitrary<Step> =>
+  fc
+    .tuple(args, gap)
+    .map(([values, gapMs]) => new Step(`${name}(${values.join(',')})`, gapMs, action(...values)));
+
+const workerAt = (world: SoakWorld, index: number) => [...world.workers.values()][index];
+
+const submit =
+  (taskCount: number, workMs: number, kind: string, index: number): Action =>
+  (world, model) => {
+    // eslint-disable-next-line no-param-reassign
+    model.jobCount += 1;
+    const size =
+      kind === 'too-large'
+        ? { ...TASK_SIZE, processorMillis: CAPACITY.processorMillis + 1 }
+        : TASK_SIZE;
+    const submissionKey =
+      kind === 'failing' ? `failing-${model.jobCount}` : `job-${model.jobCount}`;
+    const intent = { intent: 'submit-job', team: 'kitchen', urgency: 'normal' } as const;
+    void world.operate(index, { ...intent, submissionKey, taskCount, size, workMs });
+  };
+
+const submitStep = step(
+  'submit',
+  fc.tuple(
+    fc.integer({ min: 1, max: 40 }),
+    fc.integer({ min: 10, max: 9_000 }),
+    fc.constantFrom('usual', 'usual', 'usual', 'too-large', 'failing'),
+    anyDaemon,
+  ),
+  submit,
+);
+
+const cancelWave = step(
+  'cancel',
+  fc.tuple(fc.integer({ min: 1, max: 5 }), anyDaemon),
+  (count, index) => (world, model) => {
+    const first = Math.max(1, model.jobCount - count + 1);
+    const jobIds = [...world.acceptedJobIds].slice(-count);
+    if (first <= model.jobCount && jobIds.length > 0) {
+      void world.operate(index, { intent: 'cancel-jobs', jobIds });
+    }
+  },
+);
+
+const operatorSteps = [
+  step('withdraw', fc.tuple(anyZone, anyDaemon), (zone, index) => (world) => {
+    void world.operate(index, { intent: 'withdraw-zone', zone });
+  }),
+  step('use', fc.tuple(anyZone, anyDaemon), (zone, index) => (world) => {
+    void world.operate(index, { intent: 'use-zone', zone, region: 'r' });
+  }),
+  step('race', fc.tuple(anyZone), (zone) => (world) => {
+    void world.operate(0, { intent: 'withdraw-zone', zone });
+    void world.operate(1, { intent: 'use-zone', zone, region: 'r' });
+    void world.operate(2, { intent: 'withdraw-zone', zone });
+  }),
+  step('drain', fc.tuple(anyWorker, fc.boolean()), (index, isDraining) => (world) => {
+    const workerId = workerAt(world, index)?.id ?? '';
+    void world.operate(index, { intent: isDraining ? 'drain-worker' : 'return-worker', workerId });
+  }),
+  step('resize', fc.tuple(fc.integer({ min: 1, max: 6 })), (replicaCount) => (world) => {
+    const service = { name: SERVICE, team: 'kitchen', replicaCount, size: TASK_SIZE };
+    void world.operate(0, {
+      intent: 'change-service',
+      service: { ...service, urgency: 'urgent' },
+    });
+  }),
+];
+
+const daemonFaults = [
+  step('kill', fc.tuple(anyDaemon, duration), (index, backMs) => (world) => {
+    world.kill(index);
+    world.schedule(backMs, () => world.addDaemon());
+  }),
+  step('pause', fc.tuple(anyDaemon, duration), (index, durationMs) => (world) => {
+    const daemon = world.daemons[index];
+    if (daemon === undefined || daemon.isPaused) return;
+    daemon.isPaused = true;
+    world.schedule(durationMs, () => world.resume(daemon));
+  }),
+  step('cut', fc.tuple(anyDaemon, duration), (index, durationMs) => (world) => {
+    const daemon = world.daemons[index];
+    if (daemon === undefined) return;
+    daemon.isCut = true;
+    world.schedule(durationMs, () =>
+      Object.assign(daemon, { isCut: false, hinderedAtMs: world.nowMs }),
+    );
+  }),
+];
+
+const callFault = (
+  name: string,
+  toFault: (ratio: number) => Partial<SoakWorld['tableFaults']>,
+  target: 'tableFaults' | 'workerFaults',
+): fc.Arbitrary<Step> =>
+  step(
+    name,
+    fc.tuple(fc.integer({ min: 5, max: 50 }), duration),
+    (percent, durationMs) => (world) => {
+      Object.assign(world[target], toFault(percent / 100));
+      world.schedule(durationMs, () => {
+        Object.assign(world[target], { isDown: false, lateRatio: 0, lostRatio: 0 });
+        world.daemons.forEach((daemon) => Object.assign(daemon, { hinderedAtMs: world.nowMs }));
+      });
+    },
+  );
+
+const callFaults = [
+  callFault('table-down', () => ({ isDown: true }), 'tableFaults'),
+  callFault('table-late', (lateRatio) => ({ lateRatio }), 'tableFaults'),
+  callFault('table-answers-lost', (lostRatio) => ({ lostRatio }), 'tableFaults'),
+  callFault('worker-messages-late', (lateRatio) => ({ lateRatio }), 'workerFaults'),
+  callFault('worker-answers-lost', (lostRatio) => ({ lostRatio }), 'workerFaults'),
+];
+
+const workerFaults = [
+  step(
+    'worker-cut',
+    fc.tuple(anyWorker, fc.integer({ min: 200, max: 30_000 })),
+    (index, durationMs) => (world) => {
+      const worker = workerAt(world, index);
+      if (worker === undefined) return;
+      Object.assign(worker, { isCut: true, faultedAtMs: world.nowMs });
+      world.schedule(durationMs, () =>
+        Object.assign(worker, { isCut: false, faultedAtMs: world.nowMs }),
+      );
+    },
+  ),
+  step('worker-restart', fc.tuple(anyWorker), (index) => (world) => {
+    const worker = workerAt(world, index);
+    if (worker === undefined) return;
+    worker.faultedAtMs = world.nowMs;
+    worker.restart();
+  }),
+];
+
+const badWorkers = [
+  step('worker-bad', fc.tuple(anyWorker, duration), (index, durationMs) => (world) => {
+    const worker = workerAt(world, index);
+    if (worker === undefined) return;
+    worker.isBad = true;
+    world.schedule(durationMs, () => Object.assign(worker, { isBad: false }));
+  }),
+];
+
+/** Steps of a run by what they touch. */
+export const SCENARIOS = {
+  badWorkers: [submitStep, submitStep, ...badWorkers],
+  scheduler: [submitStep, submitStep, ...daemonFaults, ...callFaults, ...workerFaults],
+  operator: [submitStep, cancelWave, ...operatorSteps, ...daemonFaults, ...callFaults],
+  all: [
+    submitStep,
+    submitStep,
+    cancelWave,
+    ...operatorSteps,
+    ...daemonFaults,
+    ...callFaults,
+    ...workerFaults,
+  ],
+} as const;
+export type Scenario = keyof typeof SCENARIOS;
+
+const HEAL_MS = 10_000;
+const QUIET_STEP_MS = 5_000;
+const QUIET_LIMIT_MS = 180_000;
+
+/** What is not yet as it should be once faults have ended; empty when all is. */
+const unsettled = (world: SoakWorld): readonly string[] => {
+  const rows = world.table
+    .read({ keys: [], prefixes: ['work/', 'finished/'] })
+    .rows.map((row) => workRowSchema.parse(row.value));
+  const jobs = world.table.read({ keys: [], prefixes: ['job/'] }).rows;
+  const jobIds = new Set(jobs.map((row) => row.key.slice('job/'.length)));
+  const lost = [...world.acceptedJobIds].filter((jobId) => !jobIds.has(jobId));
+  const problems = lost.map((jobId) => `accepted job ${jobId} is gone`);
+  jobs.forEach(({ value }) => {
+    const { jobId, taskCount, size } = value as {
+      jobId: string;
+      taskCount: number;
+      size: typeof TASK_SIZE;
+    };
+    const tasks = rows.filter((row) => row.jobId === jobId).flatMap((row) => row.tasks);
+    const indexes = new Set(tasks.map(({ index }) => index));
+    if (tasks.length !== taskCount || indexes.size !== taskCount) {
+      problems.push(`${jobId} has ${tasks.length} tasks of ${taskCount}`);
+    }
+    const open = tasks.filter((task) => !isEnded(task)).length;
+    const canRun = size.processorMillis <= CAPACITY.processorMillis;
+    if (open > 0 && canRun) problems.push(`${jobId} has ${open} open tasks`);
+    const failed = tasks.filter((task) => task.state === 'failed').length;
+    if (failed > 0 && !jobId.startsWith(FAILING_JOB_MARK)) {
+      problems.push(`${jobId} was given up: ${failed} tasks`);
+    }
+  });
+  const { configurationVersion } = world.judge;
+  world.daemons
+    .filter((daemon) => daemon.reader.current?.version !== configurationVersion)
+    .forEach((daemon) => problems.push(`${daemon.id} has not the newest configuration`));
+  return problems;
+};
+
+/** Ends all faults, waits and expects everything to be as it was accepted. */
+export const expectSettled = async (world: SoakWorld): Promise<void> => {
+  await world.runFor(HEAL_MS);
+  ZONES.forEach((zone) => void world.operate(0, { intent: 'use-zone', zone, region: 'r' }));
+  const limitMs = world.nowMs + QUIET_LIMIT_MS;
+  while (world.nowMs < limitMs) {
+    // eslint-disable-next-line no-await-in-loop -- time passes in steps
+    await world.runFor(QUIET_STEP_MS);
+    assertNothingFound(world);
+    if (unsettled(world).length === 0) return;
+  }
+  throw new Error(unsettled(world).join('\n'));
+};
--- /dev/null
+++ b/soak/test/soakJudge.ts
@@ -0,0 +1,172 @@
+/** Judges a randomised run from the workers' own records and from what the table has committed. */
+import {
+  CHANGE_PREFIX,
+  changeRowSchema,
+  VERSION_KEY,
+  versionRowSchema,
+  ZONE_PREFIX,
+  zoneDocumentSchema,
+  ZoneState,
+} from '../../src/platform/configuration/common/documents.js';
+import {
+  type Transaction,
+  TransactionOutcome,
+  type TransactionResult,
+} from '../../src/platform/table/common/table.js';
+import type { StartRequest, WorkerReport } from '../../src/platform/worker/common/workerClient.js';
+import { WorkerTaskState } from '../../src/platform/worker/common/workerClient.js';
+import { Judge, type Verdict } from '../../standIns/workers/judge.js';
+import type { WorkerEvent } from '../../standIns/workers/workerStandIn.js';
+import type { SoakWorker } from './soakWorker.js';
+
+/** "A few seconds": no start in a zone, and no request to it, later than this. */
+export const WITHDRAWAL_BOUND_MS = 3_000;
+
+interface AttemptRecord {
+  readonly worker: SoakWorker;
+  readonly startedAtMs: number;
+  readonly startProgressMs: number;
+  evictedProgressMs: number | undefined;
+}
+
+const progressOf = (checkpoint: string | null): number =>
+  checkpoint === null ? 0 : Number(checkpoint.split('@')[1]);
+
+export class SoakJudge {
+  /** What was found, one line each with its instant. */
+  readonly findings: string[] = [];
+
+  readonly withdrawnAtMs = new Map<string, number>();
+
+  configurationVersion = 0;
+
+  readonly #workers: Judge;
+
+  readonly #attempts = new Map<string, AttemptRecord>();
+
+  readonly #acceptedPlans = new Map<string, number>();
+
+  readonly #deniedPlans = new Set<string>();
+
+  constructor(zoneOf: ReadonlyMap<string, string>) {
+    this.#workers = new Judge(zoneOf, WITHDRAWAL_BOUND_MS);
+  }
+
+  verdict(): Verdict {
+    return this.#workers.verdict();
+  }
+
+  find(text: string, nowMs: number): void {
+    this.findings.push(`${Math.round(nowMs)} ms: ${text}`);
+  }
+
+  noteWorker(event: WorkerEvent, nowMs: number): void {
+    this.#workers.note(event, nowMs);
+  }
+
+  /** Takes in every start a worker carried out; `report` is its state after the message. */
+  noteStarted(
+    worker: SoakWorker,
+    starts: readonly StartRequest[],
+    report: WorkerReport,
+    nowMs: number,
+  ): void {
+    starts
+      .filter((start) => start.taskClass === 'batch')
+      .forEach((start) => this.#noteAttempt(worker, start, nowMs));
+    report.tasks
+      .filter((task) => task.state === WorkerTaskState.Evicted)
+      .forEach((task) => {
+        const record = this.#attempts.get(`${task.taskId}#${task.attempt}`);
+        if (record !== undefined) record.evictedProgressMs = progressOf(task.checkpoint);
+      });
+  }
+
+  /** An attempt starts once; the one after an eviction goes on from the eviction's checkpoint. */
+  #noteAttempt(worker: SoakWorker, start: StartRequest, nowMs: number): void {
+    const key = `${start.taskId}#${start.attempt}`;
+    if (this.#attempts.has(key)) this.find(`attempt ${key} was started twice`, nowMs);
+    const startProgressMs = progressOf(start.checkpoint);
+    const record = { worker, startedAtMs: nowMs, startProgressMs, evictedProgressMs: undefined };
+    this.#attempts.set(key, record);
+    const before = this.#attempts.get(`${start.taskId}#${start.attempt - 1}`);
+    if (before === undefined) return;
+    if (startProgressMs < before.startProgressMs) {
+      this.find(`${key} lost the checkpoint its former attempt had`, nowMs);
+    }
+    // A worker that was cut off or lost its memory could not hand its checkpoint over.
+    const isHandedOver = before.worker.faultedAtMs < before.startedAtMs;
+    const isOther = startProgressMs !== before.evictedProgressMs;
+    if (before.evictedProgressMs !== undefined && isHandedOver && isOther) {
+      this.find(`${key} did not resume from the checkpoint of its eviction`, nowMs);
+    }
+  }
+
+  noteTransaction(transaction: Transaction, result: TransactionResult, nowMs: number): void {
+    if (result.outcome !== TransactionOutcome.Committed) return;
+    transaction.writes.forEach(({ key, value }) => {
+      if (key === VERSION_KEY) this.#noteVersion(versionRowSchema.parse(value).version, nowMs);
+      if (key.startsWith(CHANGE_PREFIX))
+        this.#noteAccepted(changeRowSchema.parse(value).planId, nowMs);
+      if (key.startsWith(ZONE_PREFIX)) {
+        const { name, state } = zoneDocumentSchema.parse(value);
+        const isWithdrawn = state === ZoneState.Withdrawn;
+        this.#workers.markZone(name, isWithdrawn, nowMs);
+        if (isWithdrawn) this.withdrawnAtMs.set(name, nowMs);
+        else this.withdrawnAtMs.delete(name);
+      }
+    });
+  }
+
+  /** An operator was told that the plan surely did not take effect. */
+  noteDenied(planId: string, nowMs: number): void {
+    this.#deniedPlans.add(planId);
+    if (this.#acceptedPlans.has(planId)) this.find('"not run", but the plan was accepted', nowMs);
+  }
+
+  /** An operator was told that the plan is in force. */
+  noteConfirmed(planId: string, nowMs: number): void {
+    if (!this.#acceptedPlans.has(planId)) this.find('confirmed, but nothing was accepted', nowMs);
+  }
+
+  noteRouted(daemonId: string, zone: string, nowMs: number): void {
+    const withdrawnAtMs = this.withdrawnAtMs.get(zone);
+    if (withdrawnAtMs === undefined || nowMs - withdrawnAtMs <= WITHDRAWAL_BOUND_MS) return;
+    this.find(`${daemonId} sends new work to ${zone}, which was withdrawn`, nowMs);
+  }
+
+  noteInForce(daemonId: string, before: number, after: number, nowMs: number): void {
+    if (after < before) this.find(`${daemonId} went back from ${before} to ${after}`, nowMs);
+    if (after > this.configurationVersion) this.find(`${daemonId} is ahead of the table`, nowMs);
+  }
+
+  /** Everything found up to now, the workers' records included. */
+  allFindings(): readonly string[] {
+    const verdict = this.verdict();
+    const named = (label: string, items: readonly string[]): string[] =>
+      items.length === 0 ? [] : [`${label}: ${items.join(', ')}`];
+    return [
+      ...this.findings,
+      ...named('ran in two places', verdict.doubleRuns),
+      ...named('completed twice', verdict.doubleCompletions),
+      ...named('overcommitted', verdict.overcommittedWorkers),
+      ...(verdict.startsInWithdrawnZones > 0
+        ? [`${verdict.startsInWithdrawnZones} starts in a withdrawn zone`]
+        : []),
+    ];
+  }
+
+  #noteVersion(version: number, nowMs: number): void {
+    if (version !== this.configurationVersion + 1) {
+      this.find(`version ${this.configurationVersion} was followed by ${version}`, nowMs);
+    }
+    this.configurationVersion = version;
+  }
+
+  #noteAccepted(planId: string, nowMs: number): void {
+    const count = (this.#acceptedPlans.get(planId) ?? 0) + 1;
+    this.#acceptedPlans.set(planId, count);
+    if (count > 1) this.find('a plan was accepted twice', nowMs);
+    if (this.#deniedPlans.has(planId)) this.find('"not run", but the plan took effect', nowMs);
+  }
+}
--- /dev/null
+++ b/soak/test/soakRun.ts
@@ -0,0 +1,62 @@
+/** Runs one seed: fast-check draws the steps, and shrinks them when something is found. */
+import fc from 'fast-check';
+
+import { expectSettled, type Scenario, SCENARIOS, type SoakModel } from './soakCommands.js';
+import { type Sabotage, SoakWorld } from './soakWorld.js';
+
+const SEED_LIMIT = 2 ** 31 - 1;
+
+export interface SoakResult {
+  readonly stepCount: number;
+  readonly virtualMs: number;
+  readonly startCount: number;
+  readonly evictionCount: number;
+  readonly conflictCount: number;
+  readonly completedBatchCount: number;
+  /** The shrunk trace of a failure and what was found; undefined when nothing was. */
+  readonly failure: string | undefined;
+}
+
+export interface SoakOptions {
+  readonly seed: number;
+  readonly scenario: Scenario;
+  readonly maximumStepCount: number;
+  readonly sabotage?: Sabotage;
+  readonly isShrunk?: boolean;
+}
+
+const found = ({ errorInstance }: { readonly errorInstance: unknown }): string =>
+  errorInstance instanceof Error ? errorInstance.message : String(errorInstance);
+
+export const runSeed = async (options: SoakOptions): Promise<SoakResult> => {
+  const totals = { stepCount: 0, virtualMs: 0, startCount: 0, evictionCount: 0 };
+  const ends = { conflictCount: 0, completedBatchCount: 0 };
+  const commands = fc.commands([...SCENARIOS[options.scenario]], {
+    maxCommands: options.maximumStepCount,
+    size: 'max',
+  });
+  const property = fc.asyncProperty(commands, fc.nat({ max: SEED_LIMIT }), async (steps, seed) => {
+    const world = new SoakWorld(seed, options.sabotage);
+    const model: SoakModel = { jobCount: 0, stepCount: 0 };
+    await world.start();
+    await fc.asyncModelRun(() => ({ model, real: world }), steps);
+    await expectSettled(world);
+    const verdict = world.judge.verdict();
+    totals.stepCount += model.stepCount;
+    totals.virtualMs += world.nowMs;
+    totals.startCount += verdict.startCount;
+    totals.evictionCount += verdict.evictionCount;
+    ends.conflictCount += world.table.counts.conflictCount;
+    ends.completedBatchCount += verdict.completedBatchCount;
+  });
+  const outcome = await fc.check(property, {
+    seed: options.seed,
+    numRuns: 1,
+    endOnFailure: options.isShrunk === false,
+  });
+  return {
+    ...totals,
+    ...ends,
+    failure: outcome.failed ? `${fc.defaultReportMessage(outcome)}\n${found(outcome)}` : undefined,
+  };
+};
--- /dev/null
+++ b/soak/test/soakWorker.ts
@@ -0,0 +1,100 @@
+/** A worker of a randomised run: its own clock, restarts, and tasks that fail at once. */
+import type { Resources } from '../../src/platform/worker/common/resources.js';
+import {
+  type WorkerCommand,
+  type WorkerReport,
+  WorkerTaskState,
+} from '../../src/platform/worker/common/workerClient.js';
+import { type WorkerEvent, WorkerStandIn } from '../../standIns/workers/workerStandIn.js';
+
+/** Tasks of jobs whose key begins so fail wherever they start. */
+export const FAILING_JOB_MARK = 'kitchen.failing';
+
+export class SoakWorker {
+  readonly id: string;
+
+  readonly zone: string;
+
+  /** Fails everything it starts. */
+  isBad = false;
+
+  isCut = false;
+
+  /** Test switch: a worker that starts an attempt again after it has forgotten it. */
+  isForgetful = false;
+
+  /** When a fault last kept messages or memory from this worker. */
+  faultedAtMs = Number.NEGATIVE_INFINITY;
+
+  readonly #capacity: Resources;
+
+  readonly #clockOffsetMs: number;
+
+  readonly #onEvent: (event: WorkerEvent) => void;
+
+  readonly #failedAttempts = new Set<string>();
+
+  #inner: WorkerStandIn;
+
+  #incarnationCount = 0;
+
+  constructor(
+    id: string,
+    zone: string,
+    capacity: Resources,
+    clockOffsetMs: number,
+    onEvent: (event: WorkerEvent) => void,
+  ) {
+    this.id = id;
+    this.zone = zone;
+    this.#capacity = capacity;
+    this.#clockOffsetMs = clockOffsetMs;
+    this.#onEvent = onEvent;
+    this.#inner = this.#create();
+  }
+
+  restart(): void {
+    this.#inner.advance(Number.POSITIVE_INFINITY);
+    this.#inner = this.#create();
+  }
+
+  advance(nowMs: number): void {
+    this.#inner.advance(nowMs + this.#clockOffsetMs);
+  }
+
+  hasService(serviceName: string): boolean {
+    return this.#inner.hasService(serviceName);
+  }
+
+  command(command: WorkerCommand, nowMs: number): WorkerReport {
+    const workerNowMs = nowMs + this.#clockOffsetMs;
+    const known = this.isForgetful ? { ...command, incarnation: this.#inner.incarnation } : command;
+    const report = this.#inner.command(known, workerNowMs);
+    const failing = report.tasks.filter(
+      (task) =>
+        task.state === WorkerTaskState.Running &&
+        (this.isBad || task.taskId.startsWith(FAILING_JOB_MARK)),
+    );
+    if (failing.length === 0) return this.#withFailures(report);
+    failing.forEach(({ taskId, attempt }) => this.#failedAttempts.add(`${taskId}#${attempt}`));
+    const evictions = failing.map(({ taskId, attempt }) => ({ taskId, attempt }));
+    const stop = { ...command, renewals: [], starts: [], evictions, acknowledgements: [] };
+    const current = { ...stop, incarnation: this.#inner.incarnation };
+    return this.#withFailures(this.#inner.command(current, workerNowMs));
+  }
+
+  #withFailures(report: WorkerReport): WorkerReport {
+    const tasks = report.tasks.map((task) =>
+      this.#failedAttempts.has(`${task.taskId}#${task.attempt}`)
+        ? { ...task, state: WorkerTaskState.Failed }
+        : task,
+    );
+    return { ...report, tasks };
+  }
+
+  #create(): WorkerStandIn {
+    this.#incarnationCount += 1;
+    const incarnation = `${this.id}@${this.#incarnationCount}`;
+    return new WorkerStandIn(this.id, incarnation, this.#capacity, this.#onEvent);
+  }
+}
--- /dev/null
+++ b/soak/test/soakWorld.ts
@@ -0,0 +1,457 @@
+/**
+ * Randomised runs in virtual time: several daemons, each with the schedulers of two cells, a
+ * configuration reader, routes and an operators' interface, over one table and stand-ins of
+ * workers. Faults are fields that commands switch; the judge knows the truth.
+ */
+import { type Either, isLeft, left, right } from 'fp-ts/lib/Either.js';
+
+import { SeededRandom } from '../../src/base/common/random.js';
+import { type RoutingTable, toRoutingTable } from '../../src/entry/common/routing.js';
+import type { Intent } from '../../src/operator/common/intent.js';
+import { PlanService } from '../../src/operator/node/planService.js';
+import { ConfigurationReader } from '../../src/platform/configuration/node/configurationReader.js';
+import {
+  ErrorKind,
+  errorBody,
+  failure,
+  type Failure,
+  WorkOutcome,
+} from '../../src/platform/errors/common/errorKinds.js';
+import type { WorkerInstance } from '../../src/platform/instanceList/common/instanceList.js';
+import { silentLog } from '../../src/platform/log/common/log.js';
+import { silentMetrics } from '../../src/platform/metrics/common/metrics.js';
+import type {
+  TableService,
+  Transaction,
+  TransactionResult,
+} from '../../src/platform/table/common/table.js';
+import {
+  ENDPOINT_PREFIX,
+  endpointRowSchema,
+  toJobId,
+} from '../../src/platform/work/common/workRows.js';
+import type { WorkerCommand, WorkerReport } from '../../src/platform/worker/common/workerClient.js';
+import { decide, initialCellState } from '../../src/scheduler/common/cellScheduler.js';
+import type { CellEffect, CellEvent, CellState } from '../../src/scheduler/common/cellState.js';
+import { SpreadAndPackPolicy } from '../../src/scheduler/common/placement.js';
+import { TEST_TIMING } from '../../src/scheduler/test/virtualCell.js';
+import { TableStandIn } from '../../standIns/platform/tableStandIn.js';
+import { SoakJudge } from './soakJudge.js';
+import { SoakWorker } from './soakWorker.js';
+import { VirtualTime } from './virtualTime.js';
+
+export const ZONES = ['zone-a', 'zone-b'] as const;
+export const SERVICE = 'rounds';
+export const DAEMON_COUNT = 3;
+export const WORKERS_PER_ZONE = 4;
+const WORKERS_PER_RACK = 2;
+const GIBIBYTE = 1024 ** 3;
+export const CAPACITY = { processorMillis: 8_000, memoryBytes: 32 * GIBIBYTE, acceleratorCount: 0 };
+export const TASK_SIZE = {
+  processorMillis: 2_000,
+  memoryBytes: 2 * GIBIBYTE,
+  acceleratorCount: 0,
+};
+const TICK_MS = 200;
+const CONFIGURATION_INTERVAL_MS = 700;
+const CALL_TIMEOUT_MS = 800;
+const USUAL_DELAY_MS = 20;
+const LATE_DELAY_MS = 8_000;
+const PLAN_LIFETIME_MS = 600_000;
+const NEVER_MS = 2 ** 30;
+
+/** Test switches that each break one safeguard, to show that the judge sees it. */
+export interface Sabotage {
+  readonly alterTransaction?: (transaction: Transaction) => Transaction;
+  readonly alterCommand?: (command: WorkerCommand) => WorkerCommand;
+  /** Workers start an attempt that a former incarnation was given. */
+  readonly hasForgetfulWorkers?: boolean;
+  /** Readers take whatever they read, the older too. */
+  readonly hasRevertingReaders?: boolean;
+  /** Entries that ignore the configuration and go on with the servers they have read. */
+  readonly hasDeafEntries?: boolean;
+  /** Operators are told `not-run` whatever the failure. */
+  readonly isAlwaysDenied?: boolean;
+  readonly alterState?: (state: CellState) => CellState;
+}
+
+export interface SoakDaemon {
+  readonly id: string;
+  readonly cells: Map<string, CellState>;
+  reader: ConfigurationReader;
+  plans: PlanService;
+  routes: RoutingTable;
+  isAlive: boolean;
+  isPaused: boolean;
+  isCut: boolean;
+  /** When a fault last kept it from reading the configuration. */
+  hinderedAtMs: number;
+  readonly inbox: (() => void)[];
+}
+
+interface CallFaults {
+  isDown: boolean;
+  /** The share of messages that arrive seconds late, when the sender has given them up. */
+  lateRatio: number;
+  /** The share of answers that are lost after the call took effect. */
+  lostRatio: number;
+}
+
+export class SoakWorld {
+  readonly time = new VirtualTime();
+
+  readonly table = new TableStandIn();
+
+  readonly judge: SoakJudge;
+
+  readonly workers = new Map<string, SoakWorker>();
+
+  readonly daemons: SoakDaemon[] = [];
+
+  readonly counters = new Map<string, number>();
+
+  readonly tableFaults: CallFaults = { isDown: false, lateRatio: 0, lostRatio: 0 };
+
+  readonly workerFaults: CallFaults = { isDown: false, lateRatio: 0, lostRatio: 0 };
+
+  /** Jobs that an operator was told are accepted. */
+  readonly acceptedJobIds = new Set<string>();
+
+  readonly #instances: WorkerInstance[] = [];
+
+  readonly #random: SeededRandom;
+
+  readonly #sabotage: Sabotage;
+
+  readonly #startedNow = new Set<string>();
+
+  #daemonCount = 0;
+
+  constructor(seed: number, sabotage: Sabotage = {}) {
+    this.#random = new SeededRandom(seed);
+    this.#sabotage = sabotage;
+    const zoneOf = new Map<string, string>();
+    this.judge = new SoakJudge(zoneOf);
+    ZONES.forEach((zone) => {
+      Array.from({ length: WORKERS_PER_ZONE }, (_, index) => index).forEach((index) => {
+        zoneOf.set(`${zone}-w${index}`, zone);
+        this.#addWorker(zone, index);
+      });
+    });
+    Array.from({ length: DAEMON_COUNT }, () => this.addDaemon());
+  }
+
+  get nowMs(): number {
+    return this.time.nowMs;
+  }
+
+  schedule(delayMs: number, run: () => void): void {
+    this.time.schedule(delayMs, run);
+  }
+
+  async runFor(durationMs: number): Promise<void> {
+    await this.time.runFor(durationMs);
+    this.workers.forEach((worker) => worker.advance(this.nowMs));
+  }
+
+  /** Brings the zones and a service into use, without faults. */
+  async start(): Promise<void> {
+    ZONES.forEach((zone) => void this.operate(0, { intent: 'use-zone', zone, region: 'r' }));
+    await this.runFor(1_000);
+    const service = { name: SERVICE, team: 'kitchen', replicaCount: 4, size: TASK_SIZE };
+    void this.operate(0, {
+      intent: 'create-service',
+      service: { ...service, urgency: 'urgent' },
+    });
+    await this.runFor(4_000);
+  }
+
+  /** Plans and confirms through the daemon at `index`, as an operator who asks once. */
+  async operate(index: number, intent: Intent): Promise<void> {
+    const daemon = this.daemons[index % this.daemons.length];
+    if (daemon === undefined) return;
+    const planned = await daemon.plans.plan(intent, 'ann');
+    if (isLeft(planned)) return;
+    const { planId, digest, steps } = planned.right;
+    const result = await daemon.plans.confirm({ planId, digest, author: 'ann' });
+    if (isLeft(result)) {
+      const isDenied = errorBody(result.left).workOutcome === WorkOutcome.NotRun;
+      if (isDenied || this.#sabotage.isAlwaysDenied) this.judge.noteDenied(planId, this.nowMs);
+      return;
+    }
+    if (steps.length > 0) this.judge.noteConfirmed(planId, this.nowMs);
+    if (intent.intent !== 'submit-job') return;
+    this.acceptedJobIds.add(toJobId(intent.team, intent.submissionKey));
+  }
+
+  addDaemon(): void {
+    this.#daemonCount += 1;
+    const id = `d${this.#daemonCount}`;
+    const daemon = { id, cells: new Map<string, CellState>(), routes: new Map() };
+    const state = { isAlive: true, isPaused: false, isCut: false, hinderedAtMs: this.nowMs };
+    const whole = { ...daemon, ...state, inbox: [] } as unknown as SoakDaemon;
+    const table = this.#tableOf(whole);
+    whole.plans = new PlanService(table, PLAN_LIFETIME_MS);
+    whole.reader = this.#createReader(table);
+    ZONES.forEach((zone, index) => {
+      const acquireDelayMs = (this.#daemonCount + index) % ZONES.length === 0 ? 0 : 400;
+      const timing = { ...TEST_TIMING, acquireDelayMs };
+      whole.cells.set(zone, initialCellState(zone, id, timing, this.nowMs));
+      this.#handle(whole, zone, { kind: 'instances', workers: this.#instances });
+    });
+    this.daemons.push(whole);
+    this.#every(TICK_MS, whole, () => this.#tick(whole));
+    this.#every(CONFIGURATION_INTERVAL_MS, whole, () => this.#readConfiguration(whole));
+    this.#every(CONFIGURATION_INTERVAL_MS, whole, () => this.#readRoutes(whole));
+  }
+
+  /** Ends a process at once; what it has sent still arrives. */
+  kill(index: number): void {
+    const daemon = this.daemons[index % this.daemons.length];
+    if (daemon === undefined) return;
+    daemon.isAlive = false;
+    this.daemons.splice(this.daemons.indexOf(daemon), 1);
+  }
+
+  resume(daemon: SoakDaemon): void {
+    Object.assign(daemon, { isPaused: false, hinderedAtMs: this.nowMs });
+    daemon.inbox.splice(0).forEach((run) => run());
+  }
+
+  #addWorker(zone: string, index: number): void {
+    const id = `${zone}-w${index}`;
+    const clockOffsetMs = this.#random.nextIndex(1_000_000);
+    const worker = new SoakWorker(id, zone, CAPACITY, clockOffsetMs, (event) => {
+      if (event.kind === 'started') this.#startedNow.add(`${event.taskId}#${event.attempt}`);
+      this.judge.noteWorker(event, this.nowMs);
+    });
+    worker.isForgetful = this.#sabotage.hasForgetfulWorkers ?? false;
+    this.workers.set(id, worker);
+    const address = { host: '127.0.0.1', port: 1 };
+    this.#instances.push({
+      kind: 'worker',
+      id,
+      availabilityZone: zone,
+      rack: `${zone}-r${Math.floor(index / WORKERS_PER_RACK)}`,
+      state: 'live',
+      controlAddress: address,
+      backendAddress: address,
+      capacity: CAPACITY,
+      slotCount: 8,
+      connectionCount: 64,
+    });
+  }
+
+  #createReader(table: TableService): ConfigurationReader {
+    const clock = { nowMs: () => this.nowMs };
+    const create = (): ConfigurationReader => {
+      const reader = new ConfigurationReader(table, clock, silentLog, silentMetrics, NEVER_MS);
+      // Its own timer runs on real time; here it is told when to read.
+      reader.dispose();
+      return reader;
+    };
+    return create();
+  }
+
+  #every(intervalMs: number, daemon: SoakDaemon, run: () => void): void {
+    const step = (): void => {
+      if (!daemon.isAlive) return;
+      // A paused process's timers do not fire.
+      if (!daemon.isPaused) run();
+      this.schedule(intervalMs, step);
+    };
+    this.schedule(this.#random.nextIndex(intervalMs), step);
+  }
+
+  #delayMs(faults: CallFaults): number {
+    const isLate = this.#random.nextFraction() < faults.lateRatio;
+    return 1 + this.#random.nextIndex(isLate ? LATE_DELAY_MS : USUAL_DELAY_MS);
+  }
+
+  /** Runs what arrives at a daemon: not at all once dead, after the pause while paused. */
+  static #deliver(daemon: SoakDaemon, run: () => void): void {
+    if (!daemon.isAlive) return;
+    if (daemon.isPaused) daemon.inbox.push(run);
+    else run();
+  }
+
+  #tick(daemon: SoakDaemon): void {
+    const { current, confirmedAtMs } = daemon.reader;
+    ZONES.forEach((zone) => {
+      if (current !== undefined) {
+        const configuration = { view: current, confirmedAtMs };
+        this.#handle(daemon, zone, { kind: 'configuration', configuration });
+      }
+      this.#handle(daemon, zone, { kind: 'tick' });
+    });
+    const servers = daemon.routes.get(SERVICE) ?? [];
+    const isHindered = this.nowMs - daemon.hinderedAtMs < 3_000;
+    // An entry that cannot read the table keeps its last configuration, by design.
+    if (daemon.isCut || this.tableFaults.isDown || this.tableFaults.lateRatio > 0 || isHindered) {
+      return;
+    }
+    new Set(servers.map((server) => server.availabilityZone)).forEach((zone) =>
+      this.judge.noteRouted(daemon.id, zone, this.nowMs),
+    );
+  }
+
+  #readConfiguration(daemon: SoakDaemon): void {
+    const before = daemon.reader.current?.version ?? 0;
+    if (this.#sabotage.hasRevertingReaders) {
+      // eslint-disable-next-line no-param-reassign
+      daemon.reader = this.#createReader(this.#tableOf(daemon));
+    }
+    void daemon.reader.refresh().then(() => {
+      const after = daemon.reader.current?.version ?? 0;
+      this.judge.noteInForce(daemon.id, before, after, this.nowMs);
+    });
+    this.time.noteSettled();
+  }
+
+  #readRoutes(daemon: SoakDaemon): void {
+    const read = () => this.table.read({ keys: [], prefixes: [ENDPOINT_PREFIX] });
+    this.#callTable(daemon, read, ErrorKind.StoreUnavailable, (result) => {
+      const { current } = daemon.reader;
+      if (isLeft(result) || current === undefined) return;
+      const rows = result.right.rows.map((row) => endpointRowSchema.parse(row.value));
+      const isDeaf = this.#sabotage.hasDeafEntries === true && daemon.routes.size > 0;
+      // eslint-disable-next-line no-param-reassign
+      if (!isDeaf) daemon.routes = toRoutingTable(current, rows, this.#instances);
+    });
+  }
+
+  #handle(daemon: SoakDaemon, zone: string, event: CellEvent): void {
+    const state = daemon.cells.get(zone);
+    if (state === undefined) return;
+    const known = this.#sabotage.alterState?.(state) ?? state;
+    const decision = decide(known, event, new SpreadAndPackPolicy(), this.nowMs);
+    daemon.cells.set(zone, decision.state);
+    decision.effects.forEach((effect) => this.#perform(daemon, zone, effect));
+  }
+
+  #perform(daemon: SoakDaemon, zone: string, effect: CellEffect): void {
+    const sentAtMs = this.nowMs;
+    const handle = (event: CellEvent): void => this.#handle(daemon, zone, event);
+    switch (effect.kind) {
+      case 'lease-read':
+      case 'load': {
+        const { kind, request } = effect;
+        const read = () => this.table.read(request);
+        this.#callTable(daemon, read, ErrorKind.StoreUnavailable, (result) =>
+          handle(kind === 'load' ? { kind: 'loaded', result } : { kind, result, sentAtMs }),
+        );
+        break;
+      }
+      case 'lease-write':
+      case 'commit': {
+        const write = () => this.#transact(effect.transaction);
+        this.#callTable(daemon, write, ErrorKind.StoreAnswerLost, (result) =>
+          handle(
+            effect.kind === 'commit'
+              ? { kind: 'committed', result }
+              : { kind: 'lease-written', step: effect.step, result, sentAtMs },
+          ),
+        );
+        break;
+      }
+      case 'command':
+        this.#command(daemon, effect.workerId, effect.command, (result) =>
+          handle({ kind: 'worker-answered', workerId: effect.workerId, result }),
+        );
+        break;
+      case 'count':
+        this.counters.set(effect.counter, (this.counters.get(effect.counter) ?? 0) + effect.amount);
+        break;
+      default:
+    }
+  }
+
+  #transact(transaction: Transaction): TransactionResult {
+    const altered = this.#sabotage.alterTransaction?.(transaction) ?? transaction;
+    const result = this.table.transact(altered);
+    this.judge.noteTransaction(altered, result, this.nowMs);
+    return result;
+  }
+
+  /** A call whose message and answer take time, come late, are lost or meet nobody. */
+  #call<Answer>(
+    daemon: SoakDaemon,
+    faults: CallFaults,
+    run: () => Answer | undefined,
+    lost: ErrorKind,
+    settle: (result: Either<Failure, Answer>) => void,
+  ): void {
+    let isSettled = false;
+    const settleOnce = (result: Either<Failure, Answer>): void => {
+      if (isSettled) return;
+      isSettled = true;
+      SoakWorld.#deliver(daemon, () => {
+        settle(result);
+        this.time.noteSettled();
+      });
+    };
+    this.schedule(CALL_TIMEOUT_MS, () => settleOnce(left(failure(lost, 'no answer in time'))));
+    this.schedule(this.#delayMs(faults), () => {
+      const answer = run();
+      if (answer === undefined || this.#random.nextFraction() < faults.lostRatio) return;
+      this.schedule(this.#delayMs(faults), () => settleOnce(right(answer)));
+    });
+  }
+
+  #callTable<Answer>(
+    daemon: SoakDaemon,
+    run: () => Answer,
+    lost: ErrorKind,
+    settle: (result: Either<Failure, Answer>) => void,
+  ): void {
+    if (this.tableFaults.isDown) {
+      const refused = left(failure(ErrorKind.StoreUnavailable, 'down'));
+      this.schedule(1, () =>
+        SoakWorld.#deliver(daemon, () => {
+          settle(refused);
+          this.time.noteSettled();
+        }),
+      );
+      return;
+    }
+    const reach = () => (daemon.isCut ? undefined : run());
+    this.#call(daemon, this.tableFaults, reach, lost, settle);
+  }
+
+  #tableOf(daemon: SoakDaemon): TableService {
+    return {
+      read: (request) => () =>
+        new Promise((resolve) => {
+          const read = () => this.table.read(request);
+          this.#callTable(daemon, read, ErrorKind.StoreUnavailable, resolve);
+        }),
+      transact: (transaction) => () =>
+        new Promise((resolve) => {
+          const write = () => this.#transact(transaction);
+          this.#callTable(daemon, write, ErrorKind.StoreAnswerLost, resolve);
+        }),
+    };
+  }
+
+  #command(
+    daemon: SoakDaemon,
+    workerId: string,
+    command: WorkerCommand,
+    settle: (result: Either<Failure, WorkerReport>) => void,
+  ): void {
+    const altered = this.#sabotage.alterCommand?.(command) ?? command;
+    const run = (): WorkerReport | undefined => {
+      const worker = this.workers.get(workerId);
+      if (worker === undefined || worker.isCut) return undefined;
+      this.#startedNow.clear();
+      worker.advance(this.nowMs);
+      const report = worker.command(altered, this.nowMs);
+      const started = altered.starts.filter(({ taskId, attempt }) =>
+        this.#startedNow.has(`${taskId}#${attempt}`),
+      );
+      this.judge.noteStarted(worker, started, report, this.nowMs);
+      return report;
+    };
+    this.#call(daemon, this.workerFaults, run, ErrorKind.WorkerUnavailable, settle);
+  }
+}
--- a/src/scheduler/common/taskEnds.ts
+++ b/src/scheduler/common/taskEnds.ts
@@ -46,7 +46,12 @@
   nowMs: number,
 ): AssignmentEnd | undefined => {
   if (view === undefined) return undefined;
-  if (nowMs > view.leasesOverAtMs) return AssignmentEnd.Lost;
+  // A worker with nothing to do holds no lease, so "all leases are over" says nothing about an
+  // assignment that has just been committed to it. Taken as lost, its start would go out at the
+  // same moment and the task would run twice.
+  const isHeardFrom = nowMs - view.reportedAtMs <= state.timing.reportFreshnessMs;
+  const isUnsent = isHeardFrom && reportedTask(view, assignment) === undefined;
+  if (nowMs > view.leasesOverAtMs && !isUnsent) return AssignmentEnd.Lost;
   if (view.report === undefined) return undefined;
   if (view.report.incarnation !== assignment.incarnation) return AssignmentEnd.Lost;
   const task = reportedTask(view, assignment);
--- a/src/scheduler/common/workerCommands.ts
+++ b/src/scheduler/common/workerCommands.ts
@@ -61,6 +61,18 @@
 
 const toAttempt = ({ taskId, attempt }: Assignment | WorkerTaskReport) => ({ taskId, attempt });
 
+/**
+ * False for an assignment that the commit under way takes back. Starting or renewing it now
+ * would leave it running beside its next attempt once the commit has taken effect.
+ */
+const isStanding = (state: CellState, assignment: Assignment): boolean => {
+  if (state.pending?.kind !== 'commit') return true;
+  const { draft } = state.pending;
+  return draft.racks.some((rack) =>
+    draft.assignments(rack).some((other) => isSameAttempt(other, assignment)),
+  );
+};
+
 const commandFor = (
   state: CellState,
   view: WorkerView,
@@ -71,7 +83,9 @@
     state.rows === undefined
       ? []
       : allAssignments(state.rows).filter(({ workerId }) => workerId === view.instance.id);
-  const current = assignments.filter(({ incarnation }) => incarnation === report.incarnation);
+  const current = assignments.filter(
+    (assignment) => assignment.incarnation === report.incarnation && isStanding(state, assignment),
+  );
   const evicted = wantedEvictions(state, nowMs).filter(
     ({ workerId }) => workerId === view.instance.id,
   );
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -6,6 +6,7 @@
       'src/**/test/**/*.test.ts',
       'standIns/**/test/**/*.test.ts',
       'bench/**/test/**/*.test.ts',
+      'soak/test/**/*.test.ts',
     ],
     testTimeout: 60_000,
     hookTimeout: 60_000,
