An operator is not told 'not run' of a plan whose answer was lost

Cause: confirming tries again after a lost answer; when that try could not read the table, the read's failure, whose answer says 'not run', was passed on although the first transaction may have taken effect. Weighed: trying on until the table answers (the operator waits for an outage to end); ruled out. Change: after a lost answer a failed read or an expired plan is answered as a lost answer. A stale plan still says 'not run', for the row that changed stops the earlier transaction too.

--- a/soak/test/found.test.ts
+++ b/soak/test/found.test.ts
@@ -26,4 +26,18 @@
     await world.runFor(400);
     await expectSettled(world);
   });
+
+  // The operator is told that a plan was not run, and finds it in force. The first transaction's
+  // answer is lost, the next try cannot read the table, and the failure of that read is passed
+  // on as the answer although the transaction may have taken effect.
+  it('seed 18, scheduler: "not run" is not said of a plan whose answer was lost', async () => {
+    const world = new SoakWorld(1_524_433_494);
+    await world.start();
+    void submit(world, 1, 10);
+    await world.runFor(38);
+    world.tableFaults.lateRatio = 0.22;
+    world.schedule(833, () => Object.assign(world.tableFaults, { lateRatio: 0 }));
+    await world.runFor(400);
+    await expectSettled(world);
+  });
 });
--- a/src/operator/node/planService.ts
+++ b/src/operator/node/planService.ts
@@ -28,6 +28,17 @@
  */
 const MAXIMUM_CONFIRMATION_TRIES = 40;
 
+/**
+ * Failures of a later try that say nothing about an earlier one whose answer was lost: its
+ * transaction may have taken effect or may still do so. Passed on as they are they would tell
+ * the operator "not run" of a plan that is in force. A stale plan is no such case: the row that
+ * has changed stops the earlier transaction too.
+ */
+const MAY_STILL_RUN: ReadonlySet<ErrorKind> = new Set([
+  ErrorKind.StoreUnavailable,
+  ErrorKind.PlanExpired,
+]);
+
 export class PlanService {
   readonly #table: TableService;
 
@@ -74,13 +85,19 @@
     const found = await this.find(request.planId);
     if (isLeft(found)) return found;
     let lastFailure = failure(ErrorKind.PlanConflict, 'too many plans are confirmed at once');
+    let isAnswerLost = false;
     for (let tryCount = 0; tryCount < MAXIMUM_CONFIRMATION_TRIES; tryCount += 1) {
       // Each try depends on what the one before has found.
       // eslint-disable-next-line no-await-in-loop
       const result = await this.#tryConfirm(request, found.right);
       if (result !== undefined && !isLeft(result)) return result;
-      if (result !== undefined && result.left.kind !== ErrorKind.StoreAnswerLost) return result;
-      if (result !== undefined) lastFailure = result.left;
+      if (result !== undefined && result.left.kind !== ErrorKind.StoreAnswerLost) {
+        return isAnswerLost && MAY_STILL_RUN.has(result.left.kind) ? left(lastFailure) : result;
+      }
+      if (result !== undefined) {
+        isAnswerLost = true;
+        lastFailure = result.left;
+      }
     }
     return left(lastFailure);
   }
