--- /dev/null
+++ b/soak/test/found.test.ts
@@ -0,0 +1,43 @@
+/** What randomised runs have found, each as its shrunk trace with its seed unchanged. */
+import { describe, it } from 'vitest';
+
+import { expectSettled } from './soakCommands.js';
+import { SoakWorld, TASK_SIZE } from './soakWorld.js';
+
+const submit = (world: SoakWorld, taskCount: number, workMs: number): Promise<void> =>
+  world.operate(0, {
+    intent: 'submit-job',
+    team: 'kitchen',
+    submissionKey: 'job-1',
+    urgency: 'normal',
+    taskCount,
+    size: TASK_SIZE,
+    workMs,
+  });
+
+describe('found by randomised runs', () => {
+  // The operator sees a task of a job of 13 done twice, without any fault. A worker with nothing
+  // to do holds no lease, so an assignment just committed to it was taken for one whose leases
+  // are over: it was queued again in the same step in which its start went out.
+  it('seed 1, scheduler: a new assignment to an idle worker is not taken for lost', async () => {
+    const world = new SoakWorld(0);
+    await world.start();
+    void submit(world, 13, 10);
+    await world.runFor(400);
+    await expectSettled(world);
+  });
+
+  // The operator is told that a plan was not run, and finds it in force. The first transaction's
+  // answer is lost, the next try cannot read the table, and the failure of that read is passed
+  // on as the answer although the transaction may have taken effect.
+  it('seed 18, scheduler: "not run" is not said of a plan whose answer was lost', async () => {
+    const world = new SoakWorld(1_524_433_494);
+    await world.start();
+    void submit(world, 1, 10);
+    await world.runFor(38);
+    world.tableFaults.lateRatio = 0.22;
+    world.schedule(833, () => Object.assign(world.tableFaults, { lateRatio: 0 }));
+    await world.runFor(400);
+    await expectSettled(world);
+  });
+});
