--- a/src/scheduler/common/workerCommands.ts
+++ b/src/scheduler/common/workerCommands.ts
@@ -59,7 +59,7 @@
 
 const toAttempt = ({ taskId, attempt }: Assignment | WorkerTaskReport) => ({ taskId, attempt });
 
-/** What a transaction in flight takes off the worker: it must not be started meanwhile. */
+/** What a transaction in flight takes off the worker: it is neither started nor renewed. */
 const isLeaving = (state: CellState, assignment: Assignment): boolean =>
   state.pending?.kind === 'commit' && state.pending.droppedAttempts.has(attemptKey(assignment));
 
@@ -118,8 +118,7 @@
     incarnation: report.incarnation,
     cellEpoch: state.lease.epoch,
     renewals: renewableAssignments(state, view.instance.id)
-      .filter(isOfIncarnation)
-      .filter(isRunning)
+      .filter((one) => isOfIncarnation(one) && isRunning(one) && !isLeaving(state, one))
       .map((assignment) => ({ ...toAttempt(assignment), leaseUntilWorkerMs })),
     starts: starts.map((assignment) =>
       toStart(assignment, startBeforeWorkerMs, leaseUntilWorkerMs),
