Metrics cost two look-ups on the request path; the daemon's young generation stays small

Each counter hashed and sorted its labels for every request. Change: a flag set before anything else is loaded keeps the young generation from growing; the histogram is imported without its WebAssembly build; counters are numbers by name and labels, the text format is made when it is read. Label combinations are bounded at 100 a metric; every metric name stands in one list.

--- a/src/daemon/node/snipethreadd.ts
+++ b/src/daemon/node/snipethreadd.ts
@@ -1,5 +1,7 @@
 #!/usr/bin/env node
 /** The daemon's command line: `snipethreadd --settings FILE`. */
+import './memoryFlags.js';
+
 import { defineCommand, runMain } from 'citty';
 import { isLeft } from 'fp-ts/lib/Either.js';
 
--- /dev/null
+++ b/src/platform/metrics/common/metricList.ts
@@ -0,0 +1,37 @@
+/**
+ * The closed list of the metrics there are. A test holds that every name the program uses is
+ * here, and `docs/operations/METRICS.md` is generated from it. Names are exported with the
+ * prefix `snipethread_`; counters end in `_total`.
+ */
+
+export const MetricKind = { Counter: 'counter', Gauge: 'gauge', Duration: 'duration' } as const;
+export type MetricKind = (typeof MetricKind)[keyof typeof MetricKind];
+
+export interface MetricDescription {
+  readonly kind: MetricKind;
+  /** What it counts or measures, in one sentence for an operator. */
+  readonly help: string;
+}
+
+const counter = (help: string): MetricDescription => ({ kind: MetricKind.Counter, help });
+const gauge = (help: string): MetricDescription => ({ kind: MetricKind.Gauge, help });
+const duration = (help: string): MetricDescription => ({ kind: MetricKind.Duration, help });
+
+export const METRICS: Readonly<Record<string, MetricDescription>> = {
+  requests: counter('Requests of callers, by outcome: answered or an error kind.'),
+  request_duration: duration("From a request's arrival to its answer."),
+  request_retries: counter('Attempts after the first one of a request.'),
+  endpoint_read_failed: counter('Reads of the published backend servers that failed.'),
+  instance_list_read_failed: counter('Reads of the instance list that failed.'),
+  configuration_read_failed: counter('Reads of the configuration that failed.'),
+  configuration_old_read: counter('Reads that gave an older configuration and were ignored.'),
+  configuration_version: gauge('The version of the configuration in force here.'),
+  peer_heartbeat_failed: counter('Heartbeats to other daemons that got no answer.'),
+  peer_link_replaced: counter('Connections to other daemons closed because they went silent.'),
+  cell_is_owned: gauge('1 while this daemon schedules the cell, by cell.'),
+  cell_transaction_conflict: counter('Transactions of a cell that met a changed row, by cell.'),
+  cell_transaction_failed: counter('Transactions of a cell without an answer, by cell.'),
+  tasks_assigned: counter('Tasks given to a worker, by cell.'),
+  invariant_overcommitted: counter('Refused writes that would overcommit a worker; stays at 0.'),
+  metric_series_dropped: counter('Values not recorded because a metric has too many label values.'),
+};
--- a/src/platform/metrics/node/prometheusMetrics.ts
+++ b/src/platform/metrics/node/prometheusMetrics.ts
@@ -1,93 +1,152 @@
-/** Metrics kept in prom-client's registry, with durations in HDR histograms. */
-import { build, type Histogram } from 'hdr-histogram-js';
+/** Metrics in the Prometheus text format, with durations in HDR histograms. */
+// The package's main module also loads its WebAssembly build, which costs 7 MB resident.
+import int32Histogram from 'hdr-histogram-js/dist/Int32Histogram.js';
 import { Counter, Gauge, Registry } from 'prom-client';
 
+import { LabelledSeries } from '../common/labelledSeries.js';
+import { METRICS } from '../common/metricList.js';
 import type { MetricLabels, Metrics } from '../common/metrics.js';
 
 const METRIC_PREFIX = 'snipethread_';
+const DROPPED_METRIC = 'metric_series_dropped';
 const QUANTILES = [50, 90, 99, 99.9] as const;
-/** Durations are kept in microseconds up to ten minutes with two significant digits. */
+/**
+ * Durations are kept in microseconds up to ten minutes with two significant digits: 12 KB for
+ * a histogram.
+ */
 const HIGHEST_MICROSECONDS = 600_000_000;
+const SIGNIFICANT_DIGITS = 2;
 const MICROSECONDS_PER_MS = 1_000;
+/** Seven zones with a few outcomes each stay far below; histograms reach 1.2 MB a metric. */
+const MAXIMUM_SERIES = 100;
 
-interface LabelledHistogram {
-  readonly labels: MetricLabels;
-  readonly histogram: Histogram;
+const Histogram = int32Histogram.default;
+type Histogram = InstanceType<typeof Histogram>;
+
+interface SeriesMaker<Value> {
+  readonly create: () => Value;
 }
 
-export class PrometheusMetrics implements Metrics {
-  readonly #registry = new Registry();
+const counterMaker: SeriesMaker<number> = { create: () => 0 };
+const histogramMaker: SeriesMaker<Histogram> = {
+  create: () => new Histogram(1, HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS),
+};
 
-  readonly #counters = new Map<string, Counter>();
+const helpOf = (name: string): string => METRICS[name]?.help ?? name;
 
-  readonly #gauges = new Map<string, Gauge>();
+/** Series by metric name, made when a metric is first used. */
+class SeriesByName<Value> {
+  readonly #maker: SeriesMaker<Value>;
 
-  readonly #histograms = new Map<string, Map<string, LabelledHistogram>>();
+  readonly #byName = new Map<string, LabelledSeries<Value>>();
 
-  count(name: string, labels: MetricLabels = {}, amount = 1): void {
-    let counter = this.#counters.get(name);
-    if (counter === undefined) {
-      counter = new Counter({
-        name: `${METRIC_PREFIX}${name}_total`,
-        help: name,
-        labelNames: Object.keys(labels),
-        registers: [this.#registry],
-      });
-      this.#counters.set(name, counter);
-    }
-    counter.inc(labels, amount);
+  constructor(maker: SeriesMaker<Value>) {
+    this.#maker = maker;
   }
 
-  gauge(name: string, value: number, labels: MetricLabels = {}): void {
-    let gauge = this.#gauges.get(name);
-    if (gauge === undefined) {
-      gauge = new Gauge({
-        name: `${METRIC_PREFIX}${name}`,
-        help: name,
-        labelNames: Object.keys(labels),
-        registers: [this.#registry],
-      });
-      this.#gauges.set(name, gauge);
-    }
-    gauge.set(labels, value);
+  of(name: string): LabelledSeries<Value> {
+    const known = this.#byName.get(name);
+    if (known !== undefined) return known;
+    const created = new LabelledSeries(MAXIMUM_SERIES, this.#maker.create);
+    this.#byName.set(name, created);
+    return created;
+  }
+
+  forEach(visit: (series: LabelledSeries<Value>, name: string) => void): void {
+    this.#byName.forEach(visit);
   }
+}
+
+/**
+ * Recording is on the path of every request, so it only finds a number by name and labels;
+ * the text format is made from the numbers when somebody reads it.
+ */
+export class PrometheusMetrics implements Metrics {
+  readonly #counters = new SeriesByName(counterMaker);
 
-  recordMs(name: string, durationMs: number, labels: MetricLabels = {}): void {
-    let series = this.#histograms.get(name);
+  readonly #gauges = new SeriesByName(counterMaker);
+
+  readonly #histograms = new SeriesByName(histogramMaker);
+
+  count(name: string, labels?: MetricLabels, amount = 1): void {
+    const series = this.#counters.of(name).find(labels);
+    if (series === undefined) this.#countDropped();
+    else series.value += amount;
+  }
+
+  gauge(name: string, value: number, labels?: MetricLabels): void {
+    const series = this.#gauges.of(name).find(labels);
+    if (series === undefined) this.#countDropped();
+    else series.value = value;
+  }
+
+  recordMs(name: string, durationMs: number, labels?: MetricLabels): void {
+    const series = this.#histograms.of(name).find(labels);
     if (series === undefined) {
-      series = new Map();
-      this.#histograms.set(name, series);
-    }
-    const seriesKey = Object.values(labels).join('\u0000');
-    let labelled = series.get(seriesKey);
-    if (labelled === undefined) {
-      const histogram = build({
-        lowestDiscernibleValue: 1,
-        highestTrackableValue: HIGHEST_MICROSECONDS,
-        numberOfSignificantValueDigits: 2,
-        bitBucketSize: 32,
-        useWebAssembly: false,
-      });
-      labelled = { labels, histogram };
-      series.set(seriesKey, labelled);
+      this.#countDropped();
+      return;
     }
     const microseconds = Math.round(durationMs * MICROSECONDS_PER_MS);
-    labelled.histogram.recordValue(Math.min(Math.max(microseconds, 1), HIGHEST_MICROSECONDS));
+    series.value.recordValue(Math.min(Math.max(microseconds, 1), HIGHEST_MICROSECONDS));
   }
 
   /** The text exposition format of all that was recorded. */
   async exposition(): Promise<string> {
-    this.#histograms.forEach((series, name) => {
-      series.forEach(({ labels, histogram }) => this.#exportQuantiles(name, labels, histogram));
+    const registry = new Registry();
+    this.#counters.forEach((series, name) => {
+      const options = { name: `${METRIC_PREFIX}${name}_total`, help: helpOf(name) };
+      let counter: Counter | undefined;
+      series.forEach(({ labels, value }) => {
+        const labelNames = Object.keys(labels);
+        counter ??= new Counter({ ...options, labelNames, registers: [registry] });
+        counter.inc(labels, value);
+      });
+    });
+    this.#gauges.forEach((series, name) => {
+      const gauge = PrometheusMetrics.#gaugeIn(registry, name, helpOf(name), series);
+      series.forEach(({ labels, value }) => gauge.set(labels, value));
     });
-    return this.#registry.metrics();
+    this.#histograms.forEach((series, name) =>
+      PrometheusMetrics.#exportDurations(registry, name, series),
+    );
+    return registry.metrics();
   }
 
-  #exportQuantiles(name: string, labels: MetricLabels, histogram: Histogram): void {
-    QUANTILES.forEach((quantile) => {
-      const valueMs = histogram.getValueAtPercentile(quantile) / MICROSECONDS_PER_MS;
-      this.gauge(`${name}_ms`, valueMs, { ...labels, quantile: String(quantile / 100) });
+  #countDropped(): void {
+    this.count(DROPPED_METRIC);
+  }
+
+  static #gaugeIn(
+    registry: Registry,
+    name: string,
+    help: string,
+    series: LabelledSeries<unknown>,
+    furtherLabels: readonly string[] = [],
+  ): Gauge {
+    const labelNames = new Set(furtherLabels);
+    series.forEach(({ labels }) => Object.keys(labels).forEach((label) => labelNames.add(label)));
+    return new Gauge({
+      name: `${METRIC_PREFIX}${name}`,
+      help,
+      labelNames: [...labelNames],
+      registers: [registry],
+    });
+  }
+
+  static #exportDurations(
+    registry: Registry,
+    name: string,
+    series: LabelledSeries<Histogram>,
+  ): void {
+    const help = helpOf(name);
+    const quantiles = this.#gaugeIn(registry, `${name}_ms`, help, series, ['quantile']);
+    const counts = this.#gaugeIn(registry, `${name}_observation_count`, help, series);
+    series.forEach(({ labels, value: histogram }) => {
+      QUANTILES.forEach((quantile) => {
+        const valueMs = histogram.getValueAtPercentile(quantile) / MICROSECONDS_PER_MS;
+        quantiles.set({ ...labels, quantile: String(quantile / 100) }, valueMs);
+      });
+      counts.set(labels, histogram.totalCount);
     });
-    this.gauge(`${name}_observation_count`, histogram.totalCount, labels);
   }
 }
