--- a/src/daemon/node/daemon.ts
+++ b/src/daemon/node/daemon.ts
@@ -5,15 +5,20 @@
 import { DisposableStore } from '../../base/common/lifecycle.js';
 import { SeededRandom } from '../../base/common/random.js';
 import { systemClock } from '../../base/node/systemClock.js';
-import { LeastInFlightOfTwo } from '../../entry/common/serverChoice.js';
+import { Admission } from '../../entry/common/admission.js';
+import { LatencyWeightedOfTwo } from '../../entry/common/serverChoice.js';
 import { BackendConnections } from '../../entry/node/backendConnections.js';
 import { CallerServer } from '../../entry/node/callerServer.js';
+import { ClaimKeeper } from '../../entry/node/claimKeeper.js';
+import { ClaimSweeper } from '../../entry/node/claimSweeper.js';
+import type { Journey } from '../../entry/node/requestDispatch.js';
 import { RequestHandler } from '../../entry/node/requestHandler.js';
 import { RoutingReader } from '../../entry/node/routingReader.js';
 import { OperatorQueries } from '../../operator/node/operatorQueries.js';
 import { OperatorServer } from '../../operator/node/operatorServer.js';
 import { PlanService } from '../../operator/node/planService.js';
 import { PeerService } from '../../peers/node/peerService.js';
+import { isServable } from '../../platform/configuration/common/configurationService.js';
 import { ConfigurationReader } from '../../platform/configuration/node/configurationReader.js';
 import { HttpInstanceList } from '../../platform/instanceList/node/httpInstanceList.js';
 import { InstanceListReader } from '../../platform/instanceList/node/instanceListReader.js';
@@ -83,15 +88,18 @@
       const routing = own.add(
         new RoutingReader(table, configuration, directory, metrics, configurationIntervalMs),
       );
-      const connections = own.add(new BackendConnections(entry.maximumEntryCount));
-      const chooser = new LeastInFlightOfTwo(random);
+      const connections = own.add(new BackendConnections(entry, metrics));
+      const chooser = new LatencyWeightedOfTwo(random);
+      const admission = new Admission<Journey>(entry, chooser, random);
+      const claims = own.add(new ClaimKeeper(table, clock, metrics, entry));
+      own.add(
+        new ClaimSweeper(table, metrics, entry.claimLifetimeMs, Date.now, randomInt(SEED_LIMIT)),
+      );
+      const services = { routing, admission, connections, claims, configuration };
       const handler = own.add(
-        new RequestHandler(
-          { routing, connections, chooser, configuration, clock, metrics, tracing },
-          entry,
-        ),
+        new RequestHandler({ ...services, clock, metrics, tracing, wallNowMs: Date.now }, entry),
       );
-      this.#callerServer = new CallerServer(handler, entry);
+      this.#callerServer = new CallerServer(handler, entry, metrics);
     }
     this.#operatorServer = new OperatorServer(
       {
@@ -101,7 +109,7 @@
         directory,
         metrics,
         spans: tracing.ring,
-        isReady: () => !this.#isDraining && configuration.current !== undefined,
+        isReady: () => !this.#isDraining && isServable(configuration.health),
       },
       settings.operator,
     );
