--- a/soak/test/soakWorld.ts
+++ b/soak/test/soakWorld.ts
@@ -342,10 +342,13 @@
     switch (effect.kind) {
       case 'lease-read':
       case 'load': {
-        const { kind, request } = effect;
-        const read = () => this.table.read(request);
+        const read = () => this.table.read(effect.request);
         this.#callTable(daemon, read, ErrorKind.StoreUnavailable, (result) =>
-          handle(kind === 'load' ? { kind: 'loaded', result } : { kind, result, sentAtMs }),
+          handle(
+            effect.kind === 'load'
+              ? { kind: 'loaded', epoch: effect.epoch, result }
+              : { kind: effect.kind, result, sentAtMs },
+          ),
         );
         break;
       }
@@ -355,7 +358,7 @@
         this.#callTable(daemon, write, ErrorKind.StoreAnswerLost, (result) =>
           handle(
             effect.kind === 'commit'
-              ? { kind: 'committed', result }
+              ? { kind: 'committed', epoch: effect.epoch, result }
               : { kind: 'lease-written', step: effect.step, result, sentAtMs },
           ),
         );
@@ -363,7 +366,12 @@
       }
       case 'command':
         this.#command(daemon, effect.workerId, effect.command, (result) =>
-          handle({ kind: 'worker-answered', workerId: effect.workerId, result }),
+          handle({
+            kind: 'worker-answered',
+            workerId: effect.workerId,
+            epoch: effect.command.cellEpoch,
+            result,
+          }),
         );
         break;
       case 'count':
--- a/src/daemon/node/snipethreadd.ts
+++ b/src/daemon/node/snipethreadd.ts
@@ -1,5 +1,7 @@
 #!/usr/bin/env node
 /** The daemon's command line: `snipethreadd --settings FILE`. */
+import { collectGarbage } from './memoryFlags.js';
+
 import { defineCommand, runMain } from 'citty';
 import { isLeft } from 'fp-ts/lib/Either.js';
 
@@ -32,6 +34,7 @@
     process.on('SIGTERM', handleSignal);
     process.on('SIGINT', handleSignal);
     await daemon.start();
+    collectGarbage();
   },
 });
 
