--- a/soak/test/soakPlans.ts
+++ b/soak/test/soakPlans.ts
@@ -11,7 +11,6 @@
 
 export interface SoakPlanParts {
   readonly table: TableService;
-  readonly configuration: ConfigurationService;
   readonly time: VirtualTime;
   readonly random: RandomSource;
   readonly counters: Map<string, number>;
@@ -20,8 +19,11 @@
 }
 
 /** Plans without the list of instances, so that jobs which can never run get in as well. */
-export const createPlans = (parts: SoakPlanParts): PlanService => {
-  const { table, configuration, time, random, counters, id } = parts;
+export const createPlans = (
+  parts: SoakPlanParts,
+  configuration: ConfigurationService,
+): PlanService => {
+  const { table, time, random, counters, id } = parts;
   let idCount = 0;
   const nextId = (): string => {
     idCount += 1;
--- a/soak/test/soakWorld.ts
+++ b/soak/test/soakWorld.ts
@@ -192,14 +192,8 @@
     const whole = { ...daemon, ...state, inbox: [] } as unknown as SoakDaemon;
     const table = this.#tableOf(whole);
     whole.reader = this.#createReader(table);
-    whole.plans = createPlans({
-      table,
-      configuration: whole.reader,
-      time: this.time,
-      random: this.#random,
-      counters: this.counters,
-      id,
-    });
+    const parts = { table, id, time: this.time, random: this.#random, counters: this.counters };
+    whole.plans = createPlans(parts, whole.reader);
     ZONES.forEach((zone, index) => {
       const acquireDelayMs = (this.#daemonCount + index) % ZONES.length === 0 ? 0 : 400;
       const timing = { ...TEST_TIMING, acquireDelayMs };
--- a/src/platform/metrics/common/metricList.ts
+++ b/src/platform/metrics/common/metricList.ts
@@ -23,7 +23,10 @@
   request_retries: counter('Attempts after the first one of a request.'),
   endpoint_read_failed: counter('Reads of the published backend servers that failed.'),
   instance_list_read_failed: counter('Reads of the instance list that failed.'),
-  configuration_read_failed: counter('Reads of the configuration that failed.'),
+  configuration_look_failed: counter('Looks that did not confirm the configuration, by fault.'),
+  configuration_malformed: counter('Looks that met a row of an unknown form.'),
+  configuration_change_malformed: counter('Changes that could not be followed; all was read.'),
+  configuration_is_confirmed: gauge('0 while the configuration cannot be learnt here, else 1.'),
   configuration_old_read: counter('Reads that gave an older configuration and were ignored.'),
   configuration_version: gauge('The version of the configuration in force here.'),
   peer_heartbeat_failed: counter('Heartbeats to other daemons that got no answer.'),
@@ -33,5 +36,18 @@
   cell_transaction_failed: counter('Transactions of a cell without an answer, by cell.'),
   tasks_assigned: counter('Tasks given to a worker, by cell.'),
   invariant_overcommitted: counter('Refused writes that would overcommit a worker; stays at 0.'),
+  invariant_configuration_never_reverts: counter(
+    'Refused steps back to an older configuration; stays at 0.',
+  ),
+  invariant_nothing_changes_before_confirmation: counter(
+    'Refused writes of a plan that would have changed more than plans; stays at 0.',
+  ),
+  invariant_only_what_was_shown: counter(
+    'Refused confirmations that would write what the plan did not show; stays at 0.',
+  ),
+  invariant_history_is_one_line: counter(
+    'Refused confirmations without the conditions that keep history one line; stays at 0.',
+  ),
+  plans_removed: counter('Plans removed past their retention.'),
   metric_series_dropped: counter('Values not recorded because a metric has too many label values.'),
 };
