--- /dev/null
+++ b/bench/requests/outcome.ts
@@ -0,0 +1,30 @@
+/** What one kind of traffic got. */
+export class Outcome {
+  offered = 0;
+
+  inTime = 0;
+
+  refused = 0;
+
+  failed = 0;
+
+  usefulWorkMs = 0;
+
+  readonly latenciesMs: number[] = [];
+
+  count(what: 'offered' | 'refused' | 'failed'): void {
+    this[what] += 1;
+  }
+
+  answered(latencyMs: number, deadlineMs: number, workMs: number): void {
+    this.latenciesMs.push(latencyMs);
+    if (latencyMs > deadlineMs) return;
+    this.inTime += 1;
+    this.usefulWorkMs += workMs;
+  }
+
+  percentileMs(share: number): number {
+    const sorted = Float64Array.from(this.latenciesMs).sort();
+    return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0;
+  }
+}
--- /dev/null
+++ b/bench/requests/scenarios.ts
@@ -0,0 +1,80 @@
+/** The loads that the request path's decisions are measured under. */
+import { Urgency } from '../../src/platform/configuration/common/documents.js';
+import type { Scenario, Traffic } from './arrivals.js';
+
+export interface Size {
+  readonly name: string;
+  readonly workerCount: number;
+}
+
+export const SIZES: readonly Size[] = [
+  { name: 'amman', workerCount: 35 },
+  { name: 'bajio', workerCount: 45 },
+];
+
+const ENTRY_COUNT = 7;
+const MEAN_MS = 20;
+const DEADLINE_MS = 1_000;
+const DURATION_MS = 8_000;
+const WARM_UP_MS = 2_000;
+const STEADY = 0.7;
+const LONG_MEAN_MS = 2_000;
+
+const urgent: Traffic = {
+  serviceName: 'rounds',
+  urgency: Urgency.Urgent,
+  share: 0.3,
+  deadlineMs: DEADLINE_MS,
+  meanMs: MEAN_MS,
+};
+const low: Traffic = { ...urgent, serviceName: 'plans', urgency: Urgency.Low, share: 0.7 };
+const long: Traffic = {
+  ...low,
+  serviceName: 'proofs',
+  urgency: Urgency.Normal,
+  share: 0.01,
+  deadlineMs: 30_000,
+  meanMs: LONG_MEAN_MS,
+};
+
+const isBetween = (nowMs: number, startMs: number, endMs: number): boolean =>
+  nowMs >= startMs && nowMs < endMs;
+
+export const steady = ({ workerCount }: Size): Scenario => ({
+  name: 'steady',
+  workerCount,
+  entryCount: ENTRY_COUNT,
+  durationMs: DURATION_MS,
+  warmUpMs: WARM_UP_MS,
+  traffic: [urgent, low],
+  utilisation: () => STEADY,
+});
+
+export const scenarios = (size: Size): readonly Scenario[] => {
+  const base = steady(size);
+  return [
+    base,
+    {
+      ...base,
+      name: 'burst',
+      utilisation: (nowMs) => (isBetween(nowMs, 4_000, 6_000) ? 3 * STEADY : STEADY),
+    },
+    { ...base, name: 'skewed', entryWeight: (entry) => (entry === 0 ? 1 : 0.5) },
+    { ...base, name: 'slow-worker', slowness: (worker) => (worker === 3 ? 10 : 1) },
+    { ...base, name: 'failing-worker', isFailing: (worker) => worker === 3 },
+    {
+      ...base,
+      name: 'long-and-short',
+      traffic: [urgent, { ...low, share: 0.69 }, long],
+    },
+    { ...base, name: 'saturated', utilisation: () => 2 },
+    { ...base, name: 'outage', isFailing: () => true },
+    { ...base, name: 'entry-dies', isEntryDead: (entry, nowMs) => entry === 0 && nowMs > 4_000 },
+    {
+      ...base,
+      name: 'zone-leaves',
+      utilisation: () => 0.55,
+      isZoneOut: (zone, nowMs) => zone === 0 && isBetween(nowMs, 3_500, 6_000),
+    },
+  ];
+};
--- /dev/null
+++ b/bench/requests/virtualTime.ts
@@ -0,0 +1,60 @@
+/** Events in virtual time, in the order of their instants and then of their scheduling. */
+
+interface Scheduled {
+  readonly atMs: number;
+  readonly order: number;
+  readonly run: () => void;
+}
+
+const isBefore = (left: Scheduled, right: Scheduled): boolean =>
+  left.atMs < right.atMs || (left.atMs === right.atMs && left.order < right.order);
+
+export class VirtualTime {
+  nowMs = 0;
+
+  #order = 0;
+
+  readonly #heap: Scheduled[] = [];
+
+  after(delayMs: number, run: () => void): void {
+    this.#order += 1;
+    const item = { atMs: this.nowMs + delayMs, order: this.#order, run };
+    let index = this.#heap.length;
+    this.#heap.push(item);
+    while (index > 0) {
+      const parent = Math.floor((index - 1) / 2);
+      const above = this.#heap[parent] as Scheduled;
+      if (!isBefore(item, above)) break;
+      this.#heap[index] = above;
+      index = parent;
+    }
+    this.#heap[index] = item;
+  }
+
+  runUntil(endMs: number): void {
+    for (let next = this.#heap[0]; next !== undefined && next.atMs <= endMs; [next] = this.#heap) {
+      this.#removeFirst();
+      this.nowMs = next.atMs;
+      next.run();
+    }
+    this.nowMs = endMs;
+  }
+
+  #removeFirst(): void {
+    const last = this.#heap.pop() as Scheduled;
+    const size = this.#heap.length;
+    if (size === 0) return;
+    let index = 0;
+    for (;;) {
+      let child = 2 * index + 1;
+      if (child >= size) break;
+      const [leftChild, rightChild] = [this.#heap[child], this.#heap[child + 1]];
+      if (rightChild !== undefined && isBefore(rightChild, leftChild as Scheduled)) child += 1;
+      const below = this.#heap[child] as Scheduled;
+      if (!isBefore(below, last)) break;
+      this.#heap[index] = below;
+      index = child;
+    }
+    this.#heap[index] = last;
+  }
+}
--- a/src/entry/common/admission.ts
+++ b/src/entry/common/admission.ts
@@ -143,11 +143,7 @@
       service.urgency = urgencyOf(name);
       this.#setServers(service, servers);
     });
-    this.#workers.forEach((worker) =>
-      worker.services.sort(
-        (left, right) => URGENCY_RANK[left.urgency] - URGENCY_RANK[right.urgency],
-      ),
-    );
+    this.#relate();
   }
 
   admit(serviceName: string, waiting: Waiting, nowMs: number): AdmissionDecision<Waiting> {
@@ -264,8 +260,8 @@
 
   /** Estimates the wait from the queue's length, the limit and the latency seen last. */
   #wouldWaitTooLong(service: ServiceRecord<Waiting>, waiting: Waiting, nowMs: number): boolean {
-    const { medianMs, value } = service.limit;
-    const waitMs = (service.queue.length * medianMs) / value;
+    const { medianMs } = service.limit;
+    const waitMs = (service.queue.length * medianMs) / service.room;
     const remainingMs = waiting.deadlineAtMs - nowMs;
     return waitMs > this.#settings.maximumWaitMs || waitMs + medianMs > remainingMs;
   }
@@ -327,7 +323,9 @@
     if (end.verdict === ServerVerdict.Overtaken) return;
     if (end.verdict === ServerVerdict.Success) {
       server.health.noteSuccess();
-      service.limit.note(end.latencyMs, service.occupiedCount);
+      if (service.limit.note(end.latencyMs, service.occupiedCount)) {
+        service.overtaking.forEach((each) => each.refreshRoom());
+      }
       return;
     }
     if (!server.health.noteFailure() || server.health.isSetAside(nowMs)) return;
@@ -346,6 +344,20 @@
     return asideCount < allowed;
   }
 
+  /** Finds for each service those on the same workers, by urgency. */
+  #relate(): void {
+    this.#services.forEach((service) => {
+      const rank = URGENCY_RANK[service.urgency];
+      const related = new Set(service.servers.flatMap(({ worker }) => worker.services));
+      related.add(service);
+      /* eslint-disable no-param-reassign -- the record is this class's own */
+      service.yielding = [...related].filter(({ urgency }) => URGENCY_RANK[urgency] >= rank);
+      service.overtaking = [...related].filter(({ urgency }) => URGENCY_RANK[urgency] <= rank);
+      /* eslint-enable no-param-reassign */
+    });
+    this.#services.forEach((service) => service.refreshRoom());
+  }
+
   #keepWorker(server: BackendServer, known: ReadonlyMap<string, WorkerRecord<Waiting>>): void {
     if (this.#workers.has(server.workerId)) return;
     const worker = known.get(server.workerId) ?? new WorkerRecord<Waiting>(server.workerId);
@@ -388,8 +400,9 @@
     /* eslint-disable no-param-reassign */
     service.servers = records;
     service.occupiedCount = records.reduce((sum, { worker }) => sum + worker.inFlightCount, 0);
-    /* eslint-enable no-param-reassign */
     const after = servers.reduce((sum, { slotCount }) => sum + slotCount, 0);
+    service.slotCount = after;
+    /* eslint-enable no-param-reassign */
     if (after === 0 || after === before) return;
     const share = this.#slotShare(servers);
     const limit = before === 0 ? share : (service.limit.value * after) / before;
--- a/src/entry/common/concurrencyLimit.ts
+++ b/src/entry/common/concurrencyLimit.ts
@@ -9,6 +9,8 @@
 const BINDING_SHARE = 0.9;
 /** Weight of a window that was not bound by the limit, towards a higher unloaded latency. */
 const UNLOADED_WEIGHT = 0.1;
+/** Weight of one more window; the lowest of many unsmoothed medians would be far too low. */
+const MEDIAN_WEIGHT = 0.25;
 const LOWEST_LIMIT = 2;
 /** Growth in a window before the limit was ever cut; later it grows by its square root. */
 const START_GROWTH = 1.5;
@@ -57,7 +59,7 @@
   }
 
   get value(): number {
-    return Math.floor(this.#limit);
+    return this.#limit;
   }
 
   /** The median latency of the last whole window; zero before there was one. */
@@ -76,22 +78,29 @@
     this.#limit = Math.min(this.#highest, Math.max(LOWEST_LIMIT, limit));
   }
 
-  note(latencyMs: number, inFlightCount: number): void {
+  /** Returns whether the limit may have moved. */
+  note(latencyMs: number, inFlightCount: number): boolean {
     this.#window[this.#windowLength] = latencyMs;
     this.#windowLength += 1;
     if (inFlightCount >= this.#limit * BINDING_SHARE) this.#wasBinding = true;
-    if (this.#windowLength < WINDOW_ANSWER_COUNT) return;
+    if (this.#windowLength < WINDOW_ANSWER_COUNT) return false;
     this.#window.sort();
     const highMs = this.#window[HIGH_INDEX] ?? 0;
     this.#highMs =
       this.#highMs === 0 ? highMs : this.#highMs + (highMs - this.#highMs) * HIGH_WEIGHT;
-    this.#adjust(this.#window[MEDIAN_INDEX] ?? 0);
+    this.#adjust(this.#smoothed(this.#window[MEDIAN_INDEX] ?? 0));
     this.#windowLength = 0;
     this.#wasBinding = false;
+    return true;
+  }
+
+  #smoothed(medianMs: number): number {
+    if (this.#medianMs === 0) this.#medianMs = medianMs;
+    else this.#medianMs += (medianMs - this.#medianMs) * MEDIAN_WEIGHT;
+    return this.#medianMs;
   }
 
   #adjust(medianMs: number): void {
-    this.#medianMs = medianMs;
     if (this.#unloadedMs === 0 || medianMs < this.#unloadedMs) this.#unloadedMs = medianMs;
     else if (!this.#wasBinding) this.#unloadedMs += (medianMs - this.#unloadedMs) * UNLOADED_WEIGHT;
     const toleratedMs = this.#unloadedMs * TOLERANCE + OWN_JITTER_MS;
--- a/src/entry/common/serverRecords.ts
+++ b/src/entry/common/serverRecords.ts
@@ -92,7 +92,33 @@
     this.hedgeBudget = hedgeBudget;
   }
 
+  /** Slots of all its servers. */
+  slotCount = 0;
+
+  /** Services on the same workers that are no more urgent, this one included. */
+  yielding: readonly ServiceRecord<Waiting>[] = [];
+
+  /** Services on the same workers that are no less urgent, this one included. */
+  overtaking: readonly ServiceRecord<Waiting>[] = [];
+
+  /** What `refreshRoom` made of the limits. */
+  room = 0;
+
   get hasRoom(): boolean {
-    return this.occupiedCount < this.limit.value;
+    return this.occupiedCount < this.room;
+  }
+
+  /**
+   * A service may use what any service that is no more urgent may use on the same workers, in
+   * proportion to its slots. All see the same workers but learn at their own pace; without this
+   * the one that learns a lower limit gets no place, hence no answers, and never learns better,
+   * and low work would shut urgent work out.
+   */
+  refreshRoom(): void {
+    const perSlot = this.yielding.reduce(
+      (most, { limit, slotCount }) => Math.max(most, limit.value / Math.max(1, slotCount)),
+      0,
+    );
+    this.room = Math.max(1, Math.floor(perSlot * this.slotCount));
   }
 }
