--- a/bench/requests/requestsBench.ts
+++ b/bench/requests/requestsBench.ts
@@ -1,4 +1,5 @@
 /** The request path's decisions under load: `npm run bench -- requests`. */
+// eslint-disable-next-line import-x/no-extraneous-dependencies -- benchmarks are not shipped
 import { Bench } from 'tinybench';
 
 import { SeededRandom } from '../../src/base/common/random.js';
--- a/src/entry/common/admission.ts
+++ b/src/entry/common/admission.ts
@@ -334,9 +334,12 @@
     nowMs: number,
   ): void {
     if (end.verdict === ServerVerdict.Unused) return;
-    if (end.verdict !== ServerVerdict.Failure) server.latency.note(end.latencyMs, nowMs);
-    if (end.verdict === ServerVerdict.Overtaken) return;
+    if (end.verdict === ServerVerdict.Overtaken) {
+      server.latency.noteAtLeast(end.latencyMs, nowMs);
+      return;
+    }
     if (end.verdict === ServerVerdict.Success) {
+      server.latency.note(end.latencyMs, nowMs);
       server.health.noteSuccess();
       if (service.limit.note(end.latencyMs, service.occupiedCount)) {
         service.overtaking.forEach((each) => each.refreshRoom());
--- a/src/entry/common/latencyEstimate.ts
+++ b/src/entry/common/latencyEstimate.ts
@@ -28,4 +28,9 @@
       : this.#averageMs + (latencyMs - this.#averageMs) * ANSWER_WEIGHT;
     this.#updatedAtMs = nowMs;
   }
+
+  /** An answer was not waited for; the latency is at least this, so it may only raise. */
+  noteAtLeast(latencyMs: number, nowMs: number): void {
+    if (latencyMs > this.valueMs(nowMs)) this.note(latencyMs, nowMs);
+  }
 }
--- a/src/entry/common/serverChoice.ts
+++ b/src/entry/common/serverChoice.ts
@@ -60,11 +60,18 @@
   }
 }
 
+/** Latency times the square of what is in flight; see docs/design/requests.md for the powers. */
+const costOf = <Waiting extends WaitingRequest>(
+  server: ServerRecord<Waiting>,
+  nowMs: number,
+): number => server.latency.valueMs(nowMs) * (server.worker.inFlightCount + 1) ** 2;
+
 /**
- * Of two servers drawn at random, the one whose latency times what this entry has in flight
- * there is lower. Made for one slow server among many when an entry sees a seventh of the
- * traffic: its own requests in flight say little about a worker's load, the latency of the
- * answers also tells what the other entries and the neighbouring tasks do there.
+ * Of two servers drawn at random, the one with the lower cost. Made for one slow server among
+ * many when an entry sees a seventh of the traffic: its own requests in flight say little about
+ * a worker's load, the latency of the answers also tells what the other entries and the
+ * neighbouring tasks do there. A worker that has just stopped answering shows only in what stays
+ * in flight, hence the square.
  */
 export class LatencyWeightedOfTwo implements ServerChooser {
   readonly #random: RandomSource;
@@ -81,8 +88,6 @@
     const first = drawEligible(servers, nowMs, this.#random, avoidedWorkerId);
     const second = drawEligible(servers, nowMs, this.#random, avoidedWorkerId);
     if (first === undefined || second === undefined) return first ?? second;
-    const firstCost = first.latency.valueMs(nowMs) * (first.worker.inFlightCount + 1);
-    const secondCost = second.latency.valueMs(nowMs) * (second.worker.inFlightCount + 1);
-    return secondCost < firstCost ? second : first;
+    return costOf(second, nowMs) < costOf(first, nowMs) ? second : first;
   }
 }
--- /dev/null
+++ b/src/entry/test/silentConnections.test.ts
@@ -0,0 +1,98 @@
+import { isLeft, isRight } from 'fp-ts/lib/Either.js';
+import { afterEach, describe, expect, it } from 'vitest';
+
+import { PlatformServer } from '../../../standIns/platform/platformServer.js';
+import { Silence, SilentRelay } from '../../../standIns/relay/silentRelay.js';
+import { HttpTableService } from '../../platform/table/node/httpTableService.js';
+import { backendServer, EntryHarness, entrySettings, workOutcome } from './entryHarness.js';
+import { RawBackend, wholeAnswer } from './rawBackend.js';
+
+const cleanups: (() => unknown)[] = [];
+afterEach(async () => {
+  await Promise.all(cleanups.splice(0).map((cleanup) => cleanup()));
+});
+
+const DEADLINE_MS = 4_000;
+const PATIENT = { 'snipethread-timeout-ms': String(DEADLINE_MS) };
+const ALL = [Silence.ToServer, Silence.ToClient, Silence.Both] as const;
+
+const start = async (): Promise<{ entry: EntryHarness; relay: SilentRelay }> => {
+  const backend = new RawBackend((socket, _index, head) => {
+    const delayMs = head.includes('/slow') ? 2_000 : 0;
+    setTimeout(() => socket.write(wholeAnswer('whole')), delayMs);
+  });
+  const relay = new SilentRelay(await backend.listen());
+  const entry = new EntryHarness(entrySettings({ silenceFloorMs: 300 }));
+  cleanups.push(
+    () => backend.close(),
+    () => relay.close(),
+    () => entry.dispose(),
+  );
+  entry.route('s', [backendServer(await relay.listen())]);
+  await entry.listen();
+  return { entry, relay };
+};
+
+describe('a connection to a backend server that has gone silent', () => {
+  // Something between the two ends forgets the connection: what is sent on it vanishes and
+  // nothing closes it, while new connections work. The caller's idempotent request lies on the
+  // old one. It must be answered over a new one long before its deadline, and the old one closed.
+  it.each(ALL)('is closed, and its idempotent work answered over a new one: %s', async (way) => {
+    const { entry, relay } = await start();
+    expect((await entry.call('/a', PATIENT)).text).toBe('whole');
+    relay.silenceAll(way);
+    expect(relay.openSilentCount).toBe(1);
+    const answer = await entry.call('/b', PATIENT);
+    expect([answer.statusCode, answer.text]).toEqual([200, 'whole']);
+    expect(relay.connectionCount).toBe(2);
+    expect(entry.counter('connections_overtaken')).toBe(1);
+    expect(entry.breaches).toEqual([]);
+    await expect.poll(() => relay.openSilentCount).toBe(0);
+  });
+
+  it('leaves work that is not idempotent unknown at its deadline, and closes', async () => {
+    const { entry, relay } = await start();
+    await entry.call('/a');
+    relay.silenceAll(Silence.Both);
+    const headers = { 'snipethread-timeout-ms': '800' };
+    const answer = await entry.call('/b', headers, 'POST', 'order');
+    expect([answer.statusCode, workOutcome(answer)]).toEqual([504, 'unknown']);
+    expect((await entry.call('/c', PATIENT)).text).toBe('whole');
+    expect(entry.counter('request_retries')).toBe(0);
+  });
+
+  // A server that is merely slow must not lose its connection: cut off and begun anew, work that
+  // takes longer than the bound would never end. The second attempt is as slow as the first, so
+  // the first one is answered and wins.
+  it('is told from a slow server, whose first attempt is answered', async () => {
+    const { entry } = await start();
+    await entry.call('/a', PATIENT);
+    const answer = await entry.call('/slow', PATIENT);
+    expect([answer.statusCode, answer.text]).toEqual([200, 'whole']);
+    expect(entry.counter('second_attempts')).toBe(1);
+    expect(entry.counter('second_attempts_won')).toBe(0);
+  });
+});
+
+describe('a connection to the table that has gone silent', () => {
+  // The same between the daemon and the platform. The call that lies on it fails by its own
+  // timeout, as a transaction whose outcome is unknown; the next one goes over a new connection.
+  it.each(ALL)('costs one call: %s', async (way) => {
+    const platform = new PlatformServer(1);
+    const relay = new SilentRelay(await platform.listen());
+    const table = new HttpTableService(`http://127.0.0.1:${await relay.listen()}`, 300, 1);
+    cleanups.push(
+      () => table.dispose(),
+      () => relay.close(),
+      () => platform.close(),
+    );
+    const write = (key: string) =>
+      table.transact({ operationId: key, conditions: [], writes: [{ key, value: 1 }] })();
+    expect(isRight(await write('a'))).toBe(true);
+    relay.silenceAll(way);
+    const lost = await write('b');
+    expect(isLeft(lost) && lost.left.kind).toBe('store-answer-lost');
+    expect(isRight(await write('c'))).toBe(true);
+    expect(relay.connectionCount).toBe(2);
+  });
+});
--- /dev/null
+++ b/standIns/relay/silentRelay.ts
@@ -0,0 +1,89 @@
+/**
+ * A TCP relay whose connections can be made silent: it goes on accepting and delivering over new
+ * ones, and on the silent ones it neither delivers nor closes, in either or both directions.
+ */
+import { createConnection, createServer, type Server, type Socket } from 'node:net';
+
+export const Silence = { ToServer: 'to-server', ToClient: 'to-client', Both: 'both' } as const;
+export type Silence = (typeof Silence)[keyof typeof Silence];
+
+class RelayedConnection {
+  readonly client: Socket;
+
+  readonly server: Socket;
+
+  #silence: Silence | undefined;
+
+  constructor(client: Socket, targetPort: number) {
+    this.client = client;
+    this.server = createConnection(targetPort, '127.0.0.1');
+    this.#pass(client, this.server, Silence.ToServer);
+    this.#pass(this.server, client, Silence.ToClient);
+  }
+
+  get isSilent(): boolean {
+    return this.#silence !== undefined;
+  }
+
+  silence(silence: Silence): void {
+    this.#silence = silence;
+  }
+
+  destroy(): void {
+    this.client.destroy();
+    this.server.destroy();
+  }
+
+  #isSilent(direction: Silence): boolean {
+    return this.#silence === Silence.Both || this.#silence === direction;
+  }
+
+  #pass(from: Socket, to: Socket, direction: Silence): void {
+    from.on('data', (chunk) => {
+      if (!this.#isSilent(direction)) to.write(chunk);
+    });
+    from.on('error', () => {});
+    from.on('close', () => {
+      if (!this.#isSilent(direction)) to.end();
+    });
+  }
+}
+
+export class SilentRelay {
+  readonly #server: Server;
+
+  readonly #connections = new Set<RelayedConnection>();
+
+  connectionCount = 0;
+
+  constructor(targetPort: number) {
+    this.#server = createServer((client) => {
+      this.connectionCount += 1;
+      const connection = new RelayedConnection(client, targetPort);
+      this.#connections.add(connection);
+      client.on('close', () => this.#connections.delete(connection));
+    });
+  }
+
+  /** Silent connections that their client has not closed. */
+  get openSilentCount(): number {
+    return [...this.#connections].filter(({ isSilent }) => isSilent).length;
+  }
+
+  async listen(): Promise<number> {
+    await new Promise<void>((resolve) => {
+      this.#server.listen(0, '127.0.0.1', resolve);
+    });
+    return (this.#server.address() as { port: number }).port;
+  }
+
+  /** Makes all connections that exist now silent; later ones work. */
+  silenceAll(silence: Silence): void {
+    this.#connections.forEach((connection) => connection.silence(silence));
+  }
+
+  close(): void {
+    this.#connections.forEach((connection) => connection.destroy());
+    this.#server.close();
+  }
+}
