--- /dev/null
+++ b/soak/test/soakPlans.ts
@@ -0,0 +1,54 @@
+/** The operators' side of one daemon in a randomised run. */
+import type { RandomSource } from '../../src/base/common/random.js';
+import { PlanService } from '../../src/operator/node/planService.js';
+import type { ConfigurationService } from '../../src/platform/configuration/common/configurationService.js';
+import { silentMetrics } from '../../src/platform/metrics/common/metrics.js';
+import type { TableService } from '../../src/platform/table/common/table.js';
+import type { VirtualTime } from './virtualTime.js';
+
+const PLAN_LIFETIME_MS = 600_000;
+const CONFIRM_TIMEOUT_MS = 10_000;
+
+export interface SoakPlanParts {
+  readonly table: TableService;
+  readonly configuration: ConfigurationService;
+  readonly time: VirtualTime;
+  readonly random: RandomSource;
+  readonly counters: Map<string, number>;
+  /** Of the daemon; ids of plans and operations begin with it. */
+  readonly id: string;
+}
+
+/** Plans without the list of instances, so that jobs which can never run get in as well. */
+export const createPlans = (parts: SoakPlanParts): PlanService => {
+  const { table, configuration, time, random, counters, id } = parts;
+  let idCount = 0;
+  const nextId = (): string => {
+    idCount += 1;
+    return `${id}-${idCount}`;
+  };
+  const count = (name: string): void => {
+    counters.set(name, (counters.get(name) ?? 0) + 1);
+  };
+  const delay = (delayMs: number): Promise<void> =>
+    new Promise((resolve) => {
+      time.schedule(delayMs, () => {
+        resolve();
+        time.noteSettled();
+      });
+    });
+  const services = {
+    table,
+    configuration,
+    directory: { instances: [] },
+    clock: { nowMs: () => time.nowMs },
+    metrics: { ...silentMetrics, count },
+    random,
+    delay,
+    wallNowMs: () => time.nowMs,
+    newSuffix: nextId,
+    newOperationId: nextId,
+  };
+  const limits = { planLifetimeMs: PLAN_LIFETIME_MS, confirmTimeoutMs: CONFIRM_TIMEOUT_MS };
+  return new PlanService(services, limits);
+};
--- a/soak/test/soakWorld.ts
+++ b/soak/test/soakWorld.ts
@@ -8,7 +8,7 @@
 import { SeededRandom } from '../../src/base/common/random.js';
 import { type RoutingTable, toRoutingTable } from '../../src/entry/common/routing.js';
 import type { Intent } from '../../src/operator/common/intent.js';
-import { PlanService } from '../../src/operator/node/planService.js';
+import type { PlanService } from '../../src/operator/node/planService.js';
 import { ConfigurationReader } from '../../src/platform/configuration/node/configurationReader.js';
 import {
   ErrorKind,
@@ -38,6 +38,7 @@
 import { TableStandIn } from '../../standIns/platform/tableStandIn.js';
 import { SoakJudge } from './soakJudge.js';
 import { SoakWorker } from './soakWorker.js';
+import { createPlans } from './soakPlans.js';
 import { VirtualTime } from './virtualTime.js';
 
 export const ZONES = ['zone-a', 'zone-b'] as const;
@@ -57,7 +58,6 @@
 const CALL_TIMEOUT_MS = 800;
 const USUAL_DELAY_MS = 20;
 const LATE_DELAY_MS = 8_000;
-const PLAN_LIFETIME_MS = 600_000;
 const NEVER_MS = 2 ** 30;
 
 /** Test switches that each break one safeguard, to show that the judge sees it. */
@@ -191,8 +191,15 @@
     const state = { isAlive: true, isPaused: false, isCut: false, hinderedAtMs: this.nowMs };
     const whole = { ...daemon, ...state, inbox: [] } as unknown as SoakDaemon;
     const table = this.#tableOf(whole);
-    whole.plans = new PlanService(table, PLAN_LIFETIME_MS);
     whole.reader = this.#createReader(table);
+    whole.plans = createPlans({
+      table,
+      configuration: whole.reader,
+      time: this.time,
+      random: this.#random,
+      counters: this.counters,
+      id,
+    });
     ZONES.forEach((zone, index) => {
       const acquireDelayMs = (this.#daemonCount + index) % ZONES.length === 0 ? 0 : 400;
       const timing = { ...TEST_TIMING, acquireDelayMs };
@@ -335,10 +342,13 @@
     switch (effect.kind) {
       case 'lease-read':
       case 'load': {
-        const { kind, request } = effect;
-        const read = () => this.table.read(request);
+        const read = () => this.table.read(effect.request);
         this.#callTable(daemon, read, ErrorKind.StoreUnavailable, (result) =>
-          handle(kind === 'load' ? { kind: 'loaded', result } : { kind, result, sentAtMs }),
+          handle(
+            effect.kind === 'load'
+              ? { kind: 'loaded', epoch: effect.epoch, result }
+              : { kind: effect.kind, result, sentAtMs },
+          ),
         );
         break;
       }
@@ -348,7 +358,7 @@
         this.#callTable(daemon, write, ErrorKind.StoreAnswerLost, (result) =>
           handle(
             effect.kind === 'commit'
-              ? { kind: 'committed', result }
+              ? { kind: 'committed', epoch: effect.epoch, result }
               : { kind: 'lease-written', step: effect.step, result, sentAtMs },
           ),
         );
@@ -356,7 +366,12 @@
       }
       case 'command':
         this.#command(daemon, effect.workerId, effect.command, (result) =>
-          handle({ kind: 'worker-answered', workerId: effect.workerId, result }),
+          handle({
+            kind: 'worker-answered',
+            workerId: effect.workerId,
+            epoch: effect.command.cellEpoch,
+            result,
+          }),
         );
         break;
       case 'count':
