--- a/src/entry/test/idempotencyKeys.test.ts
+++ b/src/entry/test/idempotencyKeys.test.ts
@@ -74,12 +74,20 @@
   // Twenty repeats at a time through two entries, while the first still runs. At most one may be
   // sent; the others are told that the key is taken.
   it('runs once when it is repeated at the same moment', async () => {
+    const held: (() => void)[] = [];
     const { backend, addEntry } = await setUp((socket) => {
-      setTimeout(() => socket.write(wholeAnswer('cast')), 50);
+      held.push(() => socket.write(wholeAnswer('cast')));
     });
     const entries = [await addEntry(), await addEntry()];
+    let answeredCount = 0;
     const answers = await Promise.all(
-      Array.from({ length: 20 }, (_, index) => order(entries[index % 2] as EntryHarness)),
+      Array.from({ length: 20 }, async (_, index) => {
+        const answer = await order(entries[index % 2] as EntryHarness);
+        answeredCount += 1;
+        // Only when all others have their word does the first get its answer.
+        if (answeredCount === 19) held.splice(0).forEach((release) => release());
+        return answer;
+      }),
     );
     expect(backend.requests).toHaveLength(1);
     expect(answers.filter(({ statusCode }) => statusCode === 200)).toHaveLength(1);
