--- /dev/null
+++ b/bench/requests/requestsBench.ts
@@ -0,0 +1,181 @@
+/** The request path's decisions under load: `npm run bench -- requests`. */
+// eslint-disable-next-line import-x/no-extraneous-dependencies -- benchmarks are not shipped
+import { Bench } from 'tinybench';
+
+import { SeededRandom } from '../../src/base/common/random.js';
+import { Admission, ServerVerdict } from '../../src/entry/common/admission.js';
+import type { ServerRecord } from '../../src/entry/common/serverRecords.js';
+import { settingsSchema } from '../../src/platform/settings/common/settings.js';
+import { LatencyWeightedOfTwo, LeastInFlightOfTwo } from '../../src/entry/common/serverChoice.js';
+import type { Benchmark } from '../benchmark.js';
+import { readBounds } from '../bounds.js';
+import { RandomChoice, RoundRobin } from './baselineChoosers.js';
+import { idealPercentileMs, type Scenario } from './arrivals.js';
+import { LoadModel, type ModelPolicy, type ModelResult } from './loadModel.js';
+import { scenarios, type Size, SIZES } from './scenarios.js';
+
+const SEED = 20_261;
+const P99 = 0.99;
+
+const say = (text: string): void => {
+  process.stdout.write(`${text}\n`);
+};
+
+const entryDefaults = settingsSchema.shape.entry.parse(undefined);
+const choosers = {
+  random: (random) => new RandomChoice(random),
+  'round robin': (random) => new RoundRobin(random),
+  'least in flight of two': (random) => new LeastInFlightOfTwo(random),
+  'latency-weighted of two': (random) => new LatencyWeightedOfTwo(random),
+} as const satisfies Record<string, ModelPolicy['createChooser']>;
+type ChooserName = keyof typeof choosers;
+const OWN: ChooserName = 'latency-weighted of two';
+
+/** Scenarios in which the ways of choosing are shown beside one another. */
+const COMPARED: readonly string[] = ['steady', 'slow-worker', 'noisy-neighbours', 'saturated'];
+
+const policy = (name: ChooserName, isHedging = false): ModelPolicy => ({
+  createChooser: choosers[name],
+  admission: entryDefaults,
+  isHedging,
+});
+
+const percent = (share: number): string => `${(share * 100).toFixed(1)} %`;
+
+const line = (label: string, result: ModelResult): string => {
+  const { all, outcomes, capacityMs } = result;
+  const rounds = outcomes.get('rounds');
+  return [
+    label.padEnd(44),
+    `p50 ${all.percentileMs(0.5).toFixed(1)}`.padEnd(11),
+    `p99 ${all.percentileMs(P99).toFixed(1)}`.padEnd(12),
+    `urgent p99 ${(rounds?.percentileMs(P99) ?? 0).toFixed(1)}`.padEnd(18),
+    `in time ${percent(all.inTime / all.offered)}`.padEnd(18),
+    `urgent in time ${percent((rounds?.inTime ?? 0) / (rounds?.offered ?? 1))}`.padEnd(24),
+    `useful ${percent(all.usefulWorkMs / capacityMs)}`.padEnd(17),
+    `attempts ${(result.attemptCount / all.offered).toFixed(3)}`,
+  ].join('');
+};
+
+const runOne = (scenario: Scenario, own: ModelPolicy, label: string): ModelResult => {
+  const result = new LoadModel(scenario, own, SEED).run();
+  say(`  ${line(label, result)}`);
+  return result;
+};
+
+const runSize = (size: Size, areBaselinesRun: boolean): ReadonlyMap<string, number> => {
+  say(
+    `${size.name}: ${size.workerCount} workers of 8 slots, 7 entries; virtual time, seed ${SEED}`,
+  );
+  const all = scenarios(size);
+  const results = new Map<string, ModelResult>();
+  const unhedged = runOne(
+    all.find(({ name }) => name === 'noisy-neighbours') as Scenario,
+    policy(OWN),
+    'noisy-neighbours, product without hedging',
+  );
+  all.forEach((scenario) => {
+    const isCompared = areBaselinesRun && COMPARED.includes(scenario.name);
+    (Object.keys(choosers) as ChooserName[])
+      .filter(() => isCompared)
+      .forEach((name) => runOne(scenario, policy(name), `${scenario.name}, ${name}`));
+    results.set(scenario.name, runOne(scenario, policy(OWN, true), `${scenario.name}, product`));
+  });
+  const figure = (name: string): ModelResult => results.get(name) as ModelResult;
+  const p99 = (name: string): number => figure(name).all.percentileMs(P99);
+  const urgentP99 = (name: string): number =>
+    figure(name).outcomes.get('rounds')?.percentileMs(P99) ?? 0;
+  const useful = (name: string): number => figure(name).all.usefulWorkMs / figure(name).capacityMs;
+  const inTime = (name: string): number => figure(name).all.inTime / figure(name).all.offered;
+  const idealMs = idealPercentileMs(all[0] as Scenario, SEED, P99);
+  say(`  one shared queue that knows all, steady: p99 ${idealMs.toFixed(1)}`);
+  return new Map([
+    ['maximumSteadyP99ToIdeal', p99('steady') / idealMs],
+    ['maximumSlowWorkerP99ToSteady', p99('slow-worker') / p99('steady')],
+    ['minimumSaturatedUseful', useful('saturated')],
+    ['maximumSaturatedUrgentP99ToSteady', urgentP99('saturated') / urgentP99('steady')],
+    ['maximumOutageAttempts', figure('outage').attemptCount / figure('outage').all.offered],
+    ['minimumFailingWorkerInTime', inTime('failing-worker')],
+    ['maximumEntryDiesP99ToSteady', p99('entry-dies') / p99('steady')],
+    ['maximumSkewedP99ToSteady', p99('skewed') / p99('steady')],
+    ['minimumZoneLeavesInTime', inTime('zone-leaves')],
+    ['maximumBurstUrgentP99ToSteady', urgentP99('burst') / urgentP99('steady')],
+    [
+      'maximumNoisyNeighboursP99ToUnhedged',
+      p99('noisy-neighbours') / unhedged.all.percentileMs(P99),
+    ],
+    ['maximumLongAndShortUrgentP99ToSteady', urgentP99('long-and-short') / urgentP99('steady')],
+  ]);
+};
+
+/** Prints each figure beside its bound and tells whether all hold. */
+const checkBounds = (
+  size: string,
+  figures: ReadonlyMap<string, number>,
+  bounds: Readonly<Record<string, number>>,
+): boolean => {
+  let areHeld = true;
+  figures.forEach((value, name) => {
+    const bound = bounds[name];
+    const isLowest = name.startsWith('minimum');
+    const isHeld = bound !== undefined && (isLowest ? value >= bound : value <= bound);
+    areHeld &&= isHeld;
+    say(`  ${isHeld ? 'ok     ' : 'CROSSED'} ${size} ${name} ${value.toFixed(3)} (bound ${bound})`);
+  });
+  return areHeld;
+};
+
+const WORKER_COUNT = 860;
+const HELD_COUNT = 500;
+const NS_PER_MS = 1_000_000;
+
+/** The time of one decision at the size to design for; printed, and never a bound of CI. */
+const timeDecision = async (): Promise<void> => {
+  const random = new SeededRandom(SEED);
+  const admission = new Admission(entryDefaults, new LatencyWeightedOfTwo(random), random);
+  const servers = Array.from({ length: WORKER_COUNT }, (_, index) => ({
+    workerId: `w${index}`,
+    origin: `http://w${index}`,
+    availabilityZone: 'zone-a',
+    slotCount: 8,
+    connectionCount: 64,
+  }));
+  admission.updateRoutes(new Map([['rounds', servers]]), () => 'urgent', 7);
+  const waiting = {
+    callerId: '',
+    deadlineAtMs: 1e9,
+    waitingSinceMs: 0,
+    avoidedWorkerId: undefined,
+  };
+  const end = { latencyMs: 20, verdict: ServerVerdict.Success, isServerLeaving: false };
+  const held: ServerRecord[] = [];
+  let nowMs = 0;
+  const bench = new Bench({ time: 500 });
+  bench.add('choose, admit and finish', () => {
+    nowMs += 0.1;
+    const decision = admission.admit('rounds', waiting, nowMs);
+    if (decision.kind === 'admitted') held.push(decision.server);
+    if (held.length < HELD_COUNT) return;
+    const server = held.shift();
+    if (server !== undefined) admission.finish('rounds', server, end, nowMs);
+  });
+  await bench.run();
+  const { result } = bench.tasks[0] ?? {};
+  if (result === undefined || !('latency' in result)) return;
+  const { p50, p99 } = result.latency;
+  say(
+    `one decision at ${WORKER_COUNT} workers: median ${(p50 * NS_PER_MS).toFixed(0)} ns, p99 ${(p99 * NS_PER_MS).toFixed(0)} ns`,
+  );
+};
+
+/** With the argument `bounds` only the product is run, without the ways it is compared with. */
+export const requestsBenchmark: Benchmark = {
+  name: 'requests',
+  run: async ([mode]) => {
+    const bounds = await readBounds('requests');
+    const isCompared = mode !== 'bounds';
+    if (isCompared) await timeDecision();
+    const verdicts = SIZES.map((size) => checkBounds(size.name, runSize(size, isCompared), bounds));
+    return verdicts.every(Boolean);
+  },
+};
