Peers: few links each, a corrected list of daemons, hints told on at once

Cause: each daemon beat to every other, which at 70 daemons is 138 messages a second each way for each of them; what daemons see of one another was used for nothing; a daemon that leaves was known of only by the platform's lagging list; a daemon replaced under its id at another port was never linked again; a line without end from a peer would have grown in memory.

Weighed: links to all (traffic grows with the number), to a fixed few at random (a hint may miss some), to those 1, 2, 4, 8 places on. The last is kept: 3 links at 7 daemons and 7 at 70, and a hint that each passes on reaches everybody.

Change: chosenPeers, members, isLeaving in the heartbeat, sent when a daemon starts to drain; a new version is told on at once, at most every 200 ms; the gauge peers_silent. A cancelled job is named once in its plan.

--- a/src/daemon/node/daemon.ts
+++ b/src/daemon/node/daemon.ts
@@ -166,6 +166,7 @@
     if (this.#isDraining) return;
     this.#isDraining = true;
     this.#log.info('draining', { version: this.#configuration.current?.version ?? 0 });
+    this.#peers.announceLeaving();
     this.#callerServer?.startDraining();
     await delay(this.#settings.entry.drainDelayMs);
     const timeout = delay(this.#settings.entry.drainTimeoutMs, undefined, { ref: false });
--- a/src/operator/common/planner.ts
+++ b/src/operator/common/planner.ts
@@ -280,12 +280,17 @@
         },
       ]
     : [];
+  const openCounts = new Map<string, number>();
+  ending.forEach(({ jobId, tasks }) =>
+    openCounts.set(jobId, (openCounts.get(jobId) ?? 0) + tasks.length),
+  );
+  const sizes = new Map(ending.map(({ jobId, size }) => [jobId, size]));
   const tasks: JobTasks = {
     starting,
-    ending: ending.map(({ jobId, size, tasks: all }) => ({
+    ending: [...sizes].map(([jobId, size]) => ({
       taskId: jobId,
       size,
-      count: all.length,
+      count: openCounts.get(jobId) ?? 0,
     })),
   };
   return tasks;
--- a/src/peers/node/peerLink.ts
+++ b/src/peers/node/peerLink.ts
@@ -8,9 +8,15 @@
 import type { Disposable } from '../../base/common/lifecycle.js';
 import type { InstanceAddress } from '../../platform/instanceList/common/instanceList.js';
 import type { Metrics } from '../../platform/metrics/common/metrics.js';
-import { type Heartbeat, HEARTBEAT_METHOD, heartbeatSchema } from '../common/peerMessages.js';
+import {
+  type Heartbeat,
+  HEARTBEAT_METHOD,
+  heartbeatSchema,
+  MAXIMUM_LINE_BYTES,
+} from '../common/peerMessages.js';
 import { isSilent } from '../common/peerTable.js';
 
+/** One connection at a time to one peer; its owner calls `beat` at the heartbeat interval. */
 export class PeerLink implements Disposable {
   readonly #address: InstanceAddress;
 
@@ -65,7 +71,11 @@
       if (this.#socket === socket) this.#forget();
     });
     socket
-      .pipe(split((line: string) => JSON.parse(line) as JSONRPCResponse))
+      .pipe(
+        split((line: string) => JSON.parse(line) as JSONRPCResponse, {
+          maxLength: MAXIMUM_LINE_BYTES,
+        }),
+      )
       .on('data', (response: JSONRPCResponse) => client.receive(response))
       .on('error', () => socket.destroy());
     this.#socket = socket;
--- a/src/peers/node/peerService.ts
+++ b/src/peers/node/peerService.ts
@@ -9,15 +9,26 @@
 import { PeriodicTimer } from '../../base/node/periodicTimer.js';
 import type { ConfigurationService } from '../../platform/configuration/common/configurationService.js';
 import type { InstanceDirectory } from '../../platform/instanceList/common/instanceDirectory.js';
-import { isDaemon } from '../../platform/instanceList/common/instanceList.js';
+import { type DaemonInstance, isDaemon } from '../../platform/instanceList/common/instanceList.js';
 import type { Metrics } from '../../platform/metrics/common/metrics.js';
 import type { Settings } from '../../platform/settings/common/settings.js';
-import { type Heartbeat, HEARTBEAT_METHOD, heartbeatSchema } from '../common/peerMessages.js';
-import { peerChanges } from '../common/peerTable.js';
+import {
+  type Heartbeat,
+  HEARTBEAT_METHOD,
+  heartbeatSchema,
+  MAXIMUM_LINE_BYTES,
+} from '../common/peerMessages.js';
+import {
+  chosenPeers,
+  members,
+  type MemberState,
+  peerChanges,
+  type PeerObservation,
+} from '../common/peerTable.js';
 import { PeerLink } from './peerLink.js';
 
-/** A heartbeat is a short line; a longer one is not from a peer. */
-const MAXIMUM_LINE_BYTES = 65_536;
+/** A change is told on at once, but in a burst of changes not more often than this. */
+const MINIMUM_BEAT_SPACING_MS = 200;
 
 export class PeerService implements Disposable {
   readonly #settings: Settings;
@@ -38,6 +49,16 @@
 
   readonly #links = new Map<string, PeerLink>();
 
+  readonly #linked = new Map<string, DaemonInstance>();
+
+  readonly #observed = new Map<string, PeerObservation>();
+
+  readonly #subscription: Disposable;
+
+  #beatAtMs = Number.NEGATIVE_INFINITY;
+
+  #isLeaving = false;
+
   #timer: PeriodicTimer | undefined;
 
   constructor(
@@ -57,6 +78,7 @@
       return this.#ownHeartbeat();
     });
     this.#server = createServer((socket) => this.#handleConnection(socket));
+    this.#subscription = configuration.onDidChange(() => this.#tellOn());
   }
 
   /** Starts to listen and to beat; returns the port, which the system may have chosen. */
@@ -70,25 +92,63 @@
     return address === null || typeof address === 'string' ? port : address.port;
   }
 
+  /** The daemons there are, as far as this one can tell. */
+  get members(): ReadonlyMap<string, MemberState> {
+    const listed = this.#directory.instances.filter(isDaemon);
+    const linkedIds = new Set(this.#linked.keys());
+    const { silenceTimeoutMs } = this.#settings.peers;
+    return members(listed, linkedIds, this.#observed, silenceTimeoutMs, this.#clock.nowMs());
+  }
+
+  /** Tells the peers at once that this daemon is leaving, before the platform's list does. */
+  announceLeaving(): void {
+    this.#isLeaving = true;
+    this.#links.forEach((link) => void this.#beatOne(link));
+  }
+
   dispose(): void {
     this.#timer?.dispose();
+    this.#subscription.dispose();
     this.#links.forEach((link) => link.dispose());
     this.#sockets.forEach((socket) => socket.destroy());
     this.#server.close();
   }
 
   #beat(): void {
+    this.#beatAtMs = this.#clock.nowMs();
     const listed = this.#directory.instances.filter(isDaemon);
-    const linkedIds = new Set(this.#links.keys());
-    const changes = peerChanges(linkedIds, listed, this.#settings.instanceId);
+    const wanted = chosenPeers(listed, this.#settings.instanceId);
+    const changes = peerChanges(this.#linked, wanted);
     changes.removedIds.forEach((id) => {
       this.#links.get(id)?.dispose();
       this.#links.delete(id);
+      this.#linked.delete(id);
     });
-    changes.added.forEach(({ id, peerAddress }) => {
+    changes.added.forEach((peer) => {
       const { silenceTimeoutMs } = this.#settings.peers;
-      this.#links.set(id, new PeerLink(peerAddress, this.#clock, this.#metrics, silenceTimeoutMs));
+      const link = new PeerLink(peer.peerAddress, this.#clock, this.#metrics, silenceTimeoutMs);
+      this.#links.set(peer.id, link);
+      this.#linked.set(peer.id, peer);
     });
+    this.#forgetGone();
+    this.#links.forEach((link) => void this.#beatOne(link));
+    const silent = [...this.members.values()].filter((state) => state === 'silent');
+    this.#metrics.gauge('peers_silent', silent.length);
+  }
+
+  /** Daemons come and go all day; what was seen of those long gone would pile up. */
+  #forgetGone(): void {
+    const live = this.members;
+    [...this.#observed.keys()]
+      .filter((id) => !live.has(id))
+      .forEach((id) => {
+        this.#observed.delete(id);
+      });
+  }
+
+  #tellOn(): void {
+    if (this.#clock.nowMs() - this.#beatAtMs < MINIMUM_BEAT_SPACING_MS) return;
+    this.#beatAtMs = this.#clock.nowMs();
     this.#links.forEach((link) => void this.#beatOne(link));
   }
 
@@ -101,10 +161,13 @@
     return {
       instanceId: this.#settings.instanceId,
       configurationVersion: this.#configuration.current?.version ?? 0,
+      isLeaving: this.#isLeaving,
     };
   }
 
   #handleHeartbeat(heartbeat: Heartbeat): void {
+    const { instanceId, isLeaving } = heartbeat;
+    this.#observed.set(instanceId, { heardAtMs: this.#clock.nowMs(), isLeaving });
     const ownVersion = this.#configuration.current?.version ?? 0;
     const { configurationVersion } = heartbeat;
     if (configurationVersion > ownVersion) void this.#configuration.refresh(configurationVersion);
--- /dev/null
+++ b/src/peers/test/peers.test.ts
@@ -0,0 +1,118 @@
+import { createServer, type Socket } from 'node:net';
+
+import { afterEach, describe, expect, it } from 'vitest';
+
+import type { Disposable } from '../../base/common/lifecycle.js';
+import { systemClock } from '../../base/node/systemClock.js';
+import type { DaemonInstance } from '../../platform/instanceList/common/instanceList.js';
+import { silentMetrics } from '../../platform/metrics/common/metrics.js';
+import { chosenPeers, members, MemberState, peerChanges } from '../common/peerTable.js';
+import { PeerLink } from '../node/peerLink.js';
+
+const SILENCE_MS = 100;
+const address = (port: number) => ({ host: '127.0.0.1', port });
+
+const daemon = (id: string, state: DaemonInstance['state'] = 'live'): DaemonInstance => ({
+  kind: 'daemon',
+  id,
+  availabilityZone: 'zone-a',
+  state,
+  peerAddress: address(1),
+  operatorAddress: address(2),
+});
+
+const daemons = (count: number): readonly DaemonInstance[] =>
+  Array.from({ length: count }, (_, index) => daemon(`d${String(index).padStart(3, '0')}`));
+
+describe('links between daemons', () => {
+  // Each daemon beats to few; a hint that each passes on to those few must reach all.
+  it.each([
+    [1, 0],
+    [2, 1],
+    [7, 3],
+    [70, 7],
+  ])('of %i daemons are %i for each and reach everybody', (count, linkCount) => {
+    const all = daemons(count);
+    const links = new Map(all.map(({ id }) => [id, chosenPeers(all, id).map((peer) => peer.id)]));
+    links.forEach((ids) => expect(new Set(ids).size).toBe(linkCount));
+    let reached = new Set(['d000']);
+    for (let step = 0; step < linkCount; step += 1) {
+      reached = new Set([...reached, ...[...reached].flatMap((id) => links.get(id) ?? [])]);
+    }
+    expect(reached.size).toBe(count);
+  });
+
+  // A daemon was replaced under its id at another port; the old link would knock there for ever.
+  it('are made anew when an address has changed', () => {
+    const linked = new Map([['d1', daemon('d1')]]);
+    const moved = { ...daemon('d1'), peerAddress: address(9) };
+    expect(peerChanges(linked, [moved])).toEqual({ added: [moved], removedIds: ['d1'] });
+    expect(peerChanges(linked, [daemon('d1')])).toEqual({ added: [], removedIds: [] });
+  });
+});
+
+describe('the daemons there are', () => {
+  it('are the listed ones, corrected by what was seen', () => {
+    const listed = [
+      daemon('heard'),
+      daemon('silent'),
+      daemon('far'),
+      daemon('goes'),
+      daemon('left', 'leaving'),
+    ];
+    const observed = new Map([
+      ['heard', { heardAtMs: 950, isLeaving: false }],
+      ['silent', { heardAtMs: 500, isLeaving: false }],
+      ['goes', { heardAtMs: 500, isLeaving: true }],
+      ['new', { heardAtMs: 990, isLeaving: false }],
+      ['gone', { heardAtMs: 100, isLeaving: false }],
+    ]);
+    const states = members(listed, new Set(['heard', 'silent']), observed, SILENCE_MS, 1_000);
+    expect(Object.fromEntries(states)).toEqual({
+      heard: MemberState.Live,
+      silent: MemberState.Silent,
+      far: MemberState.Unobserved,
+      goes: MemberState.Leaving,
+      left: MemberState.Leaving,
+      new: MemberState.Live,
+    });
+  });
+});
+
+describe('a silent connection', () => {
+  const cleanups: Disposable[] = [];
+  afterEach(() => cleanups.splice(0).forEach((item) => item.dispose()));
+
+  // Something between two daemons has lost track of their connection: it stays open, takes what
+  // is written and delivers nothing, while a new connection works. Without being replaced the
+  // peer would look dead until one of the two restarts.
+  it('is replaced by a new one', async () => {
+    const sockets: Socket[] = [];
+    const server = createServer((socket) => {
+      sockets.push(socket);
+      socket.on('error', () => {});
+      if (sockets.length === 1) return;
+      socket.on('data', (data) => {
+        const { id } = JSON.parse(data.toString()) as { id: number };
+        const result = { instanceId: 'peer', configurationVersion: 7 };
+        socket.write(`${JSON.stringify({ jsonrpc: '2.0', id, result })}\n`);
+      });
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const { port } = server.address() as { port: number };
+    const link = new PeerLink(address(port), systemClock, silentMetrics, SILENCE_MS);
+    cleanups.push(link, {
+      dispose: () => {
+        sockets.forEach((socket) => socket.destroy());
+        server.close();
+      },
+    });
+    const own = { instanceId: 'own', configurationVersion: 1, isLeaving: false };
+    const answers = [await link.beat(own), await link.beat(own), await link.beat(own)];
+    expect(answers[0]).toBeUndefined();
+    expect(answers[2]).toEqual({ instanceId: 'peer', configurationVersion: 7, isLeaving: false });
+    expect(sockets).toHaveLength(2);
+  });
+});
--- a/src/platform/metrics/common/metricList.ts
+++ b/src/platform/metrics/common/metricList.ts
@@ -30,6 +30,7 @@
   configuration_old_read: counter('Reads that gave an older configuration and were ignored.'),
   configuration_version: gauge('The version of the configuration in force here.'),
   peer_heartbeat_failed: counter('Heartbeats to other daemons that got no answer.'),
+  peers_silent: gauge('Listed daemons that this one should hear of and does not.'),
   peer_link_replaced: counter('Connections to other daemons closed because they went silent.'),
   cell_is_owned: gauge('1 while this daemon schedules the cell, by cell.'),
   cell_transaction_conflict: counter('Transactions of a cell that met a changed row, by cell.'),
