--- a/bench/bench.ts
+++ b/bench/bench.ts
@@ -1,10 +1,11 @@
 /** The benchmarks: `npm run bench -- NAME`, all of them without a name. */
 
 import type { Benchmark } from './benchmark.js';
+import { configuration } from './configuration/configuration.js';
 import { passThrough } from './passThrough/passThrough.js';
 import { requestsBenchmark } from './requests/requestsBench.js';
 
-const BENCHMARKS: readonly Benchmark[] = [passThrough, requestsBenchmark];
+const BENCHMARKS: readonly Benchmark[] = [configuration, passThrough, requestsBenchmark];
 
 const [wanted, ...args] = process.argv.slice(2);
 const chosen = BENCHMARKS.filter(({ name }) => wanted === undefined || name === wanted);
--- /dev/null
+++ b/bench/configuration/configuration.ts
@@ -0,0 +1,57 @@
+/** Time until a change is in force everywhere, what following costs, and time to plan. */
+import type { Benchmark } from '../benchmark.js';
+import { readBounds } from '../bounds.js';
+import { type InForceFigures, measureInForce, type Scenario } from './inForce.js';
+import { measurePlanning } from './planning.js';
+
+const DAY_MS = 86_400_000;
+const CHANGES_PER_DAY = 1_300;
+const USUAL = { changeCount: 100, meanGapMs: DAY_MS / CHANGES_PER_DAY };
+const BURST = { changeCount: 50, meanGapMs: 1_200 };
+const SLOW = { minimumDelayMs: 200, maximumDelayMs: 780 };
+
+const SCENARIOS: readonly Scenario[] = [
+  { name: '7 daemons', daemonCount: 7, hasPeers: true, behaviour: {}, ...USUAL },
+  { name: '7, burst', daemonCount: 7, hasPeers: true, behaviour: {}, ...BURST },
+  { name: '7, no peers', daemonCount: 7, hasPeers: false, behaviour: {}, ...USUAL },
+  { name: '7, burst, no peers', daemonCount: 7, hasPeers: false, behaviour: {}, ...BURST },
+  { name: '7, slow store', daemonCount: 7, hasPeers: true, behaviour: SLOW, ...USUAL },
+  { name: '7, slow store, no peers', daemonCount: 7, hasPeers: false, behaviour: SLOW, ...USUAL },
+  { name: '70 daemons', daemonCount: 70, hasPeers: true, behaviour: {}, ...USUAL, changeCount: 20 },
+  { name: '70, burst', daemonCount: 70, hasPeers: true, behaviour: {}, ...BURST },
+];
+
+const say = (text: string): void => {
+  process.stdout.write(`${text}\n`);
+};
+
+const inForceLine = (name: string, figures: InForceFigures): string => {
+  const { p50Ms, p99Ms, maxMs } = figures;
+  const reads = figures.readsPerDaemonPerSecond.toFixed(2);
+  const rows = figures.rowsPerDaemonPerSecond.toFixed(2);
+  const bytes = Math.round(figures.bytesPerDaemonPerSecond);
+  const lag = `in force on the last daemon p50 ${p50Ms} p99 ${p99Ms} max ${maxMs} ms`;
+  return `${name}: ${lag}; a daemon: ${reads} reads, ${rows} rows, ${bytes} bytes a second`;
+};
+
+const run = async (): Promise<boolean> => {
+  const bounds = await readBounds('configuration');
+  let isWithinBounds = true;
+  for (let index = 0; index < SCENARIOS.length; index += 1) {
+    const scenario = SCENARIOS[index] as Scenario;
+    // eslint-disable-next-line no-await-in-loop -- one at a time
+    const figures = await measureInForce(scenario);
+    say(inForceLine(scenario.name, figures));
+    isWithinBounds &&= figures.maxMs <= (bounds.maximumInForceMs ?? 0);
+    isWithinBounds &&= figures.bytesPerDaemonPerSecond <= (bounds.maximumBytesPerSecond ?? 0);
+  }
+  const plans = await measurePlanning();
+  plans.forEach(({ name, p50Ms, maxMs, longestHoldMs }) => {
+    const durations = `p50 ${p50Ms.toFixed(1)} max ${maxMs.toFixed(1)} ms`;
+    say(`plan ${name}: ${durations}, longest hold ${longestHoldMs.toFixed(1)} ms`);
+    isWithinBounds &&= p50Ms <= (bounds.maximumPlanMs ?? 0);
+  });
+  return isWithinBounds;
+};
+
+export const configuration: Benchmark = { name: 'configuration', run };
