--- a/bench/configuration/planning.ts
+++ b/bench/configuration/planning.ts
@@ -227,7 +227,11 @@
       },
       { planLifetimeMs: 60_000, confirmTimeoutMs: 10_000 },
     );
-    const figures: PlanningFigures[] = [];
+    const stop = watchHolds();
+    await delay(1_000);
+    const figures: PlanningFigures[] = [
+      { name: 'nothing (a second of rest)', p50Ms: 0, maxMs: 0, longestHoldMs: stop() },
+    ];
     for (let index = 0; index < INTENTS.length; index += 1) {
       const [name, toIntent] = INTENTS[index] as (typeof INTENTS)[number];
       // eslint-disable-next-line no-await-in-loop -- one at a time, or they hold each other up
--- a/src/operator/common/plan.ts
+++ b/src/operator/common/plan.ts
@@ -101,12 +101,19 @@
 /** True when confirming the plan would change nothing. */
 export const isEmptyPlan = (plan: Pick<Plan, 'steps'>): boolean => plan.steps.length === 0;
 
-/** What the digest is taken of: all that confirming the plan writes or relies on. */
-export const digestContents = (
-  plan: Pick<Plan, 'planId' | 'intent' | 'baseVersion' | 'steps' | 'guards' | 'notifiedCells'>,
-): unknown => {
+/** Parts of a plan that its digest is taken of: all that confirming it writes or relies on. */
+export type DigestedPlan = Pick<
+  Plan,
+  'planId' | 'intent' | 'baseVersion' | 'steps' | 'guards' | 'notifiedCells'
+>;
+
+/** The contents of a plan in the order in which they are digested, a step at a time. */
+export const digestParts = (plan: DigestedPlan): readonly unknown[] => {
   const { planId, intent, baseVersion, steps, guards, notifiedCells } = plan;
-  return { planId, intent, baseVersion, steps, guards, notifiedCells };
+  return [
+    { planId, intent, baseVersion, stepCount: steps.length, guards, notifiedCells },
+    ...steps,
+  ];
 };
 
 const HOUR_MS = 3_600_000;
--- a/src/operator/common/planEffects.ts
+++ b/src/operator/common/planEffects.ts
@@ -3,7 +3,7 @@
   type ConfigurationView,
   zonesInUse,
 } from '../../platform/configuration/common/configurationView.js';
-import { type ServiceDocument, Urgency } from '../../platform/configuration/common/documents.js';
+import type { ServiceDocument } from '../../platform/configuration/common/documents.js';
 import { InstanceState } from '../../platform/instanceList/common/instanceList.js';
 import {
   fitsInto,
@@ -18,17 +18,14 @@
 /** How many of a group's tasks a plan names. */
 const NAMED_TASK_COUNT = 5;
 
-const URGENCY_ORDER: Readonly<Record<Urgency, number>> = {
-  [Urgency.Urgent]: 0,
-  [Urgency.Normal]: 1,
-  [Urgency.Low]: 2,
-};
-
 const isLarger = (one: Resources, other: Resources): number =>
   other.acceleratorCount - one.acceleratorCount ||
   other.processorMillis - one.processorMillis ||
   other.memoryBytes - one.memoryBytes;
 
+const isSame = (one: unknown, other: unknown): boolean =>
+  one === other || JSON.stringify(one) === JSON.stringify(other);
+
 /** Tasks of one kind, of which a service or job has several of the same size. */
 interface CountedTasks extends AffectedTask {
   readonly count: number;
@@ -76,10 +73,14 @@
   return { service, moving, starting: coming - moving, ending: going - moving };
 };
 
+/** Shifts of the services that can have any: all when zones change, else those that changed. */
 const serviceShifts = (comparison: Comparison): readonly ServiceShift[] => {
-  const { before, after } = comparison;
+  const { before, after, totalsBefore, totalsAfter } = comparison;
+  const areZonesSame = isSame(totalsBefore.zones, totalsAfter.zones);
   const names = new Set([...before.services.keys(), ...after.services.keys()]);
-  return [...names].map((name) => serviceShift(comparison, name));
+  return [...names]
+    .filter((name) => !areZonesSame || before.services.get(name) !== after.services.get(name))
+    .map((name) => serviceShift(comparison, name));
 };
 
 const capacityOfZone = (
@@ -109,22 +110,19 @@
  * a size that no single worker has room for is missing whole.
  */
 const missingTasks = (
-  view: ConfigurationView,
   totals: ServiceTotals,
   zone: string,
   workers: readonly Resources[],
 ): number => {
   let free = sumResources(workers);
-  return [...view.services.values()]
-    .sort((one, other) => URGENCY_ORDER[one.urgency] - URGENCY_ORDER[other.urgency])
-    .reduce((missing, { name, size }) => {
-      const wanted = totals.replicas(name, zone);
-      if (wanted === 0) return missing;
-      const isPlaceable = workers.some((capacity) => fitsInto(size, capacity));
-      const placed = isPlaceable ? countThatFits(size, free, wanted) : 0;
-      free = subtractResources(free, multipliedResources(size, placed));
-      return missing + wanted - placed;
-    }, 0);
+  return totals.byUrgency.reduce((missing, { name, size }) => {
+    const wanted = totals.replicas(name, zone);
+    if (wanted === 0) return missing;
+    const isPlaceable = workers.some((capacity) => fitsInto(size, capacity));
+    const placed = isPlaceable ? countThatFits(size, free, wanted) : 0;
+    free = subtractResources(free, multipliedResources(size, placed));
+    return missing + wanted - placed;
+  }, 0);
 };
 
 const zoneCapacity = (comparison: Comparison, zone: string): PlanEffects['capacity'][number] => {
@@ -137,13 +135,10 @@
     totalAfter: sumResources(workersAfter),
     reservedBefore: totalsBefore.inZone(zone),
     reservedAfter: totalsAfter.inZone(zone),
-    missingTaskCount: isKnown ? missingTasks(after, totalsAfter, zone, workersAfter) : 0,
+    missingTaskCount: isKnown ? missingTasks(totalsAfter, zone, workersAfter) : 0,
   };
 };
 
-const isSame = (one: unknown, other: unknown): boolean =>
-  JSON.stringify(one) === JSON.stringify(other);
-
 const capacityEffects = (comparison: Comparison): PlanEffects['capacity'] =>
   [...new Set([...comparison.before.zones.keys(), ...comparison.after.zones.keys()])]
     .sort()
@@ -156,6 +151,11 @@
 
 const quotaEffects = (comparison: Comparison): PlanEffects['quotas'] => {
   const { before, after, totalsBefore, totalsAfter } = comparison;
+  const changedTeams = new Set(
+    [...before.services.values(), ...after.services.values()]
+      .filter(({ name }) => before.services.get(name) !== after.services.get(name))
+      .map(({ team }) => team),
+  );
   const teams = new Set([
     ...totalsBefore.teams,
     ...totalsAfter.teams,
@@ -165,6 +165,8 @@
   return [...teams].flatMap((team) => {
     const limitBefore = before.quotas.get(team)?.limit ?? null;
     const limit = after.quotas.get(team)?.limit ?? null;
+    // Most teams are not touched; their documents are the same objects in both views.
+    if (limitBefore === limit && !changedTeams.has(team)) return [];
     const usedBefore = totalsBefore.ofTeam(team);
     const usedAfter = totalsAfter.ofTeam(team);
     if (isSame(limitBefore, limit) && isSame(usedBefore, usedAfter)) return [];
--- a/src/operator/common/planningBasis.ts
+++ b/src/operator/common/planningBasis.ts
@@ -63,7 +63,9 @@
 ): readonly PlanStep[] => {
   const row = basis.rows.get(key);
   const before = row?.value ?? null;
-  if (canonicalJson(before) === canonicalJson(after)) return [];
+  // A new row differs without being looked through; a job's may hold thousands of tasks.
+  const isNew = before === null && after !== null;
+  if (!isNew && canonicalJson(before) === canonicalJson(after)) return [];
   return [{ key, before, after, baseRowVersion: row?.version ?? ABSENT_VERSION }];
 };
 
--- a/src/operator/common/replicas.ts
+++ b/src/operator/common/replicas.ts
@@ -3,12 +3,19 @@
   type ConfigurationView,
   zonesInUse,
 } from '../../platform/configuration/common/configurationView.js';
+import { type ServiceDocument, Urgency } from '../../platform/configuration/common/documents.js';
 import {
   addResources,
   NO_RESOURCES,
   type Resources,
 } from '../../platform/worker/common/resources.js';
 
+const URGENCY_ORDER: Readonly<Record<Urgency, number>> = {
+  [Urgency.Urgent]: 0,
+  [Urgency.Normal]: 1,
+  [Urgency.Low]: 2,
+};
+
 export const multipliedResources = (size: Resources, count: number): Resources => ({
   processorMillis: size.processorMillis * count,
   memoryBytes: size.memoryBytes * count,
@@ -23,9 +30,18 @@
 
   readonly #byTeam = new Map<string, Resources>();
 
+  readonly #zoneIndexes: ReadonlyMap<string, number>;
+
+  /** Services in the order in which they are given room. */
+  readonly byUrgency: readonly ServiceDocument[];
+
   constructor(view: ConfigurationView) {
     this.#view = view;
     this.zones = zonesInUse(view);
+    this.#zoneIndexes = new Map(this.zones.map((zone, index) => [zone, index]));
+    this.byUrgency = [...view.services.values()].sort(
+      (one, other) => URGENCY_ORDER[one.urgency] - URGENCY_ORDER[other.urgency],
+    );
     view.services.forEach(({ team, size, replicaCount }) => {
       const sum = this.#byTeam.get(team) ?? NO_RESOURCES;
       this.#byTeam.set(team, addResources(sum, multipliedResources(size, replicaCount)));
@@ -34,7 +50,7 @@
 
   /** A service's share in a zone, as the cells' owners work it out: even, first zones get more. */
   replicas(serviceName: string, zone: string): number {
-    const index = this.zones.indexOf(zone);
+    const index = this.#zoneIndexes.get(zone) ?? -1;
     const count = this.#view.services.get(serviceName)?.replicaCount ?? 0;
     if (index < 0) return 0;
     const base = Math.floor(count / this.zones.length);
--- a/src/operator/node/ledgerSurvey.ts
+++ b/src/operator/node/ledgerSurvey.ts
@@ -1,7 +1,7 @@
 /** Reads running tasks out of the ledger, a few racks at a time. */
 import { setImmediate as nextTurn } from 'node:timers/promises';
 
-import { type Either, isLeft, right } from 'fp-ts/lib/Either.js';
+import { type Either, isLeft, left, right } from 'fp-ts/lib/Either.js';
 
 import type { Failure } from '../../platform/errors/common/errorKinds.js';
 import type { WorkerInstance } from '../../platform/instanceList/common/instanceList.js';
@@ -46,6 +46,20 @@
   return [...new Map(racks.map((rack) => [ledgerKey(rack.cell, rack.rack), rack])).values()];
 };
 
+/** Reads under way at a time: the next answers travel while one is parsed. */
+const LANE_COUNT = 3;
+
+const readRacks = async (
+  table: TableService,
+  racks: readonly LedgerRack[],
+): Promise<Either<Failure, readonly Assignment[]>> => {
+  const keys = racks.map(({ cell, rack }) => ledgerKey(cell, rack));
+  const read = await table.read({ keys, prefixes: [] })();
+  if (isLeft(read)) return read;
+  await nextTurn();
+  return right(read.right.rows.flatMap(({ value }) => ledgerRowSchema.parse(value).assignments));
+};
+
 /** Assignments of the racks for which `isWanted`; requests get their turn between reads. */
 export const surveyLedger = async (
   table: TableService,
@@ -53,19 +67,23 @@
   isWanted: (assignment: Assignment) => boolean,
 ): Promise<Either<Failure, readonly Assignment[]>> => {
   const found: Assignment[] = [];
-  for (let index = 0; index < racks.length; index += RACKS_PER_READ) {
-    const part = racks.slice(index, index + RACKS_PER_READ);
-    const keys = part.map(({ cell, rack }) => ledgerKey(cell, rack));
-    // One part at a time keeps each pause of the event loop short.
-    // eslint-disable-next-line no-await-in-loop
-    const read = await table.read({ keys, prefixes: [] })();
-    if (isLeft(read)) return read;
-    read.right.rows.forEach((row) => {
-      const { assignments } = ledgerRowSchema.parse(row.value);
-      found.push(...assignments.filter(isWanted));
-    });
-    // eslint-disable-next-line no-await-in-loop
-    await nextTurn();
-  }
-  return right(found);
+  let fault: Failure | undefined;
+  let nextIndex = 0;
+  const runLane = async (): Promise<void> => {
+    while (nextIndex < racks.length && fault === undefined) {
+      const part = racks.slice(nextIndex, nextIndex + RACKS_PER_READ);
+      nextIndex += RACKS_PER_READ;
+      // A lane reads one part at a time, which keeps each pause of the event loop short.
+      // eslint-disable-next-line no-await-in-loop
+      const read = await readRacks(table, part);
+      if (isLeft(read)) fault = read.left;
+      else found.push(...read.right.filter(isWanted));
+      // eslint-disable-next-line no-await-in-loop
+      await nextTurn();
+    }
+  };
+  await Promise.all(Array.from({ length: LANE_COUNT }, runLane));
+  if (fault !== undefined) return left(fault);
+  // Lanes end in any order; a plan of the same state reads the same.
+  return right(found.sort((one, other) => (one.taskId < other.taskId ? -1 : 1)));
 };
--- a/src/operator/node/planMaker.ts
+++ b/src/operator/node/planMaker.ts
@@ -1,5 +1,6 @@
 /** Makes plans: reads what an intent needs, works the plan out and keeps it. */
 import { createHash } from 'node:crypto';
+import { setImmediate as nextTurn } from 'node:timers/promises';
 
 import { type Either, isLeft, left, right } from 'fp-ts/lib/Either.js';
 
@@ -28,7 +29,14 @@
 } from '../../platform/work/common/workRows.js';
 import { planningFault } from '../common/confirmation.js';
 import { type Intent, IntentKind } from '../common/intent.js';
-import { digestContents, type Plan, planKey, PlanState, toPlanId } from '../common/plan.js';
+import {
+  type DigestedPlan,
+  digestParts,
+  type Plan,
+  planKey,
+  PlanState,
+  toPlanId,
+} from '../common/plan.js';
 import {
   furtherRowsToRead,
   type PlannedChange,
@@ -49,6 +57,8 @@
   readonly newSuffix: () => string;
 }
 
+const LARGE_PART_LENGTH = 10_000;
+
 /** Tries at catching a moment in which the view and the rows agree. */
 const MAXIMUM_READ_TRIES = 5;
 /** Jobs whose shards are looked up to tell what a cancellation would end. */
@@ -69,10 +79,17 @@
     .filter((key) => key.startsWith(DOCUMENT_PREFIX))
     .every((key) => rows.get(key)?.version === view.rowVersions.get(key));
 
-export const planDigest = (plan: Parameters<typeof digestContents>[0]): string =>
-  createHash('sha256')
-    .update(canonicalJson(digestContents(plan)))
-    .digest('hex');
+/** Steps of jobs with many tasks take milliseconds each; requests get their turn in between. */
+export const planDigest = async (plan: DigestedPlan): Promise<string> => {
+  const hash = createHash('sha256');
+  await digestParts(plan).reduce(async (before, part) => {
+    await before;
+    const text = canonicalJson(part);
+    hash.update(`${text.length}:`).update(text);
+    if (text.length > LARGE_PART_LENGTH) await nextTurn();
+  }, Promise.resolve());
+  return hash.digest('hex');
+};
 
 export class PlanMaker {
   readonly #services: PlanMakerServices;
@@ -96,9 +113,12 @@
     if (isLeft(ending)) return ending;
     const planId = toPlanId(this.#services.wallNowMs(), this.#services.newSuffix());
     const basis = { view, rows, workers, running: running.right, planId };
+    // The sums over all services take milliseconds; requests get their turn before and after.
+    await nextTurn();
     const planned = planIntent(basis, intent, ending.right);
     if (isLeft(planned)) return planned;
-    return this.#keep(this.#toPlan(planId, intent, author, view.version, planned.right));
+    await nextTurn();
+    return this.#keep(await this.#toPlan(planId, intent, author, view.version, planned.right));
   }
 
   /**
@@ -207,13 +227,13 @@
     return isLeft(second) ? first : right(plan);
   }
 
-  #toPlan(
+  async #toPlan(
     planId: string,
     intent: Intent,
     author: string,
     baseVersion: number,
     planned: PlannedChange,
-  ): Plan {
+  ): Promise<Plan> {
     const createdAtMs = this.#services.wallNowMs();
     const contents = {
       planId,
@@ -231,7 +251,7 @@
       warnings: [...planned.warnings],
       createdAt: new Date(createdAtMs).toISOString(),
       expiresAt: new Date(createdAtMs + this.#planLifetimeMs).toISOString(),
-      digest: planDigest(contents),
+      digest: await planDigest(contents),
       state: PlanState.Pending,
       acceptedVersion: 0,
     };
--- a/src/operator/node/planService.ts
+++ b/src/operator/node/planService.ts
@@ -159,7 +159,7 @@
     attempts: OpenAttempts,
   ): Promise<ConfirmationResult | undefined> {
     const { table, metrics } = this.#services;
-    const isAltered = planDigest(pending) !== pending.digest;
+    const isAltered = (await planDigest(pending)) !== pending.digest;
     const fault = isAltered
       ? WriteInvariant.OnlyWhatWasShown
       : confirmationFault(pending, rows, transaction);
