Spans for peer, table and worker calls, traces as a tree, exit codes by real processes

Cause: three hops had no span; a trace showed children without their root, because the ring was shared with whatever else was sampled; wrong use of the tool ended with 1, which a script took for a refusal; consola dropped the daemon's info lines, the one with its ports included, where NODE_ENV is test. Weighed and ruled out: an asynchronous context that carries a request's span into its table calls (it costs every promise of the process); so calls of the background are traces of their own. Change: tracing decorators round the table and the worker client, a span for each heartbeat; background spans have places of their own in the ring; snipethread trace ID shows a tree; wrong use ends with 2; the closed list holds every metric; the level of the log is stated.

--- a/src/cli/node/commands.ts
+++ b/src/cli/node/commands.ts
@@ -8,8 +8,10 @@
 import { type Plan, planSchema } from '../../operator/common/plan.js';
 import type { ErrorBody } from '../../platform/errors/common/errorKinds.js';
 import { readSettingsFile } from '../../platform/settings/node/settingsFile.js';
+import type { RecordedSpan } from '../../platform/tracing/common/tracing.js';
 import { planText } from '../common/planText.js';
 import { formatTable } from '../common/columnText.js';
+import { traceText } from '../common/traceText.js';
 import { OperatorClient } from './operatorClient.js';
 
 /** Exit codes of `snipethread`, as the README lists them. */
@@ -106,6 +108,14 @@
   return ExitCode.Done;
 };
 
+export const runTrace = async (connection: Connection, traceId: string): Promise<ExitCode> => {
+  const answer = await clientOf(connection).get(`/v1/traces/${encodeURIComponent(traceId)}`);
+  if (isLeft(answer)) return printRefusal(connection, answer.left);
+  const spans = answer.right as readonly RecordedSpan[];
+  print(connection.isJson ? JSON.stringify(spans) : traceText(spans));
+  return ExitCode.Done;
+};
+
 interface JobAnswer {
   readonly isEnded: boolean;
   readonly taskCounts: Readonly<Record<string, number>>;
--- a/src/cli/node/snipethread.ts
+++ b/src/cli/node/snipethread.ts
@@ -1,7 +1,8 @@
 #!/usr/bin/env node
 /** The operators' command line: `snipethread COMMAND`. */
-import { type CommandDef, defineCommand, runMain } from 'citty';
+import { type CommandDef, defineCommand } from 'citty';
 
+import { runProgram } from '../../platform/commandLine/node/runProgram.js';
 import {
   type Connection,
   OBJECT_KINDS,
@@ -10,6 +11,7 @@
   runGet,
   runPlan,
   runSettingsCheck,
+  runTrace,
   runWatch,
 } from './commands.js';
 
@@ -92,11 +94,10 @@
 });
 
 const trace = defineCommand({
-  meta: { name: 'trace', description: 'Show the spans of a recent trace' },
+  meta: { name: 'trace', description: 'Show the spans of a recent trace as a tree' },
   args: { ...connectionArgs, id: { type: 'positional', required: true } },
   async run({ args }) {
-    const path = `/v1/traces/${encodeURIComponent(args.id)}`;
-    process.exitCode = await runDescribe(toConnection(args), path);
+    process.exitCode = await runTrace(toConnection(args), args.id);
   },
 });
 
@@ -123,4 +124,4 @@
   subCommands: { plan, confirm, get, describe, watch, trace, settings },
 });
 
-void runMain(command);
+void runProgram(command, process.argv.slice(2));
--- /dev/null
+++ b/src/cli/test/traceText.test.ts
@@ -0,0 +1,35 @@
+import { describe, expect, it } from 'vitest';
+
+import type { RecordedSpan } from '../../platform/tracing/common/tracing.js';
+import { traceText } from '../common/traceText.js';
+
+const span = (hop: string, spanId: string, parentSpanId: string): RecordedSpan => ({
+  traceId: 't',
+  spanId,
+  parentSpanId,
+  hop,
+  startedAt: '2026-01-01T00:00:00.000Z',
+  durationMs: 1,
+  fields: {},
+});
+
+const hops = (spans: readonly RecordedSpan[]): readonly string[] =>
+  traceText(spans)
+    .split('\n')
+    .map((line) => line.replace(/ +1\.00 ms$/u, ''));
+
+describe('a trace for people', () => {
+  it('shows each span below its parent, whatever the order they come in', () => {
+    const spans = [
+      span('attempt', 'c', 'a'),
+      span('queue', 'b', 'a'),
+      span('entry', 'a', 'remote'),
+    ];
+    expect(hops(spans)).toEqual(['entry', '  attempt', '  queue']);
+  });
+
+  it('shows spans whose parent has given way', () => {
+    expect(hops([span('attempt', 'c', 'gone')])).toEqual(['attempt']);
+    expect(traceText([])).toContain('no spans');
+  });
+});
--- a/src/daemon/node/daemon.ts
+++ b/src/daemon/node/daemon.ts
@@ -25,6 +25,7 @@
 import { ConsolaLog } from '../../platform/log/node/consolaLog.js';
 import { PrometheusMetrics } from '../../platform/metrics/node/prometheusMetrics.js';
 import { Role, type Settings } from '../../platform/settings/common/settings.js';
+import { TracedTableService } from '../../platform/table/common/tracedTableService.js';
 import { HttpTableService } from '../../platform/table/node/httpTableService.js';
 import { OpenTelemetryTracing } from '../../platform/tracing/node/openTelemetryTracing.js';
 import { CellTasks } from '../../scheduler/node/cellTasks.js';
@@ -70,9 +71,10 @@
       random,
     );
     const { callTimeoutMs, tableConnectionCount } = platform;
-    const table = own.add(
+    const httpTable = own.add(
       new HttpTableService(platform.tableOrigin, callTimeoutMs, tableConnectionCount),
     );
+    const table = new TracedTableService(httpTable, tracing);
     const list = own.add(new HttpInstanceList(platform.instanceListOrigin, callTimeoutMs));
     const directory = own.add(
       new InstanceListReader(list, metrics, platform.instanceListIntervalMs),
@@ -81,7 +83,7 @@
       new ConfigurationReader(table, clock, log, metrics, platform.configurationIntervalMs),
     );
     if (roles.includes(Role.Scheduler)) {
-      const services = { table, configuration, directory, clock, log, metrics };
+      const services = { table, configuration, directory, clock, log, metrics, tracing };
       own.add(new CellTasks(services, settings, `${instanceId}#${randomUUID()}`));
     }
     if (roles.includes(Role.Entry)) {
@@ -133,7 +135,9 @@
       },
       settings.operator,
     );
-    this.#peers = own.add(new PeerService(settings, configuration, directory, clock, metrics));
+    this.#peers = own.add(
+      new PeerService(settings, configuration, directory, clock, metrics, tracing),
+    );
     this.#configuration = configuration;
     this.#log = log;
   }
--- a/src/daemon/node/snipethreadd.ts
+++ b/src/daemon/node/snipethreadd.ts
@@ -2,13 +2,13 @@
 /** The daemon's command line: `snipethreadd --settings FILE`. */
 import { collectGarbage } from './memoryFlags.js';
 
-import { defineCommand, runMain } from 'citty';
+import { defineCommand } from 'citty';
 import { isLeft } from 'fp-ts/lib/Either.js';
 
+import { runProgram, WRONG_USE_EXIT_CODE } from '../../platform/commandLine/node/runProgram.js';
 import { readSettingsFile } from '../../platform/settings/node/settingsFile.js';
 import { Daemon } from './daemon.js';
 
-const EXIT_BAD_SETTINGS = 2;
 const VERSION = '0.1.0';
 
 const command = defineCommand({
@@ -25,7 +25,7 @@
     const settings = await readSettingsFile(args.settings);
     if (isLeft(settings)) {
       settings.left.forEach((fault) => process.stderr.write(`${fault.path}: ${fault.message}\n`));
-      process.exit(EXIT_BAD_SETTINGS);
+      process.exit(WRONG_USE_EXIT_CODE);
     }
     const daemon = new Daemon(settings.right);
     const handleSignal = (): void => {
@@ -38,4 +38,4 @@
   },
 });
 
-void runMain(command);
+void runProgram(command, process.argv.slice(2));
--- /dev/null
+++ b/src/daemon/test/programs.test.ts
@@ -0,0 +1,129 @@
+import { execFile, spawn } from 'node:child_process';
+import { once } from 'node:events';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { createInterface } from 'node:readline';
+
+import { request } from 'undici';
+import { afterAll, beforeAll, describe, expect, it } from 'vitest';
+
+const HANG_TIMEOUT_MS = 30_000;
+const DAEMON = 'src/daemon/node/snipethreadd.js';
+const TOOL = 'src/cli/node/snipethread.js';
+/** Nothing listens on the discard port, so the platform is out of reach. */
+const UNREACHABLE = 'http://127.0.0.1:9';
+
+const listen = { host: '127.0.0.1' };
+const validSettings = {
+  $schema: './settings.schema.json',
+  instanceId: 'entry-1',
+  availabilityZone: 'zone-a',
+  listen: { callers: listen, operators: listen, peers: listen },
+  platform: {
+    tableOrigin: UNREACHABLE,
+    objectStoreOrigin: UNREACHABLE,
+    instanceListOrigin: UNREACHABLE,
+  },
+  entry: { drainDelayMs: 0 },
+};
+const faultySettings = {
+  ...validSettings,
+  colour: 'red',
+  entry: { queueCapacity: -1 },
+  scheduler: { workerLeaseMs: 'long' },
+};
+
+interface Ended {
+  readonly exitCode: number;
+  readonly stdout: string;
+  readonly stderr: string;
+}
+
+const run = (script: string, args: readonly string[]): Promise<Ended> =>
+  new Promise((resolve) => {
+    const options = { timeout: HANG_TIMEOUT_MS };
+    execFile(process.execPath, [`dist/${script}`, ...args], options, (error, stdout, stderr) => {
+      resolve({ exitCode: error === null ? 0 : Number(error.code), stdout, stderr });
+    });
+  });
+
+interface LogLine {
+  readonly event: string;
+  readonly operatorsPort: number;
+}
+
+const listeningLine = async (output: NodeJS.ReadableStream): Promise<LogLine> =>
+  new Promise((resolve) => {
+    createInterface({ input: output }).on('line', (text) => {
+      const line = JSON.parse(text) as LogLine;
+      if (line.event === 'listening') resolve(line);
+    });
+  });
+
+let folder = '';
+const fileOf = (name: string): string => join(folder, name);
+
+beforeAll(async () => {
+  folder = await mkdtemp(join(tmpdir(), 'snipethread-programs-'));
+  await writeFile(fileOf('valid.json'), JSON.stringify(validSettings));
+  await writeFile(fileOf('faulty.json'), JSON.stringify(faultySettings));
+});
+
+afterAll(async () => {
+  await rm(folder, { recursive: true });
+});
+
+describe('exit codes', () => {
+  it('snipethreadd: 2 and one line for each fault of its settings, and nothing starts', async () => {
+    const ended = await run(DAEMON, ['--settings', fileOf('faulty.json')]);
+    expect(ended.exitCode).toBe(2);
+    expect(ended.stdout).toBe('');
+    const paths = ended.stderr
+      .trim()
+      .split('\n')
+      .map((line) => line.split(':')[0]);
+    expect(paths.sort()).toEqual(['colour', 'entry.queueCapacity', 'scheduler.workerLeaseMs']);
+  });
+
+  it('snipethread settings check: 2 and every fault, also as JSON; 0 without faults', async () => {
+    const faulty = await run(TOOL, ['settings', 'check', fileOf('faulty.json')]);
+    expect(faulty.exitCode).toBe(2);
+    expect(faulty.stdout.trim().split('\n')).toHaveLength(3);
+    const json = await run(TOOL, ['settings', 'check', '--json', fileOf('faulty.json')]);
+    expect((JSON.parse(json.stdout) as { faults: unknown[] }).faults).toHaveLength(3);
+    const valid = await run(TOOL, ['settings', 'check', fileOf('valid.json')]);
+    expect(valid.exitCode).toBe(0);
+  });
+
+  it.each([
+    ['an unknown command', TOOL, ['paint'], 2],
+    ['a missing argument', TOOL, ['confirm'], 2],
+    ['a missing settings argument', DAEMON, [], 2],
+    ['a settings file that is not there', DAEMON, ['--settings', 'nowhere.json'], 2],
+    ['an address where nobody listens', TOOL, ['get', 'services', '--address', '127.0.0.1:9'], 1],
+    ['--version', TOOL, ['--version'], 0],
+    ['--help', DAEMON, ['--help'], 0],
+  ])('%s', async (_name, script, args, exitCode) => {
+    expect((await run(script, args)).exitCode).toBe(exitCode);
+  });
+});
+
+describe('a daemon whose platform is out of reach', () => {
+  it('is healthy but not ready, gives its metrics, and ends with 0 when told to', async () => {
+    // The balancer must send it nothing, while whoever looks after processes must not kill it:
+    // a restart would only lose what it knows.
+    const daemon = spawn(process.execPath, [`dist/${DAEMON}`, '--settings', fileOf('valid.json')]);
+    const { operatorsPort } = await listeningLine(daemon.stdout);
+    const get = async (path: string) => {
+      const { statusCode, body } = await request(`http://127.0.0.1:${operatorsPort}${path}`);
+      return { statusCode, text: await body.text() };
+    };
+    expect((await get('/healthz')).statusCode).toBe(200);
+    expect((await get('/readyz')).statusCode).toBe(503);
+    expect((await get('/metrics')).text).toContain('# TYPE snipethread_');
+    const hasEnded = once(daemon, 'exit');
+    daemon.kill('SIGTERM');
+    expect(await hasEnded).toEqual([0, null]);
+  });
+});
--- a/src/peers/node/peerLink.ts
+++ b/src/peers/node/peerLink.ts
@@ -8,6 +8,7 @@
 import type { Disposable } from '../../base/common/lifecycle.js';
 import type { InstanceAddress } from '../../platform/instanceList/common/instanceList.js';
 import type { Metrics } from '../../platform/metrics/common/metrics.js';
+import { Hop, type Tracing } from '../../platform/tracing/common/tracing.js';
 import { type Heartbeat, HEARTBEAT_METHOD, heartbeatSchema } from '../common/peerMessages.js';
 import { isSilent } from '../common/peerTable.js';
 
@@ -18,6 +19,8 @@
 
   readonly #metrics: Metrics;
 
+  readonly #tracing: Tracing;
+
   readonly #silenceTimeoutMs: number;
 
   #socket: Socket | undefined;
@@ -26,10 +29,17 @@
 
   #heardAtMs: number;
 
-  constructor(address: InstanceAddress, clock: Clock, metrics: Metrics, silenceTimeoutMs: number) {
+  constructor(
+    address: InstanceAddress,
+    clock: Clock,
+    metrics: Metrics,
+    tracing: Tracing,
+    silenceTimeoutMs: number,
+  ) {
     this.#address = address;
     this.#clock = clock;
     this.#metrics = metrics;
+    this.#tracing = tracing;
     this.#silenceTimeoutMs = silenceTimeoutMs;
     this.#heardAtMs = clock.nowMs();
   }
@@ -38,13 +48,16 @@
   async beat(heartbeat: Heartbeat): Promise<Heartbeat | undefined> {
     if (isSilent(this.#heardAtMs, this.#silenceTimeoutMs, this.#clock.nowMs())) this.#reset();
     const client = this.#client ?? this.#open();
+    const span = this.#tracing.startTrace(Hop.PeerCall, undefined, { call: HEARTBEAT_METHOD });
     try {
       const answer: unknown = await client
         .timeout(this.#silenceTimeoutMs)
         .request(HEARTBEAT_METHOD, heartbeat);
       this.#heardAtMs = this.#clock.nowMs();
+      span?.end({ outcome: 'answered' });
       return heartbeatSchema.parse(answer);
     } catch {
+      span?.end({ outcome: 'failed' });
       this.#metrics.count('peer_heartbeat_failed');
       return undefined;
     }
--- a/src/peers/node/peerService.ts
+++ b/src/peers/node/peerService.ts
@@ -12,6 +12,7 @@
 import { isDaemon } from '../../platform/instanceList/common/instanceList.js';
 import type { Metrics } from '../../platform/metrics/common/metrics.js';
 import type { Settings } from '../../platform/settings/common/settings.js';
+import type { Tracing } from '../../platform/tracing/common/tracing.js';
 import { type Heartbeat, HEARTBEAT_METHOD, heartbeatSchema } from '../common/peerMessages.js';
 import { peerChanges } from '../common/peerTable.js';
 import { PeerLink } from './peerLink.js';
@@ -30,6 +31,8 @@
 
   readonly #metrics: Metrics;
 
+  readonly #tracing: Tracing;
+
   readonly #rpc = new JSONRPCServer();
 
   readonly #server: Server;
@@ -46,12 +49,14 @@
     directory: InstanceDirectory,
     clock: Clock,
     metrics: Metrics,
+    tracing: Tracing,
   ) {
     this.#settings = settings;
     this.#configuration = configuration;
     this.#directory = directory;
     this.#clock = clock;
     this.#metrics = metrics;
+    this.#tracing = tracing;
     this.#rpc.addMethod(HEARTBEAT_METHOD, (parameters: unknown) => {
       this.#handleHeartbeat(heartbeatSchema.parse(parameters));
       return this.#ownHeartbeat();
@@ -87,7 +92,10 @@
     });
     changes.added.forEach(({ id, peerAddress }) => {
       const { silenceTimeoutMs } = this.#settings.peers;
-      this.#links.set(id, new PeerLink(peerAddress, this.#clock, this.#metrics, silenceTimeoutMs));
+      this.#links.set(
+        id,
+        new PeerLink(peerAddress, this.#clock, this.#metrics, this.#tracing, silenceTimeoutMs),
+      );
     });
     this.#links.forEach((link) => void this.#beatOne(link));
   }
--- /dev/null
+++ b/src/platform/errors/test/errorKinds.test.ts
@@ -0,0 +1,42 @@
+import { describe, expect, it } from 'vitest';
+
+import { ERROR_ANSWERS, ErrorKind, errorBody, failure, WorkOutcome } from '../common/errorKinds.js';
+
+/** Kinds that arise only before anything was sent, or as the server's own word. */
+const NOT_RUN_KINDS: readonly ErrorKind[] = [
+  ErrorKind.BadRequest,
+  ErrorKind.BodyTooLarge,
+  ErrorKind.UnknownService,
+  ErrorKind.UnknownObject,
+  ErrorKind.Unauthorised,
+  ErrorKind.Forbidden,
+  ErrorKind.NoServer,
+  ErrorKind.Saturated,
+  ErrorKind.DeadlineExceeded,
+  ErrorKind.ServerRefused,
+  ErrorKind.ShuttingDown,
+  ErrorKind.StoreUnavailable,
+  ErrorKind.PlanStale,
+  ErrorKind.PlanExpired,
+  ErrorKind.PlanConflict,
+  ErrorKind.IntentImpossible,
+  ErrorKind.ConfigurationUnknown,
+];
+
+describe('the table of error kinds', () => {
+  it('answers every kind with an error status, and only later than now where it says so', () => {
+    Object.values(ErrorKind).forEach((kind) => {
+      const answer = ERROR_ANSWERS[kind];
+      expect(answer.statusCode, kind).toBeGreaterThanOrEqual(400);
+      expect(answer.retryAfterMs > 0, kind).toBe(answer.isWorthRetrying);
+      expect(errorBody(failure(kind, 'why')).workOutcome, kind).toBe(answer.workOutcome);
+    });
+  });
+
+  it('says not-run only where nothing can have been sent', () => {
+    const notRun = Object.values(ErrorKind).filter(
+      (kind) => ERROR_ANSWERS[kind].workOutcome === WorkOutcome.NotRun,
+    );
+    expect([...notRun].sort()).toEqual([...NOT_RUN_KINDS].sort());
+  });
+});
--- a/src/platform/log/node/consolaLog.ts
+++ b/src/platform/log/node/consolaLog.ts
@@ -1,13 +1,20 @@
 /** Log lines through consola: one JSON object a line, or a form for people. */
-import { type ConsolaInstance, createConsola } from 'consola';
+import { type ConsolaInstance, createConsola, LogLevels } from 'consola';
 
 import type { Log, LogFields } from '../common/log.js';
 
 export const LogFormat = { Json: 'json', Pretty: 'pretty' } as const;
 export type LogFormat = (typeof LogFormat)[keyof typeof LogFormat];
 
+/**
+ * The level is stated, because consola on its own takes it from the environment and drops the
+ * line that names the ports where `NODE_ENV` is `test`.
+ */
+const LEVEL = { level: LogLevels.info } as const;
+
 const createJsonConsola = (): ConsolaInstance =>
   createConsola({
+    ...LEVEL,
     reporters: [
       {
         log: (entry) => {
@@ -26,7 +33,7 @@
 
   /** The context's fields are added to every line. */
   constructor(format: LogFormat, context: LogFields) {
-    this.#consola = format === LogFormat.Json ? createJsonConsola() : createConsola();
+    this.#consola = format === LogFormat.Json ? createJsonConsola() : createConsola(LEVEL);
     this.#context = context;
   }
 
--- a/src/platform/metrics/common/metricList.ts
+++ b/src/platform/metrics/common/metricList.ts
@@ -17,21 +17,74 @@
 const gauge = (help: string): MetricDescription => ({ kind: MetricKind.Gauge, help });
 const duration = (help: string): MetricDescription => ({ kind: MetricKind.Duration, help });
 
-export const METRICS: Readonly<Record<string, MetricDescription>> = {
+const REQUEST_METRICS = {
   requests: counter('Requests of callers, by outcome: answered or an error kind.'),
   request_duration: duration("From a request's arrival to its answer."),
   request_retries: counter('Attempts after the first one of a request.'),
+  requests_queued: counter('Requests that had to wait for a backend server.'),
+  requests_displaced: counter('Waiting requests refused in favour of more urgent ones.'),
+  requests_over_held_bytes: counter('Requests refused because too many bytes were being sent.'),
+  requests_given_up_at_shutdown: counter('Requests given up when the time to drain was over.'),
+  retries_over_budget: counter('Retries not made because the budget was used up.'),
+  second_attempts: counter('Attempts sent beside one still under way, by reason.'),
+  second_attempts_won: counter('Second attempts that gave the answer, by reason.'),
+  connections_overtaken: counter('Connections taken for silent and closed.'),
+  servers_said_leaving: counter('Answers of backend servers that said they are leaving.'),
+  answers_cut: counter('Answers of backend servers that were not whole.'),
+  answers_too_large: counter('Answers of backend servers above the allowed size.'),
+  caller_connection_errors: counter('Malformed or broken connections of callers.'),
+  claims_refused: counter('Requests whose idempotency key was claimed already.'),
+  claims_expired: counter('Claims of idempotency keys removed after their lifetime.'),
+  claim_store_failures: counter('Claims that could not be recorded, by error kind.'),
+  claim_writes_lost: counter('Answers that could not be recorded for repeats.'),
   endpoint_read_failed: counter('Reads of the published backend servers that failed.'),
+};
+
+const SYSTEM_METRICS = {
   instance_list_read_failed: counter('Reads of the instance list that failed.'),
-  configuration_read_failed: counter('Reads of the configuration that failed.'),
-  configuration_old_read: counter('Reads that gave an older configuration and were ignored.'),
   configuration_version: gauge('The version of the configuration in force here.'),
+  configuration_is_confirmed: gauge('1 while the table confirmed the configuration lately.'),
+  configuration_look_failed: counter('Looks for a newer configuration that failed.'),
+  configuration_old_read: counter('Reads that gave an older configuration and were ignored.'),
+  configuration_malformed: counter('Configurations in the table that are not of a known form.'),
+  configuration_change_malformed: counter('Changes in the table that are not of a known form.'),
+  plans_removed: counter('Plans removed after they had expired.'),
   peer_heartbeat_failed: counter('Heartbeats to other daemons that got no answer.'),
   peer_link_replaced: counter('Connections to other daemons closed because they went silent.'),
+  metric_series_dropped: counter('Values not recorded because of too many label values.'),
+};
+
+const SCHEDULER_METRICS = {
   cell_is_owned: gauge('1 while this daemon schedules the cell, by cell.'),
   cell_transaction_conflict: counter('Transactions of a cell that met a changed row, by cell.'),
   cell_transaction_failed: counter('Transactions of a cell without an answer, by cell.'),
+  cell_stale_answer: counter('Answers that came after the cell had moved on, by cell.'),
   tasks_assigned: counter('Tasks given to a worker, by cell.'),
-  invariant_overcommitted: counter('Refused writes that would overcommit a worker; stays at 0.'),
-  metric_series_dropped: counter('Values not recorded because a metric has too many label values.'),
+};
+
+/** Counted, and the step not taken, where the program finds itself about to break a promise. */
+const INVARIANT_METRICS = {
+  invariant_attempt_sent_twice: counter('An attempt was about to be sent a second time.'),
+  invariant_configuration_never_reverts: counter('An older configuration was to come in force.'),
+  invariant_configuration_reverted: counter('A cell was given an older configuration.'),
+  invariant_connection_share_exceeded: counter("A server's connections went above the share."),
+  invariant_connection_share_used_up: counter('A request was sent to a server without room.'),
+  invariant_double_assignment: counter('A task was to be assigned twice at a time.'),
+  invariant_false_not_run: counter('A refusal was to say not-run of work that may have run.'),
+  invariant_history_is_one_line: counter('An accepted change did not follow the one before.'),
+  invariant_non_idempotent_sent_twice: counter('Non-idempotent work was to be sent again.'),
+  invariant_nothing_changes_before_confirmation: counter('A plan was to write before its time.'),
+  invariant_only_what_was_shown: counter('A confirmation was to write what was not shown.'),
+  invariant_overcommitted: counter('A write would have overcommitted a worker.'),
+  invariant_resumption: counter('A task was to resume twice or from an old checkpoint.'),
+  invariant_second_answer: counter('A backend server answered one request twice.'),
+  invariant_uncommitted_start: counter('A start was to be sent before it was committed.'),
+  invariant_withdrawn_zone: counter('A task was to start in a withdrawn zone.'),
+};
+
+export const METRICS: Readonly<Record<string, MetricDescription>> = {
+  ...REQUEST_METRICS,
+  ...SYSTEM_METRICS,
+  ...SCHEDULER_METRICS,
+  ...INVARIANT_METRICS,
 };
--- /dev/null
+++ b/src/platform/table/common/tracedTableService.ts
@@ -0,0 +1,40 @@
+/** A table whose calls are hops of traces. */
+import type { TaskEither } from 'fp-ts/lib/TaskEither.js';
+
+import type { Failure } from '../../errors/common/errorKinds.js';
+import { Hop, tracedCall, type Tracing } from '../../tracing/common/tracing.js';
+import type {
+  ReadRequest,
+  ReadResult,
+  TableService,
+  Transaction,
+  TransactionResult,
+} from './table.js';
+
+const READ_FIELDS = { call: 'read' } as const;
+const TRANSACT_FIELDS = { call: 'transact' } as const;
+
+export class TracedTableService implements TableService {
+  readonly #table: TableService;
+
+  readonly #tracing: Tracing;
+
+  constructor(table: TableService, tracing: Tracing) {
+    this.#table = table;
+    this.#tracing = tracing;
+  }
+
+  read(request: ReadRequest): TaskEither<Failure, ReadResult> {
+    return () => {
+      const span = this.#tracing.startTrace(Hop.TableCall, undefined, READ_FIELDS);
+      return tracedCall(span, this.#table.read(request));
+    };
+  }
+
+  transact(transaction: Transaction): TaskEither<Failure, TransactionResult> {
+    return () => {
+      const span = this.#tracing.startTrace(Hop.TableCall, undefined, TRANSACT_FIELDS);
+      return tracedCall(span, this.#table.transact(transaction));
+    };
+  }
+}
--- a/src/platform/tracing/common/tracing.ts
+++ b/src/platform/tracing/common/tracing.ts
@@ -1,4 +1,7 @@
 /** Traces with a span for each hop, by W3C trace context. */
+import { type Either, isLeft } from 'fp-ts/lib/Either.js';
+
+import type { Failure } from '../../errors/common/errorKinds.js';
 
 export const Hop = {
   Entry: 'entry',
@@ -25,7 +28,7 @@
    * Starts a trace, or continues the one that `traceparent` names. Undefined when the request
    * is not sampled; callers then pass the received header on as it is.
    */
-  startTrace(hop: Hop, traceparent: string | undefined): TraceSpan | undefined;
+  startTrace(hop: Hop, traceparent?: string, fields?: SpanFields): TraceSpan | undefined;
 }
 
 /** A finished span as kept in the ring of recent traces. */
@@ -40,3 +43,14 @@
 }
 
 export const silentTracing: Tracing = { startTrace: () => undefined };
+
+/** Runs a call within a span of its own, which says how the call ended. */
+export const tracedCall = async <Result extends Either<Failure, unknown>>(
+  span: TraceSpan | undefined,
+  call: () => Promise<Result>,
+): Promise<Result> => {
+  if (span === undefined) return call();
+  const result = await call();
+  span.end({ outcome: isLeft(result) ? result.left.kind : 'answered' });
+  return result;
+};
--- a/src/platform/tracing/node/openTelemetryTracing.ts
+++ b/src/platform/tracing/node/openTelemetryTracing.ts
@@ -1,6 +1,8 @@
 /** Tracing through the OpenTelemetry interface, with a ring of recent spans in memory. */
 import {
   type Context,
+  isValidSpanId,
+  isValidTraceId,
   ROOT_CONTEXT,
   type Span,
   type SpanContext,
@@ -16,7 +18,13 @@
 } from '@opentelemetry/sdk-trace-base';
 
 import type { RandomSource } from '../../../base/common/random.js';
-import type { Hop, RecordedSpan, SpanFields, TraceSpan, Tracing } from '../common/tracing.js';
+import {
+  Hop,
+  type RecordedSpan,
+  type SpanFields,
+  type TraceSpan,
+  type Tracing,
+} from '../common/tracing.js';
 
 const TRACEPARENT = /^00-([0-9a-f]{32})-([0-9a-f]{16})-([0-9a-f]{2})$/u;
 const MS_PER_SECOND = 1_000;
@@ -36,8 +44,8 @@
   fields: span.attributes as SpanFields,
 });
 
-/** Keeps the newest spans; the oldest give way, so memory stays bounded. */
-export class SpanRing implements SpanExporter {
+/** Spans by age in a fixed number of places. */
+class Ring {
   readonly #capacity: number;
 
   readonly #spans: ReadableSpan[] = [];
@@ -48,29 +56,68 @@
     this.#capacity = capacity;
   }
 
+  get spans(): readonly ReadableSpan[] {
+    return this.#spans;
+  }
+
+  add(span: ReadableSpan): void {
+    this.#spans[this.#nextIndex] = span;
+    this.#nextIndex = (this.#nextIndex + 1) % this.#capacity;
+  }
+
+  clear(): void {
+    this.#spans.length = 0;
+    this.#nextIndex = 0;
+  }
+}
+
+/** Hops that the program makes on its own, a few every second, without any request. */
+const BACKGROUND_HOPS: ReadonlySet<string> = new Set([Hop.PeerCall, Hop.TableCall, Hop.WorkerCall]);
+
+/**
+ * Keeps the newest spans; the oldest give way, so memory stays bounded. Background calls have
+ * places of their own, or they would push a request's spans out within seconds and leave the
+ * rest of its trace without a root.
+ */
+export class SpanRing implements SpanExporter {
+  readonly #requests: Ring;
+
+  readonly #background: Ring;
+
+  constructor(capacity: number) {
+    this.#requests = new Ring(capacity);
+    this.#background = new Ring(capacity);
+  }
+
   export(spans: ReadableSpan[], resultCallback: (result: { code: number }) => void): void {
     spans.forEach((span) => {
-      this.#spans[this.#nextIndex] = span;
-      this.#nextIndex = (this.#nextIndex + 1) % this.#capacity;
+      const ring = BACKGROUND_HOPS.has(span.name) ? this.#background : this.#requests;
+      ring.add(span);
     });
     resultCallback({ code: 0 });
   }
 
   shutdown(): Promise<void> {
-    this.#spans.length = 0;
+    this.#requests.clear();
+    this.#background.clear();
     return Promise.resolve();
   }
 
+  /** The spans of a trace, by their start. */
   find(traceId: string): readonly RecordedSpan[] {
-    return this.#spans
+    return this.#all()
       .filter((span) => span.spanContext().traceId === traceId)
-      .map(toRecordedSpan)
-      .sort((left, right) => (left.startedAt < right.startedAt ? -1 : 1));
+      .sort((left, right) => toMs(left.startTime) - toMs(right.startTime))
+      .map(toRecordedSpan);
   }
 
-  /** Ids of the traces in the ring, newest last. */
+  /** Ids of the traces in the ring. */
   traceIds(): readonly string[] {
-    return [...new Set(this.#spans.map((span) => span.spanContext().traceId))];
+    return [...new Set(this.#all().map((span) => span.spanContext().traceId))];
+  }
+
+  #all(): readonly ReadableSpan[] {
+    return [...this.#requests.spans, ...this.#background.spans];
   }
 }
 
@@ -101,10 +148,12 @@
   }
 }
 
+/** Undefined for a header that names no trace, which the W3C form says to treat as absent. */
 const parseTraceparent = (header: string | undefined): SpanContext | undefined => {
   const match = header === undefined ? null : TRACEPARENT.exec(header);
   if (match === null) return undefined;
   const [, traceId = '', spanId = '', flags = '00'] = match;
+  if (!isValidTraceId(traceId) || !isValidSpanId(spanId)) return undefined;
   return { traceId, spanId, traceFlags: Number.parseInt(flags, HEXADECIMAL), isRemote: true };
 };
 
@@ -127,7 +176,7 @@
     this.#random = random;
   }
 
-  startTrace(hop: Hop, traceparent: string | undefined): TraceSpan | undefined {
+  startTrace(hop: Hop, traceparent?: string, fields: SpanFields = {}): TraceSpan | undefined {
     const parent = parseTraceparent(traceparent);
     // Sampling is the lowest bit of the flags.
     const isSampledByCaller = parent !== undefined && parent.traceFlags % 2 === 1;
@@ -136,6 +185,7 @@
       parent === undefined
         ? ROOT_CONTEXT
         : trace.setSpanContext(ROOT_CONTEXT, { ...parent, traceFlags: TraceFlags.SAMPLED });
-    return new OpenTelemetrySpan(this.#tracer, this.#tracer.startSpan(hop, {}, context));
+    const span = this.#tracer.startSpan(hop, { attributes: fields }, context);
+    return new OpenTelemetrySpan(this.#tracer, span);
   }
 }
--- /dev/null
+++ b/src/platform/tracing/test/tracing.test.ts
@@ -0,0 +1,52 @@
+import { describe, expect, it } from 'vitest';
+
+import { SeededRandom } from '../../../base/common/random.js';
+import { Hop } from '../common/tracing.js';
+import { OpenTelemetryTracing } from '../node/openTelemetryTracing.js';
+
+const SEED = 5;
+const CALLER_TRACE = '4bf92f3577b34da6a3ce929d0e0e4736';
+const CALLER_SPAN = '00f067aa0ba902b7';
+const SAMPLED = `00-${CALLER_TRACE}-${CALLER_SPAN}-01`;
+
+const tracingWith = (sampleRatio: number, capacity = 10): OpenTelemetryTracing =>
+  new OpenTelemetryTracing(sampleRatio, capacity, new SeededRandom(SEED));
+
+describe('tracing', () => {
+  it("continues the caller's trace and names the next hop's parent", () => {
+    const tracing = tracingWith(0);
+    const entry = tracing.startTrace(Hop.Entry, SAMPLED);
+    const attempt = entry?.child(Hop.Attempt);
+    const passedOn = attempt?.traceparent.split('-') ?? [];
+    attempt?.end();
+    entry?.end();
+    const spans = tracing.ring.find(CALLER_TRACE);
+    const entrySpan = spans.find(({ hop }) => hop === Hop.Entry);
+    const attemptSpan = spans.find(({ hop }) => hop === Hop.Attempt);
+    expect(entrySpan?.parentSpanId).toBe(CALLER_SPAN);
+    expect(attemptSpan?.parentSpanId).toBe(entrySpan?.spanId);
+    expect(passedOn).toEqual(['00', CALLER_TRACE, attemptSpan?.spanId, '01']);
+  });
+
+  it.each([
+    ['an unsampled parent', `00-${CALLER_TRACE}-${CALLER_SPAN}-00`],
+    ['no header', undefined],
+    ['an all-zero trace id', `00-${'0'.repeat(32)}-${CALLER_SPAN}-01`],
+    ['a malformed header', 'ff'],
+  ])('starts nothing for %s unless its own ratio picks it', (_name, header) => {
+    expect(tracingWith(0).startTrace(Hop.Entry, header)).toBeUndefined();
+    expect(tracingWith(1).startTrace(Hop.Entry, header)).toBeDefined();
+  });
+
+  it("keeps a request's spans when background calls are many", () => {
+    // An operator who looked up a trace of a few seconds ago found children without their root:
+    // calls to the table, several a second, had pushed the root out of the ring.
+    const tracing = tracingWith(1, 4);
+    const entry = tracing.startTrace(Hop.Entry, SAMPLED);
+    entry?.child(Hop.Queue).end();
+    entry?.end();
+    Array.from({ length: 20 }, () => tracing.startTrace(Hop.TableCall)?.end());
+    expect(tracing.ring.find(CALLER_TRACE)).toHaveLength(2);
+    expect(tracing.ring.traceIds()).toHaveLength(5);
+  });
+});
--- a/src/scheduler/node/cellTask.ts
+++ b/src/scheduler/node/cellTask.ts
@@ -8,6 +8,9 @@
 import type { Log } from '../../platform/log/common/log.js';
 import type { Metrics } from '../../platform/metrics/common/metrics.js';
 import type { TableService } from '../../platform/table/common/table.js';
+import type { Tracing } from '../../platform/tracing/common/tracing.js';
+import { TracedWorkerClient } from '../../platform/worker/common/tracedWorkerClient.js';
+import type { WorkerClient } from '../../platform/worker/common/workerClient.js';
 import { HttpWorkerClient } from '../../platform/worker/node/httpWorkerClient.js';
 import { decide, initialCellState } from '../common/cellScheduler.js';
 import type { CellEffect, CellEvent, CellState, CellTiming } from '../common/cellState.js';
@@ -20,6 +23,7 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly metrics: Metrics;
+  readonly tracing: Tracing;
 }
 
 export interface CellTaskOptions {
@@ -39,7 +43,7 @@
 
   readonly #disposables = new DisposableStore();
 
-  readonly #clients = new Map<string, HttpWorkerClient>();
+  readonly #clients = new Map<string, WorkerClient>();
 
   #state: CellState;
 
@@ -61,7 +65,6 @@
 
   dispose(): void {
     this.#disposables.dispose();
-    this.#clients.forEach((client) => client.dispose());
     this.#clients.clear();
   }
 
@@ -130,12 +133,13 @@
     }
   }
 
-  #client(workerId: string): HttpWorkerClient {
+  #client(workerId: string): WorkerClient {
     const known = this.#clients.get(workerId);
     if (known !== undefined) return known;
     const view = this.#state.workers.get(workerId);
     const origin = view === undefined ? '' : toOrigin(view.instance.controlAddress);
-    const client = new HttpWorkerClient(origin, this.#options.workerTimeoutMs);
+    const http = this.#disposables.add(new HttpWorkerClient(origin, this.#options.workerTimeoutMs));
+    const client = new TracedWorkerClient(http, workerId, this.#services.tracing);
     this.#clients.set(workerId, client);
     return client;
   }
