--- a/bench/bench.ts
+++ b/bench/bench.ts
@@ -2,8 +2,9 @@
 
 import type { Benchmark } from './benchmark.js';
 import { passThrough } from './passThrough/passThrough.js';
+import { scheduling } from './scheduling/scheduling.js';
 
-const BENCHMARKS: readonly Benchmark[] = [passThrough];
+const BENCHMARKS: readonly Benchmark[] = [passThrough, scheduling];
 
 const [wanted, ...args] = process.argv.slice(2);
 const chosen = BENCHMARKS.filter(({ name }) => wanted === undefined || name === wanted);
--- /dev/null
+++ b/bench/scheduling/cellRun.ts
@@ -0,0 +1,302 @@
+/**
+ * One cell of the size to design for, in virtual time: one daemon's state machine, stand-ins of
+ * the table and of 123 workers, and arrivals from a seed. Only the processor time of `decide`
+ * is real; it is measured to weigh the ways against each other within one run.
+ */
+import { left, right } from 'fp-ts/lib/Either.js';
+
+import { SeededRandom } from '../../src/base/common/random.js';
+import { toConfigurationView } from '../../src/platform/configuration/common/configurationView.js';
+import {
+  DOCUMENT_PREFIX,
+  serviceKey,
+  type Urgency,
+  VERSION_KEY,
+  zoneKey,
+} from '../../src/platform/configuration/common/documents.js';
+import { ErrorKind, failure } from '../../src/platform/errors/common/errorKinds.js';
+import type { WorkerInstance } from '../../src/platform/instanceList/common/instanceList.js';
+import { cellInboxKey, workKey, type WorkRow } from '../../src/platform/work/common/workRows.js';
+import { decide, initialCellState } from '../../src/scheduler/common/cellScheduler.js';
+import type {
+  CellEffect,
+  CellEvent,
+  CellState,
+  CellTiming,
+} from '../../src/scheduler/common/cellState.js';
+import type { PlacementPolicy } from '../../src/scheduler/common/placement.js';
+import { TableStandIn } from '../../standIns/platform/tableStandIn.js';
+import { WorkerStandIn } from '../../standIns/workers/workerStandIn.js';
+
+const CELL = 'zone-a';
+const GIBIBYTE = 1024 ** 3;
+const TABLE_DELAY_MS = 8;
+const WORKER_DELAY_MS = 2;
+const TICK_MS = 200;
+const CONFIGURATION_MS = 700;
+const RACK_SIZE = 8;
+const FILL_FACTOR = 3;
+const LONG_WORK_MS = 600_000;
+
+export interface CellRunOptions {
+  readonly seed: number;
+  readonly workerCount: number;
+  readonly serviceTaskCount: number;
+  readonly startsPerSecond: number;
+  readonly batchWorkMs: number;
+  readonly urgentEvery: number;
+  /** How long arrivals come three times as fast at first, as tasks that outlast the run. */
+  readonly fillMs: number;
+  readonly timing: CellTiming;
+  readonly policy: PlacementPolicy;
+}
+
+export interface CellRunFigures {
+  readonly transactionsPerSecond: number;
+  readonly rowsPerSecond: number;
+  readonly readRowsPerSecond: number;
+  readonly startsPerSecond: number;
+  readonly runningCount: number;
+  readonly decideShareOfCore: number;
+  readonly messageBytesPerSecond: number;
+  readonly urgentDelaysMs: readonly number[];
+  readonly delaysMs: readonly number[];
+}
+
+interface Scheduled {
+  readonly atMs: number;
+  readonly run: () => void;
+}
+
+const MS_PER_SECOND = 1_000;
+const US_PER_MS = 1_000;
+
+export class CellRun {
+  readonly #options: CellRunOptions;
+
+  readonly #random: SeededRandom;
+
+  readonly #table = new TableStandIn();
+
+  readonly #workers = new Map<string, WorkerStandIn>();
+
+  readonly #instances: readonly WorkerInstance[];
+
+  readonly #submittedAtMs = new Map<
+    string,
+    { readonly atMs: number; readonly isUrgent: boolean }
+  >();
+
+  /** Buckets by millisecond, which keeps the queue cheap beside what is measured. */
+  readonly #buckets = new Map<number, Scheduled[]>();
+
+  #state: CellState;
+
+  #nowMs = 0;
+
+  #decideCpuUs = 0;
+
+  #messageBytes = 0;
+
+  #jobCount = 0;
+
+  #runningCount = 0;
+
+  #delays: { readonly delayMs: number; readonly isUrgent: boolean }[] = [];
+
+  constructor(options: CellRunOptions) {
+    this.#options = options;
+    this.#random = new SeededRandom(options.seed);
+    this.#instances = Array.from({ length: options.workerCount }, (_, index) =>
+      this.#addWorker(index),
+    );
+    this.#state = initialCellState(CELL, 'd1', options.timing, 0);
+    this.#write(zoneKey(CELL), { name: CELL, region: 'r', state: 'in-use' });
+    this.#write(serviceKey('rounds'), {
+      name: 'rounds',
+      team: 'kitchen',
+      replicaCount: options.serviceTaskCount,
+      size: { processorMillis: 1_000, memoryBytes: GIBIBYTE, acceleratorCount: 0 },
+      urgency: 'urgent',
+    });
+  }
+
+  /** Runs for `warmUpMs`, then measures over `measuredMs`. */
+  run(warmUpMs: number, measuredMs: number): CellRunFigures {
+    this.#handle({ kind: 'instances', workers: [...this.#instances] });
+    this.#every(TICK_MS, () => this.#handle({ kind: 'tick' }));
+    this.#every(CONFIGURATION_MS, () => this.#readConfiguration());
+    this.#submitNext();
+    this.#advanceTo(warmUpMs);
+    const before = { ...this.#table.counts };
+    this.#decideCpuUs = 0;
+    this.#messageBytes = 0;
+    this.#delays = [];
+    this.#advanceTo(warmUpMs + measuredMs);
+    const seconds = measuredMs / MS_PER_SECOND;
+    const { counts } = this.#table;
+    const delaysOf = (isUrgent: boolean): readonly number[] =>
+      this.#delays.filter((one) => one.isUrgent === isUrgent).map(({ delayMs }) => delayMs);
+    return {
+      transactionsPerSecond: (counts.transactionCount - before.transactionCount) / seconds,
+      rowsPerSecond: (counts.writtenRowCount - before.writtenRowCount) / seconds,
+      readRowsPerSecond: (counts.readRowCount - before.readRowCount) / seconds,
+      startsPerSecond: this.#delays.length / seconds,
+      runningCount: this.#runningCount,
+      decideShareOfCore: this.#decideCpuUs / US_PER_MS / measuredMs,
+      messageBytesPerSecond: this.#messageBytes / seconds,
+      urgentDelaysMs: delaysOf(true),
+      delaysMs: delaysOf(false),
+    };
+  }
+
+  #addWorker(index: number): WorkerInstance {
+    const id = `w${index}`;
+    const capacity = {
+      processorMillis: 32_000,
+      memoryBytes: 125 * GIBIBYTE,
+      acceleratorCount: index % 7 === 0 ? 8 : 0,
+    };
+    const worker = new WorkerStandIn(id, `${id}@0`, capacity, (event) => {
+      if (event.kind === 'ended') this.#runningCount -= 1;
+      if (event.kind !== 'started') return;
+      this.#runningCount += 1;
+      const submitted = this.#submittedAtMs.get(event.taskId.split('/')[0] ?? '');
+      if (submitted === undefined) return;
+      this.#delays.push({
+        delayMs: this.#nowMs - submitted.atMs,
+        isUrgent: submitted.isUrgent,
+      });
+    });
+    this.#workers.set(id, worker);
+    return {
+      kind: 'worker',
+      id,
+      availabilityZone: CELL,
+      rack: `r${Math.floor(index / RACK_SIZE)}`,
+      state: 'live',
+      controlAddress: { host: '127.0.0.1', port: 1 },
+      backendAddress: { host: '127.0.0.1', port: 1 },
+      capacity,
+      slotCount: 8,
+      connectionCount: 64,
+    };
+  }
+
+  /** Jobs of one to eight tasks; every `urgentEvery`-th is urgent. */
+  #submitNext(): void {
+    const { startsPerSecond, urgentEvery, batchWorkMs } = this.#options;
+    const isFilling = this.#nowMs < this.#options.fillMs;
+    const taskCount = 1 + this.#random.nextIndex(8);
+    const jobId = `team.job${this.#jobCount}`;
+    const isUrgent = this.#jobCount % urgentEvery === 0;
+    const urgency: Urgency = isUrgent ? 'urgent' : 'normal';
+    const row: WorkRow = {
+      shardId: `${jobId}~${CELL}`,
+      jobId,
+      team: 'team',
+      size: {
+        processorMillis: 500 + 250 * this.#random.nextIndex(5),
+        memoryBytes: (1 + this.#random.nextIndex(6)) * GIBIBYTE,
+        acceleratorCount: 0,
+      },
+      urgency,
+      workMs: isFilling ? LONG_WORK_MS : batchWorkMs / 2 + this.#random.nextIndex(batchWorkMs),
+      tasks: Array.from({ length: taskCount }, (_, index) => ({
+        index,
+        state: 'queued',
+        attempt: 1,
+        checkpoint: null,
+        evictionCount: 0,
+        failureCount: 0,
+      })),
+    };
+    this.#jobCount += 1;
+    this.#submittedAtMs.set(jobId, { atMs: this.#nowMs, isUrgent });
+    this.#write(workKey(CELL, row.shardId), row);
+    const rate = isFilling ? startsPerSecond * FILL_FACTOR : startsPerSecond;
+    const meanMs = (taskCount * MS_PER_SECOND) / rate;
+    this.#schedule(Math.round(meanMs * 2 * this.#random.nextFraction()), () => this.#submitNext());
+  }
+
+  #write(key: string, value: unknown): void {
+    const operationId = `bench-${this.#nowMs}`;
+    const writes = [
+      { key, value: value as never },
+      { key: VERSION_KEY, value: { version: 1 } },
+      { key: cellInboxKey(CELL), value: { operationId } },
+    ];
+    this.#table.transact({ operationId, conditions: [], writes });
+    // What the submitter writes is not the cell's doing.
+    this.#table.counts.transactionCount -= 1;
+    this.#table.counts.writtenRowCount -= writes.length;
+  }
+
+  #schedule(delayMs: number, run: () => void): void {
+    const atMs = this.#nowMs + Math.max(1, Math.round(delayMs));
+    const bucket = this.#buckets.get(atMs) ?? [];
+    bucket.push({ atMs, run });
+    this.#buckets.set(atMs, bucket);
+  }
+
+  #every(intervalMs: number, run: () => void): void {
+    run();
+    this.#schedule(intervalMs, () => this.#every(intervalMs, run));
+  }
+
+  #advanceTo(endMs: number): void {
+    for (; this.#nowMs < endMs; this.#nowMs += 1) {
+      const due = this.#buckets.get(this.#nowMs) ?? [];
+      this.#buckets.delete(this.#nowMs);
+      due.forEach(({ run }) => run());
+    }
+  }
+
+  #readConfiguration(): void {
+    const { rows } = this.#table.read({ keys: [VERSION_KEY], prefixes: [DOCUMENT_PREFIX] });
+    const configuration = { view: toConfigurationView(rows), confirmedAtMs: this.#nowMs };
+    this.#handle({ kind: 'configuration', configuration });
+  }
+
+  #handle(event: CellEvent): void {
+    const before = process.cpuUsage();
+    const decision = decide(this.#state, event, this.#options.policy, this.#nowMs);
+    const { user, system } = process.cpuUsage(before);
+    this.#decideCpuUs += user + system;
+    this.#state = decision.state;
+    decision.effects.forEach((effect) => this.#perform(effect));
+  }
+
+  #perform(effect: CellEffect): void {
+    const sentAtMs = this.#nowMs;
+    const later = (delayMs: number, toEvent: () => CellEvent): void =>
+      this.#schedule(delayMs, () => {
+        const event = toEvent();
+        this.#schedule(delayMs, () => this.#handle(event));
+      });
+    if (effect.kind === 'lease-read' || effect.kind === 'load') {
+      later(TABLE_DELAY_MS, () => {
+        const result = right(this.#table.read(effect.request));
+        return effect.kind === 'load'
+          ? { kind: 'loaded', epoch: effect.epoch, result }
+          : { kind: 'lease-read', result, sentAtMs };
+      });
+    } else if (effect.kind === 'lease-write' || effect.kind === 'commit') {
+      later(TABLE_DELAY_MS, () => {
+        const result = right(this.#table.transact(effect.transaction));
+        return effect.kind === 'commit'
+          ? { kind: 'committed', epoch: effect.epoch, result }
+          : { kind: 'lease-written', step: effect.step, result, sentAtMs };
+      });
+    } else if (effect.kind === 'command') {
+      const { workerId, command } = effect;
+      later(WORKER_DELAY_MS, () => {
+        const report = this.#workers.get(workerId)?.command(command, this.#nowMs);
+        this.#messageBytes += JSON.stringify(command).length + JSON.stringify(report).length;
+        const result =
+          report === undefined ? left(failure(ErrorKind.WorkerUnavailable, '')) : right(report);
+        return { kind: 'worker-answered', workerId, epoch: command.cellEpoch, result };
+      });
+    }
+  }
+}
--- /dev/null
+++ b/bench/scheduling/scheduling.ts
@@ -0,0 +1,135 @@
+/**
+ * What scheduling costs at the size to design for: 860 workers, 17,500 tasks and 150 starts a
+ * second over 7 cells, of which one is run here. Figures of virtual time are the same on every
+ * machine and have bounds; real time is printed beside them.
+ */
+import { settingsSchema } from '../../src/platform/settings/common/settings.js';
+import type { CellTiming } from '../../src/scheduler/common/cellState.js';
+import {
+  type PlacementCandidate,
+  type PlacementPolicy,
+  type PlacementRequest,
+  SpreadAndPackPolicy,
+} from '../../src/scheduler/common/placement.js';
+import type { Benchmark } from '../benchmark.js';
+import { readBounds } from '../bounds.js';
+import { CellRun, type CellRunFigures } from './cellRun.js';
+
+const CELL_COUNT = 7;
+const NS_PER_US = 1_000;
+const DEFAULTS = settingsSchema.shape.scheduler.parse({});
+
+const TIMING: CellTiming = {
+  heartbeatIntervalMs: DEFAULTS.cellHeartbeatIntervalMs,
+  leaseMs: DEFAULTS.cellLeaseMs,
+  acquireDelayMs: 0,
+  workerRenewalIntervalMs: DEFAULTS.workerRenewalIntervalMs,
+  workerLeaseMs: DEFAULTS.workerLeaseMs,
+  startValidityMs: DEFAULTS.startValidityMs,
+  serviceDrainMs: DEFAULTS.serviceDrainMs,
+  maximumRenewalWithoutTableMs: DEFAULTS.maximumRenewalWithoutTableMs,
+  configurationFreshnessMs: DEFAULTS.startFreshnessMs,
+  reportFreshnessMs: DEFAULTS.reportFreshnessMs,
+  roundIntervalMs: DEFAULTS.roundIntervalMs,
+  rowsPerSecond: DEFAULTS.cellRowsPerSecond,
+  maximumRowsPerRound: DEFAULTS.maximumRowsPerRound,
+};
+
+/** Times each choice of the policy it wraps. */
+class TimedPolicy implements PlacementPolicy {
+  readonly durationsUs: number[] = [];
+
+  readonly #policy = new SpreadAndPackPolicy();
+
+  choose(
+    request: PlacementRequest,
+    candidates: readonly PlacementCandidate[],
+  ): PlacementCandidate | undefined {
+    const beforeNs = process.hrtime.bigint();
+    const chosen = this.#policy.choose(request, candidates);
+    this.durationsUs.push(Number(process.hrtime.bigint() - beforeNs) / NS_PER_US);
+    return chosen;
+  }
+}
+
+const percentile = (values: readonly number[], share: number): number => {
+  const sorted = [...values].sort((left, right) => left - right);
+  return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0;
+};
+
+/** Ways to write: with changes gathered for so long, or a transaction for each change. */
+const WAYS: readonly { readonly name: string; readonly timing: Partial<CellTiming> }[] = [
+  {
+    name: 'a transaction for each change',
+    timing: { roundIntervalMs: 0, rowsPerSecond: 1e6, maximumRowsPerRound: 1 },
+  },
+  {
+    name: 'combined while one is under way',
+    timing: { roundIntervalMs: 0, rowsPerSecond: 1e6 },
+  },
+  { name: 'combined, 100 ms apart', timing: { roundIntervalMs: 100, rowsPerSecond: 1e6 } },
+  { name: 'combined, as by default', timing: {} },
+];
+
+const FILL_MS = 18_000;
+const WARM_UP_MS = 60_000;
+const MEASURED_MS = 14_000;
+
+const measure = (
+  timing: Partial<CellTiming>,
+): { readonly figures: CellRunFigures; readonly durationsUs: readonly number[] } => {
+  const policy = new TimedPolicy();
+  const run = new CellRun({
+    seed: 5,
+    workerCount: 123,
+    serviceTaskCount: 500,
+    startsPerSecond: 150 / CELL_COUNT,
+    batchWorkMs: 40_000,
+    urgentEvery: 10,
+    fillMs: FILL_MS,
+    timing: { ...TIMING, ...timing },
+    policy,
+  });
+  const figures = run.run(WARM_UP_MS, MEASURED_MS);
+  return { figures, durationsUs: policy.durationsUs };
+};
+
+const line = (name: string, figures: CellRunFigures, durationsUs: readonly number[]): string =>
+  [
+    name.padEnd(32),
+    `tx/s ${figures.transactionsPerSecond.toFixed(1)}`,
+    `rows/s ${figures.rowsPerSecond.toFixed(1)}`,
+    `rows read/s ${figures.readRowsPerSecond.toFixed(0)}`,
+    `starts/s ${figures.startsPerSecond.toFixed(1)}`,
+    `running ${figures.runningCount}`,
+    `urgent p99 ${percentile(figures.urgentDelaysMs, 0.99)} ms`,
+    `other p99 ${percentile(figures.delaysMs, 0.99)} ms`,
+    `choice p50 ${percentile(durationsUs, 0.5).toFixed(1)} us`,
+    `decide ${(figures.decideShareOfCore * 100).toFixed(2)} % of a core`,
+    `messages ${(figures.messageBytesPerSecond / 1024).toFixed(0)} KB/s`,
+  ].join(' | ');
+
+const run = async (): Promise<boolean> => {
+  const bounds = await readBounds('scheduling');
+  const results = WAYS.map(({ name, timing }) => {
+    const { figures, durationsUs } = measure(timing);
+    process.stdout.write(`${line(name, figures, durationsUs)}\n`);
+    return figures;
+  });
+  process.stdout.write(`rss ${Math.round(process.memoryUsage().rss / 1024 ** 2)} MB\n`);
+  const single = results[0] as CellRunFigures;
+  const chosen = results[results.length - 1] as CellRunFigures;
+  const rowRatio = chosen.rowsPerSecond / single.rowsPerSecond;
+  const transactionRatio = chosen.transactionsPerSecond / single.transactionsPerSecond;
+  const urgentP99Ms = percentile(chosen.urgentDelaysMs, 0.99);
+  process.stdout.write(
+    `combined beside single: rows ${rowRatio.toFixed(2)}, transactions ${transactionRatio.toFixed(2)}\n`,
+  );
+  return (
+    chosen.rowsPerSecond <= (bounds.maximumRowsPerSecond ?? 0) &&
+    transactionRatio <= (bounds.maximumTransactionRatio ?? 0) &&
+    urgentP99Ms <= (bounds.maximumUrgentP99Ms ?? 0)
+  );
+};
+
+export const scheduling: Benchmark = { name: 'scheduling', run };
--- a/src/scheduler/common/assigning.ts
+++ b/src/scheduler/common/assigning.ts
@@ -1,12 +1,7 @@
 /** Gives queued work to workers: fills up services first, then batch tasks by urgency. */
-import { type ServiceDocument, Urgency } from '../../platform/configuration/common/documents.js';
-import {
-  addResources,
-  type Resources,
-  subtractResources,
-  sumResources,
-} from '../../platform/worker/common/resources.js';
-import { TaskClass, WorkerTaskState } from '../../platform/worker/common/workerClient.js';
+import type { ServiceDocument } from '../../platform/configuration/common/documents.js';
+import { sumResources } from '../../platform/worker/common/resources.js';
+import { TaskClass } from '../../platform/worker/common/workerClient.js';
 import {
   type Assignment,
   type BatchTask,
@@ -14,101 +9,60 @@
   BatchTaskState,
   type WorkRow,
 } from '../../platform/work/common/workRows.js';
-import type { CellDraft } from './cellRows.js';
+import type { CellDraft, CellRows } from './cellRows.js';
 import type { CellState } from './cellState.js';
+import { FreeCapacity } from './freeCapacity.js';
 import type { PlacementCandidate, PlacementPolicy } from './placement.js';
-import { isWorkerDraining, replicaShare } from './wantedEvictions.js';
-import { attemptKey, isInContact, type WorkerView } from './workerView.js';
+import { orderedShards, TeamUse, URGENCY_ORDER } from './queueOrder.js';
+import { replicaShare } from './wantedEvictions.js';
 
-const URGENCY_ORDER: Readonly<Record<Urgency, number>> = {
-  [Urgency.Urgent]: 0,
-  [Urgency.Normal]: 1,
-  [Urgency.Low]: 2,
-};
+/** What a round's assigning works on; the capacity is worked out only once it is needed. */
+class AssigningRound {
+  readonly state: CellState;
 
-/** What tasks running on the worker take that the ledger does not know of. */
-const unledgeredUse = (view: WorkerView, assignments: readonly Assignment[]): Resources => {
-  const unknown = (view.report?.tasks ?? []).filter(
-    (task) =>
-      task.state === WorkerTaskState.Running &&
-      !assignments.some((assignment) => attemptKey(assignment) === attemptKey(task)),
-  );
-  return sumResources(unknown.map((task) => task.size));
-};
+  readonly draft: CellDraft;
 
-/** Free capacity of the cell's workers, kept up while a round assigns. */
-class FreeCapacity {
-  readonly #candidates = new Map<string, PlacementCandidate>();
-
-  readonly #assignments = new Map<string, Assignment[]>();
-
-  constructor(state: CellState, draft: CellDraft, nowMs: number) {
-    draft.racks.forEach((rack) =>
-      draft.assignments(rack).forEach((assignment) => this.#note(assignment)),
-    );
-    state.workers.forEach((view, workerId) => {
-      if (!FreeCapacity.#isUsable(state, view, nowMs)) return;
-      const assignments = this.#assignments.get(workerId) ?? [];
-      const used = addResources(
-        sumResources(assignments.map((assignment) => assignment.size)),
-        unledgeredUse(view, assignments),
-      );
-      this.#candidates.set(workerId, {
-        workerId,
-        rack: view.instance.rack,
-        incarnation: view.report?.incarnation ?? '',
-        capacity: view.instance.capacity,
-        free: subtractResources(view.instance.capacity, used),
-        sameServiceOnWorkerCount: 0,
-        sameServiceInRackCount: 0,
-      });
-    });
-  }
+  readonly policy: PlacementPolicy;
 
-  candidates(): readonly PlacementCandidate[] {
-    return [...this.#candidates.values()];
-  }
+  readonly operationId: string;
+
+  readonly nowMs: number;
+
+  readonly #rows: CellRows;
 
-  /** Candidates that know how many tasks of a service are near. */
-  candidatesFor(serviceName: string): readonly PlacementCandidate[] {
-    const rackCounts = new Map<string, number>();
-    const workerCounts = new Map<string, number>();
-    this.#candidates.forEach((candidate, workerId) => {
-      const own = this.#assignments.get(workerId) ?? [];
-      const count = own.filter((assignment) => assignment.serviceName === serviceName).length;
-      workerCounts.set(workerId, count);
-      rackCounts.set(candidate.rack, (rackCounts.get(candidate.rack) ?? 0) + count);
-    });
-    return this.candidates().map((candidate) => ({
-      ...candidate,
-      sameServiceOnWorkerCount: workerCounts.get(candidate.workerId) ?? 0,
-      sameServiceInRackCount: rackCounts.get(candidate.rack) ?? 0,
-    }));
+  #capacity: FreeCapacity | undefined;
+
+  constructor(
+    state: CellState,
+    rows: CellRows,
+    draft: CellDraft,
+    policy: PlacementPolicy,
+    operationId: string,
+    nowMs: number,
+  ) {
+    this.state = state;
+    this.#rows = rows;
+    this.draft = draft;
+    this.policy = policy;
+    this.operationId = operationId;
+    this.nowMs = nowMs;
   }
 
-  take(assignment: Assignment): void {
-    const candidate = this.#candidates.get(assignment.workerId);
-    if (candidate === undefined) return;
-    const free = subtractResources(candidate.free, assignment.size);
-    this.#candidates.set(assignment.workerId, { ...candidate, free });
-    this.#note(assignment);
+  get capacity(): FreeCapacity {
+    this.#capacity ??= new FreeCapacity(this.state, this.#rows, this.draft, this.nowMs);
+    return this.#capacity;
   }
 
-  #note(assignment: Assignment): void {
-    const known = this.#assignments.get(assignment.workerId);
-    if (known === undefined) this.#assignments.set(assignment.workerId, [assignment]);
-    else known.push(assignment);
+  get isFull(): boolean {
+    return this.draft.rowCount >= this.state.timing.maximumRowsPerRound;
   }
 
-  static #isUsable(state: CellState, view: WorkerView, nowMs: number): boolean {
-    const isFresh = isInContact(view, state.timing.reportFreshnessMs, nowMs);
-    return view.isListed && isFresh && !isWorkerDraining(state, view.instance.id);
+  assign(rack: string, assignment: Assignment): void {
+    this.draft.setAssignments(rack, [...this.draft.assignments(rack), assignment]);
+    this.capacity.take(assignment.workerId, assignment.size);
   }
 }
 
-const addToLedger = (draft: CellDraft, rack: string, assignment: Assignment): void =>
-  draft.setAssignments(rack, [...draft.assignments(rack), assignment]);
-
 const serviceAssignment = (
   service: ServiceDocument,
   taskId: string,
@@ -146,85 +100,109 @@
 });
 
 const assignService = (
-  state: CellState,
-  draft: CellDraft,
-  capacity: FreeCapacity,
-  policy: PlacementPolicy,
+  round: AssigningRound,
   service: ServiceDocument,
-  operationId: string,
+  existing: readonly Assignment[],
 ): number => {
-  const view = state.configuration?.view;
+  const view = round.state.configuration?.view;
   if (view === undefined) return 0;
-  const wanted = replicaShare(view, state.cell, service.replicaCount);
-  const existing = draft.racks
-    .flatMap((rack) => draft.assignments(rack))
-    .filter((assignment) => assignment.serviceName === service.name).length;
+  const wanted = replicaShare(view, round.state.cell, service.replicaCount);
+  const replicas = [...existing];
   let assignedCount = 0;
-  while (existing + assignedCount < wanted) {
-    const candidates = capacity.candidatesFor(service.name);
-    const chosen = policy.choose({ size: service.size, isSpread: true }, candidates);
+  while (replicas.length < wanted) {
+    const request = { size: service.size, isSpread: true };
+    const chosen = round.policy.choose(request, round.capacity.candidatesNear(replicas));
     if (chosen === undefined) return assignedCount;
     // Tasks of a service are interchangeable, so each gets an id that was never used before.
-    const taskId = `${service.name}@${operationId}.${assignedCount}`;
+    const taskId = `${service.name}@${round.operationId}.${assignedCount}`;
     const assignment = serviceAssignment(service, taskId, chosen);
-    addToLedger(draft, chosen.rack, assignment);
-    capacity.take(assignment);
+    round.assign(chosen.rack, assignment);
+    replicas.push(assignment);
     assignedCount += 1;
   }
   return assignedCount;
 };
 
-const assignShard = (
-  draft: CellDraft,
-  capacity: FreeCapacity,
-  policy: PlacementPolicy,
-  row: WorkRow,
-): number => {
+const isBackedOff = (round: AssigningRound, row: WorkRow, task: BatchTask): boolean =>
+  round.nowMs < (round.state.retryAtMs.get(batchTaskId(row.jobId, task.index)) ?? 0);
+
+const assignShard = (round: AssigningRound, use: TeamUse, row: WorkRow): number => {
+  const request = { size: row.size, isSpread: false };
   let assignedCount = 0;
-  let isFull = false;
+  let hasRoom = true;
   const tasks = row.tasks.map((task) => {
-    if (isFull || task.state !== BatchTaskState.Queued) return task;
-    const request = { size: row.size, isSpread: false };
-    const chosen = policy.choose(request, capacity.candidates());
+    if (!hasRoom || task.state !== BatchTaskState.Queued || isBackedOff(round, row, task)) {
+      return task;
+    }
+    if (!use.isWithinQuota(row.team, row.size)) {
+      hasRoom = false;
+      return task;
+    }
+    const chosen = round.policy.choose(request, round.capacity.candidatesFor(request));
     if (chosen === undefined) {
-      isFull = true;
+      round.capacity.noteTooLarge(row.size);
+      hasRoom = false;
       return task;
     }
-    const assignment = batchAssignment(row, task, chosen);
-    addToLedger(draft, chosen.rack, assignment);
-    capacity.take(assignment);
+    round.assign(chosen.rack, batchAssignment(row, task, chosen));
+    use.take(row.team, row.size);
     assignedCount += 1;
     return { ...task, state: BatchTaskState.Assigned };
   });
-  if (assignedCount > 0) draft.setWork({ ...row, tasks });
+  if (assignedCount > 0) round.draft.setWork({ ...row, tasks });
   return assignedCount;
 };
 
-const shardsByUrgency = (draft: CellDraft): readonly WorkRow[] =>
-  draft.shardIds
+const isOpen = (draft: CellDraft, row: WorkRow | undefined): row is WorkRow =>
+  row !== undefined && !draft.cancelledJobIds.has(row.jobId);
+
+const hasQueued = (row: WorkRow): boolean =>
+  row.tasks.some((task) => task.state === BatchTaskState.Queued);
+
+const assignBatch = (round: AssigningRound): number => {
+  const { draft, state } = round;
+  const open = draft.shardIds
     .map((shardId) => draft.work(shardId))
-    .filter((row): row is WorkRow => row !== undefined && !draft.cancelledJobIds.has(row.jobId))
-    .filter((row) => row.tasks.some((task) => task.state === BatchTaskState.Queued))
-    .sort((left, right) => URGENCY_ORDER[left.urgency] - URGENCY_ORDER[right.urgency]);
+    .filter((row) => isOpen(draft, row));
+  const queued = open.filter(hasQueued);
+  if (queued.length === 0) return 0;
+  const capacity = sumResources([...state.workers.values()].map((view) => view.instance.capacity));
+  const use = new TeamUse(open, capacity, state.configuration?.view);
+  return orderedShards(queued, use).reduce(
+    (count, row) => (round.isFull ? count : count + assignShard(round, use, row)),
+    0,
+  );
+};
+
+const groupedByService = (
+  replicas: readonly Assignment[],
+): ReadonlyMap<string, readonly Assignment[]> => {
+  const groups = new Map<string, Assignment[]>();
+  replicas.forEach((replica) => {
+    const known = groups.get(replica.serviceName);
+    if (known === undefined) groups.set(replica.serviceName, [replica]);
+    else known.push(replica);
+  });
+  return groups;
+};
 
 /** Assigns what fits and returns how many tasks were assigned. */
 export const assignQueuedWork = (
   state: CellState,
+  rows: CellRows,
   draft: CellDraft,
   policy: PlacementPolicy,
   operationId: string,
   nowMs: number,
 ): number => {
-  const capacity = new FreeCapacity(state, draft, nowMs);
+  const round = new AssigningRound(state, rows, draft, policy, operationId, nowMs);
+  const replicas = groupedByService(draft.replicas);
   const services = [...(state.configuration?.view.services.values() ?? [])].sort(
     (left, right) => URGENCY_ORDER[left.urgency] - URGENCY_ORDER[right.urgency],
   );
   const serviceCount = services.reduce(
-    (count, service) => count + assignService(state, draft, capacity, policy, service, operationId),
+    (count, service) => count + assignService(round, service, replicas.get(service.name) ?? []),
     0,
   );
-  return shardsByUrgency(draft).reduce(
-    (count, row) => count + assignShard(draft, capacity, policy, row),
-    serviceCount,
-  );
+  return serviceCount + assignBatch(round);
 };
--- a/src/scheduler/common/cellEvents.ts
+++ b/src/scheduler/common/cellEvents.ts
@@ -28,6 +28,7 @@
 } from './cellState.js';
 import { mayAssign } from './round.js';
 import { surplusTaskIds } from './wantedEvictions.js';
+import { WorkerHealth } from './workerHealth.js';
 import { presumedLeaseEndMs, unreachedWorker, withReport, type WorkerView } from './workerView.js';
 
 export const unchanged = (state: CellState): CellDecision => ({ state, effects: [] });
@@ -53,7 +54,7 @@
 
 /** Has the messages worked out anew of those workers whose assignments changed. */
 const withNewRows = (state: CellState, rows: CellRows): CellState => {
-  const before = state.rows?.assignmentsByWorker;
+  const before = state.lastRows?.assignmentsByWorker;
   const isSame = (workerId: string): boolean =>
     before !== undefined && before.get(workerId) === rows.assignmentsByWorker.get(workerId);
   const workers = new Map(
@@ -63,7 +64,9 @@
     ]),
   );
   const next = { ...state, rows, lastRows: rows, workers, isRoundStale: true };
-  return { ...next, surplusTaskIds: surplusTaskIds(next) };
+  const surplus = surplusTaskIds(next);
+  if (surplus.size !== state.surplusTaskIds.size) return withAllStale(next);
+  return { ...next, surplusTaskIds: surplus };
 };
 
 /** After a conflict or a lost answer nothing may depend on the rows until they are read again. */
@@ -127,6 +130,8 @@
     tookOverAtMs: nowMs,
     isRoundStale: true,
     nextRoundAtMs: nowMs,
+    workerHealth: new WorkerHealth(),
+    retryAtMs: new Map<string, number>(),
   };
   const workers = new Map(
     [...after.workers].map(([id, view]): [string, WorkerView] => [
@@ -185,9 +190,10 @@
   const { rows } = result.right;
   const serversElsewhere = toServersElsewhere(state.cell, rows);
   if (pending.kind === 'load') {
-    return withAllStale(
-      withNewRows({ ...settled, serversElsewhere }, toCellRows(state.cell, rows)),
-    );
+    const read = toCellRows(state.cell, rows, state.lastRows);
+    const isSameCancelled = read.cancelledJobIds.size === state.lastRows?.cancelledJobIds.size;
+    const next = withNewRows({ ...settled, serversElsewhere }, read);
+    return isSameCancelled ? next : withAllStale(next);
   }
   const inboxVersion = rows.find(({ key }) => key === cellInboxKey(state.cell))?.version ?? 0;
   const knownVersion = state.rows?.versions.get(cellInboxKey(state.cell)) ?? 0;
--- a/src/scheduler/common/cellRows.ts
+++ b/src/scheduler/common/cellRows.ts
@@ -6,6 +6,7 @@
   type RowWrite,
   type TableRow,
 } from '../../platform/table/common/table.js';
+import { TaskClass } from '../../platform/worker/common/workerClient.js';
 import {
   type Assignment,
   cancellationKey,
@@ -78,6 +79,22 @@
   );
 };
 
+const replicaMemo = new WeakMap<LedgerRow, readonly Assignment[]>();
+
+/**
+ * Assignments of services in a ledger row. Rows are immutable and few change in a round, so the
+ * answer is kept with the row: rounds come ten times a second and look at all racks.
+ */
+export const replicasIn = (row: LedgerRow): readonly Assignment[] => {
+  const known = replicaMemo.get(row);
+  if (known !== undefined) return known;
+  const replicas = row.assignments.filter(
+    ({ taskClass }) => taskClass === TaskClass.LatencyCritical,
+  );
+  replicaMemo.set(row, replicas);
+  return replicas;
+};
+
 /** What the owner reads when it takes the cell over or has lost track of it. */
 export const cellPrefixes = (cell: string): readonly string[] => [
   ledgerPrefix(cell),
@@ -102,16 +119,41 @@
   cancellations: ReadonlyMap<string, CancellationRow>,
 ): ReadonlySet<string> => new Set([...cancellations.values()].flatMap(({ jobIds }) => jobIds));
 
-export const toCellRows = (cell: string, rows: readonly TableRow[]): CellRows => {
+/**
+ * Reads the rows of a cell. Rows that have the version known before are taken over without being
+ * parsed: each submission has the owner read its cell again, and parsing some 2,500 assignments
+ * twice a second would take more of a processor than all the rest of scheduling.
+ */
+export const toCellRows = (
+  cell: string,
+  rows: readonly TableRow[],
+  before: CellRows | undefined,
+): CellRows => {
+  const isKnown = (row: TableRow): boolean => before?.versions.get(row.key) === row.version;
+  const parsed = <Row>(
+    prefix: string,
+    known: ReadonlyMap<string, Row> | undefined,
+    parse: (value: JsonValue) => Row,
+  ): ReadonlyMap<string, Row> =>
+    new Map(
+      rows
+        .filter((row) => row.key.startsWith(prefix))
+        .map((row) => {
+          const name = row.key.slice(prefix.length);
+          return [name, (isKnown(row) ? known?.get(name) : undefined) ?? parse(row.value)];
+        }),
+    );
   const endpointRow = rows.find((row) => row.key === endpointKey(cell));
-  const cancellations = parsedUnder(rows, cancellationPrefix(cell), (value) =>
+  const cancellations = parsed(cancellationPrefix(cell), before?.cancellations, (value) =>
     cancellationRowSchema.parse(value),
   );
-  const ledger = parsedUnder(rows, ledgerPrefix(cell), (value) => ledgerRowSchema.parse(value));
+  const ledger = parsed(ledgerPrefix(cell), before?.ledger, (value) =>
+    ledgerRowSchema.parse(value),
+  );
   return {
     ledger,
-    assignmentsByWorker: byWorker(ledger, new Map()),
-    work: parsedUnder(rows, workPrefix(cell), (value) => workRowSchema.parse(value)),
+    assignmentsByWorker: byWorker(ledger, before?.assignmentsByWorker ?? new Map()),
+    work: parsed(workPrefix(cell), before?.work, (value) => workRowSchema.parse(value)),
     endpoints:
       endpointRow === undefined ? { servers: [] } : endpointRowSchema.parse(endpointRow.value),
     cancellations,
@@ -198,6 +240,14 @@
     return (this.#ledger.get(rack) ?? this.#base.ledger.get(rack))?.assignments ?? [];
   }
 
+  /** All assignments of services, as changed so far. */
+  get replicas(): readonly Assignment[] {
+    return this.racks.flatMap((rack) => {
+      const row = this.#ledger.get(rack) ?? this.#base.ledger.get(rack);
+      return row === undefined ? [] : replicasIn(row);
+    });
+  }
+
   work(shardId: string): WorkRow | undefined {
     return this.#work.get(shardId) ?? this.#base.work.get(shardId);
   }
--- a/src/scheduler/common/cellScheduler.ts
+++ b/src/scheduler/common/cellScheduler.ts
@@ -19,9 +19,12 @@
 import type { CellDecision, CellEffect, CellEvent, CellState, CellTiming } from './cellState.js';
 import { brokenByRound, brokenByStarts, ledgerChange } from './invariants.js';
 import type { PlacementPolicy } from './placement.js';
+import { retryDelayMs } from './queueOrder.js';
 import { mayAssign, planRound, type Round } from './round.js';
+import { AssignmentEnd, type RecordedEnd } from './taskEnds.js';
 import { isStartAllowed, planCommand } from './workerCommands.js';
-import { attemptKey } from './workerView.js';
+import { WorkerHealth } from './workerHealth.js';
+import { attemptKey, type WorkerView } from './workerView.js';
 
 /** How often the owner looks whether work was added to its cell. */
 const LOOK_INTERVAL_MS = 500;
@@ -52,6 +55,8 @@
   tookOverAtMs: nowMs,
   nextLookAtMs: nowMs,
   operationCount: 0,
+  workerHealth: new WorkerHealth(),
+  retryAtMs: new Map(),
   isRoundStale: true,
   nextRoundAtMs: nowMs,
   nextFullRoundAtMs: nowMs,
@@ -78,7 +83,7 @@
 
 const roundCounters = (round: Round): readonly CellEffect[] => [
   counted('tasks_assigned', round.assignedCount),
-  ...round.ends.map((end) => counted(`assignments_${end.replace('-', '_')}`)),
+  ...round.ends.map(({ end }) => counted(`assignments_${end.replace('-', '_')}`)),
 ];
 
 /** Works a round out; one that breaks an invariant is done again without new assignments. */
@@ -111,6 +116,24 @@
   return nowMs + Math.max(roundIntervalMs, (rowCount * MS_PER_SECOND) / rowsPerSecond);
 };
 
+/** Takes failures and successes into the health of workers and the back-off of tasks. */
+const learntFromEnds = (
+  state: CellState,
+  ends: readonly RecordedEnd[],
+  nowMs: number,
+): Pick<CellState, 'workerHealth' | 'retryAtMs'> => {
+  const retryAtMs = new Map([...state.retryAtMs].filter(([, atMs]) => atMs > nowMs));
+  const workerHealth = ends.reduce((health, { end, assignment, failureCount }) => {
+    const { taskId, workerId, shardId, taskIndex } = assignment;
+    if (end === AssignmentEnd.Finished) return health.withSuccess(workerId);
+    if (end !== AssignmentEnd.Failed) return health;
+    retryAtMs.set(taskId, nowMs + retryDelayMs(failureCount, taskIndex));
+    const culprit = shardId === '' ? assignment.serviceName : shardId;
+    return health.withFailure(workerId, culprit, state.workers.size, nowMs);
+  }, state.workerHealth);
+  return { workerHealth, retryAtMs };
+};
+
 const startRound = (state: CellState, policy: PlacementPolicy, nowMs: number): CellDecision => {
   const { rows, pending } = state;
   if (rows === undefined || pending !== undefined || !isRoundDue(state, nowMs)) {
@@ -130,6 +153,7 @@
   return {
     state: {
       ...planned,
+      ...learntFromEnds(state, round.ends, nowMs),
       operationCount: state.operationCount + 1,
       nextRoundAtMs: nextRoundAtMs(state, transaction.writes.length, nowMs),
       pending: {
@@ -166,21 +190,20 @@
 };
 
 const sendCommands = (state: CellState, nowMs: number): CellDecision => {
-  const workers = new Map(state.workers);
+  let workers: Map<string, WorkerView> | undefined;
   const effects: CellEffect[] = [];
-  let isChanged = false;
   state.workers.forEach((view, workerId) => {
     const planned = planCommand(state, view, nowMs);
     if (planned === undefined) return;
+    workers ??= new Map(state.workers);
     workers.set(workerId, planned.view);
-    isChanged = true;
     if (planned.command === undefined) return;
     const broken = brokenByStarts(state, workerId, planned.command, isStartAllowed(state, nowMs));
     broken.forEach((invariant) => effects.push(counted(invariant)));
     const command = broken.length === 0 ? planned.command : { ...planned.command, starts: [] };
     effects.push({ kind: 'command', workerId, command });
   });
-  return isChanged ? { state: { ...state, workers }, effects } : unchanged(state);
+  return workers === undefined ? unchanged(state) : { state: { ...state, workers }, effects };
 };
 
 const stepLease = (state: CellState, nowMs: number): CellDecision => {
--- a/src/scheduler/common/cellState.ts
+++ b/src/scheduler/common/cellState.ts
@@ -14,6 +14,7 @@
 import type { EndpointRow } from '../../platform/work/common/workRows.js';
 import type { CellLease, CellLeaseTiming, LeaseStepKind } from './cellLease.js';
 import type { CellDraft, CellRows } from './cellRows.js';
+import type { WorkerHealth } from './workerHealth.js';
 import type { WorkerView } from './workerView.js';
 
 /** Limits and intervals of a cell's scheduling, from the settings. */
@@ -76,6 +77,10 @@
   /** When to look again whether work has been added to the cell. */
   readonly nextLookAtMs: number;
   readonly operationCount: number;
+  /** Which workers fail what they start; learnt anew by each owner. */
+  readonly workerHealth: WorkerHealth;
+  /** When a failed task may be tried again, by task id; a new owner tries it at once. */
+  readonly retryAtMs: ReadonlyMap<string, number>;
   /** True when something changed that a round may have to act on. */
   readonly isRoundStale: boolean;
   readonly nextFullRoundAtMs: number;
--- /dev/null
+++ b/src/scheduler/common/freeCapacity.ts
@@ -0,0 +1,114 @@
+/** What is left on the cell's workers, kept up while a round assigns. */
+import {
+  addResources,
+  fitsInto,
+  type Resources,
+  subtractResources,
+  sumResources,
+} from '../../platform/worker/common/resources.js';
+import { WorkerTaskState } from '../../platform/worker/common/workerClient.js';
+import type { Assignment } from '../../platform/work/common/workRows.js';
+import { assignmentsOf, type CellDraft, type CellRows } from './cellRows.js';
+import type { CellState } from './cellState.js';
+import { ledgerChange } from './invariants.js';
+import type { PlacementCandidate, PlacementRequest } from './placement.js';
+import { isWorkerDraining } from './wantedEvictions.js';
+import { attemptKey, isInContact, type WorkerView } from './workerView.js';
+
+interface UseMemo {
+  readonly tasks: WorkerView['tasks'];
+  readonly used: Resources;
+}
+
+const useMemos = new WeakMap<readonly Assignment[], UseMemo>();
+
+/** Committed tasks together with those that run on the worker without standing in the ledger. */
+const usedOn = (view: WorkerView, assignments: readonly Assignment[]): Resources => {
+  const memo = useMemos.get(assignments);
+  if (memo?.tasks === view.tasks) return memo.used;
+  const listed = new Set(assignments.map(attemptKey));
+  const strays = [...view.tasks.values()].filter(
+    (task) => task.state === WorkerTaskState.Running && !listed.has(attemptKey(task)),
+  );
+  const used = sumResources([...assignments, ...strays].map(({ size }) => size));
+  useMemos.set(assignments, { tasks: view.tasks, used });
+  return used;
+};
+
+const isUsable = (state: CellState, view: WorkerView, nowMs: number): boolean =>
+  view.isListed &&
+  isInContact(view, state.timing.reportFreshnessMs, nowMs) &&
+  !isWorkerDraining(state, view.instance.id) &&
+  !state.workerHealth.isSetAside(view.instance.id, nowMs);
+
+export class FreeCapacity {
+  readonly #candidates = new Map<string, PlacementCandidate>();
+
+  /** Sizes that fitted nowhere in this round; what is no smaller fits nowhere either. */
+  readonly #tooLarge: Resources[] = [];
+
+  constructor(state: CellState, rows: CellRows, draft: CellDraft, nowMs: number) {
+    const freed = new Map<string, Resources>();
+    ledgerChange(rows, draft).dropped.forEach(({ workerId, size }) => {
+      const known = freed.get(workerId);
+      freed.set(workerId, known === undefined ? size : addResources(known, size));
+    });
+    state.workers.forEach((view, workerId) => {
+      if (!isUsable(state, view, nowMs)) return;
+      const left = subtractResources(
+        view.instance.capacity,
+        usedOn(view, assignmentsOf(rows, workerId)),
+      );
+      const gain = freed.get(workerId);
+      this.#candidates.set(workerId, {
+        workerId,
+        rack: view.instance.rack,
+        incarnation: view.report?.incarnation ?? '',
+        capacity: view.instance.capacity,
+        free: gain === undefined ? left : addResources(left, gain),
+        sameServiceOnWorkerCount: 0,
+        sameServiceInRackCount: 0,
+      });
+    });
+  }
+
+  /**
+   * The candidates for a request; none when a request that was no larger has found no place in
+   * this round. A large job at the head of the queue is thus passed over at little cost and
+   * smaller ones behind it are placed.
+   */
+  candidatesFor(request: PlacementRequest): readonly PlacementCandidate[] {
+    if (this.#tooLarge.some((size) => fitsInto(size, request.size))) return [];
+    return [...this.#candidates.values()];
+  }
+
+  /** Candidates that know how many replicas of a service are near. */
+  candidatesNear(replicas: readonly Assignment[]): readonly PlacementCandidate[] {
+    const workerCounts = new Map<string, number>();
+    const rackCounts = new Map<string, number>();
+    const raise = (counts: Map<string, number>, key: string): void => {
+      counts.set(key, (counts.get(key) ?? 0) + 1);
+    };
+    replicas.forEach(({ workerId }) => {
+      const rack = this.#candidates.get(workerId)?.rack;
+      raise(workerCounts, workerId);
+      if (rack !== undefined) raise(rackCounts, rack);
+    });
+    return [...this.#candidates.values()].map((candidate) => ({
+      ...candidate,
+      sameServiceOnWorkerCount: workerCounts.get(candidate.workerId) ?? 0,
+      sameServiceInRackCount: rackCounts.get(candidate.rack) ?? 0,
+    }));
+  }
+
+  noteTooLarge(size: Resources): void {
+    this.#tooLarge.push(size);
+  }
+
+  take(workerId: string, size: Resources): void {
+    const candidate = this.#candidates.get(workerId);
+    if (candidate === undefined) return;
+    const free = subtractResources(candidate.free, size);
+    this.#candidates.set(workerId, { ...candidate, free });
+  }
+}
--- a/src/scheduler/common/round.ts
+++ b/src/scheduler/common/round.ts
@@ -1,6 +1,6 @@
 /** One round of a cell's owner: everything that is due goes into one transaction. */
 import { zonesInUse } from '../../platform/configuration/common/configurationView.js';
-import { TaskClass, WorkerTaskState } from '../../platform/worker/common/workerClient.js';
+import { WorkerTaskState } from '../../platform/worker/common/workerClient.js';
 import {
   type Assignment,
   type BatchTask,
@@ -12,13 +12,13 @@
 import { CellDraft, type CellRows } from './cellRows.js';
 import type { CellState } from './cellState.js';
 import type { PlacementPolicy } from './placement.js';
-import { type AssignmentEnd, recordEnds } from './taskEnds.js';
+import { type RecordedEnd, recordEnds } from './taskEnds.js';
 import { isWorkerDraining } from './wantedEvictions.js';
 import { reportedTask } from './workerView.js';
 
 export interface Round {
   readonly draft: CellDraft;
-  readonly ends: readonly AssignmentEnd[];
+  readonly ends: readonly RecordedEnd[];
   readonly assignedCount: number;
 }
 
@@ -58,9 +58,7 @@
 
 const wantedEndpoints = (state: CellState, draft: CellDraft): EndpointRow => {
   if (state.withdrawnSinceMs !== undefined) return { servers: [] };
-  const servers = draft.racks
-    .flatMap((rack) => draft.assignments(rack))
-    .filter((assignment) => assignment.taskClass === TaskClass.LatencyCritical)
+  const servers = draft.replicas
     .filter((assignment) => isServing(state, assignment))
     .map(({ serviceName, workerId, taskId }) => ({ serviceName, workerId, taskId }))
     .sort((left, right) => (left.taskId < right.taskId ? -1 : 1));
@@ -69,7 +67,14 @@
 
 const updateEndpoints = (state: CellState, draft: CellDraft): void => {
   const wanted = wantedEndpoints(state, draft);
-  if (JSON.stringify(wanted) !== JSON.stringify(draft.endpoints)) draft.setEndpoints(wanted);
+  const published = draft.endpoints.servers;
+  const isSame =
+    wanted.servers.length === published.length &&
+    wanted.servers.every(
+      ({ taskId, workerId }, index) =>
+        taskId === published[index]?.taskId && workerId === published[index]?.workerId,
+    );
+  if (!isSame) draft.setEndpoints(wanted);
 };
 
 /** True when the configuration is fresh enough, and allows, to start work in this zone. */
@@ -89,10 +94,10 @@
   nowMs: number,
 ): Round => {
   const draft = new CellDraft(state.cell, rows);
-  const ends = recordEnds(state, draft, nowMs);
+  const ends = recordEnds(state, rows, draft, nowMs);
   cancelQueuedTasks(draft, state.timing.maximumRowsPerRound);
   const assignedCount = isAssigning
-    ? assignQueuedWork(state, draft, policy, operationId, nowMs)
+    ? assignQueuedWork(state, rows, draft, policy, operationId, nowMs)
     : 0;
   moveShards(state, draft);
   if (rows.cancellations.size > 0) draft.closeCancellations();
--- a/src/scheduler/common/taskEnds.ts
+++ b/src/scheduler/common/taskEnds.ts
@@ -8,7 +8,7 @@
   type BatchTask,
   BatchTaskState,
 } from '../../platform/work/common/workRows.js';
-import type { CellDraft } from './cellRows.js';
+import type { CellDraft, CellRows } from './cellRows.js';
 import type { CellState } from './cellState.js';
 import { isWorkerDraining } from './wantedEvictions.js';
 import { isInContact, presumedLeaseEndMs, reportedTask, type WorkerView } from './workerView.js';
@@ -24,6 +24,14 @@
 } as const;
 export type AssignmentEnd = (typeof AssignmentEnd)[keyof typeof AssignmentEnd];
 
+/** An end with what it tells of the worker and the task. */
+export interface RecordedEnd {
+  readonly end: AssignmentEnd;
+  readonly assignment: Assignment;
+  /** Failures of the task so far, this one included. */
+  readonly failureCount: number;
+}
+
 /** Failures after which a task is given up. */
 export const MAXIMUM_FAILURE_COUNT = 5;
 
@@ -121,14 +129,20 @@
   state: CellState,
   draft: CellDraft,
   rack: string,
+  loudWorkerIds: ReadonlySet<string>,
   nowMs: number,
-): readonly AssignmentEnd[] => {
-  const ends: AssignmentEnd[] = [];
+): readonly RecordedEnd[] => {
+  const ends: RecordedEnd[] = [];
   const remaining = draft.assignments(rack).filter((assignment) => {
+    if (!loudWorkerIds.has(assignment.workerId)) return true;
     const view = state.workers.get(assignment.workerId);
     const end = assignmentEnd(state, view, assignment, nowMs);
     if (end === undefined) return true;
-    ends.push(end);
+    const before = draft
+      .work(assignment.shardId)
+      ?.tasks.find(({ index }) => index === assignment.taskIndex);
+    const failureCount = (before?.failureCount ?? 0) + 1;
+    ends.push({ end, assignment, failureCount });
     const report = view === undefined ? undefined : reportedTask(view, assignment);
     if (assignment.shardId !== '') recordBatchEnd(draft, assignment, end, report);
     return false;
@@ -137,14 +151,47 @@
   return ends;
 };
 
+/** Lists of assignments with the report in which none of them had ended. */
+const quietReports = new WeakMap<readonly Assignment[], WorkerView['tasks']>();
+
+/**
+ * True when a worker's assignments were looked at before with the same report and nothing but
+ * the time has passed, which ends nothing while the worker is in contact. Of a cell's 123
+ * workers some twelve report between two rounds, and only these are looked at.
+ */
+const isQuiet = (
+  state: CellState,
+  workerId: string,
+  assignments: readonly Assignment[],
+  nowMs: number,
+): boolean => {
+  const view = state.workers.get(workerId);
+  if (view === undefined || !isInContact(view, state.timing.reportFreshnessMs, nowMs)) return false;
+  if (state.withdrawnSinceMs !== undefined || isWorkerDraining(state, workerId)) return false;
+  if (quietReports.get(assignments) === view.tasks) return true;
+  const hasEnd = assignments.some(
+    (assignment) => assignmentEnd(state, view, assignment, nowMs) !== undefined,
+  );
+  if (!hasEnd) quietReports.set(assignments, view.tasks);
+  return !hasEnd;
+};
+
 /** Records all ends that are certain by now and returns them for the counters. */
 export const recordEnds = (
   state: CellState,
+  rows: CellRows,
   draft: CellDraft,
   nowMs: number,
-): readonly AssignmentEnd[] =>
-  draft.racks.flatMap((rack) =>
+): readonly RecordedEnd[] => {
+  const loudWorkerIds = new Set(
+    [...rows.assignmentsByWorker]
+      .filter(([workerId, assignments]) => !isQuiet(state, workerId, assignments, nowMs))
+      .map(([workerId]) => workerId),
+  );
+  if (loudWorkerIds.size === 0) return [];
+  return draft.racks.flatMap((rack) =>
     draft.rowCount >= state.timing.maximumRowsPerRound
       ? []
-      : recordRackEnds(state, draft, rack, nowMs),
+      : recordRackEnds(state, draft, rack, loudWorkerIds, nowMs),
   );
+};
--- a/src/scheduler/common/wantedEvictions.ts
+++ b/src/scheduler/common/wantedEvictions.ts
@@ -4,6 +4,7 @@
 import { InstanceState } from '../../platform/instanceList/common/instanceList.js';
 import { TaskClass } from '../../platform/worker/common/workerClient.js';
 import type { Assignment } from '../../platform/work/common/workRows.js';
+import { replicasIn } from './cellRows.js';
 import type { CellState } from './cellState.js';
 
 /**
@@ -62,9 +63,8 @@
   const view = state.configuration?.view;
   if (state.rows === undefined || view === undefined) return new Set();
   const byService = new Map<string, string[]>();
-  state.rows.assignmentsByWorker.forEach((assignments) =>
-    assignments.forEach(({ taskClass, serviceName, taskId }) => {
-      if (taskClass !== TaskClass.LatencyCritical) return;
+  state.rows.ledger.forEach((row) =>
+    replicasIn(row).forEach(({ serviceName, taskId }) => {
       const known = byService.get(serviceName);
       if (known === undefined) byService.set(serviceName, [taskId]);
       else known.push(taskId);
--- a/src/scheduler/common/workerCommands.ts
+++ b/src/scheduler/common/workerCommands.ts
@@ -185,7 +185,8 @@
     return isRenewalDue ? { command: firstContact(state), view: sent } : undefined;
   }
   const { command, withheldCount } = commandFor(state, view, report, nowMs);
-  const isMessageStale = withheldCount > 0;
+  // With the rows in doubt nothing but renewals is sent, so what is due has to be found again.
+  const isMessageStale = withheldCount > 0 || state.rows === undefined;
   const keys = newsKeys(command);
   if (!isRenewalDue && [...keys].every((key) => view.toldKeys.has(key))) {
     return { command: undefined, view: { ...view, isMessageStale } };
--- /dev/null
+++ b/src/scheduler/common/workerHealth.ts
@@ -0,0 +1,105 @@
+/** Workers that fail what they start, told apart from jobs that fail wherever they run. */
+
+/** Failures of so many different jobs, with no success between them, make a worker suspect. */
+const SUSPECT_JOB_COUNT = 3;
+/** A suspect worker takes nothing for so long, doubled each time up to a limit. */
+const FIRST_ASIDE_MS = 30_000;
+const MAXIMUM_ASIDE_MS = 600_000;
+/** Never more than this share of the workers: with more the fault is likely elsewhere. */
+const MAXIMUM_ASIDE_SHARE = 0.1;
+/** Failures on so many different workers make a job the likely culprit. */
+const BAD_JOB_WORKER_COUNT = 3;
+
+interface WorkerRecord {
+  readonly failedJobIds: ReadonlySet<string>;
+  readonly asideUntilMs: number;
+  readonly asideCount: number;
+}
+
+const CLEAN: WorkerRecord = {
+  failedJobIds: new Set(),
+  asideUntilMs: Number.NEGATIVE_INFINITY,
+  asideCount: 0,
+};
+
+const MAXIMUM_TRACKED_JOBS = 1_000;
+
+/**
+ * Made for a worker with a broken disk or network in a cell of a hundred: it is always free, so
+ * packing sends it task after task and each uses up one of its tries. One bad job on many
+ * workers must not set these aside: a job that has failed on three workers no longer counts
+ * against any. Kept in memory only; a new owner learns it within three failures a worker.
+ */
+export class WorkerHealth {
+  readonly #workers: ReadonlyMap<string, WorkerRecord>;
+
+  readonly #workersOfJob: ReadonlyMap<string, ReadonlySet<string>>;
+
+  constructor(
+    workers: ReadonlyMap<string, WorkerRecord> = new Map(),
+    workersOfJob: ReadonlyMap<string, ReadonlySet<string>> = new Map(),
+  ) {
+    this.#workers = workers;
+    this.#workersOfJob = workersOfJob;
+  }
+
+  isSetAside(workerId: string, nowMs: number): boolean {
+    return nowMs < (this.#workers.get(workerId)?.asideUntilMs ?? Number.NEGATIVE_INFINITY);
+  }
+
+  /** A task ended well on the worker, so what failed before was not its fault. */
+  withSuccess(workerId: string): WorkerHealth {
+    if (!this.#workers.has(workerId)) return this;
+    const workers = new Map(this.#workers);
+    workers.delete(workerId);
+    return new WorkerHealth(workers, this.#workersOfJob);
+  }
+
+  withFailure(workerId: string, jobId: string, workerCount: number, nowMs: number): WorkerHealth {
+    const workersOfJob = new Map(this.#workersOfJob);
+    const failedOn = new Set([...(workersOfJob.get(jobId) ?? []), workerId]);
+    workersOfJob.delete(jobId);
+    workersOfJob.set(jobId, failedOn);
+    if (workersOfJob.size > MAXIMUM_TRACKED_JOBS) {
+      workersOfJob.delete([...workersOfJob.keys()][0] as string);
+    }
+    if (failedOn.size >= BAD_JOB_WORKER_COUNT) {
+      return new WorkerHealth(this.#withoutJob(jobId), workersOfJob);
+    }
+    const record = this.#workers.get(workerId) ?? CLEAN;
+    const failedJobIds = new Set([...record.failedJobIds, jobId]);
+    const workers = new Map(this.#workers);
+    const isSuspect = failedJobIds.size >= SUSPECT_JOB_COUNT;
+    const mayBeSet = this.#asideCount(nowMs) + 1 <= workerCount * MAXIMUM_ASIDE_SHARE;
+    workers.set(
+      workerId,
+      isSuspect && mayBeSet ? WorkerHealth.#aside(record, nowMs) : { ...record, failedJobIds },
+    );
+    return new WorkerHealth(workers, workersOfJob);
+  }
+
+  #asideCount(nowMs: number): number {
+    return [...this.#workers.keys()].filter((id) => this.isSetAside(id, nowMs)).length;
+  }
+
+  #withoutJob(jobId: string): ReadonlyMap<string, WorkerRecord> {
+    return new Map(
+      [...this.#workers].map(([id, record]) => [
+        id,
+        {
+          ...record,
+          failedJobIds: new Set([...record.failedJobIds].filter((one) => one !== jobId)),
+        },
+      ]),
+    );
+  }
+
+  static #aside(record: WorkerRecord, nowMs: number): WorkerRecord {
+    const asideMs = Math.min(MAXIMUM_ASIDE_MS, FIRST_ASIDE_MS * 2 ** record.asideCount);
+    return {
+      failedJobIds: new Set(),
+      asideUntilMs: nowMs + asideMs,
+      asideCount: record.asideCount + 1,
+    };
+  }
+}
