--- a/bench/bench.ts
+++ b/bench/bench.ts
@@ -4,8 +4,9 @@
 import { passThrough } from './passThrough/passThrough.js';
 import { requestsBenchmark } from './requests/requestsBench.js';
 import { scheduling } from './scheduling/scheduling.js';
+import { traceCost } from './traceCost/traceCost.js';
 
-const BENCHMARKS: readonly Benchmark[] = [passThrough, requestsBenchmark, scheduling];
+const BENCHMARKS: readonly Benchmark[] = [passThrough, requestsBenchmark, scheduling, traceCost];
 
 const [wanted, ...args] = process.argv.slice(2);
 const chosen = BENCHMARKS.filter(({ name }) => wanted === undefined || name === wanted);
--- /dev/null
+++ b/bench/traceCost/traceCost.ts
@@ -0,0 +1,49 @@
+/**
+ * What tracing costs a request that is not sampled, beside doing nothing. It is a figure to
+ * read, with a bound far above it that only a change of kind would cross.
+ */
+// Benchmarks are no part of the product, so what they need is not among its dependencies.
+// eslint-disable-next-line import-x/no-extraneous-dependencies
+import { Bench } from 'tinybench';
+
+import { SeededRandom } from '../../src/base/common/random.js';
+import { Hop } from '../../src/platform/tracing/common/tracing.js';
+import { OpenTelemetryTracing } from '../../src/platform/tracing/node/openTelemetryTracing.js';
+import type { Benchmark } from '../benchmark.js';
+import { readBounds } from '../bounds.js';
+
+const RING_CAPACITY = 200;
+const RUN_MS = 1_000;
+const MICROSECONDS_PER_MS = 1_000;
+const UNSAMPLED = '00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-00';
+
+const never = new OpenTelemetryTracing(0, RING_CAPACITY, new SeededRandom(1));
+const always = new OpenTelemetryTracing(1, RING_CAPACITY, new SeededRandom(1));
+
+export const traceCost: Benchmark = {
+  name: 'trace-cost',
+  run: async () => {
+    const bench = new Bench({ time: RUN_MS })
+      .add('unsampled, no header', () => {
+        never.startTrace(Hop.Entry, undefined);
+      })
+      .add('unsampled, with header', () => {
+        never.startTrace(Hop.Entry, UNSAMPLED);
+      })
+      .add('sampled', () => {
+        always.startTrace(Hop.Entry, undefined)?.end();
+      });
+    await bench.run();
+    const { maximumUnsampledMicroseconds = 0 } = await readBounds('trace-cost');
+    const costs = bench.tasks.map(({ name, result }) => {
+      if (result.state !== 'completed') throw new Error(`${name} did not complete`);
+      const microseconds = result.latency.p50 * MICROSECONDS_PER_MS;
+      process.stdout.write(`${name.padEnd(24)} ${microseconds.toFixed(2)} µs (median)\n`);
+      return { name, microseconds };
+    });
+    process.stdout.write(`bound for unsampled ${maximumUnsampledMicroseconds} µs\n`);
+    return costs
+      .filter(({ name }) => name.startsWith('unsampled'))
+      .every(({ microseconds }) => microseconds <= maximumUnsampledMicroseconds);
+  },
+};
