--- a/src/daemon/node/daemon.ts
+++ b/src/daemon/node/daemon.ts
@@ -30,6 +30,10 @@
 import { CellTasks } from '../../scheduler/node/cellTasks.js';
 
 const SEED_LIMIT = 2 ** 31;
+/** How long operators' calls that are under way may hold the end of a shutdown up. */
+const OPERATOR_CLOSE_MS = 1_000;
+/** Time for final answers to be written, before connections are closed. */
+const LAST_ANSWERS_MS = 200;
 const PLAN_SUFFIX_BYTES = 6;
 
 /** The ports a daemon listens on. */
@@ -50,11 +54,13 @@
 
   readonly #callerServer: CallerServer | undefined;
 
+  readonly #handler: RequestHandler | undefined;
+
   readonly #operatorServer: OperatorServer;
 
   readonly #peers: PeerService;
 
-  #isDraining = false;
+  #draining: Promise<void> | undefined;
 
   constructor(settings: Settings) {
     this.#settings = settings;
@@ -100,6 +106,7 @@
       const handler = own.add(
         new RequestHandler({ ...services, clock, metrics, tracing, wallNowMs: Date.now }, entry),
       );
+      this.#handler = handler;
       this.#callerServer = new CallerServer(handler, entry, metrics);
     }
     const plans = own.add(
@@ -129,7 +136,7 @@
         directory,
         metrics,
         spans: tracing.ring,
-        isReady: () => !this.#isDraining && isServable(configuration.health),
+        isReady: () => this.#draining === undefined && isServable(configuration.health),
       },
       settings.operator,
     );
@@ -156,18 +163,39 @@
 
   /**
    * Leaves without cutting a request off. Readiness falls first; the listener stays open until
-   * the balancer has seen that and sends no more; then everything in flight is answered.
+   * the balancer has seen that and sends no more; then everything in flight is answered. What
+   * is not answered in `drainTimeoutMs` gets its final answer, unknown if it was sent. Answers
+   * under idempotency keys are recorded before the table is let go. A second call joins the
+   * first: a signal that is sent twice must not end the process in the middle.
    */
-  async drain(): Promise<void> {
-    if (this.#isDraining) return;
-    this.#isDraining = true;
+  drain(): Promise<void> {
+    this.#draining ??= this.#drain();
+    return this.#draining;
+  }
+
+  async #drain(): Promise<void> {
     this.#log.info('draining', { version: this.#configuration.current?.version ?? 0 });
     this.#callerServer?.startDraining();
     await delay(this.#settings.entry.drainDelayMs);
-    const timeout = delay(this.#settings.entry.drainTimeoutMs, undefined, { ref: false });
-    await Promise.race([this.#callerServer?.close(), timeout]);
-    await Promise.race([this.#operatorServer.close(), timeout]);
+    const timer = new AbortController();
+    const { signal } = timer;
+    const timeout = delay(this.#settings.entry.drainTimeoutMs, undefined, { signal }).then(
+      () => this.#endAll(),
+      () => {},
+    );
+    await this.#callerServer?.close();
+    timer.abort();
+    await timeout;
+    await this.#handler?.settle();
+    await Promise.race([this.#operatorServer.close(), delay(OPERATOR_CLOSE_MS)]);
     this.#disposables.dispose();
     this.#log.info('drained');
   }
+
+  /** Answers what is left, and then closes what sends nothing. */
+  async #endAll(): Promise<void> {
+    this.#handler?.giveUpAll();
+    await delay(LAST_ANSWERS_MS);
+    this.#callerServer?.closeAllConnections();
+  }
 }
--- a/src/entry/node/callerServer.ts
+++ b/src/entry/node/callerServer.ts
@@ -116,6 +116,11 @@
     await this.#server.close();
   }
 
+  /** Closes also the connections on which a request is still being sent. */
+  closeAllConnections(): void {
+    this.#server.server.closeAllConnections();
+  }
+
   #addHooks(): void {
     this.#server.removeAllContentTypeParsers();
     this.#server.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) =>
@@ -164,6 +169,9 @@
       headers: request.headers,
       body: Buffer.isBuffer(request.body) ? request.body : undefined,
     });
+    // Also said of requests that came before the shutdown began; the caller would otherwise
+    // send its next one on a connection that is about to close.
+    if (this.#isDraining) void reply.header('connection', 'close');
     if (isLeft(result)) return replyWithFailure(reply, result.left);
     const { statusCode, headers, body } = result.right;
     return reply.code(statusCode).headers(endToEndHeaders(headers)).send(body);
--- a/src/entry/node/requestDispatch.ts
+++ b/src/entry/node/requestDispatch.ts
@@ -81,8 +81,12 @@
     this.#disposables.dispose();
   }
 
-  get underWayCount(): number {
-    return this.#journeys.size;
+  /** Gives everything under way its final answer, at the end of a shutdown's time. */
+  giveUpAll(): void {
+    this.#journeys.forEach((journey) => {
+      this.#services.metrics.count('requests_given_up_at_shutdown');
+      this.#finish(journey, left(failure(ErrorKind.ShuttingDown, 'the entry is shutting down')));
+    });
   }
 
   /** Serves a request; the result comes once, at the deadline at the latest. */
--- a/src/entry/node/requestHandler.ts
+++ b/src/entry/node/requestHandler.ts
@@ -81,6 +81,11 @@
     this.#disposables.dispose();
   }
 
+  /** Gives everything under way its final answer. */
+  giveUpAll(): void {
+    this.#dispatch.giveUpAll();
+  }
+
   /** Resolves when the answers of idempotent requests are recorded, as far as they can be. */
   async settle(): Promise<void> {
     await this.#services.claims.settle();
