--- /dev/null
+++ b/src/entry/test/limits.test.ts
@@ -0,0 +1,186 @@
+import { createConnection } from 'node:net';
+
+import { afterEach, describe, expect, it } from 'vitest';
+
+import { backendServer, EntryHarness, entrySettings, workOutcome } from './entryHarness.js';
+import { type RawAnswer, RawBackend, wholeAnswer } from './rawBackend.js';
+
+const cleanups: (() => unknown)[] = [];
+afterEach(async () => {
+  await Promise.all(cleanups.splice(0).map((cleanup) => cleanup()));
+});
+
+const whole: RawAnswer = (socket) => socket.write(wholeAnswer('whole'));
+
+const start = async (
+  changes: object = {},
+  answer: RawAnswer = whole,
+): Promise<{ entry: EntryHarness; backend: RawBackend; port: number }> => {
+  const backend = new RawBackend(answer);
+  const entry = new EntryHarness(entrySettings(changes));
+  cleanups.push(
+    () => backend.close(),
+    () => entry.dispose(),
+  );
+  const port = await backend.listen();
+  entry.route('s', [backendServer(port)]);
+  await entry.listen();
+  return { entry, backend, port };
+};
+
+/** Sends bytes as they are and collects what comes back until the connection ends. */
+const sendRaw = (entry: EntryHarness, text: string): Promise<string> =>
+  new Promise((resolve) => {
+    const socket = createConnection(Number(new URL(entry.origin).port), '127.0.0.1');
+    let received = '';
+    socket.on('data', (chunk) => {
+      received += chunk.toString('latin1');
+    });
+    socket.on('error', () => {});
+    socket.on('close', () => resolve(received));
+    socket.write(text);
+  });
+
+describe('what is beyond the limits', () => {
+  it.each([
+    ['an unknown service', '/services/none/a', 404],
+    ['a path of no service', '/elsewhere', 404],
+  ])('%s is refused', async (_name, path, statusCode) => {
+    const { entry, backend } = await start();
+    const text = await sendRaw(
+      entry,
+      `GET ${path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n`,
+    );
+    expect(text).toContain(`HTTP/1.1 ${statusCode}`);
+    expect(text).toContain('snipethread-work: not-run');
+    expect(backend.requests).toHaveLength(0);
+  });
+
+  it.each([
+    ['no HTTP', 'hello\r\n\r\n'],
+    [
+      'two lengths',
+      'POST /services/s/a HTTP/1.1\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\n',
+    ],
+    [
+      'a length and chunks',
+      'POST /services/s/a HTTP/1.1\r\nhost: x\r\ncontent-length: 4\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n',
+    ],
+    ['a huge head', `GET /services/s/a HTTP/1.1\r\nx: ${'y'.repeat(40_000)}\r\n\r\n`],
+  ])('malformed HTTP is refused by the closed list: %s', async (_name, text) => {
+    const { entry, backend } = await start();
+    const answer = await sendRaw(entry, text);
+    expect(answer).toContain('HTTP/1.1 400');
+    expect(answer).toContain('"error":"bad-request"');
+    expect(answer).toContain('snipethread-work: not-run');
+    expect(backend.requests).toHaveLength(0);
+  });
+
+  it.each([
+    ['with a length', 'content-length: 2000'],
+    ['in chunks', 'transfer-encoding: chunked'],
+  ])('a body that is too large is refused: %s', async (_name, framing) => {
+    const { entry, backend } = await start({ maximumBodyBytes: 1_000 });
+    const body = framing.startsWith('content') ? 'x'.repeat(2_000) : `7d0\r\n${'x'.repeat(2_000)}`;
+    const head = `POST /services/s/a HTTP/1.1\r\nhost: x\r\nconnection: close\r\n${framing}`;
+    const answer = await sendRaw(entry, `${head}\r\n\r\n${body}\r\n0\r\n\r\n`);
+    expect(answer).toContain('HTTP/1.1 413');
+    expect(answer).toContain('"error":"body-too-large"');
+    expect(backend.requests).toHaveLength(0);
+  });
+
+  // A caller begins a request and sends a byte now and then. It must not hold its connection and
+  // the memory for its body for ever.
+  it('a request that is sent too slowly is refused', async () => {
+    const { entry, backend } = await start({ receiveTimeoutMs: 300 });
+    const head = 'POST /services/s/a HTTP/1.1\r\nhost: x\r\ncontent-length: 10\r\n\r\nhalf';
+    const answer = await sendRaw(entry, head);
+    expect(answer).toContain('"error":"bad-request"');
+    expect(answer).toContain('too long to send');
+    expect(backend.requests).toHaveLength(0);
+  });
+
+  // Many callers begin large bodies at once and send them slowly. The entry holds a bounded
+  // number of bytes and refuses the next body before it is read; the memory is free again when
+  // the connections end.
+  it('bodies beyond what may be held at a time are refused unread', async () => {
+    const { entry, backend } = await start({ maximumBodyBytes: 1_000, maximumHeldBytes: 2_500 });
+    const head = 'POST /services/s/a HTTP/1.1\r\nhost: x\r\ncontent-length: 1000\r\n\r\n';
+    const port = Number(new URL(entry.origin).port);
+    const slow = [1, 2].map(() => createConnection(port, '127.0.0.1'));
+    slow.forEach((socket) => socket.write(head));
+    await expect
+      .poll(async () => (await entry.call('/a', {}, 'POST', 'x'.repeat(1_000))).statusCode)
+      .toBe(503);
+    const refused = await entry.call('/a', {}, 'POST', 'x'.repeat(1_000));
+    expect(workOutcome(refused)).toBe('not-run');
+    slow.forEach((socket) => socket.destroy());
+    await expect
+      .poll(async () => (await entry.call('/a', {}, 'POST', 'x'.repeat(1_000))).statusCode)
+      .toBe(200);
+    expect(backend.requests.length).toBeGreaterThan(0);
+  });
+
+  it('an answer that is too large is an error and its connection is closed', async () => {
+    const { entry } = await start({ maximumBodyBytes: 1_000 }, (socket) =>
+      socket.write(wholeAnswer('x'.repeat(5_000))),
+    );
+    const answer = await entry.call('/a', {}, 'POST', 'order');
+    expect([answer.statusCode, workOutcome(answer)]).toEqual([502, 'unknown']);
+    expect(entry.counter('answers_too_large')).toBe(1);
+  });
+});
+
+describe('a backend server that says it is leaving', () => {
+  // The platform's list lags. The server's own word in an answer takes it out at once: it gets
+  // nothing more, and what it has is answered.
+  it('gets no new work from its first such answer on', async () => {
+    const leaving = 'snipethread-leaving: true\r\n';
+    const { entry, backend, port } = await start({}, (socket, index) => {
+      socket.write(wholeAnswer('whole', index >= 5 ? leaving : ''));
+    });
+    const other = new RawBackend(whole);
+    cleanups.push(() => other.close());
+    entry.route('s', [backendServer(port), backendServer(await other.listen())]);
+    for (let index = 0; index < 100; index += 1) {
+      // eslint-disable-next-line no-await-in-loop -- one after the other
+      expect((await entry.call('/a')).statusCode).toBe(200);
+    }
+    expect(backend.requests).toHaveLength(6);
+    expect(other.requests).toHaveLength(94);
+  });
+});
+
+describe('the connections of a worker', () => {
+  // Eight entries, as many as there may be during a restart, with lists that differ: some have
+  // just lost the server and found it again while requests are in flight. Each bursts. The worker
+  // must never see more connections than it accepts, and the invariant in the program must agree.
+  it('are never more than it accepts, whatever lists the entries have', async () => {
+    const backend = new RawBackend((socket) => {
+      setTimeout(() => socket.write(wholeAnswer('whole')), 20);
+    });
+    cleanups.push(() => backend.close());
+    const server = backendServer(await backend.listen());
+    const entries = await Promise.all(
+      Array.from({ length: 8 }, async () => {
+        const entry = new EntryHarness(entrySettings({ silenceFloorMs: 30 }));
+        cleanups.push(() => entry.dispose());
+        entry.route('s', [server]);
+        await entry.listen();
+        return entry;
+      }),
+    );
+    const timer = setInterval(() => {
+      entries.slice(0, 4).forEach((entry) => entry.route('s', []));
+      entries.slice(0, 4).forEach((entry) => entry.route('s', [server]));
+    }, 15);
+    cleanups.push(() => clearInterval(timer));
+    const answers = await Promise.all(
+      entries.flatMap((entry) => Array.from({ length: 100 }, () => entry.call('/a'))),
+    );
+    clearInterval(timer);
+    expect(answers.filter(({ statusCode }) => statusCode === 200).length).toBeGreaterThan(0);
+    expect(backend.mostConnections).toBeLessThanOrEqual(64);
+    expect(entries.flatMap(({ breaches }) => breaches)).toEqual([]);
+  });
+});
