Admission under saturation tested in virtual time; a slow store holds no caller past its deadline

Cause: a claim that the store granted after the caller's deadline was sent all the same, and its caller waited for the store. Change: the claim is raced against the deadline; one that is granted later is given back unsent. Tests: urgent first, turns between services and callers, a storm displaces only its own, refusal at once of what cannot be served in time, spread times to come back, servers set aside, never more than a part, taken back one request at a time.

--- a/src/entry/node/requestHandler.ts
+++ b/src/entry/node/requestHandler.ts
@@ -1,4 +1,6 @@
 /** Takes a caller's request: its terms, the claim of its idempotency key, its answer. */
+import { setTimeout as delay } from 'node:timers/promises';
+
 import { type Either, isLeft, left, right } from 'fp-ts/lib/Either.js';
 
 import type { Clock } from '../../base/common/clock.js';
@@ -25,7 +27,7 @@
 import { RequestProgress } from '../common/requestProgress.js';
 import type { BackendAnswer } from './attemptRun.js';
 import type { BackendConnections } from './backendConnections.js';
-import type { ClaimKeeper, HeldClaim } from './claimKeeper.js';
+import type { ClaimKeeper, ClaimResult, HeldClaim } from './claimKeeper.js';
 import { type Journey, RequestDispatch } from './requestDispatch.js';
 import type { RoutingReader } from './routingReader.js';
 
@@ -143,8 +145,8 @@
 
   /** Sends work that is not idempotent only under the claim of its key. */
   async #serveClaimed(journey: Journey, idempotencyKey: string): Promise<Result> {
-    const { claims, clock, wallNowMs } = this.#services;
-    const claimed = await claims.claim(journey.request, idempotencyKey, wallNowMs());
+    const { clock } = this.#services;
+    const claimed = await this.#claimInTime(journey, idempotencyKey);
     if (isLeft(claimed)) return claimed;
     if (claimed.right.kind === 'replay') return right(fromRecorded(claimed.right.answer));
     const { held } = claimed.right;
@@ -156,6 +158,30 @@
     return result;
   }
 
+  /**
+   * Claims the key, but keeps the caller waiting no longer than its deadline. A store that
+   * answers late may grant the claim afterwards; it is then given back, for nothing was sent.
+   */
+  async #claimInTime(
+    journey: Journey,
+    idempotencyKey: string,
+  ): Promise<Either<Failure, ClaimResult>> {
+    const { claims, clock, wallNowMs } = this.#services;
+    const claiming = claims.claim(journey.request, idempotencyKey, wallNowMs());
+    const timer = new AbortController();
+    const remainingMs = Math.max(0, journey.deadlineAtMs - clock.nowMs());
+    const late = delay(remainingMs, undefined, { signal: timer.signal }).catch(() => undefined);
+    const claimed = await Promise.race([claiming, late]);
+    timer.abort();
+    if (claimed !== undefined) return claimed;
+    void claiming.then((granted) => {
+      if (!isLeft(granted) && granted.right.kind === 'held') {
+        void claims.release(granted.right.held);
+      }
+    });
+    return left(failure(ErrorKind.DeadlineExceeded, 'the store gave no claim before the deadline'));
+  }
+
   async #endClaim(held: HeldClaim, result: Result, journey: Journey): Promise<void> {
     const { claims } = this.#services;
     if (!isLeft(result)) claims.recordAnswer(held, toRecorded(result.right));
--- /dev/null
+++ b/src/entry/test/admission.test.ts
@@ -0,0 +1,206 @@
+import { describe, expect, it } from 'vitest';
+
+import { SeededRandom } from '../../base/common/random.js';
+import { Urgency } from '../../platform/configuration/common/documents.js';
+import { Admission, type PlaceEnd, ServerVerdict } from '../common/admission.js';
+import type { WaitingRequest } from '../common/fairQueue.js';
+import { RequestProgress } from '../common/requestProgress.js';
+import { LatencyWeightedOfTwo } from '../common/serverChoice.js';
+import type { ServerRecord } from '../common/serverRecords.js';
+import { backendServer, entrySettings } from './entryHarness.js';
+
+interface Waiting extends WaitingRequest {
+  readonly serviceName: string;
+}
+
+const SUCCESS = { latencyMs: 10, verdict: ServerVerdict.Success, isServerLeaving: false };
+const FAILURE = { latencyMs: 1, verdict: ServerVerdict.Failure, isServerLeaving: false };
+
+/** One entry's admission in virtual time, with all that has been admitted. */
+class Bench {
+  readonly admission: Admission<Waiting>;
+
+  readonly inFlight: { readonly waiting: Waiting; readonly server: ServerRecord<Waiting> }[] = [];
+
+  readonly refused: Waiting[] = [];
+
+  nowMs = 0;
+
+  constructor(serverCount: number, urgencies: Readonly<Record<string, Urgency>>, changes = {}) {
+    const random = new SeededRandom(7);
+    const settings = entrySettings(changes);
+    this.admission = new Admission(settings, new LatencyWeightedOfTwo(random), random);
+    const servers = Array.from({ length: serverCount }, (_, index) => backendServer(index + 1));
+    const routes = new Map(Object.keys(urgencies).map((name) => [name, servers]));
+    this.admission.updateRoutes(routes, (name) => urgencies[name] ?? Urgency.Normal, 8);
+  }
+
+  pass(durationMs: number): void {
+    this.nowMs += durationMs;
+  }
+
+  send(serviceName: string, callerId = '', deadlineMs = 10_000): void {
+    const waiting: Waiting = {
+      serviceName,
+      callerId,
+      deadlineAtMs: this.nowMs + deadlineMs,
+      waitingSinceMs: this.nowMs,
+      avoidedWorkerId: undefined,
+    };
+    const decision = this.admission.admit(serviceName, waiting, this.nowMs);
+    if (decision.kind === 'admitted') this.inFlight.push({ waiting, server: decision.server });
+    if (decision.kind === 'refused') this.refused.push(waiting);
+    if (decision.kind === 'queued' && decision.displaced !== undefined) {
+      this.refused.push(decision.displaced.waiting);
+    }
+  }
+
+  /** Ends the request that is in flight the longest and returns what was sent in its stead. */
+  finishOne(end: PlaceEnd = SUCCESS): readonly Waiting[] {
+    const first = this.inFlight.shift();
+    if (first === undefined) return [];
+    const { waiting, server } = first;
+    const next = this.admission.finish(waiting.serviceName, server, end, this.nowMs);
+    this.inFlight.push(...next);
+    return next.map((dispatched) => dispatched.waiting);
+  }
+}
+
+const times = (count: number, step: (index: number) => void): void =>
+  Array.from({ length: count }, (_, index) => index).forEach(step);
+
+describe('admission under saturation', () => {
+  // A burst of low work has taken every place and waits in hundreds. An urgent request that
+  // comes afterwards must be the next to be sent.
+  it('serves the urgent service first, whatever waits', () => {
+    const bench = new Bench(4, { rounds: Urgency.Urgent, plans: Urgency.Low });
+    times(100, () => bench.send('plans'));
+    bench.send('rounds');
+    const [next] = bench.finishOne();
+    expect(next?.serviceName).toBe('rounds');
+  });
+
+  it('lets services of equal urgency take turns, however unequal their bursts', () => {
+    const bench = new Bench(4, { a: Urgency.Normal, b: Urgency.Normal });
+    times(300, () => bench.send('a'));
+    times(30, () => bench.send('b'));
+    const served = Array.from({ length: 40 }, () => bench.finishOne()[0]?.serviceName);
+    expect(served.filter((name) => name === 'b').length).toBeGreaterThanOrEqual(18);
+  });
+
+  // One caller's storm of retries fills the queue. The few requests of another caller must not
+  // wait behind it, nor be refused for want of room; the storm's newest ones leave instead.
+  it('lets callers take turns, and a storm displaces only its own', () => {
+    const bench = new Bench(4, { a: Urgency.Normal }, { queueCapacity: 100 });
+    times(500, () => bench.send('a', 'storm'));
+    times(20, () => bench.send('a', 'quiet'));
+    expect(bench.refused.every(({ callerId }) => callerId === 'storm')).toBe(true);
+    const served = Array.from({ length: 40 }, () => bench.finishOne()[0]?.callerId);
+    expect(served.filter((callerId) => callerId === 'quiet')).toHaveLength(20);
+  });
+
+  it('refuses at once what could not be served before its deadline', () => {
+    const bench = new Bench(4, { a: Urgency.Normal });
+    times(200, () => {
+      bench.nowMs += 1;
+      bench.send('a');
+      if (bench.inFlight.length >= 4) bench.finishOne();
+    });
+    times(200, () => bench.send('a'));
+    bench.nowMs += 20;
+    bench.finishOne();
+    const before = bench.refused.length;
+    bench.send('a', '', 100);
+    expect(bench.refused).toHaveLength(before + 1);
+  });
+
+  it('gives up what has waited too long, and spreads the times to come back', () => {
+    const bench = new Bench(4, { a: Urgency.Normal }, { maximumWaitMs: 500 });
+    times(50, () => bench.send('a'));
+    bench.nowMs = 500;
+    const { rejected } = bench.admission.sweep(bench.nowMs);
+    expect(rejected.length + bench.inFlight.length).toBe(50);
+    const returns = rejected.map(({ failure }) => failure.retryAfterMs ?? 0);
+    expect(Math.min(...returns)).toBeGreaterThanOrEqual(1_000);
+    expect(Math.max(...returns) - Math.min(...returns)).toBeGreaterThan(1_000);
+  });
+
+  it('takes no more from a worker than this entry has connections, and counts all services', () => {
+    const bench = new Bench(1, { a: Urgency.Normal, b: Urgency.Normal });
+    // Answers that stay fast let the limit grow as far as it may.
+    times(5_000, (index) => {
+      bench.send(index % 2 === 0 ? 'a' : 'b');
+      if (bench.inFlight.length > 6) bench.finishOne();
+    });
+    times(100, () => bench.send('a'));
+    expect(bench.inFlight.length).toBeLessThanOrEqual(7);
+  });
+});
+
+describe('servers that fail', () => {
+  const failAll = (bench: Bench, count: number, isFailing: (workerId: string) => boolean): void =>
+    times(count, () => {
+      bench.pass(1);
+      bench.send('a');
+      const workerId = bench.inFlight[0]?.server.worker.workerId ?? '';
+      bench.finishOne(isFailing(workerId) ? FAILURE : SUCCESS);
+    });
+
+  const asideCount = (bench: Bench): number =>
+    (bench.admission.service('a')?.servers ?? []).filter(({ health }) =>
+      health.isSetAside(bench.nowMs),
+    ).length;
+
+  // A server that fails at once has the shortest latency and the fewest in flight. Without being
+  // set aside it draws in the traffic of all.
+  it('are set aside and draw in no traffic', () => {
+    const bench = new Bench(10, { a: Urgency.Normal });
+    failAll(bench, 200, (workerId) => workerId === 'w3');
+    expect(asideCount(bench)).toBe(1);
+  });
+
+  // All servers fail, since what they all depend on is out. If all were set aside, nothing would
+  // be tried and the few that come back first would be overrun.
+  it('are never set aside in more than the allowed part', () => {
+    const bench = new Bench(10, { a: Urgency.Normal });
+    failAll(bench, 900, () => true);
+    expect(asideCount(bench)).toBeLessThanOrEqual(3);
+    expect(asideCount(bench)).toBeGreaterThan(0);
+  });
+
+  it('are taken back by one request at a time', () => {
+    const bench = new Bench(2, { a: Urgency.Normal });
+    failAll(bench, 60, (workerId) => workerId === 'w1');
+    expect(asideCount(bench)).toBe(1);
+    bench.nowMs += 1_600;
+    expect(asideCount(bench)).toBe(0);
+    times(6, () => bench.send('a'));
+    const onReturned = bench.inFlight.filter(({ server }) => server.worker.workerId === 'w1');
+    expect(onReturned.length).toBeLessThanOrEqual(1);
+  });
+});
+
+describe('what was tried for a request', () => {
+  const terms = { maximumAttemptCount: 3, deadlineAtMs: 1_000 };
+
+  it('allows no second start of work that is not idempotent and may have run', () => {
+    const progress = new RequestProgress({ ...terms, isIdempotent: false });
+    expect(progress.tryStart()).toBe(true);
+    expect(progress.tryStart()).toBe(false);
+    progress.noteEnd('not-run');
+    expect(progress.tryStart()).toBe(true);
+    progress.noteEnd('lost');
+    expect(progress.tryStart()).toBe(false);
+    expect(progress.mayRetry(0)).toBe(false);
+  });
+
+  it('is never told as not run once something may have run', () => {
+    const progress = new RequestProgress({ ...terms, isIdempotent: true });
+    progress.tryStart();
+    progress.noteEnd('lost');
+    progress.tryStart();
+    progress.noteEnd('not-run');
+    expect(progress.finalFailure(0).kind).toBe('answer-lost');
+    expect(progress.tellable({ kind: 'saturated', message: '' }).workOutcome).toBe('unknown');
+  });
+});
--- a/src/entry/test/idempotencyKeys.test.ts
+++ b/src/entry/test/idempotencyKeys.test.ts
@@ -167,6 +167,25 @@
     expect(entry.counter('claim_store_failures')).toBeLessThan(20);
   });
 
+  // The store answers the claim only after the caller's time is over. The caller gets its final
+  // answer at its deadline; nothing is sent afterwards, and the claim is given back.
+  it('is given up at its deadline when the store is slow', async () => {
+    const { table, backend, addEntry } = await setUp();
+    const entry = await addEntry();
+    const waiting: (() => void)[] = [];
+    table.onDidTransact = () =>
+      new Promise((resolve) => {
+        waiting.push(resolve);
+      });
+    const late = await order(entry, { ...KEY, 'snipethread-timeout-ms': '100' });
+    expect([late.statusCode, workOutcome(late)]).toEqual([504, 'not-run']);
+    table.onDidTransact = () => Promise.resolve();
+    waiting.forEach((answer) => answer());
+    await until(() => claimRows(table).length === 0);
+    expect(backend.requests).toHaveLength(0);
+    expect((await order(entry)).text).toBe('cast 0');
+  });
+
   it('gives the key back when the order surely did not run', async () => {
     const { table, backend, addEntry } = await setUp((socket, index) => {
       const head = index < 3 ? 'HTTP/1.1 503 No\r\nsnipethread-not-run: true' : 'HTTP/1.1 200 OK';
