--- a/src/entry/common/serverRecords.ts
+++ b/src/entry/common/serverRecords.ts
@@ -26,6 +26,11 @@
   constructor(workerId: string) {
     this.workerId = workerId;
   }
+
+  /** False once it left the routes or said itself that it is leaving. */
+  isInUse(nowMs: number): boolean {
+    return this.services.length > 0 && nowMs >= this.leavingUntilMs;
+  }
 }
 
 /** A service's backend server on one worker. */
@@ -50,7 +55,7 @@
   isEligible(nowMs: number): boolean {
     const { worker, health } = this;
     if (worker.inFlightCount >= worker.inFlightLimit) return false;
-    if (nowMs < worker.leavingUntilMs || health.isSetAside(nowMs)) return false;
+    if (!worker.isInUse(nowMs) || health.isSetAside(nowMs)) return false;
     return !health.isOnTrial || worker.inFlightCount === 0;
   }
 }
--- a/src/entry/node/requestDispatch.ts
+++ b/src/entry/node/requestDispatch.ts
@@ -81,6 +81,10 @@
     this.#disposables.dispose();
   }
 
+  get underWayCount(): number {
+    return this.#journeys.size;
+  }
+
   /** Gives everything under way its final answer, at the end of a shutdown's time. */
   giveUpAll(): void {
     this.#journeys.forEach((journey) => {
@@ -135,6 +139,12 @@
   ): void {
     const { request, progress } = journey;
     journey.queueSpan?.end();
+    if (!server.worker.isInUse(nowMs)) {
+      this.#services.metrics.count('invariant_sent_to_leaving_server');
+      this.#giveBack(journey, server, nowMs);
+      this.#finish(journey, left(failure(ErrorKind.NoServer, 'the backend server is leaving')));
+      return;
+    }
     if (journey.isDone || !progress.tryStart()) {
       if (!journey.isDone) this.#services.metrics.count('invariant_non_idempotent_sent_twice');
       this.#giveBack(journey, server, nowMs);
--- a/src/entry/node/requestHandler.ts
+++ b/src/entry/node/requestHandler.ts
@@ -83,6 +83,11 @@
     this.#disposables.dispose();
   }
 
+  /** Requests that have no answer yet. */
+  get underWayCount(): number {
+    return this.#dispatch.underWayCount;
+  }
+
   /** Gives everything under way its final answer. */
   giveUpAll(): void {
     this.#dispatch.giveUpAll();
