--- a/src/daemon/node/daemon.ts
+++ b/src/daemon/node/daemon.ts
@@ -26,11 +26,16 @@
 import { ConsolaLog } from '../../platform/log/node/consolaLog.js';
 import { PrometheusMetrics } from '../../platform/metrics/node/prometheusMetrics.js';
 import { Role, type Settings } from '../../platform/settings/common/settings.js';
+import { TracedTableService } from '../../platform/table/common/tracedTableService.js';
 import { HttpTableService } from '../../platform/table/node/httpTableService.js';
 import { OpenTelemetryTracing } from '../../platform/tracing/node/openTelemetryTracing.js';
 import { CellTasks } from '../../scheduler/node/cellTasks.js';
 
 const SEED_LIMIT = 2 ** 31;
+/** How long operators' calls that are under way may hold the end of a shutdown up. */
+const OPERATOR_CLOSE_MS = 1_000;
+/** Time for final answers to be written, before connections are closed. */
+const LAST_ANSWERS_MS = 200;
 const PLAN_SUFFIX_BYTES = 6;
 
 /** The ports a daemon listens on. */
@@ -51,11 +56,13 @@
 
   readonly #callerServer: CallerServer | undefined;
 
+  readonly #handler: RequestHandler | undefined;
+
   readonly #operatorServer: OperatorServer;
 
   readonly #peers: PeerService;
 
-  #isDraining = false;
+  #draining: Promise<void> | undefined;
 
   constructor(settings: Settings) {
     this.#settings = settings;
@@ -71,9 +78,10 @@
       random,
     );
     const { callTimeoutMs, tableConnectionCount } = platform;
-    const table = own.add(
+    const httpTable = own.add(
       new HttpTableService(platform.tableOrigin, callTimeoutMs, tableConnectionCount),
     );
+    const table = new TracedTableService(httpTable, tracing);
     const list = own.add(new HttpInstanceList(platform.instanceListOrigin, callTimeoutMs));
     const directory = own.add(
       new InstanceListReader(list, metrics, platform.instanceListIntervalMs),
@@ -82,7 +90,7 @@
       new ConfigurationReader(table, clock, log, metrics, platform.configurationIntervalMs),
     );
     if (roles.includes(Role.Scheduler)) {
-      const services = { table, configuration, directory, clock, log, metrics };
+      const services = { table, configuration, directory, clock, log, metrics, tracing };
       own.add(new CellTasks(services, settings, `${instanceId}#${randomUUID()}`));
     }
     if (roles.includes(Role.Entry)) {
@@ -101,6 +109,7 @@
       const handler = own.add(
         new RequestHandler({ ...services, clock, metrics, tracing, wallNowMs: Date.now }, entry),
       );
+      this.#handler = handler;
       this.#callerServer = new CallerServer(handler, entry, metrics);
     }
     const plans = own.add(
@@ -133,11 +142,13 @@
         configuration,
         metrics,
         spans: tracing.ring,
-        isReady: () => !this.#isDraining && isServable(configuration.health),
+        isReady: () => this.#draining === undefined && isServable(configuration.health),
       },
       settings.operator,
     );
-    this.#peers = own.add(new PeerService(settings, configuration, directory, clock, metrics));
+    this.#peers = own.add(
+      new PeerService(settings, configuration, directory, clock, metrics, tracing),
+    );
     this.#configuration = configuration;
     this.#log = log;
   }
@@ -160,19 +171,42 @@
 
   /**
    * Leaves without cutting a request off. Readiness falls first; the listener stays open until
-   * the balancer has seen that and sends no more; then everything in flight is answered.
+   * the balancer has seen that and sends no more; then everything in flight is answered. What
+   * is not answered in `drainTimeoutMs` gets its final answer, unknown if it was sent. Answers
+   * under idempotency keys are recorded before the table is let go. A second call joins the
+   * first: a signal that is sent twice must not end the process in the middle.
    */
-  async drain(): Promise<void> {
-    if (this.#isDraining) return;
-    this.#isDraining = true;
+  drain(): Promise<void> {
+    this.#draining ??= this.#drain();
+    return this.#draining;
+  }
+
+  async #drain(): Promise<void> {
     this.#log.info('draining', { version: this.#configuration.current?.version ?? 0 });
     this.#peers.announceLeaving();
     this.#callerServer?.startDraining();
     await delay(this.#settings.entry.drainDelayMs);
-    const timeout = delay(this.#settings.entry.drainTimeoutMs, undefined, { ref: false });
-    await Promise.race([this.#callerServer?.close(), timeout]);
-    await Promise.race([this.#operatorServer.close(), timeout]);
+    const timer = new AbortController();
+    const { signal } = timer;
+    const timeout = delay(this.#settings.entry.drainTimeoutMs, undefined, { signal }).then(
+      () => this.#endAll(),
+      () => {},
+    );
+    await this.#callerServer?.close();
+    timer.abort();
+    await timeout;
+    await this.#handler?.settle();
+    const cutOffCount = this.#handler?.underWayCount ?? 0;
+    if (cutOffCount > 0) this.#log.error('invariant_cut_off_at_shutdown', { cutOffCount });
+    await Promise.race([this.#operatorServer.close(), delay(OPERATOR_CLOSE_MS)]);
     this.#disposables.dispose();
     this.#log.info('drained');
   }
+
+  /** Answers what is left, and then closes what sends nothing. */
+  async #endAll(): Promise<void> {
+    this.#handler?.giveUpAll();
+    await delay(LAST_ANSWERS_MS);
+    this.#callerServer?.closeAllConnections();
+  }
 }
--- a/src/entry/node/requestDispatch.ts
+++ b/src/entry/node/requestDispatch.ts
@@ -85,6 +85,14 @@
     return this.#journeys.size;
   }
 
+  /** Gives everything under way its final answer, at the end of a shutdown's time. */
+  giveUpAll(): void {
+    this.#journeys.forEach((journey) => {
+      this.#services.metrics.count('requests_given_up_at_shutdown');
+      this.#finish(journey, left(failure(ErrorKind.ShuttingDown, 'the entry is shutting down')));
+    });
+  }
+
   /** Serves a request; the result comes once, at the deadline at the latest. */
   serve(journey: Journey): Promise<Either<Failure, BackendAnswer>> {
     return new Promise((settle) => {
@@ -131,6 +139,12 @@
   ): void {
     const { request, progress } = journey;
     journey.queueSpan?.end();
+    if (!server.worker.isInUse(nowMs)) {
+      this.#services.metrics.count('invariant_sent_to_leaving_server');
+      this.#giveBack(journey, server, nowMs);
+      this.#finish(journey, left(failure(ErrorKind.NoServer, 'the backend server is leaving')));
+      return;
+    }
     if (journey.isDone || !progress.tryStart()) {
       if (!journey.isDone) this.#services.metrics.count('invariant_non_idempotent_sent_twice');
       this.#giveBack(journey, server, nowMs);
--- a/src/peers/node/peerService.ts
+++ b/src/peers/node/peerService.ts
@@ -12,6 +12,7 @@
 import { type DaemonInstance, isDaemon } from '../../platform/instanceList/common/instanceList.js';
 import type { Metrics } from '../../platform/metrics/common/metrics.js';
 import type { Settings } from '../../platform/settings/common/settings.js';
+import type { Tracing } from '../../platform/tracing/common/tracing.js';
 import {
   type Heartbeat,
   HEARTBEAT_METHOD,
@@ -41,6 +42,8 @@
 
   readonly #metrics: Metrics;
 
+  readonly #tracing: Tracing;
+
   readonly #rpc = new JSONRPCServer();
 
   readonly #server: Server;
@@ -67,12 +70,14 @@
     directory: InstanceDirectory,
     clock: Clock,
     metrics: Metrics,
+    tracing: Tracing,
   ) {
     this.#settings = settings;
     this.#configuration = configuration;
     this.#directory = directory;
     this.#clock = clock;
     this.#metrics = metrics;
+    this.#tracing = tracing;
     this.#rpc.addMethod(HEARTBEAT_METHOD, (parameters: unknown) => {
       this.#handleHeartbeat(heartbeatSchema.parse(parameters));
       return this.#ownHeartbeat();
@@ -126,7 +131,13 @@
     });
     changes.added.forEach((peer) => {
       const { silenceTimeoutMs } = this.#settings.peers;
-      const link = new PeerLink(peer.peerAddress, this.#clock, this.#metrics, silenceTimeoutMs);
+      const link = new PeerLink(
+        peer.peerAddress,
+        this.#clock,
+        this.#metrics,
+        this.#tracing,
+        silenceTimeoutMs,
+      );
       this.#links.set(peer.id, link);
       this.#linked.set(peer.id, peer);
     });
--- a/src/peers/test/peers.test.ts
+++ b/src/peers/test/peers.test.ts
@@ -6,6 +6,7 @@
 import { systemClock } from '../../base/node/systemClock.js';
 import type { DaemonInstance } from '../../platform/instanceList/common/instanceList.js';
 import { silentMetrics } from '../../platform/metrics/common/metrics.js';
+import { silentTracing } from '../../platform/tracing/common/tracing.js';
 import { chosenPeers, members, MemberState, peerChanges } from '../common/peerTable.js';
 import { PeerLink } from '../node/peerLink.js';
 
@@ -102,7 +103,7 @@
       server.listen(0, '127.0.0.1', resolve);
     });
     const { port } = server.address() as { port: number };
-    const link = new PeerLink(address(port), systemClock, silentMetrics, SILENCE_MS);
+    const link = new PeerLink(address(port), systemClock, silentMetrics, silentTracing, SILENCE_MS);
     cleanups.push(link, {
       dispose: () => {
         sockets.forEach((socket) => socket.destroy());
