Scheduler: room for urgent work, spread after a take-over, tests of the decisions

Urgent work that finds no place has the fewest and least urgent batch tasks evicted; what was asked for before is counted, so that the rounds until these have left ask for no more. Found by the test of a worker that changes racks: the first round after a take-over put four of eight replicas each on the two workers that had answered first; a new owner now waits for its listed workers, a second at most. Tests for quotas, back-off, workers set aside, replicas kept until a returning zone serves, and none flapping over a withdrawal and return. A quota is split evenly between the zones in use: a task larger than a cell's part waits.

--- a/src/scheduler/common/assigning.ts
+++ b/src/scheduler/common/assigning.ts
@@ -1,6 +1,6 @@
 /** Gives queued work to workers: fills up services first, then batch tasks by urgency. */
-import type { ServiceDocument } from '../../platform/configuration/common/documents.js';
-import { sumResources } from '../../platform/worker/common/resources.js';
+import { type ServiceDocument, Urgency } from '../../platform/configuration/common/documents.js';
+import { type Resources, sumResources } from '../../platform/worker/common/resources.js';
 import { TaskClass } from '../../platform/worker/common/workerClient.js';
 import {
   type Assignment,
@@ -13,6 +13,7 @@
 import type { CellState } from './cellState.js';
 import { FreeCapacity } from './freeCapacity.js';
 import type { PlacementCandidate, PlacementPolicy } from './placement.js';
+import { PreemptionPlan } from './preemption.js';
 import { orderedShards, TeamUse, URGENCY_ORDER } from './queueOrder.js';
 import { replicaShare } from './wantedEvictions.js';
 
@@ -32,6 +33,8 @@
 
   #capacity: FreeCapacity | undefined;
 
+  #preemption: PreemptionPlan | undefined;
+
   constructor(
     state: CellState,
     rows: CellRows,
@@ -53,6 +56,20 @@
     return this.#capacity;
   }
 
+  /** Asks for room for a task that found none and must not wait for others to end. */
+  makeRoom(size: Resources): void {
+    this.#preemption ??= new PreemptionPlan(
+      this.capacity.candidates,
+      this.#rows,
+      this.state.preempted,
+    );
+    this.#preemption.makeRoom(size);
+  }
+
+  get preempted(): ReadonlySet<string> {
+    return this.#preemption?.chosen ?? new Set();
+  }
+
   get isFull(): boolean {
     return this.draft.rowCount >= this.state.timing.maximumRowsPerRound;
   }
@@ -112,7 +129,10 @@
   while (replicas.length < wanted) {
     const request = { size: service.size, isSpread: true };
     const chosen = round.policy.choose(request, round.capacity.candidatesNear(replicas));
-    if (chosen === undefined) return assignedCount;
+    if (chosen === undefined) {
+      for (let count = replicas.length; count < wanted; count += 1) round.makeRoom(service.size);
+      return assignedCount;
+    }
     // Tasks of a service are interchangeable, so each gets an id that was never used before.
     const taskId = `${service.name}@${round.operationId}.${assignedCount}`;
     const assignment = serviceAssignment(service, taskId, chosen);
@@ -141,7 +161,8 @@
     const chosen = round.policy.choose(request, round.capacity.candidatesFor(request));
     if (chosen === undefined) {
       round.capacity.noteTooLarge(row.size);
-      hasRoom = false;
+      hasRoom = row.urgency === Urgency.Urgent;
+      if (hasRoom) round.makeRoom(row.size);
       return task;
     }
     round.assign(chosen.rack, batchAssignment(row, task, chosen));
@@ -167,7 +188,7 @@
   const queued = open.filter(hasQueued);
   if (queued.length === 0) return 0;
   const capacity = sumResources([...state.workers.values()].map((view) => view.instance.capacity));
-  const use = new TeamUse(open, capacity, state.configuration?.view);
+  const use = new TeamUse(state.cell, open, capacity, state.configuration?.view);
   return orderedShards(queued, use).reduce(
     (count, row) => (round.isFull ? count : count + assignShard(round, use, row)),
     0,
@@ -186,7 +207,13 @@
   return groups;
 };
 
-/** Assigns what fits and returns how many tasks were assigned. */
+export interface Assigned {
+  readonly count: number;
+  /** Attempts that have to leave for urgent work, as keys. */
+  readonly preempted: ReadonlySet<string>;
+}
+
+/** Assigns what fits and tells what has to make room. */
 export const assignQueuedWork = (
   state: CellState,
   rows: CellRows,
@@ -194,7 +221,7 @@
   policy: PlacementPolicy,
   operationId: string,
   nowMs: number,
-): number => {
+): Assigned => {
   const round = new AssigningRound(state, rows, draft, policy, operationId, nowMs);
   const replicas = groupedByService(draft.replicas);
   const services = [...(state.configuration?.view.services.values() ?? [])].sort(
@@ -204,5 +231,6 @@
     (count, service) => count + assignService(round, service, replicas.get(service.name) ?? []),
     0,
   );
-  return serviceCount + assignBatch(round);
+  const batchCount = assignBatch(round);
+  return { count: serviceCount + batchCount, preempted: round.preempted };
 };
--- a/src/scheduler/common/cellEvents.ts
+++ b/src/scheduler/common/cellEvents.ts
@@ -130,6 +130,7 @@
     tookOverAtMs: nowMs,
     isRoundStale: true,
     nextRoundAtMs: nowMs,
+    preempted: new Set<string>(),
     workerHealth: new WorkerHealth(),
     retryAtMs: new Map<string, number>(),
   };
--- a/src/scheduler/common/cellScheduler.ts
+++ b/src/scheduler/common/cellScheduler.ts
@@ -20,7 +20,7 @@
 import { brokenByRound, brokenByStarts, ledgerChange } from './invariants.js';
 import type { PlacementPolicy } from './placement.js';
 import { retryDelayMs } from './queueOrder.js';
-import { mayAssign, planRound, type Round } from './round.js';
+import { hasSettled, mayAssign, planRound, type Round } from './round.js';
 import { AssignmentEnd, type RecordedEnd } from './taskEnds.js';
 import { isStartAllowed, planCommand } from './workerCommands.js';
 import { WorkerHealth } from './workerHealth.js';
@@ -55,6 +55,7 @@
   tookOverAtMs: nowMs,
   nextLookAtMs: nowMs,
   operationCount: 0,
+  preempted: new Set(),
   workerHealth: new WorkerHealth(),
   retryAtMs: new Map(),
   isRoundStale: true,
@@ -94,7 +95,7 @@
   operationId: string,
   nowMs: number,
 ): { readonly round: Round | undefined; readonly effects: readonly CellEffect[] } => {
-  const isAssigning = mayAssign(state, nowMs);
+  const isAssigning = mayAssign(state, nowMs) && hasSettled(state, nowMs);
   const round = planRound(state, rows, policy, operationId, isAssigning, nowMs);
   const broken = brokenByRound(state, rows, round.draft, isAssigning);
   if (broken.length === 0) return { round, effects: [] };
@@ -116,6 +117,23 @@
   return nowMs + Math.max(roundIntervalMs, (rowCount * MS_PER_SECOND) / rowsPerSecond);
 };
 
+/** Adds the attempts that have to leave for urgent work and drops those that have left. */
+const withPreempted = (state: CellState, rows: CellRows, round: Round | undefined): CellState => {
+  const added = round?.preempted ?? new Set();
+  if (added.size === 0 && state.preempted.size === 0) return state;
+  const preempted = new Set<string>();
+  const workers = new Map(state.workers);
+  rows.assignmentsByWorker.forEach((assignments, workerId) =>
+    assignments.map(attemptKey).forEach((key) => {
+      if (!added.has(key) && !state.preempted.has(key)) return;
+      preempted.add(key);
+      const view = workers.get(workerId);
+      if (view !== undefined) workers.set(workerId, { ...view, isMessageStale: true });
+    }),
+  );
+  return { ...state, preempted, workers };
+};
+
 /** Takes failures and successes into the health of workers and the back-off of tasks. */
 const learntFromEnds = (
   state: CellState,
@@ -142,7 +160,7 @@
   const operationId = `${state.lease.selfId}:${state.cell}:${state.operationCount}`;
   const { round, effects } = checkedRound(state, rows, policy, operationId, nowMs);
   const planned = {
-    ...state,
+    ...withPreempted(state, rows, round),
     isRoundStale: false,
     nextFullRoundAtMs: nowMs + FULL_ROUND_INTERVAL_MS,
   };
--- a/src/scheduler/common/cellState.ts
+++ b/src/scheduler/common/cellState.ts
@@ -77,6 +77,8 @@
   /** When to look again whether work has been added to the cell. */
   readonly nextLookAtMs: number;
   readonly operationCount: number;
+  /** Attempts that have to leave for urgent work, as keys; a new owner chooses anew. */
+  readonly preempted: ReadonlySet<string>;
   /** Which workers fail what they start; learnt anew by each owner. */
   readonly workerHealth: WorkerHealth;
   /** When a failed task may be tried again, by task id; a new owner tries it at once. */
--- a/src/scheduler/common/freeCapacity.ts
+++ b/src/scheduler/common/freeCapacity.ts
@@ -101,6 +101,10 @@
     }));
   }
 
+  get candidates(): readonly PlacementCandidate[] {
+    return [...this.#candidates.values()];
+  }
+
   noteTooLarge(size: Resources): void {
     this.#tooLarge.push(size);
   }
--- a/src/scheduler/common/queueOrder.ts
+++ b/src/scheduler/common/queueOrder.ts
@@ -10,11 +10,7 @@
   NO_RESOURCES,
   type Resources,
 } from '../../platform/worker/common/resources.js';
-import {
-  type BatchTask,
-  BatchTaskState,
-  type WorkRow,
-} from '../../platform/work/common/workRows.js';
+import { BatchTaskState, type WorkRow } from '../../platform/work/common/workRows.js';
 
 export const URGENCY_ORDER: Readonly<Record<Urgency, number>> = {
   [Urgency.Urgent]: 0,
@@ -36,6 +32,9 @@
   return delayMs * (1 + (taskIndex % SPREAD_STEPS) / SPREAD_STEPS);
 };
 
+const hashOf = (text: string): number =>
+  [...text].reduce((sum, character) => sum + character.charCodeAt(0), 0);
+
 const share = (part: number, whole: number): number => (whole === 0 ? 0 : part / whole);
 
 /** The largest share of the cell that a team holds of any one resource. */
@@ -54,7 +53,15 @@
 
   readonly #view: ConfigurationView | undefined;
 
-  constructor(rows: readonly WorkRow[], capacity: Resources, view: ConfigurationView | undefined) {
+  readonly #cell: string;
+
+  constructor(
+    cell: string,
+    rows: readonly WorkRow[],
+    capacity: Resources,
+    view: ConfigurationView | undefined,
+  ) {
+    this.#cell = cell;
     this.#capacity = capacity;
     this.#view = view;
     rows.forEach((row) => {
@@ -73,18 +80,21 @@
 
   /**
    * False when one more task would exceed the team's quota. Each cell holds an equal part of the
-   * quota, worked out from the configuration alone, so that no start costs a write to a shared
+   * quota, the remainder by a turn that differs from team to team, worked out from the configuration alone, so that no start costs a write to a shared
    * counter and no two cells together exceed it. What one cell leaves unused is not lent to
    * another; a withdrawn zone's part goes to the others as soon as they read of it.
    */
   isWithinQuota(team: string, size: Resources): boolean {
     const limit = this.#view?.quotas.get(team)?.limit;
     if (limit === undefined || this.#view === undefined) return true;
-    const cellCount = Math.max(1, zonesInUse(this.#view).length);
+    const zones = zonesInUse(this.#view);
+    const place = (zones.indexOf(this.#cell) + hashOf(team)) % Math.max(1, zones.length);
+    const partOf = (amount: number): number =>
+      Math.floor(amount / zones.length) + (place < amount % zones.length ? 1 : 0);
     const part = {
-      processorMillis: Math.floor(limit.processorMillis / cellCount),
-      memoryBytes: Math.floor(limit.memoryBytes / cellCount),
-      acceleratorCount: Math.floor(limit.acceleratorCount / cellCount),
+      processorMillis: partOf(limit.processorMillis),
+      memoryBytes: partOf(limit.memoryBytes),
+      acceleratorCount: partOf(limit.acceleratorCount),
     };
     return fitsInto(addResources(this.#of(team), size), part);
   }
@@ -94,11 +104,6 @@
   }
 }
 
-export interface QueuedTask {
-  readonly row: WorkRow;
-  readonly task: BatchTask;
-}
-
 /** The urgent first; among equals the team that holds least; then as submitted. */
 export const orderedShards = (rows: readonly WorkRow[], use: TeamUse): readonly WorkRow[] =>
   rows
--- a/src/scheduler/common/round.ts
+++ b/src/scheduler/common/round.ts
@@ -20,6 +20,8 @@
   readonly draft: CellDraft;
   readonly ends: readonly RecordedEnd[];
   readonly assignedCount: number;
+  /** Attempts that have to leave for urgent work, as keys. */
+  readonly preempted: ReadonlySet<string>;
 }
 
 /** Ends the queued tasks of cancelled jobs; running ones end when their workers say so. */
@@ -84,6 +86,18 @@
   return ageMs <= state.timing.configurationFreshnessMs;
 };
 
+/** How long a new owner waits for its workers to answer before it assigns. */
+const SETTLING_MS = 1_000;
+
+/**
+ * False while a new owner has yet to hear from workers that are likely to answer. It would pile
+ * everything that is queued, all replicas of a service among it, on the first ones to answer. A
+ * worker that cannot be reached holds assigning up for a second at most.
+ */
+export const hasSettled = (state: CellState, nowMs: number): boolean =>
+  nowMs - state.tookOverAtMs >= SETTLING_MS ||
+  [...state.workers.values()].every((view) => !view.isListed || view.report !== undefined);
+
 /** Works out all changes that are due now. */
 export const planRound = (
   state: CellState,
@@ -96,11 +110,11 @@
   const draft = new CellDraft(state.cell, rows);
   const ends = recordEnds(state, rows, draft, nowMs);
   cancelQueuedTasks(draft, state.timing.maximumRowsPerRound);
-  const assignedCount = isAssigning
+  const assigned = isAssigning
     ? assignQueuedWork(state, rows, draft, policy, operationId, nowMs)
-    : 0;
+    : { count: 0, preempted: new Set<string>() };
   moveShards(state, draft);
   if (rows.cancellations.size > 0) draft.closeCancellations();
   updateEndpoints(state, draft);
-  return { draft, ends, assignedCount };
+  return { draft, ends, assignedCount: assigned.count, preempted: assigned.preempted };
 };
--- a/src/scheduler/common/wantedEvictions.ts
+++ b/src/scheduler/common/wantedEvictions.ts
@@ -6,6 +6,7 @@
 import type { Assignment } from '../../platform/work/common/workRows.js';
 import { replicasIn } from './cellRows.js';
 import type { CellState } from './cellState.js';
+import { attemptKey } from './workerView.js';
 
 /**
  * The part of a service's replicas that a zone carries. Every cell works it out alone from the
@@ -97,6 +98,7 @@
       state.surplusTaskIds.has(assignment.taskId) || isWorkerDraining(state, assignment.workerId)
     );
   }
+  if (state.preempted.has(attemptKey(assignment))) return true;
   const jobId = rows.work.get(assignment.shardId)?.jobId ?? '';
   const isCancelled = rows.cancelledJobIds.has(jobId);
   return (
--- /dev/null
+++ b/src/scheduler/test/decisions.test.ts
@@ -0,0 +1,193 @@
+import { describe, expect, it } from 'vitest';
+
+import {
+  quotaKey,
+  serviceKey,
+  workerKey,
+  zoneKey,
+} from '../../platform/configuration/common/documents.js';
+import { endpointKey, workKey } from '../../platform/work/common/workRows.js';
+import { retryDelayMs } from '../common/queueOrder.js';
+import { WorkerHealth } from '../common/workerHealth.js';
+import {
+  CAPACITY,
+  expectNoHarm,
+  setZone,
+  shard,
+  SIZE,
+  startCell,
+  submit,
+  workRowsOf,
+} from './cellFixtures.js';
+import { CELL, GIBIBYTE } from './virtualCell.js';
+
+const LARGE = { processorMillis: 64_000, memoryBytes: GIBIBYTE, acceleratorCount: 0 };
+
+describe('the queue', () => {
+  // The job at the head needs more than any worker has. Those behind it must not wait for it.
+  it('is not held up by a job that fits nowhere', () => {
+    const cell = startCell(201);
+    submit(cell, { ...shard(10, 1_000, 'kitchen.a-large', LARGE), urgency: 'urgent' });
+    submit(cell, shard(50, 1_000, 'kitchen.b-small'));
+    cell.runFor(15_000);
+    expect(cell.judge.verdict().completedBatchCount).toBe(50);
+    expect(cell.judge.verdict().evictionCount).toBe(0);
+    expectNoHarm(cell);
+  });
+
+  // The cell is full of batch tasks that run for minutes when an urgent job comes. Room is made
+  // by evicting the fewest tasks, which resume later, and the urgent job starts in time.
+  it('starts urgent work within 3.5 seconds in a full cell', () => {
+    const cell = startCell(202);
+    submit(cell, shard(200, 60_000));
+    cell.runFor(10_000);
+    const before = cell.judge.verdict().startCount;
+    submit(cell, { ...shard(6, 5_000, 'kitchen.urgent'), urgency: 'urgent' });
+    cell.runFor(3_500);
+    const [urgent] = workRowsOf(cell, workKey(CELL, 'kitchen.urgent'));
+    expect(urgent?.tasks.filter(({ state }) => state !== 'assigned')).toEqual([]);
+    expect(cell.judge.verdict().startCount).toBe(before + 6);
+    expect(cell.judge.verdict().evictionCount).toBe(6);
+    cell.runFor(400_000);
+    expect(cell.judge.verdict().completedBatchCount).toBe(206);
+    expect(cell.judge.verdict().evictionCount).toBe(6);
+    expectNoHarm(cell);
+  });
+
+  // A team submits far more than its quota, beside another team. It may hold its cell's part
+  // only: half, for two zones are in use. The other team's work starts at once.
+  it('holds a team to its part of the quota', () => {
+    const cell = startCell(203);
+    cell.writeRow(zoneKey('zone-b'), { name: 'zone-b', region: 'r', state: 'in-use' });
+    const limit = { processorMillis: 40_000, memoryBytes: 80 * GIBIBYTE, acceleratorCount: 0 };
+    cell.writeRow(quotaKey('kitchen'), { team: 'kitchen', limit });
+    submit(cell, shard(100, 60_000));
+    submit(cell, { ...shard(20, 60_000, 'drivers.job'), team: 'drivers' });
+    cell.runFor(5_000);
+    const assigned = (jobId: string): number =>
+      workRowsOf(cell, workKey(CELL, jobId)).flatMap((row) =>
+        row.tasks.filter(({ state }) => state === 'assigned'),
+      ).length;
+    expect(assigned('kitchen.plan')).toBe(10);
+    expect(assigned('drivers.job')).toBe(20);
+  });
+
+  it('backs a failed task off, longer each time and spread within a job', () => {
+    expect(retryDelayMs(1, 0)).toBe(1_000);
+    expect(retryDelayMs(3, 0)).toBe(4_000);
+    expect(retryDelayMs(30, 0)).toBe(60_000);
+    expect(retryDelayMs(1, 3)).toBeGreaterThan(retryDelayMs(1, 2));
+  });
+});
+
+describe('the health of workers', () => {
+  const failures = (
+    health: WorkerHealth,
+    pairs: readonly (readonly [string, string])[],
+    nowMs = 0,
+  ): WorkerHealth =>
+    pairs.reduce((known, [worker, job]) => known.withFailure(worker, job, 100, nowMs), health);
+
+  // Many jobs fail on one worker: it takes nothing for a while, and is tried again later.
+  it('sets a worker aside on which different jobs fail', () => {
+    const health = failures(new WorkerHealth(), [
+      ['w1', 'a'],
+      ['w1', 'b'],
+      ['w1', 'c'],
+    ]);
+    expect(health.isSetAside('w1', 1_000)).toBe(true);
+    expect(health.isSetAside('w1', 31_000)).toBe(false);
+    const again = failures(
+      health,
+      [
+        ['w1', 'd'],
+        ['w1', 'e'],
+        ['w1', 'f'],
+      ],
+      31_000,
+    );
+    expect(again.isSetAside('w1', 31_000 + 59_000)).toBe(true);
+  });
+
+  // Three bad jobs fail on many workers. None of these may be set aside for it.
+  it('does not blame workers for jobs that fail everywhere', () => {
+    const workers = Array.from({ length: 20 }, (_, index) => `w${index}`);
+    const pairs = ['a', 'b', 'c', 'd'].flatMap((job) =>
+      workers.map((worker) => [worker, job] as const),
+    );
+    const health = failures(new WorkerHealth(), pairs);
+    expect(workers.filter((worker) => health.isSetAside(worker, 1_000))).toEqual([]);
+  });
+
+  // The network fails for half of the workers. At most a tenth may be set aside.
+  it('keeps most of the workers in use', () => {
+    const pairs = Array.from({ length: 50 }, (_, worker) =>
+      Array.from({ length: 4 }, (__, job) => [`w${worker}`, `job${worker}-${job}`] as const),
+    ).flat();
+    const health = failures(new WorkerHealth(), pairs);
+    const aside = Array.from({ length: 50 }, (_, worker) => `w${worker}`).filter((worker) =>
+      health.isSetAside(worker, 1_000),
+    );
+    expect(aside.length).toBe(10);
+  });
+});
+
+describe('replicas of a service', () => {
+  const rounds = { name: 'rounds', team: 'kitchen', replicaCount: 8, size: SIZE };
+
+  // Another zone returns, so that half of the replicas belong there. They must not be given up
+  // before those of the other zone serve: callers would meet half a service for seconds.
+  it('are kept until the zone that returns serves its share', () => {
+    const cell = startCell(211);
+    cell.writeRow(serviceKey('rounds'), { ...rounds, urgency: 'urgent' });
+    cell.runFor(6_000);
+    cell.writeRow(zoneKey('zone-b'), { name: 'zone-b', region: 'r', state: 'in-use' });
+    cell.runFor(10_000);
+    expect(cell.judge.verdict().evictionCount).toBe(0);
+    const servers = [0, 1, 2, 3].map((index) => ({
+      serviceName: 'rounds',
+      workerId: `b${index}`,
+      taskId: `rounds@b.${index}`,
+    }));
+    cell.writeRow(endpointKey('zone-b'), { servers: servers.slice(0, 2) });
+    cell.runFor(5_000);
+    expect(cell.judge.verdict().evictionCount).toBe(2);
+    cell.writeRow(endpointKey('zone-b'), { servers });
+    cell.runFor(5_000);
+    expect(cell.judge.verdict().evictionCount).toBe(4);
+    expectNoHarm(cell);
+  });
+
+  // A worker returns to use after a drain, and the zone after a withdrawal: nothing flaps.
+  it('move once when a zone leaves and returns', () => {
+    const cell = startCell(212);
+    cell.writeRow(serviceKey('rounds'), { ...rounds, urgency: 'urgent' });
+    submit(cell, shard(20, 30_000));
+    cell.runFor(6_000);
+    setZone(cell, 'withdrawn');
+    cell.runFor(12_000);
+    expect(cell.judge.verdict().evictionCount).toBe(28);
+    setZone(cell, 'in-use');
+    cell.runFor(60_000);
+    expect(cell.judge.verdict().evictionCount).toBe(28);
+    expect(cell.judge.verdict().startCount).toBe(56);
+    expectNoHarm(cell);
+  });
+
+  // A worker with replicas moves to another rack and shrinks: nothing of it is started again. The
+  // first round once came before half of the workers had answered and put four replicas each on
+  // two workers, so that draining one of them moved half of the service.
+  it('stay on a worker that is listed in another rack', () => {
+    const cell = startCell(213);
+    cell.writeRow(serviceKey('rounds'), { ...rounds, urgency: 'urgent' });
+    cell.runFor(6_000);
+    cell.relist('w1', { rack: 'r9', capacity: { ...CAPACITY, processorMillis: 24_000 } });
+    submit(cell, shard(60, 2_000));
+    cell.runFor(10_000);
+    cell.writeRow(workerKey('w1'), { id: 'w1', isDraining: true });
+    cell.runFor(10_000);
+    expect(cell.judge.verdict().completedBatchCount).toBe(60);
+    expect(cell.judge.verdict().startCount).toBe(8 + 60 + 2);
+    expectNoHarm(cell);
+  });
+});
