--- a/src/daemon/node/daemon.ts
+++ b/src/daemon/node/daemon.ts
@@ -1,5 +1,5 @@
 /** Wires the parts of one daemon together; nothing is decided here. */
-import { randomInt, randomUUID } from 'node:crypto';
+import { randomBytes, randomInt, randomUUID } from 'node:crypto';
 import { setTimeout as delay } from 'node:timers/promises';
 
 import { DisposableStore } from '../../base/common/lifecycle.js';
@@ -16,6 +16,7 @@
 import { RoutingReader } from '../../entry/node/routingReader.js';
 import { OperatorQueries } from '../../operator/node/operatorQueries.js';
 import { OperatorServer } from '../../operator/node/operatorServer.js';
+import { PlanSweep, PlanSweeper } from '../../operator/node/planSweeper.js';
 import { PlanService } from '../../operator/node/planService.js';
 import { PeerService } from '../../peers/node/peerService.js';
 import { isServable } from '../../platform/configuration/common/configurationService.js';
@@ -30,6 +31,7 @@
 import { CellTasks } from '../../scheduler/node/cellTasks.js';
 
 const SEED_LIMIT = 2 ** 31;
+const PLAN_SUFFIX_BYTES = 6;
 
 /** The ports a daemon listens on. */
 export interface DaemonPorts {
@@ -95,18 +97,40 @@
       own.add(
         new ClaimSweeper(table, metrics, entry.claimLifetimeMs, Date.now, randomInt(SEED_LIMIT)),
       );
-      const services = { routing, admission, connections, claims, configuration };
+      const services = { routing, admission, connections, claims, configuration, directory };
       const handler = own.add(
         new RequestHandler({ ...services, clock, metrics, tracing, wallNowMs: Date.now }, entry),
       );
       this.#callerServer = new CallerServer(handler, entry, metrics);
     }
+    const plans = own.add(
+      new PlanService(
+        {
+          table,
+          configuration,
+          directory,
+          clock,
+          metrics,
+          random,
+          delay,
+          wallNowMs: Date.now,
+          newSuffix: () => randomBytes(PLAN_SUFFIX_BYTES).toString('hex'),
+          newOperationId: randomUUID,
+        },
+        settings.operator,
+      ),
+    );
+    if (roles.includes(Role.Operator)) {
+      const sweep = new PlanSweep(table, metrics, settings.operator.planRetentionMs);
+      own.add(new PlanSweeper(sweep, Date.now));
+    }
+    // This daemon knows of the new version first; its peers hear of it from here.
+    own.add(plans.onDidAccept(({ acceptedVersion }) => configuration.refresh(acceptedVersion)));
     this.#operatorServer = new OperatorServer(
       {
-        plans: new PlanService(table, settings.operator.planLifetimeMs),
-        queries: new OperatorQueries(table),
+        plans,
+        queries: new OperatorQueries(table, configuration, directory, Date.now),
         configuration,
-        directory,
         metrics,
         spans: tracing.ring,
         isReady: () => !this.#isDraining && isServable(configuration.health),
--- a/src/operator/node/operatorServer.ts
+++ b/src/operator/node/operatorServer.ts
@@ -10,20 +10,18 @@
 import { ErrorKind, failure, type Failure } from '../../platform/errors/common/errorKinds.js';
 import { replyWithFailure } from '../../platform/http/node/errorReply.js';
 import { listeningPort } from '../../platform/http/node/listening.js';
-import type { InstanceDirectory } from '../../platform/instanceList/common/instanceDirectory.js';
 import type { PrometheusMetrics } from '../../platform/metrics/node/prometheusMetrics.js';
 import { OperatorRole, type Settings } from '../../platform/settings/common/settings.js';
 import type { SpanRing } from '../../platform/tracing/node/openTelemetryTracing.js';
 import { intentSchema } from '../common/intent.js';
 import { OperatorAccess } from './operatorAccess.js';
-import type { OperatorQueries } from './operatorQueries.js';
-import type { PlanService } from './planService.js';
+import { ObjectKind, type OperatorQueries } from './operatorQueries.js';
+import type { ConfirmationRefusal, PlanService } from './planService.js';
 
 export interface OperatorServerServices {
   readonly plans: PlanService;
   readonly queries: OperatorQueries;
   readonly configuration: ConfigurationService & { readonly health: ConfigurationHealth };
-  readonly directory: InstanceDirectory;
   readonly metrics: PrometheusMetrics;
   readonly spans: SpanRing;
   /** Whether the daemon wants traffic from the balancer. */
@@ -33,10 +31,10 @@
 type Handler = (
   request: FastifyRequest,
   author: string,
-) => Promise<Either<Failure, unknown>> | Either<Failure, unknown>;
+) => Promise<Either<ConfirmationRefusal, unknown>> | Either<ConfirmationRefusal, unknown>;
 
-const planBodySchema = z.strictObject({ intent: intentSchema });
-const confirmBodySchema = z.strictObject({ digest: z.string().min(1) });
+export const planBodySchema = z.strictObject({ intent: intentSchema });
+export const confirmBodySchema = z.strictObject({ digest: z.string().min(1) });
 const idParamsSchema = z.object({ id: z.string().min(1) });
 const HTTP_OK = 200;
 const HTTP_UNAVAILABLE = 503;
@@ -63,10 +61,15 @@
 
   readonly #server: FastifyInstance;
 
-  constructor(services: OperatorServerServices, settings: Settings['operator']) {
+  /** Routes are added to `server`; the generator of the OpenAPI description gives its own. */
+  constructor(
+    services: OperatorServerServices,
+    settings: Settings['operator'],
+    server: FastifyInstance = Fastify({ bodyLimit: settings.maximumIntentBytes }),
+  ) {
     this.#services = services;
     this.#access = new OperatorAccess(settings.tokens);
-    this.#server = Fastify({ bodyLimit: settings.maximumIntentBytes });
+    this.#server = server;
     this.#server.setErrorHandler((error, _request, reply) =>
       replyWithFailure(reply, toFailure(error as Error)),
     );
@@ -120,25 +123,24 @@
   }
 
   #addQueryRoutes(): void {
-    const { queries, configuration, directory, spans } = this.#services;
+    const { queries, configuration, spans } = this.#services;
     const found = (value: unknown): Either<Failure, unknown> => ({ _tag: 'Right', right: value });
-    this.#route('GET', '/v1/services', OperatorRole.View, async () => {
-      const read = await queries.configuration();
-      return isLeft(read) ? read : found([...read.right.services.values()]);
+    Object.values(ObjectKind).forEach((kind) => {
+      this.#route('GET', `/v1/${kind}`, OperatorRole.View, () => queries.list(kind));
+      // A plan is found by its own route, with its steps.
+      if (kind === ObjectKind.Plans) return;
+      this.#route('GET', `/v1/${kind}/:id`, OperatorRole.View, (request) =>
+        queries.describe(kind, idParamsSchema.parse(request.params).id),
+      );
     });
-    this.#route('GET', '/v1/zones', OperatorRole.View, async () => {
-      const read = await queries.configuration();
-      return isLeft(read) ? read : found([...read.right.zones.values()]);
+    this.#route('GET', '/v1/policy', OperatorRole.View, async () => {
+      const view = await queries.view();
+      return isLeft(view) ? view : found(view.right.policy);
     });
-    this.#route('GET', '/v1/instances', OperatorRole.View, () => found(directory.instances));
     this.#route('GET', '/v1/version', OperatorRole.View, () =>
       found({ version: configuration.current?.version ?? 0 }),
     );
     this.#route('GET', '/v1/history', OperatorRole.View, () => queries.history());
-    this.#route('GET', '/v1/tasks', OperatorRole.View, () => queries.tasks());
-    this.#route('GET', '/v1/jobs/:id', OperatorRole.View, (request) =>
-      queries.job(idParamsSchema.parse(request.params).id),
-    );
     this.#route('GET', '/v1/traces/:id', OperatorRole.View, (request) =>
       found(spans.find(idParamsSchema.parse(request.params).id)),
     );
@@ -152,7 +154,9 @@
         const author = this.#access.check(request.headers.authorization, role);
         if (isLeft(author)) return replyWithFailure(reply, author.left);
         const result = await handler(request, author.right);
-        return isLeft(result) ? replyWithFailure(reply, result.left) : reply.send(result.right);
+        if (!isLeft(result)) return reply.send(result.right);
+        const { newPlan } = result.left;
+        return replyWithFailure(reply, result.left, newPlan === undefined ? {} : { newPlan });
       },
     });
   }
--- a/src/platform/settings/common/settings.ts
+++ b/src/platform/settings/common/settings.ts
@@ -49,7 +49,7 @@
   /** Retries allowed for each first attempt. */
   retryBudgetRatio: z.number().min(0).max(1).default(0.1),
   /** Second attempts of slow requests allowed for each first attempt. */
-  hedgeBudgetRatio: z.number().min(0).max(1).default(0.02),
+  hedgeBudgetRatio: z.number().min(0).max(1).default(0.05),
   /** The least time without a byte after which a connection is taken for silent. */
   silenceFloorMs: positiveMs.default(1_000),
   /** The largest part of a service's servers that may be set aside at a time. */
@@ -99,6 +99,10 @@
 
 const operatorSchema = z.strictObject({
   planLifetimeMs: positiveMs.default(600_000),
+  /** How long a confirmation is tried before its outcome is answered as unknown. */
+  confirmTimeoutMs: positiveMs.default(10_000),
+  /** How long plans are kept, so that confirming once more finds what became of them. */
+  planRetentionMs: positiveMs.default(86_400_000),
   maximumIntentBytes: positiveCount.default(1_048_576),
   /** Bearer tokens, kept as the SHA-256 of the token in hexadecimal digits. */
   tokens: z
@@ -121,6 +125,8 @@
 
 export const settingsSchema = z
   .strictObject({
+    /** The JSON Schema that editors check the file with; the daemon does not read it. */
+    $schema: z.string().optional(),
     instanceId: z.string().min(1),
     availabilityZone: z.string().min(1),
     roles: z
@@ -144,7 +150,12 @@
     const rule = (isBroken: boolean, path: string[], message: string): void => {
       if (isBroken) context.addIssue({ code: 'custom', path, message });
     };
-    const { scheduler, entry, peers, platform } = settings;
+    const { scheduler, entry, peers, platform, operator } = settings;
+    rule(
+      operator.planRetentionMs < operator.planLifetimeMs + operator.confirmTimeoutMs,
+      ['operator', 'planRetentionMs'],
+      'must be at least operator.planLifetimeMs and operator.confirmTimeoutMs together',
+    );
     rule(
       scheduler.workerLeaseMs < scheduler.workerRenewalIntervalMs * 3,
       ['scheduler', 'workerLeaseMs'],
