--- a/bench/bounds.ts
+++ b/bench/bounds.ts
@@ -1,4 +1,7 @@
-/** The committed bounds that the benchmarks are held against; CI does not run them. */
+/**
+ * The committed bounds that the benchmarks are held against. CI runs only those whose bounds are
+ * of virtual time, which are the same on every machine.
+ */
 import { readFile } from 'node:fs/promises';
 
 /** The bounds of one benchmark by name, from `bench/bounds.json` under the package's root. */
--- a/bench/scheduling/cellRun.ts
+++ b/bench/scheduling/cellRun.ts
@@ -59,10 +59,17 @@
   readonly runningCount: number;
   readonly decideShareOfCore: number;
   readonly messageBytesPerSecond: number;
+  /** Delays of started urgent tasks and, of those that still wait, how long they have waited. */
   readonly urgentDelaysMs: readonly number[];
   readonly delaysMs: readonly number[];
 }
 
+interface SubmittedJob {
+  readonly atMs: number;
+  readonly isUrgent: boolean;
+  waitingCount: number;
+}
+
 interface Scheduled {
   readonly atMs: number;
   readonly run: () => void;
@@ -82,10 +89,7 @@
 
   readonly #instances: readonly WorkerInstance[];
 
-  readonly #submittedAtMs = new Map<
-    string,
-    { readonly atMs: number; readonly isUrgent: boolean }
-  >();
+  readonly #submitted = new Map<string, SubmittedJob>();
 
   /** Buckets by millisecond, which keeps the queue cheap beside what is measured. */
   readonly #buckets = new Map<number, Scheduled[]>();
@@ -145,11 +149,19 @@
       runningCount: this.#runningCount,
       decideShareOfCore: this.#decideCpuUs / US_PER_MS / measuredMs,
       messageBytesPerSecond: this.#messageBytes / seconds,
-      urgentDelaysMs: delaysOf(true),
+      urgentDelaysMs: [...delaysOf(true), ...this.#urgentWaitsMs()],
       delaysMs: delaysOf(false),
     };
   }
 
+  #urgentWaitsMs(): readonly number[] {
+    return [...this.#submitted.values()]
+      .filter(({ isUrgent }) => isUrgent)
+      .flatMap(({ atMs, waitingCount }) =>
+        Array.from({ length: Math.max(0, waitingCount) }, () => this.#nowMs - atMs),
+      );
+  }
+
   #addWorker(index: number): WorkerInstance {
     const id = `w${index}`;
     const capacity = {
@@ -161,8 +173,9 @@
       if (event.kind === 'ended') this.#runningCount -= 1;
       if (event.kind !== 'started') return;
       this.#runningCount += 1;
-      const submitted = this.#submittedAtMs.get(event.taskId.split('/')[0] ?? '');
+      const submitted = this.#submitted.get(event.taskId.split('/')[0] ?? '');
       if (submitted === undefined) return;
+      submitted.waitingCount -= 1;
       this.#delays.push({
         delayMs: this.#nowMs - submitted.atMs,
         isUrgent: submitted.isUrgent,
@@ -212,7 +225,7 @@
       })),
     };
     this.#jobCount += 1;
-    this.#submittedAtMs.set(jobId, { atMs: this.#nowMs, isUrgent });
+    this.#submitted.set(jobId, { atMs: this.#nowMs, isUrgent, waitingCount: taskCount });
     this.#write(workKey(CELL, row.shardId), row);
     const rate = isFilling ? startsPerSecond * FILL_FACTOR : startsPerSecond;
     const meanMs = (taskCount * MS_PER_SECOND) / rate;
--- a/bench/scheduling/scheduling.ts
+++ b/bench/scheduling/scheduling.ts
@@ -63,25 +63,24 @@
     name: 'a transaction for each change',
     timing: { roundIntervalMs: 0, rowsPerSecond: 1e6, maximumRowsPerRound: 1 },
   },
-  {
-    name: 'combined while one is under way',
-    timing: { roundIntervalMs: 0, rowsPerSecond: 1e6 },
-  },
-  { name: 'combined, 100 ms apart', timing: { roundIntervalMs: 100, rowsPerSecond: 1e6 } },
   { name: 'combined, as by default', timing: {} },
 ];
 
+const WORKER_COUNT = 123;
+/** So few that batch work queues and urgent work has to be made room for. */
+const FULL_WORKER_COUNT = 60;
 const FILL_MS = 18_000;
 const WARM_UP_MS = 60_000;
 const MEASURED_MS = 14_000;
 
 const measure = (
   timing: Partial<CellTiming>,
+  workerCount: number,
 ): { readonly figures: CellRunFigures; readonly durationsUs: readonly number[] } => {
   const policy = new TimedPolicy();
   const run = new CellRun({
     seed: 5,
-    workerCount: 123,
+    workerCount,
     serviceTaskCount: 500,
     startsPerSecond: 150 / CELL_COUNT,
     batchWorkMs: 40_000,
@@ -112,22 +111,29 @@
 const run = async (): Promise<boolean> => {
   const bounds = await readBounds('scheduling');
   const results = WAYS.map(({ name, timing }) => {
-    const { figures, durationsUs } = measure(timing);
+    const { figures, durationsUs } = measure(timing, WORKER_COUNT);
     process.stdout.write(`${line(name, figures, durationsUs)}\n`);
     return figures;
   });
+  const full = measure({}, FULL_WORKER_COUNT);
+  process.stdout.write(`${line('by default, in a full cell', full.figures, full.durationsUs)}\n`);
   process.stdout.write(`rss ${Math.round(process.memoryUsage().rss / 1024 ** 2)} MB\n`);
   const single = results[0] as CellRunFigures;
   const chosen = results[results.length - 1] as CellRunFigures;
   const rowRatio = chosen.rowsPerSecond / single.rowsPerSecond;
   const transactionRatio = chosen.transactionsPerSecond / single.transactionsPerSecond;
-  const urgentP99Ms = percentile(chosen.urgentDelaysMs, 0.99);
+  const urgentP99Ms = Math.max(
+    percentile(chosen.urgentDelaysMs, 0.99),
+    percentile(full.figures.urgentDelaysMs, 0.99),
+  );
   process.stdout.write(
     `combined beside single: rows ${rowRatio.toFixed(2)}, transactions ${transactionRatio.toFixed(2)}\n`,
   );
   return (
     chosen.rowsPerSecond <= (bounds.maximumRowsPerSecond ?? 0) &&
+    rowRatio <= (bounds.maximumRowRatio ?? 0) &&
     transactionRatio <= (bounds.maximumTransactionRatio ?? 0) &&
+    full.figures.urgentDelaysMs.length > 0 &&
     urgentP99Ms <= (bounds.maximumUrgentP99Ms ?? 0)
   );
 };
--- a/src/platform/settings/common/settings.ts
+++ b/src/platform/settings/common/settings.ts
@@ -81,7 +81,7 @@
   /** How old a worker's last report may be for a new assignment. */
   reportFreshnessMs: positiveMs.default(3_000),
   /** The time between two transactions of a cell, in which changes gather. */
-  roundIntervalMs: positiveMs.default(100),
+  roundIntervalMs: positiveMs.default(200),
   /** Rows that a cell may write a second, its heartbeat aside. */
   cellRowsPerSecond: positiveCount.default(60),
   /** Rows that one transaction of a cell may write. */
--- a/src/scheduler/common/cellEvents.ts
+++ b/src/scheduler/common/cellEvents.ts
@@ -9,7 +9,11 @@
   TransactionOutcome,
   type TransactionResult,
 } from '../../platform/table/common/table.js';
-import type { WorkerReport } from '../../platform/worker/common/workerClient.js';
+import {
+  TaskClass,
+  type WorkerReport,
+  WorkerTaskState,
+} from '../../platform/worker/common/workerClient.js';
 import { cellInboxKey } from '../../platform/work/common/workRows.js';
 import {
   type LeaseStepKind,
@@ -18,7 +22,7 @@
   withLeaseLost,
   withLeaseRows,
 } from './cellLease.js';
-import { type CellRows, toCellRows, toServersElsewhere } from './cellRows.js';
+import { assignmentsOf, type CellRows, toCellRows, toServersElsewhere } from './cellRows.js';
 import type {
   CellDecision,
   CellEffect,
@@ -29,7 +33,13 @@
 import { mayAssign } from './round.js';
 import { surplusTaskIds } from './wantedEvictions.js';
 import { WorkerHealth } from './workerHealth.js';
-import { presumedLeaseEndMs, unreachedWorker, withReport, type WorkerView } from './workerView.js';
+import {
+  attemptKey,
+  presumedLeaseEndMs,
+  unreachedWorker,
+  withReport,
+  type WorkerView,
+} from './workerView.js';
 
 export const unchanged = (state: CellState): CellDecision => ({ state, effects: [] });
 
@@ -227,11 +237,21 @@
   return unchanged(withNewRows(proved, pending.draft.committed(result.right.version)));
 };
 
-/** True when the report tells of something that a round may have to record. */
-const tellsNews = (before: WorkerView, after: WorkerView): boolean =>
-  before.report?.incarnation !== after.report?.incarnation ||
-  before.tasks.size !== after.tasks.size ||
-  [...after.tasks].some(([key, task]) => before.tasks.get(key)?.state !== task.state);
+/**
+ * True when the report tells of something that a round may have to record: an end, or a change
+ * of a service's task, which its entry points depend on. A batch task that has started is none.
+ */
+const tellsNews = (state: CellState, before: WorkerView, after: WorkerView): boolean => {
+  if (before.report?.incarnation !== after.report?.incarnation) return true;
+  if (before.tasks === after.tasks) return false;
+  const assignments = state.rows === undefined ? [] : assignmentsOf(state.rows, after.instance.id);
+  return assignments.some((assignment) => {
+    const task = after.tasks.get(attemptKey(assignment));
+    if (task === undefined) return false;
+    const isReplica = assignment.taskClass === TaskClass.LatencyCritical;
+    return isReplica || task.state !== WorkerTaskState.Running;
+  });
+};
 
 const withWorkerAnswer = (
   state: CellState,
@@ -244,7 +264,7 @@
   const next = isLeft(result)
     ? { ...view, isCommandInFlight: false }
     : withReport(view, result.right, nowMs);
-  const isRoundStale = state.isRoundStale || tellsNews(view, next);
+  const isRoundStale = state.isRoundStale || tellsNews(state, view, next);
   return { ...state, isRoundStale, workers: new Map(state.workers).set(workerId, next) };
 };
 
--- a/src/scheduler/common/workerView.ts
+++ b/src/scheduler/common/workerView.ts
@@ -20,7 +20,7 @@
   readonly startsGoodUntilWorkerMs: number;
   readonly commandSentAtMs: number;
   readonly isCommandInFlight: boolean;
-  /** The report's tasks by attempt. */
+  /** The report's tasks by attempt; only their states are those of the last report. */
   readonly tasks: ReadonlyMap<string, WorkerTaskReport>;
   /**
    * Starts, evictions and acknowledgements of the last command. They are news once; after that
@@ -83,6 +83,20 @@
   return receivedAtMs + withDriftMargin(Math.max(0, ...remainingMs));
 };
 
+const isSameTasks = (before: WorkerView['tasks'], tasks: readonly WorkerTaskReport[]): boolean =>
+  before.size === tasks.length &&
+  tasks.every((task) => before.get(attemptKey(task))?.state === task.state);
+
+/**
+ * The report's tasks by attempt. Most reports repeat the one before, apart from usage and leases;
+ * the map is then kept, by which everything worked out from it is known to be still good.
+ */
+const tasksByAttempt = (view: WorkerView, report: WorkerReport): WorkerView['tasks'] => {
+  const isRepeat = view.report?.incarnation === report.incarnation;
+  if (isRepeat && isSameTasks(view.tasks, report.tasks)) return view.tasks;
+  return new Map(report.tasks.map((task) => [attemptKey(task), task]));
+};
+
 /**
  * Takes in a report. The first one answers a command with this owner's epoch, so from then on
  * the worker refuses a former owner, and no lease lasts beyond what the report says and what
@@ -95,6 +109,7 @@
 ): WorkerView => {
   const isFirst = view.report === undefined;
   const reportedOverAtMs = reportedLeasesOverAtMs(report, receivedAtMs);
+  const tasks = tasksByAttempt(view, report);
   return {
     ...view,
     report,
@@ -102,8 +117,8 @@
     leasesOverAtMs: isFirst ? reportedOverAtMs : Math.max(view.leasesOverAtMs, reportedOverAtMs),
     startsGoodUntilWorkerMs: isFirst ? report.workerNowMs : view.startsGoodUntilWorkerMs,
     isCommandInFlight: false,
-    tasks: new Map(report.tasks.map((task) => [attemptKey(task), task])),
-    isMessageStale: true,
+    tasks,
+    isMessageStale: view.isMessageStale || tasks !== view.tasks,
   };
 };
 
