Scheduler: work that can never run is passed on, then refused with the reason

Work larger than any listed worker waited for ever, unnoticed. After a minute it is passed on to a zone that has not tried it; when all zones in use have, its queued tasks fail and the row and the job's status give the reason. Weighed: refusing at submission (a large worker may just be replaced, and the list lags).

--- a/src/operator/node/operatorQueries.ts
+++ b/src/operator/node/operatorQueries.ts
@@ -29,6 +29,8 @@
   readonly taskCounts: Readonly<Record<BatchTaskState, number>>;
   readonly evictionCount: number;
   readonly isEnded: boolean;
+  /** Why tasks that can never run were given up. */
+  readonly refusals: readonly string[];
 }
 
 /** Kinds of objects that can be listed and described. */
@@ -73,7 +75,8 @@
 
 const toJobStatus = (job: JobRow, rows: readonly TableRow[]): JobStatus => {
   const taskCounts = emptyCounts();
-  const tasks = rows.flatMap((row) => workRowSchema.parse(row.value).tasks);
+  const shards = rows.map((row) => workRowSchema.parse(row.value));
+  const tasks = shards.flatMap((shard) => shard.tasks);
   tasks.forEach((task) => {
     taskCounts[task.state] += 1;
   });
@@ -83,6 +86,7 @@
     taskCounts,
     evictionCount: tasks.reduce((sum, task) => sum + task.evictionCount, 0),
     isEnded: open === 0,
+    refusals: shards.flatMap(({ refusal }) => (refusal === undefined ? [] : [refusal])),
   };
 };
 
--- a/src/platform/work/common/workRows.ts
+++ b/src/platform/work/common/workRows.ts
@@ -55,6 +55,10 @@
   urgency: urgencySchema,
   workMs: z.number().nonnegative(),
   tasks: z.array(batchTaskSchema),
+  /** Cells in which no worker is large enough, when the shard was passed on for that. */
+  triedCells: z.array(z.string()).optional(),
+  /** Why the tasks that were queued can never run. */
+  refusal: z.string().optional(),
 });
 export type WorkRow = z.infer<typeof workRowSchema>;
 
--- a/src/scheduler/common/cellEvents.ts
+++ b/src/scheduler/common/cellEvents.ts
@@ -141,6 +141,7 @@
     isRoundStale: true,
     nextRoundAtMs: nowMs,
     preempted: new Set<string>(),
+    unfitSinceMs: new Map<string, number>(),
     workerHealth: new WorkerHealth(),
     retryAtMs: new Map<string, number>(),
   };
--- a/src/scheduler/common/cellScheduler.ts
+++ b/src/scheduler/common/cellScheduler.ts
@@ -22,6 +22,7 @@
 import { retryDelayMs } from './queueOrder.js';
 import { hasSettled, mayAssign, planRound, type Round } from './round.js';
 import { AssignmentEnd, type RecordedEnd } from './taskEnds.js';
+import { unfitSince } from './unfitWork.js';
 import { isStartAllowed, planCommand } from './workerCommands.js';
 import { WorkerHealth } from './workerHealth.js';
 import { attemptKey, type WorkerView } from './workerView.js';
@@ -56,6 +57,7 @@
   nextLookAtMs: nowMs,
   operationCount: 0,
   preempted: new Set(),
+  unfitSinceMs: new Map(),
   workerHealth: new WorkerHealth(),
   retryAtMs: new Map(),
   isRoundStale: true,
@@ -152,11 +154,12 @@
   return { workerHealth, retryAtMs };
 };
 
-const startRound = (state: CellState, policy: PlacementPolicy, nowMs: number): CellDecision => {
-  const { rows, pending } = state;
-  if (rows === undefined || pending !== undefined || !isRoundDue(state, nowMs)) {
-    return unchanged(state);
+const startRound = (before: CellState, policy: PlacementPolicy, nowMs: number): CellDecision => {
+  const { rows, pending } = before;
+  if (rows === undefined || pending !== undefined || !isRoundDue(before, nowMs)) {
+    return unchanged(before);
   }
+  const state = { ...before, unfitSinceMs: unfitSince(before, rows, nowMs) };
   const operationId = `${state.lease.selfId}:${state.cell}:${state.operationCount}`;
   const { round, effects } = checkedRound(state, rows, policy, operationId, nowMs);
   const planned = {
--- a/src/scheduler/common/cellState.ts
+++ b/src/scheduler/common/cellState.ts
@@ -79,6 +79,8 @@
   readonly operationCount: number;
   /** Attempts that have to leave for urgent work, as keys; a new owner chooses anew. */
   readonly preempted: ReadonlySet<string>;
+  /** Since when shards have been larger than any listed worker, by shard id. */
+  readonly unfitSinceMs: ReadonlyMap<string, number>;
   /** Which workers fail what they start; learnt anew by each owner. */
   readonly workerHealth: WorkerHealth;
   /** When a failed task may be tried again, by task id; a new owner tries it at once. */
--- a/src/scheduler/common/round.ts
+++ b/src/scheduler/common/round.ts
@@ -13,6 +13,7 @@
 import type { CellState } from './cellState.js';
 import type { PlacementPolicy } from './placement.js';
 import { type RecordedEnd, recordEnds } from './taskEnds.js';
+import { settleUnfitWork } from './unfitWork.js';
 import { isWorkerDraining } from './wantedEvictions.js';
 import { reportedTask } from './workerView.js';
 
@@ -113,6 +114,7 @@
   const assigned = isAssigning
     ? assignQueuedWork(state, rows, draft, policy, operationId, nowMs)
     : { count: 0, preempted: new Set<string>() };
+  settleUnfitWork(state, draft, nowMs);
   moveShards(state, draft);
   if (rows.cancellations.size > 0) draft.closeCancellations();
   updateEndpoints(state, draft);
--- /dev/null
+++ b/src/scheduler/common/unfitWork.ts
@@ -0,0 +1,69 @@
+/** Work that is larger than any worker of the cell, and the verdict that it can never run. */
+import { zonesInUse } from '../../platform/configuration/common/configurationView.js';
+import { fitsInto, type Resources } from '../../platform/worker/common/resources.js';
+import {
+  type BatchTask,
+  BatchTaskState,
+  type WorkRow,
+} from '../../platform/work/common/workRows.js';
+import type { CellDraft, CellRows } from './cellRows.js';
+import type { CellState } from './cellState.js';
+
+/**
+ * How long work must have fitted no worker before it is passed on. Workers are replaced, 110 on
+ * an ordinary day, and one that restarts is off the list for well under this.
+ */
+const PATIENCE_MS = 60_000;
+
+const isWaiting = (row: WorkRow): boolean =>
+  row.tasks.some(({ state }) => state === BatchTaskState.Queued) &&
+  !row.tasks.some(({ state }) => state === BatchTaskState.Assigned);
+
+const fitsNoWorker = (state: CellState, size: Resources): boolean => {
+  const listed = [...state.workers.values()].filter(({ isListed }) => isListed);
+  return listed.length > 0 && !listed.some(({ instance }) => fitsInto(size, instance.capacity));
+};
+
+/** Since when each waiting shard has fitted no worker that is listed, whatever runs there. */
+export const unfitSince = (
+  state: CellState,
+  rows: CellRows,
+  nowMs: number,
+): ReadonlyMap<string, number> => {
+  const unfit = [...rows.work.values()].filter(
+    (row) => isWaiting(row) && fitsNoWorker(state, row.size),
+  );
+  return new Map(unfit.map(({ shardId }) => [shardId, state.unfitSinceMs.get(shardId) ?? nowMs]));
+};
+
+const refused = (row: WorkRow, triedCells: readonly string[]): WorkRow => {
+  const { processorMillis, memoryBytes, acceleratorCount } = row.size;
+  const fail = (task: BatchTask): BatchTask =>
+    task.state === BatchTaskState.Queued ? { ...task, state: BatchTaskState.Failed } : task;
+  return {
+    ...row,
+    refusal:
+      `needs ${processorMillis} processorMillis, ${memoryBytes} memoryBytes and ` +
+      `${acceleratorCount} accelerators, more than any worker of ${triedCells.join(', ')} has`,
+    tasks: row.tasks.map(fail),
+  };
+};
+
+/**
+ * Passes work that fits no worker of this cell on to a zone that has not tried it, and refuses
+ * it, with the reason, when all zones in use have. The tries are bounded by the zones, so such a
+ * job is told within a minute a zone instead of waiting for ever unnoticed.
+ */
+export const settleUnfitWork = (state: CellState, draft: CellDraft, nowMs: number): void => {
+  const view = state.configuration?.view;
+  if (view === undefined || state.withdrawnSinceMs !== undefined) return;
+  state.unfitSinceMs.forEach((sinceMs, shardId) => {
+    const row = draft.work(shardId);
+    const isFull = draft.rowCount >= state.timing.maximumRowsPerRound;
+    if (row === undefined || isFull || nowMs - sinceMs < PATIENCE_MS || !isWaiting(row)) return;
+    const triedCells = [...(row.triedCells ?? []), state.cell];
+    const next = zonesInUse(view).find((zone) => !triedCells.includes(zone));
+    draft.setWork(next === undefined ? refused(row, triedCells) : { ...row, triedCells });
+    if (next !== undefined) draft.moveWork(shardId, next);
+  });
+};
--- a/src/scheduler/test/decisions.test.ts
+++ b/src/scheduler/test/decisions.test.ts
@@ -6,7 +6,12 @@
   workerKey,
   zoneKey,
 } from '../../platform/configuration/common/documents.js';
-import { endpointKey, workKey } from '../../platform/work/common/workRows.js';
+import {
+  endpointKey,
+  finishedPrefix,
+  workKey,
+  workPrefix,
+} from '../../platform/work/common/workRows.js';
 import { retryDelayMs } from '../common/queueOrder.js';
 import { WorkerHealth } from '../common/workerHealth.js';
 import {
@@ -35,6 +40,26 @@
     expectNoHarm(cell);
   });
 
+  // A job is larger than any worker. It is not refused at once, for a large worker may just be
+  // replaced; another zone may have one; when none has, its submitter is told why.
+  it('passes on what fits no worker, and refuses it when all zones have', () => {
+    const cell = startCell(204);
+    const zoneB = { name: 'zone-b', region: 'r', state: 'in-use' };
+    cell.writeRow(zoneKey('zone-b'), zoneB);
+    submit(cell, shard(3, 1_000, 'kitchen.passed-on', LARGE));
+    submit(cell, { ...shard(3, 1_000, 'kitchen.never', LARGE), triedCells: ['zone-b'] });
+    cell.runFor(50_000);
+    expect(workRowsOf(cell, workPrefix(CELL)).length).toBe(2);
+    cell.runFor(30_000);
+    expect(workRowsOf(cell, workPrefix(CELL))).toEqual([]);
+    const [passedOn] = workRowsOf(cell, workPrefix('zone-b'));
+    expect([passedOn?.jobId, passedOn?.triedCells]).toEqual(['kitchen.passed-on', [CELL]]);
+    const [refused] = workRowsOf(cell, finishedPrefix(CELL));
+    expect(refused?.refusal).toMatch(/^needs 64000 processorMillis.*zone-b, zone-a has$/u);
+    expect(refused?.tasks.map(({ state }) => state)).toEqual(['failed', 'failed', 'failed']);
+    expectNoHarm(cell);
+  });
+
   // The cell is full of batch tasks that run for minutes when an urgent job comes. Room is made
   // by evicting the fewest tasks, which resume later, and the urgent job starts in time.
   it('starts urgent work within 3.5 seconds in a full cell', () => {
