Scheduler: clients follow a replaced worker; cells of zones without listed workers

A worker replaced under its id at another address was called at the old one for ever, and clients of workers that are gone were never closed.

--- a/src/scheduler/node/cellTask.ts
+++ b/src/scheduler/node/cellTask.ts
@@ -8,10 +8,11 @@
 import type { Log } from '../../platform/log/common/log.js';
 import type { Metrics } from '../../platform/metrics/common/metrics.js';
 import type { TableService } from '../../platform/table/common/table.js';
-import { HttpWorkerClient } from '../../platform/worker/node/httpWorkerClient.js';
+import type { HttpWorkerClient } from '../../platform/worker/node/httpWorkerClient.js';
 import { decide, initialCellState } from '../common/cellScheduler.js';
 import type { CellEffect, CellEvent, CellState, CellTiming } from '../common/cellState.js';
 import type { PlacementPolicy } from '../common/placement.js';
+import { WorkerClients } from './workerClients.js';
 
 export interface CellTaskServices {
   readonly table: TableService;
@@ -39,7 +40,7 @@
 
   readonly #disposables = new DisposableStore();
 
-  readonly #clients = new Map<string, HttpWorkerClient>();
+  readonly #clients: WorkerClients;
 
   #state: CellState;
 
@@ -47,6 +48,7 @@
     this.#services = services;
     this.#options = options;
     this.#policy = policy;
+    this.#clients = new WorkerClients(options.workerTimeoutMs);
     const nowMs = services.clock.nowMs();
     this.#state = initialCellState(options.cell, options.selfId, options.timing, nowMs);
     this.#disposables.add(services.directory.onDidChange(() => this.#handleInstances()));
@@ -61,8 +63,7 @@
 
   dispose(): void {
     this.#disposables.dispose();
-    this.#clients.forEach((client) => client.dispose());
-    this.#clients.clear();
+    this.#clients.dispose();
   }
 
   #handleTick(): void {
@@ -82,6 +83,7 @@
   #handleInstances(): void {
     const workers = this.#services.directory.instances.filter(isWorker);
     this.#handle({ kind: 'instances', workers });
+    this.#clients.retain(this.#state.workers);
   }
 
   #handle(event: CellEvent): void {
@@ -131,12 +133,8 @@
   }
 
   #client(workerId: string): HttpWorkerClient {
-    const known = this.#clients.get(workerId);
-    if (known !== undefined) return known;
     const view = this.#state.workers.get(workerId);
     const origin = view === undefined ? '' : toOrigin(view.instance.controlAddress);
-    const client = new HttpWorkerClient(origin, this.#options.workerTimeoutMs);
-    this.#clients.set(workerId, client);
-    return client;
+    return this.#clients.client(workerId, origin);
   }
 }
--- a/src/scheduler/node/cellTasks.ts
+++ b/src/scheduler/node/cellTasks.ts
@@ -1,5 +1,5 @@
-/** Keeps one task for each cell that the instance list shows. */
-import type { Disposable } from '../../base/common/lifecycle.js';
+/** Keeps one task for each cell that the instance list or the configuration shows. */
+import { type Disposable, DisposableStore } from '../../base/common/lifecycle.js';
 import { isWorker } from '../../platform/instanceList/common/instanceList.js';
 import type { Settings } from '../../platform/settings/common/settings.js';
 import { SpreadAndPackPolicy } from '../common/placement.js';
@@ -30,26 +30,29 @@
 
   readonly #tasks = new Map<string, CellTask>();
 
-  readonly #subscription: Disposable;
+  readonly #subscriptions = new DisposableStore();
 
   /** `selfId` names this life of this process. */
   constructor(services: CellTaskServices, settings: Settings, selfId: string) {
     this.#services = services;
     this.#settings = settings;
     this.#selfId = selfId;
-    this.#subscription = services.directory.onDidChange(() => this.#addCells());
+    this.#subscriptions.add(services.directory.onDidChange(() => this.#addCells()));
+    this.#subscriptions.add(services.configuration.onDidChange(() => this.#addCells()));
     this.#addCells();
   }
 
   dispose(): void {
-    this.#subscription.dispose();
+    this.#subscriptions.dispose();
     this.#tasks.forEach((task) => task.dispose());
     this.#tasks.clear();
   }
 
   #addCells(): void {
     const workers = this.#services.directory.instances.filter(isWorker);
-    const cells = new Set(workers.map(({ availabilityZone }) => availabilityZone));
+    // A zone whose workers have all left the list may still have work to be moved elsewhere.
+    const zones = this.#services.configuration.current?.zones.keys() ?? [];
+    const cells = new Set([...workers.map(({ availabilityZone }) => availabilityZone), ...zones]);
     cells.forEach((cell) => {
       if (!this.#tasks.has(cell)) this.#tasks.set(cell, this.#createTask(cell));
     });
