--- /dev/null
+++ b/bench/capacity/daemonCapacity.ts
@@ -0,0 +1,289 @@
+/**
+ * What a whole daemon costs as a process of its own: processor time and memory from the
+ * operating system, bytes to and from the platform from a counting relay.
+ */
+import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises';
+import { type AddressInfo, connect, createServer, type Server } from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { setTimeout as delay } from 'node:timers/promises';
+
+import { request } from 'undici';
+
+import {
+  serviceKey,
+  VERSION_KEY,
+  zoneKey,
+} from '../../src/platform/configuration/common/documents.js';
+import type { Instance } from '../../src/platform/instanceList/common/instanceList.js';
+import type { Role, SettingsInput } from '../../src/platform/settings/common/settings.js';
+import { endpointKey } from '../../src/platform/work/common/workRows.js';
+import { ChildProcesses } from '../../standIns/demo/childProcesses.js';
+import type { TableCounts } from '../../standIns/platform/tableStandIn.js';
+import { fieldLine, inTurn, type Line, toFigure } from './slopes.js';
+
+const HOST = '127.0.0.1';
+const WARM_UP_MS = 4_000;
+const MEASURED_MS = 6_000;
+const SECOND_MS = 1_000;
+const TICKS_PER_SECOND = 100;
+const KIBIBYTE = 1_024;
+const ZONE_COUNT = 7;
+const TASKS_PER_WORKER = 4;
+const WORKER_COUNTS = [100, 400, 860] as const;
+const PEER_COUNTS = [1, 3, 6] as const;
+const SIZE = { processorMillis: 1_000, memoryBytes: KIBIBYTE, acceleratorCount: 0 };
+
+export interface DaemonFigures {
+  readonly workerCount: number;
+  readonly daemonCount: number;
+  readonly coreRatio: number;
+  readonly residentMegabytes: number;
+  /** Bytes to and from table and instance list together. */
+  readonly platformBytesPerSecond: number;
+  readonly readsPerSecond: number;
+  readonly readRowsPerSecond: number;
+  readonly transactionsPerSecond: number;
+}
+
+export interface DaemonResults {
+  readonly byWorkers: readonly DaemonFigures[];
+  readonly byPeers: readonly DaemonFigures[];
+  readonly lines: Readonly<Record<string, Line>>;
+}
+
+const post = async (url: string, body: unknown): Promise<void> => {
+  const response = await request(url, {
+    method: 'POST',
+    headers: { 'content-type': 'application/json' },
+    body: JSON.stringify(body),
+  });
+  await response.body.dump();
+};
+
+/** Passes connections on and counts the bytes both ways. */
+class CountingRelay {
+  byteCount = 0;
+
+  readonly #server: Server;
+
+  constructor(targetPort: number) {
+    this.#server = createServer((near) => {
+      const far = connect(targetPort, HOST);
+      const count = (chunk: Buffer): void => {
+        this.byteCount += chunk.length;
+      };
+      near.on('data', count).on('error', () => far.destroy());
+      far.on('data', count).on('error', () => near.destroy());
+      near.pipe(far).pipe(near);
+    });
+  }
+
+  async listen(): Promise<string> {
+    await new Promise<void>((resolve) => {
+      this.#server.listen(0, HOST, resolve);
+    });
+    return `http://${HOST}:${(this.#server.address() as AddressInfo).port}`;
+  }
+
+  close(): void {
+    this.#server.close();
+  }
+}
+
+const zoneName = (index: number): string => `zone-${index % ZONE_COUNT}`;
+
+const workerInstance = (index: number): Instance => ({
+  kind: 'worker',
+  id: `worker-${index}`,
+  availabilityZone: zoneName(index),
+  rack: `${zoneName(index)}-r${Math.floor(index / (ZONE_COUNT * 8))}`,
+  state: 'live',
+  controlAddress: { host: HOST, port: 1 },
+  backendAddress: { host: HOST, port: 1 },
+  capacity: { processorMillis: 32_000, memoryBytes: 125 * KIBIBYTE ** 3, acceleratorCount: 1 },
+  slotCount: 8,
+  connectionCount: 64,
+});
+
+/** Configuration and endpoints of a system with that many workers. */
+const fillTable = async (origin: string, workerCount: number): Promise<void> => {
+  const indexes = Array.from({ length: workerCount }, (_, index) => index);
+  const zones = Array.from({ length: ZONE_COUNT }, (_, index) => zoneName(index));
+  const services = indexes.map((index) => ({
+    name: `service-${index}`,
+    team: `team-${index % 360}`,
+    replicaCount: TASKS_PER_WORKER,
+    size: SIZE,
+    urgency: 'urgent',
+  }));
+  const endpoints = zones.map((zone, zoneIndex) => ({
+    key: endpointKey(zone),
+    value: {
+      servers: indexes
+        .filter((index) => index % ZONE_COUNT === zoneIndex)
+        .flatMap((index) =>
+          Array.from({ length: TASKS_PER_WORKER }, (_, task) => ({
+            serviceName: `service-${(index + task * ZONE_COUNT) % workerCount}`,
+            workerId: `worker-${index}`,
+            taskId: `service-${index}@d1:${zone}:${index}.${task}`,
+          })),
+        ),
+    },
+  }));
+  await post(`${origin}/v1/table/transact`, {
+    operationId: 'fill',
+    conditions: [],
+    writes: [
+      { key: VERSION_KEY, value: { version: 1 } },
+      ...zones.map((name) => ({
+        key: zoneKey(name),
+        value: { name, region: 'r', state: 'in-use' },
+      })),
+      ...services.map((service) => ({ key: serviceKey(service.name), value: service })),
+      ...endpoints,
+    ],
+  });
+};
+
+interface StartedDaemon {
+  readonly pid: number;
+  readonly instance: Instance;
+}
+
+const startDaemon = async (
+  children: ChildProcesses,
+  folder: string,
+  index: number,
+  roles: Role[],
+  origin: string,
+): Promise<StartedDaemon> => {
+  const listen = { host: HOST, port: 0 };
+  const settings: SettingsInput = {
+    instanceId: `entry-${index}`,
+    availabilityZone: zoneName(index),
+    roles,
+    listen: { callers: listen, operators: listen, peers: listen },
+    platform: { tableOrigin: origin, objectStoreOrigin: origin, instanceListOrigin: origin },
+  };
+  const file = join(folder, `${index}.json`);
+  await writeFile(file, JSON.stringify(settings));
+  const { child, ready } = await children.start(
+    'src/daemon/node/snipethreadd.js',
+    ['--settings', file],
+    (line) => (line.event === 'listening' ? line : undefined),
+  );
+  return {
+    pid: child.pid ?? 0,
+    instance: {
+      kind: 'daemon',
+      id: `entry-${index}`,
+      availabilityZone: zoneName(index),
+      state: 'live',
+      peerAddress: { host: HOST, port: Number(ready.peersPort) },
+      operatorAddress: { host: HOST, port: Number(ready.operatorsPort) },
+    },
+  };
+};
+
+/** Processor time in seconds, from the fields utime and stime. */
+const processorSeconds = async (pid: number): Promise<number> => {
+  const fields = (await readFile(`/proc/${pid}/stat`, 'utf8')).split(') ')[1]?.split(' ') ?? [];
+  return (Number(fields[11]) + Number(fields[12])) / TICKS_PER_SECOND;
+};
+
+const residentMegabytes = async (pid: number): Promise<number> => {
+  const text = await readFile(`/proc/${pid}/status`, 'utf8');
+  return Number(/VmRSS:\s+(\d+)/u.exec(text)?.[1] ?? 0) / KIBIBYTE;
+};
+
+const readCounts = async (origin: string): Promise<TableCounts> =>
+  (await (await request(`${origin}/control/counts`)).body.json()) as TableCounts;
+
+/** The first daemon is measured; the others are its peers and reach the platform directly. */
+const measure = async (workerCount: number, daemonCount: number): Promise<DaemonFigures> => {
+  const children = new ChildProcesses();
+  const folder = await mkdtemp(join(tmpdir(), 'snipethread-capacity-'));
+  const platform = await children.start('standIns/platform/platformProcess.js', ['1'], (line) =>
+    Number(line.port),
+  );
+  const origin = `http://${HOST}:${platform.ready}`;
+  const relay = new CountingRelay(platform.ready);
+  try {
+    await fillTable(origin, workerCount);
+    const relayOrigin = await relay.listen();
+    const daemons = await Promise.all(
+      Array.from({ length: daemonCount }, (_, index) =>
+        startDaemon(
+          children,
+          folder,
+          index,
+          ['entry', 'operator'],
+          index === 0 ? relayOrigin : origin,
+        ),
+      ),
+    );
+    const workers = Array.from({ length: workerCount }, (_, index) => workerInstance(index));
+    const instances = [...workers, ...daemons.map(({ instance }) => instance)];
+    await post(`${origin}/control/instances`, { instances });
+    await delay(WARM_UP_MS);
+    const pid = daemons[0]?.pid ?? 0;
+    const before = {
+      seconds: await processorSeconds(pid),
+      bytes: relay.byteCount,
+      counts: await readCounts(origin),
+    };
+    await delay(MEASURED_MS);
+    const counts = await readCounts(origin);
+    const perSecond = (value: number): number => toFigure((value * SECOND_MS) / MEASURED_MS);
+    // Reads and transactions are those of all daemons, so they are shared out.
+    const perDaemon = (value: number): number => toFigure(perSecond(value) / daemonCount);
+    return {
+      workerCount,
+      daemonCount,
+      coreRatio: perSecond((await processorSeconds(pid)) - before.seconds),
+      residentMegabytes: toFigure(await residentMegabytes(pid)),
+      platformBytesPerSecond: perSecond(relay.byteCount - before.bytes),
+      readsPerSecond: perDaemon(counts.readCount - before.counts.readCount),
+      readRowsPerSecond: perDaemon(counts.readRowCount - before.counts.readRowCount),
+      transactionsPerSecond: perDaemon(counts.transactionCount - before.counts.transactionCount),
+    };
+  } finally {
+    children.dispose();
+    relay.close();
+    await rm(folder, { recursive: true, force: true });
+  }
+};
+
+export const measureDaemons = async (say: (row: DaemonFigures) => void): Promise<DaemonResults> => {
+  const measured = async (workerCount: number, daemonCount: number): Promise<DaemonFigures> => {
+    const row = await measure(workerCount, daemonCount);
+    say(row);
+    return row;
+  };
+  const byWorkers = await inTurn(WORKER_COUNTS, (workerCount) => measured(workerCount, 1));
+  const byPeers = await inTurn(PEER_COUNTS, (count) => measured(WORKER_COUNTS[0], count + 1));
+  const lines = {
+    coreRatioByWorkers: fieldLine(
+      byWorkers,
+      (row) => row.workerCount,
+      (row) => row.coreRatio,
+    ),
+    megabytesByWorkers: fieldLine(
+      byWorkers,
+      (row) => row.workerCount,
+      (row) => row.residentMegabytes,
+    ),
+    bytesByWorkers: fieldLine(
+      byWorkers,
+      (row) => row.workerCount,
+      (row) => row.platformBytesPerSecond,
+    ),
+    coreRatioByPeers: fieldLine(
+      byPeers,
+      (row) => row.daemonCount - 1,
+      (row) => row.coreRatio,
+    ),
+  };
+  return { byWorkers, byPeers, lines };
+};
--- /dev/null
+++ b/bench/capacity/operatorCapacity.ts
@@ -0,0 +1,89 @@
+/** What one plan and its confirmation cost, by the number of documents in the configuration. */
+import { isLeft, right } from 'fp-ts/lib/Either.js';
+import { fromEither } from 'fp-ts/lib/TaskEither.js';
+
+import { PlanService } from '../../src/operator/node/planService.js';
+import {
+  quotaKey,
+  serviceKey,
+  VERSION_KEY,
+  zoneKey,
+} from '../../src/platform/configuration/common/documents.js';
+import type { TableService } from '../../src/platform/table/common/table.js';
+import { TableStandIn } from '../../standIns/platform/tableStandIn.js';
+import { toFigure } from './slopes.js';
+
+const PLAN_COUNT = 50;
+const PLAN_LIFETIME_MS = 600_000;
+const MICROSECONDS_PER_MS = 1_000;
+const SIZE = { processorMillis: 1_000, memoryBytes: 1_024, acceleratorCount: 0 };
+const ZONES = ['a', 'b', 'c', 'd', 'e', 'f', 'g'] as const;
+
+export interface OperatorFigures {
+  readonly documentCount: number;
+  /** Processor time of planning and confirming, that of the table's stand-in included. */
+  readonly processorMsPerPlan: number;
+  readonly readsPerPlan: number;
+  readonly readRowsPerPlan: number;
+  readonly transactionsPerPlan: number;
+  readonly writtenRowsPerPlan: number;
+  readonly readBytesPerPlan: number;
+}
+
+const fill = (table: TableStandIn, documentCount: number): void => {
+  const zones = ZONES.map((name) => ({
+    key: zoneKey(name),
+    value: { name, region: 'r', state: 'in-use' },
+  }));
+  const others = Array.from({ length: documentCount }, (_, index) => {
+    const team = `team-${index}`;
+    if (index % 3 === 0) return { key: quotaKey(team), value: { team, limit: SIZE } };
+    const name = `service-${index}`;
+    const value = { name, team, replicaCount: 5, size: SIZE, urgency: 'normal' };
+    return { key: serviceKey(name), value };
+  });
+  const writes = [{ key: VERSION_KEY, value: { version: 1 } }, ...zones, ...others];
+  table.transact({ operationId: 'fill', conditions: [], writes });
+};
+
+export const measureOperator = async (documentCount: number): Promise<OperatorFigures> => {
+  const table = new TableStandIn();
+  fill(table, documentCount);
+  let readBytes = 0;
+  const service: TableService = {
+    read: (request) => {
+      const result = table.read(request);
+      readBytes += Buffer.byteLength(JSON.stringify(result));
+      return fromEither(right(result));
+    },
+    transact: (transaction) => fromEither(right(table.transact(transaction))),
+  };
+  const plans = new PlanService(service, PLAN_LIFETIME_MS);
+  const before = { ...table.counts };
+  const usageBefore = process.cpuUsage();
+  for (let index = 0; index < PLAN_COUNT; index += 1) {
+    const job = { submissionKey: `job-${index}`, taskCount: 100, size: SIZE, workMs: 1_000 };
+    // eslint-disable-next-line no-await-in-loop -- one plan at a time
+    const plan = await plans.plan(
+      { intent: 'submit-job', team: 'kitchen', urgency: 'normal', ...job },
+      'ann',
+    );
+    if (isLeft(plan)) throw new Error(plan.left.message);
+    const { planId, digest } = plan.right;
+    // eslint-disable-next-line no-await-in-loop
+    const confirmed = await plans.confirm({ planId, digest, author: 'ann' });
+    if (isLeft(confirmed)) throw new Error(confirmed.left.message);
+  }
+  const usage = process.cpuUsage(usageBefore);
+  const { counts } = table;
+  const perPlan = (value: number): number => toFigure(value / PLAN_COUNT);
+  return {
+    documentCount,
+    processorMsPerPlan: perPlan((usage.user + usage.system) / MICROSECONDS_PER_MS),
+    readsPerPlan: perPlan(counts.readCount - before.readCount),
+    readRowsPerPlan: perPlan(counts.readRowCount - before.readRowCount),
+    transactionsPerPlan: perPlan(counts.transactionCount - before.transactionCount),
+    writtenRowsPerPlan: perPlan(counts.writtenRowCount - before.writtenRowCount),
+    readBytesPerPlan: perPlan(readBytes),
+  };
+};
--- /dev/null
+++ b/bench/capacity/slopes.ts
@@ -0,0 +1,59 @@
+/** Straight lines through measurements at several sizes. */
+
+/** One measurement: a size and what was measured at it. */
+export interface Measured {
+  readonly size: number;
+  readonly value: number;
+}
+
+export interface Line {
+  readonly atZero: number;
+  readonly slope: number;
+  /** The largest distance of a measurement from the line, as a share of the largest value. */
+  readonly worstMissRatio: number;
+}
+
+const mean = (values: readonly number[]): number =>
+  values.reduce((sum, value) => sum + value, 0) / values.length;
+
+/** The least-squares line; it tells how badly the measurements miss it. */
+export const lineThrough = (points: readonly Measured[]): Line => {
+  const meanSize = mean(points.map(({ size }) => size));
+  const meanValue = mean(points.map(({ value }) => value));
+  const spread = points.reduce((sum, { size }) => sum + (size - meanSize) ** 2, 0);
+  const slope =
+    points.reduce((sum, { size, value }) => sum + (size - meanSize) * (value - meanValue), 0) /
+    spread;
+  const atZero = meanValue - slope * meanSize;
+  const largest = Math.max(...points.map(({ value }) => Math.abs(value)), Number.MIN_VALUE);
+  const misses = points.map(({ size, value }) => Math.abs(atZero + slope * size - value));
+  return { atZero, slope, worstMissRatio: Math.max(...misses) / largest };
+};
+
+const FIGURE_DIGITS = 4;
+
+export const toFigure = (value: number): number => Number(value.toPrecision(FIGURE_DIGITS));
+
+/** A line through one field of rows, ready to be kept. */
+export const fieldLine = <Row>(
+  rows: readonly Row[],
+  toSize: (row: Row) => number,
+  toValue: (row: Row) => number,
+): Line => {
+  const line = lineThrough(rows.map((row) => ({ size: toSize(row), value: toValue(row) })));
+  return {
+    atZero: toFigure(line.atZero),
+    slope: toFigure(line.slope),
+    worstMissRatio: toFigure(line.worstMissRatio),
+  };
+};
+
+/** Runs one measurement after the other, so that none disturbs another. */
+export const inTurn = <Item, Result>(
+  items: readonly Item[],
+  run: (item: Item) => Promise<Result>,
+): Promise<readonly Result[]> =>
+  items.reduce<Promise<readonly Result[]>>(
+    async (before, item) => [...(await before), await run(item)],
+    Promise.resolve([]),
+  );
--- /dev/null
+++ b/soak/test/soak.test.ts
@@ -0,0 +1,21 @@
+/** Fixed seeds of each scenario, the same verdict on each run. */
+import { describe, expect, it } from 'vitest';
+
+import type { Scenario } from './soakCommands.js';
+import { runSeed } from './soakRun.js';
+
+const CASES: readonly { readonly scenario: Scenario; readonly seeds: readonly number[] }[] = [
+  { scenario: 'scheduler', seeds: [1, 2, 4, 7, 8, 9, 18] },
+  { scenario: 'operator', seeds: [1, 2, 3, 8, 13] },
+  { scenario: 'all', seeds: [1, 2, 3, 4, 5, 6, 7, 8] },
+];
+
+describe('randomised runs', () => {
+  CASES.flatMap(({ scenario, seeds }) => seeds.map((seed) => ({ scenario, seed }))).forEach(
+    ({ scenario, seed }) =>
+      it(`${scenario}, seed ${seed}`, async () => {
+        const result = await runSeed({ seed, scenario, maximumStepCount: 60 });
+        expect(result.failure).toBeUndefined();
+      }),
+  );
+});
--- /dev/null
+++ b/tools/stats.mjs
@@ -0,0 +1,74 @@
+/**
+ * Counts lines that are neither blank nor comment: `npm run stats`. Fails when test code exceeds
+ * a third of all code or stand-ins exceed their limit of lines.
+ */
+import { readdirSync, readFileSync } from 'node:fs';
+import { join } from 'node:path';
+
+const MAXIMUM_TEST_SHARE = 1 / 3;
+const MAXIMUM_STAND_IN_LINES = 1_500;
+const ROOTS = ['src', 'standIns', 'bench', 'soak', 'tools'];
+
+/** What a product file is for; the first pattern that matches counts. */
+const PURPOSES = [
+  ['membership', /^src\/(peers|platform\/instanceList)\//u],
+  ['membership', /^src\/scheduler\/(common\/cellLease|node\/cellTasks)/u],
+  ['retries', /^src\/(entry|platform)\/.*([rR]etr|attempt|claim|backoff)/u],
+  ['limits', /^src\/(entry|platform|operator)\/.*(limit|[qQ]ueue|admission|share|quota|budget)/iu],
+  ['routing', /^src\/entry\//u],
+  ['state and recovery', /^src\/(scheduler|operator\/common|operator\/node\/planService)/u],
+  ['state and recovery', /^src\/platform\/(configuration|table|work|worker|objectStore)\//u],
+  ['other', /^src\//u],
+];
+
+const filesUnder = (folder) =>
+  readdirSync(folder, { withFileTypes: true }).flatMap((entry) => {
+    const path = join(folder, entry.name);
+    if (entry.isDirectory()) return filesUnder(path);
+    return /\.(ts|mjs)$/u.test(entry.name) ? [path] : [];
+  });
+
+const codeLineCount = (text) =>
+  text
+    .replace(/\/\*[\s\S]*?\*\//gu, '')
+    .split('\n')
+    .filter((line) => line.trim() !== '' && !line.trim().startsWith('//')).length;
+
+const kindOf = (path) => {
+  if (/(^|\/)test\//u.test(path) || path.endsWith('.test.ts')) return 'test';
+  const [root] = path.split('/');
+  return { src: 'product', standIns: 'stand-in', tools: 'tool' }[root] ?? root;
+};
+
+const lines = new Map();
+const purposes = new Map();
+let standInLines = 0;
+const add = (counts, name, count) => counts.set(name, (counts.get(name) ?? 0) + count);
+
+ROOTS.flatMap(filesUnder).forEach((path) => {
+  const text = readFileSync(path, 'utf8');
+  const count = codeLineCount(text);
+  const kind = kindOf(path);
+  add(lines, kind, count);
+  if (kind === 'stand-in') standInLines += text.split('\n').length - 1;
+  if (kind !== 'product') return;
+  add(purposes, PURPOSES.find(([, pattern]) => pattern.test(path))[0], count);
+});
+
+const total = [...lines.values()].reduce((sum, count) => sum + count, 0);
+const percent = (part, whole) => `${((100 * part) / whole).toFixed(1)} %`;
+const row = (name, count, whole) =>
+  `  ${name.padEnd(20)} ${String(count).padStart(6)}  ${percent(count, whole).padStart(7)}`;
+console.log('lines of code, without blanks and comments');
+[...lines].forEach(([name, count]) => console.log(row(name, count, total)));
+console.log('product lines by purpose');
+const product = lines.get('product') ?? 0;
+[...purposes].forEach(([name, count]) => console.log(row(name, count, product)));
+const core = product - (purposes.get('other') ?? 0);
+console.log(row('all but other', core, product));
+const testShare = (lines.get('test') ?? 0) / total;
+console.log(
+  `test code: ${percent(testShare, 1)} of all, at most ${percent(MAXIMUM_TEST_SHARE, 1)}`,
+);
+console.log(`stand-ins: ${standInLines} lines in all, at most ${MAXIMUM_STAND_IN_LINES}`);
+if (testShare > MAXIMUM_TEST_SHARE || standInLines > MAXIMUM_STAND_IN_LINES) process.exitCode = 1;
