A cancelled or unwanted task whose start was refused is taken back

Cause: an assignment that never started ended only when its zone was withdrawn; one of a cancelled job or on a draining worker was neither started nor taken back. Change: such an assignment ends as never-started once no start that was sent can take effect. Shrinking stops after 20 s.

--- a/soak/test/soakRun.ts
+++ b/soak/test/soakRun.ts
@@ -5,6 +5,8 @@
 import { type Sabotage, SoakWorld } from './soakWorld.js';
 
 const SEED_LIMIT = 2 ** 31 - 1;
+/** A failure is reported as far as it was shrunk by then. */
+const SHRINKING_LIMIT_MS = 20_000;
 
 export interface SoakResult {
   readonly stepCount: number;
@@ -53,6 +55,7 @@
     seed: options.seed,
     numRuns: 1,
     endOnFailure: options.isShrunk === false,
+    interruptAfterTimeLimit: SHRINKING_LIMIT_MS,
   });
   return {
     ...totals,
--- a/src/scheduler/common/taskEnds.ts
+++ b/src/scheduler/common/taskEnds.ts
@@ -10,6 +10,7 @@
 } from '../../platform/work/common/workRows.js';
 import type { CellDraft } from './cellRows.js';
 import type { CellState } from './cellState.js';
+import { wantedEvictions } from './wantedEvictions.js';
 import { reportedTask, type WorkerView } from './workerView.js';
 
 export const AssignmentEnd = {
@@ -43,6 +44,7 @@
   state: CellState,
   view: WorkerView | undefined,
   assignment: Assignment,
+  isUnwanted: boolean,
   nowMs: number,
 ): AssignmentEnd | undefined => {
   if (view === undefined) return undefined;
@@ -56,10 +58,12 @@
   if (view.report.incarnation !== assignment.incarnation) return AssignmentEnd.Lost;
   const task = reportedTask(view, assignment);
   if (task !== undefined) return ENDS_BY_REPORT[task.state];
-  // Not started yet. It is taken back only when the zone is withdrawn and no start that was
-  // sent can still take effect on the worker's clock.
+  // Not started yet. It is taken back only when it will not be started any more (the zone is
+  // withdrawn, the job cancelled, the worker draining) and no start that was sent can still take
+  // effect on the worker's clock. Without this it would hold its capacity for ever.
   const isStartPast = view.report.workerNowMs > view.startsGoodUntilWorkerMs;
-  if (state.withdrawnSinceMs === undefined || !isStartPast) return undefined;
+  const isTakenBack = isUnwanted || state.withdrawnSinceMs !== undefined;
+  if (!isTakenBack || !isStartPast) return undefined;
   return AssignmentEnd.NeverStarted;
 };
 
@@ -114,12 +118,13 @@
   state: CellState,
   draft: CellDraft,
   rack: string,
+  unwanted: ReadonlySet<Assignment>,
   nowMs: number,
 ): readonly AssignmentEnd[] => {
   const ends: AssignmentEnd[] = [];
   const remaining = draft.assignments(rack).filter((assignment) => {
     const view = state.workers.get(assignment.workerId);
-    const end = assignmentEnd(state, view, assignment, nowMs);
+    const end = assignmentEnd(state, view, assignment, unwanted.has(assignment), nowMs);
     if (end === undefined) return true;
     ends.push(end);
     const report = view === undefined ? undefined : reportedTask(view, assignment);
@@ -135,5 +140,7 @@
   state: CellState,
   draft: CellDraft,
   nowMs: number,
-): readonly AssignmentEnd[] =>
-  draft.racks.flatMap((rack) => recordRackEnds(state, draft, rack, nowMs));
+): readonly AssignmentEnd[] => {
+  const unwanted = new Set(wantedEvictions(state, nowMs));
+  return draft.racks.flatMap((rack) => recordRackEnds(state, draft, rack, unwanted, nowMs));
+};
