The judge of randomised runs can fail: one broken safeguard for each point it judges

Seven switches that only tests have (twice the capacity, silence taken for the end of leases, a start without its checkpoint, a deaf cell without the zone's condition, a lost answer reported as not run, an entry that keeps its routes, a reader that takes older answers); each is found, and the same steps without the switch find nothing. The test of the lost answer now causes its case directly, for the harness draws its delays in another order since readers read once more in between; it fails without the change it is for.

--- /dev/null
+++ b/soak/test/brokenSafeguards.test.ts
@@ -0,0 +1,190 @@
+/**
+ * The judge can fail: each test breaks one safeguard by a switch that only tests have, and the
+ * judge must see what users would. Without the switch the same steps find nothing.
+ */
+import { describe, expect, it } from 'vitest';
+
+import { ZONE_PREFIX } from '../../src/platform/configuration/common/documents.js';
+import type { CellState } from '../../src/scheduler/common/cellState.js';
+import type { WorkerView } from '../../src/scheduler/common/workerView.js';
+import { assertNothingFound } from './soakCommands.js';
+import type { Sabotage } from './sabotage.js';
+import { SERVICE, SoakWorld, TASK_SIZE, ZONES } from './soakWorld.js';
+
+type Steps = (world: SoakWorld) => Promise<void>;
+
+interface Case {
+  /** The point of the brief. */
+  readonly point: string;
+  readonly broken: string;
+  readonly sabotage: Sabotage;
+  readonly steps: Steps;
+  readonly finding: RegExp;
+}
+
+const SEED = 7;
+
+const submit = (world: SoakWorld, taskCount: number, workMs: number): void => {
+  const job = { team: 'kitchen', submissionKey: 'job-1', size: TASK_SIZE, taskCount, workMs };
+  void world.operate(0, { intent: 'submit-job', urgency: 'normal', ...job });
+};
+
+const withViews = (state: CellState, alter: (view: WorkerView) => WorkerView): CellState => ({
+  ...state,
+  workers: new Map([...state.workers].map(([id, view]) => [id, alter(view)])),
+});
+
+/** A cell that goes on believing its zone is in use. */
+const deafState = (state: CellState): CellState => {
+  if (state.configuration === undefined) return state;
+  const { view, confirmedAtMs } = state.configuration;
+  const zones = new Map(
+    [...view.zones].map(([name, zone]) => [name, { ...zone, state: 'in-use' as const }]),
+  );
+  const configuration = { view: { ...view, zones }, confirmedAtMs };
+  return { ...state, configuration, withdrawnSinceMs: undefined };
+};
+
+const CASES: readonly Case[] = [
+  {
+    point: 'no instance is committed beyond its processors',
+    broken: 'the scheduler believes in twice the capacity',
+    sabotage: {
+      alterState: (state) =>
+        withViews(state, (view) => {
+          const { capacity } = view.instance;
+          const twice = { ...capacity, processorMillis: 16_000 };
+          return { ...view, instance: { ...view.instance, capacity: twice } };
+        }),
+    },
+    steps: async (world) => {
+      submit(world, 40, 5_000);
+      await world.runFor(6_000);
+    },
+    finding: /overcommitted/u,
+  },
+  {
+    point: 'no task runs in two places at once',
+    broken: 'silence is taken for the end of the leases',
+    sabotage: {
+      alterState: (state) =>
+        withViews(state, (view) => ({
+          ...view,
+          leasesOverAtMs: Math.min(view.leasesOverAtMs, view.reportedAtMs + 1_000),
+        })),
+    },
+    steps: async (world) => {
+      submit(world, 4, 9_000);
+      await world.runFor(3_000);
+      world.workers.forEach((worker) =>
+        Object.assign(worker, { isCut: worker.id.endsWith('0') || worker.id.endsWith('1') }),
+      );
+      await world.runFor(8_000);
+    },
+    finding: /ran in two places/u,
+  },
+  {
+    point: 'evicted work resumes exactly once',
+    broken: 'the checkpoint is left out of the start',
+    sabotage: {
+      alterCommand: (command) => ({
+        ...command,
+        starts: command.starts.map((start) => ({ ...start, checkpoint: null })),
+      }),
+    },
+    steps: async (world) => {
+      submit(world, 4, 9_000);
+      await world.runFor(3_000);
+      void world.operate(0, { intent: 'withdraw-zone', zone: ZONES[0] });
+      await world.runFor(10_000);
+    },
+    finding: /did not resume from the checkpoint/u,
+  },
+  {
+    point: 'no task starts in a withdrawn zone',
+    broken: 'no condition on the zone, no look at the configuration',
+    sabotage: {
+      alterState: deafState,
+      alterTransaction: (transaction) => ({
+        ...transaction,
+        conditions: transaction.conditions.filter(({ key }) => !key.startsWith(ZONE_PREFIX)),
+      }),
+    },
+    steps: async (world) => {
+      submit(world, 30, 2_000);
+      await world.runFor(1_000);
+      void world.operate(0, { intent: 'withdraw-zone', zone: ZONES[0] });
+      await world.runFor(10_000);
+    },
+    finding: /starts in a withdrawn zone/u,
+  },
+  {
+    point: '"not run" is said only of what did not run',
+    broken: 'a lost answer is reported as not run',
+    sabotage: { isAlwaysDenied: true },
+    steps: async (world) => {
+      const planCount = (): number =>
+        world.table.read({ keys: [], prefixes: ['plan/'] }).rows.length;
+      const before = planCount();
+      submit(world, 1, 1_000);
+      // eslint-disable-next-line no-await-in-loop -- time passes in steps
+      while (planCount() === before) await world.runFor(1);
+      Object.assign(world.tableFaults, { lostRatio: 1 });
+      await world.runFor(300);
+      Object.assign(world.tableFaults, { isDown: true });
+      await world.runFor(2_000);
+    },
+    finding: /"not run", but the plan was accepted/u,
+  },
+  {
+    point: 'a server that is leaving receives no new work',
+    broken: 'the entry keeps the routes it has',
+    sabotage: { hasDeafEntries: true },
+    steps: async (world) => {
+      const [server] = world.daemons[0]?.routes.get(SERVICE) ?? [];
+      const zone = server?.availabilityZone ?? ZONES[0];
+      void world.operate(0, { intent: 'withdraw-zone', zone });
+      await world.runFor(6_000);
+    },
+    finding: /sends new work to zone-/u,
+  },
+  {
+    point: 'an accepted configuration never reverts',
+    broken: 'the reader takes older answers too',
+    sabotage: { hasRevertingReaders: true },
+    steps: async (world) => {
+      Object.assign(world.tableFaults, { lateRatio: 0.5, lateDelayMs: 700 });
+      Array.from({ length: 20 }, (_, index) => index).forEach((index) => {
+        world.schedule(index * 2_000, () => {
+          const [zone] = ZONES;
+          const withdraw = { intent: 'withdraw-zone', zone } as const;
+          const use = { intent: 'use-zone', zone, region: 'r' } as const;
+          void world.operate(index, index % 2 === 0 ? use : withdraw);
+        });
+      });
+      await world.runFor(45_000);
+    },
+    finding: /went back from/u,
+  },
+];
+
+const findingsOf = async (steps: Steps, sabotage: Sabotage): Promise<string> => {
+  const world = new SoakWorld(SEED, sabotage);
+  await world.start();
+  await steps(world);
+  try {
+    assertNothingFound(world);
+    return '';
+  } catch (error) {
+    return (error as Error).message;
+  }
+};
+
+describe('the judge can fail', () => {
+  CASES.forEach(({ point, broken, sabotage, steps, finding }) =>
+    it(`${point}: ${broken}`, async () => {
+      expect(await findingsOf(steps, {})).toBe('');
+      expect(await findingsOf(steps, sabotage)).toMatch(finding);
+    }),
+  );
+});
--- a/soak/test/found.test.ts
+++ b/soak/test/found.test.ts
@@ -33,11 +33,16 @@
   it('seed 18, scheduler: "not run" is not said of a plan whose answer was lost', async () => {
     const world = new SoakWorld(1_524_433_494);
     await world.start();
+    const planCount = (): number => world.table.read({ keys: [], prefixes: ['plan/'] }).rows.length;
+    const before = planCount();
     void submit(world, 1, 10);
-    await world.runFor(38);
-    world.tableFaults.lateRatio = 0.22;
-    world.schedule(833, () => Object.assign(world.tableFaults, { lateRatio: 0 }));
-    await world.runFor(400);
+    // eslint-disable-next-line no-await-in-loop -- time passes in steps
+    while (planCount() === before) await world.runFor(1);
+    world.tableFaults.lostRatio = 1;
+    await world.runFor(300);
+    Object.assign(world.tableFaults, { lostRatio: 0, isDown: true });
+    await world.runFor(2_000);
+    world.tableFaults.isDown = false;
     await expectSettled(world);
   });
 
--- /dev/null
+++ b/soak/test/sabotage.ts
@@ -0,0 +1,46 @@
+/** Switches of randomised runs that each break one safeguard, to show that the judge sees it. */
+import { isLeft } from 'fp-ts/lib/Either.js';
+
+import {
+  type ConfigurationView,
+  toConfigurationView,
+} from '../../src/platform/configuration/common/configurationView.js';
+import { DOCUMENT_PREFIX, VERSION_KEY } from '../../src/platform/configuration/common/documents.js';
+import type { ConfigurationReader } from '../../src/platform/configuration/node/configurationReader.js';
+import type { TableService, Transaction } from '../../src/platform/table/common/table.js';
+import type { WorkerCommand } from '../../src/platform/worker/common/workerClient.js';
+import type { CellState } from '../../src/scheduler/common/cellState.js';
+
+export interface Sabotage {
+  readonly alterTransaction?: (transaction: Transaction) => Transaction;
+  readonly alterCommand?: (command: WorkerCommand) => WorkerCommand;
+  /** Workers start an attempt that a former incarnation was given. */
+  readonly hasForgetfulWorkers?: boolean;
+  /** Readers take whatever they read, the older too. */
+  readonly hasRevertingReaders?: boolean;
+  /** Entries that ignore the configuration and go on with the servers they have read. */
+  readonly hasDeafEntries?: boolean;
+  /** Operators are told `not-run` whatever the failure. */
+  readonly isAlwaysDenied?: boolean;
+  readonly alterState?: (state: CellState) => CellState;
+}
+
+export type SoakReader = Pick<ConfigurationReader, 'current' | 'confirmedAtMs' | 'refresh'>;
+
+/** A reader without its safeguard: whatever answer comes last is in force. */
+export class RevertingReader implements SoakReader {
+  current: ConfigurationView | undefined;
+
+  readonly confirmedAtMs = 0;
+
+  readonly #table: TableService;
+
+  constructor(table: TableService) {
+    this.#table = table;
+  }
+
+  async refresh(): Promise<void> {
+    const read = await this.#table.read({ keys: [VERSION_KEY], prefixes: [DOCUMENT_PREFIX] })();
+    if (!isLeft(read)) this.current = toConfigurationView(read.right.rows);
+  }
+}
--- a/soak/test/soakCommands.ts
+++ b/soak/test/soakCommands.ts
@@ -6,6 +6,7 @@
 import {
   CAPACITY,
   DAEMON_COUNT,
+  NO_FAULTS,
   SERVICE,
   type SoakWorld,
   TASK_SIZE,
@@ -173,7 +174,7 @@
     (percent, durationMs) => (world) => {
       Object.assign(world[target], toFault(percent / 100));
       world.schedule(durationMs, () => {
-        Object.assign(world[target], { isDown: false, lateRatio: 0, lostRatio: 0 });
+        Object.assign(world[target], NO_FAULTS);
         world.daemons.forEach((daemon) => Object.assign(daemon, { hinderedAtMs: world.nowMs }));
       });
     },
--- a/soak/test/soakJudge.ts
+++ b/soak/test/soakJudge.ts
@@ -48,6 +48,8 @@
 
   readonly #acceptedPlans = new Map<string, number>();
 
+  readonly #highestInForce = new Map<string, number>();
+
   readonly #deniedPlans = new Set<string>();
 
   constructor(zoneOf: ReadonlyMap<string, string>) {
@@ -146,9 +148,11 @@
     this.find(`${daemonId} sends new work to ${zone}, which was withdrawn`, nowMs);
   }
 
-  noteInForce(daemonId: string, before: number, after: number, nowMs: number): void {
-    if (after < before) this.find(`${daemonId} went back from ${before} to ${after}`, nowMs);
-    if (after > this.configurationVersion) this.find(`${daemonId} is ahead of the table`, nowMs);
+  noteInForce(daemonId: string, version: number, nowMs: number): void {
+    const highest = this.#highestInForce.get(daemonId) ?? 0;
+    if (version < highest) this.find(`${daemonId} went back from ${highest} to ${version}`, nowMs);
+    if (version > this.configurationVersion) this.find(`${daemonId} is ahead of the table`, nowMs);
+    this.#highestInForce.set(daemonId, Math.max(version, highest));
   }
 
   /** Everything found up to now, the workers' records included. */
--- a/soak/test/soakRun.ts
+++ b/soak/test/soakRun.ts
@@ -2,7 +2,8 @@
 import fc from 'fast-check';
 
 import { expectSettled, type Scenario, SCENARIOS, type SoakModel } from './soakCommands.js';
-import { type Sabotage, SoakWorld } from './soakWorld.js';
+import type { Sabotage } from './sabotage.js';
+import { SoakWorld } from './soakWorld.js';
 
 const SEED_LIMIT = 2 ** 31 - 1;
 /** A failure is reported as far as it was shrunk by then. */
--- a/soak/test/soakWorld.ts
+++ b/soak/test/soakWorld.ts
@@ -38,6 +38,7 @@
 import { TEST_TIMING } from '../../src/scheduler/test/virtualCell.js';
 import { TableStandIn } from '../../standIns/platform/tableStandIn.js';
 import { SoakJudge } from './soakJudge.js';
+import { RevertingReader, type Sabotage, type SoakReader } from './sabotage.js';
 import { SoakWorker } from './soakWorker.js';
 import { VirtualTime } from './virtualTime.js';
 
@@ -57,29 +58,13 @@
 const CONFIGURATION_INTERVAL_MS = 700;
 const CALL_TIMEOUT_MS = 800;
 const USUAL_DELAY_MS = 20;
-const LATE_DELAY_MS = 8_000;
 const PLAN_LIFETIME_MS = 600_000;
 const NEVER_MS = 2 ** 30;
 
-/** Test switches that each break one safeguard, to show that the judge sees it. */
-export interface Sabotage {
-  readonly alterTransaction?: (transaction: Transaction) => Transaction;
-  readonly alterCommand?: (command: WorkerCommand) => WorkerCommand;
-  /** Workers start an attempt that a former incarnation was given. */
-  readonly hasForgetfulWorkers?: boolean;
-  /** Readers take whatever they read, the older too. */
-  readonly hasRevertingReaders?: boolean;
-  /** Entries that ignore the configuration and go on with the servers they have read. */
-  readonly hasDeafEntries?: boolean;
-  /** Operators are told `not-run` whatever the failure. */
-  readonly isAlwaysDenied?: boolean;
-  readonly alterState?: (state: CellState) => CellState;
-}
-
 export interface SoakDaemon {
   readonly id: string;
   readonly cells: Map<string, CellState>;
-  reader: ConfigurationReader;
+  reader: SoakReader;
   plans: PlanService;
   endpointRows: readonly EndpointRow[];
   routes: RoutingTable;
@@ -95,10 +80,18 @@
   isDown: boolean;
   /** The share of messages that arrive seconds late, when the sender has given them up. */
   lateRatio: number;
+  lateDelayMs: number;
   /** The share of answers that are lost after the call took effect. */
   lostRatio: number;
 }
 
+export const NO_FAULTS: CallFaults = {
+  isDown: false,
+  lateRatio: 0,
+  lateDelayMs: 8_000,
+  lostRatio: 0,
+};
+
 export class SoakWorld {
   readonly time = new VirtualTime();
 
@@ -112,9 +105,9 @@
 
   readonly counters = new Map<string, number>();
 
-  readonly tableFaults: CallFaults = { isDown: false, lateRatio: 0, lostRatio: 0 };
+  readonly tableFaults: CallFaults = { ...NO_FAULTS };
 
-  readonly workerFaults: CallFaults = { isDown: false, lateRatio: 0, lostRatio: 0 };
+  readonly workerFaults: CallFaults = { ...NO_FAULTS };
 
   /** Jobs that an operator was told are accepted. */
   readonly acceptedJobIds = new Set<string>();
@@ -244,15 +237,13 @@
     });
   }
 
-  #createReader(table: TableService): ConfigurationReader {
+  #createReader(table: TableService): SoakReader {
+    if (this.#sabotage.hasRevertingReaders) return new RevertingReader(table);
     const clock = { nowMs: () => this.nowMs };
-    const create = (): ConfigurationReader => {
-      const reader = new ConfigurationReader(table, clock, silentLog, silentMetrics, NEVER_MS);
-      // Its own timer runs on real time; here it is told when to read.
-      reader.dispose();
-      return reader;
-    };
-    return create();
+    const reader = new ConfigurationReader(table, clock, silentLog, silentMetrics, NEVER_MS);
+    // Its own timer runs on real time; here it is told when to read.
+    reader.dispose();
+    return reader;
   }
 
   #every(intervalMs: number, daemon: SoakDaemon, run: () => void): void {
@@ -267,7 +258,7 @@
 
   #delayMs(faults: CallFaults): number {
     const isLate = this.#random.nextFraction() < faults.lateRatio;
-    return 1 + this.#random.nextIndex(isLate ? LATE_DELAY_MS : USUAL_DELAY_MS);
+    return 1 + this.#random.nextIndex(isLate ? faults.lateDelayMs : USUAL_DELAY_MS);
   }
 
   /** Runs what arrives at a daemon: not at all once dead, after the pause while paused. */
@@ -286,7 +277,8 @@
       }
       this.#handle(daemon, zone, { kind: 'tick' });
     });
-    const isDeaf = this.#sabotage.hasDeafEntries === true && daemon.routes.size > 0;
+    const hasServers = (daemon.routes.get(SERVICE)?.length ?? 0) > 0;
+    const isDeaf = this.#sabotage.hasDeafEntries === true && hasServers;
     if (current !== undefined && !isDeaf) {
       // eslint-disable-next-line no-param-reassign
       daemon.routes = toRoutingTable(current, daemon.endpointRows, this.#instances);
@@ -302,17 +294,19 @@
     );
   }
 
+  /** Reads at the usual time and once more in between, as when a peer tells of a newer version. */
   #readConfiguration(daemon: SoakDaemon): void {
-    const before = daemon.reader.current?.version ?? 0;
-    if (this.#sabotage.hasRevertingReaders) {
-      // eslint-disable-next-line no-param-reassign
-      daemon.reader = this.#createReader(this.#tableOf(daemon));
-    }
-    void daemon.reader.refresh().then(() => {
-      const after = daemon.reader.current?.version ?? 0;
-      this.judge.noteInForce(daemon.id, before, after, this.nowMs);
-    });
-    this.time.noteSettled();
+    const refresh = (): void => {
+      void daemon.reader.refresh().then(() => {
+        const version = daemon.reader.current?.version ?? 0;
+        this.judge.noteInForce(daemon.id, version, this.nowMs);
+      });
+      this.time.noteSettled();
+    };
+    refresh();
+    this.schedule(this.#random.nextIndex(CONFIGURATION_INTERVAL_MS), () =>
+      SoakWorld.#deliver(daemon, refresh),
+    );
   }
 
   #readRoutes(daemon: SoakDaemon): void {
