--- a/bench/capacity/entryCapacity.ts
+++ b/bench/capacity/entryCapacity.ts
@@ -9,6 +9,7 @@
 import { inTurn, toFigure } from './slopes.js';
 
 const RATES = [100, 300, 600] as const;
+const WARM_UP_RATE = 600;
 const MEASURED_MS = 4_000;
 const SETTLING_MS = 3_000;
 const BATCH_INTERVAL_MS = 20;
@@ -59,6 +60,8 @@
       (line) => line.ports as readonly number[],
     );
     const daemon = await startSystem(children, backend.ready);
+    // Code that has just started is compiled meanwhile, which the slope must not count.
+    await sendAtRate(daemon.callerOrigin, WARM_UP_RATE);
     await delay(SETTLING_MS);
     return await inTurn([0, ...RATES], async (rate) => {
       const beforeMs = await processorMs(daemon.pid);
--- a/soak/test/soakWorld.ts
+++ b/soak/test/soakWorld.ts
@@ -444,7 +444,8 @@
       const worker = this.workers.get(workerId);
       if (worker === undefined || worker.isCut) return undefined;
       this.#startedNow.clear();
-      worker.advance(this.nowMs);
+      // All of them, so that a lease ends on time on a worker that nobody reaches.
+      this.workers.forEach((other) => other.advance(this.nowMs));
       const report = worker.command(altered, this.nowMs);
       const started = altered.starts.filter(({ taskId, attempt }) =>
         this.#startedNow.has(`${taskId}#${attempt}`),
--- /dev/null
+++ b/standIns/chaos/chaos.ts
@@ -0,0 +1,343 @@
+/**
+ * `npm run chaos -- --seed N --minutes M`: the whole system as separate processes under load and
+ * faults from a seeded list, judged from the stand-ins' own records only.
+ */
+import type { ChildProcess } from 'node:child_process';
+import { createHash } from 'node:crypto';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { setTimeout as delay } from 'node:timers/promises';
+import { parseArgs } from 'node:util';
+
+import { request } from 'undici';
+
+import { SeededRandom } from '../../src/base/common/random.js';
+import type { Instance } from '../../src/platform/instanceList/common/instanceList.js';
+import type { SettingsInput } from '../../src/platform/settings/common/settings.js';
+import { ChildProcesses } from '../demo/childProcesses.js';
+import type { Verdict } from '../workers/judge.js';
+import { ChaosCaller } from './chaosCaller.js';
+
+const ZONES = ['zone-a', 'zone-b', 'zone-c'] as const;
+const HOST = '127.0.0.1';
+const TOKEN = 'chaos-operator';
+const SERVICE = 'rounds';
+const WITHDRAWAL_BOUND_MS = 3_000;
+const MINUTE_MS = 60_000;
+const QUIET_LIMIT_MS = 120_000;
+const SIZE = { processorMillis: 2_000, memoryBytes: 2_000_000_000, acceleratorCount: 0 };
+
+const { values } = parseArgs({
+  options: {
+    seed: { type: 'string', default: '1' },
+    minutes: { type: 'string', default: '1' },
+  },
+});
+const random = new SeededRandom(Number(values.seed));
+
+const say = (line: Readonly<Record<string, unknown>>): void => {
+  process.stdout.write(`${JSON.stringify(line)}\n`);
+};
+
+const call = async (url: string, body?: unknown): Promise<{ status: number; answer: unknown }> => {
+  const headers = { authorization: `Bearer ${TOKEN}`, 'content-type': 'application/json' };
+  const post = { method: 'POST' as const, headers, body: JSON.stringify(body) };
+  const options = { headersTimeout: 5_000, ...(body === undefined ? { headers } : post) };
+  const response = await request(url, options);
+  return { status: response.statusCode, answer: await response.body.json() };
+};
+
+interface DaemonProcess {
+  readonly child: ChildProcess;
+  readonly instance: Instance & { readonly kind: 'daemon' };
+  readonly callerOrigin: string;
+  readonly operatorOrigin: string;
+  /** When it was told to leave; requests sent before must not be cut off. */
+  leftAtMs: number | undefined;
+}
+
+class ChaosSystem {
+  readonly acceptedJobIds: string[] = [];
+
+  readonly faultCounts = new Map<string, number>();
+
+  readonly departures = new Map<string, number>();
+
+  readonly #children = new ChildProcesses();
+
+  readonly #folder: string;
+
+  #platformOrigin = '';
+
+  #judgeOrigin = '';
+
+  #workers: readonly Instance[] = [];
+
+  #daemons: DaemonProcess[] = [];
+
+  #daemonCount = 0;
+
+  constructor(folder: string) {
+    this.#folder = folder;
+  }
+
+  get callerOrigins(): readonly string[] {
+    return this.#daemons
+      .filter(({ leftAtMs }) => leftAtMs === undefined)
+      .map(({ callerOrigin }) => callerOrigin);
+  }
+
+  async start(): Promise<void> {
+    const platform = await this.#children.start(
+      'standIns/platform/platformProcess.js',
+      [values.seed],
+      (line) => `http://${HOST}:${Number(line.port)}`,
+    );
+    this.#platformOrigin = platform.ready;
+    const options = {
+      zones: ZONES,
+      workersPerZone: 4,
+      workersPerRack: 2,
+      serviceTimeMs: 4,
+      withdrawalBoundMs: WITHDRAWAL_BOUND_MS,
+    };
+    const workers = await this.#children.start(
+      'standIns/workers/workersProcess.js',
+      [JSON.stringify(options)],
+      (line) => ({ port: Number(line.port), instances: line.instances as readonly Instance[] }),
+    );
+    this.#judgeOrigin = `http://${HOST}:${workers.ready.port}`;
+    this.#workers = workers.ready.instances;
+    await Promise.all(ZONES.map((zone) => this.#startDaemon(zone)));
+    await ZONES.reduce(async (before, zone) => {
+      await before;
+      await this.operate({ intent: 'use-zone', zone, region: 'r' });
+    }, Promise.resolve());
+    const service = { name: SERVICE, team: 'kitchen', replicaCount: 6, size: SIZE };
+    await this.operate({ intent: 'create-service', service: { ...service, urgency: 'urgent' } });
+  }
+
+  dispose(): void {
+    this.#children.dispose();
+  }
+
+  /** Plans and confirms through one daemon; false when it was refused or nobody answered. */
+  async operate(intent: Readonly<Record<string, unknown>>): Promise<boolean> {
+    const daemon = this.#daemons[random.nextIndex(this.#daemons.length)];
+    if (daemon === undefined) return false;
+    try {
+      const planned = await call(`${daemon.operatorOrigin}/v1/plans`, { intent });
+      if (planned.status !== 200) return false;
+      const { planId, digest } = planned.answer as { planId: string; digest: string };
+      const url = `${daemon.operatorOrigin}/v1/plans/${planId}/confirm`;
+      return (await call(url, { digest })).status === 200;
+    } catch {
+      return false;
+    }
+  }
+
+  async submit(index: number): Promise<void> {
+    const submissionKey = `job-${index}`;
+    const workMs = 200 + random.nextIndex(4_000);
+    const job = { team: 'kitchen', submissionKey, taskCount: 20, size: SIZE, workMs };
+    const isAccepted = await this.operate({ intent: 'submit-job', ...job });
+    if (isAccepted) this.acceptedJobIds.push(`kitchen.${submissionKey}`);
+  }
+
+  /** Marks a withdrawal for the judge only once an operator was told that it is in force. */
+  async setZone(zone: string, isWithdrawn: boolean): Promise<void> {
+    const use = { intent: 'use-zone', zone, region: 'r' };
+    if (!isWithdrawn) await call(`${this.#judgeOrigin}/mark`, { zone, isWithdrawn });
+    const isDone = await this.operate(isWithdrawn ? { intent: 'withdraw-zone', zone } : use);
+    if (isWithdrawn && isDone) await call(`${this.#judgeOrigin}/mark`, { zone, isWithdrawn });
+  }
+
+  setPlatformFaults(faults: Readonly<Record<string, unknown>>): Promise<unknown> {
+    return call(`${this.#platformOrigin}/control/faults`, faults);
+  }
+
+  /** Replaces a daemon: by SIGKILL at once, or by SIGTERM with a graceful shutdown. */
+  async replace(index: number, isGraceful: boolean): Promise<void> {
+    const daemon = this.#daemons[index % this.#daemons.length];
+    if (daemon === undefined || this.#daemons.length < 2) return;
+    daemon.leftAtMs = performance.now();
+    if (isGraceful) this.departures.set(daemon.callerOrigin, daemon.leftAtMs);
+    daemon.child.kill(isGraceful ? 'SIGTERM' : 'SIGKILL');
+    this.#daemons = this.#daemons.filter((other) => other !== daemon);
+    await delay(random.nextIndex(2_000));
+    await this.#startDaemon(daemon.instance.availabilityZone);
+  }
+
+  async pause(index: number, durationMs: number): Promise<void> {
+    const daemon = this.#daemons[index % this.#daemons.length];
+    daemon?.child.kill('SIGSTOP');
+    await delay(durationMs);
+    daemon?.child.kill('SIGCONT');
+  }
+
+  async verdict(): Promise<Verdict> {
+    return (await call(`${this.#judgeOrigin}/verdict`)).answer as Verdict;
+  }
+
+  async runCounts(): Promise<Readonly<Record<string, number>>> {
+    return (await call(`${this.#judgeOrigin}/runs`)).answer as Record<string, number>;
+  }
+
+  /** Accepted jobs that are not yet over. */
+  async openJobIds(): Promise<readonly string[]> {
+    const [daemon] = this.#daemons;
+    const answers = await Promise.all(
+      this.acceptedJobIds.map(async (jobId) => {
+        const found = await call(`${daemon?.operatorOrigin}/v1/jobs/${jobId}`).catch(
+          () => undefined,
+        );
+        return (found?.answer as { isEnded?: boolean } | undefined)?.isEnded === true;
+      }),
+    );
+    return this.acceptedJobIds.filter((_, index) => answers[index] !== true);
+  }
+
+  async #startDaemon(zone: string): Promise<void> {
+    this.#daemonCount += 1;
+    const id = `entry-${this.#daemonCount}`;
+    const listen = { host: HOST, port: 0 };
+    const origin = this.#platformOrigin;
+    const sha256 = createHash('sha256').update(TOKEN).digest('hex');
+    const settings: SettingsInput = {
+      instanceId: id,
+      availabilityZone: zone,
+      listen: { callers: listen, operators: listen, peers: listen },
+      platform: { tableOrigin: origin, objectStoreOrigin: origin, instanceListOrigin: origin },
+      operator: { tokens: [{ name: 'chaos', role: 'confirm', sha256 }] },
+    };
+    const file = join(this.#folder, `${id}.json`);
+    await writeFile(file, JSON.stringify(settings));
+    const { child, ready } = await this.#children.start(
+      'src/daemon/node/snipethreadd.js',
+      ['--settings', file],
+      (line) => (line.event === 'listening' ? line : undefined),
+    );
+    const operatorAddress = { host: HOST, port: Number(ready.operatorsPort) };
+    this.#daemons.push({
+      child,
+      instance: {
+        kind: 'daemon',
+        id,
+        availabilityZone: zone,
+        state: 'live',
+        peerAddress: { host: HOST, port: Number(ready.peersPort) },
+        operatorAddress,
+      },
+      callerOrigin: `http://${HOST}:${Number(ready.callersPort)}`,
+      operatorOrigin: `http://${HOST}:${operatorAddress.port}`,
+      leftAtMs: undefined,
+    });
+    const instances = [...this.#workers, ...this.#daemons.map(({ instance }) => instance)];
+    await call(`${this.#platformOrigin}/control/instances`, { instances });
+  }
+}
+
+type Fault = (system: ChaosSystem) => Promise<unknown>;
+
+const platformFault =
+  (faults: Readonly<Record<string, unknown>>): Fault =>
+  async (system) => {
+    await system.setPlatformFaults(faults);
+    await delay(500 + random.nextIndex(4_000));
+    await system.setPlatformFaults({});
+  };
+
+const FAULTS: Readonly<Record<string, Fault>> = {
+  kill: (system) => system.replace(random.nextIndex(3), false),
+  shutDown: (system) => system.replace(random.nextIndex(3), true),
+  pause: (system) => system.pause(random.nextIndex(3), 300 + random.nextIndex(5_000)),
+  tableDown: platformFault({ isDown: true }),
+  tableSlow: platformFault({ delayMs: 300 }),
+  answersLost: platformFault({ lostAnswerRatio: 0.4 }),
+  zoneOutAndBack: async (system) => {
+    const zone = ZONES[random.nextIndex(ZONES.length)] ?? ZONES[0];
+    await system.setZone(zone, true);
+    await delay(4_000 + random.nextIndex(3_000));
+    await system.setZone(zone, false);
+  },
+};
+
+/** What users would see that must never be, from the stand-ins' and callers' records. */
+const judge = async (system: ChaosSystem, caller: ChaosCaller): Promise<readonly string[]> => {
+  const verdict = await system.verdict();
+  const runs = await system.runCounts();
+  const runCount = (path: string): number => runs[path] ?? 0;
+  const paths = (told: ChaosCaller['told']): string => told.map(({ path }) => path).join(' ');
+  const checks: readonly [string, string][] = [
+    ['tasks in two places', verdict.doubleRuns.join(' ')],
+    ['tasks completed twice', verdict.doubleCompletions.join(' ')],
+    ['overcommitted workers', verdict.overcommittedWorkers.join(' ')],
+    ['starts in a withdrawn zone', String(verdict.startsInWithdrawnZones || '')],
+    ["another's answer", paths(caller.told.filter(({ outcome }) => outcome === 'wrong'))],
+    [
+      '"not run", but it ran',
+      paths(caller.told.filter(({ path, outcome }) => outcome === 'not-run' && runCount(path) > 0)),
+    ],
+    [
+      'non-idempotent, ran more than once',
+      paths(caller.told.filter(({ path, isIdempotent }) => !isIdempotent && runCount(path) > 1)),
+    ],
+    [
+      'cut off by a graceful shutdown',
+      paths(
+        caller.told.filter(
+          ({ outcome, origin, startedAtMs }) =>
+            outcome === 'cut' && startedAtMs < (system.departures.get(origin) ?? 0),
+        ),
+      ),
+    ],
+    ['accepted jobs that did not end', (await system.openJobIds()).join(' ')],
+  ];
+  return checks.filter(([, what]) => what !== '').map(([name, what]) => `${name}: ${what}`);
+};
+
+const run = async (system: ChaosSystem): Promise<boolean> => {
+  await system.start();
+  const caller = new ChaosCaller(() => system.callerOrigins, SERVICE);
+  const endMs = performance.now() + Number(values.minutes) * MINUTE_MS;
+  const pending: Promise<unknown>[] = [];
+  const names = Object.keys(FAULTS);
+  for (let index = 0; performance.now() < endMs; index += 1) {
+    const name = names[random.nextIndex(names.length)] ?? 'pause';
+    system.faultCounts.set(name, (system.faultCounts.get(name) ?? 0) + 1);
+    say({ fault: name, index });
+    // Faults overlap: the next one does not wait for this one's end.
+    pending.push(FAULTS[name]?.(system) ?? Promise.resolve(), system.submit(index));
+    // eslint-disable-next-line no-await-in-loop
+    await delay(1_000 + random.nextIndex(2_500));
+  }
+  await Promise.all(pending);
+  await system.setPlatformFaults({});
+  const quietEndMs = performance.now() + QUIET_LIMIT_MS;
+  // eslint-disable-next-line no-await-in-loop -- looks until all is over
+  while (performance.now() < quietEndMs && (await system.openJobIds()).length > 0) await delay(500);
+  await caller.stop();
+  const findings = await judge(system, caller);
+  const outcomes = new Map<string, number>();
+  caller.told.forEach(({ outcome }) => outcomes.set(outcome, (outcomes.get(outcome) ?? 0) + 1));
+  say({
+    ok: findings.length === 0,
+    seed: Number(values.seed),
+    faults: Object.fromEntries(system.faultCounts),
+    requests: Object.fromEntries(outcomes),
+    acceptedJobs: system.acceptedJobIds.length,
+    completedTasks: (await system.verdict()).completedBatchCount,
+    findings,
+  });
+  return findings.length === 0;
+};
+
+const folder = await mkdtemp(join(tmpdir(), 'snipethread-chaos-'));
+const system = new ChaosSystem(folder);
+try {
+  process.exitCode = (await run(system)) ? 0 : 1;
+} finally {
+  system.dispose();
+  await rm(folder, { recursive: true, force: true });
+}
--- a/standIns/workers/backendServer.ts
+++ b/standIns/workers/backendServer.ts
@@ -13,6 +13,8 @@
   readonly slotCount: number;
   readonly serviceTimeMs: number;
   readonly hasService: (serviceName: string) => boolean;
+  /** Called for each request that runs, with its path. */
+  readonly onRun?: (url: string) => void;
 }
 
 export class BackendServerStandIn {
@@ -32,6 +34,7 @@
         return reply.code(HTTP_UNAVAILABLE).header(NOT_RUN_HEADER, 'true').send({});
       }
       await this.#takeSlot();
+      options.onRun?.(request.url);
       try {
         await delay(options.serviceTimeMs);
       } finally {
--- a/standIns/workers/workersProcess.ts
+++ b/standIns/workers/workersProcess.ts
@@ -29,6 +29,8 @@
 
 const options = optionsSchema.parse(JSON.parse(process.argv[2] ?? '{}'));
 const zoneOf = new Map<string, string>();
+/** How often each request ran, by its path. */
+const runCounts = new Map<string, number>();
 const judge = new Judge(zoneOf, options.withdrawalBoundMs);
 
 const startWorker = async (zone: string, index: number): Promise<WorkerInstance> => {
@@ -49,6 +51,7 @@
     slotCount: SLOT_COUNT,
     serviceTimeMs: options.serviceTimeMs,
     hasService: (serviceName) => worker.hasService(serviceName),
+    onRun: (url) => runCounts.set(url, (runCounts.get(url) ?? 0) + 1),
   });
   return {
     kind: 'worker',
@@ -71,6 +74,7 @@
 );
 const judgeServer = Fastify();
 judgeServer.get('/verdict', () => judge.verdict());
+judgeServer.get('/runs', () => Object.fromEntries(runCounts));
 judgeServer.post('/mark', (request) => {
   const { zone, isWithdrawn } = markSchema.parse(request.body);
   judge.markZone(zone, isWithdrawn, systemClock.nowMs());
