--- a/bench/capacity/operatorCapacity.ts
+++ b/bench/capacity/operatorCapacity.ts
@@ -1,20 +1,29 @@
 /** What one plan and its confirmation cost, by the number of documents in the configuration. */
+import { setTimeout as delay } from 'node:timers/promises';
+
 import { isLeft, right } from 'fp-ts/lib/Either.js';
 import { fromEither } from 'fp-ts/lib/TaskEither.js';
 
+import { toDisposable } from '../../src/base/common/lifecycle.js';
+import { SeededRandom } from '../../src/base/common/random.js';
+import { systemClock } from '../../src/base/node/systemClock.js';
 import { PlanService } from '../../src/operator/node/planService.js';
+import { toConfigurationView } from '../../src/platform/configuration/common/configurationView.js';
 import {
+  DOCUMENT_PREFIX,
   quotaKey,
   serviceKey,
   VERSION_KEY,
   zoneKey,
 } from '../../src/platform/configuration/common/documents.js';
+import { silentMetrics } from '../../src/platform/metrics/common/metrics.js';
 import type { TableService } from '../../src/platform/table/common/table.js';
 import { TableStandIn } from '../../standIns/platform/tableStandIn.js';
 import { toFigure } from './slopes.js';
 
 const PLAN_COUNT = 50;
 const PLAN_LIFETIME_MS = 600_000;
+const CONFIRM_TIMEOUT_MS = 10_000;
 const MICROSECONDS_PER_MS = 1_000;
 const SIZE = { processorMillis: 1_000, memoryBytes: 1_024, acceleratorCount: 0 };
 const ZONES = ['a', 'b', 'c', 'd', 'e', 'f', 'g'] as const;
@@ -58,7 +67,34 @@
     },
     transact: (transaction) => fromEither(right(table.transact(transaction))),
   };
-  const plans = new PlanService(service, PLAN_LIFETIME_MS);
+  let idCount = 0;
+  const nextId = (): string => {
+    idCount += 1;
+    return `bench-${idCount}`;
+  };
+  const view = toConfigurationView(
+    table.read({ keys: [VERSION_KEY], prefixes: [DOCUMENT_PREFIX] }).rows,
+  );
+  const plans = new PlanService(
+    {
+      table: service,
+      configuration: {
+        current: view,
+        confirmedAtMs: 0,
+        onDidChange: () => toDisposable(() => {}),
+        refresh: () => Promise.resolve(),
+      },
+      directory: { instances: [] },
+      clock: systemClock,
+      metrics: silentMetrics,
+      random: new SeededRandom(1),
+      delay: (delayMs) => delay(delayMs),
+      wallNowMs: () => Date.now(),
+      newSuffix: nextId,
+      newOperationId: nextId,
+    },
+    { planLifetimeMs: PLAN_LIFETIME_MS, confirmTimeoutMs: CONFIRM_TIMEOUT_MS },
+  );
   const before = { ...table.counts };
   const usageBefore = process.cpuUsage();
   for (let index = 0; index < PLAN_COUNT; index += 1) {
--- a/bench/capacity/schedulerCapacity.ts
+++ b/bench/capacity/schedulerCapacity.ts
@@ -53,6 +53,9 @@
   maximumRenewalWithoutTableMs: 600_000,
   configurationFreshnessMs: 1_000,
   reportFreshnessMs: 3_000,
+  roundIntervalMs: 100,
+  rowsPerSecond: 60,
+  maximumRowsPerRound: 120,
 };
 
 export interface SchedulerFigures {
@@ -241,7 +244,7 @@
         this.#tableBytes += byteLength(effect.request) + byteLength(answer);
         const result = right(answer);
         return effect.kind === 'load'
-          ? { kind: 'loaded', result }
+          ? { kind: 'loaded', epoch: effect.epoch, result }
           : { kind: 'lease-read', result, sentAtMs };
       }
       case 'lease-write':
@@ -250,7 +253,7 @@
         this.#tableBytes += byteLength(effect.transaction) + byteLength(answer);
         const result = right(answer);
         return effect.kind === 'commit'
-          ? { kind: 'committed', result }
+          ? { kind: 'committed', epoch: effect.epoch, result }
           : { kind: 'lease-written', step: effect.step, result, sentAtMs };
       }
       case 'command':
@@ -262,10 +265,11 @@
 
   #command(effect: CellEffect & { readonly kind: 'command' }): CellEvent {
     const { workerId } = effect;
+    const epoch = effect.command.cellEpoch;
     const worker = this.#workers.get(workerId);
     if (worker === undefined) {
       const result = left(failure(ErrorKind.WorkerUnavailable, 'unknown'));
-      return { kind: 'worker-answered', workerId, result };
+      return { kind: 'worker-answered', workerId, epoch, result };
     }
     const command = workerCommandSchema.parse(effect.command);
     const answer = JSON.stringify(worker.command(command, this.#nowMs));
@@ -275,7 +279,7 @@
     this.#codecMs += performance.now() - startedAtMs;
     this.#messageCount += 1;
     this.#workerBytes += Buffer.byteLength(message) + Buffer.byteLength(answer);
-    return { kind: 'worker-answered', workerId, result: right(report) };
+    return { kind: 'worker-answered', workerId, epoch, result: right(report) };
   }
 }
 
--- a/soak/test/brokenSafeguards.test.ts
+++ b/soak/test/brokenSafeguards.test.ts
@@ -4,12 +4,14 @@
  */
 import { describe, expect, it } from 'vitest';
 
+import type { ConfigurationView } from '../../src/platform/configuration/common/configurationView.js';
 import { ZONE_PREFIX } from '../../src/platform/configuration/common/documents.js';
 import type { CellState } from '../../src/scheduler/common/cellState.js';
 import type { WorkerView } from '../../src/scheduler/common/workerView.js';
 import { assertNothingFound } from './soakCommands.js';
 import type { Sabotage } from './sabotage.js';
-import { SERVICE, SoakWorld, TASK_SIZE, ZONES } from './soakWorld.js';
+import { SERVICE, TASK_SIZE, ZONES } from './soakParts.js';
+import { SoakWorld } from './soakWorld.js';
 
 type Steps = (world: SoakWorld) => Promise<void>;
 
@@ -34,16 +36,13 @@
   workers: new Map([...state.workers].map(([id, view]) => [id, alter(view)])),
 });
 
-/** A cell that goes on believing its zone is in use. */
-const deafState = (state: CellState): CellState => {
-  if (state.configuration === undefined) return state;
-  const { view, confirmedAtMs } = state.configuration;
-  const zones = new Map(
+/** The view of a cell that goes on believing that all zones are in use. */
+const deafView = (view: ConfigurationView): ConfigurationView => ({
+  ...view,
+  zones: new Map(
     [...view.zones].map(([name, zone]) => [name, { ...zone, state: 'in-use' as const }]),
-  );
-  const configuration = { view: { ...view, zones }, confirmedAtMs };
-  return { ...state, configuration, withdrawnSinceMs: undefined };
-};
+  ),
+});
 
 const CASES: readonly Case[] = [
   {
@@ -104,14 +103,14 @@
     point: 'no task starts in a withdrawn zone',
     broken: 'no condition on the zone, no look at the configuration',
     sabotage: {
-      alterState: deafState,
+      alterView: deafView,
       alterTransaction: (transaction) => ({
         ...transaction,
         conditions: transaction.conditions.filter(({ key }) => !key.startsWith(ZONE_PREFIX)),
       }),
     },
     steps: async (world) => {
-      submit(world, 30, 2_000);
+      submit(world, 90, 2_000);
       await world.runFor(1_000);
       void world.operate(0, { intent: 'withdraw-zone', zone: ZONES[0] });
       await world.runFor(10_000);
@@ -132,7 +131,7 @@
       Object.assign(world.tableFaults, { lostRatio: 1 });
       await world.runFor(300);
       Object.assign(world.tableFaults, { isDown: true });
-      await world.runFor(2_000);
+      await world.runFor(12_000);
     },
     finding: /"not run", but the plan was accepted/u,
   },
--- a/soak/test/found.test.ts
+++ b/soak/test/found.test.ts
@@ -2,7 +2,8 @@
 import { describe, it } from 'vitest';
 
 import { expectSettled } from './soakCommands.js';
-import { SoakWorld, TASK_SIZE } from './soakWorld.js';
+import { TASK_SIZE } from './soakParts.js';
+import { SoakWorld } from './soakWorld.js';
 
 const submit = (world: SoakWorld, taskCount: number, workMs: number): Promise<void> =>
   world.operate(0, {
--- a/soak/test/sabotage.ts
+++ b/soak/test/sabotage.ts
@@ -6,7 +6,8 @@
   toConfigurationView,
 } from '../../src/platform/configuration/common/configurationView.js';
 import { DOCUMENT_PREFIX, VERSION_KEY } from '../../src/platform/configuration/common/documents.js';
-import type { ConfigurationReader } from '../../src/platform/configuration/node/configurationReader.js';
+import { toDisposable } from '../../src/base/common/lifecycle.js';
+import type { ConfigurationService } from '../../src/platform/configuration/common/configurationService.js';
 import type { TableService, Transaction } from '../../src/platform/table/common/table.js';
 import type { WorkerCommand } from '../../src/platform/worker/common/workerClient.js';
 import type { CellState } from '../../src/scheduler/common/cellState.js';
@@ -22,10 +23,12 @@
   readonly hasDeafEntries?: boolean;
   /** Operators are told `not-run` whatever the failure. */
   readonly isAlwaysDenied?: boolean;
+  /** What cells are told of the configuration. */
+  readonly alterView?: (view: ConfigurationView) => ConfigurationView;
   readonly alterState?: (state: CellState) => CellState;
 }
 
-export type SoakReader = Pick<ConfigurationReader, 'current' | 'confirmedAtMs' | 'refresh'>;
+export type SoakReader = ConfigurationService;
 
 /** A reader without its safeguard: whatever answer comes last is in force. */
 export class RevertingReader implements SoakReader {
@@ -33,6 +36,8 @@
 
   readonly confirmedAtMs = 0;
 
+  readonly onDidChange = () => toDisposable(() => {});
+
   readonly #table: TableService;
 
   constructor(table: TableService) {
--- a/soak/test/soakCommands.ts
+++ b/soak/test/soakCommands.ts
@@ -8,11 +8,11 @@
   DAEMON_COUNT,
   NO_FAULTS,
   SERVICE,
-  type SoakWorld,
   TASK_SIZE,
   WORKERS_PER_ZONE,
   ZONES,
-} from './soakWorld.js';
+} from './soakParts.js';
+import type { SoakWorld } from './soakWorld.js';
 
 /** What the run has asked for; the rest of the truth is in the stand-ins. */
 export interface SoakModel {
--- /dev/null
+++ b/soak/test/soakParts.ts
@@ -0,0 +1,50 @@
+/** Sizes of a randomised run, a daemon's state in it and the faults of calls. */
+import type { RoutingTable } from '../../src/entry/common/routing.js';
+import type { PlanService } from '../../src/operator/node/planService.js';
+import type { EndpointRow } from '../../src/platform/work/common/workRows.js';
+import type { CellState } from '../../src/scheduler/common/cellState.js';
+import type { SoakReader } from './sabotage.js';
+
+export const ZONES = ['zone-a', 'zone-b'] as const;
+export const SERVICE = 'rounds';
+export const DAEMON_COUNT = 3;
+export const WORKERS_PER_ZONE = 4;
+export const WORKERS_PER_RACK = 2;
+const GIBIBYTE = 1024 ** 3;
+export const CAPACITY = { processorMillis: 8_000, memoryBytes: 32 * GIBIBYTE, acceleratorCount: 0 };
+export const TASK_SIZE = {
+  processorMillis: 2_000,
+  memoryBytes: 2 * GIBIBYTE,
+  acceleratorCount: 0,
+};
+
+export interface SoakDaemon {
+  readonly id: string;
+  readonly cells: Map<string, CellState>;
+  reader: SoakReader;
+  plans: PlanService;
+  endpointRows: readonly EndpointRow[];
+  routes: RoutingTable;
+  isAlive: boolean;
+  isPaused: boolean;
+  isCut: boolean;
+  /** When a fault last kept it from reading the configuration. */
+  hinderedAtMs: number;
+  readonly inbox: (() => void)[];
+}
+
+export interface CallFaults {
+  isDown: boolean;
+  /** The share of messages that arrive seconds late, when the sender has given them up. */
+  lateRatio: number;
+  lateDelayMs: number;
+  /** The share of answers that are lost after the call took effect. */
+  lostRatio: number;
+}
+
+export const NO_FAULTS: CallFaults = {
+  isDown: false,
+  lateRatio: 0,
+  lateDelayMs: 8_000,
+  lostRatio: 0,
+};
--- a/soak/test/soakWorld.ts
+++ b/soak/test/soakWorld.ts
@@ -6,9 +6,8 @@
 import { type Either, isLeft, left, right } from 'fp-ts/lib/Either.js';
 
 import { SeededRandom } from '../../src/base/common/random.js';
-import { type RoutingTable, toRoutingTable } from '../../src/entry/common/routing.js';
+import { toRoutingTable } from '../../src/entry/common/routing.js';
 import type { Intent } from '../../src/operator/common/intent.js';
-import { PlanService } from '../../src/operator/node/planService.js';
 import { ConfigurationReader } from '../../src/platform/configuration/node/configurationReader.js';
 import {
   ErrorKind,
@@ -27,7 +26,6 @@
 } from '../../src/platform/table/common/table.js';
 import {
   ENDPOINT_PREFIX,
-  type EndpointRow,
   endpointRowSchema,
   toJobId,
 } from '../../src/platform/work/common/workRows.js';
@@ -40,58 +38,27 @@
 import { SoakJudge } from './soakJudge.js';
 import { RevertingReader, type Sabotage, type SoakReader } from './sabotage.js';
 import { SoakWorker } from './soakWorker.js';
+import {
+  CAPACITY,
+  type CallFaults,
+  DAEMON_COUNT,
+  NO_FAULTS,
+  SERVICE,
+  type SoakDaemon,
+  WORKERS_PER_RACK,
+  WORKERS_PER_ZONE,
+  TASK_SIZE,
+  ZONES,
+} from './soakParts.js';
+import { createPlans } from './soakPlans.js';
 import { VirtualTime } from './virtualTime.js';
 
-export const ZONES = ['zone-a', 'zone-b'] as const;
-export const SERVICE = 'rounds';
-export const DAEMON_COUNT = 3;
-export const WORKERS_PER_ZONE = 4;
-const WORKERS_PER_RACK = 2;
-const GIBIBYTE = 1024 ** 3;
-export const CAPACITY = { processorMillis: 8_000, memoryBytes: 32 * GIBIBYTE, acceleratorCount: 0 };
-export const TASK_SIZE = {
-  processorMillis: 2_000,
-  memoryBytes: 2 * GIBIBYTE,
-  acceleratorCount: 0,
-};
 const TICK_MS = 200;
 const CONFIGURATION_INTERVAL_MS = 700;
 const CALL_TIMEOUT_MS = 800;
 const USUAL_DELAY_MS = 20;
-const PLAN_LIFETIME_MS = 600_000;
 const NEVER_MS = 2 ** 30;
 
-export interface SoakDaemon {
-  readonly id: string;
-  readonly cells: Map<string, CellState>;
-  reader: SoakReader;
-  plans: PlanService;
-  endpointRows: readonly EndpointRow[];
-  routes: RoutingTable;
-  isAlive: boolean;
-  isPaused: boolean;
-  isCut: boolean;
-  /** When a fault last kept it from reading the configuration. */
-  hinderedAtMs: number;
-  readonly inbox: (() => void)[];
-}
-
-interface CallFaults {
-  isDown: boolean;
-  /** The share of messages that arrive seconds late, when the sender has given them up. */
-  lateRatio: number;
-  lateDelayMs: number;
-  /** The share of answers that are lost after the call took effect. */
-  lostRatio: number;
-}
-
-export const NO_FAULTS: CallFaults = {
-  isDown: false,
-  lateRatio: 0,
-  lateDelayMs: 8_000,
-  lostRatio: 0,
-};
-
 export class SoakWorld {
   readonly time = new VirtualTime();
 
@@ -186,8 +153,15 @@
     const state = { isAlive: true, isPaused: false, isCut: false, hinderedAtMs: this.nowMs };
     const whole = { ...daemon, ...state, inbox: [] } as unknown as SoakDaemon;
     const table = this.#tableOf(whole);
-    whole.plans = new PlanService(table, PLAN_LIFETIME_MS);
     whole.reader = this.#createReader(table);
+    whole.plans = createPlans({
+      table,
+      configuration: whole.reader,
+      time: this.time,
+      random: this.#random,
+      counters: this.counters,
+      id,
+    });
     ZONES.forEach((zone, index) => {
       const acquireDelayMs = (this.#daemonCount + index) % ZONES.length === 0 ? 0 : 400;
       const timing = { ...TEST_TIMING, acquireDelayMs };
@@ -272,7 +246,8 @@
     const { current, confirmedAtMs } = daemon.reader;
     ZONES.forEach((zone) => {
       if (current !== undefined) {
-        const configuration = { view: current, confirmedAtMs };
+        const view = this.#sabotage.alterView?.(current) ?? current;
+        const configuration = { view, confirmedAtMs };
         this.#handle(daemon, zone, { kind: 'configuration', configuration });
       }
       this.#handle(daemon, zone, { kind: 'tick' });
@@ -333,10 +308,13 @@
     switch (effect.kind) {
       case 'lease-read':
       case 'load': {
-        const { kind, request } = effect;
-        const read = () => this.table.read(request);
+        const read = () => this.table.read(effect.request);
         this.#callTable(daemon, read, ErrorKind.StoreUnavailable, (result) =>
-          handle(kind === 'load' ? { kind: 'loaded', result } : { kind, result, sentAtMs }),
+          handle(
+            effect.kind === 'load'
+              ? { kind: 'loaded', epoch: effect.epoch, result }
+              : { kind: effect.kind, result, sentAtMs },
+          ),
         );
         break;
       }
@@ -346,7 +324,7 @@
         this.#callTable(daemon, write, ErrorKind.StoreAnswerLost, (result) =>
           handle(
             effect.kind === 'commit'
-              ? { kind: 'committed', result }
+              ? { kind: 'committed', epoch: effect.epoch, result }
               : { kind: 'lease-written', step: effect.step, result, sentAtMs },
           ),
         );
@@ -354,7 +332,12 @@
       }
       case 'command':
         this.#command(daemon, effect.workerId, effect.command, (result) =>
-          handle({ kind: 'worker-answered', workerId: effect.workerId, result }),
+          handle({
+            kind: 'worker-answered',
+            workerId: effect.workerId,
+            epoch: effect.command.cellEpoch,
+            result,
+          }),
         );
         break;
       case 'count':
--- a/src/platform/settings/common/settings.ts
+++ b/src/platform/settings/common/settings.ts
@@ -76,6 +76,16 @@
   workerTimeoutMs: positiveMs.default(800),
   /** How long a start message stays good on the worker's clock. */
   startValidityMs: positiveMs.default(1_000),
+  /** How old the last proof that the zone is in use may be for a start. */
+  startFreshnessMs: positiveMs.default(1_500),
+  /** How old a worker's last report may be for a new assignment. */
+  reportFreshnessMs: positiveMs.default(3_000),
+  /** The time between two transactions of a cell, in which changes gather. */
+  roundIntervalMs: positiveMs.default(100),
+  /** Rows that a cell may write a second, its heartbeat aside. */
+  cellRowsPerSecond: positiveCount.default(60),
+  /** Rows that one transaction of a cell may write. */
+  maximumRowsPerRound: positiveCount.default(120),
   /** How long a service's tasks go on in a zone that was withdrawn, so that requests finish. */
   serviceDrainMs: positiveMs.default(4_000),
   /** How long an owner that cannot reach the table goes on renewing its workers' leases. */
@@ -89,6 +99,10 @@
 
 const operatorSchema = z.strictObject({
   planLifetimeMs: positiveMs.default(600_000),
+  /** How long a confirmation is tried before its outcome is answered as unknown. */
+  confirmTimeoutMs: positiveMs.default(10_000),
+  /** How long plans are kept, so that confirming once more finds what became of them. */
+  planRetentionMs: positiveMs.default(86_400_000),
   maximumIntentBytes: positiveCount.default(1_048_576),
   /** Bearer tokens, kept as the SHA-256 of the token in hexadecimal digits. */
   tokens: z
@@ -111,6 +125,8 @@
 
 export const settingsSchema = z
   .strictObject({
+    /** The JSON Schema that editors check the file with; the daemon does not read it. */
+    $schema: z.string().optional(),
     instanceId: z.string().min(1),
     availabilityZone: z.string().min(1),
     roles: z
@@ -134,7 +150,12 @@
     const rule = (isBroken: boolean, path: string[], message: string): void => {
       if (isBroken) context.addIssue({ code: 'custom', path, message });
     };
-    const { scheduler, entry, peers, platform } = settings;
+    const { scheduler, entry, peers, platform, operator } = settings;
+    rule(
+      operator.planRetentionMs < operator.planLifetimeMs + operator.confirmTimeoutMs,
+      ['operator', 'planRetentionMs'],
+      'must be at least operator.planLifetimeMs and operator.confirmTimeoutMs together',
+    );
     rule(
       scheduler.workerLeaseMs < scheduler.workerRenewalIntervalMs * 3,
       ['scheduler', 'workerLeaseMs'],
@@ -150,6 +171,11 @@
       ['scheduler', 'startValidityMs'],
       'must not exceed scheduler.workerLeaseMs',
     );
+    rule(
+      scheduler.startFreshnessMs + scheduler.startValidityMs > 2_900,
+      ['scheduler', 'startFreshnessMs'],
+      'with scheduler.startValidityMs must stay within 2900, so that starts end in time',
+    );
     rule(
       entry.defaultDeadlineMs > entry.maximumDeadlineMs,
       ['entry', 'defaultDeadlineMs'],
--- a/src/scheduler/common/taskEnds.ts
+++ b/src/scheduler/common/taskEnds.ts
@@ -10,8 +10,8 @@
 } from '../../platform/work/common/workRows.js';
 import type { CellDraft } from './cellRows.js';
 import type { CellState } from './cellState.js';
-import { wantedEvictions } from './wantedEvictions.js';
-import { reportedTask, type WorkerView } from './workerView.js';
+import { isEvictionWanted } from './wantedEvictions.js';
+import { isInContact, presumedLeaseEndMs, reportedTask, type WorkerView } from './workerView.js';
 
 export const AssignmentEnd = {
   Finished: 'finished',
@@ -44,34 +44,34 @@
   state: CellState,
   view: WorkerView | undefined,
   assignment: Assignment,
-  isUnwanted: boolean,
   nowMs: number,
 ): AssignmentEnd | undefined => {
-  if (view === undefined) return undefined;
+  // A worker that this owner has never seen listed may still run what a former owner gave it.
+  if (view === undefined) {
+    return nowMs > presumedLeaseEndMs(state) ? AssignmentEnd.Lost : undefined;
+  }
+  const { report } = view;
+  const areLeasesOver = nowMs > view.leasesOverAtMs;
+  if (report === undefined) return areLeasesOver ? AssignmentEnd.Lost : undefined;
+  if (report.incarnation !== assignment.incarnation) return AssignmentEnd.Lost;
   const task = reportedTask(view, assignment);
-  // What the worker said last goes first: an end that waited for the table through an outage
-  // longer than the lease would otherwise count as lost, and the finished task would run again.
   const reportedEnd = task === undefined ? undefined : ENDS_BY_REPORT[task.state];
   if (reportedEnd !== undefined) return reportedEnd;
-  // A worker with nothing to do holds no lease, so "all leases are over" says nothing about an
-  // assignment that has just been committed to it. Taken as lost, its start would go out at the
-  // same moment and the task would run twice.
-  const isHeardFrom = nowMs - view.reportedAtMs <= state.timing.reportFreshnessMs;
-  const isUnsent = isHeardFrom && task === undefined;
-  // An owner that was paused itself has not listened: tasks that ended well inside their leases
-  // would all run again. So the worker is asked once more after the leases have ended.
-  const hasAskedSince = view.commandSentAtMs > view.leasesOverAtMs && !view.isCommandInFlight;
-  if (nowMs > view.leasesOverAtMs && hasAskedSince && !isUnsent) return AssignmentEnd.Lost;
-  if (view.report === undefined) return undefined;
-  if (view.report.incarnation !== assignment.incarnation) return AssignmentEnd.Lost;
-  if (task !== undefined) return undefined;
+  // A worker that holds no lease because its first start has yet to be sent is not a lost one:
+  // taking that start back while it is being sent ran tasks twice.
+  if (!isInContact(view, state.timing.reportFreshnessMs, nowMs)) {
+    // An owner that was paused itself has not listened: tasks that ended well inside their
+    // leases would all run again. So the worker is asked once more after the leases have ended.
+    const hasAskedSince = view.commandSentAtMs > view.leasesOverAtMs && !view.isCommandInFlight;
+    return areLeasesOver && hasAskedSince ? AssignmentEnd.Lost : undefined;
+  }
   // Not started yet. It is taken back only when it will not be started any more (the zone is
   // withdrawn, the job cancelled, the worker draining) and no start that was sent can still take
   // effect on the worker's clock. Without this it would hold its capacity for ever.
-  const isStartPast = view.report.workerNowMs > view.startsGoodUntilWorkerMs;
-  const isTakenBack = isUnwanted || state.withdrawnSinceMs !== undefined;
-  if (!isTakenBack || !isStartPast) return undefined;
-  return AssignmentEnd.NeverStarted;
+  const isUnwanted =
+    state.withdrawnSinceMs !== undefined || isEvictionWanted(state, assignment, nowMs);
+  const isStartPast = report.workerNowMs > view.startsGoodUntilWorkerMs;
+  return task === undefined && isUnwanted && isStartPast ? AssignmentEnd.NeverStarted : undefined;
 };
 
 const endedTask = (
@@ -125,13 +125,12 @@
   state: CellState,
   draft: CellDraft,
   rack: string,
-  unwanted: ReadonlySet<Assignment>,
   nowMs: number,
 ): readonly AssignmentEnd[] => {
   const ends: AssignmentEnd[] = [];
   const remaining = draft.assignments(rack).filter((assignment) => {
     const view = state.workers.get(assignment.workerId);
-    const end = assignmentEnd(state, view, assignment, unwanted.has(assignment), nowMs);
+    const end = assignmentEnd(state, view, assignment, nowMs);
     if (end === undefined) return true;
     ends.push(end);
     const report = view === undefined ? undefined : reportedTask(view, assignment);
@@ -147,7 +146,9 @@
   state: CellState,
   draft: CellDraft,
   nowMs: number,
-): readonly AssignmentEnd[] => {
-  const unwanted = new Set(wantedEvictions(state, nowMs));
-  return draft.racks.flatMap((rack) => recordRackEnds(state, draft, rack, unwanted, nowMs));
-};
+): readonly AssignmentEnd[] =>
+  draft.racks.flatMap((rack) =>
+    draft.rowCount >= state.timing.maximumRowsPerRound
+      ? []
+      : recordRackEnds(state, draft, rack, nowMs),
+  );
