Chaos shares the demo's caller; stand-ins shrink to make room

The caller notes what it was told of each request, so the demo, which now also sends non-idempotent requests, and the chaos run judge by the same record.

--- a/standIns/chaos/chaos.ts
+++ b/standIns/chaos/chaos.ts
@@ -12,10 +12,10 @@
 
 import { SeededRandom } from '../../src/base/common/random.js';
 import { type Instance, toOrigin } from '../../src/platform/instanceList/common/instanceList.js';
+import { Caller } from '../demo/caller.js';
 import { ChildProcesses } from '../demo/childProcesses.js';
 import { type DaemonProcess, startDaemon } from '../demo/daemonProcess.js';
 import type { Verdict } from '../workers/judge.js';
-import { ChaosCaller } from './chaosCaller.js';
 
 const ZONES = ['zone-a', 'zone-b', 'zone-c'] as const;
 const HOST = '127.0.0.1';
@@ -23,6 +23,7 @@
 const SERVICE = 'rounds';
 const WITHDRAWAL_BOUND_MS = 3_000;
 const MINUTE_MS = 60_000;
+const REQUESTS_PER_SECOND = 150;
 const QUIET_LIMIT_MS = 120_000;
 const SIZE = { processorMillis: 2_000, memoryBytes: 2_000_000_000, acceleratorCount: 0 };
 
@@ -55,7 +56,7 @@
 
   readonly departures = new Map<string, number>();
 
-  readonly #children = new ChildProcesses();
+  readonly children = new ChildProcesses();
 
   readonly #folder: string;
 
@@ -73,12 +74,10 @@
     this.#folder = folder;
   }
 
-  get callerOrigins(): readonly string[] {
-    return this.#daemons.map(({ callerOrigin }) => callerOrigin);
-  }
+  readonly callerOrigins = () => this.#daemons.map(({ callerOrigin }) => callerOrigin);
 
   async start(): Promise<void> {
-    const platform = await this.#children.start(
+    const platform = await this.children.start(
       'standIns/platform/platformProcess.js',
       [values.seed],
       (line) => `http://${HOST}:${Number(line.port)}`,
@@ -91,7 +90,7 @@
       serviceTimeMs: 4,
       withdrawalBoundMs: WITHDRAWAL_BOUND_MS,
     };
-    const workers = await this.#children.start(
+    const workers = await this.children.start(
       'standIns/workers/workersProcess.js',
       [JSON.stringify(options)],
       (line) => ({ port: Number(line.port), instances: line.instances as readonly Instance[] }),
@@ -107,10 +106,6 @@
     await this.operate({ intent: 'create-service', service: { ...service, urgency: 'urgent' } });
   }
 
-  dispose(): void {
-    this.#children.dispose();
-  }
-
   /** Plans and confirms through one daemon; false when it was refused or nobody answered. */
   async operate(intent: Readonly<Record<string, unknown>>): Promise<boolean> {
     const daemon = this.#daemons[random.nextIndex(this.#daemons.length)];
@@ -142,9 +137,8 @@
     if (isWithdrawn && isDone) await call(`${this.#judgeOrigin}/mark`, { zone, isWithdrawn });
   }
 
-  setPlatformFaults(faults: Readonly<Record<string, unknown>>): Promise<unknown> {
-    return call(`${this.#platformOrigin}/control/faults`, faults);
-  }
+  readonly setPlatformFaults = (faults: unknown): Promise<unknown> =>
+    call(`${this.#platformOrigin}/control/faults`, faults);
 
   /** Replaces a daemon: by SIGKILL at once, or by SIGTERM with a graceful shutdown. */
   async replace(index: number, isGraceful: boolean): Promise<void> {
@@ -191,7 +185,7 @@
     this.#daemonCount += 1;
     const id = `entry-${this.#daemonCount}`;
     const origin = this.#platformOrigin;
-    const daemon = await startDaemon(this.#children, this.#folder, id, zone, origin, TOKEN);
+    const daemon = await startDaemon(this.children, this.#folder, id, zone, origin, TOKEN);
     this.#daemons.push(daemon);
     const instances = [...this.#workers, ...this.#daemons.map(({ instance }) => instance)];
     await call(`${origin}/control/instances`, { instances });
@@ -224,11 +218,11 @@
 };
 
 /** What users would see that must never be, from the stand-ins' and callers' records. */
-const judge = async (system: ChaosSystem, caller: ChaosCaller): Promise<readonly string[]> => {
+const judge = async (system: ChaosSystem, caller: Caller): Promise<readonly string[]> => {
   const verdict = await system.verdict();
   const runs = await system.runCounts();
   const runCount = (path: string): number => runs[path] ?? 0;
-  const paths = (told: ChaosCaller['told']): string => told.map(({ path }) => path).join(' ');
+  const paths = (told: Caller['told']): string => told.map(({ path }) => path).join(' ');
   const checks: readonly [string, string][] = [
     ['tasks in two places', verdict.doubleRuns.join(' ')],
     ['tasks completed twice', verdict.doubleCompletions.join(' ')],
@@ -259,8 +253,10 @@
 
 const run = async (system: ChaosSystem): Promise<boolean> => {
   await system.start();
-  const caller = new ChaosCaller(() => system.callerOrigins, SERVICE);
-  const endMs = performance.now() + Number(values.minutes) * MINUTE_MS;
+  const caller = new Caller(system.callerOrigins, SERVICE);
+  const durationMs = Number(values.minutes) * MINUTE_MS;
+  const calls = caller.run((durationMs * REQUESTS_PER_SECOND) / 1_000, durationMs);
+  const endMs = performance.now() + durationMs;
   const pending: Promise<unknown>[] = [];
   const names = Object.keys(FAULTS);
   for (let index = 0; performance.now() < endMs; index += 1) {
@@ -277,15 +273,13 @@
   const quietEndMs = performance.now() + QUIET_LIMIT_MS;
   // eslint-disable-next-line no-await-in-loop -- looks until all is over
   while (performance.now() < quietEndMs && (await system.openJobIds()).length > 0) await delay(500);
-  await caller.stop();
+  await calls;
   const findings = await judge(system, caller);
-  const outcomes = new Map<string, number>();
-  caller.told.forEach(({ outcome }) => outcomes.set(outcome, (outcomes.get(outcome) ?? 0) + 1));
   say({
     ok: findings.length === 0,
     seed: Number(values.seed),
     faults: Object.fromEntries(system.faultCounts),
-    requests: Object.fromEntries(outcomes),
+    requests: caller.report,
     acceptedJobs: system.acceptedJobIds.length,
     completedTasks: (await system.verdict()).completedBatchCount,
     findings,
@@ -298,6 +292,6 @@
 try {
   process.exitCode = (await run(system)) ? 0 : 1;
 } finally {
-  system.dispose();
+  system.children.dispose();
   await rm(folder, { recursive: true, force: true });
 }
--- a/standIns/demo/caller.ts
+++ b/standIns/demo/caller.ts
@@ -5,10 +5,19 @@
 import { systemClock } from '../../src/base/node/systemClock.js';
 
 export interface CallerReport {
-  whole: number;
-  refused: number;
-  unknown: number;
-  wrongAnswers: number;
+  readonly whole: number;
+  readonly refused: number;
+  readonly unknown: number;
+  readonly wrongAnswers: number;
+}
+
+/** What a caller was told of one request. */
+export interface ToldOutcome {
+  readonly path: string;
+  readonly isIdempotent: boolean;
+  readonly outcome: 'whole' | 'not-run' | 'unknown' | 'wrong' | 'cut' | 'not-connected';
+  readonly origin: string;
+  readonly startedAtMs: number;
 }
 
 const CONCURRENCY = 8;
@@ -16,17 +25,17 @@
 const MICROSECONDS_PER_MS = 1_000;
 
 export class Caller {
-  readonly report: CallerReport = { whole: 0, refused: 0, unknown: 0, wrongAnswers: 0 };
+  readonly told: ToldOutcome[] = [];
 
   readonly #latency: Histogram = build({ numberOfSignificantValueDigits: 2 });
 
-  readonly #origins: readonly string[];
+  readonly #origins: () => readonly string[];
 
   readonly #serviceName: string;
 
   readonly #agent = new Agent({ connections: CONCURRENCY });
 
-  constructor(origins: readonly string[], serviceName: string) {
+  constructor(origins: () => readonly string[], serviceName: string) {
     this.#origins = origins;
     this.#serviceName = serviceName;
   }
@@ -57,24 +66,46 @@
     return this.#latency.getValueAtPercentile(percentile) / MICROSECONDS_PER_MS;
   }
 
+  get report(): CallerReport {
+    const count = (outcomes: readonly ToldOutcome['outcome'][]): number =>
+      this.told.filter(({ outcome }) => outcomes.includes(outcome)).length;
+    return {
+      whole: count(['whole']),
+      refused: count(['not-run', 'not-connected']),
+      unknown: count(['unknown', 'cut']),
+      wrongAnswers: count(['wrong']),
+    };
+  }
+
   async #send(index: number): Promise<void> {
-    const origin = this.#origins[index % this.#origins.length] as string;
+    const origins = this.#origins();
+    const origin = origins[index % origins.length];
+    if (origin === undefined) return;
     const path = `/echo/${index}`;
+    const isIdempotent = index % 2 === 0;
     const startedAtMs = systemClock.nowMs();
+    const outcome = await this.#outcomeOf(origin, path, isIdempotent);
+    this.told.push({ path, isIdempotent, outcome, origin, startedAtMs });
+    if (outcome !== 'whole') return;
+    const elapsedMs = systemClock.nowMs() - startedAtMs;
+    this.#latency.recordValue(Math.round(elapsedMs * MICROSECONDS_PER_MS));
+  }
+
+  async #outcomeOf(
+    origin: string,
+    path: string,
+    isIdempotent: boolean,
+  ): Promise<ToldOutcome['outcome']> {
     try {
       const response = await request(`${origin}/services/${this.#serviceName}${path}`, {
         dispatcher: this.#agent,
+        method: isIdempotent ? 'GET' : 'POST',
       });
       const answer = (await response.body.json()) as { url?: string; workOutcome?: string };
-      if (response.statusCode === HTTP_OK && answer.url === path) {
-        this.report.whole += 1;
-        const elapsedMs = systemClock.nowMs() - startedAtMs;
-        this.#latency.recordValue(Math.round(elapsedMs * MICROSECONDS_PER_MS));
-      } else if (response.statusCode === HTTP_OK) this.report.wrongAnswers += 1;
-      else if (answer.workOutcome === 'not-run') this.report.refused += 1;
-      else this.report.unknown += 1;
-    } catch {
-      this.report.unknown += 1;
+      if (response.statusCode === HTTP_OK) return answer.url === path ? 'whole' : 'wrong';
+      return answer.workOutcome === 'not-run' ? 'not-run' : 'unknown';
+    } catch (error) {
+      return (error as { code?: string }).code === 'ECONNREFUSED' ? 'not-connected' : 'cut';
     }
   }
 }
--- a/standIns/demo/demo.ts
+++ b/standIns/demo/demo.ts
@@ -134,10 +134,7 @@
   await waitForAnswers(first.callerOrigin, 'rounds');
 
   say('sending requests through all entries; submitting a batch job');
-  const caller = new Caller(
-    daemons.map(({ callerOrigin }) => callerOrigin),
-    'rounds',
-  );
+  const caller = new Caller(() => daemons.map(({ callerOrigin }) => callerOrigin), 'rounds');
   const calls = caller.run(REQUEST_COUNT, REQUEST_DURATION_MS);
   await operator.carryOut({
     intent: 'submit-job',
