--- a/src/entry/common/admission.ts
+++ b/src/entry/common/admission.ts
@@ -5,7 +5,7 @@
 import { connectionShare, pooledShare } from './connectionShare.js';
 import { ConcurrencyLimit } from './concurrencyLimit.js';
 import { FairQueue, type WaitingRequest } from './fairQueue.js';
-import { RetryBudget } from './retryBudget.js';
+import { HedgeBudget, RetryBudget } from './retryBudget.js';
 import type { BackendServer, RoutingTable } from './routing.js';
 import type { ServerChooser } from './serverChoice.js';
 import { ServerRecord, ServiceRecord, WorkerRecord } from './serverRecords.js';
@@ -105,6 +105,8 @@
 
   #servedCount = 0;
 
+  #entryCount = 1;
+
   constructor(settings: AdmissionSettings, chooser: ServerChooser, random: RandomSource) {
     this.#settings = settings;
     this.#chooser = chooser;
@@ -119,8 +121,17 @@
     return this.#services;
   }
 
-  /** Takes new routes over; what is known of servers that stay is kept. */
-  updateRoutes(routes: RoutingTable, urgencyOf: (serviceName: string) => Urgency): void {
+  /**
+   * Takes new routes over; what is known of servers that stay is kept. The number of entries
+   * comes from a list that lags; it moves only the share that is always granted, while the
+   * limit on connections follows from the settings.
+   */
+  updateRoutes(
+    routes: RoutingTable,
+    urgencyOf: (serviceName: string) => Urgency,
+    entryCount: number,
+  ): void {
+    this.#entryCount = Math.min(Math.max(1, entryCount), this.#settings.maximumEntryCount);
     const known = new Map([...this.#departed, ...this.#workers]);
     this.#workers.clear();
     this.#departed.clear();
@@ -143,11 +154,7 @@
       service.urgency = urgencyOf(name);
       this.#setServers(service, servers);
     });
-    this.#workers.forEach((worker) =>
-      worker.services.sort(
-        (left, right) => URGENCY_RANK[left.urgency] - URGENCY_RANK[right.urgency],
-      ),
-    );
+    this.#relate();
   }
 
   admit(serviceName: string, waiting: Waiting, nowMs: number): AdmissionDecision<Waiting> {
@@ -168,6 +175,7 @@
     if (this.#wouldWaitTooLong(service, waiting, nowMs)) {
       return Admission.#refused(this.#spread(ErrorKind.Saturated, `${serviceName} is saturated`));
     }
+    if (service.queue.length === 0) service.pace.noteFirstWaiting(nowMs);
     const { isAdded, displaced } = service.queue.add(waiting);
     if (!isAdded) {
       return Admission.#refused(this.#spread(ErrorKind.Saturated, `${serviceName}: queue full`));
@@ -179,7 +187,7 @@
 
   /**
    * A place beside the queue, for an attempt that repeats one under way. A hedge gets it only
-   * while nothing waits and the limit has room, so that no extra work is done under saturation.
+   * while the limit has room and no service on its workers waits, so that no extra work is done under saturation.
    * One for a connection that seems silent gets it always; the retry budget bounds these.
    */
   tryAdmitExtra(
@@ -190,7 +198,7 @@
   ): ServerRecord<Waiting> | undefined {
     const service = this.#services.get(serviceName);
     if (service === undefined) return undefined;
-    const isBusy = service.queue.length > 0 || !service.hasRoom;
+    const isBusy = !service.hasRoom || service.yielding.some(({ queue }) => queue.length > 0);
     if (reason === ExtraReason.Hedge && isBusy) return undefined;
     const { workerId } = without.worker;
     const server = this.#chooser.choose(service.servers, nowMs, workerId);
@@ -262,12 +270,14 @@
     return { ...failure(kind, message), retryAfterMs: EARLIEST_RETURN_MS + spreadMs };
   }
 
-  /** Estimates the wait from the queue's length, the limit and the latency seen last. */
+  /**
+   * Estimates the wait from the queue's length and the pace at which it was served last. While
+   * more urgent work takes every place, the pace is what has passed since the last one.
+   */
   #wouldWaitTooLong(service: ServiceRecord<Waiting>, waiting: Waiting, nowMs: number): boolean {
-    const { medianMs, value } = service.limit;
-    const waitMs = (service.queue.length * medianMs) / value;
+    const waitMs = service.queue.length * service.pace.gapMs(nowMs);
     const remainingMs = waiting.deadlineAtMs - nowMs;
-    return waitMs > this.#settings.maximumWaitMs || waitMs + medianMs > remainingMs;
+    return waitMs > this.#settings.maximumWaitMs || waitMs + service.limit.medianMs > remainingMs;
   }
 
   #dispatch(
@@ -286,6 +296,7 @@
       Admission.#occupy(server);
       this.#servedCount += 1;
       service.lastServedOrder = this.#servedCount;
+      service.pace.noteServed(nowMs);
       dispatched.push({ waiting, server });
     }
   }
@@ -323,11 +334,16 @@
     nowMs: number,
   ): void {
     if (end.verdict === ServerVerdict.Unused) return;
-    if (end.verdict !== ServerVerdict.Failure) server.latency.note(end.latencyMs, nowMs);
-    if (end.verdict === ServerVerdict.Overtaken) return;
+    if (end.verdict === ServerVerdict.Overtaken) {
+      server.latency.noteAtLeast(end.latencyMs, nowMs);
+      return;
+    }
     if (end.verdict === ServerVerdict.Success) {
+      server.latency.note(end.latencyMs, nowMs);
       server.health.noteSuccess();
-      service.limit.note(end.latencyMs, service.occupiedCount);
+      if (service.limit.note(end.latencyMs, service.occupiedCount)) {
+        service.overtaking.forEach((each) => each.refreshRoom());
+      }
       return;
     }
     if (!server.health.noteFailure() || server.health.isSetAside(nowMs)) return;
@@ -346,6 +362,20 @@
     return asideCount < allowed;
   }
 
+  /** Finds for each service those on the same workers, by urgency. */
+  #relate(): void {
+    this.#services.forEach((service) => {
+      const rank = URGENCY_RANK[service.urgency];
+      const related = new Set(service.servers.flatMap(({ worker }) => worker.services));
+      related.add(service);
+      /* eslint-disable no-param-reassign -- the record is this class's own */
+      service.yielding = [...related].filter(({ urgency }) => URGENCY_RANK[urgency] >= rank);
+      service.overtaking = [...related].filter(({ urgency }) => URGENCY_RANK[urgency] <= rank);
+      /* eslint-enable no-param-reassign */
+    });
+    this.#services.forEach((service) => service.refreshRoom());
+  }
+
   #keepWorker(server: BackendServer, known: ReadonlyMap<string, WorkerRecord<Waiting>>): void {
     if (this.#workers.has(server.workerId)) return;
     const worker = known.get(server.workerId) ?? new WorkerRecord<Waiting>(server.workerId);
@@ -366,7 +396,7 @@
       new ConcurrencyLimit(this.#slotShare(servers), this.#highestLimit(servers)),
       new FairQueue<Waiting>(queueCapacity),
       new RetryBudget(retryBudgetRatio),
-      new RetryBudget(hedgeBudgetRatio),
+      new HedgeBudget(hedgeBudgetRatio),
     );
     this.#services.set(name, service);
     return service;
@@ -374,7 +404,6 @@
 
   #setServers(service: ServiceRecord<Waiting>, servers: readonly BackendServer[]): void {
     const known = new Map(service.servers.map((record) => [record.worker.workerId, record]));
-    const before = service.servers.reduce((sum, { server }) => sum + server.slotCount, 0);
     const records = servers.flatMap((server) => {
       const worker = this.#workers.get(server.workerId);
       if (worker === undefined) return [];
@@ -388,17 +417,14 @@
     /* eslint-disable no-param-reassign */
     service.servers = records;
     service.occupiedCount = records.reduce((sum, { worker }) => sum + worker.inFlightCount, 0);
+    service.slotCount = servers.reduce((sum, { slotCount }) => sum + slotCount, 0);
     /* eslint-enable no-param-reassign */
-    const after = servers.reduce((sum, { slotCount }) => sum + slotCount, 0);
-    if (after === 0 || after === before) return;
-    const share = this.#slotShare(servers);
-    const limit = before === 0 ? share : (service.limit.value * after) / before;
-    service.limit.rescale(limit, this.#highestLimit(servers));
+    service.limit.rescale(this.#slotShare(servers), this.#highestLimit(servers));
   }
 
   #slotShare(servers: readonly BackendServer[]): number {
     const slotCount = servers.reduce((sum, server) => sum + server.slotCount, 0);
-    return slotCount / this.#settings.maximumEntryCount;
+    return slotCount / this.#entryCount;
   }
 
   #highestLimit(servers: readonly BackendServer[]): number {
