--- a/bench/capacity/schedulerCapacity.ts
+++ b/bench/capacity/schedulerCapacity.ts
@@ -3,6 +3,7 @@
  * decisions, messages with their bytes, and the table's reads and writes.
  */
 import { performance } from 'node:perf_hooks';
+import { serialize } from 'node:v8';
 
 import { left, right } from 'fp-ts/lib/Either.js';
 
@@ -74,6 +75,8 @@
   readonly transactionsPerSecond: number;
   readonly writtenRowsPerSecond: number;
   readonly conflictCount: number;
+  /** Size of the rows and views that the owner holds, as one serialised value. */
+  readonly serialisedStateBytes: number;
 }
 
 const byteLength = (value: unknown): number => Buffer.byteLength(JSON.stringify(value));
@@ -150,6 +153,7 @@
       transactionsPerSecond: perSecond(counts.transactionCount - before.transactionCount),
       writtenRowsPerSecond: perSecond(counts.writtenRowCount - before.writtenRowCount),
       conflictCount: counts.conflictCount - before.conflictCount,
+      serialisedStateBytes: serialize([this.#state.rows, this.#state.workers]).byteLength,
     };
   }
 
