--- a/bench/bench.ts
+++ b/bench/bench.ts
@@ -1,6 +1,7 @@
 /** The benchmarks: `npm run bench -- NAME`, all of them without a name. */
 
 import type { Benchmark } from './benchmark.js';
+import { capacity } from './capacity/capacity.js';
 import { configuration } from './configuration/configuration.js';
 import { passThrough } from './passThrough/passThrough.js';
 import { requestsBenchmark } from './requests/requestsBench.js';
@@ -8,6 +9,7 @@
 import { traceCost } from './traceCost/traceCost.js';
 
 const BENCHMARKS: readonly Benchmark[] = [
+  capacity,
   configuration,
   passThrough,
   requestsBenchmark,
