Scheduler: a task that finished unheard is not completed again

Cause: a task that finishes on a worker that is cut off is given up once the leases are over and queued again; when the worker came back its report of the finish was forgotten as a stray. Change: a finish of an attempt that the ledger no longer holds counts while the task is open; its next attempt leaves the ledger and is stopped; the worker is told to forget only afterwards. Weighed: waiting longer before giving up, which delays all lost work.

--- a/src/scheduler/common/cellEvents.ts
+++ b/src/scheduler/common/cellEvents.ts
@@ -30,6 +30,7 @@
   CellState,
   ConfirmedConfiguration,
 } from './cellState.js';
+import { unrecordedFinishes } from './lateFinishes.js';
 import { mayAssign } from './round.js';
 import { surplusTaskIds } from './wantedEvictions.js';
 import { WorkerHealth } from './workerHealth.js';
@@ -245,7 +246,9 @@
 const tellsNews = (state: CellState, before: WorkerView, after: WorkerView): boolean => {
   if (before.report?.incarnation !== after.report?.incarnation) return true;
   if (before.tasks === after.tasks) return false;
-  const assignments = state.rows === undefined ? [] : assignmentsOf(state.rows, after.instance.id);
+  if (state.rows === undefined) return true;
+  if (unrecordedFinishes(state.rows, after).size > 0) return true;
+  const assignments = assignmentsOf(state.rows, after.instance.id);
   return assignments.some((assignment) => {
     const task = after.tasks.get(attemptKey(assignment));
     if (task === undefined) return false;
--- /dev/null
+++ b/src/scheduler/common/lateFinishes.ts
@@ -0,0 +1,76 @@
+/** Tasks that finished on a worker after they had been given up there. */
+import { TaskClass, WorkerTaskState } from '../../platform/worker/common/workerClient.js';
+import {
+  type Assignment,
+  batchTaskId,
+  BatchTaskState,
+  isEnded,
+  type WorkRow,
+} from '../../platform/work/common/workRows.js';
+import { assignmentsOf, type CellDraft, type CellRows } from './cellRows.js';
+import type { CellState } from './cellState.js';
+import { attemptKey, type WorkerView } from './workerView.js';
+
+interface LateFinish {
+  readonly row: WorkRow;
+  readonly taskIndex: number;
+}
+
+/** Finished attempts of the report that the ledger no longer holds, by task id. */
+const finishedStrays = (view: WorkerView, rows: CellRows): readonly string[] => {
+  const finished = [...view.tasks.values()].filter(
+    ({ state }) => state === WorkerTaskState.Finished,
+  );
+  if (finished.length === 0) return [];
+  const listed = new Set(assignmentsOf(rows, view.instance.id).map(attemptKey));
+  return finished.filter((task) => !listed.has(attemptKey(task))).map(({ taskId }) => taskId);
+};
+
+const openTask = (rows: readonly WorkRow[], taskId: string): LateFinish | undefined =>
+  rows
+    .filter((row) => taskId.startsWith(`${row.jobId}/`))
+    .flatMap((row) =>
+      row.tasks
+        .filter((task) => batchTaskId(row.jobId, task.index) === taskId && !isEnded(task))
+        .map(({ index }) => ({ row, taskIndex: index })),
+    )[0];
+
+/** Task ids whose late finish still has to be recorded; the worker must not forget them yet. */
+export const unrecordedFinishes = (rows: CellRows, view: WorkerView): ReadonlySet<string> =>
+  new Set(
+    finishedStrays(view, rows).filter(
+      (taskId) => openTask([...rows.work.values()], taskId) !== undefined,
+    ),
+  );
+
+/**
+ * A worker that was cut off may have finished a task before its lease ran out, unheard, so that
+ * the task was given up and queued again. When the worker is heard of while the task is still
+ * open, the finish counts: the task is done and its next attempt, if it runs, is dropped from
+ * the ledger and stopped as a stray. Without this it would be completed a second time.
+ */
+export const recordLateFinishes = (state: CellState, rows: CellRows, draft: CellDraft): void => {
+  state.workers.forEach((view) => {
+    finishedStrays(view, rows).forEach((taskId) => {
+      const current = draft.shardIds
+        .map((shardId) => draft.work(shardId))
+        .filter((row): row is WorkRow => row !== undefined);
+      const late = openTask(current, taskId);
+      if (late === undefined || draft.rowCount >= state.timing.maximumRowsPerRound) return;
+      const tasks = late.row.tasks.map((task) =>
+        task.index === late.taskIndex ? { ...task, state: BatchTaskState.Done } : task,
+      );
+      draft.setWork({ ...late.row, tasks });
+      const isNextAttempt = (one: Assignment): boolean =>
+        one.taskClass === TaskClass.Batch && one.taskId === taskId;
+      draft.racks
+        .filter((rack) => draft.assignments(rack).some(isNextAttempt))
+        .forEach((rack) =>
+          draft.setAssignments(
+            rack,
+            draft.assignments(rack).filter((one) => !isNextAttempt(one)),
+          ),
+        );
+    });
+  });
+};
--- a/src/scheduler/common/round.ts
+++ b/src/scheduler/common/round.ts
@@ -11,6 +11,7 @@
 import { assignQueuedWork } from './assigning.js';
 import { CellDraft, type CellRows } from './cellRows.js';
 import type { CellState } from './cellState.js';
+import { recordLateFinishes } from './lateFinishes.js';
 import type { PlacementPolicy } from './placement.js';
 import { type RecordedEnd, recordEnds } from './taskEnds.js';
 import { settleUnfitWork } from './unfitWork.js';
@@ -110,6 +111,7 @@
 ): Round => {
   const draft = new CellDraft(state.cell, rows);
   const ends = recordEnds(state, rows, draft, nowMs);
+  recordLateFinishes(state, rows, draft);
   cancelQueuedTasks(draft, state.timing.maximumRowsPerRound);
   const assigned = isAssigning
     ? assignQueuedWork(state, rows, draft, policy, operationId, nowMs)
--- a/src/scheduler/common/workerCommands.ts
+++ b/src/scheduler/common/workerCommands.ts
@@ -9,6 +9,7 @@
 import type { Assignment } from '../../platform/work/common/workRows.js';
 import { assignmentsOf } from './cellRows.js';
 import type { CellState } from './cellState.js';
+import { unrecordedFinishes } from './lateFinishes.js';
 import { isEvictionWanted } from './wantedEvictions.js';
 import { attemptKey, reportedTask, type WorkerView, withDriftMargin } from './workerView.js';
 
@@ -113,6 +114,7 @@
   const listed = new Set(assignments.map(attemptKey));
   const strays =
     rows === undefined ? [] : report.tasks.filter((task) => !listed.has(attemptKey(task)));
+  const unrecorded = rows === undefined ? new Set() : unrecordedFinishes(rows, view);
   const runningStrays = strays.filter((task) => task.state === WorkerTaskState.Running);
   const command = {
     incarnation: report.incarnation,
@@ -126,7 +128,7 @@
     evictions: [...[...evicted].filter(isRunning), ...runningStrays].map(toAttempt),
     throttles: [],
     acknowledgements: strays
-      .filter((task) => task.state !== WorkerTaskState.Running)
+      .filter((task) => task.state !== WorkerTaskState.Running && !unrecorded.has(task.taskId))
       .map(toAttempt),
   };
   return { command, withheldCount: wanted.length - starts.length };
--- a/src/scheduler/test/runsOnce.test.ts
+++ b/src/scheduler/test/runsOnce.test.ts
@@ -7,6 +7,7 @@
 import {
   type Assignment,
   cellOwnerKey,
+  workPrefix,
   workRowSchema,
 } from '../../platform/work/common/workRows.js';
 import { decide } from '../common/cellScheduler.js';
@@ -14,7 +15,16 @@
 import { SpreadAndPackPolicy } from '../common/placement.js';
 import { AssignmentEnd, assignmentEnd } from '../common/taskEnds.js';
 import type { WorkerView } from '../common/workerView.js';
-import { CAPACITY, expectNoHarm, setZone, shard, SIZE, startCell, submit } from './cellFixtures.js';
+import {
+  CAPACITY,
+  expectNoHarm,
+  setZone,
+  shard,
+  SIZE,
+  startCell,
+  submit,
+  workRowsOf,
+} from './cellFixtures.js';
 import { CELL, type VirtualCell, type VirtualDaemon } from './virtualCell.js';
 
 const policy = new SpreadAndPackPolicy();
@@ -191,6 +201,23 @@
     expectNoHarm(cell);
   });
 
+  // A worker is cut off, finishes its tasks unheard, and comes back while the next attempts run
+  // elsewhere. What it finished counts and the next attempts are stopped; they would have done
+  // the work a second time.
+  it('that finished unheard is not finished again', () => {
+    const cell = startCell(39);
+    submit(cell, shard(40, 12_000));
+    cell.runFor(5_000);
+    cell.cutWorkers.add('w0');
+    cell.runFor(17_000);
+    expect(cell.count('assignments_lost')).toBeGreaterThan(0);
+    cell.cutWorkers.delete('w0');
+    cell.runFor(60_000);
+    expect(cell.judge.verdict().completedBatchCount).toBe(40);
+    expect(workRowsOf(cell, workPrefix(CELL))).toEqual([]);
+    expectNoHarm(cell);
+  });
+
   // A worker has been idle for longer than a lease, so it holds none. Its next task was then
   // taken for lost before its start had been sent: the start went out all the same, and the
   // next attempt went to another worker. The demo showed it as evictions that changed from run
