--- a/src/scheduler/node/cellTask.ts
+++ b/src/scheduler/node/cellTask.ts
@@ -8,7 +8,8 @@
 import type { Log } from '../../platform/log/common/log.js';
 import type { Metrics } from '../../platform/metrics/common/metrics.js';
 import type { TableService } from '../../platform/table/common/table.js';
-import type { HttpWorkerClient } from '../../platform/worker/node/httpWorkerClient.js';
+import type { Tracing } from '../../platform/tracing/common/tracing.js';
+import type { WorkerClient } from '../../platform/worker/common/workerClient.js';
 import { decide, initialCellState } from '../common/cellScheduler.js';
 import type { CellEffect, CellEvent, CellState, CellTiming } from '../common/cellState.js';
 import type { PlacementPolicy } from '../common/placement.js';
@@ -21,6 +22,7 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly metrics: Metrics;
+  readonly tracing: Tracing;
 }
 
 export interface CellTaskOptions {
@@ -48,7 +50,7 @@
     this.#services = services;
     this.#options = options;
     this.#policy = policy;
-    this.#clients = new WorkerClients(options.workerTimeoutMs);
+    this.#clients = new WorkerClients(options.workerTimeoutMs, services.tracing);
     const nowMs = services.clock.nowMs();
     this.#state = initialCellState(options.cell, options.selfId, options.timing, nowMs);
     this.#disposables.add(services.directory.onDidChange(() => this.#handleInstances()));
@@ -132,7 +134,7 @@
     }
   }
 
-  #client(workerId: string): HttpWorkerClient {
+  #client(workerId: string): WorkerClient {
     const view = this.#state.workers.get(workerId);
     const origin = view === undefined ? '' : toOrigin(view.instance.controlAddress);
     return this.#clients.client(workerId, origin);
--- a/src/scheduler/node/workerClients.ts
+++ b/src/scheduler/node/workerClients.ts
@@ -1,10 +1,14 @@
 /** The clients of a cell's workers, each on a connection of its own. */
 import type { Disposable } from '../../base/common/lifecycle.js';
+import type { Tracing } from '../../platform/tracing/common/tracing.js';
+import { TracedWorkerClient } from '../../platform/worker/common/tracedWorkerClient.js';
+import type { WorkerClient } from '../../platform/worker/common/workerClient.js';
 import { HttpWorkerClient } from '../../platform/worker/node/httpWorkerClient.js';
 
 interface Entry {
   readonly origin: string;
-  readonly client: HttpWorkerClient;
+  readonly client: WorkerClient;
+  readonly connection: Disposable;
 }
 
 /**
@@ -17,28 +21,32 @@
 
   readonly #entries = new Map<string, Entry>();
 
-  constructor(timeoutMs: number) {
+  readonly #tracing: Tracing;
+
+  constructor(timeoutMs: number, tracing: Tracing) {
     this.#timeoutMs = timeoutMs;
+    this.#tracing = tracing;
   }
 
   get size(): number {
     return this.#entries.size;
   }
 
-  client(workerId: string, origin: string): HttpWorkerClient {
+  client(workerId: string, origin: string): WorkerClient {
     const known = this.#entries.get(workerId);
     if (known?.origin === origin) return known.client;
-    known?.client.dispose();
-    const client = new HttpWorkerClient(origin, this.#timeoutMs);
-    this.#entries.set(workerId, { origin, client });
+    known?.connection.dispose();
+    const connection = new HttpWorkerClient(origin, this.#timeoutMs);
+    const client = new TracedWorkerClient(connection, workerId, this.#tracing);
+    this.#entries.set(workerId, { origin, client, connection });
     return client;
   }
 
   /** Closes the clients of all workers but these. */
   retain(workerIds: { has(workerId: string): boolean }): void {
-    this.#entries.forEach(({ client }, workerId) => {
+    this.#entries.forEach(({ connection }, workerId) => {
       if (workerIds.has(workerId)) return;
-      client.dispose();
+      connection.dispose();
       this.#entries.delete(workerId);
     });
   }
