--- a/src/platform/metrics/common/metricList.ts
+++ b/src/platform/metrics/common/metricList.ts
@@ -64,6 +64,13 @@
   cell_transaction_failed: counter('Transactions of a cell without an answer, by cell.'),
   cell_stale_answer: counter('Answers that came after the cell had moved on, by cell.'),
   tasks_assigned: counter('Tasks given to a worker, by cell.'),
+  assignments_finished: counter('Assignments whose task finished, by cell.'),
+  assignments_failed: counter('Assignments whose task failed, by cell.'),
+  assignments_evicted: counter('Assignments whose task left its worker on request, by cell.'),
+  assignments_lost: counter(
+    'Assignments whose worker lost the task or cannot be reached, by cell.',
+  ),
+  assignments_never_started: counter('Assignments taken back before they started, by cell.'),
 };
 
 /** Counted, and the step not taken, where the program finds itself about to break a promise. */
