--- a/src/entry/common/admission.ts
+++ b/src/entry/common/admission.ts
@@ -107,6 +107,8 @@
 
   #entryCount = 1;
 
+  #setAsideCount = 0;
+
   constructor(settings: AdmissionSettings, chooser: ServerChooser, random: RandomSource) {
     this.#settings = settings;
     this.#chooser = chooser;
@@ -117,8 +119,16 @@
     return this.#services.get(name);
   }
 
-  get services(): ReadonlyMap<string, ServiceRecord<Waiting>> {
-    return this.#services;
+  /** Requests that wait now, of all services. */
+  get waitingCount(): number {
+    return [...this.#services.values()].reduce((sum, { queue }) => sum + queue.length, 0);
+  }
+
+  /** How often a server was set aside since the last call. */
+  takeSetAsideCount(): number {
+    const count = this.#setAsideCount;
+    this.#setAsideCount = 0;
+    return count;
   }
 
   /**
@@ -347,7 +357,9 @@
       return;
     }
     if (!server.health.noteFailure() || server.health.isSetAside(nowMs)) return;
-    if (this.#maySetAside(service, nowMs)) server.health.setAside(nowMs, this.#random);
+    if (!this.#maySetAside(service, nowMs)) return;
+    server.health.setAside(nowMs, this.#random);
+    this.#setAsideCount += 1;
   }
 
   /**
--- a/src/entry/node/requestDispatch.ts
+++ b/src/entry/node/requestDispatch.ts
@@ -30,6 +30,7 @@
  * timer each would cost more than the decisions, and nothing here needs a finer grain.
  */
 const SWEEP_INTERVAL_MS = 10;
+const GAUGE_INTERVAL_MS = 1_000;
 const FIRST_SERVER_ERROR = 500;
 
 /** A request under way: what it is, by when it must be answered and its trace. */
@@ -75,6 +76,7 @@
     this.#services = services;
     this.#settings = settings;
     this.#disposables.add(new PeriodicTimer(SWEEP_INTERVAL_MS, () => this.#sweep()));
+    this.#disposables.add(new PeriodicTimer(GAUGE_INTERVAL_MS, () => this.#report()));
   }
 
   dispose(): void {
@@ -263,6 +265,13 @@
     });
   }
 
+  #report(): void {
+    const { admission, metrics } = this.#services;
+    metrics.gauge('requests_waiting', admission.waitingCount);
+    const setAsideCount = admission.takeSetAsideCount();
+    if (setAsideCount > 0) metrics.count('servers_set_aside', {}, setAsideCount);
+  }
+
   #considerSecond(journey: Journey, nowMs: number): void {
     const [first, second] = journey.running;
     const service = this.#service(journey);
