--- a/bench/bench.ts
+++ b/bench/bench.ts
@@ -1,11 +1,21 @@
 /** The benchmarks: `npm run bench -- NAME`, all of them without a name. */
 
 import type { Benchmark } from './benchmark.js';
+import { capacity } from './capacity/capacity.js';
+import { configuration } from './configuration/configuration.js';
 import { passThrough } from './passThrough/passThrough.js';
 import { requestsBenchmark } from './requests/requestsBench.js';
 import { scheduling } from './scheduling/scheduling.js';
+import { traceCost } from './traceCost/traceCost.js';
 
-const BENCHMARKS: readonly Benchmark[] = [passThrough, requestsBenchmark, scheduling];
+const BENCHMARKS: readonly Benchmark[] = [
+  capacity,
+  configuration,
+  passThrough,
+  requestsBenchmark,
+  scheduling,
+  traceCost,
+];
 
 const [wanted, ...args] = process.argv.slice(2);
 const chosen = BENCHMARKS.filter(({ name }) => wanted === undefined || name === wanted);
--- a/soak/test/soakRun.ts
+++ b/soak/test/soakRun.ts
@@ -2,9 +2,12 @@
 import fc from 'fast-check';
 
 import { expectSettled, type Scenario, SCENARIOS, type SoakModel } from './soakCommands.js';
-import { type Sabotage, SoakWorld } from './soakWorld.js';
+import type { Sabotage } from './sabotage.js';
+import { SoakWorld } from './soakWorld.js';
 
 const SEED_LIMIT = 2 ** 31 - 1;
+/** A failure is reported as far as it was shrunk by then. */
+const SHRINKING_LIMIT_MS = 20_000;
 
 export interface SoakResult {
   readonly stepCount: number;
@@ -53,6 +56,7 @@
     seed: options.seed,
     numRuns: 1,
     endOnFailure: options.isShrunk === false,
+    interruptAfterTimeLimit: SHRINKING_LIMIT_MS,
   });
   return {
     ...totals,
--- a/soak/test/soakWorld.ts
+++ b/soak/test/soakWorld.ts
@@ -6,9 +6,8 @@
 import { type Either, isLeft, left, right } from 'fp-ts/lib/Either.js';
 
 import { SeededRandom } from '../../src/base/common/random.js';
-import { type RoutingTable, toRoutingTable } from '../../src/entry/common/routing.js';
+import { toRoutingTable } from '../../src/entry/common/routing.js';
 import type { Intent } from '../../src/operator/common/intent.js';
-import type { PlanService } from '../../src/operator/node/planService.js';
 import { ConfigurationReader } from '../../src/platform/configuration/node/configurationReader.js';
 import {
   ErrorKind,
@@ -37,66 +36,29 @@
 import { TEST_TIMING } from '../../src/scheduler/test/virtualCell.js';
 import { TableStandIn } from '../../standIns/platform/tableStandIn.js';
 import { SoakJudge } from './soakJudge.js';
+import { RevertingReader, type Sabotage, type SoakReader } from './sabotage.js';
 import { SoakWorker } from './soakWorker.js';
+import {
+  CAPACITY,
+  type CallFaults,
+  DAEMON_COUNT,
+  NO_FAULTS,
+  SERVICE,
+  type SoakDaemon,
+  WORKERS_PER_RACK,
+  WORKERS_PER_ZONE,
+  TASK_SIZE,
+  ZONES,
+} from './soakParts.js';
 import { createPlans } from './soakPlans.js';
 import { VirtualTime } from './virtualTime.js';
 
-export const ZONES = ['zone-a', 'zone-b'] as const;
-export const SERVICE = 'rounds';
-export const DAEMON_COUNT = 3;
-export const WORKERS_PER_ZONE = 4;
-const WORKERS_PER_RACK = 2;
-const GIBIBYTE = 1024 ** 3;
-export const CAPACITY = { processorMillis: 8_000, memoryBytes: 32 * GIBIBYTE, acceleratorCount: 0 };
-export const TASK_SIZE = {
-  processorMillis: 2_000,
-  memoryBytes: 2 * GIBIBYTE,
-  acceleratorCount: 0,
-};
 const TICK_MS = 200;
 const CONFIGURATION_INTERVAL_MS = 700;
 const CALL_TIMEOUT_MS = 800;
 const USUAL_DELAY_MS = 20;
-const LATE_DELAY_MS = 8_000;
 const NEVER_MS = 2 ** 30;
 
-/** Test switches that each break one safeguard, to show that the judge sees it. */
-export interface Sabotage {
-  readonly alterTransaction?: (transaction: Transaction) => Transaction;
-  readonly alterCommand?: (command: WorkerCommand) => WorkerCommand;
-  /** Workers start an attempt that a former incarnation was given. */
-  readonly hasForgetfulWorkers?: boolean;
-  /** Readers take whatever they read, the older too. */
-  readonly hasRevertingReaders?: boolean;
-  /** Entries that ignore the configuration and go on with the servers they have read. */
-  readonly hasDeafEntries?: boolean;
-  /** Operators are told `not-run` whatever the failure. */
-  readonly isAlwaysDenied?: boolean;
-  readonly alterState?: (state: CellState) => CellState;
-}
-
-export interface SoakDaemon {
-  readonly id: string;
-  readonly cells: Map<string, CellState>;
-  reader: ConfigurationReader;
-  plans: PlanService;
-  routes: RoutingTable;
-  isAlive: boolean;
-  isPaused: boolean;
-  isCut: boolean;
-  /** When a fault last kept it from reading the configuration. */
-  hinderedAtMs: number;
-  readonly inbox: (() => void)[];
-}
-
-interface CallFaults {
-  isDown: boolean;
-  /** The share of messages that arrive seconds late, when the sender has given them up. */
-  lateRatio: number;
-  /** The share of answers that are lost after the call took effect. */
-  lostRatio: number;
-}
-
 export class SoakWorld {
   readonly time = new VirtualTime();
 
@@ -110,9 +72,9 @@
 
   readonly counters = new Map<string, number>();
 
-  readonly tableFaults: CallFaults = { isDown: false, lateRatio: 0, lostRatio: 0 };
+  readonly tableFaults: CallFaults = { ...NO_FAULTS };
 
-  readonly workerFaults: CallFaults = { isDown: false, lateRatio: 0, lostRatio: 0 };
+  readonly workerFaults: CallFaults = { ...NO_FAULTS };
 
   /** Jobs that an operator was told are accepted. */
   readonly acceptedJobIds = new Set<string>();
@@ -187,7 +149,7 @@
   addDaemon(): void {
     this.#daemonCount += 1;
     const id = `d${this.#daemonCount}`;
-    const daemon = { id, cells: new Map<string, CellState>(), routes: new Map() };
+    const daemon = { id, cells: new Map<string, CellState>(), routes: new Map(), endpointRows: [] };
     const state = { isAlive: true, isPaused: false, isCut: false, hinderedAtMs: this.nowMs };
     const whole = { ...daemon, ...state, inbox: [] } as unknown as SoakDaemon;
     const table = this.#tableOf(whole);
@@ -243,15 +205,13 @@
     });
   }
 
-  #createReader(table: TableService): ConfigurationReader {
+  #createReader(table: TableService): SoakReader {
+    if (this.#sabotage.hasRevertingReaders) return new RevertingReader(table);
     const clock = { nowMs: () => this.nowMs };
-    const create = (): ConfigurationReader => {
-      const reader = new ConfigurationReader(table, clock, silentLog, silentMetrics, NEVER_MS);
-      // Its own timer runs on real time; here it is told when to read.
-      reader.dispose();
-      return reader;
-    };
-    return create();
+    const reader = new ConfigurationReader(table, clock, silentLog, silentMetrics, NEVER_MS);
+    // Its own timer runs on real time; here it is told when to read.
+    reader.dispose();
+    return reader;
   }
 
   #every(intervalMs: number, daemon: SoakDaemon, run: () => void): void {
@@ -266,7 +226,7 @@
 
   #delayMs(faults: CallFaults): number {
     const isLate = this.#random.nextFraction() < faults.lateRatio;
-    return 1 + this.#random.nextIndex(isLate ? LATE_DELAY_MS : USUAL_DELAY_MS);
+    return 1 + this.#random.nextIndex(isLate ? faults.lateDelayMs : USUAL_DELAY_MS);
   }
 
   /** Runs what arrives at a daemon: not at all once dead, after the pause while paused. */
@@ -280,11 +240,18 @@
     const { current, confirmedAtMs } = daemon.reader;
     ZONES.forEach((zone) => {
       if (current !== undefined) {
-        const configuration = { view: current, confirmedAtMs };
+        const view = this.#sabotage.alterView?.(current) ?? current;
+        const configuration = { view, confirmedAtMs };
         this.#handle(daemon, zone, { kind: 'configuration', configuration });
       }
       this.#handle(daemon, zone, { kind: 'tick' });
     });
+    const hasServers = (daemon.routes.get(SERVICE)?.length ?? 0) > 0;
+    const isDeaf = this.#sabotage.hasDeafEntries === true && hasServers;
+    if (current !== undefined && !isDeaf) {
+      // eslint-disable-next-line no-param-reassign
+      daemon.routes = toRoutingTable(current, daemon.endpointRows, this.#instances);
+    }
     const servers = daemon.routes.get(SERVICE) ?? [];
     const isHindered = this.nowMs - daemon.hinderedAtMs < 3_000;
     // An entry that cannot read the table keeps its last configuration, by design.
@@ -296,28 +263,27 @@
     );
   }
 
+  /** Reads at the usual time and once more in between, as when a peer tells of a newer version. */
   #readConfiguration(daemon: SoakDaemon): void {
-    const before = daemon.reader.current?.version ?? 0;
-    if (this.#sabotage.hasRevertingReaders) {
-      // eslint-disable-next-line no-param-reassign
-      daemon.reader = this.#createReader(this.#tableOf(daemon));
-    }
-    void daemon.reader.refresh().then(() => {
-      const after = daemon.reader.current?.version ?? 0;
-      this.judge.noteInForce(daemon.id, before, after, this.nowMs);
-    });
-    this.time.noteSettled();
+    const refresh = (): void => {
+      void daemon.reader.refresh().then(() => {
+        const version = daemon.reader.current?.version ?? 0;
+        this.judge.noteInForce(daemon.id, version, this.nowMs);
+      });
+      this.time.noteSettled();
+    };
+    refresh();
+    this.schedule(this.#random.nextIndex(CONFIGURATION_INTERVAL_MS), () =>
+      SoakWorld.#deliver(daemon, refresh),
+    );
   }
 
   #readRoutes(daemon: SoakDaemon): void {
     const read = () => this.table.read({ keys: [], prefixes: [ENDPOINT_PREFIX] });
     this.#callTable(daemon, read, ErrorKind.StoreUnavailable, (result) => {
-      const { current } = daemon.reader;
-      if (isLeft(result) || current === undefined) return;
-      const rows = result.right.rows.map((row) => endpointRowSchema.parse(row.value));
-      const isDeaf = this.#sabotage.hasDeafEntries === true && daemon.routes.size > 0;
+      if (isLeft(result)) return;
       // eslint-disable-next-line no-param-reassign
-      if (!isDeaf) daemon.routes = toRoutingTable(current, rows, this.#instances);
+      daemon.endpointRows = result.right.rows.map((row) => endpointRowSchema.parse(row.value));
     });
   }
 
@@ -424,7 +390,9 @@
       return;
     }
     const reach = () => (daemon.isCut ? undefined : run());
-    this.#call(daemon, this.tableFaults, reach, lost, settle);
+    // Only a transaction whose answer is lost leaves a doubt, so only those are lost.
+    const lostRatio = lost === ErrorKind.StoreAnswerLost ? this.tableFaults.lostRatio : 0;
+    this.#call(daemon, { ...this.tableFaults, lostRatio }, reach, lost, settle);
   }
 
   #tableOf(daemon: SoakDaemon): TableService {
@@ -453,7 +421,8 @@
       const worker = this.workers.get(workerId);
       if (worker === undefined || worker.isCut) return undefined;
       this.#startedNow.clear();
-      worker.advance(this.nowMs);
+      // All of them, so that a lease ends on time on a worker that nobody reaches.
+      this.workers.forEach((other) => other.advance(this.nowMs));
       const report = worker.command(altered, this.nowMs);
       const started = altered.starts.filter(({ taskId, attempt }) =>
         this.#startedNow.has(`${taskId}#${attempt}`),
