--- a/src/scheduler/node/cellTask.ts
+++ b/src/scheduler/node/cellTask.ts
@@ -9,12 +9,11 @@
 import type { Metrics } from '../../platform/metrics/common/metrics.js';
 import type { TableService } from '../../platform/table/common/table.js';
 import type { Tracing } from '../../platform/tracing/common/tracing.js';
-import { TracedWorkerClient } from '../../platform/worker/common/tracedWorkerClient.js';
 import type { WorkerClient } from '../../platform/worker/common/workerClient.js';
-import { HttpWorkerClient } from '../../platform/worker/node/httpWorkerClient.js';
 import { decide, initialCellState } from '../common/cellScheduler.js';
 import type { CellEffect, CellEvent, CellState, CellTiming } from '../common/cellState.js';
 import type { PlacementPolicy } from '../common/placement.js';
+import { WorkerClients } from './workerClients.js';
 
 export interface CellTaskServices {
   readonly table: TableService;
@@ -43,7 +42,7 @@
 
   readonly #disposables = new DisposableStore();
 
-  readonly #clients = new Map<string, WorkerClient>();
+  readonly #clients: WorkerClients;
 
   #state: CellState;
 
@@ -51,6 +50,7 @@
     this.#services = services;
     this.#options = options;
     this.#policy = policy;
+    this.#clients = new WorkerClients(options.workerTimeoutMs, services.tracing);
     const nowMs = services.clock.nowMs();
     this.#state = initialCellState(options.cell, options.selfId, options.timing, nowMs);
     this.#disposables.add(services.directory.onDidChange(() => this.#handleInstances()));
@@ -65,7 +65,7 @@
 
   dispose(): void {
     this.#disposables.dispose();
-    this.#clients.clear();
+    this.#clients.dispose();
   }
 
   #handleTick(): void {
@@ -85,6 +85,7 @@
   #handleInstances(): void {
     const workers = this.#services.directory.instances.filter(isWorker);
     this.#handle({ kind: 'instances', workers });
+    this.#clients.retain(this.#state.workers);
   }
 
   #handle(event: CellEvent): void {
@@ -134,13 +135,8 @@
   }
 
   #client(workerId: string): WorkerClient {
-    const known = this.#clients.get(workerId);
-    if (known !== undefined) return known;
     const view = this.#state.workers.get(workerId);
     const origin = view === undefined ? '' : toOrigin(view.instance.controlAddress);
-    const http = this.#disposables.add(new HttpWorkerClient(origin, this.#options.workerTimeoutMs));
-    const client = new TracedWorkerClient(http, workerId, this.#services.tracing);
-    this.#clients.set(workerId, client);
-    return client;
+    return this.#clients.client(workerId, origin);
   }
 }
--- /dev/null
+++ b/src/scheduler/node/workerClients.ts
@@ -0,0 +1,57 @@
+/** The clients of a cell's workers, each on a connection of its own. */
+import type { Disposable } from '../../base/common/lifecycle.js';
+import type { Tracing } from '../../platform/tracing/common/tracing.js';
+import { TracedWorkerClient } from '../../platform/worker/common/tracedWorkerClient.js';
+import type { WorkerClient } from '../../platform/worker/common/workerClient.js';
+import { HttpWorkerClient } from '../../platform/worker/node/httpWorkerClient.js';
+
+interface Entry {
+  readonly origin: string;
+  readonly connection: HttpWorkerClient;
+  readonly client: WorkerClient;
+}
+
+/**
+ * A worker that is replaced under the same id has another address: its client is made anew, or
+ * the owner would call the old address for ever and give the new worker's tasks up as lost.
+ * Clients of workers that are gone are closed; 110 instances are replaced on an ordinary day.
+ */
+export class WorkerClients implements Disposable {
+  readonly #timeoutMs: number;
+
+  readonly #tracing: Tracing;
+
+  readonly #entries = new Map<string, Entry>();
+
+  constructor(timeoutMs: number, tracing: Tracing) {
+    this.#timeoutMs = timeoutMs;
+    this.#tracing = tracing;
+  }
+
+  get size(): number {
+    return this.#entries.size;
+  }
+
+  client(workerId: string, origin: string): WorkerClient {
+    const known = this.#entries.get(workerId);
+    if (known?.origin === origin) return known.client;
+    known?.connection.dispose();
+    const connection = new HttpWorkerClient(origin, this.#timeoutMs);
+    const client = new TracedWorkerClient(connection, workerId, this.#tracing);
+    this.#entries.set(workerId, { origin, connection, client });
+    return client;
+  }
+
+  /** Closes the clients of all workers but these. */
+  retain(workerIds: { has(workerId: string): boolean }): void {
+    this.#entries.forEach(({ connection }, workerId) => {
+      if (workerIds.has(workerId)) return;
+      connection.dispose();
+      this.#entries.delete(workerId);
+    });
+  }
+
+  dispose(): void {
+    this.retain(new Set<string>());
+  }
+}
