--- a/src/platform/errors/test/errorKinds.test.ts
+++ b/src/platform/errors/test/errorKinds.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from 'vitest';
 
+import { sourceText } from '../../../../tools/test/sourceText.js';
 import { ERROR_ANSWERS, ErrorKind, errorBody, failure, WorkOutcome } from '../common/errorKinds.js';
 
 /** Kinds that arise only before anything was sent, or as the server's own word. */
@@ -39,4 +40,10 @@
     );
     expect([...notRun].sort()).toEqual([...NOT_RUN_KINDS].sort());
   });
+
+  it('holds no kind that the program never gives', async () => {
+    const text = await sourceText(['platform/errors/']);
+    const unused = Object.keys(ErrorKind).filter((name) => !text.includes(`ErrorKind.${name}`));
+    expect(unused).toEqual([]);
+  });
 });
--- a/src/platform/metrics/common/metricList.ts
+++ b/src/platform/metrics/common/metricList.ts
@@ -84,6 +84,7 @@
   invariant_overcommitted: counter('A write would have overcommitted a worker.'),
   invariant_resumption: counter('A task was to resume twice or from an old checkpoint.'),
   invariant_second_answer: counter('A backend server answered one request twice.'),
+  invariant_sent_to_leaving_server: counter('A request was sent to a server that is leaving.'),
   invariant_uncommitted_start: counter('A start was to be sent before it was committed.'),
   invariant_withdrawn_zone: counter('A task was to start in a withdrawn zone.'),
 };
