--- a/src/scheduler/common/taskEnds.ts
+++ b/src/scheduler/common/taskEnds.ts
@@ -10,7 +10,7 @@
 } from '../../platform/work/common/workRows.js';
 import type { CellDraft, CellRows } from './cellRows.js';
 import type { CellState } from './cellState.js';
-import { isWorkerDraining } from './wantedEvictions.js';
+import { isEvictionWanted, isWorkerDraining } from './wantedEvictions.js';
 import { isInContact, presumedLeaseEndMs, reportedTask, type WorkerView } from './workerView.js';
 
 export const AssignmentEnd = {
@@ -68,12 +68,16 @@
   // A worker that holds no lease because its first start has yet to be sent is not a lost one:
   // taking that start back while it is being sent ran tasks twice.
   if (!isInContact(view, state.timing.reportFreshnessMs, nowMs)) {
-    return areLeasesOver ? AssignmentEnd.Lost : undefined;
+    // An owner that was paused itself has not listened: tasks that ended well inside their
+    // leases would all run again. So the worker is asked once more after the leases have ended.
+    const hasAskedSince = view.commandSentAtMs > view.leasesOverAtMs && !view.isCommandInFlight;
+    return areLeasesOver && hasAskedSince ? AssignmentEnd.Lost : undefined;
   }
-  // Not started yet. It is taken back only when the zone is withdrawn or the worker drained and
-  // no start that was sent can still take effect on the worker's clock.
+  // Not started yet. It is taken back only when it will not be started any more (the zone is
+  // withdrawn, the job cancelled, the worker draining) and no start that was sent can still take
+  // effect on the worker's clock. Without this it would hold its capacity for ever.
   const isUnwanted =
-    state.withdrawnSinceMs !== undefined || isWorkerDraining(state, assignment.workerId);
+    state.withdrawnSinceMs !== undefined || isEvictionWanted(state, assignment, nowMs);
   const isStartPast = report.workerNowMs > view.startsGoodUntilWorkerMs;
   return task === undefined && isUnwanted && isStartPast ? AssignmentEnd.NeverStarted : undefined;
 };
@@ -168,7 +172,9 @@
   const view = state.workers.get(workerId);
   if (view === undefined || !isInContact(view, state.timing.reportFreshnessMs, nowMs)) return false;
   if (state.withdrawnSinceMs !== undefined || isWorkerDraining(state, workerId)) return false;
-  if (quietReports.get(assignments) === view.tasks) return true;
+  // A cancellation ends an assignment that never started, without any new report.
+  const mayBeCancelled = (state.rows?.cancelledJobIds.size ?? 0) > 0;
+  if (!mayBeCancelled && quietReports.get(assignments) === view.tasks) return true;
   const hasEnd = assignments.some(
     (assignment) => assignmentEnd(state, view, assignment, nowMs) !== undefined,
   );
