--- a/src/cli/node/commands.ts
+++ b/src/cli/node/commands.ts
@@ -10,9 +10,11 @@
 import { resourcesSchema } from '../../platform/worker/common/resources.js';
 import type { ErrorBody } from '../../platform/errors/common/errorKinds.js';
 import { readSettingsFile } from '../../platform/settings/node/settingsFile.js';
+import type { RecordedSpan } from '../../platform/tracing/common/tracing.js';
 import { type IntentFlags, intentOfFlags } from '../common/intentFlags.js';
 import { planText } from '../common/planText.js';
 import { formatTable } from '../common/columnText.js';
+import { traceText } from '../common/traceText.js';
 import { OperatorClient } from './operatorClient.js';
 
 /** Exit codes of `snipethread`, as the README lists them. */
@@ -138,13 +140,21 @@
 };
 
 /** Prints what a path answers. */
-export const runShow = async (connection: Connection, path: string): Promise<ExitCode> => {
+const runShow = async (connection: Connection, path: string): Promise<ExitCode> => {
   const answer = await clientOf(connection).get(path);
   if (isLeft(answer)) return printRefusal(connection, answer.left);
   print(JSON.stringify(answer.right, undefined, connection.isJson ? 0 : 2));
   return ExitCode.Done;
 };
 
+export const runTrace = async (connection: Connection, traceId: string): Promise<ExitCode> => {
+  const answer = await clientOf(connection).get(`/v1/traces/${encodeURIComponent(traceId)}`);
+  if (isLeft(answer)) return printRefusal(connection, answer.left);
+  const spans = answer.right as readonly RecordedSpan[];
+  print(connection.isJson ? JSON.stringify(spans) : traceText(spans));
+  return ExitCode.Done;
+};
+
 export const runDescribe = async (
   connection: Connection,
   kind: string,
--- a/src/scheduler/node/cellTask.ts
+++ b/src/scheduler/node/cellTask.ts
@@ -8,10 +8,12 @@
 import type { Log } from '../../platform/log/common/log.js';
 import type { Metrics } from '../../platform/metrics/common/metrics.js';
 import type { TableService } from '../../platform/table/common/table.js';
-import { HttpWorkerClient } from '../../platform/worker/node/httpWorkerClient.js';
+import type { Tracing } from '../../platform/tracing/common/tracing.js';
+import type { WorkerClient } from '../../platform/worker/common/workerClient.js';
 import { decide, initialCellState } from '../common/cellScheduler.js';
 import type { CellEffect, CellEvent, CellState, CellTiming } from '../common/cellState.js';
 import type { PlacementPolicy } from '../common/placement.js';
+import { WorkerClients } from './workerClients.js';
 
 export interface CellTaskServices {
   readonly table: TableService;
@@ -20,6 +22,7 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly metrics: Metrics;
+  readonly tracing: Tracing;
 }
 
 export interface CellTaskOptions {
@@ -39,7 +42,7 @@
 
   readonly #disposables = new DisposableStore();
 
-  readonly #clients = new Map<string, HttpWorkerClient>();
+  readonly #clients: WorkerClients;
 
   #state: CellState;
 
@@ -47,6 +50,7 @@
     this.#services = services;
     this.#options = options;
     this.#policy = policy;
+    this.#clients = new WorkerClients(options.workerTimeoutMs, services.tracing);
     const nowMs = services.clock.nowMs();
     this.#state = initialCellState(options.cell, options.selfId, options.timing, nowMs);
     this.#disposables.add(services.directory.onDidChange(() => this.#handleInstances()));
@@ -61,8 +65,7 @@
 
   dispose(): void {
     this.#disposables.dispose();
-    this.#clients.forEach((client) => client.dispose());
-    this.#clients.clear();
+    this.#clients.dispose();
   }
 
   #handleTick(): void {
@@ -82,6 +85,7 @@
   #handleInstances(): void {
     const workers = this.#services.directory.instances.filter(isWorker);
     this.#handle({ kind: 'instances', workers });
+    this.#clients.retain(this.#state.workers);
   }
 
   #handle(event: CellEvent): void {
@@ -130,13 +134,9 @@
     }
   }
 
-  #client(workerId: string): HttpWorkerClient {
-    const known = this.#clients.get(workerId);
-    if (known !== undefined) return known;
+  #client(workerId: string): WorkerClient {
     const view = this.#state.workers.get(workerId);
     const origin = view === undefined ? '' : toOrigin(view.instance.controlAddress);
-    const client = new HttpWorkerClient(origin, this.#options.workerTimeoutMs);
-    this.#clients.set(workerId, client);
-    return client;
+    return this.#clients.client(workerId, origin);
   }
 }
