Scheduler: in a small cell one bad worker may be set aside

A tenth of fewer than ten workers is none, so in small cells no worker was ever set aside. The failures that a suspect worker caused should not use up a task's tries; not done.

--- a/src/scheduler/common/workerHealth.ts
+++ b/src/scheduler/common/workerHealth.ts
@@ -5,7 +5,7 @@
 /** A suspect worker takes nothing for so long, doubled each time up to a limit. */
 const FIRST_ASIDE_MS = 30_000;
 const MAXIMUM_ASIDE_MS = 600_000;
-/** Never more than this share of the workers: with more the fault is likely elsewhere. */
+/** Never more than this share, or one worker: with more the fault is likely elsewhere. */
 const MAXIMUM_ASIDE_SHARE = 0.1;
 /** Failures on so many different workers make a job the likely culprit. */
 const BAD_JOB_WORKER_COUNT = 3;
@@ -70,7 +70,7 @@
     const failedJobIds = new Set([...record.failedJobIds, jobId]);
     const workers = new Map(this.#workers);
     const isSuspect = failedJobIds.size >= SUSPECT_JOB_COUNT;
-    const mayBeSet = this.#asideCount(nowMs) + 1 <= workerCount * MAXIMUM_ASIDE_SHARE;
+    const mayBeSet = this.#asideCount(nowMs) + 1 <= Math.max(1, workerCount * MAXIMUM_ASIDE_SHARE);
     workers.set(
       workerId,
       isSuspect && mayBeSet ? WorkerHealth.#aside(record, nowMs) : { ...record, failedJobIds },
