Failures on doubtful workers weigh a quarter, so bad workers do not make a job look bad

Ruled out: not counting doubtful failures at all (two jobs that fail everywhere would make every worker doubtful for each other and be tried for ever). Change: what failed on a worker since its last success is remembered apart from what counts against the worker; a credible failure weighs four, a doubtful one weighs one, twenty is enough.

--- a/bench/capacity/schedulerCapacity.ts
+++ b/bench/capacity/schedulerCapacity.ts
@@ -204,7 +204,7 @@
       attempt: 1,
       checkpoint: null,
       evictionCount: 0,
-      failureCount: 0,
+      failureWeight: 0,
     }));
     const row = { shardId, jobId, team: 'team-1', size: SIZE, urgency: 'normal', workMs, tasks };
     this.#write([
--- a/bench/scheduling/cellRun.ts
+++ b/bench/scheduling/cellRun.ts
@@ -221,7 +221,7 @@
         attempt: 1,
         checkpoint: null,
         evictionCount: 0,
-        failureCount: 0,
+        failureWeight: 0,
       })),
     };
     this.#jobCount += 1;
--- a/src/operator/common/jobPlanning.ts
+++ b/src/operator/common/jobPlanning.ts
@@ -36,7 +36,7 @@
   attempt: 1,
   checkpoint: null,
   evictionCount: 0,
-  failureCount: 0,
+  failureWeight: 0,
 });
 
 /** Deals a job's tasks out to the zones in use, each of which gets a shard. */
--- a/src/platform/work/common/workRows.ts
+++ b/src/platform/work/common/workRows.ts
@@ -42,7 +42,8 @@
   attempt: z.number().int().positive(),
   checkpoint: z.string().nullable(),
   evictionCount: z.number().int().nonnegative(),
-  failureCount: z.number().int().nonnegative(),
+  /** What the task's failures weigh; one on a doubtful worker weighs less. */
+  failureWeight: z.number().int().nonnegative(),
 });
 export type BatchTask = z.infer<typeof batchTaskSchema>;
 
--- a/src/scheduler/common/cellScheduler.ts
+++ b/src/scheduler/common/cellScheduler.ts
@@ -17,6 +17,7 @@
 import { initialCellLease, LeaseStepKind, nextLeaseStep } from './cellLease.js';
 import { cellPrefixes, type CellRows } from './cellRows.js';
 import type { CellDecision, CellEffect, CellEvent, CellState, CellTiming } from './cellState.js';
+import { toFailureCount } from './failureWeight.js';
 import { fenceCondition, startFence } from './fence.js';
 import { brokenByRound, brokenByStarts, ledgerChange } from './invariants.js';
 import type { PlacementPolicy } from './placement.js';
@@ -151,11 +152,11 @@
   nowMs: number,
 ): Pick<CellState, 'workerHealth' | 'retryAtMs'> => {
   const retryAtMs = new Map([...state.retryAtMs].filter(([, atMs]) => atMs > nowMs));
-  const workerHealth = ends.reduce((health, { end, assignment, failureCount }) => {
+  const workerHealth = ends.reduce((health, { end, assignment, failureWeight }) => {
     const { taskId, workerId, shardId, taskIndex } = assignment;
     if (end === AssignmentEnd.Finished) return health.withSuccess(workerId);
     if (end !== AssignmentEnd.Failed) return health;
-    retryAtMs.set(taskId, nowMs + retryDelayMs(failureCount, taskIndex));
+    retryAtMs.set(taskId, nowMs + retryDelayMs(toFailureCount(failureWeight), taskIndex));
     const culprit = shardId === '' ? assignment.serviceName : shardId;
     return health.withFailure(workerId, culprit, state.workers.size, nowMs);
   }, state.workerHealth);
--- a/src/scheduler/common/taskEnds.ts
+++ b/src/scheduler/common/taskEnds.ts
@@ -10,6 +10,7 @@
 } from '../../platform/work/common/workRows.js';
 import type { CellDraft, CellRows } from './cellRows.js';
 import type { CellState } from './cellState.js';
+import { isGivenUp, withFailureWeight } from './failureWeight.js';
 import { isEvictionWanted, isWorkerDraining } from './wantedEvictions.js';
 import { isInContact, presumedLeaseEndMs, reportedTask, type WorkerView } from './workerView.js';
 
@@ -28,13 +29,10 @@
 export interface RecordedEnd {
   readonly end: AssignmentEnd;
   readonly assignment: Assignment;
-  /** Failures of the task that count against it so far, this one included. */
-  readonly failureCount: number;
+  /** What the task's failures weigh, this one included. */
+  readonly failureWeight: number;
 }
 
-/** Failures after which a task is given up. */
-export const MAXIMUM_FAILURE_COUNT = 5;
-
 const ENDS_BY_REPORT: Readonly<Record<WorkerTaskState, AssignmentEnd | undefined>> = {
   [WorkerTaskState.Running]: undefined,
   [WorkerTaskState.Finished]: AssignmentEnd.Finished,
@@ -86,7 +84,7 @@
   task: BatchTask,
   end: AssignmentEnd,
   report: WorkerTaskReport | undefined,
-  isCounted: boolean,
+  isCredible: boolean,
 ): BatchTask => {
   const checkpoint = report?.checkpoint ?? task.checkpoint;
   const nextAttempt = { ...task, checkpoint, attempt: task.attempt + 1 };
@@ -100,10 +98,9 @@
         evictionCount: task.evictionCount + 1,
       };
     case AssignmentEnd.Failed: {
-      const failureCount = task.failureCount + (isCounted ? 1 : 0);
-      const isGivenUp = failureCount >= MAXIMUM_FAILURE_COUNT;
-      const taskState = isGivenUp ? BatchTaskState.Failed : BatchTaskState.Queued;
-      return { ...nextAttempt, state: taskState, failureCount };
+      const failureWeight = withFailureWeight(task.failureWeight, isCredible);
+      const taskState = isGivenUp(failureWeight) ? BatchTaskState.Failed : BatchTaskState.Queued;
+      return { ...nextAttempt, state: taskState, failureWeight };
     }
     default:
       return { ...nextAttempt, state: BatchTaskState.Queued };
@@ -116,14 +113,14 @@
   assignment: Assignment,
   end: AssignmentEnd,
   report: WorkerTaskReport | undefined,
-  isCounted: boolean,
+  isCredible: boolean,
 ): void => {
   const row = draft.work(assignment.shardId);
   if (row === undefined) return;
   const isCancelled = draft.cancelledJobIds.has(row.jobId);
   const tasks = row.tasks.map((task) => {
     if (task.index !== assignment.taskIndex || task.attempt !== assignment.attempt) return task;
-    const ended = endedTask(task, end, report, isCounted);
+    const ended = endedTask(task, end, report, isCredible);
     const isDropped = isCancelled && ended.state === BatchTaskState.Queued;
     return isDropped ? { ...ended, state: BatchTaskState.Cancelled } : ended;
   });
@@ -147,11 +144,11 @@
     const before = draft
       .work(assignment.shardId)
       ?.tasks.find(({ index }) => index === assignment.taskIndex);
-    const isCounted = state.workerHealth.isCredible(assignment.workerId, assignment.shardId);
-    const failureCount = (before?.failureCount ?? 0) + (isCounted ? 1 : 0);
-    ends.push({ end, assignment, failureCount });
+    const isCredible = state.workerHealth.isCredible(assignment.workerId, assignment.shardId);
+    const failureWeight = withFailureWeight(before?.failureWeight ?? 0, isCredible);
+    ends.push({ end, assignment, failureWeight });
     const report = view === undefined ? undefined : reportedTask(view, assignment);
-    if (assignment.shardId !== '') recordBatchEnd(draft, assignment, end, report, isCounted);
+    if (assignment.shardId !== '') recordBatchEnd(draft, assignment, end, report, isCredible);
     return false;
   });
   if (ends.length > 0) draft.setAssignments(rack, remaining);
--- a/src/scheduler/common/workerHealth.ts
+++ b/src/scheduler/common/workerHealth.ts
@@ -11,13 +11,17 @@
 const BAD_JOB_WORKER_COUNT = 3;
 
 interface WorkerRecord {
+  /** Jobs that count against the worker. */
   readonly failedJobIds: ReadonlySet<string>;
+  /** Up to two jobs that failed here since the last success, whoever was to blame. */
+  readonly recentJobIds: ReadonlySet<string>;
   readonly asideUntilMs: number;
   readonly asideCount: number;
 }
 
 const CLEAN: WorkerRecord = {
   failedJobIds: new Set(),
+  recentJobIds: new Set(),
   asideUntilMs: Number.NEGATIVE_INFINITY,
   asideCount: 0,
 };
@@ -57,12 +61,11 @@
   /**
    * Whether a failure of the job on this worker tells against the job. Where other jobs have
    * failed since the last success the worker is as likely the culprit, and counting the failure
-   * would give good jobs up because of one bad worker. Tries stay bounded all the same: a job
-   * that fails on several workers no longer counts against any, see `withFailure`.
+   * fully would give good jobs up because of bad workers; see `failureWeight.ts`.
    */
   isCredible(workerId: string, jobId: string): boolean {
-    const failed = this.#workers.get(workerId)?.failedJobIds;
-    return failed === undefined || [...failed].every((one) => one === jobId);
+    const recent = this.#workers.get(workerId)?.recentJobIds;
+    return recent === undefined || [...recent].every((one) => one === jobId);
   }
 
   /** A task ended well on the worker, so what failed before was not its fault. */
@@ -81,15 +84,18 @@
     if (workersOfJob.size > MAXIMUM_TRACKED_JOBS) {
       workersOfJob.delete([...workersOfJob.keys()][0] as string);
     }
+    const known = this.#workers.get(workerId) ?? CLEAN;
+    const recentJobIds =
+      known.recentJobIds.size < 2 ? new Set([...known.recentJobIds, jobId]) : known.recentJobIds;
+    const record = { ...known, recentJobIds };
     if (failedOn.size >= Math.min(BAD_JOB_WORKER_COUNT, workerCount)) {
-      return new WorkerHealth(this.#withoutJob(jobId), workersOfJob);
+      const noted = new Map(this.#workers).set(workerId, record);
+      return new WorkerHealth(WorkerHealth.#withoutJob(noted, jobId), workersOfJob);
     }
-    const record = this.#workers.get(workerId) ?? CLEAN;
     const failedJobIds = new Set([...record.failedJobIds, jobId]);
     const workers = new Map(this.#workers);
     // What was under way on a worker when it was set aside fails too and tells nothing new.
-    const isSuspect =
-      failedJobIds.size >= SUSPECT_JOB_COUNT && !this.isSetAside(workerId, nowMs);
+    const isSuspect = failedJobIds.size >= SUSPECT_JOB_COUNT && !this.isSetAside(workerId, nowMs);
     const mayBeSet = this.#asideCount(nowMs) + 1 <= Math.max(1, workerCount * MAXIMUM_ASIDE_SHARE);
     workers.set(
       workerId,
@@ -102,9 +108,12 @@
     return [...this.#workers.keys()].filter((id) => this.isSetAside(id, nowMs)).length;
   }
 
-  #withoutJob(jobId: string): ReadonlyMap<string, WorkerRecord> {
+  static #withoutJob(
+    workers: ReadonlyMap<string, WorkerRecord>,
+    jobId: string,
+  ): ReadonlyMap<string, WorkerRecord> {
     return new Map(
-      [...this.#workers].map(([id, record]) => [
+      [...workers].map(([id, record]) => [
         id,
         {
           ...record,
@@ -119,6 +128,7 @@
     return {
       // Kept, so that its first failure afterwards sets it aside again and costs no job a try.
       failedJobIds: record.failedJobIds,
+      recentJobIds: record.recentJobIds,
       asideUntilMs: nowMs + asideMs,
       asideCount: record.asideCount + 1,
     };
