The test of a slow server counts only its own second attempt

Ruled out: a fault of the product; a second attempt is allowed there. Change: the counters are compared before and after the slow call; the check stays as strict. After: the file passes, 8 tests.

--- a/src/entry/test/silentConnections.test.ts
+++ b/src/entry/test/silentConnections.test.ts
@@ -67,10 +67,13 @@
   it('is told from a slow server, whose first attempt is answered', async () => {
     const { entry } = await start();
     await entry.call('/a', PATIENT);
+    // On a busy machine the first call alone may have taken long enough for a second attempt.
+    const countBefore = entry.counter('second_attempts');
+    const wonBefore = entry.counter('second_attempts_won');
     const answer = await entry.call('/slow', PATIENT);
     expect([answer.statusCode, answer.text]).toEqual([200, 'whole']);
-    expect(entry.counter('second_attempts')).toBe(1);
-    expect(entry.counter('second_attempts_won')).toBe(0);
+    expect(entry.counter('second_attempts') - countBefore).toBe(1);
+    expect(entry.counter('second_attempts_won') - wonBefore).toBe(0);
   });
 });
 
