A task that was chosen to make room before it started is let go; shared sums stand once

Change: a worker's assignments are quiet only while nothing is chosen to leave, be it by cancellation, for urgent work or as surplus.

Also: replicaShare and the order of urgency stood twice, in scheduler and operator; both are in platform/configuration now.

--- a/src/entry/test/wholeAnswers.test.ts
+++ b/src/entry/test/wholeAnswers.test.ts
@@ -63,16 +63,17 @@
   // The server states four bytes and sends more. The caller gets the four; what comes after them
   // must not be read as the answer to the next request on the connection.
   it('is cut to its length, and the rest meets no other request', async () => {
-    const { entry } = await start((socket, index) => {
+    const { entry } = await start((socket, index, head) => {
       const extra = index === 0 ? wholeAnswer('stray') : '';
-      socket.write(`${wholeAnswer(`own${index}`)}${extra}`);
+      const [, path] = head.split(' ');
+      socket.write(`${wholeAnswer(`own ${path}`)}${extra}`);
     });
     const texts: string[] = [];
     for (let index = 0; index < 5; index += 1) {
       // eslint-disable-next-line no-await-in-loop -- one after the other on one connection
-      texts.push((await entry.call('/a')).text);
+      texts.push((await entry.call(`/a${index}`)).text);
     }
-    expect(texts).toEqual(['own0', 'own1', 'own2', 'own3', 'own4']);
+    expect(texts).toEqual(['own /a0', 'own /a1', 'own /a2', 'own /a3', 'own /a4']);
   });
 
   // As before, but the stray answer comes a moment later, on the idle connection.
--- a/src/operator/common/replicas.ts
+++ b/src/operator/common/replicas.ts
@@ -3,19 +3,17 @@
   type ConfigurationView,
   zonesInUse,
 } from '../../platform/configuration/common/configurationView.js';
-import { type ServiceDocument, Urgency } from '../../platform/configuration/common/documents.js';
+import {
+  type ServiceDocument,
+  URGENCY_ORDER,
+} from '../../platform/configuration/common/documents.js';
+import { evenShare } from '../../platform/configuration/common/replicaShare.js';
 import {
   addResources,
   NO_RESOURCES,
   type Resources,
 } from '../../platform/worker/common/resources.js';
 
-const URGENCY_ORDER: Readonly<Record<Urgency, number>> = {
-  [Urgency.Urgent]: 0,
-  [Urgency.Normal]: 1,
-  [Urgency.Low]: 2,
-};
-
 export const multipliedResources = (size: Resources, count: number): Resources => ({
   processorMillis: size.processorMillis * count,
   memoryBytes: size.memoryBytes * count,
@@ -48,13 +46,10 @@
     });
   }
 
-  /** A service's share in a zone, as the cells' owners work it out: even, first zones get more. */
+  /** A service's share in a zone, as the cells' owners work it out. */
   replicas(serviceName: string, zone: string): number {
-    const index = this.#zoneIndexes.get(zone) ?? -1;
     const count = this.#view.services.get(serviceName)?.replicaCount ?? 0;
-    if (index < 0) return 0;
-    const base = Math.floor(count / this.zones.length);
-    return index < count % this.zones.length ? base + 1 : base;
+    return evenShare(count, this.#zoneIndexes.get(zone) ?? -1, this.zones.length);
   }
 
   /** What a team's services ask for, whether or not all their replicas have found room. */
--- a/src/platform/configuration/common/documents.ts
+++ b/src/platform/configuration/common/documents.ts
@@ -12,6 +12,13 @@
 export const Urgency = { Urgent: 'urgent', Normal: 'normal', Low: 'low' } as const;
 export type Urgency = (typeof Urgency)[keyof typeof Urgency];
 
+/** Ranks for sorting; the most urgent comes first. */
+export const URGENCY_ORDER: Readonly<Record<Urgency, number>> = {
+  [Urgency.Urgent]: 0,
+  [Urgency.Normal]: 1,
+  [Urgency.Low]: 2,
+};
+
 export const urgencySchema = z.enum([Urgency.Urgent, Urgency.Normal, Urgency.Low]);
 
 /** Names take part in row keys, so they are kept to a safe alphabet. */
--- a/src/scheduler/common/assigning.ts
+++ b/src/scheduler/common/assigning.ts
@@ -1,5 +1,10 @@
 /** Gives queued work to workers: fills up services first, then batch tasks by urgency. */
-import { type ServiceDocument, Urgency } from '../../platform/configuration/common/documents.js';
+import {
+  type ServiceDocument,
+  Urgency,
+  URGENCY_ORDER,
+} from '../../platform/configuration/common/documents.js';
+import { replicaShare } from '../../platform/configuration/common/replicaShare.js';
 import { type Resources, sumResources } from '../../platform/worker/common/resources.js';
 import { TaskClass } from '../../platform/worker/common/workerClient.js';
 import {
@@ -14,8 +19,7 @@
 import { FreeCapacity } from './freeCapacity.js';
 import type { PlacementCandidate, PlacementPolicy } from './placement.js';
 import { PreemptionPlan } from './preemption.js';
-import { orderedShards, TeamUse, URGENCY_ORDER } from './queueOrder.js';
-import { replicaShare } from './wantedEvictions.js';
+import { orderedShards, TeamUse } from './queueOrder.js';
 
 /** What a round's assigning works on; the capacity is worked out only once it is needed. */
 class AssigningRound {
--- a/src/scheduler/common/preemption.ts
+++ b/src/scheduler/common/preemption.ts
@@ -1,5 +1,5 @@
 /** Makes room for urgent work on full workers by evicting the least that is less urgent. */
-import { Urgency } from '../../platform/configuration/common/documents.js';
+import { Urgency, URGENCY_ORDER } from '../../platform/configuration/common/documents.js';
 import {
   addResources,
   fitsInto,
@@ -10,7 +10,6 @@
 import type { Assignment } from '../../platform/work/common/workRows.js';
 import { assignmentsOf, type CellRows } from './cellRows.js';
 import type { PlacementCandidate } from './placement.js';
-import { URGENCY_ORDER } from './queueOrder.js';
 import { attemptKey } from './workerView.js';
 
 /**
--- a/src/scheduler/common/queueOrder.ts
+++ b/src/scheduler/common/queueOrder.ts
@@ -3,7 +3,7 @@
   type ConfigurationView,
   zonesInUse,
 } from '../../platform/configuration/common/configurationView.js';
-import { Urgency } from '../../platform/configuration/common/documents.js';
+import { URGENCY_ORDER } from '../../platform/configuration/common/documents.js';
 import {
   addResources,
   fitsInto,
@@ -12,12 +12,6 @@
 } from '../../platform/worker/common/resources.js';
 import { BatchTaskState, type WorkRow } from '../../platform/work/common/workRows.js';
 
-export const URGENCY_ORDER: Readonly<Record<Urgency, number>> = {
-  [Urgency.Urgent]: 0,
-  [Urgency.Normal]: 1,
-  [Urgency.Low]: 2,
-};
-
 const FIRST_RETRY_MS = 1_000;
 const MAXIMUM_RETRY_MS = 60_000;
 const SPREAD_STEPS = 7;
--- a/src/scheduler/common/taskEnds.ts
+++ b/src/scheduler/common/taskEnds.ts
@@ -172,9 +172,10 @@
   const view = state.workers.get(workerId);
   if (view === undefined || !isInContact(view, state.timing.reportFreshnessMs, nowMs)) return false;
   if (state.withdrawnSinceMs !== undefined || isWorkerDraining(state, workerId)) return false;
-  // A cancellation ends an assignment that never started, without any new report.
-  const mayBeCancelled = (state.rows?.cancelledJobIds.size ?? 0) > 0;
-  if (!mayBeCancelled && quietReports.get(assignments) === view.tasks) return true;
+  // What is not wanted any more ends an assignment that never started, without any new report.
+  const mayBeUnwanted =
+    (state.rows?.cancelledJobIds.size ?? 0) + state.preempted.size + state.surplusTaskIds.size > 0;
+  if (!mayBeUnwanted && quietReports.get(assignments) === view.tasks) return true;
   const hasEnd = assignments.some(
     (assignment) => assignmentEnd(state, view, assignment, nowMs) !== undefined,
   );
--- a/src/scheduler/common/wantedEvictions.ts
+++ b/src/scheduler/common/wantedEvictions.ts
@@ -1,6 +1,7 @@
 /** Which running tasks have to leave their workers. */
 import type { ConfigurationView } from '../../platform/configuration/common/configurationView.js';
 import { zonesInUse } from '../../platform/configuration/common/configurationView.js';
+import { replicaShare } from '../../platform/configuration/common/replicaShare.js';
 import { InstanceState } from '../../platform/instanceList/common/instanceList.js';
 import { TaskClass } from '../../platform/worker/common/workerClient.js';
 import type { Assignment } from '../../platform/work/common/workRows.js';
@@ -8,22 +9,6 @@
 import type { CellState } from './cellState.js';
 import { attemptKey } from './workerView.js';
 
-/**
- * The part of a service's replicas that a zone carries. Every cell works it out alone from the
- * same configuration, so replicas move with a zone without any cell asking another.
- */
-export const replicaShare = (
-  view: ConfigurationView,
-  zone: string,
-  replicaCount: number,
-): number => {
-  const zones = zonesInUse(view);
-  const index = zones.indexOf(zone);
-  if (index < 0) return 0;
-  const base = Math.floor(replicaCount / zones.length);
-  return index < replicaCount % zones.length ? base + 1 : base;
-};
-
 export const isWorkerDraining = (state: CellState, workerId: string): boolean => {
   const isDrained = state.configuration?.view.workers.get(workerId)?.isDraining === true;
   const instance = state.workers.get(workerId)?.instance;
