Long files divided: a cell's draft and the admission's messages have modules of their own

Change: CellDraft moves to cellDraft.ts, the admission's typed messages to admissionDecision.ts, platform/work becomes platform/workload, the second table of urgency goes. No behaviour changes.

--- a/bench/capacity/schedulerCapacity.ts
+++ b/bench/capacity/schedulerCapacity.ts
@@ -19,7 +19,11 @@
 } from '../../src/platform/configuration/common/documents.js';
 import { ErrorKind, failure } from '../../src/platform/errors/common/errorKinds.js';
 import type { WorkerInstance } from '../../src/platform/instanceList/common/instanceList.js';
-import { BatchTaskState, cellInboxKey, workKey } from '../../src/platform/work/common/workRows.js';
+import {
+  BatchTaskState,
+  cellInboxKey,
+  workKey,
+} from '../../src/platform/workload/common/workRows.js';
 import {
   workerCommandSchema,
   workerReportSchema,
--- a/bench/configuration/planning.ts
+++ b/bench/configuration/planning.ts
@@ -22,7 +22,7 @@
 import { silentMetrics } from '../../src/platform/metrics/common/metrics.js';
 import type { RowWrite } from '../../src/platform/table/common/table.js';
 import { HttpTableService } from '../../src/platform/table/node/httpTableService.js';
-import { ledgerKey } from '../../src/platform/work/common/workRows.js';
+import { ledgerKey } from '../../src/platform/workload/common/workRows.js';
 
 const ZONE_COUNT = 7;
 const WORKER_COUNT = 860;
--- a/bench/requests/loadModel.ts
+++ b/bench/requests/loadModel.ts
@@ -5,12 +5,8 @@
  */
 import type { RandomSource } from '../../src/base/common/random.js';
 import { SeededRandom } from '../../src/base/common/random.js';
-import {
-  Admission,
-  type AdmissionSettings,
-  ExtraReason,
-  ServerVerdict,
-} from '../../src/entry/common/admission.js';
+import { Admission, type AdmissionSettings } from '../../src/entry/common/admission.js';
+import { ExtraReason, ServerVerdict } from '../../src/entry/common/admissionDecision.js';
 import { AttemptEnd } from '../../src/entry/common/attempt.js';
 import type { WaitingRequest } from '../../src/entry/common/fairQueue.js';
 import { RequestProgress } from '../../src/entry/common/requestProgress.js';
--- a/bench/requests/requestsBench.ts
+++ b/bench/requests/requestsBench.ts
@@ -3,7 +3,8 @@
 import { Bench } from 'tinybench';
 
 import { SeededRandom } from '../../src/base/common/random.js';
-import { Admission, ServerVerdict } from '../../src/entry/common/admission.js';
+import { Admission } from '../../src/entry/common/admission.js';
+import { ServerVerdict } from '../../src/entry/common/admissionDecision.js';
 import type { ServerRecord } from '../../src/entry/common/serverRecords.js';
 import { settingsSchema } from '../../src/platform/settings/common/settings.js';
 import { LatencyWeightedOfTwo, LeastInFlightOfTwo } from '../../src/entry/common/serverChoice.js';
--- a/bench/scheduling/cellRun.ts
+++ b/bench/scheduling/cellRun.ts
@@ -16,7 +16,11 @@
 } from '../../src/platform/configuration/common/documents.js';
 import { ErrorKind, failure } from '../../src/platform/errors/common/errorKinds.js';
 import type { WorkerInstance } from '../../src/platform/instanceList/common/instanceList.js';
-import { cellInboxKey, workKey, type WorkRow } from '../../src/platform/work/common/workRows.js';
+import {
+  cellInboxKey,
+  workKey,
+  type WorkRow,
+} from '../../src/platform/workload/common/workRows.js';
 import { decide, initialCellState } from '../../src/scheduler/common/cellScheduler.js';
 import type {
   CellEffect,
--- a/soak/test/soakWorld.ts
+++ b/soak/test/soakWorld.ts
@@ -28,7 +28,7 @@
   ENDPOINT_PREFIX,
   endpointRowSchema,
   toJobId,
-} from '../../src/platform/work/common/workRows.js';
+} from '../../src/platform/workload/common/workRows.js';
 import type { WorkerCommand, WorkerReport } from '../../src/platform/worker/common/workerClient.js';
 import { decide, initialCellState } from '../../src/scheduler/common/cellScheduler.js';
 import type { CellEffect, CellEvent, CellState } from '../../src/scheduler/common/cellState.js';
--- a/src/daemon/test/daemonHarness.ts
+++ b/src/daemon/test/daemonHarness.ts
@@ -17,7 +17,7 @@
 } from '../../platform/configuration/common/documents.js';
 import type { WorkerInstance } from '../../platform/instanceList/common/instanceList.js';
 import type { SettingsInput } from '../../platform/settings/common/settings.js';
-import { endpointKey } from '../../platform/work/common/workRows.js';
+import { endpointKey } from '../../platform/workload/common/workRows.js';
 
 const HOST = '127.0.0.1';
 const SIZE = { processorMillis: 1_000, memoryBytes: 1_000_000, acceleratorCount: 0 };
--- a/src/entry/common/admission.ts
+++ b/src/entry/common/admission.ts
@@ -1,7 +1,16 @@
 /** Decides which request goes to which server now, which waits and which is refused. */
 import type { RandomSource } from '../../base/common/random.js';
-import { Urgency } from '../../platform/configuration/common/documents.js';
+import { URGENCY_ORDER, type Urgency } from '../../platform/configuration/common/documents.js';
 import { ErrorKind, failure, type Failure } from '../../platform/errors/common/errorKinds.js';
+import {
+  type AdmissionDecision,
+  AdmissionKind,
+  type Dispatched,
+  ExtraReason,
+  type PlaceEnd,
+  type Rejected,
+  ServerVerdict,
+} from './admissionDecision.js';
 import { connectionShare, pooledShare } from './connectionShare.js';
 import { ConcurrencyLimit } from './concurrencyLimit.js';
 import { FairQueue, type WaitingRequest } from './fairQueue.js';
@@ -20,60 +29,6 @@
   readonly leavingHoldMs: number;
 }
 
-export const AdmissionKind = {
-  Admitted: 'admitted',
-  Queued: 'queued',
-  Refused: 'refused',
-} as const;
-export type AdmissionKind = (typeof AdmissionKind)[keyof typeof AdmissionKind];
-
-/** What becomes of a request at its arrival. */
-export type AdmissionDecision<Waiting extends WaitingRequest> =
-  | { readonly kind: 'admitted'; readonly server: ServerRecord<Waiting> }
-  | { readonly kind: 'queued'; readonly displaced: Rejected<Waiting> | undefined }
-  | { readonly kind: 'refused'; readonly failure: Failure };
-
-/** A request that waited and may be sent now; its place has been taken. */
-export interface Dispatched<Waiting extends WaitingRequest> {
-  readonly waiting: Waiting;
-  readonly server: ServerRecord<Waiting>;
-}
-
-/** A request that waited and is given up; it has to be answered at once. */
-export interface Rejected<Waiting extends WaitingRequest> {
-  readonly waiting: Waiting;
-  readonly failure: Failure;
-}
-
-/** What an attempt says about its server. */
-export const ServerVerdict = {
-  /** An answer that is no server error. */
-  Success: 'success',
-  /** A server error, a refusal or no answer; its latency says nothing. */
-  Failure: 'failure',
-  /** Given up because another attempt was answered; slow for at least this latency. */
-  Overtaken: 'overtaken',
-  /** The place was not used. */
-  Unused: 'unused',
-} as const;
-export type ServerVerdict = (typeof ServerVerdict)[keyof typeof ServerVerdict];
-
-/** How a request that had a place ended, as far as choosing servers goes. */
-export interface PlaceEnd {
-  readonly latencyMs: number;
-  readonly verdict: ServerVerdict;
-  readonly isServerLeaving: boolean;
-}
-
-/** Why a request under way is sent a second time. */
-export const ExtraReason = { Hedge: 'hedge', Silence: 'silence' } as const;
-export type ExtraReason = (typeof ExtraReason)[keyof typeof ExtraReason];
-
-const URGENCY_RANK: Readonly<Record<Urgency, number>> = {
-  [Urgency.Urgent]: 0,
-  [Urgency.Normal]: 1,
-  [Urgency.Low]: 2,
-};
 const EARLIEST_RETURN_MS = 1_000;
 const RETURN_SPREAD_MS = 2_000;
 
@@ -251,7 +206,9 @@
         .forEach((waiting) => rejected.push(this.#giveUp(service, waiting, nowMs)));
       waitingServices.push(service);
     });
-    waitingServices.sort((left, right) => URGENCY_RANK[left.urgency] - URGENCY_RANK[right.urgency]);
+    waitingServices.sort(
+      (left, right) => URGENCY_ORDER[left.urgency] - URGENCY_ORDER[right.urgency],
+    );
     return { rejected, dispatched: this.#dispatch(waitingServices, nowMs) };
   }
 
@@ -320,7 +277,7 @@
       if (service.queue.length === 0 || !service.hasRoom) return;
       const isSooner =
         next === undefined ||
-        URGENCY_RANK[service.urgency] < URGENCY_RANK[next.urgency] ||
+        URGENCY_ORDER[service.urgency] < URGENCY_ORDER[next.urgency] ||
         (service.urgency === next.urgency && service.lastServedOrder < next.lastServedOrder);
       if (isSooner) next = service;
     });
@@ -377,12 +334,12 @@
   /** Finds for each service those on the same workers, by urgency. */
   #relate(): void {
     this.#services.forEach((service) => {
-      const rank = URGENCY_RANK[service.urgency];
+      const rank = URGENCY_ORDER[service.urgency];
       const related = new Set(service.servers.flatMap(({ worker }) => worker.services));
       related.add(service);
       /* eslint-disable no-param-reassign -- the record is this class's own */
-      service.yielding = [...related].filter(({ urgency }) => URGENCY_RANK[urgency] >= rank);
-      service.overtaking = [...related].filter(({ urgency }) => URGENCY_RANK[urgency] <= rank);
+      service.yielding = [...related].filter(({ urgency }) => URGENCY_ORDER[urgency] >= rank);
+      service.overtaking = [...related].filter(({ urgency }) => URGENCY_ORDER[urgency] <= rank);
       /* eslint-enable no-param-reassign */
     });
     this.#services.forEach((service) => service.refreshRoom());
--- a/src/entry/common/claims.ts
+++ b/src/entry/common/claims.ts
@@ -17,7 +17,7 @@
   claimRowSchema,
   ClaimState,
   type RecordedAnswer,
-} from '../../platform/work/common/claimRow.js';
+} from '../../platform/workload/common/claimRow.js';
 
 /** A request that has to hold the claim of its key before it is sent. */
 export interface ClaimRequest {
--- a/src/entry/common/routing.ts
+++ b/src/entry/common/routing.ts
@@ -10,7 +10,7 @@
   toOrigin,
   type WorkerInstance,
 } from '../../platform/instanceList/common/instanceList.js';
-import type { EndpointRow } from '../../platform/work/common/workRows.js';
+import type { EndpointRow } from '../../platform/workload/common/workRows.js';
 
 /** A backend server as an entry sees it. One worker has one, for all its services. */
 export interface BackendServer {
--- a/src/entry/common/secondAttempt.ts
+++ b/src/entry/common/secondAttempt.ts
@@ -1,5 +1,5 @@
 /** Decides when a request under way is sent a second time beside the first. */
-import { ExtraReason } from './admission.js';
+import { ExtraReason } from './admissionDecision.js';
 
 export interface UnderWay {
   readonly isIdempotent: boolean;
--- a/src/entry/node/claimKeeper.ts
+++ b/src/entry/node/claimKeeper.ts
@@ -13,7 +13,7 @@
   type Transaction,
   TransactionOutcome,
 } from '../../platform/table/common/table.js';
-import { claimGeneration, type RecordedAnswer } from '../../platform/work/common/claimRow.js';
+import { claimGeneration, type RecordedAnswer } from '../../platform/workload/common/claimRow.js';
 import type { CallerRequest } from '../common/callerRequest.js';
 import {
   answerTransaction,
--- a/src/entry/node/claimSweeper.ts
+++ b/src/entry/node/claimSweeper.ts
@@ -11,7 +11,7 @@
   CLAIM_PART_COUNT,
   claimGeneration,
   claimPartPrefix,
-} from '../../platform/work/common/claimRow.js';
+} from '../../platform/workload/common/claimRow.js';
 
 /**
  * How far back a generation is before it is removed. Insertions ask one generation back, and a
--- a/src/entry/node/requestDispatch.ts
+++ b/src/entry/node/requestDispatch.ts
@@ -8,13 +8,13 @@
 import type { Metrics } from '../../platform/metrics/common/metrics.js';
 import type { Settings } from '../../platform/settings/common/settings.js';
 import { Hop, type TraceSpan } from '../../platform/tracing/common/tracing.js';
+import type { Admission } from '../common/admission.js';
 import {
-  type Admission,
   AdmissionKind,
   type Dispatched,
   ExtraReason,
   ServerVerdict,
-} from '../common/admission.js';
+} from '../common/admissionDecision.js';
 import type { CallerRequest, RequestTerms } from '../common/callerRequest.js';
 import type { WaitingRequest } from '../common/fairQueue.js';
 import { SERVICE_HEADER, TRACEPARENT_HEADER } from '../common/headers.js';
--- a/src/entry/node/requestHandler.ts
+++ b/src/entry/node/requestHandler.ts
@@ -19,7 +19,7 @@
 import type { Metrics } from '../../platform/metrics/common/metrics.js';
 import type { Settings } from '../../platform/settings/common/settings.js';
 import { Hop, type TraceSpan, type Tracing } from '../../platform/tracing/common/tracing.js';
-import type { RecordedAnswer } from '../../platform/work/common/claimRow.js';
+import type { RecordedAnswer } from '../../platform/workload/common/claimRow.js';
 import type { Admission } from '../common/admission.js';
 import { type CallerRequest, readTerms, type RequestTerms } from '../common/callerRequest.js';
 import { REPLAYED_HEADER, TRACEPARENT_HEADER } from '../common/headers.js';
--- a/src/entry/node/routingReader.ts
+++ b/src/entry/node/routingReader.ts
@@ -12,7 +12,7 @@
   ENDPOINT_PREFIX,
   type EndpointRow,
   endpointRowSchema,
-} from '../../platform/work/common/workRows.js';
+} from '../../platform/workload/common/workRows.js';
 import { type RoutingTable, toRoutingTable } from '../common/routing.js';
 
 export class RoutingReader implements Disposable {
--- a/src/entry/test/admission.test.ts
+++ b/src/entry/test/admission.test.ts
@@ -2,7 +2,8 @@
 
 import { SeededRandom } from '../../base/common/random.js';
 import { Urgency } from '../../platform/configuration/common/documents.js';
-import { Admission, type PlaceEnd, ServerVerdict } from '../common/admission.js';
+import { Admission } from '../common/admission.js';
+import { type PlaceEnd, ServerVerdict } from '../common/admissionDecision.js';
 import type { WaitingRequest } from '../common/fairQueue.js';
 import { RequestProgress } from '../common/requestProgress.js';
 import { LatencyWeightedOfTwo } from '../common/serverChoice.js';
--- a/src/entry/test/claimExpiry.test.ts
+++ b/src/entry/test/claimExpiry.test.ts
@@ -4,7 +4,11 @@
 import type { Disposable } from '../../base/common/lifecycle.js';
 import { systemClock } from '../../base/node/systemClock.js';
 import { silentMetrics } from '../../platform/metrics/common/metrics.js';
-import { CLAIM_PART_COUNT, CLAIM_PREFIX, claimKey } from '../../platform/work/common/claimRow.js';
+import {
+  CLAIM_PART_COUNT,
+  CLAIM_PREFIX,
+  claimKey,
+} from '../../platform/workload/common/claimRow.js';
 import { ClaimKeeper } from '../node/claimKeeper.js';
 import { ClaimSweeper } from '../node/claimSweeper.js';
 import { FaultyTable } from './entryHarness.js';
--- a/src/operator/common/confirmation.ts
+++ b/src/operator/common/confirmation.ts
@@ -17,7 +17,7 @@
   type Transaction,
   unchangedSince,
 } from '../../platform/table/common/table.js';
-import { cellInboxKey } from '../../platform/work/common/workRows.js';
+import { cellInboxKey } from '../../platform/workload/common/workRows.js';
 import { isEmptyPlan, type Plan, PLAN_PREFIX, planKey, planSchema, PlanState } from './plan.js';
 
 export interface ConfirmationRequest {
--- a/src/operator/common/jobPlanning.ts
+++ b/src/operator/common/jobPlanning.ts
@@ -15,7 +15,7 @@
   toShardId,
   workKey,
   type WorkRow,
-} from '../../platform/work/common/workRows.js';
+} from '../../platform/workload/common/workRows.js';
 import type { SubmitJobIntent } from './intent.js';
 import {
   guardDocument,
--- a/src/operator/common/planner.ts
+++ b/src/operator/common/planner.ts
@@ -22,7 +22,7 @@
 import type { Failure } from '../../platform/errors/common/errorKinds.js';
 import type { TableRow } from '../../platform/table/common/table.js';
 import { addResources, fitsInto, sumResources } from '../../platform/worker/common/resources.js';
-import { jobKey, toJobId, type WorkRow } from '../../platform/work/common/workRows.js';
+import { jobKey, toJobId, type WorkRow } from '../../platform/workload/common/workRows.js';
 import { type Intent, IntentKind } from './intent.js';
 import { planCancellation, planJob } from './jobPlanning.js';
 import type { PlanEffects, PlanGuard, PlanStep } from './plan.js';
--- a/src/operator/node/ledgerSurvey.ts
+++ b/src/operator/node/ledgerSurvey.ts
@@ -10,7 +10,7 @@
   type Assignment,
   ledgerKey,
   ledgerRowSchema,
-} from '../../platform/work/common/workRows.js';
+} from '../../platform/workload/common/workRows.js';
 import type { RunningTask } from '../common/planningBasis.js';
 
 export interface LedgerRack {
--- a/src/operator/node/operatorQueries.ts
+++ b/src/operator/node/operatorQueries.ts
@@ -19,7 +19,7 @@
   jobRowSchema,
   workPrefix,
   workRowSchema,
-} from '../../platform/work/common/workRows.js';
+} from '../../platform/workload/common/workRows.js';
 import { planPrefixesBefore, planSchema } from '../common/plan.js';
 import { ServiceTotals } from '../common/replicas.js';
 import { racksOf, surveyLedger } from './ledgerSurvey.js';
--- a/src/operator/node/planMaker.ts
+++ b/src/operator/node/planMaker.ts
@@ -26,7 +26,7 @@
   workPrefix,
   type WorkRow,
   workRowSchema,
-} from '../../platform/work/common/workRows.js';
+} from '../../platform/workload/common/workRows.js';
 import { planningFault } from '../common/confirmation.js';
 import { type Intent, IntentKind } from '../common/intent.js';
 import {
--- a/src/operator/test/badInput.test.ts
+++ b/src/operator/test/badInput.test.ts
@@ -17,7 +17,7 @@
 import { PrometheusMetrics } from '../../platform/metrics/node/prometheusMetrics.js';
 import { settingsSchema } from '../../platform/settings/common/settings.js';
 import type { TableService } from '../../platform/table/common/table.js';
-import { ledgerKey } from '../../platform/work/common/workRows.js';
+import { ledgerKey } from '../../platform/workload/common/workRows.js';
 import { OperatorQueries } from '../node/operatorQueries.js';
 import { OperatorServer } from '../node/operatorServer.js';
 import { PlanService } from '../node/planService.js';
--- a/src/scheduler/common/assigning.ts
+++ b/src/scheduler/common/assigning.ts
@@ -13,8 +13,9 @@
   batchTaskId,
   BatchTaskState,
   type WorkRow,
-} from '../../platform/work/common/workRows.js';
-import type { CellDraft, CellRows } from './cellRows.js';
+} from '../../platform/workload/common/workRows.js';
+import type { CellDraft } from './cellDraft.js';
+import type { CellRows } from './cellRows.js';
 import type { CellState } from './cellState.js';
 import { FreeCapacity } from './freeCapacity.js';
 import type { PlacementCandidate, PlacementPolicy } from './placement.js';
--- a/src/scheduler/common/cellEvents.ts
+++ b/src/scheduler/common/cellEvents.ts
@@ -14,7 +14,7 @@
   type WorkerReport,
   WorkerTaskState,
 } from '../../platform/worker/common/workerClient.js';
-import { cellInboxKey } from '../../platform/work/common/workRows.js';
+import { cellInboxKey } from '../../platform/workload/common/workRows.js';
 import {
   type LeaseStepKind,
   withLeaseCallFailed,
--- a/src/scheduler/common/cellLease.ts
+++ b/src/scheduler/common/cellLease.ts
@@ -17,7 +17,7 @@
   cellOwnerKey,
   cellOwnerRowSchema,
   heartbeatRowSchema,
-} from '../../platform/work/common/workRows.js';
+} from '../../platform/workload/common/workRows.js';
 
 export interface CellLeaseTiming {
   readonly heartbeatIntervalMs: number;
--- a/src/scheduler/common/cellScheduler.ts
+++ b/src/scheduler/common/cellScheduler.ts
@@ -10,7 +10,7 @@
   ENDPOINT_PREFIX,
   cellInboxKey,
   cellOwnerKey,
-} from '../../platform/work/common/workRows.js';
+} from '../../platform/workload/common/workRows.js';
 import { zoneKey } from '../../platform/configuration/common/documents.js';
 import type { Transaction } from '../../platform/table/common/table.js';
 import { absorb, counted, unchanged } from './cellEvents.js';
--- a/src/scheduler/common/cellState.ts
+++ b/src/scheduler/common/cellState.ts
@@ -11,9 +11,10 @@
   TransactionResult,
 } from '../../platform/table/common/table.js';
 import type { WorkerCommand, WorkerReport } from '../../platform/worker/common/workerClient.js';
-import type { EndpointRow } from '../../platform/work/common/workRows.js';
+import type { EndpointRow } from '../../platform/workload/common/workRows.js';
 import type { CellLease, CellLeaseTiming, LeaseStepKind } from './cellLease.js';
-import type { CellDraft, CellRows } from './cellRows.js';
+import type { CellDraft } from './cellDraft.js';
+import type { CellRows } from './cellRows.js';
 import type { WorkerHealth } from './workerHealth.js';
 import type { WorkerView } from './workerView.js';
 
--- a/src/scheduler/common/fence.ts
+++ b/src/scheduler/common/fence.ts
@@ -11,7 +11,7 @@
 import { ErrorKind, type Failure } from '../../platform/errors/common/errorKinds.js';
 import type { RowCondition } from '../../platform/table/common/table.js';
 import { ABSENT_VERSION } from '../../platform/table/common/table.js';
-import { cellFenceKey, cellOwnerKey } from '../../platform/work/common/workRows.js';
+import { cellFenceKey, cellOwnerKey } from '../../platform/workload/common/workRows.js';
 import type { CellRows } from './cellRows.js';
 import type { CellDecision, CellState } from './cellState.js';
 
--- a/src/scheduler/common/freeCapacity.ts
+++ b/src/scheduler/common/freeCapacity.ts
@@ -7,8 +7,9 @@
   sumResources,
 } from '../../platform/worker/common/resources.js';
 import { WorkerTaskState } from '../../platform/worker/common/workerClient.js';
-import type { Assignment } from '../../platform/work/common/workRows.js';
-import { assignmentsOf, type CellDraft, type CellRows } from './cellRows.js';
+import type { Assignment } from '../../platform/workload/common/workRows.js';
+import type { CellDraft } from './cellDraft.js';
+import { assignmentsOf, type CellRows } from './cellRows.js';
 import type { CellState } from './cellState.js';
 import { ledgerChange } from './invariants.js';
 import type { PlacementCandidate, PlacementRequest } from './placement.js';
--- a/src/scheduler/common/lateFinishes.ts
+++ b/src/scheduler/common/lateFinishes.ts
@@ -6,8 +6,9 @@
   BatchTaskState,
   isEnded,
   type WorkRow,
-} from '../../platform/work/common/workRows.js';
-import { assignmentsOf, type CellDraft, type CellRows } from './cellRows.js';
+} from '../../platform/workload/common/workRows.js';
+import type { CellDraft } from './cellDraft.js';
+import { assignmentsOf, type CellRows } from './cellRows.js';
 import type { CellState } from './cellState.js';
 import { attemptKey, type WorkerView } from './workerView.js';
 
--- a/src/scheduler/common/preemption.ts
+++ b/src/scheduler/common/preemption.ts
@@ -7,7 +7,7 @@
   subtractResources,
 } from '../../platform/worker/common/resources.js';
 import { TaskClass } from '../../platform/worker/common/workerClient.js';
-import type { Assignment } from '../../platform/work/common/workRows.js';
+import type { Assignment } from '../../platform/workload/common/workRows.js';
 import { assignmentsOf, type CellRows } from './cellRows.js';
 import type { PlacementCandidate } from './placement.js';
 import { attemptKey } from './workerView.js';
--- a/src/scheduler/common/queueOrder.ts
+++ b/src/scheduler/common/queueOrder.ts
@@ -10,7 +10,7 @@
   NO_RESOURCES,
   type Resources,
 } from '../../platform/worker/common/resources.js';
-import { BatchTaskState, type WorkRow } from '../../platform/work/common/workRows.js';
+import { BatchTaskState, type WorkRow } from '../../platform/workload/common/workRows.js';
 
 const FIRST_RETRY_MS = 1_000;
 const MAXIMUM_RETRY_MS = 60_000;
--- a/src/scheduler/common/round.ts
+++ b/src/scheduler/common/round.ts
@@ -7,9 +7,10 @@
   BatchTaskState,
   type EndpointRow,
   isEnded,
-} from '../../platform/work/common/workRows.js';
+} from '../../platform/workload/common/workRows.js';
 import { assignQueuedWork } from './assigning.js';
-import { CellDraft, type CellRows } from './cellRows.js';
+import { CellDraft } from './cellDraft.js';
+import type { CellRows } from './cellRows.js';
 import type { CellState } from './cellState.js';
 import { recordLateFinishes } from './lateFinishes.js';
 import type { PlacementPolicy } from './placement.js';
--- a/src/scheduler/common/taskEnds.ts
+++ b/src/scheduler/common/taskEnds.ts
@@ -7,8 +7,9 @@
   type Assignment,
   type BatchTask,
   BatchTaskState,
-} from '../../platform/work/common/workRows.js';
-import type { CellDraft, CellRows } from './cellRows.js';
+} from '../../platform/workload/common/workRows.js';
+import type { CellDraft } from './cellDraft.js';
+import type { CellRows } from './cellRows.js';
 import type { CellState } from './cellState.js';
 import { isGivenUp, withFailureWeight } from './failureWeight.js';
 import { isEvictionWanted, isWorkerDraining } from './wantedEvictions.js';
--- a/src/scheduler/common/unfitWork.ts
+++ b/src/scheduler/common/unfitWork.ts
@@ -5,8 +5,9 @@
   type BatchTask,
   BatchTaskState,
   type WorkRow,
-} from '../../platform/work/common/workRows.js';
-import type { CellDraft, CellRows } from './cellRows.js';
+} from '../../platform/workload/common/workRows.js';
+import type { CellDraft } from './cellDraft.js';
+import type { CellRows } from './cellRows.js';
 import type { CellState } from './cellState.js';
 
 /**
--- a/src/scheduler/common/wantedEvictions.ts
+++ b/src/scheduler/common/wantedEvictions.ts
@@ -4,7 +4,7 @@
 import { replicaShare } from '../../platform/configuration/common/replicaShare.js';
 import { InstanceState } from '../../platform/instanceList/common/instanceList.js';
 import { TaskClass } from '../../platform/worker/common/workerClient.js';
-import type { Assignment } from '../../platform/work/common/workRows.js';
+import type { Assignment } from '../../platform/workload/common/workRows.js';
 import { replicasIn } from './cellRows.js';
 import type { CellState } from './cellState.js';
 import { attemptKey } from './workerView.js';
--- a/src/scheduler/common/workerCommands.ts
+++ b/src/scheduler/common/workerCommands.ts
@@ -6,7 +6,7 @@
   WorkerTaskState,
   type WorkerTaskReport,
 } from '../../platform/worker/common/workerClient.js';
-import type { Assignment } from '../../platform/work/common/workRows.js';
+import type { Assignment } from '../../platform/workload/common/workRows.js';
 import { assignmentsOf } from './cellRows.js';
 import type { CellState } from './cellState.js';
 import { unrecordedFinishes } from './lateFinishes.js';
--- a/src/scheduler/common/workerView.ts
+++ b/src/scheduler/common/workerView.ts
@@ -5,7 +5,7 @@
   WorkerReport,
   WorkerTaskReport,
 } from '../../platform/worker/common/workerClient.js';
-import type { Assignment } from '../../platform/work/common/workRows.js';
+import type { Assignment } from '../../platform/workload/common/workRows.js';
 
 export interface WorkerView {
   readonly instance: WorkerInstance;
--- a/src/scheduler/test/decisions.test.ts
+++ b/src/scheduler/test/decisions.test.ts
@@ -11,7 +11,7 @@
   finishedPrefix,
   workKey,
   workPrefix,
-} from '../../platform/work/common/workRows.js';
+} from '../../platform/workload/common/workRows.js';
 import { isGivenUp, withFailureWeight } from '../common/failureWeight.js';
 import { retryDelayMs } from '../common/queueOrder.js';
 import { WorkerHealth } from '../common/workerHealth.js';
--- a/src/scheduler/test/lateTransactions.test.ts
+++ b/src/scheduler/test/lateTransactions.test.ts
@@ -5,7 +5,7 @@
   type Assignment,
   ledgerPrefix,
   ledgerRowSchema,
-} from '../../platform/work/common/workRows.js';
+} from '../../platform/workload/common/workRows.js';
 import { CAPACITY, expectNoHarm, shard, startCell, submit } from './cellFixtures.js';
 import { CELL, type VirtualCell } from './virtualCell.js';
 
--- a/src/scheduler/test/runsOnce.test.ts
+++ b/src/scheduler/test/runsOnce.test.ts
@@ -9,7 +9,7 @@
   cellOwnerKey,
   workPrefix,
   workRowSchema,
-} from '../../platform/work/common/workRows.js';
+} from '../../platform/workload/common/workRows.js';
 import { decide } from '../common/cellScheduler.js';
 import type { CellState } from '../common/cellState.js';
 import { SpreadAndPackPolicy } from '../common/placement.js';
