Both choices between two servers share one draw and comparison

Cause: LeastInFlightOfTwo and LatencyWeightedOfTwo repeated the same draw and comparison and differed only in the cost; runSeed had an option that nobody sets any more. Change: cheaperOfTwo takes the cost as an argument; the option is gone. No behaviour changes.

--- a/soak/test/soakRun.ts
+++ b/soak/test/soakRun.ts
@@ -25,7 +25,6 @@
   readonly scenario: Scenario;
   readonly maximumStepCount: number;
   readonly sabotage?: Sabotage;
-  readonly isShrunk?: boolean;
 }
 
 const found = ({ errorInstance }: { readonly errorInstance: unknown }): string =>
@@ -55,7 +54,6 @@
   const outcome = await fc.check(property, {
     seed: options.seed,
     numRuns: 1,
-    endOnFailure: options.isShrunk === false,
     interruptAfterTimeLimit: SHRINKING_LIMIT_MS,
   });
   return {
--- a/src/entry/common/serverChoice.ts
+++ b/src/entry/common/serverChoice.ts
@@ -36,6 +36,20 @@
   return undefined;
 };
 
+/** The cheaper of two servers drawn at random; the first one when they cost the same. */
+const cheaperOfTwo = <Waiting extends WaitingRequest>(
+  servers: readonly ServerRecord<Waiting>[],
+  nowMs: number,
+  random: RandomSource,
+  avoidedWorkerId: string | undefined,
+  costOf: (server: ServerRecord<Waiting>) => number,
+): ServerRecord<Waiting> | undefined => {
+  const first = drawEligible(servers, nowMs, random, avoidedWorkerId);
+  const second = drawEligible(servers, nowMs, random, avoidedWorkerId);
+  if (first === undefined || second === undefined) return first ?? second;
+  return costOf(second) < costOf(first) ? second : first;
+};
+
 /**
  * Of two servers drawn at random, the one with fewer requests in flight. Made for several
  * entries that each see a part of the traffic: always taking the least loaded would send all
@@ -53,15 +67,13 @@
     nowMs: number,
     avoidedWorkerId?: string,
   ): ServerRecord<Waiting> | undefined {
-    const first = drawEligible(servers, nowMs, this.#random, avoidedWorkerId);
-    const second = drawEligible(servers, nowMs, this.#random, avoidedWorkerId);
-    if (first === undefined || second === undefined) return first ?? second;
-    return second.worker.inFlightCount < first.worker.inFlightCount ? second : first;
+    const costOf = (server: ServerRecord<Waiting>): number => server.worker.inFlightCount;
+    return cheaperOfTwo(servers, nowMs, this.#random, avoidedWorkerId, costOf);
   }
 }
 
 /** Latency times the square of what is in flight; see docs/design/requests.md for the powers. */
-const costOf = <Waiting extends WaitingRequest>(
+const weightedLatencyMs = <Waiting extends WaitingRequest>(
   server: ServerRecord<Waiting>,
   nowMs: number,
 ): number => server.latency.valueMs(nowMs) * (server.worker.inFlightCount + 1) ** 2;
@@ -85,9 +97,7 @@
     nowMs: number,
     avoidedWorkerId?: string,
   ): ServerRecord<Waiting> | undefined {
-    const first = drawEligible(servers, nowMs, this.#random, avoidedWorkerId);
-    const second = drawEligible(servers, nowMs, this.#random, avoidedWorkerId);
-    if (first === undefined || second === undefined) return first ?? second;
-    return costOf(second, nowMs) < costOf(first, nowMs) ? second : first;
+    const costOf = (server: ServerRecord<Waiting>): number => weightedLatencyMs(server, nowMs);
+    return cheaperOfTwo(servers, nowMs, this.#random, avoidedWorkerId, costOf);
   }
 }
