What a cell's effects ask for stands once

Cause: the translation of an effect into a call of the table or a worker, and of the answer into an event, stood in the daemon's task and again in three harnesses (tests, randomised runs, bench). Ruled out: one harness for all three, since their faults and their clocks differ. Change: `toCellCall` in src/scheduler/common gives the call with the event that its answer becomes; the four places only carry it out.

--- a/bench/scheduling/cellRun.ts
+++ b/bench/scheduling/cellRun.ts
@@ -3,7 +3,7 @@
  * the table and of 123 workers, and arrivals from a seed. Only the processor time of `decide`
  * is real; it is measured to weigh the ways against each other within one run.
  */
-import { left, right } from 'fp-ts/lib/Either.js';
+import { type Either, left, right } from 'fp-ts/lib/Either.js';
 
 import { SeededRandom } from '../../src/base/common/random.js';
 import { toConfigurationView } from '../../src/platform/configuration/common/configurationView.js';
@@ -14,13 +14,15 @@
   VERSION_KEY,
   zoneKey,
 } from '../../src/platform/configuration/common/documents.js';
-import { ErrorKind, failure } from '../../src/platform/errors/common/errorKinds.js';
+import { ErrorKind, failure, type Failure } from '../../src/platform/errors/common/errorKinds.js';
 import type { WorkerInstance } from '../../src/platform/instanceList/common/instanceList.js';
+import type { WorkerCommand, WorkerReport } from '../../src/platform/worker/common/workerClient.js';
 import {
   cellInboxKey,
   workKey,
   type WorkRow,
 } from '../../src/platform/workload/common/workRows.js';
+import { toCellCall } from '../../src/scheduler/common/cellCalls.js';
 import { decide, initialCellState } from '../../src/scheduler/common/cellScheduler.js';
 import type {
   CellEffect,
@@ -285,35 +287,29 @@
   }
 
   #perform(effect: CellEffect): void {
-    const sentAtMs = this.#nowMs;
+    const call = toCellCall(effect, this.#nowMs);
     const later = (delayMs: number, toEvent: () => CellEvent): void =>
       this.#schedule(delayMs, () => {
         const event = toEvent();
         this.#schedule(delayMs, () => this.#handle(event));
       });
-    if (effect.kind === 'lease-read' || effect.kind === 'load') {
-      later(TABLE_DELAY_MS, () => {
-        const result = right(this.#table.read(effect.request));
-        return effect.kind === 'load'
-          ? { kind: 'loaded', epoch: effect.epoch, result }
-          : { kind: 'lease-read', result, sentAtMs };
-      });
-    } else if (effect.kind === 'lease-write' || effect.kind === 'commit') {
-      later(TABLE_DELAY_MS, () => {
-        const result = right(this.#table.transact(effect.transaction));
-        return effect.kind === 'commit'
-          ? { kind: 'committed', epoch: effect.epoch, result }
-          : { kind: 'lease-written', step: effect.step, result, sentAtMs };
-      });
-    } else if (effect.kind === 'command') {
-      const { workerId, command } = effect;
-      later(WORKER_DELAY_MS, () => {
-        const report = this.#workers.get(workerId)?.command(command, this.#nowMs);
-        this.#messageBytes += JSON.stringify(command).length + JSON.stringify(report).length;
-        const result =
-          report === undefined ? left(failure(ErrorKind.WorkerUnavailable, '')) : right(report);
-        return { kind: 'worker-answered', workerId, epoch: command.cellEpoch, result };
-      });
+    switch (call?.kind) {
+      case 'read':
+        later(TABLE_DELAY_MS, () => call.toEvent(right(this.#table.read(call.request))));
+        break;
+      case 'transact':
+        later(TABLE_DELAY_MS, () => call.toEvent(right(this.#table.transact(call.transaction))));
+        break;
+      case 'command':
+        later(WORKER_DELAY_MS, () => call.toEvent(this.#command(call.workerId, call.command)));
+        break;
+      default:
     }
   }
+
+  #command(workerId: string, command: WorkerCommand): Either<Failure, WorkerReport> {
+    const report = this.#workers.get(workerId)?.command(command, this.#nowMs);
+    this.#messageBytes += JSON.stringify(command).length + JSON.stringify(report).length;
+    return report === undefined ? left(failure(ErrorKind.WorkerUnavailable, '')) : right(report);
+  }
 }
--- a/soak/test/soakWorld.ts
+++ b/soak/test/soakWorld.ts
@@ -30,6 +30,7 @@
   toJobId,
 } from '../../src/platform/workload/common/workRows.js';
 import type { WorkerCommand, WorkerReport } from '../../src/platform/worker/common/workerClient.js';
+import { toCellCall } from '../../src/scheduler/common/cellCalls.js';
 import { decide, initialCellState } from '../../src/scheduler/common/cellScheduler.js';
 import type { CellEffect, CellEvent, CellState } from '../../src/scheduler/common/cellState.js';
 import { SpreadAndPackPolicy } from '../../src/scheduler/common/placement.js';
@@ -297,47 +298,31 @@
   }
 
   #perform(daemon: SoakDaemon, zone: string, effect: CellEffect): void {
-    const sentAtMs = this.nowMs;
+    const call = toCellCall(effect, this.nowMs);
     const handle = (event: CellEvent): void => this.#handle(daemon, zone, event);
-    switch (effect.kind) {
-      case 'lease-read':
-      case 'load': {
-        const read = () => this.table.read(effect.request);
+    switch (call?.kind) {
+      case 'read': {
+        const read = () => this.table.read(call.request);
         this.#callTable(daemon, read, ErrorKind.StoreUnavailable, (result) =>
-          handle(
-            effect.kind === 'load'
-              ? { kind: 'loaded', epoch: effect.epoch, result }
-              : { kind: effect.kind, result, sentAtMs },
-          ),
+          handle(call.toEvent(result)),
         );
         break;
       }
-      case 'lease-write':
-      case 'commit': {
-        const write = () => this.#transact(effect.transaction);
+      case 'transact': {
+        const write = () => this.#transact(call.transaction);
         this.#callTable(daemon, write, ErrorKind.StoreAnswerLost, (result) =>
-          handle(
-            effect.kind === 'commit'
-              ? { kind: 'committed', epoch: effect.epoch, result }
-              : { kind: 'lease-written', step: effect.step, result, sentAtMs },
-          ),
+          handle(call.toEvent(result)),
         );
         break;
       }
       case 'command':
-        this.#command(daemon, effect.workerId, effect.command, (result) =>
-          handle({
-            kind: 'worker-answered',
-            workerId: effect.workerId,
-            epoch: effect.command.cellEpoch,
-            result,
-          }),
+        this.#command(daemon, call.workerId, call.command, (result) =>
+          handle(call.toEvent(result)),
         );
         break;
-      case 'count':
-        this.counters.set(effect.counter, (this.counters.get(effect.counter) ?? 0) + effect.amount);
-        break;
       default:
+        if (effect.kind !== 'count') return;
+        this.counters.set(effect.counter, (this.counters.get(effect.counter) ?? 0) + effect.amount);
     }
   }
 
--- a/src/scheduler/node/cellTask.ts
+++ b/src/scheduler/node/cellTask.ts
@@ -10,6 +10,7 @@
 import type { TableService } from '../../platform/table/common/table.js';
 import type { Tracing } from '../../platform/tracing/common/tracing.js';
 import type { WorkerClient } from '../../platform/worker/common/workerClient.js';
+import { toCellCall } from '../common/cellCalls.js';
 import { decide, initialCellState } from '../common/cellScheduler.js';
 import type { CellEffect, CellEvent, CellState, CellTiming } from '../common/cellState.js';
 import type { PlacementPolicy } from '../common/placement.js';
@@ -96,42 +97,30 @@
   }
 
   async #perform(effect: CellEffect): Promise<void> {
-    const { table, clock, log, metrics } = this.#services;
-    const { cell } = this.#options;
-    const sentAtMs = clock.nowMs();
-    switch (effect.kind) {
-      case 'lease-read': {
-        const result = await table.read(effect.request)();
-        this.#handle({ kind: 'lease-read', result, sentAtMs });
-        return;
-      }
-      case 'lease-write': {
-        const result = await table.transact(effect.transaction)();
-        this.#handle({ kind: 'lease-written', step: effect.step, result, sentAtMs });
-        return;
-      }
-      case 'load': {
-        const { epoch, request } = effect;
-        this.#handle({ kind: 'loaded', epoch, result: await table.read(request)() });
-        return;
-      }
-      case 'commit': {
-        const { epoch, transaction } = effect;
-        this.#handle({ kind: 'committed', epoch, result: await table.transact(transaction)() });
-        return;
-      }
-      case 'command': {
-        const { workerId, command } = effect;
-        const result = await this.#client(workerId).command(command)();
-        this.#handle({ kind: 'worker-answered', workerId, epoch: command.cellEpoch, result });
-        return;
-      }
-      case 'count':
-        if (effect.amount > 0) metrics.count(effect.counter, { cell }, effect.amount);
-        return;
+    const { table, clock } = this.#services;
+    const call = toCellCall(effect, clock.nowMs());
+    switch (call?.kind) {
+      case 'read':
+        this.#handle(call.toEvent(await table.read(call.request)()));
+        break;
+      case 'transact':
+        this.#handle(call.toEvent(await table.transact(call.transaction)()));
+        break;
+      case 'command':
+        this.#handle(call.toEvent(await this.#client(call.workerId).command(call.command)()));
+        break;
       default:
-        log.info(effect.event, { cell });
+        this.#note(effect);
+    }
+  }
+
+  #note(effect: CellEffect): void {
+    const { log, metrics } = this.#services;
+    const { cell } = this.#options;
+    if (effect.kind === 'count' && effect.amount > 0) {
+      metrics.count(effect.counter, { cell }, effect.amount);
     }
+    if (effect.kind === 'log') log.info(effect.event, { cell });
   }
 
   #client(workerId: string): WorkerClient {
--- a/src/scheduler/test/virtualCell.ts
+++ b/src/scheduler/test/virtualCell.ts
@@ -15,6 +15,7 @@
 import { TableStandIn } from '../../../standIns/platform/tableStandIn.js';
 import { Judge } from '../../../standIns/workers/judge.js';
 import { WorkerStandIn } from '../../../standIns/workers/workerStandIn.js';
+import { type CellCall, toCellCall } from '../common/cellCalls.js';
 import { decide, initialCellState } from '../common/cellScheduler.js';
 import type { CellEffect, CellEvent, CellState, CellTiming } from '../common/cellState.js';
 import { type PlacementPolicy, SpreadAndPackPolicy } from '../common/placement.js';
@@ -322,44 +323,28 @@
   }
 
   #perform(daemon: VirtualDaemon, effect: CellEffect): void {
-    const sentAtMs = this.nowMs + daemon.clockOffsetMs;
-    switch (effect.kind) {
-      case 'lease-read':
-        this.#callTable(
-          daemon,
-          () => right(this.table.read(effect.request)),
-          (result) => ({ kind: 'lease-read', result, sentAtMs }),
-        );
-        break;
-      case 'lease-write':
-        this.#callTable(
-          daemon,
-          () => this.#transact(effect.transaction),
-          (result) => ({ kind: 'lease-written', step: effect.step, result, sentAtMs }),
-        );
+    const call = toCellCall(effect, this.nowMs + daemon.clockOffsetMs);
+    switch (call?.kind) {
+      case 'read':
+        this.#callTable(daemon, () => right(this.table.read(call.request)), call.toEvent);
         break;
-      case 'load':
-        this.#callTable(
-          daemon,
-          () => right(this.table.read(effect.request)),
-          (result) => ({ kind: 'loaded', epoch: effect.epoch, result }),
-        );
-        break;
-      case 'commit':
-        this.#callTable(
-          daemon,
-          () => this.#transact(effect.transaction),
-          (result) => ({ kind: 'committed', epoch: effect.epoch, result }),
-        );
+      case 'transact':
+        this.#callTable(daemon, () => this.#transact(call.transaction), call.toEvent);
         break;
       case 'command':
-        this.#command(daemon, effect);
-        break;
-      case 'count':
-        this.counters.set(effect.counter, (this.counters.get(effect.counter) ?? 0) + effect.amount);
+        this.#command(daemon, call);
         break;
       default:
-        this.logs.push(`${Math.round(this.nowMs)} ${daemon.id} ${effect.event}`);
+        this.#note(daemon, effect);
+    }
+  }
+
+  #note(daemon: VirtualDaemon, effect: CellEffect): void {
+    if (effect.kind === 'count') {
+      this.counters.set(effect.counter, this.count(effect.counter) + effect.amount);
+    }
+    if (effect.kind === 'log') {
+      this.logs.push(`${Math.round(this.nowMs)} ${daemon.id} ${effect.event}`);
     }
   }
 
@@ -396,11 +381,10 @@
     return isLost ? left(failure(ErrorKind.StoreAnswerLost, 'lost')) : right(result);
   }
 
-  #command(daemon: VirtualDaemon, effect: CellEffect & { readonly kind: 'command' }): void {
-    const { workerId, command } = effect;
-    const epoch = command.cellEpoch;
+  #command(daemon: VirtualDaemon, call: CellCall & { readonly kind: 'command' }): void {
+    const { workerId, command } = call;
     const answer = (result: Either<Failure, WorkerReport>): void =>
-      this.#deliver(daemon, { kind: 'worker-answered', workerId, epoch, result });
+      this.#deliver(daemon, call.toEvent(result));
     const giveUp = (): void =>
       this.#schedule(CALL_TIMEOUT_MS, () =>
         answer(left(failure(ErrorKind.WorkerUnavailable, 'cut'))),
