The tool says `not-run` when no daemon took the call

Cause: whatever kept an answer from the tool was told as `store-answer-lost`, outcome unknown; with no daemon at the address (connection refused) nothing had left the tool, and the store had no part. Ruled out: guessing by the method; a GET that got no answer is told like any other. Change: two kinds in the closed list, `daemon-unreachable` (not run) and `daemon-answer-lost` (unknown), told apart by the codes after which surely nothing was sent, as for the platform. Before: `get services` without a daemon gave `store-answer-lost … (work: unknown)`.

--- a/src/cli/node/operatorClient.ts
+++ b/src/cli/node/operatorClient.ts
@@ -2,19 +2,22 @@
 import { type Either, left, right } from 'fp-ts/lib/Either.js';
 import { request } from 'undici';
 
-import type { ErrorBody } from '../../platform/errors/common/errorKinds.js';
-import { ErrorKind, WorkOutcome } from '../../platform/errors/common/errorKinds.js';
+import {
+  type ErrorBody,
+  errorBody,
+  ErrorKind,
+  failure,
+} from '../../platform/errors/common/errorKinds.js';
+import { isSurelyNotSent } from '../../platform/http/node/httpCall.js';
 
 const FIRST_ERROR_STATUS = 400;
 const CALL_TIMEOUT_MS = 30_000;
 
-const unreachable = (message: string): ErrorBody => ({
-  error: ErrorKind.StoreAnswerLost,
-  message,
-  workOutcome: WorkOutcome.Unknown,
-  isWorthRetrying: true,
-  retryAfterMs: 1_000,
-});
+/** Tells a call that surely reached no daemon from one that may have been carried out. */
+const unanswered = (error: unknown): ErrorBody => {
+  const kind = isSurelyNotSent(error) ? ErrorKind.DaemonUnreachable : ErrorKind.DaemonAnswerLost;
+  return errorBody(failure(kind, (error as Error).message));
+};
 
 export class OperatorClient {
   readonly #origin: string;
@@ -53,7 +56,7 @@
       if (response.statusCode >= FIRST_ERROR_STATUS) return left(answer as ErrorBody);
       return right(answer);
     } catch (error) {
-      return left(unreachable((error as Error).message));
+      return left(unanswered(error));
     }
   }
 }
--- a/src/platform/errors/common/errorKinds.ts
+++ b/src/platform/errors/common/errorKinds.ts
@@ -30,6 +30,10 @@
   PlanConflict: 'plan-conflict',
   IntentImpossible: 'intent-impossible',
   ConfigurationUnknown: 'configuration-unknown',
+  /** Told by the tool: no daemon took the call. */
+  DaemonUnreachable: 'daemon-unreachable',
+  /** Told by the tool: a daemon may have taken the call, and its answer did not come whole. */
+  DaemonAnswerLost: 'daemon-answer-lost',
   Internal: 'internal',
 } as const;
 export type ErrorKind = (typeof ErrorKind)[keyof typeof ErrorKind];
@@ -81,6 +85,8 @@
   [ErrorKind.PlanConflict]: finalAnswer(409, WorkOutcome.NotRun),
   [ErrorKind.IntentImpossible]: finalAnswer(422, WorkOutcome.NotRun),
   [ErrorKind.ConfigurationUnknown]: retryAnswer(503, WorkOutcome.NotRun, 1_000),
+  [ErrorKind.DaemonUnreachable]: retryAnswer(503, WorkOutcome.NotRun, 1_000),
+  [ErrorKind.DaemonAnswerLost]: retryAnswer(502, WorkOutcome.Unknown, 1_000),
   [ErrorKind.Internal]: finalAnswer(500, WorkOutcome.Unknown),
 };
 
--- a/src/platform/errors/test/errorKinds.test.ts
+++ b/src/platform/errors/test/errorKinds.test.ts
@@ -22,6 +22,7 @@
   ErrorKind.PlanConflict,
   ErrorKind.IntentImpossible,
   ErrorKind.ConfigurationUnknown,
+  ErrorKind.DaemonUnreachable,
 ];
 
 describe('the table of error kinds', () => {
