Randomised runs lose racks, zones with their owners, and regions, and use accelerators

Cause: docs/PROOF.md and docs/CAPACITY.md listed as not run: accelerators in any run, a rack or a zone that goes at once, a region cut off for longer than leases are renewed without the table. Change: a scenario `losses` with these faults (100 s each, where owners renew for 60 s) beside jobs that need accelerators, of which workers now have two each; its steps are its own, so the kept seeds of the other scenarios draw what they drew. Tasks there last 3 s at most, and the limit counts from the end of the faults, as it does elsewhere.

--- a/soak/test/soak.test.ts
+++ b/soak/test/soak.test.ts
@@ -9,6 +9,7 @@
   { scenario: 'operator', seeds: [1, 2, 3, 8, 13, 1302, 1346, 60_986] },
   { scenario: 'all', seeds: [1, 2, 3, 4, 5, 6, 7, 8, 139, 1064, 1209, 60_980] },
   { scenario: 'badWorkers', seeds: [1, 40_000] },
+  { scenario: 'losses', seeds: [1, 2, 7, 16] },
 ];
 
 describe('randomised runs', () => {
--- a/soak/test/soakCommands.ts
+++ b/soak/test/soakCommands.ts
@@ -2,13 +2,14 @@
 import fc from 'fast-check';
 
 import { isEnded, workRowSchema } from '../../src/platform/workload/common/workRows.js';
-import { FAILING_JOB_MARK } from './soakWorker.js';
+import { FAILING_JOB_MARK, type SoakWorker } from './soakWorker.js';
 import {
   CAPACITY,
   DAEMON_COUNT,
   NO_FAULTS,
   SERVICE,
   TASK_SIZE,
+  WORKERS_PER_RACK,
   WORKERS_PER_ZONE,
   ZONES,
 } from './soakParts.js';
@@ -79,31 +80,41 @@
 
 const workerAt = (world: SoakWorld, index: number) => [...world.workers.values()][index];
 
+const rackOf = (workerId: string): string => {
+  const [zone, index] = workerId.split('-w');
+  return `${zone}-r${Math.floor(Number(index) / WORKERS_PER_RACK)}`;
+};
+
+const EXTRA_SIZES: Readonly<Record<string, Partial<typeof TASK_SIZE>>> = {
+  'too-large': { processorMillis: CAPACITY.processorMillis + 1 },
+  accelerated: { acceleratorCount: 1 },
+};
+
 const submit =
   (taskCount: number, workMs: number, kind: string, index: number): Action =>
   (world, model) => {
     // eslint-disable-next-line no-param-reassign
     model.jobCount += 1;
-    const size =
-      kind === 'too-large'
-        ? { ...TASK_SIZE, processorMillis: CAPACITY.processorMillis + 1 }
-        : TASK_SIZE;
+    const size = { ...TASK_SIZE, ...EXTRA_SIZES[kind] };
     const submissionKey =
       kind === 'failing' ? `failing-${model.jobCount}` : `job-${model.jobCount}`;
     const intent = { intent: 'submit-job', team: 'kitchen', urgency: 'normal' } as const;
     void world.operate(index, { ...intent, submissionKey, taskCount, size, workMs });
   };
 
-const submitStep = step(
-  'submit',
-  fc.tuple(
-    fc.integer({ min: 1, max: 40 }),
-    fc.integer({ min: 10, max: 9_000 }),
-    fc.constantFrom('usual', 'usual', 'usual', 'too-large', 'failing'),
-    anyDaemon,
-  ),
-  submit,
-);
+const submitOf = (maximumWorkMs: number, ...kinds: readonly string[]): fc.Arbitrary<Step> =>
+  step(
+    'submit',
+    fc.tuple(
+      fc.integer({ min: 1, max: 40 }),
+      fc.integer({ min: 10, max: maximumWorkMs }),
+      fc.constantFrom(...kinds),
+      anyDaemon,
+    ),
+    submit,
+  );
+
+const submitStep = submitOf(9_000, 'usual', 'usual', 'usual', 'too-large', 'failing');
 
 const cancelWave = step(
   'cancel',
@@ -209,6 +220,41 @@
   }),
 ];
 
+/** Longer than owners renew leases without the table, so what is cut off runs again elsewhere. */
+const LONG_CUT_MS = 100_000;
+
+const cutWorkers = (world: SoakWorld, isAffected: (worker: SoakWorker) => boolean): void => {
+  const affected = [...world.workers.values()].filter(isAffected);
+  affected.forEach((worker) => Object.assign(worker, { isCut: true, faultedAtMs: world.nowMs }));
+  world.schedule(LONG_CUT_MS, () =>
+    affected.forEach((worker) => Object.assign(worker, { isCut: false, faultedAtMs: world.nowMs })),
+  );
+};
+
+/** What takes many instances at once: a switch, a zone, a link between regions. */
+const losses = [
+  step('rack-cut', fc.tuple(anyWorker), (index) => (world) => {
+    const rack = rackOf(workerAt(world, index)?.id ?? '');
+    cutWorkers(world, (worker) => rackOf(worker.id) === rack);
+  }),
+  step('zone-dies', fc.tuple(anyZone, duration), (zone, backMs) => (world) => {
+    const owner = world.daemons.findIndex(({ cells }) => cells.get(zone)?.lease.isOwner === true);
+    if (owner >= 0) {
+      world.kill(owner);
+      world.schedule(backMs, () => world.addDaemon());
+    }
+    cutWorkers(world, (worker) => worker.zone === zone);
+  }),
+  step('region-cut', fc.tuple(anyDaemon), (index) => (world) => {
+    const daemon = world.daemons[index];
+    if (daemon === undefined) return;
+    daemon.isCut = true;
+    world.schedule(LONG_CUT_MS, () =>
+      Object.assign(daemon, { isCut: false, hinderedAtMs: world.nowMs }),
+    );
+  }),
+];
+
 const badWorkers = [
   step('worker-bad', fc.tuple(anyWorker, duration), (index, durationMs) => (world) => {
     const worker = workerAt(world, index);
@@ -218,9 +264,12 @@
   }),
 ];
 
+const WORK = [submitOf(3_000, 'usual'), submitOf(3_000, 'accelerated')];
+
 /** Steps of a run by what they touch. */
 export const SCENARIOS = {
   badWorkers: [submitStep, submitStep, ...badWorkers],
+  losses: [...WORK, ...WORK, ...WORK, cancelWave, ...operatorSteps, ...losses],
   scheduler: [submitStep, submitStep, ...daemonFaults, ...callFaults, ...workerFaults],
   operator: [submitStep, cancelWave, ...operatorSteps, ...daemonFaults, ...callFaults],
   all: [
@@ -236,6 +285,8 @@
 export type Scenario = keyof typeof SCENARIOS;
 
 const HEAL_MS = 10_000;
+/** Of a scenario whose faults last longer. */
+export const LONG_HEAL_MS = LONG_CUT_MS + HEAL_MS;
 const QUIET_STEP_MS = 5_000;
 const QUIET_LIMIT_MS = 180_000;
 
@@ -276,8 +327,8 @@
 };
 
 /** Ends all faults, waits and expects everything to be as it was accepted. */
-export const expectSettled = async (world: SoakWorld): Promise<void> => {
-  await world.runFor(HEAL_MS);
+export const expectSettled = async (world: SoakWorld, healMs = HEAL_MS): Promise<void> => {
+  await world.runFor(healMs);
   ZONES.forEach((zone) => void world.operate(0, { intent: 'use-zone', zone, region: 'r' }));
   // One worker that is left in a zone would need longer than the limit: seed 2577, all.
   world.daemons[0]?.reader.current?.workers.forEach(({ id, isDraining }) => {
--- a/soak/test/soakParts.ts
+++ b/soak/test/soakParts.ts
@@ -11,7 +11,7 @@
 export const WORKERS_PER_ZONE = 4;
 export const WORKERS_PER_RACK = 2;
 const GIBIBYTE = 1024 ** 3;
-export const CAPACITY = { processorMillis: 8_000, memoryBytes: 32 * GIBIBYTE, acceleratorCount: 0 };
+export const CAPACITY = { processorMillis: 8_000, memoryBytes: 32 * GIBIBYTE, acceleratorCount: 2 };
 export const TASK_SIZE = {
   processorMillis: 2_000,
   memoryBytes: 2 * GIBIBYTE,
--- a/soak/test/soakRun.ts
+++ b/soak/test/soakRun.ts
@@ -1,7 +1,13 @@
 /** Runs one seed: fast-check draws the steps, and shrinks them when something is found. */
 import fc from 'fast-check';
 
-import { expectSettled, type Scenario, SCENARIOS, type SoakModel } from './soakCommands.js';
+import {
+  expectSettled,
+  LONG_HEAL_MS,
+  type Scenario,
+  SCENARIOS,
+  type SoakModel,
+} from './soakCommands.js';
 import type { Sabotage } from './sabotage.js';
 import { SoakWorld } from './soakWorld.js';
 
@@ -42,7 +48,7 @@
     const model: SoakModel = { jobCount: 0, stepCount: 0 };
     await world.start();
     await fc.asyncModelRun(() => ({ model, real: world }), steps);
-    await expectSettled(world);
+    await expectSettled(world, options.scenario === 'losses' ? LONG_HEAL_MS : undefined);
     const verdict = world.judge.verdict();
     totals.stepCount += model.stepCount;
     totals.virtualMs += world.nowMs;
