Planning reads a team's own rows and works in pieces

Cause: a quota's plan parsed the whole ledger (5.8 MB) for a team's forty tasks; every plan added 500 services up four times and dealt out room in all zones; a job of 10,000 tasks was digested and written in one go. Ruled out: caching the ledger by row version, since racks change every second and are sent all the same; measuring holds by processor time, which counts the collector's threads as well (tried, reverted). Change: set-quota reads the team's job rows, which change in one transaction with the ledger; sums are kept with the view they are of; capacity is worked out only when zones, services or workers change; jsonText writes large JSON in pieces with a turn between; canonicalJson sorts a copy in place of a replacer; plan and effects are two turns. Also mended: a plan named tasks as evicted that were leaving without it. The virtual time waits for more turns without a step (20 to 1,000), or work that yields often never ends in it.

--- a/bench/configuration/configuration.ts
+++ b/bench/configuration/configuration.ts
@@ -3,6 +3,7 @@
 import { readBounds } from '../bounds.js';
 import { type InForceFigures, measureInForce, type Scenario } from './inForce.js';
 import { measurePlanning } from './planning.js';
+import { measurePlanReads } from './planReads.js';
 
 const DAY_MS = 86_400_000;
 const CHANGES_PER_DAY = 1_300;
@@ -34,21 +35,36 @@
   return `${name}: ${lag}; a daemon: ${reads} reads, ${rows} rows, ${bytes} bytes a second`;
 };
 
-const run = async (): Promise<boolean> => {
+/** Scenarios that CI runs too; all are in virtual time, but the others take too long for it. */
+const BOUNDED_SCENARIOS: readonly Scenario[] = SCENARIOS.filter(
+  ({ daemonCount, meanGapMs }) => daemonCount === 7 && meanGapMs === BURST.meanGapMs,
+);
+
+/** `bounds` as an argument runs just what is the same on every machine. */
+const run = async (args: readonly string[]): Promise<boolean> => {
   const bounds = await readBounds('configuration');
+  const isBoundsOnly = args[0] === 'bounds';
+  const scenarios = isBoundsOnly ? BOUNDED_SCENARIOS : SCENARIOS;
   let isWithinBounds = true;
-  for (let index = 0; index < SCENARIOS.length; index += 1) {
-    const scenario = SCENARIOS[index] as Scenario;
+  for (let index = 0; index < scenarios.length; index += 1) {
+    const scenario = scenarios[index] as Scenario;
     // eslint-disable-next-line no-await-in-loop -- one at a time
     const figures = await measureInForce(scenario);
     say(inForceLine(scenario.name, figures));
     isWithinBounds &&= figures.maxMs <= (bounds.maximumInForceMs ?? 0);
     isWithinBounds &&= figures.bytesPerDaemonPerSecond <= (bounds.maximumBytesPerSecond ?? 0);
   }
+  (await measurePlanReads()).forEach(({ name, rowCount, characterCount }) => {
+    say(`plan ${name}: reads ${rowCount} rows, ${characterCount} characters`);
+    isWithinBounds &&= rowCount <= (bounds.maximumPlanRows ?? 0);
+    isWithinBounds &&= characterCount <= (bounds.maximumPlanCharacters ?? 0);
+  });
+  if (isBoundsOnly) return isWithinBounds;
   const plans = await measurePlanning();
-  plans.forEach(({ name, p50Ms, maxMs, longestHoldMs }) => {
+  plans.forEach(({ name, p50Ms, maxMs, usualHoldMs, longestHoldMs }) => {
     const durations = `p50 ${p50Ms.toFixed(1)} max ${maxMs.toFixed(1)} ms`;
-    say(`plan ${name}: ${durations}, longest hold ${longestHoldMs.toFixed(1)} ms`);
+    const hold = `longest hold p50 ${usualHoldMs.toFixed(1)} max ${longestHoldMs.toFixed(1)} ms`;
+    say(`plan ${name}: ${durations}, ${hold}`);
     isWithinBounds &&= p50Ms <= (bounds.maximumPlanMs ?? 0);
   });
   return isWithinBounds;
--- a/bench/configuration/planning.ts
+++ b/bench/configuration/planning.ts
@@ -11,132 +11,27 @@
 import { systemClock } from '../../src/base/node/systemClock.js';
 import type { Intent } from '../../src/operator/common/intent.js';
 import { PlanService } from '../../src/operator/node/planService.js';
-import {
-  quotaKey,
-  serviceKey,
-  zoneKey,
-} from '../../src/platform/configuration/common/documents.js';
 import { ConfigurationFollower } from '../../src/platform/configuration/node/configurationFollower.js';
-import type { WorkerInstance } from '../../src/platform/instanceList/common/instanceList.js';
 import { silentLog } from '../../src/platform/log/common/log.js';
 import { silentMetrics } from '../../src/platform/metrics/common/metrics.js';
 import type { RowWrite } from '../../src/platform/table/common/table.js';
 import { HttpTableService } from '../../src/platform/table/node/httpTableService.js';
-import { ledgerKey } from '../../src/platform/workload/common/workRows.js';
+import { documentRows, INTENTS, ledgerRows, workers, workRows } from './fleet.js';
 
-const ZONE_COUNT = 7;
-const WORKER_COUNT = 860;
-const WORKERS_PER_RACK = 8;
-const SERVICE_COUNT = 500;
-const REPLICA_COUNT = 7;
-const BATCH_TASK_COUNT = 14_000;
-const TASKS_PER_JOB = 10;
-const TEAM_COUNT = 360;
 const ROWS_PER_TRANSACTION = 50;
-const REPEAT_COUNT = 15;
+const REPEAT_COUNT = 25;
+const WARM_UP_COUNT = 5;
 const CALL_TIMEOUT_MS = 5_000;
-const SIZE = { processorMillis: 1_000, memoryBytes: 2 ** 30, acceleratorCount: 0 };
-const LARGE_LIMIT = { processorMillis: 2 ** 40, memoryBytes: 2 ** 50, acceleratorCount: 2 ** 20 };
 
 export interface PlanningFigures {
   readonly name: string;
   readonly p50Ms: number;
   readonly maxMs: number;
-  /** The longest that the event loop stood still during any of the plans. */
+  /** The longest that the event loop stood still during a plan: the middle one and the worst. */
+  readonly usualHoldMs: number;
   readonly longestHoldMs: number;
 }
 
-const zoneOf = (index: number): string => `zone-${index % ZONE_COUNT}`;
-
-const workers = (): readonly WorkerInstance[] =>
-  Array.from({ length: WORKER_COUNT }, (_, index) => ({
-    kind: 'worker' as const,
-    id: `worker-${index}`,
-    availabilityZone: zoneOf(index),
-    rack: `rack-${Math.floor(Math.floor(index / ZONE_COUNT) / WORKERS_PER_RACK)}`,
-    state: 'live' as const,
-    controlAddress: { host: '127.0.0.1', port: 1 },
-    backendAddress: { host: '127.0.0.1', port: 1 },
-    capacity: { processorMillis: 64_000, memoryBytes: 250 * 2 ** 30, acceleratorCount: 1 },
-    slotCount: 8,
-    connectionCount: 64,
-  }));
-
-const assignmentOf = (index: number, worker: WorkerInstance) => {
-  const isService = index < SERVICE_COUNT * REPLICA_COUNT;
-  const jobId = `team-${index % TEAM_COUNT}.job-${Math.floor(index / TASKS_PER_JOB)}`;
-  const serviceName = `service-${index % SERVICE_COUNT}`;
-  return {
-    taskId: isService ? `${serviceName}@${randomUUID()}.0` : `${jobId}/${index}`,
-    attempt: 1,
-    workerId: worker.id,
-    incarnation: randomUUID(),
-    taskClass: isService ? 'latency-critical' : 'batch',
-    serviceName: isService ? serviceName : '',
-    shardId: isService ? '' : `${jobId}~${worker.availabilityZone}`,
-    taskIndex: index,
-    size: SIZE,
-    workMs: 60_000,
-    checkpoint: null,
-  };
-};
-
-const ledgerRows = (all: readonly WorkerInstance[]): readonly RowWrite[] => {
-  const racks = new Map<string, unknown[]>();
-  const count = SERVICE_COUNT * REPLICA_COUNT + BATCH_TASK_COUNT;
-  Array.from({ length: count }, (_, index) => index).forEach((index) => {
-    const worker = all[index % all.length] as WorkerInstance;
-    const key = ledgerKey(worker.availabilityZone, worker.rack);
-    racks.set(key, [...(racks.get(key) ?? []), assignmentOf(index, worker)]);
-  });
-  return [...racks].map(([key, assignments]) => ({ key, value: { assignments } as never }));
-};
-
-const documentRows = (): readonly RowWrite[] => [
-  { key: 'configuration/version', value: { version: 1 } },
-  ...Array.from({ length: ZONE_COUNT }, (_, index) => {
-    const name = zoneOf(index);
-    return { key: zoneKey(name), value: { name, region: 'r', state: 'in-use' } };
-  }),
-  ...Array.from({ length: TEAM_COUNT }, (_, index) => {
-    const team = `team-${index}`;
-    return { key: quotaKey(team), value: { team, limit: LARGE_LIMIT } };
-  }),
-  ...Array.from({ length: SERVICE_COUNT }, (_, index) => {
-    const service = { name: `service-${index}`, team: `team-${index % TEAM_COUNT}` };
-    const value = { ...service, replicaCount: REPLICA_COUNT, size: SIZE, urgency: 'normal' };
-    return { key: serviceKey(service.name), value };
-  }),
-];
-
-const job = { team: 'team-1', size: SIZE, workMs: 1, urgency: 'normal' as const };
-const service = { name: 'fresh', team: 'team-1', replicaCount: 70, size: SIZE };
-
-const INTENTS: readonly (readonly [string, (round: number) => Intent])[] = [
-  [
-    'create-service',
-    () => ({ intent: 'create-service', service: { ...service, urgency: 'normal' } }),
-  ],
-  ['withdraw-zone', (round) => ({ intent: 'withdraw-zone', zone: zoneOf(round) })],
-  ['drain-worker', (round) => ({ intent: 'drain-worker', workerId: `worker-${round}` })],
-  [
-    'set-quota',
-    (round) => ({
-      intent: 'set-quota',
-      team: `team-${round}`,
-      limit: { ...LARGE_LIMIT, acceleratorCount: round },
-    }),
-  ],
-  [
-    'submit-job of 100 tasks',
-    (round) => ({ intent: 'submit-job', ...job, submissionKey: `s${round}`, taskCount: 100 }),
-  ],
-  [
-    'submit-job of 10,000 tasks',
-    (round) => ({ intent: 'submit-job', ...job, submissionKey: `l${round}`, taskCount: 10_000 }),
-  ],
-];
-
 /** Measures how long the event loop stands still until it is told to stop. */
 const watchHolds = (): (() => number) => {
   let longestMs = 0;
@@ -158,29 +53,39 @@
   };
 };
 
+/** The figures but for the first rounds, which are for the compiler, in order. */
+const settled = (figures: readonly number[]): readonly number[] =>
+  figures.slice(WARM_UP_COUNT).sort((one, other) => one - other);
+
+const median = (sorted: readonly number[]): number =>
+  sorted[Math.floor(sorted.length / 2)] as number;
+
 const measure = async (
   plans: PlanService,
   name: string,
   toIntent: (round: number) => Intent,
 ): Promise<PlanningFigures> => {
   const durationsMs: number[] = [];
-  let longestHoldMs = 0;
+  const holdsMs: number[] = [];
   for (let round = 0; round < REPEAT_COUNT; round += 1) {
     const stop = watchHolds();
     const startMs = systemClock.nowMs();
     // eslint-disable-next-line no-await-in-loop -- one plan at a time
     const plan = await plans.plan(toIntent(round), 'bench');
     durationsMs.push(systemClock.nowMs() - startMs);
-    // The first rounds are for the compiler.
-    if (round >= 5) longestHoldMs = Math.max(longestHoldMs, stop());
-    else stop();
+    holdsMs.push(stop());
     if (isLeft(plan)) throw new Error(`${name}: ${plan.left.message}`);
     // eslint-disable-next-line no-await-in-loop
     await delay(20);
   }
-  const sorted = durationsMs.slice(5).sort((one, other) => one - other);
-  const p50Ms = sorted[Math.floor(sorted.length / 2)] as number;
-  return { name, p50Ms, maxMs: sorted.at(-1) as number, longestHoldMs };
+  const [durations, holds] = [settled(durationsMs), settled(holdsMs)];
+  return {
+    name,
+    p50Ms: median(durations),
+    maxMs: durations.at(-1) as number,
+    usualHoldMs: median(holds),
+    longestHoldMs: holds.at(-1) as number,
+  };
 };
 
 const startTable = async (): Promise<{ readonly origin: string; readonly stop: () => void }> => {
@@ -209,7 +114,7 @@
   const table = new HttpTableService(store.origin, CALL_TIMEOUT_MS, 4);
   try {
     const instances = workers();
-    await fill(table, [...documentRows(), ...ledgerRows(instances)]);
+    await fill(table, [...documentRows(), ...ledgerRows(instances), ...workRows(instances)]);
     const configuration = new ConfigurationFollower(table, systemClock, silentLog, silentMetrics);
     await configuration.refresh();
     const plans = new PlanService(
@@ -229,9 +134,9 @@
     );
     const stop = watchHolds();
     await delay(1_000);
-    const figures: PlanningFigures[] = [
-      { name: 'nothing (a second of rest)', p50Ms: 0, maxMs: 0, longestHoldMs: stop() },
-    ];
+    const restMs = stop();
+    const rest = { p50Ms: 0, maxMs: 0, usualHoldMs: restMs, longestHoldMs: restMs };
+    const figures: PlanningFigures[] = [{ name: 'nothing (a second of rest)', ...rest }];
     for (let index = 0; index < INTENTS.length; index += 1) {
       const [name, toIntent] = INTENTS[index] as (typeof INTENTS)[number];
       // eslint-disable-next-line no-await-in-loop -- one at a time, or they hold each other up
--- a/src/base/common/json.ts
+++ b/src/base/common/json.ts
@@ -8,11 +8,62 @@
   | readonly JsonValue[]
   | { readonly [key: string]: JsonValue | undefined };
 
-/** Serialises with sorted keys; members that are undefined are left out. */
-export const canonicalJson = (value: unknown): string =>
-  JSON.stringify(value, (_key, member: unknown) => {
-    if (member === null || typeof member !== 'object' || Array.isArray(member)) return member;
-    return Object.fromEntries(
-      Object.entries(member).sort(([left], [right]) => (left < right ? -1 : 1)),
-    );
-  });
+const withSortedKeys = (value: unknown): unknown => {
+  if (value === null || typeof value !== 'object' || value instanceof Date) return value;
+  if (Array.isArray(value)) return value.map(withSortedKeys);
+  const members = value as Readonly<Record<string, unknown>>;
+  const sorted: Record<string, unknown> = {};
+  Object.keys(members)
+    .sort()
+    .forEach((name) => {
+      sorted[name] = withSortedKeys(members[name]);
+    });
+  return sorted;
+};
+
+/**
+ * Serialises with sorted keys; members that are undefined are left out. Plans of 10,000 tasks
+ * pass through here: a replacer, which is called back for every member, takes three times as long.
+ */
+export const canonicalJson = (value: unknown): string => JSON.stringify(withSortedKeys(value));
+
+export const JsonForm = { Plain: 'plain', Canonical: 'canonical' } as const;
+export type JsonForm = (typeof JsonForm)[keyof typeof JsonForm];
+
+/** Array items that are written in one go: of tasks, some 50 KB and a millisecond. */
+const CHUNK_LENGTH = 500;
+
+const isLong = (value: unknown): boolean => {
+  if (Array.isArray(value)) return value.length > CHUNK_LENGTH || value.some(isLong);
+  if (value === null || typeof value !== 'object') return false;
+  return Object.values(value).some(isLong);
+};
+
+/** The JSON of a value in pieces of bounded length, which are to be joined. */
+export function* jsonPieces(value: unknown, form: JsonForm = JsonForm.Plain): Generator<string> {
+  const toText = form === JsonForm.Canonical ? canonicalJson : JSON.stringify;
+  if (!isLong(value)) {
+    yield toText(value);
+    return;
+  }
+  if (Array.isArray(value)) {
+    const chunkLength = value.some(isLong) ? 1 : CHUNK_LENGTH;
+    yield '[';
+    for (let from = 0; from < value.length; from += chunkLength) {
+      if (from > 0) yield ',';
+      if (chunkLength === 1) yield* jsonPieces(value[from] ?? null, form);
+      else yield toText(value.slice(from, from + chunkLength)).slice(1, -1);
+    }
+    yield ']';
+    return;
+  }
+  const members = Object.entries(value as object).filter(([, member]) => member !== undefined);
+  if (form === JsonForm.Canonical) members.sort(([one], [other]) => (one < other ? -1 : 1));
+  yield '{';
+  for (let index = 0; index < members.length; index += 1) {
+    const [name, member] = members[index] as [string, unknown];
+    yield `${index > 0 ? ',' : ''}${JSON.stringify(name)}:`;
+    yield* jsonPieces(member, form);
+  }
+  yield '}';
+}
--- a/src/operator/common/confirmation.ts
+++ b/src/operator/common/confirmation.ts
@@ -164,7 +164,9 @@
   const inboxes = new Set(plan.notifiedCells.map((cell) => cellInboxKey(cell)));
   const isAsShown = writes.every(({ key, value }) => {
     if (own.includes(key) || inboxes.has(key)) return true;
-    return conditioned.has(key) && canonicalJson(shown.get(key)?.after) === canonicalJson(value);
+    const after = shown.get(key)?.after;
+    const isEqual = after === value || canonicalJson(after) === canonicalJson(value);
+    return conditioned.has(key) && isEqual;
   });
   const isWhole = plan.steps.every(({ key }) => writes.some((write) => write.key === key));
   return isAsShown && isWhole ? undefined : WriteInvariant.OnlyWhatWasShown;
--- a/src/operator/common/jobPlanning.ts
+++ b/src/operator/common/jobPlanning.ts
@@ -43,8 +43,7 @@
 const toShards = (intent: SubmitJobIntent, jobId: string, zones: readonly string[]): WorkRow[] =>
   zones
     .map((zone, zoneIndex): WorkRow => {
-      const indexes = Array.from({ length: intent.taskCount }, (_, index) => index);
-      const own = indexes.filter((index) => index % zones.length === zoneIndex);
+      const ownCount = Math.max(0, Math.ceil((intent.taskCount - zoneIndex) / zones.length));
       return {
         shardId: toShardId(jobId, zone),
         jobId,
@@ -52,7 +51,7 @@
         size: intent.size,
         urgency: intent.urgency,
         workMs: intent.workMs,
-        tasks: own.map(newTask),
+        tasks: Array.from({ length: ownCount }, (_, at) => newTask(zoneIndex + at * zones.length)),
       };
     })
     .filter((shard) => shard.tasks.length > 0);
--- a/src/operator/common/planEffects.ts
+++ b/src/operator/common/planEffects.ts
@@ -1,7 +1,7 @@
 /** Works out what would follow from a plan's steps by comparing the views before and after. */
 import {
   type ConfigurationView,
-  zonesInUse,
+  isZoneInUse,
 } from '../../platform/configuration/common/configurationView.js';
 import type { ServiceDocument } from '../../platform/configuration/common/documents.js';
 import { InstanceState } from '../../platform/instanceList/common/instanceList.js';
@@ -60,14 +60,19 @@
 }
 
 /** How many replicas of a service come, go, or go from one zone to another. */
-const serviceShift = (comparison: Comparison, name: string): ServiceShift => {
+const serviceShift = (
+  comparison: Comparison,
+  zones: ReadonlySet<string>,
+  name: string,
+): ServiceShift => {
   const { before, after, totalsBefore, totalsAfter } = comparison;
-  const zones = new Set([...totalsBefore.zones, ...totalsAfter.zones]);
-  const differences = [...zones].map(
-    (zone) => totalsAfter.replicas(name, zone) - totalsBefore.replicas(name, zone),
-  );
-  const coming = differences.reduce((sum, difference) => sum + Math.max(0, difference), 0);
-  const going = differences.reduce((sum, difference) => sum + Math.max(0, -difference), 0);
+  let coming = 0;
+  let going = 0;
+  zones.forEach((zone) => {
+    const difference = totalsAfter.replicas(name, zone) - totalsBefore.replicas(name, zone);
+    coming += Math.max(0, difference);
+    going += Math.max(0, -difference);
+  });
   const moving = Math.min(coming, going);
   const service = (after.services.get(name) ?? before.services.get(name)) as ServiceDocument;
   return { service, moving, starting: coming - moving, ending: going - moving };
@@ -76,11 +81,12 @@
 /** Shifts of the services that can have any: all when zones change, else those that changed. */
 const serviceShifts = (comparison: Comparison): readonly ServiceShift[] => {
   const { before, after, totalsBefore, totalsAfter } = comparison;
+  const zones = new Set([...totalsBefore.zones, ...totalsAfter.zones]);
   const areZonesSame = isSame(totalsBefore.zones, totalsAfter.zones);
   const names = new Set([...before.services.keys(), ...after.services.keys()]);
   return [...names]
     .filter((name) => !areZonesSame || before.services.get(name) !== after.services.get(name))
-    .map((name) => serviceShift(comparison, name));
+    .map((name) => serviceShift(comparison, zones, name));
 };
 
 const capacityOfZone = (
@@ -88,7 +94,7 @@
   view: ConfigurationView,
   zone: string,
 ): readonly Resources[] =>
-  zonesInUse(view).includes(zone)
+  isZoneInUse(view, zone)
     ? basis.workers
         .filter((worker) => worker.availabilityZone === zone && worker.state === InstanceState.Live)
         .filter((worker) => view.workers.get(worker.id)?.isDraining !== true)
@@ -115,6 +121,11 @@
   workers: readonly Resources[],
 ): number => {
   let free = sumResources(workers);
+  const isPlaceableEach = totals.sizes.every((size) =>
+    workers.some((capacity) => fitsInto(size, capacity)),
+  );
+  // Where all fits together every service finds its room; there is no need to deal it out.
+  if (isPlaceableEach && fitsInto(totals.inZone(zone), free)) return 0;
   return totals.byUrgency.reduce((missing, { name, size }) => {
     const wanted = totals.replicas(name, zone);
     if (wanted === 0) return missing;
@@ -139,8 +150,15 @@
   };
 };
 
-const capacityEffects = (comparison: Comparison): PlanEffects['capacity'] =>
-  [...new Set([...comparison.before.zones.keys(), ...comparison.after.zones.keys()])]
+/** Maps that no step has touched are the same objects in both views. */
+const isCapacityTouched = ({ before, after }: Comparison): boolean =>
+  before.zones !== after.zones ||
+  before.services !== after.services ||
+  before.workers !== after.workers;
+
+const capacityEffects = (comparison: Comparison): PlanEffects['capacity'] => {
+  if (!isCapacityTouched(comparison)) return [];
+  return [...new Set([...comparison.before.zones.keys(), ...comparison.after.zones.keys()])]
     .sort()
     .map((zone) => zoneCapacity(comparison, zone))
     .filter(
@@ -148,9 +166,11 @@
         !isSame(zone.totalBefore, zone.totalAfter) ||
         !isSame(zone.reservedBefore, zone.reservedAfter),
     );
+};
 
 const quotaEffects = (comparison: Comparison): PlanEffects['quotas'] => {
   const { before, after, totalsBefore, totalsAfter } = comparison;
+  if (before === after) return [];
   const changedTeams = new Set(
     [...before.services.values(), ...after.services.values()]
       .filter(({ name }) => before.services.get(name) !== after.services.get(name))
@@ -174,16 +194,19 @@
   });
 };
 
-/** Tasks of jobs that would have to leave: their worker or their zone is taken out. */
+/** Whether tasks of jobs have to leave a worker: it drains, or its zone is out. */
+const mustLeave = (view: ConfigurationView, workerId: string, zone: string | undefined): boolean =>
+  view.workers.get(workerId)?.isDraining === true ||
+  (zone !== undefined && !isZoneInUse(view, zone));
+
+/** Tasks of jobs that would have to leave, those aside that are leaving without the plan. */
 const evictedTasks = (basis: PlanningBasis, after: ConfigurationView): readonly CountedTasks[] => {
   const zoneOf = new Map(basis.workers.map(({ id, availabilityZone }) => [id, availabilityZone]));
-  const inUse = new Set(zonesInUse(after));
   return basis.running
     .filter(({ serviceName }) => serviceName === '')
     .filter(({ workerId }) => {
-      const isDraining = after.workers.get(workerId)?.isDraining === true;
       const zone = zoneOf.get(workerId);
-      return isDraining || (zone !== undefined && !inUse.has(zone));
+      return mustLeave(after, workerId, zone) && !mustLeave(basis.view, workerId, zone);
     })
     .map(({ taskId, size }) => ({ taskId, size, count: 1 }));
 };
@@ -222,8 +245,8 @@
     basis,
     before: basis.view,
     after,
-    totalsBefore: new ServiceTotals(basis.view),
-    totalsAfter: new ServiceTotals(after),
+    totalsBefore: ServiceTotals.of(basis.view),
+    totalsAfter: ServiceTotals.of(after),
   };
   const shifts = serviceShifts(comparison);
   const capacity = capacityEffects(comparison);
--- a/src/operator/common/planner.ts
+++ b/src/operator/common/planner.ts
@@ -41,7 +41,8 @@
 
 /** The deciding part of a plan. */
 export interface PlannedChange extends PlannedSteps {
-  readonly effects: PlanEffects;
+  /** The configuration that confirming it would lead to. */
+  readonly after: ConfigurationView;
 }
 
 const planService = (
@@ -123,7 +124,7 @@
 ): Planned => {
   const jobs = basis.running.filter(({ jobId }) => jobId.startsWith(`${team}.`));
   const used = addResources(
-    new ServiceTotals(basis.view).ofTeam(team),
+    ServiceTotals.of(basis.view).ofTeam(team),
     sumResources(jobs.map(({ size }) => size)),
   );
   if (!fitsInto(used, limit)) {
@@ -223,14 +224,14 @@
   return change.success ? change.data.documents.map(({ key }) => key) : [];
 };
 
-const withSteps = (basis: PlanningBasis, steps: readonly PlanStep[]): ConfigurationView =>
-  withDocuments(
-    basis.view,
-    basis.view.version + 1,
-    steps
-      .filter(({ key }) => key.startsWith(DOCUMENT_PREFIX))
-      .map(({ key, after, baseRowVersion }) => ({ key, value: after, version: baseRowVersion })),
-  );
+/** The view after some steps; the very same one when they are of jobs alone. */
+const withSteps = (basis: PlanningBasis, steps: readonly PlanStep[]): ConfigurationView => {
+  const documents = steps
+    .filter(({ key }) => key.startsWith(DOCUMENT_PREFIX))
+    .map(({ key, after, baseRowVersion }) => ({ key, value: after, version: baseRowVersion }));
+  if (documents.length === 0) return basis.view;
+  return withDocuments(basis.view, basis.view.version + 1, documents);
+};
 
 /**
  * Keeps teams within their quotas. Two plans that each fit may not fit together, so a plan that
@@ -241,7 +242,7 @@
   basis: PlanningBasis,
   after: ConfigurationView,
 ): Either<Failure, { readonly steps: readonly PlanStep[]; readonly guards: PlanGuard[] }> => {
-  const [before, later] = [new ServiceTotals(basis.view), new ServiceTotals(after)];
+  const [before, later] = [ServiceTotals.of(basis.view), ServiceTotals.of(after)];
   const grown = later.teams.filter((team) => !fitsInto(later.ofTeam(team), before.ofTeam(team)));
   const relimited = [...after.quotas.keys()].filter(
     (team) => after.quotas.get(team) !== basis.view.quotas.get(team),
@@ -300,8 +301,6 @@
 export const planIntent = (
   basis: PlanningBasis,
   intent: Intent,
-  /** Shards of jobs that would be cancelled, with just the tasks that are left. */
-  ending: readonly WorkRow[] = [],
 ): Either<Failure, PlannedChange> => {
   const result = planSteps(basis, intent);
   if (isLeft(result)) return result;
@@ -314,6 +313,18 @@
     ...result.right,
     steps: [...steps, ...quota.right.steps.filter(({ key }) => !written.has(key))],
     guards: [...result.right.guards, ...quota.right.guards].filter(({ key }) => !written.has(key)),
-    effects: planEffects(basis, after, jobTasksOf(intent, steps, ending)),
+    after,
   });
 };
+
+/**
+ * What would follow from a plan. It is worked out apart from the plan, for each of the two takes
+ * milliseconds at 500 services, and requests wait meanwhile.
+ */
+export const effectsOfPlan = (
+  basis: PlanningBasis,
+  intent: Intent,
+  { steps, after }: PlannedChange,
+  /** Shards of jobs that would be cancelled, with just the tasks that are left. */
+  ending: readonly WorkRow[],
+): PlanEffects => planEffects(basis, after, jobTasksOf(intent, steps, ending));
--- a/src/operator/node/ledgerSurvey.ts
+++ b/src/operator/node/ledgerSurvey.ts
@@ -25,7 +25,7 @@
 const RACKS_PER_READ = 2;
 
 /** The job that an assignment is of; empty for tasks of services. */
-export const jobIdOf = ({ shardId }: Assignment): string => shardId.split('~')[0] ?? '';
+const jobIdOf = ({ shardId }: Assignment): string => shardId.split('~')[0] ?? '';
 
 export const toRunningTask = (assignment: Assignment): RunningTask => ({
   taskId: assignment.taskId,
--- a/src/operator/node/operatorQueries.ts
+++ b/src/operator/node/operatorQueries.ts
@@ -190,7 +190,7 @@
       case ObjectKind.Services:
         return [...view.services.values()];
       case ObjectKind.Quotas: {
-        const totals = new ServiceTotals(view);
+        const totals = ServiceTotals.of(view);
         return [...view.quotas.values()].map((quota) => ({
           ...quota,
           usedByServices: totals.ofTeam(quota.team),
--- a/src/operator/node/operatorServer.ts
+++ b/src/operator/node/operatorServer.ts
@@ -3,6 +3,7 @@
 import { type Either, isLeft } from 'fp-ts/lib/Either.js';
 import { z } from 'zod';
 
+import { jsonText } from '../../base/node/jsonText.js';
 import type {
   ConfigurationHealth,
   ConfigurationService,
@@ -36,6 +37,7 @@
 export const planBodySchema = z.strictObject({ intent: intentSchema });
 export const confirmBodySchema = z.strictObject({ digest: z.string().min(1) });
 const idParamsSchema = z.object({ id: z.string().min(1) });
+const JSON_TYPE = 'application/json; charset=utf-8';
 const HTTP_OK = 200;
 const HTTP_UNAVAILABLE = 503;
 const FIRST_SERVER_ERROR = 500;
@@ -154,7 +156,7 @@
         const author = this.#access.check(request.headers.authorization, role);
         if (isLeft(author)) return replyWithFailure(reply, author.left);
         const result = await handler(request, author.right);
-        if (!isLeft(result)) return reply.send(result.right);
+        if (!isLeft(result)) return reply.type(JSON_TYPE).send(await jsonText(result.right));
         const { newPlan } = result.left;
         return replyWithFailure(reply, result.left, newPlan === undefined ? {} : { newPlan });
       },
--- a/src/operator/node/planMaker.ts
+++ b/src/operator/node/planMaker.ts
@@ -4,7 +4,8 @@
 
 import { type Either, isLeft, left, right } from 'fp-ts/lib/Either.js';
 
-import { canonicalJson } from '../../base/common/json.js';
+import { JsonForm } from '../../base/common/json.js';
+import { jsonText } from '../../base/node/jsonText.js';
 import type { ConfigurationService } from '../../platform/configuration/common/configurationService.js';
 import type { ConfigurationView } from '../../platform/configuration/common/configurationView.js';
 import { DOCUMENT_PREFIX } from '../../platform/configuration/common/documents.js';
@@ -33,18 +34,21 @@
   type DigestedPlan,
   digestParts,
   type Plan,
+  type PlanEffects,
   planKey,
   PlanState,
   toPlanId,
 } from '../common/plan.js';
 import {
+  effectsOfPlan,
   furtherRowsToRead,
   type PlannedChange,
   planIntent,
   rowsToRead,
 } from '../common/planner.js';
 import type { RunningTask } from '../common/planningBasis.js';
-import { jobIdOf, racksOf, surveyLedger, toRunningTask } from './ledgerSurvey.js';
+import { racksOf, surveyLedger, toRunningTask } from './ledgerSurvey.js';
+import { surveyTeam } from './teamSurvey.js';
 
 export interface PlanMakerServices {
   readonly table: TableService;
@@ -57,8 +61,6 @@
   readonly newSuffix: () => string;
 }
 
-const LARGE_PART_LENGTH = 10_000;
-
 /** Tries at catching a moment in which the view and the rows agree. */
 const MAXIMUM_READ_TRIES = 5;
 /** Jobs whose shards are looked up to tell what a cancellation would end. */
@@ -79,14 +81,13 @@
     .filter((key) => key.startsWith(DOCUMENT_PREFIX))
     .every((key) => rows.get(key)?.version === view.rowVersions.get(key));
 
-/** Steps of jobs with many tasks take milliseconds each; requests get their turn in between. */
+/** A digest of all that a plan would do; equal plans have equal ones, in whatever order kept. */
 export const planDigest = async (plan: DigestedPlan): Promise<string> => {
   const hash = createHash('sha256');
   await digestParts(plan).reduce(async (before, part) => {
     await before;
-    const text = canonicalJson(part);
+    const text = await jsonText(part, JsonForm.Canonical);
     hash.update(`${text.length}:`).update(text);
-    if (text.length > LARGE_PART_LENGTH) await nextTurn();
   }, Promise.resolve());
   return hash.digest('hex');
 };
@@ -107,18 +108,21 @@
     if (isLeft(reading)) return reading;
     const { view, rows } = reading.right;
     const workers = this.#services.directory.instances.filter(isWorker);
-    const running = await this.#running(intent, workers);
+    const running = await this.#running(view, intent, workers);
     if (isLeft(running)) return running;
     const ending = await this.#ending(view, intent);
     if (isLeft(ending)) return ending;
     const planId = toPlanId(this.#services.wallNowMs(), this.#services.newSuffix());
     const basis = { view, rows, workers, running: running.right, planId };
-    // The sums over all services take milliseconds; requests get their turn before and after.
+    // The sums over all services take milliseconds; requests get their turn in between.
     await nextTurn();
-    const planned = planIntent(basis, intent, ending.right);
+    const planned = planIntent(basis, intent);
     if (isLeft(planned)) return planned;
     await nextTurn();
-    return this.#keep(await this.#toPlan(planId, intent, author, view.version, planned.right));
+    const effects = effectsOfPlan(basis, intent, planned.right, ending.right);
+    await nextTurn();
+    const decided = { ...planned.right, effects };
+    return this.#keep(await this.#toPlan(planId, intent, author, view.version, decided));
   }
 
   /**
@@ -150,9 +154,14 @@
   }
 
   async #running(
+    view: ConfigurationView,
     intent: Intent,
     workers: readonly WorkerInstance[],
   ): Promise<Either<Failure, readonly RunningTask[]>> {
+    if (intent.intent === IntentKind.SetQuota) {
+      const zones = [...view.zones.keys()];
+      return surveyTeam(this.#services.table, zones, intent.team);
+    }
     const survey = await this.#survey(intent, workers);
     return isLeft(survey) ? survey : right(survey.right.map(toRunningTask));
   }
@@ -172,11 +181,6 @@
         const racks = racksOf(workers, (worker) => worker.id === intent.workerId);
         return surveyLedger(table, racks, ({ workerId }) => workerId === intent.workerId);
       }
-      case IntentKind.SetQuota: {
-        const isOfTeam = (assignment: Assignment): boolean =>
-          jobIdOf(assignment).startsWith(`${intent.team}.`);
-        return surveyLedger(table, racksOf(workers), isOfTeam);
-      }
       default:
         return right([]);
     }
@@ -232,7 +236,7 @@
     intent: Intent,
     author: string,
     baseVersion: number,
-    planned: PlannedChange,
+    planned: PlannedChange & { readonly effects: PlanEffects },
   ): Promise<Plan> {
     const createdAtMs = this.#services.wallNowMs();
     const contents = {
--- a/src/operator/node/planService.ts
+++ b/src/operator/node/planService.ts
@@ -148,7 +148,10 @@
     if (isLeft(step)) return this.#afterFailure(step.left, request, attempts, rows);
     if (step.right.kind === 'accepted') return right(step.right.plan);
     attempts.noteStillPending(rows);
-    return this.#write(known.right, step.right.plan, step.right.transaction, rows, attempts);
+    // Of the same reading as the transaction, whose values are then the same objects: nothing
+    // is looked through twice. The digest tells whether they are as shown.
+    const shown = planSchema.parse(rows.get(planKey(request.planId))?.value);
+    return this.#write(shown, step.right.plan, step.right.transaction, rows, attempts);
   }
 
   async #write(
--- /dev/null
+++ b/src/operator/node/teamSurvey.ts
@@ -0,0 +1,56 @@
+/** Reads what one team's jobs run out of their work rows. */
+import { setImmediate as nextTurn } from 'node:timers/promises';
+
+import { type Either, isLeft, right } from 'fp-ts/lib/Either.js';
+
+import type { Failure } from '../../platform/errors/common/errorKinds.js';
+import type { TableService } from '../../platform/table/common/table.js';
+import {
+  batchTaskId,
+  BatchTaskState,
+  workPrefix,
+  type WorkRow,
+  workRowSchema,
+} from '../../platform/workload/common/workRows.js';
+import type { RunningTask } from '../common/planningBasis.js';
+
+const toRunningTasks = ({ jobId, size, tasks }: WorkRow): readonly RunningTask[] =>
+  tasks
+    .filter(({ state }) => state === BatchTaskState.Assigned)
+    .map(({ index }) => ({
+      ...{ taskId: batchTaskId(jobId, index), workerId: '', serviceName: '', jobId, size },
+    }));
+
+const surveyZone = async (
+  table: TableService,
+  zone: string,
+  team: string,
+): Promise<Either<Failure, readonly RunningTask[]>> => {
+  const read = await table.read({ keys: [], prefixes: [`${workPrefix(zone)}${team}.`] })();
+  if (isLeft(read)) return read;
+  const running: RunningTask[] = [];
+  for (let index = 0; index < read.right.rows.length; index += 1) {
+    // A job of 10,000 tasks has over a thousand in each zone; requests get their turn between.
+    // eslint-disable-next-line no-await-in-loop
+    await nextTurn();
+    running.push(...toRunningTasks(workRowSchema.parse(read.right.rows[index]?.value)));
+  }
+  return right(running);
+};
+
+/**
+ * Tasks of a team's jobs that run, without their workers. A start and an end change the ledger
+ * and the job's row in one transaction, so the row tells the same as the ledger; but the ledger
+ * of 17,500 tasks is sorted by rack, and to find a team's forty in it all of it had to be read.
+ */
+export const surveyTeam = async (
+  table: TableService,
+  zones: readonly string[],
+  team: string,
+): Promise<Either<Failure, readonly RunningTask[]>> => {
+  const surveys = await Promise.all(zones.map((zone) => surveyZone(table, zone, team)));
+  return surveys.reduce<Either<Failure, readonly RunningTask[]>>((sum, survey) => {
+    if (isLeft(sum)) return sum;
+    return isLeft(survey) ? survey : right([...sum.right, ...survey.right]);
+  }, right([]));
+};
--- a/src/operator/test/badInput.test.ts
+++ b/src/operator/test/badInput.test.ts
@@ -17,7 +17,7 @@
 import { PrometheusMetrics } from '../../platform/metrics/node/prometheusMetrics.js';
 import { settingsSchema } from '../../platform/settings/common/settings.js';
 import type { TableService } from '../../platform/table/common/table.js';
-import { ledgerKey } from '../../platform/workload/common/workRows.js';
+import { ledgerKey, workKey } from '../../platform/workload/common/workRows.js';
 import { OperatorQueries } from '../node/operatorQueries.js';
 import { OperatorServer } from '../node/operatorServer.js';
 import { PlanService } from '../node/planService.js';
@@ -95,10 +95,21 @@
     ...{ serviceName: '', shardId: 'bakers.k~zone-a', taskIndex: 0, size: SIZE, workMs: 1 },
     checkpoint: null,
   };
+  const shard = {
+    ...{ shardId: 'bakers.k~zone-a', jobId: 'bakers.k', team: 'bakers', size: SIZE, workMs: 1 },
+    ...{
+      urgency: 'normal',
+      tasks: [{ index: 0, state: 'assigned', attempt: 1, checkpoint: null }],
+    },
+  };
+  const tasks = shard.tasks.map((task) => ({ ...task, evictionCount: 0, failureWeight: 0 }));
   table.transact({
     operationId: 'ledger',
     conditions: [],
-    writes: [{ key: ledgerKey('zone-a', 'zone-a-rack'), value: { assignments: [assignment] } }],
+    writes: [
+      { key: ledgerKey('zone-a', 'zone-a-rack'), value: { assignments: [assignment] } },
+      { key: workKey('zone-a', 'bakers.k~zone-a'), value: { ...shard, tasks } },
+    ],
   });
 });
 afterAll(() => server.close());
--- a/src/operator/test/planner.test.ts
+++ b/src/operator/test/planner.test.ts
@@ -73,6 +73,14 @@
     ]);
   });
 
+  // A zone was taken out and its tasks are about to leave; a worker in it is drained as well. The
+  // plan named the same tasks once more, as though the drain evicted them.
+  it('not of tasks that are leaving without it', async () => {
+    await harness.carryOut(plans, { intent: 'withdraw-zone', zone: 'zone-a' });
+    const plan = await harness.plan(plans, { intent: 'drain-worker', workerId: 'zone-a-1' });
+    expect(plan.effects.evicted.count).toBe(0);
+  });
+
   it('of a service made smaller or removed: what ends, and the quota after it', async () => {
     const limit = { processorMillis: 12_000, memoryBytes: 2 ** 40, acceleratorCount: 0 };
     await harness.carryOut(plans, {
--- a/src/platform/configuration/test/virtualTable.ts
+++ b/src/platform/configuration/test/virtualTable.ts
@@ -14,7 +14,7 @@
   TransactionResult,
 } from '../../table/common/table.js';
 
-const MAXIMUM_IDLE_TURNS = 20;
+const MAXIMUM_IDLE_TURNS = 1_000;
 
 interface TimedStep {
   readonly atMs: number;
--- a/src/platform/http/node/httpCall.ts
+++ b/src/platform/http/node/httpCall.ts
@@ -26,7 +26,9 @@
 export interface HttpCall<Answer> {
   readonly dispatcher: Dispatcher;
   readonly url: string;
-  readonly body: unknown;
+  readonly body?: unknown;
+  /** The body as JSON, from callers that write it themselves; it goes before `body`. */
+  readonly bodyText?: string;
   readonly answerSchema: z.ZodType<Answer>;
   readonly timeoutMs: number;
   /** The kind when nothing can have happened. */
@@ -47,7 +49,7 @@
         dispatcher: call.dispatcher,
         method: 'POST',
         headers: { 'content-type': 'application/json' },
-        body: JSON.stringify(call.body),
+        body: call.bodyText ?? JSON.stringify(call.body),
         signal: AbortSignal.timeout(call.timeoutMs),
       });
       const answer: unknown = await response.body.json();
--- a/src/platform/table/node/httpTableService.ts
+++ b/src/platform/table/node/httpTableService.ts
@@ -3,6 +3,7 @@
 import { Agent } from 'undici';
 
 import type { Disposable } from '../../../base/common/lifecycle.js';
+import { jsonText } from '../../../base/node/jsonText.js';
 import { ErrorKind, type Failure } from '../../errors/common/errorKinds.js';
 import { httpCall } from '../../http/node/httpCall.js';
 import type {
@@ -40,15 +41,16 @@
   }
 
   transact(transaction: Transaction): TaskEither<Failure, TransactionResult> {
-    return httpCall({
-      dispatcher: this.#agent,
-      url: `${this.#origin}/v1/table/transact`,
-      body: transaction,
-      answerSchema: transactionResultSchema,
-      timeoutMs: this.#timeoutMs,
-      notSentKind: ErrorKind.StoreUnavailable,
-      lostKind: ErrorKind.StoreAnswerLost,
-    });
+    return async () =>
+      httpCall({
+        dispatcher: this.#agent,
+        url: `${this.#origin}/v1/table/transact`,
+        bodyText: await jsonText(transaction),
+        answerSchema: transactionResultSchema,
+        timeoutMs: this.#timeoutMs,
+        notSentKind: ErrorKind.StoreUnavailable,
+        lostKind: ErrorKind.StoreAnswerLost,
+      })();
   }
 
   dispose(): void {
