--- a/src/daemon/test/daemonHarness.ts
+++ b/src/daemon/test/daemonHarness.ts
@@ -49,6 +49,13 @@
 
   operatorOrigin = '';
 
+  peersPort = 0;
+
+  /** Events of the daemon's log so far. */
+  readonly events: string[] = [];
+
+  #platformOrigin = '';
+
   exitCode: Promise<number | null> = Promise.resolve(null);
 
   #child: ChildProcess | undefined;
@@ -77,6 +84,7 @@
   /** Starts the daemon with the service `s` on the servers given. */
   async start(servers: readonly Placed[], entry: SettingsInput['entry'] = {}): Promise<void> {
     const origin = `http://${HOST}:${await this.platform.listen()}`;
+    this.#platformOrigin = origin;
     const workers = servers.map(toWorker);
     await request(`${origin}/control/instances`, {
       method: 'POST',
@@ -111,6 +119,23 @@
     this.#child?.kill(signal);
   }
 
+  /** Takes the whole platform out of service, or brings it back. */
+  async setPlatformDown(isDown: boolean): Promise<void> {
+    const response = await request(`${this.#platformOrigin}/control/faults`, {
+      method: 'POST',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify({ isDown }),
+    });
+    await response.body.dump();
+  }
+
+  /** The value of a metric without labels; undefined when there is none. */
+  async metric(name: string): Promise<number | undefined> {
+    const { body } = await request(`${this.operatorOrigin}/metrics`);
+    const line = (await body.text()).split('\n').find((text) => text.startsWith(`${name} `));
+    return line === undefined ? undefined : Number(line.split(' ')[1]);
+  }
+
   async isReady(): Promise<boolean> {
     const response = await request(`${this.operatorOrigin}/readyz`);
     await response.body.dump();
@@ -148,10 +173,12 @@
       child.once('exit', () => reject(new Error('the daemon ended')));
       createInterface({ input: child.stdout }).on('line', (line) => {
         const entry = JSON.parse(line) as Record<string, unknown>;
+        this.events.push(String(entry.event));
         if (entry.event === 'listening') resolve(entry);
       });
     });
     this.callerOrigin = `http://${HOST}:${Number(ports.callersPort)}`;
+    this.peersPort = Number(ports.peersPort);
     this.operatorOrigin = `http://${HOST}:${Number(ports.operatorsPort)}`;
   }
 
--- a/src/platform/configuration/test/configurationFollower.test.ts
+++ b/src/platform/configuration/test/configurationFollower.test.ts
@@ -6,6 +6,7 @@
 import type { Metrics } from '../../metrics/common/metrics.js';
 import { IN_FORCE_BOUND_MS } from '../common/configurationSteps.js';
 import { quotaKey, zoneKey, ZoneState } from '../common/documents.js';
+import { isServable } from '../common/configurationService.js';
 import { ConfigurationFollower } from '../node/configurationFollower.js';
 import { acceptChange } from './acceptedChanges.js';
 import { type TableBehaviour, VirtualTable, VirtualTime } from './virtualTable.js';
@@ -196,6 +197,71 @@
   });
 });
 
+describe('a daemon that starts', () => {
+  // The store is out when the process starts. Its peers tell it of a version, which is a hint and
+  // no configuration; it takes no traffic until it has read and proved one, and says why.
+  it('during an outage knows nothing until the store is back', async () => {
+    const { time, table } = start(1);
+    acceptChange(table.truth, 1, zoneA(ZoneState.InUse));
+    acceptChange(table.truth, 2, zoneA(ZoneState.Withdrawn));
+    table.behaviour.isDown = true;
+    const { follower, observed } = new Daemon(table, time);
+    void follower.refresh(2);
+    await time.runUntil(60_000);
+    expect(follower.current).toBeUndefined();
+    expect(isServable(follower.health)).toBe(false);
+    expect(observed.warnings).toEqual(['configuration-cannot-be-learnt']);
+    expect(observed.gauges.get('configuration_is_confirmed')).toBe(0);
+    table.behaviour.isDown = false;
+    await time.runUntil(60_000 + IN_FORCE_BOUND_MS);
+    expect(follower.current?.zones.get('a')?.state).toBe(ZoneState.Withdrawn);
+    expect(isServable(follower.health)).toBe(true);
+  });
+
+  // The store answers reads from a replica that stands still at version 1, while version 2 has
+  // withdrawn the zone. A process that believed it would start work in the zone.
+  it('takes no old read for the configuration', async () => {
+    const { time, table } = start(1);
+    const replica = new TableStandIn();
+    acceptChange(replica, 1, zoneA(ZoneState.InUse));
+    acceptChange(table.truth, 1, zoneA(ZoneState.InUse));
+    acceptChange(table.truth, 2, zoneA(ZoneState.Withdrawn));
+    table.oldReader = (request) => replica.read(request);
+    const { follower, observed } = new Daemon(table, time);
+    await time.runUntil(30_000);
+    expect(follower.current).toBeUndefined();
+    expect(observed.counts.get('configuration_old_read')).toBeGreaterThan(1);
+    table.oldReader = undefined;
+    await time.runUntil(30_000 + IN_FORCE_BOUND_MS);
+    expect(follower.current?.version).toBe(2);
+  });
+});
+
+describe('a daemon that was paused and resumes', () => {
+  // It stood still for ten minutes, while the zone was withdrawn. What it first hears is a read
+  // of before; until the table tells the newest it must count as unconfirmed, and then catch up
+  // within the bound.
+  it('goes neither back nor on by an old read', async () => {
+    const { time, table } = start(1);
+    const replica = new TableStandIn();
+    acceptChange(replica, 1, zoneA(ZoneState.InUse));
+    [1, 2].forEach((version) => acceptChange(table.truth, version, zoneA(ZoneState.InUse)));
+    const daemon = new Daemon(table, time);
+    await time.runUntil(1_000);
+    time.pause(600_000);
+    acceptChange(table.truth, 3, zoneA(ZoneState.Withdrawn));
+    table.oldReader = (request) => replica.read(request);
+    const resumedAtMs = time.nowMs();
+    await time.runUntil(resumedAtMs + 30_000);
+    expect(daemon.version).toBe(2);
+    expect(daemon.follower.health.isConfirmed).toBe(false);
+    table.oldReader = undefined;
+    await time.runUntil(resumedAtMs + 30_000 + IN_FORCE_BOUND_MS);
+    expect(daemon.follower.current?.zones.get('a')?.state).toBe(ZoneState.Withdrawn);
+    expect(daemon.observed.counts.get('invariant_configuration_never_reverts')).toBeUndefined();
+  });
+});
+
 describe('a daemon that cannot learn the configuration', () => {
   // The store goes out. Routing goes on with the version in force; what would start work sees
   // that nothing has confirmed it, and operators see it in the log, once, and in a gauge.
