The corrected member list decides shares, links and what operators see

Cause: the list of daemons, corrected by what they see of one another, fed a gauge alone; an entry that left kept its part of the slots until the platform's list said so; hints stopped at daemons that were gone; the calls of a claim and the far side of a heartbeat were traces of their own; a watch of a plan ended with its acceptance although a withdrawn zone still ran tasks. Ruled out: connection shares that grow with the live entries (65 of 64 connections while lists differ); counting a silent daemon out as an entry, since it may be cut off only from here; the traceparent in every heartbeat. Change: PeerService tells how many entries serve and when that changes; admission takes less than the fixed share of connections when there are more entries than the setting says; links go round daemons that are silent or leave; `get instances` shows `seen` beside `state`; peer_bytes_sent and peer_bytes_received; sampled heartbeats and claims are one trace; GET /v1/plans/:id/progress, which `watch` follows, counts what is still to start, move or end, for every kind of plan, and refuses an expired one. Tests: new ones for each; they need functions that were not there before, so they could not run against the former code. The entry harness gives the number of entries in place of an empty list. Conclusion: membership is used where it is safe to use it; what is agreed still goes by the table.

--- a/bench/bench.ts
+++ b/bench/bench.ts
@@ -4,6 +4,7 @@
 import { capacity } from './capacity/capacity.js';
 import { configuration } from './configuration/configuration.js';
 import { passThrough } from './passThrough/passThrough.js';
+import { peers } from './peers/peers.js';
 import { requestsBenchmark } from './requests/requestsBench.js';
 import { scheduling } from './scheduling/scheduling.js';
 import { traceCost } from './traceCost/traceCost.js';
@@ -12,6 +13,7 @@
   capacity,
   configuration,
   passThrough,
+  peers,
   requestsBenchmark,
   scheduling,
   traceCost,
--- a/bench/configuration/configuration.ts
+++ b/bench/configuration/configuration.ts
@@ -19,6 +19,14 @@
   { name: '7, slow store', daemonCount: 7, hasPeers: true, behaviour: SLOW, ...USUAL },
   { name: '7, slow store, no peers', daemonCount: 7, hasPeers: false, behaviour: SLOW, ...USUAL },
   { name: '70 daemons', daemonCount: 70, hasPeers: true, behaviour: {}, ...USUAL, changeCount: 20 },
+  {
+    name: '70, no peers',
+    daemonCount: 70,
+    hasPeers: false,
+    behaviour: {},
+    ...USUAL,
+    changeCount: 20,
+  },
   { name: '70, burst', daemonCount: 70, hasPeers: true, behaviour: {}, ...BURST },
 ];
 
--- a/src/cli/node/commands.ts
+++ b/src/cli/node/commands.ts
@@ -5,7 +5,7 @@
 
 import { type Either, isLeft, right } from 'fp-ts/lib/Either.js';
 
-import { type Plan, planSchema, PlanState } from '../../operator/common/plan.js';
+import { type Plan, planSchema } from '../../operator/common/plan.js';
 import { sizeText } from '../../operator/common/sizeChecks.js';
 import { resourcesSchema } from '../../platform/worker/common/resources.js';
 import type { ErrorBody } from '../../platform/errors/common/errorKinds.js';
@@ -106,7 +106,7 @@
   tasks: ['taskId', 'attempt', 'workerId', 'taskClass'],
   workers: ['id', 'availabilityZone', 'rack', 'state', 'isDraining'],
   zones: ['name', 'region', 'state', 'workerCount'],
-  instances: ['kind', 'id', 'availabilityZone', 'rack', 'state'],
+  instances: ['kind', 'id', 'availabilityZone', 'rack', 'state', 'seen'],
   plans: ['planId', 'author', 'state', 'acceptedVersion', 'expiresAt', 'summary'],
   quotas: ['team', 'limit', 'usedByServices'],
   history: ['version', 'acceptedAt', 'author', 'summary'],
@@ -196,29 +196,20 @@
   return right({ text, isDone: status.isEnded });
 };
 
+interface PlanProgressAnswer {
+  readonly isDone: boolean;
+}
+
 /** A plan is done once it is accepted and what it asked for has come about. */
 const planProgress = async (
-  connection: Connection,
+  _connection: Connection,
   client: OperatorClient,
   planId: string,
 ): Promise<Either<ErrorBody, Progress>> => {
-  const answer = await client.get(`/v1/plans/${encodeURIComponent(planId)}`);
+  const answer = await client.get(`/v1/plans/${encodeURIComponent(planId)}/progress`);
   if (isLeft(answer)) return answer;
-  const { state, acceptedVersion, intent } = planSchema.parse(answer.right);
-  if (state !== PlanState.Confirmed) {
-    return right({ text: JSON.stringify({ state }), isDone: false });
-  }
-  if (intent.intent === 'submit-job') {
-    return jobProgress(connection, client, `${intent.team}.${intent.submissionKey}`);
-  }
-  const isDrain = intent.intent === 'drain-worker';
-  const worker = isDrain
-    ? await client.get(`/v1/workers/${intent.workerId}`)
-    : right({ tasks: [] });
-  if (isLeft(worker)) return worker;
-  const remainingTaskCount = (worker.right as { tasks: readonly unknown[] }).tasks.length;
-  const text = JSON.stringify({ state, acceptedVersion, remainingTaskCount });
-  return right({ text, isDone: remainingTaskCount === 0 });
+  const { isDone } = answer.right as PlanProgressAnswer;
+  return right({ text: JSON.stringify(answer.right), isDone });
 };
 
 /**
--- a/src/daemon/node/daemon.ts
+++ b/src/daemon/node/daemon.ts
@@ -16,6 +16,7 @@
 import { RoutingReader } from '../../entry/node/routingReader.js';
 import { OperatorQueries } from '../../operator/node/operatorQueries.js';
 import { OperatorServer } from '../../operator/node/operatorServer.js';
+import { PlanProgressReader } from '../../operator/node/planProgress.js';
 import { PlanSweep, PlanSweeper } from '../../operator/node/planSweeper.js';
 import { PlanService } from '../../operator/node/planService.js';
 import { PeerService } from '../../peers/node/peerService.js';
@@ -89,6 +90,9 @@
     const configuration = own.add(
       new ConfigurationReader(table, clock, log, metrics, platform.configurationIntervalMs),
     );
+    this.#peers = own.add(
+      new PeerService(settings, configuration, directory, clock, metrics, tracing),
+    );
     if (roles.includes(Role.Scheduler)) {
       const services = { table, configuration, directory, clock, log, metrics, tracing };
       own.add(new CellTasks(services, settings, `${instanceId}#${randomUUID()}`));
@@ -105,7 +109,8 @@
       own.add(
         new ClaimSweeper(table, metrics, entry.claimLifetimeMs, Date.now, randomInt(SEED_LIMIT)),
       );
-      const services = { routing, admission, connections, claims, configuration, directory };
+      const entries = this.#peers;
+      const services = { routing, admission, connections, claims, configuration, entries };
       const handler = own.add(
         new RequestHandler({ ...services, clock, metrics, tracing, wallNowMs: Date.now }, entry),
       );
@@ -138,7 +143,8 @@
     this.#operatorServer = new OperatorServer(
       {
         plans,
-        queries: new OperatorQueries(table, configuration, directory, Date.now),
+        progress: new PlanProgressReader(table, configuration, directory, Date.now),
+        queries: new OperatorQueries(table, configuration, directory, this.#peers, Date.now),
         configuration,
         metrics,
         spans: tracing.ring,
@@ -146,9 +152,6 @@
       },
       settings.operator,
     );
-    this.#peers = own.add(
-      new PeerService(settings, configuration, directory, clock, metrics, tracing),
-    );
     this.#configuration = configuration;
     this.#log = log;
   }
--- a/src/entry/common/admission.ts
+++ b/src/entry/common/admission.ts
@@ -88,15 +88,15 @@
 
   /**
    * Takes new routes over; what is known of servers that stay is kept. The number of entries
-   * comes from a list that lags; it moves only the share that is always granted, while the
-   * limit on connections follows from the settings.
+   * comes from a list that lags; it moves the share that is always granted, and the limit on
+   * connections only downwards from what follows from the settings.
    */
   updateRoutes(
     routes: RoutingTable,
     urgencyOf: (serviceName: string) => Urgency,
     entryCount: number,
   ): void {
-    this.#entryCount = Math.min(Math.max(1, entryCount), this.#settings.maximumEntryCount);
+    this.#entryCount = Math.max(1, entryCount);
     const known = new Map([...this.#departed, ...this.#workers]);
     this.#workers.clear();
     this.#departed.clear();
@@ -401,6 +401,9 @@
   }
 
   #pooledShare(server: BackendServer): number {
-    return pooledShare(connectionShare(server, this.#settings.maximumEntryCount));
+    // With more entries than the setting says, fixed shares would add up to more connections
+    // than the server has and it would refuse some. Taking less is safe whoever sees the list how.
+    const entryCount = Math.max(this.#settings.maximumEntryCount, this.#entryCount);
+    return pooledShare(connectionShare(server, entryCount));
   }
 }
--- a/src/entry/node/claimKeeper.ts
+++ b/src/entry/node/claimKeeper.ts
@@ -13,6 +13,8 @@
   type Transaction,
   TransactionOutcome,
 } from '../../platform/table/common/table.js';
+import { tableUnder } from '../../platform/table/common/tracedTableService.js';
+import type { TraceSpan } from '../../platform/tracing/common/tracing.js';
 import { claimGeneration, type RecordedAnswer } from '../../platform/workload/common/claimRow.js';
 import type { CallerRequest } from '../common/callerRequest.js';
 import {
@@ -30,6 +32,8 @@
 export interface HeldClaim {
   readonly claim: ClaimRequest;
   readonly version: number;
+  /** Of the request, when it is sampled. */
+  readonly span: TraceSpan | undefined;
 }
 
 export type ClaimResult =
@@ -101,6 +105,7 @@
     request: CallerRequest,
     idempotencyKey: string,
     wallMs: number,
+    span?: TraceSpan,
   ): Promise<Either<Failure, ClaimResult>> {
     const claim: ClaimRequest = {
       serviceName: request.serviceName,
@@ -112,11 +117,11 @@
     for (let round = 0; round < MAXIMUM_ROUNDS; round += 1) {
       if (!this.#gate.mayAsk(this.#clock.nowMs())) return this.#refuseForStore();
       // eslint-disable-next-line no-await-in-loop -- each round depends on the one before
-      const verdict = await this.#ask(claim);
+      const verdict = await this.#ask(claim, tableUnder(this.#table, span));
       if (isLeft(verdict)) return this.#refuseForStore(claim);
       if (verdict.right.kind === 'held') {
         const { version } = verdict.right;
-        return right({ kind: 'held', held: { claim, version } });
+        return right({ kind: 'held', held: { claim, version, span } });
       }
       if (verdict.right.kind === 'replay') return right(verdict.right);
       if (verdict.right.kind === 'refused') return left(verdict.right.failure);
@@ -127,12 +132,12 @@
   /** Records an answer for repeats, without keeping the caller waiting for it. */
   recordAnswer(held: HeldClaim, answer: RecordedAnswer): void {
     const isSmall = answer.bodyBase64.length <= this.#settings.maximumRecordedBytes;
-    void this.#write(answerTransaction(held.claim, held.version, isSmall ? answer : null));
+    void this.#write(held, answerTransaction(held.claim, held.version, isSmall ? answer : null));
   }
 
   /** Gives the key back, so that a repeat may run. */
   release(held: HeldClaim): Promise<void> {
-    return this.#write(releaseTransaction(held.claim, held.version));
+    return this.#write(held, releaseTransaction(held.claim, held.version));
   }
 
   /** Resolves when the writes under way have ended; they are bounded. */
@@ -140,8 +145,8 @@
     await Promise.all(this.#writes);
   }
 
-  async #ask(claim: ClaimRequest): Promise<Either<Failure, ClaimVerdict>> {
-    const inserted = await this.#table.transact(claimTransaction(claim))();
+  async #ask(claim: ClaimRequest, table: TableService): Promise<Either<Failure, ClaimVerdict>> {
+    const inserted = await table.transact(claimTransaction(claim))();
     if (isLeft(inserted)) {
       this.#gate.noteFailure(this.#clock.nowMs());
       this.#metrics.count('claim_store_failures', { kind: inserted.left.kind });
@@ -152,7 +157,7 @@
         return right({ kind: 'held', version: inserted.right.version });
       }
     }
-    const read = await this.#table.read({ keys: claimKeys(claim), prefixes: [] })();
+    const read = await table.read({ keys: claimKeys(claim), prefixes: [] })();
     if (isLeft(read)) {
       this.#gate.noteFailure(this.#clock.nowMs());
       return read;
@@ -190,16 +195,19 @@
     this.#abandoned.delete(claim);
   }
 
-  #write(transaction: Transaction): Promise<void> {
-    const writing = this.#writeWithTries(transaction).finally(() => this.#writes.delete(writing));
+  #write({ span }: HeldClaim, transaction: Transaction): Promise<void> {
+    const table = tableUnder(this.#table, span);
+    const writing = this.#writeWithTries(table, transaction).finally(() =>
+      this.#writes.delete(writing),
+    );
     this.#writes.add(writing);
     return writing;
   }
 
-  async #writeWithTries(transaction: Transaction): Promise<void> {
+  async #writeWithTries(table: TableService, transaction: Transaction): Promise<void> {
     for (let tries = 0; tries < MAXIMUM_WRITE_TRIES; tries += 1) {
       // eslint-disable-next-line no-await-in-loop -- tries follow one another
-      const written = await this.#table.transact(transaction)();
+      const written = await table.transact(transaction)();
       if (!isLeft(written)) return;
     }
     this.#metrics.count('claim_writes_lost');
--- a/src/entry/node/requestHandler.ts
+++ b/src/entry/node/requestHandler.ts
@@ -4,6 +4,7 @@
 import { type Either, isLeft, left, right } from 'fp-ts/lib/Either.js';
 
 import type { Clock } from '../../base/common/clock.js';
+import type { Event } from '../../base/common/event.js';
 import { type Disposable, DisposableStore } from '../../base/common/lifecycle.js';
 import type { ConfigurationService } from '../../platform/configuration/common/configurationService.js';
 import { Urgency } from '../../platform/configuration/common/documents.js';
@@ -14,8 +15,6 @@
   type Failure,
   WorkOutcome,
 } from '../../platform/errors/common/errorKinds.js';
-import type { InstanceDirectory } from '../../platform/instanceList/common/instanceDirectory.js';
-import { isDaemon } from '../../platform/instanceList/common/instanceList.js';
 import type { Metrics } from '../../platform/metrics/common/metrics.js';
 import type { Settings } from '../../platform/settings/common/settings.js';
 import { Hop, type TraceSpan, type Tracing } from '../../platform/tracing/common/tracing.js';
@@ -33,13 +32,20 @@
 
 type Result = Either<Failure, BackendAnswer>;
 
+/** The entries there are: the platform's list, corrected by what the daemons see of each other. */
+export interface EntryMembers {
+  /** Those that take requests, this one included. */
+  readonly servingCount: number;
+  readonly onDidChangeMembers: Event<void>;
+}
+
 export interface RequestHandlerServices {
   readonly routing: Pick<RoutingReader, 'routes' | 'onDidChange'>;
   readonly admission: Admission<Journey>;
   readonly connections: BackendConnections;
   readonly claims: ClaimKeeper;
   readonly configuration: Pick<ConfigurationService, 'current'>;
-  readonly directory: Pick<InstanceDirectory, 'instances'>;
+  readonly entries: EntryMembers;
   readonly clock: Clock;
   readonly metrics: Metrics;
   readonly tracing: Tracing;
@@ -76,6 +82,7 @@
     this.#settings = settings;
     this.#dispatch = this.#disposables.add(new RequestDispatch(services, settings));
     this.#disposables.add(services.routing.onDidChange(() => this.#takeRoutes()));
+    this.#disposables.add(services.entries.onDidChangeMembers(() => this.#takeRoutes()));
     this.#takeRoutes();
   }
 
@@ -172,7 +179,7 @@
     idempotencyKey: string,
   ): Promise<Either<Failure, ClaimResult>> {
     const { claims, clock, wallNowMs } = this.#services;
-    const claiming = claims.claim(journey.request, idempotencyKey, wallNowMs());
+    const claiming = claims.claim(journey.request, idempotencyKey, wallNowMs(), journey.span);
     const timer = new AbortController();
     const remainingMs = Math.max(0, journey.deadlineAtMs - clock.nowMs());
     const late = delay(remainingMs, undefined, { signal: timer.signal }).catch(() => undefined);
@@ -205,13 +212,13 @@
   }
 
   #takeRoutes(): void {
-    const { routing, admission, connections, configuration, directory } = this.#services;
+    const { routing, admission, connections, configuration, entries } = this.#services;
     const { routes } = routing;
     const view = configuration.current;
     admission.updateRoutes(
       routes,
       (serviceName) => view?.services.get(serviceName)?.urgency ?? Urgency.Normal,
-      directory.instances.filter(isDaemon).length,
+      entries.servingCount,
     );
     const origins = new Set<string>();
     routes.forEach((servers) => servers.forEach(({ origin }) => origins.add(origin)));
--- a/src/entry/test/admission.test.ts
+++ b/src/entry/test/admission.test.ts
@@ -70,6 +70,23 @@
 const times = (count: number, step: (index: number) => void): void =>
   Array.from({ length: count }, (_, index) => index).forEach(step);
 
+describe('the limit on connections', () => {
+  // More entries have come than the settings allow for. Were each to keep its fixed share, the
+  // server would be asked for more connections than it has and would turn requests away.
+  it('shrinks with more entries than the settings say and grows with none', () => {
+    const inFlightWith = (entryCount: number): number => {
+      const bench = new Bench(1, { urgent: Urgency.Urgent }, { maximumEntryCount: 8 });
+      const routes = new Map([['urgent', [{ ...backendServer(1), slotCount: 64 }]]]);
+      bench.admission.updateRoutes(routes, () => Urgency.Urgent, entryCount);
+      times(100, () => bench.send('urgent'));
+      return bench.inFlight.length;
+    };
+    expect(inFlightWith(8)).toBe(7);
+    expect(inFlightWith(3)).toBe(7);
+    expect(inFlightWith(16)).toBe(3);
+  });
+});
+
 describe('admission under saturation', () => {
   // A burst of low work has taken every place and waits in hundreds. An urgent request that
   // comes afterwards must be the next to be sent.
--- a/src/entry/test/entryHarness.ts
+++ b/src/entry/test/entryHarness.ts
@@ -109,7 +109,7 @@
       connections: this.#connections,
       claims: this.#claims,
       configuration: { current: undefined },
-      directory: { instances: [] },
+      entries: { servingCount: 1, onDidChangeMembers: new Emitter<void>().event },
       clock: systemClock,
       metrics,
       tracing: silentTracing,
--- a/src/operator/node/operatorQueries.ts
+++ b/src/operator/node/operatorQueries.ts
@@ -7,7 +7,7 @@
 import { type ChangeRow, changeRowSchema } from '../../platform/configuration/common/documents.js';
 import { ErrorKind, failure, type Failure } from '../../platform/errors/common/errorKinds.js';
 import type { InstanceDirectory } from '../../platform/instanceList/common/instanceDirectory.js';
-import { isWorker } from '../../platform/instanceList/common/instanceList.js';
+import { isDaemon, isWorker } from '../../platform/instanceList/common/instanceList.js';
 import type { TableRow, TableService } from '../../platform/table/common/table.js';
 import {
   type Assignment,
@@ -46,6 +46,11 @@
 } as const;
 export type ObjectKind = (typeof ObjectKind)[keyof typeof ObjectKind];
 
+/** The daemons there are as this one sees them, by id. */
+export interface SeenMembers {
+  readonly members: ReadonlyMap<string, string>;
+}
+
 type Listed = Either<Failure, readonly Readonly<Record<string, unknown>>[]>;
 
 /** Versions that `history` goes back by. */
@@ -97,17 +102,21 @@
 
   readonly #directory: Pick<InstanceDirectory, 'instances'>;
 
+  readonly #peers: SeenMembers;
+
   readonly #wallNowMs: () => number;
 
   constructor(
     table: TableService,
     configuration: ConfigurationService,
     directory: Pick<InstanceDirectory, 'instances'>,
+    peers: SeenMembers,
     wallNowMs: () => number,
   ) {
     this.#table = table;
     this.#configuration = configuration;
     this.#directory = directory;
+    this.#peers = peers;
     this.#wallNowMs = wallNowMs;
   }
 
@@ -152,7 +161,7 @@
   async list(kind: ObjectKind): Promise<Listed> {
     switch (kind) {
       case ObjectKind.Instances:
-        return right(this.#directory.instances);
+        return right(this.#instances());
       case ObjectKind.Tasks:
         return this.#tasks(() => true);
       case ObjectKind.Jobs:
@@ -181,6 +190,20 @@
     return right(tasks.right === undefined ? found : { ...found, tasks: tasks.right });
   }
 
+  /** What the platform's list says, and beside it what this daemon sees of the others. */
+  #instances(): readonly Readonly<Record<string, unknown>>[] {
+    const { members } = this.#peers;
+    const { instances } = this.#directory;
+    const listedIds = new Set(instances.map(({ id }) => id));
+    const unlisted = [...members.keys()].filter((id) => !listedIds.has(id));
+    return [
+      ...instances.map((instance) =>
+        isDaemon(instance) ? { ...instance, seen: members.get(instance.id) ?? '' } : instance,
+      ),
+      ...unlisted.map((id) => ({ kind: 'daemon', id, state: 'unlisted', seen: members.get(id) })),
+    ];
+  }
+
   #documents(
     kind: ObjectKind,
     view: ConfigurationView,
--- a/src/operator/node/operatorServer.ts
+++ b/src/operator/node/operatorServer.ts
@@ -17,11 +17,13 @@
 import { intentSchema } from '../common/intent.js';
 import { OperatorAccess } from './operatorAccess.js';
 import { ObjectKind, type OperatorQueries } from './operatorQueries.js';
+import type { PlanProgressReader } from './planProgress.js';
 import type { ConfirmationRefusal, PlanService } from './planService.js';
 
 export interface OperatorServerServices {
   readonly plans: PlanService;
   readonly queries: OperatorQueries;
+  readonly progress: PlanProgressReader;
   readonly configuration: ConfigurationService & { readonly health: ConfigurationHealth };
   readonly metrics: PrometheusMetrics;
   readonly spans: SpanRing;
@@ -116,6 +118,10 @@
     this.#route('GET', '/v1/plans/:id', OperatorRole.View, (request) =>
       plans.find(idParamsSchema.parse(request.params).id),
     );
+    this.#route('GET', '/v1/plans/:id/progress', OperatorRole.View, async (request) => {
+      const plan = await plans.find(idParamsSchema.parse(request.params).id);
+      return isLeft(plan) ? plan : this.#services.progress.of(plan.right);
+    });
     this.#route('POST', '/v1/plans/:id/confirm', OperatorRole.Confirm, (request, author) => {
       const body = confirmBodySchema.safeParse(request.body);
       if (!body.success) return firstFault(body.error);
--- /dev/null
+++ b/src/operator/node/planProgress.ts
@@ -0,0 +1,137 @@
+/** How far what a plan asked for has come about. */
+import { type Either, isLeft, left, right } from 'fp-ts/lib/Either.js';
+
+import type { ConfigurationService } from '../../platform/configuration/common/configurationService.js';
+import { ErrorKind, failure, type Failure } from '../../platform/errors/common/errorKinds.js';
+import type { InstanceDirectory } from '../../platform/instanceList/common/instanceDirectory.js';
+import { isWorker, type WorkerInstance } from '../../platform/instanceList/common/instanceList.js';
+import type { TableService } from '../../platform/table/common/table.js';
+import {
+  type Assignment,
+  isEnded,
+  toJobId,
+  workPrefix,
+  workRowSchema,
+} from '../../platform/workload/common/workRows.js';
+import { IntentKind } from '../common/intent.js';
+import { type Plan, PlanState } from '../common/plan.js';
+import { racksOf, surveyLedger } from './ledgerSurvey.js';
+
+export interface PlanProgress {
+  readonly state: PlanState;
+  readonly acceptedVersion: number;
+  /** Tasks that are still to start, to move or to end before the plan has come about. */
+  readonly remainingTaskCount: number;
+  readonly isDone: boolean;
+}
+
+/** Jobs whose rows are read at a time. */
+const JOBS_PER_READ = 20;
+
+type Remaining = Promise<Either<Failure, number>>;
+
+export class PlanProgressReader {
+  readonly #table: TableService;
+
+  readonly #configuration: ConfigurationService;
+
+  readonly #directory: Pick<InstanceDirectory, 'instances'>;
+
+  readonly #wallNowMs: () => number;
+
+  constructor(
+    table: TableService,
+    configuration: ConfigurationService,
+    directory: Pick<InstanceDirectory, 'instances'>,
+    wallNowMs: () => number,
+  ) {
+    this.#table = table;
+    this.#configuration = configuration;
+    this.#directory = directory;
+    this.#wallNowMs = wallNowMs;
+  }
+
+  /** A plan that can never come about is a failure, so that nobody waits for it. */
+  async of(plan: Plan): Promise<Either<Failure, PlanProgress>> {
+    const { state, acceptedVersion } = plan;
+    if (state === PlanState.Pending) {
+      if (plan.steps.length === 0) {
+        return right({ state, acceptedVersion, remainingTaskCount: 0, isDone: true });
+      }
+      if (new Date(this.#wallNowMs()).toISOString() > plan.expiresAt) {
+        const message = `plan ${plan.planId} expired ${plan.expiresAt} and was not confirmed`;
+        return left(failure(ErrorKind.PlanExpired, message));
+      }
+      return right({ state, acceptedVersion, remainingTaskCount: 0, isDone: false });
+    }
+    const remaining = await this.#remaining(plan);
+    if (isLeft(remaining)) return remaining;
+    const remainingTaskCount = remaining.right;
+    return right({ state, acceptedVersion, remainingTaskCount, isDone: remainingTaskCount === 0 });
+  }
+
+  #remaining({ intent }: Plan): Remaining {
+    switch (intent.intent) {
+      case IntentKind.SubmitJob:
+        return this.#openTasksOf([toJobId(intent.team, intent.submissionKey)]);
+      case IntentKind.CancelJobs:
+        return this.#openTasksOf(intent.jobIds);
+      case IntentKind.WithdrawZone:
+        return this.#assignedOn(({ availabilityZone }) => availabilityZone === intent.zone);
+      case IntentKind.DrainWorker:
+        return this.#assignedOn(({ id }) => id === intent.workerId);
+      case IntentKind.CreateService:
+      case IntentKind.ChangeService:
+        return this.#missingOf(intent.service.name);
+      case IntentKind.RemoveService:
+        return this.#missingOf(intent.name);
+      default:
+        return Promise.resolve(right(0));
+    }
+  }
+
+  /** Tasks on workers that are to have none. */
+  async #assignedOn(isWanted: (worker: WorkerInstance) => boolean): Remaining {
+    const wanted = this.#directory.instances.filter(isWorker).filter(isWanted);
+    const ids = new Set(wanted.map(({ id }) => id));
+    const found = await this.#survey(wanted, ({ workerId }) => ids.has(workerId));
+    return isLeft(found) ? found : right(found.right.length);
+  }
+
+  /**
+   * How far the number of a service's tasks is from what is in force, which a later plan may have
+   * changed; zero for a service that is no more and has none.
+   */
+  async #missingOf(serviceName: string): Remaining {
+    await this.#configuration.refresh();
+    const service = this.#configuration.current?.services.get(serviceName);
+    const workers = this.#directory.instances.filter(isWorker);
+    const found = await this.#survey(workers, (one) => one.serviceName === serviceName);
+    if (isLeft(found)) return found;
+    return right(Math.abs((service?.replicaCount ?? 0) - found.right.length));
+  }
+
+  #survey(
+    workers: readonly WorkerInstance[],
+    isWanted: (assignment: Assignment) => boolean,
+  ): Promise<Either<Failure, readonly Assignment[]>> {
+    return surveyLedger(this.#table, racksOf(workers), isWanted);
+  }
+
+  /** Tasks of jobs that have not ended. Shards that have ended are kept elsewhere. */
+  async #openTasksOf(jobIds: readonly string[]): Remaining {
+    const zones = [...(this.#configuration.current?.zones.keys() ?? [])];
+    let count = 0;
+    for (let from = 0; from < jobIds.length; from += JOBS_PER_READ) {
+      const part = jobIds.slice(from, from + JOBS_PER_READ);
+      const prefixes = zones.flatMap((zone) => part.map((id) => `${workPrefix(zone)}${id}~`));
+      // eslint-disable-next-line no-await-in-loop -- a thousand jobs are not read at once
+      const read = await this.#table.read({ keys: [], prefixes })();
+      if (isLeft(read)) return read;
+      count += read.right.rows
+        .flatMap(({ value }) => workRowSchema.parse(value).tasks)
+        .filter((task) => !isEnded(task)).length;
+    }
+    return right(count);
+  }
+}
--- a/src/operator/test/badInput.test.ts
+++ b/src/operator/test/badInput.test.ts
@@ -20,12 +20,14 @@
 import { ledgerKey, workKey } from '../../platform/workload/common/workRows.js';
 import { OperatorQueries } from '../node/operatorQueries.js';
 import { OperatorServer } from '../node/operatorServer.js';
+import { PlanProgressReader } from '../node/planProgress.js';
 import { PlanService } from '../node/planService.js';
 import { service, SIZE, worker } from './operatorHarness.js';
 
 const HUGE_BYTES = 50 * 1024 * 1024;
 const HUGE_SIZE = { processorMillis: 9_000, memoryBytes: 1, acceleratorCount: 0 };
 const clock = { nowMs: () => 0 };
+const PEERS = { members: new Map([['d1', 'live']]) };
 const sha256 = (token: string): string => createHash('sha256').update(token).digest('hex');
 
 const table = new TableStandIn();
@@ -72,7 +74,8 @@
   return new OperatorServer(
     {
       plans: new PlanService(services, limits),
-      queries: new OperatorQueries(tableService, configuration, directory, () => 0),
+      progress: new PlanProgressReader(tableService, configuration, directory, () => 0),
+      queries: new OperatorQueries(tableService, configuration, directory, PEERS, () => 0),
       configuration,
       metrics: new PrometheusMetrics(),
       spans: { find: () => [] } as never,
--- a/src/peers/common/peerMessages.ts
+++ b/src/peers/common/peerMessages.ts
@@ -12,5 +12,7 @@
   configurationVersion: z.number().int().nonnegative(),
   /** The sender is shutting down; the platform's list will tell so only later. */
   isLeaving: z.boolean().default(false),
+  /** Names the sender's span; only sampled heartbeats carry it. */
+  traceparent: z.string().optional(),
 });
 export type Heartbeat = z.infer<typeof heartbeatSchema>;
--- a/src/peers/common/peerTable.ts
+++ b/src/peers/common/peerTable.ts
@@ -15,18 +15,30 @@
  * of ids. With links from each to all, 70 daemons would cost each of them 40 KB/s of the 22 KB/s
  * that control may take; with these the number grows by one as the daemons double. A hint still
  * reaches everybody, in as many steps as a daemon has links.
+ *
+ * The list lags, so some of these are gone and pass nothing on. Each of them stays linked, or it
+ * would not be noticed when it is back, and the next one after it that is heard of, or that
+ * nobody here knows to be gone, is linked in its stead.
  */
 export const chosenPeers = (
   listed: readonly DaemonInstance[],
   ownId: string,
+  isGone: (id: string) => boolean = () => false,
 ): readonly DaemonInstance[] => {
   const others = listed.filter(({ id }) => id !== ownId).sort((a, b) => (a.id < b.id ? -1 : 1));
   const ownPlace = others.filter(({ id }) => id < ownId).length;
-  const chosen: DaemonInstance[] = [];
+  const at = (offset: number): DaemonInstance =>
+    others[(ownPlace + offset - 1) % others.length] as DaemonInstance;
+  const chosen = new Set<DaemonInstance>();
   for (let offset = 1; offset <= others.length; offset *= 2) {
-    chosen.push(others[(ownPlace + offset - 1) % others.length] as DaemonInstance);
+    chosen.add(at(offset));
+    if (isGone(at(offset).id)) {
+      const offsets = Array.from({ length: others.length }, (_, step) => offset + step + 1);
+      const standIn = offsets.map(at).find((peer) => !isGone(peer.id) && !chosen.has(peer));
+      if (standIn !== undefined) chosen.add(standIn);
+    }
   }
-  return chosen;
+  return [...chosen];
 };
 
 /**
@@ -98,3 +110,7 @@
   const states = [...ids].map((id): [string, MemberState | undefined] => [id, stateOf(id)]);
   return new Map(states.filter((entry): entry is [string, MemberState] => entry[1] !== undefined));
 };
+
+/** Members that take requests, as far as can be told; one that is silent here may still do so. */
+export const servingCount = (states: ReadonlyMap<string, MemberState>): number =>
+  [...states.values()].filter((state) => state !== MemberState.Leaving).length;
--- /dev/null
+++ b/src/peers/node/peerLines.ts
@@ -0,0 +1,27 @@
+/** Lines of JSON on a connection between daemons, with their bytes counted. */
+import type { Socket } from 'node:net';
+
+import split from 'split2';
+
+import type { Metrics } from '../../platform/metrics/common/metrics.js';
+import { MAXIMUM_LINE_BYTES } from '../common/peerMessages.js';
+
+/** Calls `handle` for each line; a line that is too long or no JSON ends the connection. */
+export const readLines = <Message>(
+  socket: Socket,
+  metrics: Metrics,
+  handle: (message: Message) => void,
+): void => {
+  const parse = (line: string): Message => JSON.parse(line) as Message;
+  socket.on('data', (chunk: Buffer) => metrics.count('peer_bytes_received', {}, chunk.length));
+  socket
+    .pipe(split(parse, { maxLength: MAXIMUM_LINE_BYTES }))
+    .on('data', handle)
+    .on('error', () => socket.destroy());
+};
+
+export const writeLine = (socket: Socket, metrics: Metrics, message: unknown): void => {
+  const line = `${JSON.stringify(message)}\n`;
+  metrics.count('peer_bytes_sent', {}, Buffer.byteLength(line));
+  socket.write(line);
+};
--- a/src/peers/node/peerLink.ts
+++ b/src/peers/node/peerLink.ts
@@ -2,20 +2,15 @@
 import { connect, type Socket } from 'node:net';
 
 import { JSONRPCClient, type JSONRPCResponse } from 'json-rpc-2.0';
-import split from 'split2';
 
 import type { Clock } from '../../base/common/clock.js';
 import type { Disposable } from '../../base/common/lifecycle.js';
 import type { InstanceAddress } from '../../platform/instanceList/common/instanceList.js';
 import type { Metrics } from '../../platform/metrics/common/metrics.js';
 import { Hop, type Tracing } from '../../platform/tracing/common/tracing.js';
-import {
-  type Heartbeat,
-  HEARTBEAT_METHOD,
-  heartbeatSchema,
-  MAXIMUM_LINE_BYTES,
-} from '../common/peerMessages.js';
+import { type Heartbeat, HEARTBEAT_METHOD, heartbeatSchema } from '../common/peerMessages.js';
 import { isSilent } from '../common/peerTable.js';
+import { readLines, writeLine } from './peerLines.js';
 
 /** One connection at a time to one peer; its owner calls `beat` at the heartbeat interval. */
 export class PeerLink implements Disposable {
@@ -58,7 +53,10 @@
     try {
       const answer: unknown = await client
         .timeout(this.#silenceTimeoutMs)
-        .request(HEARTBEAT_METHOD, heartbeat);
+        .request(
+          HEARTBEAT_METHOD,
+          span === undefined ? heartbeat : { ...heartbeat, traceparent: span.traceparent },
+        );
       this.#heardAtMs = this.#clock.nowMs();
       span?.end({ outcome: 'answered' });
       return heartbeatSchema.parse(answer);
@@ -75,22 +73,13 @@
 
   #open(): JSONRPCClient {
     const socket = connect(this.#address.port, this.#address.host);
-    const client = new JSONRPCClient((payload) => {
-      socket.write(`${JSON.stringify(payload)}\n`);
-    });
+    const client = new JSONRPCClient((payload) => writeLine(socket, this.#metrics, payload));
     socket.on('error', () => {});
     socket.on('close', () => {
       client.rejectAllPendingRequests('the connection closed');
       if (this.#socket === socket) this.#forget();
     });
-    socket
-      .pipe(
-        split((line: string) => JSON.parse(line) as JSONRPCResponse, {
-          maxLength: MAXIMUM_LINE_BYTES,
-        }),
-      )
-      .on('data', (response: JSONRPCResponse) => client.receive(response))
-      .on('error', () => socket.destroy());
+    readLines<JSONRPCResponse>(socket, this.#metrics, (line) => client.receive(line));
     this.#socket = socket;
     this.#client = client;
     this.#heardAtMs = this.#clock.nowMs();
--- a/src/peers/node/peerService.ts
+++ b/src/peers/node/peerService.ts
@@ -2,9 +2,9 @@
 import { createServer, type Server, type Socket } from 'node:net';
 
 import { type JSONRPCRequest, JSONRPCServer } from 'json-rpc-2.0';
-import split from 'split2';
 
 import type { Clock } from '../../base/common/clock.js';
+import { Emitter } from '../../base/common/event.js';
 import type { Disposable } from '../../base/common/lifecycle.js';
 import { PeriodicTimer } from '../../base/node/periodicTimer.js';
 import type { ConfigurationService } from '../../platform/configuration/common/configurationService.js';
@@ -12,22 +12,22 @@
 import { type DaemonInstance, isDaemon } from '../../platform/instanceList/common/instanceList.js';
 import type { Metrics } from '../../platform/metrics/common/metrics.js';
 import type { Settings } from '../../platform/settings/common/settings.js';
-import type { Tracing } from '../../platform/tracing/common/tracing.js';
-import {
-  type Heartbeat,
-  HEARTBEAT_METHOD,
-  heartbeatSchema,
-  MAXIMUM_LINE_BYTES,
-} from '../common/peerMessages.js';
+import { Hop, type TraceSpan, type Tracing } from '../../platform/tracing/common/tracing.js';
+import { type Heartbeat, HEARTBEAT_METHOD, heartbeatSchema } from '../common/peerMessages.js';
 import {
   chosenPeers,
   members,
-  type MemberState,
+  MemberState,
   peerChanges,
   type PeerObservation,
+  servingCount,
 } from '../common/peerTable.js';
+import { readLines, writeLine } from './peerLines.js';
 import { PeerLink } from './peerLink.js';
 
+const isGone = (state: MemberState | undefined): boolean =>
+  state === MemberState.Silent || state === MemberState.Leaving;
+
 /** A change is told on at once, but in a burst of changes not more often than this. */
 const MINIMUM_BEAT_SPACING_MS = 200;
 
@@ -58,6 +58,10 @@
 
   readonly #subscription: Disposable;
 
+  readonly #didChangeMembers = new Emitter<void>();
+
+  #membersText = '';
+
   #beatAtMs = Number.NEGATIVE_INFINITY;
 
   #isLeaving = false;
@@ -79,7 +83,10 @@
     this.#metrics = metrics;
     this.#tracing = tracing;
     this.#rpc.addMethod(HEARTBEAT_METHOD, (parameters: unknown) => {
-      this.#handleHeartbeat(heartbeatSchema.parse(parameters));
+      const heartbeat = heartbeatSchema.parse(parameters);
+      const span = this.#answerSpan(heartbeat);
+      this.#handleHeartbeat(heartbeat);
+      span?.end({ outcome: 'answered' });
       return this.#ownHeartbeat();
     });
     this.#server = createServer((socket) => this.#handleConnection(socket));
@@ -102,7 +109,20 @@
     const listed = this.#directory.instances.filter(isDaemon);
     const linkedIds = new Set(this.#linked.keys());
     const { silenceTimeoutMs } = this.#settings.peers;
-    return members(listed, linkedIds, this.#observed, silenceTimeoutMs, this.#clock.nowMs());
+    const nowMs = this.#clock.nowMs();
+    const others = members(listed, linkedIds, this.#observed, silenceTimeoutMs, nowMs);
+    const own = this.#isLeaving ? MemberState.Leaving : MemberState.Live;
+    return new Map([...others, [this.#settings.instanceId, own]]);
+  }
+
+  /** How many daemons take requests, this one included. */
+  get servingCount(): number {
+    return servingCount(this.members);
+  }
+
+  /** Fires when a daemon has come, gone, or changed its state. */
+  get onDidChangeMembers(): Emitter<void>['event'] {
+    return this.#didChangeMembers.event;
   }
 
   /** Tells the peers at once that this daemon is leaving, before the platform's list does. */
@@ -114,6 +134,7 @@
   dispose(): void {
     this.#timer?.dispose();
     this.#subscription.dispose();
+    this.#didChangeMembers.dispose();
     this.#links.forEach((link) => link.dispose());
     this.#sockets.forEach((socket) => socket.destroy());
     this.#server.close();
@@ -122,7 +143,8 @@
   #beat(): void {
     this.#beatAtMs = this.#clock.nowMs();
     const listed = this.#directory.instances.filter(isDaemon);
-    const wanted = chosenPeers(listed, this.#settings.instanceId);
+    const known = this.members;
+    const wanted = chosenPeers(listed, this.#settings.instanceId, (id) => isGone(known.get(id)));
     const changes = peerChanges(this.#linked, wanted);
     changes.removedIds.forEach((id) => {
       this.#links.get(id)?.dispose();
@@ -143,8 +165,17 @@
     });
     this.#forgetGone();
     this.#links.forEach((link) => void this.#beatOne(link));
-    const silent = [...this.members.values()].filter((state) => state === 'silent');
+    this.#noteMembers();
+  }
+
+  #noteMembers(): void {
+    const known = this.members;
+    const silent = [...known.values()].filter((state) => state === MemberState.Silent);
     this.#metrics.gauge('peers_silent', silent.length);
+    const text = [...known].map((entry) => entry.join()).join(';');
+    if (text === this.#membersText) return;
+    this.#membersText = text;
+    this.#didChangeMembers.fire();
   }
 
   /** Daemons come and go all day; what was seen of those long gone would pile up. */
@@ -176,9 +207,18 @@
     };
   }
 
+  /** The second half of a sampled call; what is not sampled by its sender starts no trace here. */
+  #answerSpan({ traceparent, instanceId }: Heartbeat): TraceSpan | undefined {
+    if (traceparent === undefined) return undefined;
+    const fields = { call: HEARTBEAT_METHOD, from: instanceId };
+    return this.#tracing.startTrace(Hop.PeerCall, traceparent, fields);
+  }
+
   #handleHeartbeat(heartbeat: Heartbeat): void {
     const { instanceId, isLeaving } = heartbeat;
+    const hasLeft = isLeaving && this.#observed.get(instanceId)?.isLeaving !== true;
     this.#observed.set(instanceId, { heardAtMs: this.#clock.nowMs(), isLeaving });
+    if (hasLeft) this.#noteMembers();
     const ownVersion = this.#configuration.current?.version ?? 0;
     const { configurationVersion } = heartbeat;
     if (configurationVersion > ownVersion) void this.#configuration.refresh(configurationVersion);
@@ -189,15 +229,11 @@
     socket.on('error', () => {});
     socket.on('close', () => this.#sockets.delete(socket));
     socket.setTimeout(this.#settings.peers.silenceTimeoutMs * 2, () => socket.destroy());
-    const parse = (line: string): JSONRPCRequest => JSON.parse(line) as JSONRPCRequest;
-    socket
-      .pipe(split(parse, { maxLength: MAXIMUM_LINE_BYTES }))
-      .on('data', (request: JSONRPCRequest) => void this.#answer(socket, request))
-      .on('error', () => socket.destroy());
+    readLines<JSONRPCRequest>(socket, this.#metrics, (line) => void this.#answer(socket, line));
   }
 
   async #answer(socket: Socket, request: JSONRPCRequest): Promise<void> {
     const response = await this.#rpc.receive(request);
-    if (response !== null && !socket.destroyed) socket.write(`${JSON.stringify(response)}\n`);
+    if (response !== null && !socket.destroyed) writeLine(socket, this.#metrics, response);
   }
 }
--- /dev/null
+++ b/src/peers/test/peerService.test.ts
@@ -0,0 +1,147 @@
+import { afterEach, describe, expect, it } from 'vitest';
+
+import { Emitter } from '../../base/common/event.js';
+import { SeededRandom } from '../../base/common/random.js';
+import { systemClock } from '../../base/node/systemClock.js';
+import type { ConfigurationService } from '../../platform/configuration/common/configurationService.js';
+import type { Instance } from '../../platform/instanceList/common/instanceList.js';
+import { silentMetrics } from '../../platform/metrics/common/metrics.js';
+import { settingsSchema } from '../../platform/settings/common/settings.js';
+import { OpenTelemetryTracing } from '../../platform/tracing/node/openTelemetryTracing.js';
+import { MemberState } from '../common/peerTable.js';
+import { PeerService } from '../node/peerService.js';
+
+const HOST = '127.0.0.1';
+const HEARTBEAT_MS = 20;
+
+const configuration: ConfigurationService = {
+  current: undefined,
+  confirmedAtMs: 0,
+  onDidChange: new Emitter<never>().event,
+  refresh: () => Promise.resolve(),
+};
+
+/** Daemons that beat over loopback; all read the same list, which a test may change. */
+class Fleet {
+  instances: readonly Instance[] = [];
+
+  readonly tracings = new Map<string, OpenTelemetryTracing>();
+
+  readonly services = new Map<string, PeerService>();
+
+  async add(id: string, sampleRatio = 0): Promise<PeerService> {
+    const listen = { host: HOST };
+    const origin = 'http://127.0.0.1:9';
+    const settings = settingsSchema.parse({
+      instanceId: id,
+      availabilityZone: 'zone-a',
+      listen: { callers: listen, operators: listen, peers: listen },
+      platform: { tableOrigin: origin, objectStoreOrigin: origin, instanceListOrigin: origin },
+      peers: { heartbeatIntervalMs: HEARTBEAT_MS },
+    });
+    const tracing = new OpenTelemetryTracing(sampleRatio, 100, new SeededRandom(1));
+    const service = new PeerService(
+      settings,
+      configuration,
+      this.#directory(),
+      systemClock,
+      silentMetrics,
+      tracing,
+    );
+    this.tracings.set(id, tracing);
+    this.services.set(id, service);
+    const port = await service.listen(HOST, 0);
+    const address = { host: HOST, port };
+    const daemon = { kind: 'daemon' as const, id, availabilityZone: 'zone-a' };
+    const addresses = { peerAddress: address, operatorAddress: address };
+    this.instances = [...this.instances, { ...daemon, state: 'live', ...addresses }];
+    return service;
+  }
+
+  dispose(): void {
+    this.services.forEach((service) => service.dispose());
+  }
+
+  #directory() {
+    const read = (): readonly Instance[] => this.instances;
+    return {
+      get instances() {
+        return read();
+      },
+      onDidChange: new Emitter<readonly Instance[]>().event,
+    };
+  }
+}
+
+/** The test's own timeout bounds the wait. */
+const until = async (isReached: () => boolean): Promise<void> => {
+  while (!isReached()) {
+    // eslint-disable-next-line no-await-in-loop
+    await new Promise((resolve) => {
+      setTimeout(resolve, 5);
+    });
+  }
+};
+
+const fleets: Fleet[] = [];
+const createFleet = (): Fleet => {
+  const fleet = new Fleet();
+  fleets.push(fleet);
+  return fleet;
+};
+afterEach(() => fleets.splice(0).forEach((fleet) => fleet.dispose()));
+
+describe('daemons that see one another', () => {
+  // An entry is replaced. The platform's list goes on naming it for a while, and the others would
+  // go on leaving it a share of the workers' slots that it does not use any more.
+  it('count one that leaves out before the list does', async () => {
+    const fleet = createFleet();
+    const [one, two] = [await fleet.add('one'), await fleet.add('two')];
+    await until(() => one.members.get('two') === MemberState.Live);
+    expect(one.servingCount).toBe(2);
+    let changeCount = 0;
+    one.onDidChangeMembers(() => {
+      changeCount += 1;
+    });
+    two.announceLeaving();
+    await until(() => one.members.get('two') === MemberState.Leaving);
+    expect(one.servingCount).toBe(1);
+    expect(two.members.get('two')).toBe(MemberState.Leaving);
+    await until(() => changeCount > 0);
+  });
+
+  // An entry has started and takes requests, and the list does not name it yet.
+  it('count one in that the list does not name yet', async () => {
+    const fleet = createFleet();
+    const one = await fleet.add('one');
+    await fleet.add('two');
+    const [listedOne] = fleet.instances;
+    // The new one is told of the others by its own list; the old one's lags.
+    const listed = fleet.instances;
+    await until(() => one.members.get('two') === MemberState.Live);
+    fleet.instances = [listedOne as Instance];
+    expect(one.members.get('two')).toBe(MemberState.Live);
+    expect(one.servingCount).toBe(2);
+    fleet.instances = listed;
+  });
+});
+
+describe('a heartbeat', () => {
+  // The span of the answering daemon is a child of the asking one's, so that an operator sees
+  // where the time of a peer call went.
+  it('that is sampled is one trace on both sides', async () => {
+    const fleet = createFleet();
+    await fleet.add('one', 1);
+    await fleet.add('two');
+    const spansOfTwo = () => {
+      const ring = fleet.tracings.get('two')?.ring;
+      return ring?.traceIds().flatMap((id) => ring.find(id)) ?? [];
+    };
+    await until(() => spansOfTwo().length > 0);
+    const [answer] = spansOfTwo();
+    const asked = () => fleet.tracings.get('one')?.ring.find(answer?.traceId ?? '') ?? [];
+    await until(() => asked().length > 0);
+    expect(asked().map(({ spanId }) => spanId)).toContain(answer?.parentSpanId);
+    expect(answer?.fields).toMatchObject({ call: 'heartbeat', from: 'one' });
+  });
+});
--- a/src/peers/test/peers.test.ts
+++ b/src/peers/test/peers.test.ts
@@ -43,6 +43,27 @@
     expect(reached.size).toBe(count);
   });
 
+  // A third of the daemons has gone and the list still names them: a hint that is passed to them
+  // goes no further. Without links in their stead some daemons hear of it only by their own look.
+  it.each([7, 70])('reach all that are left of %i when a third is gone', (count) => {
+    const all = daemons(count);
+    const gone = new Set(all.filter((_, index) => index % 3 === 1).map(({ id }) => id));
+    const left = all.filter(({ id }) => !gone.has(id));
+    const isGone = (id: string): boolean => gone.has(id);
+    const links = new Map(left.map(({ id }) => [id, chosenPeers(all, id, isGone)]));
+    const linkCount = chosenPeers(all, 'd000').length;
+    let reached = new Set(['d000']);
+    for (let step = 0; step < linkCount; step += 1) {
+      const next = [...reached].flatMap((id) => links.get(id)?.map((peer) => peer.id) ?? []);
+      reached = new Set([...reached, ...next.filter((id) => !gone.has(id))]);
+    }
+    expect(reached.size).toBe(left.length);
+    // What is gone stays linked, or nobody would notice that it is back.
+    const all0 = chosenPeers(all, 'd000').map(({ id }) => id);
+    expect(links.get('d000')?.map(({ id }) => id)).toEqual(expect.arrayContaining(all0));
+    links.forEach((peers) => expect(peers.length).toBeLessThanOrEqual(linkCount * 2));
+  });
+
   // A daemon was replaced under its id at another port; the old link would knock there for ever.
   it('are made anew when an address has changed', () => {
     const linked = new Map([['d1', daemon('d1')]]);
--- a/src/platform/metrics/common/metricList.ts
+++ b/src/platform/metrics/common/metricList.ts
@@ -58,6 +58,8 @@
   ),
   plans_removed: counter('Plans removed past their retention.'),
   peer_heartbeat_failed: counter('Heartbeats to other daemons that got no answer.'),
+  peer_bytes_sent: counter('Bytes of heartbeats and their answers sent, as TCP payload.'),
+  peer_bytes_received: counter('Bytes of heartbeats and their answers received.'),
   peers_silent: gauge('Listed daemons that this one should hear of and does not.'),
   peer_link_replaced: counter('Connections to other daemons closed because they went silent.'),
   metric_series_dropped: counter('Values not recorded because of too many label values.'),
--- a/src/platform/table/common/tracedTableService.ts
+++ b/src/platform/table/common/tracedTableService.ts
@@ -2,7 +2,7 @@
 import type { TaskEither } from 'fp-ts/lib/TaskEither.js';
 
 import type { Failure } from '../../errors/common/errorKinds.js';
-import { Hop, tracedCall, type Tracing } from '../../tracing/common/tracing.js';
+import { Hop, tracedCall, type TraceSpan, type Tracing } from '../../tracing/common/tracing.js';
 import type {
   ReadRequest,
   ReadResult,
@@ -24,6 +24,13 @@
     this.#tracing = tracing;
   }
 
+  /** The table for the calls of one sampled request, whose spans are children of its span. */
+  under(span: TraceSpan): TableService {
+    const startTrace: Tracing['startTrace'] = (hop, _traceparent, fields) =>
+      span.child(hop, fields);
+    return new TracedTableService(this.#table, { startTrace });
+  }
+
   read(request: ReadRequest): TaskEither<Failure, ReadResult> {
     return () => {
       const span = this.#tracing.startTrace(Hop.TableCall, undefined, READ_FIELDS);
@@ -38,3 +45,7 @@
     };
   }
 }
+
+/** The table as a request's calls should use it; the table itself where nothing is sampled. */
+export const tableUnder = (table: TableService, span: TraceSpan | undefined): TableService =>
+  span !== undefined && table instanceof TracedTableService ? table.under(span) : table;
--- a/src/platform/tracing/node/openTelemetryTracing.ts
+++ b/src/platform/tracing/node/openTelemetryTracing.ts
@@ -74,6 +74,10 @@
 /** Hops that the program makes on its own, a few every second, without any request. */
 const BACKGROUND_HOPS: ReadonlySet<string> = new Set([Hop.PeerCall, Hop.TableCall, Hop.WorkerCall]);
 
+/** Calls under a request's span belong to it; peers have no requests, only heartbeats. */
+const isBackground = ({ name, parentSpanContext }: ReadableSpan): boolean =>
+  BACKGROUND_HOPS.has(name) && (parentSpanContext === undefined || name === Hop.PeerCall);
+
 /**
  * Keeps the newest spans; the oldest give way, so memory stays bounded. Background calls have
  * places of their own, or they would push a request's spans out within seconds and leave the
@@ -91,7 +95,7 @@
 
   export(spans: ReadableSpan[], resultCallback: (result: { code: number }) => void): void {
     spans.forEach((span) => {
-      const ring = BACKGROUND_HOPS.has(span.name) ? this.#background : this.#requests;
+      const ring = isBackground(span) ? this.#background : this.#requests;
       ring.add(span);
     });
     resultCallback({ code: 0 });
--- a/src/platform/tracing/test/tracing.test.ts
+++ b/src/platform/tracing/test/tracing.test.ts
@@ -1,6 +1,9 @@
+import { right } from 'fp-ts/lib/Either.js';
 import { describe, expect, it } from 'vitest';
 
 import { SeededRandom } from '../../../base/common/random.js';
+import type { TableService } from '../../table/common/table.js';
+import { tableUnder, TracedTableService } from '../../table/common/tracedTableService.js';
 import { Hop } from '../common/tracing.js';
 import { OpenTelemetryTracing } from '../node/openTelemetryTracing.js';
 
@@ -49,4 +52,29 @@
     expect(tracing.ring.find(CALLER_TRACE)).toHaveLength(2);
     expect(tracing.ring.traceIds()).toHaveLength(5);
   });
+
+  // The claim of a key is part of what its request waits for. As a trace of its own it could not
+  // be found from the request, and among background calls it gave way within seconds.
+  it("makes a request's table calls children of its span, and keeps them with it", async () => {
+    const tracing = tracingWith(0, 4);
+    const result = { outcome: 'committed' as const, version: 1 };
+    const inner: TableService = {
+      read: () => () => Promise.resolve(right({ rows: [] })),
+      transact: () => () => Promise.resolve(right(result)),
+    };
+    const table = new TracedTableService(inner, tracing);
+    const entry = tracing.startTrace(Hop.Entry, SAMPLED);
+    await tableUnder(table, entry).transact({ operationId: 'o', conditions: [], writes: [] })();
+    entry?.end();
+    // Calls in the background, which are many, do not push it out.
+    const background = Array.from({ length: 20 }, () => tracing.startTrace(Hop.PeerCall, SAMPLED));
+    background.forEach((span) => span?.end());
+    const spans = tracing.ring.find(CALLER_TRACE);
+    const entrySpan = spans.find(({ hop }) => hop === Hop.Entry);
+    const call = spans.find(({ hop }) => hop === Hop.TableCall);
+    expect(call?.parentSpanId).toBe(entrySpan?.spanId);
+    expect(call?.fields).toEqual({ call: 'transact', outcome: 'answered' });
+    expect(tableUnder(table, undefined)).toBe(table);
+    expect(tableUnder(inner, entry)).toBe(inner);
+  });
 });
--- a/tools/generate/openApi.ts
+++ b/tools/generate/openApi.ts
@@ -66,6 +66,10 @@
     planBodySchema,
   ),
   'GET /v1/plans/:id': operatorRoute('A plan', toSchema(planSchema)),
+  'GET /v1/plans/:id/progress': operatorRoute(
+    'How far what a plan asked for has come about',
+    object,
+  ),
   'POST /v1/plans/:id/confirm': operatorRoute(
     'Carry out the plan that was shown',
     toSchema(planSchema),
@@ -81,8 +85,8 @@
   'GET /v1/quotas/:id': operatorRoute('The quota of a team', object),
   'GET /v1/plans': operatorRoute('Plans of the last hours, without their steps', list),
   'GET /v1/policy': operatorRoute('The limits that plans must keep', object),
-  'GET /v1/instances': operatorRoute('All instances, as last listed', list),
-  'GET /v1/instances/:id': operatorRoute('An instance, as last listed', object),
+  'GET /v1/instances': operatorRoute('All instances, as last listed and as seen', list),
+  'GET /v1/instances/:id': operatorRoute('An instance, as last listed and as seen', object),
   'GET /v1/version': operatorRoute('The configuration in force here', object),
   'GET /v1/history': operatorRoute('Accepted changes', list),
   'GET /v1/tasks': operatorRoute('Tasks assigned to workers', list),
