--- a/src/operator/node/operatorServer.ts
+++ b/src/operator/node/operatorServer.ts
@@ -3,6 +3,7 @@
 import { type Either, isLeft } from 'fp-ts/lib/Either.js';
 import { z } from 'zod';
 
+import { jsonText } from '../../base/node/jsonText.js';
 import type {
   ConfigurationHealth,
   ConfigurationService,
@@ -16,11 +17,13 @@
 import { intentSchema } from '../common/intent.js';
 import { OperatorAccess } from './operatorAccess.js';
 import { ObjectKind, type OperatorQueries } from './operatorQueries.js';
+import type { PlanProgressReader } from './planProgress.js';
 import type { ConfirmationRefusal, PlanService } from './planService.js';
 
 export interface OperatorServerServices {
   readonly plans: PlanService;
   readonly queries: OperatorQueries;
+  readonly progress: PlanProgressReader;
   readonly configuration: ConfigurationService & { readonly health: ConfigurationHealth };
   readonly metrics: PrometheusMetrics;
   readonly spans: SpanRing;
@@ -36,6 +39,7 @@
 export const planBodySchema = z.strictObject({ intent: intentSchema });
 export const confirmBodySchema = z.strictObject({ digest: z.string().min(1) });
 const idParamsSchema = z.object({ id: z.string().min(1) });
+const JSON_TYPE = 'application/json; charset=utf-8';
 const HTTP_OK = 200;
 const HTTP_UNAVAILABLE = 503;
 const FIRST_SERVER_ERROR = 500;
@@ -114,6 +118,10 @@
     this.#route('GET', '/v1/plans/:id', OperatorRole.View, (request) =>
       plans.find(idParamsSchema.parse(request.params).id),
     );
+    this.#route('GET', '/v1/plans/:id/progress', OperatorRole.View, async (request) => {
+      const plan = await plans.find(idParamsSchema.parse(request.params).id);
+      return isLeft(plan) ? plan : this.#services.progress.of(plan.right);
+    });
     this.#route('POST', '/v1/plans/:id/confirm', OperatorRole.Confirm, (request, author) => {
       const body = confirmBodySchema.safeParse(request.body);
       if (!body.success) return firstFault(body.error);
@@ -154,7 +162,7 @@
         const author = this.#access.check(request.headers.authorization, role);
         if (isLeft(author)) return replyWithFailure(reply, author.left);
         const result = await handler(request, author.right);
-        if (!isLeft(result)) return reply.send(result.right);
+        if (!isLeft(result)) return reply.type(JSON_TYPE).send(await jsonText(result.right));
         const { newPlan } = result.left;
         return replyWithFailure(reply, result.left, newPlan === undefined ? {} : { newPlan });
       },
--- a/src/operator/test/badInput.test.ts
+++ b/src/operator/test/badInput.test.ts
@@ -17,15 +17,17 @@
 import { PrometheusMetrics } from '../../platform/metrics/node/prometheusMetrics.js';
 import { settingsSchema } from '../../platform/settings/common/settings.js';
 import type { TableService } from '../../platform/table/common/table.js';
-import { ledgerKey } from '../../platform/workload/common/workRows.js';
+import { ledgerKey, workKey } from '../../platform/workload/common/workRows.js';
 import { OperatorQueries } from '../node/operatorQueries.js';
 import { OperatorServer } from '../node/operatorServer.js';
+import { PlanProgressReader } from '../node/planProgress.js';
 import { PlanService } from '../node/planService.js';
 import { service, SIZE, worker } from './operatorHarness.js';
 
 const HUGE_BYTES = 50 * 1024 * 1024;
 const HUGE_SIZE = { processorMillis: 9_000, memoryBytes: 1, acceleratorCount: 0 };
 const clock = { nowMs: () => 0 };
+const PEERS = { members: new Map([['d1', 'live']]) };
 const sha256 = (token: string): string => createHash('sha256').update(token).digest('hex');
 
 const table = new TableStandIn();
@@ -72,7 +74,8 @@
   return new OperatorServer(
     {
       plans: new PlanService(services, limits),
-      queries: new OperatorQueries(tableService, configuration, directory, () => 0),
+      progress: new PlanProgressReader(tableService, configuration, directory, () => 0),
+      queries: new OperatorQueries(tableService, configuration, directory, PEERS, () => 0),
       configuration,
       metrics: new PrometheusMetrics(),
       spans: { find: () => [] } as never,
@@ -95,10 +98,21 @@
     ...{ serviceName: '', shardId: 'bakers.k~zone-a', taskIndex: 0, size: SIZE, workMs: 1 },
     checkpoint: null,
   };
+  const shard = {
+    ...{ shardId: 'bakers.k~zone-a', jobId: 'bakers.k', team: 'bakers', size: SIZE, workMs: 1 },
+    ...{
+      urgency: 'normal',
+      tasks: [{ index: 0, state: 'assigned', attempt: 1, checkpoint: null }],
+    },
+  };
+  const tasks = shard.tasks.map((task) => ({ ...task, evictionCount: 0, failureWeight: 0 }));
   table.transact({
     operationId: 'ledger',
     conditions: [],
-    writes: [{ key: ledgerKey('zone-a', 'zone-a-rack'), value: { assignments: [assignment] } }],
+    writes: [
+      { key: ledgerKey('zone-a', 'zone-a-rack'), value: { assignments: [assignment] } },
+      { key: workKey('zone-a', 'bakers.k~zone-a'), value: { ...shard, tasks } },
+    ],
   });
 });
 afterAll(() => server.close());
