A caller that hangs up ends its request

Cause: a request whose caller had gone kept its place in the queue, its slot and its retries, for an answer that nobody reads. Ruled out: freeing the place of a cut attempt at once. Change: hangUpStep decides (let go, abort, let end); the caller's connection is watched; an order ends by itself and is recorded; one hung up on while it is claimed gives its key back.

--- a/bench/requests/arrivals.ts
+++ b/bench/requests/arrivals.ts
@@ -18,6 +18,10 @@
   readonly deadlineMs: number;
   readonly meanMs: number;
   readonly callerId?: string;
+  /** After how long without an answer its callers hang up and send the same again at once. */
+  readonly patienceMs?: number;
+  /** How often they do so before they stay away. */
+  readonly repeatCount?: number;
 }
 
 export interface Scenario {
@@ -33,6 +37,8 @@
   readonly slowness?: (worker: number, nowMs: number) => number;
   /** Whether the worker refuses connections at once. */
   readonly isFailing?: (worker: number, nowMs: number) => boolean;
+  /** Whether backend servers end work whose connection was closed. */
+  readonly areServersNoticing?: boolean;
   /** Zones whose workers are out of the routes, by number. */
   readonly isZoneOut?: (zone: number, nowMs: number) => boolean;
   readonly isEntryDead?: (entry: number, nowMs: number) => boolean;
--- a/bench/requests/loadModel.ts
+++ b/bench/requests/loadModel.ts
@@ -9,6 +9,7 @@
 import { ExtraReason, ServerVerdict } from '../../src/entry/common/admissionDecision.js';
 import { AttemptEnd } from '../../src/entry/common/attempt.js';
 import type { WaitingRequest } from '../../src/entry/common/fairQueue.js';
+import { HangUpStep } from '../../src/entry/common/hangUp.js';
 import { RequestProgress } from '../../src/entry/common/requestProgress.js';
 import type { BackendServer, RoutingTable } from '../../src/entry/common/routing.js';
 import { secondAttemptReason } from '../../src/entry/common/secondAttempt.js';
@@ -28,6 +29,8 @@
   readonly createChooser: (random: RandomSource) => ServerChooser;
   readonly admission: AdmissionSettings;
   readonly isHedging: boolean;
+  /** Whether a hang-up ends the request; false shows what it would cost otherwise. */
+  readonly isNoticingHangUps: boolean;
 }
 
 export interface ModelResult {
@@ -43,6 +46,8 @@
   readonly startedAtMs: number;
   readonly extra: ExtraReason | undefined;
   isGivenUp: boolean;
+  /** Ends the work on a server that notices that its connection was closed. */
+  cancel: () => void;
 }
 
 interface VirtualRequest extends WaitingRequest {
@@ -50,12 +55,15 @@
   readonly traffic: Traffic;
   readonly workMs: number;
   readonly arrivedAtMs: number;
+  readonly repeatsLeft: number;
   readonly isMeasured: boolean;
   readonly progress: RequestProgress;
   readonly flights: Flight[];
   waitingSinceMs: number;
   avoidedWorkerId: string | undefined;
   isDone: boolean;
+  /** Its caller hung up; an answer is read by nobody. */
+  isAbandoned: boolean;
 }
 
 class VirtualWorker {
@@ -69,17 +77,30 @@
     this.#time = time;
   }
 
-  serve(workMs: number, done: () => void): void {
+  /** Returns what ends the work early. */
+  serve(workMs: number, done: () => void): () => void {
+    let isOver = false;
+    const end = (): void => {
+      if (isOver) return;
+      isOver = true;
+      this.#busyCount -= 1;
+      done();
+      this.#waiting.shift()?.();
+    };
     const begin = (): void => {
       this.#busyCount += 1;
-      this.#time.after(workMs, () => {
-        this.#busyCount -= 1;
-        done();
-        this.#waiting.shift()?.();
-      });
+      this.#time.after(workMs, end);
+    };
+    if (this.#busyCount < SLOT_COUNT) {
+      begin();
+      return end;
+    }
+    this.#waiting.push(begin);
+    return () => {
+      const place = this.#waiting.indexOf(begin);
+      if (place < 0) end();
+      else this.#waiting.splice(place, 1);
     };
-    if (this.#busyCount < SLOT_COUNT) begin();
-    else this.#waiting.push(begin);
   }
 }
 
@@ -157,7 +178,7 @@
     }
   }
 
-  #begin(traffic: Traffic, workMs: number): void {
+  #begin(traffic: Traffic, workMs: number, repeatsLeft = traffic.repeatCount ?? 0): void {
     const { nowMs } = this.#time;
     const entry = this.#pickEntry();
     const deadlineAtMs = nowMs + traffic.deadlineMs;
@@ -166,6 +187,7 @@
       traffic,
       workMs,
       arrivedAtMs: nowMs,
+      repeatsLeft,
       deadlineAtMs,
       isMeasured: nowMs >= this.#scenario.warmUpMs,
       progress: new RequestProgress({
@@ -178,6 +200,7 @@
       waitingSinceMs: nowMs,
       avoidedWorkerId: undefined,
       isDone: false,
+      isAbandoned: false,
     };
     this.#outcomes(request).forEach((outcome) => outcome.count('offered'));
     entry.underWay.add(request);
@@ -185,6 +208,29 @@
     service?.budget.earn();
     service?.hedgeBudget.earn();
     this.#admit(request);
+    const { patienceMs } = traffic;
+    if (patienceMs !== undefined) this.#time.after(patienceMs, () => this.#hangUp(request));
+  }
+
+  /** The caller hangs up and sends the same again; what it left behind may be noticed. */
+  #hangUp(request: VirtualRequest): void {
+    if (request.isDone) return;
+    request.isAbandoned = true;
+    this.#outcomes(request).forEach((outcome) => outcome.count('failed'));
+    if (this.#policy.isNoticingHangUps) this.#letGo(request);
+    const { traffic, workMs, repeatsLeft } = request;
+    if (repeatsLeft > 0) this.#begin(traffic, workMs, repeatsLeft - 1);
+  }
+
+  #letGo(request: VirtualRequest): void {
+    const step = request.progress.noteHangUp(true);
+    if (step === HangUpStep.LetGo)
+      request.entry.admission.leave(request.traffic.serviceName, request);
+    const { flights } = request;
+    const cancels = flights.map(({ cancel }) => cancel);
+    this.#close(request, ServerVerdict.Abandoned);
+    if (this.#scenario.areServersNoticing !== true) return;
+    this.#time.after(ONE_WAY_MS, () => cancels.forEach((cancel) => cancel()));
   }
 
   #admit(request: VirtualRequest): void {
@@ -198,7 +244,13 @@
   }
 
   #send(request: VirtualRequest, server: ServerRecord<VirtualRequest>, extra?: ExtraReason): void {
-    const flight: Flight = { server, startedAtMs: this.#time.nowMs, extra, isGivenUp: false };
+    const flight: Flight = {
+      server,
+      startedAtMs: this.#time.nowMs,
+      extra,
+      isGivenUp: false,
+      cancel: () => {},
+    };
     request.flights.push(flight);
     request.progress.tryStart();
     if (request.isMeasured) this.#result.attemptCount += 1;
@@ -211,9 +263,10 @@
         return;
       }
       const workMs = request.workMs * (slowness?.(index, nowMs) ?? 1);
-      this.#workers[index]?.serve(workMs, () =>
-        this.#time.after(ONE_WAY_MS, () => this.#end(request, flight, AttemptEnd.Answered)),
-      );
+      const done = (): void =>
+        this.#time.after(ONE_WAY_MS, () => this.#end(request, flight, AttemptEnd.Answered));
+      const cancel = this.#workers[index]?.serve(workMs, done);
+      if (cancel !== undefined) flight.cancel = cancel;
     });
   }
 
@@ -254,19 +307,22 @@
   #answer(request: VirtualRequest): void {
     const latencyMs = this.#time.nowMs - request.arrivedAtMs;
     const { deadlineMs } = request.traffic;
-    this.#outcomes(request).forEach((outcome) =>
-      outcome.answered(latencyMs, deadlineMs, request.workMs),
-    );
+    if (!request.isAbandoned) {
+      this.#outcomes(request).forEach((outcome) =>
+        outcome.answered(latencyMs, deadlineMs, request.workMs),
+      );
+    }
     this.#close(request, ServerVerdict.Overtaken);
   }
 
   #refuse(request: VirtualRequest): void {
-    this.#outcomes(request).forEach((outcome) => outcome.count('refused'));
+    if (!request.isAbandoned)
+      this.#outcomes(request).forEach((outcome) => outcome.count('refused'));
     this.#close(request, ServerVerdict.Failure);
   }
 
   #fail(request: VirtualRequest): void {
-    this.#outcomes(request).forEach((outcome) => outcome.count('failed'));
+    if (!request.isAbandoned) this.#outcomes(request).forEach((outcome) => outcome.count('failed'));
     this.#close(request, ServerVerdict.Failure);
   }
 
--- a/bench/requests/requestsBench.ts
+++ b/bench/requests/requestsBench.ts
@@ -13,7 +13,16 @@
 import { RandomChoice, RoundRobin } from './baselineChoosers.js';
 import { idealPercentileMs, type Scenario } from './arrivals.js';
 import { LoadModel, type ModelPolicy, type ModelResult } from './loadModel.js';
-import { scenarios, type Size, SIZES } from './scenarios.js';
+import {
+  HASTY,
+  type Impatience,
+  IMPATIENT,
+  IMPATIENT_UNNOTICED,
+  impatientCallers,
+  scenarios,
+  type Size,
+  SIZES,
+} from './scenarios.js';
 
 const SEED = 20_261;
 const P99 = 0.99;
@@ -35,10 +44,11 @@
 /** Scenarios in which the ways of choosing are shown beside one another. */
 const COMPARED: readonly string[] = ['steady', 'slow-worker', 'noisy-neighbours', 'saturated'];
 
-const policy = (name: ChooserName, isHedging = false): ModelPolicy => ({
+const policy = (name: ChooserName, isHedging = false, isNoticingHangUps = true): ModelPolicy => ({
   createChooser: choosers[name],
   admission: entryDefaults,
   isHedging,
+  isNoticingHangUps,
 });
 
 const percent = (share: number): string => `${(share * 100).toFixed(1)} %`;
@@ -64,6 +74,52 @@
   return result;
 };
 
+/** What becomes of the patient callers' services beside impatient ones. */
+interface ImpatienceFigures {
+  readonly othersInTime: number;
+  readonly urgentP99Ms: number;
+  readonly useful: number;
+}
+
+const runImpatience = (
+  size: Size,
+  impatience: Impatience,
+  isNoticingHangUps: boolean,
+): ImpatienceFigures => {
+  const scenario = impatientCallers(size, impatience);
+  const label = `${impatience.name}, ${isNoticingHangUps ? 'product' : 'hang-ups unnoticed'}`;
+  const result = runOne(scenario, policy(OWN, true, isNoticingHangUps), label);
+  const plans = result.outcomes.get('plans');
+  const othersInTime = (plans?.inTime ?? 0) / (plans?.offered ?? 1);
+  say(`    patient low work in time ${percent(othersInTime)}`);
+  return {
+    othersInTime,
+    urgentP99Ms: result.outcomes.get('rounds')?.percentileMs(P99) ?? 0,
+    useful: result.all.usefulWorkMs / result.capacityMs,
+  };
+};
+
+/** Each figure with hang-ups noticed, as a ratio to the same load with none noticed. */
+const impatienceRatios = (size: Size): readonly [string, number][] => {
+  type Ratio = (what: keyof ImpatienceFigures) => number;
+  const compare = (impatience: Impatience, unnoticed: ImpatienceFigures): Ratio => {
+    const noticed = runImpatience(size, impatience, true);
+    return (what) => noticed[what] / unnoticed[what];
+  };
+  const unnoticed = runImpatience(size, IMPATIENT, false);
+  const impatient = compare(IMPATIENT, unnoticed);
+  const unseen = compare(IMPATIENT_UNNOTICED, unnoticed);
+  const hasty = compare(HASTY, runImpatience(size, HASTY, false));
+  return [
+    ['minimumImpatientOthersToUnnoticed', impatient('othersInTime')],
+    ['minimumImpatientUsefulToUnnoticed', impatient('useful')],
+    ['minimumServersWorkOnUsefulToUnnoticed', unseen('useful')],
+    ['maximumServersWorkOnUrgentP99ToUnnoticed', unseen('urgentP99Ms')],
+    ['minimumHastyOthersToUnnoticed', hasty('othersInTime')],
+    ['maximumHastyUrgentP99ToUnnoticed', hasty('urgentP99Ms')],
+  ];
+};
+
 const runSize = (size: Size, areBaselinesRun: boolean): ReadonlyMap<string, number> => {
   say(
     `${size.name}: ${size.workerCount} workers of 8 slots, 7 entries; virtual time, seed ${SEED}`,
@@ -106,6 +162,7 @@
       p99('noisy-neighbours') / unhedged.all.percentileMs(P99),
     ],
     ['maximumLongAndShortUrgentP99ToSteady', urgentP99('long-and-short') / urgentP99('steady')],
+    ...impatienceRatios(size),
   ]);
 };
 
--- a/bench/requests/scenarios.ts
+++ b/bench/requests/scenarios.ts
@@ -56,6 +56,49 @@
   utilisation: () => STEADY,
 });
 
+/** How callers hang up and send the same again, and whether servers notice closed connections. */
+export interface Impatience {
+  readonly name: string;
+  readonly patienceMs: number;
+  readonly repeatCount: number;
+  readonly areServersNoticing: boolean;
+}
+
+export const IMPATIENT = {
+  name: 'impatient',
+  patienceMs: 150,
+  repeatCount: 3,
+  areServersNoticing: true,
+} as const satisfies Impatience;
+export const IMPATIENT_UNNOTICED = {
+  ...IMPATIENT,
+  name: 'impatient, servers work on',
+  areServersNoticing: false,
+} as const satisfies Impatience;
+/** Hangs up before an ordinary answer can come, on servers that then work for nobody. */
+export const HASTY = {
+  name: 'hasty, servers work on',
+  patienceMs: 10,
+  repeatCount: 20,
+  areServersNoticing: false,
+} as const satisfies Impatience;
+
+/** A burst of hang-ups and repeats beside patient callers. */
+export const impatientCallers = (
+  size: Size,
+  { name, patienceMs, repeatCount, areServersNoticing }: Impatience,
+): Scenario => ({
+  ...steady(size),
+  name,
+  traffic: [
+    urgent,
+    { ...low, share: 0.3 },
+    { ...low, serviceName: 'proofs', share: 0.4, patienceMs, repeatCount },
+  ],
+  utilisation: (nowMs) => (isBetween(nowMs, 3_000, 6_000) ? 1.5 : STEADY),
+  areServersNoticing,
+});
+
 export const scenarios = (size: Size): readonly Scenario[] => {
   const base = steady(size);
   return [
--- a/src/entry/common/admission.ts
+++ b/src/entry/common/admission.ts
@@ -32,6 +32,15 @@
 const EARLIEST_RETURN_MS = 1_000;
 const RETURN_SPREAD_MS = 2_000;
 
+/** A place counts as used so many median latencies after its start, and at least so long. */
+const ABANDONED_MEDIANS = 1.5;
+const ABANDONED_LEAST_MS = 40;
+
+interface AbandonedPlace<Waiting extends WaitingRequest> {
+  readonly server: ServerRecord<Waiting>;
+  readonly freeAtMs: number;
+}
+
 /**
  * Made for bursts and saturation on servers that several services and several entries share.
  *
@@ -58,6 +67,9 @@
   /** Workers that left the routes while requests were in flight on them. */
   readonly #departed = new Map<string, WorkerRecord<Waiting>>();
 
+  /** Places whose callers hung up while their servers may still work; bounded by the shares. */
+  #abandoned: AbandonedPlace<Waiting>[] = [];
+
   #servedCount = 0;
 
   #entryCount = 1;
@@ -171,17 +183,38 @@
     return server;
   }
 
-  /** Gives a place back and returns what may be sent in its stead. */
+  /** Lets a request go that waits and is wanted no more; its place in the queue is free at once. */
+  leave(serviceName: string, waiting: Waiting): boolean {
+    return this.#services.get(serviceName)?.queue.remove(waiting) ?? false;
+  }
+
+  /**
+   * Gives a place back and returns what may be sent in its stead.
+   *
+   * Made also for callers that hang up within milliseconds and repeat at once, on servers that
+   * do not notice that a connection was closed: were their places free at once, each repeat
+   * would put one more request inside a worker, past every limit, and urgent work would wait
+   * there. So an abandoned place stays taken for as long as its work is likely to run.
+   */
   finish(
     serviceName: string,
     server: ServerRecord<Waiting>,
     end: PlaceEnd,
     nowMs: number,
   ): readonly Dispatched<Waiting>[] {
-    const { worker } = server;
     const service = this.#services.get(serviceName);
     if (service !== undefined) this.#learn(service, server, end, nowMs);
+    const { worker } = server;
     if (end.isServerLeaving) worker.leavingUntilMs = nowMs + this.#settings.leavingHoldMs;
+    if (end.verdict !== ServerVerdict.Abandoned) return this.#free(server, nowMs);
+    const heldMs = Math.max(ABANDONED_LEAST_MS, ABANDONED_MEDIANS * (service?.limit.medianMs ?? 0));
+    if (end.latencyMs >= heldMs) return this.#free(server, nowMs);
+    this.#abandoned.push({ server, freeAtMs: nowMs + heldMs - end.latencyMs });
+    return [];
+  }
+
+  #free(server: ServerRecord<Waiting>, nowMs: number): readonly Dispatched<Waiting>[] {
+    const { worker } = server;
     worker.inFlightCount -= 1;
     if (worker.inFlightCount === 0) this.#departed.delete(worker.workerId);
     worker.services.forEach((each) => {
@@ -197,6 +230,7 @@
     readonly rejected: readonly Rejected<Waiting>[];
     readonly dispatched: readonly Dispatched<Waiting>[];
   } {
+    const freed = this.#freeAbandoned(nowMs);
     const rejected: Rejected<Waiting>[] = [];
     const waitingServices: ServiceRecord<Waiting>[] = [];
     this.#services.forEach((service) => {
@@ -209,7 +243,14 @@
     waitingServices.sort(
       (left, right) => URGENCY_ORDER[left.urgency] - URGENCY_ORDER[right.urgency],
     );
-    return { rejected, dispatched: this.#dispatch(waitingServices, nowMs) };
+    return { rejected, dispatched: [...freed, ...this.#dispatch(waitingServices, nowMs)] };
+  }
+
+  #freeAbandoned(nowMs: number): readonly Dispatched<Waiting>[] {
+    if (this.#abandoned.length === 0) return [];
+    const due = this.#abandoned.filter(({ freeAtMs }) => freeAtMs <= nowMs);
+    this.#abandoned = this.#abandoned.filter(({ freeAtMs }) => freeAtMs > nowMs);
+    return due.flatMap(({ server }) => this.#free(server, nowMs));
   }
 
   static #refused(cause: Failure): { readonly kind: 'refused'; readonly failure: Failure } {
@@ -301,7 +342,7 @@
     nowMs: number,
   ): void {
     if (end.verdict === ServerVerdict.Unused) return;
-    if (end.verdict === ServerVerdict.Overtaken) {
+    if (end.verdict === ServerVerdict.Overtaken || end.verdict === ServerVerdict.Abandoned) {
       server.latency.noteAtLeast(end.latencyMs, nowMs);
       return;
     }
--- a/src/entry/common/admissionDecision.ts
+++ b/src/entry/common/admissionDecision.ts
@@ -36,6 +36,8 @@
   Failure: 'failure',
   /** Given up because another attempt was answered; slow for at least this latency. */
   Overtaken: 'overtaken',
+  /** Given up because its caller hung up; its server may work on for a while. */
+  Abandoned: 'abandoned',
   /** The place was not used. */
   Unused: 'unused',
 } as const;
--- a/src/entry/common/fairQueue.ts
+++ b/src/entry/common/fairQueue.ts
@@ -68,6 +68,17 @@
     return waiting;
   }
 
+  /** Takes out one request; false when it does not wait here. */
+  remove(waiting: Waiting): boolean {
+    const lane = this.#lanes.get(waiting.callerId);
+    const index = lane?.indexOf(waiting) ?? -1;
+    if (lane === undefined || index < 0) return false;
+    lane.splice(index, 1);
+    if (lane.length === 0) this.#lanes.delete(waiting.callerId);
+    this.#length -= 1;
+    return true;
+  }
+
   /** Removes and returns the requests that `isGivenUp` names. */
   takeGivenUp(isGivenUp: (waiting: Waiting) => boolean): readonly Waiting[] {
     const givenUp: Waiting[] = [];
--- a/src/entry/common/requestProgress.ts
+++ b/src/entry/common/requestProgress.ts
@@ -7,6 +7,7 @@
   WorkOutcome,
 } from '../../platform/errors/common/errorKinds.js';
 import { AttemptEnd } from './attempt.js';
+import { type HangUpStep, hangUpStep } from './hangUp.js';
 
 export interface ProgressTerms {
   readonly isIdempotent: boolean;
@@ -28,6 +29,8 @@
 
   #mayHaveRun = false;
 
+  #isAbandoned = false;
+
   #lastEnd: AttemptEnd = AttemptEnd.NotRun;
 
   constructor(terms: ProgressTerms) {
@@ -60,15 +63,24 @@
     if (end !== AttemptEnd.NotRun) this.#mayHaveRun = true;
   }
 
+  /** Decides on a request whose caller hung up; from then on it is not tried again. */
+  noteHangUp(isSent: boolean): HangUpStep {
+    this.#isAbandoned = true;
+    const { isIdempotent } = this.#terms;
+    return hangUpStep({ isIdempotent, isUnderWay: this.#unendedCount > 0, isSent });
+  }
+
   /** Whether another attempt is allowed, apart from the retry budget. */
   mayRetry(nowMs: number): boolean {
     const { isIdempotent, maximumAttemptCount, deadlineAtMs } = this.#terms;
+    if (this.#isAbandoned) return false;
     if (this.#attemptCount >= maximumAttemptCount || nowMs >= deadlineAtMs) return false;
     return isIdempotent || !this.mayHaveRun;
   }
 
   /** The final answer when the attempts have come to nothing. */
   finalFailure(nowMs: number): Failure {
+    if (this.#isAbandoned) return this.#abandoned();
     const isPast = nowMs >= this.#terms.deadlineAtMs;
     if (this.mayHaveRun) {
       return isPast
@@ -82,6 +94,12 @@
       : failure(ErrorKind.Internal, 'the request was given up');
   }
 
+  /** Read by nobody but the claim of its key and the counters: the caller is gone. */
+  #abandoned(): Failure {
+    const workOutcome = this.mayHaveRun ? WorkOutcome.Unknown : WorkOutcome.NotRun;
+    return { ...failure(ErrorKind.CallerLeft, 'the caller hung up'), workOutcome };
+  }
+
   /** A refusal as it may be told: never as not run when an earlier attempt may have run. */
   tellable(cause: Failure): Failure {
     const outcome = cause.workOutcome ?? ERROR_ANSWERS[cause.kind].workOutcome;
--- a/src/entry/node/attemptRun.ts
+++ b/src/entry/node/attemptRun.ts
@@ -79,6 +79,11 @@
     return this.#hasProgress;
   }
 
+  /** Whether a byte of the request may have left. */
+  get isSent(): boolean {
+    return this.#isSent;
+  }
+
   /** Ends the attempt; a connection that carries it is closed, so its answer meets nobody. */
   giveUp(): void {
     this.#end(AttemptEnd.TimedOut);
--- a/src/entry/node/callerServer.ts
+++ b/src/entry/node/callerServer.ts
@@ -159,16 +159,41 @@
     return true;
   }
 
+  /**
+   * Runs a step whose signal is aborted when the caller's connection closes first. The connection
+   * is watched, not the reply: one that waits behind another on its connection never tells.
+   */
+  async #untilHangUp<Result>(
+    socket: Socket,
+    step: (hangUp: AbortSignal) => Promise<Result>,
+  ): Promise<Result> {
+    const controller = new AbortController();
+    const abort = (): void => {
+      this.#metrics.count('callers_hung_up');
+      controller.abort();
+    };
+    socket.once('close', abort);
+    if (socket.destroyed) abort();
+    try {
+      return await step(controller.signal);
+    } finally {
+      socket.removeListener('close', abort);
+    }
+  }
+
   async #handle(request: FastifyRequest, reply: FastifyReply): Promise<FastifyReply> {
     const match = SERVICE_PATH.exec(request.raw.url ?? '');
     const [, serviceName = '', rest = ''] = match ?? [];
-    const result = await this.#handler.handle({
+    const callerRequest = {
       serviceName,
       method: request.method,
       path: rest.startsWith('/') ? rest : `/${rest}`,
       headers: request.headers,
       body: Buffer.isBuffer(request.body) ? request.body : undefined,
-    });
+    };
+    const result = await this.#untilHangUp(request.raw.socket, (hangUp) =>
+      this.#handler.handle(callerRequest, hangUp),
+    );
     // Also said of requests that came before the shutdown began; the caller would otherwise
     // send its next one on a connection that is about to close.
     if (this.#isDraining) void reply.header('connection', 'close');
--- a/src/entry/node/requestDispatch.ts
+++ b/src/entry/node/requestDispatch.ts
@@ -15,8 +15,10 @@
   ExtraReason,
   ServerVerdict,
 } from '../common/admissionDecision.js';
+import { AttemptEnd } from '../common/attempt.js';
 import type { CallerRequest, RequestTerms } from '../common/callerRequest.js';
 import type { WaitingRequest } from '../common/fairQueue.js';
+import { HangUpStep } from '../common/hangUp.js';
 import { SERVICE_HEADER, TRACEPARENT_HEADER } from '../common/headers.js';
 import { endToEndHeaders } from '../common/passedHeaders.js';
 import type { RequestProgress } from '../common/requestProgress.js';
@@ -32,6 +34,8 @@
 const SWEEP_INTERVAL_MS = 10;
 const GAUGE_INTERVAL_MS = 1_000;
 const FIRST_SERVER_ERROR = 500;
+/** What is not yet known of an attempt at its start. */
+const FRESH = { isOvertaken: false, isAbandoned: false };
 
 /** A request under way: what it is, by when it must be answered and its trace. */
 export interface Journey extends WaitingRequest {
@@ -39,6 +43,8 @@
   readonly terms: RequestTerms;
   readonly progress: RequestProgress;
   readonly span: TraceSpan | undefined;
+  /** Aborted when the caller hangs up. */
+  readonly hangUp: AbortSignal;
   waitingSinceMs: number;
   avoidedWorkerId: string | undefined;
   queueSpan: TraceSpan | undefined;
@@ -54,6 +60,7 @@
   readonly extra: ExtraReason | undefined;
   readonly span: TraceSpan | undefined;
   isOvertaken: boolean;
+  isAbandoned: boolean;
 }
 
 export interface RequestDispatchServices {
@@ -102,6 +109,11 @@
       // eslint-disable-next-line no-param-reassign
       journey.settle = settle;
       this.#journeys.add(journey);
+      if (journey.hangUp.aborted) {
+        this.#handleHangUp(journey);
+        return;
+      }
+      journey.hangUp.addEventListener('abort', () => this.#handleHangUp(journey), { once: true });
       const service = this.#service(journey);
       service?.budget.earn();
       service?.hedgeBudget.earn();
@@ -109,6 +121,27 @@
     });
   }
 
+  /** The caller hung up: frees what the request holds, unless it must end by itself. */
+  #handleHangUp(journey: Journey): void {
+    if (journey.isDone) return;
+    const { admission, metrics } = this.#services;
+    const step = journey.progress.noteHangUp(journey.running.some(({ run }) => run.isSent));
+    metrics.count('requests_abandoned', { step });
+    if (step === HangUpStep.LetEnd) return;
+    if (step === HangUpStep.LetGo) {
+      admission.leave(journey.request.serviceName, journey);
+      this.#finish(journey, left(journey.progress.finalFailure(this.#services.clock.nowMs())));
+      return;
+    }
+    // The request ends when they have, so that what is told of the work is what they found.
+    journey.running.forEach((attempt) => {
+      // The record is this class's own.
+      // eslint-disable-next-line no-param-reassign
+      attempt.isAbandoned = true;
+      attempt.run.giveUp();
+    });
+  }
+
   #service(journey: Journey): ServiceRecord<Journey> | undefined {
     return this.#services.admission.service(journey.request.serviceName);
   }
@@ -165,7 +198,7 @@
       body: request.body,
       isFreshWanted: extra === ExtraReason.Silence,
     });
-    const attempt = { server, run, startedAtMs: nowMs, extra, span, isOvertaken: false };
+    const attempt = { server, run, startedAtMs: nowMs, extra, span, ...FRESH };
     journey.running.push(attempt);
     void run.result.then((result) => this.#handleEnd(journey, attempt, result));
   }
@@ -201,6 +234,10 @@
 
   static #verdict(attempt: RunningAttempt, result: AttemptResult): ServerVerdict {
     if (attempt.isOvertaken) return ServerVerdict.Overtaken;
+    if (attempt.isAbandoned) {
+      const isUnused = result.end === AttemptEnd.NotRun;
+      return isUnused ? ServerVerdict.Unused : ServerVerdict.Abandoned;
+    }
     const isServerError =
       result.answer === undefined || result.answer.statusCode >= FIRST_SERVER_ERROR;
     return isServerError ? ServerVerdict.Failure : ServerVerdict.Success;
--- a/src/entry/node/requestHandler.ts
+++ b/src/entry/node/requestHandler.ts
@@ -98,14 +98,15 @@
     await this.#services.claims.settle();
   }
 
-  async handle(request: CallerRequest): Promise<Result> {
+  /** `hangUp` is aborted when the caller hangs up before the answer. */
+  async handle(request: CallerRequest, hangUp: AbortSignal): Promise<Result> {
     const { clock, tracing, metrics } = this.#services;
     const startedAtMs = clock.nowMs();
     const terms = readTerms(request, this.#settings);
     if (isLeft(terms)) return terms;
     const header = request.headers[TRACEPARENT_HEADER];
     const span = tracing.startTrace(Hop.Entry, typeof header === 'string' ? header : undefined);
-    const result = await this.#serve(request, terms.right, startedAtMs, span);
+    const result = await this.#serve(request, terms.right, startedAtMs, span, hangUp);
     const outcome = isLeft(result) ? result.left.kind : 'answered';
     span?.end({ service: request.serviceName, outcome });
     metrics.count('requests', { outcome });
@@ -118,6 +119,7 @@
     terms: RequestTerms,
     nowMs: number,
     span: TraceSpan | undefined,
+    hangUp: AbortSignal,
   ): Promise<Result> {
     if (!this.#services.routing.routes.has(request.serviceName)) {
       const cause = failure(ErrorKind.UnknownService, `no service ${request.serviceName}`);
@@ -134,6 +136,7 @@
       terms,
       progress,
       span,
+      hangUp,
       deadlineAtMs,
       callerId: terms.callerId,
       waitingSinceMs: nowMs,
--- /dev/null
+++ b/src/entry/test/hangUps.test.ts
@@ -0,0 +1,198 @@
+import { createConnection, type Socket } from 'node:net';
+
+import { afterEach, describe, expect, it } from 'vitest';
+
+import { LoadModel } from '../../../bench/requests/loadModel.js';
+import { IMPATIENT, impatientCallers } from '../../../bench/requests/scenarios.js';
+import { SeededRandom } from '../../base/common/random.js';
+import { CLAIM_PREFIX } from '../../platform/workload/common/claimRow.js';
+import { Admission } from '../common/admission.js';
+import { ServerVerdict } from '../common/admissionDecision.js';
+import type { WaitingRequest } from '../common/fairQueue.js';
+import { HangUpStep, hangUpStep } from '../common/hangUp.js';
+import { RequestProgress } from '../common/requestProgress.js';
+import { LatencyWeightedOfTwo } from '../common/serverChoice.js';
+import type { ServerRecord } from '../common/serverRecords.js';
+import { backendServer, EntryHarness, entrySettings } from './entryHarness.js';
+import { RawBackend, wholeAnswer } from './rawBackend.js';
+
+const cleanups: (() => unknown)[] = [];
+afterEach(async () => {
+  await Promise.all(cleanups.splice(0).map((cleanup) => cleanup()));
+});
+
+describe('what becomes of a request whose caller hung up', () => {
+  it.each([
+    [HangUpStep.LetGo, { isIdempotent: true, isUnderWay: false, isSent: false }],
+    [HangUpStep.LetGo, { isIdempotent: false, isUnderWay: false, isSent: false }],
+    [HangUpStep.Abort, { isIdempotent: true, isUnderWay: true, isSent: true }],
+    [HangUpStep.Abort, { isIdempotent: false, isUnderWay: true, isSent: false }],
+    [HangUpStep.LetEnd, { isIdempotent: false, isUnderWay: true, isSent: true }],
+  ])('is to %s: %o', (step, question) => {
+    expect(hangUpStep(question)).toBe(step);
+  });
+
+  it('is never another attempt', () => {
+    const terms = { isIdempotent: true, maximumAttemptCount: 3, deadlineAtMs: 1_000 };
+    const progress = new RequestProgress(terms);
+    progress.tryStart();
+    expect(progress.noteHangUp(true)).toBe(HangUpStep.Abort);
+    progress.noteEnd('timed-out');
+    expect(progress.mayRetry(0)).toBe(false);
+    expect(progress.finalFailure(0)).toMatchObject({ kind: 'caller-left', workOutcome: 'unknown' });
+  });
+});
+
+describe('a burst of hang-ups and repeats under saturation', () => {
+  const inTimeOf = (isNoticingHangUps: boolean, areServersNoticing: boolean): number => {
+    const impatience = { ...IMPATIENT, areServersNoticing };
+    const scenario = impatientCallers({ name: 'small', workerCount: 10 }, impatience);
+    const policy = {
+      createChooser: (random: ConstructorParameters<typeof LatencyWeightedOfTwo>[0]) =>
+        new LatencyWeightedOfTwo(random),
+      admission: entrySettings(),
+      isHedging: true,
+      isNoticingHangUps,
+    };
+    const plans = new LoadModel(scenario, policy, 5).run().outcomes.get('plans');
+    return (plans?.inTime ?? 0) / (plans?.offered ?? 1);
+  };
+
+  // Impatient callers hang up after 150 ms and send the same again, three times. What they leave
+  // behind would hold the places for which the patient callers of another service wait. The
+  // patient ones must get more answers in time than if the hang-ups went unnoticed, also when
+  // the backend servers work on for connections that were closed.
+  it.each([true, false])('serves the others better (servers notice: %s)', (areNoticing) => {
+    expect(inTimeOf(true, areNoticing)).toBeGreaterThan(inTimeOf(false, areNoticing));
+  });
+});
+
+describe('the place of an abandoned attempt', () => {
+  // A caller hangs up after 5 ms and repeats at once, on a server that works on. Each repeat must
+  // not get a place while the one before is likely to be still inside the worker.
+  it('stays taken while its server is likely to work on', () => {
+    const random = new SeededRandom(7);
+    const chooser = new LatencyWeightedOfTwo(random);
+    const admission = new Admission<WaitingRequest>(entrySettings(), chooser, random);
+    admission.updateRoutes(new Map([['s', [backendServer(1)]]]), () => 'normal', 8);
+    const waiting = () => ({
+      callerId: '',
+      deadlineAtMs: 60_000,
+      waitingSinceMs: 0,
+      avoidedWorkerId: undefined,
+    });
+    const placesTaken = (nowMs: number): ServerRecord[] => {
+      const decision = admission.admit('s', waiting(), nowMs);
+      return decision.kind === 'admitted' ? [decision.server, ...placesTaken(nowMs)] : [];
+    };
+    const places = placesTaken(0);
+    const end = { latencyMs: 5, verdict: ServerVerdict.Abandoned, isServerLeaving: false };
+    places.forEach((server) => expect(admission.finish('s', server, end, 5)).toEqual([]));
+    expect(admission.sweep(39).dispatched).toEqual([]);
+    expect(admission.sweep(40).dispatched).toHaveLength(1);
+  });
+});
+
+interface Setup {
+  readonly entry: EntryHarness;
+  readonly backend: RawBackend;
+  /** Answers what the backend server holds. */
+  readonly answerHeld: () => void;
+}
+
+const setUp = async (): Promise<Setup> => {
+  const held: Socket[] = [];
+  const backend = new RawBackend((socket) => held.push(socket));
+  const quiet = { hedgeBudgetRatio: 0, silenceFloorMs: 60_000, maximumWaitMs: 60_000 };
+  const entry = new EntryHarness(entrySettings(quiet));
+  cleanups.push(
+    () => backend.close(),
+    () => entry.dispose(),
+  );
+  entry.route('s', [backendServer(await backend.listen())]);
+  await entry.listen();
+  const answerHeld = (): void =>
+    held.splice(0).forEach((socket) => socket.write(wholeAnswer('whole')));
+  return { entry, backend, answerHeld };
+};
+
+/** Sends a request on a connection of its own, which the test closes to hang up. */
+const send = (entry: EntryHarness, head: string): Socket => {
+  const socket = createConnection(Number(new URL(entry.origin).port), '127.0.0.1');
+  socket.on('error', () => {});
+  const deadline = 'snipethread-timeout-ms: 60000';
+  socket.write(`${head} HTTP/1.1\r\nhost: x\r\n${deadline}\r\ncontent-length: 0\r\n\r\n`);
+  cleanups.push(() => socket.destroy());
+  return socket;
+};
+
+describe('a caller that hangs up', () => {
+  // All places of the only server are taken and twenty more wait. Their callers hang up, and so
+  // do those whose requests were sent. Nothing may stay behind: the waiting ones are never sent,
+  // the connections of the sent ones are closed, and the next caller is served at once.
+  it('leaves the queue, and its idempotent work is given up', async () => {
+    const { entry, backend, answerHeld } = await setUp();
+    const sockets = Array.from({ length: 30 }, () => send(entry, 'GET /services/s/left'));
+    await expect.poll(() => entry.counter('requests_queued')).toBeGreaterThan(20);
+    await expect.poll(() => backend.requests.length + entry.counter('requests_queued')).toBe(30);
+    const sentCount = backend.requests.length;
+    // The newest first: places that fall free must not go to those that are about to leave.
+    sockets.slice(sentCount).forEach((socket) => socket.destroy());
+    await expect.poll(() => entry.counter('requests_abandoned')).toBe(30 - sentCount);
+    sockets.forEach((socket) => socket.destroy());
+    await expect.poll(() => entry.counter('requests_abandoned')).toBe(30);
+    // The library opens a new connection in the place of one that was cut; it carries nothing.
+    const used = () => [...backend.sockets].filter(({ bytesRead }) => bytesRead > 0);
+    await expect.poll(used).toEqual([]);
+    const next = entry.call('/next');
+    await expect.poll(() => backend.requests.some((head) => head.includes('/next'))).toBe(true);
+    expect(backend.requests).toHaveLength(sentCount + 1);
+    answerHeld();
+    expect((await next).text).toBe('whole');
+    expect(entry.breaches).toEqual([]);
+  });
+
+  // An order is under way when its caller's line breaks. It must not be cut short: it ends, its
+  // answer is recorded, and the caller's repeat gets that answer; it ran once.
+  it('leaves an order to end, whose repeat gets the recorded answer', async () => {
+    const { entry, backend, answerHeld } = await setUp();
+    const head = 'POST /services/s/orders HTTP/1.1\r\nidempotency-key: order-17\r\nx: ';
+    const socket = send(entry, head);
+    await expect.poll(() => backend.requests.length).toBe(1);
+    socket.destroy();
+    await expect.poll(() => entry.counter('requests_abandoned')).toBe(1);
+    expect(backend.sockets.size).toBe(1);
+    answerHeld();
+    const rows = () => entry.table.stand.read({ keys: [], prefixes: [CLAIM_PREFIX] }).rows;
+    await expect.poll(() => rows()[0]?.operationId.endsWith('/answer')).toBe(true);
+    const key = { 'idempotency-key': 'order-17' };
+    expect((await entry.call('/orders', key, 'POST')).text).toBe('whole');
+    expect(backend.requests).toHaveLength(1);
+    expect(entry.breaches).toEqual([]);
+  });
+
+  // The caller of an order hangs up while its claim is being written. Nothing was sent, so
+  // nothing is sent afterwards, and the key is free for the repeat.
+  it('frees the key of an order that was not sent', async () => {
+    const { entry, backend, answerHeld } = await setUp();
+    const waiting: (() => void)[] = [];
+    entry.table.onDidTransact = () =>
+      new Promise((resolve) => {
+        waiting.push(resolve);
+      });
+    const head = 'POST /services/s/orders HTTP/1.1\r\nidempotency-key: order-17\r\nx: ';
+    const socket = send(entry, head);
+    await expect.poll(() => waiting.length).toBe(1);
+    socket.destroy();
+    await expect.poll(() => entry.counter('callers_hung_up')).toBe(1);
+    entry.table.onDidTransact = () => Promise.resolve();
+    waiting.forEach((answer) => answer());
+    const rows = () => entry.table.stand.read({ keys: [], prefixes: [CLAIM_PREFIX] }).rows;
+    await expect.poll(() => rows().length).toBe(0);
+    expect(backend.requests).toHaveLength(0);
+    const repeat = entry.call('/orders', { 'idempotency-key': 'order-17' }, 'POST');
+    await expect.poll(() => backend.requests.length).toBe(1);
+    answerHeld();
+    expect((await repeat).text).toBe('whole');
+  });
+});
--- a/src/platform/metrics/common/metricList.ts
+++ b/src/platform/metrics/common/metricList.ts
@@ -23,6 +23,10 @@
   request_retries: counter('Attempts after the first one of a request.'),
   requests_queued: counter('Requests that had to wait for a place.'),
   requests_displaced: counter('Waiting requests that left for a caller with fewer waiting.'),
+  requests_abandoned: counter(
+    'Requests whose caller hung up before the answer, by what became of it.',
+  ),
+  callers_hung_up: counter('Connections that callers closed before their answer.'),
   requests_over_held_bytes: counter('Requests refused unread: too many bytes of bodies are held.'),
   requests_given_up_at_shutdown: counter('Requests unanswered when the shutdown time was over.'),
   requests_waiting: gauge('Requests that wait for a place now.'),
