Keys are claimed once their request has its place

Ruled out: a claim in two steps (claimed, sending), a third write for each request whose window from its commit to the first byte is the same; a takeover by knowing that an entry is gone, which the row's version makes needless and which tells nothing of that window. Change: the claim is made when the request has its place at a server; the place is given back after 25 ms, and after a slow or failed claim keys are claimed before they wait until one was quick again. Writes stay two for each keyed request. The harness's table may stand on a shared one, so that entries have faults of their own. Conclusion: only claim to first byte is left unknown, which no record of ours could tell.

--- a/src/entry/common/claims.ts
+++ b/src/entry/common/claims.ts
@@ -147,5 +147,33 @@
   }
 }
 
+/** A claim that takes longer gives its place at a server back, and the next ones are early. */
+export const LONGEST_PLACE_FOR_CLAIM_MS = 25;
+
+/**
+ * Decides when a key is claimed: late, when its request has its place at a server, or early,
+ * before it waits.
+ *
+ * Made for entries that are killed. A claim stays when its entry dies, and then nobody can tell
+ * whether its request was sent; the caller is told "unknown" for a day. Claimed late, a request
+ * that only waited has left nothing behind, and its repeat runs at once. What is left is the
+ * time from the claim's commit to the first byte, in which no record could tell.
+ *
+ * The place stands idle meanwhile, so with a slow store late claims would take the places of
+ * requests that need no store at all. Hence early claims after a slow or failed one, until one
+ * was quick again.
+ */
+export class ClaimTiming {
+  #isEarly = false;
+
+  get isEarly(): boolean {
+    return this.#isEarly;
+  }
+
+  noteClaim(durationMs: number, isAnswered: boolean): void {
+    this.#isEarly = !isAnswered || durationMs > LONGEST_PLACE_FOR_CLAIM_MS;
+  }
+}
+
 /** The generation that the wall clock names; see the rows of claims for how far it may be off. */
 export const currentGeneration = claimGeneration;
--- a/src/entry/node/claimKeeper.ts
+++ b/src/entry/node/claimKeeper.ts
@@ -19,6 +19,7 @@
   answerTransaction,
   claimKeys,
   type ClaimRequest,
+  ClaimTiming,
   claimTransaction,
   type ClaimVerdict,
   judgeClaim,
@@ -71,6 +72,8 @@
 
   readonly #gate = new StoreGate();
 
+  readonly #timing = new ClaimTiming();
+
   readonly #writes = new Set<Promise<void>>();
 
   /** Claims whose insertion may have taken effect although nothing was sent. */
@@ -92,6 +95,11 @@
     this.#abandonmentTimer.dispose();
   }
 
+  /** Whether keys are claimed before their requests wait; see `ClaimTiming`. */
+  get isEarly(): boolean {
+    return this.#timing.isEarly;
+  }
+
   /**
    * Claims the key of a request, whose work may run only after this has resolved as held. Every
    * failure means that nothing was sent. A lost answer is resolved by reading, and an absent row
@@ -101,6 +109,18 @@
     request: CallerRequest,
     idempotencyKey: string,
     wallMs: number,
+  ): Promise<Either<Failure, ClaimResult>> {
+    const startedAtMs = this.#clock.nowMs();
+    const claimed = await this.#claim(request, idempotencyKey, wallMs);
+    const isAnswered = !isLeft(claimed) || claimed.left.kind !== ErrorKind.StoreUnavailable;
+    this.#timing.noteClaim(this.#clock.nowMs() - startedAtMs, isAnswered);
+    return claimed;
+  }
+
+  async #claim(
+    request: CallerRequest,
+    idempotencyKey: string,
+    wallMs: number,
   ): Promise<Either<Failure, ClaimResult>> {
     const claim: ClaimRequest = {
       serviceName: request.serviceName,
--- a/src/entry/node/requestDispatch.ts
+++ b/src/entry/node/requestDispatch.ts
@@ -1,5 +1,5 @@
 /** Drives requests through admission and attempts; all that is decided is in common/. */
-import { type Either, left, right } from 'fp-ts/lib/Either.js';
+import { type Either, isLeft, left, right } from 'fp-ts/lib/Either.js';
 
 import type { Clock } from '../../base/common/clock.js';
 import { type Disposable, DisposableStore } from '../../base/common/lifecycle.js';
@@ -17,6 +17,7 @@
 } from '../common/admissionDecision.js';
 import { AttemptEnd } from '../common/attempt.js';
 import type { CallerRequest, RequestTerms } from '../common/callerRequest.js';
+import { LONGEST_PLACE_FOR_CLAIM_MS } from '../common/claims.js';
 import type { WaitingRequest } from '../common/fairQueue.js';
 import { HangUpStep } from '../common/hangUp.js';
 import { SERVICE_HEADER, TRACEPARENT_HEADER } from '../common/headers.js';
@@ -49,6 +50,11 @@
   avoidedWorkerId: string | undefined;
   queueSpan: TraceSpan | undefined;
   readonly running: RunningAttempt[];
+  /** What has to be done once it has its place, before it is sent; an answer ends it. */
+  prepare: (() => Promise<Either<Failure, BackendAnswer | undefined>>) | undefined;
+  /** While that is under way; the server is undefined once the place was given back. */
+  preparing:
+    { readonly server: ServerRecord<Journey> | undefined; startedAtMs: number } | undefined;
   isDone: boolean;
   settle: (result: Either<Failure, BackendAnswer>) => void;
 }
@@ -172,8 +178,70 @@
     extra: ExtraReason | undefined,
     nowMs: number,
   ): void {
-    const { request, progress } = journey;
     journey.queueSpan?.end();
+    if (journey.prepare === undefined) this.#attempt(journey, server, extra, nowMs);
+    else this.#prepare(journey, journey.prepare, server, nowMs);
+  }
+
+  /** Holds the place while the request is made ready; the sweep gives it back if that is slow. */
+  #prepare(
+    journey: Journey,
+    prepare: NonNullable<Journey['prepare']>,
+    server: ServerRecord<Journey>,
+    nowMs: number,
+  ): void {
+    /* eslint-disable no-param-reassign -- the record is this class's own */
+    journey.prepare = undefined;
+    journey.preparing = { server, startedAtMs: nowMs };
+    /* eslint-enable no-param-reassign */
+    void prepare().then((prepared) => this.#handlePrepared(journey, prepared));
+  }
+
+  #handlePrepared(journey: Journey, prepared: Either<Failure, BackendAnswer | undefined>): void {
+    if (journey.isDone) return;
+    const nowMs = this.#services.clock.nowMs();
+    if (isLeft(prepared)) {
+      this.#finish(journey, prepared);
+      return;
+    }
+    if (prepared.right !== undefined) {
+      this.#finish(journey, right(prepared.right));
+      return;
+    }
+    const server = journey.preparing?.server;
+    if (server?.worker.isInUse(nowMs) === true) {
+      // The record is this class's own.
+      // eslint-disable-next-line no-param-reassign
+      journey.preparing = undefined;
+      this.#attempt(journey, server, undefined, nowMs);
+      return;
+    }
+    // Its place was given back, or its server began to leave meanwhile.
+    this.#givePlaceBack(journey, nowMs);
+    /* eslint-disable no-param-reassign -- the record is this class's own */
+    journey.preparing = undefined;
+    journey.waitingSinceMs = nowMs;
+    /* eslint-enable no-param-reassign */
+    this.#admit(journey, nowMs);
+  }
+
+  /** Gives back the place of a request that is still being made ready. */
+  #givePlaceBack(journey: Journey, nowMs: number): void {
+    const { preparing } = journey;
+    if (preparing?.server === undefined) return;
+    // The record is this class's own.
+    // eslint-disable-next-line no-param-reassign
+    journey.preparing = { ...preparing, server: undefined };
+    this.#giveBack(journey, preparing.server, nowMs);
+  }
+
+  #attempt(
+    journey: Journey,
+    server: ServerRecord<Journey>,
+    extra: ExtraReason | undefined,
+    nowMs: number,
+  ): void {
+    const { request, progress } = journey;
     if (!server.worker.isInUse(nowMs)) {
       this.#services.metrics.count('invariant_sent_to_leaving_server');
       this.#giveBack(journey, server, nowMs);
@@ -277,6 +345,7 @@
     // eslint-disable-next-line no-param-reassign
     journey.isDone = true;
     this.#journeys.delete(journey);
+    this.#givePlaceBack(journey, this.#services.clock.nowMs());
     journey.queueSpan?.end();
     journey.settle(result._tag === 'Left' ? left(progress.tellable(result.left)) : result);
     [...running].forEach((attempt) => {
@@ -296,12 +365,25 @@
     rejected.forEach(({ waiting, failure: cause }) => this.#finish(waiting, left(cause)));
     this.#sendAll(dispatched, nowMs);
     this.#journeys.forEach((journey) => {
-      if (journey.running.length === 0) return;
+      if (journey.running.length === 0) {
+        this.#sweepPreparing(journey, nowMs);
+        return;
+      }
       if (nowMs < journey.deadlineAtMs) this.#considerSecond(journey, nowMs);
       else this.#finish(journey, left(journey.progress.finalFailure(nowMs)));
     });
   }
 
+  #sweepPreparing(journey: Journey, nowMs: number): void {
+    const { preparing } = journey;
+    if (preparing === undefined) return;
+    if (nowMs >= journey.deadlineAtMs) {
+      this.#finish(journey, left(journey.progress.finalFailure(nowMs)));
+    } else if (nowMs - preparing.startedAtMs >= LONGEST_PLACE_FOR_CLAIM_MS) {
+      this.#givePlaceBack(journey, nowMs);
+    }
+  }
+
   #report(): void {
     const { admission, metrics } = this.#services;
     metrics.gauge('requests_waiting', admission.waitingCount);
--- a/src/entry/node/requestHandler.ts
+++ b/src/entry/node/requestHandler.ts
@@ -144,6 +144,8 @@
       queueSpan: undefined,
       running: [],
       isDone: false,
+      prepare: undefined,
+      preparing: undefined,
       settle: () => {},
     };
     const { idempotencyKey, isIdempotent } = terms;
@@ -152,17 +154,41 @@
   }
 
   /** Sends work that is not idempotent only under the claim of its key. */
-  async #serveClaimed(journey: Journey, idempotencyKey: string): Promise<Result> {
-    const { clock } = this.#services;
+  #serveClaimed(journey: Journey, idempotencyKey: string): Promise<Result> {
+    if (this.#services.claims.isEarly) return this.#serveClaimedEarly(journey, idempotencyKey);
+    return this.#serveClaimedLate(journey, idempotencyKey);
+  }
+
+  async #serveClaimedEarly(journey: Journey, idempotencyKey: string): Promise<Result> {
     const claimed = await this.#claimInTime(journey, idempotencyKey);
     if (isLeft(claimed)) return claimed;
     if (claimed.right.kind === 'replay') return right(fromRecorded(claimed.right.answer));
-    const { held } = claimed.right;
     // The record is still this class's own.
     // eslint-disable-next-line no-param-reassign
-    journey.waitingSinceMs = clock.nowMs();
+    journey.waitingSinceMs = this.#services.clock.nowMs();
+    const result = await this.#dispatchChecked(journey);
+    this.#endClaim(claimed.right.held, result, journey);
+    return result;
+  }
+
+  /** The claim may come after the request was given up; it is given back then. */
+  async #serveClaimedLate(journey: Journey, idempotencyKey: string): Promise<Result> {
+    const { claims, wallNowMs } = this.#services;
+    let claiming: Promise<Either<Failure, ClaimResult>> | undefined;
+    // The record is still this class's own.
+    // eslint-disable-next-line no-param-reassign
+    journey.prepare = async () => {
+      claiming = claims.claim(journey.request, idempotencyKey, wallNowMs());
+      const claimed = await claiming;
+      if (isLeft(claimed)) return claimed;
+      const isReplay = claimed.right.kind === 'replay';
+      return right(isReplay ? fromRecorded(claimed.right.answer) : undefined);
+    };
     const result = await this.#dispatchChecked(journey);
-    await this.#endClaim(held, result, journey);
+    void claiming?.then((claimed) => {
+      if (isLeft(claimed) || claimed.right.kind !== 'held') return;
+      this.#endClaim(claimed.right.held, result, journey);
+    });
     return result;
   }
 
@@ -190,7 +216,7 @@
     return left(failure(ErrorKind.DeadlineExceeded, 'the store gave no claim before the deadline'));
   }
 
-  async #endClaim(held: HeldClaim, result: Result, journey: Journey): Promise<void> {
+  #endClaim(held: HeldClaim, result: Result, journey: Journey): void {
     const { claims } = this.#services;
     if (!isLeft(result)) claims.recordAnswer(held, toRecorded(result.right));
     else if (outcomeOf(result.left) === WorkOutcome.NotRun && !journey.progress.mayHaveRun) {
--- /dev/null
+++ b/src/entry/test/claimTiming.test.ts
@@ -0,0 +1,212 @@
+import type { Socket } from 'node:net';
+
+import { afterEach, describe, expect, it } from 'vitest';
+
+import { TableStandIn } from '../../../standIns/platform/tableStandIn.js';
+import { CLAIM_PREFIX } from '../../platform/workload/common/claimRow.js';
+import { ClaimTiming } from '../common/claims.js';
+import {
+  backendServer,
+  EntryHarness,
+  entrySettings,
+  FaultyTable,
+  workOutcome,
+} from './entryHarness.js';
+import { type RawAnswer, RawBackend, wholeAnswer } from './rawBackend.js';
+
+const cleanups: (() => unknown)[] = [];
+afterEach(async () => {
+  await Promise.all(cleanups.splice(0).map((cleanup) => cleanup()));
+});
+
+/** One entry with a view of the table of its own. */
+interface Member {
+  readonly entry: EntryHarness;
+  readonly table: FaultyTable;
+}
+
+interface Setup {
+  readonly one: Member;
+  readonly other: Member;
+  readonly backend: RawBackend;
+  /** Answers what the backend server holds, which is all but orders under `answer`. */
+  readonly answerHeld: () => void;
+  readonly claimCount: () => number;
+}
+
+const isOrder = (head: string): boolean => head.startsWith('POST');
+const orderCount = ({ requests }: RawBackend): number => requests.filter(isOrder).length;
+
+const setUp = async (answer: RawAnswer = (socket) => socket.write(wholeAnswer('cast'))) => {
+  const held: Socket[] = [];
+  const backend = new RawBackend((socket, index, head) => {
+    if (isOrder(head)) answer(socket, index, head);
+    else held.push(socket);
+  });
+  cleanups.push(() => backend.close());
+  const port = await backend.listen();
+  const stand = new TableStandIn();
+  const addMember = async (): Promise<Member> => {
+    const table = new FaultyTable(stand);
+    const quiet = { hedgeBudgetRatio: 0, silenceFloorMs: 60_000, maximumWaitMs: 60_000 };
+    const entry = new EntryHarness(entrySettings(quiet), table);
+    entry.route('s', [backendServer(port)]);
+    await entry.listen();
+    cleanups.push(() => void entry.dispose());
+    return { entry, table };
+  };
+  const setup: Setup = {
+    one: await addMember(),
+    other: await addMember(),
+    backend,
+    answerHeld: () => held.splice(0).forEach((socket) => socket.write(wholeAnswer('menu'))),
+    claimCount: () => stand.read({ keys: [], prefixes: [CLAIM_PREFIX] }).rows.length,
+  };
+  return setup;
+};
+
+const PATIENT = { 'snipethread-timeout-ms': '60000' };
+
+const order = ({ entry }: Member) =>
+  entry.call('/orders', { ...PATIENT, 'idempotency-key': 'order-17' }, 'POST', 'bronze');
+
+/** Takes all places of an entry, so that what comes next has to wait. */
+const fill = async ({ entry }: Member): Promise<void> => {
+  for (let index = 0; entry.counter('requests_queued') === 0; index += 1) {
+    void entry.call(`/menu${index}`, PATIENT).catch(() => undefined);
+    // eslint-disable-next-line no-await-in-loop -- one after the other until one waits
+    await new Promise((resolve) => {
+      setTimeout(resolve, 10);
+    });
+  }
+};
+
+/** Ends at once: nothing reaches the table any more, and nobody is answered. */
+const kill = ({ entry, table }: Member): void => {
+  Object.assign(table, { isOut: true });
+  void entry.dispose();
+};
+
+describe('an order whose entry is killed', () => {
+  // All places are taken and the order waits in the entry, which dies. Nothing was sent, so the
+  // caller's repeat through another entry must run. Claimed before it waited, the key would
+  // answer "unknown" for a day.
+  it('runs by its repeat when it had only waited', async () => {
+    const { one, other, backend, claimCount } = await setUp();
+    await fill(one);
+    const waitingCount = one.entry.counter('requests_queued');
+    const lost = order(one).catch(() => undefined);
+    await expect.poll(() => one.entry.counter('requests_queued')).toBe(waitingCount + 1);
+    expect(claimCount()).toBe(0);
+    kill(one);
+    const repeat = await order(other);
+    expect([repeat.statusCode, repeat.text]).toEqual([200, 'cast']);
+    expect(orderCount(backend)).toBe(1);
+    void lost;
+  });
+
+  // The order was sent and the entry dies before the answer. It may have run, so a repeat must
+  // neither run it again nor be told that it did not.
+  it('stays unknown when it was sent', async () => {
+    const { one, other, backend } = await setUp(() => {});
+    const lost = order(one).catch(() => undefined);
+    await expect.poll(() => orderCount(backend)).toBe(1);
+    kill(one);
+    const repeat = await order(other);
+    expect([repeat.statusCode, workOutcome(repeat)]).toEqual([409, 'unknown']);
+    expect(orderCount(backend)).toBe(1);
+    void lost;
+  });
+});
+
+describe('an order whose entry is paused and resumed', () => {
+  // The claim is committed and the entry sleeps before it learns of it. The repeat must be told
+  // "unknown", for the sleeper will send; when it wakes it sends, once.
+  it('runs once when it slept between claim and send', async () => {
+    const { one, other, backend } = await setUp();
+    const sleeping: (() => void)[] = [];
+    one.table.onDidTransact = () =>
+      new Promise((resolve) => {
+        sleeping.push(resolve);
+      });
+    const first = order(one);
+    await expect.poll(() => sleeping.length).toBe(1);
+    expect(workOutcome(await order(other))).toBe('unknown');
+    expect(orderCount(backend)).toBe(0);
+    one.table.onDidTransact = () => Promise.resolve();
+    sleeping.forEach((wake) => wake());
+    expect((await first).text).toBe('cast');
+    expect(orderCount(backend)).toBe(1);
+  });
+
+  // The order waits without a claim; meanwhile its caller's repeat has run through another
+  // entry. When its place comes it must not run again; it gets the recorded answer.
+  it('does not run again when it slept while it waited', async () => {
+    const { one, other, backend, answerHeld } = await setUp();
+    await fill(one);
+    const waitingCount = one.entry.counter('requests_queued');
+    const first = order(one);
+    await expect.poll(() => one.entry.counter('requests_queued')).toBe(waitingCount + 1);
+    expect((await order(other)).text).toBe('cast');
+    const timer = setInterval(answerHeld, 5);
+    cleanups.push(() => clearInterval(timer));
+    const answer = await first;
+    expect([answer.statusCode, answer.text]).toEqual([200, 'cast']);
+    expect(answer.headers['snipethread-replayed']).toBe('true');
+    expect(orderCount(backend)).toBe(1);
+  });
+
+  // As before, and the store loses its answer to the claim of the sleeper, which reads then.
+  it('does not run again when the answer of its late claim is lost', async () => {
+    const { one, other, backend, answerHeld } = await setUp();
+    await fill(one);
+    const waitingCount = one.entry.counter('requests_queued');
+    const first = order(one);
+    await expect.poll(() => one.entry.counter('requests_queued')).toBe(waitingCount + 1);
+    expect((await order(other)).text).toBe('cast');
+    one.table.lostAnswerCount = 1;
+    const timer = setInterval(answerHeld, 5);
+    cleanups.push(() => clearInterval(timer));
+    expect((await first).headers['snipethread-replayed']).toBe('true');
+    expect(orderCount(backend)).toBe(1);
+  });
+});
+
+describe('a claim that is slow', () => {
+  it('makes the next ones early, until one is quick again', () => {
+    const timing = new ClaimTiming();
+    expect(timing.isEarly).toBe(false);
+    timing.noteClaim(30, true);
+    expect(timing.isEarly).toBe(true);
+    timing.noteClaim(2, true);
+    expect(timing.isEarly).toBe(false);
+    timing.noteClaim(0, false);
+    expect(timing.isEarly).toBe(true);
+  });
+
+  // The store hangs. Twenty orders have got places and wait there for their claims, more than
+  // there are places. Requests that need no store must be served meanwhile.
+  it('does not hold the places of requests that need no claim', async () => {
+    const { one, backend, answerHeld } = await setUp();
+    const sleeping: (() => void)[] = [];
+    one.table.onDidTransact = () =>
+      new Promise((resolve) => {
+        sleeping.push(resolve);
+      });
+    const orders = Array.from({ length: 20 }, (_, index) => {
+      const headers = { ...PATIENT, 'idempotency-key': `order-${index}` };
+      return one.entry.call('/orders', headers, 'POST', 'bronze');
+    });
+    await expect.poll(() => sleeping.length).toBe(20);
+    const menu = one.entry.call('/menu', PATIENT);
+    await expect.poll(() => backend.requests.length).toBe(1);
+    answerHeld();
+    expect((await menu).text).toBe('menu');
+    one.table.onDidTransact = () => Promise.resolve();
+    sleeping.forEach((answer) => answer());
+    const answers = await Promise.all(orders);
+    expect(answers.map(({ text }) => text)).toEqual(Array(20).fill('cast'));
+    expect(orderCount(backend)).toBe(20);
+    expect(one.entry.breaches).toEqual([]);
+  });
+});
--- a/src/entry/test/entryHarness.ts
+++ b/src/entry/test/entryHarness.ts
@@ -42,7 +42,12 @@
 
 /** A table whose faults a test switches on. */
 export class FaultyTable implements TableService {
-  readonly stand = new TableStandIn();
+  /** Entries on one table may have faults of their own. */
+  readonly stand: TableStandIn;
+
+  constructor(stand = new TableStandIn()) {
+    this.stand = stand;
+  }
 
   isOut = false;
 
