The instance list is fetched whole only when it changed

Cause: each daemon fetched, parsed and checked the whole list each second; with 860 workers some 270 KB a second. Ruled out: reading less often (three seconds are promised for a leaving server), one reader for all (a hint may be lost, and no daemon is special), compression (still parsed). Change: an answer with an ETag has the list asked for by GET with If-None-Match; a tag is forgotten with each failed read. Without tags the same bytes are not parsed again and every other read is left out after five repeats. The stand-in offers tags drawn from the content. Tests: no tag, GET refused, tag unknown or begun anew after a restart, list down, pace of reads.

--- a/src/platform/instanceList/common/instanceList.ts
+++ b/src/platform/instanceList/common/instanceList.ts
@@ -52,8 +52,15 @@
 
 export const instanceListSchema = z.strictObject({ instances: z.array(instanceSchema) });
 
+export interface InstanceListAnswer {
+  /** Undefined while the list is the one that was read last. */
+  readonly instances: readonly Instance[] | undefined;
+  /** True when the platform can be asked whether the list changed without sending it whole. */
+  readonly isConditional: boolean;
+}
+
 export interface InstanceList {
-  list(): TaskEither<Failure, readonly Instance[]>;
+  read(): TaskEither<Failure, InstanceListAnswer>;
 }
 
 export const isDaemon = (instance: Instance): instance is DaemonInstance =>
--- a/src/platform/instanceList/node/instanceListReader.ts
+++ b/src/platform/instanceList/node/instanceListReader.ts
@@ -8,6 +8,7 @@
 import type { Metrics } from '../../metrics/common/metrics.js';
 import type { InstanceDirectory } from '../common/instanceDirectory.js';
 import type { Instance, InstanceList } from '../common/instanceList.js';
+import { initialListPace, isReadDue, type ListPace, paceAfterRead } from '../common/listPace.js';
 
 export class InstanceListReader implements InstanceDirectory, Disposable {
   readonly #list: InstanceList;
@@ -22,6 +23,8 @@
 
   #fingerprint = '';
 
+  #pace: ListPace = initialListPace();
+
   constructor(list: InstanceList, metrics: Metrics, intervalMs: number) {
     this.#list = list;
     this.#metrics = metrics;
@@ -42,15 +45,23 @@
   }
 
   async #read(): Promise<void> {
-    const read = await this.#list.list()();
+    const step = isReadDue(this.#pace);
+    this.#pace = step.pace;
+    if (!step.isDue) return;
+    const read = await this.#list.read()();
     if (isLeft(read)) {
       this.#metrics.count('instance_list_read_failed');
+      this.#pace = initialListPace();
       return;
     }
-    const fingerprint = canonicalJson(read.right);
+    this.#pace = paceAfterRead(this.#pace, read.right);
+    const { instances } = read.right;
+    if (instances === undefined) return;
+    // Other bytes may tell the same, from a platform that orders its fields anew each time.
+    const fingerprint = canonicalJson(instances);
     if (fingerprint === this.#fingerprint) return;
     this.#fingerprint = fingerprint;
-    this.#instances = read.right;
-    this.#didChange.fire(read.right);
+    this.#instances = instances;
+    this.#didChange.fire(instances);
   }
 }
--- a/standIns/platform/platformServer.ts
+++ b/standIns/platform/platformServer.ts
@@ -1,7 +1,8 @@
 /** The platform's table, object store and instance list behind one HTTP server. */
+import { createHash } from 'node:crypto';
 import { setTimeout as delay } from 'node:timers/promises';
 
-import Fastify, { type FastifyInstance, type FastifyReply } from 'fastify';
+import Fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from 'fastify';
 import { z } from 'zod';
 
 import { SeededRandom } from '../../src/base/common/random.js';
@@ -29,6 +30,8 @@
 
   #instances: readonly Instance[] = [];
 
+  #instancesTag = '"none"';
+
   #faults: Faults = NO_FAULTS;
 
   constructor(seed: number) {
@@ -79,12 +82,16 @@
   }
 
   #addInstanceRoutes(): void {
-    this.#server.post('/v1/instances/list', async (_request, reply) => {
+    const handler = async (request: FastifyRequest, reply: FastifyReply) => {
       if (await this.#isFaulty()) return PlatformServer.#refuse(reply);
-      return { instances: this.#instances };
-    });
+      reply.header('etag', this.#instancesTag);
+      const isKnown = request.headers['if-none-match'] === this.#instancesTag;
+      return isKnown ? reply.code(304).send() : { instances: this.#instances };
+    };
+    this.#server.route({ method: ['GET', 'POST'], url: '/v1/instances/list', handler });
     this.#server.post('/control/instances', (request) => {
       this.#instances = instanceListSchema.parse(request.body).instances;
+      this.#instancesTag = `"${createHash('sha256').update(JSON.stringify(this.#instances)).digest('hex')}"`;
       return {};
     });
   }
