Workers report changes, and one renewal stands for all that the owner names

Ruled out: messages less often (ends are learnt later), compression (still made and checked in full), a lease for whatever runs (renews what was given up), revisions in the core (a fault there is one of scheduling). Change: on the wire only, a worker that counts revisions is asked for changes since the one held, and one renewal covers what ran at it and runs now, but for exceptions; other workers get whole lists as ever. Benches send through both halves now.

--- a/bench/capacity/schedulerCapacity.ts
+++ b/bench/capacity/schedulerCapacity.ts
@@ -24,10 +24,12 @@
   cellInboxKey,
   workKey,
 } from '../../src/platform/workload/common/workRows.js';
+import { ReportMirror } from '../../src/platform/worker/common/reportMirror.js';
+import { RevisedWorker } from '../../src/platform/worker/common/revisedWorker.js';
 import {
-  workerCommandSchema,
-  workerReportSchema,
-} from '../../src/platform/worker/common/workerClient.js';
+  wireCommandSchema,
+  wireReportSchema,
+} from '../../src/platform/worker/common/workerExchange.js';
 import { decide, initialCellState } from '../../src/scheduler/common/cellScheduler.js';
 import type { CellEffect, CellEvent, CellState } from '../../src/scheduler/common/cellState.js';
 import { SpreadAndPackPolicy } from '../../src/scheduler/common/placement.js';
@@ -93,6 +95,9 @@
 
   readonly #workers = new Map<string, WorkerStandIn>();
 
+  /** Both ends of the exchange with each worker. */
+  readonly #exchanges = new Map<string, { mirror: ReportMirror; revised: RevisedWorker }>();
+
   readonly #instances: WorkerInstance[] = [];
 
   readonly #view: ConfigurationView;
@@ -174,7 +179,12 @@
     const note = (event: { readonly kind: string }): void => {
       if (event.kind === 'started') this.#startCount += 1;
     };
-    this.#workers.set(id, new WorkerStandIn(id, `${id}@1`, CAPACITY, note));
+    const worker = new WorkerStandIn(id, `${id}@1`, CAPACITY, note);
+    this.#workers.set(id, worker);
+    this.#exchanges.set(id, {
+      mirror: new ReportMirror(),
+      revised: new RevisedWorker((command) => worker.command(command, this.#nowMs)),
+    });
     const address = { host: '10.0.0.1', port: 7_000 };
     this.#instances.push({
       kind: 'worker',
@@ -280,20 +290,27 @@
   #command(effect: CellEffect & { readonly kind: 'command' }): CellEvent {
     const { workerId } = effect;
     const epoch = effect.command.cellEpoch;
-    const worker = this.#workers.get(workerId);
-    if (worker === undefined) {
-      const result = left(failure(ErrorKind.WorkerUnavailable, 'unknown'));
-      return { kind: 'worker-answered', workerId, epoch, result };
-    }
-    const command = workerCommandSchema.parse(effect.command);
-    const answer = JSON.stringify(worker.command(command, this.#nowMs));
-    const startedAtMs = performance.now();
-    const message = JSON.stringify(effect.command);
-    const report = workerReportSchema.parse(JSON.parse(answer));
-    this.#codecMs += performance.now() - startedAtMs;
+    const exchange = this.#exchanges.get(workerId);
+    const unknown = left(failure(ErrorKind.WorkerUnavailable, 'unknown'));
+    if (exchange === undefined)
+      return { kind: 'worker-answered', workerId, epoch, result: unknown };
+    const { mirror, revised } = exchange;
+    const sentAtMs = performance.now();
+    const sent = mirror.toMessage(effect.command);
+    const message = JSON.stringify(sent.message);
+    this.#codecMs += performance.now() - sentAtMs;
+    const answer = JSON.stringify(revised.command(wireCommandSchema.parse(JSON.parse(message))));
+    const answeredAtMs = performance.now();
+    const report = mirror.toReport(sent, wireReportSchema.parse(JSON.parse(answer)));
+    this.#codecMs += performance.now() - answeredAtMs;
     this.#messageCount += 1;
     this.#workerBytes += Buffer.byteLength(message) + Buffer.byteLength(answer);
-    return { kind: 'worker-answered', workerId, epoch, result: right(report) };
+    return {
+      kind: 'worker-answered',
+      workerId,
+      epoch,
+      result: report === undefined ? unknown : right(report),
+    };
   }
 }
 
--- a/bench/scheduling/cellRun.ts
+++ b/bench/scheduling/cellRun.ts
@@ -21,6 +21,13 @@
   workKey,
   type WorkRow,
 } from '../../src/platform/workload/common/workRows.js';
+import type { WorkerCommand } from '../../src/platform/worker/common/workerClient.js';
+import { ReportMirror } from '../../src/platform/worker/common/reportMirror.js';
+import { RevisedWorker } from '../../src/platform/worker/common/revisedWorker.js';
+import {
+  wireCommandSchema,
+  wireReportSchema,
+} from '../../src/platform/worker/common/workerExchange.js';
 import { decide, initialCellState } from '../../src/scheduler/common/cellScheduler.js';
 import type {
   CellEffect,
@@ -89,7 +96,8 @@
 
   readonly #table = new TableStandIn();
 
-  readonly #workers = new Map<string, WorkerStandIn>();
+  /** Both ends of the exchange with each worker. */
+  readonly #exchanges = new Map<string, { mirror: ReportMirror; revised: RevisedWorker }>();
 
   readonly #instances: readonly WorkerInstance[];
 
@@ -185,7 +193,10 @@
         isUrgent: submitted.isUrgent,
       });
     });
-    this.#workers.set(id, worker);
+    this.#exchanges.set(id, {
+      mirror: new ReportMirror(),
+      revised: new RevisedWorker((command) => worker.command(command, this.#nowMs)),
+    });
     return {
       kind: 'worker',
       id,
@@ -306,14 +317,28 @@
           : { kind: 'lease-written', step: effect.step, result, sentAtMs };
       });
     } else if (effect.kind === 'command') {
-      const { workerId, command } = effect;
-      later(WORKER_DELAY_MS, () => {
-        const report = this.#workers.get(workerId)?.command(command, this.#nowMs);
-        this.#messageBytes += JSON.stringify(command).length + JSON.stringify(report).length;
-        const result =
-          report === undefined ? left(failure(ErrorKind.WorkerUnavailable, '')) : right(report);
-        return { kind: 'worker-answered', workerId, epoch: command.cellEpoch, result };
-      });
+      this.#command(effect.workerId, effect.command, later);
     }
   }
+
+  #command(
+    workerId: string,
+    command: WorkerCommand,
+    later: (delayMs: number, toEvent: () => CellEvent) => void,
+  ): void {
+    const exchange = this.#exchanges.get(workerId);
+    const sent = exchange?.mirror.toMessage(command);
+    later(WORKER_DELAY_MS, () => {
+      const epoch = command.cellEpoch;
+      const unknown = left(failure(ErrorKind.WorkerUnavailable, ''));
+      if (exchange === undefined || sent === undefined) {
+        return { kind: 'worker-answered', workerId, epoch, result: unknown };
+      }
+      const answer = exchange.revised.command(wireCommandSchema.parse(sent.message));
+      this.#messageBytes += JSON.stringify(sent.message).length + JSON.stringify(answer).length;
+      const report = exchange.mirror.toReport(sent, wireReportSchema.parse(answer));
+      const result = report === undefined ? unknown : right(report);
+      return { kind: 'worker-answered', workerId, epoch, result };
+    });
+  }
 }
--- a/src/platform/worker/common/workerClient.ts
+++ b/src/platform/worker/common/workerClient.ts
@@ -87,6 +87,11 @@
   /** The worker's own monotonic clock when the report was made. */
   workerNowMs: z.number(),
   tasks: z.array(workerTaskReportSchema),
+  /**
+   * No task's lease ends later. Set where the report was put together from changes, in which a
+   * task's own `leaseUntilWorkerMs` is that of the last change; never sent.
+   */
+  latestLeaseUntilWorkerMs: z.number().optional(),
 });
 export type WorkerReport = z.infer<typeof workerReportSchema>;
 
--- /dev/null
+++ b/src/platform/worker/test/exchangeTwin.ts
@@ -0,0 +1,234 @@
+/**
+ * Two workers that are given the same commands: one as lists, one through the short messages of
+ * the exchange. Whatever becomes of the messages, both must end up with the same tasks under the
+ * same leases, and the owner's reports must tell the same.
+ */
+import { SeededRandom } from '../../../base/common/random.js';
+import { WorkerStandIn } from '../../../../standIns/workers/workerStandIn.js';
+import { ReportMirror, type SentCommand } from '../common/reportMirror.js';
+import { RevisedWorker } from '../common/revisedWorker.js';
+import {
+  type StartRequest,
+  TaskClass,
+  type WorkerCommand,
+  type WorkerReport,
+  WorkerTaskState,
+} from '../common/workerClient.js';
+import { wireCommandSchema, wireReportSchema } from '../common/workerExchange.js';
+
+const CAPACITY = { processorMillis: 32_000, memoryBytes: 1_000_000, acceleratorCount: 0 };
+export const SIZE = { processorMillis: 100, memoryBytes: 100, acceleratorCount: 0 };
+export const LEASE_MS = 900;
+const LONG_WORK_MS = 4_000;
+
+export const startOf = (taskId: string, nowMs: number, workMs = LONG_WORK_MS): StartRequest => ({
+  taskId,
+  attempt: 1,
+  taskClass: TaskClass.Batch,
+  serviceName: '',
+  size: SIZE,
+  workMs,
+  checkpoint: null,
+  startBeforeWorkerMs: nowMs + 300,
+  leaseUntilWorkerMs: nowMs + LEASE_MS,
+});
+
+export const commandOf = (fields: Partial<WorkerCommand>): WorkerCommand => ({
+  incarnation: 'w@1',
+  cellEpoch: 1,
+  renewals: [],
+  starts: [],
+  evictions: [],
+  throttles: [],
+  acknowledgements: [],
+  ...fields,
+});
+
+/** The tasks of a report by attempt, without leases, which reports of changes tell late. */
+export const statesOf = (report: WorkerReport | undefined): Readonly<Record<string, string>> =>
+  Object.fromEntries(
+    (report?.tasks ?? []).map((task) => [
+      `${task.taskId}#${task.attempt}`,
+      `${task.state} ${task.checkpoint}`,
+    ]),
+  );
+
+/** What goes over the wire is text, and both ends check it. */
+const overTheWire = <Parsed>(schema: { parse(value: unknown): Parsed }, value: unknown): Parsed =>
+  schema.parse(JSON.parse(JSON.stringify(value)));
+
+interface Message {
+  readonly sent: SentCommand;
+  readonly command: WorkerCommand;
+}
+
+interface Owner {
+  readonly cellEpoch: number;
+  readonly mirror: ReportMirror;
+  /** What the owner goes by: the last report whose answer reached it. */
+  report: WorkerReport | undefined;
+}
+
+export class ExchangeTwin {
+  nowMs = 0;
+
+  listWorker = new WorkerStandIn('w', 'w@1', CAPACITY, () => undefined);
+
+  wireWorker = new WorkerStandIn('w', 'w@1', CAPACITY, () => undefined);
+
+  readonly messageBytes: number[] = [];
+
+  #revised = this.#newRevised();
+
+  #incarnationCount = 1;
+
+  restart(): void {
+    this.#incarnationCount += 1;
+    const incarnation = `w@${this.#incarnationCount}`;
+    this.listWorker = new WorkerStandIn('w', incarnation, CAPACITY, () => undefined);
+    this.wireWorker = new WorkerStandIn('w', incarnation, CAPACITY, () => undefined);
+    this.#revised = this.#newRevised();
+  }
+
+  /** Carries a message out at both workers; the result is what the owner's half makes of it. */
+  deliver(mirror: ReportMirror, { sent, command }: Message): () => WorkerReport | undefined {
+    this.listWorker.command(command, this.nowMs);
+    const received = overTheWire(wireCommandSchema, sent.message);
+    const answer = this.#revised.command(received);
+    this.messageBytes.push(JSON.stringify(sent.message).length + JSON.stringify(answer).length);
+    return () => mirror.toReport(sent, overTheWire(wireReportSchema, answer));
+  }
+
+  /** A call whose answer arrives. */
+  call(mirror: ReportMirror, command: WorkerCommand): WorkerReport | undefined {
+    return this.deliver(mirror, { sent: mirror.toMessage(command), command })();
+  }
+
+  /** The tasks as they are at a worker; leases of those that run, since an ended one has none. */
+  static tasksAt(worker: WorkerStandIn, nowMs: number): readonly unknown[] {
+    const { tasks } = worker.report(nowMs);
+    return tasks.map(({ taskId, attempt, state, checkpoint, leaseUntilWorkerMs }) =>
+      [
+        taskId,
+        attempt,
+        state,
+        checkpoint,
+        state === WorkerTaskState.Running ? leaseUntilWorkerMs : '',
+      ].join(' '),
+    );
+  }
+
+  #newRevised(): RevisedWorker {
+    return new RevisedWorker((command) => this.wireWorker.command(command, this.nowMs));
+  }
+}
+
+/** Owners, one after the other and at times together, that send at random through faults. */
+export class RandomOwners {
+  readonly twin = new ExchangeTwin();
+
+  readonly #random: SeededRandom;
+
+  readonly #late: { readonly mirror: ReportMirror; readonly message: Message }[] = [];
+
+  readonly #lateAnswers: (() => void)[] = [];
+
+  #owner: Owner = { cellEpoch: 1, mirror: new ReportMirror(), report: undefined };
+
+  #former: Owner | undefined;
+
+  #taskCount = 0;
+
+  constructor(seed: number) {
+    this.#random = new SeededRandom(seed);
+  }
+
+  /** One step; the result is empty when all is as it should be. */
+  step(): string {
+    this.twin.nowMs += 20 + this.#random.nextIndex(120);
+    const choice = this.#random.nextFraction();
+    if (choice < 0.02) this.twin.restart();
+    else if (choice < 0.06) this.#takeOver();
+    else if (choice < 0.1) this.#deliverLate();
+    else if (choice < 0.14) this.#lateAnswers.shift()?.();
+    const owner = this.#former !== undefined && choice > 0.9 ? this.#former : this.#owner;
+    return this.#exchange(owner) || this.#difference();
+  }
+
+  #exchange(owner: Owner): string {
+    const command = this.#nextCommand(owner);
+    const message = { sent: owner.mirror.toMessage(command), command };
+    const fate = this.#random.nextFraction();
+    if (fate < 0.06) {
+      this.#late.push({ mirror: owner.mirror, message });
+      return '';
+    }
+    const toReport = this.twin.deliver(owner.mirror, message);
+    if (fate < 0.14) return '';
+    if (fate < 0.2) {
+      this.#lateAnswers.push(() => RandomOwners.#takeIn(owner, toReport()));
+      return '';
+    }
+    const truth = this.twin.listWorker.report(this.twin.nowMs);
+    const report = toReport();
+    RandomOwners.#takeIn(owner, report);
+    if (report === undefined) return '';
+    const told = JSON.stringify(statesOf(report));
+    const latestMs = Math.max(...truth.tasks.map((task) => task.leaseUntilWorkerMs), 0);
+    const boundMs = report.latestLeaseUntilWorkerMs ?? 0;
+    // A former owner's bound counts for nothing: what it hears is not of its ownership.
+    if (owner === this.#owner && boundMs < latestMs) return `bound ${boundMs} below ${latestMs}`;
+    return told === JSON.stringify(statesOf(truth)) ? '' : `told ${told}`;
+  }
+
+  #difference(): string {
+    const { listWorker, wireWorker, nowMs } = this.twin;
+    const byList = JSON.stringify(ExchangeTwin.tasksAt(listWorker, nowMs));
+    const byWire = JSON.stringify(ExchangeTwin.tasksAt(wireWorker, nowMs));
+    return byList === byWire ? '' : `by list ${byList}, by wire ${byWire}`;
+  }
+
+  #takeOver(): void {
+    this.#former = this.#owner;
+    const cellEpoch = this.#owner.cellEpoch + 1;
+    this.#owner = { cellEpoch, mirror: new ReportMirror(), report: undefined };
+  }
+
+  #deliverLate(): void {
+    const late = this.#late.shift();
+    if (late !== undefined) this.twin.deliver(late.mirror, late.message);
+  }
+
+  /** Renews some of what runs, as an owner does while a transaction takes others off. */
+  #nextCommand({ report, cellEpoch }: Owner): WorkerCommand {
+    if (report === undefined) return commandOf({ incarnation: '', cellEpoch });
+    const { incarnation, workerNowMs, tasks } = report;
+    const running = tasks.filter(({ state }) => state === WorkerTaskState.Running);
+    const ended = tasks.filter(({ state }) => state !== WorkerTaskState.Running);
+    const pick = <Item>(items: readonly Item[], share: number): Item[] =>
+      items.filter(() => this.#random.nextFraction() < share);
+    const toAttempt = ({ taskId, attempt }: { taskId: string; attempt: number }) => ({
+      taskId,
+      attempt,
+    });
+    const starts = Array.from({ length: this.#random.nextIndex(3) }, () => {
+      this.#taskCount += 1;
+      return startOf(`t${this.#taskCount}`, workerNowMs, 300 + this.#random.nextIndex(4_000));
+    });
+    return commandOf({
+      incarnation,
+      cellEpoch,
+      renewals: pick(running, this.#random.nextFraction() < 0.5 ? 1 : 0.7).map((task) => ({
+        ...toAttempt(task),
+        leaseUntilWorkerMs: workerNowMs + LEASE_MS,
+      })),
+      evictions: pick(running, 0.1).map(toAttempt),
+      acknowledgements: pick(ended, 0.6).map(toAttempt),
+      starts,
+    });
+  }
+
+  static #takeIn(into: Owner, report: WorkerReport | undefined): void {
+    if (report !== undefined) Object.assign(into, { report });
+  }
+}
--- a/src/scheduler/common/workerView.ts
+++ b/src/scheduler/common/workerView.ts
@@ -79,8 +79,11 @@
 });
 
 const reportedLeasesOverAtMs = (report: WorkerReport, receivedAtMs: number): number => {
-  const remainingMs = report.tasks.map((task) => task.leaseUntilWorkerMs - report.workerNowMs);
-  return receivedAtMs + withDriftMargin(Math.max(0, ...remainingMs));
+  const latestMs = report.tasks.reduce(
+    (laterMs, task) => Math.max(laterMs, task.leaseUntilWorkerMs),
+    report.latestLeaseUntilWorkerMs ?? report.workerNowMs,
+  );
+  return receivedAtMs + withDriftMargin(Math.max(0, latestMs - report.workerNowMs));
 };
 
 const isSameTasks = (before: WorkerView['tasks'], tasks: readonly WorkerTaskReport[]): boolean =>
--- a/standIns/workers/workersProcess.ts
+++ b/standIns/workers/workersProcess.ts
@@ -5,7 +5,8 @@
 import { systemClock } from '../../src/base/node/systemClock.js';
 import { listeningPort } from '../../src/platform/http/node/listening.js';
 import type { WorkerInstance } from '../../src/platform/instanceList/common/instanceList.js';
-import { workerCommandSchema } from '../../src/platform/worker/common/workerClient.js';
+import { RevisedWorker } from '../../src/platform/worker/common/revisedWorker.js';
+import { wireCommandSchema } from '../../src/platform/worker/common/workerExchange.js';
 import { BackendServerStandIn } from './backendServer.js';
 import { Judge } from './judge.js';
 import { WorkerStandIn } from './workerStandIn.js';
@@ -41,8 +42,9 @@
   );
   setInterval(() => worker.advance(systemClock.nowMs()), ADVANCE_INTERVAL_MS);
   const control = Fastify();
+  const revised = new RevisedWorker((command) => worker.command(command, systemClock.nowMs()));
   control.post('/v1/worker/command', (request) =>
-    worker.command(workerCommandSchema.parse(request.body), systemClock.nowMs()),
+    revised.command(wireCommandSchema.parse(request.body)),
   );
   control.post('/v1/worker/report', () => worker.report(systemClock.nowMs()));
   await control.listen({ host: HOST, port: 0 });
