--- a/bench/scheduling/cellRun.ts
+++ b/bench/scheduling/cellRun.ts
@@ -3,7 +3,7 @@
  * the table and of 123 workers, and arrivals from a seed. Only the processor time of `decide`
  * is real; it is measured to weigh the ways against each other within one run.
  */
-import { type Either, left, right } from 'fp-ts/lib/Either.js';
+import { left, right } from 'fp-ts/lib/Either.js';
 
 import { SeededRandom } from '../../src/base/common/random.js';
 import { toConfigurationView } from '../../src/platform/configuration/common/configurationView.js';
@@ -14,15 +14,21 @@
   VERSION_KEY,
   zoneKey,
 } from '../../src/platform/configuration/common/documents.js';
-import { ErrorKind, failure, type Failure } from '../../src/platform/errors/common/errorKinds.js';
+import { ErrorKind, failure } from '../../src/platform/errors/common/errorKinds.js';
 import type { WorkerInstance } from '../../src/platform/instanceList/common/instanceList.js';
-import type { WorkerCommand, WorkerReport } from '../../src/platform/worker/common/workerClient.js';
 import {
   cellInboxKey,
   workKey,
   type WorkRow,
 } from '../../src/platform/workload/common/workRows.js';
-import { toCellCall } from '../../src/scheduler/common/cellCalls.js';
+import type { WorkerReport } from '../../src/platform/worker/common/workerClient.js';
+import { ReportMirror } from '../../src/platform/worker/common/reportMirror.js';
+import { RevisedWorker } from '../../src/platform/worker/common/revisedWorker.js';
+import {
+  wireCommandSchema,
+  wireReportSchema,
+} from '../../src/platform/worker/common/workerExchange.js';
+import { type CellCall, toCellCall } from '../../src/scheduler/common/cellCalls.js';
 import { decide, initialCellState } from '../../src/scheduler/common/cellScheduler.js';
 import type {
   CellEffect,
@@ -91,7 +97,8 @@
 
   readonly #table = new TableStandIn();
 
-  readonly #workers = new Map<string, WorkerStandIn>();
+  /** Both ends of the exchange with each worker. */
+  readonly #exchanges = new Map<string, { mirror: ReportMirror; revised: RevisedWorker }>();
 
   readonly #instances: readonly WorkerInstance[];
 
@@ -187,7 +194,10 @@
         isUrgent: submitted.isUrgent,
       });
     });
-    this.#workers.set(id, worker);
+    this.#exchanges.set(id, {
+      mirror: new ReportMirror(),
+      revised: new RevisedWorker((command) => worker.command(command, this.#nowMs)),
+    });
     return {
       kind: 'worker',
       id,
@@ -301,15 +311,28 @@
         later(TABLE_DELAY_MS, () => call.toEvent(right(this.#table.transact(call.transaction))));
         break;
       case 'command':
-        later(WORKER_DELAY_MS, () => call.toEvent(this.#command(call.workerId, call.command)));
+        this.#command(call, later);
         break;
       default:
     }
   }
 
-  #command(workerId: string, command: WorkerCommand): Either<Failure, WorkerReport> {
-    const report = this.#workers.get(workerId)?.command(command, this.#nowMs);
-    this.#messageBytes += JSON.stringify(command).length + JSON.stringify(report).length;
-    return report === undefined ? left(failure(ErrorKind.WorkerUnavailable, '')) : right(report);
+  #command(
+    { workerId, command, toEvent }: CellCall & { readonly kind: 'command' },
+    later: (delayMs: number, toEvent: () => CellEvent) => void,
+  ): void {
+    const exchange = this.#exchanges.get(workerId);
+    const sent = exchange?.mirror.toMessage(command);
+    const answer = (): WorkerReport | undefined => {
+      if (exchange === undefined || sent === undefined) return undefined;
+      const told = exchange.revised.command(wireCommandSchema.parse(sent.message));
+      this.#messageBytes += JSON.stringify(sent.message).length + JSON.stringify(told).length;
+      return exchange.mirror.toReport(sent, wireReportSchema.parse(told));
+    };
+    later(WORKER_DELAY_MS, () => {
+      const report = answer();
+      const unknown = left(failure(ErrorKind.WorkerUnavailable, ''));
+      return toEvent(report === undefined ? unknown : right(report));
+    });
   }
 }
--- a/src/entry/node/claimKeeper.ts
+++ b/src/entry/node/claimKeeper.ts
@@ -116,7 +116,7 @@
     span?: TraceSpan,
   ): Promise<Either<Failure, ClaimResult>> {
     const startedAtMs = this.#clock.nowMs();
-    const claimed = await this.#claim(request, idempotencyKey, wallMs);
+    const claimed = await this.#claim(request, idempotencyKey, wallMs, span);
     const isAnswered = !isLeft(claimed) || claimed.left.kind !== ErrorKind.StoreUnavailable;
     this.#timing.noteClaim(this.#clock.nowMs() - startedAtMs, isAnswered);
     return claimed;
@@ -126,6 +126,7 @@
     request: CallerRequest,
     idempotencyKey: string,
     wallMs: number,
+    span: TraceSpan | undefined,
   ): Promise<Either<Failure, ClaimResult>> {
     const claim: ClaimRequest = {
       serviceName: request.serviceName,
--- a/src/entry/node/requestHandler.ts
+++ b/src/entry/node/requestHandler.ts
@@ -185,7 +185,7 @@
     // The record is still this class's own.
     // eslint-disable-next-line no-param-reassign
     journey.prepare = async () => {
-      claiming = claims.claim(journey.request, idempotencyKey, wallNowMs());
+      claiming = claims.claim(journey.request, idempotencyKey, wallNowMs(), journey.span);
       const claimed = await claiming;
       if (isLeft(claimed)) return claimed;
       const isReplay = claimed.right.kind === 'replay';
