A job's tasks are dealt out from a point of its own, by the capacity of the zones

Cause: tasks were dealt by index from the first zone in use on, so every one-task job came to the same cell, and small jobs favoured the first cells. Zones without a worker large enough for the task got shards too, each of which waited a minute to be passed on. Ruled out: dealing by what is free, for a submission would have to read the whole ledger; by the instance list alone it costs no read. Change: tasks stand at even distances on a line of which each zone holds a stretch as long as its share of the capacity for that size; the line starts at a point drawn from the job's id. The hash of the claims' keys stands once, in base. Two tests that failed before. Conclusion: streams of small jobs load all cells alike; what is uneven later is another matter.

--- a/src/operator/common/jobPlanning.ts
+++ b/src/operator/common/jobPlanning.ts
@@ -16,6 +16,7 @@
   workKey,
   type WorkRow,
 } from '../../platform/workload/common/workRows.js';
+import { dealTasks } from './dealing.js';
 import type { SubmitJobIntent } from './intent.js';
 import {
   guardDocument,
@@ -39,23 +40,25 @@
   failureWeight: 0,
 });
 
-/** Deals a job's tasks out to the zones in use, each of which gets a shard. */
-const toShards = (intent: SubmitJobIntent, jobId: string, zones: readonly string[]): WorkRow[] =>
-  zones
-    .map((zone, zoneIndex): WorkRow => {
-      const indexes = Array.from({ length: intent.taskCount }, (_, index) => index);
-      const own = indexes.filter((index) => index % zones.length === zoneIndex);
-      return {
-        shardId: toShardId(jobId, zone),
-        jobId,
-        team: intent.team,
-        size: intent.size,
-        urgency: intent.urgency,
-        workMs: intent.workMs,
-        tasks: own.map(newTask),
-      };
-    })
-    .filter((shard) => shard.tasks.length > 0);
+/** A shard of the job for each zone that its tasks are dealt out to. */
+const toShards = (
+  basis: PlanningBasis,
+  intent: SubmitJobIntent,
+  jobId: string,
+  zones: readonly string[],
+): ReadonlyMap<string, WorkRow> => {
+  const { taskCount, size, team, urgency, workMs } = intent;
+  const shards = new Map<string, WorkRow>();
+  dealTasks(jobId, taskCount, size, zones, basis.workers).forEach((zone, index) => {
+    const known = shards.get(zone);
+    if (known !== undefined) known.tasks.push(newTask(index));
+    else {
+      const shardId = toShardId(jobId, zone);
+      shards.set(zone, { shardId, jobId, team, size, urgency, workMs, tasks: [newTask(index)] });
+    }
+  });
+  return shards;
+};
 
 const toJobRow = (intent: SubmitJobIntent, jobId: string): JobRow => ({
   jobId,
@@ -110,8 +113,8 @@
   if (zones.length === 0) return impossible('no availability zone is in use');
   const steps = [
     ...setRow(basis, jobKey(jobId), row),
-    ...toShards(intent, jobId, zones).flatMap((shard, index) =>
-      setRow(basis, workKey(zones[index] as string, shard.shardId), shard),
+    ...[...toShards(basis, intent, jobId, zones)].flatMap(([zone, shard]) =>
+      setRow(basis, workKey(zone, shard.shardId), shard),
     ),
   ];
   return planned(`submit job ${jobId} of ${intent.taskCount} tasks`, steps, {
--- a/src/operator/test/planner.test.ts
+++ b/src/operator/test/planner.test.ts
@@ -99,6 +99,41 @@
     expect((await harness.plan(plans, cancellation)).effects.ending.count).toBe(5);
   });
 
+  // A stream of jobs of one task each. All of them once went to the first zone in use, whose cell
+  // filled up while the others idled. They have to go to all zones, by the room that each has.
+  it('of one-task jobs: they go to every zone, by its capacity', async () => {
+    harness.instances = [
+      ...harness.instances,
+      worker('zone-b-3', 'zone-b'),
+      worker('zone-b-4', 'zone-b'),
+    ];
+    const counts = new Map<string, number>();
+    for (let index = 0; index < 300; index += 1) {
+      const job = { team: 'kitchen', submissionKey: `s${index}`, taskCount: 1, size: SIZE };
+      const submission = { intent: 'submit-job', ...job, workMs: 1, urgency: 'normal' } as const;
+      // Plans of one daemon are made one after another.
+      // eslint-disable-next-line no-await-in-loop
+      const { steps } = await harness.plan(plans, submission);
+      const zone = steps.map(({ key }) => key.split('/')).find(([kind]) => kind === 'work')?.[1];
+      counts.set(zone ?? '', (counts.get(zone ?? '') ?? 0) + 1);
+    }
+    expect(counts.get('zone-a')).toBeGreaterThan(75);
+    expect(counts.get('zone-b')).toBeGreaterThan(150);
+  });
+
+  // Only one zone has a worker that is large enough. Its shares elsewhere would wait a minute a
+  // zone to be passed on.
+  it('of a large task: it goes where a worker can take it', async () => {
+    const large = worker('zone-b-3', 'zone-b');
+    const capacity = { ...large.capacity, acceleratorCount: 8 };
+    harness.instances = [...harness.instances, { ...large, capacity }];
+    const size = { ...SIZE, acceleratorCount: 1 };
+    const job = { team: 'kitchen', submissionKey: 'large', taskCount: 9, size, workMs: 1 };
+    const plan = await harness.plan(plans, { intent: 'submit-job', ...job, urgency: 'normal' });
+    const shards = plan.steps.filter(({ key }) => key.startsWith('work/'));
+    expect(shards.map(({ key }) => key)).toEqual(['work/zone-b/kitchen.large~zone-b']);
+  });
+
   it('of an intent that is already so: no change', async () => {
     const plan = await harness.plan(plans, { intent: 'use-zone', zone: 'zone-a', region: 'r' });
     expect(plan.steps).toEqual([]);
--- a/src/platform/workload/common/claimRow.ts
+++ b/src/platform/workload/common/claimRow.ts
@@ -6,6 +6,8 @@
  */
 import { z } from 'zod';
 
+import { hashOf } from '../../../base/common/hash.js';
+
 /** A recorded answer, small enough to be kept. */
 export const recordedAnswerSchema = z.strictObject({
   statusCode: z.number().int(),
@@ -40,17 +42,7 @@
 const GENERATION_DIGITS = 8;
 const PART_DIGITS = 3;
 const HEXADECIMAL = 16;
-const FNV_OFFSET = 0x811c9dc5;
-const FNV_PRIME = 0x01000193;
-
-const partOf = (text: string): number => {
-  let hash = FNV_OFFSET;
-  for (let index = 0; index < text.length; index += 1) {
-    // eslint-disable-next-line no-bitwise -- FNV-1a mixes bits
-    hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME) >>> 0;
-  }
-  return hash % CLAIM_PART_COUNT;
-};
+const partOf = (text: string): number => hashOf(text) % CLAIM_PART_COUNT;
 
 export const claimGeneration = (wallMs: number, lifetimeMs: number): number =>
   Math.floor(wallMs / lifetimeMs);
