Load model of colocation: services and batch kinds that hurt each other, in virtual time

Cause: which services and batch kinds hurt each other was learnt by nothing, and no figure showed what that costs. Change: `npm run bench -- colocation` drives the real cells of three zones for Amman and Bajío with two services and six batch kinds, whose true use, run times and pressure on each service are hidden; one kind comes in waves, one changes its victim half way, use is reported 5 s late, a zone leaves and returns. Ruled out: drawing each request (the p99 is worked out from requests counted by slowdown) and an ideal that packs workers (one pool of all processors bounds it from above).

No bounds yet.

--- a/bench/bench.ts
+++ b/bench/bench.ts
@@ -2,6 +2,7 @@
 
 import type { Benchmark } from './benchmark.js';
 import { capacity } from './capacity/capacity.js';
+import { colocation } from './colocation/colocation.js';
 import { configuration } from './configuration/configuration.js';
 import { passThrough } from './passThrough/passThrough.js';
 import { requestsBenchmark } from './requests/requestsBench.js';
@@ -10,6 +11,7 @@
 
 const BENCHMARKS: readonly Benchmark[] = [
   capacity,
+  colocation,
   configuration,
   passThrough,
   requestsBenchmark,
--- /dev/null
+++ b/bench/colocation/batchArrivals.ts
@@ -0,0 +1,93 @@
+/** Batch jobs of several kinds that arrive at an even rate, drawn from a seed. */
+import type { RandomSource } from '../../src/base/common/random.js';
+import type { WorkRow } from '../../src/platform/workload/common/workRows.js';
+import type { IdealTask } from './idealPool.js';
+import type { ColocationSize, KindTruth } from './truth.js';
+
+const MAXIMUM_TASKS_OF_JOB = 6;
+
+export interface ArrivedJob {
+  readonly row: WorkRow;
+  readonly kind: KindTruth;
+}
+
+export const toIdealTask = (kind: KindTruth): IdealTask => ({
+  processorMillis: kind.declared.processorMillis * kind.useRatio,
+  remainingMs: kind.declaredWorkMs * kind.workRatio,
+});
+
+export class BatchArrivals {
+  readonly #size: ColocationSize;
+
+  readonly #random: RandomSource;
+
+  readonly #tasksPerMs: number;
+
+  /** Tasks that are due and have not been submitted, in parts of one. */
+  #dueTasks = 0;
+
+  #jobCount = 0;
+
+  constructor(size: ColocationSize, random: RandomSource) {
+    this.#size = size;
+    this.#random = random;
+    const { kinds, demand, capacity, workerCount, services, replicaCount } = size;
+    const perTaskMs = kinds.reduce((sum, kind) => {
+      const { processorMillis, remainingMs } = toIdealTask(kind);
+      return sum + kind.share * processorMillis * remainingMs;
+    }, 0);
+    const serviceMillis = services.reduce(
+      (sum, { declared }) => sum + declared.processorMillis * replicaCount,
+      0,
+    );
+    const roomMillis = capacity.processorMillis * workerCount - serviceMillis;
+    this.#tasksPerMs = (demand * roomMillis) / perTaskMs;
+  }
+
+  /** The jobs that arrived in `elapsedMs`, each in one of `zones`. */
+  next(elapsedMs: number, zones: readonly string[]): readonly ArrivedJob[] {
+    const jobs: ArrivedJob[] = [];
+    this.#dueTasks += this.#tasksPerMs * elapsedMs;
+    while (this.#dueTasks > 0) {
+      const job = this.#drawJob(zones);
+      this.#dueTasks -= job.row.tasks.length;
+      jobs.push(job);
+    }
+    return jobs;
+  }
+
+  #drawJob(zones: readonly string[]): ArrivedJob {
+    const kind = this.#drawKind();
+    const zone = zones[this.#random.nextIndex(zones.length)] as string;
+    const taskCount = 1 + this.#random.nextIndex(MAXIMUM_TASKS_OF_JOB);
+    const jobId = `${kind.name}.${this.#jobCount}`;
+    this.#jobCount += 1;
+    const row: WorkRow = {
+      shardId: `${jobId}~${zone}`,
+      jobId,
+      team: kind.name,
+      size: kind.declared,
+      urgency: 'normal',
+      workMs: kind.declaredWorkMs,
+      tasks: Array.from({ length: taskCount }, (_, index) => ({
+        index,
+        state: 'queued',
+        attempt: 1,
+        checkpoint: null,
+        evictionCount: 0,
+        failureWeight: 0,
+      })),
+    };
+    return { row, kind };
+  }
+
+  #drawKind(): KindTruth {
+    const { kinds } = this.#size;
+    let left = this.#random.nextFraction();
+    const drawn = kinds.find(({ share }) => {
+      left -= share;
+      return left <= 0;
+    });
+    return drawn ?? (kinds[0] as KindTruth);
+  }
+}
--- /dev/null
+++ b/bench/colocation/colocationRun.ts
@@ -0,0 +1,264 @@
+/**
+ * Services and batch work of several kinds on the workers of three zones, in virtual time. The
+ * real state machines of the cells decide; one zone leaves and returns.
+ */
+import { SeededRandom } from '../../src/base/common/random.js';
+import {
+  serviceKey,
+  VERSION_KEY,
+  zoneKey,
+  type ZoneState,
+} from '../../src/platform/configuration/common/documents.js';
+import type { WorkerInstance } from '../../src/platform/instanceList/common/instanceList.js';
+import { cellInboxKey, workKey } from '../../src/platform/workload/common/workRows.js';
+import type { PlacementPolicy } from '../../src/scheduler/common/placement.js';
+import { TableStandIn } from '../../standIns/platform/tableStandIn.js';
+import { VirtualTime } from '../requests/virtualTime.js';
+import { CellDriver, DEFAULT_CELL_TIMING } from '../scheduling/cellDriver.js';
+import { BatchArrivals, toIdealTask } from './batchArrivals.js';
+import { IdealPool } from './idealPool.js';
+import { ModelWorker } from './modelWorker.js';
+import { Tail } from './tail.js';
+import { type ColocationSize, loadAt, type ServiceTruth } from './truth.js';
+
+const ZONES = ['zone-a', 'zone-b', 'zone-c'] as const;
+const STEP_MS = 500;
+const MS_PER_SECOND = 1_000;
+
+const WARM_UP_MS = 60_000;
+const END_MS = 480_000;
+export const ZONE_LEAVES_MS = 300_000;
+export const ZONE_RETURNS_MS = 380_000;
+/** Until when the work of a zone that leaves and returns is counted. */
+const ZONE_COUNTED_UNTIL_MS = 440_000;
+
+export interface ColocationWay {
+  readonly name: string;
+  readonly policy: PlacementPolicy;
+}
+
+export interface ColocationFigures {
+  /** The worst service's p99 beside its p99 without any batch work. */
+  readonly p99Ratio: number;
+  /** Batch work done beside the ideal pool's. */
+  readonly throughputRatio: number;
+  readonly evictionCount: number;
+  /** Evictions beside those without which throttling alone would not have kept the tail. */
+  readonly evictionRatio: number;
+  /** Batch work done while a zone leaves and returns beside the ideal pool's. */
+  readonly zoneRatio: number;
+}
+
+interface Done {
+  total: number;
+  aroundZone: number;
+}
+
+export class ColocationRun {
+  readonly #size: ColocationSize;
+
+  readonly #arrivals: BatchArrivals;
+
+  readonly #table = new TableStandIn();
+
+  readonly #time = new VirtualTime();
+
+  readonly #workers: ReadonlyMap<string, ModelWorker>;
+
+  readonly #cells: ReadonlyMap<string, CellDriver>;
+
+  readonly #tails = new Map<string, Tail>();
+
+  readonly #ideal = new IdealPool();
+
+  readonly #idealDone: Done = { total: 0, aroundZone: 0 };
+
+  readonly #done: Done = { total: 0, aroundZone: 0 };
+
+  #version = 0;
+
+  constructor(size: ColocationSize, way: ColocationWay, toleratedSlowdown: number, seed: number) {
+    this.#size = size;
+    this.#arrivals = new BatchArrivals(size, new SeededRandom(seed));
+    this.#workers = new Map(
+      Array.from({ length: size.workerCount }, (_, index) => {
+        const zone = ZONES[index % ZONES.length] as string;
+        const worker = new ModelWorker(`w${index}`, zone, size, toleratedSlowdown);
+        return [worker.id, worker];
+      }),
+    );
+    size.services.forEach(({ name }) => this.#tails.set(name, new Tail()));
+    this.#cells = new Map(
+      ZONES.map((zone) => [
+        zone,
+        new CellDriver(zone, DEFAULT_CELL_TIMING, way.policy, {
+          table: this.#table,
+          nowMs: () => this.#time.nowMs,
+          schedule: (delayMs, run) => this.#time.after(delayMs, run),
+          command: (id, command) => this.#workers.get(id)?.command(command, this.#time.nowMs),
+        }),
+      ]),
+    );
+  }
+
+  run(): ColocationFigures {
+    this.#writeConfiguration();
+    const instances = [...this.#workers.values()].map((worker, index) =>
+      this.#instance(worker, index),
+    );
+    this.#cells.forEach((cell) => {
+      cell.handle({ kind: 'instances', workers: instances });
+      cell.start();
+    });
+    this.#time.after(ZONE_LEAVES_MS, () => this.#setZone('withdrawn'));
+    this.#time.after(ZONE_RETURNS_MS, () => this.#setZone('in-use'));
+    this.#every(STEP_MS, () => this.#step());
+    this.#time.runUntil(END_MS);
+    return this.#figures();
+  }
+
+  #figures(): ColocationFigures {
+    const workers = [...this.#workers.values()];
+    const sum = (of: (worker: ModelWorker) => number): number =>
+      workers.reduce((total, worker) => total + of(worker), 0);
+    const evictionCount = sum(({ progress }) => progress.evictionCount);
+    const neededCount = sum(({ progress }) => progress.neededEvictionCount);
+    return {
+      p99Ratio: Math.max(...[...this.#tails.values()].map(({ p99Ratio }) => p99Ratio)),
+      throughputRatio: this.#done.total / this.#idealDone.total,
+      evictionCount,
+      evictionRatio: evictionCount === 0 ? 1 : evictionCount / Math.max(1, neededCount),
+      zoneRatio: this.#done.aroundZone / this.#idealDone.aroundZone,
+    };
+  }
+
+  #step(): void {
+    const { nowMs } = this.#time;
+    this.#submitDue();
+    this.#markShortages();
+    let doneMs = 0;
+    let freeMillis = 0;
+    this.#workers.forEach((worker) => {
+      const before = worker.progress.processorMs;
+      worker.advance(nowMs, STEP_MS);
+      doneMs += worker.progress.processorMs - before;
+      this.#countRequests(worker);
+      if (worker.isWithdrawn) return;
+      freeMillis += this.#size.capacity.processorMillis - worker.serviceMillis(nowMs);
+    });
+    this.#count(this.#done, doneMs);
+    this.#count(this.#idealDone, this.#ideal.advance(freeMillis, STEP_MS));
+  }
+
+  #markShortages(): void {
+    const zoneCount = this.#withdrawnZone === undefined ? ZONES.length : ZONES.length - 1;
+    const share = Math.floor((this.#size.replicaCount * this.#size.services.length) / zoneCount);
+    ZONES.forEach((zone) => {
+      const workers = [...this.#workers.values()].filter((one) => one.availabilityZone === zone);
+      const runningCount = workers.reduce((sum, { services }) => sum + services.length, 0);
+      workers.forEach((one) => {
+        const worker = one;
+        worker.isShortOfReplicas = runningCount < share;
+      });
+    });
+  }
+
+  #count(done: Done, doneMs: number): void {
+    const { nowMs } = this.#time;
+    const counted = done;
+    if (nowMs >= WARM_UP_MS) counted.total += doneMs;
+    if (nowMs >= ZONE_LEAVES_MS && nowMs < ZONE_COUNTED_UNTIL_MS) counted.aroundZone += doneMs;
+  }
+
+  #countRequests(worker: ModelWorker): void {
+    const { nowMs } = this.#time;
+    if (nowMs < WARM_UP_MS || worker.isWithdrawn) return;
+    worker.services.forEach((service) => {
+      const requestCount = (ColocationRun.#rate(service, nowMs) * STEP_MS) / MS_PER_SECOND;
+      this.#tails.get(service.name)?.add(worker.slowdown(service, nowMs), requestCount);
+    });
+  }
+
+  static #rate(service: ServiceTruth, nowMs: number): number {
+    return service.fullRate * loadAt(nowMs);
+  }
+
+  #submitDue(): void {
+    const zones = ZONES.filter((zone) => zone !== this.#withdrawnZone);
+    this.#arrivals.next(STEP_MS, zones).forEach(({ row, kind }) => {
+      const zone = row.shardId.slice(row.jobId.length + 1);
+      row.tasks.forEach(() => this.#ideal.submit(toIdealTask(kind)));
+      this.#write([
+        [workKey(zone, row.shardId), row],
+        [cellInboxKey(zone), { operationId: row.jobId }],
+      ]);
+    });
+  }
+
+  get #withdrawnZone(): string | undefined {
+    const isOut = this.#time.nowMs >= ZONE_LEAVES_MS && this.#time.nowMs < ZONE_RETURNS_MS;
+    return isOut ? ZONES[0] : undefined;
+  }
+
+  #setZone(state: ZoneState): void {
+    const [name] = ZONES;
+    this.#version += 1;
+    this.#write([
+      [zoneKey(name), { name, region: 'r', state }],
+      [VERSION_KEY, { version: this.#version }],
+    ]);
+    this.#workers.forEach((one) => {
+      const worker = one;
+      if (worker.availabilityZone === name) worker.isWithdrawn = state === 'withdrawn';
+    });
+  }
+
+  #writeConfiguration(): void {
+    this.#version = 1;
+    const zones = ZONES.map((name): [string, unknown] => [
+      zoneKey(name),
+      { name, region: 'r', state: 'in-use' },
+    ]);
+    const services = this.#size.services.map(({ name, declared }): [string, unknown] => [
+      serviceKey(name),
+      {
+        name,
+        team: 'service',
+        replicaCount: this.#size.replicaCount,
+        size: declared,
+        urgency: 'urgent',
+      },
+    ]);
+    this.#write([...zones, ...services, [VERSION_KEY, { version: this.#version }]]);
+  }
+
+  #write(rows: readonly (readonly [key: string, value: unknown])[]): void {
+    this.#table.transact({
+      operationId: `bench-${this.#time.nowMs}`,
+      conditions: [],
+      writes: rows.map(([key, value]) => ({ key, value: value as never })),
+    });
+  }
+
+  #instance(worker: ModelWorker, index: number): WorkerInstance {
+    return {
+      kind: 'worker',
+      id: worker.id,
+      availabilityZone: worker.availabilityZone,
+      rack: `r${Math.floor(index / ZONES.length / this.#size.rackSize)}`,
+      state: 'live',
+      controlAddress: { host: '127.0.0.1', port: 1 },
+      backendAddress: { host: '127.0.0.1', port: 1 },
+      capacity: this.#size.capacity,
+      slotCount: 8,
+      connectionCount: 64,
+    };
+  }
+
+  #every(intervalMs: number, run: () => void): void {
+    this.#time.after(intervalMs, () => {
+      run();
+      this.#every(intervalMs, run);
+    });
+  }
+}
--- /dev/null
+++ b/bench/colocation/modelWorker.ts
@@ -0,0 +1,231 @@
+/** A worker of the load model: tasks slow each other down, and it reports late. */
+import type { Resources } from '../../src/platform/worker/common/resources.js';
+import {
+  type StartRequest,
+  TaskClass,
+  type TaskAttempt,
+  type WorkerCommand,
+  type WorkerReport,
+  WorkerTaskState,
+  type WorkerTaskReport,
+} from '../../src/platform/worker/common/workerClient.js';
+import {
+  type ColocationSize,
+  kindOf,
+  type KindTruth,
+  loadAt,
+  RESTART_COST_MS,
+  type ServiceTruth,
+} from './truth.js';
+
+/** How old the measured use in a report is. */
+export const USAGE_LAG_MS = 5_000;
+
+const OVERLOAD_SLOWDOWN = 0.5;
+
+interface ModelTask {
+  readonly request: StartRequest;
+  readonly kind: KindTruth | undefined;
+  readonly service: ServiceTruth | undefined;
+  readonly startedAtMs: number;
+  readonly workMs: number;
+  state: WorkerTaskState;
+  leaseUntilMs: number;
+  processorShare: number;
+  throttledAtMs: number;
+  shareBefore: number;
+  doneMs: number;
+  savedMs: number;
+  checkpoint: string | null;
+}
+
+/** What a worker did since it was last asked. */
+export interface WorkerProgress {
+  /** Batch work done, in processor-milliseconds, without what evictions lost. */
+  processorMs: number;
+  /** Without those for a withdrawn zone or for the room of replicas. */
+  evictionCount: number;
+  /** Evictions without which a service would have stayed slow however much was throttled. */
+  neededEvictionCount: number;
+}
+
+const savedMsOf = (checkpoint: string | null): number =>
+  checkpoint === null ? 0 : Number(checkpoint.split('@')[1]);
+
+export class ModelWorker {
+  readonly id: string;
+
+  readonly availabilityZone: string;
+
+  /** True while operators have taken the zone out. */
+  isWithdrawn = false;
+
+  /** True while replicas of the zone have no place yet: batch work has to make room for them. */
+  isShortOfReplicas = false;
+
+  readonly progress: WorkerProgress = { processorMs: 0, evictionCount: 0, neededEvictionCount: 0 };
+
+  readonly #size: ColocationSize;
+
+  /** The slowdown of a service that evictions are judged by. */
+  readonly #tolerated: number;
+
+  readonly #tasks = new Map<string, ModelTask>();
+
+  constructor(id: string, availabilityZone: string, size: ColocationSize, tolerated: number) {
+    this.id = id;
+    this.availabilityZone = availabilityZone;
+    this.#size = size;
+    this.#tolerated = tolerated;
+  }
+
+  /** The services that a replica of runs here. */
+  get services(): readonly ServiceTruth[] {
+    return this.#running.map(({ service }) => service).filter((one) => one !== undefined);
+  }
+
+  /** Processors that services use here. */
+  serviceMillis(nowMs: number): number {
+    return this.services.reduce(
+      (sum, { declared, useRatio }) => sum + declared.processorMillis * useRatio * loadAt(nowMs),
+      0,
+    );
+  }
+
+  /** How many times slower than alone a service answers here, all batch throttled to `floor`. */
+  slowdown(service: ServiceTruth, nowMs: number, floor = 1): number {
+    const { processorMillis } = this.#size.capacity;
+    const pressure = this.#batch.reduce((sum, { kind, processorShare }) => {
+      const share = Math.min(floor, processorShare);
+      const felt = kind.rigidShare + (1 - kind.rigidShare) * share;
+      const use = (kind.declared.processorMillis * kind.useRatio) / processorMillis;
+      return sum + kind.pressure(service.name, nowMs) * use * felt;
+    }, 0);
+    const wanted = this.serviceMillis(nowMs) + this.#wantedMillis * Math.min(1, floor);
+    const overload = Math.max(0, wanted / processorMillis - 1);
+    return 1 + loadAt(nowMs) * pressure + OVERLOAD_SLOWDOWN * overload;
+  }
+
+  command(command: WorkerCommand, nowMs: number): WorkerReport {
+    if (command.incarnation === this.#incarnation) {
+      command.renewals.forEach((renewal) => {
+        const task = this.#tasks.get(ModelWorker.#key(renewal));
+        if (task !== undefined) task.leaseUntilMs = renewal.leaseUntilWorkerMs;
+      });
+      command.throttles.forEach((throttle) => this.#throttle(throttle, nowMs));
+      command.evictions.forEach((attempt) => this.#evict(attempt, nowMs));
+      command.acknowledgements.forEach((attempt) => this.#tasks.delete(ModelWorker.#key(attempt)));
+      command.starts.forEach((request) => this.#start(request, nowMs));
+    }
+    return {
+      workerId: this.id,
+      incarnation: this.#incarnation,
+      workerNowMs: nowMs,
+      tasks: [...this.#tasks.values()].map((task) => ModelWorker.#toReport(task, nowMs)),
+    };
+  }
+
+  /** Lets the tasks run for `elapsedMs`; services have what they need of the processors first. */
+  advance(nowMs: number, elapsedMs: number): void {
+    const room = this.#size.capacity.processorMillis - this.serviceMillis(nowMs);
+    const speed = Math.min(1, room / Math.max(1, this.#wantedMillis));
+    this.#batch.forEach((running) => {
+      const task = running;
+      if (nowMs - task.startedAtMs < RESTART_COST_MS) return;
+      const doneMs = Math.min(elapsedMs * speed * task.processorShare, task.workMs - task.doneMs);
+      const { kind } = task;
+      task.doneMs += doneMs;
+      this.progress.processorMs += (doneMs * ModelWorker.#trueMillis(kind)) / 1_000;
+      const intervals = Math.floor(task.doneMs / kind.checkpointIntervalMs);
+      task.savedMs = Math.max(task.savedMs, intervals * kind.checkpointIntervalMs);
+      if (task.doneMs >= task.workMs) task.state = WorkerTaskState.Finished;
+    });
+  }
+
+  get #incarnation(): string {
+    return `${this.id}@0`;
+  }
+
+  get #running(): readonly ModelTask[] {
+    return [...this.#tasks.values()].filter(({ state }) => state === WorkerTaskState.Running);
+  }
+
+  get #batch(): readonly (ModelTask & { readonly kind: KindTruth })[] {
+    return this.#running.filter(
+      (task): task is ModelTask & { readonly kind: KindTruth } => task.kind !== undefined,
+    );
+  }
+
+  get #wantedMillis(): number {
+    return this.#batch.reduce(
+      (sum, { kind, processorShare }) => sum + ModelWorker.#trueMillis(kind) * processorShare,
+      0,
+    );
+  }
+
+  #start(request: StartRequest, nowMs: number): void {
+    const key = ModelWorker.#key(request);
+    if (this.#tasks.has(key) || nowMs > request.startBeforeWorkerMs) return;
+    const isBatch = request.taskClass === TaskClass.Batch;
+    const kind = isBatch ? kindOf(this.#size, request.taskId) : undefined;
+    const doneMs = savedMsOf(request.checkpoint);
+    this.#tasks.set(key, {
+      request,
+      kind,
+      service: this.#size.services.find(({ name }) => name === request.serviceName),
+      startedAtMs: nowMs,
+      workMs: request.workMs * (kind?.workRatio ?? 1),
+      state: WorkerTaskState.Running,
+      leaseUntilMs: request.leaseUntilWorkerMs,
+      processorShare: 1,
+      throttledAtMs: nowMs,
+      shareBefore: 0,
+      doneMs,
+      savedMs: doneMs,
+      checkpoint: request.checkpoint,
+    });
+  }
+
+  #throttle(throttle: TaskAttempt & { readonly processorShare: number }, nowMs: number): void {
+    const task = this.#tasks.get(ModelWorker.#key(throttle));
+    if (task === undefined || task.processorShare === throttle.processorShare) return;
+    task.shareBefore = task.processorShare;
+    task.processorShare = throttle.processorShare;
+    task.throttledAtMs = nowMs;
+  }
+
+  #evict(attempt: TaskAttempt, nowMs: number): void {
+    const task = this.#tasks.get(ModelWorker.#key(attempt));
+    if (task?.state !== WorkerTaskState.Running) return;
+    if (task.kind !== undefined) {
+      const lostMs = task.doneMs - task.savedMs;
+      this.progress.processorMs -= (lostMs * ModelWorker.#trueMillis(task.kind)) / 1_000;
+      const isSlow = this.services.some((one) => this.slowdown(one, nowMs, 0) > this.#tolerated);
+      const isUnavoidable = this.isWithdrawn || this.isShortOfReplicas;
+      if (!isUnavoidable) this.progress.evictionCount += 1;
+      if (!isUnavoidable && isSlow) this.progress.neededEvictionCount += 1;
+    }
+    task.checkpoint = `${task.request.taskId}@${Math.floor(task.savedMs)}`;
+    task.state = WorkerTaskState.Evicted;
+  }
+
+  static #trueMillis(kind: KindTruth): number {
+    return kind.declared.processorMillis * kind.useRatio;
+  }
+
+  static #key({ taskId, attempt }: TaskAttempt): string {
+    return `${taskId}#${attempt}`;
+  }
+
+  static #toReport(task: ModelTask, nowMs: number): WorkerTaskReport {
+    const { request, kind, state, checkpoint, leaseUntilMs } = task;
+    const share =
+      nowMs - task.throttledAtMs < USAGE_LAG_MS ? task.shareBefore : task.processorShare;
+    const processorMillis = Math.round(
+      request.size.processorMillis * (kind?.useRatio ?? 1) * share,
+    );
+    const usage: Resources = { ...request.size, processorMillis };
+    const { taskId, attempt, size } = request;
+    return { taskId, attempt, state, size, usage, checkpoint, leaseUntilWorkerMs: leaseUntilMs };
+  }
+}
--- /dev/null
+++ b/bench/scheduling/cellDriver.ts
@@ -0,0 +1,134 @@
+/** Drives the state machine of one cell in virtual time, with stand-ins at its interfaces. */
+import { left, right } from 'fp-ts/lib/Either.js';
+
+import { toConfigurationView } from '../../src/platform/configuration/common/configurationView.js';
+import { DOCUMENT_PREFIX, VERSION_KEY } from '../../src/platform/configuration/common/documents.js';
+import { ErrorKind, failure } from '../../src/platform/errors/common/errorKinds.js';
+import { settingsSchema } from '../../src/platform/settings/common/settings.js';
+import type { WorkerCommand, WorkerReport } from '../../src/platform/worker/common/workerClient.js';
+import { decide, initialCellState } from '../../src/scheduler/common/cellScheduler.js';
+import type {
+  CellEffect,
+  CellEvent,
+  CellState,
+  CellTiming,
+} from '../../src/scheduler/common/cellState.js';
+import type { PlacementPolicy } from '../../src/scheduler/common/placement.js';
+import type { TableStandIn } from '../../standIns/platform/tableStandIn.js';
+
+const TABLE_DELAY_MS = 8;
+const WORKER_DELAY_MS = 2;
+const TICK_MS = 200;
+const CONFIGURATION_MS = 700;
+
+const DEFAULTS = settingsSchema.shape.scheduler.parse({});
+
+/** A cell's limits and intervals as the settings have them by default. */
+export const DEFAULT_CELL_TIMING: CellTiming = {
+  heartbeatIntervalMs: DEFAULTS.cellHeartbeatIntervalMs,
+  leaseMs: DEFAULTS.cellLeaseMs,
+  acquireDelayMs: 0,
+  workerRenewalIntervalMs: DEFAULTS.workerRenewalIntervalMs,
+  workerLeaseMs: DEFAULTS.workerLeaseMs,
+  startValidityMs: DEFAULTS.startValidityMs,
+  serviceDrainMs: DEFAULTS.serviceDrainMs,
+  maximumRenewalWithoutTableMs: DEFAULTS.maximumRenewalWithoutTableMs,
+  configurationFreshnessMs: DEFAULTS.startFreshnessMs,
+  reportFreshnessMs: DEFAULTS.reportFreshnessMs,
+  roundIntervalMs: DEFAULTS.roundIntervalMs,
+  rowsPerSecond: DEFAULTS.cellRowsPerSecond,
+  maximumRowsPerRound: DEFAULTS.maximumRowsPerRound,
+};
+
+/** What a driven cell meets: virtual time, the table and its workers. */
+export interface CellSurroundings {
+  readonly table: TableStandIn;
+  readonly nowMs: () => number;
+  readonly schedule: (delayMs: number, run: () => void) => void;
+  readonly command: (workerId: string, command: WorkerCommand) => WorkerReport | undefined;
+  readonly count?: (counter: string, amount: number) => void;
+}
+
+export class CellDriver {
+  readonly #surroundings: CellSurroundings;
+
+  readonly #policy: PlacementPolicy;
+
+  #state: CellState;
+
+  /** Processor time that `decide` has taken; the caller may set it back. */
+  decideCpuUs = 0;
+
+  constructor(
+    cell: string,
+    timing: CellTiming,
+    policy: PlacementPolicy,
+    surroundings: CellSurroundings,
+  ) {
+    this.#surroundings = surroundings;
+    this.#policy = policy;
+    this.#state = initialCellState(cell, 'd1', timing, surroundings.nowMs());
+  }
+
+  /** Begins to tick and to read the configuration, as a daemon does. */
+  start(): void {
+    this.#every(TICK_MS, () => this.handle({ kind: 'tick' }));
+    this.#every(CONFIGURATION_MS, () => this.#readConfiguration());
+  }
+
+  handle(event: CellEvent): void {
+    const before = process.cpuUsage();
+    const decision = decide(this.#state, event, this.#policy, this.#surroundings.nowMs());
+    const { user, system } = process.cpuUsage(before);
+    this.decideCpuUs += user + system;
+    this.#state = decision.state;
+    decision.effects.forEach((effect) => this.#perform(effect));
+  }
+
+  #every(intervalMs: number, run: () => void): void {
+    run();
+    this.#surroundings.schedule(intervalMs, () => this.#every(intervalMs, run));
+  }
+
+  #readConfiguration(): void {
+    const { table, nowMs } = this.#surroundings;
+    const { rows } = table.read({ keys: [VERSION_KEY], prefixes: [DOCUMENT_PREFIX] });
+    const configuration = { view: toConfigurationView(rows), confirmedAtMs: nowMs() };
+    this.handle({ kind: 'configuration', configuration });
+  }
+
+  #later(delayMs: number, toEvent: () => CellEvent): void {
+    this.#surroundings.schedule(delayMs, () => {
+      const event = toEvent();
+      this.#surroundings.schedule(delayMs, () => this.handle(event));
+    });
+  }
+
+  #perform(effect: CellEffect): void {
+    const { table, command: commandWorker, count } = this.#surroundings;
+    const sentAtMs = this.#surroundings.nowMs();
+    if (effect.kind === 'lease-read' || effect.kind === 'load') {
+      this.#later(TABLE_DELAY_MS, () => {
+        const result = right(table.read(effect.request));
+        return effect.kind === 'load'
+          ? { kind: 'loaded', epoch: effect.epoch, result }
+          : { kind: 'lease-read', result, sentAtMs };
+      });
+    } else if (effect.kind === 'lease-write' || effect.kind === 'commit') {
+      this.#later(TABLE_DELAY_MS, () => {
+        const result = right(table.transact(effect.transaction));
+        return effect.kind === 'commit'
+          ? { kind: 'committed', epoch: effect.epoch, result }
+          : { kind: 'lease-written', step: effect.step, result, sentAtMs };
+      });
+    } else if (effect.kind === 'command') {
+      const { workerId, command } = effect;
+      this.#later(WORKER_DELAY_MS, () => {
+        const report = commandWorker(workerId, command);
+        const result =
+          report === undefined ? left(failure(ErrorKind.WorkerUnavailable, '')) : right(report);
+        return { kind: 'worker-answered', workerId, epoch: command.cellEpoch, result };
+      });
+    } else if (effect.kind === 'count') count?.(effect.counter, effect.amount);
+  }
+}
--- a/bench/scheduling/cellRun.ts
+++ b/bench/scheduling/cellRun.ts
@@ -3,41 +3,28 @@
  * the table and of 123 workers, and arrivals from a seed. Only the processor time of `decide`
  * is real; it is measured to weigh the ways against each other within one run.
  */
-import { left, right } from 'fp-ts/lib/Either.js';
-
 import { SeededRandom } from '../../src/base/common/random.js';
-import { toConfigurationView } from '../../src/platform/configuration/common/configurationView.js';
 import {
-  DOCUMENT_PREFIX,
   serviceKey,
   type Urgency,
   VERSION_KEY,
   zoneKey,
 } from '../../src/platform/configuration/common/documents.js';
-import { ErrorKind, failure } from '../../src/platform/errors/common/errorKinds.js';
 import type { WorkerInstance } from '../../src/platform/instanceList/common/instanceList.js';
+import type { WorkerCommand, WorkerReport } from '../../src/platform/worker/common/workerClient.js';
 import {
   cellInboxKey,
   workKey,
   type WorkRow,
 } from '../../src/platform/workload/common/workRows.js';
-import { decide, initialCellState } from '../../src/scheduler/common/cellScheduler.js';
-import type {
-  CellEffect,
-  CellEvent,
-  CellState,
-  CellTiming,
-} from '../../src/scheduler/common/cellState.js';
+import type { CellTiming } from '../../src/scheduler/common/cellState.js';
 import type { PlacementPolicy } from '../../src/scheduler/common/placement.js';
 import { TableStandIn } from '../../standIns/platform/tableStandIn.js';
 import { WorkerStandIn } from '../../standIns/workers/workerStandIn.js';
+import { CellDriver } from './cellDriver.js';
 
 const CELL = 'zone-a';
 const GIBIBYTE = 1024 ** 3;
-const TABLE_DELAY_MS = 8;
-const WORKER_DELAY_MS = 2;
-const TICK_MS = 200;
-const CONFIGURATION_MS = 700;
 const RACK_SIZE = 8;
 const FILL_FACTOR = 3;
 const LONG_WORK_MS = 600_000;
@@ -98,12 +85,10 @@
   /** Buckets by millisecond, which keeps the queue cheap beside what is measured. */
   readonly #buckets = new Map<number, Scheduled[]>();
 
-  #state: CellState;
+  readonly #cell: CellDriver;
 
   #nowMs = 0;
 
-  #decideCpuUs = 0;
-
   #messageBytes = 0;
 
   #jobCount = 0;
@@ -118,7 +103,12 @@
     this.#instances = Array.from({ length: options.workerCount }, (_, index) =>
       this.#addWorker(index),
     );
-    this.#state = initialCellState(CELL, 'd1', options.timing, 0);
+    this.#cell = new CellDriver(CELL, options.timing, options.policy, {
+      table: this.#table,
+      nowMs: () => this.#nowMs,
+      schedule: (delayMs, run) => this.#schedule(delayMs, run),
+      command: (workerId, command) => this.#command(workerId, command),
+    });
     this.#write(zoneKey(CELL), { name: CELL, region: 'r', state: 'in-use' });
     this.#write(serviceKey('rounds'), {
       name: 'rounds',
@@ -131,13 +121,12 @@
 
   /** Runs for `warmUpMs`, then measures over `measuredMs`. */
   run(warmUpMs: number, measuredMs: number): CellRunFigures {
-    this.#handle({ kind: 'instances', workers: [...this.#instances] });
-    this.#every(TICK_MS, () => this.#handle({ kind: 'tick' }));
-    this.#every(CONFIGURATION_MS, () => this.#readConfiguration());
+    this.#cell.handle({ kind: 'instances', workers: [...this.#instances] });
+    this.#cell.start();
     this.#submitNext();
     this.#advanceTo(warmUpMs);
     const before = { ...this.#table.counts };
-    this.#decideCpuUs = 0;
+    this.#cell.decideCpuUs = 0;
     this.#messageBytes = 0;
     this.#delays = [];
     this.#advanceTo(warmUpMs + measuredMs);
@@ -151,7 +140,7 @@
       readRowsPerSecond: (counts.readRowCount - before.readRowCount) / seconds,
       startsPerSecond: this.#delays.length / seconds,
       runningCount: this.#runningCount,
-      decideShareOfCore: this.#decideCpuUs / US_PER_MS / measuredMs,
+      decideShareOfCore: this.#cell.decideCpuUs / US_PER_MS / measuredMs,
       messageBytesPerSecond: this.#messageBytes / seconds,
       urgentDelaysMs: [...delaysOf(true), ...this.#urgentWaitsMs()],
       delaysMs: delaysOf(false),
@@ -256,11 +245,6 @@
     this.#buckets.set(atMs, bucket);
   }
 
-  #every(intervalMs: number, run: () => void): void {
-    run();
-    this.#schedule(intervalMs, () => this.#every(intervalMs, run));
-  }
-
   #advanceTo(endMs: number): void {
     for (; this.#nowMs < endMs; this.#nowMs += 1) {
       const due = this.#buckets.get(this.#nowMs) ?? [];
@@ -269,51 +253,9 @@
     }
   }
 
-  #readConfiguration(): void {
-    const { rows } = this.#table.read({ keys: [VERSION_KEY], prefixes: [DOCUMENT_PREFIX] });
-    const configuration = { view: toConfigurationView(rows), confirmedAtMs: this.#nowMs };
-    this.#handle({ kind: 'configuration', configuration });
-  }
-
-  #handle(event: CellEvent): void {
-    const before = process.cpuUsage();
-    const decision = decide(this.#state, event, this.#options.policy, this.#nowMs);
-    const { user, system } = process.cpuUsage(before);
-    this.#decideCpuUs += user + system;
-    this.#state = decision.state;
-    decision.effects.forEach((effect) => this.#perform(effect));
-  }
-
-  #perform(effect: CellEffect): void {
-    const sentAtMs = this.#nowMs;
-    const later = (delayMs: number, toEvent: () => CellEvent): void =>
-      this.#schedule(delayMs, () => {
-        const event = toEvent();
-        this.#schedule(delayMs, () => this.#handle(event));
-      });
-    if (effect.kind === 'lease-read' || effect.kind === 'load') {
-      later(TABLE_DELAY_MS, () => {
-        const result = right(this.#table.read(effect.request));
-        return effect.kind === 'load'
-          ? { kind: 'loaded', epoch: effect.epoch, result }
-          : { kind: 'lease-read', result, sentAtMs };
-      });
-    } else if (effect.kind === 'lease-write' || effect.kind === 'commit') {
-      later(TABLE_DELAY_MS, () => {
-        const result = right(this.#table.transact(effect.transaction));
-        return effect.kind === 'commit'
-          ? { kind: 'committed', epoch: effect.epoch, result }
-          : { kind: 'lease-written', step: effect.step, result, sentAtMs };
-      });
-    } else if (effect.kind === 'command') {
-      const { workerId, command } = effect;
-      later(WORKER_DELAY_MS, () => {
-        const report = this.#workers.get(workerId)?.command(command, this.#nowMs);
-        this.#messageBytes += JSON.stringify(command).length + JSON.stringify(report).length;
-        const result =
-          report === undefined ? left(failure(ErrorKind.WorkerUnavailable, '')) : right(report);
-        return { kind: 'worker-answered', workerId, epoch: command.cellEpoch, result };
-      });
-    }
+  #command(workerId: string, command: WorkerCommand): WorkerReport | undefined {
+    const report = this.#workers.get(workerId)?.command(command, this.#nowMs);
+    this.#messageBytes += JSON.stringify(command).length + JSON.stringify(report).length;
+    return report;
   }
 }
--- a/bench/scheduling/scheduling.ts
+++ b/bench/scheduling/scheduling.ts
@@ -3,7 +3,6 @@
  * second over 7 cells, of which one is run here. Figures of virtual time are the same on every
  * machine and have bounds; real time is printed beside them.
  */
-import { settingsSchema } from '../../src/platform/settings/common/settings.js';
 import type { CellTiming } from '../../src/scheduler/common/cellState.js';
 import {
   type PlacementCandidate,
@@ -13,27 +12,11 @@
 } from '../../src/scheduler/common/placement.js';
 import type { Benchmark } from '../benchmark.js';
 import { readBounds } from '../bounds.js';
+import { DEFAULT_CELL_TIMING } from './cellDriver.js';
 import { CellRun, type CellRunFigures } from './cellRun.js';
 
 const CELL_COUNT = 7;
 const NS_PER_US = 1_000;
-const DEFAULTS = settingsSchema.shape.scheduler.parse({});
-
-const TIMING: CellTiming = {
-  heartbeatIntervalMs: DEFAULTS.cellHeartbeatIntervalMs,
-  leaseMs: DEFAULTS.cellLeaseMs,
-  acquireDelayMs: 0,
-  workerRenewalIntervalMs: DEFAULTS.workerRenewalIntervalMs,
-  workerLeaseMs: DEFAULTS.workerLeaseMs,
-  startValidityMs: DEFAULTS.startValidityMs,
-  serviceDrainMs: DEFAULTS.serviceDrainMs,
-  maximumRenewalWithoutTableMs: DEFAULTS.maximumRenewalWithoutTableMs,
-  configurationFreshnessMs: DEFAULTS.startFreshnessMs,
-  reportFreshnessMs: DEFAULTS.reportFreshnessMs,
-  roundIntervalMs: DEFAULTS.roundIntervalMs,
-  rowsPerSecond: DEFAULTS.cellRowsPerSecond,
-  maximumRowsPerRound: DEFAULTS.maximumRowsPerRound,
-};
 
 /** Times each choice of the policy it wraps. */
 class TimedPolicy implements PlacementPolicy {
@@ -86,7 +69,7 @@
     batchWorkMs: 40_000,
     urgentEvery: 10,
     fillMs: FILL_MS,
-    timing: { ...TIMING, ...timing },
+    timing: { ...DEFAULT_CELL_TIMING, ...timing },
     policy,
   });
   const figures = run.run(WARM_UP_MS, MEASURED_MS);
