Queued tasks that find no room are handed on to cells that have some

Cause: a shard stayed in its cell, so a full cell kept its queue while others idled; jobs are dealt without knowing what is free, and a zone that returned got only what was submitted afterwards. Ruled out: a queue that all cells take from (each start a conflict), reading what is free at each submission (the whole ledger). Change: cells publish their room, coarsely, in the endpoint row; a cell in which a shard has found no room for 2 s splits off queued tasks for another cell, within its share of that room and at most every 3 s; no task comes back. The check of a work row's steps follows tasks by index and lets them leave only for a shard of the same transaction: as strict. Shards of a withdrawn zone go to a zone drawn from their id; single shards all went to the first.

--- a/src/platform/workload/common/workRows.ts
+++ b/src/platform/workload/common/workRows.ts
@@ -47,7 +47,7 @@
 });
 export type BatchTask = z.infer<typeof batchTaskSchema>;
 
-/** A shard: those tasks of a job that were given to one cell and stay together when moved. */
+/** A shard: those tasks of a job that are in one cell, as far as they came there together. */
 export const workRowSchema = z.strictObject({
   shardId: z.string(),
   jobId: z.string(),
@@ -58,6 +58,8 @@
   tasks: z.array(batchTaskSchema),
   /** Cells in which no worker is large enough, when the shard was passed on for that. */
   triedCells: z.array(z.string()).optional(),
+  /** Cells that had no room for the tasks and handed them on. */
+  handedOnBy: z.array(z.string()).optional(),
   /** Why the tasks that were queued can never run. */
   refusal: z.string().optional(),
 });
@@ -111,13 +113,15 @@
 
 /**
  * What a cell tells the others, which read it twice a second: the backend servers that may
- * receive requests, and how it divides quotas.
+ * receive requests, how it divides quotas and what room it has.
  */
 export const endpointRowSchema = z.strictObject({
   servers: z.array(
     z.strictObject({ serviceName: z.string(), workerId: z.string(), taskId: z.string() }),
   ),
   quota: quotaShareSchema.optional(),
+  /** What is free for other cells' tasks; nothing while tasks of the cell itself wait. */
+  room: resourcesSchema.optional(),
 });
 export type EndpointRow = z.infer<typeof endpointRowSchema>;
 
--- a/src/scheduler/common/assigning.ts
+++ b/src/scheduler/common/assigning.ts
@@ -40,6 +40,9 @@
 
   #capacity: FreeCapacity | undefined;
 
+  /** Shards of which a task found no worker with room. */
+  readonly roomless = new Set<string>();
+
   #preemption: PreemptionPlan | undefined;
 
   constructor(
@@ -170,6 +173,7 @@
     const chosen = round.policy.choose(request, candidates);
     if (chosen === undefined) {
       round.capacity.noteTooLarge(row.size);
+      round.roomless.add(row.shardId);
       hasRoom = row.urgency === Urgency.Urgent;
       if (hasRoom) round.makeRoom(row.size);
       return task;
@@ -215,6 +219,10 @@
   readonly count: number;
   /** Attempts that have to leave for urgent work, as keys. */
   readonly preempted: ReadonlySet<string>;
+  /** Shards of which a task found no worker with room. */
+  readonly roomless: ReadonlySet<string>;
+  /** What is left on the workers. */
+  readonly capacity: FreeCapacity;
 }
 
 /** Assigns what fits and tells what has to make room. */
@@ -237,5 +245,6 @@
     0,
   );
   const batchCount = assignBatch(round, parts);
-  return { count: serviceCount + batchCount, preempted: round.preempted };
+  const { preempted, roomless, capacity } = round;
+  return { count: serviceCount + batchCount, preempted, roomless, capacity };
 };
--- a/src/scheduler/common/cellDraft.ts
+++ b/src/scheduler/common/cellDraft.ts
@@ -6,6 +6,7 @@
 } from '../../platform/table/common/table.js';
 import {
   type Assignment,
+  type BatchTask,
   cancellationKey,
   cellInboxKey,
   endpointKey,
@@ -39,6 +40,9 @@
 
   readonly #movedTo = new Map<string, string>();
 
+  /** Shards that were split off in this draft, with the shard that they come from. */
+  readonly #splitFrom = new Map<string, string>();
+
   readonly #closedPlanIds = new Set<string>();
 
   #endpoints: EndpointRow | undefined;
@@ -131,6 +135,32 @@
     this.#movedTo.set(shardId, toCell);
   }
 
+  /** Takes tasks out of a shard and hands them over to another cell as a shard of their own. */
+  splitWork(fromShardId: string, part: WorkRow, toCell: string): void {
+    const row = this.work(fromShardId);
+    if (row === undefined) return;
+    const leaving = new Set(part.tasks.map(({ index }) => index));
+    const tasks = row.tasks.filter(({ index }) => !leaving.has(index));
+    this.#work.set(fromShardId, { ...row, tasks });
+    this.#work.set(part.shardId, part);
+    this.#movedTo.set(part.shardId, toCell);
+    this.#splitFrom.set(part.shardId, fromShardId);
+  }
+
+  /** Tasks that were split off a shard in this draft. */
+  splitTasks(fromShardId: string): readonly BatchTask[] {
+    return [...this.#splitFrom]
+      .filter(([, from]) => from === fromShardId)
+      .flatMap(([shardId]) => this.#work.get(shardId)?.tasks ?? []);
+  }
+
+  get handedOnCount(): number {
+    return [...this.#splitFrom.keys()].reduce(
+      (sum, shardId) => sum + (this.#work.get(shardId)?.tasks.length ?? 0),
+      0,
+    );
+  }
+
   setEndpoints(endpoints: EndpointRow): void {
     this.#endpoints = endpoints;
   }
@@ -217,11 +247,11 @@
     const key = workKey(this.#cell, row.shardId);
     const toCell = this.#movedTo.get(row.shardId);
     if (toCell !== undefined) {
-      return [
-        { key, value: null },
-        { key: workKey(toCell, row.shardId), value: row },
-      ];
+      const removal = this.#splitFrom.has(row.shardId) ? [] : [{ key, value: null }];
+      return [...removal, { key: workKey(toCell, row.shardId), value: row }];
     }
+    // All of its tasks were handed on, so nothing is left to be kept.
+    if (row.tasks.length === 0) return [{ key, value: null }];
     if (!isWorkFinished(row)) return [{ key, value: row }];
     return [
       { key, value: null },
--- a/src/scheduler/common/cellEvents.ts
+++ b/src/scheduler/common/cellEvents.ts
@@ -31,6 +31,7 @@
   ConfirmedConfiguration,
 } from './cellState.js';
 import { needsFence } from './fence.js';
+import { NO_HAND_ON } from './handOn.js';
 import { unrecordedFinishes } from './lateFinishes.js';
 import { divisionKey } from './quotaParts.js';
 import { mayAssign } from './round.js';
@@ -149,6 +150,7 @@
     unfitSinceMs: new Map<string, number>(),
     workerHealth: new WorkerHealth(),
     retryAtMs: new Map<string, number>(),
+    handOn: NO_HAND_ON,
     readDivision: '',
     quotaWaits: new Map<string, number>(),
   };
--- a/src/scheduler/common/cellScheduler.ts
+++ b/src/scheduler/common/cellScheduler.ts
@@ -19,6 +19,7 @@
 import type { CellDecision, CellEffect, CellEvent, CellState, CellTiming } from './cellState.js';
 import { toFailureCount } from './failureWeight.js';
 import { fenceCondition, startFence } from './fence.js';
+import { NO_HAND_ON } from './handOn.js';
 import { brokenByRound, brokenByStarts, ledgerChange } from './invariants.js';
 import type { PlacementPolicy } from './placement.js';
 import { retryDelayMs } from './queueOrder.js';
@@ -63,6 +64,7 @@
   unfitSinceMs: new Map(),
   workerHealth: new WorkerHealth(),
   retryAtMs: new Map(),
+  handOn: NO_HAND_ON,
   readDivision: '',
   quotaWaits: new Map(),
   isRoundStale: true,
@@ -97,6 +99,7 @@
 
 const roundCounters = (round: Round): readonly CellEffect[] => [
   counted('tasks_assigned', round.assignedCount),
+  counted('tasks_handed_on', round.draft.handedOnCount),
   ...round.ends.map(({ end }) => counted(`assignments_${end.replace('-', '_')}`)),
 ];
 
@@ -176,6 +179,7 @@
   const planned = {
     ...withPreempted(state, rows, round),
     quotaWaits: round?.quotaWaits ?? state.quotaWaits,
+    handOn: round?.handOn ?? state.handOn,
     isRoundStale: false,
     nextFullRoundAtMs: nowMs + FULL_ROUND_INTERVAL_MS,
   };
--- a/src/scheduler/common/cellState.ts
+++ b/src/scheduler/common/cellState.ts
@@ -15,6 +15,7 @@
 import type { CellLease, CellLeaseTiming, LeaseStepKind } from './cellLease.js';
 import type { CellDraft } from './cellDraft.js';
 import type { CellRows } from './cellRows.js';
+import type { HandOnMemory } from './handOn.js';
 import type { WorkerHealth } from './workerHealth.js';
 import type { WorkerView } from './workerView.js';
 
@@ -89,6 +90,7 @@
   readonly workerHealth: WorkerHealth;
   /** When a failed task may be tried again, by task id; a new owner tries it at once. */
   readonly retryAtMs: ReadonlyMap<string, number>;
+  readonly handOn: HandOnMemory;
   /** The division of quotas that the cell had published when it last read the other cells' rows. */
   readonly readDivision: string;
   /** Since when a team's large task has had its quota and found no worker with room, by team. */
--- a/src/scheduler/common/invariants.ts
+++ b/src/scheduler/common/invariants.ts
@@ -79,12 +79,25 @@
   return before.checkpoint !== null && after.checkpoint === null;
 };
 
-const hasStepBack = (before: WorkRow | undefined, after: WorkRow | undefined): boolean => {
+/** A task may leave its shard only for one that the same transaction hands over as it was. */
+const hasStepBack = (
+  before: WorkRow | undefined,
+  after: WorkRow | undefined,
+  splitTasks: readonly BatchTask[],
+): boolean => {
   if (before === undefined || after === undefined) return false;
-  return before.tasks.some((task, index) => {
-    const next = after.tasks[index];
-    return next === undefined || next.index !== task.index || isStepBack(task, next);
-  });
+  const kept = new Map(after.tasks.map((task) => [task.index, task]));
+  const split = new Map(splitTasks.map((task) => [task.index, task]));
+  const isDoubled = splitTasks.some(({ index }) => kept.has(index));
+  const isCountWrong = kept.size + split.size !== before.tasks.length;
+  return (
+    isDoubled ||
+    isCountWrong ||
+    before.tasks.some((task) => {
+      const next = kept.get(task.index) ?? split.get(task.index);
+      return next === undefined || isStepBack(task, next);
+    })
+  );
 };
 
 /** Each end of a batch assignment is recorded in its work row by the same transaction. */
@@ -113,7 +126,9 @@
 ): readonly Invariant[] => {
   const change = ledgerChange(rows, draft);
   const isResumptionBroken =
-    draft.changedShardIds.some((id) => hasStepBack(rows.work.get(id), draft.work(id))) ||
+    draft.changedShardIds.some((id) =>
+      hasStepBack(rows.work.get(id), draft.work(id), draft.splitTasks(id)),
+    ) ||
     change.dropped.some((one) => isEndUnrecorded(draft, one)) ||
     change.gained.some((one) => isStartUnfounded(draft, one));
   const isWithdrawnUsed = change.gained.length > 0 && !isAssigningAllowed;
--- a/src/scheduler/common/round.ts
+++ b/src/scheduler/common/round.ts
@@ -1,4 +1,5 @@
 /** One round of a cell's owner: everything that is due goes into one transaction. */
+import { fractionOf } from '../../base/common/hash.js';
 import { zonesInUse } from '../../platform/configuration/common/configurationView.js';
 import { WorkerTaskState } from '../../platform/worker/common/workerClient.js';
 import {
@@ -13,6 +14,7 @@
 import type { CellRows } from './cellRows.js';
 import type { CellState } from './cellState.js';
 import { recordLateFinishes } from './lateFinishes.js';
+import { type HandOnMemory, handOnWaitingTasks, nextHandOnMemory, publishRoom } from './handOn.js';
 import type { PlacementPolicy } from './placement.js';
 import { nextQuotaWaits, publishQuotaShare, quotaPartsOf } from './quotaRound.js';
 import { type RecordedEnd, recordEnds } from './taskEnds.js';
@@ -26,6 +28,7 @@
   readonly assignedCount: number;
   /** Attempts that have to leave for urgent work, as keys. */
   readonly preempted: ReadonlySet<string>;
+  readonly handOn: HandOnMemory;
   /** Since when teams have waited for a worker with their quota granted. */
   readonly quotaWaits: CellState['quotaWaits'];
 }
@@ -49,12 +52,14 @@
   const view = state.configuration?.view;
   const zones = view === undefined ? [] : zonesInUse(view);
   if (state.withdrawnSinceMs === undefined || zones.length === 0) return;
-  draft.shardIds.forEach((shardId, index) => {
+  draft.shardIds.forEach((shardId) => {
     if (draft.rowCount >= state.timing.maximumRowsPerRound) return;
     const row = draft.work(shardId);
     const isRunning = row?.tasks.some((task) => task.state === BatchTaskState.Assigned) ?? true;
     if (row === undefined || isRunning || row.tasks.every(isEnded)) return;
-    draft.moveWork(shardId, zones[index % zones.length] as string);
+    // Drawn from the id: by the turn, single shards would all come to the first zone.
+    const zoneIndex = Math.floor(fractionOf(shardId) * zones.length);
+    draft.moveWork(shardId, zones[zoneIndex] as string);
   });
 };
 
@@ -119,15 +124,22 @@
   const parts = quotaPartsOf(state, rows);
   const assigned = isAssigning
     ? assignQueuedWork(state, rows, draft, parts, policy, operationId, nowMs)
-    : { count: 0, preempted: new Set<string>() };
+    : undefined;
+  const roomless = assigned?.roomless ?? new Set<string>();
+  const receivers = isAssigning
+    ? handOnWaitingTasks(state, draft, operationId, nowMs)
+    : new Set<string>();
   settleUnfitWork(state, draft, nowMs);
   moveShards(state, draft);
   if (rows.cancellations.size > 0) draft.closeCancellations();
   updateEndpoints(state, draft);
   publishQuotaShare(state, draft, parts, nowMs);
+  publishRoom(state, draft, assigned?.capacity, roomless.size > 0, nowMs);
   const quotaWaits = nextQuotaWaits(state, draft, parts, nowMs);
   return {
     ...{ draft, ends, quotaWaits },
-    ...{ assignedCount: assigned.count, preempted: assigned.preempted },
+    handOn: isAssigning ? nextHandOnMemory(state.handOn, roomless, receivers, nowMs) : state.handOn,
+    assignedCount: assigned?.count ?? 0,
+    preempted: assigned?.preempted ?? new Set<string>(),
   };
 };
