A zone that returns is opened by steps

Cause: replicas and waiting batch tasks of other cells came to a returned zone as fast as it had room, in one second 40 of the 48 tasks of a small cell; withdrawn again, it would evict them all. Ruled out: a limit on starts a second, which would have to know how large tasks are. Change: FreeCapacity opens each worker in a line from an eighth to all over scheduler.zoneReturnMs, and publishes only that as room. Urgent jobs and replicas that no zone serves do not wait; a second withdrawal, or no other zone in use, ends the return. The count of published servers never falls below the replica count.

--- a/bench/capacity/schedulerCapacity.ts
+++ b/bench/capacity/schedulerCapacity.ts
@@ -64,6 +64,7 @@
   roundIntervalMs: 100,
   rowsPerSecond: 60,
   maximumRowsPerRound: 120,
+  zoneReturnMs: 10_000,
 };
 
 export interface SchedulerFigures {
--- a/bench/scheduling/cellDriver.ts
+++ b/bench/scheduling/cellDriver.ts
@@ -32,6 +32,7 @@
   workerLeaseMs: DEFAULTS.workerLeaseMs,
   startValidityMs: DEFAULTS.startValidityMs,
   serviceDrainMs: DEFAULTS.serviceDrainMs,
+  zoneReturnMs: DEFAULTS.zoneReturnMs,
   maximumRenewalWithoutTableMs: DEFAULTS.maximumRenewalWithoutTableMs,
   configurationFreshnessMs: DEFAULTS.startFreshnessMs,
   reportFreshnessMs: DEFAULTS.reportFreshnessMs,
--- a/src/platform/settings/common/settings.ts
+++ b/src/platform/settings/common/settings.ts
@@ -88,6 +88,8 @@
   maximumRowsPerRound: positiveCount.default(120),
   /** How long a service's tasks go on in a zone that was withdrawn, so that requests finish. */
   serviceDrainMs: positiveMs.default(4_000),
+  /** The time in which a zone that returns is opened to tasks, from an eighth to all of it. */
+  zoneReturnMs: positiveMs.default(6_000),
   /** How long an owner that cannot reach the table goes on renewing its workers' leases. */
   maximumRenewalWithoutTableMs: positiveMs.default(600_000),
 });
--- a/src/scheduler/common/assigning.ts
+++ b/src/scheduler/common/assigning.ts
@@ -126,6 +126,11 @@
   checkpoint: task.checkpoint,
 });
 
+const servedElsewhere = (state: CellState, serviceName: string): number =>
+  [...state.serversElsewhere.values()]
+    .flatMap(({ servers }) => servers)
+    .filter((server) => server.serviceName === serviceName).length;
+
 const assignService = (
   round: AssigningRound,
   service: ServiceDocument,
@@ -134,11 +139,15 @@
   const view = round.state.configuration?.view;
   if (view === undefined) return 0;
   const wanted = replicaShare(view, round.state.cell, service.replicaCount);
+  const elsewhereCount = servedElsewhere(round.state, service.name);
   const replicas = [...existing];
   let assignedCount = 0;
   while (replicas.length < wanted) {
     const request = { size: service.size, isSpread: true };
-    const chosen = round.policy.choose(request, round.capacity.candidatesNear(replicas));
+    // What no zone serves is missing to callers; the rest others keep until it is served here.
+    const canWait = replicas.length + elsewhereCount >= service.replicaCount;
+    const candidates = round.capacity.candidatesNear(replicas, canWait);
+    const chosen = round.policy.choose(request, candidates);
     if (chosen === undefined) {
       for (let count = replicas.length; count < wanted; count += 1) round.makeRoom(service.size);
       return assignedCount;
@@ -169,7 +178,8 @@
       hasRoom = false;
       return task;
     }
-    const candidates = round.capacity.candidatesApartFrom(failedOn, request);
+    const canWait = row.urgency !== Urgency.Urgent;
+    const candidates = round.capacity.candidatesApartFrom(failedOn, request, canWait);
     const chosen = round.policy.choose(request, candidates);
     if (chosen === undefined) {
       round.capacity.noteTooLarge(row.size);
--- a/src/scheduler/common/cellEvents.ts
+++ b/src/scheduler/common/cellEvents.ts
@@ -44,6 +44,7 @@
   withReport,
   type WorkerView,
 } from './workerView.js';
+import { returnedAtMs } from './zoneReturn.js';
 
 export const unchanged = (state: CellState): CellDecision => ({ state, effects: [] });
 
@@ -123,6 +124,7 @@
     ...state,
     configuration,
     withdrawnSinceMs: isInUse ? undefined : (state.withdrawnSinceMs ?? nowMs),
+    returnedAtMs: returnedAtMs(state, before?.view, configuration.view, nowMs),
   };
   const isSame =
     before?.view === configuration.view || before?.view.version === configuration.view.version;
--- a/src/scheduler/common/cellScheduler.ts
+++ b/src/scheduler/common/cellScheduler.ts
@@ -56,6 +56,7 @@
   configuration: undefined,
   zoneProvedAtMs: Number.NEGATIVE_INFINITY,
   withdrawnSinceMs: undefined,
+  returnedAtMs: undefined,
   tookOverAtMs: nowMs,
   nextLookAtMs: nowMs,
   isFenceDue: false,
--- a/src/scheduler/common/cellState.ts
+++ b/src/scheduler/common/cellState.ts
@@ -25,6 +25,8 @@
   readonly workerLeaseMs: number;
   readonly startValidityMs: number;
   readonly serviceDrainMs: number;
+  /** The time in which a zone that returns is opened to tasks. */
+  readonly zoneReturnMs: number;
   readonly maximumRenewalWithoutTableMs: number;
   /** How old the last confirmation of the configuration may be for a start. */
   readonly configurationFreshnessMs: number;
@@ -76,6 +78,8 @@
   readonly zoneProvedAtMs: number;
   /** Since when the zone is known to be withdrawn. */
   readonly withdrawnSinceMs: number | undefined;
+  /** When the zone returned to use, as long as that may matter. */
+  readonly returnedAtMs: number | undefined;
   readonly tookOverAtMs: number;
   /** When to look again whether work has been added to the cell. */
   readonly nextLookAtMs: number;
--- a/src/scheduler/common/freeCapacity.ts
+++ b/src/scheduler/common/freeCapacity.ts
@@ -15,6 +15,7 @@
 import type { PlacementCandidate, PlacementRequest } from './placement.js';
 import { isWorkerDraining } from './wantedEvictions.js';
 import { attemptKey, isInContact, type WorkerView } from './workerView.js';
+import { openShare } from './zoneReturn.js';
 
 interface UseMemo {
   readonly tasks: WorkerView['tasks'];
@@ -45,10 +46,14 @@
 export class FreeCapacity {
   readonly #candidates = new Map<string, PlacementCandidate>();
 
+  /** The share of each worker that is open to work which may wait. */
+  readonly #openShare: number;
+
   /** Sizes that fitted nowhere in this round; what is no smaller fits nowhere either. */
   readonly #tooLarge: Resources[] = [];
 
   constructor(state: CellState, rows: CellRows, draft: CellDraft, nowMs: number) {
+    this.#openShare = openShare(state.returnedAtMs, state.timing.zoneReturnMs, nowMs);
     const freed = new Map<string, Resources>();
     ledgerChange(rows, draft).dropped.forEach(({ workerId, size }) => {
       const known = freed.get(workerId);
@@ -78,9 +83,9 @@
    * this round. A large job at the head of the queue is thus passed over at little cost and
    * smaller ones behind it are placed.
    */
-  candidatesFor(request: PlacementRequest): readonly PlacementCandidate[] {
+  candidatesFor(request: PlacementRequest, canWait: boolean): readonly PlacementCandidate[] {
     if (this.#tooLarge.some((size) => fitsInto(size, request.size))) return [];
-    return [...this.#candidates.values()];
+    return canWait ? this.openCandidates : this.candidates;
   }
 
   /**
@@ -90,15 +95,16 @@
   candidatesApartFrom(
     failedOn: ReadonlySet<string>,
     request: PlacementRequest,
+    canWait: boolean,
   ): readonly PlacementCandidate[] {
-    const all = this.candidatesFor(request);
+    const all = this.candidatesFor(request, canWait);
     if (failedOn.size === 0) return all;
     const others = all.filter(({ workerId }) => !failedOn.has(workerId));
     return others.length > 0 ? others : all;
   }
 
   /** Candidates that know how many replicas of a service are near. */
-  candidatesNear(replicas: readonly Assignment[]): readonly PlacementCandidate[] {
+  candidatesNear(replicas: readonly Assignment[], canWait: boolean): readonly PlacementCandidate[] {
     const workerCounts = new Map<string, number>();
     const rackCounts = new Map<string, number>();
     const raise = (counts: Map<string, number>, key: string): void => {
@@ -109,7 +115,8 @@
       raise(workerCounts, workerId);
       if (rack !== undefined) raise(rackCounts, rack);
     });
-    return [...this.#candidates.values()].map((candidate) => ({
+    const candidates = canWait ? this.openCandidates : this.candidates;
+    return candidates.map((candidate) => ({
       ...candidate,
       sameServiceOnWorkerCount: workerCounts.get(candidate.workerId) ?? 0,
       sameServiceInRackCount: rackCounts.get(candidate.rack) ?? 0,
@@ -120,6 +127,22 @@
     return [...this.#candidates.values()];
   }
 
+  /** The candidates with what is open of them while the zone is on its way back. */
+  get openCandidates(): readonly PlacementCandidate[] {
+    if (this.#openShare === 1) return this.candidates;
+    const closedShare = 1 - this.#openShare;
+    const closedPart = (amount: number): number => Math.ceil(amount * closedShare);
+    return this.candidates.map((candidate) => {
+      const { processorMillis, memoryBytes, acceleratorCount } = candidate.capacity;
+      const closed = {
+        processorMillis: closedPart(processorMillis),
+        memoryBytes: closedPart(memoryBytes),
+        acceleratorCount: closedPart(acceleratorCount),
+      };
+      return { ...candidate, free: subtractResources(candidate.free, closed) };
+    });
+  }
+
   noteTooLarge(size: Resources): void {
     this.#tooLarge.push(size);
   }
--- a/src/scheduler/common/handOn.ts
+++ b/src/scheduler/common/handOn.ts
@@ -41,7 +41,7 @@
 /** A batch task ends somewhere in a full cell several times a second, so a short wait is usual. */
 const PATIENCE_MS = 2_000;
 /** Longer than a cell takes to read what came, to assign it and to publish the room that is left. */
-const INTERVAL_MS = 3_000;
+const INTERVAL_MS = 2_000;
 /** Room counts as lasting once nothing has waited for so long. */
 const CALM_MS = 5_000;
 /** Changes of room by less than this share of the cell are not worth a write. */
@@ -76,7 +76,7 @@
   const room = isClosed
     ? NO_RESOURCES
     : sumResources(
-        capacity?.candidates.map(({ free }) => remainingResources(free, NO_RESOURCES)) ?? [],
+        capacity?.openCandidates.map(({ free }) => remainingResources(free, NO_RESOURCES)) ?? [],
       );
   const isEmptied = isClosed && !fitsInto(before, NO_RESOURCES);
   if (!isEmptied && !hasNotableDifference(room, before, cellCapacity(state))) return;
--- a/src/scheduler/node/cellTasks.ts
+++ b/src/scheduler/node/cellTasks.ts
@@ -68,6 +68,7 @@
       workerLeaseMs: scheduler.workerLeaseMs,
       startValidityMs: scheduler.startValidityMs,
       serviceDrainMs: scheduler.serviceDrainMs,
+      zoneReturnMs: scheduler.zoneReturnMs,
       maximumRenewalWithoutTableMs: scheduler.maximumRenewalWithoutTableMs,
       configurationFreshnessMs: scheduler.startFreshnessMs,
       reportFreshnessMs: scheduler.reportFreshnessMs,
--- a/src/scheduler/test/virtualCell.ts
+++ b/src/scheduler/test/virtualCell.ts
@@ -30,6 +30,7 @@
   workerLeaseMs: 10_000,
   startValidityMs: 1_000,
   serviceDrainMs: 4_000,
+  zoneReturnMs: 10_000,
   maximumRenewalWithoutTableMs: 60_000,
   configurationFreshnessMs: 1_500,
   roundIntervalMs: 100,
