--- a/src/scheduler/common/assigning.ts
+++ b/src/scheduler/common/assigning.ts
@@ -5,7 +5,7 @@
   URGENCY_ORDER,
 } from '../../platform/configuration/common/documents.js';
 import { replicaShare } from '../../platform/configuration/common/replicaShare.js';
-import { type Resources, sumResources } from '../../platform/worker/common/resources.js';
+import type { Resources } from '../../platform/worker/common/resources.js';
 import { TaskClass } from '../../platform/worker/common/workerClient.js';
 import {
   type Assignment,
@@ -20,7 +20,9 @@
 import { FreeCapacity } from './freeCapacity.js';
 import type { PlacementCandidate, PlacementPolicy } from './placement.js';
 import { PreemptionPlan } from './preemption.js';
-import { orderedShards, TeamUse } from './queueOrder.js';
+import { orderedShards, type TeamUse } from './queueOrder.js';
+import type { QuotaParts } from './quotaParts.js';
+import { allShards, teamUseOf } from './quotaRound.js';
 
 /** What a round's assigning works on; the capacity is worked out only once it is needed. */
 class AssigningRound {
@@ -38,6 +40,9 @@
 
   #capacity: FreeCapacity | undefined;
 
+  /** Shards of which a task found no worker with room. */
+  readonly roomless = new Set<string>();
+
   #preemption: PreemptionPlan | undefined;
 
   constructor(
@@ -121,6 +126,11 @@
   checkpoint: task.checkpoint,
 });
 
+const servedElsewhere = (state: CellState, serviceName: string): number =>
+  [...state.serversElsewhere.values()]
+    .flatMap(({ servers }) => servers)
+    .filter((server) => server.serviceName === serviceName).length;
+
 const assignService = (
   round: AssigningRound,
   service: ServiceDocument,
@@ -129,11 +139,15 @@
   const view = round.state.configuration?.view;
   if (view === undefined) return 0;
   const wanted = replicaShare(view, round.state.cell, service.replicaCount);
+  const elsewhereCount = servedElsewhere(round.state, service.name);
   const replicas = [...existing];
   let assignedCount = 0;
   while (replicas.length < wanted) {
     const request = { size: service.size, isSpread: true };
-    const chosen = round.policy.choose(request, round.capacity.candidatesNear(replicas));
+    // What no zone serves is missing to callers; the rest others keep until it is served here.
+    const canWait = replicas.length + elsewhereCount >= service.replicaCount;
+    const candidates = round.capacity.candidatesNear(replicas, canWait);
+    const chosen = round.policy.choose(request, candidates);
     if (chosen === undefined) {
       for (let count = replicas.length; count < wanted; count += 1) round.makeRoom(service.size);
       return assignedCount;
@@ -164,10 +178,12 @@
       hasRoom = false;
       return task;
     }
-    const candidates = round.capacity.candidatesApartFrom(failedOn, request);
+    const canWait = row.urgency !== Urgency.Urgent;
+    const candidates = round.capacity.candidatesApartFrom(failedOn, request, canWait);
     const chosen = round.policy.choose(request, candidates);
     if (chosen === undefined) {
       round.capacity.noteTooLarge(row.size);
+      round.roomless.add(row.shardId);
       hasRoom = row.urgency === Urgency.Urgent;
       if (hasRoom) round.makeRoom(row.size);
       return task;
@@ -181,21 +197,16 @@
   return assignedCount;
 };
 
-const isOpen = (draft: CellDraft, row: WorkRow | undefined): row is WorkRow =>
-  row !== undefined && !draft.cancelledJobIds.has(row.jobId);
-
 const hasQueued = (row: WorkRow): boolean =>
   row.tasks.some((task) => task.state === BatchTaskState.Queued);
 
-const assignBatch = (round: AssigningRound): number => {
+const assignBatch = (round: AssigningRound, parts: QuotaParts): number => {
   const { draft, state } = round;
-  const open = draft.shardIds
-    .map((shardId) => draft.work(shardId))
-    .filter((row) => isOpen(draft, row));
-  const queued = open.filter(hasQueued);
+  const queued = allShards(draft).filter(
+    (row) => hasQueued(row) && !draft.cancelledJobIds.has(row.jobId),
+  );
   if (queued.length === 0) return 0;
-  const capacity = sumResources([...state.workers.values()].map((view) => view.instance.capacity));
-  const use = new TeamUse(state.cell, open, capacity, state.configuration?.view);
+  const use = teamUseOf(state, draft, parts);
   return orderedShards(queued, use).reduce(
     (count, row) => (round.isFull ? count : count + assignShard(round, use, row)),
     0,
@@ -218,6 +229,10 @@
   readonly count: number;
   /** Attempts that have to leave for urgent work, as keys. */
   readonly preempted: ReadonlySet<string>;
+  /** Shards of which a task found no worker with room. */
+  readonly roomless: ReadonlySet<string>;
+  /** What is left on the workers. */
+  readonly capacity: FreeCapacity;
 }
 
 /** Assigns what fits and tells what has to make room. */
@@ -225,6 +240,7 @@
   state: CellState,
   rows: CellRows,
   draft: CellDraft,
+  parts: QuotaParts,
   policy: PlacementPolicy,
   operationId: string,
   nowMs: number,
@@ -238,6 +254,7 @@
     (count, service) => count + assignService(round, service, replicas.get(service.name) ?? []),
     0,
   );
-  const batchCount = assignBatch(round);
-  return { count: serviceCount + batchCount, preempted: round.preempted };
+  const batchCount = assignBatch(round, parts);
+  const { preempted, roomless, capacity } = round;
+  return { count: serviceCount + batchCount, preempted, roomless, capacity };
 };
--- a/src/scheduler/common/cellState.ts
+++ b/src/scheduler/common/cellState.ts
@@ -15,6 +15,7 @@
 import type { CellLease, CellLeaseTiming, LeaseStepKind } from './cellLease.js';
 import type { CellDraft } from './cellDraft.js';
 import type { CellRows } from './cellRows.js';
+import type { HandOnMemory } from './handOn.js';
 import type { WorkerHealth } from './workerHealth.js';
 import type { WorkerView } from './workerView.js';
 
@@ -24,6 +25,8 @@
   readonly workerLeaseMs: number;
   readonly startValidityMs: number;
   readonly serviceDrainMs: number;
+  /** The time in which a zone that returns is opened to tasks. */
+  readonly zoneReturnMs: number;
   readonly maximumRenewalWithoutTableMs: number;
   /** How old the last confirmation of the configuration may be for a start. */
   readonly configurationFreshnessMs: number;
@@ -75,6 +78,8 @@
   readonly zoneProvedAtMs: number;
   /** Since when the zone is known to be withdrawn. */
   readonly withdrawnSinceMs: number | undefined;
+  /** When the zone returned to use, as long as that may matter. */
+  readonly returnedAtMs: number | undefined;
   readonly tookOverAtMs: number;
   /** When to look again whether work has been added to the cell. */
   readonly nextLookAtMs: number;
@@ -89,6 +94,11 @@
   readonly workerHealth: WorkerHealth;
   /** When a failed task may be tried again, by task id; a new owner tries it at once. */
   readonly retryAtMs: ReadonlyMap<string, number>;
+  readonly handOn: HandOnMemory;
+  /** The division of quotas that the cell had published when it last read the other cells' rows. */
+  readonly readDivision: string;
+  /** Since when a team's large task has had its quota and found no worker with room, by team. */
+  readonly quotaWaits: ReadonlyMap<string, number>;
   /** True when something changed that a round may have to act on. */
   readonly isRoundStale: boolean;
   readonly nextFullRoundAtMs: number;
