A plan tells what jobs do to quotas and room; many jobs at once

Cause: held against the issue's words, a plan for a job showed neither the quota after it nor the capacity that is missing; a quota's plan left out what the team's jobs run; several jobs could be cancelled together but not submitted. Ruled out: one plan for each of many jobs, since a refusal in the middle leaves the operator to find out what was taken; taking the batch work that runs off the room, which changes by the second.

--- a/src/cli/common/planText.ts
+++ b/src/cli/common/planText.ts
@@ -58,7 +58,7 @@
   ...groupLines('would end', effects.ending),
   ...effects.quotas.map(({ team, limit, before, after }) => {
     const change = `${sizeText(before)} -> ${sizeText(after)}`;
-    return `quota    ${team}: services ${change}, of ${limit === null ? 'no limit' : sizeText(limit)}`;
+    return `quota    ${team}: ${change}, of ${limit === null ? 'no limit' : sizeText(limit)}`;
   }),
   ...effects.capacity.map(({ zone, reservedBefore, reservedAfter, totalAfter }) => {
     const change = `${sizeText(reservedBefore)} -> ${sizeText(reservedAfter)}`;
--- a/src/operator/common/intent.ts
+++ b/src/operator/common/intent.ts
@@ -14,6 +14,7 @@
   ChangeService: 'change-service',
   RemoveService: 'remove-service',
   SubmitJob: 'submit-job',
+  SubmitJobs: 'submit-jobs',
   CancelJobs: 'cancel-jobs',
   WithdrawZone: 'withdraw-zone',
   UseZone: 'use-zone',
@@ -28,10 +29,11 @@
 const MAXIMUM_TASK_COUNT = 10_000;
 /** A cancellation is written for every cell; this many ids keep its transaction under 1 MB. */
 const MAXIMUM_CANCELLED_JOBS = 1_000;
+/** Each writes a row for itself and one for each zone. */
+const MAXIMUM_SUBMITTED_JOBS = 100;
 const MAXIMUM_JOB_ID_LENGTH = 127;
 
-export const submitJobSchema = z.strictObject({
-  intent: z.literal(IntentKind.SubmitJob),
+const jobTermsSchema = z.strictObject({
   team: nameSchema,
   /** Repeating a submission under the same key submits nothing more. */
   submissionKey: nameSchema,
@@ -41,8 +43,33 @@
   /** How long one task runs, as far as the submitter knows. */
   workMs: z.number().nonnegative(),
 });
+export type JobTerms = z.infer<typeof jobTermsSchema>;
+
+export const submitJobSchema = z.strictObject({
+  intent: z.literal(IntentKind.SubmitJob),
+  ...jobTermsSchema.shape,
+});
 export type SubmitJobIntent = z.infer<typeof submitJobSchema>;
 
+/** Jobs that are submitted together, all or none; bounded so that one transaction carries them. */
+const submitJobsSchema = z.strictObject({
+  intent: z.literal(IntentKind.SubmitJobs),
+  jobs: z
+    .array(jobTermsSchema)
+    .min(1)
+    .max(MAXIMUM_SUBMITTED_JOBS)
+    .refine(
+      (jobs) =>
+        new Set(jobs.map(({ team, submissionKey }) => `${team}.${submissionKey}`)).size ===
+        jobs.length,
+      'name the same submission twice',
+    )
+    .refine(
+      (jobs) => jobs.reduce((sum, { taskCount }) => sum + taskCount, 0) <= MAXIMUM_TASK_COUNT,
+      `have more than ${MAXIMUM_TASK_COUNT} tasks together`,
+    ),
+});
+
 const unknownIntent = (issue: { readonly code: string }): string | undefined =>
   issue.code === 'invalid_union' ? `is none of ${Object.values(IntentKind).join(', ')}` : undefined;
 
@@ -59,6 +86,7 @@
     }),
     z.strictObject({ intent: z.literal(IntentKind.RemoveService), name: nameSchema }),
     submitJobSchema,
+    submitJobsSchema,
     z.strictObject({
       intent: z.literal(IntentKind.CancelJobs),
       jobIds: z
--- a/src/operator/common/jobPlanning.ts
+++ b/src/operator/common/jobPlanning.ts
@@ -43,7 +43,8 @@
 const toShards = (intent: SubmitJobIntent, jobId: string, zones: readonly string[]): WorkRow[] =>
   zones
     .map((zone, zoneIndex): WorkRow => {
-      const ownCount = Math.max(0, Math.ceil((intent.taskCount - zoneIndex) / zones.length));
+      const indexes = Array.from({ length: intent.taskCount }, (_, index) => index);
+      const own = indexes.filter((index) => index % zones.length === zoneIndex);
       return {
         shardId: toShardId(jobId, zone),
         jobId,
@@ -51,7 +52,7 @@
         size: intent.size,
         urgency: intent.urgency,
         workMs: intent.workMs,
-        tasks: Array.from({ length: ownCount }, (_, at) => newTask(zoneIndex + at * zones.length)),
+        tasks: own.map(newTask),
       };
     })
     .filter((shard) => shard.tasks.length > 0);
--- a/src/operator/common/planEffects.ts
+++ b/src/operator/common/planEffects.ts
@@ -4,16 +4,15 @@
   isZoneInUse,
 } from '../../platform/configuration/common/configurationView.js';
 import type { ServiceDocument } from '../../platform/configuration/common/documents.js';
-import { InstanceState } from '../../platform/instanceList/common/instanceList.js';
 import {
-  fitsInto,
+  addResources,
   type Resources,
-  subtractResources,
   sumResources,
 } from '../../platform/worker/common/resources.js';
 import type { AffectedTask, PlanEffects, TaskGroup } from './plan.js';
 import type { PlanningBasis } from './planningBasis.js';
 import { multipliedResources, ServiceTotals } from './replicas.js';
+import { capacityOfZone, missingTasks, roomFor } from './zoneRoom.js';
 
 /** How many of a group's tasks a plan names. */
 const NAMED_TASK_COUNT = 5;
@@ -27,7 +26,7 @@
   one === other || JSON.stringify(one) === JSON.stringify(other);
 
 /** Tasks of one kind, of which a service or job has several of the same size. */
-interface CountedTasks extends AffectedTask {
+export interface CountedTasks extends AffectedTask {
   readonly count: number;
 }
 
@@ -89,53 +88,6 @@
     .map((name) => serviceShift(comparison, zones, name));
 };
 
-const capacityOfZone = (
-  basis: PlanningBasis,
-  view: ConfigurationView,
-  zone: string,
-): readonly Resources[] =>
-  isZoneInUse(view, zone)
-    ? basis.workers
-        .filter((worker) => worker.availabilityZone === zone && worker.state === InstanceState.Live)
-        .filter((worker) => view.workers.get(worker.id)?.isDraining !== true)
-        .map((worker) => worker.capacity)
-    : [];
-
-const countThatFits = (size: Resources, free: Resources, wanted: number): number => {
-  const limits = [
-    size.processorMillis === 0 ? wanted : free.processorMillis / size.processorMillis,
-    size.memoryBytes === 0 ? wanted : free.memoryBytes / size.memoryBytes,
-    size.acceleratorCount === 0 ? wanted : free.acceleratorCount / size.acceleratorCount,
-  ];
-  return Math.max(0, Math.min(wanted, ...limits.map(Math.floor)));
-};
-
-/**
- * Replicas that find no room in a zone, urgent services first, batch work given up for them.
- * Free room is added up over the zone's workers, so this is the least number that is missing;
- * a size that no single worker has room for is missing whole.
- */
-const missingTasks = (
-  totals: ServiceTotals,
-  zone: string,
-  workers: readonly Resources[],
-): number => {
-  let free = sumResources(workers);
-  const isPlaceableEach = totals.sizes.every((size) =>
-    workers.some((capacity) => fitsInto(size, capacity)),
-  );
-  // Where all fits together every service finds its room; there is no need to deal it out.
-  if (isPlaceableEach && fitsInto(totals.inZone(zone), free)) return 0;
-  return totals.byUrgency.reduce((missing, { name, size }) => {
-    const wanted = totals.replicas(name, zone);
-    if (wanted === 0) return missing;
-    const isPlaceable = workers.some((capacity) => fitsInto(size, capacity));
-    const placed = isPlaceable ? countThatFits(size, free, wanted) : 0;
-    free = subtractResources(free, multipliedResources(size, placed));
-    return missing + wanted - placed;
-  }, 0);
-};
-
 const zoneCapacity = (comparison: Comparison, zone: string): PlanEffects['capacity'][number] => {
   const { basis, before, after, totalsBefore, totalsAfter } = comparison;
   const workersAfter = capacityOfZone(basis, after, zone);
@@ -168,6 +120,10 @@
     );
 };
 
+/** What a team's jobs run, as far as it was read for the plan: always for a change of its quota. */
+const runningJobsOf = ({ running }: PlanningBasis, team: string): Resources =>
+  sumResources(running.filter(({ jobId }) => jobId.startsWith(`${team}.`)).map(({ size }) => size));
+
 const quotaEffects = (comparison: Comparison): PlanEffects['quotas'] => {
   const { before, after, totalsBefore, totalsAfter } = comparison;
   if (before === after) return [];
@@ -187,8 +143,9 @@
     const limit = after.quotas.get(team)?.limit ?? null;
     // Most teams are not touched; their documents are the same objects in both views.
     if (limitBefore === limit && !changedTeams.has(team)) return [];
-    const usedBefore = totalsBefore.ofTeam(team);
-    const usedAfter = totalsAfter.ofTeam(team);
+    const jobs = runningJobsOf(comparison.basis, team);
+    const usedBefore = addResources(totalsBefore.ofTeam(team), jobs);
+    const usedAfter = addResources(totalsAfter.ofTeam(team), jobs);
     if (isSame(limitBefore, limit) && isSame(usedBefore, usedAfter)) return [];
     return [{ team, limit, before: usedBefore, after: usedAfter }];
   });
@@ -229,17 +186,59 @@
     count: shift[member],
   }));
 
-/** Tasks of jobs that a plan starts or ends, which the configuration does not tell of. */
-export interface JobTasks {
-  readonly starting: readonly CountedTasks[];
-  readonly ending: readonly CountedTasks[];
+/** Tasks of one job that a plan starts or ends, which the configuration does not tell of. */
+export interface JobTasks extends CountedTasks {
+  readonly team: string;
 }
 
+/** Tasks of a job that a plan gives to a zone. */
+export interface ZoneTasks {
+  readonly zone: string;
+  readonly jobId: string;
+  readonly size: Resources;
+  readonly count: number;
+}
+
+export interface JobChanges {
+  readonly starting: readonly JobTasks[];
+  readonly ending: readonly JobTasks[];
+  readonly inZones: readonly ZoneTasks[];
+}
+
+/** What the teams of jobs take up, services and the jobs that the plan names together. */
+const jobQuotas = ({ after, totalsAfter }: Comparison, jobs: JobChanges): PlanEffects['quotas'] => {
+  const teams = new Set([...jobs.starting, ...jobs.ending].map(({ team }) => team));
+  const sizeOf = (tasks: readonly JobTasks[], team: string): Resources =>
+    sumResources(
+      tasks
+        .filter((task) => task.team === team)
+        .map(({ size, count }) => multipliedResources(size, count)),
+    );
+  return [...teams].map((team) => ({
+    team,
+    limit: after.quotas.get(team)?.limit ?? null,
+    before: addResources(totalsAfter.ofTeam(team), sizeOf(jobs.ending, team)),
+    after: addResources(totalsAfter.ofTeam(team), sizeOf(jobs.starting, team)),
+  }));
+};
+
+/** Which of a job's tasks have to wait for others to end, however empty the zone is. */
+const waitingTasks = (
+  { basis, after, totalsAfter }: Comparison,
+  { inZones }: JobChanges,
+): readonly string[] =>
+  inZones.flatMap(({ zone, jobId, size, count }) => {
+    if (basis.workers.length === 0) return [];
+    const room = roomFor(size, totalsAfter, zone, capacityOfZone(basis, after, zone), count);
+    if (room >= count) return [];
+    return [`${zone} has room for ${room} of the ${count} tasks of ${jobId} at a time`];
+  });
+
 /** The effects of going from the basis's view to another one. */
 export const planEffects = (
   basis: PlanningBasis,
   after: ConfigurationView,
-  jobs: JobTasks,
+  jobs: JobChanges,
 ): PlanEffects => {
   const comparison = {
     basis,
@@ -255,13 +254,16 @@
     moving: toGroup([...toCounted(shifts, 'moving'), ...drainedTasks(basis, after)]),
     evicted: toGroup(evictedTasks(basis, after)),
     ending: toGroup([...toCounted(shifts, 'ending'), ...jobs.ending]),
-    quotas: quotaEffects(comparison),
+    quotas: [...quotaEffects(comparison), ...jobQuotas(comparison, jobs)],
     capacity,
-    notDone: capacity
-      .filter(({ missingTaskCount }) => missingTaskCount > 0)
-      .map(({ zone, missingTaskCount }) => {
-        const wait = 'which wait until there is room';
-        return `${zone} lacks capacity for at least ${missingTaskCount} tasks, ${wait}`;
-      }),
+    notDone: [
+      ...capacity
+        .filter(({ missingTaskCount }) => missingTaskCount > 0)
+        .map(({ zone, missingTaskCount }) => {
+          const wait = 'which wait until there is room';
+          return `${zone} lacks capacity for at least ${missingTaskCount} tasks, ${wait}`;
+        }),
+      ...waitingTasks(comparison, jobs),
+    ],
   };
 };
--- a/src/operator/common/planner.ts
+++ b/src/operator/common/planner.ts
@@ -20,13 +20,13 @@
   ZoneState,
 } from '../../platform/configuration/common/documents.js';
 import type { Failure } from '../../platform/errors/common/errorKinds.js';
-import type { TableRow } from '../../platform/table/common/table.js';
 import { addResources, fitsInto, sumResources } from '../../platform/worker/common/resources.js';
-import { jobKey, toJobId, type WorkRow } from '../../platform/workload/common/workRows.js';
-import { type Intent, IntentKind } from './intent.js';
+import type { WorkRow } from '../../platform/workload/common/workRows.js';
+import { type Intent, IntentKind, type JobTerms } from './intent.js';
+import { jobChanges, jobIdOfTerms } from './jobChanges.js';
 import { planCancellation, planJob } from './jobPlanning.js';
-import type { PlanEffects, PlanGuard, PlanStep } from './plan.js';
-import { type JobTasks, planEffects } from './planEffects.js';
+import type { PlanEffects, PlanStep } from './plan.js';
+import { planEffects } from './planEffects.js';
 import {
   guardDocument,
   impossible,
@@ -36,6 +36,7 @@
   type PlanningBasis,
   setRow,
 } from './planningBasis.js';
+import { withQuotaSteps } from './quotaSteps.js';
 import { ServiceTotals } from './replicas.js';
 import { checkPlaceable, sizeText } from './sizeChecks.js';
 
@@ -135,6 +136,28 @@
   return planned(`set the quota of ${team}`, setRow(basis, quotaKey(team), { team, limit }));
 };
 
+/** Jobs that are submitted together are planned one by one and accepted or refused as a whole. */
+const planJobs = (basis: PlanningBasis, jobs: readonly JobTerms[]): Planned => {
+  const plans = jobs.map((terms) => planJob(basis, { intent: IntentKind.SubmitJob, ...terms }));
+  const refusedIndex = plans.findIndex(isLeft);
+  const refused = plans[refusedIndex];
+  if (refused !== undefined && isLeft(refused)) {
+    return impossible(`${jobIdOfTerms(jobs[refusedIndex] as JobTerms)}: ${refused.left.message}`);
+  }
+  const parts = plans.flatMap((plan) => (isLeft(plan) ? [] : [plan.right]));
+  const guards = new Map(parts.flatMap((part) => part.guards).map((guard) => [guard.key, guard]));
+  const taskCount = jobs.reduce((sum, terms) => sum + terms.taskCount, 0);
+  return planned(
+    `submit ${jobs.length} jobs of ${taskCount} tasks in all`,
+    parts.flatMap(({ steps }) => steps),
+    {
+      guards: [...guards.values()],
+      notifiedCells: [...new Set(parts.flatMap((part) => part.notifiedCells))],
+      warnings: [...new Set(parts.flatMap((part) => part.warnings))],
+    },
+  );
+};
+
 const planRevert = (basis: PlanningBasis, version: number): Planned => {
   const row = basis.rows.get(changeKey(version));
   const parsed = changeRowSchema.safeParse(row?.value);
@@ -165,6 +188,8 @@
       return planRemoval(basis, intent.name);
     case IntentKind.SubmitJob:
       return planJob(basis, intent);
+    case IntentKind.SubmitJobs:
+      return planJobs(basis, intent.jobs);
     case IntentKind.CancelJobs:
       return planCancellation(basis, intent.jobIds);
     case IntentKind.WithdrawZone:
@@ -187,43 +212,6 @@
   }
 };
 
-/** The rows that planning an intent has to read besides the view. */
-export const rowsToRead = (intent: Intent): readonly string[] => {
-  switch (intent.intent) {
-    case IntentKind.CreateService:
-    case IntentKind.ChangeService:
-      return [serviceKey(intent.service.name), quotaKey(intent.service.team)];
-    case IntentKind.RemoveService:
-      return [serviceKey(intent.name)];
-    case IntentKind.SubmitJob:
-      return [jobKey(toJobId(intent.team, intent.submissionKey))];
-    case IntentKind.CancelJobs:
-      return intent.jobIds.map(jobKey);
-    case IntentKind.WithdrawZone:
-    case IntentKind.UseZone:
-      return [zoneKey(intent.zone)];
-    case IntentKind.DrainWorker:
-    case IntentKind.ReturnWorker:
-      return [workerKey(intent.workerId)];
-    case IntentKind.SetQuota:
-      return [quotaKey(intent.team)];
-    case IntentKind.SetPolicy:
-      return [POLICY_KEY];
-    default:
-      return [changeKey(intent.version)];
-  }
-};
-
-/** Rows that are known to matter only once others were read: those that a version changed. */
-export const furtherRowsToRead = (
-  intent: Intent,
-  rows: ReadonlyMap<string, TableRow>,
-): readonly string[] => {
-  if (intent.intent !== IntentKind.Revert) return [];
-  const change = changeRowSchema.safeParse(rows.get(changeKey(intent.version))?.value);
-  return change.success ? change.data.documents.map(({ key }) => key) : [];
-};
-
 /** The view after some steps; the very same one when they are of jobs alone. */
 const withSteps = (basis: PlanningBasis, steps: readonly PlanStep[]): ConfigurationView => {
   const documents = steps
@@ -233,70 +221,6 @@
   return withDocuments(basis.view, basis.view.version + 1, documents);
 };
 
-/**
- * Keeps teams within their quotas. Two plans that each fit may not fit together, so a plan that
- * makes a team's services larger also rewrites the team's quota row as it is: of two such plans
- * only one is accepted, and the other is made anew.
- */
-const withQuotaSteps = (
-  basis: PlanningBasis,
-  after: ConfigurationView,
-): Either<Failure, { readonly steps: readonly PlanStep[]; readonly guards: PlanGuard[] }> => {
-  const [before, later] = [ServiceTotals.of(basis.view), ServiceTotals.of(after)];
-  const grown = later.teams.filter((team) => !fitsInto(later.ofTeam(team), before.ofTeam(team)));
-  const relimited = [...after.quotas.keys()].filter(
-    (team) => after.quotas.get(team) !== basis.view.quotas.get(team),
-  );
-  const over = [...grown, ...relimited].find((team) => {
-    const limit = after.quotas.get(team)?.limit;
-    return limit !== undefined && !fitsInto(later.ofTeam(team), limit);
-  });
-  if (over !== undefined) {
-    const limit = after.quotas.get(over)?.limit;
-    const wanted = sizeText(later.ofTeam(over));
-    return impossible(
-      `services of ${over} would ask for ${wanted}; the quota is ${limit === undefined ? 'none' : sizeText(limit)}`,
-    );
-  }
-  const limited = grown.filter((team) => basis.view.quotas.has(team));
-  const unlimited = grown.filter((team) => !basis.view.quotas.has(team));
-  return right({
-    steps: limited.map((team) => {
-      const document = basis.view.quotas.get(team) ?? null;
-      const { baseRowVersion } = guardDocument(basis, quotaKey(team));
-      return { key: quotaKey(team), before: document, after: document, baseRowVersion };
-    }),
-    guards: unlimited.map((team) => guardDocument(basis, quotaKey(team))),
-  });
-};
-
-const jobTasksOf = (intent: Intent, steps: readonly PlanStep[], ending: readonly WorkRow[]) => {
-  const isSubmitted = intent.intent === IntentKind.SubmitJob && steps.length > 0;
-  const starting = isSubmitted
-    ? [
-        {
-          taskId: toJobId(intent.team, intent.submissionKey),
-          size: intent.size,
-          count: intent.taskCount,
-        },
-      ]
-    : [];
-  const openCounts = new Map<string, number>();
-  ending.forEach(({ jobId, tasks }) =>
-    openCounts.set(jobId, (openCounts.get(jobId) ?? 0) + tasks.length),
-  );
-  const sizes = new Map(ending.map(({ jobId, size }) => [jobId, size]));
-  const tasks: JobTasks = {
-    starting,
-    ending: [...sizes].map(([jobId, size]) => ({
-      taskId: jobId,
-      size,
-      count: openCounts.get(jobId) ?? 0,
-    })),
-  };
-  return tasks;
-};
-
 /** The plan for an intent from where things stand, or why it cannot be. */
 export const planIntent = (
   basis: PlanningBasis,
@@ -327,4 +251,7 @@
   { steps, after }: PlannedChange,
   /** Shards of jobs that would be cancelled, with just the tasks that are left. */
   ending: readonly WorkRow[],
-): PlanEffects => planEffects(basis, after, jobTasksOf(intent, steps, ending));
+): PlanEffects => {
+  const zones = [...after.zones.keys()];
+  return planEffects(basis, after, jobChanges(intent, steps, zones, ending));
+};
--- a/src/operator/node/planMaker.ts
+++ b/src/operator/node/planMaker.ts
@@ -39,14 +39,9 @@
   PlanState,
   toPlanId,
 } from '../common/plan.js';
-import {
-  effectsOfPlan,
-  furtherRowsToRead,
-  type PlannedChange,
-  planIntent,
-  rowsToRead,
-} from '../common/planner.js';
+import { effectsOfPlan, type PlannedChange, planIntent } from '../common/planner.js';
 import type { RunningTask } from '../common/planningBasis.js';
+import { furtherRowsToRead, rowsToRead } from '../common/planRows.js';
 import { racksOf, surveyLedger, toRunningTask } from './ledgerSurvey.js';
 import { surveyTeam } from './teamSurvey.js';
 
--- a/src/operator/node/planProgress.ts
+++ b/src/operator/node/planProgress.ts
@@ -9,11 +9,11 @@
 import {
   type Assignment,
   isEnded,
-  toJobId,
   workPrefix,
   workRowSchema,
 } from '../../platform/workload/common/workRows.js';
 import { IntentKind } from '../common/intent.js';
+import { jobIdOfTerms, submittedJobs } from '../common/jobChanges.js';
 import { type Plan, PlanState } from '../common/plan.js';
 import { racksOf, surveyLedger } from './ledgerSurvey.js';
 
@@ -73,7 +73,8 @@
   #remaining({ intent }: Plan): Remaining {
     switch (intent.intent) {
       case IntentKind.SubmitJob:
-        return this.#openTasksOf([toJobId(intent.team, intent.submissionKey)]);
+      case IntentKind.SubmitJobs:
+        return this.#openTasksOf(submittedJobs(intent).map(jobIdOfTerms));
       case IntentKind.CancelJobs:
         return this.#openTasksOf(intent.jobIds);
       case IntentKind.WithdrawZone:
--- a/src/operator/test/badInput.test.ts
+++ b/src/operator/test/badInput.test.ts
@@ -226,6 +226,27 @@
     422,
     'bakers uses 2 processors',
   ],
+  [
+    'one submission twice in many',
+    {
+      intent: 'submit-jobs',
+      jobs: [
+        { ...job, size: SIZE },
+        { ...job, size: SIZE },
+      ],
+    },
+    400,
+    'name the same submission twice',
+  ],
+  [
+    'more tasks than one plan carries',
+    {
+      intent: 'submit-jobs',
+      jobs: ['a', 'b'].map((key) => ({ ...job, submissionKey: key, size: SIZE, taskCount: 6_000 })),
+    },
+    400,
+    'more than 10000 tasks',
+  ],
   ['a version that does not exist', { intent: 'revert', version: 9 }, 422, 'no version 9'],
   [
     'a policy beyond its bounds',
--- a/src/operator/test/planner.test.ts
+++ b/src/operator/test/planner.test.ts
@@ -107,6 +107,42 @@
     expect((await harness.plan(plans, cancellation)).effects.ending.count).toBe(5);
   });
 
+  // Each zone has two workers for four tasks each, and three tasks of the service: five are left.
+  it('of a job: the quota with it, and the tasks that have to wait for others', async () => {
+    const limit = { processorMillis: 80_000, memoryBytes: 2 ** 40, acceleratorCount: 0 };
+    await harness.carryOut(plans, { intent: 'set-quota', team: 'kitchen', limit });
+    const job = { team: 'kitchen', submissionKey: 'k2', taskCount: 14, size: SIZE, workMs: 1 };
+    const submission = { intent: 'submit-job', ...job, urgency: 'normal' } as const;
+    const { effects } = await harness.carryOut(plans, submission);
+    const quotas = effects.quotas.map(({ team, before, after }) => [
+      ...[team, before.processorMillis, after.processorMillis],
+    ]);
+    expect(quotas).toEqual([['kitchen', 12_000, 40_000]]);
+    expect(effects.notDone).toEqual([
+      'zone-a has room for 5 of the 7 tasks of kitchen.k2 at a time',
+      'zone-b has room for 5 of the 7 tasks of kitchen.k2 at a time',
+    ]);
+    const cancellation = { intent: 'cancel-jobs' as const, jobIds: ['kitchen.k2'] };
+    const cancelled = await harness.plan(plans, cancellation);
+    expect(cancelled.effects.quotas.map(({ after }) => after.processorMillis)).toEqual([12_000]);
+  });
+
+  // A week's plans are submitted together. Were one of them refused and the others taken, the
+  // operator would have to find out which; a household would be skipped silently.
+  it('of many jobs at once: all or none', async () => {
+    const terms = { team: 'kitchen', taskCount: 3, size: SIZE, workMs: 1, urgency: 'low' as const };
+    const jobs = ['a', 'b'].map((submissionKey) => ({ ...terms, submissionKey }));
+    const plan = await harness.carryOut(plans, { intent: 'submit-jobs', jobs });
+    expect(plan.effects.starting.count).toBe(6);
+    expect(harness.rows('job/').map(({ key }) => key)).toEqual(['job/kitchen.a', 'job/kitchen.b']);
+    expect((await harness.plan(plans, { intent: 'submit-jobs', jobs })).steps).toEqual([]);
+    const other = { ...terms, submissionKey: 'c' };
+    const altered = { ...terms, submissionKey: 'b', taskCount: 4 };
+    const refused = await harness.refusal(plans, { intent: 'submit-jobs', jobs: [other, altered] });
+    expect(refused?.message).toBe('kitchen.b: job kitchen.b was submitted with other contents');
+    expect(harness.rows('job/')).toHaveLength(2);
+  });
+
   it('of an intent that is already so: no change', async () => {
     const plan = await harness.plan(plans, { intent: 'use-zone', zone: 'zone-a', region: 'r' });
     expect(plan.steps).toEqual([]);
