--- a/src/cli/node/commands.ts
+++ b/src/cli/node/commands.ts
@@ -8,7 +8,13 @@
 import { type Plan, planSchema } from '../../operator/common/plan.js';
 import { sizeText } from '../../operator/common/sizeChecks.js';
 import { resourcesSchema } from '../../platform/worker/common/resources.js';
-import type { ErrorBody } from '../../platform/errors/common/errorKinds.js';
+import {
+  type ErrorBody,
+  errorBody,
+  ErrorKind,
+  failure,
+  type Failure,
+} from '../../platform/errors/common/errorKinds.js';
 import { readSettingsFile } from '../../platform/settings/node/settingsFile.js';
 import type { RecordedSpan } from '../../platform/tracing/common/tracing.js';
 import { type IntentFlags, intentOfFlags } from '../common/intentFlags.js';
@@ -54,6 +60,12 @@
   return ExitCode.Refused;
 };
 
+/** Wrong use, or a wait that is over: a line for people, the usual body for programs. */
+const printFault = ({ isJson }: Pick<Connection, 'isJson'>, cause: Failure): void => {
+  if (isJson) print(JSON.stringify(errorBody(cause)));
+  else process.stderr.write(`${cause.message}\n`);
+};
+
 const clientOf = ({ address, token }: Connection): OperatorClient =>
   new OperatorClient(`http://${address}`, token);
 
@@ -76,7 +88,8 @@
   try {
     intent = await readIntent(source);
   } catch (error) {
-    process.stderr.write(`${source.file}: ${(error as Error).message}\n`);
+    const message = `${source.file}: ${(error as Error).message}`;
+    printFault(connection, failure(ErrorKind.BadRequest, message));
     return ExitCode.BadUse;
   }
   const answer = await clientOf(connection).post('/v1/plans', { intent });
@@ -129,7 +142,8 @@
 export const runGet = async (connection: Connection, kind: string): Promise<ExitCode> => {
   const columns = COLUMNS[kind];
   if (columns === undefined) {
-    process.stderr.write(`${kind} is none of ${OBJECT_KINDS.join(', ')}\n`);
+    const message = `${kind} is none of ${OBJECT_KINDS.join(', ')}`;
+    printFault(connection, failure(ErrorKind.BadRequest, message));
     return ExitCode.BadUse;
   }
   const answer = await clientOf(connection).get(`/v1/${kind}`);
@@ -162,7 +176,8 @@
 ): Promise<ExitCode> => {
   const plural = SINGULARS[kind] ?? kind;
   if (COLUMNS[plural] === undefined) {
-    process.stderr.write(`${kind} is none of ${Object.keys(SINGULARS).join(', ')}\n`);
+    const message = `${kind} is none of ${Object.keys(SINGULARS).join(', ')}`;
+    printFault(connection, failure(ErrorKind.BadRequest, message));
     return ExitCode.BadUse;
   }
   const path = `/v1/${plural}/${encodeURIComponent(id)}`;
@@ -237,7 +252,7 @@
     // eslint-disable-next-line no-await-in-loop
     await delay(WATCH_INTERVAL_MS);
   }
-  process.stderr.write(`${id} is not done yet\n`);
+  printFault(connection, failure(ErrorKind.DeadlineExceeded, `${id} is not done yet`));
   return ExitCode.Refused;
 };
 
--- /dev/null
+++ b/src/cli/test/jsonOutput.test.ts
@@ -0,0 +1,195 @@
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+
+import { afterAll, afterEach, beforeAll, beforeEach, describe, expect, it, vi } from 'vitest';
+
+import { TestOperatorServer } from '../../operator/test/operatorServerHarness.js';
+import {
+  type Connection,
+  OBJECT_KINDS,
+  runConfirm,
+  runDescribe,
+  runGet,
+  runPlan,
+  runSettingsCheck,
+  runTrace,
+  runWatch,
+} from '../node/commands.js';
+
+const server = new TestOperatorServer();
+let connection: Connection;
+let folder = '';
+const fileOf = (name: string): string => join(folder, name);
+
+beforeAll(async () => {
+  await server.listen();
+  connection = { address: server.address, token: 'ann-token', isJson: true };
+  folder = await mkdtemp(join(tmpdir(), 'snipethread-json-'));
+  const zone = { intent: 'withdraw-zone', zone: 'zone-a' };
+  await writeFile(fileOf('withdraw.json'), JSON.stringify(zone));
+  await writeFile(fileOf('bad.json'), JSON.stringify({ ...zone, zone: '../x' }));
+  await writeFile(fileOf('broken.json'), '{');
+});
+afterAll(async () => {
+  await server.close();
+  await rm(folder, { recursive: true });
+});
+
+const written: { stdout: string; stderr: string } = { stdout: '', stderr: '' };
+beforeEach(() => {
+  Object.assign(written, { stdout: '', stderr: '' });
+  (['stdout', 'stderr'] as const).forEach((name) => {
+    vi.spyOn(process[name], 'write').mockImplementation((text) => {
+      written[name] += String(text);
+      return true;
+    });
+  });
+});
+afterEach(() => {
+  vi.restoreAllMocks();
+});
+
+const source = (file: string) => ({ kind: undefined, flags: {}, file, revertVersion: undefined });
+
+const planOf = (file: string) => runPlan(connection, source(fileOf(file)));
+
+/** The plan that a command has printed. */
+const printedPlan = (): { readonly planId: string; readonly digest: string } =>
+  JSON.parse(written.stdout) as never;
+
+/** A plan of which nothing is printed. */
+const quietPlan = async (): Promise<{ readonly planId: string; readonly digest: string }> => {
+  await planOf('withdraw.json');
+  const plan = printedPlan();
+  written.stdout = '';
+  return plan;
+};
+
+const connectionAs = (token: string): Connection => ({ ...connection, token });
+
+type Run = () => Promise<number>;
+/** What is run, its exit code, and members of the one value that it prints. */
+type Row = readonly [string, Run, number, object];
+
+const ROWS: readonly Row[] = [
+  ['plan', () => planOf('withdraw.json'), 3, { state: 'pending', steps: [{}] }],
+  [
+    'plan by flags, of what is so already',
+    () => {
+      const flags = { zone: 'zone-a', region: 'r' };
+      return runPlan(connection, { ...source('-'), kind: 'use-zone', flags });
+    },
+    0,
+    { steps: [] },
+  ],
+  ['plan, refused', () => planOf('bad.json'), 1, { error: 'bad-request', workOutcome: 'not-run' }],
+  ['plan of a file that is no JSON', () => planOf('broken.json'), 2, { error: 'bad-request' }],
+  [
+    'plan --revert of no version',
+    () => runPlan(connection, { ...source('-'), revertVersion: '99' }),
+    1,
+    { error: 'intent-impossible' },
+  ],
+  [
+    'confirm of an unknown plan',
+    () => runConfirm(connection, 'nothing', 'x'),
+    1,
+    { error: 'unknown-object', workOutcome: 'not-run' },
+  ],
+  [
+    'confirm with another digest',
+    async () => runConfirm(connection, (await quietPlan()).planId, 'x'),
+    1,
+    { error: 'plan-conflict', workOutcome: 'not-run' },
+  ],
+  [
+    'confirm without the role',
+    async () => {
+      const { planId, digest } = await quietPlan();
+      return runConfirm(connectionAs('pat-token'), planId, digest);
+    },
+    1,
+    { error: 'forbidden', workOutcome: 'not-run' },
+  ],
+  ['get without a token', () => runGet(connectionAs(''), 'zones'), 1, { error: 'unauthorised' }],
+  ...OBJECT_KINDS.map((kind): Row => [`get ${kind}`, () => runGet(connection, kind), 0, []]),
+  ['get of no kind', () => runGet(connection, 'paintings'), 2, { error: 'bad-request' }],
+  ...(
+    [
+      ['service', 'rounds', { name: 'rounds', replicaCount: 6 }],
+      ['zone', 'zone-a', { name: 'zone-a', state: 'in-use' }],
+      ['worker', 'w1', { id: 'w1', tasks: [{ taskId: 'bakers.k/0' }] }],
+      ['task', 'bakers.k/0', { workerId: 'w1' }],
+      ['instance', 'w1', { kind: 'worker' }],
+      ['job', 'bakers.k', { isEnded: false, taskCounts: { assigned: 1 } }],
+      ['quota', 'diets', { team: 'diets' }],
+    ] as const
+  ).map(([kind, id, members]): Row => [
+    `describe ${kind}`,
+    () => runDescribe(connection, kind, id),
+    0,
+    members,
+  ]),
+  [
+    'describe plan',
+    async () => runDescribe(connection, 'plan', (await quietPlan()).planId),
+    0,
+    { state: 'pending' },
+  ],
+  [
+    'describe of nothing',
+    () => runDescribe(connection, 'zone', 'x'),
+    1,
+    { error: 'unknown-object' },
+  ],
+  ['describe of no kind', () => runDescribe(connection, 'x', 'x'), 2, { error: 'bad-request' }],
+  ['trace', () => runTrace(connection, '4bf92f3577b34da6a3ce929d0e0e4736'), 0, []],
+  ['watch of nothing', () => runWatch(connection, 'a.b', 1), 1, { error: 'unknown-object' }],
+  [
+    'settings check',
+    () => runSettingsCheck(fileOf('broken.json'), true),
+    2,
+    { faults: [{ path: '(file)' }] },
+  ],
+];
+
+describe('with --json', () => {
+  // A program reads what an operator's command prints. A line of text among it, on a refusal or
+  // in wrong use, is found only when the refusal comes.
+  it.each(ROWS)('%s prints one JSON value and nothing else', async (_name, run, code, members) => {
+    expect(await run()).toBe(code);
+    expect(written.stderr).toBe('');
+    expect(written.stdout.endsWith('\n')).toBe(true);
+    expect(written.stdout.trimEnd().split('\n')).toHaveLength(1);
+    const value: unknown = JSON.parse(written.stdout);
+    if (Array.isArray(members)) expect(Array.isArray(value)).toBe(true);
+    else expect(value).toMatchObject(members);
+  });
+
+  // A watch prints a line for each change, and at the end why it has ended.
+  it('watch prints a JSON value on each line', async () => {
+    const { planId } = await quietPlan();
+    expect(await runWatch(connection, 'bakers.k', 1)).toBe(1);
+    expect(await runWatch(connection, planId, 1)).toBe(1);
+    const lines = written.stdout.trimEnd().split('\n');
+    expect(written.stderr).toBe('');
+    expect(lines.map((line) => JSON.parse(line) as object).slice(-2)).toMatchObject([
+      { state: 'pending', isDone: false },
+      { error: 'deadline-exceeded' },
+    ]);
+  });
+
+  it('confirm and history print the plan and who has accepted it', async () => {
+    const { planId, digest } = await quietPlan();
+    expect(await runConfirm(connection, planId, digest)).toBe(0);
+    expect(JSON.parse(written.stdout)).toMatchObject({ planId, state: 'confirmed' });
+    written.stdout = '';
+    expect(await runGet(connection, 'history')).toBe(0);
+    expect((JSON.parse(written.stdout) as unknown[]).at(-1)).toMatchObject({
+      planId,
+      author: 'ann',
+      summary: 'withdraw availability zone zone-a',
+    });
+  });
+});
--- a/src/daemon/node/daemon.ts
+++ b/src/daemon/node/daemon.ts
@@ -200,7 +200,7 @@
     await timeout;
     await this.#handler?.settle();
     const cutOffCount = this.#handler?.underWayCount ?? 0;
-    if (cutOffCount > 0) this.#log.error('cut_off_at_shutdown', { cutOffCount });
+    if (cutOffCount > 0) this.#log.error('cut-off-at-shutdown', { cutOffCount });
     await Promise.race([this.#operatorServer.close(), delay(OPERATOR_CLOSE_MS)]);
     this.#disposables.dispose();
     this.#log.info('drained');
--- a/src/daemon/node/snipethreadd.ts
+++ b/src/daemon/node/snipethreadd.ts
@@ -5,7 +5,8 @@
 import { defineCommand } from 'citty';
 import { isLeft } from 'fp-ts/lib/Either.js';
 
-import { runProgram, WRONG_USE_EXIT_CODE } from '../../platform/commandLine/node/runProgram.js';
+import { runProgram } from '../../platform/commandLine/node/runProgram.js';
+import { SettingsError, StartError } from '../../platform/errors/node/snipethreadError.js';
 import { readSettingsFile } from '../../platform/settings/node/settingsFile.js';
 import { Daemon } from './daemon.js';
 
@@ -24,8 +25,9 @@
   async run({ args }) {
     const settings = await readSettingsFile(args.settings);
     if (isLeft(settings)) {
-      settings.left.forEach((fault) => process.stderr.write(`${fault.path}: ${fault.message}\n`));
-      process.exit(WRONG_USE_EXIT_CODE);
+      const lines = settings.left.map(({ path, message }) => `${path}: ${message}`);
+      const error: Error = new SettingsError(lines.join('\n'));
+      throw error;
     }
     const daemon = new Daemon(settings.right);
     const handleSignal = (): void => {
@@ -33,7 +35,10 @@
     };
     process.on('SIGTERM', handleSignal);
     process.on('SIGINT', handleSignal);
-    await daemon.start();
+    await daemon.start().catch((cause: unknown) => {
+      const error: Error = new StartError('the daemon cannot listen:', { cause });
+      throw error;
+    });
     collectGarbage();
   },
 });
--- a/src/daemon/test/programs.test.ts
+++ b/src/daemon/test/programs.test.ts
@@ -1,6 +1,7 @@
 import { execFile, spawn } from 'node:child_process';
 import { once } from 'node:events';
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { createInterface } from 'node:readline';
@@ -96,6 +97,25 @@
     expect(valid.exitCode).toBe(0);
   });
 
+  // A fault is one line and never a stack, whatever the file or the system has to say.
+  it('snipethreadd: one line for a file that is no JSON and for an address that is taken', async () => {
+    await writeFile(fileOf('broken.json'), '{\n  "instanceId": "a",\n  oops\n}\n');
+    const broken = await run(DAEMON, ['--settings', fileOf('broken.json')]);
+    expect([broken.exitCode, broken.stderr.trim().split('\n').length]).toEqual([2, 1]);
+    expect(broken.stderr).toMatch(/^\(file\): is not JSON: /u);
+    const server = createServer();
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const { port } = server.address() as { port: number };
+    const operators = { host: '127.0.0.1', port };
+    const settings = { ...validSettings, listen: { ...validSettings.listen, operators } };
+    await writeFile(fileOf('taken.json'), JSON.stringify(settings));
+    const taken = await run(DAEMON, ['--settings', fileOf('taken.json')]);
+    server.close();
+    expect(taken.exitCode).toBe(1);
+    expect(taken.stderr).toMatch(/^the daemon cannot listen: .*EADDRINUSE.*\n$/u);
+  });
+
   it.each([
     ['an unknown command', TOOL, ['paint'], 2],
     ['a missing argument', TOOL, ['confirm'], 2],
--- a/src/operator/test/badInput.test.ts
+++ b/src/operator/test/badInput.test.ts
@@ -1,120 +1,18 @@
-import { createHash } from 'node:crypto';
 import { request as rawRequest } from 'node:http';
 
-import { right } from 'fp-ts/lib/Either.js';
-import { fromEither } from 'fp-ts/lib/TaskEither.js';
 import { request } from 'undici';
 import { afterAll, beforeAll, beforeEach, describe, expect, it } from 'vitest';
 
-import { TableStandIn } from '../../../standIns/platform/tableStandIn.js';
-import { SeededRandom } from '../../base/common/random.js';
-import { acceptChange } from '../../platform/configuration/test/acceptedChanges.js';
-import { serviceKey, zoneKey } from '../../platform/configuration/common/documents.js';
-import { ConfigurationFollower } from '../../platform/configuration/node/configurationFollower.js';
 import type { ErrorBody } from '../../platform/errors/common/errorKinds.js';
-import { silentLog } from '../../platform/log/common/log.js';
-import { silentMetrics } from '../../platform/metrics/common/metrics.js';
-import { PrometheusMetrics } from '../../platform/metrics/node/prometheusMetrics.js';
-import { settingsSchema } from '../../platform/settings/common/settings.js';
-import type { TableService } from '../../platform/table/common/table.js';
-import { ledgerKey, workKey } from '../../platform/workload/common/workRows.js';
-import { OperatorQueries } from '../node/operatorQueries.js';
-import { OperatorServer } from '../node/operatorServer.js';
-import { PlanProgressReader } from '../node/planProgress.js';
-import { PlanService } from '../node/planService.js';
-import { service, SIZE, worker } from './operatorHarness.js';
+import { service, SIZE } from './operatorHarness.js';
+import { TestOperatorServer } from './operatorServerHarness.js';
 
 const HUGE_BYTES = 50 * 1024 * 1024;
 const HUGE_SIZE = { processorMillis: 9_000, memoryBytes: 1, acceleratorCount: 0 };
-const clock = { nowMs: () => 0 };
-const PEERS = { members: new Map([['d1', 'live']]) };
-const sha256 = (token: string): string => createHash('sha256').update(token).digest('hex');
 
-const table = new TableStandIn();
-const tableService: TableService = {
-  read: (asked) => fromEither(right(table.read(asked))),
-  transact: (transaction) => fromEither(right(table.transact(transaction))),
-};
-const directory = { instances: [worker('w1', 'zone-a'), worker('w2', 'zone-a')] };
-
-const createServer = (): OperatorServer => {
-  const configuration = new ConfigurationFollower(tableService, clock, silentLog, silentMetrics);
-  let idCount = 0;
-  const newId = (): string => {
-    idCount += 1;
-    return `id-${idCount}`;
-  };
-  const services = {
-    table: tableService,
-    configuration,
-    directory,
-    clock,
-    metrics: silentMetrics,
-    random: new SeededRandom(1),
-    delay: () => Promise.resolve(),
-    wallNowMs: () => 0,
-    newSuffix: newId,
-    newOperationId: newId,
-  };
-  const limits = { planLifetimeMs: 60_000, confirmTimeoutMs: 1_000 };
-  const origin = 'http://127.0.0.1:1';
-  const host = { host: '127.0.0.1' };
-  const { operator } = settingsSchema.parse({
-    instanceId: 'entry-1',
-    availabilityZone: 'zone-a',
-    listen: { callers: host, operators: host, peers: host },
-    platform: { tableOrigin: origin, objectStoreOrigin: origin, instanceListOrigin: origin },
-    operator: {
-      tokens: [
-        { name: 'ann', role: 'confirm', sha256: sha256('ann-token') },
-        { name: 'vic', role: 'view', sha256: sha256('vic-token') },
-      ],
-    },
-  });
-  return new OperatorServer(
-    {
-      plans: new PlanService(services, limits),
-      progress: new PlanProgressReader(tableService, configuration, directory, () => 0),
-      queries: new OperatorQueries(tableService, configuration, directory, PEERS, () => 0),
-      configuration,
-      metrics: new PrometheusMetrics(),
-      spans: { find: () => [] } as never,
-      isReady: () => true,
-    },
-    operator,
-  );
-};
-
-const server = createServer();
-let port = 0;
-beforeAll(async () => {
-  port = await server.listen('127.0.0.1', 0);
-  acceptChange(table, 1, {
-    [zoneKey('zone-a')]: { name: 'zone-a', region: 'r', state: 'in-use' },
-    [serviceKey('rounds')]: service('rounds'),
-  });
-  const assignment = {
-    ...{ taskId: 'bakers.k/0', attempt: 1, workerId: 'w1', incarnation: 'i', taskClass: 'batch' },
-    ...{ serviceName: '', shardId: 'bakers.k~zone-a', taskIndex: 0, size: SIZE, workMs: 1 },
-    checkpoint: null,
-  };
-  const shard = {
-    ...{ shardId: 'bakers.k~zone-a', jobId: 'bakers.k', team: 'bakers', size: SIZE, workMs: 1 },
-    ...{
-      urgency: 'normal',
-      tasks: [{ index: 0, state: 'assigned', attempt: 1, checkpoint: null }],
-    },
-  };
-  const tasks = shard.tasks.map((task) => ({ ...task, evictionCount: 0, failureWeight: 0 }));
-  table.transact({
-    operationId: 'ledger',
-    conditions: [],
-    writes: [
-      { key: ledgerKey('zone-a', 'zone-a-rack'), value: { assignments: [assignment] } },
-      { key: workKey('zone-a', 'bakers.k~zone-a'), value: { ...shard, tasks } },
-    ],
-  });
-});
+const server = new TestOperatorServer();
+const { table } = server;
+beforeAll(() => server.listen());
 afterAll(() => server.close());
 
 interface Answer {
@@ -123,7 +21,7 @@
 }
 
 const post = async (body: string, token = 'ann-token', path = '/v1/plans'): Promise<Answer> => {
-  const response = await request(`http://127.0.0.1:${port}${path}`, {
+  const response = await request(`http://${server.address}${path}`, {
     method: 'POST',
     headers: { 'content-type': 'application/json', authorization: `Bearer ${token}` },
     body,
@@ -138,7 +36,7 @@
   new Promise((resolve, reject) => {
     const call = rawRequest({
       host: '127.0.0.1',
-      port,
+      port: server.port,
       path: '/v1/plans',
       method: 'POST',
       headers: {
--- a/src/platform/commandLine/node/runProgram.ts
+++ b/src/platform/commandLine/node/runProgram.ts
@@ -1,6 +1,8 @@
 /** Runs a program's command line and gives its exit code the documented meaning. */
 import { type ArgsDef, type CommandDef, runCommand, runMain } from 'citty';
 
+import { BaseError, SettingsError, UnknownError } from '../../errors/node/snipethreadError.js';
+
 export const FAULT_EXIT_CODE = 1;
 export const WRONG_USE_EXIT_CODE = 2;
 
@@ -24,12 +26,13 @@
   }
   try {
     await runCommand(command, { rawArgs: [...args] });
-  } catch (error) {
-    if (!isWrongUse(error)) {
-      process.stderr.write(`${error instanceof Error ? error.message : String(error)}\n`);
-      process.exit(FAULT_EXIT_CODE);
+  } catch (thrown) {
+    if (isWrongUse(thrown)) {
+      process.stderr.write(`${thrown.message}; --help tells the use\n`);
+      process.exit(WRONG_USE_EXIT_CODE);
     }
-    process.stderr.write(`${error.message}; --help tells the use\n`);
-    process.exit(WRONG_USE_EXIT_CODE);
+    const error = BaseError.normalize(thrown, UnknownError);
+    process.stderr.write(`${error.message}\n`);
+    process.exit(error instanceof SettingsError ? WRONG_USE_EXIT_CODE : FAULT_EXIT_CODE);
   }
 };
--- a/src/platform/log/common/log.ts
+++ b/src/platform/log/common/log.ts
@@ -1,10 +1,12 @@
 /** Structured log lines, written for changes of state only; anything frequent is a counter. */
+import type { LogEvent } from './logEvents.js';
+
 export type LogFields = Readonly<Record<string, string | number | boolean>>;
 
 export interface Log {
-  info(event: string, fields?: LogFields): void;
-  warn(event: string, fields?: LogFields): void;
-  error(event: string, fields?: LogFields): void;
+  info(event: LogEvent, fields?: LogFields): void;
+  warn(event: LogEvent, fields?: LogFields): void;
+  error(event: LogEvent, fields?: LogFields): void;
 }
 
 export const silentLog: Log = { info: () => {}, warn: () => {}, error: () => {} };
--- a/src/platform/log/node/consolaLog.ts
+++ b/src/platform/log/node/consolaLog.ts
@@ -2,6 +2,7 @@
 import { type ConsolaInstance, createConsola, LogLevels } from 'consola';
 
 import type { Log, LogFields } from '../common/log.js';
+import type { LogEvent } from '../common/logEvents.js';
 
 export const LogFormat = { Json: 'json', Pretty: 'pretty' } as const;
 export type LogFormat = (typeof LogFormat)[keyof typeof LogFormat];
@@ -37,15 +38,15 @@
     this.#context = context;
   }
 
-  info(event: string, fields: LogFields = {}): void {
+  info(event: LogEvent, fields: LogFields = {}): void {
     this.#consola.info(event, { ...this.#context, ...fields });
   }
 
-  warn(event: string, fields: LogFields = {}): void {
+  warn(event: LogEvent, fields: LogFields = {}): void {
     this.#consola.warn(event, { ...this.#context, ...fields });
   }
 
-  error(event: string, fields: LogFields = {}): void {
+  error(event: LogEvent, fields: LogFields = {}): void {
     this.#consola.error(event, { ...this.#context, ...fields });
   }
 }
--- a/src/platform/settings/common/settings.ts
+++ b/src/platform/settings/common/settings.ts
@@ -1,4 +1,5 @@
 /** The daemon's settings: their schema, defaults and the rules between fields. */
+import { type Either, left, right } from 'fp-ts/lib/Either.js';
 import { z } from 'zod';
 
 const portSchema = z.number().int().min(0).max(65_535);
@@ -123,89 +124,109 @@
   ringCapacity: positiveCount.default(200),
 });
 
-export const settingsSchema = z
-  .strictObject({
-    /** The JSON Schema that editors check the file with; the daemon does not read it. */
-    $schema: z.string().optional(),
-    instanceId: z.string().min(1),
-    availabilityZone: z.string().min(1),
-    roles: z
-      .array(z.enum([Role.Entry, Role.Scheduler, Role.Operator]))
-      .min(1)
-      .default([Role.Entry, Role.Scheduler, Role.Operator]),
-    listen: z.strictObject({
-      callers: listenSchema,
-      operators: listenSchema,
-      peers: listenSchema,
-    }),
-    platform: platformSchema,
-    entry: entrySchema.prefault({}),
-    scheduler: schedulerSchema.prefault({}),
-    peers: peersSchema.prefault({}),
-    operator: operatorSchema.prefault({}),
-    log: logSchema.prefault({}),
-    tracing: tracingSchema.prefault({}),
-  })
-  .superRefine((settings, context) => {
-    const rule = (isBroken: boolean, path: string[], message: string): void => {
-      if (isBroken) context.addIssue({ code: 'custom', path, message });
-    };
-    const { scheduler, entry, peers, platform, operator } = settings;
-    rule(
-      operator.planRetentionMs < operator.planLifetimeMs + operator.confirmTimeoutMs,
-      ['operator', 'planRetentionMs'],
-      'must be at least operator.planLifetimeMs and operator.confirmTimeoutMs together',
-    );
-    rule(
-      scheduler.workerLeaseMs < scheduler.workerRenewalIntervalMs * 3,
-      ['scheduler', 'workerLeaseMs'],
-      'must be at least three times scheduler.workerRenewalIntervalMs',
-    );
-    rule(
-      scheduler.cellLeaseMs < scheduler.cellHeartbeatIntervalMs * 3,
-      ['scheduler', 'cellLeaseMs'],
-      'must be at least three times scheduler.cellHeartbeatIntervalMs',
-    );
-    rule(
-      scheduler.startValidityMs > scheduler.workerLeaseMs,
-      ['scheduler', 'startValidityMs'],
-      'must not exceed scheduler.workerLeaseMs',
-    );
-    rule(
-      scheduler.startFreshnessMs + scheduler.startValidityMs > 2_900,
-      ['scheduler', 'startFreshnessMs'],
-      'with scheduler.startValidityMs must stay within 2900, so that starts end in time',
-    );
-    rule(
-      entry.defaultDeadlineMs > entry.maximumDeadlineMs,
-      ['entry', 'defaultDeadlineMs'],
-      'must not exceed entry.maximumDeadlineMs',
-    );
-    rule(
-      entry.maximumHeldBytes < entry.maximumBodyBytes,
-      ['entry', 'maximumHeldBytes'],
-      'must hold at least one body of entry.maximumBodyBytes',
-    );
-    rule(
-      entry.silenceFloorMs >= entry.defaultDeadlineMs,
-      ['entry', 'silenceFloorMs'],
-      'must be below entry.defaultDeadlineMs, or a silent connection is found too late',
-    );
-    rule(
-      peers.silenceTimeoutMs < peers.heartbeatIntervalMs * 2,
-      ['peers', 'silenceTimeoutMs'],
-      'must be at least twice peers.heartbeatIntervalMs',
-    );
-    rule(
-      platform.configurationIntervalMs + platform.callTimeoutMs * 3 > 3_000,
-      ['platform', 'configurationIntervalMs'],
-      'with three times platform.callTimeoutMs must stay within 3000, so that a change is in force in time',
-    );
-  });
+/** Sections whose fields the rules compare. */
+const RULED_SECTIONS: Readonly<Record<string, z.ZodObject>> = {
+  platform: platformSchema,
+  entry: entrySchema,
+  scheduler: schedulerSchema,
+  peers: peersSchema,
+  operator: operatorSchema,
+};
+
+const formSchema = z.strictObject({
+  /** The JSON Schema that editors check the file with; the daemon does not read it. */
+  $schema: z.string().optional(),
+  instanceId: z.string().min(1),
+  availabilityZone: z.string().min(1),
+  roles: z
+    .array(z.enum([Role.Entry, Role.Scheduler, Role.Operator]))
+    .min(1)
+    .default([Role.Entry, Role.Scheduler, Role.Operator]),
+  listen: z.strictObject({
+    callers: listenSchema,
+    operators: listenSchema,
+    peers: listenSchema,
+  }),
+  platform: platformSchema,
+  entry: entrySchema.prefault({}),
+  scheduler: schedulerSchema.prefault({}),
+  peers: peersSchema.prefault({}),
+  operator: operatorSchema.prefault({}),
+  log: logSchema.prefault({}),
+  tracing: tracingSchema.prefault({}),
+});
 
-export type Settings = z.infer<typeof settingsSchema>;
+export type Settings = z.infer<typeof formSchema>;
 /** The settings as an operator may write them, defaults left out. */
-export type SettingsInput = z.input<typeof settingsSchema>;
+export type SettingsInput = z.input<typeof formSchema>;
+
+/**
+ * The rules between fields. A field whose own form is faulty is given as not a number, with which
+ * every comparison is false, so that a rule never blames one field for the fault of another.
+ */
+const checkRules = (
+  settings: Settings,
+  addFault: (path: string[], message: string) => void,
+): void => {
+  const rule = (isBroken: boolean, path: string[], message: string): void => {
+    if (isBroken) addFault(path, message);
+  };
+  const { scheduler, entry, peers, platform, operator } = settings;
+  rule(
+    operator.planRetentionMs < operator.planLifetimeMs + operator.confirmTimeoutMs,
+    ['operator', 'planRetentionMs'],
+    'must be at least operator.planLifetimeMs and operator.confirmTimeoutMs together',
+  );
+  rule(
+    scheduler.workerLeaseMs < scheduler.workerRenewalIntervalMs * 3,
+    ['scheduler', 'workerLeaseMs'],
+    'must be at least three times scheduler.workerRenewalIntervalMs',
+  );
+  rule(
+    scheduler.cellLeaseMs < scheduler.cellHeartbeatIntervalMs * 3,
+    ['scheduler', 'cellLeaseMs'],
+    'must be at least three times scheduler.cellHeartbeatIntervalMs',
+  );
+  rule(
+    scheduler.startValidityMs > scheduler.workerLeaseMs,
+    ['scheduler', 'startValidityMs'],
+    'must not exceed scheduler.workerLeaseMs',
+  );
+  rule(
+    scheduler.startFreshnessMs + scheduler.startValidityMs > 2_900,
+    ['scheduler', 'startFreshnessMs'],
+    'with scheduler.startValidityMs must stay within 2900, so that starts end in time',
+  );
+  rule(
+    entry.defaultDeadlineMs > entry.maximumDeadlineMs,
+    ['entry', 'defaultDeadlineMs'],
+    'must not exceed entry.maximumDeadlineMs',
+  );
+  rule(
+    entry.maximumHeldBytes < entry.maximumBodyBytes,
+    ['entry', 'maximumHeldBytes'],
+    'must hold at least one body of entry.maximumBodyBytes',
+  );
+  rule(
+    entry.silenceFloorMs >= entry.defaultDeadlineMs,
+    ['entry', 'silenceFloorMs'],
+    'must be below entry.defaultDeadlineMs, or a silent connection is found too late',
+  );
+  rule(
+    peers.silenceTimeoutMs < peers.heartbeatIntervalMs * 2,
+    ['peers', 'silenceTimeoutMs'],
+    'must be at least twice peers.heartbeatIntervalMs',
+  );
+  rule(
+    platform.configurationIntervalMs + platform.callTimeoutMs * 3 > 3_000,
+    ['platform', 'configurationIntervalMs'],
+    'with three times platform.callTimeoutMs must stay within 3000, so that a change is in force in time',
+  );
+};
+
+export const settingsSchema = formSchema.superRefine((settings, context) => {
+  checkRules(settings, (path, message) => context.addIssue({ code: 'custom', path, message }));
+});
 
 /** One fault in a settings file: the path of the field and what is wrong with it. */
 export interface SettingsFault {
@@ -216,8 +237,8 @@
 const toPath = (segments: readonly PropertyKey[]): string =>
   segments.length === 0 ? '(root)' : segments.map(String).join('.');
 
-/** All faults of a value, an unknown key counted as a fault of its own path. */
-export const settingsFaults = (error: z.ZodError): readonly SettingsFault[] =>
+/** What is wrong with the form of a value, an unknown key counted as a fault of its own path. */
+const formFaults = (error: z.ZodError): readonly SettingsFault[] =>
   error.issues.flatMap((issue) => {
     if (issue.code !== 'unrecognized_keys') {
       return [{ path: toPath(issue.path), message: issue.message }];
@@ -227,3 +248,30 @@
       message: 'is not a setting',
     }));
   });
+
+type Members = Readonly<Record<string, unknown>>;
+
+const isMembers = (value: unknown): value is Members =>
+  typeof value === 'object' && value !== null && !Array.isArray(value);
+
+/** The sections that rules speak of, with each field parsed alone; faulty ones are no numbers. */
+const sectionsFieldByField = (value: Members): Settings => {
+  const sections = Object.entries(RULED_SECTIONS).map(([name, { shape }]) => {
+    const given = isMembers(value[name]) ? value[name] : {};
+    const fields = Object.entries(shape).map(([field, schema]): [string, unknown] => {
+      const parsed = schema.safeParse(given[field]);
+      return [field, parsed.success ? parsed.data : Number.NaN];
+    });
+    return [name, Object.fromEntries(fields)];
+  });
+  return Object.fromEntries(sections) as Settings;
+};
+
+/** Checked settings, or every fault of them at once: of their form and of the rules between. */
+export const checkSettings = (value: unknown): Either<readonly SettingsFault[], Settings> => {
+  const parsed = formSchema.safeParse(value);
+  const faults: SettingsFault[] = parsed.success ? [] : [...formFaults(parsed.error)];
+  const ruled = parsed.success ? parsed.data : sectionsFieldByField(isMembers(value) ? value : {});
+  checkRules(ruled, (path, message) => faults.push({ path: toPath(path), message }));
+  return parsed.success && faults.length === 0 ? right(parsed.data) : left(faults);
+};
--- a/src/platform/settings/node/settingsFile.ts
+++ b/src/platform/settings/node/settingsFile.ts
@@ -3,18 +3,15 @@
 
 import { type Either, left, right } from 'fp-ts/lib/Either.js';
 
-import {
-  type Settings,
-  type SettingsFault,
-  settingsFaults,
-  settingsSchema,
-} from '../common/settings.js';
+import { checkSettings, type Settings, type SettingsFault } from '../common/settings.js';
 
 const parseJson = (text: string): Either<readonly SettingsFault[], unknown> => {
   try {
     return right(JSON.parse(text));
   } catch (error) {
-    return left([{ path: '(file)', message: `is not JSON: ${(error as Error).message}` }]);
+    // The parser's message quotes the file, line breaks and all; a fault is one line.
+    const reason = (error as Error).message.replace(/\s+/gu, ' ');
+    return left([{ path: '(file)', message: `is not JSON: ${reason}` }]);
   }
 };
 
@@ -30,6 +27,5 @@
   }
   const json = parseJson(text);
   if (json._tag === 'Left') return json;
-  const parsed = settingsSchema.safeParse(json.right);
-  return parsed.success ? right(parsed.data) : left(settingsFaults(parsed.error));
+  return checkSettings(json.right);
 };
--- a/src/platform/settings/test/settings.test.ts
+++ b/src/platform/settings/test/settings.test.ts
@@ -1,6 +1,7 @@
+import { isLeft } from 'fp-ts/lib/Either.js';
 import { describe, expect, it } from 'vitest';
 
-import { settingsFaults, settingsSchema } from '../common/settings.js';
+import { checkSettings, settingsSchema } from '../common/settings.js';
 
 const valid = {
   instanceId: 'entry-1',
@@ -18,8 +19,11 @@
 };
 
 const faultPaths = (settings: unknown): readonly string[] => {
-  const parsed = settingsSchema.safeParse(settings);
-  return parsed.success ? [] : settingsFaults(parsed.error).map(({ path }) => path);
+  const checked = checkSettings(settings);
+  const paths = isLeft(checked) ? checked.left.map(({ path }) => path) : [];
+  // What the daemon starts with and what is reported must not differ.
+  expect(settingsSchema.safeParse(settings).success).toBe(paths.length === 0);
+  return paths;
 };
 
 describe('settings', () => {
@@ -51,4 +55,34 @@
     const platform = { ...valid.platform, configurationIntervalMs: 601 };
     expect(faultPaths({ ...valid, platform })).toEqual(['platform.configurationIntervalMs']);
   });
+
+  // An operator mends what is reported, restarts, and is told of the next fault: a file with
+  // faults of both kinds must be mended in one go.
+  it('tell broken rules and faulty forms in one pass', () => {
+    const faulty = {
+      ...valid,
+      colour: 'red',
+      scheduler: { workerLeaseMs: 2_000, cellLeaseMs: 'long' },
+      peers: { silenceTimeoutMs: 1_000 },
+    };
+    expect([...faultPaths(faulty)].sort()).toEqual([
+      'colour',
+      'peers.silenceTimeoutMs',
+      'scheduler.cellLeaseMs',
+      'scheduler.workerLeaseMs',
+    ]);
+  });
+
+  // The renewals are no number, so nothing can be said of the lease beside them.
+  it('blame no field for the fault of another', () => {
+    const scheduler = { workerLeaseMs: 2_000, workerRenewalIntervalMs: 'often' };
+    expect(faultPaths({ ...valid, scheduler })).toEqual(['scheduler.workerRenewalIntervalMs']);
+  });
+
+  it.each([[null], [[]], ['text'], [{ entry: 5, platform: null, operator: [] }]])(
+    'that are %j are faults and no exception',
+    (settings) => {
+      expect(faultPaths(settings).length).toBeGreaterThan(0);
+    },
+  );
 });
--- a/src/scheduler/common/cellState.ts
+++ b/src/scheduler/common/cellState.ts
@@ -4,6 +4,7 @@
 import type { ConfigurationView } from '../../platform/configuration/common/configurationView.js';
 import type { Failure } from '../../platform/errors/common/errorKinds.js';
 import type { WorkerInstance } from '../../platform/instanceList/common/instanceList.js';
+import type { LogEvent } from '../../platform/log/common/logEvents.js';
 import type {
   ReadRequest,
   ReadResult,
@@ -142,7 +143,7 @@
   | { readonly kind: 'commit'; readonly epoch: number; readonly transaction: Transaction }
   | { readonly kind: 'command'; readonly workerId: string; readonly command: WorkerCommand }
   | { readonly kind: 'count'; readonly counter: string; readonly amount: number }
-  | { readonly kind: 'log'; readonly event: string };
+  | { readonly kind: 'log'; readonly event: LogEvent };
 
 export interface CellDecision {
   readonly state: CellState;
--- a/tools/generate/generatedFiles.ts
+++ b/tools/generate/generatedFiles.ts
@@ -1,4 +1,5 @@
 /** Every generated file with its text, the pages before formatting. */
+import { logPage } from './logPage.js';
 import { metricsPage } from './metricsPage.js';
 import { openApiDescription } from './openApi.js';
 import { settingsJsonSchema, settingsPage } from './settingsSchema.js';
@@ -10,6 +11,7 @@
 export const generatedFiles = async (): Promise<Readonly<Record<string, string>>> => ({
   'docs/settings.schema.json': toJsonText(settingsJsonSchema()),
   'docs/openapi.json': toJsonText(await openApiDescription()),
+  'docs/operations/LOG.md': logPage(),
   'docs/operations/METRICS.md': metricsPage(),
   'docs/operations/SETTINGS.md': settingsPage(),
 });
--- a/tools/test/generatedFiles.test.ts
+++ b/tools/test/generatedFiles.test.ts
@@ -14,7 +14,7 @@
       const expected = isPage ? await format(text, options) : text;
       expect(await readFile(path, 'utf8'), path).toBe(expected);
     });
-    expect(checks).toHaveLength(4);
+    expect(checks).toHaveLength(5);
     await Promise.all(checks);
   });
 });
