--- a/src/cli/node/commands.ts
+++ b/src/cli/node/commands.ts
@@ -54,7 +54,8 @@
     print(JSON.stringify(body));
     return ExitCode.Refused;
   }
-  process.stderr.write(`${body.error}: ${body.message} (work: ${body.workOutcome})\n`);
+  const again = body.isWorthRetrying ? `; try again in ${body.retryAfterMs} ms` : '';
+  process.stderr.write(`${body.error}: ${body.message} (work: ${body.workOutcome}${again})\n`);
   const newPlan = planSchema.safeParse(body.newPlan);
   if (newPlan.success) print(`planned anew:\n${planText(newPlan.data)}`);
   return ExitCode.Refused;
--- a/src/cli/node/operatorClient.ts
+++ b/src/cli/node/operatorClient.ts
@@ -2,19 +2,23 @@
 import { type Either, left, right } from 'fp-ts/lib/Either.js';
 import { request } from 'undici';
 
-import type { ErrorBody } from '../../platform/errors/common/errorKinds.js';
-import { ErrorKind, WorkOutcome } from '../../platform/errors/common/errorKinds.js';
+import {
+  type ErrorBody,
+  errorBody,
+  ErrorKind,
+  failure,
+} from '../../platform/errors/common/errorKinds.js';
+import { isSurelyNotSent } from '../../platform/http/node/httpCall.js';
 
 const FIRST_ERROR_STATUS = 400;
 const CALL_TIMEOUT_MS = 30_000;
 
-const unreachable = (message: string): ErrorBody => ({
-  error: ErrorKind.StoreAnswerLost,
-  message,
-  workOutcome: WorkOutcome.Unknown,
-  isWorthRetrying: true,
-  retryAfterMs: 1_000,
-});
+/** Nothing was sent where the connection was refused; else the daemon may have done it. */
+const noAnswer = (origin: string, error: unknown): ErrorBody => {
+  const kind = isSurelyNotSent(error) ? ErrorKind.NoServer : ErrorKind.AnswerLost;
+  const reason = (error as Error).message;
+  return errorBody(failure(kind, `no answer of a daemon at ${origin}: ${reason}`));
+};
 
 export class OperatorClient {
   readonly #origin: string;
@@ -53,7 +57,7 @@
       if (response.statusCode >= FIRST_ERROR_STATUS) return left(answer as ErrorBody);
       return right(answer);
     } catch (error) {
-      return left(unreachable((error as Error).message));
+      return left(noAnswer(this.#origin, error));
     }
   }
 }
--- a/src/operator/common/confirmation.ts
+++ b/src/operator/common/confirmation.ts
@@ -114,13 +114,15 @@
   }
   const plan = planSchema.parse(row.value);
   if (plan.digest !== request.digest) {
-    return left(failure(ErrorKind.PlanConflict, 'the digest is not that of the plan'));
+    const message = `the digest is not that of plan ${plan.planId}; read the plan again`;
+    return left(failure(ErrorKind.PlanConflict, message));
   }
   if (plan.state === PlanState.Confirmed || isEmptyPlan(plan)) {
     return right({ kind: 'accepted', plan });
   }
   if (nowAt > plan.expiresAt) {
-    return left(failure(ErrorKind.PlanExpired, `plan ${plan.planId} expired ${plan.expiresAt}`));
+    const message = `plan ${plan.planId} expired ${plan.expiresAt}; make a new one`;
+    return left(failure(ErrorKind.PlanExpired, message));
   }
   const changedKey = staleKey(plan, rows);
   if (changedKey !== undefined) {
--- a/src/operator/node/operatorAccess.ts
+++ b/src/operator/node/operatorAccess.ts
@@ -29,9 +29,13 @@
     const [known] = this.#tokens.filter(({ sha256 }) =>
       timingSafeEqual(Buffer.from(sha256, 'hex'), hash),
     );
-    if (known === undefined) return left(failure(ErrorKind.Unauthorised, 'unknown token'));
+    if (known === undefined) {
+      const message = token === '' ? 'no bearer token was given' : 'the token is not known here';
+      return left(failure(ErrorKind.Unauthorised, message));
+    }
     if (RANKS[known.role] < RANKS[needed]) {
-      return left(failure(ErrorKind.Forbidden, `this needs the role ${needed}`));
+      const message = `${known.name} has the role ${known.role}; this needs ${needed}`;
+      return left(failure(ErrorKind.Forbidden, message));
     }
     return right(known.name);
   }
--- /dev/null
+++ b/src/operator/test/operatorErrors.test.ts
@@ -0,0 +1,135 @@
+import { request } from 'undici';
+import { beforeEach, describe, expect, it } from 'vitest';
+
+import { TestOperatorServer } from './operatorServerHarness.js';
+
+const PLAN_LIFETIME_MS = 60_000;
+const WITHDRAWAL = { intent: { intent: 'withdraw-zone', zone: 'zone-a' } };
+
+interface Answer {
+  readonly statusCode: number;
+  readonly retryAfter: unknown;
+  readonly body: Readonly<Record<string, unknown>>;
+}
+
+let server: TestOperatorServer;
+beforeEach(async () => {
+  server = new TestOperatorServer();
+  await server.listen();
+  return () => server.close();
+});
+
+const call = async (
+  method: 'GET' | 'POST',
+  path: string,
+  body: unknown = undefined,
+  token = 'ann-token',
+): Promise<Answer> => {
+  const response = await request(`http://${server.address}${path}`, {
+    method,
+    headers: { 'content-type': 'application/json', authorization: `Bearer ${token}` },
+    body: body === undefined ? null : JSON.stringify(body),
+  });
+  return {
+    statusCode: response.statusCode,
+    retryAfter: response.headers['retry-after'],
+    body: (await response.body.json()) as Answer['body'],
+  };
+};
+
+interface Known {
+  readonly planId: string;
+  readonly digest: string;
+}
+
+const makePlan = async (): Promise<Known> =>
+  (await call('POST', '/v1/plans', WITHDRAWAL)).body as unknown as Known;
+
+const confirm = ({ planId, digest }: Known, token?: string): Promise<Answer> =>
+  call('POST', `/v1/plans/${planId}/confirm`, { digest }, token);
+
+const historyLength = async (): Promise<number> =>
+  ((await call('GET', '/v1/history')).body as unknown as unknown[]).length;
+
+describe('when something goes wrong an operator is told', () => {
+  // Whoever confirms an hour later would carry out what was planned for another state of things.
+  it('that a plan has expired', async () => {
+    const plan = await makePlan();
+    server.wallMs = PLAN_LIFETIME_MS + 1;
+    const { statusCode, body } = await confirm(plan);
+    expect([statusCode, body.error, body.workOutcome]).toEqual([410, 'plan-expired', 'not-run']);
+    expect(body.message).toContain(`plan ${plan.planId} expired`);
+    server.wallMs = 0;
+    expect(await historyLength()).toBe(1);
+  });
+
+  it('that a digest is of another plan', async () => {
+    const [one, other] = [await makePlan(), await makePlan()];
+    const { statusCode, body } = await confirm({ ...one, digest: other.digest });
+    expect([statusCode, body.error, body.workOutcome]).toEqual([409, 'plan-conflict', 'not-run']);
+    expect(body.message).toContain(one.planId);
+    expect(await historyLength()).toBe(1);
+  });
+
+  // The store takes the change in and its answer is lost; the daemon asks again by itself.
+  it('of the acceptance although its answer was lost, and once however often asked', async () => {
+    const plan = await makePlan();
+    server.lostAnswerCount = 1;
+    const first = await confirm(plan);
+    expect([first.statusCode, first.body.acceptedVersion]).toEqual([200, 2]);
+    expect(await confirm(plan)).toEqual(first);
+    expect(await historyLength()).toBe(2);
+  });
+
+  // The store goes out before anything is known. "Not run" could be untrue, so it is unknown, with
+  // the time to come back; confirming the same plan again finds out and makes one change.
+  it('that the outcome is unknown while the store is out, and the outcome afterwards', async () => {
+    const plan = await makePlan();
+    server.isTableDown = true;
+    const { statusCode, body, retryAfter } = await confirm(plan);
+    expect([statusCode, body.error]).toEqual([503, 'store-answer-lost']);
+    expect([body.workOutcome, body.isWorthRetrying, retryAfter]).toEqual(['unknown', true, '2']);
+    expect(body.message).toContain('confirm it again');
+    server.isTableDown = false;
+    expect((await confirm(plan)).body.acceptedVersion).toBe(2);
+    expect(await historyLength()).toBe(2);
+  });
+
+  it('that the store is out, when planning or looking', async () => {
+    server.isTableDown = true;
+    const planned = await call('POST', '/v1/plans', WITHDRAWAL);
+    expect(planned.statusCode).toBe(503);
+    expect(planned.body).toMatchObject({ workOutcome: 'not-run', isWorthRetrying: true });
+    const looked = await call('GET', '/v1/jobs');
+    expect([looked.statusCode, looked.body.error]).toEqual([503, 'store-unavailable']);
+  });
+
+  it('which role is missing, and that a token is not known', async () => {
+    const plan = await makePlan();
+    const forbidden = await confirm(plan, 'pat-token');
+    expect([forbidden.statusCode, forbidden.body.error]).toEqual([403, 'forbidden']);
+    expect(forbidden.body.message).toBe('pat has the role plan; this needs confirm');
+    expect(forbidden.body.workOutcome).toBe('not-run');
+    const looking = await call('POST', '/v1/plans', WITHDRAWAL, 'vic-token');
+    expect(looking.body.message).toBe('vic has the role view; this needs plan');
+    const unknown = await call('GET', '/v1/zones', undefined, 'guessed');
+    expect([unknown.statusCode, unknown.body.error]).toEqual([401, 'unauthorised']);
+    expect(unknown.body.message).toBe('the token is not known here');
+  });
+
+  it.each([
+    ['a plan that is not there', 'GET', '/v1/plans/x', undefined, 404, 'no plan x'],
+    ['progress of no plan', 'GET', '/v1/plans/x/progress', undefined, 404, 'no plan x'],
+    ['a confirmation of no plan', 'POST', '/v1/plans/x/confirm', { digest: 'd' }, 404, 'no plan x'],
+    ['a confirmation without a digest', 'POST', '/v1/plans/x/confirm', {}, 400, 'digest'],
+    ['an object that is not there', 'GET', '/v1/zones/x', undefined, 404, 'no zone x'],
+    ['a path that is not there', 'GET', '/v1/paintings', undefined, 404, 'no /v1/paintings'],
+    ['another method', 'POST', '/v1/zones', {}, 404, 'no /v1/zones'],
+  ] as const)('of %s in one line', async (_name, method, path, body, statusCode, text) => {
+    const answer = await call(method, path, body);
+    expect(answer.statusCode).toBe(statusCode);
+    expect(answer.body.message).toContain(text);
+    expect(answer.body.workOutcome).toBe('not-run');
+    expect(String(answer.body.message).split('\n')).toHaveLength(1);
+  });
+});
