--- a/src/cli/node/operatorClient.ts
+++ b/src/cli/node/operatorClient.ts
@@ -14,9 +14,10 @@
 const CALL_TIMEOUT_MS = 30_000;
 
 /** Tells a call that surely reached no daemon from one that may have been carried out. */
-const unanswered = (error: unknown): ErrorBody => {
+const noAnswer = (origin: string, error: unknown): ErrorBody => {
   const kind = isSurelyNotSent(error) ? ErrorKind.DaemonUnreachable : ErrorKind.DaemonAnswerLost;
-  return errorBody(failure(kind, (error as Error).message));
+  const reason = (error as Error).message;
+  return errorBody(failure(kind, `no answer of a daemon at ${origin}: ${reason}`));
 };
 
 export class OperatorClient {
@@ -56,7 +57,7 @@
       if (response.statusCode >= FIRST_ERROR_STATUS) return left(answer as ErrorBody);
       return right(answer);
     } catch (error) {
-      return left(unanswered(error));
+      return left(noAnswer(this.#origin, error));
     }
   }
 }
