Silent connections are shown between daemons, to workers and to all of the platform

Cause: only the connections to backend servers and to the table were shown to survive something between the ends that forgets them; the peers' own test closed nothing on the accepting side. Ruled out: new safeguards. Change: tests by the relay in either direction for peers, workers, object store and instance list; the clients of the last two bound the opening of a connection by their call's timeout as the others do (undici's own limit is 10 s; not tested, since loopback refuses at once). Figures: by the settings' defaults 800 ms for a call, 4 s for a link, 6 s for its other side.

--- a/src/entry/test/silentConnections.test.ts
+++ b/src/entry/test/silentConnections.test.ts
@@ -3,6 +3,8 @@
 
 import { PlatformServer } from '../../../standIns/platform/platformServer.js';
 import { Silence, SilentRelay } from '../../../standIns/relay/silentRelay.js';
+import { HttpInstanceList } from '../../platform/instanceList/node/httpInstanceList.js';
+import { HttpObjectStore } from '../../platform/objectStore/node/httpObjectStore.js';
 import { HttpTableService } from '../../platform/table/node/httpTableService.js';
 import { backendServer, EntryHarness, entrySettings, workOutcome } from './entryHarness.js';
 import { RawBackend, wholeAnswer } from './rawBackend.js';
@@ -99,3 +101,54 @@
     expect(relay.connectionCount).toBe(2);
   });
 });
+
+describe('a connection to the object store or to the instance list that has gone silent', () => {
+  // As with the table: the call that lies on it fails by its own timeout, the connection is
+  // closed, and the next call goes over a new one.
+  interface PlatformCall {
+    readonly connectionCount: number;
+    readonly isAnswered: () => Promise<boolean>;
+    readonly dispose: () => void;
+  }
+  const CLIENTS: Readonly<Record<string, (origin: string) => PlatformCall>> = {
+    'object store': (origin) => {
+      const store = new HttpObjectStore(origin, 300);
+      return {
+        connectionCount: 2,
+        isAnswered: async () => isRight(await store.hasObject('checkpoint')()),
+        dispose: () => store.dispose(),
+      };
+    },
+    'instance list': (origin) => {
+      const list = new HttpInstanceList(origin, 300);
+      return {
+        connectionCount: 1,
+        isAnswered: async () => isRight(await list.list()()),
+        dispose: () => list.dispose(),
+      };
+    },
+  };
+
+  it.each(ALL.flatMap((way) => Object.keys(CLIENTS).map((name) => [name, way] as const)))(
+    'costs the calls on it: %s, %s',
+    async (name, way) => {
+      const platform = new PlatformServer(1);
+      const relay = new SilentRelay(await platform.listen());
+      const client = CLIENTS[name]?.(`http://127.0.0.1:${await relay.listen()}`) as PlatformCall;
+      const { connectionCount, isAnswered } = client;
+      cleanups.push(
+        () => client.dispose(),
+        () => relay.close(),
+        () => platform.close(),
+      );
+      const callOnEach = () => Promise.all(Array.from({ length: connectionCount }, isAnswered));
+      expect(await callOnEach()).not.toContain(false);
+      expect(relay.connectionCount).toBe(connectionCount);
+      relay.silenceAll(way);
+      expect(await callOnEach()).not.toContain(true);
+      expect(await callOnEach()).not.toContain(false);
+      expect(relay.connectionCount).toBe(connectionCount * 2);
+      await expect.poll(() => relay.openSilentCount).toBe(0);
+    },
+  );
+});
--- /dev/null
+++ b/src/peers/test/silentPeers.test.ts
@@ -0,0 +1,99 @@
+import { afterEach, describe, expect, it } from 'vitest';
+
+import { Silence, SilentRelay } from '../../../standIns/relay/silentRelay.js';
+import { type Disposable, toDisposable } from '../../base/common/lifecycle.js';
+import { systemClock } from '../../base/node/systemClock.js';
+import type { DaemonInstance } from '../../platform/instanceList/common/instanceList.js';
+import { type Metrics, silentMetrics } from '../../platform/metrics/common/metrics.js';
+import { settingsSchema } from '../../platform/settings/common/settings.js';
+import { silentTracing } from '../../platform/tracing/common/tracing.js';
+import { PeerService } from '../node/peerService.js';
+
+const HOST = '127.0.0.1';
+/** Waits for a state; the test's own timeout bounds it. */
+const PATIENT = { timeout: 20_000 };
+const never = (): Disposable => toDisposable(() => {});
+const cleanups: (() => unknown)[] = [];
+afterEach(async () => {
+  await Promise.all(cleanups.splice(0).map((cleanup) => cleanup()));
+});
+
+const settingsOf = (instanceId: string) => {
+  const listen = { host: HOST };
+  const origin = `http://${HOST}:1`;
+  return settingsSchema.parse({
+    instanceId,
+    availabilityZone: 'zone-a',
+    listen: { callers: listen, operators: listen, peers: listen },
+    platform: { tableOrigin: origin, objectStoreOrigin: origin, instanceListOrigin: origin },
+    peers: { heartbeatIntervalMs: 50, silenceTimeoutMs: 200 },
+  });
+};
+
+const daemon = (id: string, port: number): DaemonInstance => ({
+  kind: 'daemon',
+  id,
+  availabilityZone: 'zone-a',
+  state: 'live',
+  peerAddress: { host: HOST, port },
+  operatorAddress: { host: HOST, port: 1 },
+});
+
+/** A daemon's peer link whose instance list names these others. */
+const startPeer = async (
+  id: string,
+  others: readonly DaemonInstance[],
+  metrics: Metrics = silentMetrics,
+): Promise<{ service: PeerService; port: number }> => {
+  const configuration = {
+    current: undefined,
+    confirmedAtMs: 0,
+    onDidChange: never,
+    refresh: () => Promise.resolve(),
+  };
+  const directory = { instances: [daemon(id, 1), ...others], onDidChange: never };
+  const service = new PeerService(
+    settingsOf(id),
+    configuration,
+    directory,
+    systemClock,
+    metrics,
+    silentTracing,
+  );
+  cleanups.push(() => service.dispose());
+  return { service, port: await service.listen(HOST, 0) };
+};
+
+describe('the connection between two daemons', () => {
+  // Something between the daemons forgets their connection in one direction or in both: what is
+  // written vanishes and nothing closes, while new connections work. Each must take the other for
+  // silent, close the connection, hear it again over a new one, and the accepting side must not
+  // keep the old one either. By the settings' defaults that takes 3 s + 1 s at most, and 6 s for
+  // the accepting side.
+  it.each([Silence.ToServer, Silence.ToClient, Silence.Both])(
+    'is told as silent, closed and replaced: %s',
+    async (way) => {
+      const counters = new Map<string, number>();
+      const count = (name: string): unknown => counters.set(name, (counters.get(name) ?? 0) + 1);
+      const accepting = await startPeer('d2', []);
+      const relay = new SilentRelay(accepting.port);
+      cleanups.push(() => relay.close());
+      const listed = [daemon('d2', await relay.listen())];
+      const { service } = await startPeer('d1', listed, {
+        ...silentMetrics,
+        count: (name) => void count(name),
+      });
+      await expect.poll(() => service.members.get('d2')).toBe('live');
+      const countBefore = relay.connectionCount;
+      relay.silenceAll(way);
+      await expect.poll(() => relay.connectionCount, PATIENT).toBeGreaterThan(countBefore);
+      await expect.poll(() => service.members.get('d2'), PATIENT).toBe('live');
+      await expect.poll(() => accepting.service.members.get('d1'), PATIENT).toBe('live');
+      await expect.poll(() => relay.openSilentCount, PATIENT).toBe(0);
+      expect(counters.get('peer_link_replaced')).toBeGreaterThan(0);
+      // Both sides have closed it: what the relay held to the accepting daemon is closed, too.
+      await expect.poll(() => relay.openToServerCount, PATIENT).toBe(1);
+    },
+    30_000,
+  );
+});
--- a/src/platform/instanceList/node/httpInstanceList.ts
+++ b/src/platform/instanceList/node/httpInstanceList.ts
@@ -9,7 +9,7 @@
 import { type Instance, type InstanceList, instanceListSchema } from '../common/instanceList.js';
 
 export class HttpInstanceList implements InstanceList, Disposable {
-  readonly #agent = new Agent({ connections: 1 });
+  readonly #agent: Agent;
 
   readonly #origin: string;
 
@@ -18,6 +18,7 @@
   constructor(origin: string, timeoutMs: number) {
     this.#origin = origin;
     this.#timeoutMs = timeoutMs;
+    this.#agent = new Agent({ connections: 1, connect: { timeout: timeoutMs } });
   }
 
   list(): TaskEither<Failure, readonly Instance[]> {
--- a/src/platform/objectStore/node/httpObjectStore.ts
+++ b/src/platform/objectStore/node/httpObjectStore.ts
@@ -9,7 +9,7 @@
 import type { ObjectStore } from '../common/objectStore.js';
 
 export class HttpObjectStore implements ObjectStore, Disposable {
-  readonly #agent = new Agent({ connections: 2 });
+  readonly #agent: Agent;
 
   readonly #origin: string;
 
@@ -18,6 +18,7 @@
   constructor(origin: string, timeoutMs: number) {
     this.#origin = origin;
     this.#timeoutMs = timeoutMs;
+    this.#agent = new Agent({ connections: 2, connect: { timeout: timeoutMs } });
   }
 
   hasObject(name: string): TaskEither<Failure, boolean> {
--- a/src/scheduler/test/workerClients.test.ts
+++ b/src/scheduler/test/workerClients.test.ts
@@ -1,8 +1,32 @@
-import { describe, expect, it } from 'vitest';
+import { createServer } from 'node:http';
+
+import { isLeft, isRight } from 'fp-ts/lib/Either.js';
+import { afterEach, describe, expect, it } from 'vitest';
+
+import { Silence, SilentRelay } from '../../../standIns/relay/silentRelay.js';
 
 import { silentTracing } from '../../platform/tracing/common/tracing.js';
 import { WorkerClients } from '../node/workerClients.js';
 
+const cleanups: (() => unknown)[] = [];
+afterEach(() => cleanups.splice(0).forEach((cleanup) => cleanup()));
+
+/** A worker that runs nothing and reports so. */
+const startWorker = async (): Promise<number> => {
+  const report = { workerId: 'w1', incarnation: 'i1', workerNowMs: 0, tasks: [] };
+  const server = createServer((_request, response) => {
+    response.end(JSON.stringify(report));
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  cleanups.push(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+  return (server.address() as { port: number }).port;
+};
+
 describe('the clients of workers', () => {
   // A worker is replaced under its id at another address. Its client kept the old address, so
   // the worker was never reached again and its tasks were given up although they ran.
@@ -18,3 +42,27 @@
     expect(clients.size).toBe(0);
   });
 });
+
+describe('a connection to a worker that has gone silent', () => {
+  // Something between the cell's owner and a worker forgets their connection. The call on it
+  // fails within its timeout (platform.callTimeoutMs, 800 ms by default) and the connection is
+  // closed; the next call goes over a new one. Kept, the worker's leases would run out although
+  // it works, and its tasks would be given up.
+  it.each([Silence.ToServer, Silence.ToClient, Silence.Both])('costs one call: %s', async (way) => {
+    const relay = new SilentRelay(await startWorker());
+    const clients = new WorkerClients(300, silentTracing);
+    cleanups.push(
+      () => clients.dispose(),
+      () => relay.close(),
+    );
+    const client = clients.client('w1', `http://127.0.0.1:${await relay.listen()}`);
+    expect(isRight(await client.report()())).toBe(true);
+    relay.silenceAll(way);
+    expect(relay.openSilentCount).toBe(1);
+    const lost = await client.report()();
+    expect(isLeft(lost) && lost.left.kind).toBe('worker-unavailable');
+    expect(isRight(await client.report()())).toBe(true);
+    expect(relay.connectionCount).toBe(2);
+    await expect.poll(() => relay.openSilentCount).toBe(0);
+  });
+});
--- a/standIns/relay/silentRelay.ts
+++ b/standIns/relay/silentRelay.ts
@@ -56,11 +56,18 @@
 
   connectionCount = 0;
 
+  /** Connections to the target that it has not closed. */
+  openToServerCount = 0;
+
   constructor(targetPort: number) {
     this.#server = createServer((client) => {
       this.connectionCount += 1;
       const connection = new RelayedConnection(client, targetPort);
       this.#connections.add(connection);
+      this.openToServerCount += 1;
+      connection.server.on('close', () => {
+        this.openToServerCount -= 1;
+      });
       client.on('close', () => this.#connections.delete(connection));
     });
   }
