The judge of requests is shown to fail, and the leaving invariant to refuse

Cause: three points of the request path had no deliberately broken safeguard, and no test caused invariant_sent_to_leaving_server. Change: the judging of requests in chaos is a module of its own, and brokenSafeguards.test.ts runs the entry's core between real sockets under it: cut answers taken as whole, connections that go on after their requests were given up, lost attempts that do not count or are noted as not run, connections closed at once on leaving. A choice of servers that ignores a server's word is refused by the invariant. Stricter: an answer that came as whole and does not parse is judged as a wrong one; before it passed as a cut connection. Ruled out: a fixed time before the listener closes in the shutdown case; on a busy machine a request on its way was cut, so the entry leaves when the servers hold all that was begun. Conclusion: every point of the request path has a broken safeguard that the judge catches.

--- /dev/null
+++ b/src/entry/test/brokenSafeguards.test.ts
@@ -0,0 +1,259 @@
+/**
+ * The judge of `npm run chaos` can fail: each test breaks one safeguard of the request path by a
+ * switch that only tests have, and the judge must see what callers would. Without the switch the
+ * same steps find nothing.
+ */
+import { createConnection, type Socket } from 'node:net';
+
+import type { Dispatcher } from 'undici';
+import { afterEach, describe, expect, it, vi } from 'vitest';
+
+import { judgeRequests } from '../../../standIns/chaos/requestJudge.js';
+import { Caller, CALLER_CONCURRENCY } from '../../../standIns/demo/caller.js';
+import { systemClock } from '../../base/node/systemClock.js';
+import { silentMetrics } from '../../platform/metrics/common/metrics.js';
+import { AttemptEnd } from '../common/attempt.js';
+import { RequestProgress } from '../common/requestProgress.js';
+import { AttemptRun } from '../node/attemptRun.js';
+import { type AttemptRequest, BackendConnections } from '../node/backendConnections.js';
+import { CallerServer } from '../node/callerServer.js';
+import { backendServer, EntryHarness, type EntrySabotage, entrySettings } from './entryHarness.js';
+import { type RawAnswer, RawBackend, wholeAnswer } from './rawBackend.js';
+
+const cleanups: (() => unknown)[] = [];
+afterEach(async () => {
+  vi.restoreAllMocks();
+  await Promise.all(cleanups.splice(0).map((cleanup) => cleanup()));
+});
+
+const REQUEST_COUNT = 40;
+
+const pathOf = (head: string): string => head.split(' ')[1] ?? '';
+const answerOf = (head: string): string => wholeAnswer(JSON.stringify({ url: pathOf(head) }));
+
+interface Case {
+  /** The point of the brief. */
+  readonly point: string;
+  readonly broken: string;
+  /** Breaks the safeguard until the test is over. */
+  readonly breakIt: () => EntrySabotage;
+  readonly answer: RawAnswer;
+  /**
+   * Whether the entry is told to leave, at a moment at which all requests that were begun have
+   * come to the server: what is on its way while a listener closes nobody can answer.
+   */
+  readonly isLeaving?: boolean;
+  readonly finding: string;
+}
+
+/**
+ * Connections that go on after their requests were given up: all use one, and what comes over it
+ * is taken for the answer to the request that was sent last.
+ */
+class MixingConnections extends BackendConnections {
+  #socket: Socket | undefined;
+
+  #latest: AttemptRun | undefined;
+
+  override attempt(request: AttemptRequest): AttemptRun {
+    const controller = { abort: () => {} } as unknown as Dispatcher.DispatchController;
+    const run = new AttemptRun(request.method, 1_000, silentMetrics);
+    this.#latest = run;
+    this.#socket ??= this.#connect(Number(new URL(request.server.origin).port), controller);
+    run.onRequestStart(controller);
+    this.#socket.write(`${request.method} ${request.path} HTTP/1.1\r\nhost: x\r\n\r\n`);
+    return run;
+  }
+
+  override dispose(): void {
+    this.#socket?.destroy();
+    super.dispose();
+  }
+
+  #connect(port: number, controller: Dispatcher.DispatchController): Socket {
+    const socket = createConnection(port, '127.0.0.1');
+    socket.on('error', () => {});
+    socket.on('data', (chunk) => {
+      const [, ...bodies] = chunk.toString().split('\r\n\r\n');
+      const body = Buffer.from(bodies[0]?.replace(/\}.*$/su, '}') ?? '');
+      const run = this.#latest;
+      run?.onResponseStart(controller, 200, { 'content-length': String(body.length) });
+      run?.onResponseData(controller, body);
+      run?.onResponseEnd();
+    });
+    return socket;
+  }
+}
+
+const CASES: readonly Case[] = [
+  {
+    point: 'every caller receives the whole answer',
+    broken: 'the end of the connection is taken for the end of the answer',
+    breakIt: () => {
+      const { onResponseStart } = AttemptRun.prototype;
+      vi.spyOn(AttemptRun.prototype, 'onResponseStart').mockImplementation(function start(
+        this: AttemptRun,
+        controller,
+        statusCode,
+        headers,
+      ) {
+        const unframed = { ...headers, 'content-length': undefined, 'transfer-encoding': 'x' };
+        onResponseStart.call(this, controller, statusCode, unframed);
+      });
+      vi.spyOn(AttemptRun.prototype, 'onResponseError').mockImplementation(function end(
+        this: AttemptRun,
+      ) {
+        this.onResponseEnd();
+      });
+      return {};
+    },
+    answer: (socket, index, head) => {
+      const answer = answerOf(head);
+      if (index % 4 === 0) socket.end(answer.slice(0, -5));
+      else socket.write(answer);
+    },
+    finding: "another's answer or a part",
+  },
+  {
+    point: 'every caller receives the answer to its own request',
+    broken: 'connections go on after their requests were given up',
+    breakIt: () => ({ Connections: MixingConnections }),
+    answer: (socket, index, head) => {
+      setTimeout(() => socket.write(answerOf(head)), index % 3 === 0 ? 20 : 1);
+    },
+    finding: "another's answer or a part",
+  },
+  {
+    point: 'a request marked as non-idempotent runs at most once',
+    broken: 'what was sent and lost does not count',
+    breakIt: () => {
+      vi.spyOn(RequestProgress.prototype, 'mayHaveRun', 'get').mockReturnValue(false);
+      return {};
+    },
+    answer: (socket, _index, head) => {
+      if (head.startsWith('POST')) socket.destroy();
+      else socket.write(answerOf(head));
+    },
+    finding: 'non-idempotent, ran more than once',
+  },
+  {
+    point: 'a refusal that says "not run" means the work did not run',
+    broken: 'an attempt that was sent and lost is noted as not run',
+    breakIt: () => {
+      const { noteEnd } = RequestProgress.prototype;
+      vi.spyOn(RequestProgress.prototype, 'noteEnd').mockImplementation(function note(
+        this: RequestProgress,
+        end,
+      ) {
+        noteEnd.call(this, end === AttemptEnd.Lost ? AttemptEnd.NotRun : end);
+      });
+      return {};
+    },
+    answer: (socket) => {
+      socket.destroy();
+    },
+    finding: '"not run", but it ran',
+  },
+  {
+    point: 'a graceful shutdown cuts off no request in flight',
+    broken: 'connections are closed at once',
+    breakIt: () => {
+      const { close } = CallerServer.prototype;
+      vi.spyOn(CallerServer.prototype, 'close').mockImplementation(function closeAtOnce(
+        this: CallerServer,
+      ) {
+        const closing = close.call(this);
+        this.closeAllConnections();
+        return closing;
+      });
+      return {};
+    },
+    answer: (socket, _index, head) => {
+      socket.write(answerOf(head));
+    },
+    isLeaving: true,
+    finding: 'cut off by a graceful shutdown',
+  },
+];
+
+/** What the judge finds after the same steps, with or without the switch. */
+const findingsOf = async (
+  { answer, isLeaving = false }: Case,
+  sabotage: EntrySabotage,
+): Promise<readonly string[]> => {
+  const runs = new Map<string, number>();
+  const departures = new Map<string, number>();
+  const held: (() => void)[] = [];
+  const settings = entrySettings({
+    retryBudgetRatio: 1,
+    hedgeBudgetRatio: 0,
+    defaultDeadlineMs: isLeaving ? 30_000 : 1_000,
+    silenceFloorMs: 60_000,
+  });
+  const entry = new EntryHarness(settings, undefined, sabotage);
+  const serve: RawAnswer = (socket, index, head) => {
+    runs.set(pathOf(head), (runs.get(pathOf(head)) ?? 0) + 1);
+    if (!isLeaving || departures.size > 0) {
+      answer(socket, index, head);
+      return;
+    }
+    held.push(() => answer(socket, index, head));
+    if (held.length < CALLER_CONCURRENCY) return;
+    departures.set(entry.origin, systemClock.nowMs());
+    entry.callerServer.startDraining();
+    void entry.callerServer.close();
+    held.forEach((release) => release());
+  };
+  // Two servers, for more places than the caller has requests at a time.
+  const backends = [new RawBackend(serve), new RawBackend(serve)];
+  cleanups.push(
+    () => backends.forEach((backend) => backend.close()),
+    () => entry.dispose(),
+  );
+  const ports = await Promise.all(backends.map((backend) => backend.listen()));
+  entry.route(
+    's',
+    ports.map((port) => backendServer(port)),
+  );
+  await entry.listen();
+  const caller = new Caller(() => [entry.origin], 's');
+  await caller.run(REQUEST_COUNT, 100);
+  const checks = judgeRequests(
+    caller.told,
+    (path) => runs.get(path) ?? 0,
+    (origin) => departures.get(origin),
+  );
+  return checks.filter(([, paths]) => paths !== '').map(([name]) => name);
+};
+
+describe('the judge of requests can fail', () => {
+  CASES.forEach((each) =>
+    it(`${each.point}: ${each.broken}`, async () => {
+      expect(await findingsOf(each, {})).toEqual([]);
+      expect(await findingsOf(each, each.breakIt())).toContain(each.finding);
+    }),
+  );
+});
+
+describe('the invariant in the program', () => {
+  // The choice of servers is broken and takes one that has said it is leaving. The step must be
+  // refused and counted, and the caller told that its request did not run.
+  it('refuses to send to a server that is leaving', async () => {
+    const leaving = 'snipethread-leaving: true\r\n';
+    const backend = new RawBackend((socket) => socket.write(wholeAnswer('whole', leaving)));
+    const entry = new EntryHarness(entrySettings(), undefined, {
+      chooser: { choose: (servers) => servers[0] },
+    });
+    cleanups.push(
+      () => backend.close(),
+      () => entry.dispose(),
+    );
+    entry.route('s', [backendServer(await backend.listen())]);
+    await entry.listen();
+    expect((await entry.call('/a')).text).toBe('whole');
+    const refused = await entry.call('/b');
+    expect([refused.statusCode, refused.headers['snipethread-work']]).toEqual([503, 'not-run']);
+    expect(entry.breaches).toEqual(['invariant_sent_to_leaving_server']);
+    expect(backend.requests).toHaveLength(1);
+  });
+});
--- a/src/entry/test/entryHarness.ts
+++ b/src/entry/test/entryHarness.ts
@@ -13,7 +13,7 @@
 import { silentTracing } from '../../platform/tracing/common/tracing.js';
 import { Admission } from '../common/admission.js';
 import type { BackendServer, RoutingTable } from '../common/routing.js';
-import { LatencyWeightedOfTwo } from '../common/serverChoice.js';
+import { LatencyWeightedOfTwo, type ServerChooser } from '../common/serverChoice.js';
 import { BackendConnections } from '../node/backendConnections.js';
 import { CallerServer } from '../node/callerServer.js';
 import { ClaimKeeper } from '../node/claimKeeper.js';
@@ -79,6 +79,12 @@
   readonly text: string;
 }
 
+/** Parts that tests break to show that something else notices; only tests have these switches. */
+export interface EntrySabotage {
+  readonly chooser?: ServerChooser;
+  readonly Connections?: typeof BackendConnections;
+}
+
 export class EntryHarness {
   readonly counters = new Map<string, number>();
 
@@ -98,7 +104,7 @@
 
   readonly #claims: ClaimKeeper;
 
-  constructor(settings = entrySettings(), table = new FaultyTable()) {
+  constructor(settings = entrySettings(), table = new FaultyTable(), sabotage: EntrySabotage = {}) {
     this.table = table;
     const metrics: Metrics = {
       count: (name) => this.counters.set(name, this.counter(name) + 1),
@@ -106,11 +112,13 @@
       recordMs: () => {},
     };
     const random = new SeededRandom(1);
-    this.#connections = new BackendConnections(settings, metrics);
+    const { Connections = BackendConnections, chooser = new LatencyWeightedOfTwo(random) } =
+      sabotage;
+    this.#connections = new Connections(settings, metrics);
     this.#claims = new ClaimKeeper(table, systemClock, metrics, settings);
     const services = {
       routing: { routes: this.#routes, onDidChange: this.#didChange.event },
-      admission: new Admission<Journey>(settings, new LatencyWeightedOfTwo(random), random),
+      admission: new Admission<Journey>(settings, chooser, random),
       connections: this.#connections,
       claims: this.#claims,
       configuration: { current: undefined },
--- a/standIns/chaos/chaos.ts
+++ b/standIns/chaos/chaos.ts
@@ -8,20 +8,16 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { parseArgs } from 'node:util';
 
-import { request } from 'undici';
-
 import { SeededRandom } from '../../src/base/common/random.js';
 import { type Instance, toOrigin } from '../../src/platform/instanceList/common/instanceList.js';
 import { Caller } from '../demo/caller.js';
 import { ChildProcesses } from '../demo/childProcesses.js';
 import { type DaemonProcess, startDaemon } from '../demo/daemonProcess.js';
+import { call, startPlatform, startWorkers, TOKEN, ZONES } from '../demo/platformProcesses.js';
 import type { Verdict } from '../workers/judge.js';
+import { judgeRequests } from './requestJudge.js';
 
-const ZONES = ['zone-a', 'zone-b', 'zone-c'] as const;
-const HOST = '127.0.0.1';
-const TOKEN = 'chaos-operator';
 const SERVICE = 'rounds';
-const WITHDRAWAL_BOUND_MS = 3_000;
 const MINUTE_MS = 60_000;
 const REQUESTS_PER_SECOND = 150;
 const QUIET_LIMIT_MS = 120_000;
@@ -39,14 +35,6 @@
   process.stdout.write(`${JSON.stringify(line)}\n`);
 };
 
-const call = async (url: string, body?: unknown): Promise<{ status: number; answer: unknown }> => {
-  const headers = { authorization: `Bearer ${TOKEN}`, 'content-type': 'application/json' };
-  const post = { method: 'POST' as const, headers, body: JSON.stringify(body) };
-  const options = { headersTimeout: 5_000, ...(body === undefined ? { headers } : post) };
-  const response = await request(url, options);
-  return { status: response.statusCode, answer: await response.body.json() };
-};
-
 const operatorOrigin = ({ instance }: DaemonProcess): string => toOrigin(instance.operatorAddress);
 
 class ChaosSystem {
@@ -77,26 +65,10 @@
   readonly callerOrigins = () => this.#daemons.map(({ callerOrigin }) => callerOrigin);
 
   async start(): Promise<void> {
-    const platform = await this.children.start(
-      'standIns/platform/platformProcess.js',
-      [values.seed],
-      (line) => `http://${HOST}:${Number(line.port)}`,
-    );
-    this.#platformOrigin = platform.ready;
-    const options = {
-      zones: ZONES,
-      workersPerZone: 4,
-      workersPerRack: 2,
-      serviceTimeMs: 4,
-      withdrawalBoundMs: WITHDRAWAL_BOUND_MS,
-    };
-    const workers = await this.children.start(
-      'standIns/workers/workersProcess.js',
-      [JSON.stringify(options)],
-      (line) => ({ port: Number(line.port), instances: line.instances as readonly Instance[] }),
-    );
-    this.#judgeOrigin = `http://${HOST}:${workers.ready.port}`;
-    this.#workers = workers.ready.instances;
+    this.#platformOrigin = await startPlatform(this.children, values.seed);
+    const { judgeOrigin, instances } = await startWorkers(this.children);
+    this.#judgeOrigin = judgeOrigin;
+    this.#workers = instances;
     await Promise.all(ZONES.map((zone) => this.#startDaemon(zone)));
     await ZONES.reduce(async (before, zone) => {
       await before;
@@ -221,31 +193,16 @@
 const judge = async (system: ChaosSystem, caller: Caller): Promise<readonly string[]> => {
   const verdict = await system.verdict();
   const runs = await system.runCounts();
-  const runCount = (path: string): number => runs[path] ?? 0;
-  const paths = (told: Caller['told']): string => told.map(({ path }) => path).join(' ');
   const checks: readonly [string, string][] = [
     ['tasks in two places', verdict.doubleRuns.join(' ')],
     ['tasks completed twice', verdict.doubleCompletions.join(' ')],
     ['overcommitted workers', verdict.overcommittedWorkers.join(' ')],
     ['starts in a withdrawn zone', String(verdict.startsInWithdrawnZones || '')],
-    ["another's answer", paths(caller.told.filter(({ outcome }) => outcome === 'wrong'))],
-    [
-      '"not run", but it ran',
-      paths(caller.told.filter(({ path, outcome }) => outcome === 'not-run' && runCount(path) > 0)),
-    ],
-    [
-      'non-idempotent, ran more than once',
-      paths(caller.told.filter(({ path, isIdempotent }) => !isIdempotent && runCount(path) > 1)),
-    ],
-    [
-      'cut off by a graceful shutdown',
-      paths(
-        caller.told.filter(
-          ({ outcome, origin, startedAtMs }) =>
-            outcome === 'cut' && startedAtMs < (system.departures.get(origin) ?? 0),
-        ),
-      ),
-    ],
+    ...judgeRequests(
+      caller.told,
+      (path) => runs[path] ?? 0,
+      (origin) => system.departures.get(origin),
+    ),
     ['accepted jobs that did not end', (await system.openJobIds()).join(' ')],
   ];
   return checks.filter(([, what]) => what !== '').map(([name, what]) => `${name}: ${what}`);
--- /dev/null
+++ b/standIns/chaos/requestJudge.ts
@@ -0,0 +1,33 @@
+/** What callers would see that must never be, from what they were told and what servers ran. */
+import type { ToldOutcome } from '../demo/caller.js';
+
+/** Each check with the paths of the requests that it finds; empty when all is well. */
+export const judgeRequests = (
+  told: readonly ToldOutcome[],
+  runCount: (path: string) => number,
+  departedAtMs: (origin: string) => number | undefined,
+): readonly [string, string][] => {
+  const find = (name: string, isFound: (told: ToldOutcome) => boolean): [string, string] => [
+    name,
+    told
+      .filter(isFound)
+      .map(({ path }) => path)
+      .join(' '),
+  ];
+  return [
+    find("another's answer or a part", ({ outcome }) => outcome === 'wrong'),
+    find(
+      '"not run", but it ran',
+      ({ path, outcome }) => outcome === 'not-run' && runCount(path) > 0,
+    ),
+    find(
+      'non-idempotent, ran more than once',
+      ({ path, isIdempotent }) => !isIdempotent && runCount(path) > 1,
+    ),
+    find(
+      'cut off by a graceful shutdown',
+      ({ outcome, origin, startedAtMs }) =>
+        outcome === 'cut' && startedAtMs < (departedAtMs(origin) ?? 0),
+    ),
+  ];
+};
--- a/standIns/demo/caller.ts
+++ b/standIns/demo/caller.ts
@@ -20,7 +20,8 @@
   readonly startedAtMs: number;
 }
 
-const CONCURRENCY = 8;
+/** Requests at a time. */
+export const CALLER_CONCURRENCY = 8;
 const HTTP_OK = 200;
 const MICROSECONDS_PER_MS = 1_000;
 
@@ -33,7 +34,7 @@
 
   readonly #serviceName: string;
 
-  readonly #agent = new Agent({ connections: CONCURRENCY });
+  readonly #agent = new Agent({ connections: CALLER_CONCURRENCY });
 
   constructor(origins: () => readonly string[], serviceName: string) {
     this.#origins = origins;
@@ -58,7 +59,7 @@
         await this.#send(index);
       }
     };
-    await Promise.all(Array.from({ length: CONCURRENCY }, lane));
+    await Promise.all(Array.from({ length: CALLER_CONCURRENCY }, lane));
     await this.#agent.close();
   }
 
@@ -105,6 +106,8 @@
       if (response.statusCode === HTTP_OK) return answer.url === path ? 'whole' : 'wrong';
       return answer.workOutcome === 'not-run' ? 'not-run' : 'unknown';
     } catch (error) {
+      // It came as whole, and is a part.
+      if (error instanceof SyntaxError) return 'wrong';
       return (error as { code?: string }).code === 'ECONNREFUSED' ? 'not-connected' : 'cut';
     }
   }
--- a/standIns/demo/demo.ts
+++ b/standIns/demo/demo.ts
@@ -7,20 +7,24 @@
 import { request } from 'undici';
 
 import { systemClock } from '../../src/base/node/systemClock.js';
-import type { Instance } from '../../src/platform/instanceList/common/instanceList.js';
 import type { Verdict } from '../workers/judge.js';
 import { Caller } from './caller.js';
 import { ChildProcesses, runTool } from './childProcesses.js';
 import { type DaemonProcess, startDaemon } from './daemonProcess.js';
+import {
+  call,
+  HOST,
+  startPlatform,
+  startWorkers,
+  TOKEN,
+  WITHDRAWAL_BOUND_MS,
+  ZONES,
+} from './platformProcesses.js';
 
-const ZONES = ['zone-a', 'zone-b', 'zone-c'] as const;
-const TOKEN = 'demo-operator';
-const HOST = '127.0.0.1';
 const GIBIBYTE = 1024 ** 3;
 const TASK_COUNT = 50;
 const REQUEST_COUNT = 500;
 const REQUEST_DURATION_MS = 9_000;
-const WITHDRAWAL_BOUND_MS = 3_000;
 const WITHDRAWN_FOR_MS = 5_000;
 const EXIT_HAS_CHANGES = 3;
 
@@ -28,15 +32,6 @@
   process.stdout.write(`${text}\n`);
 };
 
-const post = async (url: string, body: unknown): Promise<void> => {
-  const response = await request(url, {
-    method: 'POST',
-    headers: { 'content-type': 'application/json' },
-    body: JSON.stringify(body),
-  });
-  await response.body.dump();
-};
-
 /** An operator at the command line, who reads each plan before confirming it. */
 class DemoOperator {
   readonly #environment: Readonly<Record<string, string>>;
@@ -86,36 +81,16 @@
   throw new Error(`${serviceName} did not come up`);
 };
 
-const readVerdict = async (judgeOrigin: string): Promise<Verdict> =>
-  (await (await request(`${judgeOrigin}/verdict`)).body.json()) as Verdict;
-
 const runDemo = async (children: ChildProcesses, folder: string): Promise<boolean> => {
   const startedAtMs = systemClock.nowMs();
   say('starting the platform, the workers and three daemons');
-  const platform = await children.start('standIns/platform/platformProcess.js', ['1'], (line) => ({
-    origin: `http://${HOST}:${Number(line.port)}`,
-  }));
-  const workerOptions = {
-    zones: ZONES,
-    workersPerZone: 4,
-    workersPerRack: 2,
-    serviceTimeMs: 4,
-    withdrawalBoundMs: WITHDRAWAL_BOUND_MS,
-  };
-  const workers = await children.start(
-    'standIns/workers/workersProcess.js',
-    [JSON.stringify(workerOptions)],
-    (line) => ({
-      judgeOrigin: `http://${HOST}:${Number(line.port)}`,
-      instances: line.instances as readonly Instance[],
-    }),
-  );
-  const { origin } = platform.ready;
+  const origin = await startPlatform(children, '1');
+  const { judgeOrigin, instances: workers } = await startWorkers(children);
   const daemons = await Promise.all(
     ZONES.map((zone) => startDaemon(children, folder, `entry-${zone}`, zone, origin, TOKEN)),
   );
-  const instances = [...workers.ready.instances, ...daemons.map(({ instance }) => instance)];
-  await post(`${origin}/control/instances`, { instances });
+  const instances = [...workers, ...daemons.map(({ instance }) => instance)];
+  await call(`${origin}/control/instances`, { instances });
   const [first] = daemons as [DaemonProcess, ...DaemonProcess[]];
   const operator = new DemoOperator(first.instance.operatorAddress.port);
 
@@ -147,13 +122,13 @@
 
   say('taking a zone out and bringing it back');
   await operator.carryOut({ intent: 'withdraw-zone', zone: 'zone-b' });
-  await post(`${workers.ready.judgeOrigin}/mark`, { zone: 'zone-b', isWithdrawn: true });
+  await call(`${judgeOrigin}/mark`, { zone: 'zone-b', isWithdrawn: true });
   await delay(WITHDRAWN_FOR_MS);
-  await post(`${workers.ready.judgeOrigin}/mark`, { zone: 'zone-b', isWithdrawn: false });
+  await call(`${judgeOrigin}/mark`, { zone: 'zone-b', isWithdrawn: false });
   await operator.carryOut({ intent: 'use-zone', zone: 'zone-b', region: 'demo' });
 
   const [isJobDone] = await Promise.all([operator.watch('kitchen.weekly-plan'), calls]);
-  const verdict = await readVerdict(workers.ready.judgeOrigin);
+  const verdict = (await call(`${judgeOrigin}/verdict`)).answer as Verdict;
   const isOk =
     isJobDone &&
     verdict.completedBatchCount === TASK_COUNT &&
--- a/standIns/relay/silentRelay.ts
+++ b/standIns/relay/silentRelay.ts
@@ -12,7 +12,7 @@
 
   readonly server: Socket;
 
-  #silence: Silence | undefined;
+  silence: Silence | undefined;
 
   constructor(client: Socket, targetPort: number) {
     this.client = client;
@@ -21,21 +21,13 @@
     this.#pass(this.server, client, Silence.ToClient);
   }
 
-  get isSilent(): boolean {
-    return this.#silence !== undefined;
-  }
-
-  silence(silence: Silence): void {
-    this.#silence = silence;
-  }
-
   destroy(): void {
     this.client.destroy();
     this.server.destroy();
   }
 
   #isSilent(direction: Silence): boolean {
-    return this.#silence === Silence.Both || this.#silence === direction;
+    return this.silence === Silence.Both || this.silence === direction;
   }
 
   #pass(from: Socket, to: Socket, direction: Silence): void {
@@ -74,7 +66,7 @@
 
   /** Silent connections that their client has not closed. */
   get openSilentCount(): number {
-    return [...this.#connections].filter(({ isSilent }) => isSilent).length;
+    return [...this.#connections].filter(({ silence }) => silence !== undefined).length;
   }
 
   async listen(): Promise<number> {
@@ -86,7 +78,7 @@
 
   /** Makes all connections that exist now silent; later ones work. */
   silenceAll(silence: Silence): void {
-    this.#connections.forEach((connection) => connection.silence(silence));
+    this.#connections.forEach((connection) => Object.assign(connection, { silence }));
   }
 
   close(): void {
