--- a/src/platform/instanceList/node/httpInstanceList.ts
+++ b/src/platform/instanceList/node/httpInstanceList.ts
@@ -34,7 +34,7 @@
   typeof header === 'string' && header !== '' ? header : undefined;
 
 export class HttpInstanceList implements InstanceList, Disposable {
-  readonly #agent = new Agent({ connections: 1 });
+  readonly #agent: Agent;
 
   readonly #origin: string;
 
@@ -50,6 +50,7 @@
   constructor(origin: string, timeoutMs: number) {
     this.#origin = origin;
     this.#timeoutMs = timeoutMs;
+    this.#agent = new Agent({ connections: 1, connect: { timeout: timeoutMs } });
   }
 
   read(): TaskEither<Failure, InstanceListAnswer> {
--- a/standIns/relay/silentRelay.ts
+++ b/standIns/relay/silentRelay.ts
@@ -12,7 +12,7 @@
 
   readonly server: Socket;
 
-  #silence: Silence | undefined;
+  silence: Silence | undefined;
 
   constructor(client: Socket, targetPort: number) {
     this.client = client;
@@ -21,21 +21,13 @@
     this.#pass(this.server, client, Silence.ToClient);
   }
 
-  get isSilent(): boolean {
-    return this.#silence !== undefined;
-  }
-
-  silence(silence: Silence): void {
-    this.#silence = silence;
-  }
-
   destroy(): void {
     this.client.destroy();
     this.server.destroy();
   }
 
   #isSilent(direction: Silence): boolean {
-    return this.#silence === Silence.Both || this.#silence === direction;
+    return this.silence === Silence.Both || this.silence === direction;
   }
 
   #pass(from: Socket, to: Socket, direction: Silence): void {
@@ -56,18 +48,25 @@
 
   connectionCount = 0;
 
+  /** Connections to the target that it has not closed. */
+  openToServerCount = 0;
+
   constructor(targetPort: number) {
     this.#server = createServer((client) => {
       this.connectionCount += 1;
       const connection = new RelayedConnection(client, targetPort);
       this.#connections.add(connection);
+      this.openToServerCount += 1;
+      connection.server.on('close', () => {
+        this.openToServerCount -= 1;
+      });
       client.on('close', () => this.#connections.delete(connection));
     });
   }
 
   /** Silent connections that their client has not closed. */
   get openSilentCount(): number {
-    return [...this.#connections].filter(({ isSilent }) => isSilent).length;
+    return [...this.#connections].filter(({ silence }) => silence !== undefined).length;
   }
 
   async listen(): Promise<number> {
@@ -79,7 +78,7 @@
 
   /** Makes all connections that exist now silent; later ones work. */
   silenceAll(silence: Silence): void {
-    this.#connections.forEach((connection) => connection.silence(silence));
+    this.#connections.forEach((connection) => Object.assign(connection, { silence }));
   }
 
   close(): void {
