Tasks are committed at sizes learnt from usage

Cause: declared sizes are far off, so workers idled beside queues or were overrun while the ledger called them free; nothing but the declared size was ever gone by. Ruled out: correcting the ledger of running tasks (a write for each change of use, and a worker may stand overcommitted), evicting for processors (costs more than the slowness), shrinking services (their use follows the load of the hour). Change: learntSizes.ts learns by service, and by team and declared size, from settled tasks; memory more carefully than processors. What is used beyond the committed sizes takes no new task; a worker that runs out of memory evicts the tasks that have outgrown theirs. The policy isSizeLearnt switches it; a policy row without it reads as by default. An eviction limit by use alone would have evicted tasks that keep to their sizes on a full worker; only outgrown ones leave. The stand-in worker can be told what a task uses. No existing test changed. The load model reports true use, not a share of the committed size, for learnt sizes would have shrunk without end.

--- a/bench/colocation/colocation.ts
+++ b/bench/colocation/colocation.ts
@@ -30,8 +30,9 @@
 }
 
 const WAYS: readonly ColocationWay[] = [
-  { name: 'first fit by declared size', policy: new FirstFitPolicy() },
-  { name: 'no learning', policy: new SpreadAndPackPolicy() },
+  { name: 'first fit by declared size', policy: new FirstFitPolicy(), isSizeLearnt: false },
+  { name: 'no learning', policy: new SpreadAndPackPolicy(), isSizeLearnt: false },
+  { name: 'learnt sizes', policy: new SpreadAndPackPolicy(), isSizeLearnt: true },
 ];
 
 const line = (name: string, figures: ColocationFigures): string =>
--- a/bench/colocation/colocationRun.ts
+++ b/bench/colocation/colocationRun.ts
@@ -4,6 +4,8 @@
  */
 import { SeededRandom } from '../../src/base/common/random.js';
 import {
+  DEFAULT_POLICY,
+  POLICY_KEY,
   serviceKey,
   VERSION_KEY,
   zoneKey,
@@ -35,6 +37,7 @@
 export interface ColocationWay {
   readonly name: string;
   readonly policy: PlacementPolicy;
+  readonly isSizeLearnt: boolean;
 }
 
 export interface ColocationFigures {
@@ -57,6 +60,8 @@
 export class ColocationRun {
   readonly #size: ColocationSize;
 
+  readonly #way: ColocationWay;
+
   readonly #arrivals: BatchArrivals;
 
   readonly #table = new TableStandIn();
@@ -79,6 +84,7 @@
 
   constructor(size: ColocationSize, way: ColocationWay, toleratedSlowdown: number, seed: number) {
     this.#size = size;
+    this.#way = way;
     this.#arrivals = new BatchArrivals(size, new SeededRandom(seed));
     this.#workers = new Map(
       Array.from({ length: size.workerCount }, (_, index) => {
@@ -229,7 +235,13 @@
         urgency: 'urgent',
       },
     ]);
-    this.#write([...zones, ...services, [VERSION_KEY, { version: this.#version }]]);
+    const policy = { ...DEFAULT_POLICY, isSizeLearnt: this.#way.isSizeLearnt };
+    this.#write([
+      ...zones,
+      ...services,
+      [POLICY_KEY, policy],
+      [VERSION_KEY, { version: this.#version }],
+    ]);
   }
 
   #write(rows: readonly (readonly [key: string, value: unknown])[]): void {
--- a/bench/colocation/modelWorker.ts
+++ b/bench/colocation/modelWorker.ts
@@ -221,8 +221,13 @@
     const { request, kind, state, checkpoint, leaseUntilMs } = task;
     const share =
       nowMs - task.throttledAtMs < USAGE_LAG_MS ? task.shareBefore : task.processorShare;
+    const { service } = task;
+    const serviceMillis = (service?.declared.processorMillis ?? 0) * (service?.useRatio ?? 0);
+    // By the truth, not by what was committed, which may be of a size learnt from these reports.
     const processorMillis = Math.round(
-      request.size.processorMillis * (kind?.useRatio ?? 1) * share,
+      kind === undefined
+        ? serviceMillis * loadAt(nowMs - USAGE_LAG_MS)
+        : ModelWorker.#trueMillis(kind) * share,
     );
     const usage: Resources = { ...request.size, processorMillis };
     const { taskId, attempt, size } = request;
--- a/src/platform/configuration/common/configurationView.ts
+++ b/src/platform/configuration/common/configurationView.ts
@@ -3,9 +3,9 @@
 import type { TableRow } from '../../table/common/table.js';
 import {
   DEFAULT_POLICY,
+  parsePolicy,
   POLICY_KEY,
   type PolicyDocument,
-  policyDocumentSchema,
   QUOTA_PREFIX,
   type QuotaDocument,
   quotaDocumentSchema,
@@ -83,7 +83,7 @@
   });
   rows.forEach(({ key, value, version: rowVersion }) => {
     if (key === POLICY_KEY) {
-      next.policy = value === null ? DEFAULT_POLICY : policyDocumentSchema.parse(value);
+      next.policy = value === null ? DEFAULT_POLICY : parsePolicy(value);
     }
     if (value === null) rowVersions.delete(key);
     else rowVersions.set(key, rowVersion);
--- a/src/platform/configuration/common/documents.ts
+++ b/src/platform/configuration/common/documents.ts
@@ -64,6 +64,8 @@
   maximumReplicaCount: z.number().int().min(1).max(10_000),
   /** Bounds the harm of one mistaken cancellation. */
   maximumCancelledJobCount: z.number().int().min(1).max(1_000),
+  /** Whether tasks are committed at sizes learnt from usage, or always as declared. */
+  isSizeLearnt: z.boolean(),
 });
 export type PolicyDocument = z.infer<typeof policyDocumentSchema>;
 
@@ -72,6 +74,7 @@
   maximumTaskCountOfJob: 10_000,
   maximumReplicaCount: 10_000,
   maximumCancelledJobCount: 1_000,
+  isSizeLearnt: true,
 };
 
 export const versionRowSchema = z.strictObject({
@@ -121,6 +124,15 @@
 export const changeKey = (version: number): string =>
   `${CHANGE_PREFIX}${String(version).padStart(VERSION_DIGITS, '0')}`;
 
+/**
+ * Reads a policy; what a row that was written before a limit existed leaves out is as by default.
+ * @throws {z.ZodError} when the value is not of a policy's form
+ */
+export const parsePolicy = (value: JsonValue): PolicyDocument => {
+  const stated = policyDocumentSchema.partial().parse(value);
+  return policyDocumentSchema.parse({ ...DEFAULT_POLICY, ...stated });
+};
+
 /**
  * The version that a reading tells; zero before the first plan was accepted.
  * @throws {z.ZodError} when the version row is not of its form
--- a/src/scheduler/common/assigning.ts
+++ b/src/scheduler/common/assigning.ts
@@ -20,6 +20,7 @@
 import { FreeCapacity } from './freeCapacity.js';
 import type { PlacementCandidate, PlacementPolicy } from './placement.js';
 import { PreemptionPlan } from './preemption.js';
+import { batchSize, serviceSize } from './usageLearning.js';
 import { orderedShards, type TeamUse } from './queueOrder.js';
 import type { QuotaParts } from './quotaParts.js';
 import { allShards, teamUseOf } from './quotaRound.js';
@@ -92,6 +93,7 @@
 
 const serviceAssignment = (
   service: ServiceDocument,
+  size: Resources,
   taskId: string,
   candidate: PlacementCandidate,
 ): Assignment => ({
@@ -103,7 +105,7 @@
   serviceName: service.name,
   shardId: '',
   taskIndex: 0,
-  size: service.size,
+  size,
   workMs: 0,
   checkpoint: null,
 });
@@ -111,6 +113,7 @@
 const batchAssignment = (
   row: WorkRow,
   task: BatchTask,
+  size: Resources,
   candidate: PlacementCandidate,
 ): Assignment => ({
   taskId: batchTaskId(row.jobId, task.index),
@@ -121,7 +124,7 @@
   serviceName: '',
   shardId: row.shardId,
   taskIndex: task.index,
-  size: row.size,
+  size,
   workMs: row.workMs,
   checkpoint: task.checkpoint,
 });
@@ -140,21 +143,22 @@
   if (view === undefined) return 0;
   const wanted = replicaShare(view, round.state.cell, service.replicaCount);
   const elsewhereCount = servedElsewhere(round.state, service.name);
+  const size = serviceSize(round.state, service);
   const replicas = [...existing];
   let assignedCount = 0;
   while (replicas.length < wanted) {
-    const request = { size: service.size, isSpread: true };
+    const request = { size, isSpread: true };
     // What no zone serves is missing to callers; the rest others keep until it is served here.
     const canWait = replicas.length + elsewhereCount >= service.replicaCount;
     const candidates = round.capacity.candidatesNear(replicas, canWait);
     const chosen = round.policy.choose(request, candidates);
     if (chosen === undefined) {
-      for (let count = replicas.length; count < wanted; count += 1) round.makeRoom(service.size);
+      for (let count = replicas.length; count < wanted; count += 1) round.makeRoom(size);
       return assignedCount;
     }
     // Tasks of a service are interchangeable, so each gets an id that was never used before.
     const taskId = `${service.name}@${round.operationId}.${assignedCount}`;
-    const assignment = serviceAssignment(service, taskId, chosen);
+    const assignment = serviceAssignment(service, size, taskId, chosen);
     round.assign(chosen.rack, assignment);
     replicas.push(assignment);
     assignedCount += 1;
@@ -166,7 +170,8 @@
   round.nowMs < (round.state.retryAtMs.get(batchTaskId(row.jobId, task.index)) ?? 0);
 
 const assignShard = (round: AssigningRound, use: TeamUse, row: WorkRow): number => {
-  const request = { size: row.size, isSpread: false };
+  const size = batchSize(round.state, row);
+  const request = { size, isSpread: false };
   const failedOn = round.state.workerHealth.failedOn(row.shardId);
   let assignedCount = 0;
   let hasRoom = true;
@@ -182,13 +187,13 @@
     const candidates = round.capacity.candidatesApartFrom(failedOn, request, canWait);
     const chosen = round.policy.choose(request, candidates);
     if (chosen === undefined) {
-      round.capacity.noteTooLarge(row.size);
+      round.capacity.noteTooLarge(size);
       round.roomless.add(row.shardId);
       hasRoom = row.urgency === Urgency.Urgent;
-      if (hasRoom) round.makeRoom(row.size);
+      if (hasRoom) round.makeRoom(size);
       return task;
     }
-    round.assign(chosen.rack, batchAssignment(row, task, chosen));
+    round.assign(chosen.rack, batchAssignment(row, task, size, chosen));
     use.take(row.team, row.size);
     assignedCount += 1;
     return { ...task, state: BatchTaskState.Assigned };
--- a/src/scheduler/common/cellEvents.ts
+++ b/src/scheduler/common/cellEvents.ts
@@ -32,6 +32,7 @@
 } from './cellState.js';
 import { needsFence } from './fence.js';
 import { NO_HAND_ON } from './handOn.js';
+import { LearntSizes } from './learntSizes.js';
 import { unrecordedFinishes } from './lateFinishes.js';
 import { divisionKey } from './quotaParts.js';
 import { mayAssign } from './round.js';
@@ -153,6 +154,7 @@
     workerHealth: new WorkerHealth(),
     retryAtMs: new Map<string, number>(),
     handOn: NO_HAND_ON,
+    learntSizes: new LearntSizes(),
     readDivision: '',
     quotaWaits: new Map<string, number>(),
   };
--- a/src/scheduler/common/cellScheduler.ts
+++ b/src/scheduler/common/cellScheduler.ts
@@ -20,12 +20,14 @@
 import { toFailureCount } from './failureWeight.js';
 import { fenceCondition, startFence } from './fence.js';
 import { NO_HAND_ON } from './handOn.js';
+import { LearntSizes } from './learntSizes.js';
 import { brokenByRound, brokenByStarts, ledgerChange } from './invariants.js';
 import type { PlacementPolicy } from './placement.js';
 import { retryDelayMs } from './queueOrder.js';
 import { hasSettled, mayAssign, planRound, type Round } from './round.js';
 import { AssignmentEnd, type RecordedEnd } from './taskEnds.js';
 import { unfitSince } from './unfitWork.js';
+import { learnFromUsage } from './usageLearning.js';
 import { isStartAllowed, planCommand } from './workerCommands.js';
 import { WorkerHealth } from './workerHealth.js';
 import { attemptKey, type WorkerView } from './workerView.js';
@@ -66,6 +68,8 @@
   workerHealth: new WorkerHealth(),
   retryAtMs: new Map(),
   handOn: NO_HAND_ON,
+  learntSizes: new LearntSizes(),
+  nextLearningAtMs: nowMs,
   readDivision: '',
   quotaWaits: new Map(),
   isRoundStale: true,
@@ -277,6 +281,7 @@
   if (!absorbed.state.lease.isOwner) return runSteps(absorbed, [leaseStep]);
   return runSteps(absorbed, [
     leaseStep,
+    (current) => unchanged(learnFromUsage(current, nowMs)),
     (current) => startRound(current, policy, nowMs),
     (current) => startFence(current, nowMs),
     (current) => startRead(current, nowMs),
--- a/src/scheduler/common/cellState.ts
+++ b/src/scheduler/common/cellState.ts
@@ -16,6 +16,7 @@
 import type { CellDraft } from './cellDraft.js';
 import type { CellRows } from './cellRows.js';
 import type { HandOnMemory } from './handOn.js';
+import type { LearntSizes } from './learntSizes.js';
 import type { WorkerHealth } from './workerHealth.js';
 import type { WorkerView } from './workerView.js';
 
@@ -95,6 +96,9 @@
   /** When a failed task may be tried again, by task id; a new owner tries it at once. */
   readonly retryAtMs: ReadonlyMap<string, number>;
   readonly handOn: HandOnMemory;
+  /** How large tasks really are; learnt anew by each owner. */
+  readonly learntSizes: LearntSizes;
+  readonly nextLearningAtMs: number;
   /** The division of quotas that the cell had published when it last read the other cells' rows. */
   readonly readDivision: string;
   /** Since when a team's large task has had its quota and found no worker with room, by team. */
--- a/src/scheduler/common/freeCapacity.ts
+++ b/src/scheduler/common/freeCapacity.ts
@@ -61,9 +61,10 @@
     });
     state.workers.forEach((view, workerId) => {
       if (!isUsable(state, view, nowMs)) return;
+      const used = usedOn(view, assignmentsOf(rows, workerId));
       const left = subtractResources(
         view.instance.capacity,
-        usedOn(view, assignmentsOf(rows, workerId)),
+        addResources(used, state.learntSizes.excess(workerId)),
       );
       const gain = freed.get(workerId);
       this.#candidates.set(workerId, {
--- /dev/null
+++ b/src/scheduler/common/learntSizes.ts
@@ -0,0 +1,253 @@
+/** Learns from usage how large tasks really are, kind by kind. */
+import {
+  fitsInto,
+  NO_RESOURCES,
+  remainingResources,
+  type Resources,
+  sumResources,
+} from '../../platform/worker/common/resources.js';
+
+/** What a running task uses, as last reported. */
+export interface UsageSample {
+  readonly workerId: string;
+  readonly attemptKey: string;
+  /** Tasks of one kind are taken to be alike. */
+  readonly kind: string;
+  readonly isService: boolean;
+  readonly declared: Resources;
+  readonly committed: Resources;
+  readonly usage: Resources;
+}
+
+/** Use beside the declared size, of one kind. */
+interface KindUse {
+  readonly processorRatio: number;
+  /** How far single tasks are from that. */
+  readonly deviation: number;
+  /** The highest use of late, which fades. */
+  readonly processorPeak: number;
+  readonly memoryPeak: number;
+  readonly sampleCount: number;
+  readonly atMs: number;
+}
+
+/** A report tells of use some seconds ago, and a task that has just started does not use much. */
+const SETTLED_AFTER_MS = 10_000;
+/** Samples of settled tasks before a kind's size is gone by. */
+const MINIMUM_SAMPLES = 12;
+/** What has not been seen for so long is forgotten, and the declared size holds again. */
+const FORGOTTEN_AFTER_MS = 1_800_000;
+/** 360 teams with a few kinds each; the ones not seen for longest go first. */
+const MAXIMUM_KINDS = 2_000;
+const NEW_WEIGHT = 0.3;
+/** Peaks of memory fade to a half in a quarter of an hour, far slower than tasks come and go. */
+const PEAK_HALF_LIFE_MS = 900_000;
+
+const PROCESSOR_MARGIN = 1.1;
+const MEMORY_MARGIN = 1.25;
+const LEAST_PROCESSOR_RATIO = 0.3;
+const LEAST_MEMORY_RATIO = 0.6;
+const GREATEST_PROCESSOR_RATIO = 3;
+const GREATEST_MEMORY_RATIO = 16;
+/** Use this close to what was committed may be all that the worker let the task have. */
+const AT_LIMIT_SHARE = 0.97;
+const AT_LIMIT_GROWTH = 1.5;
+
+const share = (part: number, whole: number): number => (whole === 0 ? 1 : part / whole);
+
+/** A margin alone brings a size up to what was declared and no further. */
+const withMargin = (ratio: number, margin: number): number =>
+  ratio > 1 ? ratio * margin : Math.min(1, ratio * margin);
+
+const between = (least: number, value: number, greatest: number): number =>
+  Math.min(greatest, Math.max(least, value));
+
+const processorRatioOf = ({ usage, committed, declared }: UsageSample): number => {
+  const ratio = share(usage.processorMillis, declared.processorMillis);
+  const isAtLimit =
+    committed.processorMillis < declared.processorMillis &&
+    usage.processorMillis >= committed.processorMillis * AT_LIMIT_SHARE;
+  return isAtLimit ? ratio * AT_LIMIT_GROWTH : ratio;
+};
+
+const average = (values: readonly number[]): number =>
+  values.reduce((sum, value) => sum + value, 0) / values.length;
+
+const faded = (peak: number, elapsedMs: number): number =>
+  peak * 0.5 ** (elapsedMs / PEAK_HALF_LIFE_MS);
+
+const withKindSamples = (
+  known: KindUse | undefined,
+  samples: readonly UsageSample[],
+  nowMs: number,
+): KindUse => {
+  const ratios = samples.map(processorRatioOf);
+  const mean = average(ratios);
+  const deviation = average(ratios.map((ratio) => Math.abs(ratio - mean)));
+  const processorPeak = Math.max(...ratios);
+  const memoryPeak = Math.max(
+    ...samples.map(({ usage, declared }) => share(usage.memoryBytes, declared.memoryBytes)),
+  );
+  if (known === undefined) {
+    const sampleCount = samples.length;
+    return { processorRatio: mean, deviation, processorPeak, memoryPeak, sampleCount, atMs: nowMs };
+  }
+  const elapsedMs = nowMs - known.atMs;
+  return {
+    processorRatio: known.processorRatio + NEW_WEIGHT * (mean - known.processorRatio),
+    deviation: known.deviation + NEW_WEIGHT * (deviation - known.deviation),
+    processorPeak: Math.max(processorPeak, faded(known.processorPeak, elapsedMs)),
+    memoryPeak: Math.max(memoryPeak, faded(known.memoryPeak, elapsedMs)),
+    sampleCount: known.sampleCount + samples.length,
+    atMs: nowMs,
+  };
+};
+
+const grouped = <Key extends 'kind' | 'workerId'>(
+  samples: readonly UsageSample[],
+  key: Key,
+): ReadonlyMap<string, readonly UsageSample[]> => {
+  const groups = new Map<string, UsageSample[]>();
+  samples.forEach((sample) => {
+    const known = groups.get(sample[key]);
+    if (known === undefined) groups.set(sample[key], [sample]);
+    else known.push(sample);
+  });
+  return groups;
+};
+
+/**
+ * Made for teams that declare half or twice what their tasks use: by declared sizes some workers
+ * idle while others are overrun. What is committed for a new task follows what tasks of its kind
+ * have used, and the ledger holds that, so that no worker is ever committed beyond its capacity
+ * by what the cell goes by. Learnt by a cell's owner from its workers' reports and kept in memory
+ * only: a new owner goes by the declared sizes until it has seen enough.
+ *
+ * - Batch processors follow the mean, with twice the spread between tasks and a tenth on top: a
+ *   task that wants more is slowed for a while, which costs batch work little.
+ * - Memory follows the highest use of late with a quarter on top, since a task that outgrows its
+ *   memory is killed and its work since the last checkpoint lost.
+ * - Services only grow. Their use follows the load of the hour, and room that batch work has
+ *   taken in a quiet one is missing to callers in the next.
+ * - Accelerators are taken whole and stay as declared.
+ */
+export class LearntSizes {
+  readonly #kinds: ReadonlyMap<string, KindUse>;
+
+  /** When tasks were first seen running, by attempt. */
+  readonly #seenAtMs: ReadonlyMap<string, number>;
+
+  /** What tasks use on each worker beyond what is committed there. */
+  readonly #excess: ReadonlyMap<string, Resources>;
+
+  constructor(
+    kinds: ReadonlyMap<string, KindUse> = new Map(),
+    seenAtMs: ReadonlyMap<string, number> = new Map(),
+    excess: ReadonlyMap<string, Resources> = new Map(),
+  ) {
+    this.#kinds = kinds;
+    this.#seenAtMs = seenAtMs;
+    this.#excess = excess;
+  }
+
+  get kindCount(): number {
+    return this.#kinds.size;
+  }
+
+  /** Takes in what all tasks of the cell use now. */
+  withSamples(samples: readonly UsageSample[], nowMs: number): LearntSizes {
+    const seenAtMs = new Map(
+      samples.map(({ attemptKey }) => [attemptKey, this.#seenAtMs.get(attemptKey) ?? nowMs]),
+    );
+    const settled = samples.filter(
+      ({ attemptKey }) => nowMs - (seenAtMs.get(attemptKey) ?? nowMs) >= SETTLED_AFTER_MS,
+    );
+    const kinds = new Map(
+      [...this.#kinds].filter(([, { atMs }]) => nowMs - atMs < FORGOTTEN_AFTER_MS),
+    );
+    grouped(settled, 'kind').forEach((own, kind) => {
+      const known = kinds.get(kind);
+      kinds.delete(kind);
+      kinds.set(kind, withKindSamples(known, own, nowMs));
+    });
+    const surplus = Math.max(0, kinds.size - MAXIMUM_KINDS);
+    [...kinds.keys()].slice(0, surplus).forEach((kind) => kinds.delete(kind));
+    const excess = [...grouped(samples, 'workerId')].map(([workerId, own]) => {
+      const used = sumResources(own.map(({ usage }) => usage));
+      const committed = sumResources(own.map((sample) => sample.committed));
+      return [workerId, remainingResources(used, committed)] as const;
+    });
+    return new LearntSizes(kinds, seenAtMs, new Map(excess));
+  }
+
+  /** What to commit for a new task of the kind. */
+  size(kind: string, isService: boolean, declared: Resources): Resources {
+    const use = this.#kinds.get(kind);
+    if (use === undefined || use.sampleCount < MINIMUM_SAMPLES) return declared;
+    const wanted = isService
+      ? Math.max(1, use.processorPeak)
+      : withMargin(use.processorRatio + 2 * use.deviation, PROCESSOR_MARGIN);
+    const memory = isService
+      ? Math.max(1, use.memoryPeak)
+      : withMargin(use.memoryPeak, MEMORY_MARGIN);
+    const processorRatio = between(LEAST_PROCESSOR_RATIO, wanted, GREATEST_PROCESSOR_RATIO);
+    const memoryRatio = between(LEAST_MEMORY_RATIO, memory, GREATEST_MEMORY_RATIO);
+    return {
+      processorMillis: Math.ceil(declared.processorMillis * processorRatio),
+      memoryBytes: Math.ceil(declared.memoryBytes * memoryRatio),
+      acceleratorCount: declared.acceleratorCount,
+    };
+  }
+
+  /**
+   * What a worker's tasks use beyond their committed sizes. The ledger of running tasks is not
+   * rewritten for it, which would cost a write for each change of use and could leave a worker
+   * committed beyond its capacity with nobody at fault. No new task is put on top of it instead.
+   */
+  excess(workerId: string): Resources {
+    return this.#excess.get(workerId) ?? NO_RESOURCES;
+  }
+}
+
+/** A worker this full of memory in use is about to kill tasks. */
+const FULL_MEMORY_SHARE = 0.95;
+const RELIEVED_MEMORY_SHARE = 0.9;
+
+/**
+ * Batch tasks that have to leave a worker whose memory runs out: those that use most beyond what
+ * was committed for them, as few as bring it down again. Processors that run short are shared out
+ * by the worker and need no eviction. An eviction keeps the work up to now; a task that the
+ * worker kills loses what came after its last checkpoint, and it may be another's that is killed.
+ * The gap between the two shares keeps the lag of the reports from evicting again and again.
+ */
+export const outgrownTasks = (
+  samples: readonly UsageSample[],
+  capacity: Resources,
+  leaving: ReadonlySet<string>,
+): readonly string[] => {
+  const staying = samples.filter(({ attemptKey }) => !leaving.has(attemptKey));
+  let usedBytes = sumResources(staying.map(({ usage }) => usage)).memoryBytes;
+  const committedBytes = sumResources(staying.map(({ committed }) => committed)).memoryBytes;
+  // A worker may be filled to the brim by tasks that keep to what they were given.
+  const isFull = usedBytes > capacity.memoryBytes * FULL_MEMORY_SHARE;
+  if (!isFull || usedBytes <= committedBytes) return [];
+  const chosen: string[] = [];
+  const beyond = ({ usage, committed }: UsageSample): number =>
+    usage.memoryBytes - committed.memoryBytes;
+  [...staying]
+    .filter((sample) => !sample.isService && beyond(sample) > 0)
+    .sort((left, right) => beyond(right) - beyond(left))
+    .forEach(({ attemptKey, usage }) => {
+      if (usedBytes <= capacity.memoryBytes * RELIEVED_MEMORY_SHARE) return;
+      usedBytes -= usage.memoryBytes;
+      chosen.push(attemptKey);
+    });
+  return chosen;
+};
+
+/** The learnt size, or the declared one when no worker would be large enough for the former. */
+export const placeableSize = (
+  learnt: Resources,
+  declared: Resources,
+  capacities: readonly Resources[],
+): Resources => (capacities.some((capacity) => fitsInto(learnt, capacity)) ? learnt : declared);
--- /dev/null
+++ b/src/scheduler/common/usageLearning.ts
@@ -0,0 +1,94 @@
+/** Takes workers' reports of use into the learnt sizes, and those into assigning. */
+import type { ServiceDocument } from '../../platform/configuration/common/documents.js';
+import type { Resources } from '../../platform/worker/common/resources.js';
+import { TaskClass, WorkerTaskState } from '../../platform/worker/common/workerClient.js';
+import type { Assignment, WorkRow } from '../../platform/workload/common/workRows.js';
+import { assignmentsOf, type CellRows } from './cellRows.js';
+import type { CellState } from './cellState.js';
+import { LearntSizes, outgrownTasks, placeableSize, type UsageSample } from './learntSizes.js';
+import { attemptKey, type WorkerView } from './workerView.js';
+
+/** Use changes over seconds; going through 2,500 tasks more often would only cost processor. */
+const LEARNING_INTERVAL_MS = 5_000;
+
+const serviceKind = (name: string): string => `service ${name}`;
+
+/** Tasks of one team that declare the same size are one kind. */
+const batchKind = ({ team, size }: Pick<WorkRow, 'team' | 'size'>): string =>
+  `${team} ${size.processorMillis} ${size.memoryBytes} ${size.acceleratorCount}`;
+
+interface Kind {
+  readonly kind: string;
+  readonly isService: boolean;
+  readonly declared: Resources;
+}
+
+const kindOf = (state: CellState, rows: CellRows, assignment: Assignment): Kind | undefined => {
+  if (assignment.taskClass === TaskClass.LatencyCritical) {
+    const service = state.configuration?.view.services.get(assignment.serviceName);
+    if (service === undefined) return undefined;
+    return { kind: serviceKind(service.name), isService: true, declared: service.size };
+  }
+  const row = rows.work.get(assignment.shardId);
+  if (row === undefined) return undefined;
+  return { kind: batchKind(row), isService: false, declared: row.size };
+};
+
+const samplesOn = (
+  state: CellState,
+  rows: CellRows,
+  workerId: string,
+  view: WorkerView,
+): readonly UsageSample[] => {
+  const running = new Map(
+    view.report?.tasks
+      .filter((task) => task.state === WorkerTaskState.Running)
+      .map((task) => [attemptKey(task), task.usage]),
+  );
+  return assignmentsOf(rows, workerId).flatMap((assignment) => {
+    const key = attemptKey(assignment);
+    const usage = running.get(key);
+    const kind = kindOf(state, rows, assignment);
+    if (usage === undefined || kind === undefined) return [];
+    return [{ ...kind, workerId, attemptKey: key, committed: assignment.size, usage }];
+  });
+};
+
+export const isLearningSizes = (state: CellState): boolean =>
+  state.configuration?.view.policy.isSizeLearnt === true;
+
+/** Learns from the last reports, and names the tasks that a worker's memory has no room for. */
+export const learnFromUsage = (state: CellState, nowMs: number): CellState => {
+  const { rows } = state;
+  if (rows === undefined || nowMs < state.nextLearningAtMs) return state;
+  const nextLearningAtMs = nowMs + LEARNING_INTERVAL_MS;
+  if (!isLearningSizes(state)) {
+    return { ...state, nextLearningAtMs, learntSizes: new LearntSizes() };
+  }
+  const samples: UsageSample[] = [];
+  const preempted = new Set(state.preempted);
+  state.workers.forEach((view, workerId) => {
+    const own = samplesOn(state, rows, workerId, view);
+    samples.push(...own);
+    const outgrown = outgrownTasks(own, view.instance.capacity, preempted);
+    outgrown.forEach((key) => preempted.add(key));
+  });
+  const isRoundStale = state.isRoundStale || preempted.size > state.preempted.size;
+  const learntSizes = state.learntSizes.withSamples(samples, nowMs);
+  return { ...state, nextLearningAtMs, learntSizes, preempted, isRoundStale };
+};
+
+const committedSize = (state: CellState, kind: Kind): Resources => {
+  if (!isLearningSizes(state)) return kind.declared;
+  const learnt = state.learntSizes.size(kind.kind, kind.isService, kind.declared);
+  const capacities = [...state.workers.values()].map(({ instance }) => instance.capacity);
+  return placeableSize(learnt, kind.declared, capacities);
+};
+
+/** What to commit for a new replica. */
+export const serviceSize = (state: CellState, { name, size }: ServiceDocument): Resources =>
+  committedSize(state, { kind: serviceKind(name), isService: true, declared: size });
+
+/** What to commit for a new batch task. */
+export const batchSize = (state: CellState, row: WorkRow): Resources =>
+  committedSize(state, { kind: batchKind(row), isService: false, declared: row.size });
--- a/standIns/workers/workerStandIn.ts
+++ b/standIns/workers/workerStandIn.ts
@@ -60,6 +60,9 @@
   /** While the object store is out no checkpoint can be written, so a task runs on. */
   isObjectStoreDown = false;
 
+  /** What a task uses; as much as it was given unless a test says otherwise. */
+  usageOf: ((request: StartRequest) => Resources) | undefined;
+
   #highestEpoch = 0;
 
   constructor(
@@ -98,7 +101,7 @@
       workerId: this.workerId,
       incarnation: this.incarnation,
       workerNowMs: nowMs,
-      tasks: [...this.#tasks.values()].map(WorkerStandIn.#toReport),
+      tasks: [...this.#tasks.values()].map((task) => this.#toReport(task)),
     };
   }
 
@@ -174,13 +177,13 @@
     return `${taskId}#${attempt}`;
   }
 
-  static #toReport({ request, state, checkpoint, leaseUntilMs }: WorkerTask): WorkerTaskReport {
+  #toReport({ request, state, checkpoint, leaseUntilMs }: WorkerTask): WorkerTaskReport {
     return {
       taskId: request.taskId,
       attempt: request.attempt,
       state,
       size: request.size,
-      usage: request.size,
+      usage: this.usageOf?.(request) ?? request.size,
       checkpoint,
       leaseUntilWorkerMs: leaseUntilMs,
     };
