What cells tell each other stands in a row of its own

Cause: quotas and room were published in the row of a cell's servers, which entries read too and which is large; each change of them would have had all of its readers read the servers anew. Ruled out: leaving them there with the servers' row read only when it changed, for the same reason. Change: exchange/CELL holds quotas and room; owners read these rows at each look and each load. Conclusion: seven small rows a look in place of seven large ones for each change.

--- a/src/platform/workload/common/workRows.ts
+++ b/src/platform/workload/common/workRows.ts
@@ -111,17 +111,19 @@
 });
 export type QuotaShare = z.infer<typeof quotaShareSchema>;
 
-/**
- * What a cell tells the others, which read it twice a second: the backend servers that may
- * receive requests, how it divides quotas and what room it has.
- */
+/** What a cell tells the other cells, which read it twice a second; small for that reason. */
+export const exchangeRowSchema = z.strictObject({
+  quota: quotaShareSchema.optional(),
+  /** What is free for other cells' tasks; nothing while tasks of the cell itself wait. */
+  room: resourcesSchema.optional(),
+});
+export type ExchangeRow = z.infer<typeof exchangeRowSchema>;
+
+/** The backend servers of one cell that may receive requests. */
 export const endpointRowSchema = z.strictObject({
   servers: z.array(
     z.strictObject({ serviceName: z.string(), workerId: z.string(), taskId: z.string() }),
   ),
-  quota: quotaShareSchema.optional(),
-  /** What is free for other cells' tasks; nothing while tasks of the cell itself wait. */
-  room: resourcesSchema.optional(),
 });
 export type EndpointRow = z.infer<typeof endpointRowSchema>;
 
@@ -157,6 +159,8 @@
   `${cancellationPrefix(cell)}${planId}`;
 export const ENDPOINT_PREFIX = 'endpoints/';
 export const endpointKey = (cell: string): string => `${ENDPOINT_PREFIX}${cell}`;
+export const EXCHANGE_PREFIX = 'exchange/';
+export const exchangeKey = (cell: string): string => `${EXCHANGE_PREFIX}${cell}`;
 export const JOB_PREFIX = 'job/';
 export const jobKey = (jobId: string): string => `${JOB_PREFIX}${jobId}`;
 
--- a/src/scheduler/common/cellDraft.ts
+++ b/src/scheduler/common/cellDraft.ts
@@ -11,6 +11,8 @@
   cellInboxKey,
   endpointKey,
   type EndpointRow,
+  exchangeKey,
+  type ExchangeRow,
   finishedKey,
   ledgerKey,
   type LedgerRow,
@@ -47,6 +49,8 @@
 
   #endpoints: EndpointRow | undefined;
 
+  #exchange: ExchangeRow | undefined;
+
   constructor(cell: string, base: CellRows) {
     this.#cell = cell;
     this.#base = base;
@@ -54,7 +58,8 @@
 
   get hasChanges(): boolean {
     const rowCount = this.#ledger.size + this.#work.size + this.#closedPlanIds.size;
-    return rowCount > 0 || this.#endpoints !== undefined;
+    const isTelling = this.#endpoints !== undefined || this.#exchange !== undefined;
+    return rowCount > 0 || isTelling;
   }
 
   /** Rows that the transaction will write at least, for limits on its size. */
@@ -87,6 +92,10 @@
     return this.#endpoints ?? this.#base.endpoints;
   }
 
+  get exchange(): ExchangeRow {
+    return this.#exchange ?? this.#base.exchange;
+  }
+
   assignments(rack: string): readonly Assignment[] {
     return (this.#ledger.get(rack) ?? this.#base.ledger.get(rack))?.assignments ?? [];
   }
@@ -161,6 +170,10 @@
     );
   }
 
+  setExchange(exchange: ExchangeRow): void {
+    this.#exchange = exchange;
+  }
+
   setEndpoints(endpoints: EndpointRow): void {
     this.#endpoints = endpoints;
   }
@@ -206,7 +219,9 @@
       key: cancellationKey(this.#cell, planId),
       value: null,
     }));
-    return [...ledger, ...work, ...inboxes, ...endpoints, ...closed];
+    const exchange =
+      this.#exchange === undefined ? [] : [{ key: exchangeKey(this.#cell), value: this.#exchange }];
+    return [...ledger, ...work, ...inboxes, ...endpoints, ...exchange, ...closed];
   }
 
   /** The cell's rows after a commit that gave all written rows `version`. */
@@ -227,6 +242,7 @@
       assignmentsByWorker: byWorker(ledger, this.#base.assignmentsByWorker),
       work,
       endpoints: this.endpoints,
+      exchange: this.exchange,
       ...this.#cancellationsAfter(),
       versions,
     };
--- a/src/scheduler/common/cellEvents.ts
+++ b/src/scheduler/common/cellEvents.ts
@@ -22,7 +22,13 @@
   withLeaseLost,
   withLeaseRows,
 } from './cellLease.js';
-import { assignmentsOf, type CellRows, toCellRows, toServersElsewhere } from './cellRows.js';
+import {
+  assignmentsOf,
+  type CellRows,
+  toCellRows,
+  toExchangeElsewhere,
+  toServersElsewhere,
+} from './cellRows.js';
 import type {
   CellDecision,
   CellEffect,
@@ -208,7 +214,7 @@
   state.lease.isOwner && state.lease.epoch === epoch;
 
 const publishedDivision = (rows: CellRows | undefined): string =>
-  rows?.endpoints.quota === undefined ? '' : divisionKey(rows.endpoints.quota);
+  rows?.exchange.quota === undefined ? '' : divisionKey(rows.exchange.quota);
 
 const withLoaded = (state: CellState, result: Either<Failure, ReadResult>): CellState => {
   const { pending } = state;
@@ -216,21 +222,24 @@
   const settled = { ...state, pending: undefined };
   if (isLeft(result)) return settled;
   const { rows } = result.right;
-  const serversElsewhere = toServersElsewhere(state.cell, rows);
+  const read = {
+    serversElsewhere: toServersElsewhere(state.cell, rows),
+    exchangeElsewhere: toExchangeElsewhere(state.cell, rows),
+  };
   if (pending.kind === 'load') {
-    const read = toCellRows(state.cell, rows, state.lastRows);
-    const isSameCancelled = read.cancelledJobIds.size === state.lastRows?.cancelledJobIds.size;
-    const readDivision = publishedDivision(read);
-    const next = withNewRows({ ...settled, serversElsewhere, readDivision }, read);
+    const own = toCellRows(state.cell, rows, state.lastRows);
+    const isSameCancelled = own.cancelledJobIds.size === state.lastRows?.cancelledJobIds.size;
+    const readDivision = publishedDivision(own);
+    const next = withNewRows({ ...settled, ...read, readDivision }, own);
     return isSameCancelled ? next : withAllStale(next);
   }
   const inboxVersion = rows.find(({ key }) => key === cellInboxKey(state.cell))?.version ?? 0;
   const knownVersion = state.rows?.versions.get(cellInboxKey(state.cell)) ?? 0;
-  if (inboxVersion !== knownVersion) return withRowsInDoubt({ ...settled, serversElsewhere });
+  if (inboxVersion !== knownVersion) return withRowsInDoubt({ ...settled, ...read });
   // No other call was under way, so the others' rows were read after the own one was written.
   const readDivision = publishedDivision(state.rows);
   const isRoundStale = state.isRoundStale || readDivision !== state.readDivision;
-  const next = { ...settled, serversElsewhere, readDivision, isRoundStale };
+  const next = { ...settled, ...read, readDivision, isRoundStale };
   const surplus = surplusTaskIds(next);
   return surplus.size === state.surplusTaskIds.size ? next : withAllStale(next);
 };
--- a/src/scheduler/common/cellRows.ts
+++ b/src/scheduler/common/cellRows.ts
@@ -13,6 +13,10 @@
   endpointKey,
   type EndpointRow,
   endpointRowSchema,
+  EXCHANGE_PREFIX,
+  exchangeKey,
+  type ExchangeRow,
+  exchangeRowSchema,
   isEnded,
   ledgerPrefix,
   type LedgerRow,
@@ -28,6 +32,8 @@
   /** Work rows by shard id. */
   readonly work: ReadonlyMap<string, WorkRow>;
   readonly endpoints: EndpointRow;
+  /** What the cell tells the other cells. */
+  readonly exchange: ExchangeRow;
   readonly cancelledJobIds: ReadonlySet<string>;
   /** The jobs that each confirmed plan cancelled, by plan id. */
   readonly cancellations: ReadonlyMap<string, CancellationRow>;
@@ -92,6 +98,7 @@
   ledgerPrefix(cell),
   workPrefix(cell),
   ENDPOINT_PREFIX,
+  EXCHANGE_PREFIX,
   cancellationPrefix(cell),
   cellInboxKey(cell),
   cellFenceKey(cell),
@@ -136,6 +143,7 @@
           return [name, (isKnown(row) ? known?.get(name) : undefined) ?? parse(row.value)];
         }),
     );
+  const exchangeRow = rows.find((row) => row.key === exchangeKey(cell));
   const endpointRow = rows.find((row) => row.key === endpointKey(cell));
   const cancellations = parsed(cancellationPrefix(cell), before?.cancellations, (value) =>
     cancellationRowSchema.parse(value),
@@ -149,6 +157,7 @@
     work: parsed(workPrefix(cell), before?.work, (value) => workRowSchema.parse(value)),
     endpoints:
       endpointRow === undefined ? { servers: [] } : endpointRowSchema.parse(endpointRow.value),
+    exchange: exchangeRow === undefined ? {} : exchangeRowSchema.parse(exchangeRow.value),
     cancellations,
     cancelledJobIds: toCancelledJobIds(cancellations),
     versions: new Map(rows.map((row) => [row.key, row.version])),
@@ -164,6 +173,15 @@
   return new Map([...byCell].filter(([other]) => other !== cell));
 };
 
+/** What the other cells tell. */
+export const toExchangeElsewhere = (
+  cell: string,
+  rows: readonly TableRow[],
+): ReadonlyMap<string, ExchangeRow> => {
+  const byCell = parsedUnder(rows, EXCHANGE_PREFIX, (value) => exchangeRowSchema.parse(value));
+  return new Map([...byCell].filter(([other]) => other !== cell));
+};
+
 /** True when nothing of the shard is left to do. */
 export const isWorkFinished = (row: WorkRow): boolean => row.tasks.every(isEnded);
 
--- a/src/scheduler/common/cellScheduler.ts
+++ b/src/scheduler/common/cellScheduler.ts
@@ -8,6 +8,7 @@
 } from '../../platform/configuration/common/configurationView.js';
 import {
   ENDPOINT_PREFIX,
+  EXCHANGE_PREFIX,
   cellInboxKey,
   cellOwnerKey,
 } from '../../platform/workload/common/workRows.js';
@@ -53,6 +54,7 @@
   lastRows: undefined,
   surplusTaskIds: new Set(),
   serversElsewhere: new Map(),
+  exchangeElsewhere: new Map(),
   workers: new Map(),
   pending: undefined,
   configuration: undefined,
@@ -224,7 +226,8 @@
     };
   }
   if (nowMs < state.nextLookAtMs) return unchanged(state);
-  const request = { keys: [cellInboxKey(state.cell)], prefixes: [ENDPOINT_PREFIX] };
+  const prefixes = [ENDPOINT_PREFIX, EXCHANGE_PREFIX];
+  const request = { keys: [cellInboxKey(state.cell)], prefixes };
   return {
     state: { ...state, pending: { kind: 'look' }, nextLookAtMs: nowMs + LOOK_INTERVAL_MS },
     effects: [{ kind: 'load', epoch: state.lease.epoch, request }],
--- a/src/scheduler/common/cellState.ts
+++ b/src/scheduler/common/cellState.ts
@@ -11,7 +11,7 @@
   TransactionResult,
 } from '../../platform/table/common/table.js';
 import type { WorkerCommand, WorkerReport } from '../../platform/worker/common/workerClient.js';
-import type { EndpointRow } from '../../platform/workload/common/workRows.js';
+import type { EndpointRow, ExchangeRow } from '../../platform/workload/common/workRows.js';
 import type { CellLease, CellLeaseTiming, LeaseStepKind } from './cellLease.js';
 import type { CellDraft } from './cellDraft.js';
 import type { CellRows } from './cellRows.js';
@@ -110,6 +110,8 @@
   readonly nextRoundAtMs: number;
   /** Servers of each service in other cells, by cell, as last read. */
   readonly serversElsewhere: ReadonlyMap<string, EndpointRow>;
+  /** What the other cells tell, by cell, as last read. */
+  readonly exchangeElsewhere: ReadonlyMap<string, ExchangeRow>;
 }
 
 export type CellEvent =
--- a/src/scheduler/common/handOn.ts
+++ b/src/scheduler/common/handOn.ts
@@ -68,7 +68,7 @@
   hasWaiting: boolean,
   nowMs: number,
 ): void => {
-  const before = draft.endpoints.room ?? NO_RESOURCES;
+  const before = draft.exchange.room ?? NO_RESOURCES;
   const isClosed = state.withdrawnSinceMs !== undefined || hasWaiting;
   const isCalm = nowMs - state.handOn.waitedAtMs >= CALM_MS;
   if (!isClosed && (!isCalm || capacity === undefined)) return;
@@ -80,7 +80,7 @@
       );
   const isEmptied = isClosed && !fitsInto(before, NO_RESOURCES);
   if (!isEmptied && !hasNotableDifference(room, before, cellCapacity(state))) return;
-  draft.setEndpoints({ ...draft.endpoints, room });
+  draft.setExchange({ ...draft.exchange, room });
 };
 
 /**
@@ -114,7 +114,7 @@
   const shareOf = (amount: number): number => Math.floor(amount / others.length);
   return new Map(
     others.filter(isRested).map((zone) => {
-      const room = state.serversElsewhere.get(zone)?.room ?? NO_RESOURCES;
+      const room = state.exchangeElsewhere.get(zone)?.room ?? NO_RESOURCES;
       return [
         zone,
         {
--- a/src/scheduler/common/quotaParts.ts
+++ b/src/scheduler/common/quotaParts.ts
@@ -14,7 +14,7 @@
   type Resources,
   sumResources,
 } from '../../platform/worker/common/resources.js';
-import type { EndpointRow, QuotaShare } from '../../platform/workload/common/workRows.js';
+import type { ExchangeRow, QuotaShare } from '../../platform/workload/common/workRows.js';
 
 /** A cell's place in a team's order of cells, which differs from team to team. */
 const placeOf = (zones: readonly string[], cell: string, team: string): number =>
@@ -67,7 +67,7 @@
 /** What the other cells of the configuration have published of quotas, by cell. */
 const sharesOf = (
   view: ConfigurationView | undefined,
-  rows: ReadonlyMap<string, EndpointRow>,
+  rows: ReadonlyMap<string, ExchangeRow>,
 ): ReadonlyMap<string, QuotaShare> =>
   new Map(
     [...rows].flatMap(([cell, { quota }]) => {
@@ -111,7 +111,7 @@
     view: ConfigurationView | undefined,
     cell: string,
     own: QuotaShare | undefined,
-    rowsElsewhere: ReadonlyMap<string, EndpointRow>,
+    rowsElsewhere: ReadonlyMap<string, ExchangeRow>,
     readDivision: string,
   ) {
     this.#view = view;
--- a/src/scheduler/common/quotaRound.ts
+++ b/src/scheduler/common/quotaRound.ts
@@ -28,8 +28,8 @@
   new QuotaParts(
     state.configuration?.view,
     state.cell,
-    rows.endpoints.quota,
-    state.serversElsewhere,
+    rows.exchange.quota,
+    state.exchangeElsewhere,
     state.readDivision,
   );
 
@@ -56,7 +56,7 @@
 ): void => {
   const view = state.configuration?.view;
   if (view === undefined) return;
-  const before = draft.endpoints.quota;
+  const before = draft.exchange.quota;
   const demands = new Map<string, TeamDemand>();
   if (view.quotas.size > 0) {
     const use = teamUseOf(state, draft, parts);
@@ -68,7 +68,7 @@
   }
   const next = nextQuotaShare(view, parts, before, demands);
   if (before !== undefined && canonicalJson(next) === canonicalJson(before)) return;
-  draft.setEndpoints({ ...draft.endpoints, quota: next });
+  draft.setExchange({ ...draft.exchange, quota: next });
 };
 
 /** Teams of which a task waits for a worker although its quota would allow it. */
--- a/src/scheduler/common/round.ts
+++ b/src/scheduler/common/round.ts
@@ -86,7 +86,7 @@
       ({ taskId, workerId }, index) =>
         taskId === published[index]?.taskId && workerId === published[index]?.workerId,
     );
-  if (!isSame) draft.setEndpoints({ ...draft.endpoints, servers: wanted });
+  if (!isSame) draft.setEndpoints({ servers: wanted });
 };
 
 /** True when the configuration is fresh enough, and allows, to start work in this zone. */
--- a/src/scheduler/test/quotas.test.ts
+++ b/src/scheduler/test/quotas.test.ts
@@ -3,7 +3,7 @@
 import { SeededRandom } from '../../base/common/random.js';
 import { quotaKey } from '../../platform/configuration/common/documents.js';
 import { addResources, fitsInto, type Resources } from '../../platform/worker/common/resources.js';
-import { cancellationKey, endpointKey } from '../../platform/workload/common/workRows.js';
+import { cancellationKey, exchangeKey } from '../../platform/workload/common/workRows.js';
 import {
   expectNoHarm,
   setZone,
@@ -78,7 +78,7 @@
     expect(cell.judge.verdict().completedBatchCount).toBe(26);
     // What was lent goes back: no cell asks, cedes or holds too much any more.
     ZONES.forEach((zone) => {
-      const [row] = cell.table.read({ keys: [endpointKey(zone)], prefixes: [] }).rows;
+      const [row] = cell.table.read({ keys: [exchangeKey(zone)], prefixes: [] }).rows;
       expect(row?.value).toMatchObject({ quota: { asks: {}, ceded: {}, held: {} } });
     });
     expectNoHarm(cell);
