--- a/src/scheduler/common/assigning.ts
+++ b/src/scheduler/common/assigning.ts
@@ -236,8 +236,8 @@
   readonly preempted: ReadonlySet<string>;
   /** Shards of which a task found no worker with room. */
   readonly roomless: ReadonlySet<string>;
-  /** What is left on the workers. */
-  readonly capacity: FreeCapacity;
+  /** What is left on the workers; worked out when asked for. */
+  readonly capacity: () => FreeCapacity;
 }
 
 /** Assigns what fits and tells what has to make room. */
@@ -260,6 +260,6 @@
     0,
   );
   const batchCount = assignBatch(round, parts);
-  const { preempted, roomless, capacity } = round;
-  return { count: serviceCount + batchCount, preempted, roomless, capacity };
+  const { preempted, roomless } = round;
+  return { count: serviceCount + batchCount, preempted, roomless, capacity: () => round.capacity };
 };
--- a/src/scheduler/common/handOn.ts
+++ b/src/scheduler/common/handOn.ts
@@ -30,12 +30,15 @@
   readonly handedOnAtMs: ReadonlyMap<string, number>;
   /** When a task last found no room here. */
   readonly waitedAtMs: number;
+  /** When the room was last worked out. */
+  readonly roomAtMs: number;
 }
 
 export const NO_HAND_ON: HandOnMemory = {
   roomlessSinceMs: new Map(),
   handedOnAtMs: new Map(),
   waitedAtMs: Number.NEGATIVE_INFINITY,
+  roomAtMs: Number.NEGATIVE_INFINITY,
 };
 
 /** A batch task ends somewhere in a full cell several times a second, so a short wait is usual. */
@@ -44,6 +47,8 @@
 const INTERVAL_MS = 2_000;
 /** Room counts as lasting once nothing has waited for so long. */
 const CALM_MS = 5_000;
+/** Adding up what is free on all workers in each round would cost more than the rest of it. */
+const ROOM_INTERVAL_MS = 1_000;
 /** Changes of room by less than this share of the cell are not worth a write. */
 const NOTABLE_SHARE = 1 / 8;
 
@@ -57,6 +62,9 @@
   );
 };
 
+const isRoomDue = ({ roomAtMs }: HandOnMemory, nowMs: number): boolean =>
+  nowMs - roomAtMs >= ROOM_INTERVAL_MS;
+
 /**
  * Publishes how much room the cell has for others' tasks: none while tasks of its own wait, else
  * what is free. A cell whose queue comes and goes would otherwise be sent work in each gap.
@@ -64,19 +72,20 @@
 export const publishRoom = (
   state: CellState,
   draft: CellDraft,
-  capacity: FreeCapacity | undefined,
+  capacity: (() => FreeCapacity) | undefined,
   hasWaiting: boolean,
   nowMs: number,
 ): void => {
   const before = draft.exchange.room ?? NO_RESOURCES;
   const isClosed = state.withdrawnSinceMs !== undefined || hasWaiting;
   const isCalm = nowMs - state.handOn.waitedAtMs >= CALM_MS;
-  if (!isClosed && (!isCalm || capacity === undefined)) return;
+  const isDue = isClosed || (isCalm && isRoomDue(state.handOn, nowMs));
+  if (!isDue || (!isClosed && capacity === undefined)) return;
   // A worker that has shrunk below what runs on it has less than nothing free.
   const room = isClosed
     ? NO_RESOURCES
     : sumResources(
-        capacity?.openCandidates.map(({ free }) => remainingResources(free, NO_RESOURCES)) ?? [],
+        capacity?.().openCandidates.map(({ free }) => remainingResources(free, NO_RESOURCES)) ?? [],
       );
   const isEmptied = isClosed && !fitsInto(before, NO_RESOURCES);
   if (!isEmptied && !hasNotableDifference(room, before, cellCapacity(state))) return;
@@ -198,4 +207,5 @@
     ...[...receivers].map((cell) => [cell, nowMs] as const),
   ]),
   waitedAtMs: roomless.size > 0 ? nowMs : before.waitedAtMs,
+  roomAtMs: isRoomDue(before, nowMs) ? nowMs : before.roomAtMs,
 });
--- a/src/scheduler/common/quotaRound.ts
+++ b/src/scheduler/common/quotaRound.ts
@@ -11,7 +11,13 @@
 import type { CellRows } from './cellRows.js';
 import type { CellState } from './cellState.js';
 import { TeamUse } from './queueOrder.js';
-import { nextQuotaShare, QuotaParts, type TeamDemand } from './quotaParts.js';
+import {
+  divisionKey,
+  divisionOf,
+  nextQuotaShare,
+  QuotaParts,
+  type TeamDemand,
+} from './quotaParts.js';
 
 /**
  * How long a large task may have its quota and find no worker with room before the ask for it is
@@ -57,6 +63,8 @@
   const view = state.configuration?.view;
   if (view === undefined) return;
   const before = draft.exchange.quota;
+  const isSame = before !== undefined && divisionKey(before) === divisionKey(divisionOf(view));
+  if (isSame && view.quotas.size === 0) return;
   const demands = new Map<string, TeamDemand>();
   if (view.quotas.size > 0) {
     const use = teamUseOf(state, draft, parts);
--- a/src/scheduler/common/usageLearning.ts
+++ b/src/scheduler/common/usageLearning.ts
@@ -81,6 +81,7 @@
 const committedSize = (state: CellState, kind: Kind): Resources => {
   if (!isLearningSizes(state)) return kind.declared;
   const learnt = state.learntSizes.size(kind.kind, kind.isService, kind.declared);
+  if (learnt === kind.declared) return learnt;
   const capacities = [...state.workers.values()].map(({ instance }) => instance.capacity);
   return placeableSize(learnt, kind.declared, capacities);
 };
