--- a/src/scheduler/common/cellScheduler.ts
+++ b/src/scheduler/common/cellScheduler.ts
@@ -8,6 +8,7 @@
 } from '../../platform/configuration/common/configurationView.js';
 import {
   ENDPOINT_PREFIX,
+  EXCHANGE_PREFIX,
   cellInboxKey,
   cellOwnerKey,
 } from '../../platform/workload/common/workRows.js';
@@ -20,12 +21,14 @@
 import { toFailureCount } from './failureWeight.js';
 import { fenceCondition, startFence } from './fence.js';
 import { NO_HAND_ON } from './handOn.js';
+import { LearntSizes } from './learntSizes.js';
 import { brokenByRound, brokenByStarts, ledgerChange } from './invariants.js';
 import type { PlacementPolicy } from './placement.js';
 import { retryDelayMs } from './queueOrder.js';
 import { hasSettled, mayAssign, planRound, type Round } from './round.js';
 import { AssignmentEnd, type RecordedEnd } from './taskEnds.js';
 import { unfitSince } from './unfitWork.js';
+import { learnFromUsage } from './usageLearning.js';
 import { isStartAllowed, planCommand } from './workerCommands.js';
 import { WorkerHealth } from './workerHealth.js';
 import { attemptKey, type WorkerView } from './workerView.js';
@@ -51,6 +54,7 @@
   lastRows: undefined,
   surplusTaskIds: new Set(),
   serversElsewhere: new Map(),
+  exchangeElsewhere: new Map(),
   workers: new Map(),
   pending: undefined,
   configuration: undefined,
@@ -66,6 +70,8 @@
   workerHealth: new WorkerHealth(),
   retryAtMs: new Map(),
   handOn: NO_HAND_ON,
+  learntSizes: new LearntSizes(),
+  nextLearningAtMs: nowMs,
   readDivision: '',
   quotaWaits: new Map(),
   isRoundStale: true,
@@ -220,7 +226,8 @@
     };
   }
   if (nowMs < state.nextLookAtMs) return unchanged(state);
-  const request = { keys: [cellInboxKey(state.cell)], prefixes: [ENDPOINT_PREFIX] };
+  const prefixes = [ENDPOINT_PREFIX, EXCHANGE_PREFIX];
+  const request = { keys: [cellInboxKey(state.cell)], prefixes };
   return {
     state: { ...state, pending: { kind: 'look' }, nextLookAtMs: nowMs + LOOK_INTERVAL_MS },
     effects: [{ kind: 'load', epoch: state.lease.epoch, request }],
@@ -277,6 +284,7 @@
   if (!absorbed.state.lease.isOwner) return runSteps(absorbed, [leaseStep]);
   return runSteps(absorbed, [
     leaseStep,
+    (current) => unchanged(learnFromUsage(current, nowMs)),
     (current) => startRound(current, policy, nowMs),
     (current) => startFence(current, nowMs),
     (current) => startRead(current, nowMs),
--- a/src/scheduler/common/cellState.ts
+++ b/src/scheduler/common/cellState.ts
@@ -12,11 +12,12 @@
   TransactionResult,
 } from '../../platform/table/common/table.js';
 import type { WorkerCommand, WorkerReport } from '../../platform/worker/common/workerClient.js';
-import type { EndpointRow } from '../../platform/workload/common/workRows.js';
+import type { EndpointRow, ExchangeRow } from '../../platform/workload/common/workRows.js';
 import type { CellLease, CellLeaseTiming, LeaseStepKind } from './cellLease.js';
 import type { CellDraft } from './cellDraft.js';
 import type { CellRows } from './cellRows.js';
 import type { HandOnMemory } from './handOn.js';
+import type { LearntSizes } from './learntSizes.js';
 import type { WorkerHealth } from './workerHealth.js';
 import type { WorkerView } from './workerView.js';
 
@@ -96,6 +97,9 @@
   /** When a failed task may be tried again, by task id; a new owner tries it at once. */
   readonly retryAtMs: ReadonlyMap<string, number>;
   readonly handOn: HandOnMemory;
+  /** How large tasks really are; learnt anew by each owner. */
+  readonly learntSizes: LearntSizes;
+  readonly nextLearningAtMs: number;
   /** The division of quotas that the cell had published when it last read the other cells' rows. */
   readonly readDivision: string;
   /** Since when a team's large task has had its quota and found no worker with room, by team. */
@@ -107,6 +111,8 @@
   readonly nextRoundAtMs: number;
   /** Servers of each service in other cells, by cell, as last read. */
   readonly serversElsewhere: ReadonlyMap<string, EndpointRow>;
+  /** What the other cells tell, by cell, as last read. */
+  readonly exchangeElsewhere: ReadonlyMap<string, ExchangeRow>;
 }
 
 export type CellEvent =
--- a/src/scheduler/common/quotaRound.ts
+++ b/src/scheduler/common/quotaRound.ts
@@ -11,7 +11,13 @@
 import type { CellRows } from './cellRows.js';
 import type { CellState } from './cellState.js';
 import { TeamUse } from './queueOrder.js';
-import { nextQuotaShare, QuotaParts, type TeamDemand } from './quotaParts.js';
+import {
+  divisionKey,
+  divisionOf,
+  nextQuotaShare,
+  QuotaParts,
+  type TeamDemand,
+} from './quotaParts.js';
 
 /**
  * How long a large task may have its quota and find no worker with room before the ask for it is
@@ -28,8 +34,8 @@
   new QuotaParts(
     state.configuration?.view,
     state.cell,
-    rows.endpoints.quota,
-    state.serversElsewhere,
+    rows.exchange.quota,
+    state.exchangeElsewhere,
     state.readDivision,
   );
 
@@ -56,7 +62,9 @@
 ): void => {
   const view = state.configuration?.view;
   if (view === undefined) return;
-  const before = draft.endpoints.quota;
+  const before = draft.exchange.quota;
+  const isSame = before !== undefined && divisionKey(before) === divisionKey(divisionOf(view));
+  if (isSame && view.quotas.size === 0) return;
   const demands = new Map<string, TeamDemand>();
   if (view.quotas.size > 0) {
     const use = teamUseOf(state, draft, parts);
@@ -68,7 +76,7 @@
   }
   const next = nextQuotaShare(view, parts, before, demands);
   if (before !== undefined && canonicalJson(next) === canonicalJson(before)) return;
-  draft.setEndpoints({ ...draft.endpoints, quota: next });
+  draft.setExchange({ ...draft.exchange, quota: next });
 };
 
 /** Teams of which a task waits for a worker although its quota would allow it. */
