--- a/src/entry/test/silentConnections.test.ts
+++ b/src/entry/test/silentConnections.test.ts
@@ -123,7 +123,7 @@
       const list = new HttpInstanceList(origin, 300);
       return {
         connectionCount: 1,
-        isAnswered: async () => isRight(await list.list()()),
+        isAnswered: async () => isRight(await list.read()()),
         dispose: () => list.dispose(),
       };
     },
