An owner works out anew only what has changed

Ruled out: one copy less of the map of workers for each answer (the state is immutable by contract). Change: a worker whose last message only renewed gets the same renewals again while its assignments and its report's tasks are the very same objects and no reason to say more can have come up; reports without changes keep their list; servers are compared before they are sorted; replicas are gathered once a draft. Tests: quietRenewals.test.ts.

--- a/src/platform/worker/common/reportMirror.ts
+++ b/src/platform/worker/common/reportMirror.ts
@@ -14,7 +14,8 @@
   readonly cellEpoch: number;
   readonly revision: number;
   readonly tasks: ReadonlyMap<string, WorkerTaskReport>;
-  readonly taskList: readonly WorkerTaskReport[];
+  /** Stays the same list while nothing changes, by which readers know that nothing has. */
+  readonly taskList: WorkerTaskReport[];
 }
 
 /** A command as sent, kept to understand its answer. */
@@ -166,7 +167,7 @@
   }
 
   #toReport({ workerId, incarnation, taskList }: Held, workerNowMs: number): WorkerReport {
-    const report = { workerId, incarnation, workerNowMs, tasks: [...taskList] };
+    const report = { workerId, incarnation, workerNowMs, tasks: taskList };
     if (taskList.length === 0) return report;
     return { ...report, latestLeaseUntilWorkerMs: this.#latestLeaseUntilWorkerMs };
   }
--- a/src/scheduler/common/cellDraft.ts
+++ b/src/scheduler/common/cellDraft.ts
@@ -44,6 +44,9 @@
 
   #endpoints: EndpointRow | undefined;
 
+  /** Worked out once for a state of the ledger; a round asks three times. */
+  #replicas: readonly Assignment[] | undefined;
+
   constructor(cell: string, base: CellRows) {
     this.#cell = cell;
     this.#base = base;
@@ -90,10 +93,11 @@
 
   /** All assignments of services, as changed so far. */
   get replicas(): readonly Assignment[] {
-    return this.racks.flatMap((rack) => {
+    this.#replicas ??= this.racks.flatMap((rack) => {
       const row = this.#ledger.get(rack) ?? this.#base.ledger.get(rack);
       return row === undefined ? [] : replicasIn(row);
     });
+    return this.#replicas;
   }
 
   work(shardId: string): WorkRow | undefined {
@@ -102,6 +106,7 @@
 
   setAssignments(rack: string, assignments: readonly Assignment[]): void {
     this.#ledger.set(rack, { assignments: [...assignments] });
+    this.#replicas = undefined;
   }
 
   setWork(row: WorkRow): void {
--- a/src/scheduler/common/round.ts
+++ b/src/scheduler/common/round.ts
@@ -67,21 +67,30 @@
   if (state.withdrawnSinceMs !== undefined) return { servers: [] };
   const servers = draft.replicas
     .filter((assignment) => isServing(state, assignment))
-    .map(({ serviceName, workerId, taskId }) => ({ serviceName, workerId, taskId }))
-    .sort((left, right) => (left.taskId < right.taskId ? -1 : 1));
+    .map(({ serviceName, workerId, taskId }) => ({ serviceName, workerId, taskId }));
   return { servers };
 };
 
+const publishedWorkers = new WeakMap<EndpointRow, ReadonlyMap<string, string>>();
+
+/** The worker of each published task; kept with the row, which hardly ever changes. */
+const workersByTask = (row: EndpointRow): ReadonlyMap<string, string> => {
+  const known = publishedWorkers.get(row);
+  if (known !== undefined) return known;
+  const workers = new Map(row.servers.map(({ taskId, workerId }) => [taskId, workerId] as const));
+  publishedWorkers.set(row, workers);
+  return workers;
+};
+
 const updateEndpoints = (state: CellState, draft: CellDraft): void => {
   const wanted = wantedEndpoints(state, draft);
-  const published = draft.endpoints.servers;
+  const published = workersByTask(draft.endpoints);
   const isSame =
-    wanted.servers.length === published.length &&
-    wanted.servers.every(
-      ({ taskId, workerId }, index) =>
-        taskId === published[index]?.taskId && workerId === published[index]?.workerId,
-    );
-  if (!isSame) draft.setEndpoints(wanted);
+    wanted.servers.length === published.size &&
+    wanted.servers.every(({ taskId, workerId }) => published.get(taskId) === workerId);
+  if (isSame) return;
+  const servers = [...wanted.servers].sort((left, right) => (left.taskId < right.taskId ? -1 : 1));
+  draft.setEndpoints({ servers });
 };
 
 /** True when the configuration is fresh enough, and allows, to start work in this zone. */
--- a/src/scheduler/common/workerCommands.ts
+++ b/src/scheduler/common/workerCommands.ts
@@ -1,17 +1,23 @@
 /** Derives the message to a worker from the committed ledger and the worker's last report. */
 import {
   type StartRequest,
+  type TaskAttempt,
   type WorkerCommand,
   type WorkerReport,
   WorkerTaskState,
-  type WorkerTaskReport,
 } from '../../platform/worker/common/workerClient.js';
 import type { Assignment } from '../../platform/workload/common/workRows.js';
 import { assignmentsOf } from './cellRows.js';
 import type { CellState } from './cellState.js';
 import { unrecordedFinishes } from './lateFinishes.js';
 import { isEvictionWanted } from './wantedEvictions.js';
-import { attemptKey, reportedTask, type WorkerView, withDriftMargin } from './workerView.js';
+import {
+  attemptKey,
+  type QuietRenewal,
+  reportedTask,
+  type WorkerView,
+  withDriftMargin,
+} from './workerView.js';
 
 export interface PlannedCommand {
   /** Undefined when there is nothing to say. */
@@ -58,7 +64,7 @@
   leaseUntilWorkerMs,
 });
 
-const toAttempt = ({ taskId, attempt }: Assignment | WorkerTaskReport) => ({ taskId, attempt });
+const toAttempt = ({ taskId, attempt }: TaskAttempt): TaskAttempt => ({ taskId, attempt });
 
 /** What a transaction in flight takes off the worker: it is neither started nor renewed. */
 const isLeaving = (state: CellState, assignment: Assignment): boolean =>
@@ -134,6 +140,61 @@
   return { command, withheldCount: wanted.length - starts.length };
 };
 
+/**
+ * The attempts of a message that does nothing but renew all that the worker has been given, with
+ * what they were worked out from; undefined for any other message.
+ */
+const toQuiet = (
+  state: CellState,
+  view: WorkerView,
+  { incarnation, renewals, throttles }: WorkerCommand,
+  keys: ReadonlySet<string>,
+): QuietRenewal | undefined => {
+  const assignments = state.rows?.assignmentsByWorker.get(view.instance.id);
+  if (assignments === undefined || keys.size + throttles.length > 0) return undefined;
+  const isAll = renewals.length === assignments.length && renewals.length === view.tasks.size;
+  if (!isAll) return undefined;
+  return { assignments, tasks: view.tasks, incarnation, attempts: renewals.map(toAttempt) };
+};
+
+/**
+ * The renewal that repeats the last message, when surely nothing else is to be said. Made for 123
+ * workers that are each told once a second what they were told before: to work it out took a third
+ * of all deciding. The assignments and the report's tasks are the very same objects. Whatever else
+ * a message depends on either marks it as stale (the list of instances, the configuration, a start
+ * held back) or is ruled out here: a withdrawn zone with its drain time, surplus replicas, work that
+ * makes room or is cancelled, and attempts that a transaction under way takes off. A new reason to
+ * say something belongs into one of the two.
+ */
+const quietCommand = (
+  state: CellState,
+  view: WorkerView,
+  report: WorkerReport,
+): WorkerCommand | undefined => {
+  const { quiet } = view;
+  if (quiet === undefined || view.isMessageStale || state.withdrawnSinceMs !== undefined) {
+    return undefined;
+  }
+  const cancelledCount = state.rows?.cancelledJobIds.size ?? 0;
+  if (state.surplusTaskIds.size + state.preempted.size + cancelledCount > 0) return undefined;
+  if (state.pending?.kind === 'commit' && state.pending.droppedAttempts.size > 0) return undefined;
+  const isSame =
+    state.rows?.assignmentsByWorker.get(view.instance.id) === quiet.assignments &&
+    view.tasks === quiet.tasks &&
+    report.incarnation === quiet.incarnation;
+  if (!isSame) return undefined;
+  const leaseUntilWorkerMs = report.workerNowMs + state.timing.workerLeaseMs;
+  return {
+    ...firstContact(state),
+    incarnation: report.incarnation,
+    renewals: quiet.attempts.map(({ taskId, attempt }) => ({
+      taskId,
+      attempt,
+      leaseUntilWorkerMs,
+    })),
+  };
+};
+
 /** Starts, evictions and acknowledgements as keys, to tell what the last command did not hold. */
 const newsKeys = (command: WorkerCommand): ReadonlySet<string> =>
   new Set([
@@ -186,15 +247,25 @@
   if (report === undefined) {
     return isRenewalDue ? { command: firstContact(state), view: sent } : undefined;
   }
+  const repeated = quietCommand(state, view, report);
+  if (repeated !== undefined) {
+    return { command: repeated, view: { ...sent, ...withSent(state, view, report, repeated) } };
+  }
   const { command, withheldCount } = commandFor(state, view, report, nowMs);
   // With the rows in doubt nothing but renewals is sent, so what is due has to be found again.
   const isMessageStale = withheldCount > 0 || state.rows === undefined;
   const keys = newsKeys(command);
   if (!isRenewalDue && [...keys].every((key) => view.toldKeys.has(key))) {
-    return { command: undefined, view: { ...view, isMessageStale } };
+    return { command: undefined, view: { ...view, isMessageStale, quiet: undefined } };
   }
   return {
     command,
-    view: { ...sent, ...withSent(state, view, report, command), isMessageStale, toldKeys: keys },
+    view: {
+      ...sent,
+      ...withSent(state, view, report, command),
+      isMessageStale,
+      toldKeys: keys,
+      quiet: toQuiet(state, view, command, keys),
+    },
   };
 };
--- a/src/scheduler/common/workerView.ts
+++ b/src/scheduler/common/workerView.ts
@@ -30,6 +30,16 @@
   readonly toldKeys: ReadonlySet<string>;
   /** True when something changed since the last message, so that it is worked out anew. */
   readonly isMessageStale: boolean;
+  /** Set while the last message did nothing but renew all that the worker has. */
+  readonly quiet: QuietRenewal | undefined;
+}
+
+/** What a message that only renewed was worked out from, and the attempts that it renewed. */
+export interface QuietRenewal {
+  readonly assignments: readonly Assignment[];
+  readonly tasks: ReadonlyMap<string, WorkerTaskReport>;
+  readonly incarnation: string;
+  readonly attempts: readonly TaskAttempt[];
 }
 
 const NO_TASKS: ReadonlyMap<string, WorkerTaskReport> = new Map();
@@ -76,13 +86,16 @@
   tasks: NO_TASKS,
   toldKeys: NOTHING_TOLD,
   isMessageStale: true,
+  quiet: undefined,
 });
 
 const reportedLeasesOverAtMs = (report: WorkerReport, receivedAtMs: number): number => {
-  const latestMs = report.tasks.reduce(
-    (laterMs, task) => Math.max(laterMs, task.leaseUntilWorkerMs),
-    report.latestLeaseUntilWorkerMs ?? report.workerNowMs,
-  );
+  const latestMs =
+    report.latestLeaseUntilWorkerMs ??
+    report.tasks.reduce(
+      (laterMs, task) => Math.max(laterMs, task.leaseUntilWorkerMs),
+      report.workerNowMs,
+    );
   return receivedAtMs + withDriftMargin(Math.max(0, latestMs - report.workerNowMs));
 };
 
@@ -96,6 +109,7 @@
  */
 const tasksByAttempt = (view: WorkerView, report: WorkerReport): WorkerView['tasks'] => {
   const isRepeat = view.report?.incarnation === report.incarnation;
+  if (isRepeat && view.report?.tasks === report.tasks) return view.tasks;
   if (isRepeat && isSameTasks(view.tasks, report.tasks)) return view.tasks;
   return new Map(report.tasks.map((task) => [attemptKey(task), task]));
 };
--- /dev/null
+++ b/src/scheduler/test/quietRenewals.test.ts
@@ -0,0 +1,56 @@
+import { describe, expect, it } from 'vitest';
+
+import { expectNoHarm, shard, startCell, submit } from './cellFixtures.js';
+import type { VirtualCell } from './virtualCell.js';
+
+const LONG_MS = 600_000;
+const LEASE_MS = 10_000;
+
+/** A cell whose workers have been told nothing but renewals for some seconds. */
+const quietCell = (seed: number): VirtualCell => {
+  const cell = startCell(seed);
+  Array.from({ length: 8 }, (_, index) => submit(cell, shard(2, LONG_MS, `kitchen.${index}`)));
+  cell.runFor(15_000);
+  return cell;
+};
+
+const quietWorkerCount = (cell: VirtualCell): number =>
+  [...(cell.owner()?.state.workers.values() ?? [])].filter(({ quiet }) => quiet !== undefined)
+    .length;
+
+describe('renewals that repeat the message before', () => {
+  // A caller of a batch job sees its tasks go on for minutes while nothing happens in the cell.
+  it('keep the leases of all that runs', () => {
+    const cell = quietCell(1);
+    expect(quietWorkerCount(cell)).toBeGreaterThan(0);
+    cell.runFor(5 * LEASE_MS);
+    expect(cell.judge.verdict()).toMatchObject({ lapsedCount: 0, startCount: 16 });
+    expectNoHarm(cell);
+  });
+
+  // A worker is drained in a quiet cell: its tasks must be told to leave at once, not repeated.
+  it('end as soon as there is something else to say', () => {
+    const cell = quietCell(2);
+    const busy = [...cell.workers.values()].filter(({ workerId, incarnation }) => {
+      const view = cell.owner()?.state.workers.get(workerId);
+      return view?.quiet?.incarnation === incarnation;
+    });
+    const workerId = busy[0]?.workerId ?? '';
+    const taskCount = cell.owner()?.state.workers.get(workerId)?.tasks.size ?? 0;
+    cell.relist(workerId, { state: 'leaving' });
+    cell.runFor(2_000);
+    expect(taskCount).toBeGreaterThan(0);
+    expect(cell.judge.verdict().evictionCount).toBe(taskCount);
+    expectNoHarm(cell);
+  });
+
+  // The worker is started again and has forgotten all; renewals to it would keep nothing alive.
+  it('end with the incarnation', () => {
+    const cell = quietCell(3);
+    const view = [...(cell.owner()?.state.workers.values() ?? [])].find(({ quiet }) => quiet);
+    cell.restartWorker(view?.instance.id ?? '');
+    cell.runFor(10_000);
+    expect(cell.judge.verdict().startCount).toBe(16 + (view?.tasks.size ?? 0));
+    expectNoHarm(cell);
+  });
+});
