--- a/soak/test/found.test.ts
+++ b/soak/test/found.test.ts
@@ -1,8 +1,9 @@
 /** What randomised runs have found, each as its shrunk trace with its seed unchanged. */
-import { describe, it } from 'vitest';
+import { describe, expect, it } from 'vitest';
 
+import { ledgerRowSchema } from '../../src/platform/workload/common/workRows.js';
 import { expectSettled } from './soakCommands.js';
-import { TASK_SIZE } from './soakParts.js';
+import { SERVICE, TASK_SIZE } from './soakParts.js';
 import { SoakWorld } from './soakWorld.js';
 
 const submit = (world: SoakWorld, taskCount: number, workMs: number): Promise<void> =>
@@ -78,4 +79,32 @@
     world.tableFaults.isDown = false;
     await expectSettled(world);
   });
+
+  // An operator finds a job given up that would run: bad workers used its tries up two at a time.
+  // The round that records a failure also assigns, and did so before it had learnt of the failure:
+  // the next attempt followed at once, on the worker that had just failed the task.
+  it('seeds 40000, 41038, 80084 (badWorkers): a failed task waits, and goes elsewhere', async () => {
+    const world = new SoakWorld(1);
+    await world.start();
+    // Replicas that failed beside it would make the worker doubtful, and the wait half as long.
+    void world.operate(0, { intent: 'remove-service', name: SERVICE });
+    await world.runFor(10_000);
+    world.workers.forEach((worker) => Object.assign(worker, { isBad: true }));
+    void submit(world, 1, 500);
+    const attempts = new Map<number, { readonly workerId: string; readonly atMs: number }>();
+    const note = (): void =>
+      world.table
+        .read({ keys: [], prefixes: ['ledger/'] })
+        .rows.flatMap(({ value }) => ledgerRowSchema.parse(value).assignments)
+        .filter(({ taskId, attempt }) => taskId === 'kitchen.job-1/0' && !attempts.has(attempt))
+        .forEach(({ attempt, workerId }) => attempts.set(attempt, { workerId, atMs: world.nowMs }));
+    while (attempts.size < 2 && world.nowMs < 30_000) {
+      // eslint-disable-next-line no-await-in-loop -- time passes in steps
+      await world.runFor(10);
+      note();
+    }
+    const [first, second] = [attempts.get(1), attempts.get(2)];
+    expect((second?.atMs ?? 0) - (first?.atMs ?? 0)).toBeGreaterThanOrEqual(1_000);
+    expect(second?.workerId).not.toBe(first?.workerId);
+  });
 });
--- a/src/scheduler/common/assigning.ts
+++ b/src/scheduler/common/assigning.ts
@@ -130,7 +130,7 @@
 });
 
 const servedElsewhere = (state: CellState, serviceName: string): number =>
-  [...state.serversElsewhere.values()]
+  [...state.endpointView.rows.values()]
     .flatMap(({ servers }) => servers)
     .filter((server) => server.serviceName === serviceName).length;
 
--- a/src/scheduler/common/cellDraft.ts
+++ b/src/scheduler/common/cellDraft.ts
@@ -10,6 +10,7 @@
   cancellationKey,
   cellInboxKey,
   endpointKey,
+  endpointMarkKey,
   type EndpointRow,
   exchangeKey,
   type ExchangeRow,
@@ -51,6 +52,9 @@
 
   #exchange: ExchangeRow | undefined;
 
+  /** Worked out once for a state of the ledger; a round asks three times. */
+  #replicas: readonly Assignment[] | undefined;
+
   constructor(cell: string, base: CellRows) {
     this.#cell = cell;
     this.#base = base;
@@ -102,10 +106,11 @@
 
   /** All assignments of services, as changed so far. */
   get replicas(): readonly Assignment[] {
-    return this.racks.flatMap((rack) => {
+    this.#replicas ??= this.racks.flatMap((rack) => {
       const row = this.#ledger.get(rack) ?? this.#base.ledger.get(rack);
       return row === undefined ? [] : replicasIn(row);
     });
+    return this.#replicas;
   }
 
   work(shardId: string): WorkRow | undefined {
@@ -114,6 +119,7 @@
 
   setAssignments(rack: string, assignments: readonly Assignment[]): void {
     this.#ledger.set(rack, { assignments: [...assignments] });
+    this.#replicas = undefined;
   }
 
   setWork(row: WorkRow): void {
@@ -214,7 +220,10 @@
     const endpoints =
       this.#endpoints === undefined
         ? []
-        : [{ key: endpointKey(this.#cell), value: this.#endpoints }];
+        : [
+            { key: endpointKey(this.#cell), value: this.#endpoints },
+            { key: endpointMarkKey(this.#cell), value: { operationId } },
+          ];
     const closed = [...this.#closedPlanIds].map((planId) => ({
       key: cancellationKey(this.#cell, planId),
       value: null,
--- a/src/scheduler/common/cellEvents.ts
+++ b/src/scheduler/common/cellEvents.ts
@@ -14,7 +14,6 @@
   type WorkerReport,
   WorkerTaskState,
 } from '../../platform/worker/common/workerClient.js';
-import { cellInboxKey } from '../../platform/workload/common/workRows.js';
 import {
   type LeaseStepKind,
   withLeaseCallFailed,
@@ -22,13 +21,8 @@
   withLeaseLost,
   withLeaseRows,
 } from './cellLease.js';
-import {
-  assignmentsOf,
-  type CellRows,
-  toCellRows,
-  toExchangeElsewhere,
-  toServersElsewhere,
-} from './cellRows.js';
+import { publishedDivision, withLoaded } from './cellReads.js';
+import { assignmentsOf } from './cellRows.js';
 import type {
   CellDecision,
   CellEffect,
@@ -40,9 +34,8 @@
 import { NO_HAND_ON } from './handOn.js';
 import { LearntSizes } from './learntSizes.js';
 import { unrecordedFinishes } from './lateFinishes.js';
-import { divisionKey } from './quotaParts.js';
 import { mayAssign } from './round.js';
-import { surplusTaskIds } from './wantedEvictions.js';
+import { withAllStale, withNewRows, withRowsInDoubt } from './staleness.js';
 import { WorkerHealth } from './workerHealth.js';
 import {
   attemptKey,
@@ -61,39 +54,6 @@
   amount,
 });
 
-/** Has every worker's message and the round worked out anew. */
-const withAllStale = (state: CellState): CellState => ({
-  ...state,
-  isRoundStale: true,
-  surplusTaskIds: surplusTaskIds(state),
-  workers: new Map(
-    [...state.workers].map(([id, view]): [string, WorkerView] => [
-      id,
-      view.isMessageStale ? view : { ...view, isMessageStale: true },
-    ]),
-  ),
-});
-
-/** Has the messages worked out anew of those workers whose assignments changed. */
-const withNewRows = (state: CellState, rows: CellRows): CellState => {
-  const before = state.lastRows?.assignmentsByWorker;
-  const isSame = (workerId: string): boolean =>
-    before !== undefined && before.get(workerId) === rows.assignmentsByWorker.get(workerId);
-  const workers = new Map(
-    [...state.workers].map(([id, view]): [string, WorkerView] => [
-      id,
-      isSame(id) ? view : { ...view, isMessageStale: true },
-    ]),
-  );
-  const next = { ...state, rows, lastRows: rows, workers, isRoundStale: true };
-  const surplus = surplusTaskIds(next);
-  if (surplus.size !== state.surplusTaskIds.size) return withAllStale(next);
-  return { ...next, surplusTaskIds: surplus };
-};
-
-/** After a conflict or a lost answer nothing may depend on the rows until they are read again. */
-const withRowsInDoubt = (state: CellState): CellState => ({ ...state, rows: undefined });
-
 const withInstances = (state: CellState, workers: readonly WorkerInstance[]): CellState => {
   const listed = new Map(
     workers
@@ -150,6 +110,7 @@
     rows: undefined,
     lastRows: undefined,
     pending: undefined,
+    arrivals: undefined,
     // The owner row's new version stops whatever a former ownership left under way.
     isFenceDue: false,
     tookOverAtMs: nowMs,
@@ -213,37 +174,6 @@
 const isOfThisOwnership = (state: CellState, epoch: number): boolean =>
   state.lease.isOwner && state.lease.epoch === epoch;
 
-const publishedDivision = (rows: CellRows | undefined): string =>
-  rows?.exchange.quota === undefined ? '' : divisionKey(rows.exchange.quota);
-
-const withLoaded = (state: CellState, result: Either<Failure, ReadResult>): CellState => {
-  const { pending } = state;
-  if (pending?.kind !== 'load' && pending?.kind !== 'look') return state;
-  const settled = { ...state, pending: undefined };
-  if (isLeft(result)) return settled;
-  const { rows } = result.right;
-  const read = {
-    serversElsewhere: toServersElsewhere(state.cell, rows),
-    exchangeElsewhere: toExchangeElsewhere(state.cell, rows),
-  };
-  if (pending.kind === 'load') {
-    const own = toCellRows(state.cell, rows, state.lastRows);
-    const isSameCancelled = own.cancelledJobIds.size === state.lastRows?.cancelledJobIds.size;
-    const readDivision = publishedDivision(own);
-    const next = withNewRows({ ...settled, ...read, readDivision }, own);
-    return isSameCancelled ? next : withAllStale(next);
-  }
-  const inboxVersion = rows.find(({ key }) => key === cellInboxKey(state.cell))?.version ?? 0;
-  const knownVersion = state.rows?.versions.get(cellInboxKey(state.cell)) ?? 0;
-  if (inboxVersion !== knownVersion) return withRowsInDoubt({ ...settled, ...read });
-  // No other call was under way, so the others' rows were read after the own one was written.
-  const readDivision = publishedDivision(state.rows);
-  const isRoundStale = state.isRoundStale || readDivision !== state.readDivision;
-  const next = { ...settled, ...read, readDivision, isRoundStale };
-  const surplus = surplusTaskIds(next);
-  return surplus.size === state.surplusTaskIds.size ? next : withAllStale(next);
-};
-
 /** Takes in the end of a write to the fence; it stays due until one has surely taken effect. */
 const withFenced = (state: CellState, result: Either<Failure, TransactionResult>): CellDecision => {
   const settled = { ...state, pending: undefined };
--- a/src/scheduler/common/round.ts
+++ b/src/scheduler/common/round.ts
@@ -13,6 +13,7 @@
 import { CellDraft } from './cellDraft.js';
 import type { CellRows } from './cellRows.js';
 import type { CellState } from './cellState.js';
+import { type LearntFromEnds, learntFromEnds } from './learntFromEnds.js';
 import { recordLateFinishes } from './lateFinishes.js';
 import { type HandOnMemory, handOnWaitingTasks, nextHandOnMemory, publishRoom } from './handOn.js';
 import type { PlacementPolicy } from './placement.js';
@@ -25,6 +26,7 @@
 export interface Round {
   readonly draft: CellDraft;
   readonly ends: readonly RecordedEnd[];
+  readonly learnt: LearntFromEnds;
   readonly assignedCount: number;
   /** Attempts that have to leave for urgent work, as keys. */
   readonly preempted: ReadonlySet<string>;
@@ -73,20 +75,29 @@
   if (state.withdrawnSinceMs !== undefined) return [];
   return draft.replicas
     .filter((assignment) => isServing(state, assignment))
-    .map(({ serviceName, workerId, taskId }) => ({ serviceName, workerId, taskId }))
-    .sort((left, right) => (left.taskId < right.taskId ? -1 : 1));
+    .map(({ serviceName, workerId, taskId }) => ({ serviceName, workerId, taskId }));
+};
+
+const publishedWorkers = new WeakMap<EndpointRow, ReadonlyMap<string, string>>();
+
+/** The worker of each published task; kept with the row, which hardly ever changes. */
+const workersByTask = (row: EndpointRow): ReadonlyMap<string, string> => {
+  const known = publishedWorkers.get(row);
+  if (known !== undefined) return known;
+  const workers = new Map(row.servers.map(({ taskId, workerId }) => [taskId, workerId] as const));
+  publishedWorkers.set(row, workers);
+  return workers;
 };
 
 const updateEndpoints = (state: CellState, draft: CellDraft): void => {
   const wanted = wantedServers(state, draft);
-  const published = draft.endpoints.servers;
+  const published = workersByTask(draft.endpoints);
   const isSame =
-    wanted.length === published.length &&
-    wanted.every(
-      ({ taskId, workerId }, index) =>
-        taskId === published[index]?.taskId && workerId === published[index]?.workerId,
-    );
-  if (!isSame) draft.setEndpoints({ servers: wanted });
+    wanted.length === published.size &&
+    wanted.every(({ taskId, workerId }) => published.get(taskId) === workerId);
+  if (isSame) return;
+  const servers = [...wanted].sort((left, right) => (left.taskId < right.taskId ? -1 : 1));
+  draft.setEndpoints({ servers });
 };
 
 /** True when the configuration is fresh enough, and allows, to start work in this zone. */
@@ -121,9 +132,13 @@
   const ends = recordEnds(state, rows, draft, nowMs);
   recordLateFinishes(state, rows, draft);
   cancelQueuedTasks(draft, state.timing.maximumRowsPerRound);
+  // A task that failed is queued in this very round: it would be tried again at once, and on the
+  // worker that failed it, if the round assigned before it had learnt of the failure.
+  const learnt = learntFromEnds(state, ends, nowMs);
+  const informed = { ...state, ...learnt };
   const parts = quotaPartsOf(state, rows);
   const assigned = isAssigning
-    ? assignQueuedWork(state, rows, draft, parts, policy, operationId, nowMs)
+    ? assignQueuedWork(informed, rows, draft, parts, policy, operationId, nowMs)
     : undefined;
   const roomless = assigned?.roomless ?? new Set<string>();
   const receivers = isAssigning
@@ -137,7 +152,7 @@
   publishRoom(state, draft, assigned?.capacity, roomless.size > 0, nowMs);
   const quotaWaits = nextQuotaWaits(state, draft, parts, nowMs);
   return {
-    ...{ draft, ends, quotaWaits },
+    ...{ draft, ends, learnt, quotaWaits },
     handOn: isAssigning ? nextHandOnMemory(state.handOn, roomless, receivers, nowMs) : state.handOn,
     assignedCount: assigned?.count ?? 0,
     preempted: assigned?.preempted ?? new Set<string>(),
