--- a/src/platform/metrics/common/metricList.ts
+++ b/src/platform/metrics/common/metricList.ts
@@ -70,6 +70,7 @@
   cell_fenced: counter('Fences written after a lost answer, by cell.'),
   cell_stale_answer: counter('Answers that came after the cell had moved on, by cell.'),
   tasks_assigned: counter('Tasks given to a worker, by cell.'),
+  tasks_handed_on: counter('Queued tasks handed on to a cell that has room, by cell.'),
   assignments_finished: counter('Assignments whose task finished, by cell.'),
   assignments_failed: counter('Assignments whose task failed, by cell.'),
   assignments_evicted: counter('Assignments whose task left its worker on request, by cell.'),
