--- a/bench/capacity/schedulerCapacity.ts
+++ b/bench/capacity/schedulerCapacity.ts
@@ -19,6 +19,7 @@
 } from '../../src/platform/configuration/common/documents.js';
 import { ErrorKind, failure } from '../../src/platform/errors/common/errorKinds.js';
 import type { WorkerInstance } from '../../src/platform/instanceList/common/instanceList.js';
+import { settingsSchema } from '../../src/platform/settings/common/settings.js';
 import {
   BatchTaskState,
   cellInboxKey,
@@ -64,6 +65,7 @@
   roundIntervalMs: 100,
   rowsPerSecond: 60,
   maximumRowsPerRound: 120,
+  interference: settingsSchema.shape.scheduler.parse({}).interference,
 };
 
 export interface SchedulerFigures {
--- a/bench/colocation/batchArrivals.ts
+++ b/bench/colocation/batchArrivals.ts
@@ -1,7 +1,7 @@
 /** Batch jobs of several kinds that arrive at an even rate, drawn from a seed. */
 import type { RandomSource } from '../../src/base/common/random.js';
 import type { WorkRow } from '../../src/platform/workload/common/workRows.js';
-import type { IdealTask } from './idealPool.js';
+import { trueMillis } from './idealPool.js';
 import type { ColocationSize, KindTruth } from './truth.js';
 
 const MAXIMUM_TASKS_OF_JOB = 6;
@@ -11,11 +11,6 @@
   readonly kind: KindTruth;
 }
 
-export const toIdealTask = (kind: KindTruth): IdealTask => ({
-  processorMillis: kind.declared.processorMillis * kind.useRatio,
-  remainingMs: kind.declaredWorkMs * kind.workRatio,
-});
-
 export class BatchArrivals {
   readonly #size: ColocationSize;
 
@@ -32,10 +27,10 @@
     this.#size = size;
     this.#random = random;
     const { kinds, demand, capacity, workerCount, services, replicaCount } = size;
-    const perTaskMs = kinds.reduce((sum, kind) => {
-      const { processorMillis, remainingMs } = toIdealTask(kind);
-      return sum + kind.share * processorMillis * remainingMs;
-    }, 0);
+    const perTaskMs = kinds.reduce(
+      (sum, kind) => sum + kind.share * trueMillis(kind) * kind.declaredWorkMs * kind.workRatio,
+      0,
+    );
     const serviceMillis = services.reduce(
       (sum, { declared }) => sum + declared.processorMillis * replicaCount,
       0,
--- a/bench/colocation/colocation.ts
+++ b/bench/colocation/colocation.ts
@@ -2,7 +2,9 @@
  * Services and batch work together, as the two users run them: `npm run bench -- colocation`.
  * Everything is of virtual time and of a seed, so the figures are the same on every machine.
  */
+import { settingsSchema } from '../../src/platform/settings/common/settings.js';
 import { fitsInto } from '../../src/platform/worker/common/resources.js';
+import type { InterferencePolicy } from '../../src/scheduler/common/interference/interferencePolicy.js';
 import {
   type PlacementCandidate,
   type PlacementPolicy,
@@ -10,10 +12,11 @@
   SpreadAndPackPolicy,
 } from '../../src/scheduler/common/placement.js';
 import type { Benchmark } from '../benchmark.js';
+import { readBounds } from '../bounds.js';
 import { type ColocationFigures, ColocationRun, type ColocationWay } from './colocationRun.js';
-import { AMMAN, BAJIO } from './truth.js';
+import { AMMAN, BAJIO, type ColocationSize } from './truth.js';
 
-const SEED = 11;
+const SEEDS = [11, 12] as const;
 const TOLERATED_SLOWDOWN = 1.15;
 
 /** The baseline: batch tasks go to the first worker with room for the declared size. */
@@ -29,29 +32,101 @@
   }
 }
 
-const WAYS: readonly ColocationWay[] = [
-  { name: 'first fit by declared size', policy: new FirstFitPolicy() },
-  { name: 'no learning', policy: new SpreadAndPackPolicy() },
+const DEFAULTS = settingsSchema.shape.scheduler.parse({}).interference;
+const OFF: InterferencePolicy = { ...DEFAULTS, isEnabled: false };
+
+/** The weighting of each user, as it would stand in its settings. */
+const AMMAN_POLICY: InterferencePolicy = DEFAULTS;
+const BAJIO_POLICY: InterferencePolicy = {
+  ...DEFAULTS,
+  doubtDeviations: 0.8,
+  toleratedSlowdown: 0.1,
+  releaseSlowdown: 0.09,
+  placementSlowdown: 0.1,
+  evictionSlowdown: 0.13,
+};
+
+const BASELINES: readonly ColocationWay[] = [
+  { name: 'first fit by declared size', policy: new FirstFitPolicy(), interference: OFF },
+  { name: 'no learning', policy: new SpreadAndPackPolicy(), interference: OFF },
 ];
 
+const SIZES = [
+  { size: AMMAN, policy: AMMAN_POLICY },
+  { size: BAJIO, policy: BAJIO_POLICY },
+] as const;
+
+/** Evictions beside the smallest number that would have kept the tail. */
+const evictionRatio = ({ evictionCount, neededEvictionCount }: ColocationFigures): number =>
+  evictionCount === 0 ? 1 : evictionCount / Math.max(1, neededEvictionCount);
+
 const line = (name: string, figures: ColocationFigures): string =>
   [
     `  ${name.padEnd(28)}`,
     `p99 beside no batch ${figures.p99Ratio.toFixed(3)}`,
     `throughput beside ideal ${figures.throughputRatio.toFixed(3)}`,
-    `evictions ${figures.evictionCount}, beside needed ${figures.evictionRatio.toFixed(2)}`,
+    `evictions ${figures.evictionCount}, beside needed ${evictionRatio(figures).toFixed(2)}`,
     `zone leaves and returns ${figures.zoneRatio.toFixed(3)}`,
   ].join(' | ');
 
-const run = async (): Promise<boolean> => {
-  [AMMAN, BAJIO].forEach((size) => {
-    process.stdout.write(`${size.name}: ${size.workerCount} workers; virtual time, seed ${SEED}\n`);
-    WAYS.forEach((way) => {
-      const figures = new ColocationRun(size, way, TOLERATED_SLOWDOWN, SEED).run();
-      process.stdout.write(`${line(way.name, figures)}\n`);
-    });
+const runOne = (size: ColocationSize, way: ColocationWay, seed: number): ColocationFigures => {
+  const figures = new ColocationRun(size, way, TOLERATED_SLOWDOWN, seed).run();
+  process.stdout.write(`${line(`${way.name}, seed ${seed}`, figures)}\n`);
+  return figures;
+};
+
+/** Shares are averaged, evictions summed. */
+const together = (all: readonly ColocationFigures[]): ColocationFigures => {
+  const sum = (of: (figures: ColocationFigures) => number): number =>
+    all.reduce((total, figures) => total + of(figures), 0);
+  return {
+    p99Ratio: sum(({ p99Ratio }) => p99Ratio) / all.length,
+    throughputRatio: sum(({ throughputRatio }) => throughputRatio) / all.length,
+    evictionCount: sum(({ evictionCount }) => evictionCount),
+    neededEvictionCount: sum(({ neededEvictionCount }) => neededEvictionCount),
+    zoneRatio: sum(({ zoneRatio }) => zoneRatio) / all.length,
+  };
+};
+
+/** Prints each figure beside its bound and tells whether all hold. */
+const checkBounds = (
+  name: string,
+  figures: ColocationFigures,
+  bounds: Readonly<Record<string, number>>,
+): boolean => {
+  const highest = [
+    ['P99Ratio', figures.p99Ratio],
+    ['EvictionRatio', evictionRatio(figures)],
+  ] as const;
+  const lowest = [
+    ['ThroughputRatio', figures.throughputRatio],
+    ['ZoneRatio', figures.zoneRatio],
+  ] as const;
+  const verdicts = [
+    ...highest.map(([figure, value]) => ({ key: `maximum${figure}`, value, isHighest: true })),
+    ...lowest.map(([figure, value]) => ({ key: `minimum${figure}`, value, isHighest: false })),
+  ].map(({ key, value, isHighest }) => {
+    const bound = bounds[`${name}.${key}`] ?? Number.NaN;
+    const isHeld = isHighest ? value <= bound : value >= bound;
+    const mark = isHeld ? 'ok     ' : 'CROSSED';
+    process.stdout.write(`  ${mark} ${name} ${key} ${value.toFixed(3)} (bound ${bound})\n`);
+    return isHeld;
+  });
+  return verdicts.every(Boolean);
+};
+
+/** With the argument `bounds` only the product is run, without the ways it is compared with. */
+const run = async ([mode]: readonly string[]): Promise<boolean> => {
+  const bounds = await readBounds('colocation');
+  const verdicts = SIZES.map(({ size, policy }) => {
+    process.stdout.write(`${size.name}: ${size.workerCount} workers in 3 zones; virtual time\n`);
+    if (mode !== 'bounds') BASELINES.forEach((way) => runOne(size, way, SEEDS[0]));
+    const way = { name: 'product', policy: new SpreadAndPackPolicy(), interference: policy };
+    const figures = together(SEEDS.map((seed) => runOne(size, way, seed)));
+    process.stdout.write(`${line('product, both seeds', figures)}\n`);
+    return checkBounds(size.name, figures, bounds);
   });
-  return true;
+  return verdicts.every(Boolean);
 };
 
 export const colocation: Benchmark = { name: 'colocation', run };
--- a/bench/colocation/colocationRun.ts
+++ b/bench/colocation/colocationRun.ts
@@ -11,18 +11,23 @@
 } from '../../src/platform/configuration/common/documents.js';
 import type { WorkerInstance } from '../../src/platform/instanceList/common/instanceList.js';
 import { cellInboxKey, workKey } from '../../src/platform/workload/common/workRows.js';
+import type { InterferencePolicy } from '../../src/scheduler/common/interference/interferencePolicy.js';
 import type { PlacementPolicy } from '../../src/scheduler/common/placement.js';
 import { TableStandIn } from '../../standIns/platform/tableStandIn.js';
 import { VirtualTime } from '../requests/virtualTime.js';
 import { CellDriver, DEFAULT_CELL_TIMING } from '../scheduling/cellDriver.js';
-import { BatchArrivals, toIdealTask } from './batchArrivals.js';
-import { IdealPool } from './idealPool.js';
+import { BatchArrivals } from './batchArrivals.js';
+import { IdealPool, type IdealRoom } from './idealPool.js';
+import { LatencyMeter } from './latencyMeter.js';
 import { ModelWorker } from './modelWorker.js';
 import { Tail } from './tail.js';
 import { type ColocationSize, loadAt, type ServiceTruth } from './truth.js';
 
 const ZONES = ['zone-a', 'zone-b', 'zone-c'] as const;
 const STEP_MS = 500;
+/** How long a sample covers, and how late it comes. */
+const SAMPLE_INTERVAL_MS = 2_000;
+const SAMPLE_DELAY_MS = 3_000;
 const MS_PER_SECOND = 1_000;
 
 const WARM_UP_MS = 60_000;
@@ -35,6 +40,7 @@
 export interface ColocationWay {
   readonly name: string;
   readonly policy: PlacementPolicy;
+  readonly interference: InterferencePolicy;
 }
 
 export interface ColocationFigures {
@@ -43,8 +49,8 @@
   /** Batch work done beside the ideal pool's. */
   readonly throughputRatio: number;
   readonly evictionCount: number;
-  /** Evictions beside those without which throttling alone would not have kept the tail. */
-  readonly evictionRatio: number;
+  /** Those of them without which even stopping all batch work would not have kept the tail. */
+  readonly neededEvictionCount: number;
   /** Batch work done while a zone leaves and returns beside the ideal pool's. */
   readonly zoneRatio: number;
 }
@@ -67,9 +73,11 @@
 
   readonly #cells: ReadonlyMap<string, CellDriver>;
 
+  readonly #meter: LatencyMeter;
+
   readonly #tails = new Map<string, Tail>();
 
-  readonly #ideal = new IdealPool();
+  readonly #ideal: IdealPool;
 
   readonly #idealDone: Done = { total: 0, aroundZone: 0 };
 
@@ -79,7 +87,9 @@
 
   constructor(size: ColocationSize, way: ColocationWay, toleratedSlowdown: number, seed: number) {
     this.#size = size;
+    this.#ideal = new IdealPool(size.capacity.processorMillis, toleratedSlowdown - 1);
     this.#arrivals = new BatchArrivals(size, new SeededRandom(seed));
+    this.#meter = new LatencyMeter(new SeededRandom(seed + 1));
     this.#workers = new Map(
       Array.from({ length: size.workerCount }, (_, index) => {
         const zone = ZONES[index % ZONES.length] as string;
@@ -88,10 +98,11 @@
       }),
     );
     size.services.forEach(({ name }) => this.#tails.set(name, new Tail()));
+    const timing = { ...DEFAULT_CELL_TIMING, interference: way.interference };
     this.#cells = new Map(
       ZONES.map((zone) => [
         zone,
-        new CellDriver(zone, DEFAULT_CELL_TIMING, way.policy, {
+        new CellDriver(zone, timing, way.policy, {
           table: this.#table,
           nowMs: () => this.#time.nowMs,
           schedule: (delayMs, run) => this.#time.after(delayMs, run),
@@ -113,6 +124,7 @@
     this.#time.after(ZONE_LEAVES_MS, () => this.#setZone('withdrawn'));
     this.#time.after(ZONE_RETURNS_MS, () => this.#setZone('in-use'));
     this.#every(STEP_MS, () => this.#step());
+    this.#every(SAMPLE_INTERVAL_MS, () => this.#sendSamples());
     this.#time.runUntil(END_MS);
     return this.#figures();
   }
@@ -121,13 +133,11 @@
     const workers = [...this.#workers.values()];
     const sum = (of: (worker: ModelWorker) => number): number =>
       workers.reduce((total, worker) => total + of(worker), 0);
-    const evictionCount = sum(({ progress }) => progress.evictionCount);
-    const neededCount = sum(({ progress }) => progress.neededEvictionCount);
     return {
       p99Ratio: Math.max(...[...this.#tails.values()].map(({ p99Ratio }) => p99Ratio)),
       throughputRatio: this.#done.total / this.#idealDone.total,
-      evictionCount,
-      evictionRatio: evictionCount === 0 ? 1 : evictionCount / Math.max(1, neededCount),
+      evictionCount: sum(({ progress }) => progress.evictionCount),
+      neededEvictionCount: sum(({ progress }) => progress.neededEvictionCount),
       zoneRatio: this.#done.aroundZone / this.#idealDone.aroundZone,
     };
   }
@@ -137,22 +147,23 @@
     this.#submitDue();
     this.#markShortages();
     let doneMs = 0;
-    let freeMillis = 0;
+    const rooms: IdealRoom[] = [];
     this.#workers.forEach((worker) => {
       const before = worker.progress.processorMs;
       worker.advance(nowMs, STEP_MS);
       doneMs += worker.progress.processorMs - before;
       this.#countRequests(worker);
       if (worker.isWithdrawn) return;
-      freeMillis += this.#size.capacity.processorMillis - worker.serviceMillis(nowMs);
+      const freeMillis = this.#size.capacity.processorMillis - worker.serviceMillis(nowMs);
+      rooms.push({ freeMillis, services: worker.services });
     });
     this.#count(this.#done, doneMs);
-    this.#count(this.#idealDone, this.#ideal.advance(freeMillis, STEP_MS));
+    this.#count(this.#idealDone, this.#ideal.advance(rooms, nowMs, STEP_MS));
   }
 
   #markShortages(): void {
     const zoneCount = this.#withdrawnZone === undefined ? ZONES.length : ZONES.length - 1;
-    const share = Math.floor((this.#size.replicaCount * this.#size.services.length) / zoneCount);
+    const share = Math.floor(this.#size.replicaCount / zoneCount) * this.#size.services.length;
     ZONES.forEach((zone) => {
       const workers = [...this.#workers.values()].filter((one) => one.availabilityZone === zone);
       const runningCount = workers.reduce((sum, { services }) => sum + services.length, 0);
@@ -172,13 +183,22 @@
 
   #countRequests(worker: ModelWorker): void {
     const { nowMs } = this.#time;
-    if (nowMs < WARM_UP_MS || worker.isWithdrawn) return;
+    if (worker.isWithdrawn) return;
     worker.services.forEach((service) => {
       const requestCount = (ColocationRun.#rate(service, nowMs) * STEP_MS) / MS_PER_SECOND;
-      this.#tails.get(service.name)?.add(worker.slowdown(service, nowMs), requestCount);
+      const slowdown = worker.slowdown(service, nowMs);
+      this.#meter.add(worker.id, service, slowdown, requestCount, nowMs);
+      if (nowMs >= WARM_UP_MS) this.#tails.get(service.name)?.add(slowdown, requestCount);
     });
   }
 
+  #sendSamples(): void {
+    const samples = this.#meter.takeSamples(this.#time.nowMs);
+    this.#time.after(SAMPLE_DELAY_MS, () =>
+      this.#cells.forEach((cell) => cell.handle({ kind: 'latency-measured', samples })),
+    );
+  }
+
   static #rate(service: ServiceTruth, nowMs: number): number {
     return service.fullRate * loadAt(nowMs);
   }
@@ -187,7 +207,7 @@
     const zones = ZONES.filter((zone) => zone !== this.#withdrawnZone);
     this.#arrivals.next(STEP_MS, zones).forEach(({ row, kind }) => {
       const zone = row.shardId.slice(row.jobId.length + 1);
-      row.tasks.forEach(() => this.#ideal.submit(toIdealTask(kind)));
+      row.tasks.forEach(() => this.#ideal.submit(kind));
       this.#write([
         [workKey(zone, row.shardId), row],
         [cellInboxKey(zone), { operationId: row.jobId }],
--- a/bench/colocation/idealPool.ts
+++ b/bench/colocation/idealPool.ts
@@ -1,42 +1,123 @@
 /**
- * What could be done at best: one pool of all processors of the zones in use, true sizes and run
- * times known, no pair kept apart, nothing lost by a move. No scheduler does as well, so a share
- * of it is a cautious figure.
+ * What could be done at best: true sizes, run times and pairs are known at each moment, work is
+ * divided at will and moves for nothing, and no service is slowed by more than is tolerated. Only
+ * the places of the replicas are those of the run. No scheduler does as well, so a share of it is
+ * a cautious figure.
  */
+import { type KindTruth, loadAt, type ServiceTruth } from './truth.js';
 
-export interface IdealTask {
-  readonly processorMillis: number;
+/** One worker as the ideal sees it. */
+export interface IdealRoom {
+  readonly freeMillis: number;
+  readonly services: readonly ServiceTruth[];
+}
+
+interface IdealTask {
   remainingMs: number;
 }
 
+interface Room {
+  freeMillis: number;
+  readonly services: readonly ServiceTruth[];
+  /** The slowdown that each service here may still take. */
+  readonly leftSlowdowns: number[];
+}
+
+export const trueMillis = (kind: KindTruth): number =>
+  kind.declared.processorMillis * kind.useRatio;
+
 export class IdealPool {
-  #queue: IdealTask[] = [];
+  readonly #capacityMillis: number;
+
+  readonly #toleratedSlowdown: number;
+
+  readonly #tasks = new Map<KindTruth, IdealTask[]>();
+
+  /** `toleratedSlowdown` is 0.15 for a service that may take 1.15 times as long. */
+  constructor(capacityMillis: number, toleratedSlowdown: number) {
+    this.#capacityMillis = capacityMillis;
+    this.#toleratedSlowdown = toleratedSlowdown;
+  }
 
-  #running: IdealTask[] = [];
+  submit(kind: KindTruth): void {
+    const task = { remainingMs: kind.declaredWorkMs * kind.workRatio };
+    this.#tasks.set(kind, [...(this.#tasks.get(kind) ?? []), task]);
+  }
+
+  /** Lets the workers do what they can in `elapsedMs`; returns processor-milliseconds done. */
+  advance(workers: readonly IdealRoom[], nowMs: number, elapsedMs: number): number {
+    const rooms = workers.map(({ freeMillis, services }) => ({
+      freeMillis,
+      services,
+      leftSlowdowns: services.map(() => this.#toleratedSlowdown),
+    }));
+    // What hurts most has the fewest places, so it chooses first.
+    const kinds = [...this.#tasks.keys()].sort(
+      (left, right) =>
+        this.#harm(right, rooms, nowMs) - this.#harm(left, rooms, nowMs) ||
+        (left.name < right.name ? -1 : 1),
+    );
+    return kinds.reduce((doneMs, kind) => doneMs + this.#run(kind, rooms, nowMs, elapsedMs), 0);
+  }
+
+  #harm(kind: KindTruth, rooms: readonly Room[], nowMs: number): number {
+    return rooms.reduce((sum, room) => sum + this.#worstPressure(kind, room, nowMs), 0);
+  }
 
-  submit(task: IdealTask): void {
-    this.#queue.push(task);
+  /** The slowdown by one thousandth of a processor of the kind. */
+  #pressures(kind: KindTruth, { services }: Room, nowMs: number): readonly number[] {
+    return services.map(
+      ({ name }) => (loadAt(nowMs) * kind.pressure(name, nowMs)) / this.#capacityMillis,
+    );
   }
 
-  /** Lets the pool work for `elapsedMs`; returns the processor-milliseconds done. */
-  advance(freeMillis: number, elapsedMs: number): number {
-    const waiting = [...this.#running, ...this.#queue];
-    this.#running = [];
-    this.#queue = [];
-    let leftMillis = freeMillis;
+  #worstPressure(kind: KindTruth, room: Room, nowMs: number): number {
+    return Math.max(0, ...this.#pressures(kind, room, nowMs));
+  }
+
+  #run(kind: KindTruth, rooms: readonly Room[], nowMs: number, elapsedMs: number): number {
+    const tasks = this.#tasks.get(kind) ?? [];
+    const wantedMillis = tasks.length * trueMillis(kind);
+    const grantedMillis = this.#take(kind, rooms, wantedMillis, nowMs);
+    let leftMillis = grantedMillis;
     let doneMs = 0;
-    waiting.forEach((next) => {
-      const task = next;
-      if (task.processorMillis > leftMillis) {
-        this.#queue.push(task);
-        return;
-      }
-      leftMillis -= task.processorMillis;
-      const stepMs = Math.min(elapsedMs, task.remainingMs);
-      doneMs += (stepMs * task.processorMillis) / 1_000;
+    tasks.forEach((one) => {
+      const task = one;
+      const millis = Math.min(trueMillis(kind), leftMillis);
+      leftMillis -= millis;
+      const stepMs = Math.min(task.remainingMs, (elapsedMs * millis) / trueMillis(kind));
       task.remainingMs -= stepMs;
-      if (task.remainingMs > 0) this.#running.push(task);
+      doneMs += (stepMs * trueMillis(kind)) / 1_000;
     });
+    this.#tasks.set(
+      kind,
+      tasks.filter(({ remainingMs }) => remainingMs > 0),
+    );
     return doneMs;
   }
+
+  /** Takes up to `wantedMillis` of the rooms, first where the kind hurts least. */
+  #take(kind: KindTruth, rooms: readonly Room[], wantedMillis: number, nowMs: number): number {
+    let takenMillis = 0;
+    [...rooms]
+      .sort(
+        (left, right) =>
+          this.#worstPressure(kind, left, nowMs) - this.#worstPressure(kind, right, nowMs),
+      )
+      .forEach((one) => {
+        const room = one;
+        const pressures = this.#pressures(kind, room, nowMs);
+        const limits = pressures.map((pressure, index) =>
+          pressure === 0 ? Number.POSITIVE_INFINITY : (room.leftSlowdowns[index] ?? 0) / pressure,
+        );
+        const millis = Math.min(wantedMillis - takenMillis, room.freeMillis, ...limits);
+        if (millis <= 0) return;
+        takenMillis += millis;
+        room.freeMillis -= millis;
+        pressures.forEach((pressure, index) => {
+          room.leftSlowdowns[index] = (room.leftSlowdowns[index] ?? 0) - pressure * millis;
+        });
+      });
+    return takenMillis;
+  }
 }
--- /dev/null
+++ b/bench/colocation/latencyMeter.ts
@@ -0,0 +1,70 @@
+/** What the entry beside a cell's owner measures of servers: few requests, told late. */
+import type { RandomSource } from '../../src/base/common/random.js';
+import type { LatencySample } from '../../src/platform/worker/common/latencySamples.js';
+import { LATENCY_DEVIATION } from './tail.js';
+import { loadAt, type ServiceTruth } from './truth.js';
+
+/** Each of so many entries sees an equal part of the requests. */
+const ENTRY_COUNT = 7;
+/** How much of its latency a service adds at full load by itself. */
+const OWN_LOAD_SLOWDOWN = 0.4;
+
+interface Window {
+  readonly workerId: string;
+  readonly service: ServiceTruth;
+  requestCount: number;
+  sumMs: number;
+}
+
+export class LatencyMeter {
+  readonly #random: RandomSource;
+
+  #windows = new Map<string, Window>();
+
+  #startedAtMs = 0;
+
+  constructor(random: RandomSource) {
+    this.#random = random;
+  }
+
+  add(
+    workerId: string,
+    service: ServiceTruth,
+    slowdown: number,
+    requestCount: number,
+    nowMs: number,
+  ): void {
+    const key = `${workerId}/${service.name}`;
+    const window = this.#windows.get(key) ?? { workerId, service, requestCount: 0, sumMs: 0 };
+    const latencyMs = service.baseLatencyMs * (1 + OWN_LOAD_SLOWDOWN * loadAt(nowMs)) * slowdown;
+    window.requestCount += requestCount / ENTRY_COUNT;
+    window.sumMs += (latencyMs * requestCount) / ENTRY_COUNT;
+    this.#windows.set(key, window);
+  }
+
+  takeSamples(nowMs: number): readonly LatencySample[] {
+    const windows = [...this.#windows.values()];
+    const startedAtMs = this.#startedAtMs;
+    this.#windows = new Map();
+    this.#startedAtMs = nowMs;
+    return windows.map(({ workerId, service, requestCount, sumMs }) => {
+      const deviation = LATENCY_DEVIATION / Math.sqrt(requestCount);
+      return {
+        workerId,
+        serviceName: service.name,
+        requestCount: Math.max(1, Math.round(requestCount)),
+        meanLatencyMs: (sumMs / requestCount) * (1 + deviation * this.#nextNormal()),
+        startedAtMs,
+        endedAtMs: nowMs,
+      };
+    });
+  }
+
+  /** Nearly normal: the sum of twelve even draws. */
+  #nextNormal(): number {
+    return Array.from({ length: 12 }, () => this.#random.nextFraction()).reduce(
+      (sum, draw) => sum + draw,
+      -6,
+    );
+  }
+}
--- a/bench/colocation/modelWorker.ts
+++ b/bench/colocation/modelWorker.ts
@@ -226,6 +226,17 @@
     );
     const usage: Resources = { ...request.size, processorMillis };
     const { taskId, attempt, size } = request;
-    return { taskId, attempt, state, size, usage, checkpoint, leaseUntilWorkerMs: leaseUntilMs };
+    const throttle = task.processorShare < 1 ? { processorShare: task.processorShare } : {};
+    return {
+      taskId,
+      attempt,
+      state,
+      size,
+      usage,
+      checkpoint,
+      leaseUntilWorkerMs: leaseUntilMs,
+      unsavedWorkMs: task.doneMs - task.savedMs,
+      ...throttle,
+    };
   }
 }
--- a/bench/scheduling/cellDriver.ts
+++ b/bench/scheduling/cellDriver.ts
@@ -38,6 +38,7 @@
   roundIntervalMs: DEFAULTS.roundIntervalMs,
   rowsPerSecond: DEFAULTS.cellRowsPerSecond,
   maximumRowsPerRound: DEFAULTS.maximumRowsPerRound,
+  interference: DEFAULTS.interference,
 };
 
 /** What a driven cell meets: virtual time, the table and its workers. */
--- a/src/daemon/node/daemon.ts
+++ b/src/daemon/node/daemon.ts
@@ -29,6 +29,7 @@
 import { TracedTableService } from '../../platform/table/common/tracedTableService.js';
 import { HttpTableService } from '../../platform/table/node/httpTableService.js';
 import { OpenTelemetryTracing } from '../../platform/tracing/node/openTelemetryTracing.js';
+import type { LatencySampleSource } from '../../platform/worker/common/latencySamples.js';
 import { CellTasks } from '../../scheduler/node/cellTasks.js';
 
 const SEED_LIMIT = 2 ** 31;
@@ -89,10 +90,7 @@
     const configuration = own.add(
       new ConfigurationReader(table, clock, log, metrics, platform.configurationIntervalMs),
     );
-    if (roles.includes(Role.Scheduler)) {
-      const services = { table, configuration, directory, clock, log, metrics, tracing };
-      own.add(new CellTasks(services, settings, `${instanceId}#${randomUUID()}`));
-    }
+    let latencies: LatencySampleSource | undefined;
     if (roles.includes(Role.Entry)) {
       const { configurationIntervalMs } = platform;
       const routing = own.add(
@@ -101,6 +99,7 @@
       const connections = own.add(new BackendConnections(entry, metrics));
       const chooser = new LatencyWeightedOfTwo(random);
       const admission = new Admission<Journey>(entry, chooser, random);
+      latencies = admission.latencyWindows;
       const claims = own.add(new ClaimKeeper(table, clock, metrics, entry));
       own.add(
         new ClaimSweeper(table, metrics, entry.claimLifetimeMs, Date.now, randomInt(SEED_LIMIT)),
@@ -112,6 +111,10 @@
       this.#handler = handler;
       this.#callerServer = new CallerServer(handler, entry, metrics);
     }
+    if (roles.includes(Role.Scheduler)) {
+      const services = { table, configuration, directory, clock, log, metrics, tracing };
+      own.add(new CellTasks(services, settings, `${instanceId}#${randomUUID()}`, latencies));
+    }
     const plans = own.add(
       new PlanService(
         {
--- a/src/entry/common/admission.ts
+++ b/src/entry/common/admission.ts
@@ -15,6 +15,7 @@
 import { ConcurrencyLimit } from './concurrencyLimit.js';
 import { FairQueue, type WaitingRequest } from './fairQueue.js';
 import { HedgeBudget, RetryBudget } from './retryBudget.js';
+import { LatencyWindows } from './latencyWindows.js';
 import type { BackendServer, RoutingTable } from './routing.js';
 import type { ServerChooser } from './serverChoice.js';
 import { ServerRecord, ServiceRecord, WorkerRecord } from './serverRecords.js';
@@ -58,6 +59,9 @@
   /** Workers that left the routes while requests were in flight on them. */
   readonly #departed = new Map<string, WorkerRecord<Waiting>>();
 
+  /** What the servers' answers took, for whoever places work beside them. */
+  readonly latencyWindows = new LatencyWindows();
+
   #servedCount = 0;
 
   #entryCount = 1;
@@ -307,6 +311,7 @@
     }
     if (end.verdict === ServerVerdict.Success) {
       server.latency.note(end.latencyMs, nowMs);
+      this.latencyWindows.note(server.worker.workerId, service.name, end.latencyMs, nowMs);
       server.health.noteSuccess();
       if (service.limit.note(end.latencyMs, service.occupiedCount)) {
         service.overtaking.forEach((each) => each.refreshRoom());
--- /dev/null
+++ b/src/entry/common/latencyWindows.ts
@@ -0,0 +1,54 @@
+/** Gathers the latencies of each backend server between two looks at them. */
+import type {
+  LatencySample,
+  LatencySampleSource,
+} from '../../platform/worker/common/latencySamples.js';
+
+/** Servers of one process that are told apart: a few services on each of 860 workers. */
+const MAXIMUM_WINDOWS = 5_000;
+
+interface LatencyWindow {
+  readonly workerId: string;
+  readonly serviceName: string;
+  requestCount: number;
+  sumMs: number;
+  startedAtMs: number;
+}
+
+/**
+ * Made for a scheduler that learns which batch work slows a service down. A sample names the
+ * instant at which its first request was sent: one that was on its way when the tasks beside the
+ * server changed tells nothing of what runs there now. Where nobody looks, in a process without
+ * the scheduler's role, it keeps no more than the first records.
+ */
+export class LatencyWindows implements LatencySampleSource {
+  #windows = new Map<string, LatencyWindow>();
+
+  note(workerId: string, serviceName: string, latencyMs: number, answeredAtMs: number): void {
+    const key = `${workerId}/${serviceName}`;
+    const startedAtMs = answeredAtMs - latencyMs;
+    const window = this.#windows.get(key);
+    if (window === undefined) {
+      if (this.#windows.size >= MAXIMUM_WINDOWS) return;
+      const first = { workerId, serviceName, requestCount: 1, sumMs: latencyMs, startedAtMs };
+      this.#windows.set(key, first);
+      return;
+    }
+    window.requestCount += 1;
+    window.sumMs += latencyMs;
+    window.startedAtMs = Math.min(window.startedAtMs, startedAtMs);
+  }
+
+  takeSamples(nowMs: number): readonly LatencySample[] {
+    const windows = [...this.#windows.values()];
+    this.#windows = new Map();
+    return windows.map(({ workerId, serviceName, requestCount, sumMs, startedAtMs }) => ({
+      workerId,
+      serviceName,
+      requestCount,
+      meanLatencyMs: sumMs / requestCount,
+      startedAtMs,
+      endedAtMs: nowMs,
+    }));
+  }
+}
--- a/src/platform/metrics/common/metricList.ts
+++ b/src/platform/metrics/common/metricList.ts
@@ -73,6 +73,15 @@
   assignments_finished: counter('Assignments whose task finished, by cell.'),
   assignments_failed: counter('Assignments whose task failed, by cell.'),
   assignments_evicted: counter('Assignments whose task left its worker on request, by cell.'),
+  interference_throttle_changes: counter(
+    'Steps that throttled batch tasks beside a service or took a throttle back, by cell.',
+  ),
+  interference_evictions: counter(
+    'Batch tasks evicted because throttling did not keep a service fast enough, by cell.',
+  ),
+  interference_samples_stale: counter(
+    'Samples of latency not learnt from, since they began before a change on their worker, by cell.',
+  ),
   assignments_lost: counter(
     'Assignments whose worker lost the task or cannot be reached, by cell.',
   ),
--- a/src/platform/settings/common/settings.ts
+++ b/src/platform/settings/common/settings.ts
@@ -66,6 +66,35 @@
   drainTimeoutMs: positiveMs.default(30_000),
 });
 
+const interferenceSchema = z.strictObject({
+  /** With it off nothing is learnt, throttled, evicted or kept apart for interference. */
+  isEnabled: z.boolean().default(true),
+  /** How much slower batch work may make a service before it is throttled; 0.1 is a tenth. */
+  toleratedSlowdown: z.number().positive().default(0.12),
+  /** A throttle is taken back only while the slowdown stays below this without it. */
+  releaseSlowdown: z.number().positive().default(0.1),
+  /** A batch task does not start where it would make a service slower than this. */
+  placementSlowdown: z.number().positive().default(0.12),
+  /** Standard deviations taken off an estimate before it counts: more favours batch work. */
+  doubtDeviations: z.number().nonnegative().default(0.5),
+  /** The least share of its processors that a throttled task keeps. */
+  minimumProcessorShare: z.number().positive().max(1).default(0.25),
+  /** How old the usage in a worker's report may be. */
+  usageLagMs: positiveMs.default(5_000),
+  /** The least time between two steps against interference on one worker. */
+  settleMs: positiveMs.default(8_000),
+  /** How much slower a service has to be, with all throttled that helps, for an eviction. */
+  evictionSlowdown: z.number().positive().default(0.18),
+  /** How long throttling has to have been in vain before a task is evicted. */
+  evictAfterMs: positiveMs.default(15_000),
+  /** Evictions that may be under way in a cell while more are begun for interference. */
+  maximumEvictionsUnderWay: z.number().int().nonnegative().default(4),
+  /** What a restart costs, as time of the task's processors; weighed with the progress lost. */
+  restartCostMs: z.number().int().nonnegative().default(10_000),
+  /** The time in which what is known of a pair falls to a half when nothing confirms it. */
+  halfLifeMs: positiveMs.default(150_000),
+});
+
 const schedulerSchema = z.strictObject({
   tickIntervalMs: positiveMs.default(200),
   cellHeartbeatIntervalMs: positiveMs.default(700),
@@ -90,6 +119,8 @@
   serviceDrainMs: positiveMs.default(4_000),
   /** How long an owner that cannot reach the table goes on renewing its workers' leases. */
   maximumRenewalWithoutTableMs: positiveMs.default(600_000),
+  /** Weights and limits of keeping batch work from slowing services. */
+  interference: interferenceSchema.prefault({}),
 });
 
 const peersSchema = z.strictObject({
@@ -166,6 +197,21 @@
       ['scheduler', 'cellLeaseMs'],
       'must be at least three times scheduler.cellHeartbeatIntervalMs',
     );
+    rule(
+      scheduler.interference.releaseSlowdown >= scheduler.interference.toleratedSlowdown,
+      ['scheduler', 'interference', 'releaseSlowdown'],
+      'must be below scheduler.interference.toleratedSlowdown, or throttles alternate',
+    );
+    rule(
+      scheduler.interference.evictionSlowdown < scheduler.interference.toleratedSlowdown,
+      ['scheduler', 'interference', 'evictionSlowdown'],
+      'must be at least scheduler.interference.toleratedSlowdown: throttling comes before evicting',
+    );
+    rule(
+      scheduler.interference.settleMs < scheduler.interference.usageLagMs,
+      ['scheduler', 'interference', 'settleMs'],
+      'must be at least scheduler.interference.usageLagMs, so that a step is judged by its effect',
+    );
     rule(
       scheduler.startValidityMs > scheduler.workerLeaseMs,
       ['scheduler', 'startValidityMs'],
--- a/src/platform/worker/common/workerClient.ts
+++ b/src/platform/worker/common/workerClient.ts
@@ -77,6 +77,10 @@
   checkpoint: z.string().nullable(),
   /** When the attempt's lease ends on the worker's clock. */
   leaseUntilWorkerMs: z.number(),
+  /** What a throttle leaves the task of its processors; left out while it is not throttled. */
+  processorShare: z.number().min(0).max(1).optional(),
+  /** Work that an eviction would lose; left out by a worker that cannot tell. */
+  unsavedWorkMs: z.number().nonnegative().optional(),
 });
 export type WorkerTaskReport = z.infer<typeof workerTaskReportSchema>;
 
--- a/src/scheduler/common/assigning.ts
+++ b/src/scheduler/common/assigning.ts
@@ -18,9 +18,22 @@
 import type { CellRows } from './cellRows.js';
 import type { CellState } from './cellState.js';
 import { FreeCapacity } from './freeCapacity.js';
+import { PlacementOutlook } from './interference/placementOutlook.js';
 import type { PlacementCandidate, PlacementPolicy } from './placement.js';
 import { PreemptionPlan } from './preemption.js';
 import { orderedShards, TeamUse } from './queueOrder.js';
+import { attemptKey } from './workerView.js';
+
+/** What evicting each task would lose, as far as workers tell it, by attempt. */
+const unsavedWorkMs = (state: CellState): ReadonlyMap<string, number> => {
+  const unsaved = new Map<string, number>();
+  state.workers.forEach(({ report }) =>
+    report?.tasks.forEach((task) => {
+      if (task.unsavedWorkMs !== undefined) unsaved.set(attemptKey(task), task.unsavedWorkMs);
+    }),
+  );
+  return unsaved;
+};
 
 /** What a round's assigning works on; the capacity is worked out only once it is needed. */
 class AssigningRound {
@@ -36,10 +49,14 @@
 
   readonly #rows: CellRows;
 
+  readonly outlook: PlacementOutlook;
+
   #capacity: FreeCapacity | undefined;
 
   #preemption: PreemptionPlan | undefined;
 
+  #unsavedWorkMs: ReadonlyMap<string, number> | undefined;
+
   constructor(
     state: CellState,
     rows: CellRows,
@@ -54,6 +71,7 @@
     this.policy = policy;
     this.operationId = operationId;
     this.nowMs = nowMs;
+    this.outlook = new PlacementOutlook(state, rows, nowMs);
   }
 
   get capacity(): FreeCapacity {
@@ -67,10 +85,17 @@
       this.capacity.candidates,
       this.#rows,
       this.state.preempted,
+      (assignment) => this.#lostWorkMs(assignment),
     );
     this.#preemption.makeRoom(size);
   }
 
+  /** A task whose worker cannot tell may lose all that it was to do. */
+  #lostWorkMs(assignment: Assignment): number {
+    this.#unsavedWorkMs ??= unsavedWorkMs(this.state);
+    return this.#unsavedWorkMs.get(attemptKey(assignment)) ?? assignment.workMs;
+  }
+
   get preempted(): ReadonlySet<string> {
     return this.#preemption?.chosen ?? new Set();
   }
@@ -82,6 +107,7 @@
   assign(rack: string, assignment: Assignment): void {
     this.draft.setAssignments(rack, [...this.draft.assignments(rack), assignment]);
     this.capacity.take(assignment.workerId, assignment.size);
+    this.outlook.take(assignment);
   }
 }
 
@@ -133,7 +159,8 @@
   let assignedCount = 0;
   while (replicas.length < wanted) {
     const request = { size: service.size, isSpread: true };
-    const chosen = round.policy.choose(request, round.capacity.candidatesNear(replicas));
+    const near = round.capacity.candidatesNear(replicas);
+    const chosen = round.policy.choose(request, round.outlook.forService(service.name, near));
     if (chosen === undefined) {
       for (let count = replicas.length; count < wanted; count += 1) round.makeRoom(service.size);
       return assignedCount;
@@ -164,11 +191,15 @@
       hasRoom = false;
       return task;
     }
-    const candidates = round.capacity.candidatesApartFrom(failedOn, request);
+    const isUrgent = row.urgency === Urgency.Urgent;
+    const all = round.capacity.candidatesApartFrom(failedOn, request);
+    const { processorMillis } = row.size;
+    const candidates = round.outlook.forBatch(row.team, processorMillis, all, isUrgent);
     const chosen = round.policy.choose(request, candidates);
     if (chosen === undefined) {
-      round.capacity.noteTooLarge(row.size);
-      hasRoom = row.urgency === Urgency.Urgent;
+      // Work of another kind may have a place where this one is kept away from a service.
+      if (candidates.length === all.length) round.capacity.noteTooLarge(row.size);
+      hasRoom = isUrgent;
       if (hasRoom) round.makeRoom(row.size);
       return task;
     }
--- a/src/scheduler/common/cellEvents.ts
+++ b/src/scheduler/common/cellEvents.ts
@@ -31,6 +31,7 @@
   ConfirmedConfiguration,
 } from './cellState.js';
 import { needsFence } from './fence.js';
+import { initialInterference, withSamples } from './interference/interferenceState.js';
 import { unrecordedFinishes } from './lateFinishes.js';
 import { mayAssign } from './round.js';
 import { surplusTaskIds } from './wantedEvictions.js';
@@ -145,6 +146,7 @@
     isRoundStale: true,
     nextRoundAtMs: nowMs,
     preempted: new Set<string>(),
+    interference: initialInterference(after.timing.interference, nowMs),
     unfitSinceMs: new Map<string, number>(),
     workerHealth: new WorkerHealth(),
     retryAtMs: new Map<string, number>(),
@@ -307,6 +309,11 @@
       return withConfiguration(state, event.configuration, nowMs);
     case 'instances':
       return unchanged(withInstances(state, event.workers));
+    case 'latency-measured': {
+      if (!state.lease.isOwner) return unchanged(state);
+      const own = event.samples.filter(({ workerId }) => state.workers.has(workerId));
+      return unchanged({ ...state, interference: withSamples(state.interference, own) });
+    }
     case 'lease-read':
       return withLeaseRead(state, event.result, event.sentAtMs, nowMs);
     case 'lease-written':
--- a/src/scheduler/common/cellScheduler.ts
+++ b/src/scheduler/common/cellScheduler.ts
@@ -19,6 +19,8 @@
 import type { CellDecision, CellEffect, CellEvent, CellState, CellTiming } from './cellState.js';
 import { toFailureCount } from './failureWeight.js';
 import { fenceCondition, startFence } from './fence.js';
+import { initialInterference } from './interference/interferenceState.js';
+import { stepInterference } from './interference/interferenceStep.js';
 import { brokenByRound, brokenByStarts, ledgerChange } from './invariants.js';
 import type { PlacementPolicy } from './placement.js';
 import { retryDelayMs } from './queueOrder.js';
@@ -60,6 +62,7 @@
   isFenceDue: false,
   operationCount: 0,
   preempted: new Set(),
+  interference: initialInterference(timing.interference, nowMs),
   unfitSinceMs: new Map(),
   workerHealth: new WorkerHealth(),
   retryAtMs: new Map(),
@@ -272,6 +275,7 @@
     (current) => startRound(current, policy, nowMs),
     (current) => startFence(current, nowMs),
     (current) => startRead(current, nowMs),
+    (current) => stepInterference(current, nowMs),
     (current) => sendCommands(current, nowMs),
   ]);
 };
--- a/src/scheduler/common/cellState.ts
+++ b/src/scheduler/common/cellState.ts
@@ -10,11 +10,14 @@
   Transaction,
   TransactionResult,
 } from '../../platform/table/common/table.js';
+import type { LatencySample } from '../../platform/worker/common/latencySamples.js';
 import type { WorkerCommand, WorkerReport } from '../../platform/worker/common/workerClient.js';
 import type { EndpointRow } from '../../platform/workload/common/workRows.js';
 import type { CellLease, CellLeaseTiming, LeaseStepKind } from './cellLease.js';
 import type { CellDraft } from './cellDraft.js';
 import type { CellRows } from './cellRows.js';
+import type { InterferencePolicy } from './interference/interferencePolicy.js';
+import type { InterferenceState } from './interference/interferenceState.js';
 import type { WorkerHealth } from './workerHealth.js';
 import type { WorkerView } from './workerView.js';
 
@@ -35,6 +38,7 @@
   readonly maximumRowsPerRound: number;
   /** How old a worker's last report may be for a new assignment. */
   readonly reportFreshnessMs: number;
+  readonly interference: InterferencePolicy;
 }
 
 /** The configuration with the instant at which it was last known to be the newest. */
@@ -81,8 +85,10 @@
   /** Whether a transaction of this owner may still land although its answer was lost. */
   readonly isFenceDue: boolean;
   readonly operationCount: number;
-  /** Attempts that have to leave for urgent work, as keys; a new owner chooses anew. */
+  /** Attempts that have to leave for urgent work or a service, as keys; a new owner chooses anew. */
   readonly preempted: ReadonlySet<string>;
+  /** Which batch kinds slow which services; learnt anew by each owner. */
+  readonly interference: InterferenceState;
   /** Since when shards have been larger than any listed worker, by shard id. */
   readonly unfitSinceMs: ReadonlyMap<string, number>;
   /** Which workers fail what they start; learnt anew by each owner. */
@@ -101,6 +107,7 @@
 export type CellEvent =
   | { readonly kind: 'tick' }
   | { readonly kind: 'configuration'; readonly configuration: ConfirmedConfiguration }
+  | { readonly kind: 'latency-measured'; readonly samples: readonly LatencySample[] }
   | { readonly kind: 'instances'; readonly workers: readonly WorkerInstance[] }
   | {
       readonly kind: 'lease-read';
--- /dev/null
+++ b/src/scheduler/common/interference/interferenceStep.ts
@@ -0,0 +1,158 @@
+/** One look of a cell's owner at interference: learn, then throttle, release or evict. */
+import { assignmentsOf, type CellRows } from '../cellRows.js';
+import type { CellDecision, CellEffect, CellState } from '../cellState.js';
+import { isEvictionWanted } from '../wantedEvictions.js';
+import { attemptKey, isInContact, type WorkerView } from '../workerView.js';
+import type { InterferenceState, WorkerControl } from './interferenceState.js';
+import { learntFrom, SampleFate, sampleFate } from './learning.js';
+import { controlStep, observedControl } from './workerControl.js';
+import { type WorkerLoad, workerLoad } from './workerLoad.js';
+
+/** How often a cell is looked at; samples come every second or two. */
+const STEP_INTERVAL_MS = 1_000;
+
+const counted = (counter: string, amount: number): CellEffect => ({
+  kind: 'count',
+  counter,
+  amount,
+});
+
+interface Observed {
+  readonly loads: ReadonlyMap<string, WorkerLoad>;
+  readonly controls: ReadonlyMap<string, WorkerControl>;
+}
+
+const observe = (state: CellState, rows: CellRows, nowMs: number): Observed => {
+  const loads = new Map<string, WorkerLoad>();
+  const controls = new Map<string, WorkerControl>();
+  state.workers.forEach((view, workerId) => {
+    if (!isInContact(view, state.timing.reportFreshnessMs, nowMs)) return;
+    const load = workerLoad(rows, view);
+    loads.set(workerId, load);
+    const known = state.interference.controls.get(workerId);
+    controls.set(workerId, observedControl(known, load, nowMs));
+  });
+  return { loads, controls };
+};
+
+const learn = (state: CellState, { loads, controls }: Observed, nowMs: number): CellDecision => {
+  let interference: InterferenceState = { ...state.interference, controls };
+  let staleCount = 0;
+  const waiting = interference.samples.filter((sample) => {
+    const load = loads.get(sample.workerId);
+    const view = state.workers.get(sample.workerId);
+    const control = controls.get(sample.workerId);
+    const policy = state.timing.interference;
+    const fate = sampleFate(sample, view, control, policy, nowMs);
+    if (fate === SampleFate.Stale || load === undefined) staleCount += 1;
+    else if (fate === SampleFate.Learnt) {
+      interference = learntFrom(interference, sample, load, nowMs);
+    }
+    return fate === SampleFate.Waiting;
+  });
+  return {
+    state: { ...state, interference: { ...interference, samples: waiting } },
+    effects: [counted('interference_samples_stale', staleCount)],
+  };
+};
+
+/** Evictions that this owner asked for and that stand in the ledger still. */
+const underWayCount = (state: CellState, rows: CellRows): number =>
+  [...rows.assignmentsByWorker.keys()].reduce(
+    (sum, workerId) =>
+      sum +
+      assignmentsOf(rows, workerId).filter((one) => state.preempted.has(attemptKey(one))).length,
+    0,
+  );
+
+/**
+ * A new owner keeps what it finds throttled until it knows the services beside it, or for a
+ * half-life if no entry tells it their latencies: releasing all at once at each take-over would
+ * be felt by callers.
+ */
+const mayRelease = (state: CellState, load: WorkerLoad, nowMs: number): boolean => {
+  const { estimates } = state.interference;
+  return (
+    nowMs - state.tookOverAtMs >= state.timing.interference.halfLifeMs ||
+    load.serviceNames.every((name) => estimates.baseLatencyMs(name) !== undefined)
+  );
+};
+
+const isLeaving = (state: CellState, rows: CellRows, workerId: string, nowMs: number) => {
+  const leaving = new Set(
+    assignmentsOf(rows, workerId)
+      .filter((one) => isEvictionWanted(state, one, nowMs))
+      .map(attemptKey),
+  );
+  return (key: string): boolean => leaving.has(key);
+};
+
+const control = (
+  state: CellState,
+  rows: CellRows,
+  loads: ReadonlyMap<string, WorkerLoad>,
+  nowMs: number,
+): CellDecision => {
+  const policy = state.timing.interference;
+  const controls = new Map(state.interference.controls);
+  const workers = new Map<string, WorkerView>(state.workers);
+  const evicted = new Set<string>();
+  let leftEvictions = policy.maximumEvictionsUnderWay - underWayCount(state, rows);
+  let throttleCount = 0;
+  controls.forEach((before, workerId) => {
+    const view = workers.get(workerId);
+    const whole = loads.get(workerId);
+    if (view === undefined || whole === undefined || whole.batch.length === 0) return;
+    // What leaves already is no longer weighed, else more would be evicted in its place.
+    const leaves = isLeaving(state, rows, workerId, nowMs);
+    const load = { ...whole, batch: whole.batch.filter(({ key }) => !leaves(key)) };
+    const step = controlStep(
+      state.interference,
+      before,
+      load,
+      policy,
+      mayRelease(state, load, nowMs),
+      leftEvictions > 0,
+      nowMs,
+    );
+    controls.set(workerId, step.control);
+    if (step.control.shares !== before.shares) throttleCount += 1;
+    if (step.evictedKey !== undefined) {
+      evicted.add(step.evictedKey);
+      leftEvictions -= 1;
+    }
+    if (step.control.actedAtMs !== before.actedAtMs) {
+      workers.set(workerId, { ...view, isMessageStale: true });
+    }
+  });
+  return {
+    state: {
+      ...state,
+      workers,
+      preempted: evicted.size === 0 ? state.preempted : new Set([...state.preempted, ...evicted]),
+      interference: { ...state.interference, controls },
+    },
+    effects: [
+      counted('interference_throttle_changes', throttleCount),
+      counted('interference_evictions', evicted.size),
+    ],
+  };
+};
+
+/** Looks at the cell once a second; with the rows in doubt nothing is learnt or decided. */
+export const stepInterference = (state: CellState, nowMs: number): CellDecision => {
+  const { rows, interference, timing } = state;
+  if (!timing.interference.isEnabled || rows === undefined || nowMs < interference.nextStepAtMs) {
+    return { state, effects: [] };
+  }
+  const observed = observe(state, rows, nowMs);
+  const learnt = learn(state, observed, nowMs);
+  const steps = control(learnt.state, rows, observed.loads, nowMs);
+  const next = { ...steps.state.interference, nextStepAtMs: nowMs + STEP_INTERVAL_MS };
+  return {
+    state: { ...steps.state, interference: next },
+    effects: [...learnt.effects, ...steps.effects].filter(
+      (effect) => effect.kind !== 'count' || effect.amount > 0,
+    ),
+  };
+};
--- /dev/null
+++ b/src/scheduler/common/interference/serviceModel.ts
@@ -0,0 +1,210 @@
+/**
+ * What slows one service down: a linear model of its latency, learnt by a Kalman filter. The
+ * first coefficient is the latency without batch work. Each batch kind has two: what it adds by
+ * what it uses of the processors, which throttling takes away, and what it adds by being there,
+ * which only eviction does. The whole covariance is kept, not only its diagonal: kinds that run
+ * side by side share the blame until a worker shows them apart, and one that was blamed wrongly
+ * is cleared when the other is found.
+ */
+
+/** One measurement of the service on one worker. */
+export interface Observation {
+  readonly latencyMs: number;
+  readonly requestCount: number;
+  readonly exposures: ReadonlyMap<string, Exposure>;
+}
+
+/** Shares of a worker's processors. */
+export interface Exposure {
+  /** What the tasks of a kind used. */
+  readonly used: number;
+  /** What they would have used without throttles. */
+  readonly wanted: number;
+}
+
+/** What a worker full of a kind adds, in latencies without batch work. */
+export interface Pressure {
+  readonly byUse: number;
+  readonly byPresence: number;
+}
+
+export const NO_PRESSURE: Pressure = { byUse: 0, byPresence: 0 };
+
+interface ModelState {
+  readonly halfLifeMs: number;
+  readonly updatedAtMs: number;
+  /** The kinds of the coefficients after the first, two for each. */
+  readonly kinds: readonly string[];
+  readonly means: Float64Array;
+  /** The covariance, row by row. */
+  readonly covariance: Float64Array;
+  /** The highest value of late that each kind surely had, falling by half in a half-life. */
+  readonly peaks: ReadonlyMap<string, number>;
+}
+
+/** The spread of one request's latency beside the mean, on the high side for most services. */
+const REQUEST_DEVIATION = 0.8;
+/** How much of its value the latency without batch work may drift in a second. */
+const BASE_DRIFT = 0.01;
+/** What is thought possible of an unknown pair, in latencies without batch work. */
+const PRIOR_DEVIATION = 2;
+/** The same of presence alone: throttling is thought to help until it is seen not to. */
+const PRIOR_PRESENCE_DEVIATION = 0.7;
+/** A sample further off than so many deviations counts as one that far off. */
+const OUTLIER_DEVIATIONS = 3;
+/** A peak is what the mean exceeds by so many deviations. */
+const SURE_DEVIATIONS = 1;
+const MAXIMUM_KINDS = 48;
+/** Where a kind's coefficient of use stands; that of presence comes next. */
+const placeOf = (kindIndex: number): number => 1 + 2 * kindIndex;
+const priorDeviation = (place: number): number =>
+  place % 2 === 1 ? PRIOR_DEVIATION : PRIOR_PRESENCE_DEVIATION;
+const MS_PER_SECOND = 1_000;
+
+const fading = (elapsedMs: number, halfLifeMs: number): number =>
+  2 ** (-Math.max(0, elapsedMs) / halfLifeMs);
+
+/** The same model with room for the kinds of an observation that it has not met. */
+const withKinds = (state: ModelState, exposures: Observation['exposures']): ModelState => {
+  const known = new Set(state.kinds);
+  const added = [...exposures.keys()].filter((kind) => !known.has(kind));
+  const kinds = [...state.kinds, ...added].slice(0, MAXIMUM_KINDS);
+  if (kinds.length === state.kinds.length) return state;
+  const before = state.means.length;
+  const size = placeOf(kinds.length);
+  const means = new Float64Array(size);
+  means.set(state.means);
+  const covariance = new Float64Array(size * size);
+  for (let row = 0; row < size; row += 1) {
+    if (row < before) {
+      covariance.set(state.covariance.subarray(row * before, (row + 1) * before), row * size);
+    } else covariance[row * size + row] = (priorDeviation(row) * (state.means[0] ?? 0)) ** 2;
+  }
+  return { ...state, kinds, means, covariance };
+};
+
+/** The model as it stands after a time without measurements: pairs fade and grow unsure. */
+const advanced = (state: ModelState, nowMs: number): ModelState => {
+  const elapsedMs = Math.max(0, nowMs - state.updatedAtMs);
+  const fade = fading(elapsedMs, state.halfLifeMs);
+  const size = state.means.length;
+  const baseMs = state.means[0] ?? 0;
+  const means = state.means.map((mean, index) => (index === 0 ? mean : mean * fade));
+  const covariance = state.covariance.map((value, index) => {
+    const rowFade = index < size ? 1 : fade;
+    return value * rowFade * (index % size === 0 ? 1 : fade);
+  });
+  const pairGain = (index: number): number =>
+    (1 - fade ** 2) * (priorDeviation(index) * baseMs) ** 2;
+  const baseGain = (BASE_DRIFT * baseMs) ** 2 * (elapsedMs / MS_PER_SECOND);
+  for (let index = 0; index < size; index += 1) {
+    covariance[index * (size + 1)] =
+      (covariance[index * (size + 1)] ?? 0) + (index === 0 ? baseGain : pairGain(index));
+  }
+  const peaks = new Map([...state.peaks].map(([kind, peak]) => [kind, peak * fade]));
+  return { ...state, means, covariance, peaks, updatedAtMs: nowMs };
+};
+
+const dot = (left: Float64Array, right: Float64Array): number =>
+  left.reduce((sum, value, index) => sum + value * (right[index] ?? 0), 0);
+
+/** The measurement taken into the means and the covariance. */
+const corrected = (state: ModelState, { latencyMs, requestCount, exposures }: Observation) => {
+  const size = state.means.length;
+  const features = new Float64Array(size);
+  features[0] = 1;
+  state.kinds.forEach((kind, index) => {
+    const exposure = exposures.get(kind);
+    features[placeOf(index)] = exposure?.used ?? 0;
+    features[placeOf(index) + 1] = exposure?.wanted ?? 0;
+  });
+  const shared = new Float64Array(size);
+  for (let row = 0; row < size; row += 1) {
+    shared[row] = dot(state.covariance.subarray(row * size, (row + 1) * size), features);
+  }
+  const expectedMs = dot(state.means, features);
+  const total = dot(shared, features) + (REQUEST_DEVIATION * expectedMs) ** 2 / requestCount;
+  // One wrong measurement would otherwise throttle all batch work beside the service.
+  const limitMs = OUTLIER_DEVIATIONS * Math.sqrt(total);
+  const errorMs = Math.min(limitMs, Math.max(-limitMs, latencyMs - expectedMs));
+  const means = state.means.map((mean, index) => {
+    const next = mean + ((shared[index] ?? 0) / total) * errorMs;
+    return Math.max(index === 0 ? Number.EPSILON : 0, next);
+  });
+  const covariance = state.covariance.map((value, index) => {
+    const [row, column] = [Math.floor(index / size), index % size];
+    return value - ((shared[row] ?? 0) * (shared[column] ?? 0)) / total;
+  });
+  return { means, covariance };
+};
+
+/** How unsure the sum of a kind's two coefficients is. */
+const sumDeviation = ({ means, covariance }: ModelState, place: number): number => {
+  const size = means.length;
+  const at = (row: number, column: number): number => covariance[row * size + column] ?? 0;
+  const variance = at(place, place) + at(place + 1, place + 1) + 2 * at(place, place + 1);
+  return Math.sqrt(Math.max(0, variance));
+};
+
+const withPeaks = (state: ModelState): ModelState => {
+  const peaks = new Map(state.peaks);
+  state.kinds.forEach((kind, index) => {
+    const place = placeOf(index);
+    const mean = (state.means[place] ?? 0) + (state.means[place + 1] ?? 0);
+    const sure = mean - SURE_DEVIATIONS * sumDeviation(state, place);
+    if (sure > (peaks.get(kind) ?? 0)) peaks.set(kind, sure);
+  });
+  return { ...state, peaks };
+};
+
+export class ServiceModel {
+  readonly #state: ModelState;
+
+  private constructor(state: ModelState) {
+    this.#state = state;
+  }
+
+  static first(latencyMs: number, halfLifeMs: number, nowMs: number): ServiceModel {
+    return new ServiceModel({
+      halfLifeMs,
+      updatedAtMs: nowMs,
+      kinds: [],
+      means: Float64Array.of(latencyMs),
+      covariance: Float64Array.of((latencyMs / 2) ** 2),
+      peaks: new Map(),
+    });
+  }
+
+  get baseMs(): number {
+    return this.#state.means[0] ?? 0;
+  }
+
+  /** `doubtDeviations` lowers it by what may be chance, so that the innocent are let go on. */
+  pressure(kind: string, doubtDeviations: number, nowMs: number): Pressure {
+    const place = placeOf(this.#state.kinds.indexOf(kind));
+    if (place < 0) return NO_PRESSURE;
+    const { means } = this.#state;
+    const mean = (means[place] ?? 0) + (means[place + 1] ?? 0);
+    if (mean <= 0) return NO_PRESSURE;
+    const sure = Math.max(0, mean - doubtDeviations * sumDeviation(this.#state, place));
+    const factor = ((sure / mean) * this.#fade(nowMs)) / this.baseMs;
+    return {
+      byUse: (means[place] ?? 0) * factor,
+      byPresence: (means[place + 1] ?? 0) * factor,
+    };
+  }
+
+  /** What a worker full of the kind surely added at its worst of late. */
+  worstPressure(kind: string, nowMs: number): number {
+    return ((this.#state.peaks.get(kind) ?? 0) * this.#fade(nowMs)) / this.baseMs;
+  }
+
+  with(observation: Observation, nowMs: number): ServiceModel {
+    const prior = advanced(withKinds(this.#state, observation.exposures), nowMs);
+    return new ServiceModel(withPeaks({ ...prior, ...corrected(prior, observation) }));
+  }
+
+  #fade(nowMs: number): number {
+    return fading(nowMs - this.#state.updatedAtMs, this.#state.halfLifeMs);
+  }
+}
--- /dev/null
+++ b/src/scheduler/common/interference/workerControl.ts
@@ -0,0 +1,236 @@
+/** Decides what to throttle, release or evict on one worker. */
+import type { InterferencePolicy } from './interferencePolicy.js';
+import { type InterferenceState, useRatio, type WorkerControl } from './interferenceState.js';
+import type { Pressure } from './serviceModel.js';
+import { type BatchLoad, loadFingerprint, type WorkerLoad } from './workerLoad.js';
+
+export interface ControlStep {
+  readonly control: WorkerControl;
+  /** The attempt to evict, if any. */
+  readonly evictedKey: string | undefined;
+}
+
+/** A share is lowered or raised by so much at a time. */
+const STEP_FACTOR = 2;
+/** What slows a service by less than this is never throttled or evicted for it. */
+const NEGLIGIBLE_SLOWDOWN = 0.01;
+
+interface Pressing {
+  readonly task: BatchLoad;
+  /** What the task adds to the slowdown of each service, by use and by presence. */
+  readonly slowdowns: readonly Pressure[];
+}
+
+type Shares = ReadonlyMap<string, number>;
+
+/** Takes in what runs on the worker now, without deciding anything. */
+export const observedControl = (
+  known: WorkerControl | undefined,
+  load: WorkerLoad,
+  nowMs: number,
+): WorkerControl => {
+  const fingerprint = loadFingerprint(load);
+  if (known?.fingerprint === fingerprint) return known;
+  const shares = load.batch.map(({ key, processorShare }): [string, number] => [
+    key,
+    known?.shares.get(key) ?? processorShare,
+  ]);
+  const seen = [...load.serviceNames, ...load.batch.map(({ key }) => key)].map(
+    (key): [string, number] => [key, known?.seenAtMs.get(key) ?? nowMs],
+  );
+  return {
+    fingerprint,
+    changedAtMs: nowMs,
+    actedAtMs: known?.actedAtMs ?? Number.NEGATIVE_INFINITY,
+    inVainSinceMs: known?.inVainSinceMs,
+    shares: new Map(shares),
+    seenAtMs: new Map(seen),
+  };
+};
+
+const pressingTasks = (
+  interference: InterferenceState,
+  { serviceNames, batch }: WorkerLoad,
+  doubt: number,
+  nowMs: number,
+): readonly Pressing[] =>
+  batch.map((task) => {
+    const exposure = task.declaredShare * useRatio(interference, task.kind);
+    const slowdowns = serviceNames.map((name) => {
+      const pressure = interference.estimates.pressure(name, task.kind, doubt, nowMs);
+      return {
+        byUse: pressure.byUse * exposure,
+        byPresence: pressure.byPresence * exposure,
+      };
+    });
+    return { task, slowdowns };
+  });
+
+/** The slowdown of one service by a task that is left `share` of its processors. */
+const slowdownAt = (pressure: Pressure | undefined, share: number): number =>
+  pressure === undefined ? 0 : pressure.byUse * share + pressure.byPresence;
+
+const worstOf = ({ slowdowns }: Pressing, share: number): number =>
+  Math.max(0, ...slowdowns.map((pressure) => slowdownAt(pressure, share)));
+
+/** What throttling takes away at most for each part of the share. */
+const worstByUse = ({ slowdowns }: Pressing): number =>
+  Math.max(0, ...slowdowns.map(({ byUse }) => byUse));
+
+const shareOf = (shares: Shares, { task }: Pressing): number => shares.get(task.key) ?? 1;
+
+/** The slowdown of the service that suffers most, with these shares. */
+const worstSlowdown = (pressing: readonly Pressing[], shares: Shares): number => {
+  const serviceCount = pressing[0]?.slowdowns.length ?? 0;
+  let worst = 0;
+  for (let index = 0; index < serviceCount; index += 1) {
+    const slowdown = pressing.reduce(
+      (sum, one) => sum + slowdownAt(one.slowdowns[index], shareOf(shares, one)),
+      0,
+    );
+    worst = Math.max(worst, slowdown);
+  }
+  return worst;
+};
+
+/** Lowers what presses most until the services are fast enough or all is at its least. */
+const throttled = (
+  pressing: readonly Pressing[],
+  before: Shares,
+  policy: InterferencePolicy,
+): Shares => {
+  const shares = new Map(before);
+  const pressure = (one: Pressing): number => worstByUse(one) * shareOf(shares, one);
+  const isReducible = (one: Pressing): boolean =>
+    shareOf(shares, one) > policy.minimumProcessorShare && pressure(one) > NEGLIGIBLE_SLOWDOWN;
+  while (worstSlowdown(pressing, shares) > policy.toleratedSlowdown) {
+    const [most] = pressing
+      .filter(isReducible)
+      .sort((left, right) => pressure(right) - pressure(left));
+    if (most === undefined) return shares;
+    const share = shareOf(shares, most) / STEP_FACTOR;
+    shares.set(most.task.key, Math.max(policy.minimumProcessorShare, share));
+  }
+  return shares;
+};
+
+/** Raises what presses least, wholly or by a step, as long as the services stay well within what is tolerated. */
+const released = (
+  pressing: readonly Pressing[],
+  before: Shares,
+  policy: InterferencePolicy,
+): Shares => {
+  const shares = new Map(before);
+  [...pressing]
+    .sort((left, right) => worstByUse(left) - worstByUse(right))
+    .forEach((one) => {
+      const share = shareOf(shares, one);
+      if (share >= 1) return;
+      const wider = [1, share * STEP_FACTOR].find(
+        (next) =>
+          next <= 1 &&
+          worstSlowdown(pressing, new Map(shares).set(one.task.key, next)) <=
+            policy.releaseSlowdown,
+      );
+      if (wider !== undefined) shares.set(one.task.key, wider);
+    });
+  return shares;
+};
+
+/** What evicting a task costs: the progress that is lost and the restart, by its processors. */
+const evictionCost = (
+  { task }: Pressing,
+  control: WorkerControl,
+  policy: InterferencePolicy,
+  nowMs: number,
+): number => {
+  const ranForMs = nowMs - (control.seenAtMs.get(task.key) ?? nowMs);
+  return task.declaredShare * ((task.unsavedWorkMs ?? ranForMs) + policy.restartCostMs);
+};
+
+/**
+ * The one task to evict: the cheapest of those that suffice alone, so that the fewest go; if
+ * none does, the one that relieves most for its cost.
+ */
+const victim = (
+  pressing: readonly Pressing[],
+  control: WorkerControl,
+  policy: InterferencePolicy,
+  nowMs: number,
+): string | undefined => {
+  const cost = (one: Pressing): number => evictionCost(one, control, policy, nowMs);
+  const without = (one: Pressing): number =>
+    worstSlowdown(
+      pressing.filter((other) => other !== one),
+      control.shares,
+    );
+  const culprits = pressing.filter(
+    (one) => worstOf(one, shareOf(control.shares, one)) > NEGLIGIBLE_SLOWDOWN,
+  );
+  const sufficient = culprits
+    .filter((one) => without(one) <= policy.evictionSlowdown)
+    .sort((left, right) => cost(left) - cost(right));
+  const relief = (one: Pressing): number =>
+    worstOf(one, shareOf(control.shares, one)) / Math.max(Number.EPSILON, cost(one));
+  const [best] = culprits.sort((left, right) => relief(right) - relief(left));
+  return (sufficient[0] ?? best)?.task.key;
+};
+
+/**
+ * True when a task or a replica has come since the last step. What it does to the services
+ * follows from the estimates, so nothing has to be waited for: throttling is all that may come
+ * of it, and only once for each that comes.
+ */
+const hasNewcomer = ({ seenAtMs, actedAtMs }: WorkerControl): boolean =>
+  [...seenAtMs.values()].some((atMs) => atMs > actedAtMs);
+
+const isSameShares = (left: Shares, right: Shares): boolean =>
+  left.size === right.size && [...left].every(([key, share]) => right.get(key) === share);
+
+/**
+ * The next step on one worker. Made for batch work that comes and goes in waves beside a service
+ * whose latency is known only seconds later. What to throttle follows from the estimates and the
+ * shares in force, not from the latency that is still on its way, and after each step the worker
+ * is left alone for `settleMs`, in which samples of the new state arrive: acting on those of the
+ * old one would throttle, release and throttle again. Between `releaseSlowdown` and
+ * `toleratedSlowdown` nothing moves. Evicting comes only after throttling has been in vain for
+ * `evictAfterMs`, one task at a time, since each loses progress and has to start again.
+ */
+export const controlStep = (
+  interference: InterferenceState,
+  control: WorkerControl,
+  load: WorkerLoad,
+  policy: InterferencePolicy,
+  mayRelease: boolean,
+  mayEvict: boolean,
+  nowMs: number,
+): ControlStep => {
+  const pressing = pressingTasks(interference, load, policy.doubtDeviations, nowMs);
+  const worst = worstSlowdown(pressing, control.shares);
+  const isSettled = nowMs - control.actedAtMs >= policy.settleMs;
+  if (worst <= policy.toleratedSlowdown) {
+    const calm = { ...control, inVainSinceMs: undefined };
+    const isThrottled = [...control.shares.values()].some((share) => share < 1);
+    if (!isThrottled || !isSettled || !mayRelease) return { control: calm, evictedKey: undefined };
+    const shares = released(pressing, control.shares, policy);
+    if (isSameShares(shares, control.shares)) return { control: calm, evictedKey: undefined };
+    return { control: { ...calm, shares, actedAtMs: nowMs }, evictedKey: undefined };
+  }
+  const shares = throttled(pressing, control.shares, policy);
+  if (!isSameShares(shares, control.shares)) {
+    if (!isSettled && !hasNewcomer(control)) return { control, evictedKey: undefined };
+    return {
+      control: { ...control, shares, actedAtMs: nowMs, inVainSinceMs: undefined },
+      evictedKey: undefined,
+    };
+  }
+  if (worst <= policy.evictionSlowdown) {
+    return { control: { ...control, inVainSinceMs: undefined }, evictedKey: undefined };
+  }
+  const inVainSinceMs = control.inVainSinceMs ?? nowMs;
+  const inVain = { ...control, inVainSinceMs };
+  const isInVain = nowMs - inVainSinceMs >= policy.evictAfterMs;
+  if (!isInVain || !isSettled || !mayEvict) return { control: inVain, evictedKey: undefined };
+  const evictedKey = victim(pressing, control, policy, nowMs);
+  return { control: { ...inVain, actedAtMs: nowMs, inVainSinceMs: undefined }, evictedKey };
+};
--- a/src/scheduler/common/placement.ts
+++ b/src/scheduler/common/placement.ts
@@ -12,6 +12,10 @@
   /** Tasks of the same service already on the worker and in its rack. */
   readonly sameServiceOnWorkerCount: number;
   readonly sameServiceInRackCount: number;
+  /** How much slower services would be after placing, when something is known of it. */
+  readonly slowdownAfter?: number;
+  /** The part of the cell's batch work that could run here without slowing a service. */
+  readonly openness?: number;
 }
 
 export interface PlacementRequest {
@@ -42,12 +46,17 @@
 const ACCELERATOR_PENALTY = 10;
 const WORKER_SPREAD_PENALTY = 100;
 const RACK_SPREAD_PENALTY = 5;
+/** For a service made twice as slow: more than a shared rack, less than a shared worker. */
+const SLOWDOWN_PENALTY = 20;
+/** Work that may run anywhere leaves the workers that are open to all kinds to the others. */
+const OPENNESS_PENALTY = 4;
 
 /**
  * Made for a cell of a hundred workers with short batch tasks and long-lived services. Batch
  * tasks go where least is left over, which keeps large gaps for large tasks; services go apart,
  * so that one worker or rack takes few of their replicas along. Work that needs no accelerator
  * keeps off workers that have one, which would otherwise be stranded behind full processors.
+ * A task that slows a service goes to the worker where it slows least.
  */
 export class SpreadAndPackPolicy implements PlacementPolicy {
   choose(
@@ -70,10 +79,13 @@
     const wastesAccelerator =
       request.size.acceleratorCount === 0 && candidate.capacity.acceleratorCount > 0;
     const accelerator = wastesAccelerator ? ACCELERATOR_PENALTY : 0;
+    const slowdown = (candidate.slowdownAfter ?? 0) * SLOWDOWN_PENALTY;
     const left = remainingShare(request, candidate);
-    if (!request.isSpread) return accelerator + left;
+    const openness = (candidate.openness ?? 0) * OPENNESS_PENALTY;
+    if (!request.isSpread) return accelerator + slowdown + openness + left;
     return (
       accelerator +
+      slowdown +
       candidate.sameServiceOnWorkerCount * WORKER_SPREAD_PENALTY +
       candidate.sameServiceInRackCount * RACK_SPREAD_PENALTY -
       left
--- a/src/scheduler/common/preemption.ts
+++ b/src/scheduler/common/preemption.ts
@@ -18,6 +18,9 @@
  */
 const MAXIMUM_UNDER_WAY = 32;
 
+/** The progress that an eviction loses; tasks of one size cost the same to restart. */
+export type LostWork = (assignment: Assignment) => number;
+
 interface Room {
   /** What is free, and what will be once the evictions asked for have ended. */
   comingFree: Resources;
@@ -41,6 +44,7 @@
     candidates: readonly PlacementCandidate[],
     rows: CellRows,
     preempted: ReadonlySet<string>,
+    lostWorkMs: LostWork = () => 0,
   ) {
     this.#underWayCount = preempted.size;
     candidates.forEach(({ workerId, free }) => {
@@ -52,7 +56,10 @@
           .reduce((sum, { size }) => addResources(sum, size), free),
         victims: assignments
           .filter((one) => !isLeaving(one) && PreemptionPlan.#rank(rows, one) > 0)
-          .sort((left, right) => PreemptionPlan.#compare(rows, left, right)),
+          .sort(
+            (left, right) =>
+              PreemptionPlan.#compare(rows, left, right) || lostWorkMs(left) - lostWorkMs(right),
+          ),
       });
     });
   }
@@ -106,7 +113,7 @@
     return URGENCY_ORDER[urgency];
   }
 
-  /** The least urgent first, then the largest, of which fewer are needed. */
+  /** The least urgent first, then the largest, of which fewer are needed; equal ones by cost. */
   static #compare(rows: CellRows, left: Assignment, right: Assignment): number {
     return (
       PreemptionPlan.#rank(rows, right) - PreemptionPlan.#rank(rows, left) ||
--- a/src/scheduler/common/workerCommands.ts
+++ b/src/scheduler/common/workerCommands.ts
@@ -91,6 +91,29 @@
   return rows === undefined ? [] : assignmentsOf(rows, workerId);
 };
 
+/**
+ * Throttles that the worker does not report to be in force. Going by its report, a message that
+ * was lost is repeated, and a worker that forgot a throttle is told again.
+ */
+const wantedThrottles = (
+  state: CellState,
+  view: WorkerView,
+  report: WorkerReport,
+  evicted: ReadonlySet<Assignment>,
+): WorkerCommand['throttles'] => {
+  const shares = state.interference.controls.get(view.instance.id)?.shares;
+  // Switched off, it takes back what was throttled while it was on.
+  const otherwise = state.timing.interference.isEnabled ? undefined : 1;
+  const leaving = new Set([...evicted].map(attemptKey));
+  return report.tasks.flatMap((task) => {
+    const key = attemptKey(task);
+    const processorShare = shares?.get(key) ?? otherwise;
+    if (task.state !== WorkerTaskState.Running || leaving.has(key)) return [];
+    if (processorShare === undefined || processorShare === (task.processorShare ?? 1)) return [];
+    return [{ ...toAttempt(task), processorShare }];
+  });
+};
+
 const commandFor = (
   state: CellState,
   view: WorkerView,
@@ -126,7 +149,7 @@
       toStart(assignment, startBeforeWorkerMs, leaseUntilWorkerMs),
     ),
     evictions: [...[...evicted].filter(isRunning), ...runningStrays].map(toAttempt),
-    throttles: [],
+    throttles: wantedThrottles(state, view, report, evicted),
     acknowledgements: strays
       .filter((task) => task.state !== WorkerTaskState.Running && !unrecorded.has(task.taskId))
       .map(toAttempt),
@@ -134,11 +157,12 @@
   return { command, withheldCount: wanted.length - starts.length };
 };
 
-/** Starts, evictions and acknowledgements as keys, to tell what the last command did not hold. */
+/** Starts, evictions, throttles and acknowledgements as keys, to tell what the last command did not hold. */
 const newsKeys = (command: WorkerCommand): ReadonlySet<string> =>
   new Set([
     ...command.starts.map((start) => `start ${attemptKey(start)}`),
     ...command.evictions.map((attempt) => `evict ${attemptKey(attempt)}`),
+    ...command.throttles.map((one) => `throttle ${attemptKey(one)} ${one.processorShare}`),
     ...command.acknowledgements.map((attempt) => `forget ${attemptKey(attempt)}`),
   ]);
 
--- a/src/scheduler/node/cellTask.ts
+++ b/src/scheduler/node/cellTask.ts
@@ -9,6 +9,7 @@
 import type { Metrics } from '../../platform/metrics/common/metrics.js';
 import type { TableService } from '../../platform/table/common/table.js';
 import type { Tracing } from '../../platform/tracing/common/tracing.js';
+import type { LatencySample } from '../../platform/worker/common/latencySamples.js';
 import type { WorkerClient } from '../../platform/worker/common/workerClient.js';
 import { decide, initialCellState } from '../common/cellScheduler.js';
 import type { CellEffect, CellEvent, CellState, CellTiming } from '../common/cellState.js';
@@ -68,6 +69,10 @@
     this.#clients.dispose();
   }
 
+  handleSamples(samples: readonly LatencySample[]): void {
+    this.#handle({ kind: 'latency-measured', samples });
+  }
+
   #handleTick(): void {
     this.#handleConfiguration();
     this.#handle({ kind: 'tick' });
--- a/src/scheduler/node/cellTasks.ts
+++ b/src/scheduler/node/cellTasks.ts
@@ -1,13 +1,17 @@
 /** Keeps one task for each cell that the instance list or the configuration shows. */
 import { type Disposable, DisposableStore } from '../../base/common/lifecycle.js';
+import { PeriodicTimer } from '../../base/node/periodicTimer.js';
 import { isWorker } from '../../platform/instanceList/common/instanceList.js';
 import type { Settings } from '../../platform/settings/common/settings.js';
+import type { LatencySampleSource } from '../../platform/worker/common/latencySamples.js';
 import { SpreadAndPackPolicy } from '../common/placement.js';
 import { CellTask, type CellTaskServices } from './cellTask.js';
 
 /** Extra patience per rank with cells of other zones, so that cells spread over daemons. */
 const FOREIGN_CELL_DELAY_MS = 400;
 const FOREIGN_RANK_COUNT = 4;
+/** Long enough for some dozens of requests of a server, short beside how long tasks stay. */
+const SAMPLE_INTERVAL_MS = 2_000;
 const HASH_FACTOR = 31;
 const HASH_LIMIT = 2 ** 31;
 
@@ -32,13 +36,25 @@
 
   readonly #subscriptions = new DisposableStore();
 
-  /** `selfId` names this life of this process. */
-  constructor(services: CellTaskServices, settings: Settings, selfId: string) {
+  readonly #latencies: LatencySampleSource | undefined;
+
+  /**
+   * `selfId` names this life of this process. Without `latencies`, as where no entry runs in it,
+   * nothing is learnt of interference.
+   */
+  constructor(
+    services: CellTaskServices,
+    settings: Settings,
+    selfId: string,
+    latencies?: LatencySampleSource,
+  ) {
     this.#services = services;
     this.#settings = settings;
     this.#selfId = selfId;
+    this.#latencies = latencies;
     this.#subscriptions.add(services.directory.onDidChange(() => this.#addCells()));
     this.#subscriptions.add(services.configuration.onDidChange(() => this.#addCells()));
+    this.#subscriptions.add(new PeriodicTimer(SAMPLE_INTERVAL_MS, () => this.#passSamples()));
     this.#addCells();
   }
 
@@ -48,6 +64,11 @@
     this.#tasks.clear();
   }
 
+  #passSamples(): void {
+    const samples = this.#latencies?.takeSamples(this.#services.clock.nowMs()) ?? [];
+    if (samples.length > 0) this.#tasks.forEach((task) => task.handleSamples(samples));
+  }
+
   #addCells(): void {
     const workers = this.#services.directory.instances.filter(isWorker);
     // A zone whose workers have all left the list may still have work to be moved elsewhere.
@@ -74,6 +95,7 @@
       roundIntervalMs: scheduler.roundIntervalMs,
       rowsPerSecond: scheduler.cellRowsPerSecond,
       maximumRowsPerRound: scheduler.maximumRowsPerRound,
+      interference: scheduler.interference,
     };
     const options = {
       cell,
--- /dev/null
+++ b/src/scheduler/test/interference/interference.test.ts
@@ -0,0 +1,165 @@
+import { describe, expect, it } from 'vitest';
+
+import { serviceKey } from '../../../platform/configuration/common/documents.js';
+import type { LatencySample } from '../../../platform/worker/common/latencySamples.js';
+import {
+  type WorkerTaskReport,
+  WorkerTaskState,
+} from '../../../platform/worker/common/workerClient.js';
+import { expectNoHarm, shard, startCell, submit } from '../cellFixtures.js';
+import { GIBIBYTE, type VirtualCell } from '../virtualCell.js';
+
+const BASE_MS = 20;
+const WINDOW_MS = 2_000;
+/** Samples come so many windows late. */
+const LATE_WINDOWS = 2;
+const LARGE = { processorMillis: 8_000, memoryBytes: GIBIBYTE, acceleratorCount: 0 };
+const LONG_MS = 600_000;
+
+/** How many times longer a request takes beside these tasks. */
+type Truth = (running: readonly WorkerTaskReport[]) => number;
+
+/** What the owner last heard of a worker's running tasks. */
+const running = (cell: VirtualCell, workerId: string): readonly WorkerTaskReport[] =>
+  (cell.owner()?.state.workers.get(workerId)?.report?.tasks ?? []).filter(
+    ({ state }) => state === WorkerTaskState.Running,
+  );
+
+const ofTeam = (tasks: readonly WorkerTaskReport[], team: string): readonly WorkerTaskReport[] =>
+  tasks.filter(({ taskId }) => taskId.startsWith(`${team}.`));
+
+const shareOf = (task: WorkerTaskReport): number => task.processorShare ?? 1;
+
+/** Beside `cache` a request takes 40 % longer for each task that is not throttled. */
+const cacheHurts: Truth = (tasks) =>
+  1 + ofTeam(tasks, 'cache').reduce((sum, task) => sum + 0.4 * shareOf(task), 0);
+
+const startService = (cell: VirtualCell, replicaCount: number): void =>
+  cell.writeRow(serviceKey('rounds'), {
+    name: 'rounds',
+    team: 'service',
+    replicaCount,
+    size: LARGE,
+    urgency: 'urgent',
+  });
+
+const submitJob = (cell: VirtualCell, team: string, taskCount: number, workMs: number): void =>
+  submit(cell, { ...shard(taskCount, workMs, `${team}.${Math.round(cell.nowMs)}`, LARGE), team });
+
+/** Runs with samples of each server that come late, as entries send them. */
+const runMeasured = (cell: VirtualCell, durationMs: number, truth: Truth): void => {
+  const late: (readonly LatencySample[])[] = [];
+  for (let endMs = cell.nowMs + durationMs; cell.nowMs < endMs;) {
+    const startedAtMs = cell.nowMs;
+    cell.runFor(WINDOW_MS);
+    const samples = [...cell.workers]
+      .filter(([, worker]) => worker.hasService('rounds'))
+      .map(([workerId]) => ({
+        workerId,
+        serviceName: 'rounds',
+        requestCount: 60,
+        meanLatencyMs: BASE_MS * truth(running(cell, workerId)),
+        startedAtMs,
+        endedAtMs: cell.nowMs,
+      }));
+    late.push(samples);
+    if (late.length > LATE_WINDOWS) cell.measure(late.shift() ?? []);
+  }
+};
+
+const allShares = (cell: VirtualCell, team: string): readonly number[] =>
+  [...cell.workers.keys()].flatMap((id) => ofTeam(running(cell, id), team)).map(shareOf);
+
+describe('interference in a cell', () => {
+  it('throttles the kind that slows a service, once known, and evicts nothing', () => {
+    const cell = startCell(21);
+    startService(cell, 4);
+    submitJob(cell, 'quiet', 4, LONG_MS);
+    cell.runFor(3_000);
+    submitJob(cell, 'cache', 1, LONG_MS);
+    runMeasured(cell, 60_000, cacheHurts);
+    expect(allShares(cell, 'quiet')).toEqual([1, 1, 1, 1]);
+    expect(allShares(cell, 'cache')).toEqual([0.25]);
+    expect(cell.count('assignments_evicted')).toBe(0);
+    expectNoHarm(cell);
+  });
+
+  // The owner dies. What it had learnt is lost, what it had throttled is not: callers would feel
+  // all throttles go at each take-over. The next owner finds them in the workers' reports, keeps
+  // them until it knows the service, and releases them once the task no longer hurts.
+  it('keeps throttles over a change of owner and learns anew', () => {
+    const cell = startCell(22);
+    startService(cell, 4);
+    submitJob(cell, 'cache', 1, LONG_MS);
+    runMeasured(cell, 60_000, cacheHurts);
+    expect(allShares(cell, 'cache')).toEqual([0.25]);
+    const owner = cell.owner();
+    if (owner !== undefined) owner.isAlive = false;
+    cell.runFor(20_000);
+    expect(cell.owner()?.id).not.toBe(owner?.id);
+    expect(allShares(cell, 'cache')).toEqual([0.25]);
+    runMeasured(cell, 60_000, () => 1);
+    expect(allShares(cell, 'cache')).toEqual([1]);
+    expectNoHarm(cell);
+  });
+
+  // A task that hurts ends and another kind takes its place at once. For some seconds samples
+  // still arrive that were measured beside the first. Learnt from, they would have the second
+  // throttled, which never did any harm.
+  it('does not blame a task for what was measured before it came', () => {
+    const cell = startCell(23, { workerCount: 2 });
+    startService(cell, 2);
+    submitJob(cell, 'cache', 6, 30_000);
+    cell.runFor(5_000);
+    submitJob(cell, 'quiet', 6, LONG_MS);
+    runMeasured(cell, 20_000, cacheHurts);
+    const changesBefore = cell.count('interference_throttle_changes');
+    cell.runFor(10_000);
+    expect(allShares(cell, 'cache')).toEqual([]);
+    const startedAtMs = cell.nowMs - 20_000;
+    const stale = ['w0', 'w1'].map((workerId) => ({
+      workerId,
+      serviceName: 'rounds',
+      requestCount: 60,
+      meanLatencyMs: 3 * BASE_MS,
+      startedAtMs,
+      endedAtMs: startedAtMs + WINDOW_MS,
+    }));
+    for (let count = 0; count < 20; count += 1) {
+      cell.measure(stale);
+      cell.runFor(1_000);
+    }
+    expect(allShares(cell, 'quiet')).toEqual([1, 1, 1, 1, 1, 1]);
+    expect(cell.count('interference_throttle_changes')).toBe(changesBefore);
+    expect(cell.count('interference_samples_stale')).toBeGreaterThanOrEqual(40);
+    expectNoHarm(cell);
+  });
+
+  it('places a kind that hurts apart from the service once that is known', () => {
+    const cell = startCell(24, { workerCount: 3 });
+    startService(cell, 1);
+    cell.runFor(3_000);
+    submitJob(cell, 'cache', 1, 40_000);
+    runMeasured(cell, 20_000, cacheHurts);
+    const [serving] = [...cell.workers].find(([, worker]) => worker.hasService('rounds')) ?? [''];
+    expect(ofTeam(running(cell, serving), 'cache')).toHaveLength(1);
+    // A second worker shows what the service takes alone.
+    startService(cell, 2);
+    runMeasured(cell, 120_000, cacheHurts);
+    expect(allShares(cell, 'cache')).toEqual([]);
+    submitJob(cell, 'cache', 3, LONG_MS);
+    cell.runFor(5_000);
+    const apart = [...cell.workers].filter(([, worker]) => !worker.hasService('rounds'));
+    expect(apart.flatMap(([id]) => ofTeam(running(cell, id), 'cache'))).toHaveLength(3);
+    expectNoHarm(cell);
+  });
+
+  it('does nothing of all this when it is switched off', () => {
+    const timing = startCell(25).timing.interference;
+    const cell = startCell(25, { timing: { interference: { ...timing, isEnabled: false } } });
+    startService(cell, 4);
+    submitJob(cell, 'cache', 1, LONG_MS);
+    runMeasured(cell, 60_000, cacheHurts);
+    expect(allShares(cell, 'cache')).toEqual([1]);
+  });
+});
--- /dev/null
+++ b/src/scheduler/test/interference/learning.test.ts
@@ -0,0 +1,64 @@
+import { describe, expect, it } from 'vitest';
+
+import type { WorkerInstance } from '../../../platform/instanceList/common/instanceList.js';
+import { settingsSchema } from '../../../platform/settings/common/settings.js';
+import { SampleFate, sampleFate } from '../../common/interference/learning.js';
+import { observedControl } from '../../common/interference/workerControl.js';
+import { unreachedWorker, type WorkerView } from '../../common/workerView.js';
+
+const POLICY = settingsSchema.shape.scheduler.parse({}).interference;
+const CHANGED_AT_MS = 100_000;
+const NO_LOAD = { serviceNames: ['rounds'], batch: [] };
+const CONTROL = observedControl(undefined, NO_LOAD, CHANGED_AT_MS);
+
+const viewReportedAt = (reportedAtMs: number): WorkerView => ({
+  ...unreachedWorker({ id: 'w0' } as WorkerInstance, 0),
+  commandSentAtMs: reportedAtMs - 10,
+  reportedAtMs,
+});
+
+const sampleFrom = (startedAtMs: number) => ({
+  workerId: 'w0',
+  serviceName: 'rounds',
+  requestCount: 10,
+  meanLatencyMs: 20,
+  startedAtMs,
+  endedAtMs: startedAtMs + 2_000,
+});
+
+// A task is throttled or comes; samples of the time before still arrive for seconds. Learnt
+// from, they would judge the change by what was there without it.
+describe('a sample of latency', () => {
+  const fate = (startedAtMs: number, reportedAtMs: number, view = viewReportedAt(reportedAtMs)) =>
+    sampleFate(sampleFrom(startedAtMs), view, CONTROL, POLICY, 110_000);
+
+  it('is dropped when it began before the last change on its worker', () => {
+    expect(fate(CHANGED_AT_MS - 1, 110_000)).toBe(SampleFate.Stale);
+    expect(fate(CHANGED_AT_MS, 110_000)).toBe(SampleFate.Learnt);
+  });
+
+  it('waits for a report that was made after its end', () => {
+    expect(fate(106_000, 107_900)).toBe(SampleFate.Waiting);
+    expect(fate(106_000, 108_005)).toBe(SampleFate.Waiting);
+    expect(fate(106_000, 108_010)).toBe(SampleFate.Learnt);
+  });
+
+  it('waits for a report whose usage is newer than the change', () => {
+    const usableAtMs = CHANGED_AT_MS + POLICY.usageLagMs;
+    expect(fate(CHANGED_AT_MS, usableAtMs)).toBe(SampleFate.Waiting);
+    expect(fate(CHANGED_AT_MS, usableAtMs + 10)).toBe(SampleFate.Learnt);
+  });
+
+  it('waits while it is unknown when the report in hand was made', () => {
+    const asking = { ...viewReportedAt(110_000), isCommandInFlight: true };
+    expect(fate(106_000, 110_000, asking)).toBe(SampleFate.Waiting);
+  });
+
+  it('is dropped when its worker is unknown, and in the end when no report comes', () => {
+    const { startedAtMs, endedAtMs } = sampleFrom(106_000);
+    expect(sampleFate(sampleFrom(startedAtMs), undefined, CONTROL, POLICY, 110_000)).toBe('stale');
+    const late = endedAtMs + 30_001;
+    const view = viewReportedAt(107_000);
+    expect(sampleFate(sampleFrom(startedAtMs), view, CONTROL, POLICY, late)).toBe('stale');
+  });
+});
--- /dev/null
+++ b/src/scheduler/test/interference/serviceModel.test.ts
@@ -0,0 +1,131 @@
+import { describe, expect, it } from 'vitest';
+
+import { PairEstimates } from '../../common/interference/pairEstimates.js';
+
+const HALF_LIFE_MS = 150_000;
+const BASE_MS = 20;
+const SERVICE = 'rounds';
+
+/** What the service measures beside batch work that uses these shares without throttles. */
+const observed = (latencyMs: number, used: Readonly<Record<string, number>>) => ({
+  latencyMs,
+  requestCount: 50,
+  exposures: new Map(
+    Object.entries(used).map(([kind, share]) => [kind, { used: share, wanted: share }]),
+  ),
+});
+
+const slowdown = (estimates: PairEstimates, kind: string, nowMs: number): number => {
+  const { byUse, byPresence } = estimates.pressure(SERVICE, kind, 0, nowMs);
+  return byUse + byPresence;
+};
+
+/** Learns each observation once a second, in turn. */
+const learnt = (
+  observations: readonly ReturnType<typeof observed>[],
+  count: number,
+  before = new PairEstimates(HALF_LIFE_MS),
+  startMs = 0,
+): PairEstimates =>
+  Array.from({ length: count }).reduce<PairEstimates>(
+    (estimates, _, index) =>
+      estimates.withObservation(
+        SERVICE,
+        observations[index % observations.length] ?? observed(BASE_MS, {}),
+        startMs + index * 1_000,
+      ),
+    before,
+  );
+
+describe('estimates of pairs', () => {
+  it('tell the kind that hurts from the one beside it', () => {
+    const estimates = learnt(
+      [
+        observed(BASE_MS, {}),
+        observed(BASE_MS, { quiet: 0.3 }),
+        observed(BASE_MS * 1.4, { cache: 0.2, quiet: 0.3 }),
+      ],
+      60,
+    );
+    expect(estimates.baseLatencyMs(SERVICE)).toBeCloseTo(BASE_MS, 0);
+    expect(slowdown(estimates, 'cache', 60_000)).toBeGreaterThan(1.6);
+    expect(slowdown(estimates, 'cache', 60_000)).toBeLessThan(2.4);
+    expect(slowdown(estimates, 'quiet', 60_000)).toBeLessThan(0.2);
+  });
+
+  // Two kinds run only together at first, so both are blamed. Once a worker shows one of them
+  // alone and nothing is slow there, its blame has to pass to the other: it would be throttled
+  // for ever for what it does not do.
+  it('clear a kind that was blamed for another', () => {
+    const together = learnt(
+      [observed(BASE_MS, {}), observed(BASE_MS * 1.4, { cache: 0.2, quiet: 0.2 })],
+      40,
+    );
+    expect(slowdown(together, 'quiet', 40_000)).toBeGreaterThan(0.5);
+    const apart = learnt([observed(BASE_MS, { quiet: 0.2 })], 10, together, 40_000);
+    expect(slowdown(apart, 'quiet', 50_000)).toBeLessThan(0.2);
+    expect(slowdown(apart, 'cache', 50_000)).toBeGreaterThan(1.5);
+  });
+
+  it('follow a pair that begins to hurt', () => {
+    const before = learnt([observed(BASE_MS, {}), observed(BASE_MS, { shifting: 0.2 })], 60);
+    expect(slowdown(before, 'shifting', 60_000)).toBeLessThan(0.2);
+    const after = learnt(
+      [observed(BASE_MS, {}), observed(BASE_MS * 1.5, { shifting: 0.2 })],
+      30,
+      before,
+      60_000,
+    );
+    expect(slowdown(after, 'shifting', 90_000)).toBeGreaterThan(2);
+  });
+
+  // A throttle takes only a part of the harm away. The samples under it have to tell what use
+  // does from what presence does, or throttling would be tried for ever on what it cannot help.
+  it('tell what throttling helps against from what it does not', () => {
+    const throttled = {
+      latencyMs: BASE_MS * 1.36,
+      requestCount: 50,
+      exposures: new Map([['disk', { used: 0.05, wanted: 0.2 }]]),
+    };
+    const estimates = learnt(
+      [observed(BASE_MS, {}), observed(BASE_MS * 1.4, { disk: 0.2 }), throttled],
+      90,
+    );
+    const { byUse, byPresence } = estimates.pressure(SERVICE, 'disk', 0, 90_000);
+    expect(byPresence).toBeGreaterThan(2 * byUse);
+  });
+
+  // One measurement is wrong by a factor of a hundred, as after a pause of the entry. Taken at
+  // its word it would have all batch work beside the service throttled.
+  it('give little on a wrong sample and nothing on an impossible one', () => {
+    const before = learnt([observed(BASE_MS, {}), observed(BASE_MS, { quiet: 0.3 })], 60);
+    const wrong = before.withObservation(SERVICE, observed(100 * BASE_MS, { quiet: 0.3 }), 60_000);
+    expect(0.3 * slowdown(wrong, 'quiet', 60_000)).toBeLessThan(0.5);
+    const later = learnt([observed(BASE_MS, { quiet: 0.3 })], 10, wrong, 61_000);
+    expect(0.3 * slowdown(later, 'quiet', 71_000)).toBeLessThan(0.1);
+    [Number.NaN, Number.POSITIVE_INFINITY, -1, 0].forEach((latencyMs) =>
+      expect(before.withObservation(SERVICE, observed(latencyMs, {}), 61_000)).toBe(before),
+    );
+  });
+
+  it('forget what nothing confirms', () => {
+    const estimates = learnt([observed(BASE_MS, {}), observed(BASE_MS * 1.4, { cache: 0.2 })], 60);
+    const now = slowdown(estimates, 'cache', 60_000);
+    const later = slowdown(estimates, 'cache', 59_000 + HALF_LIFE_MS);
+    expect(later).toBeLessThan(0.55 * now);
+  });
+
+  // A noisy kind is quiet between its waves. Placed then, beside a service, it would hurt it in
+  // the next wave, so the worst of late is remembered beside the present value.
+  it('remember the worst of a kind that comes in waves', () => {
+    const wave = learnt([observed(BASE_MS, {}), observed(BASE_MS * 1.6, { noisy: 0.2 })], 40);
+    const calm = learnt(
+      [observed(BASE_MS, {}), observed(BASE_MS, { noisy: 0.2 })],
+      40,
+      wave,
+      40_000,
+    );
+    expect(slowdown(calm, 'noisy', 80_000)).toBeLessThan(0.4);
+    expect(calm.worstSlowdown(SERVICE, 'noisy', 0.2, 80_000)).toBeGreaterThan(0.3);
+  });
+});
--- /dev/null
+++ b/src/scheduler/test/preemption.test.ts
@@ -0,0 +1,55 @@
+import { describe, expect, it } from 'vitest';
+
+import { TaskClass } from '../../platform/worker/common/workerClient.js';
+import type { Assignment } from '../../platform/workload/common/workRows.js';
+import type { CellRows } from '../common/cellRows.js';
+import { PreemptionPlan } from '../common/preemption.js';
+import { CAPACITY, shard, SIZE } from './cellFixtures.js';
+
+const NOTHING = { processorMillis: 0, memoryBytes: 0, acceleratorCount: 0 };
+const ROW = shard(3, 60_000);
+
+const assignment = (taskIndex: number): Assignment => ({
+  taskId: `${ROW.jobId}/${taskIndex}`,
+  attempt: 1,
+  workerId: 'w0',
+  incarnation: 'w0@0',
+  taskClass: TaskClass.Batch,
+  serviceName: '',
+  shardId: ROW.shardId,
+  taskIndex,
+  size: SIZE,
+  workMs: ROW.workMs,
+  checkpoint: null,
+});
+
+const ROWS = {
+  assignmentsByWorker: new Map([['w0', [0, 1, 2].map(assignment)]]),
+  work: new Map([[ROW.shardId, ROW]]),
+} as unknown as CellRows;
+
+const FULL = {
+  workerId: 'w0',
+  rack: 'r0',
+  incarnation: 'w0@0',
+  capacity: CAPACITY,
+  free: NOTHING,
+  sameServiceOnWorkerCount: 0,
+  sameServiceInRackCount: 0,
+};
+
+describe('room for urgent work', () => {
+  // Three equal tasks fill a worker and an urgent one needs the place of one. Two have just
+  // begun or saved their work, one would lose a minute: that one must not be chosen.
+  it('is made by the task that loses the least', () => {
+    const lostMs = [60_000, 500, 20_000];
+    const plan = new PreemptionPlan(
+      [FULL],
+      ROWS,
+      new Set(),
+      ({ taskIndex }) => lostMs[taskIndex] ?? 0,
+    );
+    plan.makeRoom(SIZE);
+    expect([...plan.chosen]).toEqual([`${ROW.jobId}/1#1`]);
+  });
+});
--- a/src/scheduler/test/virtualCell.ts
+++ b/src/scheduler/test/virtualCell.ts
@@ -12,6 +12,8 @@
 import type { Transaction, TransactionResult } from '../../platform/table/common/table.js';
 import type { Resources } from '../../platform/worker/common/resources.js';
 import type { WorkerCommand, WorkerReport } from '../../platform/worker/common/workerClient.js';
+import { settingsSchema } from '../../platform/settings/common/settings.js';
+import type { LatencySample } from '../../platform/worker/common/latencySamples.js';
 import { TableStandIn } from '../../../standIns/platform/tableStandIn.js';
 import { Judge } from '../../../standIns/workers/judge.js';
 import { WorkerStandIn } from '../../../standIns/workers/workerStandIn.js';
@@ -36,6 +38,7 @@
   rowsPerSecond: 60,
   maximumRowsPerRound: 120,
   reportFreshnessMs: 3_000,
+  interference: settingsSchema.shape.scheduler.parse({}).interference,
 };
 
 const TICK_MS = 200;
@@ -187,6 +190,19 @@
     );
   }
 
+  /** Tells all daemons what their entries measured; instants are of the virtual time. */
+  measure(samples: readonly LatencySample[]): void {
+    this.daemons.forEach((daemon) => {
+      const { clockOffsetMs } = daemon;
+      const own = samples.map((sample) => ({
+        ...sample,
+        startedAtMs: sample.startedAtMs + clockOffsetMs,
+        endedAtMs: sample.endedAtMs + clockOffsetMs,
+      }));
+      this.#deliver(daemon, { kind: 'latency-measured', samples: own });
+    });
+  }
+
   /** Whether workers can write checkpoints. */
   setObjectStoreDown(isDown: boolean): void {
     this.workers.forEach((worker) => {
--- a/standIns/workers/workerStandIn.ts
+++ b/standIns/workers/workerStandIn.ts
@@ -22,9 +22,10 @@
   readonly request: StartRequest;
   state: WorkerTaskState;
   leaseUntilMs: number;
-  readonly startedAtMs: number;
-  /** Work done in earlier attempts, taken from the checkpoint. */
-  readonly doneBeforeMs: number;
+  /** Since when the task has run with its share of its processors, and the work done before. */
+  sinceMs: number;
+  doneBeforeMs: number;
+  processorShare: number;
   checkpoint: string | null;
 }
 
@@ -85,6 +86,7 @@
     if (isCurrent) this.#highestEpoch = command.cellEpoch;
     if (isCurrent && command.incarnation === this.incarnation) {
       command.renewals.forEach((renewal) => this.#renew(renewal));
+      command.throttles.forEach((throttle) => this.#throttle(throttle, nowMs));
       command.evictions.forEach((attempt) => this.#evict(attempt, nowMs));
       command.acknowledgements.forEach((attempt) => this.#forget(attempt));
       command.starts.forEach((request) => this.#start(request, nowMs));
@@ -106,7 +108,7 @@
   advance(nowMs: number): void {
     this.#running().forEach((task) => {
       const { request } = task;
-      const doneMs = task.doneBeforeMs + (nowMs - task.startedAtMs);
+      const doneMs = WorkerStandIn.#doneMs(task, nowMs);
       if (nowMs > task.leaseUntilMs) this.#end(task, WorkerTaskState.Lapsed);
       else if (request.taskClass === TaskClass.Batch && doneMs >= request.workMs) {
         this.#end(task, WorkerTaskState.Finished);
@@ -127,7 +129,8 @@
       request,
       state: WorkerTaskState.Running,
       leaseUntilMs: request.leaseUntilWorkerMs,
-      startedAtMs: nowMs,
+      sinceMs: nowMs,
+      processorShare: 1,
       doneBeforeMs: savedMsOf(request.checkpoint),
       checkpoint: request.checkpoint,
     };
@@ -147,11 +150,19 @@
   #evict(attempt: TaskAttempt, nowMs: number): void {
     const task = this.#tasks.get(WorkerStandIn.#key(attempt));
     if (task?.state !== WorkerTaskState.Running || this.isObjectStoreDown) return;
-    const doneMs = task.doneBeforeMs + (nowMs - task.startedAtMs);
+    const doneMs = WorkerStandIn.#doneMs(task, nowMs);
     task.checkpoint = `${task.request.taskId}@${Math.floor(doneMs)}`;
     this.#end(task, WorkerTaskState.Evicted);
   }
 
+  #throttle(throttle: WorkerCommand['throttles'][number], nowMs: number): void {
+    const task = this.#tasks.get(WorkerStandIn.#key(throttle));
+    if (task === undefined) return;
+    task.doneBeforeMs = WorkerStandIn.#doneMs(task, nowMs);
+    task.sinceMs = nowMs;
+    task.processorShare = throttle.processorShare;
+  }
+
   #forget(attempt: TaskAttempt): void {
     const key = WorkerStandIn.#key(attempt);
     if (this.#tasks.get(key)?.state !== WorkerTaskState.Running) this.#tasks.delete(key);
@@ -170,19 +181,25 @@
     this.#onEvent({ kind, workerId: this.workerId, taskId, attempt, taskClass, state, savedMs });
   }
 
+  static #doneMs({ doneBeforeMs, sinceMs, processorShare }: WorkerTask, nowMs: number): number {
+    return doneBeforeMs + (nowMs - sinceMs) * processorShare;
+  }
+
   static #key({ taskId, attempt }: TaskAttempt): string {
     return `${taskId}#${attempt}`;
   }
 
-  static #toReport({ request, state, checkpoint, leaseUntilMs }: WorkerTask): WorkerTaskReport {
+  static #toReport({ request, state, checkpoint, ...task }: WorkerTask): WorkerTaskReport {
+    const processorMillis = Math.round(request.size.processorMillis * task.processorShare);
     return {
       taskId: request.taskId,
       attempt: request.attempt,
       state,
       size: request.size,
-      usage: request.size,
+      usage: { ...request.size, processorMillis },
       checkpoint,
-      leaseUntilWorkerMs: leaseUntilMs,
+      leaseUntilWorkerMs: task.leaseUntilMs,
+      ...(task.processorShare < 1 ? { processorShare: task.processorShare } : {}),
     };
   }
 }
