Tests of how measured latencies reach the cells, and of the weights of interference

Change: a test of the cells of a daemon with the timers under control, one of admission's windows, one of the settings' rules. Ruled out: a test over HTTP, which would wait seconds for samples. Conclusion: no change of behaviour; the tests of the scheduler, the settings and the windows pass.

--- a/src/entry/test/latencyWindows.test.ts
+++ b/src/entry/test/latencyWindows.test.ts
@@ -1,6 +1,11 @@
 import { describe, expect, it } from 'vitest';
 
+import { SeededRandom } from '../../base/common/random.js';
+import { settingsSchema } from '../../platform/settings/common/settings.js';
+import { Admission } from '../common/admission.js';
+import { ServerVerdict } from '../common/admissionDecision.js';
 import { LatencyWindows } from '../common/latencyWindows.js';
+import { LatencyWeightedOfTwo } from '../common/serverChoice.js';
 
 describe('latency windows', () => {
   it('tell a mean for each server, from when its first request was sent', () => {
@@ -21,6 +26,35 @@
     expect(windows.takeSamples(3_000)).toEqual([]);
   });
 
+  it('hold what admission learns of answers, and nothing of failures', () => {
+    const random = new SeededRandom(1);
+    const settings = settingsSchema.shape.entry.parse({});
+    const admission = new Admission(settings, new LatencyWeightedOfTwo(random), random);
+    const server = {
+      workerId: 'w1',
+      origin: 'http://w1',
+      availabilityZone: 'zone-a',
+      slotCount: 8,
+      connectionCount: 64,
+    };
+    admission.updateRoutes(new Map([['rounds', [server]]]), () => 'urgent', 1);
+    const waiting = {
+      callerId: '',
+      deadlineAtMs: 1e9,
+      waitingSinceMs: 0,
+      avoidedWorkerId: undefined,
+    };
+    [ServerVerdict.Success, ServerVerdict.Failure].forEach((verdict) => {
+      const decision = admission.admit('rounds', waiting, 100);
+      if (decision.kind !== 'admitted') throw new Error('not admitted');
+      const end = { latencyMs: 40, verdict, isServerLeaving: false };
+      admission.finish('rounds', decision.server, end, 140);
+    });
+    const samples = admission.latencyWindows.takeSamples(200);
+    expect(samples).toHaveLength(1);
+    expect(samples[0]).toMatchObject({ workerId: 'w1', requestCount: 1, startedAtMs: 100 });
+  });
+
   // Where the process has no scheduler nobody takes the samples, while workers come and go for
   // months. The records must not pile up.
   it('stay bounded when nobody takes them', () => {
--- a/src/platform/settings/test/settings.test.ts
+++ b/src/platform/settings/test/settings.test.ts
@@ -47,6 +47,17 @@
     expect(faultPaths(faulty)).toEqual(['scheduler.workerLeaseMs']);
   });
 
+  // With these limits crossed a throttle would be taken back as soon as it is in force, evictions
+  // would come before throttling, and a step would be judged by what was before it.
+  it('refuse weights of interference that would alternate', () => {
+    const faultsOf = (interference: Readonly<Record<string, number>>): readonly string[] =>
+      faultPaths({ ...valid, scheduler: { interference } });
+    const path = 'scheduler.interference';
+    expect(faultsOf({ releaseSlowdown: 0.12 })).toEqual([`${path}.releaseSlowdown`]);
+    expect(faultsOf({ evictionSlowdown: 0.11 })).toEqual([`${path}.evictionSlowdown`]);
+    expect(faultsOf({ settleMs: 4_999 })).toEqual([`${path}.settleMs`]);
+  });
+
   it('refuse an interval with which a change would be in force too late', () => {
     const platform = { ...valid.platform, configurationIntervalMs: 601 };
     expect(faultPaths({ ...valid, platform })).toEqual(['platform.configurationIntervalMs']);
--- /dev/null
+++ b/src/scheduler/test/cellTasks.test.ts
@@ -0,0 +1,96 @@
+import * as TE from 'fp-ts/lib/TaskEither.js';
+import { afterEach, describe, expect, it, vi } from 'vitest';
+
+import { Emitter } from '../../base/common/event.js';
+import { TableStandIn } from '../../../standIns/platform/tableStandIn.js';
+import { silentLog } from '../../platform/log/common/log.js';
+import { settingsSchema } from '../../platform/settings/common/settings.js';
+import { silentTracing } from '../../platform/tracing/common/tracing.js';
+import { CellTasks } from '../node/cellTasks.js';
+
+const LOOPBACK = { host: '127.0.0.1' };
+const SETTINGS = settingsSchema.parse({
+  instanceId: 'entry-1',
+  availabilityZone: 'zone-a',
+  listen: { callers: LOOPBACK, operators: LOOPBACK, peers: LOOPBACK },
+  platform: {
+    tableOrigin: 'http://127.0.0.1:1',
+    objectStoreOrigin: 'http://127.0.0.1:1',
+    instanceListOrigin: 'http://127.0.0.1:1',
+  },
+});
+const WORKER = {
+  kind: 'worker',
+  id: 'w1',
+  availabilityZone: 'zone-a',
+  rack: 'r1',
+  state: 'live',
+  controlAddress: { host: '127.0.0.1', port: 1 },
+  backendAddress: { host: '127.0.0.1', port: 1 },
+  capacity: { processorMillis: 32_000, memoryBytes: 1, acceleratorCount: 0 },
+  slotCount: 8,
+  connectionCount: 64,
+} as const;
+
+describe('the cells of a daemon', () => {
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  // What the entry of the process measures has to reach the owner of the cell that the worker
+  // stands in. The worker answers nothing here, so the sample is counted as one that cannot be
+  // learnt from; one of a worker in no cell of this daemon is not counted.
+  it('hear what the entry of the same process measured', async () => {
+    vi.useFakeTimers();
+    let nowMs = 0;
+    const counters = new Map<string, number>();
+    const table = new TableStandIn();
+    const sample = {
+      serviceName: 'rounds',
+      requestCount: 10,
+      meanLatencyMs: 20,
+      startedAtMs: 0,
+      endedAtMs: 1,
+    };
+    const tasks = new CellTasks(
+      {
+        table: {
+          read: (request) => TE.right(table.read(request)),
+          transact: (transaction) => TE.right(table.transact(transaction)),
+        },
+        configuration: {
+          current: undefined,
+          confirmedAtMs: 0,
+          onDidChange: new Emitter<never>().event,
+          refresh: async () => {},
+        },
+        directory: { instances: [WORKER], onDidChange: new Emitter<never>().event },
+        clock: { nowMs: () => nowMs },
+        log: silentLog,
+        metrics: {
+          count: (name, _, amount = 1) => counters.set(name, (counters.get(name) ?? 0) + amount),
+          gauge: () => {},
+          recordMs: () => {},
+        },
+        tracing: silentTracing,
+      },
+      SETTINGS,
+      'entry-1#1',
+      {
+        takeSamples: () => [
+          { ...sample, workerId: 'w1' },
+          { ...sample, workerId: 'elsewhere' },
+        ],
+      },
+    );
+    for (; nowMs < 20_000; nowMs += 100) {
+      // Table calls settle between two steps of the timers.
+      // eslint-disable-next-line no-await-in-loop
+      await vi.advanceTimersByTimeAsync(100);
+    }
+    tasks.dispose();
+    const count = counters.get('interference_samples_stale') ?? 0;
+    expect(count).toBeGreaterThan(0);
+    expect(count).toBeLessThanOrEqual(10);
+  });
+});
