The open tasks of a shard are counted once for placement, not in each round

Cause: a profile of `npm run bench -- colocation bounds` had a ninth of its time in counting the open tasks of each shard anew in every round that places work. Change: the count is kept with the row, which is replaced whenever one of its tasks changes. Ruled out: a memo for all rows, which a commit replaces each time.

--- a/src/scheduler/common/interference/placementOutlook.ts
+++ b/src/scheduler/common/interference/placementOutlook.ts
@@ -1,6 +1,10 @@
 /** What a placement would do to the services beside it. */
 import { TaskClass } from '../../../platform/worker/common/workerClient.js';
-import { type Assignment, isEnded } from '../../../platform/workload/common/workRows.js';
+import {
+  type Assignment,
+  isEnded,
+  type WorkRow,
+} from '../../../platform/workload/common/workRows.js';
 import { assignmentsOf, type CellRows } from '../cellRows.js';
 import type { CellState } from '../cellState.js';
 import type { PlacementCandidate } from '../placement.js';
@@ -16,10 +20,22 @@
   taskCount: number;
 }
 
+const openCounts = new WeakMap<WorkRow, number>();
+
+/** A row is replaced when a task of it changes, so its count is worked out once. */
+const openCountOf = (row: WorkRow): number => {
+  const known = openCounts.get(row);
+  if (known !== undefined) return known;
+  const count = row.tasks.filter((task) => !isEnded(task)).length;
+  openCounts.set(row, count);
+  return count;
+};
+
 const demandByKind = (rows: CellRows): ReadonlyMap<string, Demand> => {
   const demand = new Map<string, Demand>();
-  rows.work.forEach(({ team, size, tasks }) => {
-    const openCount = tasks.filter((task) => !isEnded(task)).length;
+  rows.work.forEach((row) => {
+    const { team, size } = row;
+    const openCount = openCountOf(row);
     if (openCount === 0) return;
     const known = demand.get(team) ?? { processorMillis: 0, taskCount: 0 };
     known.processorMillis += openCount * size.processorMillis;
