--- a/bench/capacity/schedulerCapacity.ts
+++ b/bench/capacity/schedulerCapacity.ts
@@ -19,6 +19,7 @@
 } from '../../src/platform/configuration/common/documents.js';
 import { ErrorKind, failure } from '../../src/platform/errors/common/errorKinds.js';
 import type { WorkerInstance } from '../../src/platform/instanceList/common/instanceList.js';
+import { settingsSchema } from '../../src/platform/settings/common/settings.js';
 import { inboxWith } from '../../src/platform/workload/common/inbox.js';
 import {
   BatchTaskState,
@@ -68,6 +69,7 @@
   rowsPerSecond: 60,
   maximumRowsPerRound: 120,
   zoneReturnMs: 10_000,
+  interference: settingsSchema.shape.scheduler.parse({}).interference,
 };
 
 export interface SchedulerFigures {
--- a/src/entry/common/admission.ts
+++ b/src/entry/common/admission.ts
@@ -15,6 +15,7 @@
 import { ConcurrencyLimit } from './concurrencyLimit.js';
 import { FairQueue, type WaitingRequest } from './fairQueue.js';
 import { HedgeBudget, RetryBudget } from './retryBudget.js';
+import { LatencyWindows } from './latencyWindows.js';
 import type { BackendServer, RoutingTable } from './routing.js';
 import type { ServerChooser } from './serverChoice.js';
 import { ServerRecord, ServiceRecord, WorkerRecord } from './serverRecords.js';
@@ -70,6 +71,9 @@
   /** Places whose callers hung up while their servers may still work; bounded by the shares. */
   #abandoned: AbandonedPlace<Waiting>[] = [];
 
+  /** What the servers' answers took, for whoever places work beside them. */
+  readonly latencyWindows = new LatencyWindows();
+
   #servedCount = 0;
 
   #entryCount = 1;
@@ -348,6 +352,7 @@
     }
     if (end.verdict === ServerVerdict.Success) {
       server.latency.note(end.latencyMs, nowMs);
+      this.latencyWindows.note(server.worker.workerId, service.name, end.latencyMs, nowMs);
       server.health.noteSuccess();
       if (service.limit.note(end.latencyMs, service.occupiedCount)) {
         service.overtaking.forEach((each) => each.refreshRoom());
--- a/src/platform/worker/common/revisedWorker.ts
+++ b/src/platform/worker/common/revisedWorker.ts
@@ -44,7 +44,10 @@
   );
 
 const isChanged = (before: WorkerTaskReport, now: WorkerTaskReport): boolean =>
-  before.state !== now.state || before.checkpoint !== now.checkpoint || hasMoved(before, now);
+  before.state !== now.state ||
+  before.checkpoint !== now.checkpoint ||
+  before.processorShare !== now.processorShare ||
+  hasMoved(before, now);
 
 /** Counts the revisions of a worker's tasks; lives as long as the worker's incarnation. */
 export class RevisedWorker {
--- a/src/scheduler/common/assigning.ts
+++ b/src/scheduler/common/assigning.ts
@@ -18,12 +18,25 @@
 import type { CellRows } from './cellRows.js';
 import type { CellState } from './cellState.js';
 import { FreeCapacity } from './freeCapacity.js';
+import { PlacementOutlook } from './interference/placementOutlook.js';
 import type { PlacementCandidate, PlacementPolicy } from './placement.js';
 import { PreemptionPlan } from './preemption.js';
 import { batchSize, serviceSize } from './usageLearning.js';
 import { orderedShards, type TeamUse } from './queueOrder.js';
 import type { QuotaParts } from './quotaParts.js';
 import { allShards, teamUseOf } from './quotaRound.js';
+import { attemptKey } from './workerView.js';
+
+/** What evicting each task would lose, as far as workers tell it, by attempt. */
+const unsavedWorkMs = (state: CellState): ReadonlyMap<string, number> => {
+  const unsaved = new Map<string, number>();
+  state.workers.forEach(({ report }) =>
+    report?.tasks.forEach((task) => {
+      if (task.unsavedWorkMs !== undefined) unsaved.set(attemptKey(task), task.unsavedWorkMs);
+    }),
+  );
+  return unsaved;
+};
 
 /** What a round's assigning works on; the capacity is worked out only once it is needed. */
 class AssigningRound {
@@ -39,6 +52,8 @@
 
   readonly #rows: CellRows;
 
+  readonly outlook: PlacementOutlook;
+
   #capacity: FreeCapacity | undefined;
 
   /** Shards of which a task found no worker with room. */
@@ -46,6 +61,8 @@
 
   #preemption: PreemptionPlan | undefined;
 
+  #unsavedWorkMs: ReadonlyMap<string, number> | undefined;
+
   constructor(
     state: CellState,
     rows: CellRows,
@@ -60,6 +77,7 @@
     this.policy = policy;
     this.operationId = operationId;
     this.nowMs = nowMs;
+    this.outlook = new PlacementOutlook(state, rows, nowMs);
   }
 
   get capacity(): FreeCapacity {
@@ -73,10 +91,17 @@
       this.capacity.candidates,
       this.#rows,
       this.state.preempted,
+      (assignment) => this.#lostWorkMs(assignment),
     );
     this.#preemption.makeRoom(size);
   }
 
+  /** A task whose worker cannot tell may lose all that it was to do. */
+  #lostWorkMs(assignment: Assignment): number {
+    this.#unsavedWorkMs ??= unsavedWorkMs(this.state);
+    return this.#unsavedWorkMs.get(attemptKey(assignment)) ?? assignment.workMs;
+  }
+
   get preempted(): ReadonlySet<string> {
     return this.#preemption?.chosen ?? new Set();
   }
@@ -88,6 +113,7 @@
   assign(rack: string, assignment: Assignment): void {
     this.draft.setAssignments(rack, [...this.draft.assignments(rack), assignment]);
     this.capacity.take(assignment.workerId, assignment.size);
+    this.outlook.take(assignment);
   }
 }
 
@@ -150,8 +176,8 @@
     const request = { size, isSpread: true };
     // What no zone serves is missing to callers; the rest others keep until it is served here.
     const canWait = replicas.length + elsewhereCount >= service.replicaCount;
-    const candidates = round.capacity.candidatesNear(replicas, canWait);
-    const chosen = round.policy.choose(request, candidates);
+    const near = round.capacity.candidatesNear(replicas, canWait);
+    const chosen = round.policy.choose(request, round.outlook.forService(service.name, near));
     if (chosen === undefined) {
       for (let count = replicas.length; count < wanted; count += 1) round.makeRoom(size);
       return assignedCount;
@@ -183,13 +209,15 @@
       hasRoom = false;
       return task;
     }
-    const canWait = row.urgency !== Urgency.Urgent;
-    const candidates = round.capacity.candidatesApartFrom(failedOn, request, canWait);
+    const isUrgent = row.urgency === Urgency.Urgent;
+    const all = round.capacity.candidatesApartFrom(failedOn, request, !isUrgent);
+    const candidates = round.outlook.forBatch(row.team, size.processorMillis, all, isUrgent);
     const chosen = round.policy.choose(request, candidates);
     if (chosen === undefined) {
-      round.capacity.noteTooLarge(size);
+      // Work of another kind may have a place where this one is kept away from a service.
+      if (candidates.length === all.length) round.capacity.noteTooLarge(size);
       round.roomless.add(row.shardId);
-      hasRoom = row.urgency === Urgency.Urgent;
+      hasRoom = isUrgent;
       if (hasRoom) round.makeRoom(size);
       return task;
     }
--- a/src/scheduler/common/cellEvents.ts
+++ b/src/scheduler/common/cellEvents.ts
@@ -33,6 +33,7 @@
 import { needsFence } from './fence.js';
 import { NO_HAND_ON } from './handOn.js';
 import { LearntSizes } from './learntSizes.js';
+import { initialInterference, withSamples } from './interference/interferenceState.js';
 import { unrecordedFinishes } from './lateFinishes.js';
 import { mayAssign } from './round.js';
 import { withAllStale, withNewRows, withRowsInDoubt } from './staleness.js';
@@ -117,6 +118,7 @@
     isRoundStale: true,
     nextRoundAtMs: nowMs,
     preempted: new Set<string>(),
+    interference: initialInterference(after.timing.interference, nowMs),
     unfitSinceMs: new Map<string, number>(),
     workerHealth: new WorkerHealth(),
     retryAtMs: new Map<string, number>(),
@@ -267,6 +269,11 @@
       return withConfiguration(state, event.configuration, nowMs);
     case 'instances':
       return unchanged(withInstances(state, event.workers));
+    case 'latency-measured': {
+      if (!state.lease.isOwner) return unchanged(state);
+      const own = event.samples.filter(({ workerId }) => state.workers.has(workerId));
+      return unchanged({ ...state, interference: withSamples(state.interference, own) });
+    }
     case 'lease-read':
       return withLeaseRead(state, event.result, event.sentAtMs, nowMs);
     case 'lease-written':
--- a/src/scheduler/common/cellScheduler.ts
+++ b/src/scheduler/common/cellScheduler.ts
@@ -18,6 +18,8 @@
 import { fenceCondition, startFence } from './fence.js';
 import { NO_HAND_ON } from './handOn.js';
 import { LearntSizes } from './learntSizes.js';
+import { initialInterference } from './interference/interferenceState.js';
+import { stepInterference } from './interference/interferenceStep.js';
 import { brokenByRound, brokenByStarts, ledgerChange } from './invariants.js';
 import type { PlacementPolicy } from './placement.js';
 import { hasSettled, mayAssign, planRound, type Round } from './round.js';
@@ -59,6 +61,7 @@
   isFenceDue: false,
   operationCount: 0,
   preempted: new Set(),
+  interference: initialInterference(timing.interference, nowMs),
   unfitSinceMs: new Map(),
   workerHealth: new WorkerHealth(),
   retryAtMs: new Map(),
@@ -247,6 +250,7 @@
     (current) => startRound(current, policy, nowMs),
     (current) => startFence(current, nowMs),
     (current) => startRead(current, nowMs),
+    (current) => stepInterference(current, nowMs),
     (current) => sendCommands(current, nowMs),
   ]);
 };
--- a/src/scheduler/common/usageLearning.ts
+++ b/src/scheduler/common/usageLearning.ts
@@ -1,7 +1,11 @@
 /** Takes workers' reports of use into the learnt sizes, and those into assigning. */
 import type { ServiceDocument } from '../../platform/configuration/common/documents.js';
 import type { Resources } from '../../platform/worker/common/resources.js';
-import { TaskClass, WorkerTaskState } from '../../platform/worker/common/workerClient.js';
+import {
+  TaskClass,
+  WorkerTaskState,
+  type WorkerTaskReport,
+} from '../../platform/worker/common/workerClient.js';
 import type { Assignment, WorkRow } from '../../platform/workload/common/workRows.js';
 import { assignmentsOf, type CellRows } from './cellRows.js';
 import type { CellState } from './cellState.js';
@@ -34,6 +38,16 @@
   return { kind: batchKind(row), isService: false, declared: row.size };
 };
 
+/**
+ * A throttled task uses fewer processors than it would. Learnt from as it is, its kind would be
+ * committed ever smaller and slow the services more; so it counts as using what it was given.
+ */
+const unthrottledUsage = (task: WorkerTaskReport, { size }: Assignment): Resources => {
+  if ((task.processorShare ?? 1) === 1) return task.usage;
+  const processorMillis = Math.max(task.usage.processorMillis, size.processorMillis);
+  return { ...task.usage, processorMillis };
+};
+
 const samplesOn = (
   state: CellState,
   rows: CellRows,
@@ -43,13 +57,14 @@
   const running = new Map(
     view.report?.tasks
       .filter((task) => task.state === WorkerTaskState.Running)
-      .map((task) => [attemptKey(task), task.usage]),
+      .map((task) => [attemptKey(task), task]),
   );
   return assignmentsOf(rows, workerId).flatMap((assignment) => {
     const key = attemptKey(assignment);
-    const usage = running.get(key);
+    const task = running.get(key);
     const kind = kindOf(state, rows, assignment);
-    if (usage === undefined || kind === undefined) return [];
+    if (task === undefined || kind === undefined) return [];
+    const usage = unthrottledUsage(task, assignment);
     return [{ ...kind, workerId, attemptKey: key, committed: assignment.size, usage }];
   });
 };
--- a/src/scheduler/node/cellTask.ts
+++ b/src/scheduler/node/cellTask.ts
@@ -9,6 +9,7 @@
 import type { Metrics } from '../../platform/metrics/common/metrics.js';
 import type { TableService } from '../../platform/table/common/table.js';
 import type { Tracing } from '../../platform/tracing/common/tracing.js';
+import type { LatencySample } from '../../platform/worker/common/latencySamples.js';
 import type { WorkerClient } from '../../platform/worker/common/workerClient.js';
 import { toCellCall } from '../common/cellCalls.js';
 import { decide, initialCellState } from '../common/cellScheduler.js';
@@ -69,6 +70,10 @@
     this.#clients.dispose();
   }
 
+  handleSamples(samples: readonly LatencySample[]): void {
+    this.#handle({ kind: 'latency-measured', samples });
+  }
+
   #handleTick(): void {
     this.#handleConfiguration();
     this.#handle({ kind: 'tick' });
