--- a/src/daemon/node/daemon.ts
+++ b/src/daemon/node/daemon.ts
@@ -11,7 +11,7 @@
 import { CallerServer } from '../../entry/node/callerServer.js';
 import { ClaimKeeper } from '../../entry/node/claimKeeper.js';
 import { ClaimSweeper } from '../../entry/node/claimSweeper.js';
-import type { Journey } from '../../entry/node/requestDispatch.js';
+import type { Journey } from '../../entry/node/journey.js';
 import { RequestHandler } from '../../entry/node/requestHandler.js';
 import { RoutingReader } from '../../entry/node/routingReader.js';
 import { OperatorQueries } from '../../operator/node/operatorQueries.js';
--- a/src/entry/common/admission.ts
+++ b/src/entry/common/admission.ts
@@ -11,21 +11,15 @@
   type Rejected,
   ServerVerdict,
 } from './admissionDecision.js';
-import { connectionShare, pooledShare } from './connectionShare.js';
-import { ConcurrencyLimit } from './concurrencyLimit.js';
-import { FairQueue, type WaitingRequest } from './fairQueue.js';
-import { HedgeBudget, RetryBudget } from './retryBudget.js';
+import type { WaitingRequest } from './fairQueue.js';
 import { LatencyWindows } from './latencyWindows.js';
-import type { BackendServer, RoutingTable } from './routing.js';
+import type { RoutingTable } from './routing.js';
 import type { ServerChooser } from './serverChoice.js';
-import { ServerRecord, ServiceRecord, WorkerRecord } from './serverRecords.js';
+import type { ServerRecord, ServiceRecord } from './serverRecords.js';
+import { type RosterSettings, ServiceRoster } from './serviceRoster.js';
 
-export interface AdmissionSettings {
-  readonly queueCapacity: number;
+export interface AdmissionSettings extends RosterSettings {
   readonly maximumWaitMs: number;
-  readonly maximumEntryCount: number;
-  readonly retryBudgetRatio: number;
-  readonly hedgeBudgetRatio: number;
   readonly maximumSetAsideRatio: number;
   readonly leavingHoldMs: number;
 }
@@ -61,12 +55,7 @@
 
   readonly #random: RandomSource;
 
-  readonly #services = new Map<string, ServiceRecord<Waiting>>();
-
-  readonly #workers = new Map<string, WorkerRecord<Waiting>>();
-
-  /** Workers that left the routes while requests were in flight on them. */
-  readonly #departed = new Map<string, WorkerRecord<Waiting>>();
+  readonly #roster: ServiceRoster<Waiting>;
 
   /** Places whose callers hung up while their servers may still work; bounded by the shares. */
   #abandoned: AbandonedPlace<Waiting>[] = [];
@@ -76,23 +65,27 @@
 
   #servedCount = 0;
 
-  #entryCount = 1;
-
   #setAsideCount = 0;
 
   constructor(settings: AdmissionSettings, chooser: ServerChooser, random: RandomSource) {
     this.#settings = settings;
     this.#chooser = chooser;
     this.#random = random;
+    this.#roster = new ServiceRoster(settings);
   }
 
   service(name: string): ServiceRecord<Waiting> | undefined {
-    return this.#services.get(name);
+    return this.#roster.service(name);
   }
 
   /** Requests that wait now, of all services. */
   get waitingCount(): number {
-    return [...this.#services.values()].reduce((sum, { queue }) => sum + queue.length, 0);
+    return this.#roster.services.reduce((sum, { queue }) => sum + queue.length, 0);
+  }
+
+  /** Whether a sweep will have places to free. */
+  get hasAbandonedPlaces(): boolean {
+    return this.#abandoned.length > 0;
   }
 
   /** How often a server was set aside since the last call. */
@@ -102,44 +95,17 @@
     return count;
   }
 
-  /**
-   * Takes new routes over; what is known of servers that stay is kept. The number of entries
-   * comes from a list that lags; it moves the share that is always granted, and the limit on
-   * connections only downwards from what follows from the settings.
-   */
+  /** Takes new routes over; see the roster. */
   updateRoutes(
     routes: RoutingTable,
     urgencyOf: (serviceName: string) => Urgency,
     entryCount: number,
   ): void {
-    this.#entryCount = Math.max(1, entryCount);
-    const known = new Map([...this.#departed, ...this.#workers]);
-    this.#workers.clear();
-    this.#departed.clear();
-    routes.forEach((servers) => servers.forEach((server) => this.#keepWorker(server, known)));
-    known.forEach((worker, workerId) => {
-      if (this.#workers.has(workerId)) return;
-      // The record is this class's own.
-      // eslint-disable-next-line no-param-reassign
-      worker.services = [];
-      if (worker.inFlightCount > 0) this.#departed.set(workerId, worker);
-    });
-    [...this.#services.keys()]
-      .filter((name) => !routes.has(name) && this.#services.get(name)?.queue.length === 0)
-      .forEach((name) => this.#services.delete(name));
-    this.#services.forEach((service) => {
-      if (!routes.has(service.name)) this.#setServers(service, []);
-    });
-    routes.forEach((servers, name) => {
-      const service = this.#services.get(name) ?? this.#newService(name, urgencyOf(name), servers);
-      service.urgency = urgencyOf(name);
-      this.#setServers(service, servers);
-    });
-    this.#relate();
+    this.#roster.updateRoutes(routes, urgencyOf, entryCount);
   }
 
   admit(serviceName: string, waiting: Waiting, nowMs: number): AdmissionDecision<Waiting> {
-    const service = this.#services.get(serviceName);
+    const service = this.#roster.service(serviceName);
     if (service === undefined) {
       return Admission.#refused(failure(ErrorKind.UnknownService, `no service ${serviceName}`));
     }
@@ -177,7 +143,7 @@
     reason: ExtraReason,
     nowMs: number,
   ): ServerRecord<Waiting> | undefined {
-    const service = this.#services.get(serviceName);
+    const service = this.#roster.service(serviceName);
     if (service === undefined) return undefined;
     const isBusy = !service.hasRoom || service.yielding.some(({ queue }) => queue.length > 0);
     if (reason === ExtraReason.Hedge && isBusy) return undefined;
@@ -189,7 +155,7 @@
 
   /** Lets a request go that waits and is wanted no more; its place in the queue is free at once. */
   leave(serviceName: string, waiting: Waiting): boolean {
-    return this.#services.get(serviceName)?.queue.remove(waiting) ?? false;
+    return this.#roster.service(serviceName)?.queue.remove(waiting) ?? false;
   }
 
   /**
@@ -206,7 +172,7 @@
     end: PlaceEnd,
     nowMs: number,
   ): readonly Dispatched<Waiting>[] {
-    const service = this.#services.get(serviceName);
+    const service = this.#roster.service(serviceName);
     if (service !== undefined) this.#learn(service, server, end, nowMs);
     const { worker } = server;
     if (end.isServerLeaving) worker.leavingUntilMs = nowMs + this.#settings.leavingHoldMs;
@@ -220,7 +186,7 @@
   #free(server: ServerRecord<Waiting>, nowMs: number): readonly Dispatched<Waiting>[] {
     const { worker } = server;
     worker.inFlightCount -= 1;
-    if (worker.inFlightCount === 0) this.#departed.delete(worker.workerId);
+    if (worker.inFlightCount === 0) this.#roster.forgetDeparted(worker);
     worker.services.forEach((each) => {
       // The record is this class's own.
       // eslint-disable-next-line no-param-reassign
@@ -237,7 +203,7 @@
     const freed = this.#freeAbandoned(nowMs);
     const rejected: Rejected<Waiting>[] = [];
     const waitingServices: ServiceRecord<Waiting>[] = [];
-    this.#services.forEach((service) => {
+    this.#roster.services.forEach((service) => {
       if (service.queue.length === 0) return;
       service.queue
         .takeGivenUp((waiting) => service.servers.length === 0 || this.#isLate(waiting, nowMs))
@@ -376,80 +342,4 @@
     const asideCount = servers.filter(({ health }) => health.isSetAside(nowMs)).length;
     return asideCount < allowed;
   }
-
-  /** Finds for each service those on the same workers, by urgency. */
-  #relate(): void {
-    this.#services.forEach((service) => {
-      const rank = URGENCY_ORDER[service.urgency];
-      const related = new Set(service.servers.flatMap(({ worker }) => worker.services));
-      related.add(service);
-      /* eslint-disable no-param-reassign -- the record is this class's own */
-      service.yielding = [...related].filter(({ urgency }) => URGENCY_ORDER[urgency] >= rank);
-      service.overtaking = [...related].filter(({ urgency }) => URGENCY_ORDER[urgency] <= rank);
-      /* eslint-enable no-param-reassign */
-    });
-    this.#services.forEach((service) => service.refreshRoom());
-  }
-
-  #keepWorker(server: BackendServer, known: ReadonlyMap<string, WorkerRecord<Waiting>>): void {
-    if (this.#workers.has(server.workerId)) return;
-    const worker = known.get(server.workerId) ?? new WorkerRecord<Waiting>(server.workerId);
-    worker.inFlightLimit = this.#pooledShare(server);
-    worker.services = [];
-    this.#workers.set(server.workerId, worker);
-  }
-
-  #newService(
-    name: string,
-    urgency: Urgency,
-    servers: readonly BackendServer[],
-  ): ServiceRecord<Waiting> {
-    const { queueCapacity, retryBudgetRatio, hedgeBudgetRatio } = this.#settings;
-    const service = new ServiceRecord<Waiting>(
-      name,
-      urgency,
-      new ConcurrencyLimit(this.#slotShare(servers), this.#highestLimit(servers)),
-      new FairQueue<Waiting>(queueCapacity),
-      new RetryBudget(retryBudgetRatio),
-      new HedgeBudget(hedgeBudgetRatio),
-    );
-    this.#services.set(name, service);
-    return service;
-  }
-
-  #setServers(service: ServiceRecord<Waiting>, servers: readonly BackendServer[]): void {
-    const known = new Map(service.servers.map((record) => [record.worker.workerId, record]));
-    const records = servers.flatMap((server) => {
-      const worker = this.#workers.get(server.workerId);
-      if (worker === undefined) return [];
-      const kept = known.get(server.workerId);
-      const record = kept?.worker === worker ? kept : new ServerRecord<Waiting>(server, worker);
-      record.server = server;
-      worker.services.push(service);
-      return [record];
-    });
-    // The record is this class's own.
-    /* eslint-disable no-param-reassign */
-    service.servers = records;
-    service.occupiedCount = records.reduce((sum, { worker }) => sum + worker.inFlightCount, 0);
-    service.slotCount = servers.reduce((sum, { slotCount }) => sum + slotCount, 0);
-    /* eslint-enable no-param-reassign */
-    service.limit.rescale(this.#slotShare(servers), this.#highestLimit(servers));
-  }
-
-  #slotShare(servers: readonly BackendServer[]): number {
-    const slotCount = servers.reduce((sum, server) => sum + server.slotCount, 0);
-    return slotCount / this.#entryCount;
-  }
-
-  #highestLimit(servers: readonly BackendServer[]): number {
-    return servers.reduce((sum, server) => sum + this.#pooledShare(server), 0);
-  }
-
-  #pooledShare(server: BackendServer): number {
-    // With more entries than the setting says, fixed shares would add up to more connections
-    // than the server has and it would refuse some. Taking less is safe whoever sees the list how.
-    const entryCount = Math.max(this.#settings.maximumEntryCount, this.#entryCount);
-    return pooledShare(connectionShare(server, entryCount));
-  }
 }
--- /dev/null
+++ b/src/entry/common/serviceRoster.ts
@@ -0,0 +1,157 @@
+/** The services, servers and workers that requests go to, kept up with the routes. */
+import { URGENCY_ORDER, type Urgency } from '../../platform/configuration/common/documents.js';
+import { connectionShare, pooledShare } from './connectionShare.js';
+import { ConcurrencyLimit } from './concurrencyLimit.js';
+import { FairQueue, type WaitingRequest } from './fairQueue.js';
+import { HedgeBudget, RetryBudget } from './retryBudget.js';
+import type { BackendServer, RoutingTable } from './routing.js';
+import { ServerRecord, ServiceRecord, WorkerRecord } from './serverRecords.js';
+
+export interface RosterSettings {
+  readonly queueCapacity: number;
+  readonly maximumEntryCount: number;
+  readonly retryBudgetRatio: number;
+  readonly hedgeBudgetRatio: number;
+}
+
+export class ServiceRoster<Waiting extends WaitingRequest> {
+  readonly #settings: RosterSettings;
+
+  readonly #services = new Map<string, ServiceRecord<Waiting>>();
+
+  readonly #workers = new Map<string, WorkerRecord<Waiting>>();
+
+  /** Workers that left the routes while requests were in flight on them. */
+  readonly #departed = new Map<string, WorkerRecord<Waiting>>();
+
+  #entryCount = 1;
+
+  constructor(settings: RosterSettings) {
+    this.#settings = settings;
+  }
+
+  get services(): readonly ServiceRecord<Waiting>[] {
+    return [...this.#services.values()];
+  }
+
+  service(name: string): ServiceRecord<Waiting> | undefined {
+    return this.#services.get(name);
+  }
+
+  /** To be called when the last request on a worker has ended. */
+  forgetDeparted({ workerId }: WorkerRecord<Waiting>): void {
+    this.#departed.delete(workerId);
+  }
+
+  /**
+   * Takes new routes over; what is known of servers that stay is kept. The number of entries
+   * comes from a list that lags; it moves the share that is always granted, and the limit on
+   * connections only downwards from what follows from the settings.
+   */
+  updateRoutes(
+    routes: RoutingTable,
+    urgencyOf: (serviceName: string) => Urgency,
+    entryCount: number,
+  ): void {
+    this.#entryCount = Math.max(1, entryCount);
+    const known = new Map([...this.#departed, ...this.#workers]);
+    this.#workers.clear();
+    this.#departed.clear();
+    routes.forEach((servers) => servers.forEach((server) => this.#keepWorker(server, known)));
+    known.forEach((worker, workerId) => {
+      if (this.#workers.has(workerId)) return;
+      // The record is this class's own.
+      // eslint-disable-next-line no-param-reassign
+      worker.services = [];
+      if (worker.inFlightCount > 0) this.#departed.set(workerId, worker);
+    });
+    [...this.#services.keys()]
+      .filter((name) => !routes.has(name) && this.#services.get(name)?.queue.length === 0)
+      .forEach((name) => this.#services.delete(name));
+    this.#services.forEach((service) => {
+      if (!routes.has(service.name)) this.#setServers(service, []);
+    });
+    routes.forEach((servers, name) => {
+      const service = this.#services.get(name) ?? this.#newService(name, urgencyOf(name), servers);
+      service.urgency = urgencyOf(name);
+      this.#setServers(service, servers);
+    });
+    this.#relate();
+  }
+
+  /** Finds for each service those on the same workers, by urgency. */
+  #relate(): void {
+    this.#services.forEach((service) => {
+      const rank = URGENCY_ORDER[service.urgency];
+      const related = new Set(service.servers.flatMap(({ worker }) => worker.services));
+      related.add(service);
+      /* eslint-disable no-param-reassign -- the record is this class's own */
+      service.yielding = [...related].filter(({ urgency }) => URGENCY_ORDER[urgency] >= rank);
+      service.overtaking = [...related].filter(({ urgency }) => URGENCY_ORDER[urgency] <= rank);
+      /* eslint-enable no-param-reassign */
+    });
+    this.#services.forEach((service) => service.refreshRoom());
+  }
+
+  #keepWorker(server: BackendServer, known: ReadonlyMap<string, WorkerRecord<Waiting>>): void {
+    if (this.#workers.has(server.workerId)) return;
+    const worker = known.get(server.workerId) ?? new WorkerRecord<Waiting>(server.workerId);
+    worker.inFlightLimit = this.#pooledShare(server);
+    worker.services = [];
+    this.#workers.set(server.workerId, worker);
+  }
+
+  #newService(
+    name: string,
+    urgency: Urgency,
+    servers: readonly BackendServer[],
+  ): ServiceRecord<Waiting> {
+    const { queueCapacity, retryBudgetRatio, hedgeBudgetRatio } = this.#settings;
+    const service = new ServiceRecord<Waiting>(
+      name,
+      urgency,
+      new ConcurrencyLimit(this.#slotShare(servers), this.#highestLimit(servers)),
+      new FairQueue<Waiting>(queueCapacity),
+      new RetryBudget(retryBudgetRatio),
+      new HedgeBudget(hedgeBudgetRatio),
+    );
+    this.#services.set(name, service);
+    return service;
+  }
+
+  #setServers(service: ServiceRecord<Waiting>, servers: readonly BackendServer[]): void {
+    const known = new Map(service.servers.map((record) => [record.worker.workerId, record]));
+    const records = servers.flatMap((server) => {
+      const worker = this.#workers.get(server.workerId);
+      if (worker === undefined) return [];
+      const kept = known.get(server.workerId);
+      const record = kept?.worker === worker ? kept : new ServerRecord<Waiting>(server, worker);
+      record.server = server;
+      worker.services.push(service);
+      return [record];
+    });
+    // The record is this class's own.
+    /* eslint-disable no-param-reassign */
+    service.servers = records;
+    service.occupiedCount = records.reduce((sum, { worker }) => sum + worker.inFlightCount, 0);
+    service.slotCount = servers.reduce((sum, { slotCount }) => sum + slotCount, 0);
+    /* eslint-enable no-param-reassign */
+    service.limit.rescale(this.#slotShare(servers), this.#highestLimit(servers));
+  }
+
+  #slotShare(servers: readonly BackendServer[]): number {
+    const slotCount = servers.reduce((sum, server) => sum + server.slotCount, 0);
+    return slotCount / this.#entryCount;
+  }
+
+  #highestLimit(servers: readonly BackendServer[]): number {
+    return servers.reduce((sum, server) => sum + this.#pooledShare(server), 0);
+  }
+
+  #pooledShare(server: BackendServer): number {
+    // With more entries than the setting says, fixed shares would add up to more connections
+    // than the server has and it would refuse some. Taking less is safe whoever sees the list how.
+    const entryCount = Math.max(this.#settings.maximumEntryCount, this.#entryCount);
+    return pooledShare(connectionShare(server, entryCount));
+  }
+}
--- /dev/null
+++ b/src/entry/node/journey.ts
@@ -0,0 +1,42 @@
+/** What the dispatch of requests keeps of each request under way. */
+import type { Either } from 'fp-ts/lib/Either.js';
+
+import type { Failure } from '../../platform/errors/common/errorKinds.js';
+import type { TraceSpan } from '../../platform/tracing/common/tracing.js';
+import type { ExtraReason } from '../common/admissionDecision.js';
+import type { CallerRequest, RequestTerms } from '../common/callerRequest.js';
+import type { WaitingRequest } from '../common/fairQueue.js';
+import type { RequestProgress } from '../common/requestProgress.js';
+import type { ServerRecord } from '../common/serverRecords.js';
+import type { AttemptRun, BackendAnswer } from './attemptRun.js';
+
+/** A request under way: what it is, by when it must be answered and its trace. */
+export interface Journey extends WaitingRequest {
+  readonly request: CallerRequest;
+  readonly terms: RequestTerms;
+  readonly progress: RequestProgress;
+  readonly span: TraceSpan | undefined;
+  /** Aborted when the caller hangs up. */
+  readonly hangUp: AbortSignal;
+  waitingSinceMs: number;
+  avoidedWorkerId: string | undefined;
+  queueSpan: TraceSpan | undefined;
+  readonly running: RunningAttempt[];
+  /** What has to be done once it has its place, before it is sent; an answer ends it. */
+  prepare: (() => Promise<Either<Failure, BackendAnswer | undefined>>) | undefined;
+  /** While that is under way; the server is undefined once the place was given back. */
+  preparing:
+    { readonly server: ServerRecord<Journey> | undefined; startedAtMs: number } | undefined;
+  isDone: boolean;
+  settle: (result: Either<Failure, BackendAnswer>) => void;
+}
+
+export interface RunningAttempt {
+  readonly server: ServerRecord<Journey>;
+  readonly run: AttemptRun;
+  readonly startedAtMs: number;
+  readonly extra: ExtraReason | undefined;
+  readonly span: TraceSpan | undefined;
+  isOvertaken: boolean;
+  isAbandoned: boolean;
+}
--- a/src/entry/node/requestDispatch.ts
+++ b/src/entry/node/requestDispatch.ts
@@ -2,12 +2,12 @@
 import { type Either, isLeft, left, right } from 'fp-ts/lib/Either.js';
 
 import type { Clock } from '../../base/common/clock.js';
-import { type Disposable, DisposableStore } from '../../base/common/lifecycle.js';
+import { type Disposable, DisposableStore, toDisposable } from '../../base/common/lifecycle.js';
 import { PeriodicTimer } from '../../base/node/periodicTimer.js';
 import { ErrorKind, failure, type Failure } from '../../platform/errors/common/errorKinds.js';
 import type { Metrics } from '../../platform/metrics/common/metrics.js';
 import type { Settings } from '../../platform/settings/common/settings.js';
-import { Hop, type TraceSpan } from '../../platform/tracing/common/tracing.js';
+import { Hop } from '../../platform/tracing/common/tracing.js';
 import type { Admission } from '../common/admission.js';
 import {
   AdmissionKind,
@@ -16,21 +16,21 @@
   ServerVerdict,
 } from '../common/admissionDecision.js';
 import { AttemptEnd } from '../common/attempt.js';
-import type { CallerRequest, RequestTerms } from '../common/callerRequest.js';
 import { LONGEST_PLACE_FOR_CLAIM_MS } from '../common/claims.js';
-import type { WaitingRequest } from '../common/fairQueue.js';
 import { HangUpStep } from '../common/hangUp.js';
 import { SERVICE_HEADER, TRACEPARENT_HEADER } from '../common/headers.js';
 import { endToEndHeaders } from '../common/passedHeaders.js';
-import type { RequestProgress } from '../common/requestProgress.js';
 import { secondAttemptReason } from '../common/secondAttempt.js';
 import type { ServerRecord, ServiceRecord } from '../common/serverRecords.js';
-import type { AttemptResult, AttemptRun, BackendAnswer } from './attemptRun.js';
+import type { AttemptResult, BackendAnswer } from './attemptRun.js';
 import type { BackendConnections } from './backendConnections.js';
+import type { Journey, RunningAttempt } from './journey.js';
 
 /**
  * How often deadlines, waiting times and silence are looked at. One timer for all requests: a
- * timer each would cost more than the decisions, and nothing here needs a finer grain.
+ * timer each would cost more than the decisions, and nothing here needs a finer grain. It runs
+ * while there is something to look at: with nothing under way it took half of an idle entry's
+ * processor time.
  */
 const SWEEP_INTERVAL_MS = 10;
 const GAUGE_INTERVAL_MS = 1_000;
@@ -38,37 +38,6 @@
 /** What is not yet known of an attempt at its start. */
 const FRESH = { isOvertaken: false, isAbandoned: false };
 
-/** A request under way: what it is, by when it must be answered and its trace. */
-export interface Journey extends WaitingRequest {
-  readonly request: CallerRequest;
-  readonly terms: RequestTerms;
-  readonly progress: RequestProgress;
-  readonly span: TraceSpan | undefined;
-  /** Aborted when the caller hangs up. */
-  readonly hangUp: AbortSignal;
-  waitingSinceMs: number;
-  avoidedWorkerId: string | undefined;
-  queueSpan: TraceSpan | undefined;
-  readonly running: RunningAttempt[];
-  /** What has to be done once it has its place, before it is sent; an answer ends it. */
-  prepare: (() => Promise<Either<Failure, BackendAnswer | undefined>>) | undefined;
-  /** While that is under way; the server is undefined once the place was given back. */
-  preparing:
-    { readonly server: ServerRecord<Journey> | undefined; startedAtMs: number } | undefined;
-  isDone: boolean;
-  settle: (result: Either<Failure, BackendAnswer>) => void;
-}
-
-interface RunningAttempt {
-  readonly server: ServerRecord<Journey>;
-  readonly run: AttemptRun;
-  readonly startedAtMs: number;
-  readonly extra: ExtraReason | undefined;
-  readonly span: TraceSpan | undefined;
-  isOvertaken: boolean;
-  isAbandoned: boolean;
-}
-
 export interface RequestDispatchServices {
   readonly admission: Admission<Journey>;
   readonly connections: BackendConnections;
@@ -85,10 +54,12 @@
 
   readonly #disposables = new DisposableStore();
 
+  #sweepTimer: NodeJS.Timeout | undefined;
+
   constructor(services: RequestDispatchServices, settings: Settings['entry']) {
     this.#services = services;
     this.#settings = settings;
-    this.#disposables.add(new PeriodicTimer(SWEEP_INTERVAL_MS, () => this.#sweep()));
+    this.#disposables.add(toDisposable(() => clearTimeout(this.#sweepTimer)));
     this.#disposables.add(new PeriodicTimer(GAUGE_INTERVAL_MS, () => this.#report()));
   }
 
@@ -115,6 +86,7 @@
       // eslint-disable-next-line no-param-reassign
       journey.settle = settle;
       this.#journeys.add(journey);
+      this.#armSweep();
       if (journey.hangUp.aborted) {
         this.#handleHangUp(journey);
         return;
@@ -296,6 +268,7 @@
     if (end.isServerLeaving) this.#services.metrics.count('servers_said_leaving');
     const { serviceName } = journey.request;
     const dispatched = this.#services.admission.finish(serviceName, server, end, nowMs);
+    this.#armSweep();
     this.#proceed(journey, attempt, result, nowMs);
     this.#sendAll(dispatched, nowMs);
   }
@@ -359,6 +332,20 @@
     });
   }
 
+  /** Has the next look come, if there is anything to look at; a look under way asks again. */
+  #armSweep(): void {
+    const isNeeded = this.#journeys.size > 0 || this.#services.admission.hasAbandonedPlaces;
+    if (!isNeeded || this.#sweepTimer !== undefined || this.#disposables.isDisposed) return;
+    this.#sweepTimer = setTimeout(() => {
+      this.#sweepTimer = undefined;
+      try {
+        this.#sweep();
+      } finally {
+        this.#armSweep();
+      }
+    }, SWEEP_INTERVAL_MS);
+  }
+
   #sweep(): void {
     const nowMs = this.#services.clock.nowMs();
     const { rejected, dispatched } = this.#services.admission.sweep(nowMs);
--- a/src/entry/node/requestHandler.ts
+++ b/src/entry/node/requestHandler.ts
@@ -27,7 +27,8 @@
 import type { BackendAnswer } from './attemptRun.js';
 import type { BackendConnections } from './backendConnections.js';
 import type { ClaimKeeper, ClaimResult, HeldClaim } from './claimKeeper.js';
-import { type Journey, RequestDispatch } from './requestDispatch.js';
+import type { Journey } from './journey.js';
+import { RequestDispatch } from './requestDispatch.js';
 import type { RoutingReader } from './routingReader.js';
 
 type Result = Either<Failure, BackendAnswer>;
--- a/src/entry/test/entryHarness.ts
+++ b/src/entry/test/entryHarness.ts
@@ -17,7 +17,7 @@
 import { BackendConnections } from '../node/backendConnections.js';
 import { CallerServer } from '../node/callerServer.js';
 import { ClaimKeeper } from '../node/claimKeeper.js';
-import type { Journey } from '../node/requestDispatch.js';
+import type { Journey } from '../node/journey.js';
 import { RequestHandler } from '../node/requestHandler.js';
 
 export const entrySettings = (changes: Partial<Settings['entry']> = {}): Settings['entry'] => {
