--- a/bench/requests/requestsBench.ts
+++ b/bench/requests/requestsBench.ts
@@ -11,6 +11,7 @@
 import type { Benchmark } from '../benchmark.js';
 import { readBounds } from '../bounds.js';
 import { RandomChoice, RoundRobin } from './baselineChoosers.js';
+import { heapBytesPerRequest } from './heapGrowth.js';
 import { idealPercentileMs, type Scenario } from './arrivals.js';
 import { LoadModel, type ModelPolicy, type ModelResult } from './loadModel.js';
 import {
@@ -233,7 +234,11 @@
     const bounds = await readBounds('requests');
     const isCompared = mode !== 'bounds';
     if (isCompared) await timeDecision();
+    const heap = new Map([
+      ['maximumHeapBytesPerRequest', heapBytesPerRequest(entryDefaults, SEED)],
+    ]);
+    const isHeapHeld = checkBounds('memory', heap, bounds);
     const verdicts = SIZES.map((size) => checkBounds(size.name, runSize(size, isCompared), bounds));
-    return verdicts.every(Boolean);
+    return isHeapHeld && verdicts.every(Boolean);
   },
 };
