Quiet renewals and throttles have tests of what they are for

Change: a test that renewals of batch tasks are repeated unchanged, and one of a worker that lets go of a throttle by itself; with the rule taken out by hand the second fails (share 1 for 0.5).

--- a/src/scheduler/test/interference/interference.test.ts
+++ b/src/scheduler/test/interference/interference.test.ts
@@ -84,6 +84,34 @@
     expectNoHarm(cell);
   });
 
+  // A worker gives a throttled task its whole share back by itself. Nothing else about it changes,
+  // so its owner would repeat the quiet renewal for as long, and callers wait beside the task.
+  it('throttles again what a worker has let go', () => {
+    const cell = startCell(26);
+    startService(cell, 4);
+    submitJob(cell, 'cache', 1, LONG_MS);
+    runMeasured(cell, 60_000, cacheHurts);
+    const before = allShares(cell, 'cache');
+    expect(before[0]).toBeLessThan(1);
+    const views = [...(cell.owner()?.state.workers.values() ?? [])];
+    const view = views.find(({ report }) => report?.tasks.some((task) => shareOf(task) < 1));
+    const throttled = view?.report?.tasks.find((task) => shareOf(task) < 1);
+    const worker = cell.workers.get(view?.instance.id ?? '');
+    const { taskId = '', attempt = 0 } = throttled ?? {};
+    const release = {
+      incarnation: worker?.incarnation ?? '',
+      cellEpoch: cell.owner()?.state.lease.epoch ?? 0,
+      throttles: [{ taskId, attempt, processorShare: 1 }],
+      ...{ renewals: [], starts: [], evictions: [], acknowledgements: [] },
+    };
+    worker?.command(release, view?.report?.workerNowMs ?? 0);
+    cell.runFor(1_100);
+    expect(allShares(cell, 'cache')).toEqual([1]);
+    cell.runFor(3_000);
+    expect(allShares(cell, 'cache')).toEqual(before);
+    expectNoHarm(cell);
+  });
+
   // The owner dies. What it had learnt is lost, what it had throttled is not: callers would feel
   // all throttles go at each take-over. The next owner finds them in the workers' reports, keeps
   // them until it knows the service, and releases them once the task no longer hurts.
--- a/src/scheduler/test/quietRenewals.test.ts
+++ b/src/scheduler/test/quietRenewals.test.ts
@@ -28,6 +28,17 @@
     expectNoHarm(cell);
   });
 
+  // With each message worked out anew a cell of 123 workers took four times the processor time.
+  it('are not worked out anew, beside batch tasks either', () => {
+    const cell = quietCell(4);
+    const quietOf = () =>
+      [...(cell.owner()?.state.workers.values() ?? [])].map(({ quiet }) => quiet);
+    const before = quietOf();
+    cell.runFor(5_000);
+    expect(before.some((quiet) => (quiet?.attempts.length ?? 0) > 0)).toBe(true);
+    quietOf().forEach((quiet, index) => expect(quiet).toBe(before[index]));
+  });
+
   // A worker is drained in a quiet cell: its tasks must be told to leave at once, not repeated.
   it('end as soon as there is something else to say', () => {
     const cell = quietCell(2);
