--- a/standIns/chaos/chaos.ts
+++ b/standIns/chaos/chaos.ts
@@ -2,16 +2,13 @@
  * `npm run chaos -- --seed N --minutes M`: the whole system as separate processes under load and
  * faults from a seeded list, judged from the stand-ins' own records only.
  */
-import { mkdtemp, rm } from 'node:fs/promises';
-import { tmpdir } from 'node:os';
-import { join } from 'node:path';
 import { setTimeout as delay } from 'node:timers/promises';
 import { parseArgs } from 'node:util';
 
 import { SeededRandom } from '../../src/base/common/random.js';
 import { type Instance, toOrigin } from '../../src/platform/instanceList/common/instanceList.js';
 import { Caller } from '../demo/caller.js';
-import { ChildProcesses } from '../demo/childProcesses.js';
+import { type ChildProcesses, runScript } from '../demo/childProcesses.js';
 import { type DaemonProcess, startDaemon } from '../demo/daemonProcess.js';
 import { call, startPlatform, startWorkers, TOKEN, ZONES } from '../demo/platformProcesses.js';
 import type { Verdict } from '../workers/judge.js';
@@ -44,7 +41,7 @@
 
   readonly departures = new Map<string, number>();
 
-  readonly children = new ChildProcesses();
+  readonly #children: ChildProcesses;
 
   readonly #folder: string;
 
@@ -58,15 +55,16 @@
 
   #daemonCount = 0;
 
-  constructor(folder: string) {
+  constructor(children: ChildProcesses, folder: string) {
+    this.#children = children;
     this.#folder = folder;
   }
 
   readonly callerOrigins = () => this.#daemons.map(({ callerOrigin }) => callerOrigin);
 
   async start(): Promise<void> {
-    this.#platformOrigin = await startPlatform(this.children, values.seed);
-    const { judgeOrigin, instances } = await startWorkers(this.children);
+    this.#platformOrigin = await startPlatform(this.#children, values.seed);
+    const { judgeOrigin, instances } = await startWorkers(this.#children);
     this.#judgeOrigin = judgeOrigin;
     this.#workers = instances;
     await Promise.all(ZONES.map((zone) => this.#startDaemon(zone)));
@@ -130,12 +128,9 @@
     daemon?.child.kill('SIGCONT');
   }
 
-  async verdict(): Promise<Verdict> {
-    return (await call(`${this.#judgeOrigin}/verdict`)).answer as Verdict;
-  }
-
-  async runCounts(): Promise<Readonly<Record<string, number>>> {
-    return (await call(`${this.#judgeOrigin}/runs`)).answer as Record<string, number>;
+  /** What the judge over the workers has recorded. */
+  async recorded<Records>(path: string): Promise<Records> {
+    return (await call(`${this.#judgeOrigin}/${path}`)).answer as Records;
   }
 
   /** Accepted jobs that are not yet over, each with what an operator is told of it. */
@@ -156,7 +151,7 @@
     this.#daemonCount += 1;
     const id = `entry-${this.#daemonCount}`;
     const origin = this.#platformOrigin;
-    const daemon = await startDaemon(this.children, this.#folder, id, zone, origin, TOKEN);
+    const daemon = await startDaemon(this.#children, this.#folder, id, zone, origin, TOKEN);
     this.#daemons.push(daemon);
     const instances = [...this.#workers, ...this.#daemons.map(({ instance }) => instance)];
     await call(`${origin}/control/instances`, { instances });
@@ -190,8 +185,8 @@
 
 /** What users would see that must never be, from the stand-ins' and callers' records. */
 const judge = async (system: ChaosSystem, caller: Caller): Promise<readonly string[]> => {
-  const verdict = await system.verdict();
-  const runs = await system.runCounts();
+  const verdict = await system.recorded<Verdict>('verdict');
+  const runs = await system.recorded<Readonly<Record<string, number>>>('runs');
   const checks: readonly [string, string][] = [
     ['tasks in two places', verdict.doubleRuns.join(' ')],
     ['tasks completed twice', verdict.doubleCompletions.join(' ')],
@@ -237,17 +232,10 @@
     faults: Object.fromEntries(system.faultCounts),
     requests: caller.report,
     acceptedJobs: system.acceptedJobIds.length,
-    completedTasks: (await system.verdict()).completedBatchCount,
+    completedTasks: (await system.recorded<Verdict>('verdict')).completedBatchCount,
     findings,
   });
   return findings.length === 0;
 };
 
-const folder = await mkdtemp(join(tmpdir(), 'snipethread-chaos-'));
-const system = new ChaosSystem(folder);
-try {
-  process.exitCode = (await run(system)) ? 0 : 1;
-} finally {
-  system.children.dispose();
-  await rm(folder, { recursive: true, force: true });
-}
+await runScript((children, folder) => run(new ChaosSystem(children, folder)));
--- a/standIns/demo/caller.ts
+++ b/standIns/demo/caller.ts
@@ -1,4 +1,6 @@
 /** A caller that sends requests through all entries and checks whose answers it gets. */
+import { setTimeout as delay } from 'node:timers/promises';
+
 import { build, type Histogram } from 'hdr-histogram-js';
 import { Agent, request } from 'undici';
 
@@ -52,9 +54,7 @@
         const dueAtMs = startedAtMs + (index / count) * durationMs;
         const waitMs = Math.max(0, dueAtMs - systemClock.nowMs());
         // eslint-disable-next-line no-await-in-loop -- a lane sends one request at a time
-        await new Promise((resolve) => {
-          setTimeout(resolve, waitMs);
-        });
+        await delay(waitMs);
         // eslint-disable-next-line no-await-in-loop
         await this.#send(index);
       }
--- a/standIns/demo/childProcesses.ts
+++ b/standIns/demo/childProcesses.ts
@@ -1,5 +1,8 @@
 /** Starts the demo's processes and runs the command-line tool. */
 import { type ChildProcess, execFile, spawn } from 'node:child_process';
+import { mkdtemp, rm } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
 import { createInterface } from 'node:readline';
 import { fileURLToPath } from 'node:url';
 
@@ -50,6 +53,20 @@
   }
 }
 
+/** Runs a script with processes and a folder of its own; the exit code is 1 when it tells false. */
+export const runScript = async (
+  run: (children: ChildProcesses, folder: string) => Promise<boolean>,
+): Promise<void> => {
+  const children = new ChildProcesses();
+  const folder = await mkdtemp(join(tmpdir(), 'snipethread-'));
+  try {
+    process.exitCode = (await run(children, folder)) ? 0 : 1;
+  } finally {
+    children.dispose();
+    await rm(folder, { recursive: true, force: true });
+  }
+};
+
 /** Runs `snipethread` as an operator would. */
 export const runTool = (
   args: readonly string[],
--- a/standIns/demo/daemonProcess.ts
+++ b/standIns/demo/daemonProcess.ts
@@ -9,6 +9,7 @@
 import type { ChildProcesses } from './childProcesses.js';
 
 const HOST = '127.0.0.1';
+const ANY_PORT = { host: HOST, port: 0 };
 
 export interface DaemonProcess {
   readonly child: ChildProcess;
@@ -24,11 +25,7 @@
 ): SettingsInput => ({
   instanceId,
   availabilityZone: zone,
-  listen: {
-    callers: { host: HOST, port: 0 },
-    operators: { host: HOST, port: 0 },
-    peers: { host: HOST, port: 0 },
-  },
+  listen: { callers: ANY_PORT, operators: ANY_PORT, peers: ANY_PORT },
   platform: {
     tableOrigin: platformOrigin,
     objectStoreOrigin: platformOrigin,
@@ -52,7 +49,7 @@
 ): Promise<DaemonProcess> => {
   const file = join(folder, `${instanceId}.json`);
   const settings = daemonSettings(instanceId, zone, platformOrigin, token);
-  await writeFile(file, JSON.stringify(settings, undefined, 2));
+  await writeFile(file, JSON.stringify(settings));
   const { child, ready } = await children.start(
     'src/daemon/node/snipethreadd.js',
     ['--settings', file],
--- a/standIns/demo/demo.ts
+++ b/standIns/demo/demo.ts
@@ -1,7 +1,4 @@
 /** The demo: the whole system as separate processes, driven as an operator would. */
-import { mkdtemp, rm } from 'node:fs/promises';
-import { tmpdir } from 'node:os';
-import { join } from 'node:path';
 import { setTimeout as delay } from 'node:timers/promises';
 
 import { request } from 'undici';
@@ -9,7 +6,7 @@
 import { systemClock } from '../../src/base/node/systemClock.js';
 import type { Verdict } from '../workers/judge.js';
 import { Caller } from './caller.js';
-import { ChildProcesses, runTool } from './childProcesses.js';
+import { type ChildProcesses, runScript, runTool } from './childProcesses.js';
 import { type DaemonProcess, startDaemon } from './daemonProcess.js';
 import {
   call,
@@ -67,18 +64,13 @@
   }
 }
 
-const waitForAnswers = async (origin: string, serviceName: string): Promise<void> => {
-  const tries = 100;
-  for (let index = 0; index < tries; index += 1) {
-    // eslint-disable-next-line no-await-in-loop -- waits for the service to come up
-    const response = await request(`${origin}/services/${serviceName}/ready`);
-    // eslint-disable-next-line no-await-in-loop
-    await response.body.dump();
-    if (response.statusCode === 200) return;
-    // eslint-disable-next-line no-await-in-loop
-    await delay(100);
-  }
-  throw new Error(`${serviceName} did not come up`);
+const waitForAnswers = async (origin: string, service: string, tries = 100): Promise<void> => {
+  const response = await request(`${origin}/services/${service}/ready`);
+  await response.body.dump();
+  if (response.statusCode === 200) return;
+  if (tries === 0) throw new Error(`${service} did not come up`);
+  await delay(100);
+  await waitForAnswers(origin, service, tries - 1);
 };
 
 const runDemo = async (children: ChildProcesses, folder: string): Promise<boolean> => {
@@ -129,22 +121,18 @@
 
   const [isJobDone] = await Promise.all([operator.watch('kitchen.weekly-plan'), calls]);
   const verdict = (await call(`${judgeOrigin}/verdict`)).answer as Verdict;
-  const isOk =
-    isJobDone &&
-    verdict.completedBatchCount === TASK_COUNT &&
-    verdict.doubleRuns.length === 0 &&
-    verdict.doubleCompletions.length === 0 &&
-    verdict.overcommittedWorkers.length === 0 &&
-    verdict.startsInWithdrawnZones === 0 &&
-    caller.report.wrongAnswers === 0;
+  const { doubleRuns, doubleCompletions, overcommittedWorkers } = verdict;
+  const harmed = [...doubleRuns, ...doubleCompletions, ...overcommittedWorkers];
+  const harmCount = harmed.length + verdict.startsInWithdrawnZones + caller.report.wrongAnswers;
+  const isOk = isJobDone && verdict.completedBatchCount === TASK_COUNT && harmCount === 0;
   const summary = {
     ok: isOk,
     requests: caller.report,
     latencyMs: { p50: caller.latencyMs(50), p99: caller.latencyMs(99) },
     tasks: { submitted: TASK_COUNT, doneOnce: verdict.completedBatchCount },
-    doubleRuns: verdict.doubleRuns.length,
-    doubleCompletions: verdict.doubleCompletions.length,
-    overcommittedWorkers: verdict.overcommittedWorkers.length,
+    doubleRuns: doubleRuns.length,
+    doubleCompletions: doubleCompletions.length,
+    overcommittedWorkers: overcommittedWorkers.length,
     startsInWithdrawnZone: verdict.startsInWithdrawnZones,
     evictions: verdict.evictionCount,
     durationMs: Math.round(systemClock.nowMs() - startedAtMs),
@@ -164,11 +152,4 @@
   return isOk;
 };
 
-const children = new ChildProcesses();
-const folder = await mkdtemp(join(tmpdir(), 'snipethread-demo-'));
-try {
-  process.exitCode = (await runDemo(children, folder)) ? 0 : 1;
-} finally {
-  children.dispose();
-  await rm(folder, { recursive: true, force: true });
-}
+await runScript(runDemo);
--- a/standIns/demo/platformProcesses.ts
+++ b/standIns/demo/platformProcesses.ts
@@ -8,7 +8,6 @@
 export const HOST = '127.0.0.1';
 /** After how long no task may start in a zone whose withdrawal was accepted. */
 export const WITHDRAWAL_BOUND_MS = 3_000;
-
 export const TOKEN = 'trial-operator';
 
 /** Calls with JSON as an operator, without a body to read. */
--- a/standIns/platform/platformServer.ts
+++ b/standIns/platform/platformServer.ts
@@ -36,6 +36,10 @@
 
   constructor(seed: number) {
     this.#random = new SeededRandom(seed);
+    this.#server.addHook('preHandler', async (request, reply) => {
+      const isRefused = !request.url.startsWith('/control/') && (await this.#isFaulty());
+      if (isRefused) await reply.code(HTTP_UNAVAILABLE).send({ message: 'out of order' });
+    });
     this.#addTableRoutes();
     this.#addObjectRoutes();
     this.#addInstanceRoutes();
@@ -56,12 +60,10 @@
   }
 
   #addTableRoutes(): void {
-    this.#server.post('/v1/table/read', async (request, reply) => {
-      if (await this.#isFaulty()) return PlatformServer.#refuse(reply);
-      return this.table.read(readRequestSchema.parse(request.body));
-    });
-    this.#server.post('/v1/table/transact', async (request, reply) => {
-      if (await this.#isFaulty()) return PlatformServer.#refuse(reply);
+    this.#server.post('/v1/table/read', (request) =>
+      this.table.read(readRequestSchema.parse(request.body)),
+    );
+    this.#server.post('/v1/table/transact', (request, reply) => {
       const result = this.table.transact(transactionSchema.parse(request.body));
       if (this.#random.nextFraction() >= this.#faults.lostAnswerRatio) return result;
       reply.raw.destroy();
@@ -70,20 +72,17 @@
   }
 
   #addObjectRoutes(): void {
-    this.#server.post('/v1/objects/put', async (request, reply) => {
-      if (await this.#isFaulty()) return PlatformServer.#refuse(reply);
+    this.#server.post('/v1/objects/put', async (request) => {
       this.#objects.add(objectSchema.parse(request.body).name);
       return true;
     });
-    this.#server.post('/v1/objects/exists', async (request, reply) => {
-      if (await this.#isFaulty()) return PlatformServer.#refuse(reply);
-      return reply.send(JSON.stringify(this.#objects.has(objectSchema.parse(request.body).name)));
-    });
+    this.#server.post('/v1/objects/exists', (request, reply) =>
+      reply.send(JSON.stringify(this.#objects.has(objectSchema.parse(request.body).name))),
+    );
   }
 
   #addInstanceRoutes(): void {
-    const handler = async (request: FastifyRequest, reply: FastifyReply) => {
-      if (await this.#isFaulty()) return PlatformServer.#refuse(reply);
+    const handler = (request: FastifyRequest, reply: FastifyReply) => {
       reply.header('etag', this.#instancesTag);
       const isKnown = request.headers['if-none-match'] === this.#instancesTag;
       return isKnown ? reply.code(304).send() : { instances: this.#instances };
@@ -100,8 +99,4 @@
     if (this.#faults.delayMs > 0) await delay(this.#faults.delayMs);
     return this.#faults.isDown;
   }
-
-  static #refuse(reply: FastifyReply): FastifyReply {
-    return reply.code(HTTP_UNAVAILABLE).send({ message: 'out of order' });
-  }
 }
--- a/standIns/relay/silentRelay.ts
+++ b/standIns/relay/silentRelay.ts
@@ -2,6 +2,7 @@
  * A TCP relay whose connections can be made silent: it goes on accepting and delivering over new
  * ones, and on the silent ones it neither delivers nor closes, in either or both directions.
  */
+import { once } from 'node:events';
 import { createConnection, createServer, type Server, type Socket } from 'node:net';
 
 export const Silence = { ToServer: 'to-server', ToClient: 'to-client', Both: 'both' } as const;
@@ -70,9 +71,8 @@
   }
 
   async listen(): Promise<number> {
-    await new Promise<void>((resolve) => {
-      this.#server.listen(0, '127.0.0.1', resolve);
-    });
+    this.#server.listen(0, '127.0.0.1');
+    await once(this.#server, 'listening');
     return (this.#server.address() as { port: number }).port;
   }
 
