The connect time limit of object store and instance list has a test

Cause: only the calls on a silent connection were tested; nothing failed when the limit on opening one was taken out. Ruled out: relying on the call's own timeout. undici ends a call that waits for its connection only when the opening ends, so without the limit a call takes ten seconds. Change: the opening of each connection is made to hang; the calls must fail and the next be answered within the test's own time. The other tests of src/entry and src/daemon are unchanged.

--- a/src/entry/test/silentConnections.test.ts
+++ b/src/entry/test/silentConnections.test.ts
@@ -1,5 +1,7 @@
+import net from 'node:net';
+
 import { isLeft, isRight } from 'fp-ts/lib/Either.js';
-import { afterEach, describe, expect, it } from 'vitest';
+import { afterEach, describe, expect, it, vi } from 'vitest';
 
 import { PlatformServer } from '../../../standIns/platform/platformServer.js';
 import { Silence, SilentRelay } from '../../../standIns/relay/silentRelay.js';
@@ -11,6 +13,7 @@
 
 const cleanups: (() => unknown)[] = [];
 afterEach(async () => {
+  vi.restoreAllMocks();
   await Promise.all(cleanups.splice(0).map((cleanup) => cleanup()));
 });
 
@@ -151,4 +154,28 @@
       await expect.poll(() => relay.openSilentCount).toBe(0);
     },
   );
+
+  // What is sent to open a connection vanishes. undici ends a call that waits for its connection
+  // only when the opening ends, whatever the call's own timeout: without a limit of ours that is
+  // after ten seconds, more than the test's own time. Then the way is open again.
+  const OPENING_TEST_MS = 8_000;
+  it.each(Object.keys(CLIENTS))(
+    'costs the calls while it opens: %s',
+    async (name) => {
+      const platform = new PlatformServer(1);
+      const client = CLIENTS[name]?.(`http://127.0.0.1:${await platform.listen()}`) as PlatformCall;
+      cleanups.push(
+        () => client.dispose(),
+        () => platform.close(),
+      );
+      const { connectionCount, isAnswered } = client;
+      const opening = vi.spyOn(net, 'connect').mockImplementation(() => new net.Socket());
+      const calls = Array.from({ length: connectionCount }, isAnswered);
+      expect(await Promise.all(calls)).not.toContain(true);
+      expect(opening).toHaveBeenCalledTimes(connectionCount);
+      opening.mockRestore();
+      await expect.poll(isAnswered).toBe(true);
+    },
+    OPENING_TEST_MS,
+  );
 });
