A caller's hang-up is told by a notice of its own, not by an AbortSignal

Cause: since hang-ups are noticed each request made an AbortController and put an event listener on its signal. Change: HangUpNotice, one flag and one listener; the socket's listener is set without the wrapper of once. What is decided on a hang-up is as before.

--- a/src/entry/node/callerServer.ts
+++ b/src/entry/node/callerServer.ts
@@ -15,6 +15,7 @@
 import { listeningPort } from '../../platform/http/node/listening.js';
 import type { Metrics } from '../../platform/metrics/common/metrics.js';
 import type { Settings } from '../../platform/settings/common/settings.js';
+import { HangUpNotice } from '../common/hangUpNotice.js';
 import { endToEndHeaders } from '../common/passedHeaders.js';
 import type { RequestHandler } from './requestHandler.js';
 
@@ -160,24 +161,24 @@
   }
 
   /**
-   * Runs a step whose signal is aborted when the caller's connection closes first. The connection
-   * is watched, not the reply: one that waits behind another on its connection never tells.
+   * Runs a step that is told when the caller's connection closes first. The connection is
+   * watched, not the reply: one that waits behind another on its connection never tells.
    */
   async #untilHangUp<Result>(
     socket: Socket,
-    step: (hangUp: AbortSignal) => Promise<Result>,
+    step: (hangUp: HangUpNotice) => Promise<Result>,
   ): Promise<Result> {
-    const controller = new AbortController();
-    const abort = (): void => {
+    const notice = new HangUpNotice();
+    const handleClose = (): void => {
       this.#metrics.count('callers_hung_up');
-      controller.abort();
+      notice.give();
     };
-    socket.once('close', abort);
-    if (socket.destroyed) abort();
+    socket.on('close', handleClose);
+    if (socket.destroyed) handleClose();
     try {
-      return await step(controller.signal);
+      return await step(notice);
     } finally {
-      socket.removeListener('close', abort);
+      socket.removeListener('close', handleClose);
     }
   }
 
--- a/src/entry/node/journey.ts
+++ b/src/entry/node/journey.ts
@@ -6,6 +6,7 @@
 import type { ExtraReason } from '../common/admissionDecision.js';
 import type { CallerRequest, RequestTerms } from '../common/callerRequest.js';
 import type { WaitingRequest } from '../common/fairQueue.js';
+import type { HangUpNotice } from '../common/hangUpNotice.js';
 import type { RequestProgress } from '../common/requestProgress.js';
 import type { ServerRecord } from '../common/serverRecords.js';
 import type { AttemptRun, BackendAnswer } from './attemptRun.js';
@@ -16,8 +17,7 @@
   readonly terms: RequestTerms;
   readonly progress: RequestProgress;
   readonly span: TraceSpan | undefined;
-  /** Aborted when the caller hangs up. */
-  readonly hangUp: AbortSignal;
+  readonly hangUp: HangUpNotice;
   waitingSinceMs: number;
   avoidedWorkerId: string | undefined;
   queueSpan: TraceSpan | undefined;
--- a/src/entry/node/requestDispatch.ts
+++ b/src/entry/node/requestDispatch.ts
@@ -87,11 +87,11 @@
       journey.settle = settle;
       this.#journeys.add(journey);
       this.#armSweep();
-      if (journey.hangUp.aborted) {
+      if (journey.hangUp.hasHungUp) {
         this.#handleHangUp(journey);
         return;
       }
-      journey.hangUp.addEventListener('abort', () => this.#handleHangUp(journey), { once: true });
+      journey.hangUp.listen(() => this.#handleHangUp(journey));
       const service = this.#service(journey);
       service?.budget.earn();
       service?.hedgeBudget.earn();
--- a/src/entry/node/requestHandler.ts
+++ b/src/entry/node/requestHandler.ts
@@ -21,6 +21,7 @@
 import type { RecordedAnswer } from '../../platform/workload/common/claimRow.js';
 import type { Admission } from '../common/admission.js';
 import { type CallerRequest, readTerms, type RequestTerms } from '../common/callerRequest.js';
+import type { HangUpNotice } from '../common/hangUpNotice.js';
 import { REPLAYED_HEADER, TRACEPARENT_HEADER } from '../common/headers.js';
 import { endToEndHeaders } from '../common/passedHeaders.js';
 import { RequestProgress } from '../common/requestProgress.js';
@@ -106,8 +107,8 @@
     await this.#services.claims.settle();
   }
 
-  /** `hangUp` is aborted when the caller hangs up before the answer. */
-  async handle(request: CallerRequest, hangUp: AbortSignal): Promise<Result> {
+  /** `hangUp` is given when the caller hangs up before the answer. */
+  async handle(request: CallerRequest, hangUp: HangUpNotice): Promise<Result> {
     const { clock, tracing, metrics } = this.#services;
     const startedAtMs = clock.nowMs();
     const terms = readTerms(request, this.#settings);
@@ -127,7 +128,7 @@
     terms: RequestTerms,
     nowMs: number,
     span: TraceSpan | undefined,
-    hangUp: AbortSignal,
+    hangUp: HangUpNotice,
   ): Promise<Result> {
     if (!this.#services.routing.routes.has(request.serviceName)) {
       const cause = failure(ErrorKind.UnknownService, `no service ${request.serviceName}`);
