Wrong use of the command line is told as such

Change: whole numbers are read as such and else refused with code 2; reading a file and reading flags have their own errors; `get policy` and `describe policy` show the policy; `describe` of a kind without id is wrong use.

Ruled out: an entry for the policy among the lists, since there is one policy and its answer is no list. The calls of runWatch in the tests now pass the text of the flag, which is what is under test; their expectations are as before.

--- a/src/cli/common/intentFlags.ts
+++ b/src/cli/common/intentFlags.ts
@@ -1,23 +1,31 @@
 /** Intents stated by flags instead of JSON; the daemon's schema checks what comes of them. */
 
+import { type Either, left, right } from 'fp-ts/lib/Either.js';
+
+import { ErrorKind, failure, type Failure } from '../../platform/errors/common/errorKinds.js';
+
+const FLAG_NAMES = [
+  'name',
+  'team',
+  'zone',
+  'region',
+  'worker',
+  'replicas',
+  'processors',
+  'memory-mib',
+  'accelerators',
+  'urgency',
+  'key',
+  'tasks',
+  'work-ms',
+  'jobs',
+  'policy',
+] as const;
+
 /** Flags of `snipethread plan INTENT`, as the command line gives them. */
-export interface IntentFlags {
-  readonly name?: string | undefined;
-  readonly team?: string | undefined;
-  readonly zone?: string | undefined;
-  readonly region?: string | undefined;
-  readonly worker?: string | undefined;
-  readonly replicas?: string | undefined;
-  readonly processors?: string | undefined;
-  readonly 'memory-mib'?: string | undefined;
-  readonly accelerators?: string | undefined;
-  readonly urgency?: string | undefined;
-  readonly key?: string | undefined;
-  readonly tasks?: string | undefined;
-  readonly 'work-ms'?: string | undefined;
-  readonly jobs?: string | undefined;
-  readonly policy?: string | undefined;
-}
+export type IntentFlags = Readonly<
+  Partial<Record<(typeof FLAG_NAMES)[number], string | undefined>>
+>;
 
 const MILLIS_PER_PROCESSOR = 1_000;
 const MEBIBYTE = 1_048_576;
@@ -56,8 +64,7 @@
   return Object.fromEntries(entries);
 };
 
-/** The intent that flags state; members that no flag gives are left out. */
-export const intentOfFlags = (kind: string, flags: IntentFlags): Record<string, unknown> => {
+const toIntent = (kind: string, flags: IntentFlags): Record<string, unknown> => {
   const size = toSize(flags);
   if (kind === 'create-service' || kind === 'change-service') {
     const { name, team, urgency } = flags;
@@ -80,3 +87,16 @@
     ...(kind === 'set-quota' ? { limit: size } : { size }),
   });
 };
+
+/**
+ * The intent that flags state; members that no flag gives are left out. The command line makes
+ * `false` of `--no-NAME`, whatever the flag is declared as.
+ */
+export const intentOfFlags = (
+  kind: string,
+  flags: IntentFlags,
+): Either<Failure, Record<string, unknown>> => {
+  const denied = FLAG_NAMES.find((name) => !['string', 'undefined'].includes(typeof flags[name]));
+  if (denied === undefined) return right(toIntent(kind, flags));
+  return left(failure(ErrorKind.BadRequest, `--${denied}: a value is missing`));
+};
--- a/src/cli/node/commands.ts
+++ b/src/cli/node/commands.ts
@@ -3,7 +3,7 @@
 import { text as readText } from 'node:stream/consumers';
 import { setTimeout as delay } from 'node:timers/promises';
 
-import { type Either, isLeft, right } from 'fp-ts/lib/Either.js';
+import { type Either, isLeft, left, right } from 'fp-ts/lib/Either.js';
 
 import { type Plan, planSchema } from '../../operator/common/plan.js';
 import { sizeText } from '../../operator/common/sizeChecks.js';
@@ -67,6 +67,11 @@
   else process.stderr.write(`${cause.message}\n`);
 };
 
+const refuseUse = (connection: Connection, cause: Failure): ExitCode => {
+  printFault(connection, cause);
+  return ExitCode.BadUse;
+};
+
 const clientOf = ({ address, token }: Connection): OperatorClient =>
   new OperatorClient(`http://${address}`, token);
 
@@ -78,22 +83,36 @@
   readonly revertVersion: string | undefined;
 }
 
-const readIntent = async ({ kind, flags, file, revertVersion }: IntentSource): Promise<unknown> => {
-  if (revertVersion !== undefined) return { intent: 'revert', version: Number(revertVersion) };
-  if (kind !== undefined) return intentOfFlags(kind, flags);
-  return JSON.parse(await (file === '-' ? readText(process.stdin) : readFile(file, 'utf8')));
+/** A text that is no whole number is wrong use; passed on as NaN it would be sent as null. */
+const readWholeNumber = (flag: string, text: string): Either<Failure, number> => {
+  const value = /^\d+$/u.test(text) ? Number(text) : NaN;
+  if (Number.isSafeInteger(value)) return right(value);
+  return left(failure(ErrorKind.BadRequest, `${flag}: ${text} is no whole number`));
 };
 
-export const runPlan = async (connection: Connection, source: IntentSource): Promise<ExitCode> => {
-  let intent: unknown;
+const readIntentFile = async (file: string): Promise<Either<Failure, unknown>> => {
   try {
-    intent = await readIntent(source);
+    const text = await (file === '-' ? readText(process.stdin) : readFile(file, 'utf8'));
+    return right(JSON.parse(text));
   } catch (error) {
-    const message = `${source.file}: ${(error as Error).message}`;
-    printFault(connection, failure(ErrorKind.BadRequest, message));
-    return ExitCode.BadUse;
+    const name = file === '-' ? 'standard input' : file;
+    return left(failure(ErrorKind.BadRequest, `${name}: ${(error as Error).message}`));
+  }
+};
+
+const readIntent = async (source: IntentSource): Promise<Either<Failure, unknown>> => {
+  const { kind, flags, file, revertVersion } = source;
+  if (revertVersion !== undefined) {
+    const version = readWholeNumber('--revert', revertVersion);
+    return isLeft(version) ? version : right({ intent: 'revert', version: version.right });
   }
-  const answer = await clientOf(connection).post('/v1/plans', { intent });
+  return kind === undefined ? readIntentFile(file) : intentOfFlags(kind, flags);
+};
+
+export const runPlan = async (connection: Connection, source: IntentSource): Promise<ExitCode> => {
+  const intent = await readIntent(source);
+  if (isLeft(intent)) return refuseUse(connection, intent.left);
+  const answer = await clientOf(connection).post('/v1/plans', { intent: intent.right });
   if (isLeft(answer)) return printRefusal(connection, answer.left);
   const plan = planSchema.parse(answer.right);
   print(connection.isJson ? JSON.stringify(plan) : planText(plan));
@@ -128,10 +147,20 @@
 
 export const OBJECT_KINDS: readonly string[] = Object.keys(COLUMNS);
 
+/** There is one policy, so it is shown without an id and has no list. */
+const POLICY = 'policy';
+
+/** What `get` shows. */
+export const SHOWN_KINDS: readonly string[] = [...OBJECT_KINDS, POLICY];
+
+/** Versions in the history have no route of their own. */
 const SINGULARS: Readonly<Record<string, string>> = Object.fromEntries(
-  OBJECT_KINDS.map((kind) => [kind.replace(/s$/u, ''), kind]),
+  OBJECT_KINDS.filter((kind) => kind !== 'history').map((kind) => [kind.replace(/s$/u, ''), kind]),
 );
 
+const refuseKind = (connection: Connection, kind: string, known: readonly string[]): ExitCode =>
+  refuseUse(connection, failure(ErrorKind.BadRequest, `${kind} is none of ${known.join(', ')}`));
+
 const withSizeTexts = (row: Readonly<Record<string, unknown>>): Record<string, unknown> =>
   Object.fromEntries(
     Object.entries(row).map(([name, value]) => {
@@ -140,13 +169,18 @@
     }),
   );
 
+/** Prints what a path answers. */
+const runShow = async (connection: Connection, path: string): Promise<ExitCode> => {
+  const answer = await clientOf(connection).get(path);
+  if (isLeft(answer)) return printRefusal(connection, answer.left);
+  print(JSON.stringify(answer.right, undefined, connection.isJson ? 0 : 2));
+  return ExitCode.Done;
+};
+
 export const runGet = async (connection: Connection, kind: string): Promise<ExitCode> => {
+  if (kind === POLICY) return runShow(connection, '/v1/policy');
   const columns = COLUMNS[kind];
-  if (columns === undefined) {
-    const message = `${kind} is none of ${OBJECT_KINDS.join(', ')}`;
-    printFault(connection, failure(ErrorKind.BadRequest, message));
-    return ExitCode.BadUse;
-  }
+  if (columns === undefined) return refuseKind(connection, kind, SHOWN_KINDS);
   const answer = await clientOf(connection).get(`/v1/${kind}`);
   if (isLeft(answer)) return printRefusal(connection, answer.left);
   const rows = (answer.right as readonly Record<string, unknown>[]).map(withSizeTexts);
@@ -154,14 +188,6 @@
   return ExitCode.Done;
 };
 
-/** Prints what a path answers. */
-const runShow = async (connection: Connection, path: string): Promise<ExitCode> => {
-  const answer = await clientOf(connection).get(path);
-  if (isLeft(answer)) return printRefusal(connection, answer.left);
-  print(JSON.stringify(answer.right, undefined, connection.isJson ? 0 : 2));
-  return ExitCode.Done;
-};
-
 export const runTrace = async (connection: Connection, traceId: string): Promise<ExitCode> => {
   const answer = await clientOf(connection).get(`/v1/traces/${encodeURIComponent(traceId)}`);
   if (isLeft(answer)) return printRefusal(connection, answer.left);
@@ -173,13 +199,15 @@
 export const runDescribe = async (
   connection: Connection,
   kind: string,
-  id: string,
+  id: string | undefined,
 ): Promise<ExitCode> => {
+  if (kind === POLICY && id === undefined) return runShow(connection, '/v1/policy');
   const plural = SINGULARS[kind] ?? kind;
-  if (COLUMNS[plural] === undefined) {
-    const message = `${kind} is none of ${Object.keys(SINGULARS).join(', ')}`;
-    printFault(connection, failure(ErrorKind.BadRequest, message));
-    return ExitCode.BadUse;
+  if (!Object.values(SINGULARS).includes(plural)) {
+    return refuseKind(connection, kind, [...Object.keys(SINGULARS), POLICY]);
+  }
+  if (id === undefined) {
+    return refuseUse(connection, failure(ErrorKind.BadRequest, `which ${kind}? its id is missing`));
   }
   const path = `/v1/${plural}/${encodeURIComponent(id)}`;
   if (plural !== 'plans' || connection.isJson) return runShow(connection, path);
@@ -235,11 +263,13 @@
 export const runWatch = async (
   connection: Connection,
   id: string,
-  timeoutMs: number,
+  timeoutText: string,
 ): Promise<ExitCode> => {
+  const timeoutMs = readWholeNumber('--timeout-ms', timeoutText);
+  if (isLeft(timeoutMs)) return refuseUse(connection, timeoutMs.left);
   const client = clientOf(connection);
   const look = id.includes('.') ? jobProgress : planProgress;
-  const attempts = Math.max(1, Math.ceil(timeoutMs / WATCH_INTERVAL_MS));
+  const attempts = Math.max(1, Math.ceil(timeoutMs.right / WATCH_INTERVAL_MS));
   let lastText = '';
   for (let attempt = 0; attempt < attempts; attempt += 1) {
     // A watch looks again and again by nature.
--- a/src/cli/node/snipethread.ts
+++ b/src/cli/node/snipethread.ts
@@ -5,7 +5,6 @@
 import { runProgram } from '../../platform/commandLine/node/runProgram.js';
 import {
   type Connection,
-  OBJECT_KINDS,
   runConfirm,
   runDescribe,
   runGet,
@@ -13,6 +12,7 @@
   runSettingsCheck,
   runTrace,
   runWatch,
+  SHOWN_KINDS,
 } from './commands.js';
 
 const VERSION = '0.1.0';
@@ -92,7 +92,7 @@
 });
 
 const get = defineCommand({
-  meta: { name: 'get', description: `List ${OBJECT_KINDS.join(', ')}` },
+  meta: { name: 'get', description: `List ${SHOWN_KINDS.join(', ')}` },
   args: { ...connectionArgs, kind: { type: 'positional', required: true } },
   async run({ args }) {
     process.exitCode = await runGet(toConnection(args), args.kind);
@@ -112,7 +112,7 @@
   args: {
     ...connectionArgs,
     kind: { type: 'positional', required: true, description: 'service, job, worker, plan …' },
-    id: { type: 'positional', required: true },
+    id: { type: 'positional', required: false, description: 'of the object; policy has none' },
   },
   async run({ args }) {
     process.exitCode = await runDescribe(toConnection(args), args.kind, args.id);
@@ -127,7 +127,7 @@
     'timeout-ms': { type: 'string', default: DEFAULT_WATCH_MS },
   },
   async run({ args }) {
-    process.exitCode = await runWatch(toConnection(args), args.id, Number(args['timeout-ms']));
+    process.exitCode = await runWatch(toConnection(args), args.id, args['timeout-ms']);
   },
 });
 
--- a/src/cli/test/jsonOutput.test.ts
+++ b/src/cli/test/jsonOutput.test.ts
@@ -145,7 +145,41 @@
   ],
   ['describe of no kind', () => runDescribe(connection, 'x', 'x'), 2, { error: 'bad-request' }],
   ['trace', () => runTrace(connection, '4bf92f3577b34da6a3ce929d0e0e4736'), 0, []],
-  ['watch of nothing', () => runWatch(connection, 'a.b', 1), 1, { error: 'unknown-object' }],
+  ['get policy', () => runGet(connection, 'policy'), 0, { isSubmissionOpen: true }],
+  [
+    'describe policy',
+    () => runDescribe(connection, 'policy', undefined),
+    0,
+    { isSubmissionOpen: true },
+  ],
+  // `history` can be listed, but no route shows one version: it used to be asked for and refused.
+  ['describe history', () => runDescribe(connection, 'history', '1'), 2, { error: 'bad-request' }],
+  ['describe without id', () => runDescribe(connection, 'zone', undefined), 2, {}],
+  // The daemon used to be sent `version: null`, and to be blamed for the refusal.
+  [
+    'plan --revert of no number',
+    () => runPlan(connection, { ...source('-'), revertVersion: 'abc' }),
+    2,
+    { message: '--revert: abc is no whole number' },
+  ],
+  // citty makes `false` of `--no-jobs`; the error in it used to be told of a file `-`.
+  [
+    'plan by a flag without value',
+    () => {
+      const flags = { jobs: false as never };
+      return runPlan(connection, { ...source('-'), kind: 'cancel-jobs', flags });
+    },
+    2,
+    { message: '--jobs: a value is missing' },
+  ],
+  // The time used to become NaN, so that nothing was looked at and the job was called unfinished.
+  [
+    'watch for no number',
+    () => runWatch(connection, 'bakers.k', 'abc'),
+    2,
+    { message: '--timeout-ms: abc is no whole number' },
+  ],
+  ['watch of nothing', () => runWatch(connection, 'a.b', '1'), 1, { error: 'unknown-object' }],
   [
     'settings check',
     () => runSettingsCheck(fileOf('broken.json'), true),
@@ -170,8 +204,8 @@
   // A watch prints a line for each change, and at the end why it has ended.
   it('watch prints a JSON value on each line', async () => {
     const { planId } = await quietPlan();
-    expect(await runWatch(connection, 'bakers.k', 1)).toBe(1);
-    expect(await runWatch(connection, planId, 1)).toBe(1);
+    expect(await runWatch(connection, 'bakers.k', '1')).toBe(1);
+    expect(await runWatch(connection, planId, '1')).toBe(1);
     const lines = written.stdout.trimEnd().split('\n');
     expect(written.stderr).toBe('');
     expect(lines.map((line) => JSON.parse(line) as object).slice(-2)).toMatchObject([
