A zone's loss is measured beside the product's own pace as well

Cause: the work around a zone's leave was shown only beside an ideal that moves work for nothing and loses no place.

Ruled out: taking the new figure in place of the old one.

Change: WorkMeter keeps what was done, the ideal's work and the product's own rate before the leave times the share of processors left, bounded by the work offered.

--- a/bench/colocation/colocation.ts
+++ b/bench/colocation/colocation.ts
@@ -82,7 +82,7 @@
     `p99 beside no batch ${figures.p99Ratio.toFixed(3)}`,
     `throughput beside ideal ${figures.throughputRatio.toFixed(3)}`,
     `evictions ${figures.evictionCount}, beside needed ${evictionRatio(figures).toFixed(2)}`,
-    `zone leaves and returns ${figures.zoneRatio.toFixed(3)}`,
+    `zone leaves and returns ${figures.zoneRatio.toFixed(3)}, beside own pace ${figures.zoneToOwnPace.toFixed(3)}`,
   ].join(' | ');
 
 const runOne = (size: ColocationSize, way: ColocationWay, seed: number): ColocationFigures => {
@@ -101,6 +101,7 @@
     evictionCount: sum(({ evictionCount }) => evictionCount),
     neededEvictionCount: sum(({ neededEvictionCount }) => neededEvictionCount),
     zoneRatio: sum(({ zoneRatio }) => zoneRatio) / all.length,
+    zoneToOwnPace: sum(({ zoneToOwnPace }) => zoneToOwnPace) / all.length,
   };
 };
 
@@ -117,6 +118,7 @@
   const lowest = [
     ['ThroughputRatio', figures.throughputRatio],
     ['ZoneRatio', figures.zoneRatio],
+    ['ZoneToOwnPace', figures.zoneToOwnPace],
   ] as const;
   const verdicts = [
     ...highest.map(([figure, value]) => ({ key: `maximum${figure}`, value, isHighest: true })),
--- a/bench/colocation/colocationRun.ts
+++ b/bench/colocation/colocationRun.ts
@@ -19,11 +19,12 @@
 import { VirtualTime } from '../requests/virtualTime.js';
 import { CellDriver, DEFAULT_CELL_TIMING } from '../scheduling/cellDriver.js';
 import { BatchArrivals } from './batchArrivals.js';
-import { IdealPool, type IdealRoom } from './idealPool.js';
+import { IdealPool, type IdealRoom, trueMillis } from './idealPool.js';
 import { LatencyMeter } from './latencyMeter.js';
 import { ModelWorker } from './modelWorker.js';
 import { Tail } from './tail.js';
 import { type ColocationSize, loadAt, type ServiceTruth } from './truth.js';
+import { WARM_UP_MS, WorkMeter, ZONE_LEAVES_MS, ZONE_RETURNS_MS } from './workMeter.js';
 
 const ZONES = ['zone-a', 'zone-b', 'zone-c'] as const;
 const STEP_MS = 500;
@@ -32,12 +33,7 @@
 const SAMPLE_DELAY_MS = 3_000;
 const MS_PER_SECOND = 1_000;
 
-const WARM_UP_MS = 60_000;
 const END_MS = 480_000;
-export const ZONE_LEAVES_MS = 300_000;
-export const ZONE_RETURNS_MS = 380_000;
-/** Until when the work of a zone that leaves and returns is counted. */
-const ZONE_COUNTED_UNTIL_MS = 440_000;
 
 export interface ColocationWay {
   readonly name: string;
@@ -56,11 +52,8 @@
   readonly neededEvictionCount: number;
   /** Batch work done while a zone leaves and returns beside the ideal pool's. */
   readonly zoneRatio: number;
-}
-
-interface Done {
-  total: number;
-  aroundZone: number;
+  /** The same beside the product's own pace before, for the processors that stay. */
+  readonly zoneToOwnPace: number;
 }
 
 export class ColocationRun {
@@ -84,9 +77,7 @@
 
   readonly #ideal: IdealPool;
 
-  readonly #idealDone: Done = { total: 0, aroundZone: 0 };
-
-  readonly #done: Done = { total: 0, aroundZone: 0 };
+  readonly #work = new WorkMeter();
 
   #version = 0;
 
@@ -141,10 +132,11 @@
       workers.reduce((total, worker) => total + of(worker), 0);
     return {
       p99Ratio: Math.max(...[...this.#tails.values()].map(({ p99Ratio }) => p99Ratio)),
-      throughputRatio: this.#done.total / this.#idealDone.total,
+      throughputRatio: this.#work.throughputRatio,
       evictionCount: sum(({ progress }) => progress.evictionCount),
       neededEvictionCount: sum(({ progress }) => progress.neededEvictionCount),
-      zoneRatio: this.#done.aroundZone / this.#idealDone.aroundZone,
+      zoneRatio: this.#work.zoneRatio,
+      zoneToOwnPace: this.#work.zoneToOwnPace,
     };
   }
 
@@ -163,8 +155,9 @@
       const freeMillis = this.#size.capacity.processorMillis - worker.serviceMillis(nowMs);
       rooms.push({ freeMillis, services: worker.services });
     });
-    this.#count(this.#done, doneMs);
-    this.#count(this.#idealDone, this.#ideal.advance(rooms, nowMs, STEP_MS));
+    const idealMs = this.#ideal.advance(rooms, nowMs, STEP_MS);
+    const shareLeft = rooms.length / this.#workers.size;
+    this.#work.count({ doneMs, idealMs, shareLeft }, nowMs, STEP_MS);
   }
 
   #markShortages(): void {
@@ -180,13 +173,6 @@
     });
   }
 
-  #count(done: Done, doneMs: number): void {
-    const { nowMs } = this.#time;
-    const counted = done;
-    if (nowMs >= WARM_UP_MS) counted.total += doneMs;
-    if (nowMs >= ZONE_LEAVES_MS && nowMs < ZONE_COUNTED_UNTIL_MS) counted.aroundZone += doneMs;
-  }
-
   #countRequests(worker: ModelWorker): void {
     const { nowMs } = this.#time;
     if (worker.isWithdrawn) return;
@@ -213,7 +199,12 @@
     const zones = ZONES.filter((zone) => zone !== this.#withdrawnZone);
     this.#arrivals.next(STEP_MS, zones).forEach(({ row, kind }) => {
       const zone = row.shardId.slice(row.jobId.length + 1);
-      row.tasks.forEach(() => this.#ideal.submit(kind));
+      row.tasks.forEach(() => {
+        this.#ideal.submit(kind);
+        this.#work.submit(
+          (trueMillis(kind) * kind.declaredWorkMs * kind.workRatio) / MS_PER_SECOND,
+        );
+      });
       this.#write([
         [workKey(zone, row.shardId), row],
         [cellInboxKey(zone), { operationId: row.jobId }],
