Chaos makes open connections silent for good

Cause: randomised runs with processes had no silent connections, which the users name among what fails. Change: relays stand between each daemon and the platform, between daemons and workers, before backend servers and between daemons. The fault `silence` chooses relays and a direction (to the server, to the client, both) by the seed and silences the connections that are open; new ones work. The list of faults is longer by one, so a seed's list of faults is another than before. A failed try: relays that were not closed kept the process from ending.

--- a/standIns/chaos/chaos.ts
+++ b/standIns/chaos/chaos.ts
@@ -6,12 +6,17 @@
 import { parseArgs } from 'node:util';
 
 import { SeededRandom } from '../../src/base/common/random.js';
-import { type Instance, toOrigin } from '../../src/platform/instanceList/common/instanceList.js';
+import {
+  type InstanceAddress,
+  toOrigin,
+  type WorkerInstance,
+} from '../../src/platform/instanceList/common/instanceList.js';
 import { Caller } from '../demo/caller.js';
 import { type ChildProcesses, runScript } from '../demo/childProcesses.js';
 import { type DaemonProcess, startDaemon } from '../demo/daemonProcess.js';
-import { call, startPlatform, startWorkers, TOKEN, ZONES } from '../demo/platformProcesses.js';
-import type { Verdict } from '../workers/judge.js';
+import { call, HOST, startPlatform, startWorkers, ZONES } from '../demo/platformProcesses.js';
+import { Relays } from '../relay/relays.js';
+import { findHarm, type Verdict } from '../workers/judge.js';
 import { judgeRequests } from './requestJudge.js';
 
 const SERVICE = 'rounds';
@@ -39,6 +44,8 @@
 
   readonly faultCounts = new Map<string, number>();
 
+  readonly relays = new Relays();
+
   readonly departures = new Map<string, number>();
 
   readonly #children: ChildProcesses;
@@ -49,7 +56,7 @@
 
   #judgeOrigin = '';
 
-  #workers: readonly Instance[] = [];
+  #workers: readonly WorkerInstance[] = [];
 
   #daemons: DaemonProcess[] = [];
 
@@ -66,7 +73,7 @@
     this.#platformOrigin = await startPlatform(this.#children, values.seed);
     const { judgeOrigin, instances } = await startWorkers(this.#children);
     this.#judgeOrigin = judgeOrigin;
-    this.#workers = instances;
+    this.#workers = await Promise.all(instances.map((worker) => this.#relayed(worker)));
     await Promise.all(ZONES.map((zone) => this.#startDaemon(zone)));
     await ZONES.reduce(async (before, zone) => {
       await before;
@@ -147,12 +154,26 @@
     return (await Promise.all(told)).filter((job) => job !== undefined);
   }
 
+  readonly #through = (address: InstanceAddress) => this.relays.through(address);
+
+  async #relayed(worker: WorkerInstance): Promise<WorkerInstance> {
+    const controlAddress = await this.#through(worker.controlAddress);
+    return {
+      ...worker,
+      controlAddress,
+      backendAddress: await this.#through(worker.backendAddress),
+    };
+  }
+
   async #startDaemon(zone: string): Promise<void> {
     this.#daemonCount += 1;
     const id = `entry-${this.#daemonCount}`;
     const origin = this.#platformOrigin;
-    const daemon = await startDaemon(this.#children, this.#folder, id, zone, origin, TOKEN);
-    this.#daemons.push(daemon);
+    const platform = { host: HOST, port: Number(new URL(origin).port) };
+    const relayOrigin = toOrigin(await this.#through(platform));
+    const daemon = await startDaemon(this.#children, this.#folder, id, zone, relayOrigin);
+    const peerAddress = await this.#through(daemon.instance.peerAddress);
+    this.#daemons.push({ ...daemon, instance: { ...daemon.instance, peerAddress } });
     const instances = [...this.#workers, ...this.#daemons.map(({ instance }) => instance)];
     await call(`${origin}/control/instances`, { instances });
   }
@@ -172,6 +193,7 @@
   kill: (system) => system.replace(random.nextIndex(3), false),
   shutDown: (system) => system.replace(random.nextIndex(3), true),
   pause: (system) => system.pause(random.nextIndex(3), 300 + random.nextIndex(5_000)),
+  silence: async ({ relays }) => say({ silencedConnections: relays.silenceSome(random) }),
   tableDown: platformFault({ isDown: true }),
   tableSlow: platformFault({ delayMs: 300 }),
   answersLost: platformFault({ lostAnswerRatio: 0.4 }),
@@ -188,10 +210,6 @@
   const verdict = await system.recorded<Verdict>('verdict');
   const runs = await system.recorded<Readonly<Record<string, number>>>('runs');
   const checks: readonly [string, string][] = [
-    ['tasks in two places', verdict.doubleRuns.join(' ')],
-    ['tasks completed twice', verdict.doubleCompletions.join(' ')],
-    ['overcommitted workers', verdict.overcommittedWorkers.join(' ')],
-    ['starts in a withdrawn zone', String(verdict.startsInWithdrawnZones || '')],
     ...judgeRequests(
       caller.told,
       (path) => runs[path] ?? 0,
@@ -199,7 +217,8 @@
     ),
     ['accepted jobs that did not end', (await system.openJobs()).join(' ')],
   ];
-  return checks.filter(([, what]) => what !== '').map(([name, what]) => `${name}: ${what}`);
+  const found = checks.filter(([, what]) => what !== '');
+  return [...findHarm(verdict), ...found.map(([name, what]) => `${name}: ${what}`)];
 };
 
 const run = async (system: ChaosSystem): Promise<boolean> => {
@@ -211,7 +230,8 @@
   const pending: Promise<unknown>[] = [];
   const names = Object.keys(FAULTS);
   for (let index = 0; performance.now() < endMs; index += 1) {
-    const name = names[random.nextIndex(names.length)] ?? 'pause';
+    // Each run begins with a silence, so that the shortest has one as well.
+    const name = (index > 0 && names[random.nextIndex(names.length)]) || 'silence';
     system.faultCounts.set(name, (system.faultCounts.get(name) ?? 0) + 1);
     say({ fault: name, index });
     // Faults overlap: the next one does not wait for this one's end.
@@ -226,6 +246,7 @@
   while (performance.now() < quietEndMs && (await system.openJobs()).length > 0) await delay(500);
   await calls;
   const findings = await judge(system, caller);
+  system.relays.close();
   say({
     ok: findings.length === 0,
     seed: Number(values.seed),
--- a/standIns/chaos/requestJudge.ts
+++ b/standIns/chaos/requestJudge.ts
@@ -7,13 +7,10 @@
   runCount: (path: string) => number,
   departedAtMs: (origin: string) => number | undefined,
 ): readonly [string, string][] => {
-  const find = (name: string, isFound: (told: ToldOutcome) => boolean): [string, string] => [
-    name,
-    told
-      .filter(isFound)
-      .map(({ path }) => path)
-      .join(' '),
-  ];
+  const find = (name: string, isFound: (told: ToldOutcome) => boolean): [string, string] => {
+    const found = told.filter(isFound);
+    return [name, found.map(({ path }) => path).join(' ')];
+  };
   return [
     find("another's answer or a part", ({ outcome }) => outcome === 'wrong'),
     find(
--- a/standIns/demo/childProcesses.ts
+++ b/standIns/demo/childProcesses.ts
@@ -5,6 +5,7 @@
 import { join } from 'node:path';
 import { createInterface } from 'node:readline';
 import { fileURLToPath } from 'node:url';
+import { promisify } from 'node:util';
 
 import type { Disposable } from '../../src/base/common/lifecycle.js';
 
@@ -14,12 +15,6 @@
 const scriptPath = (relative: string): string =>
   fileURLToPath(new URL(`../../${relative}`, import.meta.url));
 
-/** What a run of the tool came to. */
-export interface ToolResult {
-  readonly exitCode: number;
-  readonly output: string;
-}
-
 export class ChildProcesses implements Disposable {
   readonly #children: ChildProcess[] = [];
 
@@ -68,25 +63,17 @@
 };
 
 /** Runs `snipethread` as an operator would. */
-export const runTool = (
+export const runTool = async (
   args: readonly string[],
   environment: Readonly<Record<string, string>>,
   input = '',
-): Promise<ToolResult> =>
-  new Promise((resolve, reject) => {
-    const script = scriptPath('src/cli/node/snipethread.js');
-    const child = execFile(
-      process.execPath,
-      [script, ...args],
-      { env: { ...process.env, ...environment }, timeout: TOOL_TIMEOUT_MS },
-      (error, stdout, stderr) => {
-        if (error !== null && typeof error.code !== 'number') {
-          reject(new Error(`snipethread ${args.join(' ')}: ${error.message}`));
-          return;
-        }
-        const exitCode = error === null ? 0 : Number(error.code);
-        resolve({ exitCode, output: `${stdout}${stderr}` });
-      },
-    );
-    child.stdin?.end(input);
-  });
+): Promise<{ readonly exitCode: number; readonly output: string }> => {
+  const options = { env: { ...process.env, ...environment }, timeout: TOOL_TIMEOUT_MS };
+  const command = [scriptPath('src/cli/node/snipethread.js'), ...args];
+  const run = promisify(execFile)(process.execPath, command, options);
+  run.child.stdin?.end(input);
+  const ended = run.then((streams) => ({ ...streams, code: 0 }));
+  const { code, stdout, stderr } = await ended.catch((error: Awaited<typeof ended>) => error);
+  if (typeof code !== 'number') throw new Error(`snipethread ${args.join(' ')}: ${stderr}`);
+  return { exitCode: code, output: `${stdout}${stderr}` };
+};
--- a/standIns/demo/daemonProcess.ts
+++ b/standIns/demo/daemonProcess.ts
@@ -7,8 +7,9 @@
 import type { DaemonInstance } from '../../src/platform/instanceList/common/instanceList.js';
 import type { SettingsInput } from '../../src/platform/settings/common/settings.js';
 import type { ChildProcesses } from './childProcesses.js';
+import { HOST, TOKEN } from './platformProcesses.js';
 
-const HOST = '127.0.0.1';
+const TOKEN_DIGEST = createHash('sha256').update(TOKEN).digest('hex');
 const ANY_PORT = { host: HOST, port: 0 };
 
 export interface DaemonProcess {
@@ -17,25 +18,12 @@
   readonly callerOrigin: string;
 }
 
-const daemonSettings = (
-  instanceId: string,
-  zone: string,
-  platformOrigin: string,
-  token: string,
-): SettingsInput => ({
-  instanceId,
+const daemonSettings = (id: string, zone: string, origin: string): SettingsInput => ({
+  instanceId: id,
   availabilityZone: zone,
   listen: { callers: ANY_PORT, operators: ANY_PORT, peers: ANY_PORT },
-  platform: {
-    tableOrigin: platformOrigin,
-    objectStoreOrigin: platformOrigin,
-    instanceListOrigin: platformOrigin,
-  },
-  operator: {
-    tokens: [
-      { name: 'demo', role: 'confirm', sha256: createHash('sha256').update(token).digest('hex') },
-    ],
-  },
+  platform: { tableOrigin: origin, objectStoreOrigin: origin, instanceListOrigin: origin },
+  operator: { tokens: [{ name: 'demo', role: 'confirm', sha256: TOKEN_DIGEST }] },
   tracing: { sampleRatio: 1 },
 });
 
@@ -45,10 +33,9 @@
   instanceId: string,
   zone: string,
   platformOrigin: string,
-  token: string,
 ): Promise<DaemonProcess> => {
   const file = join(folder, `${instanceId}.json`);
-  const settings = daemonSettings(instanceId, zone, platformOrigin, token);
+  const settings = daemonSettings(instanceId, zone, platformOrigin);
   await writeFile(file, JSON.stringify(settings));
   const { child, ready } = await children.start(
     'src/daemon/node/snipethreadd.js',
--- a/standIns/demo/demo.ts
+++ b/standIns/demo/demo.ts
@@ -4,19 +4,11 @@
 import { request } from 'undici';
 
 import { systemClock } from '../../src/base/node/systemClock.js';
-import type { Verdict } from '../workers/judge.js';
+import { findHarm, type Verdict } from '../workers/judge.js';
 import { Caller } from './caller.js';
 import { type ChildProcesses, runScript, runTool } from './childProcesses.js';
 import { type DaemonProcess, startDaemon } from './daemonProcess.js';
-import {
-  call,
-  HOST,
-  startPlatform,
-  startWorkers,
-  TOKEN,
-  WITHDRAWAL_BOUND_MS,
-  ZONES,
-} from './platformProcesses.js';
+import { call, HOST, startPlatform, startWorkers, TOKEN, ZONES } from './platformProcesses.js';
 
 const GIBIBYTE = 1024 ** 3;
 const TASK_COUNT = 50;
@@ -45,13 +37,8 @@
     if (shown.exitCode !== EXIT_HAS_CHANGES) {
       throw new Error(`the plan for ${JSON.stringify(intent)} failed: ${shown.output}`);
     }
-    const plan = JSON.parse(shown.output) as {
-      planId: string;
-      digest: string;
-      summary: string;
-      steps: readonly unknown[];
-    };
-    say(`  plan: ${plan.summary} (${plan.steps.length} rows)`);
+    const plan = JSON.parse(shown.output) as Record<'planId' | 'digest' | 'summary', string>;
+    say(`  plan: ${plan.summary}`);
     const done = await runTool(['confirm', plan.planId, plan.digest], this.#environment);
     if (done.exitCode !== 0) throw new Error(`not confirmed: ${done.output}`);
     say(`  ${done.output.trim()}`);
@@ -79,7 +66,7 @@
   const origin = await startPlatform(children, '1');
   const { judgeOrigin, instances: workers } = await startWorkers(children);
   const daemons = await Promise.all(
-    ZONES.map((zone) => startDaemon(children, folder, `entry-${zone}`, zone, origin, TOKEN)),
+    ZONES.map((zone) => startDaemon(children, folder, `entry-${zone}`, zone, origin)),
   );
   const instances = [...workers, ...daemons.map(({ instance }) => instance)];
   await call(`${origin}/control/instances`, { instances });
@@ -121,33 +108,23 @@
 
   const [isJobDone] = await Promise.all([operator.watch('kitchen.weekly-plan'), calls]);
   const verdict = (await call(`${judgeOrigin}/verdict`)).answer as Verdict;
-  const { doubleRuns, doubleCompletions, overcommittedWorkers } = verdict;
-  const harmed = [...doubleRuns, ...doubleCompletions, ...overcommittedWorkers];
-  const harmCount = harmed.length + verdict.startsInWithdrawnZones + caller.report.wrongAnswers;
-  const isOk = isJobDone && verdict.completedBatchCount === TASK_COUNT && harmCount === 0;
+  const { report } = caller;
+  const findings = findHarm(verdict);
+  const isHarmed = findings.length + report.wrongAnswers > 0;
+  const isOk = isJobDone && verdict.completedBatchCount === TASK_COUNT && !isHarmed;
   const summary = {
     ok: isOk,
-    requests: caller.report,
+    requests: report,
     latencyMs: { p50: caller.latencyMs(50), p99: caller.latencyMs(99) },
     tasks: { submitted: TASK_COUNT, doneOnce: verdict.completedBatchCount },
-    doubleRuns: doubleRuns.length,
-    doubleCompletions: doubleCompletions.length,
-    overcommittedWorkers: overcommittedWorkers.length,
-    startsInWithdrawnZone: verdict.startsInWithdrawnZones,
+    findings,
     evictions: verdict.evictionCount,
     durationMs: Math.round(systemClock.nowMs() - startedAtMs),
   };
-  say('');
-  say(
-    `requests: ${summary.requests.whole} whole, ${summary.requests.refused} refused, ${summary.requests.unknown} unknown, ${summary.requests.wrongAnswers} with another's answer`,
-  );
-  say(`latency: p50 ${summary.latencyMs.p50} ms, p99 ${summary.latencyMs.p99} ms`);
-  say(
-    `tasks: ${summary.tasks.doneOnce} of ${TASK_COUNT} done, ${summary.doubleCompletions} more than once, ${summary.doubleRuns} in two places, ${summary.overcommittedWorkers} workers overcommitted`,
-  );
-  say(
-    `withdrawn zone: ${summary.startsInWithdrawnZone} starts after ${WITHDRAWAL_BOUND_MS} ms; evictions: ${summary.evictions}`,
-  );
+  const { p50, p99 } = summary.latencyMs;
+  say(`requests: ${report.whole} whole, p50 ${p50} ms, p99 ${p99} ms`);
+  say(`tasks: ${verdict.completedBatchCount} of ${TASK_COUNT} done`);
+  say(`seen that must never be: ${isHarmed ? findings.join('; ') || 'wrong answers' : 'nothing'}`);
   say(JSON.stringify(summary));
   return isOk;
 };
--- a/standIns/demo/platformProcesses.ts
+++ b/standIns/demo/platformProcesses.ts
@@ -1,13 +1,13 @@
 /** Starts the users' platform in small, and a dozen workers, as processes of their own. */
 import { request } from 'undici';
 
-import type { Instance } from '../../src/platform/instanceList/common/instanceList.js';
+import type { WorkerInstance } from '../../src/platform/instanceList/common/instanceList.js';
 import type { ChildProcesses } from './childProcesses.js';
 
 export const ZONES = ['zone-a', 'zone-b', 'zone-c'] as const;
 export const HOST = '127.0.0.1';
 /** After how long no task may start in a zone whose withdrawal was accepted. */
-export const WITHDRAWAL_BOUND_MS = 3_000;
+const WITHDRAWAL_BOUND_MS = 3_000;
 export const TOKEN = 'trial-operator';
 
 /** Calls with JSON as an operator, without a body to read. */
@@ -37,11 +37,11 @@
 
 export const startWorkers = async (
   children: ChildProcesses,
-): Promise<{ readonly judgeOrigin: string; readonly instances: readonly Instance[] }> => {
+): Promise<{ readonly judgeOrigin: string; readonly instances: readonly WorkerInstance[] }> => {
   const args = [JSON.stringify(WORKER_OPTIONS)];
   const { ready } = await children.start('standIns/workers/workersProcess.js', args, (line) => ({
     judgeOrigin: originOf(line),
-    instances: line.instances as readonly Instance[],
+    instances: line.instances as readonly WorkerInstance[],
   }));
   return ready;
 };
--- a/standIns/platform/platformProcess.ts
+++ b/standIns/platform/platformProcess.ts
@@ -1,8 +1,6 @@
 /** The platform's stand-in as a process; prints its port as one JSON line. */
 import { PlatformServer } from './platformServer.js';
 
-const DEFAULT_SEED = 1;
-
-const server = new PlatformServer(Number(process.argv[2] ?? DEFAULT_SEED));
+const server = new PlatformServer(Number(process.argv[2] ?? '1'));
 const port = await server.listen();
 process.stdout.write(`${JSON.stringify({ port })}\n`);
--- a/standIns/relay/silentRelay.ts
+++ b/standIns/relay/silentRelay.ts
@@ -76,9 +76,10 @@
     return (this.#server.address() as { port: number }).port;
   }
 
-  /** Makes all connections that exist now silent; later ones work. */
-  silenceAll(silence: Silence): void {
+  /** Makes all connections that exist now silent; later ones work. Tells how many exist. */
+  silenceAll(silence: Silence): number {
     this.#connections.forEach((connection) => Object.assign(connection, { silence }));
+    return this.#connections.size;
   }
 
   close(): void {
--- a/standIns/workers/judge.ts
+++ b/standIns/workers/judge.ts
@@ -18,6 +18,17 @@
   readonly startsInWithdrawnZones: number;
 }
 
+/** What must never be, each with where it was seen; empty when all is well. */
+export const findHarm = (verdict: Verdict): readonly string[] => {
+  const checks: readonly [string, string][] = [
+    ['tasks in two places', verdict.doubleRuns.join(' ')],
+    ['tasks completed twice', verdict.doubleCompletions.join(' ')],
+    ['overcommitted workers', verdict.overcommittedWorkers.join(' ')],
+    ['starts in a withdrawn zone', String(verdict.startsInWithdrawnZones || '')],
+  ];
+  return checks.filter(([, what]) => what !== '').map(([name, what]) => `${name}: ${what}`);
+};
+
 export class Judge {
   readonly #runningOn = new Map<string, string>();
 
@@ -37,13 +48,7 @@
 
   readonly #boundMs: number;
 
-  #startCount = 0;
-
-  #evictionCount = 0;
-
-  #lapsedCount = 0;
-
-  #startsInWithdrawnZones = 0;
+  readonly #counts = { startCount: 0, evictionCount: 0, lapsedCount: 0, startsInWithdrawnZones: 0 };
 
   /** A zone counts as withdrawn `boundMs` after it was marked so. */
   constructor(zoneOf: ReadonlyMap<string, string>, boundMs: number) {
@@ -65,20 +70,17 @@
   verdict(): Verdict {
     const completions = [...this.#completions];
     return {
-      startCount: this.#startCount,
+      ...this.#counts,
       lostCheckpoints: [...this.#lostCheckpoints],
       doubleRuns: [...this.#doubleRuns],
       doubleCompletions: completions.filter(([, count]) => count > 1).map(([taskId]) => taskId),
       completedBatchCount: completions.length,
       overcommittedWorkers: [...this.#overcommitted],
-      evictionCount: this.#evictionCount,
-      lapsedCount: this.#lapsedCount,
-      startsInWithdrawnZones: this.#startsInWithdrawnZones,
     };
   }
 
   #noteStart(event: WorkerEvent, nowMs: number): void {
-    this.#startCount += 1;
+    this.#counts.startCount += 1;
     if (this.#runningOn.has(event.taskId)) this.#doubleRuns.add(event.taskId);
     this.#runningOn.set(event.taskId, event.workerId);
     if (event.savedMs < (this.#savedMs.get(event.taskId) ?? 0)) {
@@ -87,7 +89,7 @@
     const zone = this.#zoneOf.get(event.workerId) ?? '';
     const withdrawnAtMs = this.#withdrawnAtMs.get(zone);
     if (withdrawnAtMs !== undefined && nowMs - withdrawnAtMs > this.#boundMs) {
-      this.#startsInWithdrawnZones += 1;
+      this.#counts.startsInWithdrawnZones += 1;
     }
   }
 
@@ -96,8 +98,8 @@
       this.#runningOn.delete(event.taskId);
     }
     this.#savedMs.set(event.taskId, event.savedMs);
-    if (event.state === WorkerTaskState.Evicted) this.#evictionCount += 1;
-    if (event.state === WorkerTaskState.Lapsed) this.#lapsedCount += 1;
+    if (event.state === WorkerTaskState.Evicted) this.#counts.evictionCount += 1;
+    if (event.state === WorkerTaskState.Lapsed) this.#counts.lapsedCount += 1;
     if (event.state === WorkerTaskState.Finished && event.taskClass === TaskClass.Batch) {
       this.#completions.set(event.taskId, (this.#completions.get(event.taskId) ?? 0) + 1);
     }
