One clock in virtual time for benches, tests of a cell and randomised runs

Cause: a queue of events in virtual time stood three times. Ruled out: the order of equal instants differs. All three ran them in the order of their scheduling, so seeds keep their meaning. Change: bench/virtualTime.ts carries all three. Randomised runs add to it only that continuations of promises run before the next event. Tests of soak (47) and of scheduler and bench (162) pass.

--- a/bench/colocation/colocationRun.ts
+++ b/bench/colocation/colocationRun.ts
@@ -16,7 +16,7 @@
 import type { InterferencePolicy } from '../../src/scheduler/common/interference/interferencePolicy.js';
 import type { PlacementPolicy } from '../../src/scheduler/common/placement.js';
 import { TableStandIn } from '../../standIns/platform/tableStandIn.js';
-import { VirtualTime } from '../requests/virtualTime.js';
+import { VirtualTime } from '../virtualTime.js';
 import { CellDriver, DEFAULT_CELL_TIMING } from '../scheduling/cellDriver.js';
 import { BatchArrivals } from './batchArrivals.js';
 import { IdealPool, type IdealRoom } from './idealPool.js';
--- a/bench/requests/arrivals.ts
+++ b/bench/requests/arrivals.ts
@@ -3,7 +3,7 @@
 import { SeededRandom } from '../../src/base/common/random.js';
 import type { Urgency } from '../../src/platform/configuration/common/documents.js';
 import { Outcome } from './outcome.js';
-import { VirtualTime } from './virtualTime.js';
+import { VirtualTime } from '../virtualTime.js';
 
 export const ONE_WAY_MS = 1;
 export const SLOT_COUNT = 8;
--- a/bench/requests/loadModel.ts
+++ b/bench/requests/loadModel.ts
@@ -17,7 +17,7 @@
 import type { ServerRecord } from '../../src/entry/common/serverRecords.js';
 import { arrive, ONE_WAY_MS, type Scenario, SLOT_COUNT, type Traffic } from './arrivals.js';
 import { Outcome } from './outcome.js';
-import { VirtualTime } from './virtualTime.js';
+import { VirtualTime } from '../virtualTime.js';
 
 const SWEEP_INTERVAL_MS = 10;
 const CONNECTION_COUNT = 64;
--- a/bench/requests/virtualTime.ts
+++ b/bench/virtualTime.ts
@@ -1,4 +1,7 @@
-/** Events in virtual time, in the order of their instants and then of their scheduling. */
+/**
+ * Events in virtual time, in the order of their instants and then of their scheduling. The one
+ * clock of benches, of the tests of a cell and of randomised runs.
+ */
 
 interface Scheduled {
   readonly atMs: number;
@@ -31,12 +34,18 @@
     this.#heap[index] = item;
   }
 
+  /** Runs the next event that is due by `endMs`; false when there is none. */
+  runNext(endMs: number): boolean {
+    const [next] = this.#heap;
+    if (next === undefined || next.atMs > endMs) return false;
+    this.#removeFirst();
+    this.nowMs = next.atMs;
+    next.run();
+    return true;
+  }
+
   runUntil(endMs: number): void {
-    for (let next = this.#heap[0]; next !== undefined && next.atMs <= endMs; [next] = this.#heap) {
-      this.#removeFirst();
-      this.nowMs = next.atMs;
-      next.run();
-    }
+    while (this.runNext(endMs));
     this.nowMs = endMs;
   }
 
--- a/soak/test/soakPlans.ts
+++ b/soak/test/soakPlans.ts
@@ -4,14 +4,14 @@
 import type { ConfigurationService } from '../../src/platform/configuration/common/configurationService.js';
 import { silentMetrics } from '../../src/platform/metrics/common/metrics.js';
 import type { TableService } from '../../src/platform/table/common/table.js';
-import type { VirtualTime } from './virtualTime.js';
+import type { SoakTime } from './soakTime.js';
 
 const PLAN_LIFETIME_MS = 600_000;
 const CONFIRM_TIMEOUT_MS = 10_000;
 
 export interface SoakPlanParts {
   readonly table: TableService;
-  readonly time: VirtualTime;
+  readonly time: SoakTime;
   readonly random: RandomSource;
   readonly counters: Map<string, number>;
   /** Of the daemon; ids of plans and operations begin with it. */
@@ -34,7 +34,7 @@
   };
   const delay = (delayMs: number): Promise<void> =>
     new Promise((resolve) => {
-      time.schedule(delayMs, () => {
+      time.after(delayMs, () => {
         resolve();
         time.noteSettled();
       });
--- a/soak/test/soakWorld.ts
+++ b/soak/test/soakWorld.ts
@@ -52,7 +52,7 @@
   ZONES,
 } from './soakParts.js';
 import { createPlans } from './soakPlans.js';
-import { VirtualTime } from './virtualTime.js';
+import { SoakTime } from './soakTime.js';
 
 const TICK_MS = 200;
 const CONFIGURATION_INTERVAL_MS = 700;
@@ -61,7 +61,7 @@
 const NEVER_MS = 2 ** 30;
 
 export class SoakWorld {
-  readonly time = new VirtualTime();
+  readonly time = new SoakTime();
 
   readonly table = new TableStandIn();
 
@@ -109,7 +109,7 @@
   }
 
   schedule(delayMs: number, run: () => void): void {
-    this.time.schedule(delayMs, run);
+    this.time.after(delayMs, run);
   }
 
   async runFor(durationMs: number): Promise<void> {
--- a/src/scheduler/test/virtualCell.ts
+++ b/src/scheduler/test/virtualCell.ts
@@ -15,6 +15,7 @@
 import { inboxWith } from '../../platform/workload/common/inbox.js';
 import { settingsSchema } from '../../platform/settings/common/settings.js';
 import type { LatencySample } from '../../platform/worker/common/latencySamples.js';
+import { VirtualTime } from '../../../bench/virtualTime.js';
 import { TableStandIn } from '../../../standIns/platform/tableStandIn.js';
 import { Judge } from '../../../standIns/workers/judge.js';
 import { WorkerStandIn } from '../../../standIns/workers/workerStandIn.js';
@@ -54,12 +55,6 @@
 const WORKER_CLOCK_STEP_MS = 1_000_003;
 const MAXIMUM_LATENESS_MS = 6_000;
 
-interface Scheduled {
-  readonly atMs: number;
-  readonly order: number;
-  readonly run: () => void;
-}
-
 /** One daemon's state for the cell, with the faults it can have. */
 export interface VirtualDaemon {
   readonly id: string;
@@ -129,7 +124,7 @@
 
   readonly timing: CellTiming;
 
-  nowMs = 0;
+  readonly #time = new VirtualTime();
 
   readonly #random: SeededRandom;
 
@@ -137,10 +132,6 @@
 
   readonly #zones: readonly string[];
 
-  #queue: Scheduled[] = [];
-
-  #order = 0;
-
   constructor(options: VirtualCellOptions) {
     this.#random = new SeededRandom(options.seed);
     this.#capacity = options.capacity;
@@ -152,11 +143,15 @@
     ids.forEach((id, index) => this.#addWorker(id, index));
   }
 
+  get nowMs(): number {
+    return this.#time.nowMs;
+  }
+
   /** Writes a configuration or work row as a confirmed plan would. */
   writeRow(key: string, value: unknown): void {
     const version = this.#configurationVersion() + 1;
     this.table.transact({
-      operationId: `test-${this.#order}`,
+      operationId: `test-${version}`,
       conditions: [],
       writes: [
         { key, value: value as never },
@@ -264,15 +259,7 @@
   }
 
   runFor(durationMs: number): void {
-    const endMs = this.nowMs + durationMs;
-    for (;;) {
-      const next = this.#takeNext(endMs);
-      if (next === undefined) break;
-      this.nowMs = next.atMs;
-      this.#advanceWorkers();
-      next.run();
-    }
-    this.nowMs = endMs;
+    this.#time.runUntil(this.nowMs + durationMs);
     this.#advanceWorkers();
   }
 
@@ -311,23 +298,11 @@
     );
   }
 
-  #takeNext(endMs: number): Scheduled | undefined {
-    let bestIndex = -1;
-    this.#queue.forEach((item, index) => {
-      if (item.atMs > endMs) return;
-      const best = this.#queue[bestIndex];
-      const isEarlier =
-        best === undefined ||
-        item.atMs < best.atMs ||
-        (item.atMs === best.atMs && item.order < best.order);
-      if (isEarlier) bestIndex = index;
-    });
-    return bestIndex < 0 ? undefined : this.#queue.splice(bestIndex, 1)[0];
-  }
-
   #schedule(delayMs: number, run: () => void): void {
-    this.#order += 1;
-    this.#queue.push({ atMs: this.nowMs + delayMs, order: this.#order, run });
+    this.#time.after(delayMs, () => {
+      this.#advanceWorkers();
+      run();
+    });
   }
 
   #every(intervalMs: number, daemon: VirtualDaemon, run: () => void): void {
