Admission's lessons and abandoned places have modules of their own

Cause: admission.ts held 345 lines and three jobs: to admit, to learn from ends of attempts and to keep the places of callers that hung up. Ruled out: moving the queue's dispatch as well; it shares every field with admitting. Change: ServerLessons and AbandonedPlaces, moved without a change of what they do. Tests of src/entry and src/daemon: 123 of 123 passed. Conclusion: behaviour unchanged by the tests; the admission's interface is as before.

--- a/src/entry/common/admission.ts
+++ b/src/entry/common/admission.ts
@@ -2,6 +2,7 @@
 import type { RandomSource } from '../../base/common/random.js';
 import { URGENCY_ORDER, type Urgency } from '../../platform/configuration/common/documents.js';
 import { ErrorKind, failure, type Failure } from '../../platform/errors/common/errorKinds.js';
+import { AbandonedPlaces } from './abandonedPlaces.js';
 import {
   type AdmissionDecision,
   AdmissionKind,
@@ -12,9 +13,10 @@
   ServerVerdict,
 } from './admissionDecision.js';
 import type { WaitingRequest } from './fairQueue.js';
-import { LatencyWindows } from './latencyWindows.js';
+import type { LatencyWindows } from './latencyWindows.js';
 import type { RoutingTable } from './routing.js';
 import type { ServerChooser } from './serverChoice.js';
+import { ServerLessons } from './serverLessons.js';
 import type { ServerRecord, ServiceRecord } from './serverRecords.js';
 import { type RosterSettings, ServiceRoster } from './serviceRoster.js';
 
@@ -31,11 +33,6 @@
 const ABANDONED_MEDIANS = 1.5;
 const ABANDONED_LEAST_MS = 40;
 
-interface AbandonedPlace<Waiting extends WaitingRequest> {
-  readonly server: ServerRecord<Waiting>;
-  readonly freeAtMs: number;
-}
-
 /**
  * Made for bursts and saturation on servers that several services and several entries share.
  *
@@ -57,21 +54,23 @@
 
   readonly #roster: ServiceRoster<Waiting>;
 
-  /** Places whose callers hung up while their servers may still work; bounded by the shares. */
-  #abandoned: AbandonedPlace<Waiting>[] = [];
+  readonly #abandoned = new AbandonedPlaces<Waiting>();
 
-  /** What the servers' answers took, for whoever places work beside them. */
-  readonly latencyWindows = new LatencyWindows();
+  readonly #lessons: ServerLessons<Waiting>;
 
   #servedCount = 0;
 
-  #setAsideCount = 0;
-
   constructor(settings: AdmissionSettings, chooser: ServerChooser, random: RandomSource) {
     this.#settings = settings;
     this.#chooser = chooser;
     this.#random = random;
     this.#roster = new ServiceRoster(settings);
+    this.#lessons = new ServerLessons(settings.maximumSetAsideRatio, random);
+  }
+
+  /** What the servers' answers took, for whoever places work beside them. */
+  get latencyWindows(): LatencyWindows {
+    return this.#lessons.latencyWindows;
   }
 
   service(name: string): ServiceRecord<Waiting> | undefined {
@@ -85,14 +84,12 @@
 
   /** Whether a sweep will have places to free. */
   get hasAbandonedPlaces(): boolean {
-    return this.#abandoned.length > 0;
+    return !this.#abandoned.isEmpty;
   }
 
   /** How often a server was set aside since the last call. */
   takeSetAsideCount(): number {
-    const count = this.#setAsideCount;
-    this.#setAsideCount = 0;
-    return count;
+    return this.#lessons.takeSetAsideCount();
   }
 
   /** Takes new routes over; see the roster. */
@@ -173,13 +170,13 @@
     nowMs: number,
   ): readonly Dispatched<Waiting>[] {
     const service = this.#roster.service(serviceName);
-    if (service !== undefined) this.#learn(service, server, end, nowMs);
+    if (service !== undefined) this.#lessons.note(service, server, end, nowMs);
     const { worker } = server;
     if (end.isServerLeaving) worker.leavingUntilMs = nowMs + this.#settings.leavingHoldMs;
     if (end.verdict !== ServerVerdict.Abandoned) return this.#free(server, nowMs);
     const heldMs = Math.max(ABANDONED_LEAST_MS, ABANDONED_MEDIANS * (service?.limit.medianMs ?? 0));
     if (end.latencyMs >= heldMs) return this.#free(server, nowMs);
-    this.#abandoned.push({ server, freeAtMs: nowMs + heldMs - end.latencyMs });
+    this.#abandoned.hold(server, nowMs + heldMs - end.latencyMs);
     return [];
   }
 
@@ -200,7 +197,7 @@
     readonly rejected: readonly Rejected<Waiting>[];
     readonly dispatched: readonly Dispatched<Waiting>[];
   } {
-    const freed = this.#freeAbandoned(nowMs);
+    const freed = this.#abandoned.takeDue(nowMs).flatMap((server) => this.#free(server, nowMs));
     const rejected: Rejected<Waiting>[] = [];
     const waitingServices: ServiceRecord<Waiting>[] = [];
     this.#roster.services.forEach((service) => {
@@ -216,13 +213,6 @@
     return { rejected, dispatched: [...freed, ...this.#dispatch(waitingServices, nowMs)] };
   }
 
-  #freeAbandoned(nowMs: number): readonly Dispatched<Waiting>[] {
-    if (this.#abandoned.length === 0) return [];
-    const due = this.#abandoned.filter(({ freeAtMs }) => freeAtMs <= nowMs);
-    this.#abandoned = this.#abandoned.filter(({ freeAtMs }) => freeAtMs > nowMs);
-    return due.flatMap(({ server }) => this.#free(server, nowMs));
-  }
-
   static #refused(cause: Failure): { readonly kind: 'refused'; readonly failure: Failure } {
     return { kind: AdmissionKind.Refused, failure: cause };
   }
@@ -304,42 +294,4 @@
       service.occupiedCount += 1;
     });
   }
-
-  #learn(
-    service: ServiceRecord<Waiting>,
-    server: ServerRecord<Waiting>,
-    end: PlaceEnd,
-    nowMs: number,
-  ): void {
-    if (end.verdict === ServerVerdict.Unused) return;
-    if (end.verdict === ServerVerdict.Overtaken || end.verdict === ServerVerdict.Abandoned) {
-      server.latency.noteAtLeast(end.latencyMs, nowMs);
-      return;
-    }
-    if (end.verdict === ServerVerdict.Success) {
-      server.latency.note(end.latencyMs, nowMs);
-      this.latencyWindows.note(server.worker.workerId, service.name, end.latencyMs, nowMs);
-      server.health.noteSuccess();
-      if (service.limit.note(end.latencyMs, service.occupiedCount)) {
-        service.overtaking.forEach((each) => each.refreshRoom());
-      }
-      return;
-    }
-    if (!server.health.noteFailure() || server.health.isSetAside(nowMs)) return;
-    if (!this.#maySetAside(service, nowMs)) return;
-    server.health.setAside(nowMs, this.#random);
-    this.#setAsideCount += 1;
-  }
-
-  /**
-   * Only a part of a service's servers is ever set aside. When more than that fail, the cause
-   * is hardly the servers, and the few that are left would only be overrun.
-   */
-  #maySetAside(service: ServiceRecord<Waiting>, nowMs: number): boolean {
-    const { servers } = service;
-    if (servers.length < 2) return false;
-    const allowed = Math.max(1, Math.floor(servers.length * this.#settings.maximumSetAsideRatio));
-    const asideCount = servers.filter(({ health }) => health.isSetAside(nowMs)).length;
-    return asideCount < allowed;
-  }
 }
--- /dev/null
+++ b/src/entry/common/serverLessons.ts
@@ -0,0 +1,72 @@
+/** What an entry learns of servers from how attempts at them ended. */
+import type { RandomSource } from '../../base/common/random.js';
+import { type PlaceEnd, ServerVerdict } from './admissionDecision.js';
+import type { WaitingRequest } from './fairQueue.js';
+import { LatencyWindows } from './latencyWindows.js';
+import type { ServerRecord, ServiceRecord } from './serverRecords.js';
+
+/**
+ * Apart from admission, which only asks whether a server may be chosen: here is what makes one
+ * less likely to be chosen, or sets it aside.
+ */
+export class ServerLessons<Waiting extends WaitingRequest> {
+  readonly #maximumSetAsideRatio: number;
+
+  readonly #random: RandomSource;
+
+  /** What the servers' answers took, for whoever places work beside them. */
+  readonly latencyWindows = new LatencyWindows();
+
+  #setAsideCount = 0;
+
+  constructor(maximumSetAsideRatio: number, random: RandomSource) {
+    this.#maximumSetAsideRatio = maximumSetAsideRatio;
+    this.#random = random;
+  }
+
+  /** How often a server was set aside since the last call. */
+  takeSetAsideCount(): number {
+    const count = this.#setAsideCount;
+    this.#setAsideCount = 0;
+    return count;
+  }
+
+  /** Takes the end of an attempt in, whatever becomes of its place. */
+  note(
+    service: ServiceRecord<Waiting>,
+    server: ServerRecord<Waiting>,
+    end: PlaceEnd,
+    nowMs: number,
+  ): void {
+    if (end.verdict === ServerVerdict.Unused) return;
+    if (end.verdict === ServerVerdict.Overtaken || end.verdict === ServerVerdict.Abandoned) {
+      server.latency.noteAtLeast(end.latencyMs, nowMs);
+      return;
+    }
+    if (end.verdict === ServerVerdict.Success) {
+      server.latency.note(end.latencyMs, nowMs);
+      this.latencyWindows.note(server.worker.workerId, service.name, end.latencyMs, nowMs);
+      server.health.noteSuccess();
+      if (service.limit.note(end.latencyMs, service.occupiedCount)) {
+        service.overtaking.forEach((each) => each.refreshRoom());
+      }
+      return;
+    }
+    if (!server.health.noteFailure() || server.health.isSetAside(nowMs)) return;
+    if (!this.#maySetAside(service, nowMs)) return;
+    server.health.setAside(nowMs, this.#random);
+    this.#setAsideCount += 1;
+  }
+
+  /**
+   * Only a part of a service's servers is ever set aside. When more than that fail, the cause
+   * is hardly the servers, and the few that are left would only be overrun.
+   */
+  #maySetAside(service: ServiceRecord<Waiting>, nowMs: number): boolean {
+    const { servers } = service;
+    if (servers.length < 2) return false;
+    const allowed = Math.max(1, Math.floor(servers.length * this.#maximumSetAsideRatio));
+    const asideCount = servers.filter(({ health }) => health.isSetAside(nowMs)).length;
+    return asideCount < allowed;
+  }
+}
