The dispatch's timer, second attempts, verdicts and outgoing request are modules of their own

Ruled out: moving what readies a request under its claim; it needs four ways back into the dispatch, which is more to read than it saves. Change: SweepTimer, SecondAttempts, attemptVerdict and toAttemptRequest, moved without a change of what they do. Tests of src/entry and src/daemon: 123 of 123 passed, the daemon's over the built program.

--- /dev/null
+++ b/src/entry/node/attemptRequest.ts
@@ -0,0 +1,20 @@
+/** The request of one attempt, as the backend server gets it. */
+import type { TraceSpan } from '../../platform/tracing/common/tracing.js';
+import type { CallerRequest } from '../common/callerRequest.js';
+import { SERVICE_HEADER, TRACEPARENT_HEADER } from '../common/headers.js';
+import { endToEndHeaders } from '../common/passedHeaders.js';
+import type { BackendServer } from '../common/routing.js';
+import type { AttemptRequest } from './backendConnections.js';
+
+export const toAttemptRequest = (
+  request: CallerRequest,
+  server: BackendServer,
+  span: TraceSpan | undefined,
+  isFreshWanted: boolean,
+): AttemptRequest => {
+  const headers = endToEndHeaders(request.headers);
+  headers[SERVICE_HEADER] = request.serviceName;
+  if (span !== undefined) headers[TRACEPARENT_HEADER] = span.traceparent;
+  const { method, path, body } = request;
+  return { server, method, path, headers, body, isFreshWanted };
+};
--- /dev/null
+++ b/src/entry/node/attemptVerdict.ts
@@ -0,0 +1,19 @@
+/** What the end of an attempt says of its server. */
+import { ServerVerdict } from '../common/admissionDecision.js';
+import { AttemptEnd } from '../common/attempt.js';
+import type { AttemptResult } from './attemptRun.js';
+import type { RunningAttempt } from './journey.js';
+
+const FIRST_SERVER_ERROR = 500;
+
+/** An attempt that was ended from here is no failure of its server. */
+export const attemptVerdict = (attempt: RunningAttempt, result: AttemptResult): ServerVerdict => {
+  if (attempt.isOvertaken) return ServerVerdict.Overtaken;
+  if (attempt.isAbandoned) {
+    const isUnused = result.end === AttemptEnd.NotRun;
+    return isUnused ? ServerVerdict.Unused : ServerVerdict.Abandoned;
+  }
+  const isServerError =
+    result.answer === undefined || result.answer.statusCode >= FIRST_SERVER_ERROR;
+  return isServerError ? ServerVerdict.Failure : ServerVerdict.Success;
+};
--- a/src/entry/node/requestDispatch.ts
+++ b/src/entry/node/requestDispatch.ts
@@ -2,7 +2,7 @@
 import { type Either, isLeft, left, right } from 'fp-ts/lib/Either.js';
 
 import type { Clock } from '../../base/common/clock.js';
-import { type Disposable, DisposableStore, toDisposable } from '../../base/common/lifecycle.js';
+import { type Disposable, DisposableStore } from '../../base/common/lifecycle.js';
 import { PeriodicTimer } from '../../base/node/periodicTimer.js';
 import { ErrorKind, failure, type Failure } from '../../platform/errors/common/errorKinds.js';
 import type { Metrics } from '../../platform/metrics/common/metrics.js';
@@ -15,26 +15,18 @@
   ExtraReason,
   ServerVerdict,
 } from '../common/admissionDecision.js';
-import { AttemptEnd } from '../common/attempt.js';
 import { LONGEST_PLACE_FOR_CLAIM_MS } from '../common/claims.js';
 import { HangUpStep } from '../common/hangUp.js';
-import { SERVICE_HEADER, TRACEPARENT_HEADER } from '../common/headers.js';
-import { endToEndHeaders } from '../common/passedHeaders.js';
-import { secondAttemptReason } from '../common/secondAttempt.js';
 import type { ServerRecord, ServiceRecord } from '../common/serverRecords.js';
+import { toAttemptRequest } from './attemptRequest.js';
 import type { AttemptResult, BackendAnswer } from './attemptRun.js';
+import { attemptVerdict } from './attemptVerdict.js';
 import type { BackendConnections } from './backendConnections.js';
 import type { Journey, RunningAttempt } from './journey.js';
+import { SecondAttempts } from './secondAttempts.js';
+import { SweepTimer } from './sweepTimer.js';
 
-/**
- * How often deadlines, waiting times and silence are looked at. One timer for all requests: a
- * timer each would cost more than the decisions, and nothing here needs a finer grain. It runs
- * while there is something to look at: with nothing under way it took half of an idle entry's
- * processor time.
- */
-const SWEEP_INTERVAL_MS = 10;
 const GAUGE_INTERVAL_MS = 1_000;
-const FIRST_SERVER_ERROR = 500;
 /** What is not yet known of an attempt at its start. */
 const FRESH = { isOvertaken: false, isAbandoned: false };
 
@@ -54,12 +46,21 @@
 
   readonly #disposables = new DisposableStore();
 
-  #sweepTimer: NodeJS.Timeout | undefined;
+  readonly #sweepTimer: SweepTimer;
+
+  readonly #secondAttempts: SecondAttempts;
 
   constructor(services: RequestDispatchServices, settings: Settings['entry']) {
     this.#services = services;
     this.#settings = settings;
-    this.#disposables.add(toDisposable(() => clearTimeout(this.#sweepTimer)));
+    const { admission, metrics } = services;
+    this.#secondAttempts = new SecondAttempts(admission, metrics, settings);
+    this.#sweepTimer = this.#disposables.add(
+      new SweepTimer(
+        () => this.#journeys.size > 0 || admission.hasAbandonedPlaces,
+        () => this.#sweep(),
+      ),
+    );
     this.#disposables.add(new PeriodicTimer(GAUGE_INTERVAL_MS, () => this.#report()));
   }
 
@@ -86,7 +87,7 @@
       // eslint-disable-next-line no-param-reassign
       journey.settle = settle;
       this.#journeys.add(journey);
-      this.#armSweep();
+      this.#sweepTimer.arm();
       if (journey.hangUp.hasHungUp) {
         this.#handleHangUp(journey);
         return;
@@ -227,17 +228,10 @@
       return;
     }
     const span = journey.span?.child(Hop.Attempt, { worker: server.worker.workerId });
-    const headers = endToEndHeaders(request.headers);
-    headers[SERVICE_HEADER] = request.serviceName;
-    if (span !== undefined) headers[TRACEPARENT_HEADER] = span.traceparent;
-    const run = this.#services.connections.attempt({
-      server: server.server,
-      method: request.method,
-      path: request.path,
-      headers,
-      body: request.body,
-      isFreshWanted: extra === ExtraReason.Silence,
-    });
+    const isFreshWanted = extra === ExtraReason.Silence;
+    const run = this.#services.connections.attempt(
+      toAttemptRequest(request, server.server, span, isFreshWanted),
+    );
     const attempt = { server, run, startedAtMs: nowMs, extra, span, ...FRESH };
     journey.running.push(attempt);
     void run.result.then((result) => this.#handleEnd(journey, attempt, result));
@@ -262,28 +256,17 @@
     journey.progress.noteEnd(result.end);
     const end = {
       latencyMs: nowMs - startedAtMs,
-      verdict: RequestDispatch.#verdict(attempt, result),
+      verdict: attemptVerdict(attempt, result),
       isServerLeaving: result.isServerLeaving,
     };
     if (end.isServerLeaving) this.#services.metrics.count('servers_said_leaving');
     const { serviceName } = journey.request;
     const dispatched = this.#services.admission.finish(serviceName, server, end, nowMs);
-    this.#armSweep();
+    this.#sweepTimer.arm();
     this.#proceed(journey, attempt, result, nowMs);
     this.#sendAll(dispatched, nowMs);
   }
 
-  static #verdict(attempt: RunningAttempt, result: AttemptResult): ServerVerdict {
-    if (attempt.isOvertaken) return ServerVerdict.Overtaken;
-    if (attempt.isAbandoned) {
-      const isUnused = result.end === AttemptEnd.NotRun;
-      return isUnused ? ServerVerdict.Unused : ServerVerdict.Abandoned;
-    }
-    const isServerError =
-      result.answer === undefined || result.answer.statusCode >= FIRST_SERVER_ERROR;
-    return isServerError ? ServerVerdict.Failure : ServerVerdict.Success;
-  }
-
   #proceed(journey: Journey, attempt: RunningAttempt, result: AttemptResult, nowMs: number): void {
     if (journey.isDone) return;
     if (result.answer !== undefined) {
@@ -332,20 +315,6 @@
     });
   }
 
-  /** Has the next look come, if there is anything to look at; a look under way asks again. */
-  #armSweep(): void {
-    const isNeeded = this.#journeys.size > 0 || this.#services.admission.hasAbandonedPlaces;
-    if (!isNeeded || this.#sweepTimer !== undefined || this.#disposables.isDisposed) return;
-    this.#sweepTimer = setTimeout(() => {
-      this.#sweepTimer = undefined;
-      try {
-        this.#sweep();
-      } finally {
-        this.#armSweep();
-      }
-    }, SWEEP_INTERVAL_MS);
-  }
-
   #sweep(): void {
     const nowMs = this.#services.clock.nowMs();
     const { rejected, dispatched } = this.#services.admission.sweep(nowMs);
@@ -356,8 +325,12 @@
         this.#sweepPreparing(journey, nowMs);
         return;
       }
-      if (nowMs < journey.deadlineAtMs) this.#considerSecond(journey, nowMs);
-      else this.#finish(journey, left(journey.progress.finalFailure(nowMs)));
+      if (nowMs >= journey.deadlineAtMs) {
+        this.#finish(journey, left(journey.progress.finalFailure(nowMs)));
+        return;
+      }
+      const extra = this.#secondAttempts.tryTake(journey, nowMs);
+      if (extra !== undefined) this.#send(journey, extra.server, extra.reason, nowMs);
     });
   }
 
@@ -377,30 +350,4 @@
     const setAsideCount = admission.takeSetAsideCount();
     if (setAsideCount > 0) metrics.count('servers_set_aside', {}, setAsideCount);
   }
-
-  #considerSecond(journey: Journey, nowMs: number): void {
-    const [first, second] = journey.running;
-    const service = this.#service(journey);
-    if (first === undefined || second !== undefined || service === undefined) return;
-    const reason = secondAttemptReason(
-      {
-        isIdempotent: journey.terms.isIdempotent,
-        attemptCount: journey.progress.attemptCount,
-        maximumAttemptCount: this.#settings.maximumAttemptCount,
-        ageMs: nowMs - first.startedAtMs,
-        hasProgress: first.run.hasProgress,
-        highLatencyMs: service.limit.highMs,
-      },
-      this.#settings,
-    );
-    if (reason === undefined) return;
-    const { admission, metrics } = this.#services;
-    const budget = reason === ExtraReason.Silence ? service.budget : service.hedgeBudget;
-    if (!budget.hasToken) return;
-    const server = admission.tryAdmitExtra(service.name, first.server, reason, nowMs);
-    if (server === undefined) return;
-    budget.trySpend();
-    metrics.count('second_attempts', { reason });
-    this.#send(journey, server, reason, nowMs);
-  }
 }
--- /dev/null
+++ b/src/entry/node/secondAttempts.ts
@@ -0,0 +1,53 @@
+/** Finds the places of attempts that repeat one under way: hedges, and those past a silence. */
+import type { Metrics } from '../../platform/metrics/common/metrics.js';
+import type { Settings } from '../../platform/settings/common/settings.js';
+import type { Admission } from '../common/admission.js';
+import { ExtraReason } from '../common/admissionDecision.js';
+import { secondAttemptReason } from '../common/secondAttempt.js';
+import type { ServerRecord } from '../common/serverRecords.js';
+import type { Journey } from './journey.js';
+
+export interface SecondAttempt {
+  readonly server: ServerRecord<Journey>;
+  readonly reason: ExtraReason;
+}
+
+export class SecondAttempts {
+  readonly #admission: Admission<Journey>;
+
+  readonly #metrics: Metrics;
+
+  readonly #settings: Settings['entry'];
+
+  constructor(admission: Admission<Journey>, metrics: Metrics, settings: Settings['entry']) {
+    this.#admission = admission;
+    this.#metrics = metrics;
+    this.#settings = settings;
+  }
+
+  /** Takes a place and a token of the budget, if a second attempt is due; the caller sends it. */
+  tryTake(journey: Journey, nowMs: number): SecondAttempt | undefined {
+    const [first, second] = journey.running;
+    const service = this.#admission.service(journey.request.serviceName);
+    if (first === undefined || second !== undefined || service === undefined) return undefined;
+    const reason = secondAttemptReason(
+      {
+        isIdempotent: journey.terms.isIdempotent,
+        attemptCount: journey.progress.attemptCount,
+        maximumAttemptCount: this.#settings.maximumAttemptCount,
+        ageMs: nowMs - first.startedAtMs,
+        hasProgress: first.run.hasProgress,
+        highLatencyMs: service.limit.highMs,
+      },
+      this.#settings,
+    );
+    if (reason === undefined) return undefined;
+    const budget = reason === ExtraReason.Silence ? service.budget : service.hedgeBudget;
+    if (!budget.hasToken) return undefined;
+    const server = this.#admission.tryAdmitExtra(service.name, first.server, reason, nowMs);
+    if (server === undefined) return undefined;
+    budget.trySpend();
+    this.#metrics.count('second_attempts', { reason });
+    return { server, reason };
+  }
+}
