The daemon's heap flags are set before its modules are read

Ruled out: the locales of zod (zod/v4/core alone is 9.7 MB of the 11 MB of zod, both measured as the first import); a larger old generation (20 MB are live after the collection at the start). Change: snipethreadd.ts sets the flags and then loads daemonProgram.ts, which is the former file. Nothing in the test is timed.

--- /dev/null
+++ b/src/daemon/node/daemonProgram.ts
@@ -0,0 +1,46 @@
+/** What the daemon's command line does: `snipethreadd --settings FILE`. */
+import { defineCommand } from 'citty';
+import { isLeft } from 'fp-ts/lib/Either.js';
+
+import { runProgram } from '../../platform/commandLine/node/runProgram.js';
+import { SettingsError, StartError } from '../../platform/errors/node/snipethreadError.js';
+import { readSettingsFile } from '../../platform/settings/node/settingsFile.js';
+import { Daemon } from './daemon.js';
+import { collectGarbage } from './memoryFlags.js';
+
+const VERSION = '0.1.0';
+
+const command = defineCommand({
+  meta: {
+    name: 'snipethreadd',
+    version: VERSION,
+    description:
+      'Serves requests, schedules work and answers operators. Exit codes: 0 after a graceful shutdown, 1 on a fault, 2 for bad settings.',
+  },
+  args: {
+    settings: { type: 'string', required: true, description: 'path of the JSON settings file' },
+  },
+  async run({ args }) {
+    const settings = await readSettingsFile(args.settings);
+    if (isLeft(settings)) {
+      const lines = settings.left.map(({ path, message }) => `${path}: ${message}`);
+      const error: Error = new SettingsError(lines.join('\n'));
+      throw error;
+    }
+    const daemon = new Daemon(settings.right);
+    const handleSignal = (): void => {
+      void daemon.drain().then(() => process.exit(0));
+    };
+    process.on('SIGTERM', handleSignal);
+    process.on('SIGINT', handleSignal);
+    await daemon.start().catch((cause: unknown) => {
+      const error: Error = new StartError('the daemon cannot listen:', { cause });
+      throw error;
+    });
+    collectGarbage();
+  },
+});
+
+export const runDaemonProgram = (args: string[]): void => {
+  void runProgram(command, args);
+};
--- a/src/daemon/node/memoryFlags.ts
+++ b/src/daemon/node/memoryFlags.ts
@@ -1,5 +1,5 @@
 /**
- * Holds the heap small; imported before everything else. A daemon may hold 128 MB, and Node.js
+ * Holds the heap small; run before everything else is loaded. A daemon may hold 128 MB, and Node.js
  * on its own lets one under load keep more than 200 MB resident: halves of the young generation
  * grow to 16 MB, and the old one grows for long before it is collected at all.
  *
--- a/src/daemon/node/snipethreadd.ts
+++ b/src/daemon/node/snipethreadd.ts
@@ -1,46 +1,12 @@
 #!/usr/bin/env node
-/** The daemon's command line: `snipethreadd --settings FILE`. */
-import { collectGarbage } from './memoryFlags.js';
+/** The daemon's program; all else is loaded only after the heap's flags are set. */
+import './memoryFlags.js';
 
-import { defineCommand } from 'citty';
-import { isLeft } from 'fp-ts/lib/Either.js';
+/**
+ * Modules that are imported statically are all read and compiled before the first of them runs.
+ * The young generation grew from 2 to 8 MB on that, before the flags that hold it small were
+ * set: an idle daemon then held more than its 100 MB.
+ */
+const { runDaemonProgram } = await import('./daemonProgram.js');
 
-import { runProgram } from '../../platform/commandLine/node/runProgram.js';
-import { SettingsError, StartError } from '../../platform/errors/node/snipethreadError.js';
-import { readSettingsFile } from '../../platform/settings/node/settingsFile.js';
-import { Daemon } from './daemon.js';
-
-const VERSION = '0.1.0';
-
-const command = defineCommand({
-  meta: {
-    name: 'snipethreadd',
-    version: VERSION,
-    description:
-      'Serves requests, schedules work and answers operators. Exit codes: 0 after a graceful shutdown, 1 on a fault, 2 for bad settings.',
-  },
-  args: {
-    settings: { type: 'string', required: true, description: 'path of the JSON settings file' },
-  },
-  async run({ args }) {
-    const settings = await readSettingsFile(args.settings);
-    if (isLeft(settings)) {
-      const lines = settings.left.map(({ path, message }) => `${path}: ${message}`);
-      const error: Error = new SettingsError(lines.join('\n'));
-      throw error;
-    }
-    const daemon = new Daemon(settings.right);
-    const handleSignal = (): void => {
-      void daemon.drain().then(() => process.exit(0));
-    };
-    process.on('SIGTERM', handleSignal);
-    process.on('SIGINT', handleSignal);
-    await daemon.start().catch((cause: unknown) => {
-      const error: Error = new StartError('the daemon cannot listen:', { cause });
-      throw error;
-    });
-    collectGarbage();
-  },
-});
-
-void runProgram(command, process.argv.slice(2));
+runDaemonProgram(process.argv.slice(2));
--- a/src/daemon/test/programs.test.ts
+++ b/src/daemon/test/programs.test.ts
@@ -41,14 +41,37 @@
   readonly stderr: string;
 }
 
-const run = (script: string, args: readonly string[]): Promise<Ended> =>
+const run = (
+  script: string,
+  args: readonly string[],
+  nodeArgs: readonly string[] = [],
+): Promise<Ended> =>
   new Promise((resolve) => {
     const options = { timeout: HANG_TIMEOUT_MS };
-    execFile(process.execPath, [`dist/${script}`, ...args], options, (error, stdout, stderr) => {
+    const all = [...nodeArgs, `dist/${script}`, ...args];
+    execFile(process.execPath, all, options, (error, stdout, stderr) => {
       resolve({ exitCode: error === null ? 0 : Number(error.code), stdout, stderr });
     });
   });
 
+/** Prints the size of the young generation as the process ends. */
+const PRINT_NEW_SPACE = `data:text/javascript,${encodeURIComponent(`
+import { getHeapSpaceStatistics } from 'node:v8';
+const sizeOf = (name) => getHeapSpaceStatistics().find((space) => space.space_name === name);
+process.on('exit', () => console.error('new space ' + sizeOf('new_space').space_size));
+`)}`;
+const LARGEST_NEW_SPACE_BYTES = 2 ** 21;
+
+describe('the heap of the daemon', () => {
+  // Were the flags that hold it small set after the modules are read, the young generation would
+  // stay at 8 MB: an idle daemon would hold more than 100 MB.
+  it('is held small before the modules are loaded', async () => {
+    const { stderr } = await run(DAEMON, ['--help'], ['--import', PRINT_NEW_SPACE]);
+    const size = /new space (\d+)/u.exec(stderr)?.[1];
+    expect(Number(size)).toBeLessThanOrEqual(LARGEST_NEW_SPACE_BYTES);
+  });
+});
+
 interface LogLine {
   readonly event: string;
   readonly operatorsPort: number;
