A ledger row keeps its assignments in columns

Cause: a round writes the whole row of each rack that it changes, some 160 assignments, and each assignment written out repeats its worker, shard, size and run time.

Ruled out: a ledger row for each worker and smaller shards write more rows for the same starts; neither was tried.

Change: each worker and each kind of task stands once in the row, and tasks are columns. The row's conditions, the epoch, the zone's row and the assertions on capacity work on the same assignments as before. Rows with assignments written out are still read. Columns that do not belong together are refused. A daemon of a former release cannot read columns.

--- a/src/platform/workload/common/workRows.ts
+++ b/src/platform/workload/common/workRows.ts
@@ -7,6 +7,7 @@
 import { nameSchema, urgencySchema } from '../../configuration/common/documents.js';
 import { resourcesSchema } from '../../worker/common/resources.js';
 import { taskAttemptSchema, taskClassSchema } from '../../worker/common/workerClient.js';
+import { ledgerColumnsSchema } from './ledgerColumns.js';
 
 /** The record of a job, inserted once under its submitter's idempotency key. */
 export const jobRowSchema = z.strictObject({
@@ -83,8 +84,11 @@
 });
 export type Assignment = z.infer<typeof assignmentSchema>;
 
-/** All assignments on the workers of one rack. */
-export const ledgerRowSchema = z.strictObject({ assignments: z.array(assignmentSchema) });
+/** All assignments on the workers of one rack; rows of former releases have them written out. */
+export const ledgerRowSchema = z.union([
+  ledgerColumnsSchema,
+  z.strictObject({ assignments: z.array(assignmentSchema) }),
+]);
 export type LedgerRow = z.infer<typeof ledgerRowSchema>;
 
 /** What a cell tells the others of the teams' quotas; `quotaParts.ts` says what follows from it. */
--- a/src/scheduler/common/cellDraft.ts
+++ b/src/scheduler/common/cellDraft.ts
@@ -4,6 +4,10 @@
   type RowCondition,
   type RowWrite,
 } from '../../platform/table/common/table.js';
+import {
+  type LedgerColumns,
+  toLedgerColumns,
+} from '../../platform/workload/common/ledgerColumns.js';
 import {
   type Assignment,
   type BatchTask,
@@ -28,6 +32,17 @@
   type CellRows,
 } from './cellRows.js';
 
+const columnsMemo = new WeakMap<LedgerRow, LedgerColumns>();
+
+/** Kept with the row, since a draft is asked for its writes before and after it is committed. */
+const columnsOf = (row: LedgerRow): LedgerColumns => {
+  const known = columnsMemo.get(row);
+  if (known !== undefined) return known;
+  const columns = toLedgerColumns(row.assignments);
+  columnsMemo.set(row, columns);
+  return columns;
+};
+
 /**
  * Gathers the changes of one round, so that one transaction carries them all. Reading goes
  * through the draft and sees what was changed before in the same round.
@@ -210,7 +225,7 @@
   writes(operationId: string): readonly RowWrite[] {
     const ledger = [...this.#ledger].map(([rack, value]) => ({
       key: ledgerKey(this.#cell, rack),
-      value,
+      value: columnsOf(value),
     }));
     const work = [...this.#work.values()].flatMap((row) => this.#workWrites(row));
     const inboxes = [...new Set(this.#movedTo.values())].map((toCell) => ({
