An invariant watches that a cell stays within its part of a quota

Cause: quotas were kept by the deciding code alone and only tests added them up; a fault there would have gone unseen in production.

Ruled out: a sum over all cells, which no owner knows without lag. Each cell is judged against its part, and the parts together never exceed the quota.

Change: `invariant_quota_exceeded` is judged on the outcome of a round. When a team that gains a task would hold more than the cell's part, it is counted and the round is worked out again without starts. A team that holds too much because its part has shrunk does not break it. It costs nothing while no quota is set.

Figures: the new test takes the safeguard away; the invariant is counted, the quota is held, and all tasks end afterwards.

--- a/src/platform/metrics/common/metricList.ts
+++ b/src/platform/metrics/common/metricList.ts
@@ -115,6 +115,7 @@
     'Refused confirmations that would write what the plan did not show.',
   ),
   invariant_overcommitted: counter('A write would have overcommitted a worker.'),
+  invariant_quota_exceeded: counter("A write would have exceeded a cell's part of a quota."),
   invariant_resumption: counter('A task was to resume twice or from an old checkpoint.'),
   invariant_second_answer: counter('A backend server answered one request twice.'),
   invariant_sent_to_leaving_server: counter('A request was sent to a server that is leaving.'),
--- a/src/scheduler/common/invariants.ts
+++ b/src/scheduler/common/invariants.ts
@@ -14,6 +14,7 @@
 import type { CellDraft } from './cellDraft.js';
 import { assignmentsOf, type CellRows } from './cellRows.js';
 import type { CellState } from './cellState.js';
+import { isQuotaExceeded } from './quotaRound.js';
 import { attemptKey } from './workerView.js';
 
 export const Invariant = {
@@ -22,6 +23,7 @@
   Resumption: 'invariant_resumption',
   WithdrawnZone: 'invariant_withdrawn_zone',
   UncommittedStart: 'invariant_uncommitted_start',
+  QuotaExceeded: 'invariant_quota_exceeded',
 } as const;
 export type Invariant = (typeof Invariant)[keyof typeof Invariant];
 
@@ -148,6 +150,7 @@
     ...(isAssignedTwice(rows, change) ? [Invariant.DoubleAssignment] : []),
     ...(isResumptionBroken ? [Invariant.Resumption] : []),
     ...(isWithdrawnUsed ? [Invariant.WithdrawnZone] : []),
+    ...(isQuotaExceeded(state, rows, draft, change.gained) ? [Invariant.QuotaExceeded] : []),
   ];
 };
 
--- a/src/scheduler/common/quotaRound.ts
+++ b/src/scheduler/common/quotaRound.ts
@@ -6,7 +6,11 @@
   type Resources,
   sumResources,
 } from '../../platform/worker/common/resources.js';
-import { BatchTaskState, type WorkRow } from '../../platform/workload/common/workRows.js';
+import {
+  type Assignment,
+  BatchTaskState,
+  type WorkRow,
+} from '../../platform/workload/common/workRows.js';
 import type { CellDraft } from './cellDraft.js';
 import type { CellRows } from './cellRows.js';
 import type { CellState } from './cellState.js';
@@ -53,6 +57,27 @@
   return new TeamUse(allShards(draft), cellCapacity(state), parts, unfit);
 };
 
+/**
+ * True when a team to which the round gives tasks then holds more than the cell may use of its
+ * quota. Judged on the outcome, for two cells that each start a little too much exceed the whole
+ * quota unseen. A team that holds too much because its part has shrunk breaks it only by a start.
+ */
+export const isQuotaExceeded = (
+  state: CellState,
+  rows: CellRows,
+  draft: CellDraft,
+  gained: readonly Assignment[],
+): boolean => {
+  const quotas = state.configuration?.view.quotas;
+  if (quotas === undefined || quotas.size === 0) return false;
+  const gainedTeams = new Set(gained.map(({ shardId }) => draft.work(shardId)?.team ?? ''));
+  const teams = [...gainedTeams].filter((team) => quotas.has(team));
+  if (teams.length === 0) return false;
+  const parts = quotaPartsOf(state, rows);
+  const use = teamUseOf(state, draft, parts);
+  return teams.some((team) => !fitsInto(use.used(team), parts.part(team)));
+};
+
 /** Publishes what the cell tells the others of quotas, if that has changed. */
 export const publishQuotaShare = (
   state: CellState,
--- a/src/scheduler/test/quotas.test.ts
+++ b/src/scheduler/test/quotas.test.ts
@@ -1,9 +1,10 @@
-import { describe, expect, it } from 'vitest';
+import { describe, expect, it, vi } from 'vitest';
 
 import { SeededRandom } from '../../base/common/random.js';
 import { quotaKey } from '../../platform/configuration/common/documents.js';
 import { addResources, fitsInto, type Resources } from '../../platform/worker/common/resources.js';
 import { cancellationKey, exchangeKey } from '../../platform/workload/common/workRows.js';
+import { TeamUse } from '../common/queueOrder.js';
 import {
   expectNoHarm,
   setZone,
@@ -49,6 +50,22 @@
 };
 
 describe('a quota that cells share', () => {
+  // Other teams' callers would find no room. The safeguard that holds a team's tasks back is taken
+  // away; each cell then assigns all of them. The invariant sees more than the cell's part assigned
+  // and has the round worked out without starts, so the quota holds and the tasks wait.
+  it('is kept by the invariant when the safeguard is broken', () => {
+    const cell = startCells(304, ZONES);
+    setQuota(cell);
+    cell.runFor(3_000);
+    const broken = vi.spyOn(TeamUse.prototype, 'isWithinQuota').mockReturnValue(true);
+    submit(cell, shardIn('zone-b', 'many', 30, 2_000), 'zone-b');
+    runWithin(cell, 3_000);
+    broken.mockRestore();
+    expectNoHarm(cell, ['invariant_quota_exceeded']);
+    runWithin(cell, 30_000);
+    expect(workRowsOf(cell, 'work/')).toEqual([]);
+  });
+
   // A task is larger than its zone's third of the quota, though not than the quota. It used to
   // wait for ever. The other cells have tasks of the team: it starts once these have ended.
   it.each([301, 302, 303])('lets a task start that is larger than a part, seed %i', (seed) => {
