--- a/bench/passThrough/system.ts
+++ b/bench/passThrough/system.ts
@@ -81,9 +81,7 @@
   const options = {
     zones: [ZONE],
     workersPerZone: WORKER_COUNT,
-    workersPerRack: 2,
     serviceTimeMs: 0,
-    withdrawalBoundMs: 3_000,
   };
   const { ready } = await children.start(
     'standIns/workers/workersProcess.js',
--- a/standIns/demo/demo.ts
+++ b/standIns/demo/demo.ts
@@ -21,15 +21,18 @@
   process.stdout.write(`${text}\n`);
 };
 
+const told = (counts: object): string =>
+  Object.entries(counts)
+    .map(([name, count]) => `${count} ${name}`)
+    .join(', ');
+
 /** An operator at the command line, who reads each plan before confirming it. */
 class DemoOperator {
   readonly #environment: Readonly<Record<string, string>>;
 
   constructor(operatorPort: number) {
-    this.#environment = {
-      SNIPETHREAD_ADDRESS: `${HOST}:${operatorPort}`,
-      SNIPETHREAD_TOKEN: TOKEN,
-    };
+    const address = `${HOST}:${operatorPort}`;
+    this.#environment = { SNIPETHREAD_ADDRESS: address, SNIPETHREAD_TOKEN: TOKEN };
   }
 
   async carryOut(intent: Readonly<Record<string, unknown>>): Promise<void> {
@@ -110,21 +113,25 @@
   const verdict = (await call(`${judgeOrigin}/verdict`)).answer as Verdict;
   const { report } = caller;
   const findings = findHarm(verdict);
-  const isHarmed = findings.length + report.wrongAnswers > 0;
-  const isOk = isJobDone && verdict.completedBatchCount === TASK_COUNT && !isHarmed;
+  if (report.wrongAnswers > 0) findings.push("another's answer");
+  const tasks = {
+    submitted: TASK_COUNT,
+    doneOnce: verdict.completedBatchCount,
+    startsInWithdrawnZone: verdict.startsInWithdrawnZones,
+    evictions: verdict.evictionCount,
+  };
+  const isOk = isJobDone && tasks.doneOnce === TASK_COUNT && findings.length === 0;
   const summary = {
     ok: isOk,
     requests: report,
     latencyMs: { p50: caller.latencyMs(50), p99: caller.latencyMs(99) },
-    tasks: { submitted: TASK_COUNT, doneOnce: verdict.completedBatchCount },
+    tasks,
     findings,
-    evictions: verdict.evictionCount,
     durationMs: Math.round(systemClock.nowMs() - startedAtMs),
   };
-  const { p50, p99 } = summary.latencyMs;
-  say(`requests: ${report.whole} whole, p50 ${p50} ms, p99 ${p99} ms`);
-  say(`tasks: ${verdict.completedBatchCount} of ${TASK_COUNT} done`);
-  say(`seen that must never be: ${isHarmed ? findings.join('; ') || 'wrong answers' : 'nothing'}`);
+  say(`\nrequests: ${told(report)}; latency in ms: ${told(summary.latencyMs)}`);
+  say(`tasks: ${told(tasks)}`);
+  say(`seen that must never be: ${findings.join('; ') || 'nothing'}`);
   say(JSON.stringify(summary));
   return isOk;
 };
--- a/standIns/demo/platformProcesses.ts
+++ b/standIns/demo/platformProcesses.ts
@@ -6,8 +6,6 @@
 
 export const ZONES = ['zone-a', 'zone-b', 'zone-c'] as const;
 export const HOST = '127.0.0.1';
-/** After how long no task may start in a zone whose withdrawal was accepted. */
-const WITHDRAWAL_BOUND_MS = 3_000;
 export const TOKEN = 'trial-operator';
 
 /** Calls with JSON as an operator, without a body to read. */
@@ -25,9 +23,7 @@
 const WORKER_OPTIONS = {
   zones: ZONES,
   workersPerZone: 4,
-  workersPerRack: 2,
   serviceTimeMs: 4,
-  withdrawalBoundMs: WITHDRAWAL_BOUND_MS,
 };
 
 const originOf = ({ port }: Record<string, unknown>): string => `http://${HOST}:${Number(port)}`;
--- a/standIns/workers/judge.ts
+++ b/standIns/workers/judge.ts
@@ -19,7 +19,7 @@
 }
 
 /** What must never be, each with where it was seen; empty when all is well. */
-export const findHarm = (verdict: Verdict): readonly string[] => {
+export const findHarm = (verdict: Verdict): string[] => {
   const checks: readonly [string, string][] = [
     ['tasks in two places', verdict.doubleRuns.join(' ')],
     ['tasks completed twice', verdict.doubleCompletions.join(' ')],
@@ -83,20 +83,16 @@
     this.#counts.startCount += 1;
     if (this.#runningOn.has(event.taskId)) this.#doubleRuns.add(event.taskId);
     this.#runningOn.set(event.taskId, event.workerId);
-    if (event.savedMs < (this.#savedMs.get(event.taskId) ?? 0)) {
-      this.#lostCheckpoints.add(event.taskId);
-    }
+    const savedMs = this.#savedMs.get(event.taskId) ?? 0;
+    if (event.savedMs < savedMs) this.#lostCheckpoints.add(event.taskId);
     const zone = this.#zoneOf.get(event.workerId) ?? '';
-    const withdrawnAtMs = this.#withdrawnAtMs.get(zone);
-    if (withdrawnAtMs !== undefined && nowMs - withdrawnAtMs > this.#boundMs) {
-      this.#counts.startsInWithdrawnZones += 1;
-    }
+    const lateMs = nowMs - (this.#withdrawnAtMs.get(zone) ?? nowMs);
+    if (lateMs > this.#boundMs) this.#counts.startsInWithdrawnZones += 1;
   }
 
   #noteEnd(event: WorkerEvent): void {
-    if (this.#runningOn.get(event.taskId) === event.workerId) {
-      this.#runningOn.delete(event.taskId);
-    }
+    const isWhereItRan = this.#runningOn.get(event.taskId) === event.workerId;
+    if (isWhereItRan) this.#runningOn.delete(event.taskId);
     this.#savedMs.set(event.taskId, event.savedMs);
     if (event.state === WorkerTaskState.Evicted) this.#counts.evictionCount += 1;
     if (event.state === WorkerTaskState.Lapsed) this.#counts.lapsedCount += 1;
--- a/standIns/workers/workersProcess.ts
+++ b/standIns/workers/workersProcess.ts
@@ -18,21 +18,22 @@
 const optionsSchema = z.strictObject({
   zones: z.array(z.string()),
   workersPerZone: z.number().int().positive(),
-  workersPerRack: z.number().int().positive(),
   serviceTimeMs: z.number().nonnegative(),
-  withdrawalBoundMs: z.number().positive(),
 });
 const markSchema = z.strictObject({ zone: z.string(), isWithdrawn: z.boolean() });
 
 const CAPACITY = { processorMillis: 32_000, memoryBytes: 125 * GIBIBYTE, acceleratorCount: 1 };
 const SLOT_COUNT = 8;
 const CONNECTION_COUNT = 64;
+const WORKERS_PER_RACK = 2;
+/** After how long no task may start in a zone whose withdrawal was accepted. */
+const WITHDRAWAL_BOUND_MS = 3_000;
 
 const options = optionsSchema.parse(JSON.parse(process.argv[2] ?? '{}'));
 const zoneOf = new Map<string, string>();
 /** How often each request ran, by its path. */
 const runCounts = new Map<string, number>();
-const judge = new Judge(zoneOf, options.withdrawalBoundMs);
+const judge = new Judge(zoneOf, WITHDRAWAL_BOUND_MS);
 
 const startWorker = async (zone: string, index: number): Promise<WorkerInstance> => {
   const id = `${zone}-w${index}`;
@@ -59,7 +60,7 @@
     kind: 'worker',
     id,
     availabilityZone: zone,
-    rack: `${zone}-r${Math.floor(index / options.workersPerRack)}`,
+    rack: `${zone}-r${Math.floor(index / WORKERS_PER_RACK)}`,
     state: 'live',
     controlAddress: { host: HOST, port: listeningPort(control) },
     backendAddress: { host: HOST, port: await backend.listen() },
