A plan's row holds new tasks in short

Its shards were made in one go, and its row was a megabyte of JSON, which whoever confirms or shows the plan read whole and checked several times.

Ruled out: another digest, of the short form, for plans that are pending would then be refused; reading the row in parts, since the table has none.

Change: a step of a new shard names its tasks by first index and count. They are written out in pieces, with a turn for requests between, for the digest, for operators and for the rows that a confirmation writes. A confirmation checks the short row twice instead of the long one three times. Dealing yields a range for each zone instead of a zone for each task.

A row of the long form is confirmed all the same.

--- a/src/operator/common/confirmation.ts
+++ b/src/operator/common/confirmation.ts
@@ -35,7 +35,13 @@
 /** What an attempt to confirm does next. */
 export type ConfirmationStep =
   | { readonly kind: 'accepted'; readonly plan: Plan }
-  | { readonly kind: 'write'; readonly plan: Plan; readonly transaction: Transaction };
+  | {
+      readonly kind: 'write';
+      /** The plan as read, and as it is once the transaction has committed. */
+      readonly pending: Plan;
+      readonly plan: Plan;
+      readonly transaction: Transaction;
+    };
 
 /** Keys to read for a decision, once the plan itself is known. */
 export const confirmationKeys = (plan: Plan): readonly string[] => [
@@ -147,7 +153,11 @@
     const message = `${changedKey} has changed since the plan was made`;
     return left(failure(ErrorKind.PlanStale, message));
   }
-  return right({ kind: 'write', ...toTransaction(plan, request, rows, operationId, nowAt) });
+  return right({
+    kind: 'write',
+    pending: plan,
+    ...toTransaction(plan, request, rows, operationId, nowAt),
+  });
 };
 
 /** Invariants on what the operators' side writes; the values name the counters. */
--- a/src/operator/common/dealing.ts
+++ b/src/operator/common/dealing.ts
@@ -5,6 +5,7 @@
   type WorkerInstance,
 } from '../../platform/instanceList/common/instanceList.js';
 import type { Resources } from '../../platform/worker/common/resources.js';
+import type { FreshTasks } from './freshTasks.js';
 
 /** How many tasks of a size an empty worker takes. */
 const taskCountOn = ({ capacity }: WorkerInstance, size: Resources): number => {
@@ -33,8 +34,13 @@
   return candidates.find((weights) => weights.some((weight) => weight > 0)) ?? zones.map(() => 1);
 };
 
+/** Tasks of a job that are dealt to one zone; their indexes follow one another. */
+export interface ZoneShare extends FreshTasks {
+  readonly zone: string;
+}
+
 /**
- * The zone of each task of a job, by the task's index. Made for 10,000 jobs a day, most of few
+ * The zones that a job's tasks are dealt to, and which tasks each gets. Made for 10,000 jobs a day, most of few
  * tasks: dealt from the first zone on, all one-task jobs came to one cell, which filled up while
  * the others idled. Each job starts at a point of its own, drawn from its id, and its tasks stand
  * at even distances from there on a line of which each zone holds a stretch as long as its share
@@ -49,18 +55,28 @@
   size: Resources,
   zones: readonly string[],
   workers: readonly WorkerInstance[],
-): readonly string[] => {
+): readonly ZoneShare[] => {
   const weights = zoneWeights(workers, zones, size);
   const total = weights.reduce((sum, weight) => sum + weight, 0);
   const offset = fractionOf(jobId);
   // Rounding may carry the last task past the end of the line.
   const lastUsedIndex = weights.findLastIndex((weight) => weight > 0);
-  return Array.from({ length: taskCount }, (_, index) => {
-    let left = ((index + offset) / taskCount) * total;
+  const zoneIndexOf = (taskIndex: number): number => {
+    let left = ((taskIndex + offset) / taskCount) * total;
     const zoneIndex = weights.findIndex((weight) => {
       left -= weight;
       return left < 0;
     });
-    return zones[zoneIndex < 0 ? lastUsedIndex : zoneIndex] as string;
-  });
+    return zoneIndex < 0 ? lastUsedIndex : zoneIndex;
+  };
+  const firstIndexes = new Map<number, number>();
+  for (let taskIndex = 0; taskIndex < taskCount; taskIndex += 1) {
+    const zoneIndex = zoneIndexOf(taskIndex);
+    if (!firstIndexes.has(zoneIndex)) firstIndexes.set(zoneIndex, taskIndex);
+  }
+  return [...firstIndexes].map(([zoneIndex, firstIndex], place, all) => ({
+    zone: zones[zoneIndex] as string,
+    firstIndex,
+    count: (all[place + 1]?.[1] ?? taskCount) - firstIndex,
+  }));
 };
--- a/src/operator/common/jobChanges.ts
+++ b/src/operator/common/jobChanges.ts
@@ -29,11 +29,11 @@
 
 /** A shard that is written under a zone's prefix is given to that zone. */
 const zoneTasks = (steps: readonly PlanStep[], zones: readonly string[]): readonly ZoneTasks[] =>
-  steps.flatMap(({ key, after }) => {
+  steps.flatMap(({ key, after, freshTasks }) => {
     const zone = zones.find((name) => key.startsWith(workPrefix(name)));
     if (zone === undefined || after === null) return [];
     const { jobId, size, tasks } = after as unknown as WorkRow;
-    return [{ zone, jobId, size, count: tasks.length }];
+    return [{ zone, jobId, size, count: freshTasks?.count ?? tasks.length }];
   });
 
 export const jobChanges = (
--- a/src/operator/common/jobPlanning.ts
+++ b/src/operator/common/jobPlanning.ts
@@ -6,8 +6,6 @@
 import { POLICY_KEY, quotaKey, zoneKey } from '../../platform/configuration/common/documents.js';
 import { fitsInto, multipliedResources } from '../../platform/worker/common/resources.js';
 import {
-  type BatchTask,
-  BatchTaskState,
   cancellationKey,
   jobKey,
   type JobRow,
@@ -18,6 +16,7 @@
 } from '../../platform/workload/common/workRows.js';
 import { dealTasks } from './dealing.js';
 import type { SubmitJobIntent } from './intent.js';
+import type { PlanStep } from './plan.js';
 import {
   guardDocument,
   impossible,
@@ -30,33 +29,23 @@
 
 const NAMED_JOB_COUNT = 5;
 
-const newTask = (index: number): BatchTask => ({
-  index,
-  state: BatchTaskState.Queued,
-  attempt: 1,
-  checkpoint: null,
-  evictionCount: 0,
-  failureWeight: 0,
-});
-
 /** A shard of the job for each zone that its tasks are dealt out to. */
-const toShards = (
+const shardSteps = (
   basis: PlanningBasis,
   intent: SubmitJobIntent,
   jobId: string,
   zones: readonly string[],
-): ReadonlyMap<string, WorkRow> => {
+): readonly PlanStep[] => {
   const { taskCount, size, team, urgency, workMs } = intent;
-  const shards = new Map<string, WorkRow>();
-  dealTasks(jobId, taskCount, size, zones, basis.workers).forEach((zone, index) => {
-    const known = shards.get(zone);
-    if (known !== undefined) known.tasks.push(newTask(index));
-    else {
-      const shardId = toShardId(jobId, zone);
-      shards.set(zone, { shardId, jobId, team, size, urgency, workMs, tasks: [newTask(index)] });
-    }
+  const shares = dealTasks(jobId, taskCount, size, zones, basis.workers);
+  return shares.flatMap(({ zone, firstIndex, count }) => {
+    const shardId = toShardId(jobId, zone);
+    const shard: WorkRow = { shardId, jobId, team, size, urgency, workMs, tasks: [] };
+    return setRow(basis, workKey(zone, shardId), shard).map((step) => ({
+      ...step,
+      freshTasks: { firstIndex, count },
+    }));
   });
-  return shards;
 };
 
 const toJobRow = (intent: SubmitJobIntent, jobId: string): JobRow => ({
@@ -110,12 +99,7 @@
   if (isLeft(placeable)) return placeable;
   const zones = zonesInUse(basis.view);
   if (zones.length === 0) return impossible('no availability zone is in use');
-  const steps = [
-    ...setRow(basis, jobKey(jobId), row),
-    ...[...toShards(basis, intent, jobId, zones)].flatMap(([zone, shard]) =>
-      setRow(basis, workKey(zone, shard.shardId), shard),
-    ),
-  ];
+  const steps = [...setRow(basis, jobKey(jobId), row), ...shardSteps(basis, intent, jobId, zones)];
   return planned(`submit job ${jobId} of ${intent.taskCount} tasks`, steps, {
     guards: [...zones.map(zoneKey), quotaKey(intent.team), POLICY_KEY].map((key) =>
       guardDocument(basis, key),
--- a/src/operator/common/plan.ts
+++ b/src/operator/common/plan.ts
@@ -3,6 +3,7 @@
 
 import type { JsonValue } from '../../base/common/json.js';
 import { resourcesSchema } from '../../platform/worker/common/resources.js';
+import { freshTasksSchema } from './freshTasks.js';
 import { intentSchema } from './intent.js';
 
 const jsonValue = z.custom<JsonValue>((value) => value !== undefined);
@@ -16,6 +17,8 @@
   after: jsonValue,
   /** The version the row must still have when the plan is confirmed. */
   baseRowVersion: z.number().int().nonnegative(),
+  /** Present where `after` is a shard whose tasks are left out; see `freshTasks.ts`. */
+  freshTasks: freshTasksSchema.optional(),
 });
 export type PlanStep = z.infer<typeof planStepSchema>;
 
--- a/src/operator/node/planMaker.ts
+++ b/src/operator/node/planMaker.ts
@@ -43,6 +43,7 @@
 import type { RunningTask } from '../common/planningBasis.js';
 import { furtherRowsToRead, rowsToRead } from '../common/planRows.js';
 import { racksOf, surveyLedger, toRunningTask } from './ledgerSurvey.js';
+import { withTasksWrittenOut } from './planSteps.js';
 import { surveyTeam } from './teamSurvey.js';
 
 export interface PlanMakerServices {
@@ -117,7 +118,8 @@
     const effects = effectsOfPlan(basis, intent, planned.right, ending.right);
     await nextTurn();
     const decided = { ...planned.right, effects };
-    return this.#keep(await this.#toPlan(planId, intent, author, view.version, decided));
+    const kept = await this.#toPlan(planId, intent, author, view.version, decided);
+    return this.#keep(kept.inShort, kept.writtenOut);
   }
 
   /**
@@ -200,16 +202,16 @@
   }
 
   /**
-   * Keeps a plan. The plan's row is written under a fresh id, so after a lost answer writing it
+   * Keeps a plan, its new tasks in short. The plan's row is written under a fresh id, so after a lost answer writing it
    * once more is harmless: the second try finds the row there, or writes it.
    */
-  async #keep(plan: Plan): Promise<Either<Failure, Plan>> {
+  async #keep(inShort: Plan, plan: Plan): Promise<Either<Failure, Plan>> {
     const { table, metrics } = this.#services;
     const key = planKey(plan.planId);
     const transaction: Transaction = {
       operationId: plan.planId,
       conditions: [{ key, version: ABSENT_VERSION }],
-      writes: [{ key, value: plan }],
+      writes: [{ key, value: inShort }],
     };
     const fault = planningFault(transaction);
     if (fault !== undefined) {
@@ -232,7 +234,7 @@
     author: string,
     baseVersion: number,
     planned: PlannedChange & { readonly effects: PlanEffects },
-  ): Promise<Plan> {
+  ): Promise<{ readonly inShort: Plan; readonly writtenOut: Plan }> {
     const createdAtMs = this.#services.wallNowMs();
     const contents = {
       planId,
@@ -242,17 +244,18 @@
       guards: [...planned.guards],
       notifiedCells: [...planned.notifiedCells],
     };
-    return {
-      ...contents,
+    const writtenOut = await withTasksWrittenOut(contents);
+    const rest = {
       author,
       summary: planned.summary,
       effects: planned.effects,
       warnings: [...planned.warnings],
       createdAt: new Date(createdAtMs).toISOString(),
       expiresAt: new Date(createdAtMs + this.#planLifetimeMs).toISOString(),
-      digest: await planDigest(contents),
+      digest: await planDigest(writtenOut),
       state: PlanState.Pending,
       acceptedVersion: 0,
     };
+    return { inShort: { ...contents, ...rest }, writtenOut: { ...writtenOut, ...rest } };
   }
 }
--- a/src/operator/node/planService.ts
+++ b/src/operator/node/planService.ts
@@ -30,8 +30,9 @@
   WriteInvariant,
 } from '../common/confirmation.js';
 import type { Intent } from '../common/intent.js';
-import { type Plan, planKey, planSchema } from '../common/plan.js';
+import { type Plan, planKey, planSchema, type PlanStep } from '../common/plan.js';
 import { planDigest, PlanMaker, type PlanMakerServices } from './planMaker.js';
+import { withTasksWrittenOut } from './planSteps.js';
 
 export interface PlanServices extends PlanMakerServices {
   readonly clock: Clock;
@@ -73,6 +74,16 @@
   'it is not known whether the plan was accepted; confirm it again to find out',
 );
 
+/** A transaction whose rows of the steps have the tasks written out. */
+const withValuesOf = (transaction: Transaction, steps: readonly PlanStep[]): Transaction => {
+  const values = new Map(steps.map(({ key, after }) => [key, after]));
+  const writes = transaction.writes.map(({ key, value }) => ({
+    key,
+    value: values.has(key) ? (values.get(key) ?? null) : value,
+  }));
+  return { ...transaction, writes };
+};
+
 export class PlanService implements Disposable {
   readonly #services: PlanServices;
 
@@ -103,6 +114,12 @@
   }
 
   async find(planId: string): Promise<Either<Failure, Plan>> {
+    const plan = await this.#findInShort(planId);
+    return isLeft(plan) ? plan : right(await withTasksWrittenOut(plan.right));
+  }
+
+  /** The plan as it is kept, its new tasks in short. */
+  async #findInShort(planId: string): Promise<Either<Failure, Plan>> {
     const read = await this.#services.table.read({ keys: [planKey(planId)], prefixes: [] })();
     if (isLeft(read)) return read;
     const row = read.right.rows[0];
@@ -138,7 +155,7 @@
     attempts: OpenAttempts,
   ): Promise<ConfirmationResult | undefined> {
     const { table, newOperationId, wallNowMs } = this.#services;
-    const known = await this.find(request.planId);
+    const known = await this.#findInShort(request.planId);
     if (isLeft(known)) return this.#afterFailure(known.left, request, attempts, new Map());
     const read = await table.read({ keys: confirmationKeys(known.right), prefixes: [] })();
     if (isLeft(read)) return this.#afterFailure(read.left, request, attempts, new Map());
@@ -146,12 +163,14 @@
     const nowAt = new Date(wallNowMs()).toISOString();
     const step = decideConfirmation(request, rows, newOperationId(), nowAt);
     if (isLeft(step)) return this.#afterFailure(step.left, request, attempts, rows);
-    if (step.right.kind === 'accepted') return right(step.right.plan);
+    const accepted = await withTasksWrittenOut(step.right.plan);
+    if (step.right.kind === 'accepted') return right(accepted);
     attempts.noteStillPending(rows);
-    // Of the same reading as the transaction, whose values are then the same objects: nothing
-    // is looked through twice. The digest tells whether they are as shown.
-    const shown = planSchema.parse(rows.get(planKey(request.planId))?.value);
-    return this.#write(shown, step.right.plan, step.right.transaction, rows, attempts);
+    // What is written is what is digested, the same objects: nothing is looked through twice.
+    // The digest tells whether they are as shown.
+    const shown = { ...step.right.pending, steps: accepted.steps };
+    const transaction = withValuesOf(step.right.transaction, accepted.steps);
+    return this.#write(shown, accepted, transaction, rows, attempts);
   }
 
   async #write(
--- a/src/operator/test/confirmation.test.ts
+++ b/src/operator/test/confirmation.test.ts
@@ -6,7 +6,7 @@
 import type { Intent } from '../common/intent.js';
 import type { Plan } from '../common/plan.js';
 import type { ConfirmationRefusal } from '../node/planService.js';
-import { OperatorHarness } from './operatorHarness.js';
+import { OperatorHarness, SIZE, worker } from './operatorHarness.js';
 
 const useZone = (zone: string): Intent => ({ intent: 'use-zone', zone, region: 'r' });
 
@@ -179,3 +179,58 @@
     expect(await harness.settle(plans.find(plan.planId))).toEqual(right(plan));
   });
 });
+
+describe('confirming a large job', () => {
+  const GOLDEN_DIGEST = '4f8ba3e2c06101d4b9721f707c661d245154f537fda3fb1de4dcf6e9ff327353';
+  const ZONES = ['zone-a', 'zone-b', 'zone-c'];
+  const JOB: Intent = {
+    ...{ intent: 'submit-job', team: 'kitchen', submissionKey: 'k', taskCount: 5_000, size: SIZE },
+    ...{ urgency: 'normal', workMs: 1 },
+  };
+
+  const planned = async () => {
+    const harness = new OperatorHarness(1);
+    const plans = harness.daemon();
+    harness.instances = ZONES.map((zone, index) => worker(`w${index}`, zone));
+    for (let index = 0; index < ZONES.length; index += 1) {
+      // eslint-disable-next-line no-await-in-loop -- versions follow one another
+      await harness.carryOut(plans, useZone(ZONES[index] as string));
+    }
+    return { harness, plan: await harness.plan(plans, JOB) };
+  };
+
+  const rewritePlan = (harness: OperatorHarness, plan: object, key: string): void => {
+    const write = { key, value: plan as never };
+    harness.table.truth.transact({ operationId: 'rewrite', conditions: [], writes: [write] });
+  };
+
+  // An operator submits a job of thousands of tasks and confirms it through another daemon. The
+  // plan's row held every task, and who read it parsed a megabyte while requests waited. Kept in
+  // short it must mean the same: the digest is that of the form with all tasks, and the rows
+  // written are those shown, also from a row that was kept in the long form.
+  it.each([false, true])('writes what was shown; plan kept at full length: %s', async (isLong) => {
+    const { harness, plan } = await planned();
+    const key = `plan/${plan.planId}`;
+    expect(plan.digest).toBe(GOLDEN_DIGEST);
+    expect(JSON.stringify(harness.rows(key)).length).toBeLessThan(5_000);
+    if (isLong) rewritePlan(harness, plan, key);
+    expect(await harness.settle(harness.daemon().find(plan.planId))).toEqual(right(plan));
+    const confirmed = await harness.confirm(harness.daemon(), plan);
+    expect(confirmed).toMatchObject(right({ steps: plan.steps, state: 'confirmed' }));
+    const shown = plan.steps.map(({ key: stepKey, after }) => ({ key: stepKey, value: after }));
+    const written = harness.otherRows.map(({ key: rowKey, value }) => ({ key: rowKey, value }));
+    expect(written).toEqual(expect.arrayContaining(shown));
+    expect(harness.brokenInvariants).toEqual([]);
+  });
+
+  // The row tells of another number of tasks than was shown: nobody has read that, so it is refused.
+  it('refuses a row whose tasks in short were altered', async () => {
+    const { harness, plan } = await planned();
+    const key = `plan/${plan.planId}`;
+    const text = JSON.stringify(harness.rows(key)[0]?.value);
+    rewritePlan(harness, JSON.parse(text.replace('"firstIndex":0', '"firstIndex":1')), key);
+    const refused = await harness.confirm(harness.daemon(), plan);
+    expect(refused).toMatchObject(left({ kind: 'internal', workOutcome: 'not-run' }));
+    expect(harness.rows('work/')).toEqual([]);
+  });
+});
