Confirmations and cancellations of large jobs are measured

Cause: the bench of planning told of no confirmation and no cancellation, where reading the code suspected the longest holds.

Change: two more rows: jobs of 10,000 tasks confirmed, and plans to cancel those.

--- a/bench/configuration/fleet.ts
+++ b/bench/configuration/fleet.ts
@@ -113,6 +113,13 @@
 const job = { team: 'team-1', size: SIZE, workMs: 1, urgency: 'normal' as const };
 const service = { name: 'fresh', team: 'team-1', replicaCount: 70, size: SIZE };
 
+export const largeJob = (submissionKey: string): Intent => ({
+  intent: 'submit-job',
+  ...job,
+  submissionKey,
+  taskCount: 10_000,
+});
+
 export const INTENTS: readonly (readonly [string, (round: number) => Intent])[] = [
   [
     'create-service',
@@ -132,8 +139,5 @@
     'submit-job of 100 tasks',
     (round) => ({ intent: 'submit-job', ...job, submissionKey: `s${round}`, taskCount: 100 }),
   ],
-  [
-    'submit-job of 10,000 tasks',
-    (round) => ({ intent: 'submit-job', ...job, submissionKey: `l${round}`, taskCount: 10_000 }),
-  ],
+  ['submit-job of 10,000 tasks', (round) => largeJob(`l${round}`)],
 ];
--- a/bench/configuration/planning.ts
+++ b/bench/configuration/planning.ts
@@ -5,18 +5,20 @@
 import { setImmediate as nextTurn, setTimeout as delay } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 
-import { isLeft } from 'fp-ts/lib/Either.js';
+import { type Either, isLeft } from 'fp-ts/lib/Either.js';
 
 import { SeededRandom } from '../../src/base/common/random.js';
 import { systemClock } from '../../src/base/node/systemClock.js';
 import type { Intent } from '../../src/operator/common/intent.js';
+import type { Plan } from '../../src/operator/common/plan.js';
 import { PlanService } from '../../src/operator/node/planService.js';
 import { ConfigurationFollower } from '../../src/platform/configuration/node/configurationFollower.js';
+import type { Failure } from '../../src/platform/errors/common/errorKinds.js';
 import { silentLog } from '../../src/platform/log/common/log.js';
 import { silentMetrics } from '../../src/platform/metrics/common/metrics.js';
 import type { RowWrite } from '../../src/platform/table/common/table.js';
 import { HttpTableService } from '../../src/platform/table/node/httpTableService.js';
-import { documentRows, INTENTS, ledgerRows, workers, workRows } from './fleet.js';
+import { documentRows, INTENTS, largeJob, ledgerRows, workers, workRows } from './fleet.js';
 
 const ROWS_PER_TRANSACTION = 50;
 const REPEAT_COUNT = 25;
@@ -60,21 +62,24 @@
 const median = (sorted: readonly number[]): number =>
   sorted[Math.floor(sorted.length / 2)] as number;
 
-const measure = async (
-  plans: PlanService,
-  name: string,
-  toIntent: (round: number) => Intent,
-): Promise<PlanningFigures> => {
+type Work = () => Promise<Either<Failure, unknown>>;
+
+/** What is measured, made ready round by round; making it ready is not measured. */
+type Preparation = readonly [string, (round: number) => Promise<Work> | Work];
+
+const measure = async ([name, prepare]: Preparation): Promise<PlanningFigures> => {
   const durationsMs: number[] = [];
   const holdsMs: number[] = [];
   for (let round = 0; round < REPEAT_COUNT; round += 1) {
+    // eslint-disable-next-line no-await-in-loop -- one plan at a time
+    const work = await prepare(round);
     const stop = watchHolds();
     const startMs = systemClock.nowMs();
-    // eslint-disable-next-line no-await-in-loop -- one plan at a time
-    const plan = await plans.plan(toIntent(round), 'bench');
+    // eslint-disable-next-line no-await-in-loop
+    const result = await work();
     durationsMs.push(systemClock.nowMs() - startMs);
     holdsMs.push(stop());
-    if (isLeft(plan)) throw new Error(`${name}: ${plan.left.message}`);
+    if (isLeft(result)) throw new Error(`${name}: ${result.left.message}`);
     // eslint-disable-next-line no-await-in-loop
     await delay(20);
   }
@@ -88,6 +93,32 @@
   };
 };
 
+const planned = async (plans: PlanService, intent: Intent): Promise<Plan> => {
+  const plan = await plans.plan(intent, 'bench');
+  if (isLeft(plan)) throw new Error(plan.left.message);
+  return plan.right;
+};
+
+/** Plans of every kind; then jobs of 10,000 tasks confirmed, and plans to cancel those. */
+const preparations = (plans: PlanService): readonly Preparation[] => [
+  ...INTENTS.map(([name, toIntent]): Preparation => [
+    name,
+    (round) => () => plans.plan(toIntent(round), 'bench'),
+  ]),
+  [
+    'confirmation of 10,000 tasks',
+    async (round) => {
+      const { planId, digest } = await planned(plans, largeJob(`confirmed-${round}`));
+      return () => plans.confirm({ planId, digest, author: 'bench' });
+    },
+  ],
+  [
+    'cancel-jobs, of 10,000 tasks',
+    (round) => () =>
+      plans.plan({ intent: 'cancel-jobs', jobIds: [`team-1.confirmed-${round}`] }, 'bench'),
+  ],
+];
+
 const startTable = async (): Promise<{ readonly origin: string; readonly stop: () => void }> => {
   const script = fileURLToPath(
     new URL('../../standIns/platform/platformProcess.js', import.meta.url),
@@ -137,10 +168,10 @@
     const restMs = stop();
     const rest = { p50Ms: 0, maxMs: 0, usualHoldMs: restMs, longestHoldMs: restMs };
     const figures: PlanningFigures[] = [{ name: 'nothing (a second of rest)', ...rest }];
-    for (let index = 0; index < INTENTS.length; index += 1) {
-      const [name, toIntent] = INTENTS[index] as (typeof INTENTS)[number];
+    const all = preparations(plans);
+    for (let index = 0; index < all.length; index += 1) {
       // eslint-disable-next-line no-await-in-loop -- one at a time, or they hold each other up
-      figures.push(await measure(plans, name, toIntent));
+      figures.push(await measure(all[index] as Preparation));
     }
     return figures;
   } finally {
