Shards of jobs are checked one a turn

Ruled out: reading the zones one by one, which would also cut the parsing of the answer: a shard that moves to another cell between two readings would be missed, and a `watch` would end while tasks run.

Change: the rows of one reading are checked with a turn for requests before each.

The test of the turns failed without the change.

--- a/src/operator/node/operatorQueries.ts
+++ b/src/operator/node/operatorQueries.ts
@@ -18,11 +18,12 @@
   type JobRow,
   jobRowSchema,
   workPrefix,
-  workRowSchema,
+  type WorkRow,
 } from '../../platform/workload/common/workRows.js';
 import { planPrefixesBefore, planSchema } from '../common/plan.js';
 import { ServiceTotals } from '../common/replicas.js';
 import { racksOf, surveyLedger } from './ledgerSurvey.js';
+import { checkShards } from './shardRows.js';
 
 export interface JobStatus {
   readonly job: JobRow;
@@ -78,9 +79,8 @@
   [BatchTaskState.Cancelled]: 0,
 });
 
-const toJobStatus = (job: JobRow, rows: readonly TableRow[]): JobStatus => {
+const toJobStatus = (job: JobRow, shards: readonly WorkRow[]): JobStatus => {
   const taskCounts = emptyCounts();
-  const shards = rows.map((row) => workRowSchema.parse(row.value));
   const tasks = shards.flatMap((shard) => shard.tasks);
   tasks.forEach((task) => {
     taskCounts[task.state] += 1;
@@ -153,7 +153,7 @@
     if (isLeft(read)) return read;
     const jobRow = read.right.rows.find((row) => row.key === jobKey(jobId));
     if (jobRow === undefined) return left(failure(ErrorKind.UnknownObject, `no job ${jobId}`));
-    const shards = read.right.rows.filter((row) => row !== jobRow);
+    const shards = await checkShards(read.right.rows.filter((row) => row !== jobRow));
     return right(toJobStatus(jobRowSchema.parse(jobRow.value), shards));
   }
 
--- a/src/operator/node/planMaker.ts
+++ b/src/operator/node/planMaker.ts
@@ -23,10 +23,8 @@
 } from '../../platform/table/common/table.js';
 import {
   type Assignment,
-  isEnded,
   workPrefix,
   type WorkRow,
-  workRowSchema,
 } from '../../platform/workload/common/workRows.js';
 import { planningFault } from '../common/confirmation.js';
 import { type Intent, IntentKind } from '../common/intent.js';
@@ -43,6 +41,7 @@
 import type { RunningTask } from '../common/planningBasis.js';
 import { furtherRowsToRead, rowsToRead } from '../common/planRows.js';
 import { racksOf, surveyLedger, toRunningTask } from './ledgerSurvey.js';
+import { checkOpenShards } from './shardRows.js';
 import { withTasksWrittenOut } from './planSteps.js';
 import { surveyTeam } from './teamSurvey.js';
 
@@ -195,10 +194,7 @@
       .flatMap((jobId) => zones.map((zone) => `${workPrefix(zone)}${jobId}~`));
     const read = await this.#services.table.read({ keys: [], prefixes })();
     if (isLeft(read)) return read;
-    const shards = read.right.rows.map((row) => workRowSchema.parse(row.value));
-    return right(
-      shards.map((shard) => ({ ...shard, tasks: shard.tasks.filter((task) => !isEnded(task)) })),
-    );
+    return right(await checkOpenShards(read.right.rows));
   }
 
   /**
--- a/src/operator/node/planProgress.ts
+++ b/src/operator/node/planProgress.ts
@@ -6,16 +6,12 @@
 import type { InstanceDirectory } from '../../platform/instanceList/common/instanceDirectory.js';
 import { isWorker, type WorkerInstance } from '../../platform/instanceList/common/instanceList.js';
 import type { TableService } from '../../platform/table/common/table.js';
-import {
-  type Assignment,
-  isEnded,
-  workPrefix,
-  workRowSchema,
-} from '../../platform/workload/common/workRows.js';
+import { type Assignment, workPrefix } from '../../platform/workload/common/workRows.js';
 import { IntentKind } from '../common/intent.js';
 import { jobIdOfTerms, submittedJobs } from '../common/jobChanges.js';
 import { type Plan, PlanState } from '../common/plan.js';
 import { racksOf, surveyLedger } from './ledgerSurvey.js';
+import { checkOpenShards } from './shardRows.js';
 
 export interface PlanProgress {
   readonly state: PlanState;
@@ -129,9 +125,9 @@
       // eslint-disable-next-line no-await-in-loop -- a thousand jobs are not read at once
       const read = await this.#table.read({ keys: [], prefixes })();
       if (isLeft(read)) return read;
-      count += read.right.rows
-        .flatMap(({ value }) => workRowSchema.parse(value).tasks)
-        .filter((task) => !isEnded(task)).length;
+      // eslint-disable-next-line no-await-in-loop
+      const shards = await checkOpenShards(read.right.rows);
+      count += shards.reduce((sum, { tasks }) => sum + tasks.length, 0);
     }
     return right(count);
   }
--- a/src/operator/test/planningCost.test.ts
+++ b/src/operator/test/planningCost.test.ts
@@ -8,6 +8,7 @@
   workKey,
 } from '../../platform/workload/common/workRows.js';
 import type { PlanService } from '../node/planService.js';
+import { checkOpenShards } from '../node/shardRows.js';
 import { ServiceTotals } from '../common/replicas.js';
 import { OperatorHarness, service, SIZE, worker } from './operatorHarness.js';
 
@@ -86,6 +87,24 @@
     expect(kitchen?.message).toContain('kitchen uses 14 processors');
   });
 
+  // An operator cancels or watches large jobs. All their shards were checked in one go, and callers
+  // of the same daemon waited for tens of milliseconds; now each shard leaves them a turn.
+  it('lets others have a turn before each shard', async () => {
+    const rows = Array.from({ length: 5 }, (_, index) => ({
+      ...{ key: `work/zone-a/${index}`, version: 1, operationId: 'o', value: shard('kitchen', []) },
+    }));
+    let isDone = false;
+    let turnCount = 0;
+    const count = (): void => {
+      turnCount += 1;
+      if (!isDone) setImmediate(count);
+    };
+    setImmediate(count);
+    expect(await checkOpenShards(rows)).toHaveLength(rows.length);
+    isDone = true;
+    expect(turnCount).toBeGreaterThanOrEqual(rows.length);
+  });
+
   // Every plan of one version needs the same sums over all services.
   it('adds services up once for a version', () => {
     const view = { ...EMPTY_CONFIGURATION, version: 1 };
