--- a/src/operator/node/planMaker.ts
+++ b/src/operator/node/planMaker.ts
@@ -23,10 +23,8 @@
 } from '../../platform/table/common/table.js';
 import {
   type Assignment,
-  isEnded,
   workPrefix,
   type WorkRow,
-  workRowSchema,
 } from '../../platform/workload/common/workRows.js';
 import { planningFault } from '../common/confirmation.js';
 import { type Intent, IntentKind } from '../common/intent.js';
@@ -43,6 +41,8 @@
 import type { RunningTask } from '../common/planningBasis.js';
 import { furtherRowsToRead, rowsToRead } from '../common/planRows.js';
 import { racksOf, surveyLedger, toRunningTask } from './ledgerSurvey.js';
+import { checkOpenShards } from './shardRows.js';
+import { withTasksWrittenOut } from './planSteps.js';
 import { surveyTeam } from './teamSurvey.js';
 
 export interface PlanMakerServices {
@@ -117,7 +117,8 @@
     const effects = effectsOfPlan(basis, intent, planned.right, ending.right);
     await nextTurn();
     const decided = { ...planned.right, effects };
-    return this.#keep(await this.#toPlan(planId, intent, author, view.version, decided));
+    const kept = await this.#toPlan(planId, intent, author, view.version, decided);
+    return this.#keep(kept.inShort, kept.writtenOut);
   }
 
   /**
@@ -193,23 +194,20 @@
       .flatMap((jobId) => zones.map((zone) => `${workPrefix(zone)}${jobId}~`));
     const read = await this.#services.table.read({ keys: [], prefixes })();
     if (isLeft(read)) return read;
-    const shards = read.right.rows.map((row) => workRowSchema.parse(row.value));
-    return right(
-      shards.map((shard) => ({ ...shard, tasks: shard.tasks.filter((task) => !isEnded(task)) })),
-    );
+    return right(await checkOpenShards(read.right.rows));
   }
 
   /**
-   * Keeps a plan. The plan's row is written under a fresh id, so after a lost answer writing it
+   * Keeps a plan, its new tasks in short. The plan's row is written under a fresh id, so after a lost answer writing it
    * once more is harmless: the second try finds the row there, or writes it.
    */
-  async #keep(plan: Plan): Promise<Either<Failure, Plan>> {
+  async #keep(inShort: Plan, plan: Plan): Promise<Either<Failure, Plan>> {
     const { table, metrics } = this.#services;
     const key = planKey(plan.planId);
     const transaction: Transaction = {
       operationId: plan.planId,
       conditions: [{ key, version: ABSENT_VERSION }],
-      writes: [{ key, value: plan }],
+      writes: [{ key, value: inShort }],
     };
     const fault = planningFault(transaction);
     if (fault !== undefined) {
@@ -232,7 +230,7 @@
     author: string,
     baseVersion: number,
     planned: PlannedChange & { readonly effects: PlanEffects },
-  ): Promise<Plan> {
+  ): Promise<{ readonly inShort: Plan; readonly writtenOut: Plan }> {
     const createdAtMs = this.#services.wallNowMs();
     const contents = {
       planId,
@@ -242,17 +240,18 @@
       guards: [...planned.guards],
       notifiedCells: [...planned.notifiedCells],
     };
-    return {
-      ...contents,
+    const writtenOut = await withTasksWrittenOut(contents);
+    const rest = {
       author,
       summary: planned.summary,
       effects: planned.effects,
       warnings: [...planned.warnings],
       createdAt: new Date(createdAtMs).toISOString(),
       expiresAt: new Date(createdAtMs + this.#planLifetimeMs).toISOString(),
-      digest: await planDigest(contents),
+      digest: await planDigest(writtenOut),
       state: PlanState.Pending,
       acceptedVersion: 0,
     };
+    return { inShort: { ...contents, ...rest }, writtenOut: { ...writtenOut, ...rest } };
   }
 }
