Sizes are learnt from tasks without a throttle only

Cause: a throttled task counted as using all that it was given, and one that uses all of less than was declared counts as wanting half as much again, so a kind grew with each generation of throttled tasks (to 6.1 processors where 2.4 are used). While a zone was away harmless work queued beside idle processors. Ruled out, in trials (docs/design/interference.md): places at the least share, other limits of placing, room published while tasks wait; and taking throttled use as it is, which would commit ever smaller sizes. Change: throttled samples teach no size; a released task counts again once it has run for 10 s without its throttle. The test failed before.

--- a/src/scheduler/common/learntSizes.ts
+++ b/src/scheduler/common/learntSizes.ts
@@ -17,6 +17,8 @@
   readonly declared: Resources;
   readonly committed: Resources;
   readonly usage: Resources;
+  /** True while the worker lets the task have less than it would use. */
+  readonly isThrottled?: boolean;
 }
 
 /** Use beside the declared size, of one kind. */
@@ -156,10 +158,13 @@
 
   /** Takes in what all tasks of the cell use now. */
   withSamples(samples: readonly UsageSample[], nowMs: number): LearntSizes {
+    // What a throttled task would use is not known: its kind is learnt from the others, and from
+    // this one only once it has run long enough without a throttle for its usage to show it.
+    const telling = samples.filter(({ isThrottled }) => isThrottled !== true);
     const seenAtMs = new Map(
-      samples.map(({ attemptKey }) => [attemptKey, this.#seenAtMs.get(attemptKey) ?? nowMs]),
+      telling.map(({ attemptKey }) => [attemptKey, this.#seenAtMs.get(attemptKey) ?? nowMs]),
     );
-    const settled = samples.filter(
+    const settled = telling.filter(
       ({ attemptKey }) => nowMs - (seenAtMs.get(attemptKey) ?? nowMs) >= SETTLED_AFTER_MS,
     );
     const kinds = new Map(
--- a/src/scheduler/common/usageLearning.ts
+++ b/src/scheduler/common/usageLearning.ts
@@ -39,8 +39,8 @@
 };
 
 /**
- * A throttled task uses fewer processors than it would. Learnt from as it is, its kind would be
- * committed ever smaller and slow the services more; so it counts as using what it was given.
+ * A throttled task uses fewer processors than it would. What it leaves is not given to others,
+ * since the throttle may go at any time; so it counts as using what it was given.
  */
 const unthrottledUsage = (task: WorkerTaskReport, { size }: Assignment): Resources => {
   if ((task.processorShare ?? 1) === 1) return task.usage;
@@ -65,7 +65,9 @@
     const kind = kindOf(state, rows, assignment);
     if (task === undefined || kind === undefined) return [];
     const usage = unthrottledUsage(task, assignment);
-    return [{ ...kind, workerId, attemptKey: key, committed: assignment.size, usage }];
+    const isThrottled = (task.processorShare ?? 1) < 1;
+    const sample = { ...kind, workerId, attemptKey: key, committed: assignment.size };
+    return [{ ...sample, usage, isThrottled }];
   });
 };
 
--- a/src/scheduler/test/learntSizes.test.ts
+++ b/src/scheduler/test/learntSizes.test.ts
@@ -159,6 +159,19 @@
     expect(learnt.size('kind', false, SIZE).processorMillis).toBeGreaterThan(1_500);
   });
 
+  // A throttle holds a task far below what it would use. Taken for one that uses all that it was
+  // given, its kind would be committed larger each time, and others wait beside idle processors.
+  it('does not go by throttled tasks until they have run without the throttle for a while', () => {
+    const committed = using(1_000);
+    const throttled = after({ committed, usage: committed, isThrottled: true });
+    expect(throttled.size('kind', false, SIZE)).toEqual(SIZE);
+    const known = after({ usage: using(1_000) });
+    const own = Array.from({ length: 6 }, (_, index) => sample(index, { usage: using(250) }));
+    const held = own.map((one) => ({ ...one, isThrottled: true }));
+    const released = known.withSamples(held, 30_000).withSamples(own, 35_000);
+    expect(released.size('kind', false, SIZE)).toEqual(known.size('kind', false, SIZE));
+  });
+
   it('is forgotten when the kind is not seen, and bounded in number', () => {
     const learnt = after({ usage: using(1_000) });
     expect(learnt.withSamples([], 60_000).size('kind', false, SIZE)).not.toEqual(SIZE);
