The tool shows people text instead of JSON in describe, get policy and watch

Cause: a walk through every command on the real programs showed that `describe`, `get policy` and `watch` printed JSON for people as well; the rest print tables. Ruled out: tables of fixed columns for each kind, since an object has members of its own kind and lists of tasks beside. Change: a line for each value, a table for each list of objects; `watch` prints one line for each change.

--- a/src/cli/node/commands.ts
+++ b/src/cli/node/commands.ts
@@ -20,6 +20,7 @@
 import { type IntentFlags, intentOfFlags } from '../common/intentFlags.js';
 import { planText } from '../common/planText.js';
 import { formatTable } from '../common/columnText.js';
+import { lineText, objectText } from '../common/objectText.js';
 import { traceText } from '../common/traceText.js';
 import { OperatorClient } from './operatorClient.js';
 
@@ -173,7 +174,8 @@
 const runShow = async (connection: Connection, path: string): Promise<ExitCode> => {
   const answer = await clientOf(connection).get(path);
   if (isLeft(answer)) return printRefusal(connection, answer.left);
-  print(JSON.stringify(answer.right, undefined, connection.isJson ? 0 : 2));
+  const shown = answer.right as Readonly<Record<string, unknown>>;
+  print(connection.isJson ? JSON.stringify(shown) : objectText(shown));
   return ExitCode.Done;
 };
 
@@ -236,7 +238,7 @@
   const answer = await client.get(`/v1/jobs/${encodeURIComponent(jobId)}`);
   if (isLeft(answer)) return answer;
   const status = answer.right as JobAnswer;
-  const text = JSON.stringify(isJson ? status : status.taskCounts);
+  const text = isJson ? JSON.stringify(status) : lineText(status.taskCounts);
   return right({ text, isDone: status.isEnded });
 };
 
@@ -246,14 +248,15 @@
 
 /** A plan is done once it is accepted and what it asked for has come about. */
 const planProgress = async (
-  _connection: Connection,
+  { isJson }: Connection,
   client: OperatorClient,
   planId: string,
 ): Promise<Either<ErrorBody, Progress>> => {
   const answer = await client.get(`/v1/plans/${encodeURIComponent(planId)}/progress`);
   if (isLeft(answer)) return answer;
-  const { isDone } = answer.right as PlanProgressAnswer;
-  return right({ text: JSON.stringify(answer.right), isDone });
+  const progress = answer.right as PlanProgressAnswer;
+  const text = isJson ? JSON.stringify(progress) : lineText({ ...progress });
+  return right({ text, isDone: progress.isDone });
 };
 
 /**
