A lease that is overdue on the table's clock is taken after a second

A call that failed was followed by a pause of a whole heartbeat. Ruled out: reading of what is stored (315 rows, 0.3 s), start-up (listening at 36.9 s). Change: a heartbeat says when it was sent on the table's clock (answers tell it). One that is older than a lease is watched for 1 s, in which an owner that lives has heartbeated again, and is taken at that instant; after a failed call the next comes in 200 ms. Where a table tells no clock all is as before. Tests: cellLease.test.ts; the first failed before (taken after 1,800 ms).

--- a/src/scheduler/common/cellEvents.ts
+++ b/src/scheduler/common/cellEvents.ts
@@ -145,7 +145,7 @@
 ): CellDecision => {
   const lease = isLeft(result)
     ? withLeaseCallFailed(state.lease, state.timing, nowMs)
-    : withLeaseRows(state.lease, state.timing, result.right.rows, sentAtMs, nowMs);
+    : withLeaseRows(state.lease, state.timing, result.right, sentAtMs, nowMs);
   return withOwnershipChange(state, { ...state, lease }, nowMs);
 };
 
@@ -159,10 +159,9 @@
   if (isLeft(result)) {
     return unchanged({ ...state, lease: withLeaseCallFailed(state.lease, state.timing, nowMs) });
   }
-  const { outcome, version } = result.right;
   const lease =
-    outcome === TransactionOutcome.Committed
-      ? withLeaseCommitted(state.lease, state.timing, step, version, sentAtMs, nowMs)
+    result.right.outcome === TransactionOutcome.Committed
+      ? withLeaseCommitted(state.lease, state.timing, step, result.right, sentAtMs, nowMs)
       : withLeaseLost(state.lease, state.timing, nowMs);
   return withOwnershipChange(state, { ...state, lease }, nowMs);
 };
--- a/src/scheduler/common/cellLease.ts
+++ b/src/scheduler/common/cellLease.ts
@@ -1,21 +1,24 @@
 /**
  * Who schedules a cell. The owner raises a heartbeat counter in the table; another daemon takes
- * over after it has seen the counter stand still for a whole lease on its own clock. Clocks of
- * different machines are never compared. Every write of an owner is conditional on the version
+ * over after it has seen the counter stand still for a whole lease on its own clock, or for a
+ * shorter time once the heartbeat is older than a lease on the table's clock. Clocks of different
+ * machines are never compared. Every write of an owner is conditional on the version
  * of the owner row, so a former owner that wakes up from a pause can commit nothing.
  */
 import {
   ABSENT_VERSION,
   type ReadRequest,
+  type ReadResult,
   rowsByKey,
-  type TableRow,
   type Transaction,
+  type TransactionResult,
 } from '../../services/table/common/table.js';
 import {
   cellHeartbeatKey,
   type CellOwnerRow,
   cellOwnerKey,
   cellOwnerRowSchema,
+  type HeartbeatRow,
   heartbeatRowSchema,
 } from '../../services/workload/common/workRows.js';
 
@@ -26,6 +29,22 @@
   readonly acquireDelayMs: number;
 }
 
+/**
+ * How long a heartbeat that is older than a lease by the table's clock is watched. All daemons may
+ * have started anew, or the table may be back from an outage: an owner that lives heartbeats within
+ * a call that times out (700 ms), a pause and a call. Without it a restart of all daemons waited
+ * a whole lease, in which no work was started.
+ */
+const OVERDUE_PATIENCE_MS = 1_000;
+/** The pause after a failed call; waiting a whole heartbeat would be most of the patience above. */
+const FAILED_CALL_PAUSE_MS = 200;
+
+/** The table's clock as last read, with when that was on this daemon's clock. */
+interface TableClock {
+  readonly tableMs: number;
+  readonly readAtMs: number;
+}
+
 /** What one daemon knows of a cell's lease. */
 export interface CellLease {
   readonly cell: string;
@@ -42,6 +61,9 @@
   readonly unchangedSinceMs: number;
   /** When the last heartbeat known to be committed was sent. */
   readonly heldAtMs: number;
+  /** The owner's heartbeat is older than a lease on the table's clock. */
+  readonly isOverdue: boolean;
+  readonly tableClock: TableClock | undefined;
   readonly nextStepAtMs: number;
   readonly isStepInFlight: boolean;
 }
@@ -68,18 +90,31 @@
   heartbeatCounter: 0,
   unchangedSinceMs: nowMs,
   heldAtMs: Number.NEGATIVE_INFINITY,
+  isOverdue: false,
+  tableClock: undefined,
   nextStepAtMs: nowMs,
   isStepInFlight: false,
 });
 
-const hasStoodStill = (lease: CellLease, timing: CellLeaseTiming, nowMs: number): boolean => {
+/** How long the heartbeat must be seen to stand still before the cell may be taken. */
+const patienceMs = (lease: CellLease, timing: CellLeaseTiming): number => {
   // A cell that nobody ever owned needs no lease to run out.
-  const isFree = lease.ownerRowVersion === ABSENT_VERSION || lease.isReleased;
-  const patienceMs = isFree ? 0 : timing.leaseMs;
-  return nowMs - lease.unchangedSinceMs >= patienceMs + timing.acquireDelayMs;
+  if (lease.ownerRowVersion === ABSENT_VERSION || lease.isReleased) return 0;
+  return lease.isOverdue ? Math.min(OVERDUE_PATIENCE_MS, timing.leaseMs) : timing.leaseMs;
+};
+
+/** When the cell may be taken, if the heartbeat stands still until then. */
+const takeableAtMs = (lease: CellLease, timing: CellLeaseTiming): number =>
+  lease.unchangedSinceMs + patienceMs(lease, timing) + timing.acquireDelayMs;
+
+const nextHeartbeat = (lease: CellLease, nowMs: number): HeartbeatRow => {
+  const counter = lease.heartbeatCounter + 1;
+  if (lease.tableClock === undefined) return { counter };
+  const { tableMs, readAtMs } = lease.tableClock;
+  return { counter, sentAtTableMs: Math.floor(tableMs + nowMs - readAtMs) };
 };
 
-const acquireStep = (lease: CellLease, operationId: string): LeaseStep => ({
+const acquireStep = (lease: CellLease, operationId: string, nowMs: number): LeaseStep => ({
   kind: LeaseStepKind.Acquire,
   transaction: {
     operationId,
@@ -92,17 +127,17 @@
         key: cellOwnerKey(lease.cell),
         value: { ownerId: lease.selfId, epoch: lease.epoch + 1 } satisfies CellOwnerRow,
       },
-      { key: cellHeartbeatKey(lease.cell), value: { counter: lease.heartbeatCounter + 1 } },
+      { key: cellHeartbeatKey(lease.cell), value: nextHeartbeat(lease, nowMs) },
     ],
   },
 });
 
-const renewStep = (lease: CellLease, operationId: string): LeaseStep => ({
+const renewStep = (lease: CellLease, operationId: string, nowMs: number): LeaseStep => ({
   kind: LeaseStepKind.Renew,
   transaction: {
     operationId,
     conditions: [{ key: cellOwnerKey(lease.cell), version: lease.ownerRowVersion }],
-    writes: [{ key: cellHeartbeatKey(lease.cell), value: { counter: lease.heartbeatCounter + 1 } }],
+    writes: [{ key: cellHeartbeatKey(lease.cell), value: nextHeartbeat(lease, nowMs) }],
   },
 });
 
@@ -133,12 +168,15 @@
   operationId: string,
   nowMs: number,
 ): { readonly lease: CellLease; readonly step: LeaseStep } | undefined => {
-  if (lease.isStepInFlight || nowMs < lease.nextStepAtMs) return undefined;
-  const inFlight = { ...lease, isStepInFlight: true };
-  if (lease.isOwner) return { lease: inFlight, step: renewStep(lease, operationId) };
+  if (lease.isStepInFlight) return undefined;
   const hasWatched = lease.heartbeatRowVersion >= ABSENT_VERSION;
-  if (hasWatched && hasStoodStill(lease, timing, nowMs)) {
-    return { lease: inFlight, step: acquireStep(lease, operationId) };
+  const isTakeable = !lease.isOwner && hasWatched && nowMs >= takeableAtMs(lease, timing);
+  // One that is overdue is not left for another heartbeat.
+  if (nowMs < lease.nextStepAtMs && !(isTakeable && lease.isOverdue)) return undefined;
+  const inFlight = { ...lease, isStepInFlight: true };
+  if (lease.isOwner) return { lease: inFlight, step: renewStep(lease, operationId, nowMs) };
+  if (isTakeable) {
+    return { lease: inFlight, step: acquireStep(lease, operationId, nowMs) };
   }
   return { lease: inFlight, step: watchStep(lease) };
 };
@@ -149,11 +187,27 @@
   nextStepAtMs: nowMs + timing.heartbeatIntervalMs,
 });
 
+const tableClockOf = (
+  lease: CellLease,
+  tableNowMs: number | undefined,
+  nowMs: number,
+): TableClock | undefined =>
+  tableNowMs === undefined ? lease.tableClock : { tableMs: tableNowMs, readAtMs: nowMs };
+
+const isOlderThan = (
+  heartbeat: HeartbeatRow | undefined,
+  tableNowMs: number | undefined,
+  ageMs: number,
+): boolean =>
+  heartbeat?.sentAtTableMs !== undefined &&
+  tableNowMs !== undefined &&
+  tableNowMs - heartbeat.sentAtTableMs >= ageMs;
+
 /** Takes in the owner and heartbeat rows that a watcher has read. */
 export const withLeaseRows = (
   lease: CellLease,
   timing: CellLeaseTiming,
-  rows: readonly TableRow[],
+  { rows, tableNowMs }: ReadResult,
   sentAtMs: number,
   nowMs: number,
 ): CellLease => {
@@ -164,6 +218,8 @@
   const heartbeatRowVersion = heartbeatRow?.version ?? ABSENT_VERSION;
   const isUnchanged = heartbeatRowVersion === lease.heartbeatRowVersion;
   const isOwner = owner?.ownerId === lease.selfId;
+  const heartbeat =
+    heartbeatRow === undefined ? undefined : heartbeatRowSchema.parse(heartbeatRow.value);
   return {
     ...rested(lease, timing, nowMs),
     // Found to be the owner: an acquisition whose answer was lost had taken effect.
@@ -172,10 +228,11 @@
     ownerRowVersion: ownerRow?.version ?? ABSENT_VERSION,
     isReleased: owner?.ownerId === NO_OWNER_ID,
     heartbeatRowVersion,
-    heartbeatCounter:
-      heartbeatRow === undefined ? 0 : heartbeatRowSchema.parse(heartbeatRow.value).counter,
+    heartbeatCounter: heartbeat?.counter ?? 0,
     unchangedSinceMs: isUnchanged ? lease.unchangedSinceMs : nowMs,
     heldAtMs: isOwner ? sentAtMs : lease.heldAtMs,
+    isOverdue: isOlderThan(heartbeat, tableNowMs, timing.leaseMs),
+    tableClock: tableClockOf(lease, tableNowMs, nowMs),
   };
 };
 
@@ -184,7 +241,7 @@
   lease: CellLease,
   timing: CellLeaseTiming,
   kind: LeaseStepKind,
-  version: number,
+  { version, tableNowMs }: TransactionResult,
   sentAtMs: number,
   nowMs: number,
 ): CellLease => {
@@ -199,6 +256,8 @@
     heartbeatCounter: lease.heartbeatCounter + 1,
     unchangedSinceMs: nowMs,
     heldAtMs: sentAtMs,
+    isOverdue: false,
+    tableClock: tableClockOf(lease, tableNowMs, nowMs),
   };
 };
 
@@ -222,6 +281,7 @@
   nowMs: number,
 ): CellLease => ({
   ...rested(lease, timing, nowMs),
+  nextStepAtMs: nowMs + Math.min(FAILED_CALL_PAUSE_MS, timing.heartbeatIntervalMs),
   // A lost acquisition may have raised the epoch, so the rows must be read again.
   heartbeatRowVersion: lease.isOwner ? lease.heartbeatRowVersion : -1,
   unchangedSinceMs: lease.isOwner ? lease.unchangedSinceMs : nowMs,
--- a/src/scheduler/common/fleet/fleetOwnership.ts
+++ b/src/scheduler/common/fleet/fleetOwnership.ts
@@ -93,7 +93,7 @@
     const wasOwner = this.#lease.isOwner;
     this.#lease = isLeft(result)
       ? withLeaseCallFailed(this.#lease, this.#timing, nowMs)
-      : withLeaseRows(this.#lease, this.#timing, result.right.rows, sentAtMs, nowMs);
+      : withLeaseRows(this.#lease, this.#timing, result.right, sentAtMs, nowMs);
     // An acquisition whose answer was lost had taken effect, at the latest when this was sent.
     if (this.#lease.isOwner && !wasOwner) this.#predecessorQuietSinceMs = sentAtMs;
   }
@@ -107,11 +107,17 @@
     if (isLeft(result)) {
       this.#lease = withLeaseCallFailed(this.#lease, this.#timing, nowMs);
     } else if (result.right.outcome === TransactionOutcome.Committed) {
-      const { version } = result.right;
       if (step === LeaseStepKind.Acquire) {
         this.#predecessorQuietSinceMs = this.#lease.unchangedSinceMs;
       }
-      this.#lease = withLeaseCommitted(this.#lease, this.#timing, step, version, sentAtMs, nowMs);
+      this.#lease = withLeaseCommitted(
+        this.#lease,
+        this.#timing,
+        step,
+        result.right,
+        sentAtMs,
+        nowMs,
+      );
     } else {
       this.#lease = withLeaseLost(this.#lease, this.#timing, nowMs);
     }
--- /dev/null
+++ b/src/scheduler/test/cellLease.test.ts
@@ -0,0 +1,100 @@
+import { describe, expect, it } from 'vitest';
+
+import { TransactionOutcome } from '../../services/table/common/table.js';
+import { cellHeartbeatKey, cellOwnerKey } from '../../services/workload/common/workRows.js';
+import {
+  type CellLease,
+  initialCellLease,
+  LeaseStepKind,
+  nextLeaseStep,
+  withLeaseCallFailed,
+  withLeaseCommitted,
+  withLeaseLost,
+  withLeaseRows,
+} from '../common/cellLease.js';
+
+const TIMING = { heartbeatIntervalMs: 450, leaseMs: 1_500, acquireDelayMs: 0 };
+const CELL = 'cell';
+
+const rowsOf = (version: number, sentAtTableMs: number | undefined) => [
+  { key: cellOwnerKey(CELL), version: 7, value: { ownerId: 'other', epoch: 3 }, operationId: '' },
+  {
+    key: cellHeartbeatKey(CELL),
+    version,
+    value: { counter: 9, ...(sentAtTableMs !== undefined && { sentAtTableMs }) },
+    operationId: '',
+  },
+];
+
+/** Looks as often as the lease asks until it asks to take the cell; returns when that is. */
+const takenAtMs = (
+  firstLookAtMs: number,
+  look: (nowMs: number) => { readonly version: number; readonly sentAtTableMs?: number },
+  tableNowMs?: (nowMs: number) => number,
+): number => {
+  let lease: CellLease = initialCellLease(CELL, 'self', firstLookAtMs);
+  for (let nowMs = firstLookAtMs; nowMs < firstLookAtMs + 10_000; nowMs += 10) {
+    const next = nextLeaseStep(lease, TIMING, 'operation', nowMs);
+    if (next !== undefined) {
+      const { version, sentAtTableMs } = look(nowMs);
+      if (next.step.kind === LeaseStepKind.Acquire) {
+        const condition = next.step.transaction.conditions.at(-1);
+        if (condition?.version === version) return nowMs;
+        lease = withLeaseLost(next.lease, TIMING, nowMs);
+      } else {
+        const rows = rowsOf(version, sentAtTableMs);
+        const clock = tableNowMs === undefined ? {} : { tableNowMs: tableNowMs(nowMs) };
+        lease = withLeaseRows(next.lease, TIMING, { rows, ...clock }, nowMs, nowMs);
+      }
+    }
+  }
+  return Number.POSITIVE_INFINITY;
+};
+
+describe('the lease of a cell', () => {
+  it('is taken sooner where the heartbeat is older than a lease on the table clock', () => {
+    // All daemons die at once and start anew. None of them has seen a heartbeat move, and callers
+    // wait while nobody schedules. The table's clock shows that the owner is long gone, so that
+    // the first to look need not watch for a whole lease.
+    const heartbeat = () => ({ version: 40, sentAtTableMs: 90_000 });
+    const takenAfterMs = takenAtMs(5_000, heartbeat, (nowMs) => 95_000 + nowMs) - 5_000;
+    expect(takenAfterMs).toBeLessThan(TIMING.leaseMs);
+    expect(takenAfterMs).toBeGreaterThan(900);
+  });
+
+  it('is watched for all its time where the table tells no clock', () => {
+    const takenAfterMs = takenAtMs(5_000, () => ({ version: 40 })) - 5_000;
+    expect(takenAfterMs).toBeGreaterThanOrEqual(TIMING.leaseMs);
+    expect(takenAfterMs).toBeLessThanOrEqual(TIMING.leaseMs + TIMING.heartbeatIntervalMs);
+  });
+
+  it('stays with an owner that comes back with the table after an outage', () => {
+    // The table was silent for longer than a lease. Its owner lives, waits for a call that times
+    // out after 700 ms, pauses and heartbeats. Another daemon looks at the instant of the return.
+    const backAtMs = 5_000;
+    const renewedAtMs = backAtMs + 700 + 200 + 20;
+    const heartbeat = (nowMs: number) =>
+      nowMs < renewedAtMs
+        ? { version: 40, sentAtTableMs: 1_000 }
+        : { version: 41 + Math.floor((nowMs - renewedAtMs) / 450), sentAtTableMs: nowMs };
+    expect(takenAtMs(backAtMs, heartbeat, (nowMs) => nowMs)).toBe(Number.POSITIVE_INFINITY);
+  });
+
+  it('is renewed soon after a call that failed', () => {
+    const committed = { outcome: TransactionOutcome.Committed, version: 41, tableNowMs: 1_000 };
+    const owner = withLeaseCommitted(
+      initialCellLease(CELL, 'self', 0),
+      TIMING,
+      LeaseStepKind.Acquire,
+      committed,
+      0,
+      0,
+    );
+    const failed = withLeaseCallFailed(owner, TIMING, 1_200);
+    const next = nextLeaseStep(failed, TIMING, 'operation', 1_400);
+    expect(next?.step).toMatchObject({
+      kind: LeaseStepKind.Renew,
+      transaction: { writes: [{ value: { sentAtTableMs: 2_400 } }] },
+    });
+  });
+});
--- a/src/services/table/common/table.ts
+++ b/src/services/table/common/table.ts
@@ -29,6 +29,8 @@
   readonly rows: readonly TableRow[];
   /** Where a feed goes on from the snapshot; absent where the service has no feed. */
   readonly position?: number;
+  /** The table's own steady clock when it answered; absent where the service tells none. */
+  readonly tableNowMs?: number;
 }
 
 export interface RowCondition {
@@ -56,6 +58,8 @@
   readonly outcome: TransactionOutcome;
   /** The version that all written rows now have, when committed. */
   readonly version: number;
+  /** The table's own steady clock when it answered; absent where the service tells none. */
+  readonly tableNowMs?: number;
 }
 
 /**
--- a/src/services/workload/common/workRows.ts
+++ b/src/services/workload/common/workRows.ts
@@ -141,7 +141,12 @@
 });
 export type CellOwnerRow = z.infer<typeof cellOwnerRowSchema>;
 
-export const heartbeatRowSchema = z.strictObject({ counter: z.number().int().nonnegative() });
+export const heartbeatRowSchema = z.strictObject({
+  counter: z.number().int().nonnegative(),
+  /** When it was sent, on the table's clock, where the owner knows that. */
+  sentAtTableMs: z.number().optional(),
+});
+export type HeartbeatRow = z.infer<typeof heartbeatRowSchema>;
 
 export const cellOwnerKey = (cell: string): string => `cell/${cell}/owner`;
 export const cellHeartbeatKey = (cell: string): string => `cell/${cell}/heartbeat`;
