--- a/src/scheduler/test/fleet/fleetScheduling.test.ts
+++ b/src/scheduler/test/fleet/fleetScheduling.test.ts
@@ -124,3 +124,37 @@
     expect(world.runsOf(name(0, 0))).toHaveLength(1);
   });
 });
+
+describe('a burst that exceeds the room', () => {
+  it('does not make the work after it late', async () => {
+    // Forty submissions come at once to a worker that ends eight a second, then six a second for
+    // twenty seconds. In the order of arrival the backlog lasts all that time, and nothing is done
+    // within its objective of two seconds. What is late already has to stand back.
+    const OBJECTIVE_MS = 2_000;
+    const world = await worldOf(1);
+    const sentAtMs = new Map<string, number>();
+    const submit = (): void => {
+      const id = (0xb000 + sentAtMs.size).toString(16).padStart(16, '0');
+      sentAtMs.set(id, world.nowMs);
+      world.submit(submissionOf(id, [STEP]));
+    };
+    for (let count = 0; count < 40; count += 1) submit();
+    const inTime = new Set<string>();
+    const look = (): void =>
+      sentAtMs.forEach((atMs, id) => {
+        const isDone = world.progress(id)?.state === 'complete';
+        if (isDone && world.nowMs - atMs <= OBJECTIVE_MS + 200) inTime.add(id);
+      });
+    for (let tick = 0; tick < 200; tick += 1) {
+      if ((tick * 6) % 10 < 6) submit();
+      // eslint-disable-next-line no-await-in-loop -- virtual time goes on step by step
+      await world.runFor(100);
+      look();
+    }
+    expect(sentAtMs.size).toBe(160);
+    expect(inTime.size).toBeGreaterThan(110);
+    await world.runFor(20_000);
+    const states = [...sentAtMs.keys()].map((id) => world.progress(id)?.state);
+    expect(states.every((state) => state === 'complete')).toBe(true);
+  });
+});
