Each decision on a task is logged, bounded and without waiting for a reader

Ruled out: a line for each task (some 200 a second); tasks started or ended together share one. Change: FleetNotes gathers what the scheduler decided and step hands it out; BoundedLog leaves out decisions beyond 150 a second, never a change of belief, and says how many; LineWriter writes on a thread of the pool, holds 256 KB at most and counts the rest. The log test's pattern also finds lines that go through the notes; the list it compares stays closed.

--- a/src/scheduler/common/fleet/fleetCalls.ts
+++ b/src/scheduler/common/fleet/fleetCalls.ts
@@ -1,6 +1,7 @@
 /** The calls to workers that are due by what the scheduler knows. */
 import type { RunningTask, RunReference } from '../../../services/fleet/common/fleetWorker.js';
 import type { FleetEffect } from './fleetEffects.js';
+import { StopReason } from './fleetNotes.js';
 import type { Tenure } from './fleetTenure.js';
 import type { FleetTiming } from './fleetTiming.js';
 import type { FleetWorkerView } from './fleetWorkerView.js';
@@ -32,7 +33,7 @@
   view.runs.forEach((run) => {
     if (run.state !== RunState.Running || !isStuck(run, nowMs)) return;
     tenure.keeper.noteFault(view, run.task, nowMs);
-    tenure.keeper.requestStop(run, nowMs);
+    tenure.keeper.requestStops([run], StopReason.Stuck, nowMs);
   });
 };
 
--- a/src/scheduler/common/fleet/fleetScheduler.ts
+++ b/src/scheduler/common/fleet/fleetScheduler.ts
@@ -30,6 +30,7 @@
 import type { PlacementPolicy } from '../placement.js';
 import { holdEffects, noteStray, stopEffects, stopStuck, toReference } from './fleetCalls.js';
 import type { FleetEffect } from './fleetEffects.js';
+import { StopReason } from './fleetNotes.js';
 import { FleetOwnership } from './fleetOwnership.js';
 import { placeWaiting } from './fleetRound.js';
 import {
@@ -239,6 +240,7 @@
     effects.push(...holdEffects(tenure, this.#timing, this.#mayGrant(nowMs), nowMs));
     this.#pace(tenure, effects, nowMs);
     this.#commit(tenure, effects, nowMs);
+    tenure.notes.drain().forEach((note) => effects.push({ kind: 'log', ...note }));
     return effects;
   }
 
@@ -279,6 +281,7 @@
       },
       nowMs,
     );
+    tenure.notes.addStarts(placed, epoch, nowMs);
     placed.forEach((run) => {
       const view = views.get(run.workerId);
       if (view === undefined) return;
@@ -299,8 +302,9 @@
     tenure.views.forEach((view) => {
       const { paces, moves } = tenure.harm.answer(view, nowMs);
       if (paces.length + moves.length > 0) view.pacedAtMs = nowMs;
-      tenure.keeper.requestStops(moves, nowMs);
+      tenure.keeper.requestStops(moves, StopReason.Harm, nowMs);
       const changes = paces.filter(({ run }) => !this.#paceInFlight.has(run));
+      tenure.notes.addPaces(changes);
       changes.forEach(({ run, percent }) => {
         this.#paceInFlight.add(run);
         effects.push({ kind: 'pace', epoch, reference: toReference(run, view, epoch), percent });
--- a/src/scheduler/common/fleet/fleetTenure.ts
+++ b/src/scheduler/common/fleet/fleetTenure.ts
@@ -7,6 +7,7 @@
 import { WorkerHealth } from '../workerHealth.js';
 import type { FleetTiming } from './fleetTiming.js';
 import { FleetWorkerView } from './fleetWorkerView.js';
+import { FleetNotes, StopReason } from './fleetNotes.js';
 import { HarmControl } from './harmControl.js';
 import { ProgressCommits, type RosterEntry } from './progressCommits.js';
 import { RunKeeper } from './runKeeper.js';
@@ -37,6 +38,7 @@
   readonly keeper: RunKeeper;
   readonly commits: ProgressCommits;
   readonly harm: HarmControl;
+  readonly notes: FleetNotes;
   /** Runs that workers list and nobody asked for, to be stopped. */
   readonly strays: Map<string, RunReference>;
 }
@@ -78,7 +80,7 @@
 ): void => {
   changes.forEach((change) => {
     if (change.kind === 'cancellation') {
-      tenure.keeper.requestStops(tenure.book.cancel(change.id), nowMs);
+      tenure.keeper.requestStops(tenure.book.cancel(change.id), StopReason.Cancelled, nowMs);
       return;
     }
     const { submission } = change;
@@ -96,7 +98,8 @@
 ): Tenure => {
   const book = new SubmissionBook();
   const views = new Map<string, FleetWorkerView>();
-  const keeper = new RunKeeper(book, views, operator, new WorkerHealth());
+  const notes = new FleetNotes();
+  const keeper = new RunKeeper(book, views, operator, new WorkerHealth(), notes);
   const commits = new ProgressCommits();
   stored.versions.forEach((version, key) => commits.noteVersion(key, version));
   stored.roster.forEach((known) => {
@@ -107,7 +110,7 @@
   stored.workers.forEach((entry) => noteListed(views, entry, nowMs));
   const harm = new HarmControl();
   harm.inherit(stored.harm, nowMs);
-  const tenure = { epoch, book, views, keeper, commits, harm, strays: new Map() };
+  const tenure = { epoch, book, views, keeper, commits, harm, notes, strays: new Map() };
   takeChanges(tenure, stored.changes, stored.progress, true, nowMs);
   return tenure;
 };
@@ -121,7 +124,9 @@
   const listed = new Set(entries.map(({ id }) => id));
   entries.forEach((entry) => noteListed(tenure.views, entry, nowMs));
   tenure.views.forEach((view, id) => {
-    if (!listed.has(id)) view.isListed = false;
+    if (listed.has(id)) return;
+    if (view.isListed) tenure.notes.add('worker-unlisted', { workerId: id, runs: view.runs.size });
+    view.isListed = false;
   });
 };
 
@@ -134,7 +139,7 @@
   tenure.views.forEach((view, id) => {
     const mayRun = view.isFresh(timing, nowMs) || nowMs < view.leasesOverAtMs;
     if (mayRun && !view.isGone) return;
-    if (view.runs.size > 0) tenure.keeper.loseAll(view, nowMs);
+    if (view.runs.size > 0) tenure.keeper.loseAll(view, 'leases-over', nowMs);
     if (!view.isListed) tenure.views.delete(id);
   });
 };
--- a/src/scheduler/common/fleet/runKeeper.ts
+++ b/src/scheduler/common/fleet/runKeeper.ts
@@ -15,6 +15,7 @@
   StartOutcome,
 } from '../../../services/fleet/common/fleetWorker.js';
 import type { WorkerHealth } from '../workerHealth.js';
+import { describeRuns, type FleetNotes, StopReason } from './fleetNotes.js';
 import { runKey, type FleetWorkerView } from './fleetWorkerView.js';
 import { failureCount, type SubmissionBook } from './submissionBook.js';
 import { isOpen, RunState, type TaskRecord, type TaskRun } from './taskRecords.js';
@@ -65,6 +66,8 @@
 
   readonly #operator: () => OperatorState;
 
+  readonly #notes: FleetNotes;
+
   /** Runs that need a stop, with when to send the next. */
   readonly #stops = new Map<TaskRun, number>();
 
@@ -75,11 +78,13 @@
     views: ReadonlyMap<string, FleetWorkerView>,
     operator: () => OperatorState,
     health: WorkerHealth,
+    notes: FleetNotes,
   ) {
     this.#book = book;
     this.#views = views;
     this.#operator = operator;
     this.#health = health;
+    this.#notes = notes;
   }
 
   get health(): WorkerHealth {
@@ -94,12 +99,16 @@
     nowMs: number,
   ): readonly RunningTask[] {
     if (!view.isHeard) view.incarnation = answer.incarnation;
-    if (answer.incarnation !== view.incarnation) view.noteIncarnation(answer.incarnation, nowMs);
+    if (answer.incarnation !== view.incarnation) {
+      this.#notes.add('worker-reborn', { workerId: view.id, incarnation: answer.incarnation });
+      view.noteIncarnation(answer.incarnation, nowMs);
+    }
     // Until the new process has seen the raised fence, a start sent to the old one may still come.
     if (!view.isFencedSince(sentAtMs)) return [];
-    if (view.isReborn) this.loseAll(view, nowMs);
+    if (view.isReborn) this.loseAll(view, 'another-process', nowMs);
     view.noteAnswer(answer, nowMs);
-    answer.finished.forEach((finished) => this.#takeEnd(view, finished, nowMs));
+    const ended = answer.finished.filter((finished) => this.#takeEnd(view, finished, nowMs));
+    this.#noteEnds(view, ended);
     const unknown = answer.running.filter((running) => !this.#takeRunning(view, running, nowMs));
     if (!answer.isFinishedCut) this.#dropUnlisted(view, answer, sentAtMs, nowMs);
     view.strayCount = unknown.length;
@@ -138,15 +147,16 @@
     run.settledAtMs = nowMs;
   }
 
-  /** Wants a run stopped; its room stays taken until the worker no longer lists it. */
-  requestStop(run: TaskRun, nowMs: number): void {
-    if (run.state === RunState.Stopping) return;
+  #requestStop(run: TaskRun, nowMs: number): void {
     run.state = RunState.Stopping;
     this.#stops.set(run, nowMs);
   }
 
-  requestStops(runs: readonly TaskRun[], nowMs: number): void {
-    [...runs].forEach((run) => this.requestStop(run, nowMs));
+  /** Wants runs stopped; their room stays taken until the workers no longer list them. */
+  requestStops(runs: readonly TaskRun[], reason: StopReason, nowMs: number): void {
+    const wanted = runs.filter(({ state }) => state !== RunState.Stopping);
+    this.#notes.addStops(wanted, reason);
+    wanted.forEach((run) => this.#requestStop(run, nowMs));
   }
 
   takeDueStops(nowMs: number): readonly StopDue[] {
@@ -161,15 +171,26 @@
   }
 
   /** Everything on the worker is surely over: its process is another, or its leases ran out. */
-  loseAll(view: FleetWorkerView, nowMs: number): void {
+  loseAll(view: FleetWorkerView, reason: 'another-process' | 'leases-over', nowMs: number): void {
+    const runs = describeRuns([...view.runs.values()]);
+    if (runs !== '') this.#notes.add('runs-lost', { workerId: view.id, reason, runs });
     [...view.runs.values()].forEach((run) => this.#drop(view, run, nowMs));
   }
 
-  #takeEnd(view: FleetWorkerView, finished: FinishedRun, nowMs: number): void {
-    if (finished.sequence <= view.takenSequence) return;
+  /** One line for all ends that a worker lists at once. */
+  #noteEnds(view: FleetWorkerView, ended: readonly FinishedRun[]): void {
+    if (ended.length === 0) return;
+    const ends = ended.map(({ taskName, run, end }) => `${taskName}#${run}=${end}`).join(' ');
+    this.#notes.add('tasks-ended', { workerId: view.id, ends });
+  }
+
+  /** Returns false for an end that was taken before, or of a submission that is not known. */
+  #takeEnd(view: FleetWorkerView, finished: FinishedRun, nowMs: number): boolean {
+    if (finished.sequence <= view.takenSequence) return false;
     view.takenSequence = finished.sequence;
     const task = this.#book.find(finished.taskName);
-    if (task === undefined) return;
+    if (task === undefined) return false;
+    const wasOpen = isOpen(task.submission);
     task.lastRun = Math.max(task.lastRun, finished.run);
     if (finished.checkpoint !== '') task.checkpoint = finished.checkpoint;
     this.#learn(view, finished, task, nowMs);
@@ -177,10 +198,16 @@
     const run = view.runs.get(runKey(finished.taskName, finished.run));
     this.requestStops(
       others.filter((other) => other !== run),
+      StopReason.NotWanted,
       nowMs,
     );
     this.#failIfSpent(task, nowMs);
     if (run !== undefined) this.#drop(view, run, nowMs);
+    if (wasOpen && !isOpen(task.submission)) {
+      const { submission, state } = task.submission;
+      this.#notes.add('submission-ended', { id: submission.id, state, taskName: task.name });
+    }
+    return true;
   }
 
   #learn(view: FleetWorkerView, finished: FinishedRun, task: TaskRecord, nowMs: number): void {
@@ -201,7 +228,7 @@
     const { queueName } = task.submission.submission;
     const queue = configuration && findQueueByName(configuration, queueName);
     if (queue === undefined || failureCount(task) < Math.max(1, queue.maximumAttempts)) return;
-    this.requestStops(this.#book.fail(task.submission), nowMs);
+    this.requestStops(this.#book.fail(task.submission), StopReason.Failed, nowMs);
   }
 
   /** Returns false for a run of a submission that is not known. */
@@ -237,7 +264,7 @@
     view.addRun(run);
     this.#book.noteRun(run);
     if (isWanted) this.#book.noteStarted(task.submission);
-    else this.requestStop(run, nowMs);
+    else this.requestStops([run], StopReason.NotWanted, nowMs);
     return run;
   }
 
--- a/src/scheduler/node/fleetTask.ts
+++ b/src/scheduler/node/fleetTask.ts
@@ -170,6 +170,7 @@
       }
       default:
         log.info(effect.event, effect.fields);
+        return;
     }
     this.#stepSoon();
   }
--- a/src/scheduler/test/fleet/rebirth.test.ts
+++ b/src/scheduler/test/fleet/rebirth.test.ts
@@ -4,6 +4,7 @@
 import { NO_OPERATOR_STATE } from '../../../services/fleet/common/fleetConfiguration.js';
 import { type HoldAnswer, StartOutcome } from '../../../services/fleet/common/fleetWorker.js';
 import { WorkerHealth } from '../../common/workerHealth.js';
+import { FleetNotes } from '../../common/fleet/fleetNotes.js';
 import { FleetWorkerView } from '../../common/fleet/fleetWorkerView.js';
 import { newRun, RunKeeper } from '../../common/fleet/runKeeper.js';
 import { SubmissionBook } from '../../common/fleet/submissionBook.js';
@@ -44,7 +45,13 @@
     const book = new SubmissionBook();
     const view = newView();
     const views = new Map([[view.id, view]]);
-    const keeper = new RunKeeper(book, views, () => NO_OPERATOR_STATE, new WorkerHealth());
+    const keeper = new RunKeeper(
+      book,
+      views,
+      () => NO_OPERATOR_STATE,
+      new WorkerHealth(),
+      new FleetNotes(),
+    );
     book.add(submissionOf('00000000000000c1', [STEP]), undefined, false, 0);
     const [task] = [...book.waiting];
     if (task === undefined) throw new Error('no task waits');
--- /dev/null
+++ b/src/services/log/common/boundedLog.ts
@@ -0,0 +1,64 @@
+/** Bounds how many lines on requests are written; lines of changed beliefs are always written. */
+import type { Clock } from '../../../base/common/clock.js';
+import type { Log, LogFields } from './log.js';
+import { DECISION_EVENTS, type LogEvent } from './logEvents.js';
+
+/**
+ * A line costs 0.1 ms of processor time at most; this many are a hundredth of a core. A day of the
+ * design's load has some 60 a second at its owner, since tasks started or ended together share one.
+ */
+const LINES_PER_S = 150;
+const WINDOW_MS = 1_000;
+
+/**
+ * Made for storms of refusals and restarts, in which the log would take the processor from the
+ * work that it tells of. What is left out is counted, and told once the second is over.
+ */
+export class BoundedLog implements Log {
+  readonly #log: Log;
+
+  readonly #clock: Clock;
+
+  #windowStartedAtMs = Number.NEGATIVE_INFINITY;
+
+  #written = 0;
+
+  #leftOut = 0;
+
+  constructor(log: Log, clock: Clock) {
+    this.#log = log;
+    this.#clock = clock;
+  }
+
+  info(event: LogEvent, fields: LogFields = {}): void {
+    if (this.#admits(event)) this.#log.info(event, fields);
+  }
+
+  warn(event: LogEvent, fields: LogFields = {}): void {
+    if (this.#admits(event)) this.#log.warn(event, fields);
+  }
+
+  error(event: LogEvent, fields: LogFields = {}): void {
+    if (this.#admits(event)) this.#log.error(event, fields);
+  }
+
+  #admits(event: LogEvent): boolean {
+    const nowMs = this.#clock.nowMs();
+    if (nowMs - this.#windowStartedAtMs >= WINDOW_MS) this.#startWindow(nowMs);
+    if (!DECISION_EVENTS.has(event)) return true;
+    if (this.#written >= LINES_PER_S) {
+      this.#leftOut += 1;
+      return false;
+    }
+    this.#written += 1;
+    return true;
+  }
+
+  #startWindow(nowMs: number): void {
+    const lines = this.#leftOut;
+    this.#windowStartedAtMs = nowMs;
+    this.#written = 0;
+    this.#leftOut = 0;
+    if (lines > 0) this.#log.warn('log-lines-left-out', { lines });
+  }
+}
--- a/src/services/log/common/logEvents.ts
+++ b/src/services/log/common/logEvents.ts
@@ -19,8 +19,17 @@
   'submission-refused': 'A submission was not stored and never runs; the line says why.',
   'submission-unresolved': 'Whether a submission was stored is not known; its caller was told so.',
   'submission-cancelled': 'A cancellation is stored.',
+  'submission-ended': 'A submission has come to its last state, by the end of the task named.',
+  'tasks-started': 'Tasks were given room and their starts sent, as TASK#RUN@WORKER.',
+  'tasks-ended': 'A worker has listed ends for the first time, as TASK#RUN=END.',
+  'runs-stopped': 'Runs are to be stopped, for the reason given.',
+  'runs-lost': 'Runs are surely over without an end; their tasks are placed again.',
+  'runs-paced': 'Batch work beside services is to work at these paces.',
   'start-refused': 'A worker did not take a start; the task is placed again.',
   'start-unanswered': 'A start got no answer; its run is stopped before the task starts elsewhere.',
+  'worker-reborn': 'A worker is another process than before; all that it ran is over.',
+  'worker-unlisted': 'The table no longer lists a worker that the scheduler knew.',
+  'log-lines-left-out': 'So many lines on requests were left out in the last second, by a limit.',
   'row-unreadable': 'A row of the table has another form than expected and is passed over.',
   'settings-changed':
     'The settings file has changed; addresses in it count from the next start on.',
@@ -31,3 +40,19 @@
 } as const;
 
 export type LogEvent = keyof typeof LOG_EVENTS;
+
+/** Lines that tell of a decision on a request; under load some of them are left out. */
+export const DECISION_EVENTS: ReadonlySet<LogEvent> = new Set([
+  'submission-accepted',
+  'submission-refused',
+  'submission-unresolved',
+  'submission-cancelled',
+  'submission-ended',
+  'tasks-started',
+  'tasks-ended',
+  'runs-stopped',
+  'runs-lost',
+  'runs-paced',
+  'start-refused',
+  'start-unanswered',
+]);
--- a/src/services/log/node/consolaLog.ts
+++ b/src/services/log/node/consolaLog.ts
@@ -13,7 +13,14 @@
  */
 const LEVEL = { level: LogLevels.info } as const;
 
-const createJsonConsola = (): ConsolaInstance =>
+/** Takes a whole line, with its end. */
+export type WriteLine = (line: string) => void;
+
+const toStandardOutput: WriteLine = (line) => {
+  process.stdout.write(line);
+};
+
+const createJsonConsola = (writeLine: WriteLine): ConsolaInstance =>
   createConsola({
     ...LEVEL,
     reporters: [
@@ -21,7 +28,7 @@
         log: (entry) => {
           const [event, fields] = entry.args as [string, LogFields];
           const line = { time: entry.date.toISOString(), level: entry.type, event, ...fields };
-          process.stdout.write(`${JSON.stringify(line)}\n`);
+          writeLine(`${JSON.stringify(line)}\n`);
         },
       },
     ],
@@ -33,8 +40,9 @@
   readonly #context: LogFields;
 
   /** The context's fields are added to every line. */
-  constructor(format: LogFormat, context: LogFields) {
-    this.#consola = format === LogFormat.Json ? createJsonConsola() : createConsola(LEVEL);
+  constructor(format: LogFormat, context: LogFields, writeLine = toStandardOutput) {
+    const isJson = format === LogFormat.Json;
+    this.#consola = isJson ? createJsonConsola(writeLine) : createConsola(LEVEL);
     this.#context = context;
   }
 
--- /dev/null
+++ b/src/services/log/node/lineWriter.ts
@@ -0,0 +1,112 @@
+/** Writes lines to a file descriptor without ever waiting for whoever reads it. */
+import { write } from 'node:fs';
+import { setTimeout as delay } from 'node:timers/promises';
+
+/** Some seconds of lines at the limit of `BoundedLog`. */
+const MAXIMUM_BUFFERED_BYTES = 256 * 1024;
+/** Lines of this time are written together, which spares most of the calls. */
+const GATHER_MS = 100;
+/** After a write that failed, for instance since a pipe that does not wait is full. */
+const RETRY_MS = 100;
+/** How often a flush looks whether all is written. */
+const LOOK_MS = 10;
+
+/** The one call that is made of the system; tests put a reader in its place that does not read. */
+export type WriteBytes = (
+  bytes: Buffer,
+  done: (error: Error | null, written: number) => void,
+) => void;
+
+/**
+ * Node.js writes to a pipe in the thread that answers callers, and waits there while nobody reads.
+ * Here a thread of the pool writes, one piece at a time. Lines that come while the buffer is full
+ * are left out and counted; the count is written as soon as there is room again.
+ */
+export class LineWriter {
+  readonly #write: WriteBytes;
+
+  readonly #describeLeftOut: (lines: number) => string;
+
+  #lines: string[] = [];
+
+  #bufferedBytes = 0;
+
+  #leftOut = 0;
+
+  #isWriting = false;
+
+  #timer: NodeJS.Timeout | undefined;
+
+  constructor(describeLeftOut: (lines: number) => string, writeBytes: WriteBytes) {
+    this.#describeLeftOut = describeLeftOut;
+    this.#write = writeBytes;
+  }
+
+  static toDescriptor(descriptor: number, describeLeftOut: (lines: number) => string): LineWriter {
+    return new LineWriter(describeLeftOut, (bytes, done) => write(descriptor, bytes, done));
+  }
+
+  get bufferedBytes(): number {
+    return this.#bufferedBytes;
+  }
+
+  add(line: string): void {
+    const bytes = Buffer.byteLength(line);
+    if (this.#bufferedBytes + bytes > MAXIMUM_BUFFERED_BYTES) {
+      this.#leftOut += 1;
+      return;
+    }
+    this.#lines.push(line);
+    this.#bufferedBytes += bytes;
+    this.#schedule(GATHER_MS);
+  }
+
+  /** Writes what is left before the process ends, unless nobody reads it for that long. */
+  async flush(timeoutMs: number): Promise<void> {
+    clearTimeout(this.#timer);
+    this.#timer = undefined;
+    if (!this.#isWriting) this.#sendAll();
+    let leftMs = timeoutMs;
+    while (this.#bufferedBytes > 0 && leftMs > 0) {
+      // eslint-disable-next-line no-await-in-loop -- looks again until all is written
+      await delay(LOOK_MS);
+      leftMs -= LOOK_MS;
+    }
+  }
+
+  #take(): string {
+    if (this.#leftOut > 0) this.#lines.push(this.#describeLeftOut(this.#leftOut));
+    const text = this.#lines.join('');
+    this.#lines = [];
+    this.#leftOut = 0;
+    return text;
+  }
+
+  #schedule(delayMs: number): void {
+    if (this.#isWriting || this.#timer !== undefined) return;
+    this.#timer = setTimeout(() => {
+      this.#timer = undefined;
+      this.#sendAll();
+    }, delayMs);
+    this.#timer.unref();
+  }
+
+  #sendAll(): void {
+    const bytes = Buffer.from(this.#take());
+    if (bytes.length > 0) this.#send(bytes);
+  }
+
+  #send(bytes: Buffer): void {
+    this.#isWriting = true;
+    this.#write(bytes, (error, written) => {
+      const rest = error === null ? bytes.subarray(written) : bytes;
+      if (rest.length > 0) {
+        setTimeout(() => this.#send(rest), error === null ? 0 : RETRY_MS).unref();
+        return;
+      }
+      this.#isWriting = false;
+      this.#bufferedBytes = this.#lines.reduce((sum, line) => sum + Buffer.byteLength(line), 0);
+      if (this.#lines.length > 0 || this.#leftOut > 0) this.#schedule(GATHER_MS);
+    });
+  }
+}
--- a/src/services/log/test/logEvents.test.ts
+++ b/src/services/log/test/logEvents.test.ts
@@ -24,6 +24,9 @@
   'store-lost': 'the store answers to the store fails',
   'store-regained': 'the store fails to the store answers',
   'operator-state-in-force': 'what operators have written moves',
+  'worker-reborn': 'one process of a worker to another',
+  'worker-unlisted': 'a worker is listed to it is not',
+  'log-lines-left-out': 'a limit was reached, once a second at most',
   'row-unreadable': 'a row is believed in to a row is passed over, once for each reading',
 };
 
@@ -33,13 +36,19 @@
   'submission-refused': 'not stored, refused',
   'submission-unresolved': 'not known to be stored, given up on',
   'submission-cancelled': 'a cancellation stored',
+  'submission-ended': 'complete or failed, by the end of its last task',
+  'tasks-started': 'given room; one line for the tasks of a submission in a round',
+  'tasks-ended': 'ends believed; one line for all that a worker lists at once',
+  'runs-stopped': 'stopped, with the reason; one line for all that are stopped for it',
+  'runs-lost': 'surely over without an end; one line a worker',
+  'runs-paced': 'slowed or sped up; one line a worker',
   'start-refused': 'a worker did not take a start; placed again',
   'start-unanswered': 'a start without an answer; stopped first',
 };
 
 /** Where events stand: calls of the log, and the choice of a cell's event. */
 const EVENT =
-  /\b(?:log|#log|services\.log)\s*\.(?:info|warn|error)\(\s*'([^']+)'|'(cell-(?:acquired|lost))'/gu;
+  /\b(?:log|#log|services\.log)\s*\.(?:info|warn|error)\(\s*'([^']+)'|\b(?:notes|this)\.add\(\s*'([^']+)'|'(cell-(?:acquired|lost))'/gu;
 
 describe('the lines of the log', () => {
   it('are a closed list of changes of state and of decisions on requests', () => {
@@ -49,7 +58,9 @@
 
   it('are all written somewhere, and no other is', async () => {
     const text = await sourceText(['logEvents.ts']);
-    const written = new Set([...text.matchAll(EVENT)].map(([, event, cell]) => event ?? cell));
+    const written = new Set(
+      [...text.matchAll(EVENT)].map(([, event, note, cell]) => event ?? note ?? cell),
+    );
     expect([...written].sort()).toEqual(Object.keys(LOG_EVENTS).sort());
   });
 });
