The daemon on the platform counts and serves its metrics

Cause: this path counted nothing; an engineer could not tell from outside whether refusals came of the store, or which instance scheduled. Ruled out: a metric for each field of the log; what the log tells with an id is only counted by event. An address that is taken is told and holds nothing up. The histogram is imported so that Node.js and the bundle both find it. Left: the time from an end's listing to its record, and from there to the caller's look.

--- a/src/daemon/common/fleetSettings.ts
+++ b/src/daemon/common/fleetSettings.ts
@@ -17,7 +17,11 @@
 export const fleetSettingsSchema = z.strictObject({
   instanceId: z.string().min(1),
   availabilityZone: z.string().min(1),
-  listen: z.strictObject({ callers: addressSchema, readiness: addressSchema }),
+  listen: z.strictObject({
+    callers: addressSchema,
+    readiness: addressSchema,
+    metrics: addressSchema,
+  }),
   /** IP:PORT of the platform's store. */
   storeAddress: z.string().regex(/^[\d.]+:\d+$/u),
   /** The longest lease that workers grant. */
--- a/src/daemon/test/fleetSettings.test.ts
+++ b/src/daemon/test/fleetSettings.test.ts
@@ -5,7 +5,7 @@
 const SETTINGS = {
   instanceId: 'entry-1',
   availabilityZone: 'zone-1',
-  listen: { callers: '10.1.0.13:8161', readiness: '10.1.0.13:8167' },
+  listen: { callers: '10.1.0.13:8161', readiness: '10.1.0.13:8167', metrics: '10.1.0.13:9464' },
   storeAddress: '10.200.1.7:8169',
   maximumLeaseMs: 6_000,
   graceSeconds: 6,
@@ -23,7 +23,7 @@
     ['a name where an address belongs', { storeAddress: 'store.example:80' }, 'storeAddress'],
     [
       'a port that is none',
-      { listen: { callers: '1.2.3.4:99999', readiness: '1.2.3.4:1' } },
+      { listen: { ...SETTINGS.listen, callers: '1.2.3.4:99999' } },
       'listen.callers',
     ],
     ['a lease of no time', { maximumLeaseMs: 0 }, 'maximumLeaseMs'],
--- a/src/intake/node/submissionIntake.ts
+++ b/src/intake/node/submissionIntake.ts
@@ -11,6 +11,7 @@
   WorkOutcome,
 } from '../../services/errors/common/errorKinds.js';
 import type { Log } from '../../services/log/common/log.js';
+import type { Metrics } from '../../services/metrics/common/metrics.js';
 import { type Submission, SubmissionState } from '../../services/submissions/common/submission.js';
 import {
   cancelKey,
@@ -40,6 +41,7 @@
   readonly table: TableService;
   readonly clock: Clock;
   readonly log: Log;
+  readonly metrics: Metrics;
   readonly newOperationId: () => string;
   /** The epoch of the scheduler whose heartbeat moves, as seen here; undefined without one. */
   readonly liveEpoch: () => number | undefined;
@@ -59,6 +61,18 @@
    * failure says `not-run` only when no write of it can have landed or can still land.
    */
   async accept(submission: Submission, timeoutMs: number): Promise<Either<Failure, undefined>> {
+    const { clock, metrics } = this.#services;
+    const arrivedAtMs = clock.nowMs();
+    const result = await this.#store(submission, timeoutMs);
+    const isAccepted = !isLeft(result);
+    const isRefused = isLeft(result) && result.left.workOutcome === WorkOutcome.NotRun;
+    if (isAccepted) metrics.recordMs('submission_store_duration', clock.nowMs() - arrivedAtMs);
+    const failed = isRefused ? 'refused' : 'unresolved';
+    metrics.count('submissions', { outcome: isAccepted ? 'accepted' : failed });
+    return result;
+  }
+
+  async #store(submission: Submission, timeoutMs: number): Promise<Either<Failure, undefined>> {
     const { table, clock, newOperationId } = this.#services;
     const endsAtMs = clock.nowMs() + timeoutMs * RESOLVE_SHARE;
     if (!this.#reach.mayTry(clock.nowMs())) {
--- a/src/scheduler/node/fleetTask.ts
+++ b/src/scheduler/node/fleetTask.ts
@@ -12,6 +12,7 @@
   type StartRequest,
 } from '../../services/fleet/common/fleetWorker.js';
 import type { OperatorFollower } from '../../services/fleet/node/operatorFollower.js';
+import type { Metrics } from '../../services/metrics/common/metrics.js';
 import type { Log } from '../../services/log/common/log.js';
 import { SUBMISSION_TABLE } from '../../services/submissions/common/submissionRows.js';
 import type { TableService } from '../../services/table/common/table.js';
@@ -39,6 +40,7 @@
   readonly clock: Clock;
   readonly wallNowMs: () => number;
   readonly log: Log;
+  readonly metrics: Metrics;
 }
 
 export class FleetTask implements Disposable {
@@ -120,7 +122,7 @@
   }
 
   async #performOne(effect: FleetEffect): Promise<void> {
-    const { table, client, clock, log } = this.#services;
+    const { table, client, clock } = this.#services;
     const scheduler = this.#scheduler;
     const sentAtMs = clock.nowMs();
     switch (effect.kind) {
@@ -169,13 +171,23 @@
         break;
       }
       default:
-        log.info(effect.event, effect.fields);
+        this.#note(effect);
         return;
     }
     this.#stepSoon();
   }
 
+  #note({ event, fields }: Extract<FleetEffect, { kind: 'log' }>): void {
+    const { log, metrics } = this.#services;
+    log.info(event, fields);
+    metrics.count('fleet_decisions', { event });
+    const { waitedMs } = fields;
+    if (typeof waitedMs === 'number') metrics.recordMs('task_wait_duration', waitedMs);
+  }
+
   #logStart(request: StartRequest, result: Either<Failure, StartOutcome>): void {
+    const outcome = isLeft(result) ? 'unanswered' : result.right;
+    this.#services.metrics.count('task_starts', { outcome });
     if (isRight(result) && result.right === StartOutcome.Started) return;
     const { taskName, run, workerId } = request;
     const { log } = this.#services;
--- a/src/services/fleet/node/operatorFollower.ts
+++ b/src/services/fleet/node/operatorFollower.ts
@@ -61,6 +61,11 @@
     return this.#isReached && nowMs - this.#reachedAtMs < SILENCE_MS;
   }
 
+  /** How long ago the store last answered. */
+  silenceMs(nowMs: number): number {
+    return nowMs - this.#reachedAtMs;
+  }
+
   dispose(): void {
     this.#isDisposed = true;
     clearTimeout(this.#timer);
--- a/src/services/log/common/logEvents.ts
+++ b/src/services/log/common/logEvents.ts
@@ -31,6 +31,7 @@
   'worker-unlisted': 'The table no longer lists a worker that the scheduler knew.',
   'log-lines-left-out': 'So many lines on requests were left out in the last second, by a limit.',
   'row-unreadable': 'A row of the table has another form than expected and is passed over.',
+  'metrics-not-served': 'The address of the metrics cannot be listened on; all else goes on.',
   'settings-changed':
     'The settings file has changed; addresses in it count from the next start on.',
   'store-lost': 'Calls to the store fail; the daemon is not ready until one succeeds.',
--- a/src/services/metrics/common/metricList.ts
+++ b/src/services/metrics/common/metricList.ts
@@ -123,9 +123,23 @@
   invariant_withdrawn_zone: counter('A task was to start in a withdrawn zone.'),
 };
 
+/** Of the scheduler of workers that keep their own leases, and of the intake before it. */
+const FLEET_METRICS = {
+  submissions: counter('Submissions of callers, by outcome: accepted, refused or unresolved.'),
+  submission_store_duration: duration('From the arrival of a submission to its record.'),
+  table_calls: counter('Calls to the table, by kind and outcome.'),
+  table_call_duration: duration('From a call to the table to its answer, by kind.'),
+  fleet_decisions: counter('Lines of the log on decisions of the scheduler, by event.'),
+  task_wait_duration: duration('From the moment a task could start to its start being sent.'),
+  task_starts: counter('Starts sent to workers, by what the worker answered.'),
+  fleet_scheduling: gauge('One on the instance that schedules the workers, else nought.'),
+  store_silence_ms: gauge('How long ago the store last answered what operators wrote.'),
+};
+
 export const METRICS: Readonly<Record<string, MetricDescription>> = {
   ...REQUEST_METRICS,
   ...SYSTEM_METRICS,
   ...SCHEDULER_METRICS,
+  ...FLEET_METRICS,
   ...INVARIANT_METRICS,
 };
--- /dev/null
+++ b/src/services/metrics/node/metricsServer.ts
@@ -0,0 +1,31 @@
+/** Serves the metrics as text to whoever collects them. */
+import Fastify, { type FastifyInstance } from 'fastify';
+
+import { listeningPort } from '../../http/node/listening.js';
+import type { PrometheusMetrics } from './prometheusMetrics.js';
+
+const METRICS_PATH = '/metrics';
+const CONTENT_TYPE = 'text/plain; version=0.0.4';
+
+export class MetricsServer {
+  readonly #server: FastifyInstance;
+
+  /** `onWillCollect` brings the gauges up to date. */
+  constructor(metrics: PrometheusMetrics, onWillCollect: () => void) {
+    this.#server = Fastify({ logger: false });
+    this.#server.get(METRICS_PATH, async (_request, reply) => {
+      onWillCollect();
+      return reply.type(CONTENT_TYPE).send(await metrics.exposition());
+    });
+  }
+
+  /** Resolves to the port. */
+  async listen(address: { readonly host: string; readonly port: number }): Promise<number> {
+    await this.#server.listen(address);
+    return listeningPort(this.#server);
+  }
+
+  async close(): Promise<void> {
+    await this.#server.close();
+  }
+}
--- a/src/services/metrics/node/prometheusMetrics.ts
+++ b/src/services/metrics/node/prometheusMetrics.ts
@@ -1,6 +1,6 @@
 /** Metrics in the Prometheus text format, with durations in HDR histograms. */
-import { createRequire } from 'node:module';
-
+// The package's main module also loads its WebAssembly build, which costs 7 MB resident.
+import imported from 'hdr-histogram-js/dist/Int32Histogram.js';
 import { Counter, Gauge, Registry } from 'prom-client';
 
 import { LabelledSeries } from '../common/labelledSeries.js';
@@ -20,12 +20,9 @@
 /** Seven zones with a few outcomes each stay far below; histograms reach 1.2 MB a metric. */
 const MAXIMUM_SERIES = 100;
 
-type HistogramModule = typeof import('hdr-histogram-js/dist/Int32Histogram.js');
-// The package's main module also loads its WebAssembly build, which costs 7 MB resident.
-const histogramModule = createRequire(import.meta.url)(
-  'hdr-histogram-js/dist/Int32Histogram.js',
-) as HistogramModule;
-const Histogram = histogramModule.default;
+type HistogramClass = (typeof imported)['default'];
+// Node.js and bundlers differ in what the default import of such a CommonJS module is.
+const Histogram = 'default' in imported ? imported.default : (imported as HistogramClass);
 type Histogram = InstanceType<typeof Histogram>;
 
 interface SeriesMaker<Value> {
--- a/tools/release/codeCache.cjs
+++ b/tools/release/codeCache.cjs
@@ -11,7 +11,7 @@
 const settings = {
   instanceId: 'build',
   availabilityZone: 'build',
-  listen: { callers: '127.0.0.1:0', readiness: '127.0.0.1:0' },
+  listen: { callers: '127.0.0.1:0', readiness: '127.0.0.1:0', metrics: '127.0.0.1:0' },
   storeAddress: '127.0.0.1:1',
   maximumLeaseMs: 6_000,
   graceSeconds: 6,
