Starts and ends of a fifth of a second share a line of the log

Ruled out: a higher limit (the lines are of no more use, and cost processor time). Change: FleetNotes gathers starts and ends for 200 ms; the wait of each task stands beside it.

--- a/src/scheduler/common/fleet/fleetNotes.ts
+++ b/src/scheduler/common/fleet/fleetNotes.ts
@@ -1,4 +1,5 @@
 /** What the scheduler has decided and learnt, for the log. */
+import type { FinishedRun } from '../../../services/fleet/common/fleetWorker.js';
 import type { LogFields } from '../../../services/log/common/log.js';
 import type { LogEvent } from '../../../services/log/common/logEvents.js';
 import type { PaceChange } from './harmControl.js';
@@ -27,24 +28,43 @@
 /** Runs as TASK#RUN@WORKER, so that a search for a submission's id finds them. */
 export const describeRuns = (runs: readonly TaskRun[]): string => runs.map(describeRun).join(' ');
 
+/**
+ * Starts and ends of this time share a line each. One for each worker and round were some 150 a
+ * second in a burst, and crowded the lines on submissions out of the log's limit.
+ */
+const GATHER_MS = 200;
+
 export class FleetNotes {
   #notes: FleetNote[] = [];
 
+  #starts: string[] = [];
+
+  #longestWaitMs = 0;
+
+  #ends: string[] = [];
+
+  /** When the oldest start or end that is gathered came. */
+  #gatheredSinceMs: number | undefined;
+
   add(event: LogEvent, fields: LogFields): void {
     this.#notes.push({ event, fields });
   }
 
-  /** One line for each submission's tasks that are started together. */
-  addStarts(runs: readonly TaskRun[], epoch: number, nowMs: number): void {
-    const bySubmission = new Map<string, TaskRun[]>();
+  addStarts(runs: readonly TaskRun[], nowMs: number): void {
+    if (runs.length === 0) return;
+    this.#gatheredSinceMs ??= nowMs;
     runs.forEach((run) => {
-      const { id } = run.task.submission.submission;
-      bySubmission.set(id, [...(bySubmission.get(id) ?? []), run]);
+      const waitedMs = Math.round(nowMs - run.task.waitingSinceMs);
+      this.#longestWaitMs = Math.max(this.#longestWaitMs, waitedMs);
+      this.#starts.push(`${describeRun(run)}+${waitedMs}ms`);
     });
-    bySubmission.forEach((started, id) => {
-      const waitingSinceMs = Math.min(...started.map(({ task }) => task.waitingSinceMs));
-      const waitedMs = Math.round(nowMs - waitingSinceMs);
-      this.add('tasks-started', { id, epoch, waitedMs, runs: describeRuns(started) });
+  }
+
+  addEnds(workerId: string, ended: readonly FinishedRun[], nowMs: number): void {
+    if (ended.length === 0) return;
+    this.#gatheredSinceMs ??= nowMs;
+    ended.forEach(({ taskName, run, end }) => {
+      this.#ends.push(`${taskName}#${run}@${workerId}=${end}`);
     });
   }
 
@@ -58,10 +78,24 @@
     this.add('runs-paced', { paces });
   }
 
-  /** Everything since the last call. */
-  drain(): readonly FleetNote[] {
+  /** Everything that is due to be told. */
+  drain(epoch: number, nowMs: number): readonly FleetNote[] {
+    const since = this.#gatheredSinceMs;
+    if (since !== undefined && nowMs - since >= GATHER_MS) this.#tellGathered(epoch);
     const notes = this.#notes;
     this.#notes = [];
     return notes;
   }
+
+  #tellGathered(epoch: number): void {
+    if (this.#starts.length > 0) {
+      const runs = this.#starts.join(' ');
+      this.add('tasks-started', { epoch, waitedMs: this.#longestWaitMs, runs });
+    }
+    if (this.#ends.length > 0) this.add('tasks-ended', { epoch, ends: this.#ends.join(' ') });
+    this.#starts = [];
+    this.#ends = [];
+    this.#longestWaitMs = 0;
+    this.#gatheredSinceMs = undefined;
+  }
 }
--- a/src/scheduler/common/fleet/fleetScheduler.ts
+++ b/src/scheduler/common/fleet/fleetScheduler.ts
@@ -240,7 +240,9 @@
     effects.push(...holdEffects(tenure, this.#timing, this.#mayGrant(nowMs), nowMs));
     this.#pace(tenure, effects, nowMs);
     this.#commit(tenure, effects, nowMs);
-    tenure.notes.drain().forEach((note) => effects.push({ kind: 'log', ...note }));
+    tenure.notes
+      .drain(tenure.epoch, nowMs)
+      .forEach((note) => effects.push({ kind: 'log', ...note }));
     return effects;
   }
 
@@ -281,7 +283,7 @@
       },
       nowMs,
     );
-    tenure.notes.addStarts(placed, epoch, nowMs);
+    tenure.notes.addStarts(placed, nowMs);
     placed.forEach((run) => {
       const view = views.get(run.workerId);
       if (view === undefined) return;
--- a/src/scheduler/common/fleet/runKeeper.ts
+++ b/src/scheduler/common/fleet/runKeeper.ts
@@ -108,7 +108,7 @@
     if (view.isReborn) this.loseAll(view, 'another-process', nowMs);
     view.noteAnswer(answer, nowMs);
     const ended = answer.finished.filter((finished) => this.#takeEnd(view, finished, nowMs));
-    this.#noteEnds(view, ended);
+    this.#notes.addEnds(view.id, ended, nowMs);
     const unknown = answer.running.filter((running) => !this.#takeRunning(view, running, nowMs));
     if (!answer.isFinishedCut) this.#dropUnlisted(view, answer, sentAtMs, nowMs);
     view.strayCount = unknown.length;
@@ -177,13 +177,6 @@
     [...view.runs.values()].forEach((run) => this.#drop(view, run, nowMs));
   }
 
-  /** One line for all ends that a worker lists at once. */
-  #noteEnds(view: FleetWorkerView, ended: readonly FinishedRun[]): void {
-    if (ended.length === 0) return;
-    const ends = ended.map(({ taskName, run, end }) => `${taskName}#${run}=${end}`).join(' ');
-    this.#notes.add('tasks-ended', { workerId: view.id, ends });
-  }
-
   /** Returns false for an end that was taken before, or of a submission that is not known. */
   #takeEnd(view: FleetWorkerView, finished: FinishedRun, nowMs: number): boolean {
     if (finished.sequence <= view.takenSequence) return false;
--- a/src/services/metrics/common/metricList.ts
+++ b/src/services/metrics/common/metricList.ts
@@ -130,7 +130,9 @@
   table_calls: counter('Calls to the table, by kind and outcome.'),
   table_call_duration: duration('From a call to the table to its answer, by kind.'),
   fleet_decisions: counter('Lines of the log on decisions of the scheduler, by event.'),
-  task_wait_duration: duration('From the moment a task could start to its start being sent.'),
+  task_wait_duration: duration(
+    'Longest wait for room among tasks started together within a fifth of a second.',
+  ),
   task_starts: counter('Starts sent to workers, by what the worker answered.'),
   fleet_scheduling: gauge('One on the instance that schedules the workers, else nought.'),
   store_silence_ms: gauge('How long ago the store last answered what operators wrote.'),
