What is learnt of images fits into one row; design of headroom

Cause: pairs of images were kept without a bound, and all known ones written into one row. Callers name images as they like: some 500 pairs are more than a row of 64 KB takes, and the commit that carries the row would be refused from then on, with all progress. Ruled out: a row a pair (writes are priced; a successor needs few). Change: 2,000 pairs are kept, those seen last; 200 of them are handed over, of names of 64 characters at most.

--- a/src/scheduler/common/fleet/harmModel.ts
+++ b/src/scheduler/common/fleet/harmModel.ts
@@ -42,9 +42,19 @@
 /** Weight of a load's lowest headroom in that of its image. */
 const LOW_WEIGHT = 0.1;
 const INHERITED_VARIANCE = 2;
+/**
+ * Callers name images as they like. The pairs seen last are kept, and of these as many are handed to a
+ * successor as fit well into one row of the table: one more byte than a row holds, and no commit
+ * would be taken any more.
+ */
+const MAXIMUM_PAIRS = 2_000;
+const MAXIMUM_LEARNT = 200;
+const LONGEST_IMAGE_NAME = 64;
 const MS_PER_S = 1_000;
 
 interface PairEstimate {
+  readonly servingImage: string;
+  readonly fillerImage: string;
   loss: number;
   variance: number;
   seenAtMs: number;
@@ -123,19 +133,26 @@
    */
   inherit(pairs: LearntHarm, nowMs: number): void {
     pairs.forEach(({ servingImage, fillerImage, headroomLoss }) => {
-      const estimate = { loss: headroomLoss, variance: INHERITED_VARIANCE, seenAtMs: nowMs };
-      this.#pairs.set(pairName(servingImage, fillerImage), estimate);
+      this.#pairs.set(pairName(servingImage, fillerImage), {
+        ...{ servingImage, fillerImage, loss: headroomLoss },
+        variance: INHERITED_VARIANCE,
+        seenAtMs: nowMs,
+      });
     });
   }
 
   /** The pairs that are known by now, for a successor. */
   learnt(): LearntHarm {
-    return [...this.#pairs]
-      .filter(([, { variance }]) => Math.sqrt(variance) < KNOWN_DEVIATION)
-      .map(([pair, { loss }]) => {
-        const [servingImage = '', fillerImage = ''] = pair.split(' ');
-        return { servingImage, fillerImage, headroomLoss: Number(loss.toFixed(1)) };
-      });
+    const known = [...this.#pairs.values()]
+      .filter(({ variance }) => Math.sqrt(variance) < KNOWN_DEVIATION)
+      .filter(({ servingImage, fillerImage }) =>
+        [servingImage, fillerImage].every(({ length }) => length <= LONGEST_IMAGE_NAME),
+      );
+    return known.slice(-MAXIMUM_LEARNT).map(({ servingImage, fillerImage, loss }) => ({
+      servingImage,
+      fillerImage,
+      headroomLoss: Number(loss.toFixed(1)),
+    }));
   }
 
   /** Takes the worker's newest figures into what is known of its loads and of the pairs. */
@@ -255,10 +272,19 @@
       const seconds = Math.max(0, nowMs - known.seenAtMs) / MS_PER_S;
       known.variance = Math.min(UNKNOWN_VARIANCE, known.variance + PAIR_VARIANCE_PER_S * seconds);
       known.seenAtMs = nowMs;
+      // Set anew, so that the pairs stand in the order in which they were seen last.
+      this.#pairs.delete(name);
+      this.#pairs.set(name, known);
       return known;
     }
-    const first = { loss: UNKNOWN_LOSS, variance: UNKNOWN_VARIANCE, seenAtMs: nowMs };
+    const first = {
+      ...{ servingImage, fillerImage, loss: UNKNOWN_LOSS },
+      variance: UNKNOWN_VARIANCE,
+      seenAtMs: nowMs,
+    };
     this.#pairs.set(name, first);
+    const [oldest] = this.#pairs.keys();
+    if (this.#pairs.size > MAXIMUM_PAIRS && oldest !== undefined) this.#pairs.delete(oldest);
     return first;
   }
 }
--- a/src/scheduler/test/fleet/harmControl.test.ts
+++ b/src/scheduler/test/fleet/harmControl.test.ts
@@ -185,6 +185,25 @@
   });
 });
 
+describe('what is learnt of many images', () => {
+  it('fits into one row of the table, the pairs seen last', () => {
+    // Callers name a new image with each submission. What the owner hands to its successor grows
+    // with them, until the row is larger than the table takes, and no progress is stored any more.
+    const ROW_BYTES = 65_536;
+    const control = new HarmControl();
+    const random = new SeededRandom(3);
+    for (let count = 0; count < 600; count += 1) {
+      const image = `${count}`.padStart(40, 'image');
+      const scene = sceneOf(4, [image]);
+      play(scene, control, random, count * 3_000, count * 3_000 + 2_400, () => 8);
+    }
+    const learnt = control.learnt();
+    expect(learnt.length).toBeGreaterThan(100);
+    expect(learnt.at(-1)?.fillerImage).toMatch(/599$/u);
+    expect(JSON.stringify(learnt).length * (4 / 3)).toBeLessThan(ROW_BYTES);
+  });
+});
+
 describe('services whose load swings', () => {
   /** Waiting times: the tail without load, and what batch work adds to the work of a request. */
   const UNLOADED_TAIL_MS = 4;
