Add why tasks wait and whom a new owner awaits to the log

The logs of an incident showed that all inherited tasks were started in one round 10.7 s after a takeover, but not which workers the successor waited for, until when, and whether a task waited for a former owner or for room. New lines, a second apart at most: tasks-waiting with the oldest task and counts by reason, workers-awaited with the workers that have not answered; fleet-acquired tells for how long the predecessor had been silent, and runs-lost tells a worker that is gone from leases that are over. No decision is changed.

--- a/src/scheduler/common/fleet/fleetNotes.ts
+++ b/src/scheduler/common/fleet/fleetNotes.ts
@@ -4,7 +4,8 @@
 import type { LogEvent } from '../../../services/log/common/logEvents.js';
 import type { FleetWorkerView } from './fleetWorkerView.js';
 import type { PaceChange } from './harmControl.js';
-import type { TaskRun } from './taskRecords.js';
+import type { TaskRecord, TaskRun } from './taskRecords.js';
+import { type WaitCounts, WaitReport } from './waitReport.js';
 
 export interface FleetNote {
   readonly event: LogEvent;
@@ -27,6 +28,8 @@
 /** Why runs are surely over without an end. */
 export const LossReason = {
   AnotherProcess: 'another-process',
+  /** The table does not list it and nobody listens at its address. */
+  Gone: 'gone',
   LeasesOver: 'leases-over',
 } as const;
 export type LossReason = (typeof LossReason)[keyof typeof LossReason];
@@ -43,6 +46,8 @@
 const GATHER_MS = 200;
 
 export class FleetNotes {
+  readonly #waitReport = new WaitReport();
+
   #notes: FleetNote[] = [];
 
   #starts: string[] = [];
@@ -91,6 +96,17 @@
     this.add('runs-paced', { paces });
   }
 
+  addWaits(waiting: Iterable<TaskRecord>, counts: WaitCounts, nowMs: number): void {
+    const fields = this.#waitReport.tasks(waiting, counts, nowMs);
+    if (fields !== undefined) this.add('tasks-waiting', fields);
+  }
+
+  /** Workers that have not answered this owner and may run what a former owner started. */
+  addAwaited(views: Iterable<FleetWorkerView>, nowMs: number): void {
+    const fields = this.#waitReport.workers(views, nowMs);
+    if (fields !== undefined) this.add('workers-awaited', fields);
+  }
+
   /** Everything that is due to be told. */
   drain(epoch: number, nowMs: number): readonly FleetNote[] {
     const since = this.#gatheredSinceMs;
--- a/src/scheduler/common/fleet/fleetRound.ts
+++ b/src/scheduler/common/fleet/fleetRound.ts
@@ -14,6 +14,7 @@
 import { newRun } from './runKeeper.js';
 import type { SubmissionBook } from './submissionBook.js';
 import { stepName, type TaskRecord, type TaskRun } from './taskRecords.js';
+import { type WaitCounts, WaitReason } from './waitReport.js';
 
 /** Run numbers that one epoch may use of a task before they meet those of the next. */
 const RUNS_PER_EPOCH = 1_000;
@@ -82,6 +83,8 @@
 
   readonly placed: TaskRun[] = [];
 
+  readonly waits = new Map<WaitReason, number>();
+
   constructor(input: RoundInput, configuration: FleetConfiguration, nowMs: number) {
     this.#input = input;
     this.#configuration = configuration;
@@ -93,16 +96,24 @@
   }
 
   place(task: TaskRecord): void {
+    const reason = this.#tryToPlace(task);
+    if (reason !== undefined) this.waits.set(reason, (this.waits.get(reason) ?? 0) + 1);
+  }
+
+  /** Why it could not be placed, if so. */
+  #tryToPlace(task: TaskRecord): WaitReason | undefined {
     const { submission, isInherited } = task.submission;
-    if (this.placed.length >= MAXIMUM_STARTS) return;
-    if (isInherited && !this.#input.isSettled) return;
+    if (this.placed.length >= MAXIMUM_STARTS) return WaitReason.RoundFull;
+    if (isInherited && !this.#input.isSettled) return WaitReason.FormerOwner;
     const key = stepName(task);
-    if (this.#full.has(key)) return;
+    if (this.#full.has(key)) return WaitReason.NoRoom;
     const queue = findQueueByName(this.#configuration, submission.queueName);
     const serviceName = queue?.serviceName ?? submission.serviceName;
     const views = this.#usable.get(serviceName) ?? [];
     const isPlaced = task.step.isGang ? this.#placeGang(task, views) : this.#placeOne(task, views);
-    if (!isPlaced && !this.#placeAside(task, serviceName)) this.#full.add(key);
+    if (isPlaced || this.#placeAside(task, serviceName)) return undefined;
+    this.#full.add(key);
+    return WaitReason.NoRoom;
   }
 
   #placeOne(task: TaskRecord, views: readonly FleetWorkerView[]): boolean {
@@ -172,11 +183,19 @@
   }
 }
 
+export interface Placed {
+  readonly runs: readonly TaskRun[];
+  /** Tasks that were not placed, by reason. */
+  readonly waits: WaitCounts;
+}
+
+const NOTHING_PLACED: Placed = { runs: [], waits: new Map() };
+
 /** Places what waits; the room is taken at once, and the starts are to be sent. */
-export const placeWaiting = (input: RoundInput, nowMs: number): readonly TaskRun[] => {
+export const placeWaiting = (input: RoundInput, nowMs: number): Placed => {
   const { configuration } = input.operator;
-  if (configuration === undefined || input.book.waiting.size === 0) return [];
+  if (configuration === undefined || input.book.waiting.size === 0) return NOTHING_PLACED;
   const round = new Round(input, configuration, nowMs);
   orderedTasks(input.book.waiting, configuration, nowMs).forEach((task) => round.place(task));
-  return round.placed;
+  return { runs: round.placed, waits: round.waits };
 };
--- a/src/scheduler/common/fleet/fleetScheduler.ts
+++ b/src/scheduler/common/fleet/fleetScheduler.ts
@@ -94,6 +94,11 @@
     return this.#tenure?.epoch;
   }
 
+  /** For how long the owner before this one had been silent, or had given the fleet up. */
+  predecessorQuietMs(nowMs: number): number {
+    return nowMs - this.#ownership.predecessorQuietSinceMs;
+  }
+
   liveEpoch(nowMs: number): number | undefined {
     return this.#ownership.liveEpoch(nowMs);
   }
@@ -248,6 +253,7 @@
     effects.push(...holdEffects(tenure, this.#timing, this.#mayGrant(nowMs), nowMs));
     this.#pace(tenure, effects, nowMs);
     this.#commit(tenure, effects, nowMs);
+    tenure.notes.addAwaited(tenure.views.values(), nowMs);
     tenure.notes
       .drain(tenure.epoch, nowMs)
       .forEach((note) => effects.push({ kind: 'log', ...note }));
@@ -278,9 +284,10 @@
   #place(tenure: Tenure, effects: FleetEffect[], nowMs: number): void {
     if (!this.#mayGrant(nowMs) || tenure.book.waiting.size === 0) return;
     const input = roundInput(tenure, this.#operator, this.#policy, this.#timing, nowMs);
-    const placed = placeWaiting(input, nowMs);
-    tenure.notes.addStarts(placed, nowMs);
-    placed.forEach((run) => {
+    const { runs, waits } = placeWaiting(input, nowMs);
+    tenure.notes.addStarts(runs, nowMs);
+    tenure.notes.addWaits(tenure.book.waiting, waits, nowMs);
+    runs.forEach((run) => {
       const view = tenure.views.get(run.workerId);
       if (view === undefined) return;
       this.#startsInFlight.set(runKey(run.task.name, run.run), run);
--- a/src/scheduler/common/fleet/fleetTenure.ts
+++ b/src/scheduler/common/fleet/fleetTenure.ts
@@ -158,7 +158,8 @@
   tenure.views.forEach((view, id) => {
     const mayRun = view.isFresh(timing, nowMs) || nowMs < view.leasesOverAtMs;
     if (mayRun && !view.isGone) return;
-    if (view.runs.size > 0) tenure.keeper.loseAll(view, LossReason.LeasesOver, nowMs);
+    const reason = view.isGone ? LossReason.Gone : LossReason.LeasesOver;
+    if (view.runs.size > 0) tenure.keeper.loseAll(view, reason, nowMs);
     if (!view.isListed) tenure.views.delete(id);
   });
 };
--- a/src/scheduler/node/fleetTask.ts
+++ b/src/scheduler/node/fleetTask.ts
@@ -204,8 +204,14 @@
     if (loaded === undefined) await this.#pause(RETRY_MS);
     this.#scheduler.handleLoaded(epoch, loaded?.stored, clock.nowMs());
     if (loaded === undefined || this.#scheduler.epoch !== epoch) return;
-    const { changes, workers } = loaded.stored;
-    log.info('fleet-acquired', { epoch, rows: changes.length, workers: workers.length });
+    const { changes, workers, roster } = loaded.stored;
+    log.info('fleet-acquired', {
+      epoch,
+      rows: changes.length,
+      workers: workers.length,
+      knownWorkers: roster.length,
+      predecessorQuietMs: Math.round(this.#scheduler.predecessorQuietMs(clock.nowMs())),
+    });
     void this.#follow(epoch, loaded.position);
   }
 
--- a/src/scheduler/test/fleet/fleetNotes.test.ts
+++ b/src/scheduler/test/fleet/fleetNotes.test.ts
@@ -1,7 +1,9 @@
 import { describe, expect, it } from 'vitest';
 
 import { RunEnd } from '../../../services/fleet/common/fleetWorker.js';
-import { FleetNotes } from '../../common/fleet/fleetNotes.js';
+import { type FleetNote, FleetNotes } from '../../common/fleet/fleetNotes.js';
+import type { TaskRecord } from '../../common/fleet/taskRecords.js';
+import { WaitReason } from '../../common/fleet/waitReport.js';
 
 describe('what the scheduler tells the log', () => {
   it('has each end of a burst in it, in a few lines', () => {
@@ -24,3 +26,24 @@
     expect(told).toContain('00000000000000a1.0.0.999#1@worker-49=done');
   });
 });
+
+describe('what the scheduler tells of waiting', () => {
+  it('names the oldest task and why tasks are not placed, once a second at most', () => {
+    const notes = new FleetNotes();
+    const waiting = [
+      { name: 'younger', waitingSinceMs: 900 },
+      { name: 'oldest', waitingSinceMs: 100 },
+    ] as unknown as TaskRecord[];
+    const counts = new Map([[WaitReason.FormerOwner, 2]]);
+    const lines: FleetNote[] = [];
+    for (let nowMs = 1_000; nowMs <= 3_000; nowMs += 10) {
+      notes.addWaits(waiting, counts, nowMs);
+      lines.push(...notes.drain(3, nowMs));
+    }
+    expect(lines).toHaveLength(2);
+    expect(lines[0]).toEqual({
+      event: 'tasks-waiting',
+      fields: { taskName: 'oldest', longestWaitMs: 1_000, reasons: 'former-owner=2' },
+    });
+  });
+});
--- a/src/services/log/common/logEvents.ts
+++ b/src/services/log/common/logEvents.ts
@@ -21,6 +21,9 @@
   'submission-cancelled': 'A cancellation is stored.',
   'submission-ended': 'A submission has come to its last state, by the end of the task named.',
   'tasks-started': 'Tasks were given room and their starts sent, as TASK#RUN@WORKER+WAIT.',
+  'tasks-waiting': 'Tasks have waited for over a second; the line names the oldest and counts why.',
+  'workers-awaited':
+    'Workers that may run what a former owner started have not answered the new owner yet.',
   'tasks-ended': 'Workers have listed ends for the first time, as TASK#RUN@WORKER=END.',
   'runs-stopped': 'Runs are to be stopped, for the reason given.',
   'runs-lost': 'Runs are surely over without an end; their tasks are placed again.',
@@ -51,6 +54,7 @@
   'submission-ended',
   'tasks-started',
   'tasks-ended',
+  'tasks-waiting',
   'runs-stopped',
   'runs-lost',
   'runs-paced',
--- a/src/services/log/test/logEvents.test.ts
+++ b/src/services/log/test/logEvents.test.ts
@@ -27,6 +27,7 @@
   'operator-state-in-force': 'what operators have written moves',
   'worker-reborn': 'one process of a worker to another',
   'worker-unlisted': 'a worker is listed to it is not',
+  'workers-awaited': 'a new owner has not heard all workers yet, once a second at most',
   'log-lines-left-out': 'a limit was reached, once a second at most',
   'row-unreadable': 'a row is believed in to a row is passed over, once for each reading',
 };
@@ -40,6 +41,7 @@
   'submission-ended': 'complete or failed, by the end of its last task',
   'tasks-started': 'given room; one line for all of a fifth of a second',
   'tasks-ended': 'ends believed; one line for all of a fifth of a second',
+  'tasks-waiting': 'not placed, with counts by reason; once a second at most',
   'runs-stopped': 'stopped, with the reason; one line for all that are stopped for it',
   'runs-lost': 'surely over without an end; one line a worker',
   'runs-paced': 'slowed or sped up; one line a worker',
