--- a/src/scheduler/test/fleet/fleetWorld.ts
+++ b/src/scheduler/test/fleet/fleetWorld.ts
@@ -147,6 +147,22 @@
     seat.scheduler = undefined;
   }
 
+  /** Ends a process in order: it hands the fleet over first, if it owns it. */
+  stopScheduler(index: number): void {
+    const seat = this.seats[index] as SchedulerSeat;
+    const transaction = seat.scheduler?.release();
+    this.killScheduler(index);
+    if (transaction !== undefined)
+      this.#later(CALL_MS, () => void this.table.transact(transaction));
+  }
+
+  /** Takes a worker away with its machine: calls to it are neither answered nor refused. */
+  removeWorker(id: string): void {
+    this.workers.get(id)?.crash();
+    this.cutWorkers.add(id);
+    this.listedWorkers.delete(id);
+  }
+
   submit(submission: Submission): void {
     this.#submissions.set(submission.id, submission);
     this.#write(specKey(submission.id), submission as unknown as JsonValue);
--- /dev/null
+++ b/src/scheduler/test/fleet/takeover.test.ts
@@ -0,0 +1,120 @@
+import { describe, expect, it } from 'vitest';
+
+import { RunEnd } from '../../../services/fleet/common/fleetWorker.js';
+import { STEP, submissionOf } from './fleetFixtures.js';
+import { FleetWorld } from './fleetWorld.js';
+
+const ID = '00000000000000c1';
+const LASTING_ID = '00000000000000c2';
+const LASTING_TASK = `${LASTING_ID}.0.0.0`;
+const LASTING_STEP = { ...STEP, isPersistent: true };
+/** A lease, the slack of clocks and calls, and the time in which a worker is found to be gone. */
+const LEASE_AND_SLACK_MS = 7_000;
+/** From the death of an owner until its successor has placed what waits. */
+const TAKEOVER_MS = 4_000;
+
+const taskOf = (taskName: string): { workMs: number; end: RunEnd } => ({
+  workMs: taskName.startsWith(LASTING_ID) ? 600_000 : 800,
+  end: RunEnd.Done,
+});
+
+const worldOf = async (workerCount: number, schedulerCount: number): Promise<FleetWorld> => {
+  const world = new FleetWorld(11, taskOf);
+  for (let index = 0; index < workerCount; index += 1) world.addWorker(`worker-${index}`);
+  for (let index = 0; index < schedulerCount; index += 1) world.addScheduler();
+  await world.runFor(1_500);
+  return world;
+};
+
+const ownerIndex = (world: FleetWorld): number =>
+  world.seats.findIndex(({ scheduler }) => scheduler?.epoch !== undefined);
+
+/** Runs until the task runs somewhere, and returns how long that took. */
+const untilRunningMs = async (
+  world: FleetWorld,
+  taskName: string,
+  limitMs: number,
+): Promise<number> => {
+  const sinceMs = world.nowMs;
+  while (world.runsOf(taskName).length === 0 && world.nowMs - sinceMs < limitMs) {
+    // eslint-disable-next-line no-await-in-loop -- looks at the workers as time goes by
+    await world.runFor(50);
+  }
+  return world.nowMs - sinceMs;
+};
+
+/** For how long tasks ran nowhere. */
+class Absences {
+  readonly #awaySinceMs = new Map<string, number>();
+
+  readonly #names: readonly string[];
+
+  longestMs = 0;
+
+  constructor(names: readonly string[]) {
+    this.#names = names;
+  }
+
+  look(world: FleetWorld): void {
+    this.#names.forEach((name) => {
+      if (world.runsOf(name).length > 0) this.#awaySinceMs.delete(name);
+      else if (!this.#awaySinceMs.has(name)) this.#awaySinceMs.set(name, world.nowMs);
+      const awayMs = world.nowMs - (this.#awaySinceMs.get(name) ?? world.nowMs);
+      this.longestMs = Math.max(this.longestMs, awayMs);
+    });
+  }
+}
+
+describe('a takeover of the fleet', () => {
+  it('does not hold tasks back that cannot run on the worker that is out of reach', async () => {
+    const world = await worldOf(3, 2);
+    world.submit(submissionOf(ID, [STEP, { ...STEP, after: [0] }]));
+    await world.runFor(400);
+    const [idle] = [...world.workers.keys()].filter(
+      (id) => !world.runsOf(`${ID}.0.0.0`).includes(id),
+    );
+    world.removeWorker(idle as string);
+    world.killScheduler(ownerIndex(world));
+    const waitedMs = await untilRunningMs(world, `${ID}.0.1.0`, 20_000);
+    expect(waitedMs).toBeLessThan(TAKEOVER_MS);
+    expect(world.judge.broken).toEqual([]);
+  });
+
+  it('does not put off when the tasks of a lost worker start, however many owners follow', async () => {
+    const world = await worldOf(3, 7);
+    world.submit(submissionOf(LASTING_ID, [LASTING_STEP]));
+    await world.runFor(500);
+    world.removeWorker(world.runsOf(LASTING_TASK)[0] as string);
+    for (let round = 0; round < 6; round += 1) {
+      world.killScheduler(ownerIndex(world));
+      // eslint-disable-next-line no-await-in-loop -- each owner lives until the next has taken over
+      await world.runFor(2_500);
+    }
+    expect(world.runsOf(LASTING_TASK)).toHaveLength(1);
+    expect(world.judge.broken).toEqual([]);
+  });
+
+  it('keeps tasks that last at work while owners are stopped in turn and workers leave', async () => {
+    const world = await worldOf(8, 4);
+    world.submit(submissionOf(LASTING_ID, [{ ...LASTING_STEP, taskCount: 8 }]));
+    await world.runFor(1_000);
+    const names = Array.from({ length: 8 }, (_, index) => `${LASTING_ID}.0.0.${index}`);
+    const absences = new Absences(names);
+    for (let tick = 0; tick < 300; tick += 1) {
+      if (tick % 7 === 0 && tick < 50) {
+        world.addWorker(`new-${tick}`);
+        world.removeWorker(`worker-${tick / 7}`);
+      }
+      if (tick % 20 === 0 && tick < 140) {
+        const owner = Math.max(0, ownerIndex(world));
+        world.stopScheduler(owner);
+        world.startScheduler(owner);
+      }
+      // eslint-disable-next-line no-await-in-loop -- looks at the workers as time goes by
+      await world.runFor(100);
+      absences.look(world);
+    }
+    expect(absences.longestMs).toBeLessThan(LEASE_AND_SLACK_MS);
+    expect(world.judge.broken).toEqual([]);
+  });
+});
