--- a/src/scheduler/common/cellLease.ts
+++ b/src/scheduler/common/cellLease.ts
@@ -43,6 +43,8 @@
 interface TableClock {
   readonly tableMs: number;
   readonly readAtMs: number;
+  /** When the call was sent that was answered with it: the table's clock was no further then. */
+  readonly askedAtMs: number;
 }
 
 /** What one daemon knows of a cell's lease. */
@@ -55,6 +57,8 @@
   readonly ownerRowVersion: number;
   /** The last owner has given the cell up, so nobody need wait for its lease. */
   readonly isReleased: boolean;
+  /** What the owner row says of leases granted before its epoch. */
+  readonly formerLeasesOverTableMs: number | undefined;
   readonly heartbeatRowVersion: number;
   readonly heartbeatCounter: number;
   /** Since when the heartbeat row has been seen unchanged. */
@@ -86,6 +90,7 @@
   epoch: 0,
   ownerRowVersion: ABSENT_VERSION,
   isReleased: false,
+  formerLeasesOverTableMs: undefined,
   heartbeatRowVersion: -1,
   heartbeatCounter: 0,
   unchangedSinceMs: nowMs,
@@ -114,7 +119,21 @@
   return { counter, sentAtTableMs: Math.floor(tableMs + nowMs - readAtMs) };
 };
 
-const acquireStep = (lease: CellLease, operationId: string, nowMs: number): LeaseStep => ({
+const toOwnerRow = (
+  ownerId: string,
+  epoch: number,
+  formerLeasesOverTableMs: number | undefined,
+): CellOwnerRow =>
+  formerLeasesOverTableMs === undefined
+    ? { ownerId, epoch }
+    : { ownerId, epoch, formerLeasesOverTableMs };
+
+const acquireStep = (
+  lease: CellLease,
+  operationId: string,
+  formerLeasesOverTableMs: number | undefined,
+  nowMs: number,
+): LeaseStep => ({
   kind: LeaseStepKind.Acquire,
   transaction: {
     operationId,
@@ -125,7 +144,7 @@
     writes: [
       {
         key: cellOwnerKey(lease.cell),
-        value: { ownerId: lease.selfId, epoch: lease.epoch + 1 } satisfies CellOwnerRow,
+        value: toOwnerRow(lease.selfId, lease.epoch + 1, formerLeasesOverTableMs),
       },
       { key: cellHeartbeatKey(lease.cell), value: nextHeartbeat(lease, nowMs) },
     ],
@@ -151,7 +170,7 @@
   writes: [
     {
       key: cellOwnerKey(lease.cell),
-      value: { ownerId: NO_OWNER_ID, epoch: lease.epoch } satisfies CellOwnerRow,
+      value: toOwnerRow(NO_OWNER_ID, lease.epoch, lease.formerLeasesOverTableMs),
     },
   ],
 });
@@ -167,6 +186,7 @@
   timing: CellLeaseTiming,
   operationId: string,
   nowMs: number,
+  formerLeasesOverTableMs?: number,
 ): { readonly lease: CellLease; readonly step: LeaseStep } | undefined => {
   if (lease.isStepInFlight) return undefined;
   const hasWatched = lease.heartbeatRowVersion >= ABSENT_VERSION;
@@ -176,7 +196,8 @@
   const inFlight = { ...lease, isStepInFlight: true };
   if (lease.isOwner) return { lease: inFlight, step: renewStep(lease, operationId, nowMs) };
   if (isTakeable) {
-    return { lease: inFlight, step: acquireStep(lease, operationId, nowMs) };
+    const step = acquireStep(lease, operationId, formerLeasesOverTableMs, nowMs);
+    return { lease: { ...inFlight, formerLeasesOverTableMs }, step };
   }
   return { lease: inFlight, step: watchStep(lease) };
 };
@@ -190,9 +211,10 @@
 const tableClockOf = (
   lease: CellLease,
   tableNowMs: number | undefined,
+  askedAtMs: number,
   nowMs: number,
 ): TableClock | undefined =>
-  tableNowMs === undefined ? lease.tableClock : { tableMs: tableNowMs, readAtMs: nowMs };
+  tableNowMs === undefined ? lease.tableClock : { tableMs: tableNowMs, readAtMs: nowMs, askedAtMs };
 
 const isOlderThan = (
   heartbeat: HeartbeatRow | undefined,
@@ -227,12 +249,13 @@
     epoch: owner?.epoch ?? 0,
     ownerRowVersion: ownerRow?.version ?? ABSENT_VERSION,
     isReleased: owner?.ownerId === NO_OWNER_ID,
+    formerLeasesOverTableMs: owner?.formerLeasesOverTableMs,
     heartbeatRowVersion,
     heartbeatCounter: heartbeat?.counter ?? 0,
     unchangedSinceMs: isUnchanged ? lease.unchangedSinceMs : nowMs,
     heldAtMs: isOwner ? sentAtMs : lease.heldAtMs,
     isOverdue: isOlderThan(heartbeat, tableNowMs, timing.leaseMs),
-    tableClock: tableClockOf(lease, tableNowMs, nowMs),
+    tableClock: tableClockOf(lease, tableNowMs, sentAtMs, nowMs),
   };
 };
 
@@ -257,7 +280,7 @@
     unchangedSinceMs: nowMs,
     heldAtMs: sentAtMs,
     isOverdue: false,
-    tableClock: tableClockOf(lease, tableNowMs, nowMs),
+    tableClock: tableClockOf(lease, tableNowMs, sentAtMs, nowMs),
   };
 };
 
--- a/src/scheduler/common/fleet/fleetCalls.ts
+++ b/src/scheduler/common/fleet/fleetCalls.ts
@@ -85,10 +85,10 @@
   nowMs: number,
 ): readonly FleetEffect[] => {
   const effects: FleetEffect[] = [];
-  const { epoch, commits } = tenure;
+  const { epoch, roster } = tenure;
   tenure.views.forEach((view) => {
     if (!isHoldDue(view, nowMs)) return;
-    const grants = mayGrant && view.knowsClock && !view.isSilent && commits.isOnRoster(view.id);
+    const grants = mayGrant && view.knowsClock && !view.isSilent && roster.mayGrant(view.id);
     view.isHoldInFlight = true;
     const request = {
       workerId: view.id,
--- a/src/scheduler/common/fleet/fleetOwnership.ts
+++ b/src/scheduler/common/fleet/fleetOwnership.ts
@@ -9,6 +9,7 @@
   TransactionOutcome,
   type TransactionResult,
 } from '../../../services/table/common/table.js';
+import type { RosterEntry } from '../../../services/submissions/common/submissionRows.js';
 import { cellOwnerKey } from '../../../services/workload/common/workRows.js';
 import {
   type CellLease,
@@ -22,11 +23,29 @@
   withLeaseRows,
 } from '../cellLease.js';
 import type { FleetEffect } from './fleetEffects.js';
-import type { FleetTiming } from './fleetTiming.js';
+import { type FleetTiming, longestLeaseMs } from './fleetTiming.js';
 
 /** The fleet is one cell: all workers of the users' platform, whatever their zone. */
 const FLEET_CELL = 'fleet';
 
+/** What is known of the owner before this one when its place is taken. */
+interface FormerOwner {
+  readonly epoch: number;
+  /** Since when its heartbeat was seen to stand still. */
+  readonly quietSinceMs: number;
+  /** When all leases that it may have granted to workers are over. */
+  readonly leasesOverAtMs: number;
+  /** The same of the owners before it, on the table's clock. */
+  readonly earlierLeasesOverTableMs: number | undefined;
+}
+
+const NO_FORMER_OWNER: FormerOwner = {
+  epoch: 0,
+  quietSinceMs: Number.NEGATIVE_INFINITY,
+  leasesOverAtMs: Number.NEGATIVE_INFINITY,
+  earlierLeasesOverTableMs: undefined,
+};
+
 export class FleetOwnership {
   readonly #timing: FleetTiming & { readonly acquireDelayMs: number };
 
@@ -36,7 +55,8 @@
 
   #isReleased = false;
 
-  #predecessorQuietSinceMs = Number.NEGATIVE_INFINITY;
+  /** As of the last attempt to take the fleet. */
+  #former = NO_FORMER_OWNER;
 
   constructor(selfId: string, timing: FleetTiming, acquireDelayMs: number, nowMs: number) {
     this.#timing = { ...timing, acquireDelayMs };
@@ -57,7 +77,27 @@
 
   /** Since when the heartbeat of the owner before this one was seen to stand still. */
   get predecessorQuietSinceMs(): number {
-    return this.#predecessorQuietSinceMs;
+    return this.#former.quietSinceMs;
+  }
+
+  /** When all leases that former owners may have granted to a worker of the roster are over. */
+  leasesOverAtMs(entry: RosterEntry, rosterEpoch: number, nowMs: number): number {
+    const { epoch, leasesOverAtMs, earlierLeasesOverTableMs } = this.#former;
+    // The owner before this one grants nothing until the roster is of its epoch.
+    const earlierMs = rosterEpoch < epoch ? earlierLeasesOverTableMs : undefined;
+    const storedMs = entry.leasesOverTableMs ?? earlierMs;
+    const { tableClock } = this.#lease;
+    if (storedMs === undefined || tableClock === undefined) return leasesOverAtMs;
+    // The table's clock is at least as far as it was when its answer came.
+    const tableNowMs = tableClock.tableMs + nowMs - tableClock.readAtMs;
+    return Math.min(leasesOverAtMs, nowMs + storedMs - tableNowMs);
+  }
+
+  /** An instant of this process on the table's clock, at the latest. */
+  toTableMs(atMs: number): number | undefined {
+    const { tableClock } = this.#lease;
+    if (tableClock === undefined) return undefined;
+    return Math.ceil(tableClock.tableMs + atMs - tableClock.askedAtMs);
   }
 
   /** Named by each transaction of the owner: a former owner commits nothing more. */
@@ -80,22 +120,28 @@
     if (this.#isReleased) return undefined;
     this.#operationCount += 1;
     const operationId = `${this.selfId}:lease:${this.#operationCount}`;
-    const next = nextLeaseStep(this.#lease, this.#timing, operationId, nowMs);
+    const former = this.#formerOwner(nowMs);
+    const formerLeasesOverTableMs = this.toTableMs(former.leasesOverAtMs);
+    const next = nextLeaseStep(
+      this.#lease,
+      this.#timing,
+      operationId,
+      nowMs,
+      formerLeasesOverTableMs,
+    );
     if (next === undefined) return undefined;
     this.#lease = next.lease;
     const { step } = next;
+    if (step.kind === LeaseStepKind.Acquire) this.#former = former;
     return 'request' in step
       ? { kind: 'lease-read', request: step.request }
       : { kind: 'lease-write', step: step.kind, transaction: step.transaction };
   }
 
   handleRead(result: Either<Failure, ReadResult>, sentAtMs: number, nowMs: number): void {
-    const wasOwner = this.#lease.isOwner;
     this.#lease = isLeft(result)
       ? withLeaseCallFailed(this.#lease, this.#timing, nowMs)
       : withLeaseRows(this.#lease, this.#timing, result.right, sentAtMs, nowMs);
-    // An acquisition whose answer was lost had taken effect, at the latest when this was sent.
-    if (this.#lease.isOwner && !wasOwner) this.#predecessorQuietSinceMs = sentAtMs;
   }
 
   handleWritten(
@@ -107,9 +153,6 @@
     if (isLeft(result)) {
       this.#lease = withLeaseCallFailed(this.#lease, this.#timing, nowMs);
     } else if (result.right.outcome === TransactionOutcome.Committed) {
-      if (step === LeaseStepKind.Acquire) {
-        this.#predecessorQuietSinceMs = this.#lease.unchangedSinceMs;
-      }
       this.#lease = withLeaseCommitted(
         this.#lease,
         this.#timing,
@@ -134,4 +177,18 @@
     this.#isReleased = true;
     return wasOwner ? releaseTransaction(this.#lease, `${this.selfId}:release`) : undefined;
   }
+
+  #formerOwner(nowMs: number): FormerOwner {
+    const { epoch, isReleased, unchangedSinceMs, formerLeasesOverTableMs } = this.#lease;
+    const { maximumGrantWithoutTableMs, maximumLeaseMs } = this.#timing;
+    // One that gave the fleet up granted nothing afterwards; another one may have gone on until it
+    // noticed that it does not reach the table.
+    const lastGrantAtMs = isReleased ? nowMs : unchangedSinceMs + maximumGrantWithoutTableMs;
+    return {
+      epoch,
+      quietSinceMs: unchangedSinceMs,
+      leasesOverAtMs: lastGrantAtMs + longestLeaseMs(maximumLeaseMs),
+      earlierLeasesOverTableMs: formerLeasesOverTableMs,
+    };
+  }
 }
--- a/src/scheduler/common/fleet/fleetRound.ts
+++ b/src/scheduler/common/fleet/fleetRound.ts
@@ -11,6 +11,7 @@
 import type { FleetTiming } from './fleetTiming.js';
 import type { FleetWorkerView } from './fleetWorkerView.js';
 import type { HarmControl } from './harmControl.js';
+import type { Roster } from './roster.js';
 import { newRun } from './runKeeper.js';
 import type { SubmissionBook } from './submissionBook.js';
 import { stepName, type TaskRecord, type TaskRun } from './taskRecords.js';
@@ -32,9 +33,7 @@
   readonly harm: HarmControl;
   readonly timing: FleetTiming;
   readonly epoch: number;
-  /** Whether all that former owners may have started is known. */
-  readonly isSettled: boolean;
-  readonly isOnRoster: (workerId: string) => boolean;
+  readonly roster: Roster;
 }
 
 /**
@@ -44,7 +43,8 @@
 const nextRunNumber = (tasks: readonly TaskRecord[], epoch: number): number =>
   Math.max((epoch - 1) * RUNS_PER_EPOCH, ...tasks.map(({ lastRun }) => lastRun)) + 1;
 
-const isUsable = (view: FleetWorkerView, input: RoundInput, nowMs: number): boolean =>
+/** Whether tasks may be started on the worker now. */
+export const isUsable = (view: FleetWorkerView, input: RoundInput, nowMs: number): boolean =>
   view.isListed &&
   !view.entry.isDraining &&
   view.knowsClock &&
@@ -52,7 +52,7 @@
   !view.isSilent &&
   view.strayCount === 0 &&
   view.isFresh(input.timing, nowMs) &&
-  input.isOnRoster(view.id) &&
+  input.roster.mayGrant(view.id) &&
   !input.operator.withdrawnZones.has(view.entry.availabilityZone);
 
 type ViewsByService = ReadonlyMap<string, readonly FleetWorkerView[]>;
@@ -102,9 +102,8 @@
 
   /** Why it could not be placed, if so. */
   #tryToPlace(task: TaskRecord): WaitReason | undefined {
-    const { submission, isInherited } = task.submission;
+    const { submission } = task.submission;
     if (this.placed.length >= MAXIMUM_STARTS) return WaitReason.RoundFull;
-    if (isInherited && !this.#input.isSettled) return WaitReason.FormerOwner;
     const key = stepName(task);
     if (this.#full.has(key)) return WaitReason.NoRoom;
     const queue = findQueueByName(this.#configuration, submission.queueName);
@@ -183,19 +182,14 @@
   }
 }
 
-export interface Placed {
-  readonly runs: readonly TaskRun[];
-  /** Tasks that were not placed, by reason. */
-  readonly waits: WaitCounts;
-}
-
-const NOTHING_PLACED: Placed = { runs: [], waits: new Map() };
-
-/** Places what waits; the room is taken at once, and the starts are to be sent. */
-export const placeWaiting = (input: RoundInput, nowMs: number): Placed => {
+/**
+ * Gives tasks that wait room on workers; their starts are sent once the assignments are stored.
+ * Returns how many were not placed, by reason.
+ */
+export const placeWaiting = (input: RoundInput, nowMs: number): WaitCounts => {
   const { configuration } = input.operator;
-  if (configuration === undefined || input.book.waiting.size === 0) return NOTHING_PLACED;
+  if (configuration === undefined || input.book.waiting.size === 0) return new Map();
   const round = new Round(input, configuration, nowMs);
   orderedTasks(input.book.waiting, configuration, nowMs).forEach((task) => round.place(task));
-  return { runs: round.placed, waits: round.waits };
+  return round.waits;
 };
--- a/src/scheduler/common/fleet/fleetScheduler.ts
+++ b/src/scheduler/common/fleet/fleetScheduler.ts
@@ -3,9 +3,10 @@
  * it. Events come in through the handlers, each with the present time; `step` says what to do
  * next. It holds no socket, timer or clock.
  *
- * Which worker runs what is not stored: workers list it themselves and refuse orders under a
- * lower fence than the highest they have seen. An owner that has held a worker under its own
- * fence therefore knows all that runs there, and nothing of its predecessor can arrive there.
+ * Which worker is given which task is stored before the start is sent. Workers list what runs
+ * and refuse orders under a lower fence than the highest they have seen, so an owner that has held
+ * a worker under its own fence knows all that runs there. On a worker that it does not reach only
+ * the tasks may run that are stored as assigned to it: these wait until its leases are over.
  */
 import { type Either, isLeft, isRight } from 'fp-ts/lib/Either.js';
 
@@ -21,6 +22,7 @@
   type RunReference,
   StartOutcome,
 } from '../../../services/fleet/common/fleetWorker.js';
+import type { RosterEntry } from '../../../services/submissions/common/submissionRows.js';
 import type {
   ReadResult,
   Transaction,
@@ -39,11 +41,11 @@
 import type { FleetEffect } from './fleetEffects.js';
 import { StopReason } from './fleetNotes.js';
 import { FleetOwnership } from './fleetOwnership.js';
-import { placeWaiting } from './fleetRound.js';
+import { isUsable, placeWaiting } from './fleetRound.js';
 import {
   loseLapsed,
   newTenure,
-  NO_PROGRESS_STORED,
+  NOTHING_STORED,
   noteWorkers,
   roundInput,
   type StoredState,
@@ -51,10 +53,11 @@
   takeChanges,
   type Tenure,
 } from './fleetTenure.js';
-import { type FleetTiming, longestLeaseMs } from './fleetTiming.js';
+import type { RoundInput } from './fleetRound.js';
+import type { FleetTiming } from './fleetTiming.js';
 import { NEXT_HOLD_AFTER_FAILURE_MS } from './holdPace.js';
-import { runKey } from './fleetWorkerView.js';
-import type { TaskRun } from './taskRecords.js';
+import { type FleetWorkerView, runKey } from './fleetWorkerView.js';
+import { RunState, stepName, type TaskRun } from './taskRecords.js';
 
 export class FleetScheduler {
   readonly #timing: FleetTiming;
@@ -125,17 +128,15 @@
     if (this.#loadingEpoch !== epoch) return;
     this.#loadingEpoch = 0;
     if (stored === undefined || !this.isOwner || this.#ownership.epoch !== epoch) return;
-    // A former owner may have granted leases until it noticed that it cannot reach the table.
-    const leasesOverAtMs =
-      this.#ownership.predecessorQuietSinceMs +
-      this.#timing.maximumGrantWithoutTableMs +
-      longestLeaseMs(this.#timing.maximumLeaseMs);
-    this.#tenure = newTenure(epoch, stored, leasesOverAtMs, () => this.#operator, nowMs);
+    const leasesOverAtMs = (entry: RosterEntry): number =>
+      this.#ownership.leasesOverAtMs(entry, stored.roster.epoch, nowMs);
+    const operator = (): OperatorState => this.#operator;
+    this.#tenure = newTenure(epoch, stored, this.#timing, leasesOverAtMs, operator, nowMs);
   }
 
   handleChanges(epoch: number, changes: readonly SubmissionChange[], nowMs: number): void {
     if (this.#tenure?.epoch !== epoch) return;
-    takeChanges(this.#tenure, changes, NO_PROGRESS_STORED, false, nowMs);
+    takeChanges(this.#tenure, changes, NOTHING_STORED, nowMs);
   }
 
   /** Takes in the workers that the table lists now. */
@@ -165,6 +166,7 @@
       view.nextHoldAtMs = nowMs + NEXT_HOLD_AFTER_FAILURE_MS;
       return;
     }
+    if (!view.isHeard) view.boundFormerLeases(this.#timing, nowMs);
     const unknown = tenure.keeper.handleLists(view, outcome.answer, sentAtMs, nowMs);
     unknown.forEach((running) => noteStray(tenure, view, running));
     tenure.harm.observe(view, nowMs);
@@ -220,10 +222,18 @@
     }
   }
 
-  handleCommitted(epoch: number, result: Either<Failure, TransactionResult>): FleetEffect[] {
-    if (this.#tenure?.epoch !== epoch) return [];
-    const request = this.#tenure.commits.handleCommitted(result, this.#tenure.book);
-    return request === undefined ? [] : [{ kind: 'resolve', epoch, request }];
+  /** Returns the starts of runs whose assignments are stored now, or what is to be read again. */
+  handleCommitted(
+    epoch: number,
+    result: Either<Failure, TransactionResult>,
+    nowMs: number,
+  ): readonly FleetEffect[] {
+    const tenure = this.#tenure;
+    if (tenure?.epoch !== epoch) return [];
+    const { commits, book, roster } = tenure;
+    const { request, recorded } = commits.handleCommitted(result, book, roster);
+    if (request !== undefined) return [{ kind: 'resolve', epoch, request }];
+    return this.#start(tenure, recorded, nowMs);
   }
 
   /** Returns false when the rows are to be read again. */
@@ -234,8 +244,18 @@
 
   /** Hands over before the daemon ends; returns what to write. */
   release(): Transaction | undefined {
+    const tenure = this.#tenure;
     this.#tenure = undefined;
-    return this.#ownership.release();
+    const transaction = this.#ownership.release();
+    if (transaction === undefined || tenure === undefined) return transaction;
+    const toTableMs = (atMs: number): number | undefined => this.#ownership.toTableMs(atMs);
+    const row = tenure.roster.last([...tenure.views.values()], toTableMs);
+    const { conditions, writes } = tenure.commits.rosterWrite(row);
+    return {
+      ...transaction,
+      conditions: [...transaction.conditions, ...conditions],
+      writes: [...transaction.writes, ...writes],
+    };
   }
 
   /** Everything that is due now. */
@@ -248,8 +268,9 @@
     if (tenure === undefined) return effects;
     loseLapsed(tenure, this.#timing, nowMs);
     tenure.book.openDue(wallNowMs, nowMs);
+    tenure.keeper.inherit(tenure.book.takeInherited(), nowMs);
     effects.push(...stopEffects(tenure, nowMs));
-    this.#place(tenure, effects, nowMs);
+    this.#place(tenure, nowMs);
     effects.push(...holdEffects(tenure, this.#timing, this.#mayGrant(nowMs), nowMs));
     this.#pace(tenure, effects, nowMs);
     this.#commit(tenure, effects, nowMs);
@@ -281,17 +302,42 @@
     return this.#ownership.unprovenMs(nowMs) <= this.#timing.maximumGrantWithoutTableMs;
   }
 
-  #place(tenure: Tenure, effects: FleetEffect[], nowMs: number): void {
+  #roundInput(tenure: Tenure): RoundInput {
+    return roundInput(tenure, this.#operator, this.#policy, this.#timing);
+  }
+
+  #place(tenure: Tenure, nowMs: number): void {
     if (!this.#mayGrant(nowMs) || tenure.book.waiting.size === 0) return;
-    const input = roundInput(tenure, this.#operator, this.#policy, this.#timing, nowMs);
-    const { runs, waits } = placeWaiting(input, nowMs);
-    tenure.notes.addStarts(runs, nowMs);
+    const waits = placeWaiting(this.#roundInput(tenure), nowMs);
     tenure.notes.addWaits(tenure.book.waiting, waits, nowMs);
-    runs.forEach((run) => {
-      const view = tenure.views.get(run.workerId);
-      if (view === undefined) return;
+  }
+
+  /** Sends the starts of runs whose workers may still be given work. */
+  #start(tenure: Tenure, recorded: readonly TaskRun[], nowMs: number): readonly FleetEffect[] {
+    const input = this.#roundInput(tenure);
+    const mayGrant = this.#mayGrant(nowMs);
+    const viewOf = ({ workerId }: TaskRun): FleetWorkerView | undefined =>
+      tenure.views.get(workerId);
+    const isStartable = (run: TaskRun): boolean => {
+      const view = viewOf(run);
+      return mayGrant && view !== undefined && isUsable(view, input, nowMs);
+    };
+    const assigned = recorded.filter(({ state }) => state === RunState.Assigned);
+    const blocked = assigned.filter((run) => !isStartable(run));
+    // A gang starts whole: a part of it would hold room and do no work.
+    const blockedSteps = new Set(blocked.map(({ task }) => stepName(task)));
+    const isBlocked = (run: TaskRun): boolean =>
+      blocked.includes(run) || (run.task.step.isGang && blockedSteps.has(stepName(run.task)));
+    const started = assigned.filter((run) => !isBlocked(run));
+    assigned.filter(isBlocked).forEach((run) => tenure.keeper.withdraw(run, nowMs));
+    tenure.notes.addStarts(started, nowMs);
+    return started.flatMap((run) => {
+      const view = viewOf(run);
+      if (view === undefined) return [];
+      run.state = RunState.Starting;
+      run.startedAtMs = nowMs;
       this.#startsInFlight.set(runKey(run.task.name, run.run), run);
-      effects.push(startEffect(tenure, view, run, this.#timing, nowMs));
+      return [startEffect(tenure, view, run, this.#timing, nowMs)];
     });
   }
 
@@ -310,11 +356,15 @@
   }
 
   #commit(tenure: Tenure, effects: FleetEffect[], nowMs: number): void {
-    const { epoch, book, views, commits, harm } = tenure;
+    const { epoch, book, views, commits, roster, harm } = tenure;
     const { condition, selfId: id } = this.#ownership;
-    const owner = { condition, id, epoch };
-    const { commitIntervalMs } = this.#timing;
-    const transaction = commits.next(book, views.values(), owner, harm, commitIntervalMs, nowMs);
+    const input = {
+      ...{ book, views: views.values(), roster, harm },
+      owner: { condition, id, epoch },
+      toTableMs: (atMs: number) => this.#ownership.toTableMs(atMs),
+      intervalMs: this.#timing.commitIntervalMs,
+    };
+    const transaction = commits.next(input, nowMs);
     if (transaction !== undefined) effects.push({ kind: 'commit', epoch, transaction });
   }
 }
--- a/src/scheduler/common/fleet/fleetTenure.ts
+++ b/src/scheduler/common/fleet/fleetTenure.ts
@@ -2,7 +2,13 @@
 import type { OperatorState } from '../../../services/fleet/common/fleetConfiguration.js';
 import type { FleetWorkerEntry, RunReference } from '../../../services/fleet/common/fleetWorker.js';
 import type { Submission } from '../../../services/submissions/common/submission.js';
-import type { LearntHarm, Progress } from '../../../services/submissions/common/submissionRows.js';
+import type {
+  Assignments,
+  LearntHarm,
+  Progress,
+  RosterEntry,
+  RosterRow,
+} from '../../../services/submissions/common/submissionRows.js';
 import { NO_RESOURCES } from '../../../services/worker/common/resources.js';
 import type { PlacementPolicy } from '../placement.js';
 import { WorkerHealth } from '../workerHealth.js';
@@ -11,9 +17,11 @@
 import type { RoundInput } from './fleetRound.js';
 import { FleetNotes, LossReason, StopReason } from './fleetNotes.js';
 import { HarmControl } from './harmControl.js';
-import { ProgressCommits, type RosterEntry } from './progressCommits.js';
+import { ProgressCommits } from './progressCommits.js';
+import { Roster } from './roster.js';
 import { RunKeeper } from './runKeeper.js';
 import { SubmissionBook } from './submissionBook.js';
+import { NO_ASSIGNMENTS } from './taskRecords.js';
 
 /** A submission or a cancellation as read from the table. */
 export type SubmissionChange =
@@ -24,10 +32,11 @@
 export interface StoredState {
   readonly changes: readonly SubmissionChange[];
   readonly progress: ReadonlyMap<string, Progress>;
+  readonly assignments: ReadonlyMap<string, Assignments>;
   /** Versions of the rows that only the owner writes, by key. */
   readonly versions: ReadonlyMap<string, number>;
   /** Workers to which the former owners have granted leases. */
-  readonly roster: readonly RosterEntry[];
+  readonly roster: RosterRow;
   readonly workers: readonly FleetWorkerEntry[];
   /** What the former owners have learnt of harm between images. */
   readonly harm: LearntHarm;
@@ -39,6 +48,7 @@
   readonly views: Map<string, FleetWorkerView>;
   readonly keeper: RunKeeper;
   readonly commits: ProgressCommits;
+  readonly roster: Roster;
   readonly harm: HarmControl;
   readonly notes: FleetNotes;
   /** Runs that workers list and nobody asked for, to be stopped. */
@@ -70,14 +80,16 @@
   views.set(entry.id, view);
 };
 
-/** No progress is known of submissions that have just come. */
-export const NO_PROGRESS_STORED: ReadonlyMap<string, Progress> = new Map();
+/** Nothing is stored of submissions that have just come. */
+export const NOTHING_STORED: Pick<StoredState, 'progress' | 'assignments'> = {
+  progress: new Map(),
+  assignments: new Map(),
+};
 
 export const takeChanges = (
   tenure: Tenure,
   changes: readonly SubmissionChange[],
-  progress: ReadonlyMap<string, Progress>,
-  isInherited: boolean,
+  stored: Pick<StoredState, 'progress' | 'assignments'>,
   nowMs: number,
 ): void => {
   changes.forEach((change) => {
@@ -86,15 +98,18 @@
       return;
     }
     const { submission } = change;
-    tenure.book.add(submission, progress.get(submission.id), isInherited, nowMs);
+    const { id } = submission;
+    const assignments = stored.assignments.get(id) ?? NO_ASSIGNMENTS;
+    tenure.book.add(submission, stored.progress.get(id), assignments, nowMs);
   });
 };
 
-/** `leasesOverAtMs` is when all that the former owners may have granted is over. */
+/** `leasesOverAtMs` tells when all that former owners may have granted to a worker is over. */
 export const newTenure = (
   epoch: number,
   stored: StoredState,
-  leasesOverAtMs: number,
+  timing: FleetTiming,
+  leasesOverAtMs: (entry: RosterEntry) => number,
   operator: () => OperatorState,
   nowMs: number,
 ): Tenure => {
@@ -104,16 +119,17 @@
   const keeper = new RunKeeper(book, views, operator, new WorkerHealth(), notes);
   const commits = new ProgressCommits();
   stored.versions.forEach((version, key) => commits.noteVersion(key, version));
-  stored.roster.forEach((known) => {
-    const view = new FleetWorkerView(unlistedEntry(known), leasesOverAtMs, nowMs);
+  stored.roster.workers.forEach((known) => {
+    const view = new FleetWorkerView(unlistedEntry(known), leasesOverAtMs(known), nowMs);
     view.isListed = false;
     views.set(known.id, view);
   });
   stored.workers.forEach((entry) => noteListed(views, entry, nowMs));
   const harm = new HarmControl();
   harm.inherit(stored.harm, nowMs);
-  const tenure = { epoch, book, views, keeper, commits, harm, notes, strays: new Map() };
-  takeChanges(tenure, stored.changes, stored.progress, true, nowMs);
+  const roster = new Roster(epoch, timing);
+  const tenure = { epoch, book, views, keeper, commits, roster, harm, notes, strays: new Map() };
+  takeChanges(tenure, stored.changes, stored, nowMs);
   return tenure;
 };
 
@@ -132,25 +148,15 @@
   });
 };
 
-/** Whether everything that former owners may have started is known or over. */
-const isSettled = (tenure: Tenure, nowMs: number): boolean =>
-  [...tenure.views.values()].every((view) => view.isHeard || nowMs >= view.leasesOverAtMs);
-
 /** What a round of placing goes by. */
 export const roundInput = (
   tenure: Tenure,
   operator: OperatorState,
   policy: PlacementPolicy,
   timing: FleetTiming,
-  nowMs: number,
 ): RoundInput => {
-  const { book, views, epoch, harm, keeper, commits } = tenure;
-  return {
-    ...{ book, views, epoch, harm, operator, policy, timing },
-    health: keeper.health,
-    isSettled: isSettled(tenure, nowMs),
-    isOnRoster: (id) => commits.isOnRoster(id),
-  };
+  const { book, views, epoch, harm, keeper, roster } = tenure;
+  return { book, views, epoch, harm, operator, policy, timing, health: keeper.health, roster };
 };
 
 /** Whatever a worker held is over once its leases are, if nobody has heard of it since. */
--- a/src/scheduler/common/fleet/fleetWorkerView.ts
+++ b/src/scheduler/common/fleet/fleetWorkerView.ts
@@ -126,6 +126,12 @@
     }
   }
 
+  /** A worker that has answered refuses former owners from then on, also what is under way. */
+  boundFormerLeases(timing: FleetTiming, nowMs: number): void {
+    const longestMs = longestLeaseMs(timing.maximumLeaseMs);
+    this.leasesOverAtMs = Math.min(this.leasesOverAtMs, nowMs + longestMs);
+  }
+
   noteAnswer(answer: HoldAnswer, nowMs: number): void {
     this.isHeard = true;
     this.isReborn = false;
--- a/src/scheduler/common/fleet/progressCommits.ts
+++ b/src/scheduler/common/fleet/progressCommits.ts
@@ -4,9 +4,11 @@
 import type { JsonValue } from '../../../base/common/json.js';
 import type { Failure } from '../../../services/errors/common/errorKinds.js';
 import {
+  assignmentsKey,
   HARM_KEY,
   progressKey,
   ROSTER_KEY,
+  type RosterRow,
   WAITING_COUNTS_KEY,
 } from '../../../services/submissions/common/submissionRows.js';
 import {
@@ -15,44 +17,81 @@
   type ReadResult,
   rowsByKey,
   type RowCondition,
+  type RowWrite,
   type Transaction,
   TransactionOutcome,
   type TransactionResult,
 } from '../../../services/table/common/table.js';
 import type { FleetWorkerView } from './fleetWorkerView.js';
 import type { HarmControl } from './harmControl.js';
+import type { Roster, ToTableMs } from './roster.js';
 import type { SubmissionBook } from './submissionBook.js';
-import { type SubmissionRecord, toProgress } from './taskRecords.js';
+import {
+  isOpen,
+  RunState,
+  type SubmissionRecord,
+  type TaskRun,
+  toAssignments,
+  toProgress,
+} from './taskRecords.js';
 
 /** Rows that one transaction may write; a call of the table takes a hundred entries in all. */
 const MAXIMUM_ROWS = 40;
+/** Submissions that may end in one transaction: each removes its assignments as well. */
+const MAXIMUM_PROGRESS_ROWS = MAXIMUM_ROWS / 2;
 /** How often what is learnt of harm is written at most; a successor may lose as much of it. */
 const HARM_INTERVAL_MS = 3_000;
 /** How often the counts of waiting submissions are written at most. */
 const COUNTS_INTERVAL_MS = 500;
 
-/** A worker that leases were granted to, as the successor needs it to reach it. */
-export interface RosterEntry {
-  readonly id: string;
-  readonly address: string;
+interface RecordedSequence {
+  readonly view: FleetWorkerView;
+  readonly incarnation: number;
+  readonly sequence: number;
 }
 
+const toSequence = (view: FleetWorkerView): RecordedSequence => ({
+  view,
+  incarnation: view.incarnation,
+  sequence: view.takenSequence,
+});
+
 interface PendingCommit {
   readonly records: readonly SubmissionRecord[];
-  readonly keys: readonly string[];
+  readonly writes: readonly RowWrite[];
   /** Ends that are recorded once the transaction is committed, by worker and incarnation. */
-  readonly sequences: readonly {
-    readonly view: FleetWorkerView;
-    readonly incarnation: number;
-    readonly sequence: number;
-  }[];
-  readonly roster: string;
+  readonly sequences: readonly RecordedSequence[];
+  readonly hasRoster: boolean;
+  /** Submissions whose assignments are written, and the runs that may start once they are. */
+  readonly assigned: readonly SubmissionRecord[];
+  readonly runs: readonly TaskRun[];
+}
+
+/** What a commit is made of. */
+export interface CommitInput {
+  readonly book: SubmissionBook;
+  readonly views: Iterable<FleetWorkerView>;
+  readonly owner: { readonly condition: RowCondition; readonly id: string; readonly epoch: number };
+  readonly harm: HarmControl;
+  readonly roster: Roster;
+  readonly toTableMs: ToTableMs;
+  readonly intervalMs: number;
+}
+
+/** What follows from the answer to a commit. */
+export interface CommitOutcome {
+  /** Rows to be read, since the transaction's fate is unknown or it was refused. */
+  readonly request?: ReadRequest;
+  /** Runs whose assignments are stored now. */
+  readonly recorded: readonly TaskRun[];
 }
 
-const toRoster = (views: readonly FleetWorkerView[]): readonly RosterEntry[] =>
-  views
-    .map(({ id, entry }) => ({ id, address: entry.address }))
-    .sort((left, right) => (left.id < right.id ? -1 : 1));
+const runsToStart = (records: readonly SubmissionRecord[]): readonly TaskRun[] =>
+  records.flatMap(({ occurrences }) =>
+    [...occurrences.values()].flatMap(({ tasks }) =>
+      tasks.flat().flatMap(({ runs }) => runs.filter(({ state }) => state === RunState.Assigned)),
+    ),
+  );
 
 export const CommitStatus = { Idle: 'idle', InFlight: 'in-flight', InDoubt: 'in-doubt' } as const;
 export type CommitStatus = (typeof CommitStatus)[keyof typeof CommitStatus];
@@ -80,65 +119,46 @@
 
   #nextHarmAtMs = 0;
 
-  #writtenRoster = '';
-
   #operationCount = 0;
 
   noteVersion(key: string, version: number): void {
     this.#versions.set(key, version);
   }
 
-  /** Workers whose grants the successor must know of before this owner makes any. */
-  isOnRoster(workerId: string): boolean {
-    return this.#writtenRoster.includes(`"${workerId}"`);
-  }
-
   /** The next transaction, when one is due. */
-  next(
-    book: SubmissionBook,
-    views: Iterable<FleetWorkerView>,
-    owner: { readonly condition: RowCondition; readonly id: string; readonly epoch: number },
-    harm: HarmControl,
-    intervalMs: number,
-    nowMs: number,
-  ): Transaction | undefined {
+  next(input: CommitInput, nowMs: number): Transaction | undefined {
     if (this.#status !== CommitStatus.Idle || nowMs < this.#nextCommitAtMs) return undefined;
-    const all = [...views];
-    const roster = JSON.stringify(toRoster(all));
-    const counts = this.#dueCounts(book, owner.epoch, nowMs);
-    const learnt = this.#dueHarm(harm, nowMs);
-    const isRosterNew = roster !== this.#writtenRoster;
-    const isIdle = counts === undefined && learnt === undefined && !isRosterNew;
-    if (book.dirty.size === 0 && isIdle) {
+    const { book, owner } = input;
+    const views = [...input.views];
+    const shared = this.#sharedWrites(input, views, nowMs);
+    if (book.dirty.size === 0 && book.unrecorded.size === 0 && shared.length === 0) {
       // Ends that changed nothing, of persistent or forgotten tasks, need no transaction.
-      all.forEach((view) => {
+      views.forEach((view) => {
         view.recordedSequence = view.takenSequence;
       });
       return undefined;
     }
-    const isWhole = book.dirty.size <= MAXIMUM_ROWS;
-    const records = book.takeDirty(MAXIMUM_ROWS);
-    const writes: { readonly key: string; readonly value: JsonValue }[] = records.map((record) => ({
-      key: progressKey(record.submission.id),
-      value: toProgress(record),
-    }));
-    if (counts !== undefined) writes.push({ key: WAITING_COUNTS_KEY, value: counts });
-    if (learnt !== undefined) writes.push({ key: HARM_KEY, value: learnt });
-    if (isRosterNew) writes.push({ key: ROSTER_KEY, value: JSON.parse(roster) as JsonValue });
+    const records = book.takeDirty(MAXIMUM_PROGRESS_ROWS);
+    const assigned = book.takeUnrecorded(MAXIMUM_ROWS - 2 * records.length);
+    const writes = [
+      ...assigned.map((record) => ({
+        key: assignmentsKey(record.submission.id),
+        value: toAssignments(record),
+      })),
+      ...records.flatMap((record) => this.#progressWrites(record)),
+      ...shared,
+    ];
     this.#operationCount += 1;
     this.#status = CommitStatus.InFlight;
-    this.#nextCommitAtMs = nowMs + intervalMs;
+    this.#nextCommitAtMs = nowMs + input.intervalMs;
+    const isWhole = book.dirty.size === 0;
     this.#pending = {
       records,
-      keys: writes.map(({ key }) => key),
-      sequences: isWhole
-        ? all.map((view) => ({
-            view,
-            incarnation: view.incarnation,
-            sequence: view.takenSequence,
-          }))
-        : [],
-      roster: isRosterNew ? roster : this.#writtenRoster,
+      writes,
+      sequences: isWhole ? views.map(toSequence) : [],
+      hasRoster: shared.some(({ key }) => key === ROSTER_KEY),
+      assigned,
+      runs: runsToStart(assigned),
     };
     return {
       operationId: `${owner.id}:${owner.epoch}:${this.#operationCount}`,
@@ -150,29 +170,43 @@
     };
   }
 
-  /** Takes in the answer. Returns the rows to be read when the fate is unknown or was refused. */
+  /** The row with its condition, unless a transaction under way may still write it. */
+  rosterWrite(row: RosterRow): Pick<Transaction, 'conditions' | 'writes'> {
+    if (this.#status !== CommitStatus.Idle) return { conditions: [], writes: [] };
+    const version = this.#versions.get(ROSTER_KEY) ?? ABSENT_VERSION;
+    return {
+      conditions: [{ key: ROSTER_KEY, version }],
+      writes: [{ key: ROSTER_KEY, value: row }],
+    };
+  }
+
+  /** Takes in the answer. */
   handleCommitted(
     result: Either<Failure, TransactionResult>,
     book: SubmissionBook,
-  ): ReadRequest | undefined {
+    roster: Roster,
+  ): CommitOutcome {
     const pending = this.#pending;
-    if (pending === undefined) return undefined;
+    if (pending === undefined) return { recorded: [] };
     if (isRight(result) && result.right.outcome === TransactionOutcome.Committed) {
       const { version } = result.right;
-      pending.keys.forEach((key) => this.#versions.set(key, version));
+      pending.writes.forEach(({ key, value }) =>
+        this.#versions.set(key, value === null ? ABSENT_VERSION : version),
+      );
       pending.sequences.forEach(({ view, incarnation, sequence }) => {
         if (view.incarnation === incarnation) view.recordedSequence = sequence;
       });
-      this.#writtenRoster = pending.roster;
+      if (pending.hasRoster) roster.noteStored();
       this.#status = CommitStatus.Idle;
       this.#pending = undefined;
-      return undefined;
+      return { recorded: pending.runs };
     }
     pending.records.forEach((record) => book.markDirty(record));
+    pending.assigned.forEach((record) => book.markUnrecorded(record));
     this.#writtenCounts = '';
     this.#writtenHarm = '';
     this.#status = CommitStatus.InDoubt;
-    return { keys: pending.keys, prefixes: [] };
+    return { request: { keys: pending.writes.map(({ key }) => key), prefixes: [] }, recorded: [] };
   }
 
   /** Takes in the rows of a transaction in doubt; returns false when they must be read again. */
@@ -180,7 +214,7 @@
     const pending = this.#pending;
     if (pending === undefined || !isRight(result)) return false;
     const rows = rowsByKey(result.right.rows);
-    pending.keys.forEach((key) =>
+    pending.writes.forEach(({ key }) =>
       this.#versions.set(key, rows.get(key)?.version ?? ABSENT_VERSION),
     );
     this.#status = CommitStatus.Idle;
@@ -188,6 +222,29 @@
     return true;
   }
 
+  /** What concerns no single submission. */
+  #sharedWrites(
+    { book, owner, harm, roster, toTableMs }: CommitInput,
+    views: readonly FleetWorkerView[],
+    nowMs: number,
+  ): readonly RowWrite[] {
+    const rows = [
+      { key: WAITING_COUNTS_KEY, value: this.#dueCounts(book, owner.epoch, nowMs) },
+      { key: HARM_KEY, value: this.#dueHarm(harm, nowMs) },
+      { key: ROSTER_KEY, value: roster.next(views, toTableMs, nowMs) as JsonValue | undefined },
+    ];
+    return rows.flatMap(({ key, value }) => (value === undefined ? [] : [{ key, value }]));
+  }
+
+  /** A submission that has ended needs its assignments no more. */
+  #progressWrites(record: SubmissionRecord): readonly RowWrite[] {
+    const { id } = record.submission;
+    const progress = { key: progressKey(id), value: toProgress(record) };
+    const key = assignmentsKey(id);
+    const hasAssignments = (this.#versions.get(key) ?? ABSENT_VERSION) !== ABSENT_VERSION;
+    return isOpen(record) || !hasAssignments ? [progress] : [progress, { key, value: null }];
+  }
+
   #dueHarm(harm: HarmControl, nowMs: number): JsonValue | undefined {
     if (nowMs < this.#nextHarmAtMs) return undefined;
     this.#nextHarmAtMs = nowMs + HARM_INTERVAL_MS;
--- a/src/scheduler/common/fleet/runKeeper.ts
+++ b/src/scheduler/common/fleet/runKeeper.ts
@@ -17,7 +17,7 @@
 import type { WorkerHealth } from '../workerHealth.js';
 import { type FleetNotes, LossReason, StopReason } from './fleetNotes.js';
 import { runKey, type FleetWorkerView } from './fleetWorkerView.js';
-import { failureCount, type SubmissionBook } from './submissionBook.js';
+import { failureCount, type InheritedTask, type SubmissionBook } from './submissionBook.js';
 import { isOpen, RunState, type TaskRecord, type TaskRun } from './taskRecords.js';
 
 /** How long a task waits after a worker has refused it, so that the next round looks elsewhere. */
@@ -42,7 +42,7 @@
   task,
   run,
   workerId,
-  state: RunState.Starting,
+  state: RunState.Assigned,
   settledAtMs: Number.POSITIVE_INFINITY,
   startedAtMs: nowMs,
   isStopInFlight: false,
@@ -120,7 +120,7 @@
     if (view?.runs.get(runKey(run.task.name, run.run)) !== run) return;
     if (isLeft(result)) {
       if (isSurelyUndone(result.left)) this.#dropRefused(view, run, nowMs);
-      else this.#doubt(run, nowMs);
+      else this.#noteUnanswered(run, nowMs);
       return;
     }
     if (result.right !== StartOutcome.Started) {
@@ -156,7 +156,36 @@
   requestStops(runs: readonly TaskRun[], reason: StopReason, nowMs: number): void {
     const wanted = runs.filter(({ state }) => state !== RunState.Stopping);
     this.#notes.addStops(wanted, reason);
-    wanted.forEach((run) => this.#requestStop(run, nowMs));
+    wanted.forEach((run) => {
+      if (run.state === RunState.Assigned) this.withdraw(run, nowMs);
+      else this.#requestStop(run, nowMs);
+    });
+  }
+
+  /** Takes back a run of which no start has been sent. */
+  withdraw(run: TaskRun, nowMs: number): void {
+    const view = this.#views.get(run.workerId);
+    if (view !== undefined) this.#drop(view, run, nowMs);
+  }
+
+  /**
+   * Takes a former owner's runs for running until their workers list them or their leases are
+   * over. A worker that is not known has been found to be gone by a former owner.
+   */
+  inherit(tasks: readonly InheritedTask[], nowMs: number): void {
+    tasks.forEach(({ task, inherited }) => {
+      const view = this.#views.get(inherited.workerId);
+      if (view !== undefined) this.#addListed(view, task, inherited.run, nowMs);
+    });
+  }
+
+  #addListed(view: FleetWorkerView, task: TaskRecord, number: number, nowMs: number): TaskRun {
+    const run = newRun(task, number, view.id, nowMs);
+    run.state = RunState.Running;
+    run.settledAtMs = nowMs;
+    view.addRun(run);
+    this.#book.noteRun(run);
+    return run;
   }
 
   takeDueStops(nowMs: number): readonly StopDue[] {
@@ -245,16 +274,12 @@
     return true;
   }
 
-  /** A run that a former owner started, or one that was given up and was carried out late. */
+  /** A run that was given up and was carried out late. */
   #adopt(view: FleetWorkerView, running: RunningTask, nowMs: number): TaskRun | undefined {
     const task = this.#book.find(running.taskName);
     if (task === undefined) return undefined;
     const isWanted = isOpen(task.submission) && !task.isDone && task.runs.length === 0;
-    const run = newRun(task, running.run, view.id, nowMs);
-    run.state = RunState.Running;
-    run.settledAtMs = nowMs;
-    view.addRun(run);
-    this.#book.noteRun(run);
+    const run = this.#addListed(view, task, running.run, nowMs);
     if (isWanted) this.#book.noteStarted(task.submission);
     else this.requestStops([run], StopReason.NotWanted, nowMs);
     return run;
@@ -273,7 +298,7 @@
    * An order without an answer may be carried out seconds later. The run keeps its room until
    * the worker has confirmed a stop, which bars it for good, or lists it as running.
    */
-  #doubt(run: TaskRun, nowMs: number): void {
+  #noteUnanswered(run: TaskRun, nowMs: number): void {
     if (run.state !== RunState.Starting) return;
     run.state = RunState.Unanswered;
     this.#stops.set(run, nowMs);
--- a/src/scheduler/common/fleet/submissionBook.ts
+++ b/src/scheduler/common/fleet/submissionBook.ts
@@ -5,9 +5,10 @@
   type Submission,
   SubmissionState,
 } from '../../../services/submissions/common/submission.js';
-import type { Progress } from '../../../services/submissions/common/submissionRows.js';
+import type { Assignments, Progress } from '../../../services/submissions/common/submissionRows.js';
 import {
   allOccurrencesDone,
+  type InheritedRun,
   isOpen,
   isStepReady,
   newSubmissionRecord,
@@ -23,6 +24,12 @@
 /** How long a task that failed waits: long enough that a sick worker does not use its tries up. */
 const FAILED_RETRY_MS = 200;
 
+/** A task of a submission that a former owner gave to a worker. */
+export interface InheritedTask {
+  readonly task: TaskRecord;
+  readonly inherited: InheritedRun;
+}
+
 export class SubmissionBook {
   readonly #records = new Map<string, SubmissionRecord>();
 
@@ -32,6 +39,12 @@
 
   readonly #dirty = new Set<SubmissionRecord>();
 
+  /** Submissions with runs that are not in their stored assignments. */
+  readonly #unrecorded = new Set<SubmissionRecord>();
+
+  /** Tasks that former owners gave to workers and that no worker's list has been asked for yet. */
+  #inherited: InheritedTask[] = [];
+
   /** Submissions with occurrences that are not open yet. */
   readonly #timed = new Set<SubmissionRecord>();
 
@@ -45,8 +58,8 @@
     return this.#dirty;
   }
 
-  get records(): Iterable<SubmissionRecord> {
-    return this.#records.values();
+  get unrecorded(): ReadonlySet<SubmissionRecord> {
+    return this.#unrecorded;
   }
 
   has(id: string): boolean {
@@ -57,13 +70,13 @@
   add(
     submission: Submission,
     progress: Progress | undefined,
-    isInherited: boolean,
+    assignments: Assignments,
     nowMs: number,
   ): void {
     if (this.#records.has(submission.id)) return;
     this.#order += 1;
     const stored = progress ?? NO_PROGRESS;
-    const record = newSubmissionRecord(submission, stored, this.#order, isInherited, nowMs);
+    const record = newSubmissionRecord(submission, stored, this.#order, assignments, nowMs);
     this.#records.set(submission.id, record);
     if (!isOpen(record)) return;
     if (this.#cancelledIds.has(submission.id)) {
@@ -112,6 +125,14 @@
     task.runs.push(run);
     task.lastRun = Math.max(task.lastRun, run.run);
     this.#waiting.delete(task);
+    this.markUnrecorded(task.submission);
+  }
+
+  /** Takes the tasks that may still run where former owners started them. */
+  takeInherited(): readonly InheritedTask[] {
+    const taken = this.#inherited;
+    this.#inherited = [];
+    return taken;
   }
 
   /** The first task is known to have started. */
@@ -153,6 +174,16 @@
     this.#dirty.add(record);
   }
 
+  takeUnrecorded(limit: number): readonly SubmissionRecord[] {
+    const taken = [...this.#unrecorded].slice(0, limit);
+    taken.forEach((record) => this.#unrecorded.delete(record));
+    return taken;
+  }
+
+  markUnrecorded(record: SubmissionRecord): void {
+    if (isOpen(record)) this.#unrecorded.add(record);
+  }
+
   /** How many submissions without occurrences wait for their first start, by queue. */
   waitingCounts(): Readonly<Record<string, number>> {
     const counts: Record<string, number> = {};
@@ -171,10 +202,20 @@
 
   #open(record: SubmissionRecord, occurrence: number, nowMs: number): void {
     const opened = openOccurrence(record, occurrence, nowMs);
+    opened.tasks.flat().forEach((task) => this.#noteInherited(task));
     opened.tasks.forEach((_, stepIndex) => this.#queueStep(opened, stepIndex, nowMs));
     this.#finishOccurrence(record, opened);
   }
 
+  #noteInherited(task: TaskRecord): void {
+    if (task.isDone) return;
+    const runs = task.submission.inheritedRuns.get(task.place) ?? [];
+    const isOver = ({ run }: InheritedRun): boolean => task.failedRuns.includes(run);
+    runs
+      .filter((run) => !isOver(run))
+      .forEach((inherited) => this.#inherited.push({ task, inherited }));
+  }
+
   #queueStep(opened: OccurrenceRecord, stepIndex: number, nowMs: number): void {
     if (!isStepReady(opened, stepIndex)) return;
     opened.tasks[stepIndex]?.forEach((task) => this.#queue(task, nowMs));
@@ -232,6 +273,7 @@
   #end(record: SubmissionRecord, state: SubmissionState): readonly TaskRun[] {
     record.state = state;
     this.#dirty.add(record);
+    this.#unrecorded.delete(record);
     this.#timed.delete(record);
     const tasks = [...record.occurrences.values()].flatMap((opened) => opened.tasks.flat());
     tasks.forEach((task) => this.#waiting.delete(task));
--- a/src/scheduler/common/fleet/taskRecords.ts
+++ b/src/scheduler/common/fleet/taskRecords.ts
@@ -6,10 +6,12 @@
   runsOfSteps,
   type Step,
 } from '../../../services/submissions/common/submission.js';
-import type { Progress } from '../../../services/submissions/common/submissionRows.js';
+import type { Assignments, Progress } from '../../../services/submissions/common/submissionRows.js';
 import type { Resources } from '../../../services/worker/common/resources.js';
 
 export const RunState = {
+  /** Has room on its worker; the start is sent once the assignment is stored. */
+  Assigned: 'assigned',
   /** The start has been sent and has no answer yet. */
   Starting: 'starting',
   /** The start got no answer: it may have been carried out, or may yet be. */
@@ -28,7 +30,7 @@
   state: RunState;
   /** When the last order about the run was answered; a list asked for earlier may lack it. */
   settledAtMs: number;
-  readonly startedAtMs: number;
+  startedAtMs: number;
   isStopInFlight: boolean;
   isStopConfirmed: boolean;
   workedPercent: number;
@@ -70,6 +72,12 @@
   readonly openCounts: number[];
 }
 
+/** A run of a former owner, as its assignment is stored. */
+export interface InheritedRun {
+  readonly workerId: string;
+  readonly run: number;
+}
+
 export interface SubmissionRecord {
   readonly submission: Submission;
   /** Rises in the order in which the scheduler learnt of submissions. */
@@ -81,8 +89,8 @@
   nextOccurrence: number;
   state: SubmissionState;
   hasStarted: boolean;
-  /** Stored before this owner took over: the former owner may have started its tasks. */
-  readonly isInherited: boolean;
+  /** Runs that former owners may have started, by the task's place. */
+  readonly inheritedRuns: ReadonlyMap<number, readonly InheritedRun[]>;
   learntAtMs: number;
 }
 
@@ -120,11 +128,25 @@
   failedRuns: {},
 };
 
+export const NO_ASSIGNMENTS: Assignments = {};
+
+const toInheritedRuns = (assignments: Assignments): SubmissionRecord['inheritedRuns'] => {
+  const runs = new Map<number, InheritedRun[]>();
+  Object.entries(assignments).forEach(([workerId, pairs]) => {
+    for (let index = 0; index + 1 < pairs.length; index += 2) {
+      const place = pairs[index] as number;
+      const run = pairs[index + 1] as number;
+      runs.set(place, [...(runs.get(place) ?? []), { workerId, run }]);
+    }
+  });
+  return runs;
+};
+
 export const newSubmissionRecord = (
   submission: Submission,
   progress: Progress,
   order: number,
-  isInherited: boolean,
+  assignments: Assignments,
   nowMs: number,
 ): SubmissionRecord => ({
   submission,
@@ -135,7 +157,7 @@
   nextOccurrence: 0,
   state: progress.state,
   hasStarted: progress.state !== SubmissionState.Queued,
-  isInherited,
+  inheritedRuns: toInheritedRuns(assignments),
   learntAtMs: nowMs,
 });
 
@@ -217,3 +239,18 @@
     failedRuns: isFinal ? {} : failedRuns,
   };
 };
+
+/** The assignments as they are stored. */
+export const toAssignments = (record: SubmissionRecord): Assignments => {
+  const assignments: Record<string, number[]> = {};
+  record.occurrences.forEach(({ tasks }) =>
+    tasks.flat().forEach((task) =>
+      task.runs.forEach(({ workerId, run }) => {
+        const pairs = assignments[workerId] ?? [];
+        pairs.push(task.place, run);
+        assignments[workerId] = pairs;
+      }),
+    ),
+  );
+  return assignments;
+};
--- a/src/scheduler/common/fleet/waitReport.ts
+++ b/src/scheduler/common/fleet/waitReport.ts
@@ -5,8 +5,6 @@
 
 /** Why a task that is due was not placed in a round. */
 export const WaitReason = {
-  /** A former owner may have started it on a worker that has not answered yet. */
-  FormerOwner: 'former-owner',
   /** No usable worker has room for it. */
   NoRoom: 'no-room',
   /** The limit of starts in one round was reached before its turn. */
--- a/src/scheduler/node/fleetTask.ts
+++ b/src/scheduler/node/fleetTask.ts
@@ -141,7 +141,7 @@
         break;
       case 'commit': {
         const result = await table.transact(effect.transaction)();
-        this.#perform(scheduler.handleCommitted(effect.epoch, result));
+        this.#perform(scheduler.handleCommitted(effect.epoch, result, clock.nowMs()));
         break;
       }
       case 'resolve':
@@ -209,7 +209,7 @@
       epoch,
       rows: changes.length,
       workers: workers.length,
-      knownWorkers: roster.length,
+      knownWorkers: roster.workers.length,
       predecessorQuietMs: Math.round(this.#scheduler.predecessorQuietMs(clock.nowMs())),
     });
     void this.#follow(epoch, loaded.position);
--- a/src/scheduler/node/storedStateReader.ts
+++ b/src/scheduler/node/storedStateReader.ts
@@ -1,10 +1,12 @@
 /** Reads what a new owner of the fleet has to know, and decodes the rows. */
 import { isLeft } from 'fp-ts/lib/Either.js';
-import { z } from 'zod';
 
 import type { FleetDirectory } from '../../services/fleet/common/fleetDirectory.js';
 import type { Log } from '../../services/log/common/log.js';
 import {
+  ASSIGNMENT_PREFIX,
+  type Assignments,
+  assignmentsSchema,
   HARM_KEY,
   type LearntHarm,
   learntHarmSchema,
@@ -13,6 +15,8 @@
   PROGRESS_PREFIX,
   progressSchema,
   ROSTER_KEY,
+  type RosterRow,
+  rosterSchema,
   submissionSchema,
   SUBMISSIONS_PREFIX,
   WAITING_COUNTS_KEY,
@@ -20,7 +24,7 @@
 import type { TableRow, TableService } from '../../services/table/common/table.js';
 import type { StoredState, SubmissionChange } from '../common/fleet/fleetTenure.js';
 
-const rosterSchema = z.array(z.strictObject({ id: z.string(), address: z.string() }));
+const NO_ROSTER: RosterRow = { epoch: 0, workers: [] };
 
 export interface ReadSubmissions {
   readonly changes: readonly SubmissionChange[];
@@ -48,21 +52,24 @@
 
   /** Undefined when any part of it could not be read. */
   async readAll(): Promise<LoadedState | undefined> {
-    const [submissions, progressRows, own, workers] = await Promise.all([
+    const [submissions, progressRows, assignmentRows, own, workers] = await Promise.all([
       this.readSubmissions(),
       this.#table.read({ keys: [], prefixes: [PROGRESS_PREFIX] })(),
+      this.#table.read({ keys: [], prefixes: [ASSIGNMENT_PREFIX] })(),
       this.#table.read({ keys: [ROSTER_KEY, WAITING_COUNTS_KEY, HARM_KEY], prefixes: [] })(),
       this.#directory.workers()(),
     ]);
-    if (submissions === undefined || isLeft(progressRows) || isLeft(own) || isLeft(workers)) {
+    if (submissions === undefined || isLeft(progressRows) || isLeft(assignmentRows)) {
       return undefined;
     }
-    const rows = [...progressRows.right.rows, ...own.right.rows];
+    if (isLeft(own) || isLeft(workers)) return undefined;
+    const rows = [...progressRows.right.rows, ...assignmentRows.right.rows, ...own.right.rows];
     return {
       position: submissions.position,
       stored: {
         changes: submissions.changes,
         progress: this.#toProgress(progressRows.right.rows),
+        assignments: this.#toAssignments(assignmentRows.right.rows),
         versions: new Map(rows.map(({ key, version }) => [key, version])),
         roster: this.#toRoster(own.right.rows),
         harm: this.#toHarm(own.right.rows),
@@ -108,6 +115,16 @@
     return progress;
   }
 
+  #toAssignments(rows: readonly TableRow[]): ReadonlyMap<string, Assignments> {
+    const assignments = new Map<string, Assignments>();
+    rows.forEach((row) => {
+      const parsed = assignmentsSchema.safeParse(row.value);
+      if (parsed.success) assignments.set(row.key.slice(ASSIGNMENT_PREFIX.length), parsed.data);
+      else this.#log.warn('row-unreadable', { key: row.key });
+    });
+    return assignments;
+  }
+
   #toHarm(rows: readonly TableRow[]): LearntHarm {
     const row = rows.find(({ key }) => key === HARM_KEY);
     if (row === undefined) return [];
@@ -118,9 +135,9 @@
 
   #toRoster(rows: readonly TableRow[]): StoredState['roster'] {
     const row = rows.find(({ key }) => key === ROSTER_KEY);
-    if (row === undefined) return [];
+    if (row === undefined) return NO_ROSTER;
     const parsed = rosterSchema.safeParse(row.value);
     if (!parsed.success) this.#log.warn('row-unreadable', { key: row.key });
-    return parsed.success ? parsed.data : [];
+    return parsed.success ? parsed.data : NO_ROSTER;
   }
 }
--- a/src/scheduler/test/fleet/fleetNotes.test.ts
+++ b/src/scheduler/test/fleet/fleetNotes.test.ts
@@ -34,7 +34,7 @@
       { name: 'younger', waitingSinceMs: 900 },
       { name: 'oldest', waitingSinceMs: 100 },
     ] as unknown as TaskRecord[];
-    const counts = new Map([[WaitReason.FormerOwner, 2]]);
+    const counts = new Map([[WaitReason.NoRoom, 2]]);
     const lines: FleetNote[] = [];
     for (let nowMs = 1_000; nowMs <= 3_000; nowMs += 10) {
       notes.addWaits(waiting, counts, nowMs);
@@ -43,7 +43,7 @@
     expect(lines).toHaveLength(2);
     expect(lines[0]).toEqual({
       event: 'tasks-waiting',
-      fields: { taskName: 'oldest', longestWaitMs: 1_000, reasons: 'former-owner=2' },
+      fields: { taskName: 'oldest', longestWaitMs: 1_000, reasons: 'no-room=2' },
     });
   });
 });
--- a/src/scheduler/test/fleet/fleetWorld.ts
+++ b/src/scheduler/test/fleet/fleetWorld.ts
@@ -36,6 +36,8 @@
 const STEP_MS = 10;
 const LIST_MS = 1_000;
 const ORDER_TIMEOUT_MS = 800;
+/** The table's clock began earlier than that of the test. */
+const TABLE_CLOCK_AHEAD_MS = 1_000_000;
 
 /** What may go wrong with calls, decided anew for each. */
 export interface WorldFaults {
@@ -289,7 +291,7 @@
       case 'commit':
         this.#transact(index, effect.transaction, (result, scheduler) =>
           scheduler
-            .handleCommitted(effect.epoch, result)
+            .handleCommitted(effect.epoch, result, this.nowMs)
             .forEach((next) => this.#perform(index, next)),
         );
         break;
@@ -323,7 +325,7 @@
   ): void {
     const isReached = this.#reachesTable(this.seats[index] as SchedulerSeat);
     const result: Either<Failure, Answer> = isReached
-      ? right(call())
+      ? right({ ...call(), tableNowMs: TABLE_CLOCK_AHEAD_MS + this.nowMs })
       : left(failure(ErrorKind.StoreUnavailable, 'out of reach'));
     this.#reply(index, CALL_MS, (scheduler) => reply(result, scheduler));
   }
--- a/src/scheduler/test/fleet/harmControl.test.ts
+++ b/src/scheduler/test/fleet/harmControl.test.ts
@@ -5,7 +5,7 @@
 import { HarmControl } from '../../common/fleet/harmControl.js';
 import { newRun } from '../../common/fleet/runKeeper.js';
 import { SubmissionBook } from '../../common/fleet/submissionBook.js';
-import { RunState, type TaskRun } from '../../common/fleet/taskRecords.js';
+import { NO_ASSIGNMENTS, RunState, type TaskRun } from '../../common/fleet/taskRecords.js';
 import { STEP, submissionOf } from './fleetFixtures.js';
 
 const TARGET_MS = 18;
@@ -46,7 +46,7 @@
     { ...SERVING, taskCount: servingCount },
     ...fillerImages.map((image) => ({ ...FILLER, image })),
   ];
-  book.add(submissionOf('00000000000000d1', steps), undefined, false, 0);
+  book.add(submissionOf('00000000000000d1', steps), undefined, NO_ASSIGNMENTS, 0);
   const runs = [...book.waiting].map((task) => {
     const run = newRun(task, 1, 'worker', 0);
     run.state = RunState.Running;
--- a/src/scheduler/test/fleet/rebirth.test.ts
+++ b/src/scheduler/test/fleet/rebirth.test.ts
@@ -8,6 +8,7 @@
 import { FleetWorkerView } from '../../common/fleet/fleetWorkerView.js';
 import { newRun, RunKeeper } from '../../common/fleet/runKeeper.js';
 import { SubmissionBook } from '../../common/fleet/submissionBook.js';
+import { NO_ASSIGNMENTS, RunState } from '../../common/fleet/taskRecords.js';
 import { STEP, submissionOf, WORKER_CAPACITY } from './fleetFixtures.js';
 
 const EPOCH = 4;
@@ -52,12 +53,13 @@
       new WorkerHealth(),
       new FleetNotes(),
     );
-    book.add(submissionOf('00000000000000c1', [STEP]), undefined, false, 0);
+    book.add(submissionOf('00000000000000c1', [STEP]), undefined, NO_ASSIGNMENTS, 0);
     const [task] = [...book.waiting];
     if (task === undefined) throw new Error('no task waits');
     keeper.handleLists(view, answerOf(1), 0, 10);
     const fence = view.fence(EPOCH);
     const run = newRun(task, 1, view.id, 20);
+    run.state = RunState.Starting;
     view.addRun(run);
     book.noteRun(run);
     keeper.handleStarted(run, right(StartOutcome.Started), 30);
--- a/src/services/submissions/common/submissionRows.ts
+++ b/src/services/submissions/common/submissionRows.ts
@@ -1,7 +1,7 @@
 /**
  * Rows of the table that hold submissions. An entry instance adds `submissions/ID/spec` and
- * `submissions/ID/cancel`; the scheduler alone writes `progress/ID`. They stand in tables of
- * their own, so that the scheduler follows what callers do without its own writes among it.
+ * `submissions/ID/cancel`; the scheduler alone writes `progress/ID` and `assignments/ID`. They
+ * stand in tables of their own, so that the scheduler follows what callers do without its own writes among it.
  */
 import { z } from 'zod';
 
@@ -43,8 +43,7 @@
 
 /**
  * What must survive the scheduler: the tasks that have ended well and the failed attempts, by
- * the task's place among all tasks of the submission. Which worker runs what is not in it: each
- * worker lists that itself to whoever takes over.
+ * the task's place among all tasks of the submission.
  */
 export const progressSchema = z.strictObject({
   state: z.enum(SubmissionState),
@@ -55,6 +54,14 @@
 });
 export type Progress = z.infer<typeof progressSchema>;
 
+/**
+ * Which worker was given which task of a submission: pairs of a task's place and its run number,
+ * by worker. Written before the starts are sent, so that a new owner of the fleet knows which tasks
+ * cannot run on the workers it does not reach. Runs that are over may still be in it.
+ */
+export const assignmentsSchema = z.record(z.string(), z.array(wholeSchema));
+export type Assignments = z.infer<typeof assignmentsSchema>;
+
 /** How many submissions of each queue wait for their first start, as the scheduler counts. */
 export const waitingCountsSchema = z.strictObject({
   /** The epoch of the scheduler that wrote the row. */
@@ -65,11 +72,13 @@
 
 export const SUBMISSION_TABLE = 'submissions';
 export const PROGRESS_TABLE = 'progress';
+export const ASSIGNMENT_TABLE = 'assignments';
 const SPEC_SUFFIX = '/spec';
 const CANCEL_SUFFIX = '/cancel';
 
 export const SUBMISSIONS_PREFIX = `${SUBMISSION_TABLE}/`;
 export const PROGRESS_PREFIX = `${PROGRESS_TABLE}/`;
+export const ASSIGNMENT_PREFIX = `${ASSIGNMENT_TABLE}/`;
 export const WAITING_COUNTS_KEY = 'scheduling/waiting-counts';
 /** What the scheduler has learnt of harm between images, for its successor. */
 export const HARM_KEY = 'scheduling/harm';
@@ -87,6 +96,24 @@
 /** Workers that the scheduler has granted leases to, for its successor. */
 export const ROSTER_KEY = 'scheduling/roster';
 
+/**
+ * A worker with a bound is granted nothing until the row is written without it: all leases that
+ * any owner has granted to it are over by then, on the table's clock. One without a bound may be
+ * granted leases by the owner of the roster's epoch at any time.
+ */
+export const rosterSchema = z.strictObject({
+  epoch: wholeSchema,
+  workers: z.array(
+    z.strictObject({
+      id: z.string(),
+      address: z.string(),
+      leasesOverTableMs: z.number().optional(),
+    }),
+  ),
+});
+export type RosterRow = z.infer<typeof rosterSchema>;
+export type RosterEntry = RosterRow['workers'][number];
+
 export const specKey = (id: string): string => `${SUBMISSIONS_PREFIX}${id}${SPEC_SUFFIX}`;
 /**
  * Written by every cancellation, also of an unknown id: an acceptance whose answer was lost may
@@ -94,6 +121,7 @@
  */
 export const cancelKey = (id: string): string => `${SUBMISSIONS_PREFIX}${id}${CANCEL_SUFFIX}`;
 export const progressKey = (id: string): string => `${PROGRESS_PREFIX}${id}`;
+export const assignmentsKey = (id: string): string => `${ASSIGNMENT_PREFIX}${id}`;
 
 /** The id and kind of a row of the submissions' table. */
 export const parseSubmissionKey = (
--- a/src/services/workload/common/workRows.ts
+++ b/src/services/workload/common/workRows.ts
@@ -138,6 +138,8 @@
 export const cellOwnerRowSchema = z.strictObject({
   ownerId: z.string(),
   epoch: z.number().int().positive(),
+  /** When all leases that former owners granted to workers are over, on the table's clock. */
+  formerLeasesOverTableMs: z.number().optional(),
 });
 export type CellOwnerRow = z.infer<typeof cellOwnerRowSchema>;
 
