Fix leases of a worker that leaves outlasting a change of the owner

A worker that drains was granted leases of six seconds to its last moment.

The stored roster now says for each worker whether leases are limited, and until when: leases of a worker that drains end 3 to 4.5 s ahead, and the limit is moved on while it is there. Whoever owns the fleet next knows that instant.

--- a/src/scheduler/common/fleet/fleetCalls.ts
+++ b/src/scheduler/common/fleet/fleetCalls.ts
@@ -43,14 +43,13 @@
   tenure: Tenure,
   view: FleetWorkerView,
   run: TaskRun,
-  timing: FleetTiming,
-  nowMs: number,
+  leaseEndWorkerMs: number,
 ): FleetEffect => {
   const { epoch } = tenure;
   const request = {
     ...toReference(run, view, epoch),
     spec: run.task.submission.submission.spec,
-    leaseEndWorkerMs: view.grantLease(timing, nowMs),
+    leaseEndWorkerMs,
     checkpoint: run.task.checkpoint,
   };
   return { kind: 'start', epoch, request };
@@ -88,14 +87,16 @@
   const { epoch, roster } = tenure;
   tenure.views.forEach((view) => {
     if (!isHoldDue(view, nowMs)) return;
-    const grants = mayGrant && view.knowsClock && !view.isSilent && roster.mayGrant(view.id);
+    const limitAtMs = roster.grantLimitMs(view.id);
+    const leaseEndWorkerMs =
+      mayGrant && !view.isSilent ? view.grantLease(timing, limitAtMs, nowMs) : undefined;
     view.isHoldInFlight = true;
     const request = {
       workerId: view.id,
       address: view.entry.address,
       fence: view.fence(epoch),
       acknowledgedSequence: view.recordedSequence,
-      ...(grants ? { leaseEndWorkerMs: view.grantLease(timing, nowMs) } : {}),
+      ...(leaseEndWorkerMs === undefined ? {} : { leaseEndWorkerMs }),
       waitMs: holdWaitMs(view, timing),
     };
     effects.push({ kind: 'hold', epoch, request });
--- a/src/scheduler/common/fleet/fleetRound.ts
+++ b/src/scheduler/common/fleet/fleetRound.ts
@@ -52,7 +52,7 @@
   !view.isSilent &&
   view.strayCount === 0 &&
   view.isFresh(input.timing, nowMs) &&
-  input.roster.mayGrant(view.id) &&
+  input.roster.isUnlimited(view.id) &&
   !input.operator.withdrawnZones.has(view.entry.availabilityZone);
 
 type ViewsByService = ReadonlyMap<string, readonly FleetWorkerView[]>;
--- a/src/scheduler/common/fleet/fleetScheduler.ts
+++ b/src/scheduler/common/fleet/fleetScheduler.ts
@@ -333,11 +333,13 @@
     tenure.notes.addStarts(started, nowMs);
     return started.flatMap((run) => {
       const view = viewOf(run);
-      if (view === undefined) return [];
+      const limitAtMs = tenure.roster.grantLimitMs(run.workerId);
+      const leaseEndWorkerMs = view?.grantLease(this.#timing, limitAtMs, nowMs);
+      if (view === undefined || leaseEndWorkerMs === undefined) return [];
       run.state = RunState.Starting;
       run.startedAtMs = nowMs;
       this.#startsInFlight.set(runKey(run.task.name, run.run), run);
-      return [startEffect(tenure, view, run, this.#timing, nowMs)];
+      return [startEffect(tenure, view, run, leaseEndWorkerMs)];
     });
   }
 
--- a/src/scheduler/common/fleet/fleetTiming.ts
+++ b/src/scheduler/common/fleet/fleetTiming.ts
@@ -23,6 +23,10 @@
 export const longestLeaseMs = (leaseMs: number): number =>
   leaseMs * CLOCK_TOLERANCE + LEASE_SLACK_MS;
 
+/** The lease on a worker's clock that is surely over after `spanMs` on this machine's clock. */
+export const leaseWithinMs = (spanMs: number): number =>
+  (spanMs - LEASE_SLACK_MS) / CLOCK_TOLERANCE;
+
 /**
  * The longest lease granted, also where workers would grant longer ones. It outlasts the takeover
  * after an owner's death, some three seconds; a longer one only delays the tasks of a worker that
--- a/src/scheduler/common/fleet/fleetWorkerView.ts
+++ b/src/scheduler/common/fleet/fleetWorkerView.ts
@@ -6,13 +6,16 @@
   type Resources,
   subtractResources,
 } from '../../../services/worker/common/resources.js';
-import { type FleetTiming, longestLeaseMs } from './fleetTiming.js';
+import { type FleetTiming, leaseWithinMs, longestLeaseMs } from './fleetTiming.js';
 import type { LoadEstimate } from './loadEstimate.js';
 import { countedSize, type TaskRun } from './taskRecords.js';
 
 /** Incarnations of one worker that one owner tells apart; it would take hours to meet so many. */
 const FENCES_PER_EPOCH = 1_000;
 
+/** How far a worker's clock may run from real time. */
+const CLOCK_DRIFT = 0.02;
+
 export const runKey = (taskName: string, run: number): string => `${taskName}#${run}`;
 
 export class FleetWorkerView {
@@ -168,14 +171,18 @@
   }
 
   /**
-   * The end of a lease granted now, on the worker's clock. The record of when it is surely over
-   * is kept before the grant is sent, since a grant without an answer may have been taken.
+   * The end of a lease granted now, on the worker's clock, that is over by `limitAtMs`; undefined
+   * where that leaves none. The record of when it is surely over is kept before the grant is sent,
+   * since a grant without an answer may have been taken.
    */
-  grantLease(timing: FleetTiming, nowMs: number): number {
-    const age = nowMs - this.#clockReadAtMs;
-    const longestMs = longestLeaseMs(timing.maximumLeaseMs + age * 0.02);
-    this.leasesOverAtMs = Math.max(this.leasesOverAtMs, nowMs + longestMs);
-    return Math.floor(this.#workerClockMs + age + timing.maximumLeaseMs);
+  grantLease(timing: FleetTiming, limitAtMs: number, nowMs: number): number | undefined {
+    if (!this.knowsClock) return undefined;
+    const ageMs = nowMs - this.#clockReadAtMs;
+    const driftMs = ageMs * CLOCK_DRIFT;
+    const leaseMs = Math.min(timing.maximumLeaseMs, leaseWithinMs(limitAtMs - nowMs) - driftMs);
+    if (leaseMs <= 0) return undefined;
+    this.leasesOverAtMs = Math.max(this.leasesOverAtMs, nowMs + longestLeaseMs(leaseMs + driftMs));
+    return Math.floor(this.#workerClockMs + ageMs + leaseMs);
   }
 
   /**
--- a/src/scheduler/common/fleet/roster.ts
+++ b/src/scheduler/common/fleet/roster.ts
@@ -1,7 +1,7 @@
 /**
- * Which workers leases may be granted to, as a successor has to know it. A worker is granted
- * leases only while the stored row says so; for the others the row holds until when the leases
- * granted so far may last, which later owners carry on.
+ * Until when leases may be granted to each worker, as a successor has to know it. Without a stored
+ * limit the owner may grant at any time; with one, no lease lasts longer. Later owners carry the
+ * limits on, so that a worker that is lost is waited for once, whatever the owner.
  */
 import type {
   RosterEntry,
@@ -12,20 +12,33 @@
 
 /** After a takeover the row changes with each worker that answers; it is tens of kilobytes. */
 const WRITE_INTERVAL_MS = 150;
+/**
+ * How far ahead leases are granted to a worker that drains, and when the limit is moved on. It may
+ * leave while the owner changes; the next owner then waits no longer than this.
+ */
+const DRAINING_GRANT_MS = 4_500;
+const DRAINING_LEAST_MS = 3_000;
+
+const NO_LIMIT = Number.POSITIVE_INFINITY;
+const NO_GRANTS = Number.NEGATIVE_INFINITY;
 
 /** Converts an instant of this process to the table's clock, where that is known. */
 export type ToTableMs = (atMs: number) => number | undefined;
 
-type Entries = ReadonlyMap<string, RosterEntry>;
-
-const isGranting = (entry: RosterEntry | undefined): boolean =>
-  entry !== undefined && entry.leasesOverTableMs === undefined;
+interface Entry {
+  readonly address: string;
+  /** On this process's clock. */
+  readonly limitAtMs: number;
+}
 
-const isSame = (one: RosterEntry | undefined, other: RosterEntry): boolean =>
-  one !== undefined && one.address === other.address && isGranting(one) === isGranting(other);
+type Entries = ReadonlyMap<string, Entry>;
 
-const isSameRoster = (one: Entries, other: Entries): boolean =>
-  one.size === other.size && [...other].every(([id, entry]) => isSame(one.get(id), entry));
+const isSame = (one: Entries, other: Entries): boolean =>
+  one.size === other.size &&
+  [...other].every(([id, { address, limitAtMs }]) => {
+    const known = one.get(id);
+    return known?.address === address && known.limitAtMs === limitAtMs;
+  });
 
 /**
  * Leases are wanted for a worker that answers. One that has just been listed and has never been
@@ -34,14 +47,6 @@
 const isWanted = (view: FleetWorkerView, timing: FleetTiming, nowMs: number): boolean =>
   view.isHeard ? view.isFresh(timing, nowMs) : view.isListed && view.leasesOverAtMs <= nowMs;
 
-const toEntry = ({ id, entry }: FleetWorkerView): RosterEntry => ({ id, address: entry.address });
-
-const toBoundedEntry = (view: FleetWorkerView, toTableMs: ToTableMs): RosterEntry => {
-  const leasesOverTableMs = toTableMs(view.leasesOverAtMs);
-  const entry = toEntry(view);
-  return leasesOverTableMs === undefined ? entry : { ...entry, leasesOverTableMs };
-};
-
 export class Roster {
   readonly #epoch: number;
 
@@ -59,12 +64,18 @@
     this.#timing = timing;
   }
 
-  /** Whether a successor would take it that the worker may have been granted leases just now. */
-  mayGrant(workerId: string): boolean {
-    return (
-      isGranting(this.#written?.get(workerId)) &&
-      this.#unconfirmed.every((entries) => isGranting(entries.get(workerId)))
+  /** By when each lease of the worker has to be over, by all rows that are or may be stored. */
+  grantLimitMs(workerId: string): number {
+    if (this.#written === undefined) return NO_GRANTS;
+    const limits = [this.#written, ...this.#unconfirmed].map(
+      (entries) => entries.get(workerId)?.limitAtMs ?? NO_GRANTS,
     );
+    return Math.min(...limits);
+  }
+
+  /** Whether tasks may be started on the worker. */
+  isUnlimited(workerId: string): boolean {
+    return this.grantLimitMs(workerId) === NO_LIMIT;
   }
 
   /** The row to be written, if it is due. */
@@ -74,20 +85,22 @@
     nowMs: number,
   ): RosterRow | undefined {
     if (nowMs < this.#nextWriteAtMs) return undefined;
-    const entries = new Map(
-      views.map((view) => [view.id, this.#toEntry(view, toTableMs, nowMs)] as const),
-    );
     const isStored = this.#unconfirmed.length === 0 && this.#written !== undefined;
-    if (isStored && isSameRoster(this.#written as Entries, entries)) return undefined;
+    const due = this.#entries(views, DRAINING_LEAST_MS, nowMs);
+    if (isStored && isSame(this.#written as Entries, due)) return undefined;
+    const entries = this.#entries(views, DRAINING_GRANT_MS, nowMs);
     this.#nextWriteAtMs = nowMs + WRITE_INTERVAL_MS;
     this.#unconfirmed = [...this.#unconfirmed, entries];
-    return { epoch: this.#epoch, workers: [...entries.values()] };
+    return this.#toRow(entries, toTableMs);
   }
 
   /** The row of an owner that grants nothing any more. */
   last(views: readonly FleetWorkerView[], toTableMs: ToTableMs): RosterRow {
-    const workers = views.map((view) => toBoundedEntry(view, toTableMs));
-    return { epoch: this.#epoch, workers };
+    const entries = views.map(
+      ({ id, entry, leasesOverAtMs }) =>
+        [id, { address: entry.address, limitAtMs: leasesOverAtMs }] as const,
+    );
+    return this.#toRow(new Map(entries), toTableMs);
   }
 
   /** The row that was sent last is stored; those before it can take effect no more. */
@@ -96,7 +109,29 @@
     this.#unconfirmed = [];
   }
 
-  #toEntry(view: FleetWorkerView, toTableMs: ToTableMs, nowMs: number): RosterEntry {
-    return isWanted(view, this.#timing, nowMs) ? toEntry(view) : toBoundedEntry(view, toTableMs);
+  /** Limits of workers that drain are moved on once they are less than `leastMs` ahead. */
+  #entries(views: readonly FleetWorkerView[], leastMs: number, nowMs: number): Entries {
+    return new Map(
+      views.map((view) => {
+        const limitAtMs = this.#limitAtMs(view, leastMs, nowMs);
+        return [view.id, { address: view.entry.address, limitAtMs }] as const;
+      }),
+    );
+  }
+
+  #limitAtMs(view: FleetWorkerView, leastMs: number, nowMs: number): number {
+    if (!isWanted(view, this.#timing, nowMs)) return view.leasesOverAtMs;
+    if (!view.entry.isDraining) return NO_LIMIT;
+    const known = this.#written?.get(view.id)?.limitAtMs ?? NO_LIMIT;
+    if (known !== NO_LIMIT && known - nowMs >= leastMs) return known;
+    return Math.max(view.leasesOverAtMs, nowMs + DRAINING_GRANT_MS);
+  }
+
+  #toRow(entries: Entries, toTableMs: ToTableMs): RosterRow {
+    const workers = [...entries].map(([id, { address, limitAtMs }]): RosterEntry => {
+      const leasesOverTableMs = limitAtMs === NO_LIMIT ? undefined : toTableMs(limitAtMs);
+      return leasesOverTableMs === undefined ? { id, address } : { id, address, leasesOverTableMs };
+    });
+    return { epoch: this.#epoch, workers };
   }
 }
--- a/src/services/submissions/common/submissionRows.ts
+++ b/src/services/submissions/common/submissionRows.ts
@@ -97,9 +97,8 @@
 export const ROSTER_KEY = 'scheduling/roster';
 
 /**
- * A worker with a bound is granted nothing until the row is written without it: all leases that
- * any owner has granted to it are over by then, on the table's clock. One without a bound may be
- * granted leases by the owner of the roster's epoch at any time.
+ * A worker with a limit has no lease beyond it, on the table's clock, until the row is written
+ * anew. One without a limit may be granted leases by the owner of the roster's epoch at any time.
  */
 export const rosterSchema = z.strictObject({
   epoch: wholeSchema,
