Move tasks that last off workers that drain

A worker says that it drains two seconds or more before it leaves. Tasks that last stayed on it until it was gone, and were away until that was found out: up to a lease, six seconds, where nothing answers at its address. They are now stopped as soon as another worker has room, and are away for a stop and a start. Where there is no room they stay. Batch work is not moved: it may end before the worker leaves. The test failed before: the task was still on the worker.

--- /dev/null
+++ b/src/scheduler/common/fleet/drainMoves.ts
@@ -0,0 +1,39 @@
+/** Which tasks that last are moved off workers that are about to leave. */
+import { findQueueByName } from '../../../services/fleet/common/fleetConfiguration.js';
+import { chooseWorker } from './fleetPlacement.js';
+import { isUsable, type RoundInput } from './fleetRound.js';
+import type { FleetWorkerView } from './fleetWorkerView.js';
+import { RunState, type TaskRun } from './taskRecords.js';
+
+const isMovable = ({ task, state }: TaskRun): boolean =>
+  task.step.isPersistent && !task.step.isGang && state === RunState.Running;
+
+const isLeaving = (view: FleetWorkerView): boolean =>
+  view.isListed && view.entry.isDraining && view.isHeard && !view.isSilent;
+
+/**
+ * Runs to be stopped so that their tasks start on workers that stay. A task that waits until its
+ * worker has left is away for as long as it takes to find that out, several seconds; one that is
+ * moved for the time of a stop and a start. Without room elsewhere it stays.
+ */
+export const movableRuns = (input: RoundInput, nowMs: number): readonly TaskRun[] => {
+  const { configuration } = input.operator;
+  const runs = [...input.views.values()]
+    .filter(isLeaving)
+    .flatMap((view) => [...view.runs.values()].filter(isMovable));
+  if (configuration === undefined || runs.length === 0) return [];
+  const usable = [...input.views.values()].filter((view) => isUsable(view, input, nowMs));
+  // Room that is promised is not taken yet, so each worker is promised to one task at a time.
+  const promised = new Set<FleetWorkerView>();
+  return runs.filter(({ task }) => {
+    const { submission } = task.submission;
+    const queue = findQueueByName(configuration, submission.queueName);
+    const serviceName = queue?.serviceName ?? submission.serviceName;
+    const views = usable.filter(
+      (view) => view.entry.serviceName === serviceName && !promised.has(view),
+    );
+    const target = chooseWorker(task, views, input.policy, input.harm, nowMs);
+    if (target !== undefined) promised.add(target);
+    return target !== undefined;
+  });
+};
--- a/src/scheduler/common/fleet/fleetNotes.ts
+++ b/src/scheduler/common/fleet/fleetNotes.ts
@@ -20,6 +20,8 @@
   NotWanted: 'not-wanted',
   /** It slows what serves beside it. */
   Harm: 'harm',
+  /** Its worker is about to leave and another one has room. */
+  Draining: 'draining',
   /** It makes no progress. */
   Stuck: 'stuck',
 } as const;
--- a/src/scheduler/common/fleet/fleetScheduler.ts
+++ b/src/scheduler/common/fleet/fleetScheduler.ts
@@ -41,6 +41,7 @@
 import type { FleetEffect } from './fleetEffects.js';
 import { StopReason } from './fleetNotes.js';
 import { FleetOwnership } from './fleetOwnership.js';
+import { movableRuns } from './drainMoves.js';
 import { isUsable, placeWaiting } from './fleetRound.js';
 import {
   loseLapsed,
@@ -271,6 +272,7 @@
     tenure.keeper.inherit(tenure.book.takeInherited(), nowMs);
     effects.push(...stopEffects(tenure, nowMs));
     this.#place(tenure, nowMs);
+    this.#moveFromDraining(tenure, nowMs);
     effects.push(...holdEffects(tenure, this.#timing, this.#mayGrant(nowMs), nowMs));
     this.#pace(tenure, effects, nowMs);
     this.#commit(tenure, effects, nowMs);
@@ -312,6 +314,11 @@
     tenure.notes.addWaits(tenure.book.waiting, waits, nowMs);
   }
 
+  #moveFromDraining(tenure: Tenure, nowMs: number): void {
+    const runs = movableRuns(this.#roundInput(tenure), nowMs);
+    tenure.keeper.requestStops(runs, StopReason.Draining, nowMs);
+  }
+
   /** Sends the starts of runs whose workers may still be given work. */
   #start(tenure: Tenure, recorded: readonly TaskRun[], nowMs: number): readonly FleetEffect[] {
     const input = this.#roundInput(tenure);
--- a/src/scheduler/test/fleet/takeover.test.ts
+++ b/src/scheduler/test/fleet/takeover.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest';
 
 import { RunEnd } from '../../../services/fleet/common/fleetWorker.js';
-import { STEP, submissionOf } from './fleetFixtures.js';
+import { STEP, STOP_MS, submissionOf } from './fleetFixtures.js';
 import { FleetWorld } from './fleetWorld.js';
 
 const ID = '00000000000000c1';
@@ -120,6 +120,23 @@
 });
 
 describe('a worker that drains', () => {
+  it('does not keep tasks that last until it leaves while others have room', async () => {
+    const world = await worldOf(2, 1);
+    world.submit(submissionOf(LASTING_ID, [LASTING_STEP]));
+    await world.runFor(500);
+    const [drained] = world.runsOf(LASTING_TASK);
+    world.drainingWorkers.add(drained as string);
+    const absences = new Absences([LASTING_TASK]);
+    for (let tick = 0; tick < 30; tick += 1) {
+      // eslint-disable-next-line no-await-in-loop -- looks at the workers as time goes by
+      await world.runFor(100);
+      absences.look(world);
+    }
+    expect(world.runsOf(LASTING_TASK)).toHaveLength(1);
+    expect(world.runsOf(LASTING_TASK)).not.toContain(drained);
+    expect(absences.longestMs).toBeLessThan(STOP_MS);
+  });
+
   it('leaves no lease behind that a successor waits for much longer than it was there', async () => {
     const world = await worldOf(1, 2);
     world.submit(submissionOf(LASTING_ID, [LASTING_STEP]));
