--- a/src/scheduler/test/fleet/fleetRandom.test.ts
+++ b/src/scheduler/test/fleet/fleetRandom.test.ts
@@ -56,11 +56,31 @@
   }
 };
 
+/** Takes a worker away for good, in order or not, and puts a new one in its place. */
+const replaceWorker = async (world: FleetWorld, round: number): Promise<void> => {
+  const ids = [...world.listedWorkers];
+  const id = ids[world.random.nextIndex(ids.length)] as string;
+  if (world.random.nextIndex(2) === 0) {
+    world.drainingWorkers.add(id);
+    await world.runFor(world.random.nextIndex(3_000));
+  }
+  world.removeWorker(id);
+  world.addWorker(`worker-${4 + round}`);
+};
+
+/** Lets owners change in order and not, one soon after the other. */
+const changeOwners = (world: FleetWorld): void => {
+  const seat = world.random.nextIndex(world.seats.length);
+  if (world.seats[seat]?.scheduler === undefined) world.startScheduler(seat);
+  else if (world.random.nextIndex(2) === 0) world.stopScheduler(seat);
+  else world.killScheduler(seat);
+};
+
 const heal = (world: FleetWorld): void => {
   Object.assign(world.faults, { isTableDown: false, lateOrderShare: 0, lostAnswerShare: 0 });
   world.cutWorkers.clear();
   world.workers.forEach((model) => {
-    if (!model.isUp) model.restart(world.nowMs);
+    if (!model.isUp && world.listedWorkers.has(model.id)) model.restart(world.nowMs);
   });
   world.seats.forEach((seat, index) => {
     Object.assign(seat, { isCutFromTable: false });
@@ -93,4 +113,35 @@
     const states = ids.map((id) => world.progress(id)?.state);
     expect(states.every((state) => state === 'complete')).toBe(true);
   });
+
+  it.each(SEEDS)(
+    'keeps its promises while workers and owners are replaced, seed %i',
+    async (seed) => {
+      const lasting = 'e'.repeat(16);
+      const world = new FleetWorld(seed, (taskName) =>
+        taskName.startsWith(lasting) ? { workMs: 90_000, end: RunEnd.Done } : taskOf(taskName),
+      );
+      for (let index = 0; index < 4; index += 1) world.addWorker(`worker-${index}`);
+      for (let index = 0; index < 4; index += 1) world.addScheduler();
+      world.submit(submissionOf(lasting, [{ ...STEP, taskCount: 4, isPersistent: true }]));
+      const ids: string[] = [];
+      for (let step = 0; step < STEPS; step += 1) {
+        const id = (seed * 1_000 + step).toString(16).padStart(16, '0');
+        ids.push(id);
+        world.submit(submissionOf(id, [STEP, { ...STEP, after: [0] }]));
+        disturb(world);
+        if (step % 3 === 0) changeOwners(world);
+        // eslint-disable-next-line no-await-in-loop -- time goes by between the disturbances
+        if (step % 5 === 0) await replaceWorker(world, step);
+        // eslint-disable-next-line no-await-in-loop -- time goes by between the disturbances
+        await world.runFor(STEP_MS);
+      }
+      heal(world);
+      await world.runFor(45_000);
+      expect(world.judge.broken).toEqual([]);
+      expect(ids.map((id) => world.progress(id)?.state)).toEqual(ids.map(() => 'complete'));
+      const running = [0, 1, 2, 3].map((index) => world.runsOf(`${lasting}.0.0.${index}`).length);
+      expect(running).toEqual([1, 1, 1, 1]);
+    },
+  );
 });
