Fix starts of runs that were withdrawn while their assignment was stored

A run that was cancelled, or lost with its worker's process, while the transaction with its assignment was under way has given its room back, but its start was sent all the same once the transaction was committed: a task that nobody wants any more, on a worker that may be full. Only runs that still have their room on the worker are started now.

Both tests in fleetFailures.test.ts failed before: a cancelled submission was started, and four tasks of a worker that came back were started twice each.

--- a/src/scheduler/common/fleet/fleetScheduler.ts
+++ b/src/scheduler/common/fleet/fleetScheduler.ts
@@ -329,7 +329,9 @@
       const view = viewOf(run);
       return mayGrant && view !== undefined && isUsable(view, input, nowMs);
     };
-    const assigned = recorded.filter(({ state }) => state === RunState.Assigned);
+    // One that was withdrawn or lost while its assignment was being stored has no room any more.
+    const hasRoom = (run: TaskRun): boolean => viewOf(run)?.hasRun(run) === true;
+    const assigned = recorded.filter((run) => run.state === RunState.Assigned && hasRoom(run));
     const blocked = assigned.filter((run) => !isStartable(run));
     // A gang starts whole: a part of it would hold room and do no work.
     const blockedSteps = new Set(blocked.map(({ task }) => stepName(task)));
--- a/src/scheduler/common/fleet/fleetWorkerView.ts
+++ b/src/scheduler/common/fleet/fleetWorkerView.ts
@@ -111,6 +111,10 @@
     return this.#clockReadAtMs > Number.NEGATIVE_INFINITY;
   }
 
+  hasRun(run: TaskRun): boolean {
+    return this.runs.get(runKey(run.task.name, run.run)) === run;
+  }
+
   addRun(run: TaskRun): void {
     this.runs.set(runKey(run.task.name, run.run), run);
     this.changeCount += 1;
--- a/src/scheduler/common/fleet/runKeeper.ts
+++ b/src/scheduler/common/fleet/runKeeper.ts
@@ -117,7 +117,7 @@
 
   handleStarted(run: TaskRun, result: Either<Failure, StartOutcome>, nowMs: number): void {
     const view = this.#views.get(run.workerId);
-    if (view?.runs.get(runKey(run.task.name, run.run)) !== run) return;
+    if (view?.hasRun(run) !== true) return;
     if (isLeft(result)) {
       if (isSurelyUndone(result.left)) this.#dropRefused(view, run, nowMs);
       else this.#noteUnanswered(run, nowMs);
--- a/src/scheduler/test/fleet/fleetFailures.test.ts
+++ b/src/scheduler/test/fleet/fleetFailures.test.ts
@@ -153,3 +153,29 @@
     expect(world.runsOf(TASK)).toHaveLength(1);
   });
 });
+
+describe('a task whose assignment is being stored', () => {
+  it('does not start once its submission has been cancelled meanwhile', async () => {
+    const world = await worldOf(LONG);
+    world.faults.transactionMs = 600;
+    world.submit(submissionOf(ID, [STEP]));
+    await world.runFor(200);
+    world.cancel(ID);
+    await world.runFor(4_000);
+    expect(world.judge.startsOf.get(TASK)).toBeUndefined();
+  });
+
+  it('does not start once its worker has become another process meanwhile', async () => {
+    const world = await worldOf(LONG);
+    world.removeWorker('worker-1');
+    await world.runFor(3_000);
+    world.faults.transactionMs = 600;
+    world.submit(submissionOf(ID, [{ ...STEP, taskCount: 4 }]));
+    await world.runFor(200);
+    world.workers.get('worker-0')?.crash();
+    world.workers.get('worker-0')?.restart(world.nowMs);
+    await world.runFor(6_000);
+    expect(world.judge.broken).toEqual([]);
+    expect([...world.judge.startsOf.values()]).toEqual([1, 1, 1, 1]);
+  });
+});
--- a/src/scheduler/test/fleet/fleetWorld.ts
+++ b/src/scheduler/test/fleet/fleetWorld.ts
@@ -31,29 +31,14 @@
 import { StoredStateReader } from '../../node/storedStateReader.js';
 import { CONFIGURATION, STOP_MS, TIMING, WORKER_CAPACITY } from './fleetFixtures.js';
 import { FleetJudge } from './fleetJudge.js';
+import { CALL_MS, emptySeat, noFaults, type SchedulerSeat } from './worldFaults.js';
 
-const CALL_MS = 2;
 const STEP_MS = 10;
 const LIST_MS = 1_000;
 const ORDER_TIMEOUT_MS = 800;
 /** The table's clock began earlier than that of the test. */
 const TABLE_CLOCK_AHEAD_MS = 1_000_000;
 
-/** What may go wrong with calls, decided anew for each. */
-export interface WorldFaults {
-  /** Share of orders that get no answer and are carried out late, and how late at most. */
-  lateOrderShare: number;
-  /** Share of transactions that take effect and get no answer. */
-  lostAnswerShare: number;
-  isTableDown: boolean;
-}
-
-interface SchedulerSeat {
-  scheduler: FleetScheduler | undefined;
-  generation: number;
-  isCutFromTable: boolean;
-}
-
 interface Timed {
   readonly atMs: number;
   readonly order: number;
@@ -70,7 +55,7 @@
 
   readonly seats: SchedulerSeat[] = [];
 
-  readonly faults: WorldFaults = { lateOrderShare: 0, lostAnswerShare: 0, isTableDown: false };
+  readonly faults = noFaults();
 
   readonly listedWorkers = new Set<string>();
 
@@ -127,7 +112,7 @@
   }
 
   addScheduler(): number {
-    this.seats.push({ scheduler: undefined, generation: 0, isCutFromTable: false });
+    this.seats.push(emptySeat());
     const index = this.seats.length - 1;
     this.startScheduler(index);
     return index;
@@ -324,12 +309,13 @@
     index: number,
     call: () => Answer,
     reply: (result: Either<Failure, Answer>, scheduler: FleetScheduler) => void,
+    delayMs = CALL_MS,
   ): void {
     const isReached = this.#reachesTable(this.seats[index] as SchedulerSeat);
     const result: Either<Failure, Answer> = isReached
       ? right({ ...call(), tableNowMs: TABLE_CLOCK_AHEAD_MS + this.nowMs })
       : left(failure(ErrorKind.StoreUnavailable, 'out of reach'));
-    this.#reply(index, CALL_MS, (scheduler) => reply(result, scheduler));
+    this.#reply(index, delayMs, (scheduler) => reply(result, scheduler));
   }
 
   #transact(
@@ -350,7 +336,8 @@
       this.#reply(index, 1_000, (scheduler) => reply(lost, scheduler));
       return;
     }
-    this.#tableCall(index, () => this.table.transact(transaction), reply);
+    const delayMs = this.faults.transactionMs;
+    this.#tableCall(index, () => this.table.transact(transaction), reply, delayMs);
   }
 
   #load(index: number, epoch: number): void {
@@ -374,9 +361,14 @@
     });
   }
 
-  #reachable(workerId: string): WorkerModel | undefined {
+  #reachable(index: number, workerId: string): WorkerModel | undefined {
     const worker = this.workers.get(workerId);
-    return worker?.isUp === true && !this.cutWorkers.has(workerId) ? worker : undefined;
+    return worker?.isUp === true && !this.#isCut(index, workerId) ? worker : undefined;
+  }
+
+  #isCut(index: number, workerId: string): boolean {
+    const isUnreachable = this.seats[index]?.unreachableWorkers.has(workerId) === true;
+    return isUnreachable || this.cutWorkers.has(workerId);
   }
 
   #hold(index: number, epoch: number, request: HoldRequest, sentAtMs: number): void {
@@ -386,9 +378,9 @@
         scheduler.handleHeld(epoch, workerId, result, sentAtMs, this.nowMs),
       );
     const poll = (untilMs: number): void => {
-      const worker = this.#reachable(workerId);
+      const worker = this.#reachable(index, workerId);
       const isRefused = this.workers.get(workerId)?.isUp === false;
-      if (worker === undefined && isRefused && !this.cutWorkers.has(workerId)) {
+      if (worker === undefined && isRefused && !this.#isCut(index, workerId)) {
         reply(right({ kind: 'not-listening' }), CALL_MS);
         return;
       }
@@ -403,7 +395,7 @@
     };
     // The lease is granted when the call arrives, the lists are made when it is answered.
     this.#later(CALL_MS, () => {
-      this.#reachable(workerId)?.hold({ ...request, waitMs: 0 }, this.nowMs);
+      this.#reachable(index, workerId)?.hold({ ...request, waitMs: 0 }, this.nowMs);
       poll(this.nowMs + request.waitMs);
     });
   }
@@ -422,7 +414,7 @@
     // An order names the process that it is meant for, and another one refuses it.
     const incarnation = this.workers.get(workerId)?.incarnation;
     this.#later(delayMs, () => {
-      const reached = this.#reachable(workerId);
+      const reached = this.#reachable(index, workerId);
       const worker = reached?.incarnation === incarnation ? reached : undefined;
       if (worker === undefined) {
         if (!isLate) {
--- a/src/scheduler/test/fleet/takeover.test.ts
+++ b/src/scheduler/test/fleet/takeover.test.ts
@@ -152,3 +152,35 @@
     expect(world.judge.broken).toEqual([]);
   });
 });
+
+describe('an owner that is cut from the table', () => {
+  /** The former owner reaches only the worker that runs the task, its successor only the other. */
+  const splitWorld = async (isDraining: boolean): Promise<FleetWorld> => {
+    const world = await worldOf(1, 2);
+    world.submit(submissionOf(LASTING_ID, [LASTING_STEP]));
+    await world.runFor(500);
+    const former = ownerIndex(world);
+    world.seats[former]?.unreachableWorkers.add('worker-1');
+    world.seats[1 - former]?.unreachableWorkers.add('worker-0');
+    world.addWorker('worker-1');
+    if (isDraining) world.drainingWorkers.add('worker-0');
+    await world.runFor(isDraining ? 8_000 : 1_500);
+    Object.assign(world.seats[former] ?? {}, { isCutFromTable: true });
+    return world;
+  };
+
+  it('never has a task running twice, by leases that it grants while its successor waits', async () => {
+    const world = await splitWorld(false);
+    await world.runFor(20_000);
+    expect(world.judge.broken).toEqual([]);
+    expect(world.runsOf(LASTING_TASK)).toEqual(['worker-1']);
+  });
+
+  it('grants a worker that drains no lease beyond what its successor knows', async () => {
+    const world = await splitWorld(true);
+    await world.runFor(7_000);
+    expect(world.runsOf(LASTING_TASK)).toEqual(['worker-1']);
+    await world.runFor(10_000);
+    expect(world.judge.broken).toEqual([]);
+  });
+});
--- /dev/null
+++ b/src/scheduler/test/fleet/worldFaults.ts
@@ -0,0 +1,38 @@
+/** What may go wrong between the schedulers, the table and the workers of a test. */
+import type { FleetScheduler } from '../../common/fleet/fleetScheduler.js';
+
+/** How long a call takes that nothing delays. */
+export const CALL_MS = 2;
+
+/** What may go wrong with calls, decided anew for each. */
+export interface WorldFaults {
+  /** Share of orders that get no answer and are carried out late, and how late at most. */
+  lateOrderShare: number;
+  /** Share of transactions that take effect and get no answer. */
+  lostAnswerShare: number;
+  isTableDown: boolean;
+  /** How long each transaction takes until its answer is there. */
+  transactionMs: number;
+}
+
+export interface SchedulerSeat {
+  scheduler: FleetScheduler | undefined;
+  generation: number;
+  isCutFromTable: boolean;
+  /** Workers that this daemon cannot call. */
+  readonly unreachableWorkers: Set<string>;
+}
+
+export const noFaults = (): WorldFaults => ({
+  lateOrderShare: 0,
+  lostAnswerShare: 0,
+  isTableDown: false,
+  transactionMs: CALL_MS,
+});
+
+export const emptySeat = (): SchedulerSeat => ({
+  scheduler: undefined,
+  generation: 0,
+  isCutFromTable: false,
+  unreachableWorkers: new Set(),
+});
