Fix renewals of a lease being put off by late answers

Callers saw owners that held no fault lose the fleet within seconds of taking it, and nothing started until the next one was ready.

Cause: the next renewal was due an interval after the last answer was taken in, while other daemons count from when it was stored. An owner that takes an answer in 400 ms late renewed every 850 ms instead of every 450. Late answers also made its heartbeats look older: the table's clock was kept with the time of taking the answer in, so that each heartbeat told of a time as much too early.

The next renewal is due an interval after the last was sent, and the table's clock is kept with the time of sending. That errs towards a heartbeat that looks younger by the time of one call, which delays a takeover by as much and never allows one too early.

Both tests failed before: the renewal was not due at 1,450 ms, and the heartbeat told a time 400 ms too early.

--- a/src/scheduler/common/cellLease.ts
+++ b/src/scheduler/common/cellLease.ts
@@ -39,7 +39,7 @@
 /** The pause after a failed call; waiting a whole heartbeat would be most of the patience above. */
 const FAILED_CALL_PAUSE_MS = 200;
 
-/** The table's clock as last read, with when that was on this daemon's clock. */
+/** The table's clock as last read, with when that was asked for on this daemon's clock. */
 interface TableClock {
   readonly tableMs: number;
   readonly readAtMs: number;
@@ -187,12 +187,13 @@
   nextStepAtMs: nowMs + timing.heartbeatIntervalMs,
 });
 
+/** Counted from the sending: an answer taken in late would make heartbeats look older than they are. */
 const tableClockOf = (
   lease: CellLease,
   tableNowMs: number | undefined,
-  nowMs: number,
+  sentAtMs: number,
 ): TableClock | undefined =>
-  tableNowMs === undefined ? lease.tableClock : { tableMs: tableNowMs, readAtMs: nowMs };
+  tableNowMs === undefined ? lease.tableClock : { tableMs: tableNowMs, readAtMs: sentAtMs };
 
 const isOlderThan = (
   heartbeat: HeartbeatRow | undefined,
@@ -232,7 +233,7 @@
     unchangedSinceMs: isUnchanged ? lease.unchangedSinceMs : nowMs,
     heldAtMs: isOwner ? sentAtMs : lease.heldAtMs,
     isOverdue: isOlderThan(heartbeat, tableNowMs, timing.leaseMs),
-    tableClock: tableClockOf(lease, tableNowMs, nowMs),
+    tableClock: tableClockOf(lease, tableNowMs, sentAtMs),
   };
 };
 
@@ -248,6 +249,8 @@
   const isAcquired = kind === LeaseStepKind.Acquire;
   return {
     ...rested(lease, timing, nowMs),
+    // Other daemons have counted since it was sent, however late the answer was taken in.
+    nextStepAtMs: Math.max(nowMs, sentAtMs + timing.heartbeatIntervalMs),
     isOwner: true,
     epoch: isAcquired ? lease.epoch + 1 : lease.epoch,
     ownerRowVersion: isAcquired ? version : lease.ownerRowVersion,
@@ -257,7 +260,7 @@
     unchangedSinceMs: nowMs,
     heldAtMs: sentAtMs,
     isOverdue: false,
-    tableClock: tableClockOf(lease, tableNowMs, nowMs),
+    tableClock: tableClockOf(lease, tableNowMs, sentAtMs),
   };
 };
 
--- a/src/scheduler/test/cellLease.test.ts
+++ b/src/scheduler/test/cellLease.test.ts
@@ -80,6 +80,37 @@
     expect(takenAtMs(backAtMs, heartbeat, (nowMs) => nowMs)).toBe(Number.POSITIVE_INFINITY);
   });
 
+  it('is renewed in time by an owner that took the last answer in late', () => {
+    // Sent at 1,000 and carried out there, the answer waits 400 ms behind those of workers.
+    const owned = withLeaseCommitted(
+      initialCellLease(CELL, 'self', 0),
+      TIMING,
+      LeaseStepKind.Acquire,
+      { outcome: TransactionOutcome.Committed, version: 8, tableNowMs: 90_000 },
+      1_000,
+      1_400,
+    );
+    expect(nextLeaseStep(owned, TIMING, 'operation', 1_440)).toBeUndefined();
+    const renewal = nextLeaseStep(owned, TIMING, 'operation', 1_450);
+    expect(renewal?.step.kind).toBe(LeaseStepKind.Renew);
+  });
+
+  it('shows no older heartbeat than was sent, by an owner that took the last answer in late', () => {
+    const owned = withLeaseCommitted(
+      initialCellLease(CELL, 'self', 0),
+      TIMING,
+      LeaseStepKind.Acquire,
+      { outcome: TransactionOutcome.Committed, version: 8, tableNowMs: 90_000 },
+      1_000,
+      1_400,
+    );
+    const renewal = nextLeaseStep(owned, TIMING, 'operation', 1_500);
+    const written = renewal !== undefined && 'transaction' in renewal.step && renewal.step;
+    expect(written && written.transaction.writes[0]?.value).toMatchObject({
+      sentAtTableMs: 90_500,
+    });
+  });
+
   it('is renewed soon after a call that failed', () => {
     const committed = { outcome: TransactionOutcome.Committed, version: 41, tableNowMs: 1_000 };
     const owner = withLeaseCommitted(
