Fix an owner spending its processor on a step for each answer

Callers of large fleets waited seconds for starts while the owner was busy, and owners with a small share of a core lost their lease.

Cause: each turn of the event loop that brought an answer was followed by a step, and a step looks at every worker and every waiting task.

Change: a step follows the one before after twice the time that it took, at least 10 ms and at most 150 ms later. Steps then take a third of the processor as a rule, and answers are acted on together. The first step after a pause goes at once, as before.

Tests run the real task on an event loop in virtual time on which answers, sends and steps take processor time (loopModel.ts, busyFleet.ts).

--- a/src/scheduler/node/fleetTask.ts
+++ b/src/scheduler/node/fleetTask.ts
@@ -19,6 +19,7 @@
 import { FeedKind, type TableFeed } from '../../services/table/common/tableFeed.js';
 import type { FleetEffect } from '../common/fleet/fleetEffects.js';
 import { FleetScheduler } from '../common/fleet/fleetScheduler.js';
+import { StepPace } from '../common/fleet/stepPace.js';
 import type { FleetTiming } from '../common/fleet/fleetTiming.js';
 import { SpreadAndPackPolicy } from '../common/placement.js';
 import { StoredStateReader } from './storedStateReader.js';
@@ -52,6 +53,8 @@
 
   readonly #disposables = new DisposableStore();
 
+  readonly #pace = new StepPace();
+
   #isStepDue = false;
 
   constructor(
@@ -76,7 +79,7 @@
         this.#stepSoon();
       }),
     );
-    this.#disposables.add(new PeriodicTimer(TICK_MS, () => this.#step()));
+    this.#disposables.add(new PeriodicTimer(TICK_MS, () => this.#stepSoon()));
     this.#disposables.add(new PeriodicTimer(WORKERS_INTERVAL_MS, () => this.#readWorkers()));
   }
 
@@ -105,16 +108,22 @@
   #stepSoon(): void {
     if (this.#isStepDue) return;
     this.#isStepDue = true;
-    setImmediate(() => {
+    const step = (): void => {
       this.#isStepDue = false;
       this.#step();
-    });
+    };
+    const waitMs = this.#pace.waitMs(this.#services.clock.nowMs());
+    if (waitMs > 0) setTimeout(step, waitMs);
+    else setImmediate(step);
   }
 
   #step(): void {
     if (this.#disposables.isDisposed) return;
     const { clock, wallNowMs } = this.#services;
-    this.#perform(this.#scheduler.step(wallNowMs(), clock.nowMs()));
+    const beganAtMs = clock.nowMs();
+    const effects = this.#scheduler.step(wallNowMs(), beganAtMs);
+    this.#pace.note(beganAtMs, clock.nowMs());
+    this.#perform(effects);
   }
 
   #perform(effects: readonly FleetEffect[]): void {
--- /dev/null
+++ b/src/scheduler/test/fleet/busyFleet.ts
@@ -0,0 +1,274 @@
+/** Daemons on processors of their own beside a table and workers, with work for all of them. */
+import { right } from 'fp-ts/lib/Either.js';
+import type { TaskEither } from 'fp-ts/lib/TaskEither.js';
+
+import type { JsonValue } from '../../../base/common/json.js';
+import { type Failure } from '../../../services/errors/common/errorKinds.js';
+import type { FleetDirectory } from '../../../services/fleet/common/fleetDirectory.js';
+import {
+  type FleetClient,
+  type FleetWorkerEntry,
+  type HoldOutcome,
+  type HoldRequest,
+  OrderOutcome,
+  RunEnd,
+} from '../../../services/fleet/common/fleetWorker.js';
+import { OperatorFollower } from '../../../services/fleet/node/operatorFollower.js';
+import { type Log, type LogFields, silentLog } from '../../../services/log/common/log.js';
+import type { LogEvent } from '../../../services/log/common/logEvents.js';
+import { PrometheusMetrics } from '../../../services/metrics/node/prometheusMetrics.js';
+import { specKey } from '../../../services/submissions/common/submissionRows.js';
+import type { Submission } from '../../../services/submissions/common/submission.js';
+import type { TableService } from '../../../services/table/common/table.js';
+import { FeedKind, type TableFeed } from '../../../services/table/common/tableFeed.js';
+import { WorkerModel } from '../../../../standIns/fleet/workerModel.js';
+import { TableStandIn } from '../../../../standIns/platform/tableStandIn.js';
+import { FleetTask } from '../../node/fleetTask.js';
+import { CONFIGURATION, STOP_MS, TIMING, WORKER_CAPACITY } from './fleetFixtures.js';
+import { type LoopModel, LoopWorld } from './loopModel.js';
+
+const WAY_MS = 1;
+const TABLE_MS = 4;
+const POLL_MS = 20;
+
+/** What work takes on a daemon's processor. */
+export interface Costs {
+  readonly sendMs: number;
+  readonly answerMs: number;
+  /** On top of a send and of its answer, for the connection that the first call to a worker makes. */
+  readonly connectMs: number;
+  readonly stepMs: number;
+  readonly rowMs: number;
+}
+
+export interface Owner {
+  readonly epoch: number;
+  readonly daemon: string;
+  readonly atMs: number;
+}
+
+export class BusyFleet {
+  readonly world = new LoopWorld();
+
+  readonly table = new TableStandIn();
+
+  readonly workers = new Map<string, WorkerModel>();
+
+  readonly owners: Owner[] = [];
+
+  /** Steps of daemons to which they cost something. */
+  stepCount = 0;
+
+  readonly #fed: Submission[] = [];
+
+  readonly #workMs: (taskName: string) => number;
+
+  constructor(workerCount: number, workMs: (taskName: string) => number) {
+    this.#workMs = workMs;
+    for (let index = 0; index < workerCount; index += 1) this.#addWorker(`worker-${index}`);
+  }
+
+  addDaemon(name: string, costs: Costs, acquireDelayMs = 0): { loop: LoopModel; task: FleetTask } {
+    const loop = this.world.newLoop();
+    const services = {
+      table: this.#tableFor(loop, costs),
+      feed: this.#feedFor(loop),
+      directory: this.#directoryFor(loop, costs),
+      client: this.#clientFor(loop, costs),
+      clock: loop,
+      wallNowMs: () => {
+        // Each step asks for the time of day once.
+        if (costs.stepMs > 0) this.stepCount += 1;
+        loop.spend(costs.stepMs);
+        return loop.nowMs();
+      },
+      log: this.#logOf(name, loop),
+      metrics: new PrometheusMetrics(),
+    };
+    const task = this.world.as(loop, () => {
+      const operator = new OperatorFollower(services.directory, loop, silentLog);
+      return new FleetTask({ ...services, operator }, name, TIMING, acquireDelayMs);
+    });
+    return { loop, task };
+  }
+
+  submit(submission: Submission): void {
+    this.#fed.push(submission);
+    const value = submission as unknown as JsonValue;
+    this.table.transact({
+      operationId: submission.id,
+      conditions: [],
+      writes: [{ key: specKey(submission.id), value }],
+    });
+  }
+
+  #addWorker(id: string): void {
+    const model = new WorkerModel(
+      {
+        id,
+        capacity: WORKER_CAPACITY,
+        maximumLeaseMs: TIMING.maximumLeaseMs,
+        stopMs: STOP_MS,
+        clockRate: 1,
+        taskOf: (taskName) => ({ workMs: this.#workMs(taskName), end: RunEnd.Done }),
+        onStart: () => {},
+      },
+      0,
+    );
+    this.workers.set(id, model);
+  }
+
+  #logOf(daemon: string, loop: LoopModel): Log {
+    const note = (event: LogEvent, fields: LogFields = {}): void => {
+      if (event !== 'fleet-acquired') return;
+      this.owners.push({ epoch: Number(fields.epoch), daemon, atMs: loop.nowMs() });
+    };
+    return { ...silentLog, info: note };
+  }
+
+  /** A call that arrives outside, is answered there and is taken in on the loop. */
+  #call<Answer>(
+    loop: LoopModel,
+    answerMs: () => number,
+    serve: (reply: (answer: Answer) => void) => void,
+  ): TaskEither<Failure, Answer> {
+    return () =>
+      new Promise((resolve) => {
+        const { outside } = this.world;
+        const reply = (answer: Answer): void => {
+          this.world.add(loop, outside.nowMs() + WAY_MS, () => {
+            loop.spend(answerMs());
+            resolve(right(answer));
+          });
+        };
+        this.world.add(outside, loop.nowMs() + WAY_MS, () => serve(reply));
+      });
+  }
+
+  #tableFor(loop: LoopModel, costs: Costs): TableService {
+    const serve = <Answer>(answer: () => Answer, costMs: (of: Answer) => number) => {
+      let costOfMs = 0;
+      return this.#call<Answer>(
+        loop,
+        () => costOfMs,
+        (reply) =>
+          this.world.outside.after(TABLE_MS, () => {
+            const answered = answer();
+            costOfMs = costMs(answered);
+            reply(answered);
+          }),
+      );
+    };
+    const stamped = <Answer extends object>(answer: Answer) => ({
+      ...answer,
+      tableNowMs: this.world.outside.nowMs(),
+      position: this.#fed.length,
+    });
+    return {
+      read: (request) =>
+        serve(
+          () => stamped(this.table.read(request)),
+          ({ rows }) => costs.answerMs + rows.length * costs.rowMs,
+        ),
+      transact: (transaction) =>
+        serve(
+          () => stamped(this.table.transact(transaction)),
+          () => costs.answerMs,
+        ),
+    };
+  }
+
+  #feedFor(loop: LoopModel): TableFeed {
+    return {
+      follow: (_, afterPosition, waitMs) =>
+        this.#call(
+          loop,
+          () => 0,
+          (reply) => {
+            const untilMs = this.world.outside.nowMs() + waitMs;
+            const poll = (): void => {
+              const isDue = this.#fed.length > afterPosition;
+              if (!isDue && this.world.outside.nowMs() < untilMs) {
+                this.world.outside.after(POLL_MS, poll);
+                return;
+              }
+              const rows = this.#fed.slice(afterPosition).map((submission) => ({
+                key: specKey(submission.id),
+                version: 1,
+                value: submission as unknown as JsonValue,
+                operationId: submission.id,
+              }));
+              reply({ kind: FeedKind.Changes, rows, position: this.#fed.length });
+            };
+            poll();
+          },
+        ),
+    };
+  }
+
+  #directoryFor(loop: LoopModel, costs: Costs): FleetDirectory {
+    return {
+      operatorChanges: (afterPosition) =>
+        this.#call(
+          loop,
+          () => 0,
+          (reply) => {
+            const isWhole = afterPosition === undefined;
+            const changes = isWhole
+              ? [{ kind: 'configuration' as const, configuration: CONFIGURATION }]
+              : [];
+            this.world.outside.after(isWhole ? 0 : 2_000, () =>
+              reply({ isWhole, changes, position: 1 }),
+            );
+          },
+        ),
+      workers: () =>
+        this.#call(
+          loop,
+          () => costs.rowMs * this.workers.size,
+          (reply) => reply(this.#entries()),
+        ),
+    };
+  }
+
+  #entries(): readonly FleetWorkerEntry[] {
+    return [...this.workers.values()].map(({ id, incarnation }) => ({
+      ...{ id, address: id, serviceName: 'service', availabilityZone: 'zone', rack: 'rack' },
+      ...{ isDraining: false, capacity: WORKER_CAPACITY, labels: [], incarnation },
+    }));
+  }
+
+  #clientFor(loop: LoopModel, costs: Costs): FleetClient {
+    const connected = new Set<string>();
+    const call = <Answer>(workerId: string, serve: (reply: (answer: Answer) => void) => void) => {
+      const connectMs = connected.has(workerId) ? 0 : costs.connectMs;
+      connected.add(workerId);
+      loop.spend(costs.sendMs + connectMs);
+      return this.#call<Answer>(loop, () => costs.answerMs + connectMs, serve);
+    };
+    const order = <Answer>(workerId: string, carryOut: (worker: WorkerModel) => Answer) =>
+      call<Answer>(workerId, (reply) => reply(carryOut(this.workers.get(workerId) as WorkerModel)));
+    return {
+      hold: (request) => call<HoldOutcome>(request.workerId, (reply) => this.#hold(request, reply)),
+      start: (request) =>
+        order(request.workerId, (worker) => worker.start(request, this.world.outside.nowMs())),
+      stop: (reference) =>
+        order(reference.workerId, (worker) => worker.stop(reference, this.world.outside.nowMs())),
+      pace: (reference) => order(reference.workerId, () => OrderOutcome.Accepted),
+    };
+  }
+
+  #hold(request: HoldRequest, reply: (outcome: HoldOutcome) => void): void {
+    const { outside } = this.world;
+    const worker = this.workers.get(request.workerId) as WorkerModel;
+    const untilMs = outside.nowMs() + request.waitMs;
+    const poll = (): void => {
+      const isDue =
+        outside.nowMs() >= untilMs || worker.hasNews(request.acknowledgedSequence, outside.nowMs());
+      if (isDue) reply(worker.hold(request, outside.nowMs()));
+      else outside.after(POLL_MS, poll);
+    };
+    worker.hold(request, outside.nowMs());
+    poll();
+  }
+}
--- /dev/null
+++ b/src/scheduler/test/fleet/busyOwner.test.ts
@@ -0,0 +1,51 @@
+import { afterEach, describe, expect, it, vi } from 'vitest';
+
+import { BusyFleet, type Costs } from './busyFleet.js';
+import { STEP, submissionOf } from './fleetFixtures.js';
+
+/** What it takes on a core and a third. */
+const STRONG: Costs = { sendMs: 0.15, answerMs: 0.15, connectMs: 0.3, stepMs: 2, rowMs: 0.05 };
+const FREE: Costs = { sendMs: 0, answerMs: 0, connectMs: 0, stepMs: 0, rowMs: 0 };
+const WORKERS = 300;
+
+/** Submits work steadily, twenty tasks at a time. */
+const loadFor = async (fleet: BusyFleet, seconds: number, tasksPerS: number): Promise<void> => {
+  const { world } = fleet;
+  const perSecond = tasksPerS / 20;
+  const fromMs = world.outside.nowMs();
+  for (let index = 0; index < seconds * perSecond; index += 1) {
+    const id = (Math.round(fromMs) * 1_000 + index).toString(16).padStart(16, '0');
+    fleet.submit(submissionOf(id, [{ ...STEP, taskCount: 20 }]));
+    // eslint-disable-next-line no-await-in-loop
+    await world.runUntil(fromMs + ((index + 1) * 1_000) / perSecond);
+  }
+};
+
+/** A fleet at work whose owner dies; the daemon takes it, and a free one would take it next. */
+const takenOver = async (name: string, costs: Costs, tasksPerS: number): Promise<BusyFleet> => {
+  const fleet = new BusyFleet(WORKERS, () => 2_000);
+  fleet.world.stubTimers();
+  const first = fleet.addDaemon('first', FREE);
+  await loadFor(fleet, 4, tasksPerS);
+  const next = fleet.addDaemon(name, costs);
+  await loadFor(fleet, 1, tasksPerS);
+  first.task.dispose();
+  while (!next.task.isOwner) {
+    // eslint-disable-next-line no-await-in-loop
+    await loadFor(fleet, 0.2, tasksPerS);
+  }
+  fleet.addDaemon('rival', FREE);
+  return fleet;
+};
+
+describe('a busy owner', () => {
+  afterEach(() => vi.unstubAllGlobals());
+
+  it('does not spend its time on a step for each answer', async () => {
+    const fleet = await takenOver('strong', STRONG, 300);
+    const before = fleet.stepCount;
+    await loadFor(fleet, 5, 300);
+    const stepShare = ((fleet.stepCount - before) * STRONG.stepMs) / 5_000;
+    expect(stepShare).toBeLessThan(0.17);
+  });
+});
