Fix an owner losing its lease to its first calls to the workers

Callers saw nothing started for as long as owners took the fleet over one after the other: a new owner lost its lease 2 to 3 s after taking it, and so did its successor.

Cause: a new owner called all workers at once. The answers to its own renewals came in behind them, after up to 1.6 s with a lease of 1.5 s.

Change: at most 24 first calls are under way at a time; the next begins when one is answered or has been silent for 150 ms, so that workers out of reach do not hold the others up. Their answers, and with them all later calls to the workers, no longer come at one instant either.

Test: three hundred workers taken over by an owner on a slow event loop in virtual time; it lost its lease 1.4 s after taking it before.

--- a/src/scheduler/node/fleetTask.ts
+++ b/src/scheduler/node/fleetTask.ts
@@ -8,6 +8,7 @@
 import type { FleetDirectory } from '../../services/fleet/common/fleetDirectory.js';
 import {
   type FleetClient,
+  type HoldRequest,
   StartOutcome,
   type StartRequest,
 } from '../../services/fleet/common/fleetWorker.js';
@@ -22,6 +23,7 @@
 import { StepPace } from '../common/fleet/stepPace.js';
 import type { FleetTiming } from '../common/fleet/fleetTiming.js';
 import { SpreadAndPackPolicy } from '../common/placement.js';
+import { CallTurns } from './callTurns.js';
 import { StoredStateReader } from './storedStateReader.js';
 
 /** How often the scheduler looks what is due when nothing happens. */
@@ -31,6 +33,13 @@
 /** How long a feed waits for a change; also bounds what a silent connection costs. */
 const FEED_WAIT_MS = 2_000;
 const RETRY_MS = 200;
+/** First calls to workers that are under way at a time, and for how long one counts as such. */
+const FIRST_HOLDS_AT_A_TIME = 24;
+const FIRST_HOLD_PATIENCE_MS = 150;
+
+/** Whether the worker is asked for its first answer, which it gives at once. */
+const isFirstHold = ({ leaseEndWorkerMs, waitMs }: HoldRequest): boolean =>
+  leaseEndWorkerMs === undefined && waitMs === 0;
 
 export interface FleetTaskServices {
   readonly table: TableService;
@@ -55,6 +64,8 @@
 
   readonly #pace = new StepPace();
 
+  readonly #firstHolds = new CallTurns(FIRST_HOLDS_AT_A_TIME, FIRST_HOLD_PATIENCE_MS);
+
   #isStepDue = false;
 
   constructor(
@@ -156,12 +167,9 @@
       case 'resolve':
         await this.#resolve(effect);
         break;
-      case 'hold': {
-        const result = await client.hold(effect.request)();
-        const { workerId } = effect.request;
-        scheduler.handleHeld(effect.epoch, workerId, result, sentAtMs, clock.nowMs());
+      case 'hold':
+        await this.#hold(effect);
         break;
-      }
       case 'start': {
         const result = await client.start(effect.request)();
         this.#logStart(effect.request, result);
@@ -207,6 +215,18 @@
     }
   }
 
+  async #hold({ epoch, request }: Extract<FleetEffect, { kind: 'hold' }>): Promise<void> {
+    const { client, clock } = this.#services;
+    const { workerId } = request;
+    const end = isFirstHold(request) ? await this.#firstHolds.next() : undefined;
+    if (this.#scheduler.epoch === epoch) {
+      const sentAtMs = clock.nowMs();
+      const result = await client.hold(request)();
+      this.#scheduler.handleHeld(epoch, workerId, result, sentAtMs, clock.nowMs());
+    }
+    end?.();
+  }
+
   async #load(epoch: number): Promise<void> {
     const { clock, log } = this.#services;
     const loaded = await this.#reader.readAll();
--- a/src/scheduler/test/fleet/busyOwner.test.ts
+++ b/src/scheduler/test/fleet/busyOwner.test.ts
@@ -3,7 +3,8 @@
 import { BusyFleet, type Costs } from './busyFleet.js';
 import { STEP, submissionOf } from './fleetFixtures.js';
 
-/** What it takes on a core and a third. */
+/** What it takes on a fifth of a core. */
+const WEAK: Costs = { sendMs: 1, answerMs: 1, connectMs: 1.7, stepMs: 60, rowMs: 0.4 };
 const STRONG: Costs = { sendMs: 0.15, answerMs: 0.15, connectMs: 0.3, stepMs: 2, rowMs: 0.05 };
 const FREE: Costs = { sendMs: 0, answerMs: 0, connectMs: 0, stepMs: 0, rowMs: 0 };
 const WORKERS = 300;
@@ -38,6 +39,8 @@
   return fleet;
 };
 
+const ownersOf = (fleet: BusyFleet): readonly string[] => fleet.owners.map(({ daemon }) => daemon);
+
 describe('a busy owner', () => {
   afterEach(() => vi.unstubAllGlobals());
 
@@ -48,4 +51,10 @@
     const stepShare = ((fleet.stepCount - before) * STRONG.stepMs) / 5_000;
     expect(stepShare).toBeLessThan(0.17);
   });
+
+  it('with a fifth of a core does not lose its lease to the first calls to three hundred workers', async () => {
+    const fleet = await takenOver('weak', WEAK, 100);
+    await loadFor(fleet, 15, 100);
+    expect(ownersOf(fleet)).toEqual(['first', 'weak']);
+  });
 });
--- /dev/null
+++ b/src/scheduler/test/fleet/callTurns.test.ts
@@ -0,0 +1,36 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+
+import { CallTurns } from '../../node/callTurns.js';
+
+describe('turns of calls', () => {
+  beforeEach(() => vi.useFakeTimers());
+  afterEach(() => vi.useRealTimers());
+
+  it('let few calls begin at a time, in order', async () => {
+    const turns = new CallTurns(2, 150);
+    const begun: number[] = [];
+    const ends: (() => void)[] = [];
+    [0, 1, 2, 3].forEach((call) => {
+      void turns.next().then((end) => {
+        begun.push(call);
+        ends.push(end);
+      });
+    });
+    await vi.advanceTimersByTimeAsync(0);
+    expect(begun).toEqual([0, 1]);
+    ends[0]?.();
+    ends[0]?.();
+    await vi.advanceTimersByTimeAsync(0);
+    expect(begun).toEqual([0, 1, 2]);
+  });
+
+  it('are not kept by calls that get no answer', async () => {
+    const turns = new CallTurns(1, 150);
+    const begun: number[] = [];
+    [0, 1].forEach((call) => void turns.next().then(() => begun.push(call)));
+    await vi.advanceTimersByTimeAsync(149);
+    expect(begun).toEqual([0]);
+    await vi.advanceTimersByTimeAsync(1);
+    expect(begun).toEqual([0, 1]);
+  });
+});
