Let daemons with more processor own the fleet first

Callers of a fleet of 300 workers waited up to seconds after each death of an owner, since daemons with a seventh of the processor took the lease as readily as the others, and most daemons are such.

Cause: all daemons waited alike for a heartbeat that stands still. The extra patience that a lease knows (acquireDelayMs) was 0 on the platform, and it counted from the last heartbeat: where the table's clock shows the lease to be over, all have waited longer than that by the time they see it.

Change: the settings tell what the daemon has of a processor (Limits.CpuShare and Limits.Cores of the platform), and its extra patience is 120 ms divided by its cores, 700 ms at most. Owners tell in their heartbeats the least patience of any owner so far, and it counts from that one, so that daemons that are all alike wait no longer than before. It also counts from when the heartbeat is seen to be overdue. How long a watcher waits has a module of its own. A daemon of an earlier version can't read the new member of the heartbeat row.

The test of two daemons that see at once that a heartbeat is overdue failed with the patience counted from the last heartbeat: the weaker took the lease 260 ms after the other.

--- a/src/daemon/common/fleetSettings.ts
+++ b/src/daemon/common/fleetSettings.ts
@@ -28,6 +28,8 @@
   maximumLeaseMs: durationMs,
   /** The time from a request to end until the process is ended. */
   graceSeconds: z.number().positive(),
+  /** What the daemon has of a processor: a share of one that is so many times as fast as a core. */
+  processor: z.strictObject({ share: z.number().positive(), speed: z.number().positive() }),
 });
 export type FleetSettings = z.infer<typeof fleetSettingsSchema>;
 
--- a/src/daemon/test/fleetSettings.test.ts
+++ b/src/daemon/test/fleetSettings.test.ts
@@ -9,6 +9,7 @@
   storeAddress: '10.200.1.7:8169',
   maximumLeaseMs: 6_000,
   graceSeconds: 6,
+  processor: { share: 0.27, speed: 1 },
 };
 
 describe('the settings of a daemon on the platform', () => {
@@ -27,6 +28,7 @@
       'listen.callers',
     ],
     ['a lease of no time', { maximumLeaseMs: 0 }, 'maximumLeaseMs'],
+    ['no share of a processor', { processor: { share: 0, speed: 1 } }, 'processor.share'],
     ['a member that nobody knows', { grace: 1 }, ''],
   ])('are refused with %s, and the place is named', (_what, change, path) => {
     const { settings, faults } = checkFleetSettings({ ...SETTINGS, ...change });
--- a/src/scheduler/common/cellLease.ts
+++ b/src/scheduler/common/cellLease.ts
@@ -21,22 +21,14 @@
   type HeartbeatRow,
   heartbeatRowSchema,
 } from '../../services/workload/common/workRows.js';
+import {
+  type CellLeaseTiming,
+  takeableAtMs,
+  toldDelayMs,
+  type WatchedOwner,
+} from './leasePatience.js';
 
-export interface CellLeaseTiming {
-  readonly heartbeatIntervalMs: number;
-  readonly leaseMs: number;
-  /** Extra patience of daemons that should not be first to take this cell. */
-  readonly acquireDelayMs: number;
-}
-
-/**
- * How long a heartbeat that is older than a lease by the table's clock is watched. All daemons may
- * have started anew, or the table may be back from an outage: an owner that lives heartbeats within
- * a call that times out (700 ms), a pause and a call. Without it a restart of all daemons waited
- * a whole lease, in which no work was started.
- */
-const OVERDUE_PATIENCE_MS = 1_000;
-/** The pause after a failed call; waiting a whole heartbeat would be most of the patience above. */
+/** The pause after a failed call; a whole heartbeat would be most of a watcher's patience. */
 const FAILED_CALL_PAUSE_MS = 200;
 
 /** The table's clock as last read, with when that was asked for on this daemon's clock. */
@@ -46,23 +38,17 @@
 }
 
 /** What one daemon knows of a cell's lease. */
-export interface CellLease {
+export interface CellLease extends WatchedOwner {
   readonly cell: string;
   /** Names this life of this process; a restarted daemon is another owner. */
   readonly selfId: string;
   readonly isOwner: boolean;
   readonly epoch: number;
   readonly ownerRowVersion: number;
-  /** The last owner has given the cell up, so nobody need wait for its lease. */
-  readonly isReleased: boolean;
   readonly heartbeatRowVersion: number;
   readonly heartbeatCounter: number;
-  /** Since when the heartbeat row has been seen unchanged. */
-  readonly unchangedSinceMs: number;
   /** When the last heartbeat known to be committed was sent. */
   readonly heldAtMs: number;
-  /** The owner's heartbeat is older than a lease on the table's clock. */
-  readonly isOverdue: boolean;
   readonly tableClock: TableClock | undefined;
   readonly nextStepAtMs: number;
   readonly isStepInFlight: boolean;
@@ -90,31 +76,28 @@
   heartbeatCounter: 0,
   unchangedSinceMs: nowMs,
   heldAtMs: Number.NEGATIVE_INFINITY,
-  isOverdue: false,
+  overdueSinceMs: undefined,
+  leastDelayMs: undefined,
   tableClock: undefined,
   nextStepAtMs: nowMs,
   isStepInFlight: false,
 });
 
-/** How long the heartbeat must be seen to stand still before the cell may be taken. */
-const patienceMs = (lease: CellLease, timing: CellLeaseTiming): number => {
-  // A cell that nobody ever owned needs no lease to run out.
-  if (lease.ownerRowVersion === ABSENT_VERSION || lease.isReleased) return 0;
-  return lease.isOverdue ? Math.min(OVERDUE_PATIENCE_MS, timing.leaseMs) : timing.leaseMs;
-};
-
-/** When the cell may be taken, if the heartbeat stands still until then. */
-const takeableAtMs = (lease: CellLease, timing: CellLeaseTiming): number =>
-  lease.unchangedSinceMs + patienceMs(lease, timing) + timing.acquireDelayMs;
-
-const nextHeartbeat = (lease: CellLease, nowMs: number): HeartbeatRow => {
+const nextHeartbeat = (lease: CellLease, timing: CellLeaseTiming, nowMs: number): HeartbeatRow => {
   const counter = lease.heartbeatCounter + 1;
-  if (lease.tableClock === undefined) return { counter };
+  const leastDelayMs = toldDelayMs(lease, timing);
+  const told = { counter, ...(leastDelayMs !== undefined && { leastDelayMs }) };
+  if (lease.tableClock === undefined) return told;
   const { tableMs, readAtMs } = lease.tableClock;
-  return { counter, sentAtTableMs: Math.floor(tableMs + nowMs - readAtMs) };
+  return { ...told, sentAtTableMs: Math.floor(tableMs + nowMs - readAtMs) };
 };
 
-const acquireStep = (lease: CellLease, operationId: string, nowMs: number): LeaseStep => ({
+const acquireStep = (
+  lease: CellLease,
+  timing: CellLeaseTiming,
+  operationId: string,
+  nowMs: number,
+): LeaseStep => ({
   kind: LeaseStepKind.Acquire,
   transaction: {
     operationId,
@@ -127,17 +110,22 @@
         key: cellOwnerKey(lease.cell),
         value: { ownerId: lease.selfId, epoch: lease.epoch + 1 } satisfies CellOwnerRow,
       },
-      { key: cellHeartbeatKey(lease.cell), value: nextHeartbeat(lease, nowMs) },
+      { key: cellHeartbeatKey(lease.cell), value: nextHeartbeat(lease, timing, nowMs) },
     ],
   },
 });
 
-const renewStep = (lease: CellLease, operationId: string, nowMs: number): LeaseStep => ({
+const renewStep = (
+  lease: CellLease,
+  timing: CellLeaseTiming,
+  operationId: string,
+  nowMs: number,
+): LeaseStep => ({
   kind: LeaseStepKind.Renew,
   transaction: {
     operationId,
     conditions: [{ key: cellOwnerKey(lease.cell), version: lease.ownerRowVersion }],
-    writes: [{ key: cellHeartbeatKey(lease.cell), value: nextHeartbeat(lease, nowMs) }],
+    writes: [{ key: cellHeartbeatKey(lease.cell), value: nextHeartbeat(lease, timing, nowMs) }],
   },
 });
 
@@ -170,13 +158,15 @@
 ): { readonly lease: CellLease; readonly step: LeaseStep } | undefined => {
   if (lease.isStepInFlight) return undefined;
   const hasWatched = lease.heartbeatRowVersion >= ABSENT_VERSION;
-  const isTakeable = !lease.isOwner && hasWatched && nowMs >= takeableAtMs(lease, timing);
+  const hasOwner = lease.ownerRowVersion !== ABSENT_VERSION;
+  const isTakeable = !lease.isOwner && hasWatched && nowMs >= takeableAtMs(lease, hasOwner, timing);
   // One that is overdue is not left for another heartbeat.
-  if (nowMs < lease.nextStepAtMs && !(isTakeable && lease.isOverdue)) return undefined;
+  if (nowMs < lease.nextStepAtMs && !(isTakeable && lease.overdueSinceMs !== undefined))
+    return undefined;
   const inFlight = { ...lease, isStepInFlight: true };
-  if (lease.isOwner) return { lease: inFlight, step: renewStep(lease, operationId, nowMs) };
+  if (lease.isOwner) return { lease: inFlight, step: renewStep(lease, timing, operationId, nowMs) };
   if (isTakeable) {
-    return { lease: inFlight, step: acquireStep(lease, operationId, nowMs) };
+    return { lease: inFlight, step: acquireStep(lease, timing, operationId, nowMs) };
   }
   return { lease: inFlight, step: watchStep(lease) };
 };
@@ -221,6 +211,8 @@
   const isOwner = owner?.ownerId === lease.selfId;
   const heartbeat =
     heartbeatRow === undefined ? undefined : heartbeatRowSchema.parse(heartbeatRow.value);
+  const isOverdue = isOlderThan(heartbeat, tableNowMs, timing.leaseMs);
+  const overdueBeforeMs = isUnchanged ? lease.overdueSinceMs : undefined;
   return {
     ...rested(lease, timing, nowMs),
     // Found to be the owner: an acquisition whose answer was lost had taken effect.
@@ -232,7 +224,8 @@
     heartbeatCounter: heartbeat?.counter ?? 0,
     unchangedSinceMs: isUnchanged ? lease.unchangedSinceMs : nowMs,
     heldAtMs: isOwner ? sentAtMs : lease.heldAtMs,
-    isOverdue: isOlderThan(heartbeat, tableNowMs, timing.leaseMs),
+    overdueSinceMs: isOverdue ? (overdueBeforeMs ?? nowMs) : undefined,
+    leastDelayMs: heartbeat?.leastDelayMs,
     tableClock: tableClockOf(lease, tableNowMs, sentAtMs),
   };
 };
@@ -259,7 +252,8 @@
     heartbeatCounter: lease.heartbeatCounter + 1,
     unchangedSinceMs: nowMs,
     heldAtMs: sentAtMs,
-    isOverdue: false,
+    overdueSinceMs: undefined,
+    leastDelayMs: toldDelayMs(lease, timing),
     tableClock: tableClockOf(lease, tableNowMs, sentAtMs),
   };
 };
--- a/src/scheduler/common/cellState.ts
+++ b/src/scheduler/common/cellState.ts
@@ -15,7 +15,8 @@
 import type { WorkerCommand, WorkerReport } from '../../services/worker/common/workerClient.js';
 import type { EndpointView } from '../../services/workload/common/endpointView.js';
 import type { ExchangeRow } from '../../services/workload/common/workRows.js';
-import type { CellLease, CellLeaseTiming, LeaseStepKind } from './cellLease.js';
+import type { CellLease, LeaseStepKind } from './cellLease.js';
+import type { CellLeaseTiming } from './leasePatience.js';
 import type { CellDraft } from './cellDraft.js';
 import type { CellRows } from './cellRows.js';
 import type { HandOnMemory } from './handOn.js';
--- a/src/scheduler/common/fleet/fleetOwnership.ts
+++ b/src/scheduler/common/fleet/fleetOwnership.ts
@@ -21,6 +21,7 @@
   withLeaseLost,
   withLeaseRows,
 } from '../cellLease.js';
+import type { CellLeaseTiming } from '../leasePatience.js';
 import type { FleetEffect } from './fleetEffects.js';
 import type { FleetTiming } from './fleetTiming.js';
 
@@ -28,7 +29,7 @@
 const FLEET_CELL = 'fleet';
 
 export class FleetOwnership {
-  readonly #timing: FleetTiming & { readonly acquireDelayMs: number };
+  readonly #timing: CellLeaseTiming;
 
   #lease: CellLease;
 
@@ -39,7 +40,7 @@
   #predecessorQuietSinceMs = Number.NEGATIVE_INFINITY;
 
   constructor(selfId: string, timing: FleetTiming, acquireDelayMs: number, nowMs: number) {
-    this.#timing = { ...timing, acquireDelayMs };
+    this.#timing = { ...timing, acquireDelayMs, isDelayRelative: true };
     this.#lease = initialCellLease(FLEET_CELL, selfId, nowMs);
   }
 
--- a/src/scheduler/test/cellLease.test.ts
+++ b/src/scheduler/test/cellLease.test.ts
@@ -12,39 +12,51 @@
   withLeaseLost,
   withLeaseRows,
 } from '../common/cellLease.js';
+import type { CellLeaseTiming } from '../common/leasePatience.js';
 
 const TIMING = { heartbeatIntervalMs: 450, leaseMs: 1_500, acquireDelayMs: 0 };
 const CELL = 'cell';
 
-const rowsOf = (version: number, sentAtTableMs: number | undefined) => [
+const rowsOf = (version: number, sentAtTableMs?: number, leastDelayMs?: number) => [
   { key: cellOwnerKey(CELL), version: 7, value: { ownerId: 'other', epoch: 3 }, operationId: '' },
   {
     key: cellHeartbeatKey(CELL),
     version,
-    value: { counter: 9, ...(sentAtTableMs !== undefined && { sentAtTableMs }) },
+    value: {
+      counter: 9,
+      ...(sentAtTableMs !== undefined && { sentAtTableMs }),
+      ...(leastDelayMs !== undefined && { leastDelayMs }),
+    },
     operationId: '',
   },
 ];
 
+interface Heartbeat {
+  readonly version: number;
+  readonly sentAtTableMs?: number;
+  readonly leastDelayMs?: number;
+}
+
 /** Looks as often as the lease asks until it asks to take the cell; returns when that is. */
 const takenAtMs = (
   firstLookAtMs: number,
-  look: (nowMs: number) => { readonly version: number; readonly sentAtTableMs?: number },
+  look: (nowMs: number) => Heartbeat,
   tableNowMs?: (nowMs: number) => number,
+  timing: CellLeaseTiming = TIMING,
 ): number => {
   let lease: CellLease = initialCellLease(CELL, 'self', firstLookAtMs);
   for (let nowMs = firstLookAtMs; nowMs < firstLookAtMs + 10_000; nowMs += 10) {
-    const next = nextLeaseStep(lease, TIMING, 'operation', nowMs);
+    const next = nextLeaseStep(lease, timing, 'operation', nowMs);
     if (next !== undefined) {
-      const { version, sentAtTableMs } = look(nowMs);
+      const { version, sentAtTableMs, leastDelayMs } = look(nowMs);
       if (next.step.kind === LeaseStepKind.Acquire) {
         const condition = next.step.transaction.conditions.at(-1);
         if (condition?.version === version) return nowMs;
-        lease = withLeaseLost(next.lease, TIMING, nowMs);
+        lease = withLeaseLost(next.lease, timing, nowMs);
       } else {
-        const rows = rowsOf(version, sentAtTableMs);
+        const rows = rowsOf(version, sentAtTableMs, leastDelayMs);
         const clock = tableNowMs === undefined ? {} : { tableNowMs: tableNowMs(nowMs) };
-        lease = withLeaseRows(next.lease, TIMING, { rows, ...clock }, nowMs, nowMs);
+        lease = withLeaseRows(next.lease, timing, { rows, ...clock }, nowMs, nowMs);
       }
     }
   }
@@ -128,4 +140,46 @@
       transaction: { writes: [{ value: { sentAtTableMs: 2_400 } }] },
     });
   });
+
+  it('goes to the daemon with more processor where an owner has had as much', () => {
+    const heartbeat = { version: 40, sentAtTableMs: 0, leastDelayMs: 90 };
+    const better = { ...TIMING, acquireDelayMs: 90, isDelayRelative: true };
+    const worse = { ...better, acquireDelayMs: 645 };
+    const look = () => heartbeat;
+    const clock = (nowMs: number): number => nowMs;
+    const betterAfterMs = takenAtMs(5_000, look, clock, better) - 5_000;
+    expect(betterAfterMs).toBeLessThanOrEqual(TIMING.leaseMs + TIMING.heartbeatIntervalMs);
+    // The better one may have looked a whole interval later.
+    const worseAfterMs = takenAtMs(5_000, look, clock, worse) - 5_000;
+    expect(worseAfterMs).toBeGreaterThan(betterAfterMs + TIMING.heartbeatIntervalMs);
+  });
+
+  it('goes to the daemon with more processor where both see at once that it is overdue', () => {
+    // The heartbeat has been seen to stand still for longer than the extra patience by then.
+    const better = { ...TIMING, acquireDelayMs: 90, isDelayRelative: true };
+    const worse = { ...better, acquireDelayMs: 645 };
+    const look = () => ({ version: 40, sentAtTableMs: 0, leastDelayMs: 90 });
+    const overdueAtMs = 5_000 + TIMING.leaseMs - 10;
+    const clock = (nowMs: number): number => (nowMs < overdueAtMs ? 0 : TIMING.leaseMs);
+    const betterAtMs = takenAtMs(5_000, look, clock, better);
+    const worseAtMs = takenAtMs(5_000, look, clock, worse);
+    expect(worseAtMs).toBeGreaterThan(betterAtMs + TIMING.heartbeatIntervalMs);
+  });
+
+  it('goes at once to a daemon with as much processor as any owner has had', () => {
+    const timing = { ...TIMING, acquireDelayMs: 645, isDelayRelative: true };
+    const look = () => ({ version: 40, sentAtTableMs: 0, leastDelayMs: 645 });
+    const takenAfterMs = takenAtMs(5_000, look, (nowMs) => nowMs, timing) - 5_000;
+    expect(takenAfterMs).toBeLessThanOrEqual(TIMING.leaseMs + TIMING.heartbeatIntervalMs);
+  });
+
+  it('tells the least patience of its owners in each heartbeat', () => {
+    const timing = { ...TIMING, acquireDelayMs: 645, isDelayRelative: true };
+    const rows = rowsOf(40, 0, 90);
+    const watched = withLeaseRows(initialCellLease(CELL, 'self', 0), timing, { rows }, 0, 0);
+    const next = nextLeaseStep(watched, timing, 'operation', 10_000);
+    const step = next?.step;
+    const written = step !== undefined && 'transaction' in step ? step.transaction.writes : [];
+    expect(written.at(-1)?.value).toMatchObject({ leastDelayMs: 90 });
+  });
 });
--- a/src/services/workload/common/workRows.ts
+++ b/src/services/workload/common/workRows.ts
@@ -145,6 +145,8 @@
   counter: z.number().int().nonnegative(),
   /** When it was sent, on the table's clock, where the owner knows that. */
   sentAtTableMs: z.number().optional(),
+  /** The least extra patience of an owner so far, where owners tell it. */
+  leastDelayMs: z.number().nonnegative().optional(),
 });
 export type HeartbeatRow = z.infer<typeof heartbeatRowSchema>;
 
--- a/tools/release/codeCache.cjs
+++ b/tools/release/codeCache.cjs
@@ -15,6 +15,7 @@
   storeAddress: '127.0.0.1:1',
   maximumLeaseMs: 6_000,
   graceSeconds: 6,
+  processor: { share: 1, speed: 1 },
 };
 writeFileSync(settingsFile, JSON.stringify(settings));
 process.argv[2] = settingsFile;
