--- a/src/scheduler/common/fleet/fleetOwnership.ts
+++ b/src/scheduler/common/fleet/fleetOwnership.ts
@@ -22,6 +22,7 @@
   withLeaseLost,
   withLeaseRows,
 } from '../cellLease.js';
+import type { CellLeaseTiming } from '../leasePatience.js';
 import type { FleetEffect } from './fleetEffects.js';
 import { type FleetTiming, longestLeaseMs } from './fleetTiming.js';
 
@@ -47,7 +48,7 @@
 };
 
 export class FleetOwnership {
-  readonly #timing: FleetTiming & { readonly acquireDelayMs: number };
+  readonly #timing: FleetTiming & CellLeaseTiming;
 
   #lease: CellLease;
 
@@ -59,7 +60,7 @@
   #former = NO_FORMER_OWNER;
 
   constructor(selfId: string, timing: FleetTiming, acquireDelayMs: number, nowMs: number) {
-    this.#timing = { ...timing, acquireDelayMs };
+    this.#timing = { ...timing, acquireDelayMs, isDelayRelative: true };
     this.#lease = initialCellLease(FLEET_CELL, selfId, nowMs);
   }
 
