Fix starts that wait behind the ends of other tasks to be stored

A transaction took up to twenty submissions' progress first and gave assignments what was left of its rows, nothing while twenty were due; and the next transaction waited for the next step, which a step of fifty milliseconds puts off by a hundred and more.

Assignments now have half of the rows for themselves, and a transaction follows the answer to the one before.

--- a/src/scheduler/common/fleet/fleetScheduler.ts
+++ b/src/scheduler/common/fleet/fleetScheduler.ts
@@ -234,7 +234,10 @@
     const { commits, book, roster } = tenure;
     const { request, recorded } = commits.handleCommitted(result, book, roster);
     if (request !== undefined) return [{ kind: 'resolve', epoch, request }];
-    return this.#start(tenure, recorded, nowMs);
+    const effects = [...this.#start(tenure, recorded, nowMs)];
+    // What has gathered meanwhile need not wait for the next step, which may be far off.
+    this.#commit(tenure, effects, nowMs);
+    return effects;
   }
 
   /** Returns false when the rows are to be read again. */
--- a/src/scheduler/common/fleet/progressCommits.ts
+++ b/src/scheduler/common/fleet/progressCommits.ts
@@ -37,8 +37,10 @@
 
 /** Rows that one transaction may write; a call of the table takes a hundred entries in all. */
 const MAXIMUM_ROWS = 40;
-/** Submissions that may end in one transaction: each removes its assignments as well. */
-const MAXIMUM_PROGRESS_ROWS = MAXIMUM_ROWS / 2;
+/** Submissions whose assignments one transaction stores; the rest of it is for progress. */
+const MAXIMUM_ASSIGNED = MAXIMUM_ROWS / 2;
+/** One that has ended removes its assignments as well. */
+const ROWS_PER_PROGRESS = 2;
 /** How often what is learnt of harm is written at most; a successor may lose as much of it. */
 const HARM_INTERVAL_MS = 3_000;
 /** How often the counts of waiting submissions are written at most. */
@@ -138,8 +140,8 @@
       });
       return undefined;
     }
-    const records = book.takeDirty(MAXIMUM_PROGRESS_ROWS);
-    const assigned = book.takeUnrecorded(MAXIMUM_ROWS - 2 * records.length);
+    const assigned = book.takeUnrecorded(MAXIMUM_ASSIGNED);
+    const records = book.takeDirty((MAXIMUM_ROWS - assigned.length) / ROWS_PER_PROGRESS);
     const writes = [
       ...assigned.map((record) => ({
         key: assignmentsKey(record.submission.id),
