Fix submissions that fail by faulty workers alone

Callers saw submissions as failed though nothing was wrong with them: a task used up its attempts on workers that fail all they start.

Cause: such a worker is always free, so that a full fleet gives it every task that waits, first tries and retries alike. It was set aside only after three submissions had failed there, a tenth of the workers at most, and any task that it had begun before its fault and then finished cleared it.

Evidence: in docs/OPERATIONS.md a task fails on two faulty workers in a row, with two attempts.

Change: WorkerHealth counts streaks of failures, which only a success of a run started after the last one that failed ends. Failures of two submissions in a streak trip the worker: it gets one first try at a time, 0.5 to 2 s after the last failure, and only where no other worker has room. A retry takes a worker without a streak and waits 1.5 s at most for its room; other tasks of a submission avoid workers on which it has just failed. With over a third of the workers tripped the limit is off, as the fault is likely elsewhere. A submission that alone failed where a later run succeeds counts against no further worker.

Why it works: what a faulty worker can cost is bounded by what fits into it before two submissions have failed, and by a probe every 0.5 to 2 s after that, none of them a task's last attempt unless its queue allows only one.

--- a/src/scheduler/common/fleet/fleetPlacement.ts
+++ b/src/scheduler/common/fleet/fleetPlacement.ts
@@ -1,6 +1,8 @@
 /** Which worker a task is started on. */
 import { fitsInto, type Resources } from '../../../services/worker/common/resources.js';
 import type { PlacementCandidate, PlacementPolicy } from '../placement.js';
+import type { WorkerHealth } from '../workerHealth.js';
+import { groupsByPreference } from './faultAvoidance.js';
 import type { FleetWorkerView } from './fleetWorkerView.js';
 import type { HarmControl } from './harmControl.js';
 import { isServing } from './headroom.js';
@@ -145,15 +147,13 @@
   return near.length > 0 ? near : views;
 };
 
-/** The worker for one task, or undefined while none has room. */
-export const chooseWorker = (
+const chooseAmong = (
   task: TaskRecord,
-  usable: readonly FleetWorkerView[],
+  views: readonly FleetWorkerView[],
   policy: PlacementPolicy,
   harm: HarmControl,
   nowMs: number,
 ): FleetWorkerView | undefined => {
-  const views = usable.filter((view) => isAllowed(view, task));
   if (task.step.isFiller) return chooseForFiller(task, views, harm, nowMs);
   const near = nearData(task, views);
   if (isServing(task) && task.step.image !== '') return chooseForServing(task, near);
@@ -162,3 +162,21 @@
   const chosen = policy.choose(request, candidates);
   return near.find(({ id }) => id === chosen?.workerId);
 };
+
+/** The worker for one task, or undefined while none has room. */
+export const chooseWorker = (
+  task: TaskRecord,
+  usable: readonly FleetWorkerView[],
+  policy: PlacementPolicy,
+  harm: HarmControl,
+  health: WorkerHealth,
+  nowMs: number,
+): FleetWorkerView | undefined => {
+  const views = usable.filter((view) => isAllowed(view, task));
+  const groups = groupsByPreference(task, views, health, nowMs);
+  for (let index = 0; index < groups.length; index += 1) {
+    const chosen = chooseAmong(task, groups[index] ?? [], policy, harm, nowMs);
+    if (chosen !== undefined) return chosen;
+  }
+  return undefined;
+};
--- a/src/scheduler/common/fleet/fleetRound.ts
+++ b/src/scheduler/common/fleet/fleetRound.ts
@@ -6,6 +6,7 @@
 } from '../../../services/fleet/common/fleetConfiguration.js';
 import type { PlacementPolicy } from '../placement.js';
 import type { WorkerHealth } from '../workerHealth.js';
+import { isRetry } from './faultAvoidance.js';
 import { orderedTasks } from './fleetOrder.js';
 import { chooseWorker } from './fleetPlacement.js';
 import type { FleetTiming } from './fleetTiming.js';
@@ -96,7 +97,7 @@
     const { submission, isInherited } = task.submission;
     if (this.placed.length >= MAXIMUM_STARTS) return;
     if (isInherited && !this.#input.isSettled) return;
-    const key = stepName(task);
+    const key = isRetry(task) ? `${stepName(task)} retry` : stepName(task);
     if (this.#full.has(key)) return;
     const queue = findQueueByName(this.#configuration, submission.queueName);
     const serviceName = queue?.serviceName ?? submission.serviceName;
@@ -153,8 +154,8 @@
   }
 
   #choose(task: TaskRecord, views: readonly FleetWorkerView[]): FleetWorkerView | undefined {
-    const { policy, harm } = this.#input;
-    return chooseWorker(task, views, policy, harm, this.#nowMs);
+    const { policy, harm, health } = this.#input;
+    return chooseWorker(task, views, policy, harm, health, this.#nowMs);
   }
 
   #take(task: TaskRecord, number: number, view: FleetWorkerView): TaskRun {
--- a/src/scheduler/common/fleet/runKeeper.ts
+++ b/src/scheduler/common/fleet/runKeeper.ts
@@ -203,15 +203,18 @@
   }
 
   #learn(view: FleetWorkerView, finished: FinishedRun, task: TaskRecord, nowMs: number): void {
-    if (finished.end === RunEnd.Done) this.#health = this.#health.withSuccess(view.id);
+    const startedAtMs = view.runs.get(runKey(task.name, finished.run))?.startedAtMs;
+    if (finished.end === RunEnd.Done) {
+      this.#health = this.#health.withSuccess(view.id, startedAtMs);
+    }
     if (finished.end !== RunEnd.Failed) return;
-    this.noteFault(view, task, nowMs);
+    this.noteFault(view, task, nowMs, startedAtMs);
   }
 
   /** A task failed or stood still on the worker. */
-  noteFault(view: FleetWorkerView, task: TaskRecord, nowMs: number): void {
+  noteFault(view: FleetWorkerView, task: TaskRecord, nowMs: number, startedAtMs = nowMs): void {
     const { id } = task.submission.submission;
-    this.#health = this.#health.withFailure(view.id, id, this.#views.size, nowMs);
+    this.#health = this.#health.withFailure(view.id, id, this.#views.size, nowMs, startedAtMs);
   }
 
   #failIfSpent(task: TaskRecord, nowMs: number): void {
--- a/src/scheduler/common/workerHealth.ts
+++ b/src/scheduler/common/workerHealth.ts
@@ -9,6 +9,24 @@
 const MAXIMUM_ASIDE_SHARE = 0.1;
 /** Failures on so many different workers make a job the likely culprit. */
 const BAD_JOB_WORKER_COUNT = 3;
+/** Failures of so many different jobs in one streak trip a worker. */
+const TRIPPING_JOB_COUNT = 2;
+/** A tripped worker gets its next probe so long after a failure, doubled each time up to a limit. */
+const FIRST_PROBE_DELAY_MS = 500;
+const MAXIMUM_PROBE_DELAY_MS = 2_000;
+/** A probe that has run for so long does not keep the next one off; it may be a task that lasts. */
+const PROBE_PATIENCE_MS = 5_000;
+/** A streak that nothing has been added to for so long is over; the worker may have been idle. */
+const STREAK_LIFETIME_MS = 60_000;
+
+/** Failures on a worker that no success of a run started later has ended. */
+interface FailureStreak {
+  /** Jobs that count against the worker. */
+  readonly jobIds: ReadonlySet<string>;
+  readonly lastFailureAtMs: number;
+  /** When the last run that failed was started. */
+  readonly lastFailedStartMs: number;
+}
 
 interface WorkerRecord {
   /** Jobs that count against the worker. */
@@ -17,6 +35,14 @@
   readonly recentJobIds: ReadonlySet<string>;
   readonly asideUntilMs: number;
   readonly asideCount: number;
+  readonly streak: FailureStreak | undefined;
+}
+
+interface JobRecord {
+  /** Workers on which it has failed. */
+  readonly workerIds: ReadonlySet<string>;
+  /** It failed where nothing else did. */
+  readonly isAtFault: boolean;
 }
 
 const CLEAN: WorkerRecord = {
@@ -24,6 +50,7 @@
   recentJobIds: new Set(),
   asideUntilMs: Number.NEGATIVE_INFINITY,
   asideCount: 0,
+  streak: undefined,
 };
 
 const MAXIMUM_TRACKED_JOBS = 1_000;
@@ -35,18 +62,25 @@
  * packing sends it task after task and each uses up one of its tries. One bad job on many
  * workers must not set these aside: a job that has failed on three workers no longer counts
  * against any. Kept in memory only; a new owner learns it within three failures a worker.
+ *
+ * The streaks are a circuit breaker beside it, which works within seconds: jobs of two submissions
+ * trip it, and one task that was started afterwards and ends well closes it.
  */
 export class WorkerHealth {
   readonly #workers: ReadonlyMap<string, WorkerRecord>;
 
-  readonly #workersOfJob: ReadonlyMap<string, ReadonlySet<string>>;
+  readonly #jobs: ReadonlyMap<string, JobRecord>;
 
   constructor(
     workers: ReadonlyMap<string, WorkerRecord> = new Map(),
-    workersOfJob: ReadonlyMap<string, ReadonlySet<string>> = new Map(),
+    jobs: ReadonlyMap<string, JobRecord> = new Map(),
   ) {
     this.#workers = workers;
-    this.#workersOfJob = workersOfJob;
+    this.#jobs = jobs;
+  }
+
+  get hasRecords(): boolean {
+    return this.#workers.size > 0 || this.#jobs.size > 0;
   }
 
   isSetAside(workerId: string, nowMs: number): boolean {
@@ -55,7 +89,34 @@
 
   /** Workers on which the job has failed; another try belongs elsewhere, if there is another. */
   failedOn(jobId: string): ReadonlySet<string> {
-    return this.#workersOfJob.get(jobId) ?? NO_WORKERS;
+    return this.#jobs.get(jobId)?.workerIds ?? NO_WORKERS;
+  }
+
+  /** Whether a job has failed there and nothing started since has ended well. */
+  isFailing(workerId: string, nowMs: number): boolean {
+    return this.#streakOf(workerId, nowMs) !== undefined;
+  }
+
+  /** Whether different jobs have failed there, so that it should get probes only. */
+  isTripped(workerId: string, nowMs: number): boolean {
+    return (this.#streakOf(workerId, nowMs)?.jobIds.size ?? 0) >= TRIPPING_JOB_COUNT;
+  }
+
+  /** Whether a tripped worker, given when its latest run started, may get one more task. */
+  isProbeDue(workerId: string, lastStartMs: number, nowMs: number): boolean {
+    const streak = this.#streakOf(workerId, nowMs);
+    if (streak === undefined) return true;
+    const exponent = Math.max(0, streak.jobIds.size - TRIPPING_JOB_COUNT);
+    const delayMs = Math.min(MAXIMUM_PROBE_DELAY_MS, FIRST_PROBE_DELAY_MS * 2 ** exponent);
+    const isProbed =
+      lastStartMs > streak.lastFailureAtMs && nowMs < lastStartMs + PROBE_PATIENCE_MS;
+    return !isProbed && nowMs >= streak.lastFailureAtMs + delayMs;
+  }
+
+  #streakOf(workerId: string, nowMs: number): FailureStreak | undefined {
+    const streak = this.#workers.get(workerId)?.streak;
+    const isOver = streak !== undefined && nowMs >= streak.lastFailureAtMs + STREAK_LIFETIME_MS;
+    return isOver ? undefined : streak;
   }
 
   /**
@@ -68,29 +129,46 @@
     return recent === undefined || [...recent].every((one) => one === jobId);
   }
 
-  /** A task ended well on the worker, so what failed before was not its fault. */
-  withSuccess(workerId: string): WorkerHealth {
-    if (!this.#workers.has(workerId)) return this;
+  /**
+   * A task that was started at `startedAtMs` ended well on the worker, so what failed before was
+   * not its fault. A run older than the last one that failed does not end the streak: a worker
+   * whose disk breaks may still finish what it began before.
+   */
+  withSuccess(workerId: string, startedAtMs = Number.POSITIVE_INFINITY): WorkerHealth {
+    const known = this.#workers.get(workerId);
+    if (known === undefined) return this;
+    const { streak } = known;
     const workers = new Map(this.#workers);
+    if (streak !== undefined && startedAtMs < streak.lastFailedStartMs) {
+      return new WorkerHealth(workers.set(workerId, { ...CLEAN, streak }), this.#jobs);
+    }
     workers.delete(workerId);
-    return new WorkerHealth(workers, this.#workersOfJob);
+    const [onlyJobId] = streak?.jobIds.size === 1 ? streak.jobIds : [];
+    if (onlyJobId === undefined) return new WorkerHealth(workers, this.#jobs);
+    const workerIds = this.failedOn(onlyJobId);
+    const jobs = this.#jobsWith(onlyJobId, { workerIds, isAtFault: true });
+    return new WorkerHealth(WorkerHealth.#withoutJob(workers, onlyJobId), jobs);
   }
 
-  withFailure(workerId: string, jobId: string, workerCount: number, nowMs: number): WorkerHealth {
-    const workersOfJob = new Map(this.#workersOfJob);
-    const failedOn = new Set([...(workersOfJob.get(jobId) ?? []), workerId]);
-    workersOfJob.delete(jobId);
-    workersOfJob.set(jobId, failedOn);
-    if (workersOfJob.size > MAXIMUM_TRACKED_JOBS) {
-      workersOfJob.delete([...workersOfJob.keys()][0] as string);
-    }
+  withFailure(
+    workerId: string,
+    jobId: string,
+    workerCount: number,
+    nowMs: number,
+    startedAtMs = nowMs,
+  ): WorkerHealth {
+    const workerIds = new Set([...this.failedOn(jobId), workerId]);
+    const wasAtFault = this.#jobs.get(jobId)?.isAtFault === true;
+    const isAtFault = wasAtFault || workerIds.size >= Math.min(BAD_JOB_WORKER_COUNT, workerCount);
+    const jobs = this.#jobsWith(jobId, { workerIds, isAtFault });
     const known = this.#workers.get(workerId) ?? CLEAN;
     const recentJobIds =
       known.recentJobIds.size < 2 ? new Set([...known.recentJobIds, jobId]) : known.recentJobIds;
-    const record = { ...known, recentJobIds };
-    if (failedOn.size >= Math.min(BAD_JOB_WORKER_COUNT, workerCount)) {
+    const streak = this.#streakWith(workerId, isAtFault ? [] : [jobId], startedAtMs, nowMs);
+    const record = { ...known, recentJobIds, streak };
+    if (isAtFault) {
       const noted = new Map(this.#workers).set(workerId, record);
-      return new WorkerHealth(WorkerHealth.#withoutJob(noted, jobId), workersOfJob);
+      return new WorkerHealth(WorkerHealth.#withoutJob(noted, jobId), jobs);
     }
     const failedJobIds = new Set([...record.failedJobIds, jobId]);
     const workers = new Map(this.#workers);
@@ -101,7 +179,29 @@
       workerId,
       isSuspect && mayBeSet ? WorkerHealth.#aside(record, nowMs) : { ...record, failedJobIds },
     );
-    return new WorkerHealth(workers, workersOfJob);
+    return new WorkerHealth(workers, jobs);
+  }
+
+  #jobsWith(jobId: string, record: JobRecord): ReadonlyMap<string, JobRecord> {
+    const jobs = new Map(this.#jobs);
+    jobs.delete(jobId);
+    jobs.set(jobId, record);
+    if (jobs.size > MAXIMUM_TRACKED_JOBS) jobs.delete([...jobs.keys()][0] as string);
+    return jobs;
+  }
+
+  #streakWith(
+    workerId: string,
+    jobIds: readonly string[],
+    startedAtMs: number,
+    nowMs: number,
+  ): FailureStreak {
+    const known = this.#streakOf(workerId, nowMs);
+    return {
+      jobIds: new Set([...(known?.jobIds ?? []), ...jobIds]),
+      lastFailureAtMs: nowMs,
+      lastFailedStartMs: Math.max(startedAtMs, known?.lastFailedStartMs ?? startedAtMs),
+    };
   }
 
   #asideCount(nowMs: number): number {
@@ -112,14 +212,14 @@
     workers: ReadonlyMap<string, WorkerRecord>,
     jobId: string,
   ): ReadonlyMap<string, WorkerRecord> {
+    const without = (jobIds: ReadonlySet<string>): ReadonlySet<string> =>
+      new Set([...jobIds].filter((one) => one !== jobId));
     return new Map(
-      [...workers].map(([id, record]) => [
-        id,
-        {
-          ...record,
-          failedJobIds: new Set([...record.failedJobIds].filter((one) => one !== jobId)),
-        },
-      ]),
+      [...workers].map(([id, record]) => {
+        const { failedJobIds, streak } = record;
+        const rest = streak && { ...streak, jobIds: without(streak.jobIds) };
+        return [id, { ...record, failedJobIds: without(failedJobIds), streak: rest }];
+      }),
     );
   }
 
@@ -131,6 +231,7 @@
       recentJobIds: record.recentJobIds,
       asideUntilMs: nowMs + asideMs,
       asideCount: record.asideCount + 1,
+      streak: record.streak,
     };
   }
 }
--- /dev/null
+++ b/src/scheduler/test/fleet/faultyWorkers.test.ts
@@ -0,0 +1,202 @@
+import { describe, expect, it } from 'vitest';
+
+import { RunEnd } from '../../../services/fleet/common/fleetWorker.js';
+import { WorkerHealth } from '../../common/workerHealth.js';
+import { STEP, submissionOf, WORKER_CAPACITY } from './fleetFixtures.js';
+import { FleetWorld } from './fleetWorld.js';
+
+const TICK_MS = 10;
+/** A faulty worker ends what it is given after this time. */
+const FAILS_AFTER_MS = 100;
+const WORK_MS = 800;
+
+interface Ended {
+  readonly taskName: string;
+  readonly workerId: string;
+}
+
+/** A world in which some workers fail all that is started on them. */
+class FaultyWorld {
+  readonly world: FleetWorld;
+
+  readonly faultyIds = new Set<string>();
+
+  /** Runs that were started on a faulty worker. */
+  readonly failed: Ended[] = [];
+
+  readonly #seen = new Set<string>();
+
+  constructor(workerCount: number, taskOf = { workMs: WORK_MS, end: RunEnd.Done as RunEnd }) {
+    this.world = new FleetWorld(1, () => taskOf);
+    for (let index = 0; index < workerCount; index += 1) this.world.addWorker(`worker-${index}`);
+    this.world.addScheduler();
+  }
+
+  async runFor(durationMs: number): Promise<void> {
+    const untilMs = this.world.nowMs + durationMs;
+    while (this.world.nowMs < untilMs) {
+      // eslint-disable-next-line no-await-in-loop -- virtual time goes on step by step
+      await this.world.runFor(TICK_MS);
+      this.faultyIds.forEach((id) => this.#failNew(id));
+    }
+  }
+
+  #failNew(workerId: string): void {
+    this.world.workers.get(workerId)?.runs.forEach((run) => {
+      const key = `${run.taskName}#${run.run}`;
+      if (this.#seen.has(key) || run.startedAtMs < this.world.nowMs - TICK_MS) return;
+      this.#seen.add(key);
+      this.failed.push({ taskName: run.taskName, workerId });
+      Object.assign(run, { end: RunEnd.Failed, endsAtMs: run.startedAtMs + FAILS_AFTER_MS });
+    });
+  }
+}
+
+const idOf = (index: number): string => (0xd000 + index).toString(16).padStart(16, '0');
+
+describe('a worker that fails all it starts', () => {
+  it('does not draw task after task while the others are full', async () => {
+    const faulty = new FaultyWorld(9);
+    await faulty.runFor(1_500);
+    const faultyIds = ['worker-0', 'worker-4', 'worker-8'];
+    faultyIds.forEach((id) => faulty.faultyIds.add(id));
+    for (let index = 0; index < 60; index += 1) {
+      faulty.world.submit(submissionOf(idOf(index), [{ ...STEP, taskCount: 4 }]));
+    }
+    await faulty.runFor(6_000);
+    faultyIds.forEach((id) => {
+      const drawn = faulty.failed.filter(({ workerId }) => workerId === id).length;
+      // What fits into it at once, twice, and a probe each second at most.
+      expect(drawn).toBeLessThanOrEqual(2 * 4 + 6);
+    });
+    expect(faulty.failed.length).toBeGreaterThan(0);
+    expect(faulty.world.judge.broken).toEqual([]);
+  });
+
+  it('is not trusted again for a task that it had begun before it failed', () => {
+    const atMs = 10_000;
+    const failed = new WorkerHealth()
+      .withFailure('w1', 'a', 10, atMs, atMs - 100)
+      .withFailure('w1', 'b', 10, atMs, atMs - 100);
+    expect(failed.isTripped('w1', atMs)).toBe(true);
+    expect(failed.withSuccess('w1', atMs - 2_000).isTripped('w1', atMs)).toBe(true);
+    expect(failed.withSuccess('w1', atMs - 50).isTripped('w1', atMs)).toBe(false);
+  });
+
+  it('gets one task at a time, later after each further failure', () => {
+    const tripped = new WorkerHealth()
+      .withFailure('w1', 'a', 10, 1_000, 900)
+      .withFailure('w1', 'b', 10, 1_000, 900);
+    expect(tripped.isProbeDue('w1', 900, 1_400)).toBe(false);
+    expect(tripped.isProbeDue('w1', 900, 1_500)).toBe(true);
+    expect(tripped.isProbeDue('w1', 1_500, 1_600)).toBe(false);
+    const again = tripped.withFailure('w1', 'c', 10, 1_600, 1_500);
+    expect(again.isProbeDue('w1', 1_500, 2_500)).toBe(false);
+    expect(again.isProbeDue('w1', 1_500, 2_600)).toBe(true);
+  });
+});
+
+describe('a task that has failed', () => {
+  it('does not use up its attempts on two faulty workers in a row', async () => {
+    const faulty = new FaultyWorld(6);
+    await faulty.runFor(1_500);
+    faulty.faultyIds.add('worker-0').add('worker-1');
+    for (let index = 0; index < 16; index += 1) {
+      faulty.world.submit(submissionOf(idOf(index), [{ ...STEP, taskCount: 4 }]));
+    }
+    await faulty.runFor(12_000);
+    const counts = new Map<string, number>();
+    faulty.failed.forEach(({ taskName }) => {
+      counts.set(taskName, (counts.get(taskName) ?? 0) + 1);
+    });
+    expect(counts.size).toBeGreaterThan(0);
+    expect([...counts.values()].filter((count) => count > 1)).toEqual([]);
+    const states = Array.from({ length: 16 }, (_, index) => faulty.world.progress(idOf(index)));
+    expect(states.filter((progress) => progress?.state !== 'complete')).toEqual([]);
+  });
+
+  it('waits for no other worker where there is none', async () => {
+    const faulty = new FaultyWorld(1, { workMs: 100, end: RunEnd.Failed });
+    await faulty.runFor(1_500);
+    faulty.world.submit(submissionOf(idOf(0), [STEP]));
+    await faulty.runFor(3_000);
+    expect(faulty.world.progress(idOf(0))?.state).toBe('failed');
+  });
+
+  it('goes soon to a worker where it failed, when all others stay full', async () => {
+    const faulty = new FaultyWorld(2);
+    await faulty.runFor(1_500);
+    const whole = { ...STEP, size: WORKER_CAPACITY, isPersistent: true };
+    faulty.world.submit(submissionOf(idOf(0), [whole]));
+    await faulty.runFor(300);
+    const free = faulty.world.runsOf(`${idOf(0)}.0.0.0`)[0] === 'worker-0' ? 1 : 0;
+    const freeId = `worker-${free}`;
+    faulty.faultyIds.add(freeId);
+    faulty.world.submit(submissionOf(idOf(1), [STEP]));
+    await faulty.runFor(200);
+    faulty.faultyIds.delete(freeId);
+    expect(faulty.failed).toHaveLength(1);
+    await faulty.runFor(4_000);
+    expect(faulty.world.progress(idOf(1))?.state).toBe('complete');
+  });
+});
+
+describe('a worker that has recovered', () => {
+  const runsAfterFault = async (faultMs: number): Promise<number | undefined> => {
+    const faulty = new FaultyWorld(4);
+    await faulty.runFor(1_500);
+    faulty.faultyIds.add('worker-1');
+    for (let index = 0; index < 40; index += 1) {
+      faulty.world.submit(submissionOf(idOf(index), [{ ...STEP, taskCount: 4 }]));
+    }
+    await faulty.runFor(faultMs);
+    expect(faulty.failed.length).toBeGreaterThan(1);
+    faulty.faultyIds.clear();
+    await faulty.runFor(4_000);
+    return faulty.world.workers.get('worker-1')?.runs.size;
+  };
+
+  it('is filled again within seconds', async () => {
+    expect(await runsAfterFault(300)).toBe(4);
+  });
+});
+
+describe('submissions that fail by their own fault', () => {
+  it('count against no further worker once others succeed where they failed', () => {
+    const health = new WorkerHealth()
+      .withFailure('w1', 'bad', 10, 1_000)
+      .withSuccess('w1', 1_100)
+      .withFailure('w2', 'bad', 10, 1_200)
+      .withFailure('w2', 'other', 10, 1_300);
+    expect(health.isTripped('w2', 1_300)).toBe(false);
+  });
+
+  it('leave the workers to others', async () => {
+    const world = new FleetWorld(1, (taskName) =>
+      Number.parseInt(taskName.slice(0, 16), 16) >= 0xe000
+        ? { workMs: 100, end: RunEnd.Failed }
+        : { workMs: WORK_MS, end: RunEnd.Done },
+    );
+    for (let index = 0; index < 8; index += 1) world.addWorker(`worker-${index}`);
+    world.addScheduler();
+    await world.runFor(1_500);
+    // Of 32 slots the good submissions need 26; each second brings two more that always fail.
+    for (let tick = 0; tick < 80; tick += 1) {
+      const step = { ...STEP, taskCount: 4 };
+      world.submit(submissionOf(idOf(tick), [step]));
+      if (tick % 5 === 4) {
+        world.submit(submissionOf((0xe000 + tick).toString(16).padStart(16, '0'), [step]));
+      }
+      // eslint-disable-next-line no-await-in-loop -- virtual time goes on step by step
+      await world.runFor(125);
+    }
+    await world.runFor(1_500);
+    const isComplete = (index: number): boolean =>
+      world.progress(idOf(index))?.state === 'complete';
+    const late = Array.from({ length: 80 }, (_, index) => index).filter(
+      (index) => !isComplete(index),
+    );
+    expect(late).toEqual([]);
+    expect(world.judge.broken).toEqual([]);
+  });
+});
