--- a/src/scheduler/common/fleet/drainMoves.ts
+++ b/src/scheduler/common/fleet/drainMoves.ts
@@ -32,7 +32,8 @@
     const views = usable.filter(
       (view) => view.entry.serviceName === serviceName && !promised.has(view),
     );
-    const target = chooseWorker(task, views, input.policy, input.harm, nowMs);
+    const { policy, harm, health } = input;
+    const target = chooseWorker(task, views, policy, harm, health, nowMs);
     if (target !== undefined) promised.add(target);
     return target !== undefined;
   });
--- a/src/scheduler/common/fleet/fleetRound.ts
+++ b/src/scheduler/common/fleet/fleetRound.ts
@@ -6,6 +6,7 @@
 } from '../../../services/fleet/common/fleetConfiguration.js';
 import type { PlacementPolicy } from '../placement.js';
 import type { WorkerHealth } from '../workerHealth.js';
+import { isRetry } from './faultAvoidance.js';
 import { orderedTasks } from './fleetOrder.js';
 import { chooseWorker } from './fleetPlacement.js';
 import type { FleetTiming } from './fleetTiming.js';
@@ -19,8 +20,6 @@
 
 /** Run numbers that one epoch may use of a task before they meet those of the next. */
 const RUNS_PER_EPOCH = 1_000;
-/** How long a task that lasts waits for a worker that is not set aside. */
-const ASIDE_PATIENCE_MS = 1_500;
 /** Starts of one round; more would hold up the answers that come in meanwhile. */
 const MAXIMUM_STARTS = 60;
 
@@ -73,9 +72,6 @@
 
   readonly #usable: ViewsByService;
 
-  /** Workers that failed what they started of late. */
-  readonly #aside: ViewsByService;
-
   /** Steps that found no room in this round; their other tasks would not either. */
   readonly #full = new Set<string>();
 
@@ -90,9 +86,7 @@
     this.#configuration = configuration;
     this.#nowMs = nowMs;
     const usable = [...input.views.values()].filter((view) => isUsable(view, input, nowMs));
-    const isAside = ({ id }: FleetWorkerView): boolean => input.health.isSetAside(id, nowMs);
-    this.#usable = byService(usable.filter((view) => !isAside(view)));
-    this.#aside = byService(usable.filter(isAside));
+    this.#usable = byService(usable);
   }
 
   place(task: TaskRecord): void {
@@ -104,13 +98,13 @@
   #tryToPlace(task: TaskRecord): WaitReason | undefined {
     const { submission } = task.submission;
     if (this.placed.length >= MAXIMUM_STARTS) return WaitReason.RoundFull;
-    const key = stepName(task);
+    const key = isRetry(task) ? `${stepName(task)} retry` : stepName(task);
     if (this.#full.has(key)) return WaitReason.NoRoom;
     const queue = findQueueByName(this.#configuration, submission.queueName);
     const serviceName = queue?.serviceName ?? submission.serviceName;
     const views = this.#usable.get(serviceName) ?? [];
     const isPlaced = task.step.isGang ? this.#placeGang(task, views) : this.#placeOne(task, views);
-    if (isPlaced || this.#placeAside(task, serviceName)) return undefined;
+    if (isPlaced) return undefined;
     this.#full.add(key);
     return WaitReason.NoRoom;
   }
@@ -122,17 +116,6 @@
     return true;
   }
 
-  /**
-   * A task that lasts has no attempts to lose, and its users have nobody else while it waits: where
-   * only workers that are set aside have room it goes there after a while. One that has recovered
-   * would otherwise stand empty for as long as it is set aside, half a minute at first.
-   */
-  #placeAside(task: TaskRecord, serviceName: string): boolean {
-    const hasWaited = this.#nowMs - task.waitingSinceMs >= ASIDE_PATIENCE_MS;
-    if (!task.step.isPersistent || task.step.isGang || !hasWaited) return false;
-    return this.#placeOne(task, this.#aside.get(serviceName) ?? []);
-  }
-
   /** All members at once or none: a part of a gang would hold room and do no work. */
   #placeGang(task: TaskRecord, views: readonly FleetWorkerView[]): boolean {
     const opened = task.submission.occurrences.get(task.occurrence);
@@ -163,8 +146,8 @@
   }
 
   #choose(task: TaskRecord, views: readonly FleetWorkerView[]): FleetWorkerView | undefined {
-    const { policy, harm } = this.#input;
-    return chooseWorker(task, views, policy, harm, this.#nowMs);
+    const { policy, harm, health } = this.#input;
+    return chooseWorker(task, views, policy, harm, health, this.#nowMs);
   }
 
   #take(task: TaskRecord, number: number, view: FleetWorkerView): TaskRun {
