Fix tasks stopped on a draining worker for room that another one was promised

With room for one of four tasks that last, all four were stopped: room was promised anew in each step while the first stop was under way, and three had no place (one of four ran, three were away). Tasks that are being moved keep what they were promised.

--- a/src/scheduler/common/fleet/drainMoves.ts
+++ b/src/scheduler/common/fleet/drainMoves.ts
@@ -6,7 +6,9 @@
 import { RunState, type TaskRun } from './taskRecords.js';
 
 const isMovable = ({ task, state }: TaskRun): boolean =>
-  task.step.isPersistent && !task.step.isGang && state === RunState.Running;
+  task.step.isPersistent &&
+  !task.step.isGang &&
+  (state === RunState.Running || state === RunState.Stopping);
 
 const isLeaving = (view: FleetWorkerView): boolean =>
   view.isListed && view.entry.isDraining && view.isHeard && !view.isSilent;
@@ -23,9 +25,12 @@
     .flatMap((view) => [...view.runs.values()].filter(isMovable));
   if (configuration === undefined || runs.length === 0) return [];
   const usable = [...input.views.values()].filter((view) => isUsable(view, input, nowMs));
-  // Room that is promised is not taken yet, so each worker is promised to one task at a time.
+  // Room that is promised is not taken yet, so each worker is promised to one task at a time; those
+  // that are being moved already come first.
   const promised = new Set<FleetWorkerView>();
-  return runs.filter(({ task }) => {
+  const isNew = ({ state }: TaskRun): boolean => state === RunState.Running;
+  const inOrder = [...runs.filter((run) => !isNew(run)), ...runs.filter(isNew)];
+  const withRoom = inOrder.filter(({ task }) => {
     const { submission } = task.submission;
     const queue = findQueueByName(configuration, submission.queueName);
     const serviceName = queue?.serviceName ?? submission.serviceName;
@@ -37,4 +42,5 @@
     if (target !== undefined) promised.add(target);
     return target !== undefined;
   });
+  return withRoom.filter(isNew);
 };
