Fix bounds of former owners' leases over several takeovers

Three ways in which the owner of the fleet misjudged when leases of former owners are over: an owner that was told by a worker that another one is there, and found itself in the row all the same, went on in the same epoch as if it had granted nothing (a task ran on two workers), and with fences that had started anew (nothing was started for 20 s); one that takes over from an owner that handed over at once took that one's leases for the last, though the owner before it may still grant (a task ran on two workers); and a chain of owners that end before their first roster put the bound off each time (20.8 s instead of under 16.7).

An owner that has yielded takes the fleet anew, in a new epoch. The owner row lists by epoch when leases are over, and a limit that the roster holds counts as it stands.

--- a/src/scheduler/common/cellLease.ts
+++ b/src/scheduler/common/cellLease.ts
@@ -18,6 +18,7 @@
   type CellOwnerRow,
   cellOwnerKey,
   cellOwnerRowSchema,
+  type FormerLeases,
   type HeartbeatRow,
   heartbeatRowSchema,
 } from '../../services/workload/common/workRows.js';
@@ -49,7 +50,7 @@
   readonly epoch: number;
   readonly ownerRowVersion: number;
   /** What the owner row says of leases granted before its epoch. */
-  readonly formerLeasesOverTableMs: number | undefined;
+  readonly formerLeases: readonly FormerLeases[];
   readonly heartbeatRowVersion: number;
   readonly heartbeatCounter: number;
   /** When the last heartbeat known to be committed was sent. */
@@ -77,7 +78,7 @@
   epoch: 0,
   ownerRowVersion: ABSENT_VERSION,
   isReleased: false,
-  formerLeasesOverTableMs: undefined,
+  formerLeases: [],
   heartbeatRowVersion: -1,
   heartbeatCounter: 0,
   unchangedSinceMs: nowMs,
@@ -102,17 +103,17 @@
 const toOwnerRow = (
   ownerId: string,
   epoch: number,
-  formerLeasesOverTableMs: number | undefined,
+  formerLeases: readonly FormerLeases[],
 ): CellOwnerRow =>
-  formerLeasesOverTableMs === undefined
+  formerLeases.length === 0
     ? { ownerId, epoch }
-    : { ownerId, epoch, formerLeasesOverTableMs };
+    : { ownerId, epoch, formerLeases: [...formerLeases] };
 
 const acquireStep = (
   lease: CellLease,
   timing: CellLeaseTiming,
   operationId: string,
-  formerLeasesOverTableMs: number | undefined,
+  formerLeases: readonly FormerLeases[],
   nowMs: number,
 ): LeaseStep => ({
   kind: LeaseStepKind.Acquire,
@@ -125,7 +126,7 @@
     writes: [
       {
         key: cellOwnerKey(lease.cell),
-        value: toOwnerRow(lease.selfId, lease.epoch + 1, formerLeasesOverTableMs),
+        value: toOwnerRow(lease.selfId, lease.epoch + 1, formerLeases),
       },
       { key: cellHeartbeatKey(lease.cell), value: nextHeartbeat(lease, timing, nowMs) },
     ],
@@ -156,7 +157,7 @@
   writes: [
     {
       key: cellOwnerKey(lease.cell),
-      value: toOwnerRow(NO_OWNER_ID, lease.epoch, lease.formerLeasesOverTableMs),
+      value: toOwnerRow(NO_OWNER_ID, lease.epoch, lease.formerLeases),
     },
   ],
 });
@@ -172,7 +173,7 @@
   timing: CellLeaseTiming,
   operationId: string,
   nowMs: number,
-  formerLeasesOverTableMs?: number,
+  formerLeases: readonly FormerLeases[] = [],
 ): { readonly lease: CellLease; readonly step: LeaseStep } | undefined => {
   if (lease.isStepInFlight) return undefined;
   const hasWatched = lease.heartbeatRowVersion >= ABSENT_VERSION;
@@ -184,8 +185,8 @@
   const inFlight = { ...lease, isStepInFlight: true };
   if (lease.isOwner) return { lease: inFlight, step: renewStep(lease, timing, operationId, nowMs) };
   if (isTakeable) {
-    const step = acquireStep(lease, timing, operationId, formerLeasesOverTableMs, nowMs);
-    return { lease: { ...inFlight, formerLeasesOverTableMs }, step };
+    const step = acquireStep(lease, timing, operationId, formerLeases, nowMs);
+    return { lease: { ...inFlight, formerLeases }, step };
   }
   return { lease: inFlight, step: watchStep(lease) };
 };
@@ -239,7 +240,7 @@
     epoch: owner?.epoch ?? 0,
     ownerRowVersion: ownerRow?.version ?? ABSENT_VERSION,
     isReleased: owner?.ownerId === NO_OWNER_ID,
-    formerLeasesOverTableMs: owner?.formerLeasesOverTableMs,
+    formerLeases: owner?.formerLeases ?? [],
     heartbeatRowVersion,
     heartbeatCounter: heartbeat?.counter ?? 0,
     unchangedSinceMs: isUnchanged ? lease.unchangedSinceMs : nowMs,
@@ -291,6 +292,13 @@
   unchangedSinceMs: nowMs,
 });
 
+/** For an owner that has yielded and still stands in the row: it may only take the cell anew. */
+export const withLeaseGivenUp = (lease: CellLease): CellLease => ({
+  ...lease,
+  isOwner: false,
+  isReleased: true,
+});
+
 /** Takes in a failed call. An owner stays owner: while the table is out nobody can take over. */
 export const withLeaseCallFailed = (
   lease: CellLease,
--- a/src/scheduler/common/fleet/fleetOwnership.ts
+++ b/src/scheduler/common/fleet/fleetOwnership.ts
@@ -10,13 +10,14 @@
   type TransactionResult,
 } from '../../../services/table/common/table.js';
 import type { RosterEntry } from '../../../services/submissions/common/submissionRows.js';
-import { cellOwnerKey } from '../../../services/workload/common/workRows.js';
+import { cellOwnerKey, type FormerLeases } from '../../../services/workload/common/workRows.js';
 import {
   type CellLease,
   initialCellLease,
   LeaseStepKind,
   nextLeaseStep,
   releaseTransaction,
+  withLeaseGivenUp,
   withLeaseCallFailed,
   withLeaseCommitted,
   withLeaseLost,
@@ -36,15 +37,15 @@
   readonly quietSinceMs: number;
   /** When all leases that it may have granted to workers are over. */
   readonly leasesOverAtMs: number;
-  /** The same of the owners before it, on the table's clock. */
-  readonly earlierLeasesOverTableMs: number | undefined;
+  /** The same of the owners before it. */
+  readonly earlierLeases: readonly FormerLeases[];
 }
 
 const NO_FORMER_OWNER: FormerOwner = {
   epoch: 0,
   quietSinceMs: Number.NEGATIVE_INFINITY,
   leasesOverAtMs: Number.NEGATIVE_INFINITY,
-  earlierLeasesOverTableMs: undefined,
+  earlierLeases: [],
 };
 
 export class FleetOwnership {
@@ -56,6 +57,8 @@
 
   #isReleased = false;
 
+  #yieldedEpoch: number | undefined;
+
   /** As of the last attempt to take the fleet. */
   #former = NO_FORMER_OWNER;
 
@@ -81,17 +84,20 @@
     return this.#former.quietSinceMs;
   }
 
-  /** When all leases that former owners may have granted to a worker of the roster are over. */
+  /**
+   * When all leases that former owners may have granted to a worker of the roster are over. What is
+   * stored may be later than what the last owner granted: it need not have reached the worker.
+   */
   leasesOverAtMs(entry: RosterEntry, rosterEpoch: number, nowMs: number): number {
-    const { epoch, leasesOverAtMs, earlierLeasesOverTableMs } = this.#former;
-    // The owner before this one grants nothing until the roster is of its epoch.
-    const earlierMs = rosterEpoch < epoch ? earlierLeasesOverTableMs : undefined;
-    const storedMs = entry.leasesOverTableMs ?? earlierMs;
+    const { leasesOverAtMs, earlierLeases } = this.#former;
+    // An owner grants nothing until the roster is of its epoch.
+    const granted = earlierLeases.find(({ upToEpoch }) => upToEpoch >= rosterEpoch);
+    const storedMs = entry.leasesOverTableMs ?? granted?.overTableMs;
     const { tableClock } = this.#lease;
     if (storedMs === undefined || tableClock === undefined) return leasesOverAtMs;
     // The table's clock is at least as far as it was when its answer came.
     const tableNowMs = tableClock.tableMs + nowMs - tableClock.readAtMs;
-    return Math.min(leasesOverAtMs, nowMs + storedMs - tableNowMs);
+    return nowMs + storedMs - tableNowMs;
   }
 
   /** An instant of this process on the table's clock, at the latest. */
@@ -122,14 +128,8 @@
     this.#operationCount += 1;
     const operationId = `${this.selfId}:lease:${this.#operationCount}`;
     const former = this.#formerOwner(nowMs);
-    const formerLeasesOverTableMs = this.toTableMs(former.leasesOverAtMs);
-    const next = nextLeaseStep(
-      this.#lease,
-      this.#timing,
-      operationId,
-      nowMs,
-      formerLeasesOverTableMs,
-    );
+    const formerLeases = this.#formerLeases(former, nowMs);
+    const next = nextLeaseStep(this.#lease, this.#timing, operationId, nowMs, formerLeases);
     if (next === undefined) return undefined;
     this.#lease = next.lease;
     const { step } = next;
@@ -143,6 +143,9 @@
     this.#lease = isLeft(result)
       ? withLeaseCallFailed(this.#lease, this.#timing, nowMs)
       : withLeaseRows(this.#lease, this.#timing, result.right, sentAtMs, nowMs);
+    if (this.#lease.isOwner && this.#lease.epoch === this.#yieldedEpoch) {
+      this.#lease = withLeaseGivenUp(this.#lease);
+    }
   }
 
   handleWritten(
@@ -151,9 +154,10 @@
     sentAtMs: number,
     nowMs: number,
   ): void {
+    const isLate = step === LeaseStepKind.Renew && !this.#lease.isOwner;
     if (isLeft(result)) {
       this.#lease = withLeaseCallFailed(this.#lease, this.#timing, nowMs);
-    } else if (result.right.outcome === TransactionOutcome.Committed) {
+    } else if (result.right.outcome === TransactionOutcome.Committed && !isLate) {
       this.#lease = withLeaseCommitted(
         this.#lease,
         this.#timing,
@@ -167,8 +171,13 @@
     }
   }
 
-  /** A worker or the table has shown that another daemon owns the fleet. */
+  /**
+   * A worker has shown that another daemon owns the fleet. Should that turn out to be wrong, the
+   * fleet is taken anew: the leases granted in this epoch, and the fences of workers that were
+   * found to be another process, are known no more.
+   */
   yield(nowMs: number): void {
+    this.#yieldedEpoch = this.#lease.epoch;
     this.#lease = withLeaseLost(this.#lease, this.#timing, nowMs);
   }
 
@@ -180,7 +189,7 @@
   }
 
   #formerOwner(nowMs: number): FormerOwner {
-    const { epoch, isReleased, unchangedSinceMs, formerLeasesOverTableMs } = this.#lease;
+    const { epoch, isReleased, unchangedSinceMs, formerLeases: earlierLeases } = this.#lease;
     const { maximumGrantWithoutTableMs, maximumLeaseMs } = this.#timing;
     // One that gave the fleet up granted nothing afterwards; another one may have gone on until it
     // noticed that it does not reach the table.
@@ -189,7 +198,21 @@
       epoch,
       quietSinceMs: unchangedSinceMs,
       leasesOverAtMs: lastGrantAtMs + longestLeaseMs(maximumLeaseMs),
-      earlierLeasesOverTableMs: formerLeasesOverTableMs,
+      earlierLeases,
     };
   }
+
+  /** What the owner row of this daemon's epoch is to say. */
+  #formerLeases(former: FormerOwner, nowMs: number): readonly FormerLeases[] {
+    const overTableMs = this.toTableMs(former.leasesOverAtMs);
+    const tableNowMs = this.toTableMs(nowMs);
+    if (overTableMs === undefined || tableNowMs === undefined) return [];
+    // Of those that are over the last one tells it of all before.
+    const firstOpen = former.earlierLeases.findIndex((one) => one.overTableMs > tableNowMs);
+    const kept =
+      firstOpen < 0
+        ? former.earlierLeases.slice(-1)
+        : former.earlierLeases.slice(Math.max(0, firstOpen - 1));
+    return [...kept, { upToEpoch: former.epoch, overTableMs }];
+  }
 }
--- a/src/scheduler/test/fleet/takeover.test.ts
+++ b/src/scheduler/test/fleet/takeover.test.ts
@@ -176,6 +176,31 @@
     expect(world.runsOf(LASTING_TASK)).toEqual(['worker-1']);
   });
 
+  it('never has a task running twice when its successor hands over at once', async () => {
+    const world = await worldOf(1, 3);
+    world.submit(submissionOf(LASTING_ID, [LASTING_STEP]));
+    await world.runFor(500);
+    const former = ownerIndex(world);
+    world.addWorker('worker-1');
+    world.seats.forEach((seat, index) =>
+      seat.unreachableWorkers.add(index === former ? 'worker-1' : 'worker-0'),
+    );
+    Object.assign(world.seats[former] ?? {}, { isCutFromTable: true });
+    const next = (): number =>
+      world.seats.findIndex(
+        ({ scheduler }, index) => index !== former && scheduler?.epoch !== undefined,
+      );
+    while (next() < 0) {
+      // eslint-disable-next-line no-await-in-loop -- looks as time goes by
+      await world.runFor(50);
+    }
+    await world.runFor(200);
+    world.stopScheduler(next());
+    await world.runFor(15_000);
+    expect(world.judge.broken).toEqual([]);
+    expect(world.runsOf(LASTING_TASK)).toEqual(['worker-1']);
+  });
+
   it('grants a worker that drains no lease beyond what its successor knows', async () => {
     const world = await splitWorld(true);
     await world.runFor(7_000);
--- a/src/services/workload/common/workRows.ts
+++ b/src/services/workload/common/workRows.ts
@@ -135,11 +135,18 @@
 export const cancellationRowSchema = z.strictObject({ jobIds: z.array(z.string()) });
 export type CancellationRow = z.infer<typeof cancellationRowSchema>;
 
+/** All leases granted in this epoch and before are over at an instant of the table's clock. */
+const formerLeasesSchema = z.strictObject({
+  upToEpoch: z.number().int().nonnegative(),
+  overTableMs: z.number(),
+});
+export type FormerLeases = z.infer<typeof formerLeasesSchema>;
+
 export const cellOwnerRowSchema = z.strictObject({
   ownerId: z.string(),
   epoch: z.number().int().positive(),
-  /** When all leases that former owners granted to workers are over, on the table's clock. */
-  formerLeasesOverTableMs: z.number().optional(),
+  /** When leases that former owners granted to workers are over; rising epochs. */
+  formerLeases: z.array(formerLeasesSchema).optional(),
 });
 export type CellOwnerRow = z.infer<typeof cellOwnerRowSchema>;
 
