Fix the roster outgrowing a row, and silent workers being limited late

Of 860 workers, the size to design for, the first roster after a takeover had 66,664 bytes, more than a row takes: no transaction would have been stored any more. Its entries are tuples now. The limit of a silent worker's leases is stored at once instead of after three seconds: with a worker lost 1 s before the owner a task that lasts was away for 12.2 s instead of under 9.

--- a/src/scheduler/common/fleet/fleetTenure.ts
+++ b/src/scheduler/common/fleet/fleetTenure.ts
@@ -2,12 +2,13 @@
 import type { OperatorState } from '../../../services/fleet/common/fleetConfiguration.js';
 import type { FleetWorkerEntry, RunReference } from '../../../services/fleet/common/fleetWorker.js';
 import type { Submission } from '../../../services/submissions/common/submission.js';
-import type {
-  Assignments,
-  LearntHarm,
-  Progress,
-  RosterEntry,
-  RosterRow,
+import {
+  type Assignments,
+  type LearntHarm,
+  type Progress,
+  type RosterEntry,
+  type RosterRow,
+  toRosterEntries,
 } from '../../../services/submissions/common/submissionRows.js';
 import { NO_RESOURCES } from '../../../services/worker/common/resources.js';
 import type { PlacementPolicy } from '../placement.js';
@@ -108,7 +109,6 @@
 export const newTenure = (
   epoch: number,
   stored: StoredState,
-  timing: FleetTiming,
   leasesOverAtMs: (entry: RosterEntry) => number,
   operator: () => OperatorState,
   nowMs: number,
@@ -119,7 +119,7 @@
   const keeper = new RunKeeper(book, views, operator, new WorkerHealth(), notes);
   const commits = new ProgressCommits();
   stored.versions.forEach((version, key) => commits.noteVersion(key, version));
-  stored.roster.workers.forEach((known) => {
+  toRosterEntries(stored.roster).forEach((known) => {
     const view = new FleetWorkerView(unlistedEntry(known), leasesOverAtMs(known), nowMs);
     view.isListed = false;
     views.set(known.id, view);
@@ -127,7 +127,7 @@
   stored.workers.forEach((entry) => noteListed(views, entry, nowMs));
   const harm = new HarmControl();
   harm.inherit(stored.harm, nowMs);
-  const roster = new Roster(epoch, timing);
+  const roster = new Roster(epoch);
   const tenure = { epoch, book, views, keeper, commits, roster, harm, notes, strays: new Map() };
   takeChanges(tenure, stored.changes, stored, nowMs);
   return tenure;
--- a/src/scheduler/common/fleet/roster.ts
+++ b/src/scheduler/common/fleet/roster.ts
@@ -3,11 +3,7 @@
  * limit the owner may grant at any time; with one, no lease lasts longer. Later owners carry the
  * limits on, so that a worker that is lost is waited for once, whatever the owner.
  */
-import type {
-  RosterEntry,
-  RosterRow,
-} from '../../../services/submissions/common/submissionRows.js';
-import type { FleetTiming } from './fleetTiming.js';
+import type { RosterRow } from '../../../services/submissions/common/submissionRows.js';
 import type { FleetWorkerView } from './fleetWorkerView.js';
 
 /** After a takeover the row changes with each worker that answers; it is tens of kilobytes. */
@@ -41,17 +37,16 @@
   });
 
 /**
- * Leases are wanted for a worker that answers. One that has just been listed and has never been
- * granted any is included at once, so that its first start need not wait for the row.
+ * Leases are wanted for a worker that answers; a silent one is granted none, and the sooner that is
+ * stored the shorter a successor waits. One that has just been listed and has never been granted any
+ * is included at once, so that its first start need not wait for the row.
  */
-const isWanted = (view: FleetWorkerView, timing: FleetTiming, nowMs: number): boolean =>
-  view.isHeard ? view.isFresh(timing, nowMs) : view.isListed && view.leasesOverAtMs <= nowMs;
+const isWanted = (view: FleetWorkerView, nowMs: number): boolean =>
+  view.isHeard ? !view.isSilent : view.isListed && view.leasesOverAtMs <= nowMs;
 
 export class Roster {
   readonly #epoch: number;
 
-  readonly #timing: FleetTiming;
-
   #written: Entries | undefined;
 
   /** Rows that were sent and of which it is not known whether they are stored. */
@@ -59,9 +54,8 @@
 
   #nextWriteAtMs = Number.NEGATIVE_INFINITY;
 
-  constructor(epoch: number, timing: FleetTiming) {
+  constructor(epoch: number) {
     this.#epoch = epoch;
-    this.#timing = timing;
   }
 
   /** By when each lease of the worker has to be over, by all rows that are or may be stored. */
@@ -120,7 +114,7 @@
   }
 
   #limitAtMs(view: FleetWorkerView, leastMs: number, nowMs: number): number {
-    if (!isWanted(view, this.#timing, nowMs)) return view.leasesOverAtMs;
+    if (!isWanted(view, nowMs)) return view.leasesOverAtMs;
     if (!view.entry.isDraining) return NO_LIMIT;
     const known = this.#written?.get(view.id)?.limitAtMs ?? NO_LIMIT;
     if (known !== NO_LIMIT && known - nowMs >= leastMs) return known;
@@ -128,10 +122,13 @@
   }
 
   #toRow(entries: Entries, toTableMs: ToTableMs): RosterRow {
-    const workers = [...entries].map(([id, { address, limitAtMs }]): RosterEntry => {
-      const leasesOverTableMs = limitAtMs === NO_LIMIT ? undefined : toTableMs(limitAtMs);
-      return leasesOverTableMs === undefined ? { id, address } : { id, address, leasesOverTableMs };
-    });
+    const workers = [...entries].map(
+      ([id, { address, limitAtMs }]): RosterRow['workers'][number] => [
+        id,
+        address,
+        (limitAtMs === NO_LIMIT ? undefined : toTableMs(limitAtMs)) ?? null,
+      ],
+    );
     return { epoch: this.#epoch, workers };
   }
 }
--- a/src/scheduler/test/fleet/progressCommits.test.ts
+++ b/src/scheduler/test/fleet/progressCommits.test.ts
@@ -9,7 +9,7 @@
 import { newRun } from '../../common/fleet/runKeeper.js';
 import { SubmissionBook } from '../../common/fleet/submissionBook.js';
 import { NO_ASSIGNMENTS } from '../../common/fleet/taskRecords.js';
-import { STEP, submissionOf, TIMING } from './fleetFixtures.js';
+import { STEP, submissionOf } from './fleetFixtures.js';
 
 const idOf = (index: number): string => index.toString(16).padStart(16, '0');
 
@@ -19,14 +19,17 @@
   for (let index = 0; index < cancelledCount + assignedCount; index += 1) {
     book.add(submissionOf(idOf(index), [STEP]), undefined, NO_ASSIGNMENTS, 0);
   }
-  [...book.waiting].forEach((task) => book.noteRun(newRun(task, 1, 'worker', 0)));
+  [...book.waiting].forEach((task) => {
+    book.noteRun(newRun(task, 1, 'worker', 0));
+    book.markUnrecorded(task.submission);
+  });
   for (let index = 0; index < cancelledCount; index += 1) book.cancel(idOf(index));
   return book;
 };
 
 const commitsOf = (book: SubmissionBook) => {
   const commits = new ProgressCommits();
-  const roster = new Roster(1, TIMING);
+  const roster = new Roster(1);
   const owner = { condition: { key: 'owner', version: 1 }, id: 'self', epoch: 1 };
   const input = { book, views: [], owner, harm: new HarmControl(), roster, intervalMs: 30 };
   const next = (nowMs: number): Transaction | undefined =>
--- a/src/services/submissions/common/submissionRows.ts
+++ b/src/services/submissions/common/submissionRows.ts
@@ -102,16 +102,22 @@
  */
 export const rosterSchema = z.strictObject({
   epoch: wholeSchema,
-  workers: z.array(
-    z.strictObject({
-      id: z.string(),
-      address: z.string(),
-      leasesOverTableMs: z.number().optional(),
-    }),
-  ),
+  /** Id, address and limit, or null without one; short, since one row holds the whole fleet. */
+  workers: z.array(z.tuple([z.string(), z.string(), z.number().nullable()])),
 });
 export type RosterRow = z.infer<typeof rosterSchema>;
-export type RosterEntry = RosterRow['workers'][number];
+
+export interface RosterEntry {
+  readonly id: string;
+  readonly address: string;
+  readonly leasesOverTableMs: number | undefined;
+}
+
+export const toRosterEntries = ({ workers }: RosterRow): readonly RosterEntry[] =>
+  workers.map(([id, address, limitMs]) => ({
+    ...{ id, address },
+    leasesOverTableMs: limitMs ?? undefined,
+  }));
 
 export const specKey = (id: string): string => `${SUBMISSIONS_PREFIX}${id}${SPEC_SUFFIX}`;
 /**
