Fix what a successor makes of stored assignments

A submission of which the owner died between the first start and its record was never shown as running; each takeover wrote all assignments anew, ahead of new starts (60 of 60 rows); a task that had ended in an occurrence that is not yet due by the successor's time of day started a second time; a member of a gang started alone when the other's worker was lost meanwhile.

Runs that a worker lists count as started, inherited ones as stored, occurrences named by stored progress or assignments are open, and a gang is started only if all its members can be. The tests failed before.

--- a/src/scheduler/common/fleet/fleetRound.ts
+++ b/src/scheduler/common/fleet/fleetRound.ts
@@ -154,6 +154,7 @@
     const run = newRun(task, number, view.id, this.#nowMs);
     view.addRun(run);
     this.#input.book.noteRun(run);
+    this.#input.book.markUnrecorded(task.submission);
     this.placed.push(run);
     return run;
   }
--- a/src/scheduler/common/fleet/fleetScheduler.ts
+++ b/src/scheduler/common/fleet/fleetScheduler.ts
@@ -132,7 +132,7 @@
     const leasesOverAtMs = (entry: RosterEntry): number =>
       this.#ownership.leasesOverAtMs(entry, stored.roster.epoch, nowMs);
     const operator = (): OperatorState => this.#operator;
-    this.#tenure = newTenure(epoch, stored, this.#timing, leasesOverAtMs, operator, nowMs);
+    this.#tenure = newTenure(epoch, stored, leasesOverAtMs, operator, nowMs);
   }
 
   handleChanges(epoch: number, changes: readonly SubmissionChange[], nowMs: number): void {
@@ -335,11 +335,15 @@
     // One that was withdrawn or lost while its assignment was being stored has no room any more.
     const hasRoom = (run: TaskRun): boolean => viewOf(run)?.hasRun(run) === true;
     const assigned = recorded.filter((run) => run.state === RunState.Assigned && hasRoom(run));
-    const blocked = assigned.filter((run) => !isStartable(run));
+    const startable = new Set(assigned.filter(isStartable));
     // A gang starts whole: a part of it would hold room and do no work.
-    const blockedSteps = new Set(blocked.map(({ task }) => stepName(task)));
+    const brokenGangs = new Set(
+      recorded
+        .filter((run) => run.task.step.isGang && !startable.has(run))
+        .map(({ task }) => stepName(task)),
+    );
     const isBlocked = (run: TaskRun): boolean =>
-      blocked.includes(run) || (run.task.step.isGang && blockedSteps.has(stepName(run.task)));
+      !startable.has(run) || brokenGangs.has(stepName(run.task));
     const started = assigned.filter((run) => !isBlocked(run));
     assigned.filter(isBlocked).forEach((run) => tenure.keeper.withdraw(run, nowMs));
     tenure.notes.addStarts(started, nowMs);
--- a/src/scheduler/common/fleet/runKeeper.ts
+++ b/src/scheduler/common/fleet/runKeeper.ts
@@ -272,8 +272,8 @@
       run.state = RunState.Running;
       run.settledAtMs = nowMs;
       run.percentSinceMs = nowMs;
-      this.#book.noteStarted(task.submission);
     }
+    this.#book.noteStarted(task.submission);
     return true;
   }
 
@@ -283,6 +283,7 @@
     if (task === undefined) return undefined;
     const isWanted = isOpen(task.submission) && !task.isDone && task.runs.length === 0;
     const run = this.#addListed(view, task, running.run, nowMs);
+    this.#book.markUnrecorded(task.submission);
     if (isWanted) this.#book.noteStarted(task.submission);
     else this.requestStops([run], StopReason.NotWanted, nowMs);
     return run;
--- a/src/scheduler/common/fleet/submissionBook.ts
+++ b/src/scheduler/common/fleet/submissionBook.ts
@@ -8,6 +8,7 @@
 import type { Assignments, Progress } from '../../../services/submissions/common/submissionRows.js';
 import {
   allOccurrencesDone,
+  begunOccurrenceCount,
   type InheritedRun,
   isOpen,
   isStepReady,
@@ -84,7 +85,16 @@
       return;
     }
     if (submission.occurrenceCount === 0) this.#open(record, 0, nowMs);
-    else this.#timed.add(record);
+    else this.#addTimed(record, nowMs);
+  }
+
+  /** What a former owner has begun goes on, also if it is not due by this process's time of day. */
+  #addTimed(record: SubmissionRecord, nowMs: number): void {
+    this.#timed.add(record);
+    while (record.nextOccurrence < begunOccurrenceCount(record)) {
+      this.#open(record, record.nextOccurrence, nowMs);
+      record.nextOccurrence += 1;
+    }
   }
 
   /** Cancels a submission, also one that is not known yet. Returns the runs to be stopped. */
@@ -125,7 +135,6 @@
     task.runs.push(run);
     task.lastRun = Math.max(task.lastRun, run.run);
     this.#waiting.delete(task);
-    this.markUnrecorded(task.submission);
   }
 
   /** Takes the tasks that may still run where former owners started them. */
--- a/src/scheduler/common/fleet/taskRecords.ts
+++ b/src/scheduler/common/fleet/taskRecords.ts
@@ -164,6 +164,15 @@
 const tasksOfOccurrence = (submission: Submission): number =>
   submission.steps.reduce((sum, step) => sum + step.taskCount, 0);
 
+/** Occurrences of which the stored progress or assignments name a task, and those before them. */
+export const begunOccurrenceCount = (record: SubmissionRecord): number => {
+  const { submission, initial, inheritedRuns } = record;
+  const failedPlaces = Object.keys(initial.failedRuns).map(Number);
+  const places = [...initial.done, ...failedPlaces, ...inheritedRuns.keys()];
+  const last = places.reduce((highest, place) => Math.max(highest, place), -1);
+  return Math.ceil((last + 1) / Math.max(1, tasksOfOccurrence(submission)));
+};
+
 /** Makes the tasks of an occurrence, with what is stored of them. */
 export const openOccurrence = (
   record: SubmissionRecord,
--- /dev/null
+++ b/src/scheduler/test/fleet/ownerChanges.test.ts
@@ -0,0 +1,218 @@
+import { right } from 'fp-ts/lib/Either.js';
+import { describe, expect, it } from 'vitest';
+
+import { OrderOutcome, RunEnd } from '../../../services/fleet/common/fleetWorker.js';
+import { ASSIGNMENT_PREFIX } from '../../../services/submissions/common/submissionRows.js';
+import type { FleetScheduler } from '../../common/fleet/fleetScheduler.js';
+import { longestLeaseMs } from '../../common/fleet/fleetTiming.js';
+import { FleetWorkerView } from '../../common/fleet/fleetWorkerView.js';
+import { Roster } from '../../common/fleet/roster.js';
+import { STEP, submissionOf, TIMING, WORKER_CAPACITY } from './fleetFixtures.js';
+import { FleetWorld } from './fleetWorld.js';
+
+const ID = '00000000000000d1';
+const TASK = `${ID}.0.0.0`;
+const LASTING_STEP = { ...STEP, isPersistent: true };
+/** From the death of an owner until its successor has placed what waits. */
+const TAKEOVER_MS = 4_000;
+/** From the death of an owner until all leases that it may have granted are over. */
+const FORMER_LEASES_MS =
+  TIMING.leaseMs + TIMING.maximumGrantWithoutTableMs + longestLeaseMs(TIMING.maximumLeaseMs);
+/** For how long a task that lasts may be away while there is room for it. */
+const LONGEST_ABSENCE_MS = 9_000;
+/** What the table takes as one row. */
+const MAXIMUM_ROW_BYTES = 65_536;
+/** The fleet that the scheduler is designed for. */
+const DESIGNED_WORKERS = 860;
+
+const ENTRY = {
+  serviceName: 'service',
+  availabilityZone: 'zone',
+  isDraining: false,
+  capacity: WORKER_CAPACITY,
+  labels: [],
+  rack: '',
+  incarnation: 1,
+};
+
+const worldOf = async (
+  workerCount: number,
+  schedulerCount: number,
+  workMs = 90_000,
+): Promise<FleetWorld> => {
+  const world = new FleetWorld(5, () => ({ workMs, end: RunEnd.Done }));
+  for (let index = 0; index < workerCount; index += 1) world.addWorker(`worker-${index}`);
+  for (let index = 0; index < schedulerCount; index += 1) world.addScheduler();
+  await world.runFor(1_500);
+  return world;
+};
+
+const ownerIndex = (world: FleetWorld): number =>
+  world.seats.findIndex(({ scheduler }) => scheduler?.epoch !== undefined);
+
+/** Runs until the condition is met, and returns how long that took. */
+const untilMet = async (
+  world: FleetWorld,
+  isMet: () => boolean,
+  limitMs: number,
+): Promise<number> => {
+  const sinceMs = world.nowMs;
+  while (!isMet() && world.nowMs - sinceMs < limitMs) {
+    // eslint-disable-next-line no-await-in-loop -- looks as time goes by
+    await world.runFor(10);
+  }
+  return world.nowMs - sinceMs;
+};
+
+/** Gives the owner the answer of a worker that has seen a higher fence. */
+const fence = (world: FleetWorld, workerId: string): void => {
+  const scheduler = world.seats[ownerIndex(world)]?.scheduler as FleetScheduler;
+  scheduler.handleStopped(
+    scheduler.epoch as number,
+    { workerId, address: workerId, taskName: TASK, run: 1, fence: 1 },
+    right(OrderOutcome.Fenced),
+    world.nowMs,
+  );
+};
+
+describe('an owner that gives the fleet up and finds itself still the owner', () => {
+  it('never has a task running twice, by leases that it granted before', async () => {
+    const world = await worldOf(2, 1);
+    world.submit(submissionOf(ID, [LASTING_STEP]));
+    await world.runFor(12_000);
+    const [holder] = world.runsOf(TASK);
+    const [other] = [...world.workers.keys()].filter((id) => id !== holder);
+    world.cutWorkers.add(holder as string);
+    fence(world, other as string);
+    await world.runFor(3_000);
+    expect(world.judge.broken).toEqual([]);
+  });
+
+  it('is not refused by a worker that has seen its fence rise', async () => {
+    const world = await worldOf(2, 1);
+    world.workers.get('worker-0')?.crash();
+    await world.runFor(100);
+    world.workers.get('worker-0')?.restart(world.nowMs);
+    await world.runFor(2_000);
+    fence(world, 'worker-0');
+    world.submit(submissionOf(ID, [STEP]));
+    const waitedMs = await untilMet(world, () => world.runsOf(TASK).length > 0, 20_000);
+    expect(waitedMs).toBeLessThan(TAKEOVER_MS);
+  });
+});
+
+describe('a gang whose assignments are being stored', () => {
+  it('does not start in part when a worker becomes another process meanwhile', async () => {
+    const world = await worldOf(2, 1);
+    world.faults.transactionMs = 600;
+    const size = { ...STEP.size, processorMillis: 3_000 };
+    world.submit(submissionOf(ID, [{ ...STEP, size, taskCount: 2, isGang: true }]));
+    await world.runFor(200);
+    world.workers.get('worker-0')?.crash();
+    world.workers.get('worker-0')?.restart(world.nowMs);
+    await world.runFor(1_500);
+    const counts = [0, 1].map((index) => world.judge.startsOf.get(`${ID}.0.0.${index}`) ?? 0);
+    expect(counts[0]).toBe(counts[1]);
+  });
+});
+
+describe('workers that drain', () => {
+  it('keep tasks that last for which others have no room', async () => {
+    const world = await worldOf(1, 1);
+    world.submit(submissionOf(ID, [{ ...LASTING_STEP, taskCount: 4 }]));
+    await world.runFor(500);
+    world.submit(submissionOf('00000000000000d2', [{ ...STEP, taskCount: 3 }]));
+    world.addWorker('worker-1');
+    await world.runFor(1_500);
+    world.drainingWorkers.add('worker-0');
+    await world.runFor(4_000);
+    const running = [0, 1, 2, 3].map((index) => world.runsOf(`${ID}.0.0.${index}`).length);
+    expect(running).toEqual([1, 1, 1, 1]);
+  });
+});
+
+describe('a successor', () => {
+  it('shows a submission as running whose first start its predecessor has not recorded', async () => {
+    const world = await worldOf(2, 2);
+    world.submit(submissionOf(ID, [STEP]));
+    await untilMet(world, () => world.runsOf(TASK).length > 0, 1_000);
+    world.killScheduler(ownerIndex(world));
+    await world.runFor(6_000);
+    expect(world.runsOf(TASK)).toHaveLength(1);
+    expect(world.progress(ID)?.state).toBe('running');
+  });
+
+  it('does not wait anew for a lost worker, however many owners end before their first roster', async () => {
+    const world = await worldOf(2, 8);
+    world.submit(submissionOf(ID, [LASTING_STEP]));
+    await world.runFor(500);
+    world.removeWorker(world.runsOf(TASK)[0] as string);
+    const sinceMs = world.nowMs;
+    world.killScheduler(ownerIndex(world));
+    for (let round = 0; round < 6; round += 1) {
+      const owner = (): number => world.seats.findIndex(({ scheduler }) => scheduler?.isOwner);
+      // eslint-disable-next-line no-await-in-loop -- each owner ends as soon as it is one
+      await untilMet(world, () => owner() >= 0, 5_000);
+      world.killScheduler(owner());
+    }
+    await untilMet(world, () => world.runsOf(TASK).length > 0, 30_000);
+    const awayMs = world.nowMs - sinceMs;
+    expect(awayMs).toBeLessThan(FORMER_LEASES_MS + TAKEOVER_MS);
+  });
+
+  it('leaves no task that lasts away for long whose worker was lost just before the owner', async () => {
+    const world = await worldOf(2, 2);
+    world.submit(submissionOf(ID, [LASTING_STEP]));
+    await world.runFor(4_000);
+    world.removeWorker(world.runsOf(TASK)[0] as string);
+    const sinceMs = world.nowMs;
+    await world.runFor(1_000);
+    world.killScheduler(ownerIndex(world));
+    await untilMet(world, () => world.runsOf(TASK).length > 0, 30_000);
+    expect(world.nowMs - sinceMs).toBeLessThan(LONGEST_ABSENCE_MS);
+  });
+
+  it('starts no task anew that ended in an occurrence which is not due by its own time of day', async () => {
+    const world = await worldOf(2, 2, 800);
+    const first = ownerIndex(world);
+    const late = world.seats[1 - first]?.scheduler as FleetScheduler;
+    const step = late.step.bind(late);
+    late.step = (wallNowMs, nowMs) => step(wallNowMs - 5_000, nowMs);
+    world.submit({
+      ...submissionOf(ID, [STEP]),
+      occurrenceCount: 1,
+      firstDueWallMs: world.nowMs + 300,
+      occurrenceIntervalMs: 1_000,
+    });
+    await untilMet(world, () => world.runsOf(TASK).length > 0, 2_000);
+    world.killScheduler(first);
+    await world.runFor(12_000);
+    expect(world.progress(ID)?.state).toBe('complete');
+    expect(world.judge.startsOf.get(TASK)).toBe(1);
+  });
+
+  it('writes no assignments anew that are stored as they are', async () => {
+    const world = await worldOf(20, 2);
+    for (let index = 0; index < 60; index += 1) {
+      world.submit(submissionOf(`00000000000e${index.toString().padStart(4, '0')}`, [STEP]));
+    }
+    await world.runFor(3_000);
+    const versions = (): readonly number[] =>
+      world.table.read({ keys: [], prefixes: [ASSIGNMENT_PREFIX] }).rows.map((row) => row.version);
+    const before = versions();
+    world.killScheduler(ownerIndex(world));
+    await world.runFor(4_000);
+    expect(before).toHaveLength(60);
+    expect(versions()).toEqual(before);
+  });
+
+  it('stores a roster of the whole fleet in one row while it has heard of no worker', () => {
+    const views = Array.from({ length: DESIGNED_WORKERS }, (_, index) => {
+      const id = `i-${index.toString(16).padStart(10, '0')}`;
+      const address = `10.1.${Math.floor(index / 250)}.${index % 250}:8109`;
+      return new FleetWorkerView({ ...ENTRY, id, address }, 12_000, 1_000);
+    });
+    const row = new Roster(12).next(views, (atMs) => atMs + 1_000_000, 1_000);
+    expect(JSON.stringify(row).length).toBeLessThan(MAXIMUM_ROW_BYTES);
+  });
+});
--- /dev/null
+++ b/src/scheduler/test/newCellOwner.test.ts
@@ -0,0 +1,42 @@
+import { describe, expect, it } from 'vitest';
+
+import { serviceKey } from '../../services/configuration/common/documents.js';
+import { endpointKey, type EndpointRow } from '../../services/workload/common/workRows.js';
+import { expectNoHarm, shard, SIZE, startCell, submit } from './cellFixtures.js';
+import { CELL } from './virtualCell.js';
+
+describe('a new owner of a cell', () => {
+  it('does not withdraw services from entry points whose workers it has not heard of yet', () => {
+    const cell = startCell(2, { workerCount: 12 });
+    const service = { name: 'rounds', team: 'kitchen', replicaCount: 24, size: SIZE };
+    cell.writeRow(serviceKey('rounds'), { ...service, urgency: 'urgent' });
+    cell.runFor(20_000);
+    const published = (): number => {
+      const [row] = cell.table.read({ keys: [endpointKey(CELL)], prefixes: [] }).rows;
+      return (row?.value as unknown as EndpointRow).servers.length;
+    };
+    expect(published()).toBe(24);
+    Object.assign(cell.owner() ?? {}, { isAlive: false });
+    let least = published();
+    for (let tick = 0; tick < 400; tick += 1) {
+      cell.runFor(25);
+      least = Math.min(least, published());
+    }
+    expect(least).toBe(24);
+  });
+
+  it('does not wait anew for a lost worker, however many owners follow', () => {
+    const cell = startCell(2);
+    for (let index = 0; index < 10; index += 1) cell.addDaemon(`e${index}`);
+    submit(cell, shard(48, 30_000));
+    cell.runFor(4_000);
+    cell.cutWorkers.add('w0');
+    cell.relist('w0', null);
+    for (let round = 0; round < 8; round += 1) {
+      Object.assign(cell.owner() ?? {}, { isAlive: false });
+      cell.runFor(30_000);
+    }
+    expect(cell.judge.verdict().completedBatchCount).toBe(48);
+    expectNoHarm(cell);
+  });
+});
