Pace steps only where they take over a third of the time

A step waited 10 ms after the one before, and twice as long as that one took, also on an owner that was idle. Each hop of a submission, from an end to the starts that follow it, was put off by as much.

Steps now have a budget: a third of the time, and 50 ms that may gather while it is quiet. Below that each answer is acted on at once, as before steps were paced; beyond, steps wait until the budget is earned, for 150 ms at most.

The tests of the pace itself hold the share at steps of 1, 10 and 60 ms, no wait at 50 steps a second of 4 ms, and the bound on one pause.

--- a/src/scheduler/common/fleet/stepPace.ts
+++ b/src/scheduler/common/fleet/stepPace.ts
@@ -1,27 +1,38 @@
 /**
  * When the scheduler may take its next step. A step looks at every worker and everything that
- * waits, so that one for each answer would leave a slow processor no time for the answers
+ * waits, so that one for each answer would leave a busy processor no time for the answers
  * themselves: of 300 workers some six hundred a second come in.
  */
 
-/** Answers that come within this time are acted on together. */
-const LEAST_PAUSE_MS = 10;
-/** Steps take at most a third of the time; the rest is for calls and answers. */
-const PAUSE_PER_STEP = 2;
-/** A long step is an exception, and renewals must not wait for what would be its due pause. */
+/** The part of the time that steps may take for long. */
+const STEP_SHARE = 1 / 3;
+/** What steps may take on top of that after a quiet while: then each answer is acted on at once. */
+const SPARE_MS = 50;
+/** Renewals are sent by steps as well, and must not wait for all that a long one would owe. */
 const LONGEST_PAUSE_MS = 150;
 
 export class StepPace {
-  #nextAtMs = Number.NEGATIVE_INFINITY;
+  /** What steps may still take; below nothing, they have to wait. */
+  #budgetMs = SPARE_MS;
+
+  #countedAtMs = Number.POSITIVE_INFINITY;
 
   /** How long the next step has to wait. */
   waitMs(nowMs: number): number {
-    return Math.max(0, this.#nextAtMs - nowMs);
+    this.#count(nowMs);
+    return this.#budgetMs >= 0 ? 0 : -this.#budgetMs / STEP_SHARE;
   }
 
   /** A step has been taken. */
   note(beganAtMs: number, endedAtMs: number): void {
-    const pauseMs = (endedAtMs - beganAtMs) * PAUSE_PER_STEP;
-    this.#nextAtMs = endedAtMs + Math.min(LONGEST_PAUSE_MS, Math.max(LEAST_PAUSE_MS, pauseMs));
+    this.#count(endedAtMs);
+    const leftMs = this.#budgetMs - (endedAtMs - beganAtMs);
+    this.#budgetMs = Math.max(-LONGEST_PAUSE_MS * STEP_SHARE, leftMs);
+  }
+
+  #count(nowMs: number): void {
+    const earnedMs = Math.max(0, nowMs - this.#countedAtMs) * STEP_SHARE;
+    this.#budgetMs = Math.min(SPARE_MS, this.#budgetMs + earnedMs);
+    this.#countedAtMs = nowMs;
   }
 }
