Remember what a worker's tasks use until they change

A round of placing asks each worker for each waiting task which images its serving tasks have and how much of its processors is used, and walked all its runs for that. Few workers change between two tasks.

Both are kept per worker now until its runs change. The capacity is left out of it, since the entry of a worker may change without its runs. Which worker is chosen stays as it was; the tests of placement hold.

--- a/src/scheduler/common/fleet/fleetPlacement.ts
+++ b/src/scheduler/common/fleet/fleetPlacement.ts
@@ -29,14 +29,36 @@
 const OPENING_COST = 1;
 const MIXING_COST = 3;
 
-/** Processors on the worker that nothing but fillers is likely to use. */
-export const idleProcessorMillis = (view: FleetWorkerView): number => {
-  let used = 0;
+/** What placing goes by of all that runs on a worker. */
+interface Occupancy {
+  readonly changeCount: number;
+  /** Processors that it is likely to use, with all that its fillers would. */
+  readonly usedProcessorMillis: number;
+  /** Distinct images of the tasks that serve. */
+  readonly servingImages: ReadonlySet<string>;
+}
+
+/** Each round asks every worker for each task that waits, and few workers change in between. */
+const knownOccupancies = new WeakMap<FleetWorkerView, Occupancy>();
+
+const newOccupancy = (view: FleetWorkerView): Occupancy => {
+  let usedProcessorMillis = view.fillerProcessorMillis;
+  const servingImages = new Set<string>();
   view.runs.forEach(({ task }) => {
+    if (isServing(task)) servingImages.add(task.step.image);
     if (task.step.isFiller) return;
-    used += task.step.size.processorMillis * (isServing(task) ? SERVING_USE_SHARE : 1);
+    usedProcessorMillis +=
+      task.step.size.processorMillis * (isServing(task) ? SERVING_USE_SHARE : 1);
   });
-  return view.entry.capacity.processorMillis - used - view.fillerProcessorMillis;
+  return { changeCount: view.changeCount, usedProcessorMillis, servingImages };
+};
+
+const occupancyOf = (view: FleetWorkerView): Occupancy => {
+  const known = knownOccupancies.get(view);
+  if (known?.changeCount === view.changeCount) return known;
+  const occupancy = newOccupancy(view);
+  knownOccupancies.set(view, occupancy);
+  return occupancy;
 };
 
 const sameStepCount = (view: FleetWorkerView, task: TaskRecord): number => {
@@ -85,7 +107,7 @@
   let bestScore = Number.NEGATIVE_INFINITY;
   views.forEach((view) => {
     if (!fitsInto(counted, view.free)) return;
-    const idle = idleProcessorMillis(view);
+    const idle = view.entry.capacity.processorMillis - occupancyOf(view).usedProcessorMillis;
     if (idle < size.processorMillis * FILLER_IDLE_SHARE) return;
     const headroom = harm.headroomWith(view, task, nowMs);
     if (headroom === undefined) return;
@@ -97,15 +119,6 @@
   return best;
 };
 
-/** Distinct images of the tasks that serve on the worker. */
-const servingImages = (view: FleetWorkerView): ReadonlySet<string> => {
-  const images = new Set<string>();
-  view.runs.forEach(({ task }) => {
-    if (isServing(task)) images.add(task.step.image);
-  });
-  return images;
-};
-
 /**
  * Made for services that take most of the room beside batch work of many images. Whether batch
  * work harms a service depends on the two images, and for two in five pairs of a heavy day one
@@ -121,11 +134,12 @@
   let best: FleetWorkerView | undefined;
   let bestCost = Number.POSITIVE_INFINITY;
   views.forEach((view) => {
-    if (!fitsInto(task.step.size, view.free)) return;
-    const images = servingImages(view);
+    const { free } = view;
+    if (!fitsInto(task.step.size, free)) return;
+    const images = occupancyOf(view).servingImages;
     const otherCount = images.size - (images.has(task.step.image) ? 1 : 0);
     const openingCost = images.size === 0 ? OPENING_COST : 0;
-    const left = view.free.processorMillis / Math.max(1, view.entry.capacity.processorMillis);
+    const left = free.processorMillis / Math.max(1, view.entry.capacity.processorMillis);
     const cost = otherCount * MIXING_COST + openingCost + left;
     if (cost >= bestCost) return;
     best = view;
