Add metrics of late renewals and of the event loop's delay

Logs told that an owner had lost its lease, but not why: whether its process was held up, or the table.

--- a/src/scheduler/node/fleetTask.ts
+++ b/src/scheduler/node/fleetTask.ts
@@ -24,6 +24,7 @@
 import type { FleetTiming } from '../common/fleet/fleetTiming.js';
 import { SpreadAndPackPolicy } from '../common/placement.js';
 import { CallTurns } from './callTurns.js';
+import { RenewalWatch } from './renewalWatch.js';
 import { StoredStateReader } from './storedStateReader.js';
 
 /** How often the scheduler looks what is due when nothing happens. */
@@ -62,6 +63,8 @@
 
   readonly #disposables = new DisposableStore();
 
+  readonly #renewals: RenewalWatch;
+
   readonly #pace = new StepPace();
 
   readonly #firstHolds = new CallTurns(FIRST_HOLDS_AT_A_TIME, FIRST_HOLD_PATIENCE_MS);
@@ -77,6 +80,7 @@
     this.#services = services;
     const { clock, operator, table, directory, log } = services;
     this.#reader = new StoredStateReader(table, directory, log);
+    this.#renewals = new RenewalWatch(timing.leaseMs, log, services.metrics);
     this.#scheduler = new FleetScheduler(
       selfId,
       timing,
@@ -153,6 +157,7 @@
       }
       case 'lease-write': {
         const result = await table.transact(effect.transaction)();
+        this.#renewals.note(effect.step, sentAtMs, clock.nowMs());
         scheduler.handleLeaseWritten(effect.step, result, sentAtMs, clock.nowMs());
         break;
       }
--- /dev/null
+++ b/src/scheduler/node/renewalWatch.ts
@@ -0,0 +1,35 @@
+/** Tells how punctually the owner renews its lease. */
+import type { Log } from '../../services/log/common/log.js';
+import type { Metrics } from '../../services/metrics/common/metrics.js';
+import { LeaseStepKind } from '../common/cellLease.js';
+
+/** Renewals further apart than this share of the lease are told of. */
+const LATE_SHARE = 0.6;
+
+export class RenewalWatch {
+  readonly #leaseMs: number;
+
+  readonly #log: Log;
+
+  readonly #metrics: Metrics;
+
+  #sentAtMs: number | undefined;
+
+  constructor(leaseMs: number, log: Log, metrics: Metrics) {
+    this.#leaseMs = leaseMs;
+    this.#log = log;
+    this.#metrics = metrics;
+  }
+
+  /** Takes in the answer to a call by which the lease was to be acquired or renewed. */
+  note(step: LeaseStepKind, sentAtMs: number, answeredAtMs: number): void {
+    const beforeMs = this.#sentAtMs;
+    this.#sentAtMs = sentAtMs;
+    if (step !== LeaseStepKind.Renew || beforeMs === undefined) return;
+    const gapMs = Math.round(sentAtMs - beforeMs);
+    this.#metrics.recordMs('lease_renewal_gap', gapMs);
+    if (gapMs <= this.#leaseMs * LATE_SHARE) return;
+    const answeredAfterMs = Math.round(answeredAtMs - sentAtMs);
+    this.#log.warn('lease-renewed-late', { gapMs, answeredAfterMs });
+  }
+}
--- /dev/null
+++ b/src/scheduler/test/fleet/renewalWatch.test.ts
@@ -0,0 +1,25 @@
+import { describe, expect, it } from 'vitest';
+
+import { type LogFields, silentLog } from '../../../services/log/common/log.js';
+import type { LogEvent } from '../../../services/log/common/logEvents.js';
+import { silentMetrics } from '../../../services/metrics/common/metrics.js';
+import { LeaseStepKind } from '../../common/cellLease.js';
+import { RenewalWatch } from '../../node/renewalWatch.js';
+
+describe('the watch of renewals', () => {
+  it('tells of one that is late, but not of the first one after an acquisition', () => {
+    const told: [LogEvent, LogFields | undefined][] = [];
+    const gaps: number[] = [];
+    const watch = new RenewalWatch(
+      1_500,
+      { ...silentLog, warn: (event, fields) => told.push([event, fields]) },
+      { ...silentMetrics, recordMs: (_, gapMs) => gaps.push(gapMs) },
+    );
+    watch.note(LeaseStepKind.Renew, 0, 5);
+    watch.note(LeaseStepKind.Acquire, 60_000, 60_005);
+    watch.note(LeaseStepKind.Renew, 60_450, 60_455);
+    watch.note(LeaseStepKind.Renew, 61_650, 61_700);
+    expect(gaps).toEqual([450, 1_200]);
+    expect(told).toEqual([['lease-renewed-late', { gapMs: 1_200, answeredAfterMs: 50 }]]);
+  });
+});
--- a/src/services/metrics/common/metricList.ts
+++ b/src/services/metrics/common/metricList.ts
@@ -135,6 +135,10 @@
   ),
   task_starts: counter('Starts sent to workers, by what the worker answered.'),
   fleet_scheduling: gauge('One on the instance that schedules the workers, else nought.'),
+  lease_renewal_gap: duration(
+    "Between two renewals of the owner's lease, as sent; the lease is lost where it is over by then.",
+  ),
+  event_loop_delay: duration('How late a timer of the daemon fired; ten of them in a second.'),
   store_silence_ms: gauge('How long ago the store last answered what operators wrote.'),
 };
 
