Renew ahead where the owner is held up

An owner with 0.186 of a core and 280 workers lost its lease after 22 s under load, without a fault: two renewals were sent 1,557 ms apart (line `lease-renewed-late`; a trial on a scratch copy in which daemons with 1.35 cores were kept from owning).

Cause: a renewal is sent by the step after it is due. Where steps and answers take half a second each that adds to the interval of 450 ms, each time anew.

Change: the next renewal is due as much earlier as the last one was sent late, by two thirds of the interval at most. The time between two is then near the time that the owner is held up, and an owner at leisure renews as often as before.

Test: a renewal sent 200 ms late brings the next one 200 ms forward, and none comes within 150 ms of the last; it failed before.

--- a/src/scheduler/common/cellLease.ts
+++ b/src/scheduler/common/cellLease.ts
@@ -23,6 +23,7 @@
 } from '../../services/workload/common/workRows.js';
 import {
   type CellLeaseTiming,
+  nextRenewalAtMs,
   takeableAtMs,
   toldDelayMs,
   type WatchedOwner,
@@ -240,10 +241,10 @@
   nowMs: number,
 ): CellLease => {
   const isAcquired = kind === LeaseStepKind.Acquire;
+  const dueAtMs = isAcquired ? sentAtMs : lease.nextStepAtMs;
   return {
     ...rested(lease, timing, nowMs),
-    // Other daemons have counted since it was sent, however late the answer was taken in.
-    nextStepAtMs: Math.max(nowMs, sentAtMs + timing.heartbeatIntervalMs),
+    nextStepAtMs: Math.max(nowMs, nextRenewalAtMs(dueAtMs, timing, sentAtMs)),
     isOwner: true,
     epoch: isAcquired ? lease.epoch + 1 : lease.epoch,
     ownerRowVersion: isAcquired ? version : lease.ownerRowVersion,
--- a/src/scheduler/common/leasePatience.ts
+++ b/src/scheduler/common/leasePatience.ts
@@ -1,4 +1,4 @@
-/** How long a daemon that would take a cell over watches its owner's heartbeat stand still. */
+/** When the owner of a cell renews its lease, and how long others watch its heartbeat stand still. */
 
 export interface CellLeaseTiming {
   readonly heartbeatIntervalMs: number;
@@ -61,3 +61,20 @@
   timing.isDelayRelative === true
     ? Math.min(timing.acquireDelayMs, owner.leastDelayMs ?? timing.acquireDelayMs)
     : undefined;
+
+/** At most this share of an interval is a renewal sent ahead by an owner that is held up. */
+const LONGEST_LEAD_SHARE = 2 / 3;
+
+/**
+ * When to renew after a call that was due at `dueAtMs` and sent at `sentAtMs`. Other daemons have
+ * counted since then, however late its answer was taken in. An owner that was held up is likely to
+ * be so again, and begins as much earlier, so that its renewals are hardly further apart.
+ */
+export const nextRenewalAtMs = (
+  dueAtMs: number,
+  { heartbeatIntervalMs }: CellLeaseTiming,
+  sentAtMs: number,
+): number => {
+  const leadMs = Math.min(sentAtMs - dueAtMs, heartbeatIntervalMs * LONGEST_LEAD_SHARE);
+  return sentAtMs + heartbeatIntervalMs - Math.max(0, leadMs);
+};
--- a/src/scheduler/test/cellLease.test.ts
+++ b/src/scheduler/test/cellLease.test.ts
@@ -107,6 +107,21 @@
     expect(renewal?.step.kind).toBe(LeaseStepKind.Renew);
   });
 
+  it('is renewed ahead by an owner that got to the last renewal late', () => {
+    const committed = { outcome: TransactionOutcome.Committed, version: 8 };
+    const start = initialCellLease(CELL, 'self', 0);
+    const { Acquire, Renew } = LeaseStepKind;
+    const owned = withLeaseCommitted(start, TIMING, Acquire, committed, 1_000, 1_010);
+    // Due at 1,450, and sent 200 ms later since the process was held up.
+    const renewed = withLeaseCommitted(owned, TIMING, Renew, committed, 1_650, 1_660);
+    expect(nextLeaseStep(renewed, TIMING, 'operation', 1_890)).toBeUndefined();
+    expect(nextLeaseStep(renewed, TIMING, 'operation', 1_900)?.step.kind).toBe(Renew);
+    // However late, it is not renewed more than three times as often.
+    const late = withLeaseCommitted(renewed, TIMING, Renew, committed, 3_000, 3_010);
+    expect(nextLeaseStep(late, TIMING, 'operation', 3_140)).toBeUndefined();
+    expect(nextLeaseStep(late, TIMING, 'operation', 3_150)?.step.kind).toBe(Renew);
+  });
+
   it('shows no older heartbeat than was sent, by an owner that took the last answer in late', () => {
     const owned = withLeaseCommitted(
       initialCellLease(CELL, 'self', 0),
