Fix workers that stand empty for half a minute after a fault of seconds

Cause: the fleet's rounds left out workers that WorkerHealth sets aside for 30 s and more. Since failures trip a worker and probes find out whether it works again, this does nothing but keep recovered workers empty.

Cells keep setting workers aside.

Why it works: a tripped worker costs one first try each 2 s at most while its fault lasts, and is filled again as soon as one of these ends well.

--- a/src/scheduler/common/fleet/fleetRound.ts
+++ b/src/scheduler/common/fleet/fleetRound.ts
@@ -18,8 +18,6 @@
 
 /** Run numbers that one epoch may use of a task before they meet those of the next. */
 const RUNS_PER_EPOCH = 1_000;
-/** How long a task that lasts waits for a worker that is not set aside. */
-const ASIDE_PATIENCE_MS = 1_500;
 /** Starts of one round; more would hold up the answers that come in meanwhile. */
 const MAXIMUM_STARTS = 60;
 
@@ -73,9 +71,6 @@
 
   readonly #usable: ViewsByService;
 
-  /** Workers that failed what they started of late. */
-  readonly #aside: ViewsByService;
-
   /** Steps that found no room in this round; their other tasks would not either. */
   readonly #full = new Set<string>();
 
@@ -88,9 +83,7 @@
     this.#configuration = configuration;
     this.#nowMs = nowMs;
     const usable = [...input.views.values()].filter((view) => isUsable(view, input, nowMs));
-    const isAside = ({ id }: FleetWorkerView): boolean => input.health.isSetAside(id, nowMs);
-    this.#usable = byService(usable.filter((view) => !isAside(view)));
-    this.#aside = byService(usable.filter(isAside));
+    this.#usable = byService(usable);
   }
 
   place(task: TaskRecord): void {
@@ -103,7 +96,7 @@
     const serviceName = queue?.serviceName ?? submission.serviceName;
     const views = this.#usable.get(serviceName) ?? [];
     const isPlaced = task.step.isGang ? this.#placeGang(task, views) : this.#placeOne(task, views);
-    if (!isPlaced && !this.#placeAside(task, serviceName)) this.#full.add(key);
+    if (!isPlaced) this.#full.add(key);
   }
 
   #placeOne(task: TaskRecord, views: readonly FleetWorkerView[]): boolean {
@@ -113,17 +106,6 @@
     return true;
   }
 
-  /**
-   * A task that lasts has no attempts to lose, and its users have nobody else while it waits: where
-   * only workers that are set aside have room it goes there after a while. One that has recovered
-   * would otherwise stand empty for as long as it is set aside, half a minute at first.
-   */
-  #placeAside(task: TaskRecord, serviceName: string): boolean {
-    const hasWaited = this.#nowMs - task.waitingSinceMs >= ASIDE_PATIENCE_MS;
-    if (!task.step.isPersistent || task.step.isGang || !hasWaited) return false;
-    return this.#placeOne(task, this.#aside.get(serviceName) ?? []);
-  }
-
   /** All members at once or none: a part of a gang would hold room and do no work. */
   #placeGang(task: TaskRecord, views: readonly FleetWorkerView[]): boolean {
     const opened = task.submission.occurrences.get(task.occurrence);
--- a/src/scheduler/test/fleet/faultyWorkers.test.ts
+++ b/src/scheduler/test/fleet/faultyWorkers.test.ts
@@ -159,6 +159,10 @@
   it('is filled again within seconds', async () => {
     expect(await runsAfterFault(300)).toBe(4);
   });
+
+  it('is filled again within seconds, however many submissions failed there', async () => {
+    expect(await runsAfterFault(3_000)).toBe(4);
+  });
 });
 
 describe('submissions that fail by their own fault', () => {
