--- a/standIns/fleet/workerModel.ts
+++ b/standIns/fleet/workerModel.ts
@@ -79,6 +79,11 @@
     return this.#incarnation;
   }
 
+  /** When the lease of all that runs here ends. */
+  get lapsesAtMs(): number {
+    return this.#bootedAtMs + this.#leaseEndWorkerMs / this.#options.clockRate;
+  }
+
   /** The process ends; all that ran and all that was known is lost. */
   crash(): void {
     this.isUp = false;
@@ -101,7 +106,7 @@
     [...this.runs.values()]
       .sort((left, right) => left.endsAtMs - right.endsAtMs)
       .forEach((run) => {
-        const lapsesAtMs = this.#lapsesAtMs();
+        const { lapsesAtMs } = this;
         if (run.endsAtMs <= Math.min(nowMs, lapsesAtMs)) this.#finish(run, run.end);
         else if (lapsesAtMs <= nowMs) this.#finish(run, RunEnd.Lapsed);
       });
@@ -165,10 +170,6 @@
     return Math.floor((nowMs - this.#bootedAtMs) * this.#options.clockRate);
   }
 
-  #lapsesAtMs(): number {
-    return this.#bootedAtMs + this.#leaseEndWorkerMs / this.#options.clockRate;
-  }
-
   #extend(leaseEndWorkerMs: number, nowMs: number): void {
     const latest = this.#clockMs(nowMs) + this.#options.maximumLeaseMs;
     const granted = Math.min(leaseEndWorkerMs, latest);
--- a/standIns/relay/silentRelay.ts
+++ b/standIns/relay/silentRelay.ts
@@ -27,6 +27,11 @@
     this.server.destroy();
   }
 
+  reset(): void {
+    this.client.resetAndDestroy();
+    this.server.resetAndDestroy();
+  }
+
   #isSilent(direction: Silence): boolean {
     return this.silence === Silence.Both || this.silence === direction;
   }
@@ -70,8 +75,9 @@
     return [...this.#connections].filter(({ silence }) => silence !== undefined).length;
   }
 
-  async listen(): Promise<number> {
-    this.#server.listen(0, '127.0.0.1');
+  /** Listens on a port that the system chooses, or on this one, and tells which. */
+  async listen(port = 0): Promise<number> {
+    this.#server.listen(port, '127.0.0.1');
     await once(this.#server, 'listening');
     return (this.#server.address() as { port: number }).port;
   }
@@ -82,6 +88,16 @@
     return this.#connections.size;
   }
 
+  /** Resets all connections that exist now; later ones work. */
+  resetAll(): void {
+    this.#connections.forEach((connection) => connection.reset());
+  }
+
+  /** Refuses new connections; those that exist stay as they are. */
+  stopListening(): void {
+    this.#server.close();
+  }
+
   close(): void {
     this.#connections.forEach((connection) => connection.destroy());
     this.#server.close();
