--- /dev/null
+++ b/soak/test/platform/daemonInstance.ts
@@ -0,0 +1,189 @@
+/** One instance of the platform's daemon: a process with its settings, store relay and log files. */
+import { type ChildProcess, spawn } from 'node:child_process';
+import { once } from 'node:events';
+import { createWriteStream, type WriteStream } from 'node:fs';
+import { writeFile } from 'node:fs/promises';
+import { join } from 'node:path';
+import { createInterface } from 'node:readline';
+
+import { Pool } from 'undici';
+
+import { SilentRelay } from '../../../standIns/relay/silentRelay.js';
+import { MAXIMUM_LEASE_MS } from './fleetWorker.js';
+
+const PROGRAM = ['--max-old-space-size=160', '--max-semi-space-size=4', 'target/snipethread.cjs'];
+const GRACE_SECONDS = 6;
+const CLIENT_CONNECTIONS = 4;
+const KEEP_ALIVE_MS = 60_000;
+const MS_PER_SECOND = 1_000;
+const START_TIMEOUT_MS = 15_000;
+
+export interface InstanceParts {
+  readonly id: string;
+  readonly zone: string;
+  readonly folder: string;
+  readonly storePort: number;
+  readonly onUnexpectedExit: (text: string) => void;
+}
+
+interface Life {
+  readonly child: ChildProcess;
+  readonly hasExited: Promise<void>;
+  readonly log: WriteStream;
+  isEndAsked: boolean;
+}
+
+export class DaemonInstance {
+  readonly #parts: InstanceParts;
+
+  readonly #storeRelay: SilentRelay;
+
+  #life: Life | undefined;
+
+  #lifeCount = 0;
+
+  /** Host and port at which the store sees this instance's calls. */
+  storeHost = '';
+
+  /** The clients' connections, kept open until the process is gone. */
+  pool: Pool | undefined;
+
+  /** In front of the present life, for its clients. */
+  callerRelay: SilentRelay | undefined;
+
+  isFrozen = false;
+
+  constructor(parts: InstanceParts) {
+    this.#parts = parts;
+    this.#storeRelay = new SilentRelay(parts.storePort);
+  }
+
+  get id(): string {
+    return this.#parts.id;
+  }
+
+  /** The process runs, and nothing has ended or frozen it. */
+  get isSteady(): boolean {
+    return this.pool !== undefined && this.#life?.isEndAsked === false && !this.isFrozen;
+  }
+
+  get storeRelay(): SilentRelay {
+    return this.#storeRelay;
+  }
+
+  async prepare(): Promise<void> {
+    this.storeHost = `127.0.0.1:${await this.#storeRelay.listen()}`;
+    const free = '127.0.0.1:0';
+    const settings = {
+      instanceId: this.id,
+      availabilityZone: this.#parts.zone,
+      listen: { callers: free, readiness: free, metrics: free },
+      storeAddress: this.storeHost,
+      maximumLeaseMs: MAXIMUM_LEASE_MS,
+      graceSeconds: GRACE_SECONDS,
+    };
+    await writeFile(this.#settingsPath, JSON.stringify(settings));
+  }
+
+  /** Starts the process and resolves when it listens, or has ended before. */
+  async start(): Promise<void> {
+    this.#lifeCount += 1;
+    this.isFrozen = false;
+    const logPath = join(this.#parts.folder, `${this.id}-${this.#lifeCount}.log`);
+    const log = createWriteStream(logPath);
+    const child = spawn(process.execPath, [...PROGRAM, this.#settingsPath], {
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    const hasExited = once(child, 'exit').then(([code, signal]) => {
+      log.write(`${JSON.stringify({ event: 'process-ended', code, signal })}\n`);
+      this.#noteExit(`${this.id} ended by itself with ${code ?? signal}, see ${logPath}`);
+    });
+    this.#life = { child, hasExited, log, isEndAsked: false };
+    child.stderr.on('data', (chunk) => log.write(chunk));
+    const listens = new Promise<void>((resolve) => {
+      createInterface({ input: child.stdout }).on('line', (line) => {
+        log.write(`${line}\n`);
+        if (this.callerRelay !== undefined || !line.includes('"listening"')) return;
+        const { callersPort } = JSON.parse(line) as { readonly callersPort: number };
+        void this.#openToClients(callersPort).then(resolve);
+      });
+    });
+    const timer = setTimeout(() => child.kill('SIGKILL'), START_TIMEOUT_MS);
+    await Promise.race([listens, hasExited]);
+    clearTimeout(timer);
+  }
+
+  /** Asks the process to end and resolves when it has; false when it had to be killed. */
+  async stop(): Promise<boolean> {
+    const life = this.#askEnd();
+    if (life === undefined) return true;
+    let isInTime = true;
+    const timer = setTimeout(() => {
+      isInTime = false;
+      life.child.kill('SIGKILL');
+    }, GRACE_SECONDS * MS_PER_SECOND);
+    life.child.kill('SIGTERM');
+    await life.hasExited;
+    clearTimeout(timer);
+    return isInTime;
+  }
+
+  async kill(): Promise<void> {
+    const life = this.#askEnd();
+    life?.child.kill('SIGKILL');
+    await life?.hasExited;
+  }
+
+  freeze(): void {
+    this.isFrozen = true;
+    this.#life?.child.kill('SIGSTOP');
+  }
+
+  resume(): void {
+    this.isFrozen = false;
+    this.#life?.child.kill('SIGCONT');
+  }
+
+  async close(): Promise<void> {
+    await this.kill();
+    this.#storeRelay.close();
+  }
+
+  /** For the end of the soak's own process, where nothing can be waited for. */
+  killNow(): void {
+    this.#life?.child.kill('SIGKILL');
+  }
+
+  async #openToClients(callersPort: number): Promise<void> {
+    const relay = new SilentRelay(callersPort);
+    this.callerRelay = relay;
+    const origin = `http://127.0.0.1:${await relay.listen()}`;
+    // The process may have ended meanwhile.
+    if (this.callerRelay !== relay) return;
+    this.pool = new Pool(origin, {
+      connections: CLIENT_CONNECTIONS,
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      keepAliveMaxTimeout: KEEP_ALIVE_MS,
+    });
+  }
+
+  #askEnd(): Life | undefined {
+    if (this.#life !== undefined) this.#life.isEndAsked = true;
+    return this.#life;
+  }
+
+  #noteExit(text: string): void {
+    const life = this.#life;
+    life?.log.end();
+    void this.pool?.destroy();
+    this.pool = undefined;
+    this.callerRelay?.close();
+    this.callerRelay = undefined;
+    this.#life = undefined;
+    if (life?.isEndAsked === false) this.#parts.onUnexpectedExit(text);
+  }
+
+  get #settingsPath(): string {
+    return join(this.#parts.folder, `${this.id}.json`);
+  }
+}
--- /dev/null
+++ b/soak/test/platform/endRecords.ts
@@ -0,0 +1,54 @@
+/** Ends of tasks that were done, and which of them a scheduler has acknowledged. */
+export interface EndRecord {
+  readonly lifeKey: string;
+  readonly taskName: string;
+  readonly endedAtMs: number;
+  sequence: number | undefined;
+  isAcknowledged: boolean;
+  /** The lease lapsed before the end was acknowledged: the task may run once more. */
+  isLapsed: boolean;
+}
+
+export class EndRecords {
+  readonly #byTask = new Map<string, EndRecord[]>();
+
+  /** Ends that are not acknowledged yet, by life. */
+  readonly #open = new Map<string, EndRecord[]>();
+
+  noteDone(lifeKey: string, taskName: string, endedAtMs: number): void {
+    const flags = { sequence: undefined, isAcknowledged: false, isLapsed: false };
+    const end = { lifeKey, taskName, endedAtMs, ...flags };
+    this.#byTask.set(taskName, [...(this.#byTask.get(taskName) ?? []), end]);
+    this.#open.set(lifeKey, [...(this.#open.get(lifeKey) ?? []), end]);
+  }
+
+  noteListed(lifeKey: string, sequence: number, taskName: string): void {
+    const end = this.#open.get(lifeKey)?.find((open) => open.taskName === taskName);
+    if (end !== undefined) end.sequence = sequence;
+  }
+
+  noteLeaseLapsed(lifeKey: string): void {
+    (this.#open.get(lifeKey) ?? []).forEach((end) => Object.assign(end, { isLapsed: true }));
+  }
+
+  /** The ends that are recorded from now on. */
+  acknowledge(lifeKey: string, upTo: number): readonly EndRecord[] {
+    const open = this.#open.get(lifeKey) ?? [];
+    const isReached = ({ sequence }: EndRecord): boolean => (sequence ?? Infinity) <= upTo;
+    this.#open.set(
+      lifeKey,
+      open.filter((end) => !isReached(end)),
+    );
+    const reached = open.filter((end) => isReached(end) && !end.isLapsed);
+    reached.forEach((end) => Object.assign(end, { isAcknowledged: true }));
+    return reached;
+  }
+
+  isDone(taskName: string): boolean {
+    return this.#byTask.has(taskName);
+  }
+
+  hasRecordedDone(taskName: string): boolean {
+    return (this.#byTask.get(taskName) ?? []).some(({ isAcknowledged }) => isAcknowledged);
+  }
+}
--- /dev/null
+++ b/soak/test/platform/fleetWorker.ts
@@ -0,0 +1,297 @@
+/** A worker of the platform over HTTP, behind a relay; it may drain, leave, crash and come back. */
+import { setTimeout as delay } from 'node:timers/promises';
+
+import Fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from 'fastify';
+
+import {
+  OrderOutcome,
+  type RunningTask,
+  StartOutcome,
+} from '../../../src/services/fleet/common/fleetWorker.js';
+import { listeningPort } from '../../../src/services/http/node/listening.js';
+import type { StoreServer } from '../../../platform/test/storeServer.js';
+import { type ModelRun, type ModelTask, WorkerModel } from '../../../standIns/fleet/workerModel.js';
+import { type Silence, SilentRelay } from '../../../standIns/relay/silentRelay.js';
+import type { PlatformJudge } from './platformJudge.js';
+import {
+  answerOrder,
+  INSTANCE_HEADER,
+  lastingPercent,
+  type Order,
+  STATUS_OTHER_WORKER,
+  toHoldBody,
+} from './orderForms.js';
+import { SilentPort } from './silentPort.js';
+import { RunOutcome, type TaskSize } from './soakTypes.js';
+
+export const SERVICE = 'soak-service';
+export const CAPACITY: TaskSize = { processorMillis: 8_000, memoryMegabytes: 16_000 };
+export const MAXIMUM_LEASE_MS = 6_000;
+const STOP_MS = 400;
+const HOLD_POLL_MS = 20;
+const BYTES_PER_MEGABYTE = 1024 * 1024;
+/** The platform drops the entry of a worker that has been silent for so long. */
+const ENTRY_EXPIRY_MS = 4_500;
+/** What callers meet at the address of a worker that is gone. */
+export const Absence = { Silent: 'silent', Refusing: 'refusing' } as const;
+export type Absence = (typeof Absence)[keyof typeof Absence];
+
+export interface FleetWorkerParts {
+  readonly id: string;
+  readonly zone: string;
+  readonly rack: string;
+  readonly clockRate: number;
+  readonly judge: PlatformJudge;
+  readonly store: StoreServer;
+  readonly nowMs: () => number;
+  readonly taskOf: (taskName: string) => ModelTask;
+  readonly isLasting: (taskName: string) => boolean;
+  /** Lets every worker's time pass, so that what has lapsed elsewhere is over. */
+  readonly advanceAll: () => void;
+  readonly log: (event: string, fields: Readonly<Record<string, unknown>>) => void;
+}
+
+export class FleetWorker {
+  readonly #parts: FleetWorkerParts;
+
+  readonly #model: WorkerModel;
+
+  readonly #server: FastifyInstance = Fastify({ forceCloseConnections: true });
+
+  readonly #running = new Map<string, ModelRun>();
+
+  #relay: SilentRelay | undefined;
+
+  #silentPort: SilentPort | undefined;
+
+  #port = 0;
+
+  #startFence = 0;
+
+  isUp = false;
+
+  isDraining = false;
+
+  constructor(parts: FleetWorkerParts) {
+    this.#parts = parts;
+    this.#model = new WorkerModel(
+      {
+        id: parts.id,
+        capacity: {
+          processorMillis: CAPACITY.processorMillis,
+          memoryBytes: CAPACITY.memoryMegabytes * BYTES_PER_MEGABYTE,
+          acceleratorCount: 0,
+        },
+        maximumLeaseMs: MAXIMUM_LEASE_MS,
+        stopMs: STOP_MS,
+        clockRate: parts.clockRate,
+        taskOf: parts.taskOf,
+        onStart: (taskName, run, nowMs) => {
+          const fence = this.#startFence;
+          parts.log('start', { lifeKey: this.lifeKey, taskName, run, fence });
+          parts.judge.noteStart({ lifeKey: this.lifeKey, taskName, run, fence }, nowMs);
+        },
+      },
+      parts.nowMs(),
+    );
+    this.#serve('/api/hold', (order, reply) => this.#hold(order, reply));
+    this.#serve('/api/run-start', (order, reply) => this.#start(order, reply));
+    this.#serve('/api/run-stop', (order, reply) => this.#stop(order, reply));
+  }
+
+  get id(): string {
+    return this.#parts.id;
+  }
+
+  get lifeKey(): string {
+    return `${this.id}/${this.#model.incarnation}`;
+  }
+
+  async start(): Promise<void> {
+    await this.#server.listen({ host: '127.0.0.1', port: 0 });
+    await this.#open();
+  }
+
+  /** Says that it leaves; it goes on working until `leave`. */
+  drain(): void {
+    this.isDraining = true;
+    this.#register();
+    this.#parts.judge.noteDraining(this.lifeKey, this.#parts.nowMs());
+    this.#silentPort = new SilentPort(this.#port);
+  }
+
+  leave(absence: Absence): void {
+    this.#end(absence);
+    this.#parts.store.remove('servers', this.id);
+  }
+
+  /** Ends without a word; its entry expires unless it is back by then. */
+  async crash(absence: Absence, backAfterMs: number | undefined): Promise<void> {
+    this.#silentPort = new SilentPort(this.#port);
+    this.#end(absence);
+    const expiryMs = Math.min(ENTRY_EXPIRY_MS, backAfterMs ?? ENTRY_EXPIRY_MS);
+    await delay(expiryMs);
+    if (expiryMs === ENTRY_EXPIRY_MS) this.#parts.store.remove('servers', this.id);
+    if (backAfterMs === undefined) return;
+    await delay(backAfterMs - expiryMs);
+    await this.#silentPort?.close();
+    this.#model.restart(this.#parts.nowMs());
+    await this.#open();
+  }
+
+  resetConnections(): void {
+    this.#relay?.resetAll();
+  }
+
+  silenceConnections(silence: Silence): void {
+    this.#relay?.silenceAll(silence);
+  }
+
+  /** Lets what is due happen, and tells the judge of what has ended. */
+  advance(nowMs: number): void {
+    if (!this.isUp) return;
+    this.#model.advance(nowMs);
+    const { lapsesAtMs } = this.#model;
+    this.#running.forEach((run, taskName) => {
+      if (this.#model.runs.get(taskName) === run) return;
+      this.#running.delete(taskName);
+      const isOwnEnd = run.endsAtMs <= lapsesAtMs;
+      const outcome = isOwnEnd && run.end === 'done' ? RunOutcome.Done : RunOutcome.Other;
+      const endedAtMs = Math.min(run.endsAtMs, lapsesAtMs);
+      this.#noteEnd(taskName, outcome, endedAtMs);
+    });
+    if (lapsesAtMs <= nowMs) this.#parts.judge.noteLeaseLapsed(this.lifeKey);
+  }
+
+  async close(): Promise<void> {
+    this.isUp = false;
+    this.#relay?.close();
+    await this.#silentPort?.close();
+    await this.#server.close();
+  }
+
+  async #open(): Promise<void> {
+    this.#relay = new SilentRelay(listeningPort(this.#server));
+    this.#port = await this.#relay.listen(this.#port);
+    this.isUp = true;
+    this.#parts.judge.noteWorker({ key: this.lifeKey, capacity: CAPACITY });
+    this.#register();
+  }
+
+  #end(absence: Absence): void {
+    const nowMs = this.#parts.nowMs();
+    this.advance(nowMs);
+    this.isUp = false;
+    this.#running.forEach((_, taskName) => this.#noteEnd(taskName, RunOutcome.Other, nowMs));
+    this.#running.clear();
+    this.#parts.judge.noteWorkerGone(this.lifeKey);
+    this.#model.crash();
+    if (absence === Absence.Refusing) {
+      this.#relay?.close();
+      return;
+    }
+    this.#relay?.silenceAll('both');
+    this.#relay?.stopListening();
+    if (this.#silentPort?.takeOver() !== true) throw new Error(`port ${this.#port} is not silent`);
+  }
+
+  #register(): void {
+    const { id, zone, rack, store } = this.#parts;
+    store.put('servers', id, {
+      Service: SERVICE,
+      Address: `127.0.0.1:${this.#port}`,
+      Zone: zone,
+      State: this.isDraining ? 'draining' : 'ready',
+      Capacity: { Cpu: CAPACITY.processorMillis, MemMb: CAPACITY.memoryMegabytes },
+      Labels: ['plain', rack],
+      born: this.#model.incarnation,
+    });
+  }
+
+  #serve(path: string, handle: (order: Order, reply: FastifyReply) => Promise<FastifyReply>): void {
+    this.#server.post(path, async (request: FastifyRequest, reply) => {
+      if (request.headers[INSTANCE_HEADER] !== this.id) {
+        return reply.code(STATUS_OTHER_WORKER).send({});
+      }
+      if (!this.isUp) return reply.hijack();
+      this.#parts.advanceAll();
+      return handle(request.body as Order, reply);
+    });
+  }
+
+  async #hold(order: Order, reply: FastifyReply): Promise<FastifyReply> {
+    const { lifeKey } = this;
+    const acknowledgedSequence = order.AckedUpto ?? 0;
+    const request = { ...this.#reference(order), acknowledgedSequence, waitMs: 0 };
+    const due = order.DueMs === undefined ? {} : { leaseEndWorkerMs: order.DueMs };
+    const first = this.#model.hold({ ...request, ...due }, this.#parts.nowMs());
+    if (first.kind !== 'held') return answerOrder(reply, StartOutcome.Fenced);
+    this.#noteFence(request.fence);
+    this.#parts.judge.noteAcknowledged(lifeKey, acknowledgedSequence, this.#parts.nowMs());
+    const endsAtMs = this.#parts.nowMs() + (order.WaitMs ?? 0);
+    while (
+      this.lifeKey === lifeKey &&
+      this.#parts.nowMs() < endsAtMs &&
+      !this.#hasNews(acknowledgedSequence)
+    ) {
+      // eslint-disable-next-line no-await-in-loop -- waits for an end, at most as long as asked
+      await delay(HOLD_POLL_MS);
+    }
+    // Another life, or none, has nothing to say to this caller.
+    if (this.lifeKey !== lifeKey || !this.isUp) return reply.hijack();
+    this.advance(this.#parts.nowMs());
+    const held = this.#model.hold(request, this.#parts.nowMs());
+    if (held.kind !== 'held') return answerOrder(reply, StartOutcome.Fenced);
+    held.answer.finished.forEach(({ sequence, taskName }) =>
+      this.#parts.judge.noteListed(lifeKey, sequence, taskName),
+    );
+    return reply.send(toHoldBody(held.answer, (run) => this.#percentOf(run)));
+  }
+
+  #hasNews(acknowledgedSequence: number): boolean {
+    this.advance(this.#parts.nowMs());
+    return this.#model.hasNews(acknowledgedSequence, this.#parts.nowMs());
+  }
+
+  async #start(order: Order, reply: FastifyReply): Promise<FastifyReply> {
+    const request = {
+      ...this.#reference(order),
+      spec: order.Spec ?? '',
+      leaseEndWorkerMs: order.DueMs ?? 0,
+      checkpoint: '',
+    };
+    this.#startFence = request.fence;
+    const outcome = this.#model.start(request, this.#parts.nowMs());
+    const run = this.#model.runs.get(order.Task);
+    if (run !== undefined) this.#running.set(order.Task, run);
+    if (outcome !== StartOutcome.Fenced) this.#noteFence(request.fence);
+    return answerOrder(reply, outcome);
+  }
+
+  async #stop(order: Order, reply: FastifyReply): Promise<FastifyReply> {
+    const reference = this.#reference(order);
+    const outcome = this.#model.stop(reference, this.#parts.nowMs());
+    if (outcome === OrderOutcome.Fenced) return answerOrder(reply, StartOutcome.Fenced);
+    this.#noteFence(reference.fence);
+    return reply.send({});
+  }
+
+  #percentOf({ taskName, workedPercent }: RunningTask): number {
+    const run = this.#running.get(taskName);
+    if (run === undefined || !this.#parts.isLasting(taskName)) return workedPercent;
+    return lastingPercent(this.#parts.nowMs() - run.startedAtMs);
+  }
+
+  #noteEnd(taskName: string, outcome: RunOutcome, endedAtMs: number): void {
+    this.#parts.log('end', { lifeKey: this.lifeKey, taskName, outcome, endedAtMs });
+    this.#parts.judge.noteEnd(this.lifeKey, taskName, outcome, endedAtMs);
+  }
+
+  #noteFence(fence: number): void {
+    this.#parts.judge.noteFence(this.lifeKey, fence, this.#parts.nowMs());
+  }
+
+  #reference({ Task, Run, Fence }: Order) {
+    return { workerId: this.id, address: '', taskName: Task, run: Run, fence: Fence ?? 0 };
+  }
+}
--- /dev/null
+++ b/soak/test/platform/lastingTasks.ts
@@ -0,0 +1,90 @@
+/** How long tasks that last wait to be at work again. */
+import type { FaultTimes } from './faultTimes.js';
+import { type SoakSubmission, type TaskSize, taskNames } from './soakTypes.js';
+import type { WorkerLedger } from './workerLedger.js';
+
+export const LONGEST_WAIT_MS = 9_000;
+/** No fault for so long, and calm for as long as the room must have lasted. */
+const CALM_BEFORE_MS = 4_000;
+const ROOM_MS = 3_000;
+
+interface Wait {
+  readonly size: TaskSize;
+  readonly sinceMs: number;
+  roomSinceMs: number | undefined;
+  isFound: boolean;
+}
+
+export class LastingTasks {
+  readonly #faults: FaultTimes;
+
+  readonly #workers: WorkerLedger;
+
+  readonly #sizes = new Map<string, TaskSize>();
+
+  readonly #waits = new Map<string, Wait>();
+
+  /** The longest wait that ended or was found, whatever excuses it. */
+  longestWaitMs = 0;
+
+  constructor(faults: FaultTimes, workers: WorkerLedger) {
+    this.#faults = faults;
+    this.#workers = workers;
+  }
+
+  noteAccepted(submission: SoakSubmission, nowMs: number): void {
+    submission.steps.forEach(({ isPersistent, size }, stepIndex) => {
+      if (!isPersistent) return;
+      taskNames(submission, stepIndex).forEach((name) => {
+        this.#sizes.set(name, size);
+        if (this.#workers.placesOf(name).length === 0) this.#wait(name, size, nowMs);
+      });
+    });
+  }
+
+  noteCancelSent(id: string): void {
+    [...this.#sizes.keys()]
+      .filter((name) => name.startsWith(`${id}.`))
+      .forEach((name) => {
+        this.#sizes.delete(name);
+        this.#waits.delete(name);
+      });
+  }
+
+  noteStart(taskName: string, nowMs: number): void {
+    const wait = this.#waits.get(taskName);
+    if (wait === undefined) return;
+    this.longestWaitMs = Math.max(this.longestWaitMs, nowMs - wait.sinceMs);
+    this.#waits.delete(taskName);
+  }
+
+  noteEnd(taskName: string, nowMs: number): void {
+    const size = this.#sizes.get(taskName);
+    if (size !== undefined) this.#wait(taskName, size, nowMs);
+  }
+
+  waiting(): readonly string[] {
+    return [...this.#waits.keys()];
+  }
+
+  /** Names the waits that are too long now, each once. */
+  advance(nowMs: number): readonly string[] {
+    return [...this.#waits].flatMap(([name, wait]) => {
+      const hasRoom = this.#workers.hasRoom(wait.size);
+      Object.assign(wait, { roomSinceMs: hasRoom ? (wait.roomSinceMs ?? nowMs) : undefined });
+      if (wait.isFound || !this.#isTooLong(wait, nowMs)) return [];
+      Object.assign(wait, { isFound: true });
+      return [`${name} lasts and waits for ${Math.round(nowMs - wait.sinceMs)} ms`];
+    });
+  }
+
+  #wait(name: string, size: TaskSize, nowMs: number): void {
+    this.#waits.set(name, { size, sinceMs: nowMs, roomSinceMs: undefined, isFound: false });
+  }
+
+  #isTooLong({ sinceMs, roomSinceMs }: Wait, nowMs: number): boolean {
+    if (nowMs - sinceMs <= LONGEST_WAIT_MS) return false;
+    if (nowMs - (roomSinceMs ?? nowMs) < ROOM_MS) return false;
+    return this.#faults.isCalm(nowMs - ROOM_MS - CALM_BEFORE_MS, nowMs);
+  }
+}
--- /dev/null
+++ b/soak/test/platform/platformJudge.test.ts
@@ -0,0 +1,247 @@
+/** That the judge of the platform's soak notices each broken promise, and no kept one. */
+import { beforeEach, describe, expect, it } from 'vitest';
+
+import { FaultTimes } from './faultTimes.js';
+import { PlatformJudge } from './platformJudge.js';
+import { FaultScope, RunOutcome } from './soakTypes.js';
+
+const SIZE = { processorMillis: 1_000, memoryMegabytes: 500 };
+const ROOM_FOR_FOUR = { processorMillis: 4_000, memoryMegabytes: 2_000 };
+const CHAIN = 'aaaaaaaaaaaaaaaa';
+const LASTING = 'bbbbbbbbbbbbbbbb';
+const FIRST_TASK = `${CHAIN}.0.0.0`;
+const SECOND_TASK = `${CHAIN}.0.1.0`;
+const LASTING_TASK = `${LASTING}.0.0.0`;
+
+const step = (after: readonly number[], isPersistent: boolean) => ({
+  taskCount: 1,
+  size: SIZE,
+  after,
+  workMs: 100,
+  isPersistent,
+});
+
+describe('the judge of the soak of the platform', () => {
+  let times: FaultTimes;
+  let judge: PlatformJudge;
+
+  beforeEach(() => {
+    times = new FaultTimes();
+    judge = new PlatformJudge(times);
+    ['w1', 'w2'].forEach((key) => judge.noteWorker({ key, capacity: ROOM_FOR_FOUR }));
+    judge.noteSubmission({ id: CHAIN, steps: [step([], false), step([0], false)] });
+    judge.noteSubmission({ id: LASTING, steps: [step([], true)] });
+  });
+
+  const start = (taskName: string, lifeKey: string, nowMs: number, run = 1, fence = 1): void =>
+    judge.noteStart({ lifeKey, taskName, run, fence }, nowMs);
+
+  const runToEnd = (taskName: string, lifeKey: string, endedAtMs: number): void => {
+    start(taskName, lifeKey, endedAtMs - 100);
+    judge.noteEnd(lifeKey, taskName, RunOutcome.Done, endedAtMs);
+  };
+
+  const watchLasting = (fromMs: number, untilMs: number): void => {
+    for (let nowMs = fromMs; nowMs <= untilMs; nowMs += 100) judge.advance(nowMs);
+  };
+
+  const expectFinding = (text: string): void => {
+    expect(judge.findings).toEqual([expect.stringContaining(text)]);
+  };
+
+  it('finds nothing in a chain that runs as promised', () => {
+    judge.noteAccepted(CHAIN, 0);
+    runToEnd(FIRST_TASK, 'w1', 200);
+    judge.noteListed('w1', 1, FIRST_TASK);
+    judge.noteAcknowledged('w1', 1, 250);
+    runToEnd(SECOND_TASK, 'w2', 500);
+    judge.noteState(CHAIN, 'complete', 600, 610);
+    judge.noteUnfinished(1_000);
+    expect(judge.findings).toEqual([]);
+  });
+
+  it('notices a task that runs twice at the same time', () => {
+    start(FIRST_TASK, 'w1', 100);
+    start(FIRST_TASK, 'w2', 150, 2);
+    expectFinding('runs at w1 too');
+  });
+
+  it('takes what ran on a worker that is gone for over', () => {
+    start(FIRST_TASK, 'w1', 100);
+    judge.noteWorkerGone('w1');
+    start(FIRST_TASK, 'w2', 150, 2);
+    expect(judge.findings).toEqual([]);
+  });
+
+  it('notices a start after a recorded end', () => {
+    runToEnd(FIRST_TASK, 'w1', 200);
+    judge.noteListed('w1', 1, FIRST_TASK);
+    judge.noteAcknowledged('w1', 1, 250);
+    start(FIRST_TASK, 'w2', 300, 2);
+    expectFinding('its end is recorded');
+  });
+
+  it('notices an end that is recorded after the task was started again', () => {
+    runToEnd(FIRST_TASK, 'w1', 200);
+    judge.noteListed('w1', 1, FIRST_TASK);
+    start(FIRST_TASK, 'w2', 300, 2);
+    judge.noteAcknowledged('w1', 1, 350);
+    expectFinding('started after the end that is recorded now');
+  });
+
+  it('lets a task run once more whose worker lost its lease before the end was recorded', () => {
+    runToEnd(FIRST_TASK, 'w1', 200);
+    judge.noteListed('w1', 1, FIRST_TASK);
+    judge.noteLeaseLapsed('w1');
+    start(FIRST_TASK, 'w2', 300, 2);
+    judge.noteAcknowledged('w1', 1, 350);
+    expect(judge.findings).toEqual([]);
+  });
+
+  it('notices a worker over its capacity', () => {
+    const id = 'cccccccccccccccc';
+    judge.noteSubmission({ id, steps: [{ ...step([], false), taskCount: 5 }] });
+    [0, 1, 2, 3, 4].forEach((index) => start(`${id}.0.0.${index}`, 'w1', 100));
+    expectFinding('over capacity');
+  });
+
+  it('notices a fence that falls on one worker', () => {
+    judge.noteFence('w1', 2, 100);
+    judge.noteFence('w1', 1, 200);
+    expectFinding('fence 1 had effect after 2');
+  });
+
+  it('notices an old fence on another worker once its leases are over', () => {
+    judge.noteFence('w1', 2, 0);
+    judge.noteFence('w2', 1, 11_000);
+    expect(judge.findings).toEqual([]);
+    judge.noteFence('w2', 1, 13_000);
+    expectFinding('fence 1 has effect long after 2');
+  });
+
+  it('notices an accepted submission that is answered 410', () => {
+    judge.noteAccepted(CHAIN, 0);
+    judge.noteState(CHAIN, undefined, 2_900, 2_950);
+    expect(judge.findings).toEqual([]);
+    judge.noteState(CHAIN, undefined, 3_100, 3_150);
+    expectFinding('answered 410');
+  });
+
+  it('notices a refused submission that starts, before or after the refusal', () => {
+    start(FIRST_TASK, 'w1', 100);
+    judge.noteRefused(CHAIN, 200);
+    judge.noteRefused(LASTING, 200);
+    start(LASTING_TASK, 'w1', 300);
+    expect(judge.findings).toEqual([
+      expect.stringContaining('was refused and has started'),
+      expect.stringContaining('starts, and was refused'),
+    ]);
+  });
+
+  it('notices a submission that is complete without all its tasks', () => {
+    judge.noteAccepted(CHAIN, 0);
+    runToEnd(FIRST_TASK, 'w1', 200);
+    judge.noteState(CHAIN, 'complete', 600, 610);
+    expectFinding(`complete without ${SECOND_TASK}`);
+  });
+
+  it('notices a step that starts before the one it follows', () => {
+    start(SECOND_TASK, 'w1', 100);
+    expectFinding(`before ${FIRST_TASK} is done`);
+  });
+
+  it('notices a task that nobody asked for', () => {
+    start('dddddddddddddddd.0.0.0', 'w1', 100);
+    expectFinding('nobody asked for it');
+  });
+
+  it.each(['failed', 'cancelled'])('notices a submission shown as %s without cause', (state) => {
+    judge.noteAccepted(CHAIN, 0);
+    judge.noteState(CHAIN, state, 600, 610);
+    expectFinding(`shown as ${state}`);
+  });
+
+  describe('after an acknowledged cancel', () => {
+    beforeEach(() => {
+      judge.noteAccepted(CHAIN, 0);
+      judge.noteCancelSent(CHAIN);
+      judge.noteCancelled(CHAIN, 10_000);
+    });
+
+    it('notices a late start', () => {
+      start(FIRST_TASK, 'w1', 12_900);
+      expect(judge.findings).toEqual([]);
+      start(FIRST_TASK, 'w1', 13_100, 2);
+      expect(judge.findings).toContainEqual(expect.stringContaining('3100 ms after cancel'));
+    });
+
+    it('notices it beside planned work and killed processes', () => {
+      times.add(FaultScope.Planned, 9_000, 12_000);
+      times.add(FaultScope.Unplanned, 9_000, 12_000);
+      start(FIRST_TASK, 'w1', 13_100);
+      expectFinding('3100 ms after cancel');
+    });
+
+    it('excuses it while daemons may have been cut off from the store', () => {
+      times.add(FaultScope.Core, 11_000, 12_000);
+      start(FIRST_TASK, 'w1', 13_100);
+      expect(judge.findings).toEqual([]);
+    });
+  });
+
+  describe('for a task that lasts and has lost its worker', () => {
+    beforeEach(() => {
+      judge.noteAccepted(LASTING, 0);
+      start(LASTING_TASK, 'w1', 100);
+      judge.noteEnd('w1', LASTING_TASK, RunOutcome.Other, 10_000);
+    });
+
+    it('notices a wait over nine seconds, once', () => {
+      watchLasting(10_000, 19_000);
+      expect(judge.findings).toEqual([]);
+      watchLasting(19_100, 25_000);
+      expectFinding('waits for 9100 ms');
+    });
+
+    it('notices it also while workers leave and instances stop', () => {
+      times.add(FaultScope.Planned, 9_000, 25_000);
+      watchLasting(10_000, 19_100);
+      expectFinding('waits for');
+    });
+
+    it('notices it only once the time is calm again', () => {
+      times.add(FaultScope.Unplanned, 15_000, 15_000);
+      watchLasting(10_000, 22_000);
+      expect(judge.findings).toEqual([]);
+      watchLasting(22_100, 22_100);
+      expectFinding('waits for');
+    });
+
+    it('notices it only once there has been room for three seconds', () => {
+      ['w1', 'w2'].forEach((key) => judge.noteDraining(key, 10_000));
+      watchLasting(10_000, 20_000);
+      judge.noteWorker({ key: 'w3', capacity: ROOM_FOR_FOUR });
+      watchLasting(20_100, 23_000);
+      expect(judge.findings).toEqual([]);
+      watchLasting(23_100, 23_100);
+      expectFinding('waits for');
+    });
+
+    it('owes nothing once it is cancelled', () => {
+      judge.noteCancelSent(LASTING);
+      watchLasting(10_000, 30_000);
+      expect(judge.findings).toEqual([]);
+    });
+  });
+
+  it('notices what is not complete, or not at work, at the end', () => {
+    judge.noteAccepted(CHAIN, 0);
+    judge.noteState(CHAIN, 'running', 600, 610);
+    judge.noteAccepted(LASTING, 0);
+    judge.noteUnfinished(1_000);
+    expect(judge.findings).toEqual([
+      expect.stringContaining(`${CHAIN} is running at the end`),
+      expect.stringContaining(`${LASTING_TASK} waits at the end`),
+    ]);
+  });
+});
--- /dev/null
+++ b/soak/test/platform/platformRun.ts
@@ -0,0 +1,214 @@
+/** One seeded run: starts store, workers and instances, plays the faults and judges what is seen. */
+import { createWriteStream } from 'node:fs';
+import { mkdir } from 'node:fs/promises';
+import { join } from 'node:path';
+import { setTimeout as delay } from 'node:timers/promises';
+
+import { SeededRandom } from '../../../src/base/common/random.js';
+import { StoreServer } from '../../../platform/test/storeServer.js';
+import { DaemonInstance } from './daemonInstance.js';
+import { drawPlan, type Scenario } from './faultPlan.js';
+import { FaultTimes } from './faultTimes.js';
+import { FleetWorker, SERVICE } from './fleetWorker.js';
+import { PlatformJudge } from './platformJudge.js';
+import { QUEUE_HOST, QUEUE_PREFIX, SoakClients } from './soakClients.js';
+import { SoakFaults } from './soakFaults.js';
+import { StoreFaults } from './storeFaults.js';
+
+const ZONES = ['zone-a', 'zone-b', 'zone-c'];
+const WORKERS_PER_RACK = 8;
+const TICK_MS = 20;
+const WARM_UP_MS = 2_000;
+/** Clients go on for so long after the last fault. */
+const AFTER_FAULTS_MS = 3_000;
+const SETTLE_MS = 30_000;
+const SETTLE_READ_MS = 500;
+/** A worker's clock may be two per cent slow. */
+const CLOCK_RATE_SPREAD = 0.02;
+const CONFIGURATION = {
+  Version: 1,
+  Services: [{ Name: SERVICE }],
+  Routes: [{ Name: 'soak', Host: QUEUE_HOST, Prefix: QUEUE_PREFIX, Service: SERVICE, Attempts: 3 }],
+};
+
+export interface PlatformRunOptions {
+  readonly seed: number;
+  readonly scenario: Scenario;
+  readonly durationMs: number;
+  readonly instanceCount: number;
+  readonly workerCount: number;
+  readonly folder: string;
+}
+
+export interface PlatformRunResult {
+  readonly findings: readonly string[];
+  readonly figures: Readonly<Record<string, number>>;
+}
+
+export class PlatformRun {
+  readonly #options: PlatformRunOptions;
+
+  readonly #startedAtMs = performance.now();
+
+  readonly #store = new StoreServer();
+
+  readonly #times = new FaultTimes();
+
+  readonly #judge = new PlatformJudge(this.#times);
+
+  readonly #instances: DaemonInstance[] = [];
+
+  readonly #workers: FleetWorker[] = [];
+
+  readonly #random: SeededRandom;
+
+  #clients: SoakClients | undefined;
+
+  #log = createWriteStream('/dev/null');
+
+  #loggedFindings = 0;
+
+  constructor(options: PlatformRunOptions) {
+    this.#options = options;
+    this.#random = new SeededRandom(options.seed);
+  }
+
+  async run(): Promise<PlatformRunResult> {
+    const { seed, scenario, durationMs, folder } = this.#options;
+    await mkdir(folder, { recursive: true });
+    this.#log = createWriteStream(join(folder, 'soak.log'));
+    const plan = drawPlan(scenario, new SeededRandom(seed), durationMs);
+    const killAll = (): void => this.#instances.forEach((instance) => instance.killNow());
+    process.once('exit', killAll);
+    const ticker = setInterval(() => this.#tick(), TICK_MS);
+    try {
+      await this.#start();
+      await this.#play(plan);
+      this.#judge.noteUnfinished(this.#nowMs());
+      this.#tick();
+    } finally {
+      clearInterval(ticker);
+      await this.#close();
+      process.removeListener('exit', killAll);
+    }
+    const { lasting, counts, findings } = this.#judge;
+    const unanswered = this.#clients?.unansweredCount ?? 0;
+    const longestWaitMs = Math.round(lasting.longestWaitMs);
+    return { findings, figures: { ...counts, unanswered, longestWaitMs, faults: plan.length } };
+  }
+
+  #nowMs(): number {
+    return Math.floor(performance.now() - this.#startedAtMs);
+  }
+
+  async #start(): Promise<void> {
+    const storePort = Number((await this.#store.listen()).split(':')[1]);
+    this.#store.put('op', 'config', CONFIGURATION);
+    const { instanceCount, workerCount, folder, seed } = this.#options;
+    for (let index = 0; index < instanceCount; index += 1) {
+      const zone = ZONES[index % ZONES.length] ?? '';
+      const onUnexpectedExit = (text: string): void => this.#noteUnexpected(text);
+      const parts = { id: `instance-${index}`, zone, folder, storePort, onUnexpectedExit };
+      this.#instances.push(new DaemonInstance(parts));
+    }
+    const random = new SeededRandom(seed + 1);
+    const judge = this.#judge;
+    this.#clients = new SoakClients(random, this.#instances, judge, () => this.#nowMs());
+    await Promise.all(Array.from({ length: workerCount }, () => this.#addWorker()));
+    await Promise.all(this.#instances.map((instance) => instance.prepare()));
+    await Promise.all(this.#instances.map((instance) => instance.start()));
+    await delay(WARM_UP_MS);
+  }
+
+  async #addWorker(): Promise<void> {
+    const index = this.#workers.length;
+    const worker = new FleetWorker({
+      id: `worker-${index}`,
+      zone: ZONES[index % ZONES.length] ?? '',
+      rack: `rack-${Math.floor(index / WORKERS_PER_RACK)}`,
+      clockRate: 1 - this.#random.nextFraction() * CLOCK_RATE_SPREAD,
+      judge: this.#judge,
+      store: this.#store,
+      nowMs: () => this.#nowMs(),
+      taskOf: (taskName) => this.#clients?.taskOf(taskName) ?? { workMs: 0, end: 'done' },
+      isLasting: (taskName) => this.#judge.stepOf(taskName)?.isPersistent === true,
+      advanceAll: () => this.#advanceWorkers(),
+      log: (event, fields) => this.#write(event, fields),
+    });
+    this.#workers.push(worker);
+    await worker.start();
+  }
+
+  async #play(plan: ReturnType<typeof drawPlan>): Promise<void> {
+    const clients = this.#clients;
+    if (clients === undefined) return;
+    const submitting = clients.submitUntilStopped();
+    const reading = clients.readUntilStopped();
+    const storeFaults = new StoreFaults(this.#random);
+    this.#store.treat = (host) => storeFaults.treat(host);
+    const faults = new SoakFaults({
+      instances: this.#instances,
+      workers: () => this.#workers,
+      addWorker: () => this.#addWorker(),
+      store: storeFaults,
+      times: this.#times,
+      nowMs: () => this.#nowMs(),
+      log: (event, fields) => this.#write(event, fields),
+      find: (text) => this.#noteUnexpected(text),
+    });
+    await Promise.all([
+      delay(this.#options.durationMs),
+      ...plan.map(async (fault) => {
+        await delay(fault.atMs);
+        await faults.perform(fault);
+      }),
+    ]);
+    this.#write('faults-ended', {});
+    await delay(AFTER_FAULTS_MS);
+    clients.stopSubmitting();
+    await submitting;
+    await this.#settle(clients);
+    clients.stopReading();
+    await reading;
+  }
+
+  async #settle(clients: SoakClients): Promise<void> {
+    const endsAtMs = this.#nowMs() + SETTLE_MS;
+    const isOpen = (): boolean =>
+      this.#judge.unfinished().length > 0 || this.#judge.lasting.waiting().length > 0;
+    while (isOpen() && this.#nowMs() < endsAtMs) {
+      // eslint-disable-next-line no-await-in-loop -- reads again until all have ended
+      await Promise.all(this.#judge.unfinished().map((id) => clients.read(id)));
+      // eslint-disable-next-line no-await-in-loop
+      await delay(SETTLE_READ_MS);
+    }
+  }
+
+  #tick(): void {
+    this.#advanceWorkers();
+    this.#judge.advance(this.#nowMs());
+    const { findings } = this.#judge;
+    findings.slice(this.#loggedFindings).forEach((finding) => this.#write('finding', { finding }));
+    this.#loggedFindings = findings.length;
+  }
+
+  #advanceWorkers(): void {
+    this.#workers.forEach((worker) => worker.advance(this.#nowMs()));
+  }
+
+  #noteUnexpected(text: string): void {
+    this.#judge.noteUnexpected(text, this.#nowMs());
+  }
+
+  #write(event: string, fields: Readonly<Record<string, unknown>>): void {
+    const time = new Date().toISOString();
+    this.#log.write(`${JSON.stringify({ time, atMs: this.#nowMs(), event, ...fields })}\n`);
+  }
+
+  async #close(): Promise<void> {
+    await Promise.all(this.#instances.map((instance) => instance.close()));
+    await Promise.all(this.#workers.map((worker) => worker.close()));
+    await this.#store.close();
+    this.#log.end();
+  }
+}
--- /dev/null
+++ b/soak/test/platform/silentPort.ts
@@ -0,0 +1,57 @@
+/**
+ * A port that neither answers nor refuses, as the address of a machine that is gone: a thread
+ * listens on it and never accepts, and its queue is full.
+ */
+import { createConnection, type Socket } from 'node:net';
+import { Worker } from 'node:worker_threads';
+
+const GO = 0;
+const LISTENING = 1;
+const LISTEN_TIMEOUT_MS = 2_000;
+/** What a queue of length one takes. */
+const QUEUED_CONNECTIONS = 2;
+
+const HOLDER = `
+const { workerData: { port, signal } } = require('node:worker_threads');
+Atomics.wait(signal, ${GO}, 0);
+require('node:net').createServer().listen({ port, host: '127.0.0.1', backlog: 1 }, () => {
+  Atomics.store(signal, ${LISTENING}, 1);
+  Atomics.notify(signal, ${LISTENING});
+  Atomics.wait(signal, ${GO}, 1);
+});`;
+
+export class SilentPort {
+  readonly #port: number;
+
+  readonly #signal = new Int32Array(new SharedArrayBuffer(8));
+
+  readonly #thread: Worker;
+
+  readonly #queued: Socket[] = [];
+
+  /** Prepares the thread, so that the port refuses for an instant only when it is taken over. */
+  constructor(port: number) {
+    this.#port = port;
+    const workerData = { port, signal: this.#signal };
+    this.#thread = new Worker(HOLDER, { eval: true, workerData });
+    this.#thread.on('error', () => {});
+  }
+
+  /** Takes the port, which must be free; false when it could not. */
+  takeOver(): boolean {
+    Atomics.store(this.#signal, GO, 1);
+    Atomics.notify(this.#signal, GO);
+    const isTaken = Atomics.wait(this.#signal, LISTENING, 0, LISTEN_TIMEOUT_MS) !== 'timed-out';
+    for (let count = 0; isTaken && count < QUEUED_CONNECTIONS; count += 1) {
+      const socket = createConnection(this.#port, '127.0.0.1');
+      socket.on('error', () => {});
+      this.#queued.push(socket);
+    }
+    return isTaken;
+  }
+
+  async close(): Promise<void> {
+    await this.#thread.terminate();
+    this.#queued.forEach((socket) => socket.destroy());
+  }
+}
--- /dev/null
+++ b/soak/test/platform/soakFaults.ts
@@ -0,0 +1,225 @@
+/** Carries out faults on instances, workers and the store, and tells the judge's fault times. */
+import { setTimeout as delay } from 'node:timers/promises';
+
+import { type RandomSource, SeededRandom } from '../../../src/base/common/random.js';
+import type { StoreOutcome } from '../../../platform/test/storeServer.js';
+import { Silence } from '../../../standIns/relay/silentRelay.js';
+import type { DaemonInstance } from './daemonInstance.js';
+import { FaultKind, type PlannedFault } from './faultPlan.js';
+import type { FaultTimes } from './faultTimes.js';
+import { Absence, type FleetWorker } from './fleetWorker.js';
+import { FaultScope } from './soakTypes.js';
+import type { StoreFaults } from './storeFaults.js';
+
+const TURN_MS = 2_000;
+const RESTART_MS = 300;
+const LEAVE_INTERVAL_MS = 700;
+/** From a worker's word that it drains to its end. */
+const NOTICE_MS = 4_500;
+const LOST_ENTRY_MS = 4_500;
+const SLOW_STORE_MS = 400;
+const LOST_ANSWER_RATIO = 0.3;
+const HIT_RATIO = 0.4;
+const ALL = 1;
+const TURNED_AWAY: readonly StoreOutcome[] = ['refuse', 'reset', 'ignore'];
+
+export interface FaultTargets {
+  readonly instances: readonly DaemonInstance[];
+  readonly workers: () => readonly FleetWorker[];
+  readonly addWorker: () => Promise<void>;
+  readonly store: StoreFaults;
+  readonly times: FaultTimes;
+  readonly nowMs: () => number;
+  readonly log: (event: string, fields: Readonly<Record<string, unknown>>) => void;
+  readonly find: (text: string) => void;
+}
+
+const shuffled = <T>(items: readonly T[], random: RandomSource): T[] =>
+  items
+    .map((item) => ({ item, order: random.nextFraction() }))
+    .sort((left, right) => left.order - right.order)
+    .map(({ item }) => item);
+
+export class SoakFaults {
+  readonly #targets: FaultTargets;
+
+  constructor(targets: FaultTargets) {
+    this.#targets = targets;
+  }
+
+  /** Resolves when the fault is over and what it ended runs again. */
+  async perform(fault: PlannedFault): Promise<void> {
+    const { kind, count, durationMs, isSilent } = fault;
+    const random = new SeededRandom(fault.choiceSeed);
+    this.#targets.log('fault', { kind, count, durationMs, isSilent });
+    const absence = isSilent ? Absence.Silent : Absence.Refusing;
+    const chosenWorkers = shuffled(this.#steadyWorkers(), random).slice(0, count);
+    switch (kind) {
+      case FaultKind.StopInTurn:
+        return this.#stopInTurn(count);
+      case FaultKind.StopOne:
+        return this.#stopInTurn(1);
+      case FaultKind.KillInstances:
+        return this.#killInstances(shuffled(this.#steadyInstances(), random).slice(0, count));
+      case FaultKind.FreezeInstance:
+        return this.#freeze(shuffled(this.#steadyInstances(), random)[0], durationMs);
+      case FaultKind.WorkersLeave:
+        return this.#workersLeave(chosenWorkers, absence);
+      case FaultKind.AddWorkers:
+        return this.#addWorkers(count);
+      case FaultKind.CrashWorkers:
+        return this.#crash(chosenWorkers, absence, durationMs);
+      case FaultKind.LoseWorkers:
+        return this.#lose(chosenWorkers, absence);
+      case FaultKind.ResetConnections:
+      case FaultKind.SilenceConnections:
+        return this.#harmConnections(kind, random);
+      default:
+        return this.#harmStore(kind, durationMs, random);
+    }
+  }
+
+  async #stopInTurn(count: number): Promise<void> {
+    const stops: Promise<void>[] = [];
+    for (let index = 0; index < count; index += 1) {
+      const instance = this.#steadyInstances()[index % this.#targets.instances.length];
+      const next = instance ?? this.#steadyInstances()[0];
+      if (next !== undefined) stops.push(this.#stop(next));
+      // eslint-disable-next-line no-await-in-loop -- one after the other
+      if (index + 1 < count) await delay(TURN_MS);
+    }
+    await Promise.all(stops);
+  }
+
+  async #stop(instance: DaemonInstance): Promise<void> {
+    const { log, find, times, nowMs } = this.#targets;
+    log('stop', { instance: instance.id });
+    const askedAtMs = nowMs();
+    times.add(FaultScope.Planned, askedAtMs, askedAtMs);
+    const isInTime = await instance.stop();
+    const isCalm = times.isCalm(askedAtMs, nowMs());
+    if (!isInTime && isCalm) find(`${instance.id} did not end within its grace`);
+    await delay(RESTART_MS);
+    await instance.start();
+  }
+
+  async #killInstances(instances: readonly DaemonInstance[]): Promise<void> {
+    this.#note(FaultScope.Unplanned, RESTART_MS);
+    await Promise.all(
+      instances.map(async (instance) => {
+        this.#targets.log('kill', { instance: instance.id });
+        await instance.kill();
+        await delay(RESTART_MS);
+        await instance.start();
+      }),
+    );
+  }
+
+  async #freeze(instance: DaemonInstance | undefined, durationMs: number): Promise<void> {
+    if (instance === undefined) return;
+    this.#targets.log('freeze', { instance: instance.id });
+    this.#note(FaultScope.Core, durationMs);
+    instance.freeze();
+    await delay(durationMs);
+    instance.resume();
+  }
+
+  async #workersLeave(workers: readonly FleetWorker[], absence: Absence): Promise<void> {
+    const leaves: Promise<void>[] = [];
+    for (let index = 0; index < workers.length; index += 1) {
+      const worker = workers[index];
+      if (worker !== undefined) leaves.push(this.#leave(worker, absence));
+      // eslint-disable-next-line no-await-in-loop -- one after the other
+      await delay(LEAVE_INTERVAL_MS);
+    }
+    await Promise.all(leaves);
+  }
+
+  async #leave(worker: FleetWorker, absence: Absence): Promise<void> {
+    if (!worker.isUp || worker.isDraining) return;
+    this.#note(FaultScope.Planned, NOTICE_MS);
+    this.#targets.log('drain', { worker: worker.id });
+    worker.drain();
+    await delay(NOTICE_MS);
+    this.#targets.log('leave', { worker: worker.id, absence });
+    worker.leave(absence);
+    await this.#targets.addWorker();
+  }
+
+  async #addWorkers(count: number): Promise<void> {
+    this.#note(FaultScope.Planned, 0);
+    await Promise.all(Array.from({ length: count }, () => this.#targets.addWorker()));
+  }
+
+  async #crash(workers: readonly FleetWorker[], absence: Absence, backMs: number): Promise<void> {
+    this.#note(FaultScope.Unplanned, backMs);
+    const ids = workers.map(({ id }) => id);
+    this.#targets.log('crash', { workers: ids, absence, backMs });
+    await Promise.all(workers.map((worker) => worker.crash(absence, backMs)));
+  }
+
+  async #lose(workers: readonly FleetWorker[], absence: Absence): Promise<void> {
+    this.#note(FaultScope.Unplanned, LOST_ENTRY_MS);
+    this.#targets.log('lose', { workers: workers.map(({ id }) => id), absence });
+    await Promise.all(workers.map((worker) => worker.crash(absence, undefined)));
+    await this.#addWorkers(workers.length);
+  }
+
+  async #harmConnections(kind: FaultKind, random: RandomSource): Promise<void> {
+    this.#note(FaultScope.Core, 0);
+    const directions = Object.values(Silence);
+    const direction = directions[random.nextIndex(directions.length)] ?? Silence.Both;
+    const isReset = kind === FaultKind.ResetConnections;
+    const isHit = (): boolean => random.nextFraction() < HIT_RATIO;
+    const instances = this.#targets.instances.filter(isHit);
+    const workers = this.#steadyWorkers().filter(isHit);
+    const ids = [...instances, ...workers].map(({ id }) => id);
+    this.#targets.log('connections', { kind, direction, ids });
+    instances
+      .flatMap(({ storeRelay, callerRelay }) => [storeRelay, ...(callerRelay ? [callerRelay] : [])])
+      .forEach((relay) => (isReset ? relay.resetAll() : relay.silenceAll(direction)));
+    workers.forEach((worker) =>
+      isReset ? worker.resetConnections() : worker.silenceConnections(direction),
+    );
+  }
+
+  async #harmStore(kind: FaultKind, durationMs: number, random: RandomSource): Promise<void> {
+    this.#note(FaultScope.Core, durationMs);
+    const end = this.#targets.store.add(this.#storeRule(kind, random));
+    await delay(durationMs);
+    end();
+    this.#targets.log('fault-ended', { kind });
+  }
+
+  #storeRule(kind: FaultKind, random: RandomSource): Parameters<StoreFaults['add']>[0] {
+    if (kind === FaultKind.StoreSlow) {
+      return { outcome: 'serve', ratio: ALL, delayMs: random.nextIndex(SLOW_STORE_MS) };
+    }
+    if (kind === FaultKind.StoreLosesAnswers) {
+      return { outcome: 'lose-answer', ratio: LOST_ANSWER_RATIO, delayMs: 0 };
+    }
+    const outcome = TURNED_AWAY[random.nextIndex(TURNED_AWAY.length)] ?? 'refuse';
+    const isForSome = kind === FaultKind.StoreTurnsAway;
+    const hit = this.#targets.instances.filter(() => random.nextFraction() < HIT_RATIO);
+    this.#targets.log('store', {
+      kind,
+      outcome,
+      ...(isForSome && { ids: hit.map(({ id }) => id) }),
+    });
+    const hosts = isForSome ? { hosts: new Set(hit.map(({ storeHost }) => storeHost)) } : {};
+    return { outcome, ratio: ALL, delayMs: 0, ...hosts };
+  }
+
+  #note(scope: FaultScope, durationMs: number): void {
+    const nowMs = this.#targets.nowMs();
+    this.#targets.times.add(scope, nowMs, nowMs + durationMs);
+  }
+
+  #steadyInstances(): readonly DaemonInstance[] {
+    return this.#targets.instances.filter(({ isSteady }) => isSteady);
+  }
+
+  #steadyWorkers(): readonly FleetWorker[] {
+    return this.#targets.workers().filter(({ isUp, isDraining }) => isUp && !isDraining);
+  }
+}
--- /dev/null
+++ b/soak/test/platform/soakTypes.ts
@@ -0,0 +1,56 @@
+/** What the soak of the platform's daemon knows of its submissions, workers and faults. */
+export interface TaskSize {
+  readonly processorMillis: number;
+  readonly memoryMegabytes: number;
+}
+
+export interface SoakStep {
+  readonly taskCount: number;
+  readonly size: TaskSize;
+  readonly after: readonly number[];
+  readonly workMs: number;
+  readonly isPersistent: boolean;
+}
+
+export interface SoakSubmission {
+  readonly id: string;
+  readonly steps: readonly SoakStep[];
+}
+
+/** One life of a worker; a restart under the same id is another life. */
+export interface WorkerLife {
+  readonly key: string;
+  readonly capacity: TaskSize;
+}
+
+export const RunOutcome = { Done: 'done', Failed: 'failed', Other: 'other' } as const;
+export type RunOutcome = (typeof RunOutcome)[keyof typeof RunOutcome];
+
+/** What a fault can excuse. Planned work excuses nothing. */
+export const FaultScope = {
+  /** Daemons may be cut off from the store, or not run. */
+  Core: 'core',
+  /** Daemons or workers are killed, or their connections harmed. */
+  Unplanned: 'unplanned',
+  Planned: 'planned',
+} as const;
+export type FaultScope = (typeof FaultScope)[keyof typeof FaultScope];
+
+export interface TaskPlace {
+  readonly submissionId: string;
+  readonly stepIndex: number;
+}
+
+/** Undefined for a name that is no task's. */
+export const toTaskPlace = (taskName: string): TaskPlace | undefined => {
+  const [submissionId, occurrence, step, index] = taskName.split('.');
+  if (submissionId === undefined || occurrence !== '0' || index === undefined) return undefined;
+  return { submissionId, stepIndex: Number(step) };
+};
+
+/** The names of a step's tasks. */
+export const taskNames = ({ id, steps }: SoakSubmission, stepIndex: number): readonly string[] =>
+  Array.from(
+    { length: steps[stepIndex]?.taskCount ?? 0 },
+    (_, index) => `${id}.0.${stepIndex}.${index}`,
+  );
--- /dev/null
+++ b/soak/test/platform/storeFaults.ts
@@ -0,0 +1,37 @@
+/** Faults of the store that are in force, as the stand-in of the store asks for each call. */
+import type { RandomSource } from '../../../src/base/common/random.js';
+import type { StoreOutcome, StoreTreatment } from '../../../platform/test/storeServer.js';
+
+interface StoreFaultRule {
+  readonly delayMs: number;
+  readonly outcome: StoreOutcome;
+  /** The share of calls that it meets. */
+  readonly ratio: number;
+  /** Whose calls it meets; all when absent. */
+  readonly hosts?: ReadonlySet<string>;
+}
+
+export class StoreFaults {
+  readonly #rules = new Set<StoreFaultRule>();
+
+  readonly #random: RandomSource;
+
+  constructor(random: RandomSource) {
+    this.#random = random;
+  }
+
+  /** Puts a rule in force and returns what ends it. */
+  add(rule: StoreFaultRule): () => void {
+    this.#rules.add(rule);
+    return () => this.#rules.delete(rule);
+  }
+
+  treat(host: string): StoreTreatment {
+    const met = [...this.#rules].filter(
+      ({ hosts, ratio }) => hosts?.has(host) !== false && this.#random.nextFraction() < ratio,
+    );
+    const worst = met.find(({ outcome }) => outcome !== 'serve');
+    const delayMs = Math.max(0, ...met.map((rule) => rule.delayMs));
+    return { delayMs, outcome: worst?.outcome ?? 'serve' };
+  }
+}
--- /dev/null
+++ b/soak/test/platform/submissionRecord.ts
@@ -0,0 +1,32 @@
+/** What clients were told of one submission. */
+import { type SoakSubmission, taskNames } from './soakTypes.js';
+
+export class SubmissionRecord {
+  readonly submission: SoakSubmission;
+
+  acceptedAtMs: number | undefined;
+
+  isRefused = false;
+
+  hasStarted = false;
+
+  isCancelSent = false;
+
+  cancelledAtMs: number | undefined;
+
+  completeAtMs: number | undefined;
+
+  lastState: string | undefined;
+
+  constructor(submission: SoakSubmission) {
+    this.submission = submission;
+  }
+
+  get isOwed(): boolean {
+    return this.acceptedAtMs !== undefined && !this.isCancelSent;
+  }
+
+  allTaskNames(): readonly string[] {
+    return this.submission.steps.flatMap((_, index) => taskNames(this.submission, index));
+  }
+}
