Draw how dense faults are, and log calls without an answer in the soak

A fixed share of calm gaps gave every seed some twelve faults a minute; runs with faults close together were missing. A call that gets no answer is in soak.log now, with its instance and the error, so that an answer cut off by a graceful stop can be told from one that a killed process owes.

--- a/soak/test/platform/faultPlan.ts
+++ b/soak/test/platform/faultPlan.ts
@@ -38,7 +38,7 @@
 const STOPPED_IN_TURN = 6;
 const LEAVING_WORKERS = 20;
 /** Most gaps are short, so that faults overlap; some leave room for the checks of calm times. */
-const CALM_RATIO = 0.25;
+const HIGHEST_CALM_RATIO = 0.3;
 const CALM_GAP_MS = 13_000;
 const GAP_MS = 3_500;
 const DURATION_MS = { least: 1_000, spread: 6_000 };
@@ -59,6 +59,7 @@
 const mixed = (random: RandomSource, fromMs: number, untilMs: number): readonly PlannedFault[] => {
   const kinds = Object.values(FaultKind);
   const faults: PlannedFault[] = [];
+  const calmRatio = random.nextFraction() * HIGHEST_CALM_RATIO;
   let atMs = fromMs;
   while (atMs < untilMs) {
     faults.push({
@@ -69,7 +70,7 @@
       isSilent: random.nextFraction() < 0.6,
       choiceSeed: random.nextIndex(CHOICE_SEEDS),
     });
-    const isCalm = random.nextFraction() < CALM_RATIO;
+    const isCalm = random.nextFraction() < calmRatio;
     atMs += isCalm ? CALM_GAP_MS : random.nextIndex(GAP_MS);
   }
   return faults;
--- a/soak/test/platform/fleetWorker.ts
+++ b/soak/test/platform/fleetWorker.ts
@@ -22,7 +22,7 @@
   toHoldBody,
 } from './orderForms.js';
 import { SilentPort } from './silentPort.js';
-import { RunOutcome, type TaskSize } from './soakTypes.js';
+import { RunOutcome, type SoakLog, type TaskSize } from './soakTypes.js';
 
 export const SERVICE = 'soak-service';
 export const CAPACITY: TaskSize = { processorMillis: 8_000, memoryMegabytes: 16_000 };
@@ -48,7 +48,7 @@
   readonly isLasting: (taskName: string) => boolean;
   /** Lets every worker's time pass, so that what has lapsed elsewhere is over. */
   readonly advanceAll: () => void;
-  readonly log: (event: string, fields: Readonly<Record<string, unknown>>) => void;
+  readonly log: SoakLog;
 }
 
 export class FleetWorker {
--- a/soak/test/platform/platformRun.ts
+++ b/soak/test/platform/platformRun.ts
@@ -13,6 +13,7 @@
 import { PlatformJudge } from './platformJudge.js';
 import { QUEUE_HOST, QUEUE_PREFIX, SoakClients } from './soakClients.js';
 import { SoakFaults } from './soakFaults.js';
+import type { SoakLog } from './soakTypes.js';
 import { StoreFaults } from './storeFaults.js';
 
 const ZONES = ['zone-a', 'zone-b', 'zone-c'];
@@ -68,6 +69,11 @@
 
   #loggedFindings = 0;
 
+  readonly #write: SoakLog = (event, fields) => {
+    const time = new Date().toISOString();
+    this.#log.write(`${JSON.stringify({ time, atMs: this.#nowMs(), event, ...fields })}\n`);
+  };
+
   constructor(options: PlatformRunOptions) {
     this.#options = options;
     this.#random = new SeededRandom(options.seed);
@@ -113,7 +119,8 @@
     }
     const random = new SeededRandom(seed + 1);
     const judge = this.#judge;
-    this.#clients = new SoakClients(random, this.#instances, judge, () => this.#nowMs());
+    const nowMs = (): number => this.#nowMs();
+    this.#clients = new SoakClients(random, this.#instances, judge, nowMs, this.#write);
     await Promise.all(Array.from({ length: workerCount }, () => this.#addWorker()));
     await Promise.all(this.#instances.map((instance) => instance.prepare()));
     await Promise.all(this.#instances.map((instance) => instance.start()));
@@ -133,7 +140,7 @@
       taskOf: (taskName) => this.#clients?.taskOf(taskName) ?? { workMs: 0, end: 'done' },
       isLasting: (taskName) => this.#judge.stepOf(taskName)?.isPersistent === true,
       advanceAll: () => this.#advanceWorkers(),
-      log: (event, fields) => this.#write(event, fields),
+      log: this.#write,
     });
     this.#workers.push(worker);
     await worker.start();
@@ -153,7 +160,7 @@
       store: storeFaults,
       times: this.#times,
       nowMs: () => this.#nowMs(),
-      log: (event, fields) => this.#write(event, fields),
+      log: this.#write,
       find: (text) => this.#noteUnexpected(text),
     });
     await Promise.all([
@@ -200,11 +207,6 @@
     this.#judge.noteUnexpected(text, this.#nowMs());
   }
 
-  #write(event: string, fields: Readonly<Record<string, unknown>>): void {
-    const time = new Date().toISOString();
-    this.#log.write(`${JSON.stringify({ time, atMs: this.#nowMs(), event, ...fields })}\n`);
-  }
-
   async #close(): Promise<void> {
     await Promise.all(this.#instances.map((instance) => instance.close()));
     await Promise.all(this.#workers.map((worker) => worker.close()));
--- a/soak/test/platform/soakClients.ts
+++ b/soak/test/platform/soakClients.ts
@@ -7,7 +7,7 @@
 import type { DaemonInstance } from './daemonInstance.js';
 import type { PlatformJudge } from './platformJudge.js';
 import { drawSubmission, toBody } from './soakSubmissions.js';
-import type { SoakSubmission } from './soakTypes.js';
+import type { SoakLog, SoakSubmission } from './soakTypes.js';
 
 export const QUEUE_HOST = 'soak.example';
 export const QUEUE_PREFIX = '/soak/';
@@ -47,6 +47,8 @@
 
   readonly #nowMs: () => number;
 
+  readonly #log: SoakLog;
+
   readonly #accepted: string[] = [];
 
   #isSubmitting = true;
@@ -62,11 +64,13 @@
     instances: readonly DaemonInstance[],
     judge: PlatformJudge,
     nowMs: () => number,
+    log: SoakLog,
   ) {
     this.#random = random;
     this.#instances = instances;
     this.#judge = judge;
     this.#nowMs = nowMs;
+    this.#log = log;
   }
 
   /** What a task of the submissions does once it is started. */
@@ -176,8 +180,9 @@
     submission?: SoakSubmission,
   ): Promise<Answer> {
     const sentAtMs = this.#nowMs();
-    const pools = this.#instances.flatMap(({ pool }) => (pool === undefined ? [] : [pool]));
-    const pool = pools[this.#random.nextIndex(Math.max(1, pools.length))];
+    const present = this.#instances.filter(({ pool }) => pool !== undefined);
+    const instance = present[this.#random.nextIndex(Math.max(1, present.length))];
+    const pool = instance?.pool;
     if (pool === undefined) return { statusCode: undefined, state: undefined, sentAtMs };
     try {
       const response = await pool.request({
@@ -194,9 +199,11 @@
       });
       const body = (await response.body.json()) as { readonly State?: string };
       return { statusCode: response.statusCode, state: body.State, sentAtMs };
-    } catch {
+    } catch (error) {
       // The process has ended, or answers too late: whether it acted is not known.
       this.unansweredCount += 1;
+      const { code, message } = error as { readonly code?: unknown; readonly message: string };
+      this.#log('unanswered', { method, id, sentAtMs, instance: instance?.id, code, message });
       return { statusCode: undefined, state: undefined, sentAtMs };
     }
   }
--- a/soak/test/platform/soakFaults.ts
+++ b/soak/test/platform/soakFaults.ts
@@ -8,7 +8,7 @@
 import { FaultKind, type PlannedFault } from './faultPlan.js';
 import type { FaultTimes } from './faultTimes.js';
 import { Absence, type FleetWorker } from './fleetWorker.js';
-import { FaultScope } from './soakTypes.js';
+import { FaultScope, type SoakLog } from './soakTypes.js';
 import type { StoreFaults } from './storeFaults.js';
 
 const TURN_MS = 2_000;
@@ -30,7 +30,7 @@
   readonly store: StoreFaults;
   readonly times: FaultTimes;
   readonly nowMs: () => number;
-  readonly log: (event: string, fields: Readonly<Record<string, unknown>>) => void;
+  readonly log: SoakLog;
   readonly find: (text: string) => void;
 }
 
--- a/soak/test/platform/soakTypes.ts
+++ b/soak/test/platform/soakTypes.ts
@@ -1,4 +1,6 @@
 /** What the soak of the platform's daemon knows of its submissions, workers and faults. */
+export type SoakLog = (event: string, fields: Readonly<Record<string, unknown>>) => void;
+
 export interface TaskSize {
   readonly processorMillis: number;
   readonly memoryMegabytes: number;
