Cut workers that run on in the platform's soak

The relays made only existing connections silent, so that a new owner of the fleet reached every worker that ran, over a new connection.

Workers can now be out of reach for a while, also for new connections, and run on; a fault of its own kills all instances meanwhile.

--- a/soak/test/platform/daemonInstance.ts
+++ b/soak/test/platform/daemonInstance.ts
@@ -9,7 +9,7 @@
 import { Pool } from 'undici';
 
 import { SilentRelay } from '../../../standIns/relay/silentRelay.js';
-import { MAXIMUM_LEASE_MS } from './fleetWorker.js';
+import { MAXIMUM_LEASE_MS } from './fleetWorkerParts.js';
 
 const PROGRAM = ['--max-old-space-size=160', '--max-semi-space-size=4', 'target/snipethread.cjs'];
 const GRACE_SECONDS = 6;
--- a/soak/test/platform/faultPlan.ts
+++ b/soak/test/platform/faultPlan.ts
@@ -10,6 +10,9 @@
   AddWorkers: 'add-workers',
   CrashWorkers: 'crash-workers',
   LoseWorkers: 'lose-workers',
+  CutWorkers: 'cut-workers',
+  /** Workers that run on cannot be reached while all instances are killed. */
+  KillBesideCut: 'kill-beside-cut',
   ResetConnections: 'reset-connections',
   SilenceConnections: 'silence-connections',
   StoreDown: 'store-down',
--- a/soak/test/platform/fleetWorker.ts
+++ b/soak/test/platform/fleetWorker.ts
@@ -9,10 +9,15 @@
   StartOutcome,
 } from '../../../src/services/fleet/common/fleetWorker.js';
 import { listeningPort } from '../../../src/services/http/node/listening.js';
-import type { StoreServer } from '../../../platform/test/storeServer.js';
-import { type ModelRun, type ModelTask, WorkerModel } from '../../../standIns/fleet/workerModel.js';
+import { type ModelRun, WorkerModel } from '../../../standIns/fleet/workerModel.js';
 import { type Silence, SilentRelay } from '../../../standIns/relay/silentRelay.js';
-import type { PlatformJudge } from './platformJudge.js';
+import {
+  Absence,
+  CAPACITY,
+  type FleetWorkerParts,
+  MAXIMUM_LEASE_MS,
+  SERVICE,
+} from './fleetWorkerParts.js';
 import {
   answerOrder,
   INSTANCE_HEADER,
@@ -22,35 +27,13 @@
   toHoldBody,
 } from './orderForms.js';
 import { SilentPort } from './silentPort.js';
-import { RunOutcome, type SoakLog, type TaskSize } from './soakTypes.js';
+import { RunOutcome } from './soakTypes.js';
 
-export const SERVICE = 'soak-service';
-export const CAPACITY: TaskSize = { processorMillis: 8_000, memoryMegabytes: 16_000 };
-export const MAXIMUM_LEASE_MS = 6_000;
 const STOP_MS = 400;
 const HOLD_POLL_MS = 20;
 const BYTES_PER_MEGABYTE = 1024 * 1024;
 /** The platform drops the entry of a worker that has been silent for so long. */
 const ENTRY_EXPIRY_MS = 4_500;
-/** What callers meet at the address of a worker that is gone. */
-export const Absence = { Silent: 'silent', Refusing: 'refusing' } as const;
-export type Absence = (typeof Absence)[keyof typeof Absence];
-
-export interface FleetWorkerParts {
-  readonly id: string;
-  readonly zone: string;
-  readonly rack: string;
-  readonly clockRate: number;
-  readonly judge: PlatformJudge;
-  readonly store: StoreServer;
-  readonly nowMs: () => number;
-  readonly taskOf: (taskName: string) => ModelTask;
-  readonly isLasting: (taskName: string) => boolean;
-  /** Lets every worker's time pass, so that what has lapsed elsewhere is over. */
-  readonly advanceAll: () => void;
-  readonly log: SoakLog;
-}
-
 export class FleetWorker {
   readonly #parts: FleetWorkerParts;
 
@@ -139,6 +122,20 @@
     await this.#open();
   }
 
+  /** Nobody reaches it for a while, nor does it reach the store; what it runs runs on. */
+  async cut(durationMs: number): Promise<void> {
+    const relay = this.#relay;
+    if (relay === undefined) return;
+    relay.silenceAll('both');
+    relay.isCut = true;
+    const expiryMs = Math.min(ENTRY_EXPIRY_MS, durationMs);
+    await delay(expiryMs);
+    if (expiryMs === ENTRY_EXPIRY_MS) this.#parts.store.remove('servers', this.id);
+    await delay(durationMs - expiryMs);
+    relay.isCut = false;
+    if (this.isUp) this.#register();
+  }
+
   resetConnections(): void {
     this.#relay?.resetAll();
   }
--- a/soak/test/platform/soakFaults.ts
+++ b/soak/test/platform/soakFaults.ts
@@ -7,7 +7,8 @@
 import type { DaemonInstance } from './daemonInstance.js';
 import { FaultKind, type PlannedFault } from './faultPlan.js';
 import type { FaultTimes } from './faultTimes.js';
-import { Absence, type FleetWorker } from './fleetWorker.js';
+import type { FleetWorker } from './fleetWorker.js';
+import { Absence } from './fleetWorkerParts.js';
 import { FaultScope, type SoakLog } from './soakTypes.js';
 import type { StoreFaults } from './storeFaults.js';
 
@@ -71,6 +72,13 @@
         return this.#crash(chosenWorkers, absence, durationMs);
       case FaultKind.LoseWorkers:
         return this.#lose(chosenWorkers, absence);
+      case FaultKind.CutWorkers:
+        return this.#cut(chosenWorkers, durationMs);
+      case FaultKind.KillBesideCut: {
+        const cut = this.#cut(chosenWorkers, durationMs);
+        await this.#killInstances(this.#steadyInstances());
+        return cut;
+      }
       case FaultKind.ResetConnections:
       case FaultKind.SilenceConnections:
         return this.#harmConnections(kind, random);
@@ -165,6 +173,12 @@
     await this.#addWorkers(workers.length);
   }
 
+  async #cut(workers: readonly FleetWorker[], durationMs: number): Promise<void> {
+    this.#note(FaultScope.Unplanned, durationMs);
+    this.#targets.log('cut', { workers: workers.map(({ id }) => id), durationMs });
+    await Promise.all(workers.map((worker) => worker.cut(durationMs)));
+  }
+
   async #harmConnections(kind: FaultKind, random: RandomSource): Promise<void> {
     this.#note(FaultScope.Core, 0);
     const directions = Object.values(Silence);
--- a/standIns/relay/silentRelay.ts
+++ b/standIns/relay/silentRelay.ts
@@ -52,6 +52,9 @@
 
   readonly #connections = new Set<RelayedConnection>();
 
+  /** New connections are silent too. */
+  isCut = false;
+
   connectionCount = 0;
 
   /** Connections to the target that it has not closed. */
@@ -61,6 +64,7 @@
     this.#server = createServer((client) => {
       this.connectionCount += 1;
       const connection = new RelayedConnection(client, targetPort);
+      if (this.isCut) connection.silence = Silence.Both;
       this.#connections.add(connection);
       this.openToServerCount += 1;
       connection.server.on('close', () => {
