--- a/standIns/relay/silentRelay.ts
+++ b/standIns/relay/silentRelay.ts
@@ -27,6 +27,11 @@
     this.server.destroy();
   }
 
+  reset(): void {
+    this.client.resetAndDestroy();
+    this.server.resetAndDestroy();
+  }
+
   #isSilent(direction: Silence): boolean {
     return this.silence === Silence.Both || this.silence === direction;
   }
@@ -47,6 +52,9 @@
 
   readonly #connections = new Set<RelayedConnection>();
 
+  /** New connections are silent too. */
+  isCut = false;
+
   connectionCount = 0;
 
   /** Connections to the target that it has not closed. */
@@ -56,6 +64,7 @@
     this.#server = createServer((client) => {
       this.connectionCount += 1;
       const connection = new RelayedConnection(client, targetPort);
+      if (this.isCut) connection.silence = Silence.Both;
       this.#connections.add(connection);
       this.openToServerCount += 1;
       connection.server.on('close', () => {
@@ -70,8 +79,9 @@
     return [...this.#connections].filter(({ silence }) => silence !== undefined).length;
   }
 
-  async listen(): Promise<number> {
-    this.#server.listen(0, '127.0.0.1');
+  /** Listens on a port that the system chooses, or on this one, and tells which. */
+  async listen(port = 0): Promise<number> {
+    this.#server.listen(port, '127.0.0.1');
     await once(this.#server, 'listening');
     return (this.#server.address() as { port: number }).port;
   }
@@ -82,6 +92,16 @@
     return this.#connections.size;
   }
 
+  /** Resets all connections that exist now; later ones work. */
+  resetAll(): void {
+    this.#connections.forEach((connection) => connection.reset());
+  }
+
+  /** Refuses new connections; those that exist stay as they are. */
+  stopListening(): void {
+    this.#server.close();
+  }
+
   close(): void {
     this.#connections.forEach((connection) => connection.destroy());
     this.#server.close();
