--- a/soak/test/platform/daemonInstance.ts
+++ b/soak/test/platform/daemonInstance.ts
@@ -81,6 +81,7 @@
       storeAddress: this.storeHost,
       maximumLeaseMs: MAXIMUM_LEASE_MS,
       graceSeconds: GRACE_SECONDS,
+      processor: { share: 1, speed: 1 },
     };
     await writeFile(this.#settingsPath, JSON.stringify(settings));
   }
