Fix starts of submissions cancelled while a new owner was reading

It now asks the feed once without waiting, and places nothing until that is answered. The test failed before: the cancelled submission was started.

--- a/src/scheduler/common/fleet/fleetScheduler.ts
+++ b/src/scheduler/common/fleet/fleetScheduler.ts
@@ -140,6 +140,11 @@
     takeChanges(this.#tenure, changes, NOTHING_STORED, nowMs);
   }
 
+  /** Everything that callers had done when the feed was first asked has been taken in. */
+  handleCaughtUp(epoch: number): void {
+    if (this.#tenure?.epoch === epoch) this.#tenure.isCaughtUp = true;
+  }
+
   /** Takes in the workers that the table lists now. */
   handleWorkers(epoch: number, entries: readonly FleetWorkerEntry[], nowMs: number): void {
     const tenure = this.#tenure;
@@ -312,7 +317,8 @@
   }
 
   #place(tenure: Tenure, nowMs: number): void {
-    if (!this.#mayGrant(nowMs) || tenure.book.waiting.size === 0) return;
+    const mayPlace = tenure.isCaughtUp && this.#mayGrant(nowMs);
+    if (!mayPlace || tenure.book.waiting.size === 0) return;
     const waits = placeWaiting(this.#roundInput(tenure), nowMs);
     tenure.notes.addWaits(tenure.book.waiting, waits, nowMs);
   }
--- a/src/scheduler/common/fleet/fleetTenure.ts
+++ b/src/scheduler/common/fleet/fleetTenure.ts
@@ -52,6 +52,8 @@
   readonly roster: Roster;
   readonly harm: HarmControl;
   readonly notes: FleetNotes;
+  /** Whether what callers did while the stored rows were being read is known as well. */
+  isCaughtUp: boolean;
   /** Runs that workers list and nobody asked for, to be stopped. */
   readonly strays: Map<string, RunReference>;
 }
@@ -128,7 +130,11 @@
   const harm = new HarmControl();
   harm.inherit(stored.harm, nowMs);
   const roster = new Roster(epoch);
-  const tenure = { epoch, book, views, keeper, commits, roster, harm, notes, strays: new Map() };
+  const tenure: Tenure = {
+    ...{ epoch, book, views, keeper, commits, roster, harm, notes },
+    strays: new Map(),
+    isCaughtUp: false,
+  };
   takeChanges(tenure, stored.changes, stored, nowMs);
   return tenure;
 };
--- a/src/scheduler/node/fleetTask.ts
+++ b/src/scheduler/node/fleetTask.ts
@@ -260,10 +260,12 @@
   async #follow(epoch: number, fromPosition: number): Promise<void> {
     const { feed, clock } = this.#services;
     let position = fromPosition;
+    // Reading what is stored may have taken seconds, in which callers may have cancelled.
+    let waitMs = 0;
     while (this.#scheduler.epoch === epoch && !this.#disposables.isDisposed) {
       // One call after the other: each goes on where the last one ended.
       // eslint-disable-next-line no-await-in-loop
-      const page = await feed.follow(SUBMISSION_TABLE, position, FEED_WAIT_MS)();
+      const page = await feed.follow(SUBMISSION_TABLE, position, waitMs)();
       if (isLeft(page)) {
         // eslint-disable-next-line no-await-in-loop
         await this.#pause(RETRY_MS);
@@ -278,6 +280,8 @@
         position = page.right.position;
         const changes = this.#reader.toChanges(page.right.rows);
         if (changes.length > 0) this.#scheduler.handleChanges(epoch, changes, clock.nowMs());
+        this.#scheduler.handleCaughtUp(epoch);
+        waitMs = FEED_WAIT_MS;
       }
       this.#stepSoon();
     }
--- a/src/scheduler/test/fleet/ownerChanges.test.ts
+++ b/src/scheduler/test/fleet/ownerChanges.test.ts
@@ -132,6 +132,19 @@
 });
 
 describe('a successor', () => {
+  it('starts nothing that was cancelled after it had read what is stored', async () => {
+    const world = await worldOf(2, 2);
+    world.killScheduler(ownerIndex(world));
+    world.submit(submissionOf(ID, [STEP]));
+    world.faults.isFeedSilent = true;
+    await untilMet(world, () => ownerIndex(world) >= 0, 5_000);
+    world.cancel(ID);
+    await world.runFor(1_500);
+    world.faults.isFeedSilent = false;
+    await world.runFor(3_000);
+    expect(world.judge.startsOf.get(TASK)).toBeUndefined();
+  });
+
   it('shows a submission as running whose first start its predecessor has not recorded', async () => {
     const world = await worldOf(2, 2);
     world.submit(submissionOf(ID, [STEP]));
--- a/src/scheduler/test/fleet/worldFaults.ts
+++ b/src/scheduler/test/fleet/worldFaults.ts
@@ -11,6 +11,8 @@
   /** Share of transactions that take effect and get no answer. */
   lostAnswerShare: number;
   isTableDown: boolean;
+  /** Owners are told nothing of what callers have done since they read what is stored. */
+  isFeedSilent: boolean;
   /** How long each transaction takes until its answer is there. */
   transactionMs: number;
 }
@@ -27,6 +29,7 @@
   lateOrderShare: 0,
   lostAnswerShare: 0,
   isTableDown: false,
+  isFeedSilent: false,
   transactionMs: CALL_MS,
 });
 
