Split which stored runs may start out of the fleet's scheduler

The scheduler had grown to 394 lines; which runs may start is a decision of its own, in runStarts.ts. Roster entries speak of limits, as the module does, and the bound of former owners' leases says whose it is. A run that can be granted no lease gives its room back instead of keeping it; no case of that is known. All tests of scheduler and platform pass as before.

--- a/src/scheduler/common/fleet/fleetOwnership.ts
+++ b/src/scheduler/common/fleet/fleetOwnership.ts
@@ -88,11 +88,11 @@
    * When all leases that former owners may have granted to a worker of the roster are over. What is
    * stored may be later than what the last owner granted: it need not have reached the worker.
    */
-  leasesOverAtMs(entry: RosterEntry, rosterEpoch: number, nowMs: number): number {
+  formerLeasesOverAtMs(entry: RosterEntry, rosterEpoch: number, nowMs: number): number {
     const { leasesOverAtMs, earlierLeases } = this.#former;
     // An owner grants nothing until the roster is of its epoch.
     const granted = earlierLeases.find(({ upToEpoch }) => upToEpoch >= rosterEpoch);
-    const storedMs = entry.leasesOverTableMs ?? granted?.overTableMs;
+    const storedMs = entry.limitTableMs ?? granted?.overTableMs;
     const { tableClock } = this.#lease;
     if (storedMs === undefined || tableClock === undefined) return leasesOverAtMs;
     // The table's clock is at least as far as it was when its answer came.
--- a/src/scheduler/common/fleet/fleetScheduler.ts
+++ b/src/scheduler/common/fleet/fleetScheduler.ts
@@ -42,7 +42,7 @@
 import { StopReason } from './fleetNotes.js';
 import { FleetOwnership } from './fleetOwnership.js';
 import { movableRuns } from './drainMoves.js';
-import { isUsable, placeWaiting } from './fleetRound.js';
+import { placeWaiting } from './fleetRound.js';
 import {
   loseLapsed,
   newTenure,
@@ -57,8 +57,9 @@
 import type { RoundInput } from './fleetRound.js';
 import type { FleetTiming } from './fleetTiming.js';
 import { NEXT_HOLD_AFTER_FAILURE_MS } from './holdPace.js';
-import { type FleetWorkerView, runKey } from './fleetWorkerView.js';
-import { RunState, stepName, type TaskRun } from './taskRecords.js';
+import { runKey } from './fleetWorkerView.js';
+import { splitRecorded } from './runStarts.js';
+import { RunState, type TaskRun } from './taskRecords.js';
 
 export class FleetScheduler {
   readonly #timing: FleetTiming;
@@ -130,7 +131,7 @@
     this.#loadingEpoch = 0;
     if (stored === undefined || !this.isOwner || this.#ownership.epoch !== epoch) return;
     const leasesOverAtMs = (entry: RosterEntry): number =>
-      this.#ownership.leasesOverAtMs(entry, stored.roster.epoch, nowMs);
+      this.#ownership.formerLeasesOverAtMs(entry, stored.roster.epoch, nowMs);
     const operator = (): OperatorState => this.#operator;
     this.#tenure = newTenure(epoch, stored, leasesOverAtMs, operator, nowMs);
   }
@@ -328,41 +329,26 @@
     tenure.keeper.requestStops(runs, StopReason.Draining, nowMs);
   }
 
-  /** Sends the starts of runs whose workers may still be given work. */
   #start(tenure: Tenure, recorded: readonly TaskRun[], nowMs: number): readonly FleetEffect[] {
     const input = this.#roundInput(tenure);
-    const mayGrant = this.#mayGrant(nowMs);
-    const viewOf = ({ workerId }: TaskRun): FleetWorkerView | undefined =>
-      tenure.views.get(workerId);
-    const isStartable = (run: TaskRun): boolean => {
-      const view = viewOf(run);
-      return mayGrant && view !== undefined && isUsable(view, input, nowMs);
-    };
-    // One that was withdrawn or lost while its assignment was being stored has no room any more.
-    const hasRoom = (run: TaskRun): boolean => viewOf(run)?.hasRun(run) === true;
-    const assigned = recorded.filter((run) => run.state === RunState.Assigned && hasRoom(run));
-    const startable = new Set(assigned.filter(isStartable));
-    // A gang starts whole: a part of it would hold room and do no work.
-    const brokenGangs = new Set(
-      recorded
-        .filter((run) => run.task.step.isGang && !startable.has(run))
-        .map(({ task }) => stepName(task)),
-    );
-    const isBlocked = (run: TaskRun): boolean =>
-      !startable.has(run) || brokenGangs.has(stepName(run.task));
-    const started = assigned.filter((run) => !isBlocked(run));
-    assigned.filter(isBlocked).forEach((run) => tenure.keeper.withdraw(run, nowMs));
-    tenure.notes.addStarts(started, nowMs);
-    return started.flatMap((run) => {
-      const view = viewOf(run);
-      const limitAtMs = tenure.roster.grantLimitMs(run.workerId);
-      const leaseEndWorkerMs = view?.grantLease(this.#timing, limitAtMs, nowMs);
-      if (view === undefined || leaseEndWorkerMs === undefined) return [];
-      run.state = RunState.Starting;
-      run.startedAtMs = nowMs;
-      this.#startsInFlight.set(runKey(run.task.name, run.run), run);
-      return [startEffect(tenure, view, run, leaseEndWorkerMs)];
-    });
+    const { startable, blocked } = splitRecorded(recorded, input, this.#mayGrant(nowMs), nowMs);
+    blocked.forEach((run) => tenure.keeper.withdraw(run, nowMs));
+    tenure.notes.addStarts(startable, nowMs);
+    return startable.flatMap((run) => this.#send(tenure, run, nowMs));
+  }
+
+  #send(tenure: Tenure, run: TaskRun, nowMs: number): readonly FleetEffect[] {
+    const view = tenure.views.get(run.workerId);
+    const limitAtMs = tenure.roster.grantLimitMs(run.workerId);
+    const leaseEndWorkerMs = view?.grantLease(this.#timing, limitAtMs, nowMs);
+    if (view === undefined || leaseEndWorkerMs === undefined) {
+      tenure.keeper.withdraw(run, nowMs);
+      return [];
+    }
+    run.state = RunState.Starting;
+    run.startedAtMs = nowMs;
+    this.#startsInFlight.set(runKey(run.task.name, run.run), run);
+    return [startEffect(tenure, view, run, leaseEndWorkerMs)];
   }
 
   #pace(tenure: Tenure, effects: FleetEffect[], nowMs: number): void {
--- a/src/scheduler/common/fleet/roster.ts
+++ b/src/scheduler/common/fleet/roster.ts
@@ -82,6 +82,7 @@
     const isStored = this.#unconfirmed.length === 0 && this.#written !== undefined;
     const due = this.#entries(views, DRAINING_LEAST_MS, nowMs);
     if (isStored && isSame(this.#written as Entries, due)) return undefined;
+    // One row moves the limits of all that drain on, so that they are due together from then on.
     const entries = this.#entries(views, DRAINING_GRANT_MS, nowMs);
     this.#nextWriteAtMs = nowMs + WRITE_INTERVAL_MS;
     this.#unconfirmed = [...this.#unconfirmed, entries];
--- /dev/null
+++ b/src/scheduler/common/fleet/runStarts.ts
@@ -0,0 +1,40 @@
+/** Which runs may start now that their assignments are stored. */
+import { isUsable, type RoundInput } from './fleetRound.js';
+import { RunState, stepName, type TaskRun } from './taskRecords.js';
+
+export interface RecordedRuns {
+  readonly startable: readonly TaskRun[];
+  /** Their workers may not be given work any more, or the other members of their gang cannot start. */
+  readonly blocked: readonly TaskRun[];
+}
+
+export const splitRecorded = (
+  recorded: readonly TaskRun[],
+  input: RoundInput,
+  mayGrant: boolean,
+  nowMs: number,
+): RecordedRuns => {
+  // One that was withdrawn or lost while its assignment was being stored has no room any more.
+  const assigned = recorded.filter((run) => {
+    const view = input.views.get(run.workerId);
+    return run.state === RunState.Assigned && view?.hasRun(run) === true;
+  });
+  const usable = new Set(
+    assigned.filter((run) => {
+      const view = input.views.get(run.workerId);
+      return mayGrant && view !== undefined && isUsable(view, input, nowMs);
+    }),
+  );
+  // A gang starts whole: a part of it would hold room and do no work.
+  const brokenGangs = new Set(
+    recorded
+      .filter((run) => run.task.step.isGang && !usable.has(run))
+      .map(({ task }) => stepName(task)),
+  );
+  const isStartable = (run: TaskRun): boolean =>
+    usable.has(run) && !brokenGangs.has(stepName(run.task));
+  return {
+    startable: assigned.filter(isStartable),
+    blocked: assigned.filter((run) => !isStartable(run)),
+  };
+};
--- a/src/services/submissions/common/submissionRows.ts
+++ b/src/services/submissions/common/submissionRows.ts
@@ -110,13 +110,13 @@
 export interface RosterEntry {
   readonly id: string;
   readonly address: string;
-  readonly leasesOverTableMs: number | undefined;
+  readonly limitTableMs: number | undefined;
 }
 
 export const toRosterEntries = ({ workers }: RosterRow): readonly RosterEntry[] =>
   workers.map(([id, address, limitMs]) => ({
     ...{ id, address },
-    leasesOverTableMs: limitMs ?? undefined,
+    limitTableMs: limitMs ?? undefined,
   }));
 
 export const specKey = (id: string): string => `${SUBMISSIONS_PREFIX}${id}${SPEC_SUFFIX}`;
