Fix an ended tenure acting under the condition of a later epoch

An owner that yields keeps its tenure until its next step, which may be 150 ms off, and by then may own the fleet in a new epoch: answers to its former transactions sent starts under the old fence, and new transactions under the new owner's condition, after the rows had been read. The tenure now ends with the ownership, at once. And an owner yields no more to a worker that refuses an order sent before the owner itself raised the worker's fence: such an order did nothing and tells of nobody else.

Both tests failed before: a start was sent for the former epoch, and the owner changed its epoch by its own late order.

--- a/src/scheduler/common/fleet/fleetScheduler.ts
+++ b/src/scheduler/common/fleet/fleetScheduler.ts
@@ -74,6 +74,9 @@
 
   #loadingEpoch = 0;
 
+  /** Epochs that have ended and that the log has not been told of. */
+  #endedEpochs: number[] = [];
+
   readonly #startsInFlight = new Map<string, TaskRun>();
 
   readonly #paceInFlight = new Set<TaskRun>();
@@ -114,6 +117,7 @@
 
   handleLeaseRead(result: Either<Failure, ReadResult>, sentAtMs: number, nowMs: number): void {
     this.#ownership.handleRead(result, sentAtMs, nowMs);
+    this.#dropEndedTenure();
   }
 
   handleLeaseWritten(
@@ -123,6 +127,7 @@
     nowMs: number,
   ): void {
     this.#ownership.handleWritten(step, result, sentAtMs, nowMs);
+    this.#dropEndedTenure();
   }
 
   /** Takes in what is stored; undefined when it could not be read, and is to be read again. */
@@ -167,7 +172,10 @@
     view.nextHoldAtMs = nowMs;
     const outcome = isRight(result) ? result.right : undefined;
     view.isNotListening = outcome?.kind === 'not-listening';
-    if (outcome?.kind === 'fenced') this.#yield(nowMs);
+    if (outcome?.kind === 'fenced') {
+      this.#yield(nowMs);
+      return;
+    }
     if (outcome?.kind !== 'held') {
       view.isSilent = true;
       view.nextHoldAtMs = nowMs + NEXT_HOLD_AFTER_FAILURE_MS;
@@ -190,7 +198,8 @@
     const run = this.#startsInFlight.get(key);
     this.#startsInFlight.delete(key);
     if (this.#tenure?.epoch !== epoch || run === undefined) return;
-    if (isRight(result) && result.right === StartOutcome.Fenced) this.#yield(nowMs);
+    const isFenced = isRight(result) && result.right === StartOutcome.Fenced;
+    if (isFenced && this.#isOvertaken(reference, epoch)) this.#yield(nowMs);
     else this.#tenure.keeper.handleStarted(run, result, nowMs);
   }
 
@@ -201,7 +210,8 @@
     nowMs: number,
   ): void {
     if (this.#tenure?.epoch !== epoch) return;
-    if (isRight(result) && result.right === OrderOutcome.Fenced) {
+    const isFenced = isRight(result) && result.right === OrderOutcome.Fenced;
+    if (isFenced && this.#isOvertaken(reference, epoch)) {
       this.#yield(nowMs);
       return;
     }
@@ -222,8 +232,9 @@
     if (run === undefined || this.#tenure?.epoch !== epoch) return;
     this.#paceInFlight.delete(run);
     if (isLeft(result)) return;
-    if (result.right === OrderOutcome.Fenced) this.#yield(nowMs);
-    else {
+    if (result.right === OrderOutcome.Fenced) {
+      if (this.#isOvertaken(reference, epoch)) this.#yield(nowMs);
+    } else {
       if (percent < run.pacePercent) run.pacedSinceMs = nowMs;
       run.pacePercent = percent;
     }
@@ -294,19 +305,34 @@
 
   #followOwnership(effects: FleetEffect[]): void {
     const { isOwner, epoch } = this.#ownership;
-    if (this.#tenure !== undefined && (!isOwner || this.#tenure.epoch !== epoch)) {
-      this.#tenure = undefined;
-      this.#startsInFlight.clear();
-      this.#paceInFlight.clear();
-      effects.push({ kind: 'log', event: 'fleet-lost', fields: { epoch } });
-    }
+    this.#endedEpochs.forEach((ended) =>
+      effects.push({ kind: 'log', event: 'fleet-lost', fields: { epoch: ended } }),
+    );
+    this.#endedEpochs = [];
     if (!isOwner || this.#tenure !== undefined || this.#loadingEpoch === epoch) return;
     this.#loadingEpoch = epoch;
     effects.push({ kind: 'load', epoch });
   }
 
+  /** Whether a refusal tells of another owner: calls sent before a fence was raised are refused too. */
+  #isOvertaken({ workerId, fence }: RunReference, epoch: number): boolean {
+    const view = this.#tenure?.views.get(workerId);
+    return view === undefined || fence >= view.fence(epoch);
+  }
+
   #yield(nowMs: number): void {
     this.#ownership.yield(nowMs);
+    this.#dropEndedTenure();
+  }
+
+  /** At once, so that no answer that comes next is acted on under the condition of a later epoch. */
+  #dropEndedTenure(): void {
+    const { isOwner, epoch } = this.#ownership;
+    if (this.#tenure === undefined || (isOwner && this.#tenure.epoch === epoch)) return;
+    this.#endedEpochs.push(this.#tenure.epoch);
+    this.#tenure = undefined;
+    this.#startsInFlight.clear();
+    this.#paceInFlight.clear();
   }
 
   #mayGrant(nowMs: number): boolean {
--- a/src/scheduler/test/fleet/ownerChanges.test.ts
+++ b/src/scheduler/test/fleet/ownerChanges.test.ts
@@ -7,6 +7,7 @@
 import { longestLeaseMs } from '../../common/fleet/fleetTiming.js';
 import { FleetWorkerView } from '../../common/fleet/fleetWorkerView.js';
 import { Roster } from '../../common/fleet/roster.js';
+import { TransactionOutcome } from '../../../services/table/common/table.js';
 import { STEP, submissionOf, TIMING, WORKER_CAPACITY } from './fleetFixtures.js';
 import { FleetWorld } from './fleetWorld.js';
 
@@ -64,17 +65,43 @@
   return world.nowMs - sinceMs;
 };
 
-/** Gives the owner the answer of a worker that has seen a higher fence. */
-const fence = (world: FleetWorld, workerId: string): void => {
+/** Gives the owner the answer of a worker that has seen a higher fence than its order had. */
+const fence = (world: FleetWorld, workerId: string, orderFence: number): void => {
   const scheduler = world.seats[ownerIndex(world)]?.scheduler as FleetScheduler;
   scheduler.handleStopped(
     scheduler.epoch as number,
-    { workerId, address: workerId, taskName: TASK, run: 1, fence: 1 },
+    { workerId, address: workerId, taskName: TASK, run: 1, fence: orderFence },
     right(OrderOutcome.Fenced),
     world.nowMs,
   );
 };
 
+/** No order has a higher one. */
+const CURRENT_FENCE = Number.MAX_SAFE_INTEGER;
+
+describe('an owner whose order is refused', () => {
+  it('stays owner when the order was sent before it raised the fence of the worker', async () => {
+    const world = await worldOf(2, 1);
+    const scheduler = world.seats[0]?.scheduler as FleetScheduler;
+    const { epoch } = scheduler;
+    fence(world, 'worker-0', 1);
+    await world.runFor(1_000);
+    expect(scheduler.epoch).toBe(epoch);
+  });
+
+  it('sends no start for an assignment of its former epoch that is stored after it has yielded', async () => {
+    const world = await worldOf(2, 1);
+    world.faults.transactionMs = 600;
+    world.submit(submissionOf(ID, [STEP]));
+    await world.runFor(200);
+    const scheduler = world.seats[0]?.scheduler as FleetScheduler;
+    const epoch = scheduler.epoch as number;
+    fence(world, 'worker-0', CURRENT_FENCE);
+    const committed = right({ outcome: TransactionOutcome.Committed, version: 1_000 });
+    expect(scheduler.handleCommitted(epoch, committed, world.nowMs)).toEqual([]);
+  });
+});
+
 describe('an owner that gives the fleet up and finds itself still the owner', () => {
   it('never has a task running twice, by leases that it granted before', async () => {
     const world = await worldOf(2, 1);
@@ -83,7 +110,7 @@
     const [holder] = world.runsOf(TASK);
     const [other] = [...world.workers.keys()].filter((id) => id !== holder);
     world.cutWorkers.add(holder as string);
-    fence(world, other as string);
+    fence(world, other as string, CURRENT_FENCE);
     await world.runFor(3_000);
     expect(world.judge.broken).toEqual([]);
   });
@@ -94,7 +121,7 @@
     await world.runFor(100);
     world.workers.get('worker-0')?.restart(world.nowMs);
     await world.runFor(2_000);
-    fence(world, 'worker-0');
+    fence(world, 'worker-0', CURRENT_FENCE);
     world.submit(submissionOf(ID, [STEP]));
     const waitedMs = await untilMet(world, () => world.runsOf(TASK).length > 0, 20_000);
     expect(waitedMs).toBeLessThan(TAKEOVER_MS);
