Fix servers withdrawn by a new owner that has not heard of their workers

Entry points lost all servers of a zone for some 100 ms after each change of the cell's owner: with 24 replicas on 12 workers the published row went from 24 servers to 0 and back, although every replica ran on.

Cause: a replica counted as serving only once its worker had reported it as running to this owner. The first round after the rows are read comes before the first answers, so it published a row without servers.

Change: while this owner has no report of a worker, a server that the stored row already names stays, for as long as a lease lasts from the takeover. Draining workers and withdrawn zones lose their servers at once, as before.

Evidence: the test of the fault found 0 servers at least before, now 24.

Why it works: what the former owner stored is the best that is known until a worker answers, and a worker that answers no owner for a lease has stopped its tasks or is as good as lost to callers.

--- a/src/scheduler/common/round.ts
+++ b/src/scheduler/common/round.ts
@@ -21,7 +21,7 @@
 import { type RecordedEnd, recordEnds } from './taskEnds.js';
 import { settleUnfitWork } from './unfitWork.js';
 import { isWorkerDraining } from './wantedEvictions.js';
-import { reportedTask } from './workerView.js';
+import { reportedTask, withDriftMargin } from './workerView.js';
 
 export interface Round {
   readonly draft: CellDraft;
@@ -65,19 +65,6 @@
   });
 };
 
-const isServing = (state: CellState, assignment: Assignment): boolean => {
-  const view = state.workers.get(assignment.workerId);
-  if (view === undefined || isWorkerDraining(state, assignment.workerId)) return false;
-  return reportedTask(view, assignment)?.state === WorkerTaskState.Running;
-};
-
-const wantedServers = (state: CellState, draft: CellDraft): EndpointRow['servers'] => {
-  if (state.withdrawnSinceMs !== undefined) return [];
-  return draft.replicas
-    .filter((assignment) => isServing(state, assignment))
-    .map(({ serviceName, workerId, taskId }) => ({ serviceName, workerId, taskId }));
-};
-
 const publishedWorkers = new WeakMap<EndpointRow, ReadonlyMap<string, string>>();
 
 /** The worker of each published task; kept with the row, which hardly ever changes. */
@@ -89,9 +76,46 @@
   return workers;
 };
 
-const updateEndpoints = (state: CellState, draft: CellDraft): void => {
-  const wanted = wantedServers(state, draft);
+/**
+ * A server that a former owner published stays while this owner may yet hear of its worker: for
+ * as long as a lease lasts that was renewed until the cell was taken over.
+ */
+const isStillPublished = (
+  state: CellState,
+  { taskId, workerId }: Assignment,
+  published: ReadonlyMap<string, string>,
+  nowMs: number,
+): boolean =>
+  published.get(taskId) === workerId &&
+  nowMs - state.tookOverAtMs <= withDriftMargin(state.timing.workerLeaseMs);
+
+const isServing = (
+  state: CellState,
+  assignment: Assignment,
+  published: ReadonlyMap<string, string>,
+  nowMs: number,
+): boolean => {
+  const view = state.workers.get(assignment.workerId);
+  if (isWorkerDraining(state, assignment.workerId)) return false;
+  if (view?.report === undefined) return isStillPublished(state, assignment, published, nowMs);
+  return reportedTask(view, assignment)?.state === WorkerTaskState.Running;
+};
+
+const wantedServers = (
+  state: CellState,
+  draft: CellDraft,
+  published: ReadonlyMap<string, string>,
+  nowMs: number,
+): EndpointRow['servers'] => {
+  if (state.withdrawnSinceMs !== undefined) return [];
+  return draft.replicas
+    .filter((assignment) => isServing(state, assignment, published, nowMs))
+    .map(({ serviceName, workerId, taskId }) => ({ serviceName, workerId, taskId }));
+};
+
+const updateEndpoints = (state: CellState, draft: CellDraft, nowMs: number): void => {
   const published = workersByTask(draft.endpoints);
+  const wanted = wantedServers(state, draft, published, nowMs);
   const isSame =
     wanted.length === published.size &&
     wanted.every(({ taskId, workerId }) => published.get(taskId) === workerId);
@@ -147,7 +171,7 @@
   settleUnfitWork(state, draft, nowMs);
   moveShards(state, draft);
   if (rows.cancellations.size > 0) draft.closeCancellations();
-  updateEndpoints(state, draft);
+  updateEndpoints(state, draft, nowMs);
   publishQuotaShare(state, draft, parts, nowMs);
   publishRoom(state, draft, assigned?.capacity, roomless.size > 0, nowMs);
   const quotaWaits = nextQuotaWaits(state, draft, parts, nowMs);
--- a/src/scheduler/test/newCellOwner.test.ts
+++ b/src/scheduler/test/newCellOwner.test.ts
@@ -25,6 +25,23 @@
     expect(least).toBe(24);
   });
 
+  it('withdraws the services of a worker that answers no owner for a whole lease', () => {
+    const cell = startCell(2, { workerCount: 12 });
+    const service = { name: 'rounds', team: 'kitchen', replicaCount: 24, size: SIZE };
+    cell.writeRow(serviceKey('rounds'), { ...service, urgency: 'urgent' });
+    cell.runFor(20_000);
+    const publishedOnW0 = (): number => {
+      const [row] = cell.table.read({ keys: [endpointKey(CELL)], prefixes: [] }).rows;
+      const { servers } = row?.value as unknown as EndpointRow;
+      return servers.filter(({ workerId }) => workerId === 'w0').length;
+    };
+    expect(publishedOnW0()).toBeGreaterThan(0);
+    cell.cutWorkers.add('w0');
+    Object.assign(cell.owner() ?? {}, { isAlive: false });
+    cell.runFor(5_000 + cell.timing.workerLeaseMs);
+    expect(publishedOnW0()).toBe(0);
+  });
+
   it('does not wait anew for a lost worker, however many owners follow', () => {
     const cell = startCell(2);
     for (let index = 0; index < 10; index += 1) cell.addDaemon(`e${index}`);
