Fix tasks of a lost worker that wait anew with each owner of the cell

The tasks of a worker that died beside its owner ran again only once an owner had held the cell for 70 s with the default of the tests (60 s of renewals without the table and a lease of 10 s), 10 minutes with that of the settings. With an owner lost every 30 s they never did: after eight owners 32 of 48 tasks were done.

Cause: presumedLeaseEndMs counts from the takeover of whoever asks. It is right for leases of the direct predecessor, but an owner that never reached a worker granted it nothing, and nothing stored told its successor so.

Change: - Owners keep a clock in their heartbeats. Each counts on, on its own clock, from when it first saw its predecessor's last heartbeat. So the clock needs nothing from the table, compares no two machines' clocks and is never ahead of the time that has passed. - An owner that has not reached a worker with tasks a second after the takeover names it in `cell/<cell>/unreached`, with the end of its leases on that clock. The write is part of the round's transaction. Successors go by an entry that they find, after three seconds of trying to reach the worker. - No owner grants a lease to a worker that the row names or that a transaction which may still land would name. A worker that is reached is first taken out of the row by a transaction known to have committed.

Why it works: while a worker is named nobody grants it anything, so the bound of the first owner that missed it holds for all later ones. What a paused or replaced owner grants is within the bound, which counts from a takeover.

Considered: the table's clock (the cells' table tells none), and the end of leases in the ledger (a write for each renewal).

What it costs: a heartbeat carries one number more, which daemons of a former release can't read. If the table is out just when a named worker is back, its tasks lapse.

--- a/src/scheduler/common/cellDraft.ts
+++ b/src/scheduler/common/cellDraft.ts
@@ -13,6 +13,7 @@
   type BatchTask,
   cancellationKey,
   cellInboxKey,
+  cellUnreachedKey,
   endpointKey,
   endpointMarkKey,
   type EndpointRow,
@@ -67,6 +68,8 @@
 
   #exchange: ExchangeRow | undefined;
 
+  #unreached: ReadonlyMap<string, number> | undefined;
+
   /** Worked out once for a state of the ledger; a round asks three times. */
   #replicas: readonly Assignment[] | undefined;
 
@@ -78,7 +81,7 @@
   get hasChanges(): boolean {
     const rowCount = this.#ledger.size + this.#work.size + this.#closedPlanIds.size;
     const isTelling = this.#endpoints !== undefined || this.#exchange !== undefined;
-    return rowCount > 0 || isTelling;
+    return rowCount > 0 || isTelling || this.#unreached !== undefined;
   }
 
   /** Rows that the transaction will write at least, for limits on its size. */
@@ -115,6 +118,10 @@
     return this.#exchange ?? this.#base.exchange;
   }
 
+  get unreached(): ReadonlyMap<string, number> {
+    return this.#unreached ?? this.#base.unreached;
+  }
+
   assignments(rack: string): readonly Assignment[] {
     return (this.#ledger.get(rack) ?? this.#base.ledger.get(rack))?.assignments ?? [];
   }
@@ -195,6 +202,10 @@
     this.#exchange = exchange;
   }
 
+  setUnreached(unreached: ReadonlyMap<string, number>): void {
+    this.#unreached = unreached;
+  }
+
   setEndpoints(endpoints: EndpointRow): void {
     this.#endpoints = endpoints;
   }
@@ -218,6 +229,7 @@
       ...[...this.#work.keys()].map((shardId) => condition(workKey(this.#cell, shardId))),
       ...moved,
       ...(moved.length > 0 ? [condition(cellInboxKey(this.#cell))] : []),
+      ...(this.#unreached === undefined ? [] : [condition(cellUnreachedKey(this.#cell))]),
       ...[...this.#closedPlanIds].map((planId) => condition(cancellationKey(this.#cell, planId))),
     ];
   }
@@ -245,7 +257,15 @@
     }));
     const exchange =
       this.#exchange === undefined ? [] : [{ key: exchangeKey(this.#cell), value: this.#exchange }];
-    return [...ledger, ...work, ...inboxes, ...endpoints, ...exchange, ...closed];
+    return [
+      ...ledger,
+      ...work,
+      ...inboxes,
+      ...endpoints,
+      ...exchange,
+      ...closed,
+      ...this.#unreachedWrites(),
+    ];
   }
 
   /** The cell's rows after a commit that gave all written rows `version`. */
@@ -267,11 +287,19 @@
       work,
       endpoints: this.endpoints,
       exchange: this.exchange,
+      unreached: this.unreached,
       ...this.#cancellationsAfter(),
       versions,
     };
   }
 
+  #unreachedWrites(): readonly RowWrite[] {
+    if (this.#unreached === undefined) return [];
+    const leasesOverCellMs = Object.fromEntries(this.#unreached);
+    const value = this.#unreached.size === 0 ? null : { leasesOverCellMs };
+    return [{ key: cellUnreachedKey(this.#cell), value }];
+  }
+
   #cancellationsAfter(): Pick<CellRows, 'cancellations' | 'cancelledJobIds'> {
     const { cancellations, cancelledJobIds } = this.#base;
     if (this.#closedPlanIds.size === 0) return { cancellations, cancelledJobIds };
--- a/src/scheduler/common/cellEvents.ts
+++ b/src/scheduler/common/cellEvents.ts
@@ -110,6 +110,7 @@
     ...after,
     rows: undefined,
     lastRows: undefined,
+    unreachedWorkerIds: new Set<string>(),
     pending: undefined,
     arrivals: undefined,
     // The owner row's new version stops whatever a former ownership left under way.
--- a/src/scheduler/common/cellLease.ts
+++ b/src/scheduler/common/cellLease.ts
@@ -22,6 +22,7 @@
   type HeartbeatRow,
   heartbeatRowSchema,
 } from '../../services/workload/common/workRows.js';
+import { type CellClock, toCellMs } from './cellClock.js';
 import {
   type CellLeaseTiming,
   takeableAtMs,
@@ -56,6 +57,8 @@
   /** When the last heartbeat known to be committed was sent. */
   readonly heldAtMs: number;
   readonly tableClock: TableClock | undefined;
+  /** Undefined until a heartbeat tells of it or this daemon starts it. */
+  readonly cellClock: CellClock | undefined;
   readonly nextStepAtMs: number;
   readonly isStepInFlight: boolean;
 }
@@ -86,6 +89,7 @@
   overdueSinceMs: undefined,
   leastDelayMs: undefined,
   tableClock: undefined,
+  cellClock: undefined,
   nextStepAtMs: nowMs,
   isStepInFlight: false,
 });
@@ -93,7 +97,12 @@
 const nextHeartbeat = (lease: CellLease, timing: CellLeaseTiming, nowMs: number): HeartbeatRow => {
   const counter = lease.heartbeatCounter + 1;
   const leastDelayMs = toldDelayMs(lease, timing);
-  const told = { counter, ...(leastDelayMs !== undefined && { leastDelayMs }) };
+  const cellMs = lease.cellClock === undefined ? 0 : toCellMs(lease.cellClock, nowMs);
+  const told = {
+    counter,
+    ...(leastDelayMs !== undefined && { leastDelayMs }),
+    ...(timing.isClockKept === true && { cellMs: Math.floor(cellMs) }),
+  };
   if (lease.tableClock === undefined) return told;
   // Counted from the sending: by an answer taken in late the heartbeat would look older than it is.
   const { tableMs, askedAtMs } = lease.tableClock;
@@ -205,6 +214,10 @@
 ): TableClock | undefined =>
   tableNowMs === undefined ? lease.tableClock : { tableMs: tableNowMs, readAtMs: nowMs, askedAtMs };
 
+/** The clock goes on from when this daemon first saw the heartbeat that tells of it. */
+const cellClockOf = (heartbeat: HeartbeatRow | undefined, nowMs: number): CellClock | undefined =>
+  heartbeat?.cellMs === undefined ? undefined : { cellMs: heartbeat.cellMs, asOfMs: nowMs };
+
 const isOlderThan = (
   heartbeat: HeartbeatRow | undefined,
   tableNowMs: number | undefined,
@@ -248,6 +261,7 @@
     overdueSinceMs: isOverdue ? (overdueBeforeMs ?? nowMs) : undefined,
     leastDelayMs: heartbeat?.leastDelayMs,
     tableClock: tableClockOf(lease, tableNowMs, sentAtMs, nowMs),
+    cellClock: isUnchanged ? lease.cellClock : cellClockOf(heartbeat, nowMs),
   };
 };
 
@@ -276,6 +290,7 @@
     overdueSinceMs: undefined,
     leastDelayMs: toldDelayMs(lease, timing),
     tableClock: tableClockOf(lease, tableNowMs, sentAtMs, nowMs),
+    cellClock: lease.cellClock ?? { cellMs: 0, asOfMs: nowMs },
   };
 };
 
--- a/src/scheduler/common/cellRows.ts
+++ b/src/scheduler/common/cellRows.ts
@@ -10,6 +10,7 @@
   cancellationRowSchema,
   cellFenceKey,
   cellInboxKey,
+  cellUnreachedKey,
   endpointKey,
   type EndpointRow,
   endpointRowSchema,
@@ -21,6 +22,7 @@
   ledgerPrefix,
   type LedgerRow,
   ledgerRowSchema,
+  unreachedRowSchema,
   workPrefix,
   type WorkRow,
   workRowSchema,
@@ -34,6 +36,8 @@
   readonly endpoints: EndpointRow;
   /** What the cell tells the other cells. */
   readonly exchange: ExchangeRow;
+  /** Workers that must not be granted a lease while they stand here, see `unreachedWorkers.ts`. */
+  readonly unreached: ReadonlyMap<string, number>;
   readonly cancelledJobIds: ReadonlySet<string>;
   /** The jobs that each confirmed plan cancelled, by plan id. */
   readonly cancellations: ReadonlyMap<string, CancellationRow>;
@@ -102,6 +106,7 @@
   cancellationPrefix(cell),
   cellInboxKey(cell),
   cellFenceKey(cell),
+  cellUnreachedKey(cell),
 ];
 
 const parsedUnder = <Row>(
@@ -119,6 +124,11 @@
   cancellations: ReadonlyMap<string, CancellationRow>,
 ): ReadonlySet<string> => new Set([...cancellations.values()].flatMap(({ jobIds }) => jobIds));
 
+const toUnreached = (row: TableRow | undefined): ReadonlyMap<string, number> =>
+  row === undefined
+    ? new Map()
+    : new Map(Object.entries(unreachedRowSchema.parse(row.value).leasesOverCellMs));
+
 /**
  * Reads the rows of a cell. Rows that have the version known before are taken over without being
  * parsed: each submission has the owner read its cell again, and parsing some 2,500 assignments
@@ -158,6 +168,7 @@
     endpoints:
       endpointRow === undefined ? { servers: [] } : endpointRowSchema.parse(endpointRow.value),
     exchange: exchangeRow === undefined ? {} : exchangeRowSchema.parse(exchangeRow.value),
+    unreached: toUnreached(rows.find((row) => row.key === cellUnreachedKey(cell))),
     cancellations,
     cancelledJobIds: toCancelledJobIds(cancellations),
     versions: new Map(rows.map((row) => [row.key, row.version])),
--- a/src/scheduler/common/cellScheduler.ts
+++ b/src/scheduler/common/cellScheduler.ts
@@ -41,10 +41,11 @@
   nowMs: number,
 ): CellState => ({
   cell,
-  timing,
+  timing: { ...timing, isClockKept: true },
   lease: initialCellLease(cell, selfId, nowMs),
   rows: undefined,
   lastRows: undefined,
+  unreachedWorkerIds: new Set(),
   surplusTaskIds: new Set(),
   endpointView: NO_ENDPOINTS,
   exchangeElsewhere: new Map(),
@@ -179,6 +180,7 @@
       ...planned,
       ...round.learnt,
       operationCount: state.operationCount + 1,
+      unreachedWorkerIds: new Set([...state.unreachedWorkerIds, ...round.draft.unreached.keys()]),
       nextRoundAtMs: nextRoundAtMs(state, transaction.writes.length, nowMs),
       pending: {
         kind: 'commit',
--- a/src/scheduler/common/cellState.ts
+++ b/src/scheduler/common/cellState.ts
@@ -85,6 +85,8 @@
   readonly rows: CellRows | undefined;
   /** The rows last known for certain in this ownership; leases are renewed by them. */
   readonly lastRows: CellRows | undefined;
+  /** Workers that the stored row names as unreached, or may name once a transaction has landed. */
+  readonly unreachedWorkerIds: ReadonlySet<string>;
   /** Replicas beyond the cell's share that others have taken over, by task id. */
   readonly surplusTaskIds: ReadonlySet<string>;
   readonly workers: ReadonlyMap<string, WorkerView>;
--- a/src/scheduler/common/leasePatience.ts
+++ b/src/scheduler/common/leasePatience.ts
@@ -10,6 +10,8 @@
    * heartbeats: daemons that are all alike need not wait for a better one that there never was.
    */
   readonly isDelayRelative?: boolean;
+  /** Owners keep a clock in their heartbeats, for bounds that outlast each of them. */
+  readonly isClockKept?: boolean;
 }
 
 /** What a watcher has seen of an owner. */
--- a/src/scheduler/common/round.ts
+++ b/src/scheduler/common/round.ts
@@ -20,6 +20,7 @@
 import { nextQuotaWaits, publishQuotaShare, quotaPartsOf } from './quotaRound.js';
 import { type RecordedEnd, recordEnds } from './taskEnds.js';
 import { settleUnfitWork } from './unfitWork.js';
+import { updateUnreached } from './unreachedWorkers.js';
 import { isWorkerDraining } from './wantedEvictions.js';
 import { reportedTask, withDriftMargin } from './workerView.js';
 
@@ -172,6 +173,7 @@
   moveShards(state, draft);
   if (rows.cancellations.size > 0) draft.closeCancellations();
   updateEndpoints(state, draft, nowMs);
+  updateUnreached(state, rows, draft, nowMs);
   publishQuotaShare(state, draft, parts, nowMs);
   publishRoom(state, draft, assigned?.capacity, roomless.size > 0, nowMs);
   const quotaWaits = nextQuotaWaits(state, draft, parts, nowMs);
--- a/src/scheduler/common/staleness.ts
+++ b/src/scheduler/common/staleness.ts
@@ -28,7 +28,12 @@
       isSame(id) ? view : { ...view, isMessageStale: true },
     ]),
   );
-  const next = { ...state, rows, lastRows: rows, workers, isRoundStale: true };
+  const unreachedWorkerIds = new Set(rows.unreached.keys());
+  const next = {
+    ...state,
+    ...{ rows, lastRows: rows, unreachedWorkerIds, workers },
+    isRoundStale: true,
+  };
   const surplus = surplusTaskIds(next);
   if (surplus.size !== state.surplusTaskIds.size) return withAllStale(next);
   return { ...next, surplusTaskIds: surplus };
--- a/src/scheduler/common/taskEnds.ts
+++ b/src/scheduler/common/taskEnds.ts
@@ -13,7 +13,8 @@
 import type { CellState } from './cellState.js';
 import { isGivenUp, withFailureWeight } from './failureWeight.js';
 import { isEvictionWanted, isWorkerDraining } from './wantedEvictions.js';
-import { isInContact, presumedLeaseEndMs, reportedTask, type WorkerView } from './workerView.js';
+import { formerLeasesOverAtMs } from './unreachedWorkers.js';
+import { isInContact, reportedTask, type WorkerView } from './workerView.js';
 
 export const AssignmentEnd = {
   Finished: 'finished',
@@ -53,13 +54,14 @@
   assignment: Assignment,
   nowMs: number,
 ): AssignmentEnd | undefined => {
-  // A worker that this owner has never seen listed may still run what a former owner gave it.
-  if (view === undefined) {
-    return nowMs > presumedLeaseEndMs(state) ? AssignmentEnd.Lost : undefined;
+  // A worker that this owner has not reached may still run what a former owner gave it.
+  if (view?.report === undefined) {
+    return nowMs > formerLeasesOverAtMs(state, state.rows, assignment.workerId)
+      ? AssignmentEnd.Lost
+      : undefined;
   }
   const { report } = view;
   const areLeasesOver = nowMs > view.leasesOverAtMs;
-  if (report === undefined) return areLeasesOver ? AssignmentEnd.Lost : undefined;
   if (report.incarnation !== assignment.incarnation) return AssignmentEnd.Lost;
   const task = reportedTask(view, assignment);
   const reportedEnd = task === undefined ? undefined : ENDS_BY_REPORT[task.state];
--- a/src/scheduler/common/workerCommands.ts
+++ b/src/scheduler/common/workerCommands.ts
@@ -140,16 +140,19 @@
   const leaseUntilWorkerMs = report.workerNowMs + state.timing.workerLeaseMs;
   const startBeforeWorkerMs = report.workerNowMs + state.timing.startValidityMs;
   const wanted = wantedStarts(state, view, current, evicted);
-  const starts = isStartAllowed(state, nowMs) ? wanted : [];
+  const mayGrant = !state.unreachedWorkerIds.has(view.instance.id);
+  const starts = mayGrant && isStartAllowed(state, nowMs) ? wanted : [];
   const listed = new Set(assignments.map(attemptKey));
   const strays =
     rows === undefined ? [] : report.tasks.filter((task) => !listed.has(attemptKey(task)));
   const unrecorded = rows === undefined ? new Set() : unrecordedFinishes(rows, view);
   const runningStrays = strays.filter((task) => task.state === WorkerTaskState.Running);
+  // A stored bound of the worker's leases has to be taken back before any is granted.
+  const renewals = mayGrant ? renewableAssignments(state, view.instance.id) : [];
   const command = {
     incarnation: report.incarnation,
     cellEpoch: state.lease.epoch,
-    renewals: renewableAssignments(state, view.instance.id)
+    renewals: renewals
       .filter((one) => isOfIncarnation(one) && isRunning(one) && !isLeaving(state, one))
       .map((assignment) => ({ ...toAttempt(assignment), leaseUntilWorkerMs })),
     starts: starts.map((assignment) =>
--- a/src/services/workload/common/workRows.ts
+++ b/src/services/workload/common/workRows.ts
@@ -156,15 +156,25 @@
   sentAtTableMs: z.number().optional(),
   /** The least extra patience of an owner so far, where owners tell it. */
   leastDelayMs: z.number().nonnegative().optional(),
+  /** What the clock that the owners keep showed when it was sent, where they keep one. */
+  cellMs: z.number().nonnegative().optional(),
 });
 export type HeartbeatRow = z.infer<typeof heartbeatRowSchema>;
 
+/** Workers that no owner has granted a lease since they were named. */
+export const unreachedRowSchema = z.strictObject({
+  /** When all their leases are over on the clock that the owners keep, by worker id. */
+  leasesOverCellMs: z.record(z.string(), z.number()),
+});
+export type UnreachedRow = z.infer<typeof unreachedRowSchema>;
+
 export const cellOwnerKey = (cell: string): string => `cell/${cell}/owner`;
 export const cellHeartbeatKey = (cell: string): string => `cell/${cell}/heartbeat`;
 /** Written by whoever adds work to a cell, so that its owner looks again. */
 export const cellInboxKey = (cell: string): string => `cell/${cell}/inbox`;
 /** Named by every transaction of the owner; a write to it stops those that may still land. */
 export const cellFenceKey = (cell: string): string => `cell/${cell}/fence`;
+export const cellUnreachedKey = (cell: string): string => `cell/${cell}/unreached`;
 export const ledgerPrefix = (cell: string): string => `ledger/${cell}/`;
 export const ledgerKey = (cell: string, rack: string): string => `${ledgerPrefix(cell)}${rack}`;
 export const workPrefix = (cell: string): string => `work/${cell}/`;
