Keep the cells' renewals as they were

The change is needed where an owner takes in hundreds of answers a second, which the cells do not; it is an option of the lease's timing now, set for the fleet.

--- a/src/scheduler/common/cellLease.ts
+++ b/src/scheduler/common/cellLease.ts
@@ -279,7 +279,7 @@
   const dueAtMs = isAcquired ? sentAtMs : lease.nextStepAtMs;
   return {
     ...rested(lease, timing, nowMs),
-    nextStepAtMs: Math.max(nowMs, nextRenewalAtMs(dueAtMs, timing, sentAtMs)),
+    nextStepAtMs: nextRenewalAtMs(dueAtMs, timing, sentAtMs, nowMs),
     isOwner: true,
     epoch: isAcquired ? lease.epoch + 1 : lease.epoch,
     ownerRowVersion: isAcquired ? version : lease.ownerRowVersion,
--- a/src/scheduler/common/fleet/fleetOwnership.ts
+++ b/src/scheduler/common/fleet/fleetOwnership.ts
@@ -63,7 +63,7 @@
   #former = NO_FORMER_OWNER;
 
   constructor(selfId: string, timing: FleetTiming, acquireDelayMs: number, nowMs: number) {
-    this.#timing = { ...timing, acquireDelayMs, isDelayRelative: true };
+    this.#timing = { ...timing, acquireDelayMs, isDelayRelative: true, renewsFromSending: true };
     this.#lease = initialCellLease(FLEET_CELL, selfId, nowMs);
   }
 
--- a/src/scheduler/common/leasePatience.ts
+++ b/src/scheduler/common/leasePatience.ts
@@ -10,6 +10,11 @@
    * heartbeats: daemons that are all alike need not wait for a better one that there never was.
    */
   readonly isDelayRelative?: boolean;
+  /**
+   * Renewals count from the last sending instead of its answer, for owners that take in hundreds of
+   * answers a second and may get to that one late.
+   */
+  readonly renewsFromSending?: boolean;
   /** Owners keep a clock in their heartbeats, for bounds that outlast each of them. */
   readonly isClockKept?: boolean;
 }
@@ -74,9 +79,11 @@
  */
 export const nextRenewalAtMs = (
   dueAtMs: number,
-  { heartbeatIntervalMs }: CellLeaseTiming,
+  { heartbeatIntervalMs, renewsFromSending }: CellLeaseTiming,
   sentAtMs: number,
+  nowMs: number,
 ): number => {
+  if (renewsFromSending !== true) return nowMs + heartbeatIntervalMs;
   const leadMs = Math.min(sentAtMs - dueAtMs, heartbeatIntervalMs * LONGEST_LEAD_SHARE);
-  return sentAtMs + heartbeatIntervalMs - Math.max(0, leadMs);
+  return Math.max(nowMs, sentAtMs + heartbeatIntervalMs - Math.max(0, leadMs));
 };
--- a/src/scheduler/test/cellLease.test.ts
+++ b/src/scheduler/test/cellLease.test.ts
@@ -15,6 +15,8 @@
 import type { CellLeaseTiming } from '../common/leasePatience.js';
 
 const TIMING = { heartbeatIntervalMs: 450, leaseMs: 1_500, acquireDelayMs: 0 };
+/** As of an owner of hundreds of workers. */
+const FLEET_TIMING = { ...TIMING, renewsFromSending: true };
 const CELL = 'cell';
 
 const rowsOf = (version: number, sentAtTableMs?: number, leastDelayMs?: number) => [
@@ -96,14 +98,14 @@
     // Sent at 1,000 and carried out there, the answer waits 400 ms behind those of workers.
     const owned = withLeaseCommitted(
       initialCellLease(CELL, 'self', 0),
-      TIMING,
+      FLEET_TIMING,
       LeaseStepKind.Acquire,
       { outcome: TransactionOutcome.Committed, version: 8, tableNowMs: 90_000 },
       1_000,
       1_400,
     );
-    expect(nextLeaseStep(owned, TIMING, 'operation', 1_440)).toBeUndefined();
-    const renewal = nextLeaseStep(owned, TIMING, 'operation', 1_450);
+    expect(nextLeaseStep(owned, FLEET_TIMING, 'operation', 1_440)).toBeUndefined();
+    const renewal = nextLeaseStep(owned, FLEET_TIMING, 'operation', 1_450);
     expect(renewal?.step.kind).toBe(LeaseStepKind.Renew);
   });
 
@@ -111,27 +113,27 @@
     const committed = { outcome: TransactionOutcome.Committed, version: 8 };
     const start = initialCellLease(CELL, 'self', 0);
     const { Acquire, Renew } = LeaseStepKind;
-    const owned = withLeaseCommitted(start, TIMING, Acquire, committed, 1_000, 1_010);
+    const owned = withLeaseCommitted(start, FLEET_TIMING, Acquire, committed, 1_000, 1_010);
     // Due at 1,450, and sent 200 ms later since the process was held up.
-    const renewed = withLeaseCommitted(owned, TIMING, Renew, committed, 1_650, 1_660);
-    expect(nextLeaseStep(renewed, TIMING, 'operation', 1_890)).toBeUndefined();
-    expect(nextLeaseStep(renewed, TIMING, 'operation', 1_900)?.step.kind).toBe(Renew);
+    const renewed = withLeaseCommitted(owned, FLEET_TIMING, Renew, committed, 1_650, 1_660);
+    expect(nextLeaseStep(renewed, FLEET_TIMING, 'operation', 1_890)).toBeUndefined();
+    expect(nextLeaseStep(renewed, FLEET_TIMING, 'operation', 1_900)?.step.kind).toBe(Renew);
     // However late, it is not renewed more than three times as often.
-    const late = withLeaseCommitted(renewed, TIMING, Renew, committed, 3_000, 3_010);
-    expect(nextLeaseStep(late, TIMING, 'operation', 3_140)).toBeUndefined();
-    expect(nextLeaseStep(late, TIMING, 'operation', 3_150)?.step.kind).toBe(Renew);
+    const late = withLeaseCommitted(renewed, FLEET_TIMING, Renew, committed, 3_000, 3_010);
+    expect(nextLeaseStep(late, FLEET_TIMING, 'operation', 3_140)).toBeUndefined();
+    expect(nextLeaseStep(late, FLEET_TIMING, 'operation', 3_150)?.step.kind).toBe(Renew);
   });
 
   it('shows no older heartbeat than was sent, by an owner that took the last answer in late', () => {
     const owned = withLeaseCommitted(
       initialCellLease(CELL, 'self', 0),
-      TIMING,
+      FLEET_TIMING,
       LeaseStepKind.Acquire,
       { outcome: TransactionOutcome.Committed, version: 8, tableNowMs: 90_000 },
       1_000,
       1_400,
     );
-    const renewal = nextLeaseStep(owned, TIMING, 'operation', 1_500);
+    const renewal = nextLeaseStep(owned, FLEET_TIMING, 'operation', 1_500);
     const written = renewal !== undefined && 'transaction' in renewal.step && renewal.step;
     expect(written && written.transaction.writes[0]?.value).toMatchObject({
       sentAtTableMs: 90_500,
