Fix assignments stored ahead of the ends that have changed them

The successor found the task neither assigned nor done, and started it before the worker that lists the end had answered.

Assignments and progress of one submission are stored in one transaction.

--- a/src/scheduler/common/fleet/progressCommits.ts
+++ b/src/scheduler/common/fleet/progressCommits.ts
@@ -37,8 +37,8 @@
 
 /** Rows that one transaction may write; a call of the table takes a hundred entries in all. */
 const MAXIMUM_ROWS = 40;
-/** Submissions whose assignments one transaction stores; the rest of it is for progress. */
-const MAXIMUM_ASSIGNED = MAXIMUM_ROWS / 2;
+/** Submissions whose assignments one transaction stores; the rest of it is for others' progress. */
+const MAXIMUM_ASSIGNED = 12;
 /** One that has ended removes its assignments as well. */
 const ROWS_PER_PROGRESS = 2;
 /** How often what is learnt of harm is written at most; a successor may lose as much of it. */
@@ -141,7 +141,11 @@
       return undefined;
     }
     const assigned = book.takeUnrecorded(MAXIMUM_ASSIGNED);
-    const records = book.takeDirty((MAXIMUM_ROWS - assigned.length) / ROWS_PER_PROGRESS);
+    // Runs that have ended are in no assignments any more: a successor must learn of both together,
+    // or it would start tasks anew whose ends are not stored.
+    const changed = book.takeDirtyOf(assigned);
+    const leftRows = MAXIMUM_ROWS - assigned.length - changed.length;
+    const records = [...changed, ...book.takeDirty(Math.floor(leftRows / ROWS_PER_PROGRESS))];
     const writes = [
       ...assigned.map((record) => ({
         key: assignmentsKey(record.submission.id),
--- a/src/scheduler/common/fleet/submissionBook.ts
+++ b/src/scheduler/common/fleet/submissionBook.ts
@@ -179,6 +179,11 @@
     return taken;
   }
 
+  /** Those of the submissions that are yet to be stored. */
+  takeDirtyOf(records: readonly SubmissionRecord[]): readonly SubmissionRecord[] {
+    return records.filter((record) => this.#dirty.delete(record));
+  }
+
   markDirty(record: SubmissionRecord): void {
     this.#dirty.add(record);
   }
--- a/src/scheduler/test/fleet/progressCommits.test.ts
+++ b/src/scheduler/test/fleet/progressCommits.test.ts
@@ -1,7 +1,11 @@
 import { right } from 'fp-ts/lib/Either.js';
 import { describe, expect, it } from 'vitest';
 
-import { assignmentsKey } from '../../../services/submissions/common/submissionRows.js';
+import { RunEnd } from '../../../services/fleet/common/fleetWorker.js';
+import {
+  assignmentsKey,
+  progressKey,
+} from '../../../services/submissions/common/submissionRows.js';
 import { type Transaction, TransactionOutcome } from '../../../services/table/common/table.js';
 import { HarmControl } from '../../common/fleet/harmControl.js';
 import { ProgressCommits } from '../../common/fleet/progressCommits.js';
@@ -50,6 +54,26 @@
     expect(store(5)).toBe(3);
   });
 
+  it('store no assignments without the ends that have changed them', () => {
+    const book = bookOf(100, 0);
+    const id = 'e'.repeat(16);
+    book.add(submissionOf(id, [{ ...STEP, taskCount: 2 }]), undefined, NO_ASSIGNMENTS, 0);
+    const [ended, retried] = [...book.waiting];
+    if (ended === undefined || retried === undefined) throw new Error('no tasks wait');
+    const run = newRun(ended, 1, 'worker', 0);
+    book.noteRun(run);
+    book.noteEnd(ended, 1, RunEnd.Done, 10);
+    book.noteRunGone(run, 10);
+    book.noteRun(newRun(retried, 2, 'worker', 20));
+    book.markUnrecorded(retried.submission);
+    const keys =
+      commitsOf(book)
+        .next(30)
+        ?.writes.map(({ key }) => key) ?? [];
+    expect(keys).toContain(assignmentsKey(id));
+    expect(keys).toContain(progressKey(id));
+  });
+
   it('name no more rows than a call of the table takes', () => {
     const { next, store } = commitsOf(bookOf(200, 200));
     for (let round = 1; round < 12; round += 1) {
