Fix starts by an owner that has not heard of its callers for seconds

An owner starts nothing when its feed has not been answered for 2.5 s, and asks it to wait for one second instead of two.

--- a/src/scheduler/common/fleet/fleetScheduler.ts
+++ b/src/scheduler/common/fleet/fleetScheduler.ts
@@ -146,9 +146,9 @@
     takeChanges(this.#tenure, changes, NOTHING_STORED, nowMs);
   }
 
-  /** Everything that callers had done when the feed was first asked has been taken in. */
-  handleCaughtUp(epoch: number): void {
-    if (this.#tenure?.epoch === epoch) this.#tenure.isCaughtUp = true;
+  /** Everything that callers had done by `nowMs` has been taken in. */
+  handleCaughtUp(epoch: number, nowMs: number): void {
+    if (this.#tenure?.epoch === epoch) this.#tenure.caughtUpAtMs = nowMs;
   }
 
   /** Takes in the workers that the table lists now. */
@@ -343,9 +343,14 @@
     return roundInput(tenure, this.#operator, this.#policy, this.#timing);
   }
 
+  /** Callers are promised that nothing starts some seconds after they have cancelled it. */
+  #mayStart(tenure: Tenure, nowMs: number): boolean {
+    const isCaughtUp = nowMs - tenure.caughtUpAtMs <= this.#timing.feedFreshnessMs;
+    return isCaughtUp && this.#mayGrant(nowMs);
+  }
+
   #place(tenure: Tenure, nowMs: number): void {
-    const mayPlace = tenure.isCaughtUp && this.#mayGrant(nowMs);
-    if (!mayPlace || tenure.book.waiting.size === 0) return;
+    if (!this.#mayStart(tenure, nowMs) || tenure.book.waiting.size === 0) return;
     const waits = placeWaiting(this.#roundInput(tenure), nowMs);
     tenure.notes.addWaits(tenure.book.waiting, waits, nowMs);
   }
@@ -357,7 +362,8 @@
 
   #start(tenure: Tenure, recorded: readonly TaskRun[], nowMs: number): readonly FleetEffect[] {
     const input = this.#roundInput(tenure);
-    const { startable, blocked } = splitRecorded(recorded, input, this.#mayGrant(nowMs), nowMs);
+    const mayStart = this.#mayStart(tenure, nowMs);
+    const { startable, blocked } = splitRecorded(recorded, input, mayStart, nowMs);
     blocked.forEach((run) => tenure.keeper.withdraw(run, nowMs));
     tenure.notes.addStarts(startable, nowMs);
     return startable.flatMap((run) => this.#send(tenure, run, nowMs));
--- a/src/scheduler/common/fleet/fleetTenure.ts
+++ b/src/scheduler/common/fleet/fleetTenure.ts
@@ -52,8 +52,8 @@
   readonly roster: Roster;
   readonly harm: HarmControl;
   readonly notes: FleetNotes;
-  /** Whether what callers did while the stored rows were being read is known as well. */
-  isCaughtUp: boolean;
+  /** When everything that callers had done was known last. */
+  caughtUpAtMs: number;
   /** Runs that workers list and nobody asked for, to be stopped. */
   readonly strays: Map<string, RunReference>;
 }
@@ -133,7 +133,7 @@
   const tenure: Tenure = {
     ...{ epoch, book, views, keeper, commits, roster, harm, notes },
     strays: new Map(),
-    isCaughtUp: false,
+    caughtUpAtMs: Number.NEGATIVE_INFINITY,
   };
   takeChanges(tenure, stored.changes, stored, nowMs);
   return tenure;
--- a/src/scheduler/common/fleet/fleetTiming.ts
+++ b/src/scheduler/common/fleet/fleetTiming.ts
@@ -8,6 +8,8 @@
   readonly holdWaitMs: number;
   /** A worker that has not answered for so long is given nothing new. */
   readonly answerFreshnessMs: number;
+  /** An owner that has not heard for so long what callers do starts nothing. */
+  readonly feedFreshnessMs: number;
   /** The least time between two commits, in which ends gather. */
   readonly commitIntervalMs: number;
   readonly heartbeatIntervalMs: number;
@@ -45,6 +47,8 @@
   holdWaitMs: 1_500,
   /** A hold that waits, its time limit, and a pause after a failure. */
   answerFreshnessMs: 3_000,
+  /** A call to the feed that waits, and one that comes back late to a busy owner. */
+  feedFreshnessMs: 2_500,
   /** Gathers ends of a few workers; a callers' objective is seconds. */
   commitIntervalMs: 30,
   /** Three heartbeats fit into a lease. */
--- a/src/scheduler/common/fleet/runStarts.ts
+++ b/src/scheduler/common/fleet/runStarts.ts
@@ -11,7 +11,7 @@
 export const splitRecorded = (
   recorded: readonly TaskRun[],
   input: RoundInput,
-  mayGrant: boolean,
+  mayStart: boolean,
   nowMs: number,
 ): RecordedRuns => {
   // One that was withdrawn or lost while its assignment was being stored has no room any more.
@@ -22,7 +22,7 @@
   const usable = new Set(
     assigned.filter((run) => {
       const view = input.views.get(run.workerId);
-      return mayGrant && view !== undefined && isUsable(view, input, nowMs);
+      return mayStart && view !== undefined && isUsable(view, input, nowMs);
     }),
   );
   // A gang starts whole: a part of it would hold room and do no work.
--- a/src/scheduler/node/fleetTask.ts
+++ b/src/scheduler/node/fleetTask.ts
@@ -32,7 +32,7 @@
 /** How often the owner reads which workers there are; they drain in twice this time. */
 const WORKERS_INTERVAL_MS = 1_000;
 /** How long a feed waits for a change; also bounds what a silent connection costs. */
-const FEED_WAIT_MS = 2_000;
+const FEED_WAIT_MS = 1_000;
 const RETRY_MS = 200;
 /** First calls to workers that are under way at a time, and for how long one counts as such. */
 const FIRST_HOLDS_AT_A_TIME = 24;
@@ -280,7 +280,7 @@
         position = page.right.position;
         const changes = this.#reader.toChanges(page.right.rows);
         if (changes.length > 0) this.#scheduler.handleChanges(epoch, changes, clock.nowMs());
-        this.#scheduler.handleCaughtUp(epoch);
+        this.#scheduler.handleCaughtUp(epoch, clock.nowMs());
         waitMs = FEED_WAIT_MS;
       }
       this.#stepSoon();
--- a/src/scheduler/test/fleet/fleetWorld.ts
+++ b/src/scheduler/test/fleet/fleetWorld.ts
@@ -226,7 +226,7 @@
       (seat) => seat.scheduler?.epoch !== undefined && this.#reachesTable(seat),
     );
     if (owners.length === 0 || this.faults.isFeedSilent) return;
-    owners.forEach(({ scheduler }) => scheduler?.handleCaughtUp(scheduler.epoch ?? 0));
+    owners.forEach(({ scheduler }) => scheduler?.handleCaughtUp(scheduler.epoch ?? 0, this.nowMs));
     // A new owner has read the rows, so being told of them again must change nothing.
     const news = this.#fed.slice(this.#lastFedOperation);
     this.#lastFedOperation = this.#fed.length;
--- a/src/scheduler/test/fleet/ownerChanges.test.ts
+++ b/src/scheduler/test/fleet/ownerChanges.test.ts
@@ -79,6 +79,23 @@
 /** No order has a higher one. */
 const CURRENT_FENCE = Number.MAX_SAFE_INTEGER;
 
+describe('an owner that has not heard of its callers for long', () => {
+  it('starts nothing that was cancelled meanwhile', async () => {
+    const world = await worldOf(2, 1);
+    world.faults.isFeedSilent = true;
+    await world.runFor(3_000);
+    world.submit(submissionOf(ID, [STEP]));
+    const scheduler = world.seats[0]?.scheduler as FleetScheduler;
+    const submission = submissionOf(ID, [STEP]);
+    scheduler.handleChanges(scheduler.epoch as number, [{ kind: 'submission', submission }], 0);
+    world.cancel(ID);
+    await world.runFor(1_000);
+    world.faults.isFeedSilent = false;
+    await world.runFor(2_000);
+    expect(world.judge.startsOf.get(TASK)).toBeUndefined();
+  });
+});
+
 describe('an owner whose order is refused', () => {
   it('stays owner when the order was sent before it raised the fence of the worker', async () => {
     const world = await worldOf(2, 1);
