Rename harm, culprit, sufferer, blame and fear to interference terms

Cause: the control of batch work beside services used private terms for what the field calls interference, antagonists, victims and worst case, so readers had to learn them first. Change: HarmControl, HarmModel, HarmAnswer and related names become InterferenceControl, InterferenceModel, InterferenceAnswer. The log reason `harm` of a stopped run becomes `interference`. The key of the stored row is unchanged. Apart from the log reason, behaviour is unchanged. Measured: types, lint and format pass.

--- a/src/cli/test/jsonOutput.test.ts
+++ b/src/cli/test/jsonOutput.test.ts
@@ -155,7 +155,7 @@
   // `history` can be listed, but no route shows one version: it used to be asked for and refused.
   ['describe history', () => runDescribe(connection, 'history', '1'), 2, { error: 'bad-request' }],
   ['describe without id', () => runDescribe(connection, 'zone', undefined), 2, {}],
-  // The daemon used to be sent `version: null`, and to be blamed for the refusal.
+  // Guards against sending `version: null` to the daemon and reporting its refusal instead.
   [
     'plan --revert of no number',
     () => runPlan(connection, { ...source('-'), revertVersion: 'abc' }),
--- a/src/entry/node/claimKeeper.ts
+++ b/src/entry/node/claimKeeper.ts
@@ -48,7 +48,7 @@
 
 /** Rounds of asking the store before a request is refused as not run. */
 const MAXIMUM_ROUNDS = 4;
-/** Tries to write an answer or a release, whose loss harms nobody but repeats. */
+/** Tries to write an answer or a release; a lost write affects only repeats of the request. */
 const MAXIMUM_WRITE_TRIES = 3;
 const STORE_RETURN_MS = 2_000;
 const ABANDONMENT_INTERVAL_MS = 200;
--- a/src/operator/node/planMaker.ts
+++ b/src/operator/node/planMaker.ts
@@ -199,7 +199,7 @@
 
   /**
    * Keeps a plan, its new tasks in short. The plan's row is written under a fresh id, so after a lost answer writing it
-   * once more is harmless: the second try finds the row there, or writes it.
+   * once more is idempotent: the second try finds the row there, or writes it.
    */
   async #keep(inShort: Plan, plan: Plan): Promise<Either<Failure, Plan>> {
     const { table, metrics } = this.#services;
--- a/src/operator/node/planSweeper.ts
+++ b/src/operator/node/planSweeper.ts
@@ -30,7 +30,7 @@
   /**
    * Some 12,000 plans are made a day, and nothing else removes them: the table would fill and
    * every listing of plans grow. Ids begin with the hour, so only old hours are read. All daemons
-   * sweep; whoever comes second finds nothing, or loses the condition, and no harm is done. Only
+   * sweep; a second sweep finds no rows or fails the condition, so concurrency is safe. Only
    * whole hours past the retention are taken, so a clock that is fast by less takes none too soon.
    */
   async run(wallNowMs: number): Promise<void> {
--- a/src/scheduler/common/fleet/drainMoves.ts
+++ b/src/scheduler/common/fleet/drainMoves.ts
@@ -37,8 +37,8 @@
     const views = usable.filter(
       (view) => view.entry.serviceName === serviceName && !promised.has(view),
     );
-    const { policy, harm, health } = input;
-    const target = chooseWorker(task, views, policy, harm, health, nowMs);
+    const { policy, interference, health } = input;
+    const target = chooseWorker(task, views, policy, interference, health, nowMs);
     if (target !== undefined) promised.add(target);
     return target !== undefined;
   });
--- a/src/scheduler/common/fleet/fleetCalls.ts
+++ b/src/scheduler/common/fleet/fleetCalls.ts
@@ -1,7 +1,7 @@
 /** The calls to workers that are due by what the scheduler knows. */
 import type { RunningTask, RunReference } from '../../../services/fleet/common/fleetWorker.js';
 import type { FleetEffect } from './fleetEffects.js';
-import type { PaceChange } from './harmControl.js';
+import type { PaceChange } from './interferenceControl.js';
 import { StopReason } from './fleetNotes.js';
 import type { Tenure } from './fleetTenure.js';
 import type { FleetTiming } from './fleetTiming.js';
--- a/src/scheduler/common/fleet/fleetNotes.ts
+++ b/src/scheduler/common/fleet/fleetNotes.ts
@@ -3,7 +3,7 @@
 import type { LogFields } from '../../../services/log/common/log.js';
 import type { LogEvent } from '../../../services/log/common/logEvents.js';
 import type { FleetWorkerView } from './fleetWorkerView.js';
-import type { PaceChange } from './harmControl.js';
+import type { PaceChange } from './interferenceControl.js';
 import type { TaskRecord, TaskRun } from './taskRecords.js';
 import { type WaitCounts, WaitReport } from './waitReport.js';
 
@@ -19,7 +19,7 @@
   /** Another run of the task has ended it, or nobody wants it. */
   NotWanted: 'not-wanted',
   /** It slows what serves beside it. */
-  Harm: 'harm',
+  Interference: 'interference',
   /** Its worker is about to leave and another one has room. */
   Draining: 'draining',
   /** It makes no progress. */
--- a/src/scheduler/common/fleet/fleetPlacement.ts
+++ b/src/scheduler/common/fleet/fleetPlacement.ts
@@ -4,7 +4,7 @@
 import type { WorkerHealth } from '../workerHealth.js';
 import { groupsByPreference } from './faultAvoidance.js';
 import type { FleetWorkerView } from './fleetWorkerView.js';
-import type { HarmControl } from './harmControl.js';
+import type { InterferenceControl } from './interferenceControl.js';
 import { isServing } from './headroom.js';
 import type { TaskRecord } from './taskRecords.js';
 
@@ -100,7 +100,7 @@
 const chooseForFiller = (
   task: TaskRecord,
   views: readonly FleetWorkerView[],
-  harm: HarmControl,
+  interference: InterferenceControl,
   nowMs: number,
 ): FleetWorkerView | undefined => {
   const { size } = task.step;
@@ -111,7 +111,7 @@
     if (!fitsInto(counted, view.free)) return;
     const idle = view.entry.capacity.processorMillis - occupancyOf(view).usedProcessorMillis;
     if (idle < size.processorMillis * FILLER_IDLE_SHARE) return;
-    const headroom = harm.headroomWith(view, task, nowMs);
+    const headroom = interference.headroomWith(view, task, nowMs);
     if (headroom === undefined) return;
     const score = idle / view.entry.capacity.processorMillis + Math.min(headroom, AMPLE_HEADROOM);
     if (score <= bestScore) return;
@@ -123,7 +123,7 @@
 
 /**
  * Made for services that take most of the room beside batch work of many images. Whether batch
- * work harms a service depends on the two images, and for two in five pairs of a heavy day one
+ * work slows a service depends on the two images, and for two in five pairs of a heavy day one
  * batch task at full pace brings a tail over its target (60 to 170 ms for a worker full of it, at
  * a tail of 9 and a target of 18 ms). So tasks that serve are put beside their like: each kind of
  * batch work then finds workers where all that serve can bear it. Among equals the fullest one is
@@ -165,10 +165,10 @@
   task: TaskRecord,
   views: readonly FleetWorkerView[],
   policy: PlacementPolicy,
-  harm: HarmControl,
+  interference: InterferenceControl,
   nowMs: number,
 ): FleetWorkerView | undefined => {
-  if (task.step.isFiller) return chooseForFiller(task, views, harm, nowMs);
+  if (task.step.isFiller) return chooseForFiller(task, views, interference, nowMs);
   const near = nearData(task, views);
   if (isServing(task) && task.step.image !== '') return chooseForServing(task, near);
   const request = { size: task.step.size, isSpread: task.step.isPersistent };
@@ -182,14 +182,14 @@
   task: TaskRecord,
   usable: readonly FleetWorkerView[],
   policy: PlacementPolicy,
-  harm: HarmControl,
+  interference: InterferenceControl,
   health: WorkerHealth,
   nowMs: number,
 ): FleetWorkerView | undefined => {
   const views = usable.filter((view) => isAllowed(view, task));
   const groups = groupsByPreference(task, views, health, nowMs);
   for (let index = 0; index < groups.length; index += 1) {
-    const chosen = chooseAmong(task, groups[index] ?? [], policy, harm, nowMs);
+    const chosen = chooseAmong(task, groups[index] ?? [], policy, interference, nowMs);
     if (chosen !== undefined) return chosen;
   }
   return undefined;
--- a/src/scheduler/common/fleet/fleetRound.ts
+++ b/src/scheduler/common/fleet/fleetRound.ts
@@ -11,7 +11,7 @@
 import { chooseWorker } from './fleetPlacement.js';
 import type { FleetTiming } from './fleetTiming.js';
 import type { FleetWorkerView } from './fleetWorkerView.js';
-import type { HarmControl } from './harmControl.js';
+import type { InterferenceControl } from './interferenceControl.js';
 import type { Roster } from './roster.js';
 import { newRun } from './runKeeper.js';
 import type { SubmissionBook } from './submissionBook.js';
@@ -29,7 +29,7 @@
   readonly operator: OperatorState;
   readonly health: WorkerHealth;
   readonly policy: PlacementPolicy;
-  readonly harm: HarmControl;
+  readonly interference: InterferenceControl;
   readonly timing: FleetTiming;
   readonly epoch: number;
   readonly roster: Roster;
@@ -146,8 +146,8 @@
   }
 
   #choose(task: TaskRecord, views: readonly FleetWorkerView[]): FleetWorkerView | undefined {
-    const { policy, harm, health } = this.#input;
-    return chooseWorker(task, views, policy, harm, health, this.#nowMs);
+    const { policy, interference, health } = this.#input;
+    return chooseWorker(task, views, policy, interference, health, this.#nowMs);
   }
 
   #take(task: TaskRecord, number: number, view: FleetWorkerView): TaskRun {
--- a/src/scheduler/common/fleet/fleetScheduler.ts
+++ b/src/scheduler/common/fleet/fleetScheduler.ts
@@ -184,7 +184,7 @@
     if (!view.isHeard) view.boundFormerLeases(this.#timing, nowMs);
     const unknown = tenure.keeper.handleLists(view, outcome.answer, sentAtMs, nowMs);
     unknown.forEach((running) => noteStray(tenure, view, running));
-    tenure.harm.observe(view, nowMs);
+    tenure.interference.observe(view, nowMs);
     stopStuck(tenure, view, nowMs);
   }
 
@@ -385,9 +385,9 @@
 
   #pace(tenure: Tenure, effects: FleetEffect[], nowMs: number): void {
     tenure.views.forEach((view) => {
-      const { paces, moves } = tenure.harm.answer(view, nowMs);
+      const { paces, moves } = tenure.interference.answer(view, nowMs);
       if (paces.length + moves.length > 0) view.pacedAtMs = nowMs;
-      tenure.keeper.requestStops(moves, StopReason.Harm, nowMs);
+      tenure.keeper.requestStops(moves, StopReason.Interference, nowMs);
       const changes = paces.filter(({ run }) => !this.#paceInFlight.has(run));
       tenure.notes.addPaces(changes);
       changes.forEach((change) => {
@@ -398,10 +398,10 @@
   }
 
   #commit(tenure: Tenure, effects: FleetEffect[], nowMs: number): void {
-    const { epoch, book, views, commits, roster, harm } = tenure;
+    const { epoch, book, views, commits, roster, interference } = tenure;
     const { condition, selfId: id } = this.#ownership;
     const input = {
-      ...{ book, views: views.values(), roster, harm },
+      ...{ book, views: views.values(), roster, interference },
       owner: { condition, id, epoch },
       toTableMs: (atMs: number) => this.#ownership.toTableMs(atMs),
       intervalMs: this.#timing.commitIntervalMs,
--- a/src/scheduler/common/fleet/fleetTenure.ts
+++ b/src/scheduler/common/fleet/fleetTenure.ts
@@ -4,7 +4,7 @@
 import type { Submission } from '../../../services/submissions/common/submission.js';
 import {
   type Assignments,
-  type LearntHarm,
+  type LearntInterference,
   type Progress,
   type RosterEntry,
   type RosterRow,
@@ -17,7 +17,7 @@
 import { FleetWorkerView } from './fleetWorkerView.js';
 import type { RoundInput } from './fleetRound.js';
 import { FleetNotes, LossReason, StopReason } from './fleetNotes.js';
-import { HarmControl } from './harmControl.js';
+import { InterferenceControl } from './interferenceControl.js';
 import { ProgressCommits } from './progressCommits.js';
 import { Roster } from './roster.js';
 import { RunKeeper } from './runKeeper.js';
@@ -39,8 +39,8 @@
   /** Workers to which the former owners have granted leases. */
   readonly roster: RosterRow;
   readonly workers: readonly FleetWorkerEntry[];
-  /** What the former owners have learnt of harm between images. */
-  readonly harm: LearntHarm;
+  /** Interference between images, as learnt by the former owners. */
+  readonly interference: LearntInterference;
 }
 
 export interface Tenure {
@@ -50,7 +50,7 @@
   readonly keeper: RunKeeper;
   readonly commits: ProgressCommits;
   readonly roster: Roster;
-  readonly harm: HarmControl;
+  readonly interference: InterferenceControl;
   readonly notes: FleetNotes;
   /** When everything that callers had done was known last. */
   caughtUpAtMs: number;
@@ -127,11 +127,11 @@
     views.set(known.id, view);
   });
   stored.workers.forEach((entry) => noteListed(views, entry, nowMs));
-  const harm = new HarmControl();
-  harm.inherit(stored.harm, nowMs);
+  const interference = new InterferenceControl();
+  interference.inherit(stored.interference, nowMs);
   const roster = new Roster(epoch);
   const tenure: Tenure = {
-    ...{ epoch, book, views, keeper, commits, roster, harm, notes },
+    ...{ epoch, book, views, keeper, commits, roster, interference, notes },
     strays: new Map(),
     caughtUpAtMs: Number.NEGATIVE_INFINITY,
   };
@@ -161,8 +161,18 @@
   policy: PlacementPolicy,
   timing: FleetTiming,
 ): RoundInput => {
-  const { book, views, epoch, harm, keeper, roster } = tenure;
-  return { book, views, epoch, harm, operator, policy, timing, health: keeper.health, roster };
+  const { book, views, epoch, interference, keeper, roster } = tenure;
+  return {
+    book,
+    views,
+    epoch,
+    interference,
+    operator,
+    policy,
+    timing,
+    health: keeper.health,
+    roster,
+  };
 };
 
 /** Whatever a worker held is over once its leases are, if nobody has heard of it since. */
--- a/src/scheduler/common/fleet/fleetWorkerView.ts
+++ b/src/scheduler/common/fleet/fleetWorkerView.ts
@@ -62,7 +62,7 @@
   /** When pacing of this worker's fillers was last changed. */
   pacedAtMs = Number.NEGATIVE_INFINITY;
 
-  /** The loads of its serving tasks, by step; see `harmModel.ts`. */
+  /** The loads of its serving tasks, by step; see `interferenceModel.ts`. */
   readonly loads = new Map<string, LoadEstimate>();
 
   /** Rises with every change of `runs`. */
--- a/src/scheduler/common/fleet/imagePairs.ts
+++ b/src/scheduler/common/fleet/imagePairs.ts
@@ -1,5 +1,5 @@
 /** How much headroom each image of batch work takes from each image that serves, as learnt. */
-import type { LearntHarm } from '../../../services/submissions/common/submissionRows.js';
+import type { LearntInterference } from '../../../services/submissions/common/submissionRows.js';
 
 /**
  * What a worker full of an unknown image is taken to cost, as headroom, and how uncertain that is.
@@ -65,7 +65,7 @@
    * Takes over what a former owner has learnt. Without it each change of owner let every kind of
    * batch work loose on every service once more.
    */
-  inherit(pairs: LearntHarm, nowMs: number): void {
+  inherit(pairs: LearntInterference, nowMs: number): void {
     pairs.forEach(({ servingImage, fillerImage, headroomLoss: loss }) => {
       const pair = { servingImage, fillerImage, loss, variance: INHERITED_VARIANCE };
       this.#pairs.set(pairName(servingImage, fillerImage), { ...pair, seenAtMs: nowMs });
@@ -73,7 +73,7 @@
   }
 
   /** The pairs that are known by now, for a successor. */
-  learnt(): LearntHarm {
+  learnt(): LearntInterference {
     const known = [...this.#pairs.values()].filter(isKnownPair).filter(hasShortNames);
     return known.slice(-MAXIMUM_LEARNT).map(({ servingImage, fillerImage, loss }) => ({
       servingImage,
--- a/src/scheduler/common/fleet/harmControl.ts
+++ b/src/scheduler/common/fleet/interferenceControl.ts
@@ -1,7 +1,7 @@
 /** Holds fillers back where they slow tasks that serve. */
-import type { LearntHarm } from '../../../services/submissions/common/submissionRows.js';
+import type { LearntInterference } from '../../../services/submissions/common/submissionRows.js';
 import type { FleetWorkerView } from './fleetWorkerView.js';
-import { HarmModel } from './harmModel.js';
+import { InterferenceModel } from './interferenceModel.js';
 import { fillerRuns, servingRuns } from './headroom.js';
 import type { TaskRecord, TaskRun } from './taskRecords.js';
 
@@ -16,10 +16,10 @@
 const SPARE_HEADROOM = 1.4;
 /** Headroom that a service keeps in the next seconds beside a filler that is started. */
 const PLACED_HEADROOM = 1.1;
-/** A filler that takes less than this is not to blame for a tail. */
-const BLAMED_LOSS = 0.05;
+/** A filler that takes less headroom than this is not treated as an antagonist. */
+const ANTAGONIST_LOSS = 0.05;
 /**
- * A tail that stays over its target for so long is relieved of every filler that may be to blame,
+ * A tail that stays over its target for so long is relieved of every filler that may cause it,
  * and after the limit of all: a single task may suffer more than its like, and users notice after
  * some four seconds, of which two looks and a change of pace take one and a half.
  */
@@ -33,7 +33,7 @@
  */
 const MOVED_LOSS = 0.4;
 /**
- * A filler held below this pace for so long has no future where it is: sped up again it would harm
+ * A filler held below this pace for so long cannot go on where it is: sped up again it would slow
  * the same tasks again. It goes back into the queue, also if that loses what it has not saved.
  */
 const HELD_PERCENT = 50;
@@ -48,9 +48,9 @@
 }
 
 /** What is to be done about the fillers of one worker. */
-export interface HarmAnswer {
+export interface InterferenceAnswer {
   readonly paces: readonly PaceChange[];
-  /** Runs to stop, so that their tasks go on where they do no harm. */
+  /** Runs to stop, so that their tasks can run where they slow no service. */
   readonly moves: readonly TaskRun[];
 }
 
@@ -60,25 +60,24 @@
   readonly headroom: number;
 }
 
-const NO_ANSWER: HarmAnswer = { paces: [], moves: [] };
+const NO_ANSWER: InterferenceAnswer = { paces: [], moves: [] };
 
 const isHeld = ({ pacePercent, pacedSinceMs }: TaskRun, nowMs: number): boolean =>
   pacePercent < HELD_PERCENT && nowMs - pacedSinceMs >= HELD_LIMIT_MS;
 
 /**
  * Made for services whose tail rises within seconds because batch work beside them got heavier
- * or their own load rose. Few images of batch work do harm, so that those to blame are slowed and
- * the others go on.
+ * or their own load rose. Few images of batch work interfere, so only these are slowed.
  */
-export class HarmControl {
-  readonly #model = new HarmModel();
+export class InterferenceControl {
+  readonly #model = new InterferenceModel();
 
-  inherit(pairs: LearntHarm, nowMs: number): void {
+  inherit(pairs: LearntInterference, nowMs: number): void {
     this.#model.inherit(pairs, nowMs);
   }
 
   /** What is known of pairs of images, for a successor. */
-  learnt(): LearntHarm {
+  learnt(): LearntInterference {
     return this.#model.learnt();
   }
 
@@ -101,14 +100,14 @@
       const loss = this.#model.loss(image, filler, view);
       least = Math.min(least, atWorst - loss);
       if (this.#model.isKnown(image, filler)) return soon - loss >= PLACED_HEADROOM;
-      const feared = this.#model.fearedLoss(image, filler, view);
-      return soonAtWorst - feared >= PLACED_HEADROOM && !isOnTrial;
+      const worstCaseLoss = this.#model.worstCaseLoss(image, filler, view);
+      return soonAtWorst - worstCaseLoss >= PLACED_HEADROOM && !isOnTrial;
     });
     return isBorne ? least : undefined;
   }
 
   /** What is to work faster or slower on the worker from now on. */
-  answer(view: FleetWorkerView, nowMs: number): HarmAnswer {
+  answer(view: FleetWorkerView, nowMs: number): InterferenceAnswer {
     if (nowMs - view.pacedAtMs < SETTLING_MS) return NO_ANSWER;
     const fillers = fillerRuns(view);
     if (fillers.length === 0) return NO_ANSWER;
@@ -118,7 +117,7 @@
     return { paces, moves: [...moves, ...held] };
   }
 
-  #change(view: FleetWorkerView, fillers: readonly TaskRun[], nowMs: number): HarmAnswer {
+  #change(view: FleetWorkerView, fillers: readonly TaskRun[], nowMs: number): InterferenceAnswer {
     const serving = servingRuns(view);
     const relieved = this.#relieved(view, serving, fillers, nowMs);
     if (relieved.length > 0) {
@@ -142,12 +141,12 @@
   ): readonly TaskRun[] {
     const overMs = ({ overSinceMs }: TaskRun): number =>
       overSinceMs === undefined ? 0 : nowMs - overSinceMs;
-    const sufferers = serving.filter((run) => overMs(run) >= OVER_PATIENCE_MS);
+    const victims = serving.filter((run) => overMs(run) >= OVER_PATIENCE_MS);
     const working = fillers.filter(({ pacePercent }) => pacePercent > 0);
-    if (sufferers.some((run) => overMs(run) >= OVER_LIMIT_MS)) return working;
+    if (victims.some((run) => overMs(run) >= OVER_LIMIT_MS)) return working;
     return working.filter(({ task }) =>
-      sufferers.some(
-        (sufferer) => this.#model.fearedLoss(sufferer.task.step.image, task, view) >= SUSPECT_LOSS,
+      victims.some(
+        (victim) => this.#model.worstCaseLoss(victim.task.step.image, task, view) >= SUSPECT_LOSS,
       ),
     );
   }
@@ -163,17 +162,21 @@
     return tightest;
   }
 
-  /** Moves or slows the worst culprits until the tail is expected to be well. */
-  #slower(view: FleetWorkerView, tight: Tightness, fillers: readonly TaskRun[]): HarmAnswer {
+  /** Moves or slows the worst antagonists until the wanted headroom is expected. */
+  #slower(
+    view: FleetWorkerView,
+    tight: Tightness,
+    fillers: readonly TaskRun[],
+  ): InterferenceAnswer {
     const { image } = tight;
-    const culprits = fillers
+    const antagonists = fillers
       .map((run) => ({ run, loss: this.#model.lossOf(image, run, view) }))
-      .filter(({ loss }) => loss >= BLAMED_LOSS)
+      .filter(({ loss }) => loss >= ANTAGONIST_LOSS)
       .sort((left, right) => right.loss - left.loss);
     let missing = WANTED_HEADROOM - tight.headroom;
     const paces: PaceChange[] = [];
     const moves: TaskRun[] = [];
-    culprits.forEach(({ run, loss }) => {
+    antagonists.forEach(({ run, loss }) => {
       if (missing <= 0) return;
       const kept = Math.max(0, 1 - missing / loss);
       const percent = Math.floor(run.pacePercent * kept);
@@ -184,7 +187,7 @@
     return { paces, moves };
   }
 
-  /** Speeds the most harmless up first, as far as the tails are expected to bear it. */
+  /** Restores full pace, least loss first, as far as the expected headroom allows. */
   #faster(view: FleetWorkerView, fillers: readonly TaskRun[]): readonly PaceChange[] {
     const paced = fillers.filter(({ pacePercent }) => pacePercent < FULL_PERCENT);
     if (paced.length === 0) return [];
--- a/src/scheduler/common/fleet/harmModel.ts
+++ b/src/scheduler/common/fleet/interferenceModel.ts
@@ -1,5 +1,5 @@
 /** Learns which images of batch work take how much headroom from which images that serve. */
-import type { LearntHarm } from '../../../services/submissions/common/submissionRows.js';
+import type { LearntInterference } from '../../../services/submissions/common/submissionRows.js';
 import type { FleetWorkerView } from './fleetWorkerView.js';
 import {
   fillerRuns,
@@ -86,7 +86,7 @@
   load.correct(surprise);
 };
 
-export class HarmModel {
+export class InterferenceModel {
   readonly #pairs = new ImagePairs();
 
   /** The lowest headroom that loads of an image usually have. */
@@ -94,12 +94,12 @@
 
   readonly #cache = new WeakMap<FleetWorkerView, CachedBearings>();
 
-  inherit(pairs: LearntHarm, nowMs: number): void {
+  inherit(pairs: LearntInterference, nowMs: number): void {
     this.#pairs.inherit(pairs, nowMs);
   }
 
   /** The pairs that are known by now, for a successor. */
-  learnt(): LearntHarm {
+  learnt(): LearntInterference {
     return this.#pairs.learnt();
   }
 
@@ -128,11 +128,11 @@
     const fillers = [...view.runs.values()].filter(({ task }) => task.step.isFiller);
     const bearings = [...view.loads.values()].map((load): Bearing => {
       let loss = 0;
-      let feared = 0;
+      let worstCaseLoss = 0;
       let isOnTrial = false;
       fillers.forEach(({ task }) => {
         loss += this.loss(load.image, task, view);
-        feared += this.fearedLoss(load.image, task, view);
+        worstCaseLoss += this.worstCaseLoss(load.image, task, view);
         isOnTrial ||= !this.isKnown(load.image, task);
       });
       const { image } = load;
@@ -141,7 +141,7 @@
         image,
         atWorst: this.#lowOf(load, nowMs) - loss,
         soon: soon - loss,
-        soonAtWorst: soon - feared,
+        soonAtWorst: soon - worstCaseLoss,
         isOnTrial,
       };
     });
@@ -170,7 +170,7 @@
   }
 
   /** Headroom that a filler may take for all that is known. */
-  fearedLoss(servingImage: string, filler: TaskRecord, view: FleetWorkerView): number {
+  worstCaseLoss(servingImage: string, filler: TaskRecord, view: FleetWorkerView): number {
     const { loss, variance } = this.#pairs.estimate(servingImage, filler.step.image);
     return (loss + Math.sqrt(variance)) * sizeShare(view, filler);
   }
--- a/src/scheduler/common/fleet/progressCommits.ts
+++ b/src/scheduler/common/fleet/progressCommits.ts
@@ -5,7 +5,7 @@
 import type { Failure } from '../../../services/errors/common/errorKinds.js';
 import {
   assignmentsKey,
-  HARM_KEY,
+  INTERFERENCE_KEY,
   progressKey,
   ROSTER_KEY,
   type RosterRow,
@@ -23,7 +23,7 @@
   type TransactionResult,
 } from '../../../services/table/common/table.js';
 import type { FleetWorkerView } from './fleetWorkerView.js';
-import type { HarmControl } from './harmControl.js';
+import type { InterferenceControl } from './interferenceControl.js';
 import type { Roster, ToTableMs } from './roster.js';
 import type { SubmissionBook } from './submissionBook.js';
 import {
@@ -41,8 +41,8 @@
 const MAXIMUM_ASSIGNED = 12;
 /** One that has ended removes its assignments as well. */
 const ROWS_PER_PROGRESS = 2;
-/** How often what is learnt of harm is written at most; a successor may lose as much of it. */
-const HARM_INTERVAL_MS = 3_000;
+/** Least interval between writes of learnt interference; a successor may miss that much. */
+const INTERFERENCE_INTERVAL_MS = 3_000;
 /** How often the counts of waiting submissions are written at most. */
 const COUNTS_INTERVAL_MS = 500;
 
@@ -74,7 +74,7 @@
   readonly book: SubmissionBook;
   readonly views: Iterable<FleetWorkerView>;
   readonly owner: { readonly condition: RowCondition; readonly id: string; readonly epoch: number };
-  readonly harm: HarmControl;
+  readonly interference: InterferenceControl;
   readonly roster: Roster;
   readonly toTableMs: ToTableMs;
   readonly intervalMs: number;
@@ -117,9 +117,9 @@
 
   #writtenCounts = '';
 
-  #writtenHarm = '[]';
+  #writtenInterference = '[]';
 
-  #nextHarmAtMs = 0;
+  #nextInterferenceAtMs = 0;
 
   #operationCount = 0;
 
@@ -210,7 +210,7 @@
     pending.records.forEach((record) => book.markDirty(record));
     pending.assigned.forEach((record) => book.markUnrecorded(record));
     this.#writtenCounts = '';
-    this.#writtenHarm = '';
+    this.#writtenInterference = '';
     this.#status = CommitStatus.InDoubt;
     return { request: { keys: pending.writes.map(({ key }) => key), prefixes: [] }, recorded: [] };
   }
@@ -230,13 +230,13 @@
 
   /** What concerns no single submission. */
   #sharedWrites(
-    { book, owner, harm, roster, toTableMs }: CommitInput,
+    { book, owner, interference, roster, toTableMs }: CommitInput,
     views: readonly FleetWorkerView[],
     nowMs: number,
   ): readonly RowWrite[] {
     const rows = [
       { key: WAITING_COUNTS_KEY, value: this.#dueCounts(book, owner.epoch, nowMs) },
-      { key: HARM_KEY, value: this.#dueHarm(harm, nowMs) },
+      { key: INTERFERENCE_KEY, value: this.#dueInterference(interference, nowMs) },
       { key: ROSTER_KEY, value: roster.next(views, toTableMs, nowMs) as JsonValue | undefined },
     ];
     return rows.flatMap(({ key, value }) => (value === undefined ? [] : [{ key, value }]));
@@ -251,13 +251,13 @@
     return isOpen(record) || !hasAssignments ? [progress] : [progress, { key, value: null }];
   }
 
-  #dueHarm(harm: HarmControl, nowMs: number): JsonValue | undefined {
-    if (nowMs < this.#nextHarmAtMs) return undefined;
-    this.#nextHarmAtMs = nowMs + HARM_INTERVAL_MS;
-    const learnt = harm.learnt();
+  #dueInterference(interference: InterferenceControl, nowMs: number): JsonValue | undefined {
+    if (nowMs < this.#nextInterferenceAtMs) return undefined;
+    this.#nextInterferenceAtMs = nowMs + INTERFERENCE_INTERVAL_MS;
+    const learnt = interference.learnt();
     const text = JSON.stringify(learnt);
-    if (text === this.#writtenHarm) return undefined;
-    this.#writtenHarm = text;
+    if (text === this.#writtenInterference) return undefined;
+    this.#writtenInterference = text;
     return learnt;
   }
 
--- a/src/scheduler/common/interference/serviceModel.ts
+++ b/src/scheduler/common/interference/serviceModel.ts
@@ -3,8 +3,8 @@
  * first coefficient is the latency without batch work. Each batch kind has two: what it adds by
  * what it uses of the processors, which throttling takes away, and what it adds by being there,
  * which only eviction does. The whole covariance is kept, not only its diagonal: kinds that run
- * side by side share the blame until a worker shows them apart, and one that was blamed wrongly
- * is cleared when the other is found.
+ * side by side share the slowdown until a worker shows them apart, and one that it was wrongly
+ * attributed to is cleared when the other is found.
  */
 
 /** One measurement of the service on one worker. */
--- a/src/scheduler/common/interference/workerControl.ts
+++ b/src/scheduler/common/interference/workerControl.ts
@@ -164,15 +164,15 @@
       pressing.filter((other) => other !== one),
       control.shares,
     );
-  const culprits = pressing.filter(
+  const antagonists = pressing.filter(
     (one) => worstOf(one, shareOf(control.shares, one)) > NEGLIGIBLE_SLOWDOWN,
   );
-  const sufficient = culprits
+  const sufficient = antagonists
     .filter((one) => without(one) <= policy.evictionSlowdown)
     .sort((left, right) => cost(left) - cost(right));
   const relief = (one: Pressing): number =>
     worstOf(one, shareOf(control.shares, one)) / Math.max(Number.EPSILON, cost(one));
-  const [best] = culprits.sort((left, right) => relief(right) - relief(left));
+  const [best] = antagonists.sort((left, right) => relief(right) - relief(left));
   return (sufficient[0] ?? best)?.task.key;
 };
 
--- a/src/scheduler/common/learntFromEnds.ts
+++ b/src/scheduler/common/learntFromEnds.ts
@@ -23,11 +23,11 @@
     const { taskId, workerId, shardId, taskIndex } = assignment;
     if (end === AssignmentEnd.Finished) return health.withSuccess(workerId);
     if (end !== AssignmentEnd.Failed) return health;
-    const culprit = shardId === '' ? assignment.serviceName : shardId;
+    const jobId = shardId === '' ? assignment.serviceName : shardId;
     const delayMs = retryDelayMs(toFailureCount(failureWeight), taskIndex);
     const isCredible = state.workerHealth.isCredible(workerId, shardId);
     retryAtMs.set(taskId, nowMs + (isCredible ? delayMs : delayMs * DOUBTFUL_DELAY_SHARE));
-    return health.withFailure(workerId, culprit, state.workers.size, nowMs);
+    return health.withFailure(workerId, jobId, state.workers.size, nowMs);
   }, state.workerHealth);
   return { workerHealth, retryAtMs };
 };
--- a/src/scheduler/common/workerCommands.ts
+++ b/src/scheduler/common/workerCommands.ts
@@ -90,7 +90,7 @@
 
 /**
  * Renewals go by the last rows known for certain, also while a lost answer leaves them in doubt:
- * with the table out for minutes the tasks would lapse otherwise. It harms nothing, since a task
+ * with the table out for minutes the tasks would lapse otherwise. This is safe, since a task
  * that the lost transaction took off the worker has surely ended there and cannot be renewed.
  */
 const renewableAssignments = (state: CellState, workerId: string): readonly Assignment[] => {
--- a/src/scheduler/common/workerHealth.ts
+++ b/src/scheduler/common/workerHealth.ts
@@ -7,7 +7,7 @@
 const MAXIMUM_ASIDE_MS = 600_000;
 /** Never more than this share, or one worker: with more the fault is likely elsewhere. */
 const MAXIMUM_ASIDE_SHARE = 0.1;
-/** Failures on so many different workers make a job the likely culprit. */
+/** Failures on so many different workers make the job itself the likely cause. */
 const BAD_JOB_WORKER_COUNT = 3;
 /** Failures of so many different jobs in one streak trip a worker. */
 const TRIPPING_JOB_COUNT = 2;
@@ -31,7 +31,7 @@
 interface WorkerRecord {
   /** Jobs that count against the worker. */
   readonly failedJobIds: ReadonlySet<string>;
-  /** Up to two jobs that failed here since the last success, whoever was to blame. */
+  /** Up to two jobs that failed here since the last success, whatever the cause. */
   readonly recentJobIds: ReadonlySet<string>;
   readonly asideUntilMs: number;
   readonly asideCount: number;
@@ -121,7 +121,7 @@
 
   /**
    * Whether a failure of the job on this worker tells against the job. Where other jobs have
-   * failed since the last success the worker is as likely the culprit, and counting the failure
+   * failed since the last success the worker is as likely the cause, and counting the failure
    * fully would give good jobs up because of bad workers; see `failureWeight.ts`.
    */
   isCredible(workerId: string, jobId: string): boolean {
--- a/src/scheduler/node/storedStateReader.ts
+++ b/src/scheduler/node/storedStateReader.ts
@@ -7,9 +7,9 @@
   ASSIGNMENT_PREFIX,
   type Assignments,
   assignmentsSchema,
-  HARM_KEY,
-  type LearntHarm,
-  learntHarmSchema,
+  INTERFERENCE_KEY,
+  type LearntInterference,
+  learntInterferenceSchema,
   parseSubmissionKey,
   type Progress,
   PROGRESS_PREFIX,
@@ -56,7 +56,10 @@
       this.readSubmissions(),
       this.#table.read({ keys: [], prefixes: [PROGRESS_PREFIX] })(),
       this.#table.read({ keys: [], prefixes: [ASSIGNMENT_PREFIX] })(),
-      this.#table.read({ keys: [ROSTER_KEY, WAITING_COUNTS_KEY, HARM_KEY], prefixes: [] })(),
+      this.#table.read({
+        keys: [ROSTER_KEY, WAITING_COUNTS_KEY, INTERFERENCE_KEY],
+        prefixes: [],
+      })(),
       this.#directory.workers()(),
     ]);
     if (submissions === undefined || isLeft(progressRows) || isLeft(assignmentRows)) {
@@ -72,7 +75,7 @@
         assignments: this.#toAssignments(assignmentRows.right.rows),
         versions: new Map(rows.map(({ key, version }) => [key, version])),
         roster: this.#toRoster(own.right.rows),
-        harm: this.#toHarm(own.right.rows),
+        interference: this.#toInterference(own.right.rows),
         workers: workers.right,
       },
     };
@@ -125,10 +128,10 @@
     return assignments;
   }
 
-  #toHarm(rows: readonly TableRow[]): LearntHarm {
-    const row = rows.find(({ key }) => key === HARM_KEY);
+  #toInterference(rows: readonly TableRow[]): LearntInterference {
+    const row = rows.find(({ key }) => key === INTERFERENCE_KEY);
     if (row === undefined) return [];
-    const parsed = learntHarmSchema.safeParse(row.value);
+    const parsed = learntInterferenceSchema.safeParse(row.value);
     if (!parsed.success) this.#log.warn('row-unreadable', { key: row.key });
     return parsed.success ? parsed.data : [];
   }
--- a/src/scheduler/test/decisions.test.ts
+++ b/src/scheduler/test/decisions.test.ts
@@ -138,7 +138,7 @@
   // One worker fails all it starts, in a cell of four. Its first failure of a job may be the
   // job's fault; once another job has failed there too, failures count against neither job, and
   // both are tried elsewhere. Counted, good jobs were given up after five tries on that worker.
-  it('does not blame jobs for a worker on which others fail too', () => {
+  it('does not count failures against jobs on a worker where others fail too', () => {
     const fail = (health: WorkerHealth, job: string): WorkerHealth =>
       health.withFailure('w1', job, 4, 0);
     const once = fail(new WorkerHealth(), 'a');
@@ -164,7 +164,7 @@
   });
 
   // Three bad jobs fail on many workers. None of these may be set aside for it.
-  it('does not blame workers for jobs that fail everywhere', () => {
+  it('does not count failures of jobs that fail everywhere against workers', () => {
     const workers = Array.from({ length: 20 }, (_, index) => `w${index}`);
     const pairs = ['a', 'b', 'c', 'd'].flatMap((job) =>
       workers.map((worker) => [worker, job] as const),
--- a/src/scheduler/test/fleet/harmControl.test.ts
+++ b/src/scheduler/test/fleet/interferenceControl.test.ts
@@ -2,7 +2,7 @@
 
 import { SeededRandom } from '../../../base/common/random.js';
 import { FleetWorkerView } from '../../common/fleet/fleetWorkerView.js';
-import { HarmControl } from '../../common/fleet/harmControl.js';
+import { InterferenceControl } from '../../common/fleet/interferenceControl.js';
 import { newRun } from '../../common/fleet/runKeeper.js';
 import { SubmissionBook } from '../../common/fleet/submissionBook.js';
 import { NO_ASSIGNMENTS, RunState, type TaskRun } from '../../common/fleet/taskRecords.js';
@@ -64,7 +64,7 @@
 /** Looks every 600 ms; `tailMs` is what each serving task really suffers. */
 const play = (
   scene: Scene,
-  control: HarmControl,
+  control: InterferenceControl,
   random: SeededRandom,
   fromMs: number,
   untilMs: number,
@@ -100,7 +100,7 @@
       // that one in four says that all is well. The mean over its like shows nothing. Its users
       // notice after four seconds, and by then nothing may work beside it.
       const scene = sceneOf(6, ['a', 'b', 'c']);
-      const control = new HarmControl();
+      const control = new InterferenceControl();
       const random = new SeededRandom(seed);
       play(scene, control, random, 0, 2_400, () => 8);
       play(scene, control, random, 3_000, 3_000 + NOTICED_MS - LOOK_MS, (_run, index) =>
@@ -112,30 +112,30 @@
 
   it('go on at full pace where the tails are well', () => {
     const scene = sceneOf(4, ['a', 'b', 'c']);
-    play(scene, new HarmControl(), new SeededRandom(3), 0, 30_000, () => 8);
+    play(scene, new InterferenceControl(), new SeededRandom(3), 0, 30_000, () => 8);
     expect(scene.fillers.every(({ pacePercent }) => pacePercent === 100)).toBe(true);
   });
 
-  it('slow down by blame: what was harmless before goes on', () => {
+  it('slow down only if they are antagonists; benign ones keep their pace', () => {
     // Two images work beside a service. Whenever the one works, tails rise from 8 to 20 ms; the
-    // other has worked alone for long without any harm. Only the first is slowed.
-    const scene = sceneOf(4, ['harmful', 'harmless']);
-    const [harmful, harmless] = scene.fillers as [TaskRun, TaskRun];
-    const control = new HarmControl();
+    // other has run alone for long without slowing it. Only the first is slowed.
+    const scene = sceneOf(4, ['antagonist', 'benign']);
+    const [antagonist, benign] = scene.fillers as [TaskRun, TaskRun];
+    const control = new InterferenceControl();
     const random = new SeededRandom(5);
-    harmful.pacePercent = 0;
+    antagonist.pacePercent = 0;
     play(scene, control, random, 0, 6_000, () => 8);
-    harmful.pacePercent = 100;
-    play(scene, control, random, 6_600, 7_800, () => 8 + harmful.pacePercent * 0.12);
-    expect(harmful.pacePercent).toBeLessThan(100);
-    expect(harmless.pacePercent).toBe(100);
+    antagonist.pacePercent = 100;
+    play(scene, control, random, 6_600, 7_800, () => 8 + antagonist.pacePercent * 0.12);
+    expect(antagonist.pacePercent).toBeLessThan(100);
+    expect(benign.pacePercent).toBe(100);
   });
 
   it('come back to full pace once a strain that they did not cause is over', () => {
     // A burst of the service's own load strains it for two seconds. The filler stands still
-    // meanwhile, having long worked there without harm, and then works on as before.
+    // meanwhile and then returns to full pace, having long run there without interference.
     const scene = sceneOf(4, ['a']);
-    const control = new HarmControl();
+    const control = new InterferenceControl();
     const random = new SeededRandom(7);
     play(scene, control, random, 0, 6_000, () => 8);
     play(scene, control, random, 6_600, 8_400, () => 40);
@@ -146,7 +146,7 @@
 
   it('go back into the queue where they can only be held', () => {
     const scene = sceneOf(4, ['a']);
-    const control = new HarmControl();
+    const control = new InterferenceControl();
     const random = new SeededRandom(7);
     play(scene, control, random, 0, 9_000, () => 40);
     expect(scene.view.runs.size).toBe(4);
@@ -154,34 +154,34 @@
 });
 
 describe('a successor', () => {
-  it('knows the harm that its predecessor has learnt', () => {
-    // The owner has learnt that one image harms a service and another does not. It dies, and its
-    // successor must not let the harmful one loose beside the service to learn it once more.
-    const scene = sceneOf(4, ['harmful', 'harmless']);
-    const [harmful, harmless] = scene.fillers as [TaskRun, TaskRun];
-    const control = new HarmControl();
+  it('knows the interference that its predecessor has learnt', () => {
+    // The owner has learnt that one image slows a service and another does not. It dies, and its
+    // successor must not start the antagonist beside the service only to learn it once more.
+    const scene = sceneOf(4, ['antagonist', 'benign']);
+    const [antagonist, benign] = scene.fillers as [TaskRun, TaskRun];
+    const control = new InterferenceControl();
     const random = new SeededRandom(5);
-    scene.view.removeRun(harmful);
+    scene.view.removeRun(antagonist);
     play(scene, control, random, 0, 6_000, () => 8);
-    scene.view.addRun(harmful);
+    scene.view.addRun(antagonist);
     for (let round = 0; round < 4; round += 1) {
-      harmful.pacePercent = 100;
+      antagonist.pacePercent = 100;
       play(scene, control, random, 6_600 + round * 600, 6_600 + round * 600, () => 40);
     }
     // Held still or moved, it leaves the other alone with the service, which is well again.
-    scene.view.removeRun(harmful);
+    scene.view.removeRun(antagonist);
     play(scene, control, random, 9_000, 15_000, () => 8);
-    const successor = new HarmControl();
+    const successor = new InterferenceControl();
     successor.inherit(control.learnt(), 15_000);
-    const isBorneBy = (one: HarmControl, { task }: TaskRun): boolean => {
+    const isBorneBy = (one: InterferenceControl, { task }: TaskRun): boolean => {
       const beside = sceneOf(4, []);
       const calm = new SeededRandom(9);
       play(beside, one, calm, 15_600, 36_000, () => 11);
       return one.headroomWith(beside.view, task, 36_000) !== undefined;
     };
-    expect(isBorneBy(control, harmful)).toBe(false);
-    expect(isBorneBy(successor, harmful)).toBe(false);
-    expect(isBorneBy(successor, harmless)).toBe(true);
+    expect(isBorneBy(control, antagonist)).toBe(false);
+    expect(isBorneBy(successor, antagonist)).toBe(false);
+    expect(isBorneBy(successor, benign)).toBe(true);
   });
 });
 
@@ -190,7 +190,7 @@
     // Callers name a new image with each submission. What the owner hands to its successor grows
     // with them, until the row is larger than the table takes, and no progress is stored any more.
     const ROW_BYTES = 65_536;
-    const control = new HarmControl();
+    const control = new InterferenceControl();
     const random = new SeededRandom(3);
     for (let count = 0; count < 600; count += 1) {
       const image = `${count}`.padStart(40, 'image');
@@ -221,34 +221,35 @@
   it.each([1, 2, 3, 4, 5, 6, 7, 8])(
     'suffer from no batch work at their crests (seed %i)',
     (seed) => {
-      // A load swings within ten seconds. One image harms the service, but only at the crest: in the
+      // A load swings within ten seconds. One image slows the service only at the crest: in the
       // trough the tail stays well below the target with it. The owner must neither let it run into
       // the crest, where users would see tails of several times the target, nor stop the other
-      // image, which is harmless.
-      const scene = sceneOf(4, ['harmful', 'harmless']);
-      const [harmful, harmless] = scene.fillers as [TaskRun, TaskRun];
-      const control = new HarmControl();
+      // image, which is benign.
+      const scene = sceneOf(4, ['antagonist', 'benign']);
+      const [antagonist, benign] = scene.fillers as [TaskRun, TaskRun];
+      const control = new InterferenceControl();
       const random = new SeededRandom(seed);
       let overMs = 0;
       let workedMs = 0;
       const untilMs = 60_000;
       for (let nowMs = 0; nowMs <= untilMs; nowMs += LOOK_MS) {
         const pressure =
-          0.4 * (scene.view.runs.has(`${harmful.task.name}#1`) ? harmful.pacePercent / 100 : 0);
+          0.4 *
+          (scene.view.runs.has(`${antagonist.task.name}#1`) ? antagonist.pacePercent / 100 : 0);
         const tailMs = tailOf(loadAt(nowMs), pressure);
         if (nowMs > SWING_MS && tailMs > TARGET_MS) overMs += LOOK_MS;
-        if (nowMs > SWING_MS) workedMs += (LOOK_MS * harmful.pacePercent) / 100;
+        if (nowMs > SWING_MS) workedMs += (LOOK_MS * antagonist.pacePercent) / 100;
         play(scene, control, random, nowMs, nowMs, () => tailMs, MEAN_SCATTER);
         // What is moved away comes back in the next trough, as the queue would have it.
-        const isAway = !scene.view.runs.has(`${harmful.task.name}#1`);
-        if (isAway && control.headroomWith(scene.view, harmful.task, nowMs) !== undefined) {
-          harmful.pacePercent = 100;
-          scene.view.addRun(harmful);
-        } else if (isAway) harmful.pacePercent = 0;
+        const isAway = !scene.view.runs.has(`${antagonist.task.name}#1`);
+        if (isAway && control.headroomWith(scene.view, antagonist.task, nowMs) !== undefined) {
+          antagonist.pacePercent = 100;
+          scene.view.addRun(antagonist);
+        } else if (isAway) antagonist.pacePercent = 0;
       }
       expect(overMs).toBeLessThanOrEqual(0.05 * (untilMs - SWING_MS));
       expect(workedMs).toBeGreaterThan(0.25 * (untilMs - SWING_MS));
-      expect(harmless.pacePercent).toBe(100);
+      expect(benign.pacePercent).toBe(100);
     },
   );
 });
--- a/src/scheduler/test/fleet/progressCommits.test.ts
+++ b/src/scheduler/test/fleet/progressCommits.test.ts
@@ -7,7 +7,7 @@
   progressKey,
 } from '../../../services/submissions/common/submissionRows.js';
 import { type Transaction, TransactionOutcome } from '../../../services/table/common/table.js';
-import { HarmControl } from '../../common/fleet/harmControl.js';
+import { InterferenceControl } from '../../common/fleet/interferenceControl.js';
 import { ProgressCommits } from '../../common/fleet/progressCommits.js';
 import { Roster } from '../../common/fleet/roster.js';
 import { newRun } from '../../common/fleet/runKeeper.js';
@@ -35,7 +35,14 @@
   const commits = new ProgressCommits();
   const roster = new Roster(1);
   const owner = { condition: { key: 'owner', version: 1 }, id: 'self', epoch: 1 };
-  const input = { book, views: [], owner, harm: new HarmControl(), roster, intervalMs: 30 };
+  const input = {
+    book,
+    views: [],
+    owner,
+    interference: new InterferenceControl(),
+    roster,
+    intervalMs: 30,
+  };
   const next = (nowMs: number): Transaction | undefined =>
     commits.next({ ...input, toTableMs: (atMs) => atMs }, nowMs);
   const store = (version: number): number => {
--- a/src/scheduler/test/interference/interference.test.ts
+++ b/src/scheduler/test/interference/interference.test.ts
@@ -133,8 +133,8 @@
 
   // A task that hurts ends and another kind takes its place at once. For some seconds samples
   // still arrive that were measured beside the first. Learnt from, they would have the second
-  // throttled, which never did any harm.
-  it('does not blame a task for what was measured before it came', () => {
+  // throttled, although it never slowed the service.
+  it('does not attribute samples to a task that started after them', () => {
     const cell = startCell(23, { workerCount: 2 });
     startService(cell, 2);
     submitJob(cell, 'cache', 6, 30_000);
--- a/src/scheduler/test/interference/serviceModel.test.ts
+++ b/src/scheduler/test/interference/serviceModel.test.ts
@@ -53,10 +53,10 @@
     expect(slowdown(estimates, 'quiet', 60_000)).toBeLessThan(0.2);
   });
 
-  // Two kinds run only together at first, so both are blamed. Once a worker shows one of them
-  // alone and nothing is slow there, its blame has to pass to the other: it would be throttled
-  // for ever for what it does not do.
-  it('clear a kind that was blamed for another', () => {
+  // Two kinds run only together at first, so the slowdown is attributed to both. Once a worker
+  // shows one of them alone and nothing is slow there, it has to be attributed to the other: the
+  // first would be throttled for ever for what it does not do.
+  it('clear a kind that was attributed the slowdown of another', () => {
     const together = learnt(
       [observed(BASE_MS, {}), observed(BASE_MS * 1.4, { cache: 0.2, quiet: 0.2 })],
       40,
@@ -79,7 +79,7 @@
     expect(slowdown(after, 'shifting', 90_000)).toBeGreaterThan(2);
   });
 
-  // A throttle takes only a part of the harm away. The samples under it have to tell what use
+  // A throttle takes only a part of the slowdown away. The samples under it have to tell what use
   // does from what presence does, or throttling would be tried for ever on what it cannot help.
   it('tell what throttling helps against from what it does not', () => {
     const throttled = {
--- a/src/services/configuration/common/documents.ts
+++ b/src/services/configuration/common/documents.ts
@@ -62,7 +62,7 @@
   isSubmissionOpen: z.boolean(),
   maximumTaskCountOfJob: z.number().int().min(1).max(10_000),
   maximumReplicaCount: z.number().int().min(1).max(10_000),
-  /** Bounds the harm of one mistaken cancellation. */
+  /** Bounds the jobs that one mistaken cancellation can affect. */
   maximumCancelledJobCount: z.number().int().min(1).max(1_000),
   /** Whether tasks are committed at sizes learnt from usage, or always as declared. */
   isSizeLearnt: z.boolean(),
--- a/src/services/settings/test/settings.test.ts
+++ b/src/services/settings/test/settings.test.ts
@@ -68,7 +68,7 @@
   });
 
   // An operator mends what is reported, restarts, and is told of the next fault: a file with
-  // faults of both kinds must be mended in one go.
+  // faults of both kinds must have all of them reported at once.
   it('tell broken rules and faulty forms in one pass', () => {
     const faulty = {
       ...valid,
@@ -85,7 +85,7 @@
   });
 
   // The renewals are no number, so nothing can be said of the lease beside them.
-  it('blame no field for the fault of another', () => {
+  it('do not report a field for a fault in another', () => {
     const scheduler = { workerLeaseMs: 2_000, workerRenewalIntervalMs: 'often' };
     expect(faultPaths({ ...valid, scheduler })).toEqual(['scheduler.workerRenewalIntervalMs']);
   });
--- a/src/services/submissions/common/submissionRows.ts
+++ b/src/services/submissions/common/submissionRows.ts
@@ -80,18 +80,18 @@
 export const PROGRESS_PREFIX = `${PROGRESS_TABLE}/`;
 export const ASSIGNMENT_PREFIX = `${ASSIGNMENT_TABLE}/`;
 export const WAITING_COUNTS_KEY = 'scheduling/waiting-counts';
-/** What the scheduler has learnt of harm between images, for its successor. */
-export const HARM_KEY = 'scheduling/harm';
+/** Learnt interference between images, for the successor. The key is kept for stored rows. */
+export const INTERFERENCE_KEY = 'scheduling/harm';
 
 /** One pair of images: what a worker full of the filler takes of the headroom of what serves. */
-export const learntHarmSchema = z.array(
+export const learntInterferenceSchema = z.array(
   z.strictObject({
     servingImage: z.string(),
     fillerImage: z.string(),
     headroomLoss: z.number().nonnegative(),
   }),
 );
-export type LearntHarm = z.infer<typeof learntHarmSchema>;
+export type LearntInterference = z.infer<typeof learntInterferenceSchema>;
 
 /** Workers that the scheduler has granted leases to, for its successor. */
 export const ROSTER_KEY = 'scheduling/roster';
--- a/src/services/worker/common/workerClient.ts
+++ b/src/services/worker/common/workerClient.ts
@@ -1,6 +1,6 @@
 /**
  * The platform's interface to a worker. A worker runs tasks under leases that end at an instant
- * of its own clock; every message that could do harm when it comes late carries such an instant.
+ * of its own clock; every message that is unsafe when it comes late carries such an instant.
  */
 import type { TaskEither } from 'fp-ts/lib/TaskEither.js';
 import { z } from 'zod';
