--- a/bench/bench.ts
+++ b/bench/bench.ts
@@ -4,6 +4,7 @@
 import { capacity } from './capacity/capacity.js';
 import { colocation } from './colocation/colocation.js';
 import { configuration } from './configuration/configuration.js';
+import { fleet } from './fleet/fleet.js';
 import { passThrough } from './passThrough/passThrough.js';
 import { peers } from './peers/peers.js';
 import { requestsBenchmark } from './requests/requestsBench.js';
@@ -14,6 +15,7 @@
   capacity,
   colocation,
   configuration,
+  fleet,
   passThrough,
   peers,
   requestsBenchmark,
--- /dev/null
+++ b/bench/fleet/baselines.ts
@@ -0,0 +1,174 @@
+/** Policies that the scheduler's own is measured against. */
+import type { QueueOrder } from '../../src/scheduler/common/fleet/fleetOrder.js';
+import type { FleetWorkerView } from '../../src/scheduler/common/fleet/fleetWorkerView.js';
+import {
+  type Admission,
+  type InterferenceAnswer,
+  type InterferenceControl,
+  NO_ANSWER,
+  type PaceChange,
+} from '../../src/scheduler/common/fleet/interferenceControl.js';
+import type { TaskRecord, TaskRun } from '../../src/scheduler/common/fleet/taskRecords.js';
+import type { FleetConfiguration } from '../../src/services/fleet/common/fleetConfiguration.js';
+import type { LearntInterference } from '../../src/services/submissions/common/submissionRows.js';
+import type { FleetShape } from './fleetShape.js';
+import { type FleetTruth, fillerImage, servingImage, type TaskTruth } from './truth.js';
+
+const FULL_PERCENT = 100;
+
+/** First come, first served. */
+export class ArrivalOrder implements QueueOrder {
+  sort(
+    tasks: Iterable<TaskRecord>,
+    _configuration: FleetConfiguration,
+    nowMs: number,
+  ): readonly TaskRecord[] {
+    return [...tasks]
+      .filter(({ notBeforeMs }) => notBeforeMs <= nowMs)
+      .sort(
+        (left, right) => left.submission.order - right.submission.order || left.place - right.place,
+      );
+  }
+}
+
+/** Starts fillers wherever processors are idle, and never slows one. */
+export class NoInterferenceControl implements InterferenceControl {
+  inherit(): void {}
+
+  learnt(): LearntInterference {
+    return [];
+  }
+
+  observe(): void {}
+
+  admit(): Admission | undefined {
+    return { percent: FULL_PERCENT, headroom: 1 };
+  }
+
+  answer(): InterferenceAnswer {
+    return NO_ANSWER;
+  }
+}
+
+const LOOK_AHEAD_MS = [150, 500, 1_000, 1_500];
+const PACE_AHEAD_MS = [150, 400, 700];
+const USED_SHARE = 0.98;
+
+/** Knows every load and every cost between images beforehand. */
+export class KnownInterferenceControl implements InterferenceControl {
+  readonly #truth: FleetTruth;
+
+  readonly #shape: FleetShape;
+
+  /** The share of the services that an image of batch work hardly slows. */
+  readonly #openness = new Map<string, number>();
+
+  constructor(truth: FleetTruth, shape: FleetShape) {
+    this.#truth = truth;
+    this.#shape = shape;
+    for (let filler = 0; filler < shape.interference.fillerImageCount; filler += 1) {
+      let open = 0;
+      for (let serving = 0; serving < shape.service.imageCount; serving += 1) {
+        const cost = truth.costAt(servingImage(serving), fillerImage(filler), 0);
+        if (cost <= 2 * shape.interference.weakTo) open += 1;
+      }
+      this.#openness.set(fillerImage(filler), open / shape.service.imageCount);
+    }
+  }
+
+  inherit(): void {}
+
+  learnt(): LearntInterference {
+    return [];
+  }
+
+  observe(): void {}
+
+  admit(view: FleetWorkerView, filler: TaskRecord, nowMs: number): Admission | undefined {
+    const runs = [...view.runs.values()];
+    const added = this.#truthOf(filler.name);
+    let least = Number.POSITIVE_INFINITY;
+    LOOK_AHEAD_MS.forEach((aheadMs) => {
+      least = Math.min(least, this.#left(view, runs, added, nowMs + aheadMs));
+    });
+    return least >= 0 ? { percent: FULL_PERCENT, headroom: least } : undefined;
+  }
+
+  answer(view: FleetWorkerView, nowMs: number): InterferenceAnswer {
+    const runs = [...view.runs.values()];
+    const fillers = runs.filter(({ task }) => task.step.isFiller);
+    if (fillers.length === 0) return NO_ANSWER;
+    const costs = fillers.map((run) => ({ run, cost: this.#worstCost(view, run, nowMs) }));
+    costs.sort((left, right) => right.cost - left.cost);
+    const paces = new Map(fillers.map((run) => [run, FULL_PERCENT]));
+    const leftWith = (): number =>
+      Math.min(
+        ...PACE_AHEAD_MS.map((aheadMs) =>
+          this.#left(view, runs, undefined, nowMs + aheadMs, paces),
+        ),
+      );
+    costs.forEach(({ run }) => {
+      if (leftWith() < 0) paces.set(run, 0);
+    });
+    const changes: PaceChange[] = [];
+    paces.forEach((percent, run) => {
+      if (percent !== run.pacePercent) changes.push({ run, percent });
+    });
+    return { paces: changes, moves: [] };
+  }
+
+  #truthOf(taskName: string): TaskTruth {
+    return this.#truth.tasks.get(taskName) as TaskTruth;
+  }
+
+  #worstCost(view: FleetWorkerView, { task }: TaskRun, nowMs: number): number {
+    let worst = 0;
+    view.runs.forEach(({ task: other }) => {
+      const cost = this.#truth.costAt(other.step.image, task.step.image, nowMs);
+      worst = Math.max(worst, cost);
+    });
+    return worst;
+  }
+
+  /** The least that a service's task on the worker has left below its target. */
+  #left(
+    view: FleetWorkerView,
+    runs: readonly TaskRun[],
+    added: TaskTruth | undefined,
+    atMs: number,
+    paces?: ReadonlyMap<TaskRun, number>,
+  ): number {
+    const { service } = this.#shape;
+    const capacity = view.entry.capacity.processorMillis;
+    let idle = capacity;
+    let wanted = added?.processorMillis ?? 0;
+    const fillers: { readonly image: string; readonly wanted: number }[] = [];
+    if (added !== undefined) fillers.push({ image: added.image, wanted });
+    const services: { readonly image: string; readonly load: number }[] = [];
+    runs.forEach((run) => {
+      const truth = this.#truthOf(run.task.name);
+      if (truth.loadPhase !== undefined) {
+        const load = this.#truth.loadAt(truth.loadPhase, atMs);
+        services.push({ image: truth.image, load });
+        idle -= load * truth.processorMillis;
+      } else if (truth.isFiller) {
+        const percent = paces?.get(run) ?? run.pacePercent;
+        const own = (truth.processorMillis * percent) / FULL_PERCENT;
+        wanted += own;
+        fillers.push({ image: truth.image, wanted: own });
+      } else idle -= truth.processorMillis;
+    });
+    const part = wanted === 0 ? 0 : Math.min(1, Math.max(0, idle) / wanted);
+    const borne = USED_SHARE * (1 - service.unloadedTailMs / service.targetLatencyMs);
+    let least = Number.POSITIVE_INFINITY;
+    services.forEach(({ image, load }) => {
+      let pressure = 0;
+      fillers.forEach((filler) => {
+        const cost = this.#truth.costAt(image, filler.image, atMs);
+        pressure += (cost * filler.wanted * part) / capacity;
+      });
+      least = Math.min(least, borne - load - pressure);
+    });
+    return least;
+  }
+}
--- /dev/null
+++ b/bench/fleet/fleetDriver.ts
@@ -0,0 +1,448 @@
+/** Drives the fleet's scheduler beside a table and workers in virtual time, without sockets. */
+import { type Either, right } from 'fp-ts/lib/Either.js';
+
+import type { JsonValue } from '../../src/base/common/json.js';
+import { SeededRandom } from '../../src/base/common/random.js';
+import type { FleetEffect } from '../../src/scheduler/common/fleet/fleetEffects.js';
+import type { FleetPolicy } from '../../src/scheduler/common/fleet/fleetPolicy.js';
+import { FleetScheduler } from '../../src/scheduler/common/fleet/fleetScheduler.js';
+import { FLEET_TIMING, type FleetTiming } from '../../src/scheduler/common/fleet/fleetTiming.js';
+import { StoredStateReader } from '../../src/scheduler/node/storedStateReader.js';
+import type { Failure } from '../../src/services/errors/common/errorKinds.js';
+import type { FleetConfiguration } from '../../src/services/fleet/common/fleetConfiguration.js';
+import type {
+  FleetWorkerEntry,
+  HoldOutcome,
+  HoldRequest,
+  StartRequest,
+} from '../../src/services/fleet/common/fleetWorker.js';
+import { silentLog } from '../../src/services/log/common/log.js';
+import {
+  cancelKey,
+  type Progress,
+  progressKey,
+  specKey,
+} from '../../src/services/submissions/common/submissionRows.js';
+import type { Transaction, TransactionResult } from '../../src/services/table/common/table.js';
+import { TableStandIn } from '../../standIns/platform/tableStandIn.js';
+import { VirtualTime } from '../virtualTime.js';
+import { configurationOf } from './fleetConfiguration.js';
+import type { FleetShape } from './fleetShape.js';
+import { SharedWorker } from './sharedWorker.js';
+import type { FleetTruth } from './truth.js';
+import type { Arrival } from './workload.js';
+
+const WAY_MS = 3;
+const TABLE_MS = 8;
+const FEED_MS = 12;
+/** The least time between two steps of a scheduler. */
+const STEP_INTERVAL_MS = 10;
+const TICK_MS = 50;
+const WORKER_TICK_MS = 20;
+const WORKERS_INTERVAL_MS = 1_000;
+const CALL_TIMEOUT_MS = 800;
+/** A worker that has left is listed for so long. */
+const LISTING_MS = 3_000;
+const TIMING: FleetTiming = { ...FLEET_TIMING, maximumLeaseMs: 6_000 };
+
+interface WaitingHold {
+  readonly request: HoldRequest;
+  readonly untilMs: number;
+  readonly answer: () => void;
+}
+
+/** What the scheduler did and what it cost. */
+export interface DriverCounts {
+  startCount: number;
+  stopCount: number;
+  paceCount: number;
+  wastedProcessorSeconds: number;
+  schedulerMs: number;
+}
+
+export class FleetDriver {
+  readonly time = new VirtualTime();
+
+  readonly table = new TableStandIn();
+
+  readonly workers = new Map<string, SharedWorker>();
+
+  readonly counts: DriverCounts = {
+    ...{ startCount: 0, stopCount: 0, paceCount: 0 },
+    ...{ wastedProcessorSeconds: 0, schedulerMs: 0 },
+  };
+
+  /** When submissions were stored as ended well, by id. */
+  readonly completedAtMs = new Map<string, number>();
+
+  readonly #shape: FleetShape;
+
+  readonly #truth: FleetTruth;
+
+  readonly #policy: FleetPolicy;
+
+  readonly #random: SeededRandom;
+
+  readonly #configuration: FleetConfiguration;
+
+  readonly #failures = new Map<string, number>();
+
+  readonly #holds = new Map<string, WaitingHold[]>();
+
+  readonly #goneAtMs = new Map<string, number>();
+
+  #scheduler: FleetScheduler;
+
+  #generation = 0;
+
+  #stepDueAtMs = Number.POSITIVE_INFINITY;
+
+  #lastStepAtMs = 0;
+
+  #loading: Promise<void> | undefined;
+
+  constructor(shape: FleetShape, truth: FleetTruth, policy: FleetPolicy, seed: number) {
+    this.#shape = shape;
+    this.#truth = truth;
+    this.#policy = policy;
+    this.#random = new SeededRandom(seed);
+    this.#configuration = configurationOf(shape);
+    for (let index = 0; index < shape.workerCount; index += 1) this.#addWorker(index);
+    this.#scheduler = this.#newScheduler();
+    this.#every(WORKER_TICK_MS, () => this.#tickWorkers());
+    this.#every(TICK_MS, () => this.#stepSoon());
+    this.#every(WORKERS_INTERVAL_MS, () => this.#listWorkers());
+  }
+
+  /** Hands an arrival in when its time has come. */
+  submit(arrival: Arrival): void {
+    const { atMs, submission, cancelledAtMs } = arrival;
+    const { id } = submission;
+    this.time.after(atMs - this.time.nowMs, () => {
+      this.#write(specKey(id), submission as unknown as JsonValue);
+      this.#tell((epoch) =>
+        this.#scheduler.handleChanges(epoch, [{ kind: 'submission', submission }], this.time.nowMs),
+      );
+    });
+    if (cancelledAtMs === undefined) return;
+    this.time.after(cancelledAtMs - this.time.nowMs, () => {
+      this.#write(cancelKey(id), {});
+      this.#tell((epoch) =>
+        this.#scheduler.handleChanges(epoch, [{ kind: 'cancellation', id }], this.time.nowMs),
+      );
+    });
+  }
+
+  /** A worker leaves without notice, with its machine. */
+  loseWorker(id: string): void {
+    this.workers.get(id)?.model.crash();
+    this.#goneAtMs.set(id, this.time.nowMs);
+  }
+
+  /** The owner dies, and another daemon takes the fleet over. */
+  replaceOwner(): void {
+    this.#generation += 1;
+    this.#scheduler = this.#newScheduler();
+  }
+
+  isGone(id: string): boolean {
+    return this.#goneAtMs.has(id);
+  }
+
+  async runUntil(endMs: number): Promise<void> {
+    while (this.time.runNext(endMs)) {
+      // eslint-disable-next-line no-await-in-loop -- virtual time stands still while rows are read
+      if (this.#loading !== undefined) await this.#loading;
+    }
+  }
+
+  #newScheduler(): FleetScheduler {
+    const id = `daemon-${this.#generation}`;
+    const scheduler = new FleetScheduler(id, TIMING, 0, this.#policy, this.time.nowMs);
+    scheduler.handleOperatorState({
+      configuration: this.#configuration,
+      withdrawnZones: new Set(),
+    });
+    return scheduler;
+  }
+
+  #addWorker(index: number): void {
+    const { processorMillis } = this.#shape;
+    const id = `worker-${index}`;
+    const worker = new SharedWorker(
+      {
+        id,
+        processorMillis: processorMillis[index % processorMillis.length] as number,
+        ...{ shape: this.#shape, truth: this.#truth, random: this.#random },
+        onWasted: (processorSeconds) => {
+          this.counts.wastedProcessorSeconds += processorSeconds;
+        },
+      },
+      this.#failures,
+      0,
+    );
+    this.workers.set(id, worker);
+  }
+
+  #every(intervalMs: number, run: () => void): void {
+    this.time.after(intervalMs, () => {
+      run();
+      this.#every(intervalMs, run);
+    });
+  }
+
+  #tickWorkers(): void {
+    const { nowMs } = this.time;
+    this.workers.forEach((worker, id) => {
+      if (this.isGone(id)) return;
+      worker.tick(nowMs);
+      const holds = this.#holds.get(id);
+      if (holds === undefined || holds.length === 0) return;
+      const isDue = ({ request, untilMs }: WaitingHold): boolean =>
+        nowMs >= untilMs || worker.model.hasNews(request.acknowledgedSequence, nowMs);
+      const due = holds.filter(isDue);
+      if (due.length === 0) return;
+      this.#holds.set(
+        id,
+        holds.filter((hold) => !due.includes(hold)),
+      );
+      due.forEach(({ answer }) => answer());
+    });
+  }
+
+  #listWorkers(): void {
+    const { nowMs } = this.time;
+    this.#tell((epoch) => this.#scheduler.handleWorkers(epoch, this.#entries(), nowMs));
+  }
+
+  #entries(): readonly FleetWorkerEntry[] {
+    const { nowMs } = this.time;
+    return [...this.workers.values()]
+      .filter(({ model }) => nowMs < (this.#goneAtMs.get(model.id) ?? nowMs) + LISTING_MS)
+      .map(({ model }, index) => ({
+        ...{ id: model.id, address: model.id, serviceName: 'fleet', availabilityZone: 'zone' },
+        ...{ isDraining: false, capacity: this.#capacityOf(index), labels: [], rack: '' },
+        incarnation: model.incarnation,
+      }));
+  }
+
+  #capacityOf(index: number): FleetWorkerEntry['capacity'] {
+    const { processorMillis, memoryBytes } = this.#shape;
+    const own = processorMillis[index % processorMillis.length] as number;
+    return { processorMillis: own, memoryBytes, acceleratorCount: 0 };
+  }
+
+  #write(key: string, value: JsonValue): void {
+    this.table.transact({ operationId: key, conditions: [], writes: [{ key, value }] });
+  }
+
+  /** Tells the scheduler what the table's feed brings, if it owns the fleet by then. */
+  #tell(tell: (epoch: number) => void): void {
+    this.#reply(FEED_MS, () => {
+      const { epoch } = this.#scheduler;
+      if (epoch !== undefined) tell(epoch);
+    });
+  }
+
+  /** Calls back unless the daemon that asked has died. */
+  #reply(delayMs: number, run: () => void): void {
+    const generation = this.#generation;
+    this.time.after(delayMs, () => {
+      if (generation !== this.#generation) return;
+      this.#timed(run);
+      this.#stepSoon();
+    });
+  }
+
+  #timed<Result>(run: () => Result): Result {
+    const beganAtMs = performance.now();
+    const result = run();
+    this.counts.schedulerMs += performance.now() - beganAtMs;
+    return result;
+  }
+
+  #stepSoon(): void {
+    const { nowMs } = this.time;
+    const dueAtMs = Math.max(nowMs, this.#lastStepAtMs + STEP_INTERVAL_MS);
+    if (this.#stepDueAtMs <= dueAtMs) return;
+    this.#stepDueAtMs = dueAtMs;
+    this.time.after(dueAtMs - nowMs, () => this.#step());
+  }
+
+  #step(): void {
+    const { nowMs } = this.time;
+    this.#stepDueAtMs = Number.POSITIVE_INFINITY;
+    this.#lastStepAtMs = nowMs;
+    const { epoch } = this.#scheduler;
+    if (epoch !== undefined) this.#scheduler.handleCaughtUp(epoch, nowMs);
+    const effects = this.#timed(() => this.#scheduler.step(nowMs, nowMs));
+    effects.forEach((effect) => this.#perform(effect));
+  }
+
+  #perform(effect: FleetEffect): void {
+    const sentAtMs = this.time.nowMs;
+    const scheduler = this.#scheduler;
+    switch (effect.kind) {
+      case 'lease-read':
+        this.#read(effect.request, (result) =>
+          scheduler.handleLeaseRead(result, sentAtMs, this.time.nowMs),
+        );
+        break;
+      case 'lease-write':
+        this.#transact(effect.transaction, (result) =>
+          scheduler.handleLeaseWritten(effect.step, result, sentAtMs, this.time.nowMs),
+        );
+        break;
+      case 'load':
+        this.#load(effect.epoch);
+        break;
+      case 'commit':
+        this.#transact(effect.transaction, (result) => {
+          this.#noteCompleted(effect.transaction);
+          scheduler
+            .handleCommitted(effect.epoch, result, this.time.nowMs)
+            .forEach((next) => this.#perform(next));
+        });
+        break;
+      case 'resolve':
+        this.#read(effect.request, (result) => {
+          scheduler.handleResolved(effect.epoch, result);
+        });
+        break;
+      case 'hold':
+        this.#hold(effect.epoch, effect.request, sentAtMs);
+        break;
+      case 'start':
+        this.#start(effect.epoch, effect.request);
+        break;
+      case 'stop':
+        this.#order(
+          effect.reference.workerId,
+          ({ model }) => model.stop(effect.reference, this.time.nowMs),
+          (result) =>
+            scheduler.handleStopped(effect.epoch, effect.reference, result, this.time.nowMs),
+        );
+        break;
+      case 'pace':
+        this.counts.paceCount += 1;
+        this.#order(
+          effect.reference.workerId,
+          (worker) => worker.pace(effect.reference, effect.percent, this.time.nowMs),
+          (result) => {
+            const { epoch, reference, percent } = effect;
+            scheduler.handlePaced(epoch, reference, percent, result, this.time.nowMs);
+          },
+        );
+        break;
+      default:
+        this.#noteLogged(effect);
+    }
+  }
+
+  #noteLogged({ event, fields }: Extract<FleetEffect, { kind: 'log' }>): void {
+    if (event !== 'runs-stopped' || fields.reason !== 'interference') return;
+    this.counts.stopCount += String(fields.runs).split(' ').length;
+  }
+
+  #noteCompleted({ writes }: Transaction): void {
+    writes.forEach(({ key, value }) => {
+      const id = key.slice(progressKey('').length);
+      const isProgress = key === progressKey(id);
+      if (!isProgress || (value as unknown as Progress).state !== 'complete') return;
+      if (!this.completedAtMs.has(id)) this.completedAtMs.set(id, this.time.nowMs);
+    });
+  }
+
+  #read(
+    request: Parameters<TableStandIn['read']>[0],
+    take: (result: Either<Failure, ReturnType<TableStandIn['read']>>) => void,
+  ): void {
+    const answer = this.table.read(request);
+    this.#reply(TABLE_MS, () => take(right({ ...answer, tableNowMs: this.time.nowMs })));
+  }
+
+  #transact(
+    transaction: Transaction,
+    take: (result: Either<Failure, TransactionResult>) => void,
+  ): void {
+    const answer = this.table.transact(transaction);
+    this.#reply(TABLE_MS, () => take(right({ ...answer, tableNowMs: this.time.nowMs })));
+  }
+
+  #load(epoch: number): void {
+    const reader = new StoredStateReader(
+      {
+        read: (request) => () =>
+          Promise.resolve(right({ ...this.table.read(request), position: 0, tableNowMs: 0 })),
+        transact: (transaction) => () => Promise.resolve(right(this.table.transact(transaction))),
+      },
+      {
+        operatorChanges: () => () =>
+          Promise.resolve(right({ isWhole: false, changes: [], position: 0 })),
+        workers: () => () => Promise.resolve(right(this.#entries())),
+      },
+      silentLog,
+    );
+    this.#loading = reader.readAll().then((loaded) => {
+      this.#loading = undefined;
+      this.#reply(TABLE_MS, () =>
+        this.#scheduler.handleLoaded(epoch, loaded?.stored, this.time.nowMs),
+      );
+    });
+  }
+
+  #hold(epoch: number, request: HoldRequest, sentAtMs: number): void {
+    const { workerId } = request;
+    const worker = this.workers.get(workerId) as SharedWorker;
+    const answer = (): void => {
+      const outcome = worker.model.hold(request, this.time.nowMs);
+      this.#reply(WAY_MS, () =>
+        this.#scheduler.handleHeld(epoch, workerId, right(outcome), sentAtMs, this.time.nowMs),
+      );
+    };
+    this.time.after(WAY_MS, () => {
+      if (this.isGone(workerId)) {
+        const outcome: HoldOutcome = { kind: 'not-listening' };
+        this.#reply(CALL_TIMEOUT_MS, () =>
+          this.#scheduler.handleHeld(epoch, workerId, right(outcome), sentAtMs, this.time.nowMs),
+        );
+        return;
+      }
+      if (request.waitMs === 0) {
+        answer();
+        return;
+      }
+      // What the call grants and acknowledges counts from now on.
+      worker.model.hold(request, this.time.nowMs);
+      const holds = this.#holds.get(workerId) ?? [];
+      const untilMs = this.time.nowMs + request.waitMs;
+      this.#holds.set(workerId, [...holds, { request, untilMs, answer }]);
+    });
+  }
+
+  #start(epoch: number, request: StartRequest): void {
+    this.#order(
+      request.workerId,
+      (worker) => {
+        const { nowMs } = this.time;
+        const outcome = worker.model.start(request, nowMs);
+        worker.noteStart(request.taskName, request.checkpoint, nowMs);
+        this.counts.startCount += 1;
+        return outcome;
+      },
+      (result) => this.#scheduler.handleStarted(epoch, request, result, this.time.nowMs),
+    );
+  }
+
+  #order<Answer>(
+    workerId: string,
+    carryOut: (worker: SharedWorker) => Answer,
+    take: (result: Either<Failure, Answer>) => void,
+  ): void {
+    this.time.after(WAY_MS, () => {
+      if (this.isGone(workerId)) return;
+      const answer = carryOut(this.workers.get(workerId) as SharedWorker);
+      this.#reply(WAY_MS, () => take(right(answer)));
+    });
+  }
+}
--- /dev/null
+++ b/bench/fleet/sharedWorker.ts
@@ -0,0 +1,223 @@
+/**
+ * A worker whose tasks share its processors: services use a part that swings, fillers get what
+ * others leave, and a service's tail goes as one over the capacity that is left to it.
+ */
+import type { RandomSource } from '../../src/base/common/random.js';
+import {
+  OrderOutcome,
+  RunEnd,
+  type RunReference,
+} from '../../src/services/fleet/common/fleetWorker.js';
+import { type ModelRun, type RunFigures, WorkerModel } from '../../standIns/fleet/workerModel.js';
+import type { FleetShape } from './fleetShape.js';
+import type { FleetTruth, TaskTruth } from './truth.js';
+
+const FULL_PERCENT = 100;
+/** How long a change of pace takes, and a run to come up from its saved progress. */
+const PACE_MS = 100;
+const RESTORE_MS = 600;
+const SAVE_INTERVAL_MS = 1_000;
+const STOP_MS = 200;
+const LONGEST_LEASE_MS = 6_000;
+/** Listed figures cover the last half second and scatter. */
+const FIGURE_WINDOW_MS = 500;
+const FIGURE_SCATTER = 0.05;
+const LEAST_LEFT = 0.01;
+
+/** One run as it really is. */
+export interface SharedRun {
+  readonly run: ModelRun;
+  readonly truth: TaskTruth;
+  /** Work that is done, in milliseconds at full speed; negative while it comes up. */
+  doneMs: number;
+  savedMs: number;
+  pacePercent: number;
+  nextPacePercent: number;
+  paceChangesAtMs: number;
+  /** Processors in use now. */
+  usedMillis: number;
+  /** Its tail now, and what it would be without the fillers; of a service. */
+  tailMs: number;
+  tailAloneMs: number;
+  /** What the worker lists: tail or processors in use, smoothed. */
+  figure: number;
+}
+
+export interface SharedWorkerOptions {
+  readonly id: string;
+  readonly processorMillis: number;
+  readonly shape: FleetShape;
+  readonly truth: FleetTruth;
+  readonly random: RandomSource;
+  /** Told of work that is thrown away, in processor-seconds. */
+  readonly onWasted: (processorSeconds: number) => void;
+}
+
+const NO_FIGURES: RunFigures = { checkpoint: '', workedPercent: 0, recentFigure: 0 };
+
+/** The progress that another run of the task would start from. */
+const savedMsOf = ({ truth, savedMs, doneMs, run }: SharedRun): number => {
+  if (!truth.savesProgress) return 0;
+  return run.end === RunEnd.Stopped ? Math.max(savedMs, doneMs) : savedMs;
+};
+
+const measureFigure = (shared: SharedRun, passedMs: number): void => {
+  const isServing = shared.truth.loadPhase !== undefined;
+  const now = isServing ? shared.tailMs : shared.usedMillis;
+  const weight = shared.figure === 0 ? 1 : Math.min(1, (2 * passedMs) / FIGURE_WINDOW_MS);
+  shared.figure += (now - shared.figure) * weight;
+};
+
+export class SharedWorker {
+  readonly model: WorkerModel;
+
+  readonly shared = new Map<ModelRun, SharedRun>();
+
+  /** While set, every run that is started fails at once. */
+  isFaulty = false;
+
+  readonly #options: SharedWorkerOptions;
+
+  readonly #failures: Map<string, number>;
+
+  #tickedAtMs: number;
+
+  constructor(options: SharedWorkerOptions, failures: Map<string, number>, nowMs: number) {
+    this.#options = options;
+    this.#failures = failures;
+    this.#tickedAtMs = nowMs;
+    const { id, processorMillis, shape } = options;
+    this.model = new WorkerModel(
+      {
+        id,
+        capacity: { processorMillis, memoryBytes: shape.memoryBytes, acceleratorCount: 0 },
+        maximumLeaseMs: LONGEST_LEASE_MS,
+        stopMs: STOP_MS,
+        clockRate: 1,
+        taskOf: () => ({ workMs: Number.POSITIVE_INFINITY, end: RunEnd.Done }),
+        onStart: () => {},
+        figuresOf: (run) => this.#figuresOf(run),
+      },
+      nowMs,
+    );
+  }
+
+  /** A run was started with the progress that its task had saved. */
+  noteStart(taskName: string, checkpoint: string, nowMs: number): void {
+    const run = this.model.runs.get(taskName);
+    const truth = this.#options.truth.tasks.get(taskName);
+    if (run === undefined || truth === undefined || this.shared.has(run)) return;
+    const savedMs = checkpoint === '' ? 0 : Number(checkpoint);
+    this.shared.set(run, {
+      ...{ run, truth, savedMs },
+      doneMs: savedMs > 0 ? savedMs - RESTORE_MS : 0,
+      ...{ pacePercent: FULL_PERCENT, nextPacePercent: FULL_PERCENT, paceChangesAtMs: nowMs },
+      ...{ usedMillis: 0, tailMs: 0, tailAloneMs: 0, figure: 0 },
+    });
+  }
+
+  pace({ taskName, run, fence }: RunReference, percent: number, nowMs: number): OrderOutcome {
+    const known = this.model.runs.get(taskName);
+    const shared = known?.run === run ? this.shared.get(known) : undefined;
+    if (shared !== undefined && fence > 0) {
+      shared.nextPacePercent = percent;
+      shared.paceChangesAtMs = nowMs + PACE_MS;
+    }
+    return OrderOutcome.Accepted;
+  }
+
+  /** Lets the time since the last tick pass. */
+  tick(nowMs: number): void {
+    const passedMs = nowMs - this.#tickedAtMs;
+    this.#tickedAtMs = nowMs;
+    this.#dropEnded();
+    const runs = [...this.shared.values()];
+    this.#share(runs, nowMs);
+    runs.forEach((shared) => this.#advance(shared, passedMs, nowMs));
+    this.#measureTails(runs, nowMs);
+    runs.forEach((shared) => measureFigure(shared, passedMs));
+    this.model.advance(nowMs);
+    this.#dropEnded();
+  }
+
+  #dropEnded(): void {
+    this.shared.forEach((shared, run) => {
+      if (this.model.runs.get(run.taskName) === run) return;
+      this.shared.delete(run);
+      if (run.end === RunEnd.Done || shared.truth.workMs === Number.POSITIVE_INFINITY) return;
+      const lostMs = Math.max(0, shared.doneMs) - savedMsOf(shared);
+      this.#options.onWasted((Math.max(0, lostMs) * shared.truth.processorMillis) / 1e6);
+    });
+  }
+
+  #share(runs: readonly SharedRun[], nowMs: number): void {
+    let idleMillis = this.#options.processorMillis;
+    let wantedMillis = 0;
+    runs.forEach((shared) => {
+      const { truth } = shared;
+      if (nowMs >= shared.paceChangesAtMs) shared.pacePercent = shared.nextPacePercent;
+      const wanted = (truth.processorMillis * shared.pacePercent) / FULL_PERCENT;
+      if (truth.isFiller) {
+        wantedMillis += wanted;
+        return;
+      }
+      const load =
+        truth.loadPhase === undefined ? 1 : this.#options.truth.loadAt(truth.loadPhase, nowMs);
+      shared.usedMillis = wanted * load;
+      idleMillis -= shared.usedMillis;
+    });
+    const part = wantedMillis === 0 ? 0 : Math.min(1, Math.max(0, idleMillis) / wantedMillis);
+    runs.forEach((shared) => {
+      if (!shared.truth.isFiller) return;
+      shared.usedMillis = (shared.truth.processorMillis * shared.pacePercent * part) / FULL_PERCENT;
+    });
+  }
+
+  #advance(shared: SharedRun, passedMs: number, nowMs: number): void {
+    const { run, truth } = shared;
+    if (truth.loadPhase !== undefined) return;
+    shared.doneMs += passedMs * (shared.usedMillis / Math.max(1, truth.processorMillis));
+    if (shared.doneMs - shared.savedMs >= SAVE_INTERVAL_MS) shared.savedMs = shared.doneMs;
+    if (run.end !== RunEnd.Done || run.endsAtMs <= nowMs) return;
+    const failures = this.#failures.get(run.taskName) ?? truth.failureCount;
+    const isFailing = this.isFaulty || (failures > 0 && shared.doneMs >= truth.workMs / 2);
+    if (isFailing) {
+      this.#failures.set(run.taskName, Math.max(0, failures - 1));
+      run.end = RunEnd.Failed;
+      run.endsAtMs = nowMs;
+    } else if (shared.doneMs >= truth.workMs) run.endsAtMs = nowMs;
+  }
+
+  #measureTails(runs: readonly SharedRun[], nowMs: number): void {
+    const { truth: fleet, shape, processorMillis } = this.#options;
+    const { unloadedTailMs } = shape.service;
+    runs.forEach((shared) => {
+      const { truth } = shared;
+      if (truth.loadPhase === undefined) return;
+      const load = fleet.loadAt(truth.loadPhase, nowMs);
+      let pressure = 0;
+      runs.forEach((other) => {
+        if (!other.truth.isFiller) return;
+        const cost = fleet.costAt(truth.image, other.truth.image, nowMs);
+        pressure += (cost * other.usedMillis) / processorMillis;
+      });
+      shared.tailAloneMs = unloadedTailMs / Math.max(LEAST_LEFT, 1 - load);
+      shared.tailMs = unloadedTailMs / Math.max(LEAST_LEFT, 1 - load - pressure);
+    });
+  }
+
+  #figuresOf(run: ModelRun): RunFigures {
+    const shared = this.shared.get(run);
+    if (shared === undefined) return NO_FIGURES;
+    const { truth, doneMs, figure } = shared;
+    const isServing = truth.loadPhase !== undefined;
+    const worked = isServing ? 1 : Math.max(0, doneMs) / truth.workMs;
+    const scatter = 1 + FIGURE_SCATTER * (2 * this.#options.random.nextFraction() - 1);
+    const savedMs = savedMsOf(shared);
+    return {
+      checkpoint: savedMs > 0 ? String(Math.round(savedMs)) : '',
+      workedPercent: Math.min(FULL_PERCENT, Math.floor(worked * FULL_PERCENT)),
+      recentFigure: Math.round(figure * (isServing ? scatter : 1)),
+    };
+  }
+}
--- /dev/null
+++ b/bench/fleet/truth.ts
@@ -0,0 +1,90 @@
+/** What really happens in a modelled fleet: loads, costs between images, and work. */
+import { type RandomSource, SeededRandom } from '../../src/base/common/random.js';
+import type { FleetShape, Spread } from './fleetShape.js';
+
+const MS_PER_S = 1_000;
+/** Costs between images swing by this share of their mean, each with a period of its own. */
+const COST_SWING = 0.3;
+const SHORTEST_COST_PERIOD_MS = 3_000;
+const COST_PERIOD_RANGE_MS = 5_000;
+
+const FULL_TURN = 2 * Math.PI;
+
+/** A standard normal figure, by Box and Muller. */
+const normalFrom = (random: RandomSource): number =>
+  Math.sqrt(-2 * Math.log(1 - random.nextFraction())) * Math.cos(FULL_TURN * random.nextFraction());
+
+export const spreadFrom = (random: RandomSource, { mean, sigma, maximum }: Spread): number =>
+  Math.min(maximum, mean * Math.exp(sigma * normalFrom(random) - (sigma * sigma) / 2));
+
+export const factorFrom = (random: RandomSource, sigma: number): number =>
+  Math.exp(sigma * normalFrom(random));
+
+/** The time until the next of events that come at random. */
+export const gapMsFrom = (random: RandomSource, perSecond: number): number =>
+  (-Math.log(1 - random.nextFraction()) / perSecond) * MS_PER_S;
+
+interface PairCost {
+  readonly mean: number;
+  readonly periodMs: number;
+  readonly phase: number;
+}
+
+/** A task of a service, or of batch work. */
+export interface TaskTruth {
+  readonly image: string;
+  readonly processorMillis: number;
+  /** Work at full speed; unused for a service. */
+  readonly workMs: number;
+  readonly isFiller: boolean;
+  /** Undefined for batch work. */
+  readonly loadPhase: number | undefined;
+  readonly savesProgress: boolean;
+  /** How many of its runs fail by themselves before one ends well. */
+  readonly failureCount: number;
+}
+
+export const servingImage = (index: number): string => `service-${index}`;
+export const fillerImage = (index: number): string => `batch-${index}`;
+
+export class FleetTruth {
+  readonly tasks = new Map<string, TaskTruth>();
+
+  readonly #shape: FleetShape;
+
+  readonly #costs = new Map<string, PairCost>();
+
+  constructor(shape: FleetShape, seed: number) {
+    this.#shape = shape;
+    const random = new SeededRandom(seed);
+    const { interference, service } = shape;
+    for (let serving = 0; serving < service.imageCount; serving += 1) {
+      for (let filler = 0; filler < interference.fillerImageCount; filler += 1) {
+        const isStrong = random.nextFraction() < interference.strongShare;
+        const { strongFrom, strongTo, weakTo } = interference;
+        const mean = isStrong
+          ? strongFrom + (strongTo - strongFrom) * random.nextFraction()
+          : weakTo * random.nextFraction();
+        this.#costs.set(`${servingImage(serving)} ${fillerImage(filler)}`, {
+          mean,
+          periodMs: SHORTEST_COST_PERIOD_MS + COST_PERIOD_RANGE_MS * random.nextFraction(),
+          phase: FULL_TURN * random.nextFraction(),
+        });
+      }
+    }
+  }
+
+  /** The share of its own processors that a service's task uses. */
+  loadAt(phase: number, nowMs: number): number {
+    const { load, loadSwing, loadPeriodMs } = this.#shape.service;
+    return load * (1 + loadSwing * Math.sin(FULL_TURN * (nowMs / loadPeriodMs) + phase));
+  }
+
+  /** What a worker full of the filler takes of what a task of the service has left. */
+  costAt(serving: string, filler: string, nowMs: number): number {
+    const cost = this.#costs.get(`${serving} ${filler}`);
+    if (cost === undefined) return 0;
+    const swing = Math.sin(FULL_TURN * (nowMs / cost.periodMs) + cost.phase);
+    return cost.mean * (1 + COST_SWING * swing);
+  }
+}
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -110,7 +110,11 @@
   {
     // Records of thousands of tasks change in place: copies would cost the processor time that a
     // hundred starts a second need.
-    files: ['src/scheduler/common/fleet/**/*.ts', 'src/scheduler/test/fleet/**/*.ts'],
+    files: [
+      'src/scheduler/common/fleet/**/*.ts',
+      'src/scheduler/test/fleet/**/*.ts',
+      'bench/fleet/**/*.ts',
+    ],
     rules: { 'no-param-reassign': ['error', { props: false }] },
   },
   {
--- a/src/scheduler/common/fleet/drainMoves.ts
+++ b/src/scheduler/common/fleet/drainMoves.ts
@@ -37,9 +37,8 @@
     const views = usable.filter(
       (view) => view.entry.serviceName === serviceName && !promised.has(view),
     );
-    const { policy, interference, health } = input;
-    const target = chooseWorker(task, views, policy, interference, health, nowMs);
-    if (target !== undefined) promised.add(target);
+    const target = chooseWorker(task, views, input, () => true, nowMs);
+    if (target !== undefined) promised.add(target.view);
     return target !== undefined;
   });
   return withRoom.filter(isNew);
--- a/src/scheduler/common/fleet/faultAvoidance.ts
+++ b/src/scheduler/common/fleet/faultAvoidance.ts
@@ -58,30 +58,31 @@
   return [others, ownFailing];
 };
 
+/** Steers tasks away from workers that are likely to fail them. */
+export interface FaultAvoidance {
+  /** Returns workers grouped by preference; a task goes to the first group that has room. */
+  groupsOf(task: TaskRecord, views: Views, health: WorkerHealth, nowMs: number): readonly Views[];
+}
+
 /**
  * Made for workers that fail within moments all that they start: they are always free, so that a
  * full fleet would give them every task that waits. Once jobs of two submissions have failed, such a
  * worker gets one first try at a time, with growing pauses. A retry takes a worker that does not
  * fail, and waits a little for its room: a second faulty worker would use up its last attempt.
- *
- * Returns groups of workers; a task goes to the first group that has room.
  */
-export const groupsByPreference = (
-  task: TaskRecord,
-  views: Views,
-  health: WorkerHealth,
-  nowMs: number,
-): readonly Views[] => {
-  if (!health.hasRecords) return [views];
-  const [untripped, tripped] = split(views, ({ id }) => !health.isTripped(id, nowMs));
-  const mostTripped = Math.max(1, views.length * MAXIMUM_TRIPPED_SHARE);
-  const isLimited = untripped.length > 0 && tripped.length <= mostTripped;
-  const normal = isLimited ? untripped : views;
-  if (isRetry(task) || task.step.isGang) return retryGroups(task, normal, health, nowMs);
-  const waitedMs = nowMs - task.waitingSinceMs;
-  const isUrgent = task.step.isPersistent && waitedMs >= PERSISTENT_PATIENCE_MS;
-  const probed = tripped.filter(
-    (view) => isUrgent || health.isProbeDue(view.id, lastStartMs(view), nowMs),
-  );
-  return [...firstTryGroups(task, normal, health, nowMs), probed];
-};
+export class CircuitBreakerAvoidance implements FaultAvoidance {
+  groupsOf(task: TaskRecord, views: Views, health: WorkerHealth, nowMs: number): readonly Views[] {
+    if (!health.hasRecords) return [views];
+    const [untripped, tripped] = split(views, ({ id }) => !health.isTripped(id, nowMs));
+    const mostTripped = Math.max(1, views.length * MAXIMUM_TRIPPED_SHARE);
+    const isLimited = untripped.length > 0 && tripped.length <= mostTripped;
+    const normal = isLimited ? untripped : views;
+    if (isRetry(task) || task.step.isGang) return retryGroups(task, normal, health, nowMs);
+    const waitedMs = nowMs - task.waitingSinceMs;
+    const isUrgent = task.step.isPersistent && waitedMs >= PERSISTENT_PATIENCE_MS;
+    const probed = tripped.filter(
+      (view) => isUrgent || health.isProbeDue(view.id, lastStartMs(view), nowMs),
+    );
+    return [...firstTryGroups(task, normal, health, nowMs), probed];
+  }
+}
--- a/src/scheduler/common/fleet/fleetOrder.ts
+++ b/src/scheduler/common/fleet/fleetOrder.ts
@@ -4,10 +4,12 @@
   type FleetConfiguration,
 } from '../../../services/fleet/common/fleetConfiguration.js';
 import type { Step, Submission } from '../../../services/submissions/common/submission.js';
-import type { TaskRecord } from './taskRecords.js';
+import { stepName, taskProcessorMs, type TaskRecord } from './taskRecords.js';
 
 /** An answer after this many times the objective is worth nothing to its caller. */
 const WORTHLESS_FACTOR = 3;
+/** The share of a submission's value that does not depend on its amount of work. */
+const FIXED_VALUE_SHARE = 0.3;
 
 /** What is left to do from the start of each step on, by the callers' estimates. */
 const chainsOf = (submission: Submission): readonly number[] => {
@@ -42,11 +44,22 @@
 const Use = { InTime: 0, Late: 1, None: 2 } as const;
 type Use = (typeof Use)[keyof typeof Use];
 
+/** Persistent tasks that have run before, batch tasks, and persistent tasks that have not run yet. */
+const TaskClass = { Interrupted: 0, Batch: 1, New: 2 } as const;
+type TaskClass = (typeof TaskClass)[keyof typeof TaskClass];
+
 interface Rank {
-  readonly task: TaskRecord;
   readonly use: Use;
   readonly priority: number;
-  readonly isPersistent: boolean;
+  readonly taskClass: TaskClass;
+  /** The value of the submission per unit of remaining work. */
+  readonly valueDensity: number;
+}
+
+/** Tasks of one step that share a rank. */
+interface WaitingStep {
+  readonly rank: Rank;
+  readonly tasks: TaskRecord[];
 }
 
 const useOf = (task: TaskRecord, objectiveMs: number, nowMs: number): Use => {
@@ -59,40 +72,83 @@
   return ownEndMs <= learntAtMs + WORTHLESS_FACTOR * objectiveMs ? Use.Late : Use.None;
 };
 
+const taskClassOf = ({ step, lastRun }: TaskRecord): TaskClass => {
+  if (!step.isPersistent) return TaskClass.Batch;
+  return lastRun > 0 ? TaskClass.Interrupted : TaskClass.New;
+};
+
+const valueDensity = ({ submission, occurrence }: TaskRecord): number => {
+  const { processorMs, queueWork } = submission;
+  const openCounts = submission.occurrences.get(occurrence)?.openCounts ?? [];
+  let leftMs = 0;
+  submission.submission.steps.forEach((step, index) => {
+    leftMs += (openCounts[index] ?? 0) * taskProcessorMs(step);
+  });
+  const meanMs = queueWork.processorMs / Math.max(1, queueWork.count);
+  const value = FIXED_VALUE_SHARE * meanMs + (1 - FIXED_VALUE_SHARE) * processorMs;
+  return value / Math.max(1, leftMs);
+};
+
 const toRank = (task: TaskRecord, configuration: FleetConfiguration, nowMs: number): Rank => {
   const { submission } = task.submission;
   const queue = findQueueByName(configuration, submission.queueName);
   const stretch = queue?.objectiveStretch ?? 1;
   const objectiveMs = stretch * chainEstimateMs(submission) + (queue?.objectiveMs ?? 0);
   return {
-    task,
     use: useOf(task, objectiveMs, nowMs),
     priority: queue?.priority ?? 0,
-    isPersistent: task.step.isPersistent,
+    taskClass: taskClassOf(task),
+    valueDensity: valueDensity(task),
   };
 };
 
-const byRank = (left: Rank, right: Rank): number =>
-  Number(left.use === Use.None) - Number(right.use === Use.None) ||
-  left.priority - right.priority ||
-  left.use - right.use ||
-  Number(left.isPersistent) - Number(right.isPersistent) ||
-  left.task.submission.order - right.task.submission.order ||
-  left.task.place - right.task.place;
+const byRank = (left: WaitingStep, right: WaitingStep): number => {
+  const [one, other] = [left.rank, right.rank];
+  const [task, otherTask] = [left.tasks[0] as TaskRecord, right.tasks[0] as TaskRecord];
+  return (
+    Number(other.taskClass === TaskClass.Interrupted) -
+      Number(one.taskClass === TaskClass.Interrupted) ||
+    Number(one.use === Use.None) - Number(other.use === Use.None) ||
+    one.priority - other.priority ||
+    one.use - other.use ||
+    one.taskClass - other.taskClass ||
+    other.valueDensity - one.valueDensity ||
+    task.submission.order - otherTask.submission.order ||
+    task.place - otherTask.place
+  );
+};
+
+/** The order in which due tasks are placed. */
+export interface QueueOrder {
+  sort(
+    tasks: Iterable<TaskRecord>,
+    configuration: FleetConfiguration,
+    nowMs: number,
+  ): readonly TaskRecord[];
+}
 
 /**
  * Made for bursts that exceed the room for seconds. What can no longer be of use to its caller
  * goes behind what can, and what will be late in any case behind what of its urgency can still be
  * in time: in the order of arrival one burst makes everything after it late as well, until the
- * backlog is gone. Then short work before tasks that last: these hold their room for good.
+ * backlog is gone. Among equals, the highest value per unit of remaining work comes first, which
+ * leaves few submissions unfinished in a backlog. Persistent tasks never release their room and come
+ * after batch tasks, except for interrupted ones, whose users are without service.
  */
-export const orderedTasks = (
-  tasks: Iterable<TaskRecord>,
-  configuration: FleetConfiguration,
-  nowMs: number,
-): readonly TaskRecord[] =>
-  [...tasks]
-    .filter(({ notBeforeMs }) => notBeforeMs <= nowMs)
-    .map((task) => toRank(task, configuration, nowMs))
-    .sort(byRank)
-    .map(({ task }) => task);
+export class UtilityOrder implements QueueOrder {
+  sort(
+    tasks: Iterable<TaskRecord>,
+    configuration: FleetConfiguration,
+    nowMs: number,
+  ): readonly TaskRecord[] {
+    const steps = new Map<string, WaitingStep>();
+    [...tasks].forEach((task) => {
+      if (task.notBeforeMs > nowMs) return;
+      const key = `${stepName(task)} ${taskClassOf(task)}`;
+      const known = steps.get(key);
+      if (known !== undefined) known.tasks.push(task);
+      else steps.set(key, { rank: toRank(task, configuration, nowMs), tasks: [task] });
+    });
+    return [...steps.values()].sort(byRank).flatMap((step) => step.tasks);
+  }
+}
--- a/src/scheduler/common/fleet/fleetPlacement.ts
+++ b/src/scheduler/common/fleet/fleetPlacement.ts
@@ -1,12 +1,12 @@
 /** Which worker a task is started on. */
 import { fitsInto, type Resources } from '../../../services/worker/common/resources.js';
-import type { PlacementCandidate, PlacementPolicy } from '../placement.js';
+import type { PlacementCandidate } from '../placement.js';
 import type { WorkerHealth } from '../workerHealth.js';
-import { groupsByPreference } from './faultAvoidance.js';
+import type { FleetPolicy } from './fleetPolicy.js';
 import type { FleetWorkerView } from './fleetWorkerView.js';
 import type { InterferenceControl } from './interferenceControl.js';
 import { isServing } from './headroom.js';
-import type { TaskRecord } from './taskRecords.js';
+import type { SubmissionRecord, TaskRecord } from './taskRecords.js';
 
 /**
  * The share of its processors that a serving task is taken to use until fillers beside it show
@@ -20,6 +20,12 @@
  */
 const FILLER_IDLE_SHARE = 0.2;
 
+/** How long a filler waits for a worker where it can run at full pace. */
+const FULL_PACE_PATIENCE_MS = 2_500;
+/** Weight of the pace in a filler's score; it outweighs the other terms. */
+const PACE_WEIGHT = 10;
+const FULL_PERCENT = 100;
+
 /** Headroom of serving tasks beyond this makes a place no better. */
 const AMPLE_HEADROOM = 2;
 
@@ -31,6 +37,12 @@
 const OPENING_COST = 1;
 const MIXING_COST = 3;
 
+/** The worker chosen for a task, and the pace at which the task can run there. */
+export interface PlacementChoice {
+  readonly view: FleetWorkerView;
+  readonly percent: number;
+}
+
 /** What placing goes by of all that runs on a worker. */
 interface Occupancy {
   readonly changeCount: number;
@@ -92,6 +104,15 @@
   sameServiceInRackCount: 0,
 });
 
+/** Whether any task of the submission has a run on a worker. */
+const hasRuns = ({ occurrences }: SubmissionRecord): boolean =>
+  [...occurrences.values()].some(({ tasks }) =>
+    tasks.some((step) => step.some(({ runs }) => runs.length > 0)),
+  );
+
+const hasReducedPaceStart = (view: FleetWorkerView): boolean =>
+  [...view.runs.values()].some(({ plannedPercent }) => plannedPercent < FULL_PERCENT);
+
 /**
  * Made for long batch tasks that use what services leave idle. A filler goes where most is idle
  * and the tasks that serve are furthest from their targets with it; where too little is idle it
@@ -102,25 +123,37 @@
   views: readonly FleetWorkerView[],
   interference: InterferenceControl,
   nowMs: number,
-): FleetWorkerView | undefined => {
+): PlacementChoice | undefined => {
   const { size } = task.step;
+  const allowsReducedPace =
+    nowMs - task.waitingSinceMs >= FULL_PACE_PATIENCE_MS && !hasRuns(task.submission);
   const counted: Resources = { ...size, processorMillis: 0 };
-  let best: FleetWorkerView | undefined;
+  let best: PlacementChoice | undefined;
   let bestScore = Number.NEGATIVE_INFINITY;
   views.forEach((view) => {
     if (!fitsInto(counted, view.free)) return;
     const idle = view.entry.capacity.processorMillis - occupancyOf(view).usedProcessorMillis;
     if (idle < size.processorMillis * FILLER_IDLE_SHARE) return;
-    const headroom = interference.headroomWith(view, task, nowMs);
-    if (headroom === undefined) return;
-    const score = idle / view.entry.capacity.processorMillis + Math.min(headroom, AMPLE_HEADROOM);
+    const admission = interference.admit(view, task, nowMs);
+    if (admission === undefined) return;
+    const { percent, headroom } = admission;
+    if (percent < FULL_PERCENT && !(allowsReducedPace && !hasReducedPaceStart(view))) return;
+    const score =
+      PACE_WEIGHT * (percent / FULL_PERCENT) +
+      idle / view.entry.capacity.processorMillis +
+      Math.min(headroom, AMPLE_HEADROOM);
     if (score <= bestScore) return;
-    best = view;
+    best = { view, percent };
     bestScore = score;
   });
   return best;
 };
 
+/** Chooses workers for serving tasks. */
+export interface ServingPlacement {
+  choose(task: TaskRecord, views: readonly FleetWorkerView[]): FleetWorkerView | undefined;
+}
+
 /**
  * Made for services that take most of the room beside batch work of many images. Whether batch
  * work slows a service depends on the two images, and for two in five pairs of a heavy day one
@@ -129,26 +162,25 @@
  * batch work then finds workers where all that serve can bear it. Among equals the fullest one is
  * taken, which keeps large gaps.
  */
-const chooseForServing = (
-  task: TaskRecord,
-  views: readonly FleetWorkerView[],
-): FleetWorkerView | undefined => {
-  let best: FleetWorkerView | undefined;
-  let bestCost = Number.POSITIVE_INFINITY;
-  views.forEach((view) => {
-    const { free } = view;
-    if (!fitsInto(task.step.size, free)) return;
-    const images = occupancyOf(view).servingImages;
-    const otherCount = images.size - (images.has(task.step.image) ? 1 : 0);
-    const openingCost = images.size === 0 ? OPENING_COST : 0;
-    const left = free.processorMillis / Math.max(1, view.entry.capacity.processorMillis);
-    const cost = otherCount * MIXING_COST + openingCost + left;
-    if (cost >= bestCost) return;
-    best = view;
-    bestCost = cost;
-  });
-  return best;
-};
+export class ImageAffinityPlacement implements ServingPlacement {
+  choose(task: TaskRecord, views: readonly FleetWorkerView[]): FleetWorkerView | undefined {
+    let best: FleetWorkerView | undefined;
+    let bestCost = Number.POSITIVE_INFINITY;
+    views.forEach((view) => {
+      const { free } = view;
+      if (!fitsInto(task.step.size, free)) return;
+      const images = occupancyOf(view).servingImages;
+      const otherCount = images.size - (images.has(task.step.image) ? 1 : 0);
+      const openingCost = images.size === 0 ? OPENING_COST : 0;
+      const left = free.processorMillis / Math.max(1, view.entry.capacity.processorMillis);
+      const cost = otherCount * MIXING_COST + openingCost + left;
+      if (cost >= bestCost) return;
+      best = view;
+      bestCost = cost;
+    });
+    return best;
+  }
+}
 
 /** Those near the step's data, when any of them has room; a task elsewhere takes far longer. */
 const nearData = (
@@ -161,35 +193,46 @@
   return near.length > 0 ? near : views;
 };
 
+const atFullPace = (view: FleetWorkerView | undefined): PlacementChoice | undefined =>
+  view && { view, percent: FULL_PERCENT };
+
+/** Inputs for choosing a worker, apart from the workers themselves. */
+export interface PlacementContext {
+  readonly policy: FleetPolicy;
+  readonly interference: InterferenceControl;
+  readonly health: WorkerHealth;
+}
+
 const chooseAmong = (
   task: TaskRecord,
   views: readonly FleetWorkerView[],
-  policy: PlacementPolicy,
-  interference: InterferenceControl,
+  { policy, interference }: PlacementContext,
   nowMs: number,
-): FleetWorkerView | undefined => {
+): PlacementChoice | undefined => {
   if (task.step.isFiller) return chooseForFiller(task, views, interference, nowMs);
   const near = nearData(task, views);
-  if (isServing(task) && task.step.image !== '') return chooseForServing(task, near);
+  if (isServing(task) && task.step.image !== '') {
+    return atFullPace(policy.servingPlacement.choose(task, near));
+  }
   const request = { size: task.step.size, isSpread: task.step.isPersistent };
   const candidates = near.map((view) => toCandidate(view, task));
-  const chosen = policy.choose(request, candidates);
-  return near.find(({ id }) => id === chosen?.workerId);
+  const chosen = policy.placement.choose(request, candidates);
+  return atFullPace(near.find(({ id }) => id === chosen?.workerId));
 };
 
-/** The worker for one task, or undefined while none has room. */
+/** The worker for one task among those that pass the filter, or undefined if none has room. */
 export const chooseWorker = (
   task: TaskRecord,
   usable: readonly FleetWorkerView[],
-  policy: PlacementPolicy,
-  interference: InterferenceControl,
-  health: WorkerHealth,
+  context: PlacementContext,
+  passes: (view: FleetWorkerView) => boolean,
   nowMs: number,
-): FleetWorkerView | undefined => {
+): PlacementChoice | undefined => {
   const views = usable.filter((view) => isAllowed(view, task));
-  const groups = groupsByPreference(task, views, health, nowMs);
+  const groups = context.policy.faultAvoidance.groupsOf(task, views, context.health, nowMs);
   for (let index = 0; index < groups.length; index += 1) {
-    const chosen = chooseAmong(task, groups[index] ?? [], policy, interference, nowMs);
+    const group = (groups[index] ?? []).filter(passes);
+    const chosen = chooseAmong(task, group, context, nowMs);
     if (chosen !== undefined) return chosen;
   }
   return undefined;
--- /dev/null
+++ b/src/scheduler/common/fleet/fleetPolicy.ts
@@ -0,0 +1,26 @@
+/** The replaceable policies of the fleet scheduler. */
+import { type PlacementPolicy, SpreadAndPackPolicy } from '../placement.js';
+import { CircuitBreakerAvoidance, type FaultAvoidance } from './faultAvoidance.js';
+import { type QueueOrder, UtilityOrder } from './fleetOrder.js';
+import { ImageAffinityPlacement, type ServingPlacement } from './fleetPlacement.js';
+import type { InterferenceControl } from './interferenceControl.js';
+import { LearningInterferenceControl } from './learningInterferenceControl.js';
+
+export interface FleetPolicy {
+  readonly order: QueueOrder;
+  readonly faultAvoidance: FaultAvoidance;
+  /** For serving tasks. */
+  readonly servingPlacement: ServingPlacement;
+  /** For tasks that are neither serving tasks nor fillers. */
+  readonly placement: PlacementPolicy;
+  /** Called once for each tenure of an owner. */
+  readonly newInterferenceControl: () => InterferenceControl;
+}
+
+export const DEFAULT_FLEET_POLICY: FleetPolicy = {
+  order: new UtilityOrder(),
+  faultAvoidance: new CircuitBreakerAvoidance(),
+  servingPlacement: new ImageAffinityPlacement(),
+  placement: new SpreadAndPackPolicy(),
+  newInterferenceControl: () => new LearningInterferenceControl(),
+};
--- a/src/scheduler/common/fleet/fleetRound.ts
+++ b/src/scheduler/common/fleet/fleetRound.ts
@@ -4,14 +4,14 @@
   type FleetConfiguration,
   type OperatorState,
 } from '../../../services/fleet/common/fleetConfiguration.js';
-import type { PlacementPolicy } from '../placement.js';
 import type { WorkerHealth } from '../workerHealth.js';
 import { isRetry } from './faultAvoidance.js';
-import { orderedTasks } from './fleetOrder.js';
-import { chooseWorker } from './fleetPlacement.js';
+import { type PlacementChoice, chooseWorker } from './fleetPlacement.js';
+import type { FleetPolicy } from './fleetPolicy.js';
 import type { FleetTiming } from './fleetTiming.js';
 import type { FleetWorkerView } from './fleetWorkerView.js';
 import type { InterferenceControl } from './interferenceControl.js';
+import type { RoomMisses } from './roomMisses.js';
 import type { Roster } from './roster.js';
 import { newRun } from './runKeeper.js';
 import type { SubmissionBook } from './submissionBook.js';
@@ -28,11 +28,12 @@
   readonly views: ReadonlyMap<string, FleetWorkerView>;
   readonly operator: OperatorState;
   readonly health: WorkerHealth;
-  readonly policy: PlacementPolicy;
+  readonly policy: FleetPolicy;
   readonly interference: InterferenceControl;
   readonly timing: FleetTiming;
   readonly epoch: number;
   readonly roster: Roster;
+  readonly misses: RoomMisses;
 }
 
 /**
@@ -86,6 +87,7 @@
     this.#configuration = configuration;
     this.#nowMs = nowMs;
     const usable = [...input.views.values()].filter((view) => isUsable(view, input, nowMs));
+    input.misses.begin(usable);
     this.#usable = byService(usable);
   }
 
@@ -103,16 +105,26 @@
     const queue = findQueueByName(this.#configuration, submission.queueName);
     const serviceName = queue?.serviceName ?? submission.serviceName;
     const views = this.#usable.get(serviceName) ?? [];
-    const isPlaced = task.step.isGang ? this.#placeGang(task, views) : this.#placeOne(task, views);
+    const isPlaced = task.step.isGang
+      ? this.#placeGang(task, views)
+      : this.#placeOne(task, views, key);
     if (isPlaced) return undefined;
     this.#full.add(key);
     return WaitReason.NoRoom;
   }
 
-  #placeOne(task: TaskRecord, views: readonly FleetWorkerView[]): boolean {
-    const view = this.#choose(task, views);
-    if (view === undefined) return false;
-    this.#take(task, nextRunNumber([task], this.#input.epoch), view);
+  #placeOne(task: TaskRecord, views: readonly FleetWorkerView[], key: string): boolean {
+    const { misses, epoch } = this.#input;
+    const opened = task.submission.occurrences.get(task.occurrence);
+    if (opened === undefined) return false;
+    const passes = misses.filterFor(opened, key, this.#nowMs);
+    const choice = chooseWorker(task, views, this.#input, passes, this.#nowMs);
+    if (choice === undefined) {
+      misses.note(opened, key, this.#nowMs);
+      return false;
+    }
+    misses.clear(opened, key);
+    this.#take(task, nextRunNumber([task], epoch), choice);
     return true;
   }
 
@@ -136,22 +148,17 @@
   ): boolean {
     const taken: TaskRun[] = [];
     const isWhole = members.every((member) => {
-      const view = this.#choose(member, views);
-      if (view === undefined) return false;
-      taken.push(this.#take(member, run, view));
+      const choice = chooseWorker(member, views, this.#input, () => true, this.#nowMs);
+      if (choice === undefined) return false;
+      taken.push(this.#take(member, run, choice));
       return true;
     });
     if (!isWhole) taken.forEach((one) => this.#giveBack(one));
     return isWhole;
   }
 
-  #choose(task: TaskRecord, views: readonly FleetWorkerView[]): FleetWorkerView | undefined {
-    const { policy, interference, health } = this.#input;
-    return chooseWorker(task, views, policy, interference, health, this.#nowMs);
-  }
-
-  #take(task: TaskRecord, number: number, view: FleetWorkerView): TaskRun {
-    const run = newRun(task, number, view.id, this.#nowMs);
+  #take(task: TaskRecord, number: number, { view, percent }: PlacementChoice): TaskRun {
+    const run = newRun(task, number, view.id, this.#nowMs, percent);
     view.addRun(run);
     this.#input.book.noteRun(run);
     this.#input.book.markUnrecorded(task.submission);
@@ -174,6 +181,8 @@
   const { configuration } = input.operator;
   if (configuration === undefined || input.book.waiting.size === 0) return new Map();
   const round = new Round(input, configuration, nowMs);
-  orderedTasks(input.book.waiting, configuration, nowMs).forEach((task) => round.place(task));
+  input.policy.order
+    .sort(input.book.waiting, configuration, nowMs)
+    .forEach((task) => round.place(task));
   return round.waits;
 };
--- a/src/scheduler/common/fleet/fleetScheduler.ts
+++ b/src/scheduler/common/fleet/fleetScheduler.ts
@@ -29,7 +29,6 @@
   TransactionResult,
 } from '../../../services/table/common/table.js';
 import type { LeaseStepKind } from '../cellLease.js';
-import type { PlacementPolicy } from '../placement.js';
 import {
   holdEffects,
   noteStray,
@@ -43,6 +42,7 @@
 import { FleetOwnership } from './fleetOwnership.js';
 import { movableRuns } from './drainMoves.js';
 import { placeWaiting } from './fleetRound.js';
+import type { PaceChange } from './interferenceControl.js';
 import {
   loseLapsed,
   newTenure,
@@ -54,17 +54,18 @@
   takeChanges,
   type Tenure,
 } from './fleetTenure.js';
+import type { FleetPolicy } from './fleetPolicy.js';
 import type { RoundInput } from './fleetRound.js';
 import type { FleetTiming } from './fleetTiming.js';
 import { NEXT_HOLD_AFTER_FAILURE_MS } from './holdPace.js';
-import { runKey } from './fleetWorkerView.js';
+import { type FleetWorkerView, runKey } from './fleetWorkerView.js';
 import { splitRecorded } from './runStarts.js';
 import { RunState, type TaskRun } from './taskRecords.js';
 
 export class FleetScheduler {
   readonly #timing: FleetTiming;
 
-  readonly #policy: PlacementPolicy;
+  readonly #policy: FleetPolicy;
 
   readonly #ownership: FleetOwnership;
 
@@ -81,11 +82,14 @@
 
   readonly #paceInFlight = new Set<TaskRun>();
 
+  /** Newly started runs whose pace has yet to be reduced. */
+  readonly #startedRunsToPace = new Set<TaskRun>();
+
   constructor(
     selfId: string,
     timing: FleetTiming,
     acquireDelayMs: number,
-    policy: PlacementPolicy,
+    policy: FleetPolicy,
     nowMs: number,
   ) {
     this.#timing = timing;
@@ -138,7 +142,7 @@
     const leasesOverAtMs = (entry: RosterEntry): number =>
       this.#ownership.formerLeasesOverAtMs(entry, stored.roster.epoch, nowMs);
     const operator = (): OperatorState => this.#operator;
-    this.#tenure = newTenure(epoch, stored, leasesOverAtMs, operator, nowMs);
+    this.#tenure = newTenure(epoch, stored, leasesOverAtMs, operator, this.#policy, nowMs);
   }
 
   handleChanges(epoch: number, changes: readonly SubmissionChange[], nowMs: number): void {
@@ -200,7 +204,10 @@
     if (this.#tenure?.epoch !== epoch || run === undefined) return;
     const isFenced = isRight(result) && result.right === StartOutcome.Fenced;
     if (isFenced && this.#isOvertaken(reference, epoch)) this.#yield(nowMs);
-    else this.#tenure.keeper.handleStarted(run, result, nowMs);
+    else {
+      this.#tenure.keeper.handleStarted(run, result, nowMs);
+      if (run.plannedPercent < run.pacePercent) this.#startedRunsToPace.add(run);
+    }
   }
 
   handleStopped(
@@ -237,6 +244,7 @@
     } else {
       if (percent < run.pacePercent) run.pacedSinceMs = nowMs;
       run.pacePercent = percent;
+      run.plannedPercent = Math.max(run.plannedPercent, percent);
     }
   }
 
@@ -333,6 +341,7 @@
     this.#tenure = undefined;
     this.#startsInFlight.clear();
     this.#paceInFlight.clear();
+    this.#startedRunsToPace.clear();
   }
 
   #mayGrant(nowMs: number): boolean {
@@ -384,17 +393,35 @@
   }
 
   #pace(tenure: Tenure, effects: FleetEffect[], nowMs: number): void {
+    this.#paceStartedRuns(tenure, effects);
     tenure.views.forEach((view) => {
       const { paces, moves } = tenure.interference.answer(view, nowMs);
       if (paces.length + moves.length > 0) view.pacedAtMs = nowMs;
       tenure.keeper.requestStops(moves, StopReason.Interference, nowMs);
       const changes = paces.filter(({ run }) => !this.#paceInFlight.has(run));
       tenure.notes.addPaces(changes);
-      changes.forEach((change) => {
-        this.#paceInFlight.add(change.run);
-        effects.push(paceEffect(tenure, view, change));
-      });
+      changes.forEach((change) => this.#sendPace(tenure, view, change, effects));
+    });
+  }
+
+  #paceStartedRuns(tenure: Tenure, effects: FleetEffect[]): void {
+    this.#startedRunsToPace.forEach((run) => {
+      const view = tenure.views.get(run.workerId);
+      const isRunning = run.state === RunState.Running && view?.hasRun(run) === true;
+      if (!isRunning || this.#paceInFlight.has(run)) return;
+      this.#sendPace(tenure, view, { run, percent: run.plannedPercent }, effects);
     });
+    this.#startedRunsToPace.clear();
+  }
+
+  #sendPace(
+    tenure: Tenure,
+    view: FleetWorkerView,
+    change: PaceChange,
+    effects: FleetEffect[],
+  ): void {
+    this.#paceInFlight.add(change.run);
+    effects.push(paceEffect(tenure, view, change));
   }
 
   #commit(tenure: Tenure, effects: FleetEffect[], nowMs: number): void {
--- a/src/scheduler/common/fleet/fleetTenure.ts
+++ b/src/scheduler/common/fleet/fleetTenure.ts
@@ -11,14 +11,15 @@
   toRosterEntries,
 } from '../../../services/submissions/common/submissionRows.js';
 import { NO_RESOURCES } from '../../../services/worker/common/resources.js';
-import type { PlacementPolicy } from '../placement.js';
 import { WorkerHealth } from '../workerHealth.js';
 import type { FleetTiming } from './fleetTiming.js';
 import { FleetWorkerView } from './fleetWorkerView.js';
 import type { RoundInput } from './fleetRound.js';
 import { FleetNotes, LossReason, StopReason } from './fleetNotes.js';
-import { InterferenceControl } from './interferenceControl.js';
+import type { FleetPolicy } from './fleetPolicy.js';
+import type { InterferenceControl } from './interferenceControl.js';
 import { ProgressCommits } from './progressCommits.js';
+import { RoomMisses } from './roomMisses.js';
 import { Roster } from './roster.js';
 import { RunKeeper } from './runKeeper.js';
 import { SubmissionBook } from './submissionBook.js';
@@ -52,6 +53,7 @@
   readonly roster: Roster;
   readonly interference: InterferenceControl;
   readonly notes: FleetNotes;
+  readonly misses: RoomMisses;
   /** When everything that callers had done was known last. */
   caughtUpAtMs: number;
   /** Runs that workers list and nobody asked for, to be stopped. */
@@ -113,6 +115,7 @@
   stored: StoredState,
   leasesOverAtMs: (entry: RosterEntry) => number,
   operator: () => OperatorState,
+  policy: FleetPolicy,
   nowMs: number,
 ): Tenure => {
   const book = new SubmissionBook();
@@ -127,11 +130,12 @@
     views.set(known.id, view);
   });
   stored.workers.forEach((entry) => noteListed(views, entry, nowMs));
-  const interference = new InterferenceControl();
+  const interference = policy.newInterferenceControl();
   interference.inherit(stored.interference, nowMs);
   const roster = new Roster(epoch);
   const tenure: Tenure = {
     ...{ epoch, book, views, keeper, commits, roster, interference, notes },
+    misses: new RoomMisses(),
     strays: new Map(),
     caughtUpAtMs: Number.NEGATIVE_INFINITY,
   };
@@ -158,20 +162,13 @@
 export const roundInput = (
   tenure: Tenure,
   operator: OperatorState,
-  policy: PlacementPolicy,
+  policy: FleetPolicy,
   timing: FleetTiming,
 ): RoundInput => {
-  const { book, views, epoch, interference, keeper, roster } = tenure;
+  const { book, views, epoch, interference, keeper, roster, misses } = tenure;
+  const { health } = keeper;
   return {
-    book,
-    views,
-    epoch,
-    interference,
-    operator,
-    policy,
-    timing,
-    health: keeper.health,
-    roster,
+    ...{ book, views, epoch, interference, operator, policy, timing, health, roster, misses },
   };
 };
 
--- a/src/scheduler/common/fleet/fleetWorkerView.ts
+++ b/src/scheduler/common/fleet/fleetWorkerView.ts
@@ -7,7 +7,7 @@
   subtractResources,
 } from '../../../services/worker/common/resources.js';
 import { type FleetTiming, leaseWithinMs, longestLeaseMs } from './fleetTiming.js';
-import type { LoadEstimate } from './loadEstimate.js';
+import type { ServiceLoad } from './serviceLoad.js';
 import { countedSize, type TaskRun } from './taskRecords.js';
 
 /** Incarnations of one worker that one owner tells apart; it would take hours to meet so many. */
@@ -63,7 +63,7 @@
   pacedAtMs = Number.NEGATIVE_INFINITY;
 
   /** The loads of its serving tasks, by step; see `interferenceModel.ts`. */
-  readonly loads = new Map<string, LoadEstimate>();
+  readonly loads = new Map<string, ServiceLoad>();
 
   /** Rises with every change of `runs`. */
   changeCount = 0;
--- a/src/scheduler/common/fleet/headroom.ts
+++ b/src/scheduler/common/fleet/headroom.ts
@@ -18,8 +18,8 @@
  * above the second. Figures of a tail a fifth over the target scatter so that one in four is below
  * it; with one limit, and at the target itself, such a task was hardly ever seen to be over it.
  */
-const OVER_HEADROOM = 1 / 0.85;
-const RELIEVED_HEADROOM = 1 / 0.7;
+const OVER_HEADROOM = 1 / 0.93;
+const RELIEVED_HEADROOM = 1 / 0.8;
 
 /** Whether the task serves users of its own. */
 export const isServing = ({ step }: TaskRecord): boolean => step.targetLatencyMs > 0;
--- a/src/scheduler/common/fleet/interferenceModel.ts
+++ b/src/scheduler/common/fleet/interferenceModel.ts
@@ -10,7 +10,9 @@
   sizeShare,
 } from './headroom.js';
 import { correctPair, ImagePairs, isKnownPair, type PairEstimate } from './imagePairs.js';
-import { LoadEstimate } from './loadEstimate.js';
+import { LoadDynamics } from './loadDynamics.js';
+import type { LoadReading } from './loadEstimate.js';
+import { ServiceLoad } from './serviceLoad.js';
 import type { TaskRecord, TaskRun } from './taskRecords.js';
 
 /** A listed figure covers the last half second; a sooner one repeats it. */
@@ -49,8 +51,11 @@
   readonly isOnTrial: boolean;
 }
 
-/** How far ahead `Bearing.soon` looks: two looks and a change of pace. */
+/** The range of `Bearing.soon`: from when a start takes effect, over two polls and a change of pace. */
+const START_DELAY_MS = 300;
 const SOON_MS = 2_000;
+/** When a change of pace takes effect. */
+const PACE_DELAY_MS = 200;
 
 interface CachedBearings {
   readonly changeCount: number;
@@ -58,42 +63,75 @@
   readonly bearings: readonly Bearing[];
 }
 
+const lossVarianceOf = (exposures: readonly Exposure[]): number =>
+  exposures.reduce((sum, { pair, share }) => sum + share * share * pair.variance, 0);
+
+const toReading = (
+  { headroom, count }: ServingGroup,
+  exposures: readonly Exposure[],
+  isQueueing: boolean,
+): LoadReading => {
+  const loss = exposures.reduce((sum, { pair, share }) => sum + pair.loss * share, 0);
+  const scatter = (FIGURE_SCATTER * headroom) ** 2 / count + (LOSS_SCATTER * loss) ** 2;
+  const variance = scatter + LEAST_VARIANCE + (isQueueing ? QUEUEING_VARIANCE : 0);
+  return { headroom, variance, loss, lossVariance: lossVarianceOf(exposures) };
+};
+
 /** Divides what was not expected among the load and the pairs, by how uncertain each was. */
 const learn = (
-  load: LoadEstimate,
-  { headroom, count }: ServingGroup,
+  load: ServiceLoad,
+  group: ServingGroup,
   exposures: readonly Exposure[],
-  loss: number,
+  learnsPairs: boolean,
+  nowMs: number,
 ): void => {
-  const lossVariance = exposures.reduce(
-    (sum, { pair, share }) => sum + share * share * pair.variance,
-    0,
-  );
-  const scatter = (FIGURE_SCATTER * headroom) ** 2 / count + (LOSS_SCATTER * loss) ** 2;
-  const variance = scatter + LEAST_VARIANCE + (load.isQueueing ? QUEUEING_VARIANCE : 0);
-  const isQueueing = headroom < QUEUEING_HEADROOM;
-  load.isQueueing = isQueueing;
-  const surprise = load.surprise({ headroom, variance, loss, lossVariance });
+  const wasQueueing = load.isQueueing;
+  const reading = toReading(group, exposures, wasQueueing);
+  load.isQueueing = group.headroom < QUEUEING_HEADROOM;
+  const surprise = load.surprise(reading, nowMs);
   // As bad as expected or worse tells nothing of how much worse it would have been.
-  if (isQueueing && surprise.excess > 0) {
+  if (load.isQueueing && surprise.excess > 0) {
     load.stopSwing();
     return;
   }
-  exposures.forEach(({ pair, share }) => {
+  const learnt = learnsPairs ? exposures : [];
+  learnt.forEach(({ pair, share }) => {
     const gain = (share * pair.variance) / surprise.variance;
     correctPair(pair, -gain * surprise.excess, 1 - gain * share);
   });
-  load.correct(surprise);
+  load.correct(reading, !load.isQueueing && !wasQueueing, nowMs);
+};
+
+/** Which estimates are learnt; the others keep their initial values. */
+export interface InterferenceOptions {
+  /** The headroom that batch images take from serving images. */
+  readonly learnsPairs: boolean;
+  /** The period that the loads of services share. */
+  readonly learnsPeriod: boolean;
+}
+
+export const DEFAULT_INTERFERENCE_OPTIONS: InterferenceOptions = {
+  learnsPairs: true,
+  learnsPeriod: true,
 };
 
 export class InterferenceModel {
   readonly #pairs = new ImagePairs();
 
+  readonly #dynamics: LoadDynamics;
+
+  readonly #options: InterferenceOptions;
+
   /** The lowest headroom that loads of an image usually have. */
   readonly #lows = new Map<string, number>();
 
   readonly #cache = new WeakMap<FleetWorkerView, CachedBearings>();
 
+  constructor(options: InterferenceOptions) {
+    this.#options = options;
+    this.#dynamics = new LoadDynamics(options.learnsPeriod);
+  }
+
   inherit(pairs: LearntInterference, nowMs: number): void {
     this.#pairs.inherit(pairs, nowMs);
   }
@@ -126,33 +164,17 @@
       return known.bearings;
     }
     const fillers = [...view.runs.values()].filter(({ task }) => task.step.isFiller);
-    const bearings = [...view.loads.values()].map((load): Bearing => {
-      let loss = 0;
-      let worstCaseLoss = 0;
-      let isOnTrial = false;
-      fillers.forEach(({ task }) => {
-        loss += this.loss(load.image, task, view);
-        worstCaseLoss += this.worstCaseLoss(load.image, task, view);
-        isOnTrial ||= !this.isKnown(load.image, task);
-      });
-      const { image } = load;
-      const soon = load.levelAfter(SOON_MS);
-      return {
-        image,
-        atWorst: this.#lowOf(load, nowMs) - loss,
-        soon: soon - loss,
-        soonAtWorst: soon - worstCaseLoss,
-        isOnTrial,
-      };
-    });
+    const bearings = [...view.loads.values()].map((load) =>
+      this.#bearing(view, load, fillers, nowMs),
+    );
     this.#cache.set(view, { changeCount, sampledAtMs, bearings });
     return bearings;
   }
 
-  /** Headroom that a load is expected to have after a while, with its batch work as it is paced. */
-  expected(view: FleetWorkerView, load: LoadEstimate, aheadMs: number): number {
+  /** The lowest headroom expected within `aheadMs`, with batch work at its current pace. */
+  expected(view: FleetWorkerView, load: ServiceLoad, aheadMs: number, nowMs: number): number {
     const loss = fillerRuns(view).reduce((sum, run) => sum + this.lossOf(load.image, run, view), 0);
-    return load.levelAfter(aheadMs) - loss;
+    return load.lowestWithin(PACE_DELAY_MS, aheadMs, nowMs) - loss;
   }
 
   isKnown(servingImage: string, { step }: TaskRecord): boolean {
@@ -175,28 +197,55 @@
     return (loss + Math.sqrt(variance)) * sizeShare(view, filler);
   }
 
-  #lowOf(load: LoadEstimate, nowMs: number): number {
+  #bearing(
+    view: FleetWorkerView,
+    load: ServiceLoad,
+    fillers: readonly TaskRun[],
+    nowMs: number,
+  ): Bearing {
+    const { image } = load;
+    let loss = 0;
+    let worstCaseLoss = 0;
+    let isOnTrial = false;
+    fillers.forEach(({ task, plannedPercent }) => {
+      const part = plannedPercent / FULL_PERCENT;
+      loss += part * this.loss(image, task, view);
+      worstCaseLoss += part * this.worstCaseLoss(image, task, view);
+      isOnTrial ||= !this.isKnown(image, task);
+    });
+    const soon = load.lowestWithin(START_DELAY_MS, SOON_MS, nowMs);
+    return {
+      image,
+      atWorst: this.#lowOf(load, nowMs) - loss,
+      soon: soon - loss,
+      soonAtWorst: soon - worstCaseLoss,
+      isOnTrial,
+    };
+  }
+
+  #lowOf(load: ServiceLoad, nowMs: number): number {
     const usual = this.#lows.get(load.image) ?? USUAL_LOW;
     return load.isWatched(nowMs) ? load.low : Math.min(usual, load.low);
   }
 
   #observeGroup(view: FleetWorkerView, group: ServingGroup, nowMs: number): void {
     const exposures = this.#exposures(view, group.image, nowMs);
-    const loss = exposures.reduce((sum, { pair, share }) => sum + pair.loss * share, 0);
-    let load = view.loads.get(group.name);
-    if (load === undefined) {
-      load = new LoadEstimate(group.image, group.headroom + loss, nowMs);
-      view.loads.set(group.name, load);
-      return;
-    }
+    const known = view.loads.get(group.name);
+    const load = known ?? this.#newLoad(group, exposures, nowMs);
+    view.loads.set(group.name, load);
     load.advance(nowMs);
-    learn(load, group, exposures, loss);
+    learn(load, group, exposures, this.#options.learnsPairs, nowMs);
     if (load.isWatched(nowMs)) {
       const usual = this.#lows.get(load.image) ?? USUAL_LOW;
       this.#lows.set(load.image, usual + (load.low - usual) * LOW_WEIGHT);
     }
   }
 
+  #newLoad(group: ServingGroup, exposures: readonly Exposure[], nowMs: number): ServiceLoad {
+    const { loss } = toReading(group, exposures, false);
+    return new ServiceLoad(group.name, group.image, group.headroom + loss, this.#dynamics, nowMs);
+  }
+
   #exposures(view: FleetWorkerView, servingImage: string, nowMs: number): readonly Exposure[] {
     const capacity = Math.max(1, view.entry.capacity.processorMillis);
     const shares = new Map<string, number>();
--- a/src/scheduler/common/fleet/loadEstimate.ts
+++ b/src/scheduler/common/fleet/loadEstimate.ts
@@ -32,11 +32,6 @@
 }
 
 export class LoadEstimate {
-  readonly image: string;
-
-  /** Whether requests had queued up at the last figure; the next ones tell of the queue. */
-  isQueueing = false;
-
   readonly #firstSeenAtMs: number;
 
   #seenAtMs: number;
@@ -58,8 +53,7 @@
 
   #windowStartedAtMs: number;
 
-  constructor(image: string, level: number, nowMs: number) {
-    this.image = image;
+  constructor(level: number, nowMs: number) {
     this.#firstSeenAtMs = nowMs;
     this.#seenAtMs = nowMs;
     this.#level = level;
--- a/src/scheduler/common/fleet/runKeeper.ts
+++ b/src/scheduler/common/fleet/runKeeper.ts
@@ -38,6 +38,7 @@
   run: number,
   workerId: string,
   nowMs: number,
+  plannedPercent = FULL_PERCENT,
 ): TaskRun => ({
   task,
   run,
@@ -53,6 +54,7 @@
   headroom: UNKNOWN_HEADROOM,
   overSinceMs: undefined,
   pacePercent: FULL_PERCENT,
+  plannedPercent,
   pacedSinceMs: nowMs,
 });
 
--- a/src/scheduler/common/fleet/submissionBook.ts
+++ b/src/scheduler/common/fleet/submissionBook.ts
@@ -17,6 +17,7 @@
   openOccurrence,
   type OccurrenceRecord,
   parseTaskName,
+  type QueueWork,
   type SubmissionRecord,
   type TaskRecord,
   type TaskRun,
@@ -49,6 +50,8 @@
   /** Submissions with occurrences that are not open yet. */
   readonly #timed = new Set<SubmissionRecord>();
 
+  readonly #queueWorks = new Map<string, QueueWork>();
+
   #order = 0;
 
   get waiting(): ReadonlySet<TaskRecord> {
@@ -77,7 +80,14 @@
     if (this.#records.has(submission.id)) return;
     this.#order += 1;
     const stored = progress ?? NO_PROGRESS;
-    const record = newSubmissionRecord(submission, stored, this.#order, assignments, nowMs);
+    const queueWork = this.#queueWorks.get(submission.queueName) ?? { count: 0, processorMs: 0 };
+    this.#queueWorks.set(submission.queueName, queueWork);
+    const record = newSubmissionRecord(
+      ...([submission, stored, this.#order, assignments, queueWork] as const),
+      nowMs,
+    );
+    queueWork.count += 1;
+    queueWork.processorMs += record.processorMs;
     this.#records.set(submission.id, record);
     if (!isOpen(record)) return;
     if (this.#cancelledIds.has(submission.id)) {
--- a/src/scheduler/common/fleet/taskRecords.ts
+++ b/src/scheduler/common/fleet/taskRecords.ts
@@ -42,6 +42,8 @@
   /** Since when the tail is likely over its target. */
   overSinceMs: number | undefined;
   pacePercent: number;
+  /** The pace planned at placement, or the highest one set since. */
+  plannedPercent: number;
   /** When the pace was last lowered. */
   pacedSinceMs: number;
 }
@@ -78,6 +80,12 @@
   readonly run: number;
 }
 
+/** Number and total estimated processor time of the submissions of one queue. */
+export interface QueueWork {
+  count: number;
+  processorMs: number;
+}
+
 export interface SubmissionRecord {
   readonly submission: Submission;
   /** Rises in the order in which the scheduler learnt of submissions. */
@@ -92,6 +100,10 @@
   /** Runs that former owners may have started, by the task's place. */
   readonly inheritedRuns: ReadonlyMap<number, readonly InheritedRun[]>;
   learntAtMs: number;
+  /** Estimated processor time of all tasks of one occurrence. */
+  readonly processorMs: number;
+  /** Totals over the submissions of its queue. */
+  readonly queueWork: QueueWork;
 }
 
 export const taskName = (
@@ -122,6 +134,8 @@
   return { id, occurrence, stepIndex, index };
 };
 
+const MILLIS_PER_PROCESSOR = 1_000;
+
 export const NO_PROGRESS: Progress = {
   state: SubmissionState.Queued,
   done: [],
@@ -142,11 +156,19 @@
   return runs;
 };
 
+/** Estimated processor time of one task of a step. */
+export const taskProcessorMs = ({ size, estimateMs }: Step): number =>
+  Math.max(1, (size.processorMillis / MILLIS_PER_PROCESSOR) * estimateMs);
+
+const submissionProcessorMs = ({ steps }: Submission): number =>
+  steps.reduce((sum, step) => sum + step.taskCount * taskProcessorMs(step), 0);
+
 export const newSubmissionRecord = (
   submission: Submission,
   progress: Progress,
   order: number,
   assignments: Assignments,
+  queueWork: QueueWork,
   nowMs: number,
 ): SubmissionRecord => ({
   submission,
@@ -159,6 +181,8 @@
   hasStarted: progress.state !== SubmissionState.Queued,
   inheritedRuns: toInheritedRuns(assignments),
   learntAtMs: nowMs,
+  processorMs: submissionProcessorMs(submission),
+  queueWork,
 });
 
 const tasksOfOccurrence = (submission: Submission): number =>
--- a/src/scheduler/node/fleetTask.ts
+++ b/src/scheduler/node/fleetTask.ts
@@ -19,10 +19,10 @@
 import type { TableService } from '../../services/table/common/table.js';
 import { FeedKind, type TableFeed } from '../../services/table/common/tableFeed.js';
 import type { FleetEffect } from '../common/fleet/fleetEffects.js';
+import { DEFAULT_FLEET_POLICY } from '../common/fleet/fleetPolicy.js';
 import { FleetScheduler } from '../common/fleet/fleetScheduler.js';
 import { StepPace } from '../common/fleet/stepPace.js';
 import type { FleetTiming } from '../common/fleet/fleetTiming.js';
-import { SpreadAndPackPolicy } from '../common/placement.js';
 import { CallTurns } from './callTurns.js';
 import { RenewalWatch } from './renewalWatch.js';
 import { StoredStateReader } from './storedStateReader.js';
@@ -85,7 +85,7 @@
       selfId,
       timing,
       acquireDelayMs,
-      new SpreadAndPackPolicy(),
+      DEFAULT_FLEET_POLICY,
       clock.nowMs(),
     );
     this.#disposables.add(
--- a/src/scheduler/test/fleet/fleetWorld.ts
+++ b/src/scheduler/test/fleet/fleetWorld.ts
@@ -27,7 +27,7 @@
 import { type ModelTask, WorkerModel } from '../../../../standIns/fleet/workerModel.js';
 import type { FleetEffect } from '../../common/fleet/fleetEffects.js';
 import { FleetScheduler } from '../../common/fleet/fleetScheduler.js';
-import { SpreadAndPackPolicy } from '../../common/placement.js';
+import { DEFAULT_FLEET_POLICY } from '../../common/fleet/fleetPolicy.js';
 import { StoredStateReader } from '../../node/storedStateReader.js';
 import { CONFIGURATION, STOP_MS, TIMING, WORKER_CAPACITY } from './fleetFixtures.js';
 import { FleetJudge } from './fleetJudge.js';
@@ -122,7 +122,7 @@
     const seat = this.seats[index] as SchedulerSeat;
     seat.generation += 1;
     const selfId = `daemon-${index}#${seat.generation}`;
-    seat.scheduler = new FleetScheduler(selfId, TIMING, 0, new SpreadAndPackPolicy(), this.nowMs);
+    seat.scheduler = new FleetScheduler(selfId, TIMING, 0, DEFAULT_FLEET_POLICY, this.nowMs);
     seat.scheduler.handleOperatorState({
       configuration: CONFIGURATION,
       withdrawnZones: new Set(),
--- a/src/scheduler/test/fleet/interferenceControl.test.ts
+++ b/src/scheduler/test/fleet/interferenceControl.test.ts
@@ -2,7 +2,7 @@
 
 import { SeededRandom } from '../../../base/common/random.js';
 import { FleetWorkerView } from '../../common/fleet/fleetWorkerView.js';
-import { InterferenceControl } from '../../common/fleet/interferenceControl.js';
+import { LearningInterferenceControl } from '../../common/fleet/learningInterferenceControl.js';
 import { newRun } from '../../common/fleet/runKeeper.js';
 import { SubmissionBook } from '../../common/fleet/submissionBook.js';
 import { NO_ASSIGNMENTS, RunState, type TaskRun } from '../../common/fleet/taskRecords.js';
@@ -64,7 +64,7 @@
 /** Looks every 600 ms; `tailMs` is what each serving task really suffers. */
 const play = (
   scene: Scene,
-  control: InterferenceControl,
+  control: LearningInterferenceControl,
   random: SeededRandom,
   fromMs: number,
   untilMs: number,
@@ -100,7 +100,7 @@
       // that one in four says that all is well. The mean over its like shows nothing. Its users
       // notice after four seconds, and by then nothing may work beside it.
       const scene = sceneOf(6, ['a', 'b', 'c']);
-      const control = new InterferenceControl();
+      const control = new LearningInterferenceControl();
       const random = new SeededRandom(seed);
       play(scene, control, random, 0, 2_400, () => 8);
       play(scene, control, random, 3_000, 3_000 + NOTICED_MS - LOOK_MS, (_run, index) =>
@@ -112,7 +112,7 @@
 
   it('go on at full pace where the tails are well', () => {
     const scene = sceneOf(4, ['a', 'b', 'c']);
-    play(scene, new InterferenceControl(), new SeededRandom(3), 0, 30_000, () => 8);
+    play(scene, new LearningInterferenceControl(), new SeededRandom(3), 0, 30_000, () => 8);
     expect(scene.fillers.every(({ pacePercent }) => pacePercent === 100)).toBe(true);
   });
 
@@ -121,11 +121,11 @@
     // other has run alone for long without slowing it. Only the first is slowed.
     const scene = sceneOf(4, ['antagonist', 'benign']);
     const [antagonist, benign] = scene.fillers as [TaskRun, TaskRun];
-    const control = new InterferenceControl();
+    const control = new LearningInterferenceControl();
     const random = new SeededRandom(5);
-    antagonist.pacePercent = 0;
+    scene.view.removeRun(antagonist);
     play(scene, control, random, 0, 6_000, () => 8);
-    antagonist.pacePercent = 100;
+    scene.view.addRun(antagonist);
     play(scene, control, random, 6_600, 7_800, () => 8 + antagonist.pacePercent * 0.12);
     expect(antagonist.pacePercent).toBeLessThan(100);
     expect(benign.pacePercent).toBe(100);
@@ -135,7 +135,7 @@
     // A burst of the service's own load strains it for two seconds. The filler stands still
     // meanwhile and then returns to full pace, having long run there without interference.
     const scene = sceneOf(4, ['a']);
-    const control = new InterferenceControl();
+    const control = new LearningInterferenceControl();
     const random = new SeededRandom(7);
     play(scene, control, random, 0, 6_000, () => 8);
     play(scene, control, random, 6_600, 8_400, () => 40);
@@ -146,7 +146,7 @@
 
   it('go back into the queue where they can only be held', () => {
     const scene = sceneOf(4, ['a']);
-    const control = new InterferenceControl();
+    const control = new LearningInterferenceControl();
     const random = new SeededRandom(7);
     play(scene, control, random, 0, 9_000, () => 40);
     expect(scene.view.runs.size).toBe(4);
@@ -159,7 +159,7 @@
     // successor must not start the antagonist beside the service only to learn it once more.
     const scene = sceneOf(4, ['antagonist', 'benign']);
     const [antagonist, benign] = scene.fillers as [TaskRun, TaskRun];
-    const control = new InterferenceControl();
+    const control = new LearningInterferenceControl();
     const random = new SeededRandom(5);
     scene.view.removeRun(antagonist);
     play(scene, control, random, 0, 6_000, () => 8);
@@ -171,13 +171,13 @@
     // Held still or moved, it leaves the other alone with the service, which is well again.
     scene.view.removeRun(antagonist);
     play(scene, control, random, 9_000, 15_000, () => 8);
-    const successor = new InterferenceControl();
+    const successor = new LearningInterferenceControl();
     successor.inherit(control.learnt(), 15_000);
-    const isBorneBy = (one: InterferenceControl, { task }: TaskRun): boolean => {
+    const isBorneBy = (one: LearningInterferenceControl, { task }: TaskRun): boolean => {
       const beside = sceneOf(4, []);
       const calm = new SeededRandom(9);
       play(beside, one, calm, 15_600, 36_000, () => 11);
-      return one.headroomWith(beside.view, task, 36_000) !== undefined;
+      return one.admit(beside.view, task, 36_000)?.percent === 100;
     };
     expect(isBorneBy(control, antagonist)).toBe(false);
     expect(isBorneBy(successor, antagonist)).toBe(false);
@@ -190,7 +190,7 @@
     // Callers name a new image with each submission. What the owner hands to its successor grows
     // with them, until the row is larger than the table takes, and no progress is stored any more.
     const ROW_BYTES = 65_536;
-    const control = new InterferenceControl();
+    const control = new LearningInterferenceControl();
     const random = new SeededRandom(3);
     for (let count = 0; count < 600; count += 1) {
       const image = `${count}`.padStart(40, 'image');
@@ -227,7 +227,7 @@
       // image, which is benign.
       const scene = sceneOf(4, ['antagonist', 'benign']);
       const [antagonist, benign] = scene.fillers as [TaskRun, TaskRun];
-      const control = new InterferenceControl();
+      const control = new LearningInterferenceControl();
       const random = new SeededRandom(seed);
       let overMs = 0;
       let workedMs = 0;
@@ -242,7 +242,7 @@
         play(scene, control, random, nowMs, nowMs, () => tailMs, MEAN_SCATTER);
         // What is moved away comes back in the next trough, as the queue would have it.
         const isAway = !scene.view.runs.has(`${antagonist.task.name}#1`);
-        if (isAway && control.headroomWith(scene.view, antagonist.task, nowMs) !== undefined) {
+        if (isAway && control.admit(scene.view, antagonist.task, nowMs)?.percent === 100) {
           antagonist.pacePercent = 100;
           scene.view.addRun(antagonist);
         } else if (isAway) antagonist.pacePercent = 0;
--- a/src/scheduler/test/fleet/progressCommits.test.ts
+++ b/src/scheduler/test/fleet/progressCommits.test.ts
@@ -7,7 +7,7 @@
   progressKey,
 } from '../../../services/submissions/common/submissionRows.js';
 import { type Transaction, TransactionOutcome } from '../../../services/table/common/table.js';
-import { InterferenceControl } from '../../common/fleet/interferenceControl.js';
+import { LearningInterferenceControl } from '../../common/fleet/learningInterferenceControl.js';
 import { ProgressCommits } from '../../common/fleet/progressCommits.js';
 import { Roster } from '../../common/fleet/roster.js';
 import { newRun } from '../../common/fleet/runKeeper.js';
@@ -39,7 +39,7 @@
     book,
     views: [],
     owner,
-    interference: new InterferenceControl(),
+    interference: new LearningInterferenceControl(),
     roster,
     intervalMs: 30,
   };
--- /dev/null
+++ b/src/scheduler/test/fleet/roomMisses.test.ts
@@ -0,0 +1,52 @@
+import { describe, expect, it } from 'vitest';
+
+import { FleetWorkerView } from '../../common/fleet/fleetWorkerView.js';
+import { newRun } from '../../common/fleet/runKeeper.js';
+import { RoomMisses } from '../../common/fleet/roomMisses.js';
+import { SubmissionBook } from '../../common/fleet/submissionBook.js';
+import {
+  NO_ASSIGNMENTS,
+  type OccurrenceRecord,
+  type TaskRecord,
+} from '../../common/fleet/taskRecords.js';
+import { STEP, submissionOf, WORKER_CAPACITY } from './fleetFixtures.js';
+
+const ID = '00000000000000a1';
+const KEY = 'step';
+
+const viewOf = (id: string): FleetWorkerView =>
+  new FleetWorkerView(
+    {
+      ...{ id, address: id, serviceName: 'service', availabilityZone: 'zone', rack: '' },
+      ...{ isDraining: false, capacity: WORKER_CAPACITY, labels: [], incarnation: 1 },
+    },
+    0,
+    0,
+  );
+
+describe('a step that has found no room', () => {
+  it('does not ask hundreds of unchanged workers in each round, and misses no change', () => {
+    const book = new SubmissionBook();
+    book.add(submissionOf(ID, [STEP]), undefined, NO_ASSIGNMENTS, 0);
+    const task = book.find(`${ID}.0.0.0`) as TaskRecord;
+    const opened = task.submission.occurrences.get(0) as OccurrenceRecord;
+    const views = Array.from({ length: 300 }, (_, index) => viewOf(`worker-${index}`));
+    const misses = new RoomMisses();
+    const askedAt = (nowMs: number): readonly FleetWorkerView[] => {
+      misses.begin(views);
+      const asked = views.filter(misses.filterFor(opened, KEY, nowMs));
+      misses.note(opened, KEY, nowMs);
+      return asked;
+    };
+    expect(askedAt(0)).toHaveLength(300);
+    expect(askedAt(50)).toHaveLength(0);
+    const [first, second] = views as [FleetWorkerView, FleetWorkerView];
+    first.addRun(newRun(task, 1, first.id, 60));
+    second.sampledAtMs = 60;
+    expect(askedAt(100)).toEqual([first, second]);
+    expect(askedAt(150)).toHaveLength(0);
+    expect(askedAt(500)).toHaveLength(300);
+    misses.clear(opened, KEY);
+    expect(askedAt(550)).toHaveLength(300);
+  });
+});
--- a/standIns/fleet/workerModel.ts
+++ b/standIns/fleet/workerModel.ts
@@ -9,6 +9,7 @@
   type HoldRequest,
   OrderOutcome,
   RunEnd,
+  type RunningTask,
   type RunReference,
   StartOutcome,
   type StartRequest,
@@ -21,6 +22,9 @@
   readonly end: RunEnd;
 }
 
+/** What a worker lists of a run beside its name. */
+export type RunFigures = Pick<RunningTask, 'checkpoint' | 'workedPercent' | 'recentFigure'>;
+
 export interface WorkerModelOptions {
   readonly id: string;
   readonly capacity: Resources;
@@ -30,6 +34,8 @@
   readonly clockRate: number;
   readonly taskOf: (taskName: string) => ModelTask;
   readonly onStart: (taskName: string, run: number, nowMs: number) => void;
+  /** Without it, progress follows the time that has passed. */
+  readonly figuresOf?: (run: ModelRun) => RunFigures;
 }
 
 export interface ModelRun {
@@ -186,24 +192,27 @@
       taskName,
       run: run.run,
       end,
-      checkpoint: '',
+      checkpoint: this.#options.figuresOf?.(run).checkpoint ?? '',
     });
   }
 
   #answer(nowMs: number): HoldAnswer {
-    const percentOf = (run: ModelRun): number =>
-      Math.floor(
-        (WHOLE_PERCENT * (nowMs - run.startedAtMs)) / Math.max(1, run.endsAtMs - run.startedAtMs),
-      );
+    const figuresOf =
+      this.#options.figuresOf ??
+      ((run: ModelRun): RunFigures => ({
+        checkpoint: '',
+        workedPercent: Math.floor(
+          (WHOLE_PERCENT * (nowMs - run.startedAtMs)) / Math.max(1, run.endsAtMs - run.startedAtMs),
+        ),
+        recentFigure: 0,
+      }));
     return {
       workerClockMs: this.#clockMs(nowMs),
       incarnation: this.#incarnation,
       running: [...this.runs.values()].map((run) => ({
         taskName: run.taskName,
         run: run.run,
-        checkpoint: '',
-        workedPercent: percentOf(run),
-        recentFigure: 0,
+        ...figuresOf(run),
       })),
       finished: this.#finished.slice(0, LISTED_ENDS),
       isFinishedCut: this.#finished.length >= LISTED_ENDS,
