--- a/bench/fleet/ablations.ts
+++ b/bench/fleet/ablations.ts
@@ -1,4 +1,4 @@
-/** The scheduler's policy with one mechanism switched off at a time. */
+/** Variants of the default policy, each with one mechanism disabled. */
 import type { FaultAvoidance } from '../../src/scheduler/common/fleet/faultAvoidance.js';
 import type { ServingPlacement } from '../../src/scheduler/common/fleet/fleetPlacement.js';
 import {
@@ -8,12 +8,12 @@
 import type { FleetWorkerView } from '../../src/scheduler/common/fleet/fleetWorkerView.js';
 import type { InterferenceAnswer } from '../../src/scheduler/common/fleet/interferenceControl.js';
 import { LearningInterferenceControl } from '../../src/scheduler/common/fleet/learningInterferenceControl.js';
-import { LEARNS_ALL } from '../../src/scheduler/common/fleet/interferenceModel.js';
+import { DEFAULT_INTERFERENCE_OPTIONS } from '../../src/scheduler/common/fleet/interferenceModel.js';
 import type { TaskRecord } from '../../src/scheduler/common/fleet/taskRecords.js';
 import { fitsInto } from '../../src/services/worker/common/resources.js';
 import { ArrivalOrder, NoInterferenceControl } from './baselines.js';
 
-/** Stops fillers that slow a service, and never changes their pace. */
+/** Stops fillers that slow a service and never changes their pace. */
 class StoppingControl extends LearningInterferenceControl {
   override answer(view: FleetWorkerView, nowMs: number): InterferenceAnswer {
     const { paces, moves } = super.answer(view, nowMs);
@@ -22,7 +22,7 @@
   }
 }
 
-/** Slows fillers, and never stops one to start it elsewhere. */
+/** Slows fillers and never stops one to restart it elsewhere. */
 class PacingControl extends LearningInterferenceControl {
   override answer(view: FleetWorkerView, nowMs: number): InterferenceAnswer {
     const { paces, moves } = super.answer(view, nowMs);
@@ -42,7 +42,7 @@
   }
 }
 
-/** Services go to the fullest worker with room, whatever else serves there. */
+/** Places services on the fullest worker with room, regardless of the images there. */
 class FullestPlacement implements ServingPlacement {
   choose(task: TaskRecord, views: readonly FleetWorkerView[]): FleetWorkerView | undefined {
     const fitting = views.filter((view) => fitsInto(task.step.size, view.free));
@@ -60,20 +60,20 @@
 });
 
 export const ABLATIONS: Readonly<Record<string, FleetPolicy>> = {
-  'order of the queue': without({ order: new ArrivalOrder() }),
-  'control of interference': without({
+  'queue order': without({ order: new ArrivalOrder() }),
+  'interference control': without({
     newInterferenceControl: () => new NoInterferenceControl(),
   }),
-  'pacing of fillers': without({ newInterferenceControl: () => new StoppingControl() }),
-  'stopping of fillers': without({ newInterferenceControl: () => new PacingControl() }),
-  'learning of pairs': without({
+  'filler pacing': without({ newInterferenceControl: () => new StoppingControl() }),
+  'filler stopping': without({ newInterferenceControl: () => new PacingControl() }),
+  'pair learning': without({
     newInterferenceControl: () =>
-      new LearningInterferenceControl({ ...LEARNS_ALL, learnsPairs: false }),
+      new LearningInterferenceControl({ ...DEFAULT_INTERFERENCE_OPTIONS, learnsPairs: false }),
   }),
-  'swings of loads': without({
+  'period learning': without({
     newInterferenceControl: () =>
-      new LearningInterferenceControl({ ...LEARNS_ALL, followsSwings: false }),
+      new LearningInterferenceControl({ ...DEFAULT_INTERFERENCE_OPTIONS, learnsPeriod: false }),
   }),
-  'services by image': without({ services: new FullestPlacement() }),
-  'avoidance of faulty workers': without({ avoidance: new NoAvoidance() }),
+  'image affinity': without({ servingPlacement: new FullestPlacement() }),
+  'fault avoidance': without({ faultAvoidance: new NoAvoidance() }),
 };
--- a/bench/fleet/baselines.ts
+++ b/bench/fleet/baselines.ts
@@ -1,4 +1,4 @@
-/** Policies that the scheduler's own is measured against. */
+/** Baseline policies for comparison with the default policy. */
 import type { QueueOrder } from '../../src/scheduler/common/fleet/fleetOrder.js';
 import type { FleetWorkerView } from '../../src/scheduler/common/fleet/fleetWorkerView.js';
 import {
@@ -31,7 +31,7 @@
   }
 }
 
-/** Starts fillers wherever processors are idle, and never slows one. */
+/** Starts fillers wherever processors are idle and never slows one. */
 export class NoInterferenceControl implements InterferenceControl {
   inherit(): void {}
 
@@ -50,30 +50,21 @@
   }
 }
 
-const LOOK_AHEAD_MS = [150, 500, 1_000, 1_500];
-const PACE_AHEAD_MS = [150, 400, 700];
-const USED_SHARE = 0.98;
+const ADMISSION_HORIZON_MS = [150, 500, 1_000, 1_500];
+const PACE_HORIZON_MS = [150, 400, 700];
+const USABLE_SHARE = 0.98;
 
-/** Knows every load and every cost between images beforehand. */
-export class KnownInterferenceControl implements InterferenceControl {
+/** An oracle that reads all loads and interference costs from the ground truth. */
+export class OracleInterferenceControl implements InterferenceControl {
   readonly #truth: FleetTruth;
 
   readonly #shape: FleetShape;
 
-  /** The share of the services that an image of batch work hardly slows. */
-  readonly #openness = new Map<string, number>();
+  /** By filler image, the share of serving images that it hardly slows. */
 
   constructor(truth: FleetTruth, shape: FleetShape) {
     this.#truth = truth;
     this.#shape = shape;
-    for (let filler = 0; filler < shape.interference.fillerImageCount; filler += 1) {
-      let open = 0;
-      for (let serving = 0; serving < shape.service.imageCount; serving += 1) {
-        const cost = truth.costAt(servingImage(serving), fillerImage(filler), 0);
-        if (cost <= 2 * shape.interference.weakTo) open += 1;
-      }
-      this.#openness.set(fillerImage(filler), open / shape.service.imageCount);
-    }
   }
 
   inherit(): void {}
@@ -88,8 +79,8 @@
     const runs = [...view.runs.values()];
     const added = this.#truthOf(filler.name);
     let least = Number.POSITIVE_INFINITY;
-    LOOK_AHEAD_MS.forEach((aheadMs) => {
-      least = Math.min(least, this.#left(view, runs, added, nowMs + aheadMs));
+    ADMISSION_HORIZON_MS.forEach((aheadMs) => {
+      least = Math.min(least, this.#marginOf(view, runs, added, nowMs + aheadMs));
     });
     return least >= 0 ? { percent: FULL_PERCENT, headroom: least } : undefined;
   }
@@ -101,14 +92,14 @@
     const costs = fillers.map((run) => ({ run, cost: this.#worstCost(view, run, nowMs) }));
     costs.sort((left, right) => right.cost - left.cost);
     const paces = new Map(fillers.map((run) => [run, FULL_PERCENT]));
-    const leftWith = (): number =>
+    const currentMargin = (): number =>
       Math.min(
-        ...PACE_AHEAD_MS.map((aheadMs) =>
-          this.#left(view, runs, undefined, nowMs + aheadMs, paces),
+        ...PACE_HORIZON_MS.map((aheadMs) =>
+          this.#marginOf(view, runs, undefined, nowMs + aheadMs, paces),
         ),
       );
     costs.forEach(({ run }) => {
-      if (leftWith() < 0) paces.set(run, 0);
+      if (currentMargin() < 0) paces.set(run, 0);
     });
     const changes: PaceChange[] = [];
     paces.forEach((percent, run) => {
@@ -130,8 +121,8 @@
     return worst;
   }
 
-  /** The least that a service's task on the worker has left below its target. */
-  #left(
+  /** The smallest margin below the latency target among serving tasks on the worker. */
+  #marginOf(
     view: FleetWorkerView,
     runs: readonly TaskRun[],
     added: TaskTruth | undefined,
@@ -159,7 +150,7 @@
       } else idle -= truth.processorMillis;
     });
     const part = wanted === 0 ? 0 : Math.min(1, Math.max(0, idle) / wanted);
-    const borne = USED_SHARE * (1 - service.unloadedTailMs / service.targetLatencyMs);
+    const availableShare = USABLE_SHARE * (1 - service.unloadedTailMs / service.targetLatencyMs);
     let least = Number.POSITIVE_INFINITY;
     services.forEach(({ image, load }) => {
       let pressure = 0;
@@ -167,7 +158,7 @@
         const cost = this.#truth.costAt(image, filler.image, atMs);
         pressure += (cost * filler.wanted * part) / capacity;
       });
-      least = Math.min(least, borne - load - pressure);
+      least = Math.min(least, availableShare - load - pressure);
     });
     return least;
   }
--- a/bench/fleet/fleet.ts
+++ b/bench/fleet/fleet.ts
@@ -1,9 +1,9 @@
 /**
- * What the fleet's scheduler makes of a modelled deployment: services whose load swings beside batch
- * work that slows some of them, a burst, lost and faulty workers and a change of the owner.
+ * Simulates a deployment under the fleet scheduler: services with periodic load beside batch work
+ * that slows some of them, a burst, lost and faulty workers and a change of the owner.
  *
- * `npm run bench -- fleet [--workers 46] [--seeds 10] [--ablate] [--baselines]`; with `bounds` the
- * few seeds of CI are played and held against the committed bounds.
+ * `npm run bench -- fleet [--workers 46] [--seeds 10] [--ablate] [--baselines]`; `bounds`
+ * runs the seeds of CI and checks the results against the committed bounds.
  */
 import { type ArgsDef, parseArgs } from 'citty';
 
@@ -14,8 +14,8 @@
 import type { Benchmark } from '../benchmark.js';
 import { readBounds } from '../bounds.js';
 import { ABLATIONS } from './ablations.js';
-import { ArrivalOrder, KnownInterferenceControl, NoInterferenceControl } from './baselines.js';
-import { type FleetDay, playFleetDay } from './fleetRun.js';
+import { ArrivalOrder, OracleInterferenceControl, NoInterferenceControl } from './baselines.js';
+import { type FleetResult, simulateFleet } from './fleetRun.js';
 import { FLEET_SHAPES, type FleetShape } from './fleetShape.js';
 import { type BatchOutcome, shareEarned } from './outcome.js';
 import type { FleetTruth } from './truth.js';
@@ -27,49 +27,53 @@
 const ARGUMENTS = {
   mode: { type: 'positional', required: false },
   workers: { type: 'string', default: '46', description: 'size of the fleet: 46, 342 or 860' },
-  seeds: { type: 'string', default: '10', description: 'seeds from 1 to this one' },
-  ablate: { type: 'boolean', description: 'switch off one mechanism at a time' },
-  baselines: { type: 'boolean', description: 'play the baselines too' },
+  seeds: { type: 'string', default: '10', description: 'number of seeds, counted from 1' },
+  ablate: { type: 'boolean', description: 'disable one mechanism at a time' },
+  baselines: { type: 'boolean', description: 'also run the baselines' },
 } as const satisfies ArgsDef;
 
-type PolicyOf = (truth: FleetTruth, shape: FleetShape) => FleetPolicy;
+type PolicyFactory = (truth: FleetTruth, shape: FleetShape) => FleetPolicy;
 
-const OWN: PolicyOf = () => DEFAULT_FLEET_POLICY;
+const DEFAULT: PolicyFactory = () => DEFAULT_FLEET_POLICY;
 
-const KNOWN: PolicyOf = (truth, shape) => ({
+const ORACLE: PolicyFactory = (truth, shape) => ({
   ...DEFAULT_FLEET_POLICY,
-  newInterferenceControl: () => new KnownInterferenceControl(truth, shape),
+  newInterferenceControl: () => new OracleInterferenceControl(truth, shape),
 });
 
-const UNCONTROLLED: PolicyOf = () => ({
+const UNCONTROLLED: PolicyFactory = () => ({
   ...DEFAULT_FLEET_POLICY,
   newInterferenceControl: () => new NoInterferenceControl(),
 });
 
-const FIRST_COME: PolicyOf = () => ({ ...DEFAULT_FLEET_POLICY, order: new ArrivalOrder() });
+const FIRST_COME: PolicyFactory = () => ({ ...DEFAULT_FLEET_POLICY, order: new ArrivalOrder() });
 
-const BASELINES: Readonly<Record<string, PolicyOf>> = {
+const BASELINES: Readonly<Record<string, PolicyFactory>> = {
   'first come, first served': FIRST_COME,
-  'no control of interference': UNCONTROLLED,
-  'all costs known': KNOWN,
+  'no interference control': UNCONTROLLED,
+  'known interference costs': ORACLE,
 };
 
-/** Days of several seeds, as means. */
+/** Results of several seeds. */
 interface Summary {
   readonly share: number;
-  readonly days: readonly FleetDay[];
+  readonly results: readonly FleetResult[];
 }
 
 const mean = (values: readonly number[]): number =>
   values.reduce((sum, value) => sum + value, 0) / Math.max(1, values.length);
 
-const play = async (shape: FleetShape, policyOf: PolicyOf, seedCount: number): Promise<Summary> => {
-  const days: FleetDay[] = [];
+const runSeeds = async (
+  shape: FleetShape,
+  policyOf: PolicyFactory,
+  seedCount: number,
+): Promise<Summary> => {
+  const results: FleetResult[] = [];
   for (let seed = 1; seed <= seedCount; seed += 1) {
-    // eslint-disable-next-line no-await-in-loop -- one day after the other
-    days.push(await playFleetDay(shape, (truth) => policyOf(truth, shape), seed));
+    // eslint-disable-next-line no-await-in-loop -- runs one seed at a time
+    results.push(await simulateFleet(shape, (truth) => policyOf(truth, shape), seed));
   }
-  return { days, share: mean(days.map(({ share }) => share)) };
+  return { results, share: mean(results.map(({ share }) => share)) };
 };
 
 const batchText = (name: string, outcomes: readonly BatchOutcome[]): string => {
@@ -78,34 +82,34 @@
   const counts = [
     count(({ inTime }) => inTime),
     count(({ late }) => late),
-    count(({ never }) => never),
+    count(({ missed }) => missed),
   ];
   return `${name} ${mean(outcomes.map(shareEarned)).toFixed(3)} (${counts.join('/')})`;
 };
 
-const line = (name: string, { share, days }: Summary): string => {
-  const per = (of: (day: FleetDay) => number, digits = 0): string =>
-    mean(days.map(of)).toFixed(digits);
-  const startCount = mean(days.map(({ counts }) => counts.startCount));
-  const schedulerMs = mean(days.map(({ counts }) => counts.schedulerMs));
+const line = (name: string, { share, results }: Summary): string => {
+  const meanOf = (of: (result: FleetResult) => number, digits = 0): string =>
+    mean(results.map(of)).toFixed(digits);
+  const startCount = mean(results.map(({ counts }) => counts.startCount));
+  const schedulerMs = mean(results.map(({ counts }) => counts.schedulerMs));
   return [
     `${name.padEnd(28)} share ${share.toFixed(3)}`,
     batchText(
       'fillers',
-      days.map(({ filler }) => filler),
+      results.map(({ filler }) => filler),
     ),
     batchText(
       'largest',
-      days.map(({ largest }) => largest),
+      results.map(({ largest }) => largest),
     ),
     batchText(
       'urgent',
-      days.map(({ urgent }) => urgent),
+      results.map(({ urgent }) => urgent),
     ),
-    `services ${per(({ service }) => shareEarned(service), 3)}`,
-    `over ${per(({ overS }) => overS)} s, noticed ${per(({ noticedCount }) => noticedCount, 1)}`,
-    `stops ${per(({ counts }) => counts.stopCount)}, paces ${per(({ counts }) => counts.paceCount)}`,
-    `lost ${per(({ counts }) => counts.wastedProcessorSeconds)} core-s`,
+    `services ${meanOf(({ service }) => shareEarned(service), 3)}`,
+    `over ${meanOf(({ overTargetS }) => overTargetS)} s, noticed ${meanOf(({ noticedCount }) => noticedCount, 1)}`,
+    `stops ${meanOf(({ counts }) => counts.stopCount)}, paces ${meanOf(({ counts }) => counts.paceCount)}`,
+    `lost ${meanOf(({ counts }) => counts.wastedProcessorSeconds)} core-s`,
     `${(schedulerMs / Math.max(1, startCount)).toFixed(2)} ms a start`,
   ].join('; ');
 };
@@ -116,40 +120,42 @@
 
 const report = async (
   shape: FleetShape,
-  policies: Readonly<Record<string, PolicyOf>>,
+  policies: Readonly<Record<string, PolicyFactory>>,
   seedCount: number,
 ): Promise<void> => {
   const entries = Object.entries(policies);
   for (let index = 0; index < entries.length; index += 1) {
-    const [name, policyOf] = entries[index] as [string, PolicyOf];
-    // eslint-disable-next-line no-await-in-loop -- one policy after the other
-    print(line(name, await play(shape, policyOf, seedCount)));
+    const [name, policyOf] = entries[index] as [string, PolicyFactory];
+    // eslint-disable-next-line no-await-in-loop -- runs one policy at a time
+    print(line(name, await runSeeds(shape, policyOf, seedCount)));
   }
 };
 
-const holdsBounds = async (shape: FleetShape): Promise<boolean> => {
+const checkBounds = async (shape: FleetShape): Promise<boolean> => {
   const bounds = await readBounds(NAME);
-  const own = await play(shape, OWN, BOUNDS_SEEDS);
-  const known = await play(shape, KNOWN, BOUNDS_SEEDS);
-  const uncontrolled = await play(shape, UNCONTROLLED, BOUNDS_SEEDS);
-  const firstCome = await play(shape, FIRST_COME, BOUNDS_SEEDS);
-  print(line('own policy', own));
-  print(line('all costs known', known));
-  print(line('no control of interference', uncontrolled));
+  const own = await runSeeds(shape, DEFAULT, BOUNDS_SEEDS);
+  const known = await runSeeds(shape, ORACLE, BOUNDS_SEEDS);
+  const uncontrolled = await runSeeds(shape, UNCONTROLLED, BOUNDS_SEEDS);
+  const firstCome = await runSeeds(shape, FIRST_COME, BOUNDS_SEEDS);
+  print(line('default policy', own));
+  print(line('known interference costs', known));
+  print(line('no interference control', uncontrolled));
   print(line('first come, first served', firstCome));
-  const noticed = Math.max(...own.days.map(({ noticedCount }) => noticedCount));
+  const noticed = Math.max(...own.results.map(({ noticedCount }) => noticedCount));
   const checks: readonly (readonly [string, number, boolean])[] = [
     ['minimumShareToKnown', own.share / known.share, true],
     ['minimumShareToUncontrolled', own.share / uncontrolled.share, true],
     ['minimumShareToFirstCome', own.share / firstCome.share, true],
+    ['minimumServiceShare', mean(own.results.map(({ service }) => shareEarned(service))), true],
     ['maximumNoticedSpells', noticed, false],
   ];
-  return checks.every(([name, value, isMinimum]) => {
+  const areHeld = checks.map(([name, value, isMinimum]) => {
     const bound = bounds[name] ?? Number.NaN;
     const isHeld = isMinimum ? value >= bound : value <= bound;
     print(`${isHeld ? 'ok' : 'CROSSED'}  ${name} ${bound}, measured ${value.toFixed(3)}`);
     return isHeld;
   });
+  return areHeld.every(Boolean);
 };
 
 export const fleet: Benchmark = {
@@ -162,18 +168,18 @@
       print(`no fleet of ${parsed.workers} workers`);
       return false;
     }
-    if (parsed.mode === 'bounds') return holdsBounds(shape);
+    if (parsed.mode === 'bounds') return checkBounds(shape);
     const ablated = Object.entries(ABLATIONS).map(
       ([name, policy]) => [`without ${name}`, () => policy] as const,
     );
     const startedAtMs = performance.now();
     const policies = {
-      'own policy': OWN,
+      'default policy': DEFAULT,
       ...(parsed.baselines ? BASELINES : {}),
       ...(parsed.ablate ? Object.fromEntries(ablated) : {}),
     };
     await report(shape, policies, Number(parsed.seeds));
-    print(`played in ${((performance.now() - startedAtMs) / MS_PER_S).toFixed(0)} s`);
+    print(`finished in ${((performance.now() - startedAtMs) / MS_PER_S).toFixed(0)} s`);
     return true;
   },
 };
--- a/bench/fleet/fleetConfiguration.ts
+++ b/bench/fleet/fleetConfiguration.ts
@@ -1,4 +1,4 @@
-/** What operators have set for the queues of a modelled fleet. */
+/** Operator configuration of a simulated fleet. */
 import type { FleetConfiguration } from '../../src/services/fleet/common/fleetConfiguration.js';
 import type { BatchKind, FleetShape, ServiceKind } from './fleetShape.js';
 
--- a/bench/fleet/fleetDriver.ts
+++ b/bench/fleet/fleetDriver.ts
@@ -1,4 +1,4 @@
-/** Drives the fleet's scheduler beside a table and workers in virtual time, without sockets. */
+/** Drives the fleet scheduler with a model of the table and workers, in virtual time, without sockets. */
 import { type Either, right } from 'fp-ts/lib/Either.js';
 
 import type { JsonValue } from '../../src/base/common/json.js';
@@ -32,17 +32,17 @@
 import type { FleetTruth } from './truth.js';
 import type { Arrival } from './workload.js';
 
-const WAY_MS = 3;
-const TABLE_MS = 8;
-const FEED_MS = 12;
-/** The least time between two steps of a scheduler. */
+const NETWORK_DELAY_MS = 3;
+const TABLE_DELAY_MS = 8;
+const FEED_DELAY_MS = 12;
+/** Minimum interval between two steps of a scheduler. */
 const STEP_INTERVAL_MS = 10;
 const TICK_MS = 50;
 const WORKER_TICK_MS = 20;
 const WORKERS_INTERVAL_MS = 1_000;
 const CALL_TIMEOUT_MS = 800;
-/** A worker that has left is listed for so long. */
-const LISTING_MS = 3_000;
+/** How long a lost worker remains listed. */
+const LISTING_RETENTION_MS = 3_000;
 const TIMING: FleetTiming = { ...FLEET_TIMING, maximumLeaseMs: 6_000 };
 
 interface WaitingHold {
@@ -51,7 +51,7 @@
   readonly answer: () => void;
 }
 
-/** What the scheduler did and what it cost. */
+/** Counts of scheduler actions and their cost. */
 export interface DriverCounts {
   startCount: number;
   stopCount: number;
@@ -72,7 +72,7 @@
     ...{ wastedProcessorSeconds: 0, schedulerMs: 0 },
   };
 
-  /** When submissions were stored as ended well, by id. */
+  /** When submissions were stored as complete, by id. */
   readonly completedAtMs = new Map<string, number>();
 
   readonly #shape: FleetShape;
@@ -89,7 +89,7 @@
 
   readonly #holds = new Map<string, WaitingHold[]>();
 
-  readonly #goneAtMs = new Map<string, number>();
+  readonly #lostAtMs = new Map<string, number>();
 
   #scheduler: FleetScheduler;
 
@@ -109,49 +109,49 @@
     this.#configuration = configurationOf(shape);
     for (let index = 0; index < shape.workerCount; index += 1) this.#addWorker(index);
     this.#scheduler = this.#newScheduler();
-    this.#every(WORKER_TICK_MS, () => this.#tickWorkers());
-    this.#every(TICK_MS, () => this.#stepSoon());
-    this.#every(WORKERS_INTERVAL_MS, () => this.#listWorkers());
+    this.#repeat(WORKER_TICK_MS, () => this.#tickWorkers());
+    this.#repeat(TICK_MS, () => this.#scheduleStep());
+    this.#repeat(WORKERS_INTERVAL_MS, () => this.#listWorkers());
   }
 
-  /** Hands an arrival in when its time has come. */
+  /** Schedules an arrival and its cancellation. */
   submit(arrival: Arrival): void {
     const { atMs, submission, cancelledAtMs } = arrival;
     const { id } = submission;
     this.time.after(atMs - this.time.nowMs, () => {
       this.#write(specKey(id), submission as unknown as JsonValue);
-      this.#tell((epoch) =>
+      this.#deliver((epoch) =>
         this.#scheduler.handleChanges(epoch, [{ kind: 'submission', submission }], this.time.nowMs),
       );
     });
     if (cancelledAtMs === undefined) return;
     this.time.after(cancelledAtMs - this.time.nowMs, () => {
       this.#write(cancelKey(id), {});
-      this.#tell((epoch) =>
+      this.#deliver((epoch) =>
         this.#scheduler.handleChanges(epoch, [{ kind: 'cancellation', id }], this.time.nowMs),
       );
     });
   }
 
-  /** A worker leaves without notice, with its machine. */
-  loseWorker(id: string): void {
+  /** Crashes a worker and its machine without notice. */
+  crashWorker(id: string): void {
     this.workers.get(id)?.model.crash();
-    this.#goneAtMs.set(id, this.time.nowMs);
+    this.#lostAtMs.set(id, this.time.nowMs);
   }
 
-  /** The owner dies, and another daemon takes the fleet over. */
+  /** Crashes the owner; another daemon takes over the fleet. */
   replaceOwner(): void {
     this.#generation += 1;
     this.#scheduler = this.#newScheduler();
   }
 
-  isGone(id: string): boolean {
-    return this.#goneAtMs.has(id);
+  isLost(id: string): boolean {
+    return this.#lostAtMs.has(id);
   }
 
   async runUntil(endMs: number): Promise<void> {
     while (this.time.runNext(endMs)) {
-      // eslint-disable-next-line no-await-in-loop -- virtual time stands still while rows are read
+      // eslint-disable-next-line no-await-in-loop -- virtual time does not advance while rows are read
       if (this.#loading !== undefined) await this.#loading;
     }
   }
@@ -184,17 +184,17 @@
     this.workers.set(id, worker);
   }
 
-  #every(intervalMs: number, run: () => void): void {
+  #repeat(intervalMs: number, run: () => void): void {
     this.time.after(intervalMs, () => {
       run();
-      this.#every(intervalMs, run);
+      this.#repeat(intervalMs, run);
     });
   }
 
   #tickWorkers(): void {
     const { nowMs } = this.time;
     this.workers.forEach((worker, id) => {
-      if (this.isGone(id)) return;
+      if (this.isLost(id)) return;
       worker.tick(nowMs);
       const holds = this.#holds.get(id);
       if (holds === undefined || holds.length === 0) return;
@@ -212,13 +212,13 @@
 
   #listWorkers(): void {
     const { nowMs } = this.time;
-    this.#tell((epoch) => this.#scheduler.handleWorkers(epoch, this.#entries(), nowMs));
+    this.#deliver((epoch) => this.#scheduler.handleWorkers(epoch, this.#entries(), nowMs));
   }
 
   #entries(): readonly FleetWorkerEntry[] {
     const { nowMs } = this.time;
     return [...this.workers.values()]
-      .filter(({ model }) => nowMs < (this.#goneAtMs.get(model.id) ?? nowMs) + LISTING_MS)
+      .filter(({ model }) => nowMs < (this.#lostAtMs.get(model.id) ?? nowMs) + LISTING_RETENTION_MS)
       .map(({ model }, index) => ({
         ...{ id: model.id, address: model.id, serviceName: 'fleet', availabilityZone: 'zone' },
         ...{ isDraining: false, capacity: this.#capacityOf(index), labels: [], rack: '' },
@@ -236,21 +236,21 @@
     this.table.transact({ operationId: key, conditions: [], writes: [{ key, value }] });
   }
 
-  /** Tells the scheduler what the table's feed brings, if it owns the fleet by then. */
-  #tell(tell: (epoch: number) => void): void {
-    this.#reply(FEED_MS, () => {
+  /** Delivers a change after the feed delay if the scheduler then owns the fleet. */
+  #deliver(deliver: (epoch: number) => void): void {
+    this.#reply(FEED_DELAY_MS, () => {
       const { epoch } = this.#scheduler;
-      if (epoch !== undefined) tell(epoch);
+      if (epoch !== undefined) deliver(epoch);
     });
   }
 
-  /** Calls back unless the daemon that asked has died. */
+  /** Runs the callback after a delay unless the calling daemon has been replaced. */
   #reply(delayMs: number, run: () => void): void {
     const generation = this.#generation;
     this.time.after(delayMs, () => {
       if (generation !== this.#generation) return;
       this.#timed(run);
-      this.#stepSoon();
+      this.#scheduleStep();
     });
   }
 
@@ -261,7 +261,7 @@
     return result;
   }
 
-  #stepSoon(): void {
+  #scheduleStep(): void {
     const { nowMs } = this.time;
     const dueAtMs = Math.max(nowMs, this.#lastStepAtMs + STEP_INTERVAL_MS);
     if (this.#stepDueAtMs <= dueAtMs) return;
@@ -316,7 +316,7 @@
         this.#start(effect.epoch, effect.request);
         break;
       case 'stop':
-        this.#order(
+        this.#callWorker(
           effect.reference.workerId,
           ({ model }) => model.stop(effect.reference, this.time.nowMs),
           (result) =>
@@ -325,7 +325,7 @@
         break;
       case 'pace':
         this.counts.paceCount += 1;
-        this.#order(
+        this.#callWorker(
           effect.reference.workerId,
           (worker) => worker.pace(effect.reference, effect.percent, this.time.nowMs),
           (result) => {
@@ -358,7 +358,7 @@
     take: (result: Either<Failure, ReturnType<TableStandIn['read']>>) => void,
   ): void {
     const answer = this.table.read(request);
-    this.#reply(TABLE_MS, () => take(right({ ...answer, tableNowMs: this.time.nowMs })));
+    this.#reply(TABLE_DELAY_MS, () => take(right({ ...answer, tableNowMs: this.time.nowMs })));
   }
 
   #transact(
@@ -366,7 +366,7 @@
     take: (result: Either<Failure, TransactionResult>) => void,
   ): void {
     const answer = this.table.transact(transaction);
-    this.#reply(TABLE_MS, () => take(right({ ...answer, tableNowMs: this.time.nowMs })));
+    this.#reply(TABLE_DELAY_MS, () => take(right({ ...answer, tableNowMs: this.time.nowMs })));
   }
 
   #load(epoch: number): void {
@@ -385,7 +385,7 @@
     );
     this.#loading = reader.readAll().then((loaded) => {
       this.#loading = undefined;
-      this.#reply(TABLE_MS, () =>
+      this.#reply(TABLE_DELAY_MS, () =>
         this.#scheduler.handleLoaded(epoch, loaded?.stored, this.time.nowMs),
       );
     });
@@ -396,12 +396,12 @@
     const worker = this.workers.get(workerId) as SharedWorker;
     const answer = (): void => {
       const outcome = worker.model.hold(request, this.time.nowMs);
-      this.#reply(WAY_MS, () =>
+      this.#reply(NETWORK_DELAY_MS, () =>
         this.#scheduler.handleHeld(epoch, workerId, right(outcome), sentAtMs, this.time.nowMs),
       );
     };
-    this.time.after(WAY_MS, () => {
-      if (this.isGone(workerId)) {
+    this.time.after(NETWORK_DELAY_MS, () => {
+      if (this.isLost(workerId)) {
         const outcome: HoldOutcome = { kind: 'not-listening' };
         this.#reply(CALL_TIMEOUT_MS, () =>
           this.#scheduler.handleHeld(epoch, workerId, right(outcome), sentAtMs, this.time.nowMs),
@@ -412,7 +412,7 @@
         answer();
         return;
       }
-      // What the call grants and acknowledges counts from now on.
+      // The lease and the acknowledgements of the call take effect on arrival.
       worker.model.hold(request, this.time.nowMs);
       const holds = this.#holds.get(workerId) ?? [];
       const untilMs = this.time.nowMs + request.waitMs;
@@ -421,7 +421,7 @@
   }
 
   #start(epoch: number, request: StartRequest): void {
-    this.#order(
+    this.#callWorker(
       request.workerId,
       (worker) => {
         const { nowMs } = this.time;
@@ -434,15 +434,15 @@
     );
   }
 
-  #order<Answer>(
+  #callWorker<Answer>(
     workerId: string,
-    carryOut: (worker: SharedWorker) => Answer,
+    call: (worker: SharedWorker) => Answer,
     take: (result: Either<Failure, Answer>) => void,
   ): void {
-    this.time.after(WAY_MS, () => {
-      if (this.isGone(workerId)) return;
-      const answer = carryOut(this.workers.get(workerId) as SharedWorker);
-      this.#reply(WAY_MS, () => take(right(answer)));
+    this.time.after(NETWORK_DELAY_MS, () => {
+      if (this.isLost(workerId)) return;
+      const answer = call(this.workers.get(workerId) as SharedWorker);
+      this.#reply(NETWORK_DELAY_MS, () => take(right(answer)));
     });
   }
 }
--- a/bench/fleet/fleetRun.ts
+++ b/bench/fleet/fleetRun.ts
@@ -1,18 +1,18 @@
-/** Plays one day of a modelled fleet under a policy. */
+/** Simulates a fleet under a policy for one seed. */
 import { SeededRandom } from '../../src/base/common/random.js';
 import type { FleetPolicy } from '../../src/scheduler/common/fleet/fleetPolicy.js';
 import { type DriverCounts, FleetDriver } from './fleetDriver.js';
 import type { FleetShape } from './fleetShape.js';
-import { type DayOutcome, OutcomeMeter, shareEarned } from './outcome.js';
+import { type SimulationOutcome, OutcomeMeter, shareEarned } from './outcome.js';
 import { FleetTruth } from './truth.js';
 import { Workload } from './workload.js';
 
-/** Seeds of one day's parts are this far apart. */
+/** Distance between the seeds of the parts of one simulation. */
 const SEED_STRIDE = 1_000_003;
 
-export interface FleetDay extends DayOutcome {
+export interface FleetResult extends SimulationOutcome {
   readonly counts: DriverCounts;
-  /** What was earned of all that was owed. */
+  /** The share of the attainable value that was earned. */
   readonly share: number;
 }
 
@@ -28,22 +28,22 @@
       const worker = driver.workers.get(id);
       if (worker !== undefined) worker.isFaulty = isFaulty;
     });
-  driver.time.after(lossAtMs, () => lost.forEach((id) => driver.loseWorker(id)));
+  driver.time.after(lossAtMs, () => lost.forEach((id) => driver.crashWorker(id)));
   driver.time.after(faultyFromMs, () => setFaulty(true));
   driver.time.after(faultyUntilMs, () => setFaulty(false));
-  if (shape.ownerDiesAtMs !== undefined) {
-    driver.time.after(shape.ownerDiesAtMs, () => driver.replaceOwner());
+  if (shape.ownerCrashesAtMs !== undefined) {
+    driver.time.after(shape.ownerCrashesAtMs, () => driver.replaceOwner());
   }
 };
 
-/** `policyOf` may use what really happens, for baselines that know it. */
-export const playFleetDay = async (
+/** `policyOf` gets the ground truth, for oracle baselines. */
+export const simulateFleet = async (
   shape: FleetShape,
   policyOf: (truth: FleetTruth) => FleetPolicy,
   seed: number,
-): Promise<FleetDay> => {
+): Promise<FleetResult> => {
   const truth = new FleetTruth(shape, seed);
-  const arrivals = new Workload(shape, truth, seed + SEED_STRIDE).draw();
+  const arrivals = new Workload(shape, truth, seed + SEED_STRIDE).generate();
   const driver = new FleetDriver(shape, truth, policyOf(truth), seed + 2 * SEED_STRIDE);
   const meter = new OutcomeMeter(shape, driver, arrivals);
   arrivals.forEach((arrival) => driver.submit(arrival));
@@ -54,7 +54,7 @@
   const parts = [urgent, filler, service];
   const share = shareEarned({
     earned: parts.reduce((sum, { earned }) => sum + earned, 0),
-    owed: parts.reduce((sum, { owed }) => sum + owed, 0),
+    attainable: parts.reduce((sum, { attainable }) => sum + attainable, 0),
   });
   return { ...outcome, counts: driver.counts, share };
 };
--- a/bench/fleet/fleetShape.ts
+++ b/bench/fleet/fleetShape.ts
@@ -1,7 +1,7 @@
-/** The size and the load of a modelled fleet. */
+/** Size and load parameters of a simulated fleet. */
 
-/** A random figure: log-normal around its mean, cut at a maximum. */
-export interface Spread {
+/** A log-normal distribution with the given mean, capped at a maximum. */
+export interface LogNormal {
   readonly mean: number;
   /** Standard deviation of the logarithm. */
   readonly sigma: number;
@@ -11,54 +11,54 @@
 export interface BatchKind {
   readonly queueName: string;
   readonly submissionsPerSecond: number;
-  readonly stepCount: Spread;
-  readonly taskCount: Spread;
-  readonly workMs: Spread;
-  readonly processorMillis: Spread;
+  readonly stepCount: LogNormal;
+  readonly taskCount: LogNormal;
+  readonly workMs: LogNormal;
+  readonly processorMillis: LogNormal;
   readonly memoryBytes: number;
-  /** How far callers' estimates are off, as the standard deviation of the logarithm. */
+  /** Error of the callers' estimates, as the standard deviation of the logarithm. */
   readonly estimateSigma: number;
-  /** How much the tasks of one step differ in their work, as a share of it. */
-  readonly unevenness: number;
-  /** The share of runs that fail by themselves. */
+  /** Maximum relative deviation of the work of the tasks of one step. */
+  readonly workVariation: number;
+  /** The share of tasks whose first run fails. */
   readonly failureShare: number;
-  /** The share of submissions whose tasks save their progress. */
+  /** The share of submissions whose tasks save checkpoints. */
   readonly savingShare: number;
   readonly isFiller: boolean;
-  /** In time is what ends within this many times its chain of work, and so much more. */
+  /** The objective is this multiple of the critical path, plus `objectiveMs`. */
   readonly objectiveStretch: number;
   readonly objectiveMs: number;
-  /** What a submission in time is worth on average, and one that is late. */
-  readonly worth: number;
-  readonly lateWorth: number;
+  /** Mean value of a submission that ends in time, and of one that is late. */
+  readonly value: number;
+  readonly lateValue: number;
 }
 
 export interface ServiceKind {
   readonly queueName: string;
-  /** Submissions that are there from the start, and those that come later. */
+  /** Submissions present at the start, and the rate of later ones. */
   readonly initialCount: number;
   readonly submissionsPerSecond: number;
-  readonly taskCount: Spread;
-  readonly processorMillis: Spread;
+  readonly taskCount: LogNormal;
+  readonly processorMillis: LogNormal;
   readonly memoryBytes: number;
-  readonly lifetimeMs: Spread;
+  readonly lifetimeMs: LogNormal;
   readonly imageCount: number;
   readonly unloadedTailMs: number;
   readonly targetLatencyMs: number;
-  /** Mean use of a task's own processors, and by how much of it the use swings. */
+  /** Mean use of a task's own processors, and its amplitude relative to the mean. */
   readonly load: number;
   readonly loadSwing: number;
   readonly loadPeriodMs: number;
-  /** What a submission is worth in each interval in which all its tasks serve well. */
-  readonly worth: number;
-  readonly worthIntervalMs: number;
+  /** Value of a submission per interval in which all its tasks meet their target. */
+  readonly value: number;
+  readonly valueIntervalMs: number;
 }
 
 export interface InterferenceShape {
   readonly fillerImageCount: number;
-  /** The share of pairs of images that interfere much. */
+  /** The share of image pairs with strong interference. */
   readonly strongShare: number;
-  /** Range of what a worker full of a filler takes of a service's processors. */
+  /** Bounds of the cost of a worker full of a filler, as a share of a service's processors. */
   readonly strongFrom: number;
   readonly strongTo: number;
   readonly weakTo: number;
@@ -67,34 +67,34 @@
 export interface FleetShape {
   readonly name: string;
   readonly workerCount: number;
-  /** Capacities that workers have in turn. */
+  /** Worker capacities, assigned round-robin. */
   readonly processorMillis: readonly number[];
   readonly memoryBytes: number;
   readonly service: ServiceKind;
   readonly urgent: BatchKind;
   readonly filler: BatchKind;
   readonly interference: InterferenceShape;
-  /** When submissions begin to come, and when they stop. */
+  /** Start and end of the arrivals of batch submissions; services arrive from 0. */
   readonly trafficFromMs: number;
   readonly trafficUntilMs: number;
   readonly endMs: number;
-  /** A stretch in which more fillers come. */
+  /** A period with a higher arrival rate of fillers. */
   readonly burst: { readonly fromMs: number; readonly untilMs: number; readonly factor: number };
-  /** Workers that leave for good without notice, and when. */
+  /** Number of workers lost for good without notice, and when. */
   readonly lostWorkerCount: number;
   readonly lossAtMs: number;
-  /** Workers that fail all they start, and how long. */
+  /** Number of workers that fail every batch run, and when. */
   readonly faultyWorkerCount: number;
   readonly faultyFromMs: number;
   readonly faultyUntilMs: number;
-  /** When the owner of the fleet dies; undefined for never. */
-  readonly ownerDiesAtMs: number | undefined;
+  /** When the owner of the fleet crashes; undefined for never. */
+  readonly ownerCrashesAtMs: number | undefined;
 }
 
 const MEGABYTE = 1_000_000;
 const REFERENCE_WORKERS = 46;
 
-/** A fleet of the reference load on `workerCount` workers. */
+/** Scales the reference load to `workerCount` workers. */
 const shapeOf = (workerCount: number): FleetShape => {
   const scale = workerCount / REFERENCE_WORKERS;
   return {
@@ -116,8 +116,8 @@
       load: 0.45,
       loadSwing: 0.5,
       loadPeriodMs: 14_000,
-      worth: 0.306,
-      worthIntervalMs: 2_000,
+      value: 0.306,
+      valueIntervalMs: 2_000,
     },
     urgent: {
       queueName: 'urgent',
@@ -128,14 +128,14 @@
       processorMillis: { mean: 1_500, sigma: 0.45, maximum: 4_400 },
       memoryBytes: 3_000 * MEGABYTE,
       estimateSigma: 0.5,
-      unevenness: 0.15,
+      workVariation: 0.15,
       failureShare: 0.005,
       savingShare: 0,
       isFiller: false,
       objectiveStretch: 1.5,
       objectiveMs: 250,
-      worth: 0.365,
-      lateWorth: 0.0547,
+      value: 0.365,
+      lateValue: 0.0547,
     },
     filler: {
       queueName: 'filler',
@@ -146,14 +146,14 @@
       processorMillis: { mean: 1_800, sigma: 0.3, maximum: 3_500 },
       memoryBytes: 3_200 * MEGABYTE,
       estimateSigma: 0.35,
-      unevenness: 0.15,
+      workVariation: 0.15,
       failureShare: 0.02,
       savingShare: 0.85,
       isFiller: true,
       objectiveStretch: 2,
       objectiveMs: 1_000,
-      worth: 1.14,
-      lateWorth: 0.171,
+      value: 1.14,
+      lateValue: 0.171,
     },
     interference: {
       fillerImageCount: 9,
@@ -171,7 +171,7 @@
     faultyWorkerCount: Math.round(2 * scale),
     faultyFromMs: 24_000,
     faultyUntilMs: 29_000,
-    ownerDiesAtMs: 32_000,
+    ownerCrashesAtMs: 32_000,
   };
 };
 
--- a/bench/fleet/outcome.ts
+++ b/bench/fleet/outcome.ts
@@ -1,4 +1,4 @@
-/** What callers and the users of services get out of one modelled day. */
+/** Measures the value that callers and users of services get in one simulation. */
 import type { BatchKind, FleetShape } from './fleetShape.js';
 import type { FleetDriver } from './fleetDriver.js';
 import type { SharedRun } from './sharedWorker.js';
@@ -7,47 +7,63 @@
 const SAMPLE_MS = 100;
 const MS_PER_S = 1_000;
 const LATE_FACTOR = 3;
-/** From a progress that is stored until its caller has seen it. */
-const SEEN_AFTER_MS = 50;
-/** Users notice a tail that is over its target for so long. */
-const NOTICED_MS = 4_000;
-/** A part of each submission's worth is the same for all, the rest goes with its work. */
-const FIXED_SHARE = 0.3;
-const GREATEST_WORTH = 4;
-/** How much more a service loses by fillers than by its own load. */
-const CAUSED_WEIGHT = 4;
-/** Services come up before they are owed anything. */
-const COMING_UP_MS = 4_000;
+/** Delay between storing progress and its caller seeing it. */
+const NOTIFICATION_DELAY_MS = 50;
+/** Users notice a tail latency that is over its target for this long. */
+const NOTICEABLE_MS = 4_000;
+/** The share of a submission's value that is fixed; the rest is proportional to its work. */
+const FIXED_VALUE_SHARE = 0.3;
+const MAXIMUM_WEIGHT = 4;
+/** Weight of time over target caused by fillers; that caused by the service's own load counts 1. */
+const INTERFERENCE_WEIGHT = 4;
+/** Services are not evaluated during this time after their arrival. */
+const STARTUP_MS = 4_000;
 
 export interface BatchOutcome {
   inTime: number;
   late: number;
-  never: number;
+  missed: number;
   earned: number;
-  owed: number;
+  attainable: number;
 }
 
-export interface DayOutcome {
+export interface SimulationOutcome {
   readonly urgent: BatchOutcome;
   readonly filler: BatchOutcome;
-  /** Of fillers, the largest tenth. */
+  /** The largest tenth of the fillers. */
   readonly largest: BatchOutcome;
-  readonly service: { earned: number; owed: number };
-  /** Task-seconds over the target, those caused by fillers, and spells that users notice. */
-  overS: number;
-  causedS: number;
+  readonly service: { earned: number; attainable: number };
+  /** Task-seconds over the target, the part caused by fillers, and spells that users notice. */
+  overTargetS: number;
+  causedByFillersS: number;
   noticedCount: number;
 }
 
-const newBatchOutcome = (): BatchOutcome => ({ inTime: 0, late: 0, never: 0, earned: 0, owed: 0 });
-
-export const shareEarned = ({ earned, owed }: { earned: number; owed: number }): number =>
-  owed === 0 ? 1 : earned / owed;
+const newBatchOutcome = (): BatchOutcome => ({
+  inTime: 0,
+  late: 0,
+  missed: 0,
+  earned: 0,
+  attainable: 0,
+});
+
+export const shareEarned = ({
+  earned,
+  attainable,
+}: {
+  earned: number;
+  attainable: number;
+}): number => (attainable === 0 ? 1 : earned / attainable);
 
 export class OutcomeMeter {
-  readonly outcome: DayOutcome = {
+  readonly outcome: SimulationOutcome = {
     ...{ urgent: newBatchOutcome(), filler: newBatchOutcome(), largest: newBatchOutcome() },
-    ...{ service: { earned: 0, owed: 0 }, overS: 0, causedS: 0, noticedCount: 0 },
+    ...{
+      service: { earned: 0, attainable: 0 },
+      overTargetS: 0,
+      causedByFillersS: 0,
+      noticedCount: 0,
+    },
   };
 
   readonly #shape: FleetShape;
@@ -56,7 +72,7 @@
 
   readonly #arrivals: readonly Arrival[];
 
-  /** Since when each service's task has been over its target through fillers. */
+  /** Since when each serving task has been over its target because of fillers. */
   readonly #overSinceMs = new Map<string, number>();
 
   constructor(shape: FleetShape, driver: FleetDriver, arrivals: readonly Arrival[]) {
@@ -77,11 +93,11 @@
     const { trafficFromMs, trafficUntilMs, service } = this.#shape;
     if (nowMs < trafficFromMs || nowMs > trafficUntilMs) return;
     const running = this.#runningServices();
-    const worthPerSample = (service.worth * SAMPLE_MS) / service.worthIntervalMs;
+    const valuePerSample = (service.value * SAMPLE_MS) / service.valueIntervalMs;
     this.#arrivals.forEach(({ atMs, batch, submission, cancelledAtMs }) => {
-      const isOwed =
-        batch === undefined && nowMs >= atMs + COMING_UP_MS && nowMs < (cancelledAtMs ?? 0);
-      if (!isOwed) return;
+      const isEvaluated =
+        batch === undefined && nowMs >= atMs + STARTUP_MS && nowMs < (cancelledAtMs ?? 0);
+      if (!isEvaluated) return;
       const taskCount = submission.steps[0]?.taskCount ?? 1;
       let serving = 0;
       for (let index = 0; index < taskCount; index += 1) {
@@ -90,15 +106,15 @@
         if (run !== undefined) serving += 1 - this.#lossOf(name, run, nowMs);
         else this.#overSinceMs.delete(name);
       }
-      this.outcome.service.owed += worthPerSample;
-      this.outcome.service.earned += worthPerSample * Math.max(0, serving / taskCount);
+      this.outcome.service.attainable += valuePerSample;
+      this.outcome.service.earned += valuePerSample * Math.max(0, serving / taskCount);
     });
   }
 
   #runningServices(): ReadonlyMap<string, SharedRun> {
     const running = new Map<string, SharedRun>();
     this.#driver.workers.forEach((worker, id) => {
-      if (this.#driver.isGone(id)) return;
+      if (this.#driver.isLost(id)) return;
       worker.shared.forEach((shared) => {
         if (shared.truth.loadPhase !== undefined) running.set(shared.run.taskName, shared);
       });
@@ -106,26 +122,27 @@
     return running;
   }
 
-  /** What the task loses of its worth at the moment. */
-  #lossOf(name: string, { tailMs, tailAloneMs }: SharedRun, nowMs: number): number {
+  /** The loss of the task's value at this sample. */
+  #lossOf(name: string, { tailMs, tailWithoutFillersMs }: SharedRun, nowMs: number): number {
     const { targetLatencyMs } = this.#shape.service;
-    const isCaused = tailMs > targetLatencyMs && tailAloneMs <= targetLatencyMs;
+    const isCausedByFillers = tailMs > targetLatencyMs && tailWithoutFillersMs <= targetLatencyMs;
     if (tailMs <= targetLatencyMs) {
       this.#overSinceMs.delete(name);
       return 0;
     }
-    this.outcome.overS += SAMPLE_MS / MS_PER_S;
-    if (!isCaused) return 1;
-    this.outcome.causedS += SAMPLE_MS / MS_PER_S;
+    this.outcome.overTargetS += SAMPLE_MS / MS_PER_S;
+    if (!isCausedByFillers) return 1;
+    this.outcome.causedByFillersS += SAMPLE_MS / MS_PER_S;
     const sinceMs = this.#overSinceMs.get(name) ?? nowMs;
     this.#overSinceMs.set(name, sinceMs);
     const overMs = nowMs - sinceMs;
-    if (overMs >= NOTICED_MS && overMs < NOTICED_MS + SAMPLE_MS) this.outcome.noticedCount += 1;
-    return CAUSED_WEIGHT;
+    if (overMs >= NOTICEABLE_MS && overMs < NOTICEABLE_MS + SAMPLE_MS)
+      this.outcome.noticedCount += 1;
+    return INTERFERENCE_WEIGHT;
   }
 
-  /** Takes in how all batch work ended; called at the end of the day. */
-  finish(): DayOutcome {
+  /** Adds the outcome of all batch work; called at the end of the simulation. */
+  finish(): SimulationOutcome {
     const { urgent, filler } = this.#shape;
     [urgent, filler].forEach((kind) => this.#finishKind(kind));
     return this.outcome;
@@ -142,28 +159,28 @@
     ofKind.forEach(({ atMs, batch, id }) => {
       const tookMs = (this.#driver.completedAtMs.get(id) ?? Number.POSITIVE_INFINITY) - atMs;
       const work = batch.processorSeconds / meanWork;
-      const weight = Math.min(GREATEST_WORTH, FIXED_SHARE + (1 - FIXED_SHARE) * work);
-      const into = kind.isFiller ? this.outcome.filler : this.outcome.urgent;
-      OutcomeMeter.#add(into, batch, weight, tookMs + SEEN_AFTER_MS);
+      const weight = Math.min(MAXIMUM_WEIGHT, FIXED_VALUE_SHARE + (1 - FIXED_VALUE_SHARE) * work);
+      const total = kind.isFiller ? this.outcome.filler : this.outcome.urgent;
+      OutcomeMeter.#add(total, batch, weight, tookMs + NOTIFICATION_DELAY_MS);
       if (!kind.isFiller || batch.processorSeconds < large) return;
-      OutcomeMeter.#add(this.outcome.largest, batch, weight, tookMs + SEEN_AFTER_MS);
+      OutcomeMeter.#add(this.outcome.largest, batch, weight, tookMs + NOTIFICATION_DELAY_MS);
     });
   }
 
   static #add(
-    into: BatchOutcome,
+    total: BatchOutcome,
     { kind, chainMs }: BatchObjective,
     weight: number,
     tookMs: number,
   ): void {
     const objectiveMs = kind.objectiveStretch * chainMs + kind.objectiveMs;
-    into.owed += kind.worth * weight;
+    total.attainable += kind.value * weight;
     if (tookMs <= objectiveMs) {
-      into.inTime += 1;
-      into.earned += kind.worth * weight;
+      total.inTime += 1;
+      total.earned += kind.value * weight;
     } else if (tookMs <= LATE_FACTOR * objectiveMs) {
-      into.late += 1;
-      into.earned += kind.lateWorth * weight;
-    } else into.never += 1;
+      total.late += 1;
+      total.earned += kind.lateValue * weight;
+    } else total.missed += 1;
   }
 }
--- a/bench/fleet/sharedWorker.ts
+++ b/bench/fleet/sharedWorker.ts
@@ -1,6 +1,6 @@
 /**
- * A worker whose tasks share its processors: services use a part that swings, fillers get what
- * others leave, and a service's tail goes as one over the capacity that is left to it.
+ * Models a worker whose tasks share its processors: services use a periodic share, fillers get the
+ * remainder, and a service's tail latency is inversely proportional to its spare capacity.
  */
 import type { RandomSource } from '../../src/base/common/random.js';
 import {
@@ -13,22 +13,22 @@
 import type { FleetTruth, TaskTruth } from './truth.js';
 
 const FULL_PERCENT = 100;
-/** How long a change of pace takes, and a run to come up from its saved progress. */
-const PACE_MS = 100;
+/** Time for a change of pace, and for a run to restore its checkpoint. */
+const PACE_DELAY_MS = 100;
 const RESTORE_MS = 600;
 const SAVE_INTERVAL_MS = 1_000;
 const STOP_MS = 200;
 const LONGEST_LEASE_MS = 6_000;
-/** Listed figures cover the last half second and scatter. */
+/** Averaging window and relative noise of the listed figures. */
 const FIGURE_WINDOW_MS = 500;
 const FIGURE_SCATTER = 0.05;
-const LEAST_LEFT = 0.01;
+const LEAST_SPARE_SHARE = 0.01;
 
-/** One run as it really is. */
+/** Simulated state of one run. */
 export interface SharedRun {
   readonly run: ModelRun;
   readonly truth: TaskTruth;
-  /** Work that is done, in milliseconds at full speed; negative while it comes up. */
+  /** Completed work, in milliseconds at full speed; may be negative during a restore. */
   doneMs: number;
   savedMs: number;
   pacePercent: number;
@@ -36,10 +36,10 @@
   paceChangesAtMs: number;
   /** Processors in use now. */
   usedMillis: number;
-  /** Its tail now, and what it would be without the fillers; of a service. */
+  /** For a service: its tail latency now, and without fillers. */
   tailMs: number;
-  tailAloneMs: number;
-  /** What the worker lists: tail or processors in use, smoothed. */
+  tailWithoutFillersMs: number;
+  /** The listed figure: smoothed tail latency, or processors in use. */
   figure: number;
 }
 
@@ -49,13 +49,13 @@
   readonly shape: FleetShape;
   readonly truth: FleetTruth;
   readonly random: RandomSource;
-  /** Told of work that is thrown away, in processor-seconds. */
+  /** Called with discarded work, in processor-seconds. */
   readonly onWasted: (processorSeconds: number) => void;
 }
 
 const NO_FIGURES: RunFigures = { checkpoint: '', workedPercent: 0, recentFigure: 0 };
 
-/** The progress that another run of the task would start from. */
+/** The progress from which the next run of the task would start. */
 const savedMsOf = ({ truth, savedMs, doneMs, run }: SharedRun): number => {
   if (!truth.savesProgress) return 0;
   return run.end === RunEnd.Stopped ? Math.max(savedMs, doneMs) : savedMs;
@@ -73,7 +73,7 @@
 
   readonly shared = new Map<ModelRun, SharedRun>();
 
-  /** While set, every run that is started fails at once. */
+  /** While set, every batch run fails at its next tick. */
   isFaulty = false;
 
   readonly #options: SharedWorkerOptions;
@@ -102,7 +102,7 @@
     );
   }
 
-  /** A run was started with the progress that its task had saved. */
+  /** Tracks a run that was started from a checkpoint. */
   noteStart(taskName: string, checkpoint: string, nowMs: number): void {
     const run = this.model.runs.get(taskName);
     const truth = this.#options.truth.tasks.get(taskName);
@@ -112,7 +112,7 @@
       ...{ run, truth, savedMs },
       doneMs: savedMs > 0 ? savedMs - RESTORE_MS : 0,
       ...{ pacePercent: FULL_PERCENT, nextPacePercent: FULL_PERCENT, paceChangesAtMs: nowMs },
-      ...{ usedMillis: 0, tailMs: 0, tailAloneMs: 0, figure: 0 },
+      ...{ usedMillis: 0, tailMs: 0, tailWithoutFillersMs: 0, figure: 0 },
     });
   }
 
@@ -121,12 +121,12 @@
     const shared = known?.run === run ? this.shared.get(known) : undefined;
     if (shared !== undefined && fence > 0) {
       shared.nextPacePercent = percent;
-      shared.paceChangesAtMs = nowMs + PACE_MS;
+      shared.paceChangesAtMs = nowMs + PACE_DELAY_MS;
     }
     return OrderOutcome.Accepted;
   }
 
-  /** Lets the time since the last tick pass. */
+  /** Advances the model to `nowMs`. */
   tick(nowMs: number): void {
     const passedMs = nowMs - this.#tickedAtMs;
     this.#tickedAtMs = nowMs;
@@ -201,8 +201,8 @@
         const cost = fleet.costAt(truth.image, other.truth.image, nowMs);
         pressure += (cost * other.usedMillis) / processorMillis;
       });
-      shared.tailAloneMs = unloadedTailMs / Math.max(LEAST_LEFT, 1 - load);
-      shared.tailMs = unloadedTailMs / Math.max(LEAST_LEFT, 1 - load - pressure);
+      shared.tailWithoutFillersMs = unloadedTailMs / Math.max(LEAST_SPARE_SHARE, 1 - load);
+      shared.tailMs = unloadedTailMs / Math.max(LEAST_SPARE_SHARE, 1 - load - pressure);
     });
   }
 
--- a/bench/fleet/truth.ts
+++ b/bench/fleet/truth.ts
@@ -1,27 +1,27 @@
-/** What really happens in a modelled fleet: loads, costs between images, and work. */
+/** Ground truth of a simulated fleet: loads, interference costs between images, and work. */
 import { type RandomSource, SeededRandom } from '../../src/base/common/random.js';
-import type { FleetShape, Spread } from './fleetShape.js';
+import type { FleetShape, LogNormal } from './fleetShape.js';
 
 const MS_PER_S = 1_000;
-/** Costs between images swing by this share of their mean, each with a period of its own. */
+/** Amplitude of interference costs relative to their mean; each cost has its own period. */
 const COST_SWING = 0.3;
 const SHORTEST_COST_PERIOD_MS = 3_000;
 const COST_PERIOD_RANGE_MS = 5_000;
 
-const FULL_TURN = 2 * Math.PI;
+const TWO_PI = 2 * Math.PI;
 
-/** A standard normal figure, by Box and Muller. */
+/** Samples the standard normal distribution by the Box-Muller transform. */
 const normalFrom = (random: RandomSource): number =>
-  Math.sqrt(-2 * Math.log(1 - random.nextFraction())) * Math.cos(FULL_TURN * random.nextFraction());
+  Math.sqrt(-2 * Math.log(1 - random.nextFraction())) * Math.cos(TWO_PI * random.nextFraction());
 
-export const spreadFrom = (random: RandomSource, { mean, sigma, maximum }: Spread): number =>
+export const sampleFrom = (random: RandomSource, { mean, sigma, maximum }: LogNormal): number =>
   Math.min(maximum, mean * Math.exp(sigma * normalFrom(random) - (sigma * sigma) / 2));
 
 export const factorFrom = (random: RandomSource, sigma: number): number =>
   Math.exp(sigma * normalFrom(random));
 
-/** The time until the next of events that come at random. */
-export const gapMsFrom = (random: RandomSource, perSecond: number): number =>
+/** Samples the interarrival time of a Poisson process. */
+export const interarrivalMsFrom = (random: RandomSource, perSecond: number): number =>
   (-Math.log(1 - random.nextFraction()) / perSecond) * MS_PER_S;
 
 interface PairCost {
@@ -30,7 +30,6 @@
   readonly phase: number;
 }
 
-/** A task of a service, or of batch work. */
 export interface TaskTruth {
   readonly image: string;
   readonly processorMillis: number;
@@ -40,7 +39,7 @@
   /** Undefined for batch work. */
   readonly loadPhase: number | undefined;
   readonly savesProgress: boolean;
-  /** How many of its runs fail by themselves before one ends well. */
+  /** Number of runs that fail before one succeeds. */
   readonly failureCount: number;
 }
 
@@ -68,7 +67,7 @@
         this.#costs.set(`${servingImage(serving)} ${fillerImage(filler)}`, {
           mean,
           periodMs: SHORTEST_COST_PERIOD_MS + COST_PERIOD_RANGE_MS * random.nextFraction(),
-          phase: FULL_TURN * random.nextFraction(),
+          phase: TWO_PI * random.nextFraction(),
         });
       }
     }
@@ -77,14 +76,14 @@
   /** The share of its own processors that a service's task uses. */
   loadAt(phase: number, nowMs: number): number {
     const { load, loadSwing, loadPeriodMs } = this.#shape.service;
-    return load * (1 + loadSwing * Math.sin(FULL_TURN * (nowMs / loadPeriodMs) + phase));
+    return load * (1 + loadSwing * Math.sin(TWO_PI * (nowMs / loadPeriodMs) + phase));
   }
 
-  /** What a worker full of the filler takes of what a task of the service has left. */
+  /** Share of a serving task's processors that a worker full of the filler takes. */
   costAt(serving: string, filler: string, nowMs: number): number {
     const cost = this.#costs.get(`${serving} ${filler}`);
     if (cost === undefined) return 0;
-    const swing = Math.sin(FULL_TURN * (nowMs / cost.periodMs) + cost.phase);
+    const swing = Math.sin(TWO_PI * (nowMs / cost.periodMs) + cost.phase);
     return cost.mean * (1 + COST_SWING * swing);
   }
 }
--- a/bench/fleet/workload.ts
+++ b/bench/fleet/workload.ts
@@ -1,4 +1,4 @@
-/** Draws the submissions of one modelled day. */
+/** Generates the submissions of one simulation. */
 import { type RandomSource, SeededRandom } from '../../src/base/common/random.js';
 import type { Step, Submission } from '../../src/services/submissions/common/submission.js';
 import type { BatchKind, FleetShape } from './fleetShape.js';
@@ -6,21 +6,21 @@
   factorFrom,
   fillerImage,
   type FleetTruth,
-  gapMsFrom,
+  interarrivalMsFrom,
   servingImage,
-  spreadFrom,
+  sampleFrom,
 } from './truth.js';
 
-const FULL_TURN = 2 * Math.PI;
-/** Tasks use a little less than they ask for. */
-const LEAST_USE_SHARE = 0.7;
+const TWO_PI = 2 * Math.PI;
+/** Lower bound of the share of its requested processors that a task uses. */
+const MINIMUM_USE_SHARE = 0.7;
 const ID_DIGITS = 16;
 
 export interface BatchObjective {
   readonly kind: BatchKind;
   /** Work at full speed, in processor-seconds. */
   readonly processorSeconds: number;
-  /** The longest chain of work at full speed. */
+  /** Critical path at full speed. */
   readonly chainMs: number;
 }
 
@@ -52,7 +52,7 @@
   toleratedAwayCount: 0,
 };
 
-const wholeFrom = (value: number): number => Math.max(1, Math.round(value));
+const positiveInteger = (value: number): number => Math.max(1, Math.round(value));
 
 export class Workload {
   readonly #shape: FleetShape;
@@ -69,34 +69,34 @@
     this.#random = new SeededRandom(seed);
   }
 
-  /** All submissions in the order in which they come. */
-  draw(): readonly Arrival[] {
+  /** All submissions in order of arrival. */
+  generate(): readonly Arrival[] {
     const { service, urgent, filler, burst, trafficFromMs, trafficUntilMs } = this.#shape;
     const arrivals: Arrival[] = [];
     for (let index = 0; index < service.initialCount; index += 1) {
       arrivals.push(this.#newService(0));
     }
-    this.#times(service.submissionsPerSecond, 0, trafficUntilMs).forEach((atMs) =>
+    this.#arrivalTimes(service.submissionsPerSecond, 0, trafficUntilMs).forEach((atMs) =>
       arrivals.push(this.#newService(atMs)),
     );
     [urgent, filler].forEach((kind) =>
-      this.#times(kind.submissionsPerSecond, trafficFromMs, trafficUntilMs).forEach((atMs) =>
+      this.#arrivalTimes(kind.submissionsPerSecond, trafficFromMs, trafficUntilMs).forEach((atMs) =>
         arrivals.push(this.#newBatch(kind, atMs)),
       ),
     );
     const extraPerSecond = filler.submissionsPerSecond * (burst.factor - 1);
-    this.#times(extraPerSecond, burst.fromMs, burst.untilMs).forEach((atMs) =>
+    this.#arrivalTimes(extraPerSecond, burst.fromMs, burst.untilMs).forEach((atMs) =>
       arrivals.push(this.#newBatch(filler, atMs)),
     );
     return arrivals.sort((left, right) => left.atMs - right.atMs);
   }
 
-  #times(perSecond: number, fromMs: number, untilMs: number): readonly number[] {
+  #arrivalTimes(perSecond: number, fromMs: number, untilMs: number): readonly number[] {
     const times: number[] = [];
-    let atMs = fromMs + gapMsFrom(this.#random, perSecond);
+    let atMs = fromMs + interarrivalMsFrom(this.#random, perSecond);
     while (atMs < untilMs) {
       times.push(atMs);
-      atMs += gapMsFrom(this.#random, perSecond);
+      atMs += interarrivalMsFrom(this.#random, perSecond);
     }
     return times;
   }
@@ -120,8 +120,8 @@
     const { service } = this.#shape;
     const random = this.#random;
     const image = servingImage(random.nextIndex(service.imageCount));
-    const taskCount = wholeFrom(spreadFrom(random, service.taskCount));
-    const processorMillis = Math.round(spreadFrom(random, service.processorMillis));
+    const taskCount = positiveInteger(sampleFrom(random, service.taskCount));
+    const processorMillis = Math.round(sampleFrom(random, service.processorMillis));
     const step: Step = {
       ...STEP,
       taskCount,
@@ -131,35 +131,35 @@
       targetLatencyMs: service.targetLatencyMs,
     };
     const submission = this.#newSubmission(service.queueName, [step], atMs);
-    const loadPhase = FULL_TURN * random.nextFraction();
+    const loadPhase = TWO_PI * random.nextFraction();
     for (let index = 0; index < taskCount; index += 1) {
       this.#truth.tasks.set(`${submission.id}.0.0.${index}`, {
         ...{ image, processorMillis, loadPhase, workMs: Number.POSITIVE_INFINITY },
         ...{ isFiller: false, savesProgress: false, failureCount: 0 },
       });
     }
-    const cancelledAtMs = atMs + spreadFrom(random, service.lifetimeMs);
+    const cancelledAtMs = atMs + sampleFrom(random, service.lifetimeMs);
     return { atMs, submission, batch: undefined, cancelledAtMs };
   }
 
   #newBatch(kind: BatchKind, atMs: number): Arrival {
     const random = this.#random;
-    const stepCount = wholeFrom(spreadFrom(random, kind.stepCount));
+    const stepCount = positiveInteger(sampleFrom(random, kind.stepCount));
     const savesProgress = random.nextFraction() < kind.savingShare;
     const image = kind.isFiller
       ? fillerImage(random.nextIndex(this.#shape.interference.fillerImageCount))
       : '';
-    const drawn = Array.from({ length: stepCount }, (_, stepIndex) =>
+    const generated = Array.from({ length: stepCount }, (_, stepIndex) =>
       this.#newStep(kind, image, savesProgress, stepIndex),
     );
-    const steps = drawn.map(({ step }) => step);
+    const steps = generated.map(({ step }) => step);
     const submission = this.#newSubmission(kind.queueName, steps, atMs);
     let processorSeconds = 0;
     let chainMs = 0;
-    drawn.forEach(({ step, workMs, usedMillis }, stepIndex) => {
+    generated.forEach(({ step, workMs, usedMillis }, stepIndex) => {
       let longestMs = 0;
       for (let index = 0; index < step.taskCount; index += 1) {
-        const taskMs = workMs * (1 + kind.unevenness * (2 * random.nextFraction() - 1));
+        const taskMs = workMs * (1 + kind.workVariation * (2 * random.nextFraction() - 1));
         longestMs = Math.max(longestMs, taskMs);
         processorSeconds += (taskMs * usedMillis) / 1e6;
         this.#truth.tasks.set(`${submission.id}.0.${stepIndex}.${index}`, {
@@ -181,11 +181,11 @@
     stepIndex: number,
   ): { readonly step: Step; readonly workMs: number; readonly usedMillis: number } {
     const random = this.#random;
-    const workMs = spreadFrom(random, kind.workMs);
-    const processorMillis = Math.round(spreadFrom(random, kind.processorMillis));
+    const workMs = sampleFrom(random, kind.workMs);
+    const processorMillis = Math.round(sampleFrom(random, kind.processorMillis));
     const step: Step = {
       ...STEP,
-      taskCount: wholeFrom(spreadFrom(random, kind.taskCount)),
+      taskCount: positiveInteger(sampleFrom(random, kind.taskCount)),
       size: { processorMillis, memoryBytes: kind.memoryBytes, acceleratorCount: 0 },
       estimateMs: Math.round(workMs * factorFrom(random, kind.estimateSigma)),
       after: stepIndex === 0 ? [] : [stepIndex - 1],
@@ -193,7 +193,7 @@
       image,
       isFiller: kind.isFiller,
     };
-    const useShare = LEAST_USE_SHARE + (1 - LEAST_USE_SHARE) * random.nextFraction();
+    const useShare = MINIMUM_USE_SHARE + (1 - MINIMUM_USE_SHARE) * random.nextFraction();
     return { step, workMs, usedMillis: Math.round(processorMillis * useShare) };
   }
 }
--- a/standIns/fleet/workerModel.ts
+++ b/standIns/fleet/workerModel.ts
@@ -22,7 +22,7 @@
   readonly end: RunEnd;
 }
 
-/** What a worker lists of a run beside its name. */
+/** The figures that a worker reports for a run. */
 export type RunFigures = Pick<RunningTask, 'checkpoint' | 'workedPercent' | 'recentFigure'>;
 
 export interface WorkerModelOptions {
@@ -34,7 +34,7 @@
   readonly clockRate: number;
   readonly taskOf: (taskName: string) => ModelTask;
   readonly onStart: (taskName: string, run: number, nowMs: number) => void;
-  /** Without it, progress follows the time that has passed. */
+  /** By default, progress is proportional to elapsed time. */
   readonly figuresOf?: (run: ModelRun) => RunFigures;
 }
 
