Drop imports of the fleet's simulation that nothing uses

Cause: the oracle's map of compatible images was written and never read, and went without its imports. Change: the imports go as well. Measured: lint, types clean; no behaviour changes.

--- a/bench/fleet/baselines.ts
+++ b/bench/fleet/baselines.ts
@@ -12,7 +12,7 @@
 import type { FleetConfiguration } from '../../src/services/fleet/common/fleetConfiguration.js';
 import type { LearntInterference } from '../../src/services/submissions/common/submissionRows.js';
 import type { FleetShape } from './fleetShape.js';
-import { type FleetTruth, fillerImage, servingImage, type TaskTruth } from './truth.js';
+import type { FleetTruth, TaskTruth } from './truth.js';
 
 const FULL_PERCENT = 100;
 
