Rank waiting tasks by step and pace fillers once per sample

Symptom: on 342 workers, starts fell to some 40 per second while 12,000 tasks waited, nearly all of them because the round had reached its limit of starts. Cause: each round ranked every waiting task again, and each step of the scheduler decided on the pace of the fillers of every worker. The cost of a step therefore grew with the number of waiting tasks, and the owner ran few steps. Change: WaitingTasks groups the tasks of a step that share a rank and placement rules. A round ranks the groups and examines tasks only in the groups that it places. A round starts up to 150 tasks (60 before). The pace of a worker's fillers is decided once per sample of its figures. failureCount moves to taskRecords.

--- a/bench/fleet/baselines.ts
+++ b/bench/fleet/baselines.ts
@@ -9,7 +9,7 @@
   type PaceChange,
 } from '../../src/scheduler/common/fleet/interferenceControl.js';
 import type { TaskRecord, TaskRun } from '../../src/scheduler/common/fleet/taskRecords.js';
-import type { FleetConfiguration } from '../../src/services/fleet/common/fleetConfiguration.js';
+import type { TaskGroup } from '../../src/scheduler/common/fleet/waitingTasks.js';
 import type { LearntInterference } from '../../src/services/submissions/common/submissionRows.js';
 import type { FleetShape } from './fleetShape.js';
 import type { FleetTruth, TaskTruth } from './truth.js';
@@ -18,16 +18,11 @@
 
 /** First come, first served. */
 export class ArrivalOrder implements QueueOrder {
-  sort(
-    tasks: Iterable<TaskRecord>,
-    _configuration: FleetConfiguration,
-    nowMs: number,
-  ): readonly TaskRecord[] {
-    return [...tasks]
-      .filter(({ notBeforeMs }) => notBeforeMs <= nowMs)
-      .sort(
-        (left, right) => left.submission.order - right.submission.order || left.place - right.place,
-      );
+  sort(groups: readonly TaskGroup[]): readonly TaskGroup[] {
+    const orderOf = ({ tasks: [first] }: { readonly tasks: readonly TaskRecord[] }): number =>
+      first?.submission.order ?? 0;
+    const entries = groups.map((group) => ({ group, tasks: [...group.tasks].slice(0, 1) }));
+    return entries.sort((left, right) => orderOf(left) - orderOf(right)).map(({ group }) => group);
   }
 }
 
--- a/src/scheduler/common/fleet/faultAvoidance.ts
+++ b/src/scheduler/common/fleet/faultAvoidance.ts
@@ -1,8 +1,7 @@
 /** Keeps tasks away from workers that fail what they start. */
 import type { WorkerHealth } from '../workerHealth.js';
 import type { FleetWorkerView } from './fleetWorkerView.js';
-import { failureCount } from './submissionBook.js';
-import type { TaskRecord } from './taskRecords.js';
+import { failureCount, type TaskRecord } from './taskRecords.js';
 
 /** How long a retry waits for room on a worker that does not fail, before it takes any other. */
 const RETRY_PATIENCE_MS = 1_500;
@@ -14,7 +13,7 @@
 type Views = readonly FleetWorkerView[];
 
 /** Whether the task has failed before, so that a further failure may fail its submission. */
-export const isRetry = (task: TaskRecord): boolean =>
+const isRetry = (task: TaskRecord): boolean =>
   !task.step.isPersistent && failureCount(task) > 0;
 
 const lastStartMs = (view: FleetWorkerView): number => {
--- a/src/scheduler/common/fleet/fleetOrder.ts
+++ b/src/scheduler/common/fleet/fleetOrder.ts
@@ -4,7 +4,8 @@
   type FleetConfiguration,
 } from '../../../services/fleet/common/fleetConfiguration.js';
 import type { Step, Submission } from '../../../services/submissions/common/submission.js';
-import { stepName, taskProcessorMs, type TaskRecord } from './taskRecords.js';
+import { taskProcessorMs, type TaskRecord } from './taskRecords.js';
+import type { TaskGroup } from './waitingTasks.js';
 
 /** An answer after this many times the objective is worth nothing to its caller. */
 const WORTHLESS_FACTOR = 3;
@@ -56,10 +57,11 @@
   readonly valueDensity: number;
 }
 
-/** Tasks of one step that share a rank. */
-interface WaitingStep {
+/** A group of waiting tasks with its first task, whose rank applies to the whole group. */
+interface RankedGroup {
+  readonly group: TaskGroup;
+  readonly first: TaskRecord;
   readonly rank: Rank;
-  readonly tasks: TaskRecord[];
 }
 
 const useOf = (task: TaskRecord, objectiveMs: number, nowMs: number): Use => {
@@ -102,9 +104,9 @@
   };
 };
 
-const byRank = (left: WaitingStep, right: WaitingStep): number => {
+const byRank = (left: RankedGroup, right: RankedGroup): number => {
   const [one, other] = [left.rank, right.rank];
-  const [task, otherTask] = [left.tasks[0] as TaskRecord, right.tasks[0] as TaskRecord];
+  const [task, otherTask] = [left.first, right.first];
   return (
     Number(other.taskClass === TaskClass.Interrupted) -
       Number(one.taskClass === TaskClass.Interrupted) ||
@@ -118,13 +120,13 @@
   );
 };
 
-/** The order in which due tasks are placed. */
+/** The order in which groups of waiting tasks are placed. */
 export interface QueueOrder {
   sort(
-    tasks: Iterable<TaskRecord>,
+    groups: readonly TaskGroup[],
     configuration: FleetConfiguration,
     nowMs: number,
-  ): readonly TaskRecord[];
+  ): readonly TaskGroup[];
 }
 
 /**
@@ -137,18 +139,16 @@
  */
 export class UtilityOrder implements QueueOrder {
   sort(
-    tasks: Iterable<TaskRecord>,
+    groups: readonly TaskGroup[],
     configuration: FleetConfiguration,
     nowMs: number,
-  ): readonly TaskRecord[] {
-    const steps = new Map<string, WaitingStep>();
-    [...tasks].forEach((task) => {
-      if (task.notBeforeMs > nowMs) return;
-      const key = `${stepName(task)} ${taskClassOf(task)}`;
-      const known = steps.get(key);
-      if (known !== undefined) known.tasks.push(task);
-      else steps.set(key, { rank: toRank(task, configuration, nowMs), tasks: [task] });
+  ): readonly TaskGroup[] {
+    const ranked = groups.flatMap((group): readonly RankedGroup[] => {
+      const [first] = group.tasks;
+      return first === undefined
+        ? []
+        : [{ group, first, rank: toRank(first, configuration, nowMs) }];
     });
-    return [...steps.values()].sort(byRank).flatMap((step) => step.tasks);
+    return ranked.sort(byRank).map(({ group }) => group);
   }
 }
--- a/src/scheduler/common/fleet/fleetRound.ts
+++ b/src/scheduler/common/fleet/fleetRound.ts
@@ -5,7 +5,6 @@
   type OperatorState,
 } from '../../../services/fleet/common/fleetConfiguration.js';
 import type { WorkerHealth } from '../workerHealth.js';
-import { isRetry } from './faultAvoidance.js';
 import { type PlacementChoice, chooseWorker } from './fleetPlacement.js';
 import type { FleetPolicy } from './fleetPolicy.js';
 import type { FleetTiming } from './fleetTiming.js';
@@ -15,13 +14,14 @@
 import type { Roster } from './roster.js';
 import { newRun } from './runKeeper.js';
 import type { SubmissionBook } from './submissionBook.js';
-import { stepName, type TaskRecord, type TaskRun } from './taskRecords.js';
+import type { TaskRecord, TaskRun } from './taskRecords.js';
+import type { TaskGroup } from './waitingTasks.js';
 import { type WaitCounts, WaitReason } from './waitReport.js';
 
 /** Run numbers that one epoch may use of a task before they meet those of the next. */
 const RUNS_PER_EPOCH = 1_000;
 /** Starts of one round; more would hold up the answers that come in meanwhile. */
-const MAXIMUM_STARTS = 60;
+const MAXIMUM_STARTS = 150;
 
 export interface RoundInput {
   readonly book: SubmissionBook;
@@ -73,9 +73,6 @@
 
   readonly #usable: ViewsByService;
 
-  /** Steps that found no room in this round; their other tasks would not either. */
-  readonly #full = new Set<string>();
-
   readonly #nowMs: number;
 
   readonly placed: TaskRun[] = [];
@@ -91,26 +88,36 @@
     this.#usable = byService(usable);
   }
 
-  place(task: TaskRecord): void {
-    const reason = this.#tryToPlace(task);
-    if (reason !== undefined) this.waits.set(reason, (this.waits.get(reason) ?? 0) + 1);
+  place({ key, tasks }: TaskGroup): void {
+    if (this.#isRoundFull) {
+      this.#addWaits(WaitReason.RoundFull, tasks.size);
+      return;
+    }
+    const due = [...tasks].filter(({ notBeforeMs }) => notBeforeMs <= this.#nowMs);
+    const firstUnplacedIndex = due.findIndex(
+      (task) => this.#isRoundFull || !this.#tryToPlace(task, key),
+    );
+    if (firstUnplacedIndex < 0) return;
+    const reason = this.#isRoundFull ? WaitReason.RoundFull : WaitReason.NoRoom;
+    this.#addWaits(reason, due.length - firstUnplacedIndex);
+  }
+
+  get #isRoundFull(): boolean {
+    return this.placed.length >= MAXIMUM_STARTS;
+  }
+
+  #addWaits(reason: WaitReason, count: number): void {
+    this.waits.set(reason, (this.waits.get(reason) ?? 0) + count);
   }
 
-  /** Why it could not be placed, if so. */
-  #tryToPlace(task: TaskRecord): WaitReason | undefined {
+  #tryToPlace(task: TaskRecord, key: string): boolean {
+    // A gang is placed as a whole, so an earlier member may already have placed this task.
+    if (!this.#input.book.waiting.has(task)) return true;
     const { submission } = task.submission;
-    if (this.placed.length >= MAXIMUM_STARTS) return WaitReason.RoundFull;
-    const key = isRetry(task) ? `${stepName(task)} retry` : stepName(task);
-    if (this.#full.has(key)) return WaitReason.NoRoom;
     const queue = findQueueByName(this.#configuration, submission.queueName);
     const serviceName = queue?.serviceName ?? submission.serviceName;
     const views = this.#usable.get(serviceName) ?? [];
-    const isPlaced = task.step.isGang
-      ? this.#placeGang(task, views)
-      : this.#placeOne(task, views, key);
-    if (isPlaced) return undefined;
-    this.#full.add(key);
-    return WaitReason.NoRoom;
+    return task.step.isGang ? this.#placeGang(task, views) : this.#placeOne(task, views, key);
   }
 
   #placeOne(task: TaskRecord, views: readonly FleetWorkerView[], key: string): boolean {
@@ -182,7 +189,7 @@
   if (configuration === undefined || input.book.waiting.size === 0) return new Map();
   const round = new Round(input, configuration, nowMs);
   input.policy.order
-    .sort(input.book.waiting, configuration, nowMs)
-    .forEach((task) => round.place(task));
+    .sort(input.book.waiting.groups, configuration, nowMs)
+    .forEach((group) => round.place(group));
   return round.waits;
 };
--- a/src/scheduler/common/fleet/fleetWorkerView.ts
+++ b/src/scheduler/common/fleet/fleetWorkerView.ts
@@ -71,6 +71,9 @@
   /** When the figures of its runs were last taken in. */
   sampledAtMs = Number.NEGATIVE_INFINITY;
 
+  /** The `sampledAtMs` of the figures used by the last decision on the pace of its fillers. */
+  pacingSampledAtMs = Number.NEGATIVE_INFINITY;
+
   /** Runs that the worker lists and nobody asked for any more, with unknown sizes. */
   strayCount = 0;
 
--- a/src/scheduler/common/fleet/learningInterferenceControl.ts
+++ b/src/scheduler/common/fleet/learningInterferenceControl.ts
@@ -113,6 +113,8 @@
 
   answer(view: FleetWorkerView, nowMs: number): InterferenceAnswer {
     if (nowMs - view.pacedAtMs < SETTLING_MS) return NO_ANSWER;
+    if (view.pacingSampledAtMs === view.sampledAtMs) return NO_ANSWER;
+    view.pacingSampledAtMs = view.sampledAtMs;
     const fillers = fillerRuns(view);
     if (fillers.length === 0) return NO_ANSWER;
     const { paces, moves } = this.#change(view, fillers, nowMs);
--- a/src/scheduler/common/fleet/runKeeper.ts
+++ b/src/scheduler/common/fleet/runKeeper.ts
@@ -17,8 +17,8 @@
 import type { WorkerHealth } from '../workerHealth.js';
 import { type FleetNotes, LossReason, StopReason } from './fleetNotes.js';
 import { runKey, type FleetWorkerView } from './fleetWorkerView.js';
-import { failureCount, type InheritedTask, type SubmissionBook } from './submissionBook.js';
-import { isOpen, RunState, type TaskRecord, type TaskRun } from './taskRecords.js';
+import type { InheritedTask, SubmissionBook } from './submissionBook.js';
+import { failureCount, isOpen, RunState, type TaskRecord, type TaskRun } from './taskRecords.js';
 
 /** How long a task waits after a worker has refused it, so that the next round looks elsewhere. */
 const REFUSED_RETRY_MS = 100;
--- a/src/scheduler/common/fleet/submissionBook.ts
+++ b/src/scheduler/common/fleet/submissionBook.ts
@@ -22,6 +22,7 @@
   type TaskRecord,
   type TaskRun,
 } from './taskRecords.js';
+import { WaitingTasks } from './waitingTasks.js';
 
 /** How long a task that failed waits: long enough that a sick worker does not use its tries up. */
 const FAILED_RETRY_MS = 200;
@@ -37,7 +38,7 @@
 
   readonly #cancelledIds = new Set<string>();
 
-  readonly #waiting = new Set<TaskRecord>();
+  readonly #waiting = new WaitingTasks();
 
   readonly #dirty = new Set<SubmissionRecord>();
 
@@ -54,7 +55,7 @@
 
   #order = 0;
 
-  get waiting(): ReadonlySet<TaskRecord> {
+  get waiting(): WaitingTasks {
     return this.#waiting;
   }
 
@@ -304,11 +305,3 @@
     return tasks.flatMap((task) => task.runs);
   }
 }
-
-/** Failed runs of a task, or of the whole gang that it belongs to. */
-export const failureCount = (task: TaskRecord): number => {
-  if (!task.step.isGang) return task.failedRuns.length;
-  const opened = task.submission.occurrences.get(task.occurrence);
-  const members = opened?.tasks[task.stepIndex] ?? [task];
-  return members.reduce((sum, member) => sum + member.failedRuns.length, 0);
-};
--- a/src/scheduler/common/fleet/taskRecords.ts
+++ b/src/scheduler/common/fleet/taskRecords.ts
@@ -287,3 +287,11 @@
   );
   return assignments;
 };
+
+/** Failed runs of a task, or of the whole gang that it belongs to. */
+export const failureCount = (task: TaskRecord): number => {
+  if (!task.step.isGang) return task.failedRuns.length;
+  const opened = task.submission.occurrences.get(task.occurrence);
+  const members = opened?.tasks[task.stepIndex] ?? [task];
+  return members.reduce((sum, member) => sum + member.failedRuns.length, 0);
+};
--- a/src/scheduler/test/fleet/fleetOrder.test.ts
+++ b/src/scheduler/test/fleet/fleetOrder.test.ts
@@ -9,8 +9,13 @@
 
 const idOf = (index: number): string => index.toString(16).padStart(16, '0');
 
+const sortedTasks = (book: SubmissionBook, nowMs: number): readonly TaskRecord[] =>
+  new UtilityOrder()
+    .sort(book.waiting.groups, CONFIGURATION, nowMs)
+    .flatMap(({ tasks }) => [...tasks]);
+
 const firstOf = (book: SubmissionBook, nowMs: number): TaskRecord | undefined =>
-  new UtilityOrder().sort(book.waiting, CONFIGURATION, nowMs)[0];
+  sortedTasks(book, nowMs)[0];
 
 describe('the order of waiting tasks', () => {
   it('does not keep users of an interrupted task waiting behind a backlog of short work', () => {
@@ -52,7 +57,7 @@
     for (let index = 2; index < 12; index += 1) {
       book.add(submissionOf(idOf(index), [STEP]), undefined, NO_ASSIGNMENTS, 0);
     }
-    const order = new UtilityOrder().sort(book.waiting, CONFIGURATION, 0);
+    const order = sortedTasks(book, 0);
     expect(order.slice(0, 10).every(({ step }) => step.taskCount === 1)).toBe(true);
   });
 });
