--- a/src/scheduler/common/fleet/faultAvoidance.ts
+++ b/src/scheduler/common/fleet/faultAvoidance.ts
@@ -13,8 +13,7 @@
 type Views = readonly FleetWorkerView[];
 
 /** Whether the task has failed before, so that a further failure may fail its submission. */
-const isRetry = (task: TaskRecord): boolean =>
-  !task.step.isPersistent && failureCount(task) > 0;
+const isRetry = (task: TaskRecord): boolean => !task.step.isPersistent && failureCount(task) > 0;
 
 const lastStartMs = (view: FleetWorkerView): number => {
   let lastMs = Number.NEGATIVE_INFINITY;
