Move fillers that save their progress already at a small loss

Hypothesis: a filler that stands at a low pace beside a service loses more time than a move costs. Change: fillers that save their progress are moved from an expected loss of 0.15 on (0.4 before); others are slowed as before. The tests of the control pass.

--- a/src/scheduler/common/fleet/learningInterferenceControl.ts
+++ b/src/scheduler/common/fleet/learningInterferenceControl.ts
@@ -44,7 +44,7 @@
  * A filler that saves its progress and takes at least this much headroom is moved: a move costs one
  * or two seconds, while a suspended filler makes no progress at all.
  */
-const MOVED_LOSS = 0.4;
+const MOVED_LOSS = 0.15;
 /**
  * A filler held below this pace for this long goes back into the queue, even if it loses unsaved
  * progress: at a higher pace it would slow the same tasks again.
