Move filler pacing out of FleetScheduler

Cause: fleetScheduler.ts had grown to 439 lines, and pace orders for fillers have state of their own. Starts at a reduced pace were not logged. Change: FillerPacing tracks which pace orders are in flight and which runs start at a reduced pace, and logs the latter as runs-paced. No other behaviour changes.

--- /dev/null
+++ b/src/scheduler/common/fleet/fillerPacing.ts
@@ -0,0 +1,69 @@
+/** Issues pace orders for fillers: interference control decisions and starts at a reduced pace. */
+import type { FleetEffect } from './fleetEffects.js';
+import { paceEffect } from './fleetCalls.js';
+import { StopReason } from './fleetNotes.js';
+import type { Tenure } from './fleetTenure.js';
+import type { FleetWorkerView } from './fleetWorkerView.js';
+import type { PaceChange } from './interferenceControl.js';
+import { RunState, type TaskRun } from './taskRecords.js';
+
+export class FillerPacing {
+  readonly #inFlight = new Set<TaskRun>();
+
+  /** Started runs whose reduced pace has not been sent to the worker yet. */
+  readonly #reducedStarts = new Set<TaskRun>();
+
+  handleStarted(run: TaskRun): void {
+    if (run.plannedPercent < run.pacePercent) this.#reducedStarts.add(run);
+  }
+
+  /** Handles the response to a pace order, whether it succeeded or not. */
+  handleAnswered(run: TaskRun): void {
+    this.#inFlight.delete(run);
+  }
+
+  /** Records a pace that the worker has accepted. */
+  static recordAccepted(run: TaskRun, percent: number, nowMs: number): void {
+    if (percent < run.pacePercent) run.pacedSinceMs = nowMs;
+    run.pacePercent = percent;
+    run.plannedPercent = Math.max(run.plannedPercent, percent);
+  }
+
+  clear(): void {
+    this.#inFlight.clear();
+    this.#reducedStarts.clear();
+  }
+
+  /** Returns the pace orders that are due and requests stops for runs that must move. */
+  effects(tenure: Tenure, nowMs: number): readonly FleetEffect[] {
+    const effects = this.#startEffects(tenure);
+    tenure.views.forEach((view) => {
+      const { paces, moves } = tenure.interference.answer(view, nowMs);
+      if (paces.length + moves.length > 0) view.pacedAtMs = nowMs;
+      tenure.keeper.requestStops(moves, StopReason.Interference, nowMs);
+      const changes = paces.filter(({ run }) => !this.#inFlight.has(run));
+      tenure.notes.addPaces(changes);
+      changes.forEach((change) => effects.push(this.#send(tenure, view, change)));
+    });
+    return effects;
+  }
+
+  #startEffects(tenure: Tenure): FleetEffect[] {
+    const effects: FleetEffect[] = [];
+    this.#reducedStarts.forEach((run) => {
+      const view = tenure.views.get(run.workerId);
+      const isRunning = run.state === RunState.Running && view?.hasRun(run) === true;
+      if (!isRunning || this.#inFlight.has(run)) return;
+      const change = { run, percent: run.plannedPercent };
+      tenure.notes.addPaces([change]);
+      effects.push(this.#send(tenure, view, change));
+    });
+    this.#reducedStarts.clear();
+    return effects;
+  }
+
+  #send(tenure: Tenure, view: FleetWorkerView, change: PaceChange): FleetEffect {
+    this.#inFlight.add(change.run);
+    return paceEffect(tenure, view, change);
+  }
+}
--- a/src/scheduler/common/fleet/fleetScheduler.ts
+++ b/src/scheduler/common/fleet/fleetScheduler.ts
@@ -29,20 +29,13 @@
   TransactionResult,
 } from '../../../services/table/common/table.js';
 import type { LeaseStepKind } from '../cellLease.js';
-import {
-  holdEffects,
-  noteStray,
-  paceEffect,
-  startEffect,
-  stopEffects,
-  stopStuck,
-} from './fleetCalls.js';
+import { holdEffects, noteStray, startEffect, stopEffects, stopStuck } from './fleetCalls.js';
+import { FillerPacing } from './fillerPacing.js';
 import type { FleetEffect } from './fleetEffects.js';
 import { StopReason } from './fleetNotes.js';
 import { FleetOwnership } from './fleetOwnership.js';
 import { movableRuns } from './drainMoves.js';
 import { placeWaiting } from './fleetRound.js';
-import type { PaceChange } from './interferenceControl.js';
 import {
   loseLapsed,
   newTenure,
@@ -58,7 +51,7 @@
 import type { RoundInput } from './fleetRound.js';
 import type { FleetTiming } from './fleetTiming.js';
 import { NEXT_HOLD_AFTER_FAILURE_MS } from './holdPace.js';
-import { type FleetWorkerView, runKey } from './fleetWorkerView.js';
+import { runKey } from './fleetWorkerView.js';
 import { splitRecorded } from './runStarts.js';
 import { RunState, type TaskRun } from './taskRecords.js';
 
@@ -80,10 +73,7 @@
 
   readonly #startsInFlight = new Map<string, TaskRun>();
 
-  readonly #paceInFlight = new Set<TaskRun>();
-
-  /** Newly started runs whose pace has yet to be reduced. */
-  readonly #startedRunsToPace = new Set<TaskRun>();
+  readonly #pacing = new FillerPacing();
 
   constructor(
     selfId: string,
@@ -206,7 +196,7 @@
     if (isFenced && this.#isOvertaken(reference, epoch)) this.#yield(nowMs);
     else {
       this.#tenure.keeper.handleStarted(run, result, nowMs);
-      if (run.plannedPercent < run.pacePercent) this.#startedRunsToPace.add(run);
+      this.#pacing.handleStarted(run);
     }
   }
 
@@ -237,15 +227,11 @@
     const view = this.#tenure?.views.get(reference.workerId);
     const run = view?.runs.get(runKey(reference.taskName, reference.run));
     if (run === undefined || this.#tenure?.epoch !== epoch) return;
-    this.#paceInFlight.delete(run);
+    this.#pacing.handleAnswered(run);
     if (isLeft(result)) return;
     if (result.right === OrderOutcome.Fenced) {
       if (this.#isOvertaken(reference, epoch)) this.#yield(nowMs);
-    } else {
-      if (percent < run.pacePercent) run.pacedSinceMs = nowMs;
-      run.pacePercent = percent;
-      run.plannedPercent = Math.max(run.plannedPercent, percent);
-    }
+    } else FillerPacing.recordAccepted(run, percent, nowMs);
   }
 
   /** Returns the starts of runs whose assignments are stored now, or what is to be read again. */
@@ -302,7 +288,7 @@
     this.#place(tenure, nowMs);
     this.#moveFromDraining(tenure, nowMs);
     effects.push(...holdEffects(tenure, this.#timing, this.#mayGrant(nowMs), nowMs));
-    this.#pace(tenure, effects, nowMs);
+    effects.push(...this.#pacing.effects(tenure, nowMs));
     this.#commit(tenure, effects, nowMs);
     tenure.notes.addAwaited(tenure.views.values(), nowMs);
     tenure.notes
@@ -340,8 +326,7 @@
     this.#endedEpochs.push(this.#tenure.epoch);
     this.#tenure = undefined;
     this.#startsInFlight.clear();
-    this.#paceInFlight.clear();
-    this.#startedRunsToPace.clear();
+    this.#pacing.clear();
   }
 
   #mayGrant(nowMs: number): boolean {
@@ -392,38 +377,6 @@
     return [startEffect(tenure, view, run, leaseEndWorkerMs)];
   }
 
-  #pace(tenure: Tenure, effects: FleetEffect[], nowMs: number): void {
-    this.#paceStartedRuns(tenure, effects);
-    tenure.views.forEach((view) => {
-      const { paces, moves } = tenure.interference.answer(view, nowMs);
-      if (paces.length + moves.length > 0) view.pacedAtMs = nowMs;
-      tenure.keeper.requestStops(moves, StopReason.Interference, nowMs);
-      const changes = paces.filter(({ run }) => !this.#paceInFlight.has(run));
-      tenure.notes.addPaces(changes);
-      changes.forEach((change) => this.#sendPace(tenure, view, change, effects));
-    });
-  }
-
-  #paceStartedRuns(tenure: Tenure, effects: FleetEffect[]): void {
-    this.#startedRunsToPace.forEach((run) => {
-      const view = tenure.views.get(run.workerId);
-      const isRunning = run.state === RunState.Running && view?.hasRun(run) === true;
-      if (!isRunning || this.#paceInFlight.has(run)) return;
-      this.#sendPace(tenure, view, { run, percent: run.plannedPercent }, effects);
-    });
-    this.#startedRunsToPace.clear();
-  }
-
-  #sendPace(
-    tenure: Tenure,
-    view: FleetWorkerView,
-    change: PaceChange,
-    effects: FleetEffect[],
-  ): void {
-    this.#paceInFlight.add(change.run);
-    effects.push(paceEffect(tenure, view, change));
-  }
-
   #commit(tenure: Tenure, effects: FleetEffect[], nowMs: number): void {
     const { epoch, book, views, commits, roster, interference } = tenure;
     const { condition, selfId: id } = this.#ownership;
