Fix fillers started beside a task that is over its target

Cause: a place was judged by the median over the tasks of a step on the worker, which hides one task that is slowed more than the others; only the pacing of what already ran looked at single tasks. Change: no filler is admitted to a worker on which a serving task is over its target.

--- a/src/scheduler/common/fleet/learningInterferenceControl.ts
+++ b/src/scheduler/common/fleet/learningInterferenceControl.ts
@@ -66,6 +66,9 @@
   plannedPercent >= HELD_PERCENT &&
   nowMs - pacedSinceMs >= HELD_LIMIT_MS;
 
+const isAnyOverTarget = (view: FleetWorkerView): boolean =>
+  servingRuns(view).some(({ overSinceMs }) => overSinceMs !== undefined);
+
 /**
  * Protects services whose tail latency rises within seconds because of heavier batch work beside
  * them or of their own load. Slows only the few batch images that interfere.
@@ -95,6 +98,8 @@
    * headroom for its worst case, one filler at a time, as its effect shows within a second.
    */
   admit(view: FleetWorkerView, filler: TaskRecord, nowMs: number): Admission | undefined {
+    // Its group's median hides one task that is slowed more than the others.
+    if (isAnyOverTarget(view)) return undefined;
     let percent = FULL_PERCENT;
     let headroom = Number.POSITIVE_INFINITY;
     const bearings = this.#model.bearings(view, nowMs);
@@ -134,7 +139,7 @@
       return this.#slower(view, tight, fillers);
     }
     // A task over its target may be slowed more than its image's estimate, so nothing speeds up.
-    if (serving.some(({ overSinceMs }) => overSinceMs !== undefined)) return NO_ANSWER;
+    if (isAnyOverTarget(view)) return NO_ANSWER;
     return { paces: this.#faster(view, fillers, nowMs), moves: [] };
   }
 
--- a/src/scheduler/test/fleet/interferenceControl.test.ts
+++ b/src/scheduler/test/fleet/interferenceControl.test.ts
@@ -110,6 +110,17 @@
     },
   );
 
+  it('are not started beside a task that is over its target', () => {
+    const scene = sceneOf(6, []);
+    const control = new LearningInterferenceControl();
+    const filler = sceneOf(0, ['a']).fillers[0] as TaskRun;
+    const random = new SeededRandom(1);
+    play(scene, control, random, 0, 2_400, () => 8, 0);
+    expect(control.admit(scene.view, filler.task, 2_400)?.percent).toBe(100);
+    play(scene, control, random, 3_000, 4_200, (_run, index) => (index === 0 ? 24 : 8), 0);
+    expect(control.admit(scene.view, filler.task, 4_200)).toBeUndefined();
+  });
+
   it('go on at full pace where the tails are well', () => {
     const scene = sceneOf(4, ['a', 'b', 'c']);
     play(scene, new LearningInterferenceControl(), new SeededRandom(3), 0, 30_000, () => 8);
