Rate each worker once for all tasks of a step that wait

What callers saw: on deployments of hundreds of workers starts fell behind by the thousand while workers were free, since the one owner's processor was busy with placing.

Cause: each task of a step rated every worker anew, fault avoidance split all workers in up to four passes for each task, the free room of a worker was subtracted anew at each look, a pair of images was looked up by a key joined from two strings, and workers were grouped by copying a list for each of them. Steps that had found no room went through all workers to drop the unchanged ones.

Change: WorkerSearch rates the workers once for a step and rates again only the one that took a task; fault avoidance sums the workers' health up once a round (FaultRanking); RoomMisses hands out the workers changed since the miss, worked out once for all steps that missed in the same round; pairs are indexed by image; queues by name. The order in which workers are preferred is as it was: rank by faults, then near the data, then cost.

The test of RoomMisses ended with `clear`, which is gone: a placement only takes room, so that what is known of unchanged workers holds on.

--- a/src/scheduler/common/fleet/drainMoves.ts
+++ b/src/scheduler/common/fleet/drainMoves.ts
@@ -1,9 +1,8 @@
 /** Which tasks that last are moved off workers that are about to leave. */
-import { findQueueByName } from '../../../services/fleet/common/fleetConfiguration.js';
-import { chooseWorker } from './fleetPlacement.js';
-import { isUsable, type RoundInput } from './fleetRound.js';
+import { type RoundInput, UsableWorkers } from './fleetRound.js';
 import type { FleetWorkerView } from './fleetWorkerView.js';
 import { RunState, type TaskRun } from './taskRecords.js';
+import { WorkerSearch } from './workerSearch.js';
 
 const isMovable = ({ task, state }: TaskRun): boolean =>
   task.step.isPersistent &&
@@ -24,20 +23,16 @@
     .filter(isLeaving)
     .flatMap((view) => [...view.runs.values()].filter(isMovable));
   if (configuration === undefined || runs.length === 0) return [];
-  const usable = [...input.views.values()].filter((view) => isUsable(view, input, nowMs));
+  const usable = new UsableWorkers(input, nowMs);
   // Room that is promised is not taken yet, so each worker is promised to one task at a time; those
   // that are being moved already come first.
   const promised = new Set<FleetWorkerView>();
   const isNew = ({ state }: TaskRun): boolean => state === RunState.Running;
   const inOrder = [...runs.filter((run) => !isNew(run)), ...runs.filter(isNew)];
   const withRoom = inOrder.filter(({ task }) => {
-    const { submission } = task.submission;
-    const queue = findQueueByName(configuration, submission.queueName);
-    const serviceName = queue?.serviceName ?? submission.serviceName;
-    const views = usable.filter(
-      (view) => view.entry.serviceName === serviceName && !promised.has(view),
-    );
-    const target = chooseWorker(task, views, input, () => true, nowMs);
+    const { views, context } = usable.poolOf(task, configuration);
+    const free = views.filter((view) => !promised.has(view));
+    const target = new WorkerSearch(free, context, nowMs).next(task);
     if (target !== undefined) promised.add(target.view);
     return target !== undefined;
   });
--- a/src/scheduler/common/fleet/faultAvoidance.ts
+++ b/src/scheduler/common/fleet/faultAvoidance.ts
@@ -23,43 +23,79 @@
   return lastMs;
 };
 
-/** Splits the workers into those that pass and the others. */
-const split = (
-  views: Views,
-  passes: (view: FleetWorkerView) => boolean,
-): readonly [Views, Views] => [views.filter(passes), views.filter((view) => !passes(view))];
-
-const retryGroups = (
-  task: TaskRecord,
-  views: Views,
-  health: WorkerHealth,
-  nowMs: number,
-): readonly Views[] => {
-  const failedOn = health.failedOn(task.submission.submission.id);
-  const [sound, failing] = split(views, ({ id }) => !health.isFailing(id, nowMs));
-  const [elsewhere, again] = split(sound, ({ id }) => !failedOn.has(id));
-  const mayTakeAny = sound.length === 0 || nowMs - task.waitingSinceMs >= RETRY_PATIENCE_MS;
-  return [elsewhere, again, mayTakeAny ? failing : []];
-};
-
-const firstTryGroups = (
-  task: TaskRecord,
-  views: Views,
-  health: WorkerHealth,
-  nowMs: number,
-): readonly Views[] => {
-  const failedOn = health.failedOn(task.submission.submission.id);
-  const [others, ownFailing] = split(
-    views,
-    ({ id }) => !failedOn.has(id) || !health.isFailing(id, nowMs),
-  );
-  return [others, ownFailing];
-};
+/** Which workers a task is given to first: those of the lowest rank. */
+export interface FaultRanking {
+  /** Undefined for a worker that the task must not be given to now. */
+  rankOf(task: TaskRecord, view: FleetWorkerView): number | undefined;
+}
 
 /** Steers tasks away from workers that are likely to fail them. */
 export interface FaultAvoidance {
-  /** Returns workers grouped by preference; a task goes to the first group that has room. */
-  groupsOf(task: TaskRecord, views: Views, health: WorkerHealth, nowMs: number): readonly Views[];
+  /** Sums up what is known of the workers of a service, once for all tasks of a round. */
+  newRanking(views: Views, health: WorkerHealth, nowMs: number): FaultRanking;
+}
+
+export const NO_FAULTS: FaultRanking = { rankOf: () => 0 };
+
+/** Ranks of first tries: others, workers that failed this submission, and probes. */
+const FIRST_TRY = { Sound: 0, FailedBefore: 1, Probe: 2 } as const;
+/** Ranks of retries. */
+const RETRY = { Elsewhere: 0, FailedBefore: 1, Failing: 2 } as const;
+
+class CircuitBreakerRanking implements FaultRanking {
+  readonly #health: WorkerHealth;
+
+  readonly #nowMs: number;
+
+  readonly #tripped = new Set<FleetWorkerView>();
+
+  readonly #failing = new Set<FleetWorkerView>();
+
+  /** Whether tripped workers get probes only. */
+  readonly #isLimited: boolean;
+
+  readonly #hasSound: boolean;
+
+  constructor(views: Views, health: WorkerHealth, nowMs: number) {
+    this.#health = health;
+    this.#nowMs = nowMs;
+    views.forEach((view) => {
+      if (health.isTripped(view.id, nowMs)) this.#tripped.add(view);
+      if (health.isFailing(view.id, nowMs)) this.#failing.add(view);
+    });
+    const mostTripped = Math.max(1, views.length * MAXIMUM_TRIPPED_SHARE);
+    this.#isLimited = this.#tripped.size < views.length && this.#tripped.size <= mostTripped;
+    this.#hasSound = views.some((view) => !this.#failing.has(view));
+  }
+
+  rankOf(task: TaskRecord, view: FleetWorkerView): number | undefined {
+    const isProbedOnly = this.#isLimited && this.#tripped.has(view);
+    if (isRetry(task) || task.step.isGang) {
+      return isProbedOnly ? undefined : this.#retryRank(task, view);
+    }
+    if (isProbedOnly) return this.#mayProbe(task, view) ? FIRST_TRY.Probe : undefined;
+    return this.#failing.has(view) && this.#hasFailedOn(task, view)
+      ? FIRST_TRY.FailedBefore
+      : FIRST_TRY.Sound;
+  }
+
+  #retryRank(task: TaskRecord, view: FleetWorkerView): number | undefined {
+    if (!this.#failing.has(view)) {
+      return this.#hasFailedOn(task, view) ? RETRY.FailedBefore : RETRY.Elsewhere;
+    }
+    const waitedMs = this.#nowMs - task.waitingSinceMs;
+    return !this.#hasSound || waitedMs >= RETRY_PATIENCE_MS ? RETRY.Failing : undefined;
+  }
+
+  #mayProbe(task: TaskRecord, view: FleetWorkerView): boolean {
+    const waitedMs = this.#nowMs - task.waitingSinceMs;
+    if (task.step.isPersistent && waitedMs >= PERSISTENT_PATIENCE_MS) return true;
+    return this.#health.isProbeDue(view.id, lastStartMs(view), this.#nowMs);
+  }
+
+  #hasFailedOn(task: TaskRecord, view: FleetWorkerView): boolean {
+    return this.#health.failedOn(task.submission.submission.id).has(view.id);
+  }
 }
 
 /**
@@ -69,18 +105,7 @@
  * fail, and waits a little for its room: a second faulty worker would use up its last attempt.
  */
 export class CircuitBreakerAvoidance implements FaultAvoidance {
-  groupsOf(task: TaskRecord, views: Views, health: WorkerHealth, nowMs: number): readonly Views[] {
-    if (!health.hasRecords) return [views];
-    const [untripped, tripped] = split(views, ({ id }) => !health.isTripped(id, nowMs));
-    const mostTripped = Math.max(1, views.length * MAXIMUM_TRIPPED_SHARE);
-    const isLimited = untripped.length > 0 && tripped.length <= mostTripped;
-    const normal = isLimited ? untripped : views;
-    if (isRetry(task) || task.step.isGang) return retryGroups(task, normal, health, nowMs);
-    const waitedMs = nowMs - task.waitingSinceMs;
-    const isUrgent = task.step.isPersistent && waitedMs >= PERSISTENT_PATIENCE_MS;
-    const probed = tripped.filter(
-      (view) => isUrgent || health.isProbeDue(view.id, lastStartMs(view), nowMs),
-    );
-    return [...firstTryGroups(task, normal, health, nowMs), probed];
+  newRanking(views: Views, health: WorkerHealth, nowMs: number): FaultRanking {
+    return health.hasRecords ? new CircuitBreakerRanking(views, health, nowMs) : NO_FAULTS;
   }
 }
--- a/src/scheduler/common/fleet/fleetPlacement.ts
+++ b/src/scheduler/common/fleet/fleetPlacement.ts
@@ -1,7 +1,7 @@
-/** Which worker a task is started on. */
-import { fitsInto, type Resources } from '../../../services/worker/common/resources.js';
+/** How good each worker is for a task that waits. */
+import { fitsInto } from '../../../services/worker/common/resources.js';
 import type { PlacementCandidate } from '../placement.js';
-import type { WorkerHealth } from '../workerHealth.js';
+import type { FaultRanking } from './faultAvoidance.js';
 import type { FleetPolicy } from './fleetPolicy.js';
 import type { FleetWorkerView } from './fleetWorkerView.js';
 import type { InterferenceControl } from './interferenceControl.js';
@@ -37,12 +37,21 @@
 const OPENING_COST = 1;
 const MIXING_COST = 3;
 
-/** The worker chosen for a task, and the pace at which the task can run there. */
-export interface PlacementChoice {
-  readonly view: FleetWorkerView;
+/** A worker that has room for a task. Ratings are compared by their fields in this order. */
+export interface Rating {
+  readonly faultRank: number;
+  /** Whether the data of the task's step is on another rack. */
+  readonly isFar: boolean;
+  readonly cost: number;
+  /** The pace at which the task can run there. */
   readonly percent: number;
 }
 
+export const isBetter = (one: Rating, other: Rating): boolean =>
+  (one.faultRank - other.faultRank ||
+    Number(one.isFar) - Number(other.isFar) ||
+    one.cost - other.cost) < 0;
+
 /** What placing goes by of all that runs on a worker. */
 interface Occupancy {
   readonly changeCount: number;
@@ -110,48 +119,17 @@
     tasks.some((step) => step.some(({ runs }) => runs.length > 0)),
   );
 
+/** Whether the filler has waited for so long that it starts at a reduced pace. */
+export const allowsReducedPace = (task: TaskRecord, nowMs: number): boolean =>
+  nowMs - task.waitingSinceMs >= FULL_PACE_PATIENCE_MS && !hasRuns(task.submission);
+
 const hasReducedPaceStart = (view: FleetWorkerView): boolean =>
   [...view.runs.values()].some(({ plannedPercent }) => plannedPercent < FULL_PERCENT);
 
-/**
- * Made for long batch tasks that use what services leave idle. A filler goes where most is idle
- * and the tasks that serve are furthest from their targets with it; where too little is idle it
- * waits, for it would only make the others' work slower. Memory is counted like any task's.
- */
-const chooseForFiller = (
-  task: TaskRecord,
-  views: readonly FleetWorkerView[],
-  interference: InterferenceControl,
-  nowMs: number,
-): PlacementChoice | undefined => {
-  const { size } = task.step;
-  const allowsReducedPace =
-    nowMs - task.waitingSinceMs >= FULL_PACE_PATIENCE_MS && !hasRuns(task.submission);
-  const counted: Resources = { ...size, processorMillis: 0 };
-  let best: PlacementChoice | undefined;
-  let bestScore = Number.NEGATIVE_INFINITY;
-  views.forEach((view) => {
-    if (!fitsInto(counted, view.free)) return;
-    const idle = view.entry.capacity.processorMillis - occupancyOf(view).usedProcessorMillis;
-    if (idle < size.processorMillis * FILLER_IDLE_SHARE) return;
-    const admission = interference.admit(view, task, nowMs);
-    if (admission === undefined) return;
-    const { percent, headroom } = admission;
-    if (percent < FULL_PERCENT && !(allowsReducedPace && !hasReducedPaceStart(view))) return;
-    const score =
-      PACE_WEIGHT * (percent / FULL_PERCENT) +
-      idle / view.entry.capacity.processorMillis +
-      Math.min(headroom, AMPLE_HEADROOM);
-    if (score <= bestScore) return;
-    best = { view, percent };
-    bestScore = score;
-  });
-  return best;
-};
-
 /** Chooses workers for serving tasks. */
 export interface ServingPlacement {
-  choose(task: TaskRecord, views: readonly FleetWorkerView[]): FleetWorkerView | undefined;
+  /** Lower is better, among workers that the task fits on. */
+  costOf(task: TaskRecord, view: FleetWorkerView): number;
 }
 
 /**
@@ -163,77 +141,81 @@
  * taken, which keeps large gaps.
  */
 export class ImageAffinityPlacement implements ServingPlacement {
-  choose(task: TaskRecord, views: readonly FleetWorkerView[]): FleetWorkerView | undefined {
-    let best: FleetWorkerView | undefined;
-    let bestCost = Number.POSITIVE_INFINITY;
-    views.forEach((view) => {
-      const { free } = view;
-      if (!fitsInto(task.step.size, free)) return;
-      const images = occupancyOf(view).servingImages;
-      const otherCount = images.size - (images.has(task.step.image) ? 1 : 0);
-      const openingCost = images.size === 0 ? OPENING_COST : 0;
-      const left = free.processorMillis / Math.max(1, view.entry.capacity.processorMillis);
-      const cost = otherCount * MIXING_COST + openingCost + left;
-      if (cost >= bestCost) return;
-      best = view;
-      bestCost = cost;
-    });
-    return best;
+  costOf(task: TaskRecord, view: FleetWorkerView): number {
+    const images = occupancyOf(view).servingImages;
+    const otherCount = images.size - (images.has(task.step.image) ? 1 : 0);
+    const openingCost = images.size === 0 ? OPENING_COST : 0;
+    const left = view.free.processorMillis / Math.max(1, view.entry.capacity.processorMillis);
+    return otherCount * MIXING_COST + openingCost + left;
   }
 }
 
-/** Those near the step's data, when any of them has room; a task elsewhere takes far longer. */
-const nearData = (
-  task: TaskRecord,
-  views: readonly FleetWorkerView[],
-): readonly FleetWorkerView[] => {
-  const { dataRack, size } = task.step;
-  if (dataRack === '') return views;
-  const near = views.filter((view) => view.entry.rack === dataRack && fitsInto(size, view.free));
-  return near.length > 0 ? near : views;
-};
-
-const atFullPace = (view: FleetWorkerView | undefined): PlacementChoice | undefined =>
-  view && { view, percent: FULL_PERCENT };
-
-/** Inputs for choosing a worker, apart from the workers themselves. */
-export interface PlacementContext {
-  readonly policy: FleetPolicy;
+/** What the rating of workers goes by, apart from the workers themselves. */
+export interface RatingContext {
+  readonly policy: Pick<FleetPolicy, 'servingPlacement' | 'placement'>;
   readonly interference: InterferenceControl;
-  readonly health: WorkerHealth;
+  readonly faultRanking: FaultRanking;
 }
 
-const chooseAmong = (
+type Place = Pick<Rating, 'cost' | 'percent'>;
+
+/**
+ * Made for long batch tasks that use what services leave idle. A filler goes where most is idle
+ * and the tasks that serve are furthest from their targets with it; where too little is idle it
+ * waits, for it would only make the others' work slower. Memory is counted like any task's.
+ */
+const placeForFiller = (
   task: TaskRecord,
-  views: readonly FleetWorkerView[],
-  { policy, interference }: PlacementContext,
+  view: FleetWorkerView,
+  mayBeSlow: boolean,
+  interference: InterferenceControl,
   nowMs: number,
-): PlacementChoice | undefined => {
-  if (task.step.isFiller) return chooseForFiller(task, views, interference, nowMs);
-  const near = nearData(task, views);
-  if (isServing(task) && task.step.image !== '') {
-    return atFullPace(policy.servingPlacement.choose(task, near));
-  }
+): Place | undefined => {
+  const { processorMillis, memoryBytes, acceleratorCount } = task.step.size;
+  const { free } = view;
+  if (memoryBytes > free.memoryBytes || acceleratorCount > free.acceleratorCount) return undefined;
+  const capacityMillis = view.entry.capacity.processorMillis;
+  const idleMillis = capacityMillis - occupancyOf(view).usedProcessorMillis;
+  if (idleMillis < processorMillis * FILLER_IDLE_SHARE) return undefined;
+  const admission = interference.admit(view, task, nowMs);
+  if (admission === undefined) return undefined;
+  const { percent, headroom } = admission;
+  if (percent < FULL_PERCENT && !(mayBeSlow && !hasReducedPaceStart(view))) return undefined;
+  const score =
+    PACE_WEIGHT * (percent / FULL_PERCENT) +
+    idleMillis / capacityMillis +
+    Math.min(headroom, AMPLE_HEADROOM);
+  return { cost: -score, percent };
+};
+
+const costAtFullPace = (
+  task: TaskRecord,
+  view: FleetWorkerView,
+  { policy }: RatingContext,
+): number => {
+  if (isServing(task) && task.step.image !== '') return policy.servingPlacement.costOf(task, view);
   const request = { size: task.step.size, isSpread: task.step.isPersistent };
-  const candidates = near.map((view) => toCandidate(view, task));
-  const chosen = policy.placement.choose(request, candidates);
-  return atFullPace(near.find(({ id }) => id === chosen?.workerId));
+  return policy.placement.costOf(request, toCandidate(view, task));
 };
 
-/** The worker for one task among those that pass the filter, or undefined if none has room. */
-export const chooseWorker = (
+/** Returns undefined if the task must not be started on the worker now. */
+export const rateWorker = (
   task: TaskRecord,
-  usable: readonly FleetWorkerView[],
-  context: PlacementContext,
-  passes: (view: FleetWorkerView) => boolean,
+  view: FleetWorkerView,
+  mayBeSlow: boolean,
+  context: RatingContext,
   nowMs: number,
-): PlacementChoice | undefined => {
-  const views = usable.filter((view) => isAllowed(view, task));
-  const groups = context.policy.faultAvoidance.groupsOf(task, views, context.health, nowMs);
-  for (let index = 0; index < groups.length; index += 1) {
-    const group = (groups[index] ?? []).filter(passes);
-    const chosen = chooseAmong(task, group, context, nowMs);
-    if (chosen !== undefined) return chosen;
+): Rating | undefined => {
+  const { isFiller, size, dataRack } = task.step;
+  // What most workers lack is checked first: most tasks that wait find no room on most of them.
+  if (!isFiller && !fitsInto(size, view.free)) return undefined;
+  if (!isAllowed(view, task)) return undefined;
+  const faultRank = context.faultRanking.rankOf(task, view);
+  if (faultRank === undefined) return undefined;
+  if (isFiller) {
+    const place = placeForFiller(task, view, mayBeSlow, context.interference, nowMs);
+    return place && { faultRank, isFar: false, ...place };
   }
-  return undefined;
+  const isFar = dataRack !== '' && view.entry.rack !== dataRack;
+  return { faultRank, isFar, cost: costAtFullPace(task, view, context), percent: FULL_PERCENT };
 };
--- a/src/scheduler/common/fleet/fleetPolicy.ts
+++ b/src/scheduler/common/fleet/fleetPolicy.ts
@@ -1,5 +1,5 @@
 /** The replaceable policies of the fleet scheduler. */
-import { type PlacementPolicy, SpreadAndPackPolicy } from '../placement.js';
+import { type PlacementCosts, SpreadAndPackPolicy } from '../placement.js';
 import { CircuitBreakerAvoidance, type FaultAvoidance } from './faultAvoidance.js';
 import { type QueueOrder, UtilityOrder } from './fleetOrder.js';
 import { ImageAffinityPlacement, type ServingPlacement } from './fleetPlacement.js';
@@ -12,7 +12,7 @@
   /** For serving tasks. */
   readonly servingPlacement: ServingPlacement;
   /** For tasks that are neither serving tasks nor fillers. */
-  readonly placement: PlacementPolicy;
+  readonly placement: PlacementCosts;
   /** Called once for each tenure of an owner. */
   readonly newInterferenceControl: () => InterferenceControl;
 }
--- a/src/scheduler/common/fleet/fleetRound.ts
+++ b/src/scheduler/common/fleet/fleetRound.ts
@@ -5,7 +5,7 @@
   type OperatorState,
 } from '../../../services/fleet/common/fleetConfiguration.js';
 import type { WorkerHealth } from '../workerHealth.js';
-import { type PlacementChoice, chooseWorker } from './fleetPlacement.js';
+import type { RatingContext } from './fleetPlacement.js';
 import type { FleetPolicy } from './fleetPolicy.js';
 import type { FleetTiming } from './fleetTiming.js';
 import type { FleetWorkerView } from './fleetWorkerView.js';
@@ -17,6 +17,7 @@
 import type { TaskRecord, TaskRun } from './taskRecords.js';
 import type { TaskGroup } from './waitingTasks.js';
 import { type WaitCounts, WaitReason } from './waitReport.js';
+import { type PlacementChoice, WorkerSearch } from './workerSearch.js';
 
 /** Run numbers that one epoch may use of a task before they meet those of the next. */
 const RUNS_PER_EPOCH = 1_000;
@@ -57,23 +58,63 @@
   input.roster.isUnlimited(view.id) &&
   !input.operator.withdrawnZones.has(view.entry.availabilityZone);
 
-type ViewsByService = ReadonlyMap<string, readonly FleetWorkerView[]>;
+/** The usable workers of one service. */
+export interface ServicePool {
+  readonly serviceName: string;
+  readonly views: readonly FleetWorkerView[];
+  readonly context: RatingContext;
+}
 
-const byService = (views: readonly FleetWorkerView[]): ViewsByService => {
-  const grouped = new Map<string, FleetWorkerView[]>();
-  views.forEach((view) => {
-    const { serviceName } = view.entry;
-    grouped.set(serviceName, [...(grouped.get(serviceName) ?? []), view]);
-  });
-  return grouped;
-};
+/** What is worked out once for all tasks that are to be placed at `nowMs`. */
+export class UsableWorkers {
+  readonly all: readonly FleetWorkerView[];
+
+  readonly #input: RoundInput;
+
+  readonly #nowMs: number;
+
+  readonly #viewsByService = new Map<string, FleetWorkerView[]>();
+
+  readonly #pools = new Map<string, ServicePool>();
+
+  constructor(input: RoundInput, nowMs: number) {
+    this.#input = input;
+    this.#nowMs = nowMs;
+    this.all = [...input.views.values()].filter((view) => isUsable(view, input, nowMs));
+    this.all.forEach((view) => {
+      const { serviceName } = view.entry;
+      const known = this.#viewsByService.get(serviceName);
+      if (known === undefined) this.#viewsByService.set(serviceName, [view]);
+      else known.push(view);
+    });
+  }
+
+  /** The workers that may run the task, by the configuration in force. */
+  poolOf(task: TaskRecord, configuration: FleetConfiguration): ServicePool {
+    const { submission } = task.submission;
+    const queue = findQueueByName(configuration, submission.queueName);
+    const serviceName = queue?.serviceName ?? submission.serviceName;
+    const known = this.#pools.get(serviceName);
+    if (known !== undefined) return known;
+    const pool = this.#newPool(serviceName);
+    this.#pools.set(serviceName, pool);
+    return pool;
+  }
+
+  #newPool(serviceName: string): ServicePool {
+    const { policy, interference, health } = this.#input;
+    const views = this.#viewsByService.get(serviceName) ?? [];
+    const faultRanking = policy.faultAvoidance.newRanking(views, health, this.#nowMs);
+    return { serviceName, views, context: { policy, interference, faultRanking } };
+  }
+}
 
 class Round {
   readonly #input: RoundInput;
 
   readonly #configuration: FleetConfiguration;
 
-  readonly #usable: ViewsByService;
+  readonly #usable: UsableWorkers;
 
   readonly #nowMs: number;
 
@@ -85,23 +126,24 @@
     this.#input = input;
     this.#configuration = configuration;
     this.#nowMs = nowMs;
-    const usable = [...input.views.values()].filter((view) => isUsable(view, input, nowMs));
-    input.misses.begin(usable);
-    this.#usable = byService(usable);
+    this.#usable = new UsableWorkers(input, nowMs);
+    input.misses.begin(this.#usable.all);
   }
 
-  place({ key, tasks }: TaskGroup): void {
+  place(group: TaskGroup): void {
     if (this.#isRoundFull) {
-      this.#addWaits(WaitReason.RoundFull, tasks.size);
+      this.#addWaits(WaitReason.RoundFull, group.tasks.size);
       return;
     }
-    const due = [...tasks].filter(({ notBeforeMs }) => notBeforeMs <= this.#nowMs);
-    const firstUnplacedIndex = due.findIndex(
-      (task) => this.#isRoundFull || !this.#tryToPlace(task, key),
-    );
-    if (firstUnplacedIndex < 0) return;
+    const due = [...group.tasks].filter(({ notBeforeMs }) => notBeforeMs <= this.#nowMs);
+    const [first] = due;
+    if (first === undefined) return;
+    const leftCount = first.step.isGang
+      ? this.#placeGang(first, group.key, due.length)
+      : this.#placeSingly(due, group.key);
+    if (leftCount === 0) return;
     const reason = this.#isRoundFull ? WaitReason.RoundFull : WaitReason.NoRoom;
-    this.#addWaits(reason, due.length - firstUnplacedIndex);
+    this.#addWaits(reason, leftCount);
   }
 
   get #isRoundFull(): boolean {
@@ -112,52 +154,54 @@
     this.waits.set(reason, (this.waits.get(reason) ?? 0) + count);
   }
 
-  #tryToPlace(task: TaskRecord, key: string): boolean {
-    // A gang is placed as a whole, so an earlier member may already have placed this task.
-    if (!this.#input.book.waiting.has(task)) return true;
-    const { submission } = task.submission;
-    const queue = findQueueByName(this.#configuration, submission.queueName);
-    const serviceName = queue?.serviceName ?? submission.serviceName;
-    const views = this.#usable.get(serviceName) ?? [];
-    return task.step.isGang ? this.#placeGang(task, views) : this.#placeOne(task, views, key);
-  }
-
-  #placeOne(task: TaskRecord, views: readonly FleetWorkerView[], key: string): boolean {
+  /** Returns how many of the tasks, all of one step, were not placed. */
+  #placeSingly(due: readonly TaskRecord[], key: string): number {
+    const [first] = due as [TaskRecord];
+    const opened = first.submission.occurrences.get(first.occurrence);
+    if (opened === undefined) return due.length;
     const { misses, epoch } = this.#input;
-    const opened = task.submission.occurrences.get(task.occurrence);
-    if (opened === undefined) return false;
-    const passes = misses.filterFor(opened, key, this.#nowMs);
-    const choice = chooseWorker(task, views, this.#input, passes, this.#nowMs);
-    if (choice === undefined) {
-      misses.note(opened, key, this.#nowMs);
-      return false;
+    const { serviceName, views, context } = this.#usable.poolOf(first, this.#configuration);
+    const candidates = misses.candidates(opened, key, serviceName, views, this.#nowMs);
+    const search = new WorkerSearch(candidates, context, this.#nowMs);
+    for (let index = 0; index < due.length; index += 1) {
+      if (this.#isRoundFull) return due.length - index;
+      const task = due[index] as TaskRecord;
+      const choice = search.next(task);
+      if (choice === undefined) {
+        misses.note(opened, key, this.#nowMs);
+        return due.length - index;
+      }
+      this.#take(task, nextRunNumber([task], epoch), choice);
     }
-    misses.clear(opened, key);
-    this.#take(task, nextRunNumber([task], epoch), choice);
-    return true;
+    return 0;
   }
 
   /** All members at once or none: a part of a gang would hold room and do no work. */
-  #placeGang(task: TaskRecord, views: readonly FleetWorkerView[]): boolean {
+  #placeGang(task: TaskRecord, key: string, dueCount: number): number {
     const opened = task.submission.occurrences.get(task.occurrence);
     const members = opened?.tasks[task.stepIndex] ?? [];
-    if (members.some((member) => !this.#input.book.waiting.has(member))) return false;
-    const run = nextRunNumber(members, this.#input.epoch);
+    const { book, misses, epoch } = this.#input;
+    if (opened === undefined || members.some((member) => !book.waiting.has(member)))
+      return dueCount;
+    const { serviceName, views, context } = this.#usable.poolOf(task, this.#configuration);
+    const changed = misses.candidates(opened, key, serviceName, views, this.#nowMs);
+    if (changed.length === 0) return dueCount;
+    const run = nextRunNumber(members, epoch);
     const racks = task.step.prefersOneRack
       ? [...new Set(views.map((view) => view.entry.rack))]
       : [];
     const groups = racks.map((rack) => views.filter((view) => view.entry.rack === rack));
-    return [...groups, views].some((group) => this.#placeAll(members, run, group));
+    const isPlaced = [...groups, views].some((group) =>
+      this.#placeAll(members, run, new WorkerSearch(group, context, this.#nowMs)),
+    );
+    if (!isPlaced) misses.note(opened, key, this.#nowMs);
+    return isPlaced ? 0 : dueCount;
   }
 
-  #placeAll(
-    members: readonly TaskRecord[],
-    run: number,
-    views: readonly FleetWorkerView[],
-  ): boolean {
+  #placeAll(members: readonly TaskRecord[], run: number, search: WorkerSearch): boolean {
     const taken: TaskRun[] = [];
     const isWhole = members.every((member) => {
-      const choice = chooseWorker(member, views, this.#input, () => true, this.#nowMs);
+      const choice = search.next(member);
       if (choice === undefined) return false;
       taken.push(this.#take(member, run, choice));
       return true;
--- a/src/scheduler/common/fleet/fleetWorkerView.ts
+++ b/src/scheduler/common/fleet/fleetWorkerView.ts
@@ -90,6 +90,11 @@
 
   #used: Resources = NO_RESOURCES;
 
+  /** What is left of the capacity that `#freeOf` tells; undefined after a change of the runs. */
+  #free: Resources | undefined;
+
+  #freeOf: Resources = NO_RESOURCES;
+
   #fillerProcessorMillis = 0;
 
   #workerClockMs = 0;
@@ -113,7 +118,12 @@
   }
 
   get free(): Resources {
-    return subtractResources(this.entry.capacity, this.#used);
+    const { capacity } = this.entry;
+    if (this.#free === undefined || this.#freeOf !== capacity) {
+      this.#free = subtractResources(capacity, this.#used);
+      this.#freeOf = capacity;
+    }
+    return this.#free;
   }
 
   /** Processors that fillers on this worker would use if they could. */
@@ -142,6 +152,7 @@
     this.runs.set(runKey(run.task.name, run.run), run);
     this.changeCount += 1;
     this.#used = addResources(this.#used, countedSize(run.task.step));
+    this.#free = undefined;
     if (run.task.step.isFiller) {
       this.#fillerProcessorMillis += run.task.step.size.processorMillis;
     }
@@ -151,6 +162,7 @@
     if (!this.runs.delete(runKey(run.task.name, run.run))) return;
     this.changeCount += 1;
     this.#used = subtractResources(this.#used, countedSize(run.task.step));
+    this.#free = undefined;
     if (run.task.step.isFiller) {
       this.#fillerProcessorMillis -= run.task.step.size.processorMillis;
     }
--- a/src/scheduler/common/fleet/headroom.ts
+++ b/src/scheduler/common/fleet/headroom.ts
@@ -27,6 +27,10 @@
 export const servingRuns = (view: FleetWorkerView): readonly TaskRun[] =>
   [...view.runs.values()].filter(({ task }) => isServing(task));
 
+/** Whether the tail of any serving task there is likely over its target. */
+export const isAnyOverTarget = (view: FleetWorkerView): boolean =>
+  servingRuns(view).some(({ overSinceMs }) => overSinceMs !== undefined);
+
 export const fillerRuns = (view: FleetWorkerView): readonly TaskRun[] =>
   [...view.runs.values()].filter(
     ({ task, state }) => task.step.isFiller && state === RunState.Running,
--- a/src/scheduler/common/fleet/imagePairs.ts
+++ b/src/scheduler/common/fleet/imagePairs.ts
@@ -34,9 +34,6 @@
   seenAtMs: number;
 }
 
-const pairName = (servingImage: string, fillerImage: string): string =>
-  `${servingImage} ${fillerImage}`;
-
 const unknownPair = (servingImage: string, fillerImage: string, nowMs: number): PairEstimate => ({
   servingImage,
   fillerImage,
@@ -59,7 +56,10 @@
 
 export class ImagePairs {
   /** In the order in which they were seen last. */
-  readonly #pairs = new Map<string, PairEstimate>();
+  readonly #bySeen = new Set<PairEstimate>();
+
+  /** By serving image, then by filler image: each rating of a worker asks for several. */
+  readonly #byImages = new Map<string, Map<string, PairEstimate>>();
 
   /**
    * Takes over what a former owner has learnt. Without it each change of owner let every kind of
@@ -68,13 +68,13 @@
   inherit(pairs: LearntInterference, nowMs: number): void {
     pairs.forEach(({ servingImage, fillerImage, headroomLoss: loss }) => {
       const pair = { servingImage, fillerImage, loss, variance: INHERITED_VARIANCE };
-      this.#pairs.set(pairName(servingImage, fillerImage), { ...pair, seenAtMs: nowMs });
+      this.#keep({ ...pair, seenAtMs: nowMs });
     });
   }
 
   /** The pairs that are known by now, for a successor. */
   learnt(): LearntInterference {
-    const known = [...this.#pairs.values()].filter(isKnownPair).filter(hasShortNames);
+    const known = [...this.#bySeen].filter(isKnownPair).filter(hasShortNames);
     return known.slice(-MAXIMUM_LEARNT).map(({ servingImage, fillerImage, loss }) => ({
       servingImage,
       fillerImage,
@@ -84,21 +84,38 @@
 
   /** What is known or else assumed of a pair. */
   estimate(servingImage: string, fillerImage: string): PairEstimate {
-    const known = this.#pairs.get(pairName(servingImage, fillerImage));
+    const known = this.#byImages.get(servingImage)?.get(fillerImage);
     return known ?? unknownPair(servingImage, fillerImage, 0);
   }
 
   /** The pair, seen beside one another now: it is kept, and has become less certain since. */
   seen(servingImage: string, fillerImage: string, nowMs: number): PairEstimate {
-    const name = pairName(servingImage, fillerImage);
-    const pair = this.#pairs.get(name) ?? unknownPair(servingImage, fillerImage, nowMs);
+    const known = this.#byImages.get(servingImage)?.get(fillerImage);
+    const pair = known ?? unknownPair(servingImage, fillerImage, nowMs);
     const seconds = Math.max(0, nowMs - pair.seenAtMs) / MS_PER_S;
     pair.variance = Math.min(UNKNOWN_VARIANCE, pair.variance + PAIR_VARIANCE_PER_S * seconds);
     pair.seenAtMs = nowMs;
-    this.#pairs.delete(name);
-    this.#pairs.set(name, pair);
-    const [oldest] = this.#pairs.keys();
-    if (this.#pairs.size > MAXIMUM_PAIRS && oldest !== undefined) this.#pairs.delete(oldest);
+    this.#keep(pair);
+    const [oldest] = this.#bySeen;
+    if (this.#bySeen.size > MAXIMUM_PAIRS && oldest !== undefined) this.#forget(oldest);
     return pair;
   }
+
+  /** Takes the pair for the one seen last, in place of what was known of its images. */
+  #keep(pair: PairEstimate): void {
+    const { servingImage, fillerImage } = pair;
+    const byFiller = this.#byImages.get(servingImage) ?? new Map<string, PairEstimate>();
+    this.#byImages.set(servingImage, byFiller);
+    const known = byFiller.get(fillerImage);
+    if (known !== undefined) this.#bySeen.delete(known);
+    byFiller.set(fillerImage, pair);
+    this.#bySeen.add(pair);
+  }
+
+  #forget(pair: PairEstimate): void {
+    this.#bySeen.delete(pair);
+    const byFiller = this.#byImages.get(pair.servingImage);
+    byFiller?.delete(pair.fillerImage);
+    if (byFiller?.size === 0) this.#byImages.delete(pair.servingImage);
+  }
 }
--- a/src/scheduler/common/fleet/interferenceModel.ts
+++ b/src/scheduler/common/fleet/interferenceModel.ts
@@ -3,6 +3,7 @@
 import type { FleetWorkerView } from './fleetWorkerView.js';
 import {
   fillerRuns,
+  isAnyOverTarget,
   noteOwnHeadroom,
   servingGroups,
   type ServingGroup,
@@ -51,16 +52,30 @@
   readonly isOnTrial: boolean;
 }
 
+/** Headroom that a filler takes at full pace. */
+export interface FillerLoss {
+  readonly isKnown: boolean;
+  readonly loss: number;
+  /** What it may be for all that is known. */
+  readonly worstLoss: number;
+}
+
 /** The range of `Bearing.soon`: from when a start takes effect, over two polls and a change of pace. */
 const START_DELAY_MS = 300;
 const SOON_MS = 2_000;
 /** When a change of pace takes effect. */
 const PACE_DELAY_MS = 200;
 
+/** What a worker can bear, by its newest figures. */
+export interface WorkerBearings {
+  readonly isAnyOverTarget: boolean;
+  readonly groups: readonly Bearing[];
+}
+
 interface CachedBearings {
   readonly changeCount: number;
   readonly sampledAtMs: number;
-  readonly bearings: readonly Bearing[];
+  readonly bearings: WorkerBearings;
 }
 
 const lossVarianceOf = (exposures: readonly Exposure[]): number =>
@@ -157,16 +172,17 @@
   }
 
   /** What each group of serving tasks on the worker can bear beside what is there. */
-  bearings(view: FleetWorkerView, nowMs: number): readonly Bearing[] {
+  bearings(view: FleetWorkerView, nowMs: number): WorkerBearings {
     const { changeCount, sampledAtMs } = view;
     const known = this.#cache.get(view);
     if (known?.changeCount === changeCount && known.sampledAtMs === sampledAtMs) {
       return known.bearings;
     }
     const fillers = [...view.runs.values()].filter(({ task }) => task.step.isFiller);
-    const bearings = [...view.loads.values()].map((load) =>
+    const groups = [...view.loads.values()].map((load) =>
       this.#bearing(view, load, fillers, nowMs),
     );
+    const bearings = { isAnyOverTarget: isAnyOverTarget(view), groups };
     this.#cache.set(view, { changeCount, sampledAtMs, bearings });
     return bearings;
   }
@@ -177,8 +193,13 @@
     return load.lowestWithin(PACE_DELAY_MS, aheadMs, nowMs) - loss;
   }
 
-  isKnown(servingImage: string, { step }: TaskRecord): boolean {
-    return isKnownPair(this.#pairs.estimate(servingImage, step.image));
+  /** What a filler at full pace takes from the tasks of an image on the worker, and may take. */
+  exposure(servingImage: string, filler: TaskRecord, view: FleetWorkerView): FillerLoss {
+    const pair = this.#pairs.estimate(servingImage, filler.step.image);
+    const share = sizeShare(view, filler);
+    const loss = pair.loss * share;
+    const isKnown = isKnownPair(pair);
+    return { isKnown, loss, worstLoss: loss + Math.sqrt(pair.variance) * share };
   }
 
   /** Headroom that a filler takes at full pace. */
@@ -191,12 +212,6 @@
     return (this.loss(servingImage, task, view) * pacePercent) / FULL_PERCENT;
   }
 
-  /** Headroom that a filler may take for all that is known. */
-  worstCaseLoss(servingImage: string, filler: TaskRecord, view: FleetWorkerView): number {
-    const { loss, variance } = this.#pairs.estimate(servingImage, filler.step.image);
-    return (loss + Math.sqrt(variance)) * sizeShare(view, filler);
-  }
-
   #bearing(
     view: FleetWorkerView,
     load: ServiceLoad,
@@ -209,9 +224,10 @@
     let isOnTrial = false;
     fillers.forEach(({ task, plannedPercent }) => {
       const part = plannedPercent / FULL_PERCENT;
-      loss += part * this.loss(image, task, view);
-      worstCaseLoss += part * this.worstCaseLoss(image, task, view);
-      isOnTrial ||= !this.isKnown(image, task);
+      const exposure = this.exposure(image, task, view);
+      loss += part * exposure.loss;
+      worstCaseLoss += part * exposure.worstLoss;
+      isOnTrial ||= !exposure.isKnown;
     });
     const soon = load.lowestWithin(START_DELAY_MS, SOON_MS, nowMs);
     return {
--- a/src/scheduler/common/fleet/learningInterferenceControl.ts
+++ b/src/scheduler/common/fleet/learningInterferenceControl.ts
@@ -13,7 +13,7 @@
   type InterferenceOptions,
   DEFAULT_INTERFERENCE_OPTIONS,
 } from './interferenceModel.js';
-import { fillerRuns, servingRuns } from './headroom.js';
+import { fillerRuns, isAnyOverTarget, servingRuns } from './headroom.js';
 import type { TaskRecord, TaskRun } from './taskRecords.js';
 
 /** Time for a change of pace to take effect and to be covered by a complete figure. */
@@ -66,9 +66,6 @@
   plannedPercent >= HELD_PERCENT &&
   nowMs - pacedSinceMs >= HELD_LIMIT_MS;
 
-const isAnyOverTarget = (view: FleetWorkerView): boolean =>
-  servingRuns(view).some(({ overSinceMs }) => overSinceMs !== undefined);
-
 /**
  * Protects services whose tail latency rises within seconds because of heavier batch work beside
  * them or of their own load. Slows only the few batch images that interfere.
@@ -98,17 +95,16 @@
    * headroom for its worst case, one filler at a time, as its effect shows within a second.
    */
   admit(view: FleetWorkerView, filler: TaskRecord, nowMs: number): Admission | undefined {
+    const bearings = this.#model.bearings(view, nowMs);
     // Its group's median hides one task that is slowed more than the others.
-    if (isAnyOverTarget(view)) return undefined;
+    if (bearings.isAnyOverTarget) return undefined;
     let percent = FULL_PERCENT;
     let headroom = Number.POSITIVE_INFINITY;
-    const bearings = this.#model.bearings(view, nowMs);
-    bearings.forEach(({ image, atWorst, soon, soonAtWorst, isOnTrial }) => {
-      const loss = this.#model.loss(image, filler, view);
+    bearings.groups.forEach(({ image, atWorst, soon, soonAtWorst, isOnTrial }) => {
+      const { isKnown, loss, worstLoss } = this.#model.exposure(image, filler, view);
       headroom = Math.min(headroom, atWorst - loss);
-      const isKnown = this.#model.isKnown(image, filler);
       const available = (isKnown ? soon : soonAtWorst) - PLACED_HEADROOM;
-      const expectedLoss = isKnown ? loss : this.#model.worstCaseLoss(image, filler, view);
+      const expectedLoss = isKnown ? loss : worstLoss;
       if (expectedLoss > available)
         percent = Math.min(percent, Math.floor((FULL_PERCENT * available) / expectedLoss));
       if (!isKnown && isOnTrial) percent = 0;
@@ -157,7 +153,8 @@
     if (victims.some((run) => overMs(run) >= OVER_LIMIT_MS)) return working;
     return working.filter(({ task }) =>
       victims.some(
-        (victim) => this.#model.worstCaseLoss(victim.task.step.image, task, view) >= SUSPECT_LOSS,
+        (victim) =>
+          this.#model.exposure(victim.task.step.image, task, view).worstLoss >= SUSPECT_LOSS,
       ),
     );
   }
--- a/src/scheduler/common/fleet/roomMisses.ts
+++ b/src/scheduler/common/fleet/roomMisses.ts
@@ -13,13 +13,17 @@
 }
 
 interface ViewState {
-  readonly changeCount: number;
-  readonly sampledAtMs: number;
+  readonly view: FleetWorkerView;
+  changeCount: number;
+  sampledAtMs: number;
   /** The first round with this state of the worker. */
-  readonly round: number;
+  round: number;
+  /** The last round in which the worker could accept tasks. */
+  lastRound: number;
 }
 
-const EVERY_WORKER = (): boolean => true;
+const isStale = ({ searchedAtMs }: Miss, nowMs: number): boolean =>
+  nowMs - searchedAtMs >= FULL_SEARCH_INTERVAL_MS;
 
 /**
  * Keeps starts and lease renewals on time with thousands of waiting tasks and hundreds of workers:
@@ -28,48 +32,77 @@
 export class RoomMisses {
   readonly #misses = new WeakMap<OccurrenceRecord, Map<string, Miss>>();
 
-  #seen = new Map<FleetWorkerView, ViewState>();
+  readonly #states = new WeakMap<FleetWorkerView, ViewState>();
+
+  #current: readonly ViewState[] = [];
+
+  /** Of `#current`, by the round of their last change, latest first; undefined until asked for. */
+  #byChange: readonly ViewState[] | undefined;
+
+  /** Workers changed since a round, by service and round; many steps missed in the same one. */
+  readonly #changed = new Map<string, readonly FleetWorkerView[]>();
 
   #round = 0;
 
   /** Begins a round with the workers that can accept tasks. */
   begin(views: readonly FleetWorkerView[]): void {
     this.#round += 1;
-    const seen = new Map<FleetWorkerView, ViewState>();
-    views.forEach((view) => {
-      const { changeCount, sampledAtMs } = view;
-      const known = this.#seen.get(view);
-      const isSame = known?.changeCount === changeCount && known.sampledAtMs === sampledAtMs;
-      seen.set(view, isSame ? known : { changeCount, sampledAtMs, round: this.#round });
-    });
-    this.#seen = seen;
+    this.#changed.clear();
+    this.#byChange = undefined;
+    this.#current = views.map((view) => this.#stateOf(view));
   }
 
-  /** Returns a filter for the workers that may have room for the step. */
-  filterFor(
+  /** The workers that may have room for the step, out of all that can run it. */
+  candidates(
     occurrence: OccurrenceRecord,
     step: string,
+    serviceName: string,
+    views: readonly FleetWorkerView[],
     nowMs: number,
-  ): (view: FleetWorkerView) => boolean {
+  ): readonly FleetWorkerView[] {
     const miss = this.#misses.get(occurrence)?.get(step);
-    if (miss === undefined || nowMs - miss.searchedAtMs >= FULL_SEARCH_INTERVAL_MS) {
-      return EVERY_WORKER;
-    }
-    return (view) => (this.#seen.get(view)?.round ?? 0) > miss.round;
+    if (miss === undefined || isStale(miss, nowMs)) return views;
+    return this.#changedSince(miss.round, serviceName);
   }
 
-  /** Records that the step found no room among the workers that passed the filter. */
+  /** Records that the step found no room among its candidates. */
   note(occurrence: OccurrenceRecord, step: string, nowMs: number): void {
     const misses = this.#misses.get(occurrence) ?? new Map<string, Miss>();
     this.#misses.set(occurrence, misses);
     const known = misses.get(step);
-    const isStale = known === undefined || nowMs - known.searchedAtMs >= FULL_SEARCH_INTERVAL_MS;
-    const searchedAtMs = isStale ? nowMs : known.searchedAtMs;
+    const isFullSearch = known === undefined || isStale(known, nowMs);
+    const searchedAtMs = isFullSearch ? nowMs : known.searchedAtMs;
     misses.set(step, { round: this.#round, searchedAtMs });
   }
 
-  /** Forgets the miss once the step has found room, so that all workers are checked again. */
-  clear(occurrence: OccurrenceRecord, step: string): void {
-    this.#misses.get(occurrence)?.delete(step);
+  #stateOf(view: FleetWorkerView): ViewState {
+    const { changeCount, sampledAtMs } = view;
+    const round = this.#round;
+    const known = this.#states.get(view);
+    if (known === undefined) {
+      const state = { view, changeCount, sampledAtMs, round, lastRound: round };
+      this.#states.set(view, state);
+      return state;
+    }
+    const isSame = known.changeCount === changeCount && known.sampledAtMs === sampledAtMs;
+    if (!isSame || known.lastRound !== round - 1) {
+      Object.assign(known, { changeCount, sampledAtMs, round });
+    }
+    known.lastRound = round;
+    return known;
+  }
+
+  #changedSince(round: number, serviceName: string): readonly FleetWorkerView[] {
+    const key = `${round} ${serviceName}`;
+    const known = this.#changed.get(key);
+    if (known !== undefined) return known;
+    this.#byChange ??= [...this.#current].sort((left, right) => right.round - left.round);
+    const firstOlder = this.#byChange.findIndex((state) => state.round <= round);
+    const newer = firstOlder < 0 ? this.#byChange : this.#byChange.slice(0, firstOlder);
+    const changed = newer
+      .filter(({ view }) => view.entry.serviceName === serviceName)
+      .map(({ view }) => view);
+    this.#changed.set(key, changed);
+    return changed;
   }
 }
--- a/src/scheduler/common/fleet/roster.ts
+++ b/src/scheduler/common/fleet/roster.ts
@@ -61,10 +61,11 @@
   /** By when each lease of the worker has to be over, by all rows that are or may be stored. */
   grantLimitMs(workerId: string): number {
     if (this.#written === undefined) return NO_GRANTS;
-    const limits = [this.#written, ...this.#unconfirmed].map(
-      (entries) => entries.get(workerId)?.limitAtMs ?? NO_GRANTS,
-    );
-    return Math.min(...limits);
+    let limitAtMs = this.#written.get(workerId)?.limitAtMs ?? NO_GRANTS;
+    this.#unconfirmed.forEach((entries) => {
+      limitAtMs = Math.min(limitAtMs, entries.get(workerId)?.limitAtMs ?? NO_GRANTS);
+    });
+    return limitAtMs;
   }
 
   /** Whether tasks may be started on the worker. */
--- /dev/null
+++ b/src/scheduler/common/fleet/workerSearch.ts
@@ -0,0 +1,88 @@
+/** Finds workers for the tasks of one step, one after the other. */
+import {
+  allowsReducedPace,
+  isBetter,
+  rateWorker,
+  type Rating,
+  type RatingContext,
+} from './fleetPlacement.js';
+import type { FleetWorkerView } from './fleetWorkerView.js';
+import type { TaskRecord } from './taskRecords.js';
+
+/** The worker chosen for a task, and the pace at which the task can run there. */
+export interface PlacementChoice {
+  readonly view: FleetWorkerView;
+  readonly percent: number;
+}
+
+interface Rated {
+  readonly view: FleetWorkerView;
+  /** The `changeCount` of the worker when it was rated. */
+  changeCount: number;
+  rating: Rating | undefined;
+}
+
+/**
+ * Made for steps of dozens of tasks on hundreds of workers. Tasks of a step want the same, so
+ * each worker is rated once, and again only when it has taken one of them.
+ */
+export class WorkerSearch {
+  readonly #context: RatingContext;
+
+  readonly #nowMs: number;
+
+  readonly #views: readonly FleetWorkerView[];
+
+  #rated: readonly Rated[] | undefined;
+
+  #mayBeSlow = false;
+
+  /** How many workers have been rated. */
+  ratingCount = 0;
+
+  constructor(views: readonly FleetWorkerView[], context: RatingContext, nowMs: number) {
+    this.#views = views;
+    this.#context = context;
+    this.#nowMs = nowMs;
+  }
+
+  /** The best worker for the next task of the step, or undefined if none has room for it. */
+  next(task: TaskRecord): PlacementChoice | undefined {
+    const mayBeSlow = task.step.isFiller && allowsReducedPace(task, this.#nowMs);
+    if (this.#rated === undefined || mayBeSlow !== this.#mayBeSlow) this.#rateAll(task, mayBeSlow);
+    let best: FleetWorkerView | undefined;
+    let bestRating: Rating | undefined;
+    this.#rated?.forEach((rated) => {
+      if (rated.changeCount !== rated.view.changeCount) this.#rateAgain(task, rated);
+      const { rating } = rated;
+      if (rating === undefined) return;
+      if (bestRating !== undefined && !isBetter(rating, bestRating)) return;
+      best = rated.view;
+      bestRating = rating;
+    });
+    return best && bestRating && { view: best, percent: bestRating.percent };
+  }
+
+  #rateAll(task: TaskRecord, mayBeSlow: boolean): void {
+    this.#mayBeSlow = mayBeSlow;
+    const rated: Rated[] = [];
+    this.#views.forEach((view) => {
+      const rating = this.#rate(task, view);
+      // Room does not come back within a round.
+      if (rating !== undefined) rated.push({ view, changeCount: view.changeCount, rating });
+    });
+    this.#rated = rated;
+  }
+
+  #rateAgain(task: TaskRecord, rated: Rated): void {
+    Object.assign(rated, {
+      changeCount: rated.view.changeCount,
+      rating: this.#rate(task, rated.view),
+    });
+  }
+
+  #rate(task: TaskRecord, view: FleetWorkerView): Rating | undefined {
+    this.ratingCount += 1;
+    return rateWorker(task, view, this.#mayBeSlow, this.#context, this.#nowMs);
+  }
+}
--- a/src/scheduler/common/placement.ts
+++ b/src/scheduler/common/placement.ts
@@ -32,6 +32,12 @@
   ): PlacementCandidate | undefined;
 }
 
+/** Rates the candidates one by one, so that a change of one need not rate the others again. */
+export interface PlacementCosts {
+  /** Lower is better, among candidates that the task fits into. */
+  costOf(request: PlacementRequest, candidate: PlacementCandidate): number;
+}
+
 const share = (part: number, whole: number): number => (whole === 0 ? 0 : part / whole);
 
 /** The share left of the scarcest of processors and memory after placing. */
@@ -58,7 +64,7 @@
  * keeps off workers that have one, which would otherwise be stranded behind full processors.
  * A task that slows a service goes to the worker where it slows least.
  */
-export class SpreadAndPackPolicy implements PlacementPolicy {
+export class SpreadAndPackPolicy implements PlacementPolicy, PlacementCosts {
   choose(
     request: PlacementRequest,
     candidates: readonly PlacementCandidate[],
@@ -67,7 +73,7 @@
     let bestCost = Number.POSITIVE_INFINITY;
     candidates.forEach((candidate) => {
       if (!fitsInto(request.size, candidate.free)) return;
-      const cost = SpreadAndPackPolicy.#cost(request, candidate);
+      const cost = this.costOf(request, candidate);
       if (cost >= bestCost) return;
       best = candidate;
       bestCost = cost;
@@ -75,7 +81,7 @@
     return best;
   }
 
-  static #cost(request: PlacementRequest, candidate: PlacementCandidate): number {
+  costOf(request: PlacementRequest, candidate: PlacementCandidate): number {
     const wastesAccelerator =
       request.size.acceleratorCount === 0 && candidate.capacity.acceleratorCount > 0;
     const accelerator = wastesAccelerator ? ACCELERATOR_PENALTY : 0;
--- a/src/services/fleet/common/fleetConfiguration.ts
+++ b/src/services/fleet/common/fleetConfiguration.ts
@@ -62,7 +62,19 @@
   return best;
 };
 
+/** Configurations have hundreds of queues, and each round of placing asks for every step. */
+const knownQueues = new WeakMap<FleetConfiguration, ReadonlyMap<string, Queue>>();
+
 export const findQueueByName = (
   configuration: FleetConfiguration,
   name: string,
-): Queue | undefined => configuration.queues.find((queue) => queue.name === name);
+): Queue | undefined => {
+  const known = knownQueues.get(configuration);
+  if (known !== undefined) return known.get(name);
+  const queues = new Map<string, Queue>();
+  configuration.queues.forEach((queue) => {
+    if (!queues.has(queue.name)) queues.set(queue.name, queue);
+  });
+  knownQueues.set(configuration, queues);
+  return queues.get(name);
+};
