Start no more than the owner's processor carries

What callers saw: on owners with little processor beside many workers tasks that lasted were lost and urgent work waited for seconds, although room was free.

Cause: a round started up to 150 tasks whatever the processor had done with the last ones. Each start costs calls and answers; those pile up in the event loop, and ends, renewals of leases and urgent starts wait behind them.

Change: StartPace limits starts a second by how late steps begin (cut by 0.4 from 110 ms on, raised while steps are punctual and the limit binds), RoundBudget the ratings of a round by what they took (20 ms). Both are told instants as arguments. What is left over waits as `round-full`, in the order of the queue, so that services and urgent work go first. A cut is told by the line `starts-limited` and the gauge `start_limit`.

Test: overloadedOwner.test.ts asks an owner for ten times the starts that its processor carries.

--- a/src/scheduler/common/fleet/fleetRound.ts
+++ b/src/scheduler/common/fleet/fleetRound.ts
@@ -22,7 +22,7 @@
 /** Run numbers that one epoch may use of a task before they meet those of the next. */
 const RUNS_PER_EPOCH = 1_000;
 /** Starts of one round; more would hold up the answers that come in meanwhile. */
-const MAXIMUM_STARTS = 150;
+export const MAXIMUM_STARTS = 150;
 
 export interface RoundInput {
   readonly book: SubmissionBook;
@@ -37,6 +37,21 @@
   readonly misses: RoomMisses;
 }
 
+/** How much one round may do; what is left over comes in the next one. */
+export interface RoundLimits {
+  readonly startCount: number;
+  readonly ratingCount: number;
+}
+
+export interface RoundOutcome {
+  /** How many tasks were not placed, by reason. */
+  readonly waits: WaitCounts;
+  readonly startCount: number;
+  readonly ratingCount: number;
+}
+
+const NOTHING_PLACED: RoundOutcome = { waits: new Map(), startCount: 0, ratingCount: 0 };
+
 /**
  * Rises over all owners: a worker refuses a run that is not higher than one it has stopped or
  * ended, and an owner does not know which numbers its predecessor used on workers out of reach.
@@ -114,6 +129,8 @@
 
   readonly #configuration: FleetConfiguration;
 
+  readonly #limits: RoundLimits;
+
   readonly #usable: UsableWorkers;
 
   readonly #nowMs: number;
@@ -122,9 +139,17 @@
 
   readonly waits = new Map<WaitReason, number>();
 
-  constructor(input: RoundInput, configuration: FleetConfiguration, nowMs: number) {
+  ratingCount = 0;
+
+  constructor(
+    input: RoundInput,
+    configuration: FleetConfiguration,
+    limits: RoundLimits,
+    nowMs: number,
+  ) {
     this.#input = input;
     this.#configuration = configuration;
+    this.#limits = limits;
     this.#nowMs = nowMs;
     this.#usable = new UsableWorkers(input, nowMs);
     input.misses.begin(this.#usable.all);
@@ -147,7 +172,11 @@
   }
 
   get #isRoundFull(): boolean {
-    return this.placed.length >= MAXIMUM_STARTS;
+    return this.#hasAllStarts || this.ratingCount >= this.#limits.ratingCount;
+  }
+
+  get #hasAllStarts(): boolean {
+    return this.placed.length >= this.#limits.startCount;
   }
 
   #addWaits(reason: WaitReason, count: number): void {
@@ -159,21 +188,26 @@
     const [first] = due as [TaskRecord];
     const opened = first.submission.occurrences.get(first.occurrence);
     if (opened === undefined) return due.length;
-    const { misses, epoch } = this.#input;
+    const { misses } = this.#input;
     const { serviceName, views, context } = this.#usable.poolOf(first, this.#configuration);
     const candidates = misses.candidates(opened, key, serviceName, views, this.#nowMs);
     const search = new WorkerSearch(candidates, context, this.#nowMs);
-    for (let index = 0; index < due.length; index += 1) {
-      if (this.#isRoundFull) return due.length - index;
-      const task = due[index] as TaskRecord;
-      const choice = search.next(task);
-      if (choice === undefined) {
-        misses.note(opened, key, this.#nowMs);
-        return due.length - index;
-      }
-      this.#take(task, nextRunNumber([task], epoch), choice);
-    }
-    return 0;
+    const placedCount = this.#placeBySearch(due, search);
+    this.ratingCount += search.ratingCount;
+    const leftCount = due.length - placedCount;
+    if (leftCount > 0 && !this.#hasAllStarts) misses.note(opened, key, this.#nowMs);
+    return leftCount;
+  }
+
+  /** Returns how many of the tasks were placed before no room was found or the round was full. */
+  #placeBySearch(due: readonly TaskRecord[], search: WorkerSearch): number {
+    const { epoch } = this.#input;
+    const firstLeftIndex = due.findIndex((task) => {
+      const choice = this.#hasAllStarts ? undefined : search.next(task);
+      if (choice !== undefined) this.#take(task, nextRunNumber([task], epoch), choice);
+      return choice === undefined;
+    });
+    return firstLeftIndex < 0 ? due.length : firstLeftIndex;
   }
 
   /** All members at once or none: a part of a gang would hold room and do no work. */
@@ -191,9 +225,12 @@
       ? [...new Set(views.map((view) => view.entry.rack))]
       : [];
     const groups = racks.map((rack) => views.filter((view) => view.entry.rack === rack));
-    const isPlaced = [...groups, views].some((group) =>
-      this.#placeAll(members, run, new WorkerSearch(group, context, this.#nowMs)),
-    );
+    const isPlaced = [...groups, views].some((group) => {
+      const search = new WorkerSearch(group, context, this.#nowMs);
+      const isWhole = this.#placeAll(members, run, search);
+      this.ratingCount += search.ratingCount;
+      return isWhole;
+    });
     if (!isPlaced) misses.note(opened, key, this.#nowMs);
     return isPlaced ? 0 : dueCount;
   }
@@ -226,16 +263,18 @@
   }
 }
 
-/**
- * Gives tasks that wait room on workers; their starts are sent once the assignments are stored.
- * Returns how many were not placed, by reason.
- */
-export const placeWaiting = (input: RoundInput, nowMs: number): WaitCounts => {
+/** Gives tasks that wait room on workers; their starts are sent once the assignments are stored. */
+export const placeWaiting = (
+  input: RoundInput,
+  limits: RoundLimits,
+  nowMs: number,
+): RoundOutcome => {
   const { configuration } = input.operator;
-  if (configuration === undefined || input.book.waiting.size === 0) return new Map();
-  const round = new Round(input, configuration, nowMs);
+  if (configuration === undefined || input.book.waiting.size === 0) return NOTHING_PLACED;
+  const round = new Round(input, configuration, limits, nowMs);
   input.policy.order
     .sort(input.book.waiting.groups, configuration, nowMs)
     .forEach((group) => round.place(group));
-  return round.waits;
+  const { waits, ratingCount, placed } = round;
+  return { waits, ratingCount, startCount: placed.length };
 };
--- a/src/scheduler/common/fleet/fleetScheduler.ts
+++ b/src/scheduler/common/fleet/fleetScheduler.ts
@@ -53,6 +53,7 @@
 import { NEXT_HOLD_AFTER_FAILURE_MS } from './holdPace.js';
 import { runKey } from './fleetWorkerView.js';
 import { splitRecorded } from './runStarts.js';
+import { OwnerLoad } from './ownerLoad.js';
 import { RunState, type TaskRun } from './taskRecords.js';
 
 export class FleetScheduler {
@@ -75,6 +76,8 @@
 
   readonly #pacing = new FillerPacing();
 
+  readonly #load = new OwnerLoad();
+
   constructor(
     selfId: string,
     timing: FleetTiming,
@@ -273,6 +276,16 @@
     };
   }
 
+  /** A step that was due at `dueAtMs` has been taken. Returns whether fewer tasks start from now on. */
+  handleStepTaken(dueAtMs: number, beganAtMs: number, endedAtMs: number): boolean {
+    return this.#load.noteStep(dueAtMs, beganAtMs, endedAtMs) && this.#tenure !== undefined;
+  }
+
+  /** The starts a second that this daemon's processor is taken to carry. */
+  get startLimitPerS(): number {
+    return this.#load.startLimitPerS;
+  }
+
   /** Everything that is due now. */
   step(wallNowMs: number, nowMs: number): readonly FleetEffect[] {
     const effects: FleetEffect[] = [];
@@ -341,8 +354,10 @@
 
   #place(tenure: Tenure, nowMs: number): void {
     if (!this.#mayStart(tenure, nowMs) || tenure.book.waiting.size === 0) return;
-    const waits = placeWaiting(this.#roundInput(tenure), nowMs);
-    tenure.notes.addWaits(tenure.book.waiting, waits, nowMs);
+    const limits = this.#load.roundLimits(nowMs);
+    const outcome = placeWaiting(this.#roundInput(tenure), limits, nowMs);
+    this.#load.noteRound(outcome);
+    tenure.notes.addWaits(tenure.book.waiting, outcome.waits, nowMs);
   }
 
   #moveFromDraining(tenure: Tenure, nowMs: number): void {
--- a/src/scheduler/node/fleetTask.ts
+++ b/src/scheduler/node/fleetTask.ts
@@ -102,6 +102,10 @@
     return this.#scheduler.isOwner;
   }
 
+  get startLimitPerS(): number {
+    return this.#scheduler.startLimitPerS;
+  }
+
   liveEpoch(): number | undefined {
     return this.#scheduler.liveEpoch(this.#services.clock.nowMs());
   }
@@ -123,21 +127,27 @@
   #stepSoon(): void {
     if (this.#isStepDue) return;
     this.#isStepDue = true;
+    const nowMs = this.#services.clock.nowMs();
+    const waitMs = this.#pace.waitMs(nowMs);
     const step = (): void => {
       this.#isStepDue = false;
-      this.#step();
+      this.#step(nowMs + waitMs);
     };
-    const waitMs = this.#pace.waitMs(this.#services.clock.nowMs());
     if (waitMs > 0) setTimeout(step, waitMs);
     else setImmediate(step);
   }
 
-  #step(): void {
+  #step(dueAtMs: number): void {
     if (this.#disposables.isDisposed) return;
-    const { clock, wallNowMs } = this.#services;
+    const { clock, wallNowMs, log } = this.#services;
     const beganAtMs = clock.nowMs();
     const effects = this.#scheduler.step(wallNowMs(), beganAtMs);
-    this.#pace.note(beganAtMs, clock.nowMs());
+    const endedAtMs = clock.nowMs();
+    this.#pace.note(beganAtMs, endedAtMs);
+    if (this.#scheduler.handleStepTaken(dueAtMs, beganAtMs, endedAtMs)) {
+      const limitPerS = Math.round(this.#scheduler.startLimitPerS);
+      log.info('starts-limited', { limitPerS, lateMs: Math.round(beganAtMs - dueAtMs) });
+    }
     this.#perform(effects);
   }
 
--- a/src/scheduler/test/fleet/busyFleet.ts
+++ b/src/scheduler/test/fleet/busyFleet.ts
@@ -4,6 +4,7 @@
 
 import type { JsonValue } from '../../../base/common/json.js';
 import { type Failure } from '../../../services/errors/common/errorKinds.js';
+import type { FleetConfiguration } from '../../../services/fleet/common/fleetConfiguration.js';
 import type { FleetDirectory } from '../../../services/fleet/common/fleetDirectory.js';
 import {
   type FleetClient,
@@ -17,7 +18,11 @@
 import { type Log, type LogFields, silentLog } from '../../../services/log/common/log.js';
 import type { LogEvent } from '../../../services/log/common/logEvents.js';
 import { PrometheusMetrics } from '../../../services/metrics/node/prometheusMetrics.js';
-import { specKey } from '../../../services/submissions/common/submissionRows.js';
+import {
+  type Progress,
+  progressKey,
+  specKey,
+} from '../../../services/submissions/common/submissionRows.js';
 import type { Submission } from '../../../services/submissions/common/submission.js';
 import type { TableService } from '../../../services/table/common/table.js';
 import { FeedKind, type TableFeed } from '../../../services/table/common/tableFeed.js';
@@ -56,6 +61,12 @@
 
   readonly owners: Owner[] = [];
 
+  /** Runs that ended since the leases of their workers were over. */
+  lapseCount = 0;
+
+  /** Starts by the name of the task. */
+  readonly startCounts = new Map<string, number>();
+
   /** Steps of daemons to which they cost something. */
   stepCount = 0;
 
@@ -63,8 +74,15 @@
 
   readonly #workMs: (taskName: string) => number;
 
-  constructor(workerCount: number, workMs: (taskName: string) => number) {
+  readonly #configuration: FleetConfiguration;
+
+  constructor(
+    workerCount: number,
+    workMs: (taskName: string) => number,
+    configuration = CONFIGURATION,
+  ) {
     this.#workMs = workMs;
+    this.#configuration = configuration;
     for (let index = 0; index < workerCount; index += 1) this.#addWorker(`worker-${index}`);
   }
 
@@ -102,6 +120,11 @@
     });
   }
 
+  progress(id: string): Progress | undefined {
+    const row = this.table.read({ keys: [progressKey(id)], prefixes: [] }).rows[0];
+    return row === undefined ? undefined : (row.value as unknown as Progress);
+  }
+
   #addWorker(id: string): void {
     const model = new WorkerModel(
       {
@@ -111,7 +134,11 @@
         stopMs: STOP_MS,
         clockRate: 1,
         taskOf: (taskName) => ({ workMs: this.#workMs(taskName), end: RunEnd.Done }),
-        onStart: () => {},
+        onStart: (taskName) =>
+          this.startCounts.set(taskName, (this.startCounts.get(taskName) ?? 0) + 1),
+        onEnd: ({ end }) => {
+          if (end === RunEnd.Lapsed) this.lapseCount += 1;
+        },
       },
       0,
     );
@@ -215,7 +242,7 @@
           (reply) => {
             const isWhole = afterPosition === undefined;
             const changes = isWhole
-              ? [{ kind: 'configuration' as const, configuration: CONFIGURATION }]
+              ? [{ kind: 'configuration' as const, configuration: this.#configuration }]
               : [];
             this.world.outside.after(isWhole ? 0 : 2_000, () =>
               reply({ isWhole, changes, position: 1 }),
--- /dev/null
+++ b/src/scheduler/test/fleet/overloadedOwner.test.ts
@@ -0,0 +1,94 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
+
+import { BusyFleet, type Costs } from './busyFleet.js';
+import { CONFIGURATION, STEP, submissionOf } from './fleetFixtures.js';
+
+const WORKERS = 60;
+const SECONDS = 20;
+const URGENT_PER_S = 2;
+/** Tasks of batch work a second: ten times as many calls as the processor carries. */
+const BATCH_PER_S = 900;
+/** Calls to workers take two thirds of such a processor at ninety starts a second. */
+const SMALL: Costs = { sendMs: 2, answerMs: 2, connectMs: 3, stepMs: 6, rowMs: 0.2 };
+const TASK_MS = 200;
+/** Longer than the test; its progress is seen by the second. */
+const FOREVER_MS = 60_000;
+
+const [QUEUE] = CONFIGURATION.queues as [(typeof CONFIGURATION.queues)[number]];
+const URGENT = { ...QUEUE, name: 'urgent', pathPrefix: '/urgent/' };
+const BATCH = { ...QUEUE, name: 'batch', pathPrefix: '/batch/', priority: 1 };
+
+const idOf = (kind: number, index: number): string =>
+  `${kind}${index.toString(16).padStart(15, '0')}`;
+const URGENT_ID = 1;
+const BATCH_ID = 2;
+const SERVICE_ID = idOf(3, 0);
+
+describe('an owner of whom ten times as much is asked as its processor carries', () => {
+  let fleet: BusyFleet;
+  const urgentSentAtMs = new Map<string, number>();
+  const urgentDoneAtMs = new Map<string, number>();
+
+  const submitUrgent = (index: number): void => {
+    const id = idOf(URGENT_ID, index);
+    urgentSentAtMs.set(id, fleet.world.outside.nowMs());
+    fleet.submit({ ...submissionOf(id, [{ ...STEP, estimateMs: TASK_MS }]), queueName: 'urgent' });
+  };
+
+  const submitBatch = (index: number): void => {
+    const steps = [{ ...STEP, taskCount: BATCH_PER_S / 10, estimateMs: TASK_MS }];
+    fleet.submit({ ...submissionOf(idOf(BATCH_ID, index), steps), queueName: 'batch' });
+  };
+
+  const noteUrgentDone = (): void =>
+    urgentSentAtMs.forEach((_, id) => {
+      if (urgentDoneAtMs.has(id) || fleet.progress(id)?.state !== 'complete') return;
+      urgentDoneAtMs.set(id, fleet.world.outside.nowMs());
+    });
+
+  const play = async (): Promise<void> => {
+    const { world } = fleet;
+    const fromMs = world.outside.nowMs();
+    for (let tenth = 0; tenth < SECONDS * 10; tenth += 1) {
+      submitBatch(tenth);
+      if (tenth % (10 / URGENT_PER_S) === 0) submitUrgent(tenth);
+      // eslint-disable-next-line no-await-in-loop -- virtual time goes on step by step
+      await world.runUntil(fromMs + (tenth + 1) * 100);
+      noteUrgentDone();
+    }
+  };
+
+  beforeEach(async () => {
+    urgentSentAtMs.clear();
+    urgentDoneAtMs.clear();
+    const configuration = { ...CONFIGURATION, queues: [URGENT, BATCH] };
+    const workMs = (taskName: string): number =>
+      taskName.startsWith(SERVICE_ID) ? FOREVER_MS : TASK_MS;
+    fleet = new BusyFleet(WORKERS, workMs, configuration);
+    fleet.world.stubTimers();
+    fleet.addDaemon('small', SMALL);
+    await fleet.world.runUntil(3_000);
+    const service = { ...STEP, taskCount: 20, isPersistent: true };
+    fleet.submit({ ...submissionOf(SERVICE_ID, [service]), queueName: 'urgent' });
+    await fleet.world.runUntil(6_000);
+    // It would take the fleet over as soon as the owner no longer renews its lease.
+    fleet.addDaemon('rival', { ...SMALL, sendMs: 0, answerMs: 0, stepMs: 0 });
+    await play();
+  });
+  afterEach(() => vi.unstubAllGlobals());
+
+  it('keeps its lease and those of the workers, and serves what is urgent in time', () => {
+    expect(fleet.owners.map(({ daemon }) => daemon)).toEqual(['small']);
+    expect(fleet.lapseCount).toBe(0);
+    const serviceStarts = [...fleet.startCounts].filter(([name]) => name.startsWith(SERVICE_ID));
+    expect(serviceStarts.map(([, count]) => count)).toEqual(Array(20).fill(1));
+    const objectiveMs = URGENT.objectiveStretch * TASK_MS + URGENT.objectiveMs;
+    const settled = [...urgentSentAtMs].filter(
+      ([, atMs]) => atMs + objectiveMs < fleet.world.outside.nowMs(),
+    );
+    const inTime = settled.filter(
+      ([id, atMs]) => (urgentDoneAtMs.get(id) ?? FOREVER_MS) - atMs <= objectiveMs,
+    );
+    expect(inTime.length / settled.length).toBeGreaterThan(0.95);
+  });
+});
--- /dev/null
+++ b/src/scheduler/test/fleet/startPace.test.ts
@@ -0,0 +1,61 @@
+import { describe, expect, it } from 'vitest';
+
+import { RoundBudget } from '../../common/fleet/roundBudget.js';
+import { StartPace } from '../../common/fleet/startPace.js';
+
+const STEP_MS = 50;
+
+/** Steps that start as much as they may, on a processor that carries so many starts a second. */
+const startsAt = (pace: StartPace, carriedPerS: number, seconds: number): number => {
+  let backlog = 0;
+  let started = 0;
+  for (let nowMs = 0; nowMs < seconds * 1_000; nowMs += STEP_MS) {
+    backlog = Math.max(0, backlog - (carriedPerS * STEP_MS) / 1_000);
+    const lateMs = (backlog / carriedPerS) * 1_000;
+    pace.handleStep(nowMs - lateMs, nowMs);
+    const count = pace.allowance(nowMs);
+    pace.take(count);
+    backlog += count;
+    started += count;
+  }
+  return started / seconds;
+};
+
+describe('the pace of starts', () => {
+  it('finds what the processor carries, and leaves its loop punctual', () => {
+    const pace = new StartPace();
+    expect(startsAt(pace, 100, 20)).toBeGreaterThan(80);
+    expect(startsAt(new StartPace(), 1_500, 20)).toBeGreaterThan(1_000);
+  });
+
+  it('is not raised by a time in which nothing was to be started', () => {
+    const pace = new StartPace();
+    const beforePerS = pace.limitPerS;
+    for (let nowMs = 0; nowMs < 10_000; nowMs += STEP_MS) pace.handleStep(nowMs, nowMs);
+    expect(pace.limitPerS).toBe(beforePerS);
+  });
+
+  it('is cut once for a process that was frozen, and soon as high again', () => {
+    const pace = new StartPace();
+    const beforePerS = pace.limitPerS;
+    pace.handleStep(0, 5_000);
+    expect(pace.limitPerS).toBeGreaterThan(beforePerS / 2);
+    let nowMs = 5_000;
+    for (; nowMs < 12_000; nowMs += STEP_MS) {
+      pace.handleStep(nowMs, nowMs);
+      pace.take(pace.allowance(nowMs));
+    }
+    expect(pace.limitPerS).toBeGreaterThan(beforePerS);
+  });
+});
+
+describe('the budget of a round', () => {
+  it('allows fewer ratings where they take longer, and never none', () => {
+    const budget = new RoundBudget();
+    const before = budget.ratingLimit;
+    for (let count = 0; count < 50; count += 1) budget.note(10_000, 0, 100);
+    expect(budget.ratingLimit).toBeLessThan(before / 5);
+    for (let count = 0; count < 50; count += 1) budget.note(1_000, 0, 10_000);
+    expect(budget.ratingLimit).toBe(500);
+  });
+});
--- a/src/services/log/common/logEvents.ts
+++ b/src/services/log/common/logEvents.ts
@@ -15,6 +15,8 @@
   'cell-acquired': 'This daemon schedules the availability zone from now on.',
   'fleet-acquired': 'This daemon schedules all workers of the platform from now on.',
   'fleet-lost': 'This daemon no longer schedules the workers of the platform.',
+  'starts-limited':
+    'The owner asks more of its processor than it has; it starts fewer tasks until its steps are punctual again.',
   'lease-renewed-late':
     'The owner renewed its lease late: its process was held up, or the table answered late.',
   'submission-accepted': 'A submission is stored and will run.',
--- a/src/services/log/test/logEvents.test.ts
+++ b/src/services/log/test/logEvents.test.ts
@@ -21,6 +21,7 @@
   'fleet-acquired': 'another owner to this one, with what it found',
   'fleet-lost': 'this owner to another',
   'lease-renewed-late': 'renewals in time to a late one, at most once in three fifths of a lease',
+  'starts-limited': 'the limit of starts to a lower one, at most three times a second',
   'metrics-not-served': 'the process starts without its metrics, once',
   'settings-changed': 'the settings file moves',
   'store-lost': 'the store answers to the store fails',
--- a/src/services/metrics/common/metricList.ts
+++ b/src/services/metrics/common/metricList.ts
@@ -135,6 +135,7 @@
   ),
   task_starts: counter('Starts sent to workers, by what the worker answered.'),
   fleet_scheduling: gauge('One on the instance that schedules the workers, else nought.'),
+  start_limit: gauge('Starts a second that the processor of this instance is taken to carry.'),
   lease_renewal_gap: duration(
     "Between two renewals of the owner's lease, as sent; the lease is lost where it is over by then.",
   ),
