Fix runs whose end a restarted worker may forget being taken for lost

What callers see: a task that has ended well runs again on another worker.

Cause: a worker's process restarts within the moment in which no call to it is under way. The next call acknowledges ends of the former process; starts sent beside it are carried out by the new one. Its first end has a number that is acknowledged already, so it is forgotten. The run is no longer listed, without an end, and its task is started anew. Since the class is known such a worker was given nothing more, but what it had been given within that moment was left to run.

Its trace: worker-0 answers at 4,070 ms, its new process begins at 4,081, the call and the starts of 4,170 reach that one, the run ends at 5,633 ms and is forgotten, run 2 starts on worker-3 at 6,250.

Change: what such a process lists is stopped as soon as it is known (4,710 ms in the trace), except tasks that last, whose ends do not count. A run that ends between the call and that stop is still not covered.

The new test fails without the change with the sentence above.

--- a/src/scheduler/common/fleet/fleetNotes.ts
+++ b/src/scheduler/common/fleet/fleetNotes.ts
@@ -25,6 +25,8 @@
   Draining: 'draining',
   /** It makes no progress. */
   Stuck: 'stuck',
+  /** Its process may forget its end, being told of ends that its predecessor had under the number. */
+  Forgettable: 'forgettable',
 } as const;
 export type StopReason = (typeof StopReason)[keyof typeof StopReason];
 
--- a/src/scheduler/common/fleet/runKeeper.ts
+++ b/src/scheduler/common/fleet/runKeeper.ts
@@ -115,9 +115,16 @@
     const unknown = answer.running.filter((running) => !this.#takeRunning(view, running, nowMs));
     if (!answer.isFinishedCut) this.#dropUnlisted(view, answer, sentAtMs, nowMs);
     view.strayCount = unknown.length;
+    if (view.mayForgetEnds) this.#stopForgettable(view, nowMs);
     return unknown;
   }
 
+  /** A run whose end may be forgotten would look like one that is lost, and be started again. */
+  #stopForgettable(view: FleetWorkerView, nowMs: number): void {
+    const runs = [...view.runs.values()].filter(({ task }) => !task.step.isPersistent);
+    this.requestStops(runs, StopReason.Forgettable, nowMs);
+  }
+
   handleStarted(run: TaskRun, result: Either<Failure, StartOutcome>, nowMs: number): void {
     const view = this.#views.get(run.workerId);
     if (view?.hasRun(run) !== true) return;
--- a/src/scheduler/test/fleet/explore/found.test.ts
+++ b/src/scheduler/test/fleet/explore/found.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from 'vitest';
 
+import type { ExplorationStep } from './faults.js';
 import { playSteps } from './playSteps.js';
 
 describe('explorations that failed', () => {
@@ -139,4 +140,26 @@
     ]);
     expect(broken).toEqual([]);
   });
+
+  // Seed 904560: a process that restarts between two calls is told of its predecessor's ends while it runs a task.
+  it('starts nothing twice whose end a restarted worker may forget', async () => {
+    const calm: ExplorationStep = {
+      ...{ fault: 'calm', workerIndexes: [], seatIndexes: [], lastsMs: 300, sharePercent: 0 },
+      ...{ taskCount: 0, workMs: 100, spanMs: 551 },
+    };
+    const { broken } = await playSteps([
+      calm,
+      { ...calm, spanMs: 1301 },
+      { ...calm, seatIndexes: [1, 0, 2], lastsMs: 6343, workMs: 3994, spanMs: 1230 },
+      {
+        ...{ fault: 'zone-silent', workerIndexes: [3, 0], seatIndexes: [2, 1, 3, 0] },
+        ...{ lastsMs: 8068, sharePercent: 4, taskCount: 2, workMs: 3059, spanMs: 954 },
+      },
+      {
+        ...{ fault: 'worker-restart', workerIndexes: [2, 1, 0, 5], seatIndexes: [2] },
+        ...{ lastsMs: 688, sharePercent: 8, taskCount: 1, workMs: 1453, spanMs: 12 },
+      },
+    ]);
+    expect(broken).toEqual([]);
+  });
 });
