Charge the owner's processor in the simulation of a fleet

`bench/fleet` took the owner's time as free and so could not show what binds at hundreds of workers. `--owner-cores C` charges decisions (as measured, collections with a tenth on top) and calls (by docs/CAPACITY.md) to a processor of C cores; while it is busy, answers and steps wait in their order. `--workers 380` has wider steps on workers of 32 processors, some 1,000 tasks a second. Other instances are not simulated: they only accept.

--- a/bench/fleet/fleet.ts
+++ b/bench/fleet/fleet.ts
@@ -2,7 +2,8 @@
  * Simulates a deployment under the fleet scheduler: services with periodic load beside batch work
  * that slows some of them, a burst, lost and faulty workers and a change of the owner.
  *
- * `npm run bench -- fleet [--workers 46] [--seeds 10] [--ablate] [--baselines]`; `bounds`
+ * `npm run bench -- fleet [--workers 46] [--seeds 10] [--ablate] [--baselines] [--owner-cores C]`;
+ * `--owner-cores` charges the owner's decisions and calls to a processor of so many cores. `bounds`
  * runs the seeds of CI and checks the results against the committed bounds. `profile` divides the
  * owner's processor time by what it does; `calls` measures that of its calls over loopback.
  */
@@ -29,10 +30,11 @@
 
 const ARGUMENTS = {
   mode: { type: 'positional', required: false },
-  workers: { type: 'string', default: '46', description: 'size of the fleet: 46, 342 or 860' },
+  workers: { type: 'string', default: '46', description: 'size of the fleet: 46, 342, 380 or 860' },
   seeds: { type: 'string', default: '10', description: 'number of seeds, counted from 1' },
   ablate: { type: 'boolean', description: 'disable one mechanism at a time' },
   baselines: { type: 'boolean', description: 'also run the baselines' },
+  'owner-cores': { type: 'string', description: 'processor that the owner is charged on' },
   from: { type: 'string', default: '12', description: 'profile: virtual second to measure from' },
   seconds: { type: 'string', default: '8', description: 'profile, calls: how long to measure' },
   rate: { type: 'string', default: '600', description: 'calls: holds or starts a second' },
@@ -75,11 +77,12 @@
   shape: FleetShape,
   policyOf: PolicyFactory,
   seedCount: number,
+  ownerCores?: number,
 ): Promise<Summary> => {
   const results: FleetResult[] = [];
   for (let seed = 1; seed <= seedCount; seed += 1) {
     // eslint-disable-next-line no-await-in-loop -- runs one seed at a time
-    results.push(await simulateFleet(shape, (truth) => policyOf(truth, shape), seed));
+    results.push(await simulateFleet(shape, (truth) => policyOf(truth, shape), seed, ownerCores));
   }
   return { results, share: mean(results.map(({ share }) => share)) };
 };
@@ -118,7 +121,8 @@
     `over ${meanOf(({ overTargetS }) => overTargetS)} s, noticed ${meanOf(({ noticedCount }) => noticedCount, 1)}`,
     `stops ${meanOf(({ counts }) => counts.stopCount)}, paces ${meanOf(({ counts }) => counts.paceCount)}`,
     `lost ${meanOf(({ counts }) => counts.wastedProcessorSeconds)} core-s`,
-    `${(schedulerMs / Math.max(1, startCount)).toFixed(2)} ms a start`,
+    `${(schedulerMs / Math.max(1, startCount)).toFixed(2)} ms a start, ${startCount.toFixed(0)} starts`,
+    `owner busy ${meanOf(({ ownerBusyShare }) => ownerBusyShare, 2)}`,
   ].join('; ');
 };
 
@@ -130,12 +134,13 @@
   shape: FleetShape,
   policies: Readonly<Record<string, PolicyFactory>>,
   seedCount: number,
+  ownerCores?: number,
 ): Promise<void> => {
   const entries = Object.entries(policies);
   for (let index = 0; index < entries.length; index += 1) {
     const [name, policyOf] = entries[index] as [string, PolicyFactory];
     // eslint-disable-next-line no-await-in-loop -- runs one policy at a time
-    print(line(name, await runSeeds(shape, policyOf, seedCount)));
+    print(line(name, await runSeeds(shape, policyOf, seedCount, ownerCores)));
   }
 };
 
@@ -206,6 +211,12 @@
       print(`no mode '${parsed.mode}'; there are: bounds, profile, calls`);
       return false;
     }
+    const ownerCores =
+      parsed['owner-cores'] === undefined ? undefined : Number(parsed['owner-cores']);
+    if (ownerCores !== undefined && !(ownerCores > 0)) {
+      print(`--owner-cores has to be a number above 0, not '${parsed['owner-cores']}'`);
+      return false;
+    }
     const ablated = Object.entries(ABLATIONS).map(
       ([name, policy]) => [`without ${name}`, () => policy] as const,
     );
@@ -215,7 +226,7 @@
       ...(parsed.baselines ? BASELINES : {}),
       ...(parsed.ablate ? Object.fromEntries(ablated) : {}),
     };
-    await report(shape, policies, Number(parsed.seeds));
+    await report(shape, policies, Number(parsed.seeds), ownerCores);
     print(`finished in ${((performance.now() - startedAtMs) / MS_PER_S).toFixed(0)} s`);
     return true;
   },
--- a/bench/fleet/fleetDriver.ts
+++ b/bench/fleet/fleetDriver.ts
@@ -7,7 +7,6 @@
 import type { FleetPolicy } from '../../src/scheduler/common/fleet/fleetPolicy.js';
 import { FleetScheduler } from '../../src/scheduler/common/fleet/fleetScheduler.js';
 import { FLEET_TIMING, type FleetTiming } from '../../src/scheduler/common/fleet/fleetTiming.js';
-import { StoredStateReader } from '../../src/scheduler/node/storedStateReader.js';
 import { ErrorKind, failure, type Failure } from '../../src/services/errors/common/errorKinds.js';
 import type { FleetConfiguration } from '../../src/services/fleet/common/fleetConfiguration.js';
 import type {
@@ -27,8 +26,10 @@
 import { VirtualTime } from '../virtualTime.js';
 import { countCommit, countHold, countNote, newDriverCounts } from './driverCounts.js';
 import { configurationOf } from './fleetConfiguration.js';
+import { CALL_COST_MS, OwnerProcessor } from './ownerProcessor.js';
 import type { FleetShape } from './fleetShape.js';
 import { SharedWorker } from './sharedWorker.js';
+import { storedStateReader } from './storedState.js';
 import type { FleetTruth } from './truth.js';
 import type { Arrival } from './workload.js';
 
@@ -64,6 +65,8 @@
 
   readonly counts = newDriverCounts();
 
+  readonly #processor: OwnerProcessor;
+
   /** When submissions were stored as complete, by id. */
   readonly completedAtMs = new Map<string, number>();
 
@@ -96,8 +99,15 @@
   /** Where the scheduler's notes go; writing them is part of its cost. */
   log: Log = silentLog;
 
-  constructor(shape: FleetShape, truth: FleetTruth, policy: FleetPolicy, seed: number) {
+  constructor(
+    shape: FleetShape,
+    truth: FleetTruth,
+    policy: FleetPolicy,
+    seed: number,
+    ownerCores?: number,
+  ) {
     this.#shape = shape;
+    this.#processor = new OwnerProcessor(this.time, ownerCores);
     this.#truth = truth;
     this.#policy = policy;
     this.#random = new SeededRandom(seed);
@@ -140,6 +150,10 @@
     this.#scheduler = this.#newScheduler();
   }
 
+  get ownerBusyMs(): number {
+    return this.#processor.busyMs;
+  }
+
   isLost(id: string): boolean {
     return this.#lostAtMs.has(id);
   }
@@ -233,20 +247,23 @@
 
   /** Delivers a change after the feed delay if the scheduler then owns the fleet. */
   #deliver(deliver: (epoch: number) => void): void {
-    this.#reply(FEED_DELAY_MS, () => {
+    const take = (): void => {
       const { epoch } = this.#scheduler;
       if (epoch !== undefined) deliver(epoch);
-    });
+    };
+    this.#reply(FEED_DELAY_MS, take, CALL_COST_MS.feed);
   }
 
   /** Runs the callback after a delay unless the calling daemon has been replaced. */
-  #reply(delayMs: number, run: () => void): void {
+  #reply(delayMs: number, run: () => void, costMs = 0): void {
     const generation = this.#generation;
-    this.time.after(delayMs, () => {
-      if (generation !== this.#generation) return;
-      this.#timed(run);
-      this.#scheduleStep();
-    });
+    this.time.after(delayMs, () =>
+      this.#processor.run(costMs, () => {
+        if (generation !== this.#generation) return;
+        this.#timed(run);
+        this.#scheduleStep();
+      }),
+    );
   }
 
   #timed<Result>(run: () => Result): Result {
@@ -261,17 +278,20 @@
     const dueAtMs = Math.max(nowMs, this.#lastStepAtMs + STEP_INTERVAL_MS);
     if (this.#stepDueAtMs <= dueAtMs) return;
     this.#stepDueAtMs = dueAtMs;
-    this.time.after(dueAtMs - nowMs, () => this.#step());
+    this.time.after(dueAtMs - nowMs, () => this.#processor.run(0, () => this.#step(dueAtMs)));
   }
 
-  #step(): void {
+  #step(dueAtMs: number): void {
     const { nowMs } = this.time;
     this.#stepDueAtMs = Number.POSITIVE_INFINITY;
     this.#lastStepAtMs = nowMs;
     const { epoch } = this.#scheduler;
     if (epoch !== undefined) this.#scheduler.handleCaughtUp(epoch, nowMs);
     this.counts.stepCount += 1;
+    const beganAtMs = performance.now();
     const effects = this.#timed(() => this.#scheduler.step(nowMs, nowMs));
+    const tookMs = this.#processor.inVirtualMs(performance.now() - beganAtMs);
+    this.#scheduler.handleStepTaken(dueAtMs, nowMs, nowMs + tookMs);
     effects.forEach((effect) => this.#perform(effect));
   }
 
@@ -351,7 +371,8 @@
     take: (result: Either<Failure, ReturnType<TableStandIn['read']>>) => void,
   ): void {
     const answer = this.table.read(request);
-    this.#reply(TABLE_DELAY_MS, () => take(right({ ...answer, tableNowMs: this.time.nowMs })));
+    const answered = (): void => take(right({ ...answer, tableNowMs: this.time.nowMs }));
+    this.#reply(TABLE_DELAY_MS, answered, CALL_COST_MS.read);
   }
 
   #transact(
@@ -359,23 +380,12 @@
     take: (result: Either<Failure, TransactionResult>) => void,
   ): void {
     const answer = this.table.transact(transaction);
-    this.#reply(TABLE_DELAY_MS, () => take(right({ ...answer, tableNowMs: this.time.nowMs })));
+    const answered = (): void => take(right({ ...answer, tableNowMs: this.time.nowMs }));
+    this.#reply(TABLE_DELAY_MS, answered, CALL_COST_MS.commit);
   }
 
   #load(epoch: number): void {
-    const reader = new StoredStateReader(
-      {
-        read: (request) => () =>
-          Promise.resolve(right({ ...this.table.read(request), position: 0, tableNowMs: 0 })),
-        transact: (transaction) => () => Promise.resolve(right(this.table.transact(transaction))),
-      },
-      {
-        operatorChanges: () => () =>
-          Promise.resolve(right({ isWhole: false, changes: [], position: 0 })),
-        workers: () => () => Promise.resolve(right(this.#entries())),
-      },
-      silentLog,
-    );
+    const reader = storedStateReader(this.table, () => this.#entries());
     this.#loading = reader.readAll().then((loaded) => {
       this.#loading = undefined;
       this.#reply(TABLE_DELAY_MS, () =>
@@ -390,9 +400,9 @@
     const answer = (): void => {
       const outcome = worker.model.hold(request, this.time.nowMs);
       countHold(this.counts, outcome);
-      this.#reply(NETWORK_DELAY_MS, () =>
-        this.#scheduler.handleHeld(epoch, workerId, right(outcome), sentAtMs, this.time.nowMs),
-      );
+      const answered = (): void =>
+        this.#scheduler.handleHeld(epoch, workerId, right(outcome), sentAtMs, this.time.nowMs);
+      this.#reply(NETWORK_DELAY_MS, answered, CALL_COST_MS.hold);
     };
     this.time.after(NETWORK_DELAY_MS, () => {
       if (this.isLost(workerId)) {
@@ -436,7 +446,7 @@
     this.time.after(NETWORK_DELAY_MS, () => {
       if (this.isLost(workerId)) return;
       const answer = call(this.workers.get(workerId) as SharedWorker);
-      this.#reply(NETWORK_DELAY_MS, () => take(right(answer)));
+      this.#reply(NETWORK_DELAY_MS, () => take(right(answer)), CALL_COST_MS.order);
     });
   }
 }
--- a/bench/fleet/fleetRun.ts
+++ b/bench/fleet/fleetRun.ts
@@ -13,6 +13,8 @@
 
 export interface FleetResult extends SimulationOutcome {
   readonly counts: DriverCounts;
+  /** Share of the time for which the owner's processor was busy, where it is charged. */
+  readonly ownerBusyShare: number;
   /** The share of the attainable value that was earned. */
   readonly share: number;
 }
@@ -42,10 +44,12 @@
   shape: FleetShape,
   policyOf: (truth: FleetTruth) => FleetPolicy,
   seed: number,
+  ownerCores?: number,
 ): Promise<FleetResult> => {
   const truth = new FleetTruth(shape, seed);
   const arrivals = new Workload(shape, truth, seed + SEED_STRIDE).generate();
-  const driver = new FleetDriver(shape, truth, policyOf(truth), seed + 2 * SEED_STRIDE);
+  const policy = policyOf(truth);
+  const driver = new FleetDriver(shape, truth, policy, seed + 2 * SEED_STRIDE, ownerCores);
   const meter = new OutcomeMeter(shape, driver, arrivals);
   arrivals.forEach((arrival) => driver.submit(arrival));
   schedule(driver, shape, seed + 3 * SEED_STRIDE);
@@ -57,5 +61,6 @@
     earned: parts.reduce((sum, { earned }) => sum + earned, 0),
     attainable: parts.reduce((sum, { attainable }) => sum + attainable, 0),
   });
-  return { ...outcome, counts: driver.counts, share };
+  const ownerBusyShare = driver.ownerBusyMs / shape.endMs;
+  return { ...outcome, counts: driver.counts, ownerBusyShare, share };
 };
--- a/bench/fleet/fleetShape.ts
+++ b/bench/fleet/fleetShape.ts
@@ -175,4 +175,39 @@
   };
 };
 
-export const FLEET_SHAPES: readonly FleetShape[] = [shapeOf(46), shapeOf(342), shapeOf(860)];
+/** Larger steps on larger workers: some 1,000 tasks a second are asked for. */
+const wideShapeOf = (workerCount: number): FleetShape => {
+  const shape = shapeOf(workerCount);
+  const { service, urgent, filler } = shape;
+  const scale = workerCount / 380;
+  return {
+    ...shape,
+    processorMillis: [32_000],
+    memoryBytes: 125_000 * MEGABYTE,
+    service: {
+      ...service,
+      ...{ initialCount: Math.round(76 * scale), submissionsPerSecond: 0.41 * scale },
+      taskCount: { mean: 24, sigma: 0.4, maximum: 48 },
+      processorMillis: { mean: 3_900, sigma: 0.25, maximum: 6_200 },
+    },
+    urgent: {
+      ...urgent,
+      submissionsPerSecond: 9.61 * scale,
+      taskCount: { mean: 9, sigma: 0.8, maximum: 54 },
+      processorMillis: { mean: 6_100, sigma: 0.45, maximum: 17_900 },
+    },
+    filler: {
+      ...filler,
+      submissionsPerSecond: 10.9 * scale,
+      taskCount: { mean: 39, sigma: 0.6, maximum: 156 },
+      processorMillis: { mean: 3_500, sigma: 0.3, maximum: 6_800 },
+    },
+  };
+};
+
+export const FLEET_SHAPES: readonly FleetShape[] = [
+  shapeOf(46),
+  shapeOf(342),
+  wideShapeOf(380),
+  shapeOf(860),
+];
