Judge the owner's processor by steps that are all late, not by single ones

The limit of starts was cut by every step that began 110 ms late. Workers are asked in waves, since all of them answer a new owner at once and wait as long each time; on a processor of 0.675 cores beside 380 workers each wave delays steps by over 100 ms, so that the limit fell to its least and stayed there while the processor was half idle.

The new test of waves fails on the code before (the limit falls).

--- a/src/scheduler/common/fleet/fleetScheduler.ts
+++ b/src/scheduler/common/fleet/fleetScheduler.ts
@@ -193,7 +193,7 @@
   ): void {
     const key = runKey(reference.taskName, reference.run);
     const run = this.#startsInFlight.get(key);
-    this.#startsInFlight.delete(key);
+    if (this.#startsInFlight.delete(key)) this.#load.noteStartAnswered();
     if (this.#tenure?.epoch !== epoch || run === undefined) return;
     const isFenced = isRight(result) && result.right === StartOutcome.Fenced;
     if (isFenced && this.#isOvertaken(reference, epoch)) this.#yield(nowMs);
--- a/src/scheduler/common/fleet/ownerLoad.ts
+++ b/src/scheduler/common/fleet/ownerLoad.ts
@@ -27,6 +27,10 @@
     this.#ratingCount += ratingCount;
   }
 
+  noteStartAnswered(): void {
+    this.#starts.noteAnswered();
+  }
+
   /** Returns whether fewer tasks are started from now on. */
   noteStep(dueAtMs: number, beganAtMs: number, endedAtMs: number): boolean {
     this.#budget.note(this.#ratingCount, beganAtMs, endedAtMs);
--- a/src/scheduler/test/fleet/startPace.test.ts
+++ b/src/scheduler/test/fleet/startPace.test.ts
@@ -10,7 +10,9 @@
   let backlog = 0;
   let started = 0;
   for (let nowMs = 0; nowMs < seconds * 1_000; nowMs += STEP_MS) {
-    backlog = Math.max(0, backlog - (carriedPerS * STEP_MS) / 1_000);
+    const answered = Math.min(backlog, (carriedPerS * STEP_MS) / 1_000);
+    for (let count = 1; count <= answered; count += 1) pace.noteAnswered();
+    backlog -= answered;
     const lateMs = (backlog / carriedPerS) * 1_000;
     pace.handleStep(nowMs - lateMs, nowMs);
     const count = pace.allowance(nowMs);
@@ -21,6 +23,13 @@
   return started / seconds;
 };
 
+/** Starts as much as it may, and has all of it answered. */
+const startAll = (pace: StartPace, nowMs: number): void => {
+  const count = pace.allowance(nowMs);
+  pace.take(count);
+  for (let answered = 0; answered < count; answered += 1) pace.noteAnswered();
+};
+
 describe('the pace of starts', () => {
   it('finds what the processor carries, and leaves its loop punctual', () => {
     const pace = new StartPace();
@@ -35,6 +44,17 @@
     expect(pace.limitPerS).toBe(beforePerS);
   });
 
+  it('is not cut by answers that come in waves and are worked off between them', () => {
+    const pace = new StartPace();
+    const beforePerS = pace.limitPerS;
+    for (let nowMs = 0; nowMs < 10_000; nowMs += STEP_MS) {
+      const lateMs = nowMs % 1_500 < 200 ? 180 : 5;
+      pace.handleStep(nowMs - lateMs, nowMs);
+      startAll(pace, nowMs);
+    }
+    expect(pace.limitPerS).toBeGreaterThan(beforePerS);
+  });
+
   it('is cut once for a process that was frozen, and soon as high again', () => {
     const pace = new StartPace();
     const beforePerS = pace.limitPerS;
@@ -43,7 +63,7 @@
     let nowMs = 5_000;
     for (; nowMs < 12_000; nowMs += STEP_MS) {
       pace.handleStep(nowMs, nowMs);
-      pace.take(pace.allowance(nowMs));
+      startAll(pace, nowMs);
     }
     expect(pace.limitPerS).toBeGreaterThan(beforePerS);
   });
