--- a/src/scheduler/test/cellLease.test.ts
+++ b/src/scheduler/test/cellLease.test.ts
@@ -12,6 +12,7 @@
   withLeaseLost,
   withLeaseRows,
 } from '../common/cellLease.js';
+import { acquireDelayMs } from '../common/fleet/acquireDelay.js';
 import type { CellLeaseTiming } from '../common/leasePatience.js';
 
 const TIMING = { heartbeatIntervalMs: 450, leaseMs: 1_500, acquireDelayMs: 0 };
@@ -171,6 +172,18 @@
     expect(worseAfterMs).toBeGreaterThan(betterAfterMs + TIMING.heartbeatIntervalMs);
   });
 
+  it('does not go to a third of a core at the look at which a whole core may take it', () => {
+    const timingOf = (cores: number): CellLeaseTiming => ({
+      ...TIMING,
+      ...{ acquireDelayMs: acquireDelayMs(cores), isDelayRelative: true },
+    });
+    const look = () => ({ version: 40, sentAtTableMs: 0, leastDelayMs: acquireDelayMs(1.35) });
+    // Without a clock of the table, as each sees the heartbeat stand still from its first look on.
+    const betterAtMs = takenAtMs(5_000, look, undefined, timingOf(1.35));
+    const worseAtMs = takenAtMs(5_000, look, undefined, timingOf(0.324));
+    expect(worseAtMs).toBeGreaterThanOrEqual(betterAtMs + TIMING.heartbeatIntervalMs);
+  });
+
   it('goes to the daemon with more processor where both see at once that it is overdue', () => {
     // The heartbeat has been seen to stand still for longer than the extra patience by then.
     const better = { ...TIMING, acquireDelayMs: 90, isDelayRelative: true };
