Fix a new owner starting next to nothing for seconds after it took over

Cause: its first seconds go to first calls to 342 workers, so that steps are late and hardly any starts are answered. The limit was cut to four fifths of these, again and again, and then grew by 15 % a second for four seconds.

Change: a cut goes to half at the most; a limit that is not made use of is not cut, as it is not what delays the steps; the careful time after a cut is two seconds.

The new test fails before (31 starts a second after three punctual seconds, 200 asked for).

--- a/src/scheduler/common/fleet/startPace.ts
+++ b/src/scheduler/common/fleet/startPace.ts
@@ -20,6 +20,7 @@
 /** The rate grows no further beyond what has been worked off. */
 const CEILING_FACTOR = 2;
 const LEAST_PER_S = 20;
+const GREATEST_PER_S = 5_000;
 /** Starts that gather while none are wanted, as time at the present rate. */
 const BURST_MS = 150;
 const LEAST_BURST = 10;
@@ -28,10 +29,12 @@
 /** A cut goes below the starts that the processor has worked off, so that the queue gets shorter. */
 const CUT_SHARE = 0.8;
 const MILDEST_CUT_SHARE = 0.9;
+/** Of an owner that has just begun, or was frozen, hardly any starts have been answered. */
+const DEEPEST_CUT_SHARE = 0.5;
 /** By which part of itself the rate grows in a second, and for a while after a cut. */
 const GROWTH_PER_S = 3;
 const CAREFUL_GROWTH_PER_S = 0.15;
-const CAREFUL_MS = 4_000;
+const CAREFUL_MS = 2_000;
 const MS_PER_S = 1_000;
 
 export class StartPace {
@@ -92,7 +95,7 @@
     this.#answeredCount = 0;
     this.#windowBeganAtMs = nowMs;
     this.#isPunctual = lateMs <= PUNCTUAL_MS;
-    return lateMs >= LATE_MS && this.#cut(lateMs, nowMs);
+    return lateMs >= LATE_MS && this.#isUsed && this.#cut(lateMs, nowMs);
   }
 
   #cut(lateMs: number, nowMs: number): boolean {
@@ -101,11 +104,17 @@
     this.#cutLateMs = lateMs;
     this.#cutAtMs = nowMs;
     const carriedPerS = this.#answeredPerS * CUT_SHARE;
-    this.#perS = Math.max(LEAST_PER_S, Math.min(this.#perS * MILDEST_CUT_SHARE, carriedPerS));
+    const lowestPerS = Math.max(LEAST_PER_S, this.#perS * DEEPEST_CUT_SHARE);
+    this.#perS = Math.max(lowestPerS, Math.min(this.#perS * MILDEST_CUT_SHARE, carriedPerS));
     this.#tokens = Math.min(this.#tokens, this.#greatestBurst);
     return true;
   }
 
+  /** A rate that is not made use of tells nothing of what the processor carries. */
+  get #isUsed(): boolean {
+    return this.#tokens < this.#greatestBurst / 2;
+  }
+
   get #greatestBurst(): number {
     return Math.max(LEAST_BURST, (this.#perS * BURST_MS) / MS_PER_S);
   }
@@ -115,10 +124,9 @@
     this.#countedAtMs = nowMs;
     const isCareful = nowMs - this.#cutAtMs < CAREFUL_MS;
     const growthPerS = isCareful ? CAREFUL_GROWTH_PER_S : GROWTH_PER_S;
-    // A rate that is not made use of tells nothing of what the processor carries.
-    const isUsed = this.#tokens < this.#greatestBurst / 2;
-    const ceilingPerS = Math.max(INITIAL_PER_S, this.#answeredPerS * CEILING_FACTOR);
-    if (this.#isPunctual && isUsed && this.#perS < ceilingPerS) {
+    const carriedPerS = Math.min(GREATEST_PER_S, this.#answeredPerS * CEILING_FACTOR);
+    const ceilingPerS = Math.max(INITIAL_PER_S, carriedPerS);
+    if (this.#isPunctual && this.#isUsed && this.#perS < ceilingPerS) {
       this.#perS = Math.min(ceilingPerS, this.#perS * (1 + growthPerS * passedS));
     }
     this.#tokens = Math.min(this.#greatestBurst, this.#tokens + this.#perS * passedS);
--- a/src/scheduler/test/fleet/startPace.test.ts
+++ b/src/scheduler/test/fleet/startPace.test.ts
@@ -55,6 +55,21 @@
     expect(pace.limitPerS).toBeGreaterThan(beforePerS);
   });
 
+  it('is soon as high again for an owner whose first seconds went to other calls', () => {
+    const pace = new StartPace();
+    const beforePerS = pace.limitPerS;
+    let nowMs = 0;
+    for (; nowMs < 3_000; nowMs += STEP_MS) {
+      pace.handleStep(nowMs - 300, nowMs);
+      pace.take(pace.allowance(nowMs));
+    }
+    for (; nowMs < 6_000; nowMs += STEP_MS) {
+      pace.handleStep(nowMs, nowMs);
+      startAll(pace, nowMs);
+    }
+    expect(pace.limitPerS).toBeGreaterThan(beforePerS);
+  });
+
   it('is cut once for a process that was frozen, and soon as high again', () => {
     const pace = new StartPace();
     const beforePerS = pace.limitPerS;
