Tell for each kind of tasks that wait what stands against the workers

The line on tasks that wait named the oldest of all and gave one word, no-room, for workers that may not be used, lack processors or memory, are set aside, or would slow services. Neither why a task that lasts is not placed while others are, nor whether large batch work is short of room, could be told.

One line for each kind now (interrupted, lasting, batch, filler), with what stands against each worker for the oldest task. Worked out once a second; the rating of workers tells why it rejects one instead of nothing.

--- a/src/scheduler/common/fleet/fleetNotes.ts
+++ b/src/scheduler/common/fleet/fleetNotes.ts
@@ -6,7 +6,7 @@
 import type { PaceChange } from './interferenceControl.js';
 import type { WorkerEvidence } from './runEvidence.js';
 import type { TaskRecord, TaskRun } from './taskRecords.js';
-import { type WaitCounts, WaitReport } from './waitReport.js';
+import { type ObstaclesOf, type WaitCounts, WaitReport } from './waitReport.js';
 
 export interface FleetNote {
   readonly event: LogEvent;
@@ -104,9 +104,15 @@
     this.add('runs-paced', { paces });
   }
 
-  addWaits(waiting: Iterable<TaskRecord>, counts: WaitCounts, nowMs: number): void {
-    const fields = this.#waitReport.tasks(waiting, counts, nowMs);
-    if (fields !== undefined) this.add('tasks-waiting', fields);
+  addWaits(
+    waiting: Iterable<TaskRecord>,
+    counts: WaitCounts,
+    obstaclesOf: ObstaclesOf,
+    nowMs: number,
+  ): void {
+    this.#waitReport
+      .tasks(waiting, counts, obstaclesOf, nowMs)
+      .forEach((fields) => this.add('tasks-waiting', fields));
   }
 
   /** Workers that have not answered this owner and may run what a former owner started. */
--- a/src/scheduler/common/fleet/fleetPlacement.ts
+++ b/src/scheduler/common/fleet/fleetPlacement.ts
@@ -1,11 +1,12 @@
 /** How good each worker is for a task that waits. */
-import { fitsInto } from '../../../services/worker/common/resources.js';
+import type { Resources } from '../../../services/worker/common/resources.js';
 import type { PlacementCandidate } from '../placement.js';
 import type { FaultRanking } from './faultAvoidance.js';
 import type { FleetPolicy } from './fleetPolicy.js';
 import type { FleetWorkerView } from './fleetWorkerView.js';
 import type { InterferenceControl } from './interferenceControl.js';
 import { isServing } from './headroom.js';
+import { PlacementObstacle } from './placementObstacle.js';
 import type { SubmissionRecord, TaskRecord } from './taskRecords.js';
 
 /**
@@ -159,6 +160,20 @@
 
 type Place = Pick<Rating, 'cost' | 'percent'>;
 
+export const isObstacle = (one: object | PlacementObstacle): one is PlacementObstacle =>
+  typeof one === 'string';
+
+/** What of its room the worker lacks for the task; a filler's processors are not counted. */
+const missingRoom = (task: TaskRecord, free: Resources): PlacementObstacle | undefined => {
+  const { isFiller, size } = task.step;
+  if (!isFiller && size.processorMillis > free.processorMillis) {
+    return PlacementObstacle.NoProcessors;
+  }
+  if (size.memoryBytes > free.memoryBytes) return PlacementObstacle.NoMemory;
+  if (size.acceleratorCount > free.acceleratorCount) return PlacementObstacle.NoAccelerators;
+  return undefined;
+};
+
 /**
  * Made for long batch tasks that use what services leave idle. A filler goes where most is idle
  * and the tasks that serve are furthest from their targets with it; where too little is idle it
@@ -170,17 +185,17 @@
   mayBeSlow: boolean,
   interference: InterferenceControl,
   nowMs: number,
-): Place | undefined => {
-  const { processorMillis, memoryBytes, acceleratorCount } = task.step.size;
-  const { free } = view;
-  if (memoryBytes > free.memoryBytes || acceleratorCount > free.acceleratorCount) return undefined;
+): Place | PlacementObstacle => {
+  const { processorMillis } = task.step.size;
   const capacityMillis = view.entry.capacity.processorMillis;
   const idleMillis = capacityMillis - occupancyOf(view).usedProcessorMillis;
-  if (idleMillis < processorMillis * FILLER_IDLE_SHARE) return undefined;
+  if (idleMillis < processorMillis * FILLER_IDLE_SHARE) return PlacementObstacle.NoProcessors;
   const admission = interference.admit(view, task, nowMs);
-  if (admission === undefined) return undefined;
+  if (admission === undefined) return PlacementObstacle.Interference;
   const { percent, headroom } = admission;
-  if (percent < FULL_PERCENT && !(mayBeSlow && !hasReducedPaceStart(view))) return undefined;
+  if (percent < FULL_PERCENT && !(mayBeSlow && !hasReducedPaceStart(view))) {
+    return PlacementObstacle.Interference;
+  }
   const score =
     PACE_WEIGHT * (percent / FULL_PERCENT) +
     idleMillis / capacityMillis +
@@ -198,23 +213,24 @@
   return policy.placement.costOf(request, toCandidate(view, task));
 };
 
-/** Returns undefined if the task must not be started on the worker now. */
+/** Rates the worker for the task, or tells why the task must not be started there now. */
 export const rateWorker = (
   task: TaskRecord,
   view: FleetWorkerView,
   mayBeSlow: boolean,
   context: RatingContext,
   nowMs: number,
-): Rating | undefined => {
-  const { isFiller, size, dataRack } = task.step;
+): Rating | PlacementObstacle => {
+  const { isFiller, dataRack } = task.step;
   // What most workers lack is checked first: most tasks that wait find no room on most of them.
-  if (!isFiller && !fitsInto(size, view.free)) return undefined;
-  if (!isAllowed(view, task)) return undefined;
+  const missing = missingRoom(task, view.free);
+  if (missing !== undefined) return missing;
+  if (!isAllowed(view, task)) return PlacementObstacle.NotAllowed;
   const faultRank = context.faultRanking.rankOf(task, view);
-  if (faultRank === undefined) return undefined;
+  if (faultRank === undefined) return PlacementObstacle.SetAside;
   if (isFiller) {
     const place = placeForFiller(task, view, mayBeSlow, context.interference, nowMs);
-    return place && { faultRank, isFar: false, ...place };
+    return isObstacle(place) ? place : { faultRank, isFar: false, ...place };
   }
   const isFar = dataRack !== '' && view.entry.rack !== dataRack;
   return { faultRank, isFar, cost: costAtFullPace(task, view, context), percent: FULL_PERCENT };
--- a/src/scheduler/common/fleet/fleetRound.ts
+++ b/src/scheduler/common/fleet/fleetRound.ts
@@ -5,11 +5,12 @@
   type OperatorState,
 } from '../../../services/fleet/common/fleetConfiguration.js';
 import type { WorkerHealth } from '../workerHealth.js';
-import type { RatingContext } from './fleetPlacement.js';
+import { allowsReducedPace, isObstacle, rateWorker, type RatingContext } from './fleetPlacement.js';
 import type { FleetPolicy } from './fleetPolicy.js';
 import type { FleetTiming } from './fleetTiming.js';
 import type { FleetWorkerView } from './fleetWorkerView.js';
 import type { InterferenceControl } from './interferenceControl.js';
+import { PlacementObstacle } from './placementObstacle.js';
 import type { RoomMisses } from './roomMisses.js';
 import type { Roster } from './roster.js';
 import { newRun } from './runKeeper.js';
@@ -59,19 +60,26 @@
 const nextRunNumber = (tasks: readonly TaskRecord[], epoch: number): number =>
   Math.max((epoch - 1) * RUNS_PER_EPOCH, ...tasks.map(({ lastRun }) => lastRun)) + 1;
 
+/** Why no task may be started on the worker now; undefined if tasks may be. */
+const useObstacle = (
+  view: FleetWorkerView,
+  { timing, roster, operator }: RoundInput,
+  nowMs: number,
+): PlacementObstacle | undefined => {
+  if (!view.isListed || !view.isEntryCurrent) return PlacementObstacle.Unlisted;
+  if (view.entry.isDraining) return PlacementObstacle.Draining;
+  const isKnown = view.knowsClock && !view.isReborn && !view.isSilent;
+  if (!isKnown || !view.isFresh(timing, nowMs)) return PlacementObstacle.Unanswered;
+  if (view.mayForgetEnds || view.strayCount > 0) return PlacementObstacle.Unsettled;
+  if (!roster.isUnlimited(view.id)) return PlacementObstacle.LeasesLimited;
+  return operator.withdrawnZones.has(view.entry.availabilityZone)
+    ? PlacementObstacle.ZoneWithdrawn
+    : undefined;
+};
+
 /** Whether tasks may be started on the worker now. */
 export const isUsable = (view: FleetWorkerView, input: RoundInput, nowMs: number): boolean =>
-  view.isListed &&
-  view.isEntryCurrent &&
-  !view.entry.isDraining &&
-  view.knowsClock &&
-  !view.isReborn &&
-  !view.mayForgetEnds &&
-  !view.isSilent &&
-  view.strayCount === 0 &&
-  view.isFresh(input.timing, nowMs) &&
-  input.roster.isUnlimited(view.id) &&
-  !input.operator.withdrawnZones.has(view.entry.availabilityZone);
+  useObstacle(view, input, nowMs) === undefined;
 
 /** The usable workers of one service. */
 export interface ServicePool {
@@ -124,6 +132,31 @@
   }
 }
 
+/** What stands against each worker for a task that waits; workers that would take it are left out. */
+export const obstaclesOf = (
+  task: TaskRecord,
+  input: RoundInput,
+  nowMs: number,
+): ReadonlyMap<PlacementObstacle, number> => {
+  const counts = new Map<PlacementObstacle, number>();
+  const { configuration } = input.operator;
+  if (configuration === undefined) return counts;
+  const { serviceName, context } = new UsableWorkers(input, nowMs).poolOf(task, configuration);
+  const mayBeSlow = allowsReducedPace(task, nowMs);
+  const obstacleOf = (view: FleetWorkerView): PlacementObstacle | undefined => {
+    const obstacle = useObstacle(view, input, nowMs);
+    if (obstacle !== undefined) return obstacle;
+    if (view.entry.serviceName !== serviceName) return PlacementObstacle.OtherService;
+    const rating = rateWorker(task, view, mayBeSlow, context, nowMs);
+    return isObstacle(rating) ? rating : undefined;
+  };
+  input.views.forEach((view) => {
+    const obstacle = obstacleOf(view);
+    if (obstacle !== undefined) counts.set(obstacle, (counts.get(obstacle) ?? 0) + 1);
+  });
+  return counts;
+};
+
 class Round {
   readonly #input: RoundInput;
 
--- a/src/scheduler/common/fleet/fleetScheduler.ts
+++ b/src/scheduler/common/fleet/fleetScheduler.ts
@@ -35,7 +35,7 @@
 import { StopReason } from './fleetNotes.js';
 import { FleetOwnership } from './fleetOwnership.js';
 import { movableRuns } from './drainMoves.js';
-import { placeWaiting } from './fleetRound.js';
+import { obstaclesOf, placeWaiting } from './fleetRound.js';
 import {
   loseLapsed,
   newTenure,
@@ -55,6 +55,7 @@
 import { splitRecorded } from './runStarts.js';
 import { OwnerLoad } from './ownerLoad.js';
 import { RunState, type TaskRun } from './taskRecords.js';
+import type { ObstaclesOf } from './waitReport.js';
 
 export class FleetScheduler {
   readonly #timing: FleetTiming;
@@ -355,9 +356,11 @@
   #place(tenure: Tenure, nowMs: number): void {
     if (!this.#mayStart(tenure, nowMs) || tenure.book.waiting.size === 0) return;
     const limits = this.#load.roundLimits(nowMs);
-    const outcome = placeWaiting(this.#roundInput(tenure), limits, nowMs);
+    const input = this.#roundInput(tenure);
+    const outcome = placeWaiting(input, limits, nowMs);
     this.#load.noteRound(outcome);
-    tenure.notes.addWaits(tenure.book.waiting, outcome.waits, nowMs);
+    const obstacles: ObstaclesOf = (task) => obstaclesOf(task, input, nowMs);
+    tenure.notes.addWaits(tenure.book.waiting, outcome.waits, obstacles, nowMs);
   }
 
   #moveFromDraining(tenure: Tenure, nowMs: number): void {
--- a/src/scheduler/common/fleet/waitReport.ts
+++ b/src/scheduler/common/fleet/waitReport.ts
@@ -1,6 +1,7 @@
 /** Tells the log, in a bounded number of lines, what waits longer than it should and why. */
 import type { LogFields } from '../../../services/log/common/log.js';
 import type { FleetWorkerView } from './fleetWorkerView.js';
+import type { PlacementObstacle } from './placementObstacle.js';
 import type { TaskRecord } from './taskRecords.js';
 
 /** Why a task that is due was not placed in a round. */
@@ -20,28 +21,70 @@
 /** Workers named in one line; the count tells of the others. */
 const NAMED_WORKERS = 20;
 
-const oldestOf = (tasks: Iterable<TaskRecord>): TaskRecord | undefined => {
-  let oldest: TaskRecord | undefined;
+/** Kinds of tasks that wait for different reasons, the most urgent one first. */
+export const WaitingKind = {
+  /** Lasts, and has run before: its users are without service. */
+  Interrupted: 'interrupted',
+  Lasting: 'lasting',
+  Batch: 'batch',
+  Filler: 'filler',
+} as const;
+export type WaitingKind = (typeof WaitingKind)[keyof typeof WaitingKind];
+
+/** What stands against the workers of a task, by how many. */
+export type ObstaclesOf = (task: TaskRecord) => ReadonlyMap<PlacementObstacle, number>;
+
+const kindOf = ({ step, lastRun }: TaskRecord): WaitingKind => {
+  if (step.isPersistent) return lastRun > 0 ? WaitingKind.Interrupted : WaitingKind.Lasting;
+  return step.isFiller ? WaitingKind.Filler : WaitingKind.Batch;
+};
+
+interface Waiting {
+  readonly oldest: TaskRecord;
+  readonly count: number;
+}
+
+/** What waits of each kind. */
+const waitingByKind = (tasks: Iterable<TaskRecord>): ReadonlyMap<WaitingKind, Waiting> => {
+  const byKind = new Map<WaitingKind, Waiting>();
   [...tasks].forEach((task) => {
-    if (oldest === undefined || task.waitingSinceMs < oldest.waitingSinceMs) oldest = task;
+    const kind = kindOf(task);
+    const known = byKind.get(kind);
+    const isOlder = known === undefined || task.waitingSinceMs < known.oldest.waitingSinceMs;
+    byKind.set(kind, { oldest: isOlder ? task : known.oldest, count: (known?.count ?? 0) + 1 });
   });
-  return oldest;
+  return byKind;
 };
 
+const describeCounts = (counts: ReadonlyMap<string, number>): string =>
+  [...counts].map(([reason, count]) => `${reason}=${count}`).join(' ');
+
 export class WaitReport {
   #nextTasksAtMs = Number.NEGATIVE_INFINITY;
 
   #nextWorkersAtMs = Number.NEGATIVE_INFINITY;
 
-  /** The fields of a line on tasks that wait, when one is due. */
-  tasks(waiting: Iterable<TaskRecord>, counts: WaitCounts, nowMs: number): LogFields | undefined {
-    if (nowMs < this.#nextTasksAtMs || counts.size === 0) return undefined;
-    const oldest = oldestOf(waiting);
-    const waitedMs = nowMs - (oldest?.waitingSinceMs ?? nowMs);
-    if (oldest === undefined || waitedMs < NOTABLE_WAIT_MS) return undefined;
+  /** The fields of lines on tasks that wait, one for each kind, when they are due. */
+  tasks(
+    waiting: Iterable<TaskRecord>,
+    counts: WaitCounts,
+    obstaclesOf: ObstaclesOf,
+    nowMs: number,
+  ): readonly LogFields[] {
+    if (nowMs < this.#nextTasksAtMs || counts.size === 0) return [];
+    const notable = [...waitingByKind(waiting)].filter(
+      ([, { oldest }]) => nowMs - oldest.waitingSinceMs >= NOTABLE_WAIT_MS,
+    );
+    if (notable.length === 0) return [];
     this.#nextTasksAtMs = nowMs + REPORT_INTERVAL_MS;
-    const reasons = [...counts].map(([reason, count]) => `${reason}=${count}`).join(' ');
-    return { taskName: oldest.name, longestWaitMs: Math.round(waitedMs), reasons };
+    return notable.map(([kind, { oldest, count }]) => ({
+      kind,
+      count,
+      taskName: oldest.name,
+      longestWaitMs: Math.round(nowMs - oldest.waitingSinceMs),
+      reasons: describeCounts(counts),
+      obstacles: describeCounts(obstaclesOf(oldest)),
+    }));
   }
 
   /** The fields of a line on workers whose runs are not known yet, when one is due. */
--- a/src/scheduler/common/fleet/workerSearch.ts
+++ b/src/scheduler/common/fleet/workerSearch.ts
@@ -2,6 +2,7 @@
 import {
   allowsReducedPace,
   isBetter,
+  isObstacle,
   rateWorker,
   type Rating,
   type RatingContext,
@@ -83,6 +84,7 @@
 
   #rate(task: TaskRecord, view: FleetWorkerView): Rating | undefined {
     this.ratingCount += 1;
-    return rateWorker(task, view, this.#mayBeSlow, this.#context, this.#nowMs);
+    const rating = rateWorker(task, view, this.#mayBeSlow, this.#context, this.#nowMs);
+    return isObstacle(rating) ? undefined : rating;
   }
 }
--- a/src/scheduler/test/fleet/fleetNotes.test.ts
+++ b/src/scheduler/test/fleet/fleetNotes.test.ts
@@ -3,8 +3,9 @@
 import { RunEnd } from '../../../services/fleet/common/fleetWorker.js';
 import { type FleetNote, FleetNotes } from '../../common/fleet/fleetNotes.js';
 import type { TaskRecord } from '../../common/fleet/taskRecords.js';
+import { PlacementObstacle } from '../../common/fleet/placementObstacle.js';
 import { WaitReason } from '../../common/fleet/waitReport.js';
-import { STEP, submissionOf } from './fleetFixtures.js';
+import { STEP, submissionOf, WORKER_CAPACITY } from './fleetFixtures.js';
 import { FleetWorld } from './fleetWorld.js';
 
 const ID = '00000000000000a2';
@@ -35,21 +36,43 @@
   it('names the oldest task and why tasks are not placed, once a second at most', () => {
     const notes = new FleetNotes();
     const waiting = [
-      { name: 'younger', waitingSinceMs: 900 },
-      { name: 'oldest', waitingSinceMs: 100 },
+      { name: 'younger', waitingSinceMs: 900, step: STEP },
+      { name: 'oldest', waitingSinceMs: 100, step: STEP },
     ] as unknown as TaskRecord[];
     const counts = new Map([[WaitReason.NoRoom, 2]]);
+    const obstacles = new Map([[PlacementObstacle.NoProcessors, 3]]);
     const lines: FleetNote[] = [];
     for (let nowMs = 1_000; nowMs <= 3_000; nowMs += 10) {
-      notes.addWaits(waiting, counts, nowMs);
+      notes.addWaits(waiting, counts, () => obstacles, nowMs);
       lines.push(...notes.drain(3, nowMs));
     }
     expect(lines).toHaveLength(2);
     expect(lines[0]).toEqual({
       event: 'tasks-waiting',
-      fields: { taskName: 'oldest', longestWaitMs: 1_000, reasons: 'no-room=2' },
+      fields: {
+        kind: 'batch',
+        count: 2,
+        taskName: 'oldest',
+        longestWaitMs: 1_000,
+        reasons: 'no-room=2',
+        obstacles: 'no-processors=3',
+      },
     });
   });
+
+  it('tells for each worker why it does not take a task', async () => {
+    const world = new FleetWorld(3, () => ({ workMs: 90_000, end: RunEnd.Done }));
+    ['worker-0', 'worker-1', 'worker-2'].forEach((id) => world.addWorker(id));
+    world.addScheduler();
+    await world.runFor(1_500);
+    const { processorMillis } = WORKER_CAPACITY;
+    const size = { ...WORKER_CAPACITY, processorMillis: processorMillis - 1 };
+    world.submit(submissionOf(ID, [{ ...STEP, taskCount: 4, size }]));
+    world.drainingWorkers.add('worker-2');
+    await world.runFor(5_000);
+    const [waiting] = world.logged.filter(({ event }) => event === 'tasks-waiting');
+    expect(waiting?.fields.obstacles).toBe('no-processors=2 draining=1');
+  });
 });
 
 describe('what the scheduler tells of lost runs', () => {
--- a/src/services/log/common/logEvents.ts
+++ b/src/services/log/common/logEvents.ts
@@ -25,7 +25,8 @@
   'submission-cancelled': 'A cancellation is stored.',
   'submission-ended': 'A submission has come to its last state, by the end of the task named.',
   'tasks-started': 'Tasks were given room and their starts sent, as TASK#RUN@WORKER+WAIT.',
-  'tasks-waiting': 'Tasks have waited for over a second; the line names the oldest and counts why.',
+  'tasks-waiting':
+    'Tasks of a kind have waited for over a second; the line names the oldest, counts why tasks were not placed, and what stands against each worker for the oldest; a worker that would take it is not counted.',
   'workers-awaited':
     'Workers that may run what a former owner started have not answered the new owner yet.',
   'tasks-ended': 'Workers have listed ends for the first time, as TASK#RUN@WORKER=END.',
