Fix interrupted tasks that a new owner takes for new ones

Whether a task that lasts has run before decides whether it starts ahead of everything or behind all batch work of its priority. A new owner knew it only from a run that it took over. It took none over from a worker whose leases were over when it read what is stored, and none of a task that waited while another of its submission was started: the assignments are written anew then, with the tasks that run.

The stored assignment counts as a last run now, also where the run is over, and tasks that last and wait to start again stay in the assignments, under no worker.

--- a/src/scheduler/common/fleet/submissionBook.ts
+++ b/src/scheduler/common/fleet/submissionBook.ts
@@ -14,6 +14,7 @@
   isStepReady,
   newSubmissionRecord,
   NO_PROGRESS,
+  NO_WORKER_ID,
   openOccurrence,
   type OccurrenceRecord,
   parseTaskName,
@@ -235,10 +236,11 @@
   #noteInherited(task: TaskRecord): void {
     if (task.isDone) return;
     const runs = task.submission.inheritedRuns.get(task.place) ?? [];
-    const isOver = ({ run }: InheritedRun): boolean => task.failedRuns.includes(run);
-    runs
-      .filter((run) => !isOver(run))
-      .forEach((inherited) => this.#inherited.push({ task, inherited }));
+    // Also where the run is over by now: the task has been interrupted and is no new one.
+    task.lastRun = Math.max(task.lastRun, ...runs.map(({ run }) => run));
+    const mayRun = ({ run, workerId }: InheritedRun): boolean =>
+      workerId !== NO_WORKER_ID && !task.failedRuns.includes(run);
+    runs.filter(mayRun).forEach((inherited) => this.#inherited.push({ task, inherited }));
   }
 
   #queueStep(opened: OccurrenceRecord, stepIndex: number, nowMs: number): void {
--- a/src/scheduler/common/fleet/taskRecords.ts
+++ b/src/scheduler/common/fleet/taskRecords.ts
@@ -144,6 +144,9 @@
 
 export const NO_ASSIGNMENTS: Assignments = {};
 
+/** Stands in stored assignments for the worker of a task that lasts and waits to start again. */
+export const NO_WORKER_ID = '';
+
 const toInheritedRuns = (assignments: Assignments): SubmissionRecord['inheritedRuns'] => {
   const runs = new Map<number, InheritedRun[]>();
   Object.entries(assignments).forEach(([workerId, pairs]) => {
@@ -273,17 +276,20 @@
   };
 };
 
+const isInterrupted = ({ step, runs, lastRun }: TaskRecord): boolean =>
+  step.isPersistent && runs.length === 0 && lastRun > 0;
+
 /** The assignments as they are stored. */
 export const toAssignments = (record: SubmissionRecord): Assignments => {
   const assignments: Record<string, number[]> = {};
+  const add = (workerId: string, { place }: TaskRecord, run: number): void => {
+    assignments[workerId] = [...(assignments[workerId] ?? []), place, run];
+  };
   record.occurrences.forEach(({ tasks }) =>
-    tasks.flat().forEach((task) =>
-      task.runs.forEach(({ workerId, run }) => {
-        const pairs = assignments[workerId] ?? [];
-        pairs.push(task.place, run);
-        assignments[workerId] = pairs;
-      }),
-    ),
+    tasks.flat().forEach((task) => {
+      task.runs.forEach(({ workerId, run }) => add(workerId, task, run));
+      if (isInterrupted(task)) add(NO_WORKER_ID, task, task.lastRun);
+    }),
   );
   return assignments;
 };
--- a/src/services/submissions/common/submissionRows.ts
+++ b/src/services/submissions/common/submissionRows.ts
@@ -57,7 +57,8 @@
 /**
  * Which worker was given which task of a submission: pairs of a task's place and its run number,
  * by worker. Written before the starts are sent, so that a new owner of the fleet knows which tasks
- * cannot run on the workers it does not reach. Runs that are over may still be in it.
+ * cannot run on the workers it does not reach. Runs that are over may still be in it. Under an empty
+ * name are tasks that last and wait to start again, with their last run.
  */
 export const assignmentsSchema = z.record(z.string(), z.array(wholeSchema));
 export type Assignments = z.infer<typeof assignmentsSchema>;
