Read the time that is left to a worker that drains

Callers saw tasks wait for 4.3 to 4.6 s after a worker was replaced by plan, since everything on it was taken for lost only when its leases were over. The worker tells in its entry how long it surely goes on; nothing read that.

`DrainNotice` turns it into an instant of the owner's clock that is no later than what the worker promised: the entry was written after the reading before the one that shows it first and at most one report interval ago; lists whose answers overtake each other change nothing. Readings carry when they were asked for. The settings of the daemon have two fields more, how often workers report and how long a stop takes, which the platform fills in.

No decision goes by it yet.

--- a/bench/fleet/fleetDriver.ts
+++ b/bench/fleet/fleetDriver.ts
@@ -28,7 +28,7 @@
 import { configurationOf } from './fleetConfiguration.js';
 import { CALL_COST_MS, OwnerProcessor } from './ownerProcessor.js';
 import type { FleetShape } from './fleetShape.js';
-import { SharedWorker } from './sharedWorker.js';
+import { SharedWorker, STOP_MS } from './sharedWorker.js';
 import { storedStateReader } from './storedState.js';
 import type { FleetTruth } from './truth.js';
 import type { Arrival } from './workload.js';
@@ -48,6 +48,8 @@
   ...FLEET_TIMING,
   maximumLeaseMs: 6_000,
   workerLeaseLimitMs: 6_000,
+  workerReportIntervalMs: 1_500,
+  workerStopMs: STOP_MS,
 };
 
 interface WaitingHold {
@@ -221,7 +223,7 @@
 
   #listWorkers(): void {
     const { nowMs } = this.time;
-    this.#deliver((epoch) => this.#scheduler.handleWorkers(epoch, this.#entries(), nowMs));
+    this.#deliver((epoch) => this.#scheduler.handleWorkers(epoch, this.#entries(), nowMs, nowMs));
   }
 
   #entries(): readonly FleetWorkerEntry[] {
--- a/bench/fleet/sharedWorker.ts
+++ b/bench/fleet/sharedWorker.ts
@@ -17,7 +17,7 @@
 const PACE_DELAY_MS = 100;
 const RESTORE_MS = 600;
 const SAVE_INTERVAL_MS = 1_000;
-const STOP_MS = 200;
+export const STOP_MS = 200;
 const LONGEST_LEASE_MS = 6_000;
 /** Averaging window and relative noise of the listed figures. */
 const FIGURE_WINDOW_MS = 500;
--- a/soak/test/platform/daemonInstance.ts
+++ b/soak/test/platform/daemonInstance.ts
@@ -9,7 +9,7 @@
 import { Pool } from 'undici';
 
 import { SilentRelay } from '../../../standIns/relay/silentRelay.js';
-import { MAXIMUM_LEASE_MS } from './fleetWorkerParts.js';
+import { MAXIMUM_LEASE_MS, REPORT_INTERVAL_MS, STOP_MS } from './fleetWorkerParts.js';
 import type { Zone } from './soakTypes.js';
 
 const PROGRAM = ['--max-old-space-size=160', '--max-semi-space-size=4', 'target/snipethread.cjs'];
@@ -88,6 +88,8 @@
       listen: { callers: free, readiness: free, metrics: free },
       storeAddress: this.storeHost,
       maximumLeaseMs: MAXIMUM_LEASE_MS,
+      workerReportIntervalMs: REPORT_INTERVAL_MS,
+      workerStopMs: STOP_MS,
       graceSeconds: GRACE_SECONDS,
       processor: { share: 1, speed: 1 },
     };
--- a/soak/test/platform/fleetWorker.ts
+++ b/soak/test/platform/fleetWorker.ts
@@ -17,6 +17,7 @@
   type FleetWorkerParts,
   MAXIMUM_LEASE_MS,
   SERVICE,
+  STOP_MS,
 } from './fleetWorkerParts.js';
 import {
   answerOrder,
@@ -29,7 +30,6 @@
 import { SilentPort } from './silentPort.js';
 import { RunOutcome, type Zone, ZONE_HOSTS, ZONES } from './soakTypes.js';
 
-const STOP_MS = 400;
 const HOLD_POLL_MS = 20;
 const BYTES_PER_MEGABYTE = 1024 * 1024;
 /** The platform drops the entry of a worker that has been silent for so long. */
--- a/soak/test/platform/fleetWorkerParts.ts
+++ b/soak/test/platform/fleetWorkerParts.ts
@@ -7,6 +7,10 @@
 export const SERVICE = 'soak-service';
 export const CAPACITY: TaskSize = { processorMillis: 8_000, memoryMegabytes: 16_000 };
 export const MAXIMUM_LEASE_MS = 6_000;
+/** How long a worker takes to stop a task. */
+export const STOP_MS = 400;
+/** How often workers of the platform write their entries; those of the soak write changes only. */
+export const REPORT_INTERVAL_MS = 1_100;
 
 /** What callers meet at the address of a worker that is gone. */
 export const Absence = { Silent: 'silent', Refusing: 'refusing' } as const;
--- a/src/daemon/common/fleetSettings.ts
+++ b/src/daemon/common/fleetSettings.ts
@@ -26,6 +26,10 @@
   storeAddress: z.string().regex(/^[\d.]+:\d+$/u),
   /** The longest lease that workers grant. */
   maximumLeaseMs: durationMs,
+  /** How often a worker writes its entry into the store. */
+  workerReportIntervalMs: durationMs,
+  /** How long a worker takes at most to stop a task. */
+  workerStopMs: durationMs,
   /** The time from a request to end until the process is ended. */
   graceSeconds: z.number().positive(),
   /** What the daemon has of a processor: a share of one that is so many times as fast as a core. */
--- a/src/daemon/test/fleetSettings.test.ts
+++ b/src/daemon/test/fleetSettings.test.ts
@@ -8,6 +8,8 @@
   listen: { callers: '10.1.0.13:8161', readiness: '10.1.0.13:8167', metrics: '10.1.0.13:9464' },
   storeAddress: '10.200.1.7:8169',
   maximumLeaseMs: 6_000,
+  workerReportIntervalMs: 1_500,
+  workerStopMs: 900,
   graceSeconds: 6,
   processor: { share: 0.27, speed: 1 },
 };
--- a/src/scheduler/common/fleet/fleetScheduler.ts
+++ b/src/scheduler/common/fleet/fleetScheduler.ts
@@ -148,11 +148,16 @@
     if (this.#tenure?.epoch === epoch) this.#tenure.caughtUpAtMs = nowMs;
   }
 
-  /** Takes in the workers that the table lists now. */
-  handleWorkers(epoch: number, entries: readonly FleetWorkerEntry[], nowMs: number): void {
+  /** Takes in the workers that the table lists, asked for at `sentAtMs`. */
+  handleWorkers(
+    epoch: number,
+    entries: readonly FleetWorkerEntry[],
+    sentAtMs: number,
+    nowMs: number,
+  ): void {
     const tenure = this.#tenure;
     if (tenure?.epoch !== epoch) return;
-    noteWorkers(tenure, entries, nowMs);
+    noteWorkers(tenure, entries, this.#timing, sentAtMs, nowMs);
   }
 
   handleHeld(
--- a/src/scheduler/common/fleet/fleetTenure.ts
+++ b/src/scheduler/common/fleet/fleetTenure.ts
@@ -83,7 +83,7 @@
   { views, fenceRaises }: Pick<Tenure, 'views' | 'fenceRaises'>,
   entry: FleetWorkerEntry,
   nowMs: number,
-): void => {
+): FleetWorkerView => {
   const known = views.get(entry.id);
   const view = known ?? new FleetWorkerView(entry, nowMs, nowMs, fenceRaises.get(entry.id));
   view.entry = entry;
@@ -91,6 +91,7 @@
   if (view.isHeard && !view.isListed && !view.isHoldInFlight) view.isSilent = true;
   view.isListed = true;
   views.set(entry.id, view);
+  return view;
 };
 
 /** Nothing is stored of submissions that have just come. */
@@ -152,14 +153,16 @@
   return tenure;
 };
 
-/** Takes in the workers that the table lists now. */
+/** Takes in the workers that the table lists, read no earlier than `readAtMs`. */
 export const noteWorkers = (
   tenure: Tenure,
   entries: readonly FleetWorkerEntry[],
+  timing: FleetTiming,
+  readAtMs: number,
   nowMs: number,
 ): void => {
   const listed = new Set(entries.map(({ id }) => id));
-  entries.forEach((entry) => noteListed(tenure, entry, nowMs));
+  entries.forEach((entry) => noteListed(tenure, entry, nowMs).noteEntry(entry, timing, readAtMs));
   tenure.views.forEach((view, id) => {
     if (listed.has(id)) return;
     if (view.isListed) tenure.notes.add('worker-unlisted', { workerId: id, runs: view.runs.size });
--- a/src/scheduler/common/fleet/fleetTiming.ts
+++ b/src/scheduler/common/fleet/fleetTiming.ts
@@ -4,6 +4,10 @@
   readonly maximumLeaseMs: number;
   /** What a worker shortens longer leases to. */
   readonly workerLeaseLimitMs: number;
+  /** How often a worker writes its entry into the table. */
+  readonly workerReportIntervalMs: number;
+  /** How long a worker takes at most to stop a task. */
+  readonly workerStopMs: number;
   /** How long an owner that cannot reach the table goes on granting leases. */
   readonly maximumGrantWithoutTableMs: number;
   /** How long a worker may wait for an end before it answers a hold. */
--- a/src/scheduler/common/fleet/fleetWorkerView.ts
+++ b/src/scheduler/common/fleet/fleetWorkerView.ts
@@ -6,6 +6,7 @@
   type Resources,
   subtractResources,
 } from '../../../services/worker/common/resources.js';
+import { DrainNotice } from './drainNotice.js';
 import { type FleetTiming, leaseWithinMs, longestLeaseMs } from './fleetTiming.js';
 import type { ServiceLoad } from './serviceLoad.js';
 import { countedSize, type TaskRun } from './taskRecords.js';
@@ -88,6 +89,8 @@
   /** When, on this process's clock, every lease granted to the worker has surely ended. */
   leasesOverAtMs: number;
 
+  readonly #drainNotice = new DrainNotice();
+
   #used: Resources = NO_RESOURCES;
 
   /** What is left of the capacity that `#freeOf` tells; undefined after a change of the runs. */
@@ -144,6 +147,17 @@
     return !isTold || this.entry.incarnation === this.incarnation;
   }
 
+  /** Until when the worker surely goes on; undefined where that is not told. */
+  get staysUntilMs(): number | undefined {
+    return this.#drainNotice.staysUntilMs;
+  }
+
+  /** Takes in what the table lists of the worker, read no earlier than `readAtMs`. */
+  noteEntry(entry: FleetWorkerEntry, timing: FleetTiming, readAtMs: number): void {
+    this.entry = entry;
+    this.#drainNotice.note(entry, timing.workerReportIntervalMs, readAtMs);
+  }
+
   hasRun(run: TaskRun): boolean {
     return this.runs.get(runKey(run.task.name, run.run)) === run;
   }
--- a/src/scheduler/node/fleetTask.ts
+++ b/src/scheduler/node/fleetTask.ts
@@ -301,9 +301,10 @@
     const { epoch } = this.#scheduler;
     if (epoch === undefined) return;
     const { directory, clock } = this.#services;
+    const sentAtMs = clock.nowMs();
     const result = await directory.workers()();
     if (isLeft(result)) return;
-    this.#scheduler.handleWorkers(epoch, result.right, clock.nowMs());
+    this.#scheduler.handleWorkers(epoch, result.right, sentAtMs, clock.nowMs());
     this.#stepSoon();
   }
 
--- a/src/scheduler/test/fleet/fleetFixtures.ts
+++ b/src/scheduler/test/fleet/fleetFixtures.ts
@@ -60,15 +60,17 @@
   },
 };
 
+/** How long a worker of the tests takes to stop a task. */
+export const STOP_MS = 500;
+
 export const TIMING: FleetTiming = {
   ...FLEET_TIMING,
   maximumLeaseMs: 6_000,
   workerLeaseLimitMs: 12_000,
+  workerReportIntervalMs: 1_500,
+  workerStopMs: STOP_MS,
 };
 
-/** How long a worker of the tests takes to stop a task. */
-export const STOP_MS = 500;
-
 export const WORKER_CAPACITY = {
   processorMillis: 4_000,
   memoryBytes: 1_000_000,
--- a/src/scheduler/test/fleet/fleetWorld.ts
+++ b/src/scheduler/test/fleet/fleetWorld.ts
@@ -201,7 +201,7 @@
     const { scheduler } = seat;
     if (scheduler === undefined) return;
     if (this.nowMs % LIST_MS === 0 && scheduler.epoch !== undefined && this.#reachesTable(seat)) {
-      scheduler.handleWorkers(scheduler.epoch, this.#entries(), this.nowMs);
+      scheduler.handleWorkers(scheduler.epoch, this.#entries(), this.nowMs, this.nowMs);
     }
     scheduler.step(this.nowMs, this.nowMs).forEach((effect) => this.#perform(index, effect));
   }
--- a/src/services/fleet/common/fleetWorker.ts
+++ b/src/services/fleet/common/fleetWorker.ts
@@ -11,6 +11,8 @@
   readonly serviceName: string;
   readonly availabilityZone: string;
   readonly isDraining: boolean;
+  /** How much longer a worker that drained went on at the least, when it wrote this. */
+  readonly remainingMs?: number;
   readonly capacity: Resources;
   readonly labels: readonly string[];
   readonly rack: string;
