--- a/tools/release/codeCache.cjs
+++ b/tools/release/codeCache.cjs
@@ -14,6 +14,8 @@
   listen: { callers: '127.0.0.1:0', readiness: '127.0.0.1:0', metrics: '127.0.0.1:0' },
   storeAddress: '127.0.0.1:1',
   maximumLeaseMs: 6_000,
+  workerReportIntervalMs: 1_500,
+  workerStopMs: 500,
   graceSeconds: 6,
   processor: { share: 1, speed: 1 },
 };
