--- a/src/scheduler/test/fleet/busyFleet.ts
+++ b/src/scheduler/test/fleet/busyFleet.ts
@@ -1,9 +1,9 @@
 /** Daemons on processors of their own beside a table and workers, with work for all of them. */
-import { right } from 'fp-ts/lib/Either.js';
+import { left, right } from 'fp-ts/lib/Either.js';
 import type { TaskEither } from 'fp-ts/lib/TaskEither.js';
 
 import type { JsonValue } from '../../../base/common/json.js';
-import { type Failure } from '../../../services/errors/common/errorKinds.js';
+import { ErrorKind, failure, type Failure } from '../../../services/errors/common/errorKinds.js';
 import type { FleetConfiguration } from '../../../services/fleet/common/fleetConfiguration.js';
 import type { FleetDirectory } from '../../../services/fleet/common/fleetDirectory.js';
 import {
@@ -24,7 +24,7 @@
   specKey,
 } from '../../../services/submissions/common/submissionRows.js';
 import type { Submission } from '../../../services/submissions/common/submission.js';
-import type { TableService } from '../../../services/table/common/table.js';
+import type { TableService, Transaction } from '../../../services/table/common/table.js';
 import { FeedKind, type TableFeed } from '../../../services/table/common/tableFeed.js';
 import { WorkerModel } from '../../../../standIns/fleet/workerModel.js';
 import { TableStandIn } from '../../../../standIns/platform/tableStandIn.js';
@@ -35,6 +35,8 @@
 const WAY_MS = 1;
 const TABLE_MS = 4;
 const POLL_MS = 20;
+/** How long a daemon waits for an answer of the table. */
+const TABLE_TIMEOUT_MS = 700;
 
 /** What work takes on a daemon's processor. */
 export interface Costs {
@@ -52,6 +54,20 @@
   readonly atMs: number;
 }
 
+type IsTransactionLost = (transaction: Transaction) => boolean;
+
+const NOTHING_LOST: IsTransactionLost = () => false;
+
+/** A call that is never answered. */
+const noAnswer =
+  (loop: LoopModel): TaskEither<Failure, never> =>
+  () =>
+    new Promise((resolve) => {
+      loop.after(TABLE_TIMEOUT_MS, () =>
+        resolve(left(failure(ErrorKind.StoreAnswerLost, 'no answer'))),
+      );
+    });
+
 export class BusyFleet {
   readonly world = new LoopWorld();
 
@@ -70,6 +86,9 @@
   /** Steps of daemons to which they cost something. */
   stepCount = 0;
 
+  /** Tells which transactions never reach the table, and get no answer. */
+  isTransactionLost = NOTHING_LOST;
+
   readonly #fed: Submission[] = [];
 
   readonly #workMs: (taskName: string) => number;
@@ -198,10 +217,12 @@
           ({ rows }) => costs.answerMs + rows.length * costs.rowMs,
         ),
       transact: (transaction) =>
-        serve(
-          () => stamped(this.table.transact(transaction)),
-          () => costs.answerMs,
-        ),
+        this.isTransactionLost(transaction)
+          ? noAnswer(loop)
+          : serve(
+              () => stamped(this.table.transact(transaction)),
+              () => costs.answerMs,
+            ),
     };
   }
 
--- a/src/scheduler/test/fleet/workerLinks.ts
+++ b/src/scheduler/test/fleet/workerLinks.ts
@@ -53,7 +53,7 @@
   }
 
   hold(index: number, epoch: number, request: HoldRequest): void {
-    const { time, workers, fates } = this.#world;
+    const { time, workers, faults, fates } = this.#world;
     const { workerId } = request;
     const sentTo = workers.get(workerId)?.incarnation;
     const sentAtMs = time.nowMs;
@@ -70,7 +70,10 @@
         return;
       }
       if (worker === undefined) {
-        this.#settleUnreached(index, workerId, settle);
+        const passedMs = time.nowMs - sentAtMs;
+        if (faults.doHeldCallsHang && passedMs > fate.callMs) {
+          settle(NO_ANSWER, timeoutMs - passedMs);
+        } else this.#settleUnreached(index, workerId, settle);
         return;
       }
       const isDue =
--- a/src/scheduler/test/fleet/worldFaults.ts
+++ b/src/scheduler/test/fleet/worldFaults.ts
@@ -34,6 +34,8 @@
   transactionMs: number;
   /** Calls to workers that are cut off are refused at once, as if no process listened there. */
   doCutsRefuse: boolean;
+  /** Calls for lists that a worker holds when it is cut off fail at their time limit, no sooner. */
+  doHeldCallsHang: boolean;
   /** Share of calls for lists and leases that arrive late and get no answer. */
   lateHoldShare: number;
   /** Share of calls to workers that are carried out and get no answer. */
@@ -59,6 +61,7 @@
   isFeedSilent: false,
   transactionMs: CALL_MS,
   doCutsRefuse: false,
+  doHeldCallsHang: false,
   lateHoldShare: 0,
   lostOrderAnswerShare: 0,
   repeatedCallShare: 0,
