Fix a hand-over during a commit leaving no word on leases

Callers saw tasks that last away for longer than the leases of their workers after an instance was stopped in order.

An owner that hands over writes for each worker until when its leases last. That row was left out while a commit was under way, since the commit could still write it under the same version; on a busy owner that is most of the time. The successor then has to assume that each worker was granted a lease until it took over, and waits for a worker that ended before that as if it had just been heard.

The row needs no version: all commits of the owner name the owner row, which the hand-over writes, so that one under way is stored before it or never.

Ruled out: that the successor's own first calls extend the wait (a worker that it has not heard is granted nothing).

--- a/src/scheduler/common/fleet/fleetScheduler.ts
+++ b/src/scheduler/common/fleet/fleetScheduler.ts
@@ -22,7 +22,10 @@
   type RunReference,
   StartOutcome,
 } from '../../../services/fleet/common/fleetWorker.js';
-import type { RosterEntry } from '../../../services/submissions/common/submissionRows.js';
+import {
+  type RosterEntry,
+  ROSTER_KEY,
+} from '../../../services/submissions/common/submissionRows.js';
 import type {
   ReadResult,
   Transaction,
@@ -268,12 +271,9 @@
     if (transaction === undefined || tenure === undefined) return transaction;
     const toTableMs = (atMs: number): number | undefined => this.#ownership.toTableMs(atMs);
     const row = tenure.roster.last([...tenure.views.values()], toTableMs);
-    const { conditions, writes } = tenure.commits.rosterWrite(row);
-    return {
-      ...transaction,
-      conditions: [...transaction.conditions, ...conditions],
-      writes: [...transaction.writes, ...writes],
-    };
+    // Needs no condition of its own: a commit that is under way names the owner row, so that it is
+    // stored before this transaction or not at all.
+    return { ...transaction, writes: [...transaction.writes, { key: ROSTER_KEY, value: row }] };
   }
 
   /** A step that was due at `dueAtMs` has been taken. Returns whether fewer tasks start from now on. */
--- a/src/scheduler/common/fleet/progressCommits.ts
+++ b/src/scheduler/common/fleet/progressCommits.ts
@@ -8,7 +8,6 @@
   INTERFERENCE_KEY,
   progressKey,
   ROSTER_KEY,
-  type RosterRow,
   WAITING_COUNTS_KEY,
 } from '../../../services/submissions/common/submissionRows.js';
 import {
@@ -176,16 +175,6 @@
     };
   }
 
-  /** The row with its condition, unless a transaction under way may still write it. */
-  rosterWrite(row: RosterRow): Pick<Transaction, 'conditions' | 'writes'> {
-    if (this.#status !== CommitStatus.Idle) return { conditions: [], writes: [] };
-    const version = this.#versions.get(ROSTER_KEY) ?? ABSENT_VERSION;
-    return {
-      conditions: [{ key: ROSTER_KEY, version }],
-      writes: [{ key: ROSTER_KEY, value: row }],
-    };
-  }
-
   /** Takes in the answer. */
   handleCommitted(
     result: Either<Failure, TransactionResult>,
