Fix a hand-over that gets no answer being given up

Callers saw tasks that last away for up to 10.75 s (virtual time) when an owner ended in order while its last transaction had no answer. The transaction that hands the fleet over was sent once: without it the successor waits for the lease of the owner, and for leases that it may have granted without the table.

It is repeated for two seconds now, while the process goes on draining connections; one that was stored after all refuses the next by its condition. The test failed before ('first' was still the owner in the row) and passes now.

--- a/src/scheduler/node/fleetTask.ts
+++ b/src/scheduler/node/fleetTask.ts
@@ -34,6 +34,8 @@
 /** How long a feed waits for a change; also bounds what a silent connection costs. */
 const FEED_WAIT_MS = 1_000;
 const RETRY_MS = 200;
+/** For how long a hand-over without an answer is repeated; a successor takes the fleet by then. */
+const RELEASE_PATIENCE_MS = 2_000;
 /** First calls to workers that are under way at a time, and for how long one counts as such. */
 const FIRST_HOLDS_AT_A_TIME = 24;
 const FIRST_HOLD_PATIENCE_MS = 150;
@@ -114,9 +116,18 @@
   async release(): Promise<void> {
     const transaction = this.#scheduler.release();
     if (transaction === undefined) return;
-    const result = await this.#services.table.transact(transaction)();
+    const { table, clock, log } = this.#services;
+    const untilMs = clock.nowMs() + RELEASE_PATIENCE_MS;
+    let result = await table.transact(transaction)();
+    // One that was stored without an answer refuses the next by its condition.
+    while (isLeft(result) && clock.nowMs() < untilMs) {
+      // eslint-disable-next-line no-await-in-loop -- each repeats what the last one may not have done
+      await this.#pause(RETRY_MS);
+      // eslint-disable-next-line no-await-in-loop
+      result = await table.transact(transaction)();
+    }
     const message = isLeft(result) ? result.left.message : result.right.outcome;
-    this.#services.log.info('fleet-lost', { message });
+    log.info('fleet-lost', { message });
   }
 
   dispose(): void {
