--- a/src/scheduler/common/fleet/fleetWorkerView.ts
+++ b/src/scheduler/common/fleet/fleetWorkerView.ts
@@ -6,6 +6,7 @@
   type Resources,
   subtractResources,
 } from '../../../services/worker/common/resources.js';
+import { DrainNotice } from './drainNotice.js';
 import { type FleetTiming, leaseWithinMs, longestLeaseMs } from './fleetTiming.js';
 import type { ServiceLoad } from './serviceLoad.js';
 import { countedSize, type TaskRun } from './taskRecords.js';
@@ -71,7 +72,7 @@
   /** The loads of its serving tasks, by step; see `interferenceModel.ts`. */
   readonly loads = new Map<string, ServiceLoad>();
 
-  /** Rises with every change of `runs`. */
+  /** Rises with every change of `runs` and of the room that is kept. */
   changeCount = 0;
 
   /** When the figures of its runs were last taken in. */
@@ -88,8 +89,13 @@
   /** When, on this process's clock, every lease granted to the worker has surely ended. */
   leasesOverAtMs: number;
 
+  readonly #drainNotice = new DrainNotice();
+
   #used: Resources = NO_RESOURCES;
 
+  /** Room for tasks that are yet to be given to the worker. */
+  #kept: Resources = NO_RESOURCES;
+
   /** What is left of the capacity that `#freeOf` tells; undefined after a change of the runs. */
   #free: Resources | undefined;
 
@@ -120,7 +126,7 @@
   get free(): Resources {
     const { capacity } = this.entry;
     if (this.#free === undefined || this.#freeOf !== capacity) {
-      this.#free = subtractResources(capacity, this.#used);
+      this.#free = subtractResources(subtractResources(capacity, this.#used), this.#kept);
       this.#freeOf = capacity;
     }
     return this.#free;
@@ -144,6 +150,17 @@
     return !isTold || this.entry.incarnation === this.incarnation;
   }
 
+  /** Until when the worker surely goes on; undefined where that is not told. */
+  get staysUntilMs(): number | undefined {
+    return this.#drainNotice.staysUntilMs;
+  }
+
+  /** Takes in what the table lists of the worker, read no earlier than `readAtMs`. */
+  noteEntry(entry: FleetWorkerEntry, timing: FleetTiming, readAtMs: number): void {
+    this.entry = entry;
+    this.#drainNotice.note(entry, timing.workerReportIntervalMs, readAtMs);
+  }
+
   hasRun(run: TaskRun): boolean {
     return this.runs.get(runKey(run.task.name, run.run)) === run;
   }
@@ -168,6 +185,21 @@
     }
   }
 
+  keepRoom(size: Resources): void {
+    this.#kept = addResources(this.#kept, size);
+    this.#noteKept();
+  }
+
+  giveRoomBack(size: Resources): void {
+    this.#kept = subtractResources(this.#kept, size);
+    this.#noteKept();
+  }
+
+  #noteKept(): void {
+    this.changeCount += 1;
+    this.#free = undefined;
+  }
+
   /** A worker that has answered refuses former owners from then on, also what is under way. */
   boundFormerLeases(timing: FleetTiming, nowMs: number): void {
     const longestMs = longestLeaseMs(timing.maximumLeaseMs);
