Add failing tests of moves that take room from others, and of saved work that is lost

Found by a review of the moves off workers that drain and of changes of the owner.

- Moves come before all that waits.
- Room is kept on a worker, but not the place among those that its step allows there: the round gives it to another task of the step, and the task that was stopped for it has none.
It is away while its worker would have stayed for 27 s.
- Checkpoints are kept in memory only.

--- /dev/null
+++ b/src/scheduler/test/fleet/moveOrder.test.ts
@@ -0,0 +1,76 @@
+import { describe, expect, it } from 'vitest';
+
+import { RunEnd } from '../../../services/fleet/common/fleetWorker.js';
+import { STEP, submissionOf, WORKER_CAPACITY } from './fleetFixtures.js';
+import { FleetWorld } from './fleetWorld.js';
+
+const LOST_ID = '00000000000000c1';
+const MOVED_ID = '00000000000000c2';
+const BATCH_ID = '00000000000000c3';
+const LASTING_STEP = { ...STEP, isPersistent: true };
+/** The users' bound on how long a task that lasts may be away while there is capacity for it. */
+const LONGEST_AWAY_MS = 9_000;
+/** Far longer than anything here takes. */
+const STAY_MS = 30_000;
+
+const isLasting = (taskName: string): boolean =>
+  taskName.startsWith(LOST_ID) || taskName.startsWith(MOVED_ID);
+
+const batchMs = (taskName: string): number => 7_000 + 1_500 * Number(taskName.split('.')[3]);
+
+const worldWith = async (workerId: string): Promise<FleetWorld> => {
+  const world = new FleetWorld(7, (taskName) => ({
+    workMs: isLasting(taskName) ? 90_000 : batchMs(taskName),
+    end: RunEnd.Done,
+  }));
+  world.addScheduler();
+  world.addWorker(workerId);
+  return world;
+};
+
+/** For how long a task is away whose worker is gone, while another worker drains and room is short. */
+const awayBesideMovesMs = async (): Promise<number> => {
+  const world = await worldWith('worker-0');
+  world.capacities.set('worker-0', { ...WORKER_CAPACITY, processorMillis: 1_000 });
+  await world.runFor(1_500);
+  world.submit(submissionOf(LOST_ID, [LASTING_STEP]));
+  await world.runFor(500);
+  world.addWorker('worker-1');
+  await world.runFor(1_500);
+  world.submit(submissionOf(MOVED_ID, [{ ...LASTING_STEP, taskCount: 4 }]));
+  await world.runFor(500);
+  ['worker-2', 'worker-3'].forEach((id) => world.addWorker(id));
+  await world.runFor(1_500);
+  // Fills both workers and ends one task after the other.
+  world.submit(submissionOf(BATCH_ID, [{ ...STEP, taskCount: 8, estimateMs: 8_000 }]));
+  await world.runFor(200);
+  world.removeWorker('worker-0');
+  world.drainWorker('worker-1', STAY_MS, 0);
+  const sinceMs = world.nowMs;
+  while (world.runsOf(`${LOST_ID}.0.0.0`).length === 0 && world.nowMs - sinceMs < STAY_MS) {
+    // eslint-disable-next-line no-await-in-loop -- looks as time goes by
+    await world.runFor(10);
+  }
+  expect(world.judge.broken).toEqual([]);
+  return world.nowMs - sinceMs;
+};
+
+describe('moves off workers that drain', () => {
+  it('do not take the room that comes free from a task that is away', async () => {
+    expect(await awayBesideMovesMs()).toBeLessThan(LONGEST_AWAY_MS);
+  });
+
+  it('do not stop a task for a place that another one of its step is given meanwhile', async () => {
+    const world = await worldWith('worker-0');
+    await world.runFor(1_500);
+    const step = { ...LASTING_STEP, taskCount: 2, maximumPerWorker: 1 };
+    world.submit(submissionOf(MOVED_ID, [step]));
+    await world.runFor(1_000);
+    world.drainWorker('worker-0', STAY_MS, 0);
+    await world.runFor(1_500);
+    world.addWorker('worker-1');
+    await world.runFor(4_000);
+    expect(world.runsOf(`${MOVED_ID}.0.0.0`)).toHaveLength(1);
+    expect(world.judge.broken).toEqual([]);
+  });
+});
--- /dev/null
+++ b/src/scheduler/test/fleet/savedWork.test.ts
@@ -0,0 +1,45 @@
+import { describe, expect, it } from 'vitest';
+
+import { RunEnd } from '../../../services/fleet/common/fleetWorker.js';
+import { STEP, submissionOf } from './fleetFixtures.js';
+import { FleetWorld } from './fleetWorld.js';
+
+const BATCH_ID = '00000000000000e1';
+const BATCH_TASK = `${BATCH_ID}.0.0.0`;
+const WORK_MS = 8_000;
+const SAVES_EACH_MS = 500;
+
+/** What a task goes on from whose worker is gone after six seconds of work. */
+const resumedMs = async (doesOwnerChange: boolean): Promise<number> => {
+  const world = new FleetWorld(7, () => ({
+    workMs: WORK_MS,
+    end: RunEnd.Done,
+    savesEachMs: SAVES_EACH_MS,
+  }));
+  ['worker-0', 'worker-1'].forEach((id) => world.addWorker(id));
+  [0, 1].forEach(() => world.addScheduler());
+  await world.runFor(1_500);
+  world.submit(submissionOf(BATCH_ID, [{ ...STEP, estimateMs: WORK_MS, savesProgress: true }]));
+  await world.runFor(6_000);
+  world.removeWorker(world.runsOf(BATCH_TASK)[0] as string);
+  await world.runFor(1_000);
+  if (doesOwnerChange) {
+    world.stopScheduler(world.seats.findIndex(({ scheduler }) => scheduler?.epoch !== undefined));
+  }
+  while (world.runsOf(BATCH_TASK).length === 0 && world.nowMs < 30_000) {
+    // eslint-disable-next-line no-await-in-loop -- looks as time goes by
+    await world.runFor(10);
+  }
+  const holder = world.runsOf(BATCH_TASK)[0] as string;
+  expect(world.judge.broken).toEqual([]);
+  return world.workers.get(holder)?.runs.get(BATCH_TASK)?.resumedMs ?? 0;
+};
+
+describe('work that a run has saved', () => {
+  it('is not done again because the owner changes before the task starts elsewhere', async () => {
+    const keptMs = await resumedMs(false);
+    expect(keptMs).toBeGreaterThan(WORK_MS / 2);
+    // A successor may know the last save but one.
+    expect(await resumedMs(true)).toBeGreaterThanOrEqual(keptMs - 2 * SAVES_EACH_MS);
+  });
+});
