Fix moves off leaving workers that take room from interrupted tasks and others' places

Interrupted tasks are placed first now, then tasks that last are moved, then new work is placed, and only then is batch work moved that would not end in time. Tasks for which room is kept count for the limit of their step.

--- a/src/scheduler/common/fleet/drainMoves.ts
+++ b/src/scheduler/common/fleet/drainMoves.ts
@@ -10,14 +10,7 @@
 import type { FleetTiming } from './fleetTiming.js';
 import type { FleetWorkerView } from './fleetWorkerView.js';
 import { likelyRemainingMs } from './runForecast.js';
-import {
-  countedSize,
-  isOpen,
-  RunState,
-  stepName,
-  type TaskRecord,
-  type TaskRun,
-} from './taskRecords.js';
+import { isOpen, RunState, stepName, type TaskRecord, type TaskRun } from './taskRecords.js';
 import { type PlacementChoice, WorkerSearch } from './workerSearch.js';
 
 /** A step of the scheduler, a call and its answer, and a few looks for room. */
@@ -25,15 +18,6 @@
 /** How much longer than it says a worker is likely to stay. */
 const LIKELY_LINGER_MS = 1_000;
 
-export interface DueMoves {
-  /** Tasks that last. */
-  readonly lasting: readonly TaskRun[];
-  /** Runs that cannot end before their workers leave. */
-  readonly unfinishable: readonly TaskRun[];
-}
-
-const NO_MOVES: DueMoves = { lasting: [], unfinishable: [] };
-
 const isLeaving = (view: FleetWorkerView): boolean =>
   view.isListed && view.entry.isDraining && view.isHeard && !view.isSilent;
 
@@ -79,8 +63,22 @@
   return run.state === RunState.Running && isMoveDue(run, view, timing, nowMs);
 };
 
-const sameStepCount = (runs: Iterable<Pick<TaskRun, 'task'>>, task: TaskRecord): number =>
-  [...runs].filter((run) => stepName(run.task) === stepName(task)).length;
+/** What a filler uses is not counted, so that the room of several cannot be told. */
+const keepsNoFiller = ({ keptTasks }: FleetWorkerView): boolean =>
+  ![...keptTasks].some(({ step }) => step.isFiller);
+
+const findRoom = (
+  task: TaskRecord,
+  usable: UsableWorkers,
+  configuration: FleetConfiguration,
+  nowMs: number,
+): PlacementChoice | undefined => {
+  const { views, context } = usable.poolOf(task, configuration);
+  const allowed = task.step.isFiller ? views.filter(keepsNoFiller) : views;
+  return new WorkerSearch(allowed, context, nowMs).next(task);
+};
+
+const isAtWork = ({ state }: TaskRun): boolean => state === RunState.Running;
 
 export class DrainMoves {
   /** Room that is kept on workers for the tasks of runs that are being stopped. */
@@ -114,26 +112,30 @@
     });
   }
 
-  /** Runs to be stopped, for each of which room is kept from now on; others stay where they are. */
-  next(input: RoundInput, nowMs: number): DueMoves {
+  /** Tasks that last, to be stopped; room is kept for each from now on, others stay where they are. */
+  nextLasting(input: RoundInput, nowMs: number): readonly TaskRun[] {
+    return this.#next(input, ({ task }) => task.step.isPersistent, nowMs);
+  }
+
+  /** Other runs that cannot end before their workers leave, to be stopped in the same way. */
+  nextUnfinishable(input: RoundInput, nowMs: number): readonly TaskRun[] {
+    return this.#next(input, ({ task }) => !task.step.isPersistent, nowMs);
+  }
+
+  #next(input: RoundInput, isWanted: (run: TaskRun) => boolean, nowMs: number): readonly TaskRun[] {
     const { configuration } = input.operator;
     const runs = [...input.views.values()]
       .filter(isLeaving)
       .flatMap((view) =>
         [...view.runs.values()]
-          .filter((run) => !this.#kept.has(run))
+          .filter((run) => !this.#kept.has(run) && isWanted(run))
           .filter((run) => isMovable(run, view, input.timing, nowMs)),
       );
-    if (configuration === undefined || runs.length === 0) return NO_MOVES;
-    const moved = this.#keepRoom(runs, input, configuration, nowMs);
-    const due = moved.filter(({ state }) => state === RunState.Running);
-    return {
-      lasting: due.filter(({ task }) => task.step.isPersistent),
-      unfinishable: due.filter(({ task }) => !task.step.isPersistent),
-    };
+    if (configuration === undefined || runs.length === 0) return [];
+    return this.#keepRoom(runs, input, configuration, nowMs).filter(isAtWork);
   }
 
-  /** Keeps room for what is being stopped already, then for tasks that last. */
+  /** Keeps room for what is being stopped already, then for the others. */
   #keepRoom(
     runs: readonly TaskRun[],
     input: RoundInput,
@@ -141,51 +143,24 @@
     nowMs: number,
   ): readonly TaskRun[] {
     const usable = new UsableWorkers(input, nowMs);
-    const rankOf = ({ state, task }: TaskRun): number =>
-      Number(state === RunState.Running) + Number(!task.step.isPersistent);
     const missed = new Set<string>();
-    return [...runs]
-      .sort((one, other) => rankOf(one) - rankOf(other))
-      .filter((run) => {
-        const name = stepName(run.task);
-        if (missed.has(name)) return false;
-        const choice = this.#findRoom(run.task, usable, configuration, nowMs);
-        if (choice === undefined) missed.add(name);
-        else this.#keep(run, choice.view);
-        return choice !== undefined;
-      });
-  }
-
-  #findRoom(
-    task: TaskRecord,
-    usable: UsableWorkers,
-    configuration: FleetConfiguration,
-    nowMs: number,
-  ): PlacementChoice | undefined {
-    const { views, context } = usable.poolOf(task, configuration);
-    const allowed = views.filter((view) => this.#mayKeep(task, view));
-    return new WorkerSearch(allowed, context, nowMs).next(task);
-  }
-
-  /** Whether what is kept on the worker already leaves it open to one more task, whatever its size. */
-  #mayKeep(task: TaskRecord, view: FleetWorkerView): boolean {
-    const { isFiller, maximumPerWorker } = task.step;
-    if (!isFiller && maximumPerWorker === 0) return true;
-    const others = [...this.#kept].filter(([, kept]) => kept === view).map(([run]) => run);
-    // What a filler uses is not counted, so that the room of several cannot be told.
-    if (isFiller && others.some((other) => other.task.step.isFiller)) return false;
-    const keptCount = sameStepCount(others, task);
-    if (maximumPerWorker === 0 || keptCount === 0) return true;
-    return sameStepCount(view.runs.values(), task) + keptCount < maximumPerWorker;
+    return [...runs.filter((run) => !isAtWork(run)), ...runs.filter(isAtWork)].filter((run) => {
+      const name = stepName(run.task);
+      if (missed.has(name)) return false;
+      const choice = findRoom(run.task, usable, configuration, nowMs);
+      if (choice === undefined) missed.add(name);
+      else this.#keep(run, choice.view);
+      return choice !== undefined;
+    });
   }
 
   #keep(run: TaskRun, view: FleetWorkerView): void {
     this.#kept.set(run, view);
-    view.keepRoom(countedSize(run.task.step));
+    view.keepRoomFor(run.task);
   }
 
   #giveBack(run: TaskRun, view: FleetWorkerView): void {
     this.#kept.delete(run);
-    view.giveRoomBack(countedSize(run.task.step));
+    view.giveRoomBack(run.task);
   }
 }
--- a/src/scheduler/common/fleet/fleetPlacement.ts
+++ b/src/scheduler/common/fleet/fleetPlacement.ts
@@ -85,15 +85,19 @@
   return occupancy;
 };
 
+const isSameStep = (one: TaskRecord, other: TaskRecord): boolean =>
+  one.submission === other.submission &&
+  one.stepIndex === other.stepIndex &&
+  one.occurrence === other.occurrence;
+
+/** Tasks of the step that run on the worker or are to start in room that is kept there. */
 const sameStepCount = (view: FleetWorkerView, task: TaskRecord): number => {
   let count = 0;
   view.runs.forEach((run) => {
-    const other = run.task;
-    const isSame =
-      other.submission === task.submission &&
-      other.stepIndex === task.stepIndex &&
-      other.occurrence === task.occurrence;
-    if (isSame) count += 1;
+    if (isSameStep(run.task, task)) count += 1;
+  });
+  view.keptTasks.forEach((kept) => {
+    if (isSameStep(kept, task)) count += 1;
   });
   return count;
 };
--- a/src/scheduler/common/fleet/fleetRound.ts
+++ b/src/scheduler/common/fleet/fleetRound.ts
@@ -15,7 +15,7 @@
 import type { Roster } from './roster.js';
 import { newRun } from './runKeeper.js';
 import type { SubmissionBook } from './submissionBook.js';
-import type { TaskRecord, TaskRun } from './taskRecords.js';
+import { isInterrupted, type TaskRecord, type TaskRun } from './taskRecords.js';
 import type { TaskGroup } from './waitingTasks.js';
 import { type WaitCounts, WaitReason } from './waitReport.js';
 import { type PlacementChoice, WorkerSearch } from './workerSearch.js';
@@ -308,18 +308,27 @@
   }
 }
 
-/** Gives tasks that wait room on workers; their starts are sent once the assignments are stored. */
+/**
+ * Gives tasks that wait room on workers; their starts are sent once the assignments are stored.
+ * `afterInterrupted` is called once those that were interrupted have had their turn.
+ */
 export const placeWaiting = (
   input: RoundInput,
   limits: RoundLimits,
+  afterInterrupted: () => void,
   nowMs: number,
 ): RoundOutcome => {
   const { configuration } = input.operator;
-  if (configuration === undefined || input.book.waiting.size === 0) return NOTHING_PLACED;
+  if (configuration === undefined || input.book.waiting.size === 0) {
+    afterInterrupted();
+    return NOTHING_PLACED;
+  }
   const round = new Round(input, configuration, limits, nowMs);
-  input.policy.order
-    .sort(input.book.waiting.groups, configuration, nowMs)
-    .forEach((group) => round.place(group));
+  const groups = input.policy.order.sort(input.book.waiting.groups, configuration, nowMs);
+  const isUrgent = ({ tasks }: TaskGroup): boolean => [...tasks].some(isInterrupted);
+  groups.filter(isUrgent).forEach((group) => round.place(group));
+  afterInterrupted();
+  groups.filter((group) => !isUrgent(group)).forEach((group) => round.place(group));
   const { waits, ratingCount, placed } = round;
   return { waits, ratingCount, startCount: placed.length };
 };
--- a/src/scheduler/common/fleet/fleetScheduler.ts
+++ b/src/scheduler/common/fleet/fleetScheduler.ts
@@ -305,9 +305,8 @@
     loseLapsed(tenure, this.#timing, nowMs);
     tenure.book.openDue(wallNowMs, nowMs);
     tenure.keeper.inherit(tenure.book.takeInherited(), nowMs);
-    this.#moveFromDraining(tenure, nowMs);
-    effects.push(...stopEffects(tenure, nowMs));
     this.#place(tenure, nowMs);
+    effects.push(...stopEffects(tenure, nowMs));
     effects.push(...holdEffects(tenure, this.#timing, this.#ownership, nowMs));
     effects.push(...this.#pacing.effects(tenure, nowMs));
     this.#commit(tenure, effects, nowMs);
@@ -362,25 +361,24 @@
   }
 
   #place(tenure: Tenure, nowMs: number): void {
-    if (!this.#mayStart(tenure, nowMs) || tenure.book.waiting.size === 0) return;
+    if (!this.#mayStart(tenure, nowMs)) return;
     const limits = this.#load.roundLimits(nowMs);
     const input = this.#roundInput(tenure);
-    const outcome = placeWaiting(input, limits, nowMs);
+    this.#moves.placeMoved(input, nowMs);
+    const { keeper } = tenure;
+    const outcome = placeWaiting(
+      input,
+      limits,
+      () => keeper.requestStops(this.#moves.nextLasting(input, nowMs), StopReason.Draining, nowMs),
+      nowMs,
+    );
+    const unfinishable = this.#moves.nextUnfinishable(input, nowMs);
+    keeper.requestStops(unfinishable, StopReason.Unfinishable, nowMs);
     this.#load.noteRound(outcome);
     const obstacles: ObstaclesOf = (task) => obstaclesOf(task, input, nowMs);
     tenure.notes.addWaits(tenure.book.waiting, outcome.waits, obstacles, nowMs);
   }
 
-  /** Before anything else is placed: what works already comes before what waits. */
-  #moveFromDraining(tenure: Tenure, nowMs: number): void {
-    if (!this.#mayStart(tenure, nowMs)) return;
-    const input = this.#roundInput(tenure);
-    this.#moves.placeMoved(input, nowMs);
-    const { lasting, unfinishable } = this.#moves.next(input, nowMs);
-    tenure.keeper.requestStops(lasting, StopReason.Draining, nowMs);
-    tenure.keeper.requestStops(unfinishable, StopReason.Unfinishable, nowMs);
-  }
-
   #start(tenure: Tenure, recorded: readonly TaskRun[], nowMs: number): readonly FleetEffect[] {
     const input = this.#roundInput(tenure);
     const mayStart = this.#mayStart(tenure, nowMs);
--- a/src/scheduler/common/fleet/fleetWorkerView.ts
+++ b/src/scheduler/common/fleet/fleetWorkerView.ts
@@ -9,7 +9,7 @@
 import { DrainNotice } from './drainNotice.js';
 import { type FleetTiming, leaseWithinMs, longestLeaseMs } from './fleetTiming.js';
 import type { ServiceLoad } from './serviceLoad.js';
-import { countedSize, type TaskRun } from './taskRecords.js';
+import { countedSize, type TaskRecord, type TaskRun } from './taskRecords.js';
 
 /** Incarnations of one worker that one owner tells apart; it would take hours to meet so many. */
 const FENCES_PER_EPOCH = 1_000;
@@ -96,6 +96,8 @@
   /** Room for tasks that are yet to be given to the worker. */
   #kept: Resources = NO_RESOURCES;
 
+  readonly #keptTasks = new Set<TaskRecord>();
+
   /** What is left of the capacity that `#freeOf` tells; undefined after a change of the runs. */
   #free: Resources | undefined;
 
@@ -161,6 +163,11 @@
     this.#drainNotice.note(entry, timing.workerReportIntervalMs, readAtMs);
   }
 
+  /** Tasks for which room is kept here until they start. */
+  get keptTasks(): ReadonlySet<TaskRecord> {
+    return this.#keptTasks;
+  }
+
   hasRun(run: TaskRun): boolean {
     return this.runs.get(runKey(run.task.name, run.run)) === run;
   }
@@ -185,17 +192,18 @@
     }
   }
 
-  keepRoom(size: Resources): void {
-    this.#kept = addResources(this.#kept, size);
-    this.#noteKept();
+  keepRoomFor(task: TaskRecord): void {
+    this.#keptTasks.add(task);
+    this.#noteKept(addResources(this.#kept, countedSize(task.step)));
   }
 
-  giveRoomBack(size: Resources): void {
-    this.#kept = subtractResources(this.#kept, size);
-    this.#noteKept();
+  giveRoomBack(task: TaskRecord): void {
+    if (!this.#keptTasks.delete(task)) return;
+    this.#noteKept(subtractResources(this.#kept, countedSize(task.step)));
   }
 
-  #noteKept(): void {
+  #noteKept(kept: Resources): void {
+    this.#kept = kept;
     this.changeCount += 1;
     this.#free = undefined;
   }
--- a/src/scheduler/common/fleet/taskRecords.ts
+++ b/src/scheduler/common/fleet/taskRecords.ts
@@ -278,7 +278,8 @@
   };
 };
 
-const isInterrupted = ({ step, runs, lastRun }: TaskRecord): boolean =>
+/** Whether the task waits although its users have been served before. */
+export const isInterrupted = ({ step, runs, lastRun }: TaskRecord): boolean =>
   step.isPersistent && runs.length === 0 && lastRun > 0;
 
 /** The assignments as they are stored. */
--- a/src/scheduler/common/fleet/waitReport.ts
+++ b/src/scheduler/common/fleet/waitReport.ts
@@ -2,7 +2,7 @@
 import type { LogFields } from '../../../services/log/common/log.js';
 import type { FleetWorkerView } from './fleetWorkerView.js';
 import type { PlacementObstacle } from './placementObstacle.js';
-import type { TaskRecord } from './taskRecords.js';
+import { isInterrupted, type TaskRecord } from './taskRecords.js';
 
 /** Why a task that is due was not placed in a round. */
 export const WaitReason = {
@@ -34,9 +34,10 @@
 /** What stands against the workers of a task, by how many. */
 export type ObstaclesOf = (task: TaskRecord) => ReadonlyMap<PlacementObstacle, number>;
 
-const kindOf = ({ step, lastRun }: TaskRecord): WaitingKind => {
-  if (step.isPersistent) return lastRun > 0 ? WaitingKind.Interrupted : WaitingKind.Lasting;
-  return step.isFiller ? WaitingKind.Filler : WaitingKind.Batch;
+const kindOf = (task: TaskRecord): WaitingKind => {
+  if (isInterrupted(task)) return WaitingKind.Interrupted;
+  if (task.step.isPersistent) return WaitingKind.Lasting;
+  return task.step.isFiller ? WaitingKind.Filler : WaitingKind.Batch;
 };
 
 interface Waiting {
