Let workers of the platform's soak say for how long they stay

Workers that leave by plan told the soak's daemons that they drain, but not for how long they surely stay, so that moves before their end were not played. They tell 2 s of the 4.5 s now, as workers may linger.

--- a/soak/test/platform/fleetWorker.ts
+++ b/soak/test/platform/fleetWorker.ts
@@ -60,6 +60,8 @@
 
   isDraining = false;
 
+  #staysUntilMs = Number.POSITIVE_INFINITY;
+
   constructor(parts: FleetWorkerParts) {
     this.#parts = parts;
     this.#model = new WorkerModel(
@@ -111,9 +113,10 @@
     await this.#open();
   }
 
-  /** Says that it leaves; it goes on working until `leave`. */
-  drain(): void {
+  /** Says that it leaves, and for how long it surely stays; it goes on working until `leave`. */
+  drain(remainingMs: number): void {
     this.isDraining = true;
+    this.#staysUntilMs = this.#parts.nowMs() + remainingMs;
     this.#register();
     this.#parts.judge.noteDraining(this.lifeKey, this.#parts.nowMs());
     this.#silentPort = new SilentPort(this.#port, Object.values(ZONE_HOSTS));
@@ -227,6 +230,9 @@
       Address: `127.0.0.1:${this.#port}`,
       Zone: zone,
       State: this.isDraining ? 'draining' : 'ready',
+      ...(this.isDraining && {
+        RemainingMs: Math.max(0, Math.floor(this.#staysUntilMs - this.#parts.nowMs())),
+      }),
       Capacity: { Cpu: CAPACITY.processorMillis, MemMb: CAPACITY.memoryMegabytes },
       Labels: ['plain', rack],
       born: this.#model.incarnation,
--- a/soak/test/platform/soakFaults.ts
+++ b/soak/test/platform/soakFaults.ts
@@ -17,6 +17,8 @@
 const LEAVE_INTERVAL_MS = 700;
 /** From a worker's word that it drains to its end. */
 const NOTICE_MS = 4_500;
+/** How long it says that it stays at the least. */
+const TOLD_MS = 2_000;
 const LOST_ENTRY_MS = 3_300;
 const RESTARTS = 4;
 /** Both for the time that a process is away and for the time that it is back. */
@@ -154,7 +156,7 @@
     if (!worker.isUp || worker.isDraining || worker.isCut) return;
     this.#note(FaultScope.Planned, NOTICE_MS);
     this.#targets.log('drain', { worker: worker.id });
-    worker.drain();
+    worker.drain(TOLD_MS);
     await delay(NOTICE_MS);
     this.#targets.log('leave', { worker: worker.id, absence });
     worker.leave(absence);
