Fix interrupted tasks that last counting as new with the next owner

Tasks that last and were interrupted come before all others, those that never ran after all batch work of their priority. Which of the two a task is was told by the number of its last run, which an owner knew only of runs that it had placed or found listed. A task that had been lost and had not found a place when the owner changed had none: its worker was off the roster, or the assignments of its submission had been written anew without it. Each later owner took it for new as well.

A new owner now takes the number from the stored assignments, whatever has become of the worker, and these keep the last run of a task that lasts and waits, under no worker.

--- a/src/scheduler/common/fleet/fleetOrder.ts
+++ b/src/scheduler/common/fleet/fleetOrder.ts
@@ -4,7 +4,7 @@
   type FleetConfiguration,
 } from '../../../services/fleet/common/fleetConfiguration.js';
 import type { Step, Submission } from '../../../services/submissions/common/submission.js';
-import { taskProcessorMs, type TaskRecord } from './taskRecords.js';
+import { isInterrupted, taskProcessorMs, type TaskRecord } from './taskRecords.js';
 import type { TaskGroup } from './waitingTasks.js';
 
 /** An answer after this many times the objective is worth nothing to its caller. */
@@ -74,9 +74,9 @@
   return ownEndMs <= learntAtMs + WORTHLESS_FACTOR * objectiveMs ? Use.Late : Use.None;
 };
 
-const taskClassOf = ({ step, lastRun }: TaskRecord): TaskClass => {
-  if (!step.isPersistent) return TaskClass.Batch;
-  return lastRun > 0 ? TaskClass.Interrupted : TaskClass.New;
+const taskClassOf = (task: TaskRecord): TaskClass => {
+  if (!task.step.isPersistent) return TaskClass.Batch;
+  return isInterrupted(task) ? TaskClass.Interrupted : TaskClass.New;
 };
 
 const valueDensity = ({ submission, occurrence }: TaskRecord): number => {
--- a/src/scheduler/common/fleet/taskRecords.ts
+++ b/src/scheduler/common/fleet/taskRecords.ts
@@ -6,7 +6,11 @@
   runsOfSteps,
   type Step,
 } from '../../../services/submissions/common/submission.js';
-import type { Assignments, Progress } from '../../../services/submissions/common/submissionRows.js';
+import {
+  type Assignments,
+  NO_WORKER_ID,
+  type Progress,
+} from '../../../services/submissions/common/submissionRows.js';
 import type { Resources } from '../../../services/worker/common/resources.js';
 
 export const RunState = {
@@ -197,6 +201,10 @@
   return Math.ceil((last + 1) / Math.max(1, tasksOfOccurrence(submission)));
 };
 
+/** The highest run number that former owners gave the task; 0 if it never had a run. */
+const lastInheritedRun = ({ inheritedRuns }: SubmissionRecord, place: number): number =>
+  Math.max(0, ...(inheritedRuns.get(place) ?? []).map(({ run }) => run));
+
 /** Makes the tasks of an occurrence, with what is stored of them. */
 export const openOccurrence = (
   record: SubmissionRecord,
@@ -218,7 +226,7 @@
         name: taskName(submission.id, occurrence, stepIndex, index),
         isDone: done.has(place),
         runs: [],
-        lastRun: 0,
+        lastRun: lastInheritedRun(record, place),
         failedRuns: [...(initial.failedRuns[place] ?? [])],
         checkpoint: '',
         notBeforeMs: nowMs,
@@ -273,12 +281,20 @@
   };
 };
 
+/** Whether the task waits although its users have been served before. */
+export const isInterrupted = ({ step, runs, lastRun }: TaskRecord): boolean =>
+  step.isPersistent && runs.length === 0 && lastRun > 0;
+
+/** The runs of a task that are to be stored; the last one of a task that was interrupted. */
+const runsToStore = (task: TaskRecord): readonly InheritedRun[] =>
+  isInterrupted(task) ? [{ workerId: NO_WORKER_ID, run: task.lastRun }] : task.runs;
+
 /** The assignments as they are stored. */
 export const toAssignments = (record: SubmissionRecord): Assignments => {
   const assignments: Record<string, number[]> = {};
   record.occurrences.forEach(({ tasks }) =>
     tasks.flat().forEach((task) =>
-      task.runs.forEach(({ workerId, run }) => {
+      runsToStore(task).forEach(({ workerId, run }) => {
         const pairs = assignments[workerId] ?? [];
         pairs.push(task.place, run);
         assignments[workerId] = pairs;
--- a/src/scheduler/common/fleet/waitingTasks.ts
+++ b/src/scheduler/common/fleet/waitingTasks.ts
@@ -1,5 +1,5 @@
 /** Groups waiting tasks so that the cost of ranking does not grow with the number of tasks. */
-import { failureCount, stepName, type TaskRecord } from './taskRecords.js';
+import { failureCount, isInterrupted, stepName, type TaskRecord } from './taskRecords.js';
 
 /** Waiting tasks of one step that share a rank and placement rules. */
 export interface TaskGroup {
@@ -10,7 +10,7 @@
 /** Retries and interrupted persistent tasks are ranked or placed differently from other tasks. */
 const groupKey = (task: TaskRecord): string => {
   const name = stepName(task);
-  if (task.step.isPersistent) return task.lastRun > 0 ? `${name} interrupted` : name;
+  if (task.step.isPersistent) return isInterrupted(task) ? `${name} interrupted` : name;
   // The members of a gang are placed together, whichever of them failed.
   if (task.step.isGang) return name;
   return failureCount(task) > 0 ? `${name} retry` : name;
--- a/src/services/submissions/common/submissionRows.ts
+++ b/src/services/submissions/common/submissionRows.ts
@@ -58,9 +58,13 @@
  * Which worker was given which task of a submission: pairs of a task's place and its run number,
  * by worker. Written before the starts are sent, so that a new owner of the fleet knows which tasks
  * cannot run on the workers it does not reach. Runs that are over may still be in it.
+ *
+ * Tasks that last and wait for another worker are listed under no worker, with their last run: a
+ * new owner has to tell them from those that never ran.
  */
 export const assignmentsSchema = z.record(z.string(), z.array(wholeSchema));
 export type Assignments = z.infer<typeof assignmentsSchema>;
+export const NO_WORKER_ID = '';
 
 /** How many submissions of each queue wait for their first start, as the scheduler counts. */
 export const waitingCountsSchema = z.strictObject({
