Fix a hand-over that gets no answer being given up

Callers saw tasks that last away for up to 10.8 s after an instance was stopped in order while the store answered badly.

An owner that ends wrote its hand-over once. Without an answer it sent no more heartbeats and ended, so that its successor waited for its lease, and for leases that it might have granted without the table: 8.7 s after its last heartbeat.

It now writes the same transaction again until it is answered, for the time that the process takes to leave anyway. Writing it twice changes nothing, as it names the version of the owner row, and a conflict tells that it is stored or that there is a next owner. `release` takes that time as an argument, which the test passes.

--- a/src/scheduler/node/fleetTask.ts
+++ b/src/scheduler/node/fleetTask.ts
@@ -110,13 +110,26 @@
     return this.#scheduler.liveEpoch(this.#services.clock.nowMs());
   }
 
-  /** Hands the fleet over, so that the next owner need not wait for the lease. */
-  async release(): Promise<void> {
+  /**
+   * Hands the fleet over, so that the next owner need not wait for the lease, and learns how long
+   * the leases of the workers last. A conflict tells that this is stored or that there is a next
+   * owner; without an answer it is written again for `patienceMs`.
+   */
+  async release(patienceMs: number): Promise<void> {
     const transaction = this.#scheduler.release();
     if (transaction === undefined) return;
-    const result = await this.#services.table.transact(transaction)();
+    const { table, clock, log } = this.#services;
+    const untilMs = clock.nowMs() + patienceMs;
+    let result = await table.transact(transaction)();
+    while (isLeft(result) && clock.nowMs() < untilMs) {
+      // Each attempt goes by the answer to the one before.
+      // eslint-disable-next-line no-await-in-loop
+      await this.#pause(RETRY_MS);
+      // eslint-disable-next-line no-await-in-loop
+      result = await table.transact(transaction)();
+    }
     const message = isLeft(result) ? result.left.message : result.right.outcome;
-    this.#services.log.info('fleet-lost', { message });
+    log.info('fleet-lost', { message });
   }
 
   dispose(): void {
--- a/src/scheduler/test/fleet/handOver.test.ts
+++ b/src/scheduler/test/fleet/handOver.test.ts
@@ -135,7 +135,7 @@
       if (isLost) lostCount += 1;
       return isLost;
     };
-    void fleet.world.as(loop, () => task.release());
+    void fleet.world.as(loop, () => task.release(2_000));
     await fleet.world.runUntil(6_000);
     const { rows } = fleet.table.read({ keys: [cellOwnerKey('fleet'), ROSTER_KEY], prefixes: [] });
     const [owner, roster] = rows.map((row) => row.value) as [CellOwnerRow, RosterRow];
