--- a/src/scheduler/node/fleetTask.ts
+++ b/src/scheduler/node/fleetTask.ts
@@ -34,8 +34,6 @@
 /** How long a feed waits for a change; also bounds what a silent connection costs. */
 const FEED_WAIT_MS = 1_000;
 const RETRY_MS = 200;
-/** For how long a hand-over without an answer is repeated; a successor takes the fleet by then. */
-const RELEASE_PATIENCE_MS = 2_000;
 /** First calls to workers that are under way at a time, and for how long one counts as such. */
 const FIRST_HOLDS_AT_A_TIME = 24;
 const FIRST_HOLD_PATIENCE_MS = 150;
@@ -112,14 +110,17 @@
     return this.#scheduler.liveEpoch(this.#services.clock.nowMs());
   }
 
-  /** Hands the fleet over, so that the next owner need not wait for the lease. */
-  async release(): Promise<void> {
+  /**
+   * Hands the fleet over, so that the next owner need not wait for the lease, and learns how long
+   * those of the workers last. Without an answer it is written again for `patienceMs`; a conflict
+   * tells that it is stored or that there is a next owner.
+   */
+  async release(patienceMs: number): Promise<void> {
     const transaction = this.#scheduler.release();
     if (transaction === undefined) return;
     const { table, clock, log } = this.#services;
-    const untilMs = clock.nowMs() + RELEASE_PATIENCE_MS;
+    const untilMs = clock.nowMs() + patienceMs;
     let result = await table.transact(transaction)();
-    // One that was stored without an answer refuses the next by its condition.
     while (isLeft(result) && clock.nowMs() < untilMs) {
       // eslint-disable-next-line no-await-in-loop -- each repeats what the last one may not have done
       await this.#pause(RETRY_MS);
