Simulate a crowded fleet and report the share served of the largest submissions

The simulation gave only what the largest fillers earn.

It now reports for both kinds of batch work the shares served of all, of the largest tenth and of the fifth below it.

--- a/bench/fleet/fleet.ts
+++ b/bench/fleet/fleet.ts
@@ -2,8 +2,8 @@
  * Simulates a deployment under the fleet scheduler: services with periodic load beside batch work
  * that slows some of them, a burst, lost and faulty workers and a change of the owner.
  *
- * `npm run bench -- fleet [--workers 46] [--seeds 10] [--ablate] [--baselines] [--owner-cores C]`;
- * `--owner-cores` charges the owner's decisions and calls to a processor of so many cores. `bounds`
+ * `npm run bench -- fleet [--workers 46 [--cores C]] [--seeds 10] [--backlog F] [--ablate] [--baselines]
+ * [--owner-cores C]`; `--owner-cores` charges the owner's decisions and calls to a processor of so many cores. `bounds`
  * runs the seeds of CI and checks the results against the committed bounds. `profile` divides the
  * owner's processor time by what it does; `calls` measures that of its calls over loopback.
  */
@@ -19,7 +19,7 @@
 import { ArrivalOrder, OracleInterferenceControl, NoInterferenceControl } from './baselines.js';
 import { type FleetResult, simulateFleet } from './fleetRun.js';
 import { FLEET_SHAPES, type FleetShape } from './fleetShape.js';
-import { type BatchOutcome, shareEarned } from './outcome.js';
+import { type BatchOutcome, type LargeOutcomes, shareEarned, shareServed } from './outcome.js';
 import { reportOwnerCalls } from './ownerCalls.js';
 import { reportOwnerCost } from './ownerCost.js';
 import type { FleetTruth } from './truth.js';
@@ -27,10 +27,17 @@
 const NAME = 'fleet';
 const BOUNDS_SEEDS = 2;
 const MS_PER_S = 1_000;
+const MILLIS_PER_CORE = 1_000;
 
 const ARGUMENTS = {
   mode: { type: 'positional', required: false },
-  workers: { type: 'string', default: '46', description: 'size of the fleet: 46, 342, 380 or 860' },
+  workers: {
+    type: 'string',
+    default: '46',
+    description: 'size of the fleet: 46, 57, 342, 380 or 860',
+  },
+  cores: { type: 'string', description: 'smallest worker, where fleets of one size differ' },
+  backlog: { type: 'string', description: 'how many times the fillers, for as long as any come' },
   seeds: { type: 'string', default: '10', description: 'number of seeds, counted from 1' },
   ablate: { type: 'boolean', description: 'disable one mechanism at a time' },
   baselines: { type: 'boolean', description: 'also run the baselines' },
@@ -98,6 +105,18 @@
   return `${name} ${mean(outcomes.map(shareEarned)).toFixed(3)} (${counts.join('/')})`;
 };
 
+const servedText = (
+  outcomes: readonly BatchOutcome[],
+  largeOutcomes: readonly LargeOutcomes[],
+): string => {
+  const served = [
+    outcomes,
+    largeOutcomes.map(({ largest }) => largest),
+    largeOutcomes.map(({ nextLargest }) => nextLargest),
+  ].map((those) => mean(those.map(shareServed)).toFixed(3));
+  return `served ${served[0]}, largest tenth ${served[1]}, next fifth ${served[2]}`;
+};
+
 const line = (name: string, { share, results }: Summary): string => {
   const meanOf = (of: (result: FleetResult) => number, digits = 0): string =>
     mean(results.map(of)).toFixed(digits);
@@ -109,14 +128,18 @@
       'fillers',
       results.map(({ filler }) => filler),
     ),
-    batchText(
-      'largest',
-      results.map(({ largest }) => largest),
+    servedText(
+      results.map(({ filler }) => filler),
+      results.map(({ largeFiller }) => largeFiller),
     ),
     batchText(
       'urgent',
       results.map(({ urgent }) => urgent),
     ),
+    servedText(
+      results.map(({ urgent }) => urgent),
+      results.map(({ largeUrgent }) => largeUrgent),
+    ),
     `services ${meanOf(({ service }) => shareEarned(service), 3)}`,
     `over ${meanOf(({ overTargetS }) => overTargetS)} s, noticed ${meanOf(({ noticedCount }) => noticedCount, 1)}`,
     `stops ${meanOf(({ counts }) => counts.stopCount)}, paces ${meanOf(({ counts }) => counts.paceCount)}`,
@@ -144,6 +167,19 @@
   }
 };
 
+/** The fleet with so many times the fillers for as long as any arrive. */
+const withBacklog = (shape: FleetShape, factor: number): FleetShape => {
+  const { trafficFromMs: fromMs, trafficUntilMs: untilMs } = shape;
+  return { ...shape, burst: { fromMs, untilMs, factor } };
+};
+
+const findShape = (workerCount: number, cores: string | undefined): FleetShape | undefined =>
+  FLEET_SHAPES.find((shape) => {
+    const [smallest] = shape.processorMillis;
+    const isOfCores = cores === undefined || smallest === Number(cores) * MILLIS_PER_CORE;
+    return shape.workerCount === workerCount && isOfCores;
+  });
+
 const checkBounds = async (shape: FleetShape): Promise<boolean> => {
   const bounds = await readBounds(NAME);
   const own = await runSeeds(shape, DEFAULT, BOUNDS_SEEDS);
@@ -176,20 +212,21 @@
   run: async (args) => {
     const parsed = parseArgs<typeof ARGUMENTS>([...args], ARGUMENTS);
     const workerCount = Number(parsed.workers);
-    const shape = FLEET_SHAPES.find((one) => one.workerCount === workerCount);
-    if (shape === undefined) {
-      print(`no fleet of ${parsed.workers} workers`);
+    const known = findShape(workerCount, parsed.cores);
+    if (known === undefined) {
+      const cores = parsed.cores === undefined ? '' : ` of ${parsed.cores} cores`;
+      print(`no fleet of ${parsed.workers} workers${cores}`);
       return false;
     }
-    if (parsed.mode === 'bounds') return checkBounds(shape);
-    const { seeds, from, seconds, stretch, rate, runs } = parsed;
-    const badOption = Object.entries({ seeds, from, seconds, stretch, rate, runs }).find(
-      ([, value]) => !(Number(value) > 0),
-    );
+    if (parsed.mode === 'bounds') return checkBounds(known);
+    const { seeds, from, seconds, stretch, rate, runs, backlog } = parsed;
+    const positive = { seeds, from, seconds, stretch, rate, runs, backlog: backlog ?? '1' };
+    const badOption = Object.entries(positive).find(([, value]) => !(Number(value) > 0));
     if (badOption !== undefined) {
       print(`--${badOption[0]} has to be a number above 0, not '${badOption[1]}'`);
       return false;
     }
+    const shape = backlog === undefined ? known : withBacklog(known, Number(backlog));
     if (parsed.mode === 'profile') {
       const options = {
         seedCount: Number(seeds),
--- a/bench/fleet/fleetShape.ts
+++ b/bench/fleet/fleetShape.ts
@@ -205,9 +205,51 @@
   };
 };
 
+/** Steps of tens of large tasks, most of the room taken by services, and a heavy burst. */
+const crowdedShapeOf = (workerCount: number): FleetShape => {
+  const shape = shapeOf(workerCount);
+  const { service, urgent, filler, interference } = shape;
+  const scale = workerCount / 342;
+  return {
+    ...shape,
+    processorMillis: [64_000, 64_000, 96_000],
+    memoryBytes: 250_000 * MEGABYTE,
+    service: {
+      ...service,
+      ...{ initialCount: Math.round(114 * scale), submissionsPerSecond: 0.633 * scale },
+      taskCount: { mean: 14, sigma: 0.4, maximum: 28 },
+      processorMillis: { mean: 13_000, sigma: 0.25, maximum: 20_000 },
+      memoryBytes: 26_000 * MEGABYTE,
+      lifetimeMs: { mean: 70_000, sigma: 0.5, maximum: 210_000 },
+      ...{ imageCount: 10, targetLatencyMs: 45, load: 0.42, value: 0.236 },
+    },
+    urgent: {
+      ...urgent,
+      submissionsPerSecond: 9.57 * scale,
+      taskCount: { mean: 9.5, sigma: 0.8, maximum: 57 },
+      processorMillis: { mean: 11_000, sigma: 0.45, maximum: 32_000 },
+      memoryBytes: 22_000 * MEGABYTE,
+      ...{ estimateSigma: 0.9, workVariation: 0.3, failureShare: 0.05 },
+      ...{ objectiveMs: 305, value: 0.352, lateValue: 0.0528 },
+    },
+    filler: {
+      ...filler,
+      submissionsPerSecond: 19.4 * scale,
+      taskCount: { mean: 20, sigma: 0.6, maximum: 80 },
+      processorMillis: { mean: 7_000, sigma: 0.3, maximum: 14_000 },
+      memoryBytes: 13_000 * MEGABYTE,
+      ...{ estimateSigma: 0.2, value: 0.869, lateValue: 0.13 },
+    },
+    interference: { ...interference, fillerImageCount: 18 },
+    burst: { fromMs: 16_000, untilMs: 22_000, factor: 1.4 },
+  };
+};
+
 export const FLEET_SHAPES: readonly FleetShape[] = [
   shapeOf(46),
+  crowdedShapeOf(57),
   shapeOf(342),
+  crowdedShapeOf(342),
   wideShapeOf(380),
   shapeOf(860),
 ];
--- a/bench/fleet/outcome.ts
+++ b/bench/fleet/outcome.ts
@@ -14,6 +14,8 @@
 /** The share of a submission's value that is fixed; the rest is proportional to its work. */
 const FIXED_VALUE_SHARE = 0.3;
 const MAXIMUM_WEIGHT = 4;
+/** Where the fifth below the largest tenth and the largest tenth begin, by rank. */
+const LARGE_FROM = [0.7, 0.9] as const;
 /** Weight of time over target caused by fillers; that caused by the service's own load counts 1. */
 const INTERFERENCE_WEIGHT = 4;
 /** Services are not evaluated during this time after their arrival. */
@@ -27,11 +29,19 @@
   attainable: number;
 }
 
+/** What the large submissions of a kind got, by amount of work. */
+export interface LargeOutcomes {
+  /** The largest tenth. */
+  readonly largest: BatchOutcome;
+  /** The fifth below it. */
+  readonly nextLargest: BatchOutcome;
+}
+
 export interface SimulationOutcome {
   readonly urgent: BatchOutcome;
   readonly filler: BatchOutcome;
-  /** The largest tenth of the fillers. */
-  readonly largest: BatchOutcome;
+  readonly largeUrgent: LargeOutcomes;
+  readonly largeFiller: LargeOutcomes;
   readonly service: { earned: number; attainable: number };
   /** Task-seconds over the target, the part caused by fillers, and spells that users notice. */
   overTargetS: number;
@@ -47,6 +57,15 @@
   attainable: 0,
 });
 
+const newLargeOutcomes = (): LargeOutcomes => ({
+  largest: newBatchOutcome(),
+  nextLargest: newBatchOutcome(),
+});
+
+/** The share of submissions whose callers had an answer while it was of use to them. */
+export const shareServed = ({ inTime, late, missed }: BatchOutcome): number =>
+  (inTime + late) / Math.max(1, inTime + late + missed);
+
 export const shareEarned = ({
   earned,
   attainable,
@@ -57,7 +76,8 @@
 
 export class OutcomeMeter {
   readonly outcome: SimulationOutcome = {
-    ...{ urgent: newBatchOutcome(), filler: newBatchOutcome(), largest: newBatchOutcome() },
+    ...{ urgent: newBatchOutcome(), filler: newBatchOutcome() },
+    ...{ largeUrgent: newLargeOutcomes(), largeFiller: newLargeOutcomes() },
     ...{
       service: { earned: 0, attainable: 0 },
       overTargetS: 0,
@@ -155,15 +175,19 @@
     const works = ofKind.map(({ batch }) => batch.processorSeconds);
     const meanWork = works.reduce((sum, work) => sum + work, 0) / Math.max(1, works.length);
     const sorted = [...works].sort((left, right) => left - right);
-    const large = sorted[Math.floor(sorted.length * 0.9)] ?? Number.POSITIVE_INFINITY;
+    const [nextFrom, largestFrom] = LARGE_FROM.map(
+      (rank) => sorted[Math.floor(sorted.length * rank)] ?? Number.POSITIVE_INFINITY,
+    ) as [number, number];
+    const total = kind.isFiller ? this.outcome.filler : this.outcome.urgent;
+    const large = kind.isFiller ? this.outcome.largeFiller : this.outcome.largeUrgent;
     ofKind.forEach(({ atMs, batch, id }) => {
       const tookMs = (this.#driver.completedAtMs.get(id) ?? Number.POSITIVE_INFINITY) - atMs;
       const work = batch.processorSeconds / meanWork;
       const weight = Math.min(MAXIMUM_WEIGHT, FIXED_VALUE_SHARE + (1 - FIXED_VALUE_SHARE) * work);
-      const total = kind.isFiller ? this.outcome.filler : this.outcome.urgent;
       OutcomeMeter.#add(total, batch, weight, tookMs + NOTIFICATION_DELAY_MS);
-      if (!kind.isFiller || batch.processorSeconds < large) return;
-      OutcomeMeter.#add(this.outcome.largest, batch, weight, tookMs + NOTIFICATION_DELAY_MS);
+      if (batch.processorSeconds < nextFrom) return;
+      const ofSize = batch.processorSeconds < largestFrom ? large.nextLargest : large.largest;
+      OutcomeMeter.#add(ofSize, batch, weight, tookMs + NOTIFICATION_DELAY_MS);
     });
   }
 
