Fix large submissions being starved by a backlog that lasts

What callers saw: "of the largest tenth of engrave-batch too few were served, of all N".

Cause: among submissions of one queue that can be in time the highest value for each unit of work that is left comes first. A fixed part of the value makes that fall with size, so a large submission comes after every smaller one until it is late, and then after all that is not. Ruled out as the cause: failures (at 2 % a try and four tries a task of engrave-batch fails for good 1.6e-7 of the time). Not needed for it: large tasks, changes of the owner, lapsed leases, estimates that are off; the test has none of these and fails.

Change: each queue counts how often submissions that were held up or are complete are served, by size. While the largest tenth or the fifth below it is served less than 0.7 times as often as all, the next one that is held up comes first in its queue.

--- a/src/scheduler/common/fleet/fleetOrder.ts
+++ b/src/scheduler/common/fleet/fleetOrder.ts
@@ -4,13 +4,15 @@
   type FleetConfiguration,
 } from '../../../services/fleet/common/fleetConfiguration.js';
 import type { Step, Submission } from '../../../services/submissions/common/submission.js';
-import { taskProcessorMs, type TaskRecord } from './taskRecords.js';
+import { countOnce, taskProcessorMs, type TaskRecord } from './taskRecords.js';
 import type { TaskGroup } from './waitingTasks.js';
 
 /** An answer after this many times the objective is worth nothing to its caller. */
 const WORTHLESS_FACTOR = 3;
 /** The share of a submission's value that does not depend on its amount of work. */
 const FIXED_VALUE_SHARE = 0.3;
+/** A task that has waited for this share of the time that it can wait is held up by a backlog. */
+const HELD_UP_SHARE = 0.15;
 
 /** What is left to do from the start of each step on, by the callers' estimates. */
 const chainsOf = (submission: Submission): readonly number[] => {
@@ -53,6 +55,8 @@
   readonly use: Use;
   readonly priority: number;
   readonly taskClass: TaskClass;
+  /** Whether a place is reserved for the submission, as too few of its size are served. */
+  readonly isReserved: boolean;
   /** The value of the submission per unit of remaining work. */
   readonly valueDensity: number;
 }
@@ -91,19 +95,53 @@
   return value / Math.max(1, leftMs);
 };
 
-const toRank = (task: TaskRecord, configuration: FleetConfiguration, nowMs: number): Rank => {
-  const { submission } = task.submission;
-  const queue = findQueueByName(configuration, submission.queueName);
+const objectiveMsOf = ({ submission }: TaskRecord, configuration: FleetConfiguration): number => {
+  const queue = findQueueByName(configuration, submission.submission.queueName);
   const stretch = queue?.objectiveStretch ?? 1;
-  const objectiveMs = stretch * chainEstimateMs(submission) + (queue?.objectiveMs ?? 0);
+  return stretch * chainEstimateMs(submission.submission) + (queue?.objectiveMs ?? 0);
+};
+
+const toRank = (task: TaskRecord, configuration: FleetConfiguration, nowMs: number): Rank => {
+  const queue = findQueueByName(configuration, task.submission.submission.queueName);
+  const objectiveMs = objectiveMsOf(task, configuration);
   return {
     use: useOf(task, objectiveMs, nowMs),
     priority: queue?.priority ?? 0,
     taskClass: taskClassOf(task),
+    isReserved: task.submission.isReserved,
     valueDensity: valueDensity(task),
   };
 };
 
+const isHeldUp = (task: TaskRecord, configuration: FleetConfiguration, nowMs: number): boolean => {
+  const objectiveMs = objectiveMsOf(task, configuration);
+  const spareMs = objectiveMs - chainEstimateMs(task.submission.submission);
+  return nowMs - task.waitingSinceMs >= HELD_UP_SHARE * spareMs;
+};
+
+/** Reserves service for large submissions of which too few are served, the best ranked first. */
+const reserveForLarge = (
+  ranked: readonly RankedGroup[],
+  configuration: FleetConfiguration,
+  nowMs: number,
+): readonly RankedGroup[] =>
+  ranked.map((one) => {
+    const { first, rank } = one;
+    const { submission } = first;
+    const { balance } = submission.queueWork;
+    if (first.step.isPersistent) return one;
+    const isHeld = isHeldUp(first, configuration, nowMs);
+    if (isHeld) countOnce(submission);
+    if (submission.isReserved && rank.use === Use.None) {
+      submission.isReserved = false;
+      balance.release(submission.sizeClass);
+    } else if (!submission.isReserved) {
+      const isDue = isHeld && rank.use === Use.InTime;
+      submission.isReserved = isDue && balance.reserve(submission.sizeClass);
+    }
+    return { ...one, rank: { ...rank, isReserved: submission.isReserved } };
+  });
+
 const byRank = (left: RankedGroup, right: RankedGroup): number => {
   const [one, other] = [left.rank, right.rank];
   const [task, otherTask] = [left.first, right.first];
@@ -114,6 +152,7 @@
     one.priority - other.priority ||
     one.use - other.use ||
     one.taskClass - other.taskClass ||
+    Number(other.isReserved) - Number(one.isReserved) ||
     other.valueDensity - one.valueDensity ||
     task.submission.order - otherTask.submission.order ||
     task.place - otherTask.place
@@ -134,8 +173,9 @@
  * goes behind what can, and what will be late in any case behind what of its urgency can still be
  * in time: in the order of arrival one burst makes everything after it late as well, until the
  * backlog is gone. Among equals, the highest value per unit of remaining work comes first, which
- * leaves few submissions unfinished in a backlog. Persistent tasks never release their room and come
- * after batch tasks, except for interrupted ones, whose users are without service.
+ * leaves few submissions unfinished in a backlog. That alone would starve the largest ones, so
+ * that they come first while too few of them are served. Persistent tasks never release their
+ * room and come after batch tasks, except for interrupted ones, whose users are without service.
  */
 export class UtilityOrder implements QueueOrder {
   sort(
@@ -149,6 +189,8 @@
         ? []
         : [{ group, first, rank: toRank(first, configuration, nowMs) }];
     });
-    return ranked.sort(byRank).map(({ group }) => group);
+    return [...reserveForLarge(ranked.sort(byRank), configuration, nowMs)]
+      .sort(byRank)
+      .map(({ group }) => group);
   }
 }
--- /dev/null
+++ b/src/scheduler/common/fleet/sizeBalance.ts
@@ -0,0 +1,87 @@
+/**
+ * Whether large submissions of one queue are served as other submissions are. An order by value for
+ * each unit of work puts them behind all smaller ones for as long as a backlog lasts.
+ */
+
+/** By amount of work: the largest tenth, the fifth below it, and the others. */
+export const SizeClass = { Largest: 0, NextLargest: 1, Other: 2 } as const;
+export type SizeClass = (typeof SizeClass)[keyof typeof SizeClass];
+
+const NEXT_LARGEST_RANK = 0.7;
+const LARGEST_RANK = 0.9;
+/** Sizes that a new submission is compared with. */
+const KNOWN_SIZES = 256;
+/** Fewer sizes say nothing of what is large. */
+const FEWEST_SIZES = 10;
+/** Counts are halved when there are so many, so that recent ones weigh most. */
+const COUNT_LIMIT = 1_024;
+/** Reservations are made below this share of how often all are served; some come too late. */
+const LEAST_SHARE = 0.7;
+
+interface Counts {
+  counted: number;
+  served: number;
+}
+
+const newCounts = (): Counts => ({ counted: 0, served: 0 });
+
+const halve = (counts: Counts): void => {
+  Object.assign(counts, { counted: counts.counted / 2, served: counts.served / 2 });
+};
+
+export class SizeBalance {
+  readonly #sizes: number[] = [];
+
+  #nextIndex = 0;
+
+  readonly #all = newCounts();
+
+  readonly #classes: readonly Counts[] = Object.values(SizeClass).map(newCounts);
+
+  /** Returns how large a new submission is among recent ones of its queue. */
+  classify(processorMs: number): SizeClass {
+    const sizeClass = this.#classOf(processorMs);
+    this.#sizes[this.#nextIndex] = processorMs;
+    this.#nextIndex = (this.#nextIndex + 1) % KNOWN_SIZES;
+    return sizeClass;
+  }
+
+  /** Counts a submission that is held up or complete; others say nothing of how often any are served. */
+  count(sizeClass: SizeClass): void {
+    if (this.#all.counted >= COUNT_LIMIT) [this.#all, ...this.#classes].forEach(halve);
+    this.#all.counted += 1;
+    this.#countsOf(sizeClass).counted += 1;
+  }
+
+  noteComplete(sizeClass: SizeClass, isReserved: boolean): void {
+    this.#all.served += 1;
+    if (!isReserved) this.#countsOf(sizeClass).served += 1;
+  }
+
+  /** Reserves service for a submission if too few of its size are served. */
+  reserve(sizeClass: SizeClass): boolean {
+    const counts = this.#countsOf(sizeClass);
+    const servedShare = this.#all.served / Math.max(1, this.#all.counted);
+    const isDue =
+      sizeClass !== SizeClass.Other && counts.served < LEAST_SHARE * servedShare * counts.counted;
+    if (isDue) counts.served += 1;
+    return isDue;
+  }
+
+  /** A submission with a reservation will not be served. */
+  release(sizeClass: SizeClass): void {
+    this.#countsOf(sizeClass).served -= 1;
+  }
+
+  #countsOf(sizeClass: SizeClass): Counts {
+    return this.#classes[sizeClass] as Counts;
+  }
+
+  #classOf(processorMs: number): SizeClass {
+    if (this.#sizes.length < FEWEST_SIZES) return SizeClass.Other;
+    const smallerCount = this.#sizes.filter((size) => size < processorMs).length;
+    const rank = smallerCount / this.#sizes.length;
+    if (rank >= LARGEST_RANK) return SizeClass.Largest;
+    return rank >= NEXT_LARGEST_RANK ? SizeClass.NextLargest : SizeClass.Other;
+  }
+}
--- a/src/scheduler/common/fleet/submissionBook.ts
+++ b/src/scheduler/common/fleet/submissionBook.ts
@@ -6,9 +6,11 @@
   SubmissionState,
 } from '../../../services/submissions/common/submission.js';
 import type { Assignments, Progress } from '../../../services/submissions/common/submissionRows.js';
+import { SizeBalance } from './sizeBalance.js';
 import {
   allOccurrencesDone,
   begunOccurrenceCount,
+  countOnce,
   type InheritedRun,
   isOpen,
   isStepReady,
@@ -33,6 +35,19 @@
   readonly inherited: InheritedRun;
 }
 
+const newQueueWork = (): QueueWork => ({
+  ...{ count: 0, processorMs: 0 },
+  balance: new SizeBalance(),
+});
+
+const noteOver = (record: SubmissionRecord): void => {
+  const { queueWork, sizeClass, isReserved } = record;
+  if (record.state === SubmissionState.Complete) {
+    countOnce(record);
+    queueWork.balance.noteComplete(sizeClass, isReserved);
+  } else if (isReserved) queueWork.balance.release(sizeClass);
+};
+
 export class SubmissionBook {
   readonly #records = new Map<string, SubmissionRecord>();
 
@@ -81,7 +96,7 @@
     if (this.#records.has(submission.id)) return;
     this.#order += 1;
     const stored = progress ?? NO_PROGRESS;
-    const queueWork = this.#queueWorks.get(submission.queueName) ?? { count: 0, processorMs: 0 };
+    const queueWork = this.#queueWorks.get(submission.queueName) ?? newQueueWork();
     this.#queueWorks.set(submission.queueName, queueWork);
     const record = newSubmissionRecord(
       ...([submission, stored, this.#order, assignments, queueWork] as const),
@@ -90,7 +105,10 @@
     queueWork.count += 1;
     queueWork.processorMs += record.processorMs;
     this.#records.set(submission.id, record);
-    if (!isOpen(record)) return;
+    if (!isOpen(record)) {
+      noteOver(record);
+      return;
+    }
     if (this.#cancelledIds.has(submission.id)) {
       this.#end(record, SubmissionState.Cancelled);
       return;
@@ -297,6 +315,7 @@
 
   #end(record: SubmissionRecord, state: SubmissionState): readonly TaskRun[] {
     record.state = state;
+    noteOver(record);
     this.#dirty.add(record);
     this.#unrecorded.delete(record);
     this.#timed.delete(record);
--- a/src/scheduler/common/fleet/taskRecords.ts
+++ b/src/scheduler/common/fleet/taskRecords.ts
@@ -8,6 +8,7 @@
 } from '../../../services/submissions/common/submission.js';
 import type { Assignments, Progress } from '../../../services/submissions/common/submissionRows.js';
 import type { Resources } from '../../../services/worker/common/resources.js';
+import type { SizeBalance, SizeClass } from './sizeBalance.js';
 
 export const RunState = {
   /** Has room on its worker; the start is sent once the assignment is stored. */
@@ -84,6 +85,7 @@
 export interface QueueWork {
   count: number;
   processorMs: number;
+  readonly balance: SizeBalance;
 }
 
 export interface SubmissionRecord {
@@ -104,6 +106,11 @@
   readonly processorMs: number;
   /** Totals over the submissions of its queue. */
   readonly queueWork: QueueWork;
+  readonly sizeClass: SizeClass;
+  /** Whether its queue's balance of sizes counts it. */
+  isCounted: boolean;
+  /** Comes first in its queue, as too few of its size are served. */
+  isReserved: boolean;
 }
 
 export const taskName = (
@@ -170,20 +177,32 @@
   assignments: Assignments,
   queueWork: QueueWork,
   nowMs: number,
-): SubmissionRecord => ({
-  submission,
-  order,
-  occurrences: new Map(),
-  initial: progress,
-  finishedOccurrences: new Set(),
-  nextOccurrence: 0,
-  state: progress.state,
-  hasStarted: progress.state !== SubmissionState.Queued,
-  inheritedRuns: toInheritedRuns(assignments),
-  learntAtMs: nowMs,
-  processorMs: submissionProcessorMs(submission),
-  queueWork,
-});
+): SubmissionRecord => {
+  const processorMs = submissionProcessorMs(submission);
+  return {
+    submission,
+    order,
+    occurrences: new Map(),
+    initial: progress,
+    finishedOccurrences: new Set(),
+    nextOccurrence: 0,
+    state: progress.state,
+    hasStarted: progress.state !== SubmissionState.Queued,
+    inheritedRuns: toInheritedRuns(assignments),
+    learntAtMs: nowMs,
+    processorMs,
+    queueWork,
+    sizeClass: queueWork.balance.classify(processorMs),
+    isCounted: false,
+    isReserved: false,
+  };
+};
+
+export const countOnce = (record: SubmissionRecord): void => {
+  if (record.isCounted) return;
+  record.isCounted = true;
+  record.queueWork.balance.count(record.sizeClass);
+};
 
 const tasksOfOccurrence = (submission: Submission): number =>
   submission.steps.reduce((sum, step) => sum + step.taskCount, 0);
--- a/src/scheduler/test/fleet/largeSubmissions.test.ts
+++ b/src/scheduler/test/fleet/largeSubmissions.test.ts
@@ -6,7 +6,7 @@
 import { CONFIGURATION, STEP, submissionOf } from './fleetFixtures.js';
 
 const FREE: Costs = { sendMs: 0, answerMs: 0, connectMs: 0, stepMs: 0, rowMs: 0 };
-const SEED = 1;
+const SEEDS = [1, 3, 4];
 const WORKERS = 20;
 const SECONDS = 30;
 const TASK_MS = 500;
@@ -44,13 +44,13 @@
 const sizeOf = ({ steps }: Submission): number =>
   steps.reduce((sum, { taskCount }) => sum + taskCount, 0);
 
-describe('a backlog that lasts', () => {
+describe.each(SEEDS)('a backlog that lasts, seed %i,', (seed) => {
   const sentAtMs = new Map<Submission, number>();
   const served = new Set<Submission>();
 
   const play = async (): Promise<void> => {
     const fleet = new BusyFleet(WORKERS, () => TASK_MS);
-    const random = new SeededRandom(SEED);
+    const random = new SeededRandom(seed);
     fleet.world.stubTimers();
     fleet.addDaemon('owner', FREE);
     const endMs = SECONDS * 1_000 + LATE_FACTOR * OBJECTIVE_MS;
--- /dev/null
+++ b/src/scheduler/test/fleet/sizeBalance.test.ts
@@ -0,0 +1,51 @@
+import { describe, expect, it } from 'vitest';
+
+import { SizeBalance, SizeClass } from '../../common/fleet/sizeBalance.js';
+
+/** A hundred submissions of different sizes, of which those below a size have been served. */
+const balanceOf = (servedBelow: number): SizeBalance => {
+  const balance = new SizeBalance();
+  for (let index = 0; index < 100; index += 1) {
+    const size = (index * 37) % 100;
+    const sizeClass = balance.classify(size);
+    balance.count(sizeClass);
+    if (size < servedBelow) balance.noteComplete(sizeClass, false);
+  }
+  return balance;
+};
+
+const reservationsOf = (balance: SizeBalance, sizeClass: SizeClass): number =>
+  Array.from({ length: 100 }, () => balance.reserve(sizeClass)).filter(Boolean).length;
+
+describe('the balance of sizes', () => {
+  it('ranks a submission among recent ones of its queue', () => {
+    const balance = balanceOf(0);
+    expect(balance.classify(95)).toBe(SizeClass.Largest);
+    expect(balance.classify(80)).toBe(SizeClass.NextLargest);
+    expect(balance.classify(50)).toBe(SizeClass.Other);
+  });
+
+  it('reserves nothing while large submissions are served like others', () => {
+    const balance = balanceOf(100);
+    expect(balance.reserve(SizeClass.Largest)).toBe(false);
+    expect(balance.reserve(SizeClass.NextLargest)).toBe(false);
+  });
+
+  it('reserves no more than it takes while large submissions are starved', () => {
+    const count = reservationsOf(balanceOf(70), SizeClass.Largest);
+    expect(count).toBeGreaterThan(0);
+    expect(count).toBeLessThan(10);
+  });
+
+  it('reserves again for what could not be served in time', () => {
+    const balance = balanceOf(70);
+    reservationsOf(balance, SizeClass.Largest);
+    expect(balance.reserve(SizeClass.Largest)).toBe(false);
+    balance.release(SizeClass.Largest);
+    expect(balance.reserve(SizeClass.Largest)).toBe(true);
+  });
+
+  it('never reserves for small submissions', () => {
+    expect(balanceOf(0).reserve(SizeClass.Other)).toBe(false);
+  });
+});
