--- a/src/scheduler/common/fleet/fleetOrder.ts
+++ b/src/scheduler/common/fleet/fleetOrder.ts
@@ -55,6 +55,7 @@
   readonly use: Use;
   readonly priority: number;
   readonly taskClass: TaskClass;
+  readonly isHeldUp: boolean;
   /** Whether a place is reserved for the submission, as too few of its size are served. */
   readonly isReserved: boolean;
   /** The value of the submission per unit of remaining work. */
@@ -95,48 +96,38 @@
   return value / Math.max(1, leftMs);
 };
 
-const objectiveMsOf = ({ submission }: TaskRecord, configuration: FleetConfiguration): number => {
-  const queue = findQueueByName(configuration, submission.submission.queueName);
-  const stretch = queue?.objectiveStretch ?? 1;
-  return stretch * chainEstimateMs(submission.submission) + (queue?.objectiveMs ?? 0);
-};
+/** A task that waits for so long is held up by a backlog. */
+const heldUpAfterMs = (chainMs: number, objectiveMs: number): number =>
+  HELD_UP_SHARE * (objectiveMs - chainMs);
 
 const toRank = (task: TaskRecord, configuration: FleetConfiguration, nowMs: number): Rank => {
-  const queue = findQueueByName(configuration, task.submission.submission.queueName);
-  const objectiveMs = objectiveMsOf(task, configuration);
+  const { submission } = task.submission;
+  const queue = findQueueByName(configuration, submission.queueName);
+  const chainMs = chainEstimateMs(submission);
+  const objectiveMs = (queue?.objectiveStretch ?? 1) * chainMs + (queue?.objectiveMs ?? 0);
   return {
     use: useOf(task, objectiveMs, nowMs),
     priority: queue?.priority ?? 0,
     taskClass: taskClassOf(task),
+    isHeldUp: nowMs - task.waitingSinceMs >= heldUpAfterMs(chainMs, objectiveMs),
     isReserved: task.submission.isReserved,
     valueDensity: valueDensity(task),
   };
 };
 
-const isHeldUp = (task: TaskRecord, configuration: FleetConfiguration, nowMs: number): boolean => {
-  const objectiveMs = objectiveMsOf(task, configuration);
-  const spareMs = objectiveMs - chainEstimateMs(task.submission.submission);
-  return nowMs - task.waitingSinceMs >= HELD_UP_SHARE * spareMs;
-};
-
 /** Reserves service for large submissions of which too few are served, the best ranked first. */
-const reserveForLarge = (
-  ranked: readonly RankedGroup[],
-  configuration: FleetConfiguration,
-  nowMs: number,
-): readonly RankedGroup[] =>
+const reserveForLarge = (ranked: readonly RankedGroup[]): readonly RankedGroup[] =>
   ranked.map((one) => {
     const { first, rank } = one;
     const { submission } = first;
     const { balance } = submission.queueWork;
     if (first.step.isPersistent) return one;
-    const isHeld = isHeldUp(first, configuration, nowMs);
-    if (isHeld) countOnce(submission);
+    if (rank.isHeldUp) countOnce(submission);
     if (submission.isReserved && rank.use === Use.None) {
       submission.isReserved = false;
       balance.release(submission.sizeClass);
     } else if (!submission.isReserved) {
-      const isDue = isHeld && rank.use === Use.InTime;
+      const isDue = rank.isHeldUp && rank.use === Use.InTime;
       submission.isReserved = isDue && balance.reserve(submission.sizeClass);
     }
     return { ...one, rank: { ...rank, isReserved: submission.isReserved } };
@@ -189,8 +180,6 @@
         ? []
         : [{ group, first, rank: toRank(first, configuration, nowMs) }];
     });
-    return [...reserveForLarge(ranked.sort(byRank), configuration, nowMs)]
-      .sort(byRank)
-      .map(({ group }) => group);
+    return [...reserveForLarge(ranked.sort(byRank))].sort(byRank).map(({ group }) => group);
   }
 }
--- a/src/scheduler/common/fleet/fleetRound.ts
+++ b/src/scheduler/common/fleet/fleetRound.ts
@@ -308,6 +308,12 @@
   }
 }
 
+/** Interrupted tasks have groups of their own, which an order is to put first. */
+const isOfInterrupted = ({ tasks }: TaskGroup): boolean => {
+  const [first] = tasks;
+  return first !== undefined && isInterrupted(first);
+};
+
 /**
  * Gives tasks that wait room on workers; their starts are sent once the assignments are stored.
  * `afterInterrupted` is called once those that were interrupted have had their turn.
@@ -325,10 +331,11 @@
   }
   const round = new Round(input, configuration, limits, nowMs);
   const groups = input.policy.order.sort(input.book.waiting.groups, configuration, nowMs);
-  const isUrgent = ({ tasks }: TaskGroup): boolean => [...tasks].some(isInterrupted);
-  groups.filter(isUrgent).forEach((group) => round.place(group));
+  const firstOtherIndex = groups.findIndex((group) => !isOfInterrupted(group));
+  const interruptedCount = firstOtherIndex < 0 ? groups.length : firstOtherIndex;
+  groups.slice(0, interruptedCount).forEach((group) => round.place(group));
   afterInterrupted();
-  groups.filter((group) => !isUrgent(group)).forEach((group) => round.place(group));
+  groups.slice(interruptedCount).forEach((group) => round.place(group));
   const { waits, ratingCount, placed } = round;
   return { waits, ratingCount, startCount: placed.length };
 };
