--- a/bench/fleet/fleet.ts
+++ b/bench/fleet/fleet.ts
@@ -3,9 +3,10 @@
  * that slows some of them, a burst, lost and faulty workers and a change of the owner.
  *
  * `npm run bench -- fleet [--workers 46 [--cores C]] [--seeds 10] [--backlog F] [--ablate] [--baselines]
- * [--owner-cores C]`; `--owner-cores` charges the owner's decisions and calls to a processor of so many cores. `bounds`
- * runs the seeds of CI and checks the results against the committed bounds. `profile` divides the
- * owner's processor time by what it does; `calls` measures that of its calls over loopback.
+ * [--owner-cores C]`; `--owner-cores` charges the owner's decisions and calls to a processor of so
+ * many cores. `bounds` runs the seeds of CI and checks the results against the committed bounds.
+ * `profile` divides the owner's processor time by what it does; `calls` measures that of its calls
+ * over loopback.
  */
 import { type ArgsDef, parseArgs } from 'citty';
 
