--- a/bench/fleet/ownerProfile.ts
+++ b/bench/fleet/ownerProfile.ts
@@ -38,7 +38,6 @@
   'fleetScheduler.handleStarted': OwnerWork.Starts,
   runStarts: OwnerWork.Starts,
   'fleetScheduler.#place': OwnerWork.Placing,
-  'fleetScheduler.#moveFromDraining': OwnerWork.Placing,
   'fleetScheduler.#commit': OwnerWork.Commits,
   'fleetScheduler.handleCommitted': OwnerWork.Commits,
   roster: OwnerWork.Roster,
--- a/src/scheduler/common/fleet/drainMoves.ts
+++ b/src/scheduler/common/fleet/drainMoves.ts
@@ -1,16 +1,11 @@
 /** Moves runs off workers that are about to leave, into room that is kept for their tasks. */
 import type { FleetConfiguration } from '../../../services/fleet/common/fleetConfiguration.js';
-import {
-  assignRun,
-  isUsable,
-  nextRunNumber,
-  type RoundInput,
-  UsableWorkers,
-} from './fleetRound.js';
+import { assignRun, nextRunNumber } from './fleetRound.js';
 import type { FleetTiming } from './fleetTiming.js';
 import type { FleetWorkerView } from './fleetWorkerView.js';
 import { likelyRemainingMs } from './runForecast.js';
 import { isOpen, RunState, stepName, type TaskRecord, type TaskRun } from './taskRecords.js';
+import { isUsable, type RoundInput, UsableWorkers } from './usableWorkers.js';
 import { type PlacementChoice, WorkerSearch } from './workerSearch.js';
 
 /** A step of the scheduler, a call and its answer, and a few looks for room. */
--- a/src/scheduler/common/fleet/fleetRound.ts
+++ b/src/scheduler/common/fleet/fleetRound.ts
@@ -1,21 +1,8 @@
 /** Gives waiting tasks room on workers. */
-import {
-  findQueueByName,
-  type FleetConfiguration,
-  type OperatorState,
-} from '../../../services/fleet/common/fleetConfiguration.js';
-import type { WorkerHealth } from '../workerHealth.js';
-import { allowsReducedPace, isObstacle, rateWorker, type RatingContext } from './fleetPlacement.js';
-import type { FleetPolicy } from './fleetPolicy.js';
-import type { FleetTiming } from './fleetTiming.js';
-import type { FleetWorkerView } from './fleetWorkerView.js';
-import type { InterferenceControl } from './interferenceControl.js';
-import { PlacementObstacle } from './placementObstacle.js';
-import type { RoomMisses } from './roomMisses.js';
-import type { Roster } from './roster.js';
+import type { FleetConfiguration } from '../../../services/fleet/common/fleetConfiguration.js';
 import { newRun } from './runKeeper.js';
-import type { SubmissionBook } from './submissionBook.js';
 import { isInterrupted, type TaskRecord, type TaskRun } from './taskRecords.js';
+import { type RoundInput, UsableWorkers } from './usableWorkers.js';
 import type { TaskGroup } from './waitingTasks.js';
 import { type WaitCounts, WaitReason } from './waitReport.js';
 import { type PlacementChoice, WorkerSearch } from './workerSearch.js';
@@ -25,19 +12,6 @@
 /** Starts of one round; more would hold up the answers that come in meanwhile. */
 export const MAXIMUM_STARTS = 150;
 
-export interface RoundInput {
-  readonly book: SubmissionBook;
-  readonly views: ReadonlyMap<string, FleetWorkerView>;
-  readonly operator: OperatorState;
-  readonly health: WorkerHealth;
-  readonly policy: FleetPolicy;
-  readonly interference: InterferenceControl;
-  readonly timing: FleetTiming;
-  readonly epoch: number;
-  readonly roster: Roster;
-  readonly misses: RoomMisses;
-}
-
 /** How much one round may do; what is left over comes in the next one. */
 export interface RoundLimits {
   readonly startCount: number;
@@ -60,23 +34,6 @@
 export const nextRunNumber = (tasks: readonly TaskRecord[], epoch: number): number =>
   Math.max((epoch - 1) * RUNS_PER_EPOCH, ...tasks.map(({ lastRun }) => lastRun)) + 1;
 
-/** Why no task may be started on the worker now; undefined if tasks may be. */
-const useObstacle = (
-  view: FleetWorkerView,
-  { timing, roster, operator }: RoundInput,
-  nowMs: number,
-): PlacementObstacle | undefined => {
-  if (!view.isListed || !view.isEntryCurrent) return PlacementObstacle.Unlisted;
-  if (view.entry.isDraining) return PlacementObstacle.Draining;
-  const isKnown = view.knowsClock && !view.isReborn && !view.isSilent;
-  if (!isKnown || !view.isFresh(timing, nowMs)) return PlacementObstacle.Unanswered;
-  if (view.mayForgetEnds || view.strayCount > 0) return PlacementObstacle.Unsettled;
-  if (!roster.isUnlimited(view.id)) return PlacementObstacle.LeasesLimited;
-  return operator.withdrawnZones.has(view.entry.availabilityZone)
-    ? PlacementObstacle.ZoneWithdrawn
-    : undefined;
-};
-
 /** Gives a task room on a worker; the start is sent once the assignment is stored. */
 export const assignRun = (
   { book }: Pick<RoundInput, 'book'>,
@@ -92,86 +49,6 @@
   return run;
 };
 
-/** Whether tasks may be started on the worker now. */
-export const isUsable = (view: FleetWorkerView, input: RoundInput, nowMs: number): boolean =>
-  useObstacle(view, input, nowMs) === undefined;
-
-/** The usable workers of one service. */
-export interface ServicePool {
-  readonly serviceName: string;
-  readonly views: readonly FleetWorkerView[];
-  readonly context: RatingContext;
-}
-
-/** What is worked out once for all tasks that are to be placed at `nowMs`. */
-export class UsableWorkers {
-  readonly all: readonly FleetWorkerView[];
-
-  readonly #input: RoundInput;
-
-  readonly #nowMs: number;
-
-  readonly #viewsByService = new Map<string, FleetWorkerView[]>();
-
-  readonly #pools = new Map<string, ServicePool>();
-
-  constructor(input: RoundInput, nowMs: number) {
-    this.#input = input;
-    this.#nowMs = nowMs;
-    this.all = [...input.views.values()].filter((view) => isUsable(view, input, nowMs));
-    this.all.forEach((view) => {
-      const { serviceName } = view.entry;
-      const known = this.#viewsByService.get(serviceName);
-      if (known === undefined) this.#viewsByService.set(serviceName, [view]);
-      else known.push(view);
-    });
-  }
-
-  /** The workers that may run the task, by the configuration in force. */
-  poolOf(task: TaskRecord, configuration: FleetConfiguration): ServicePool {
-    const { submission } = task.submission;
-    const queue = findQueueByName(configuration, submission.queueName);
-    const serviceName = queue?.serviceName ?? submission.serviceName;
-    const known = this.#pools.get(serviceName);
-    if (known !== undefined) return known;
-    const pool = this.#newPool(serviceName);
-    this.#pools.set(serviceName, pool);
-    return pool;
-  }
-
-  #newPool(serviceName: string): ServicePool {
-    const { policy, interference, health } = this.#input;
-    const views = this.#viewsByService.get(serviceName) ?? [];
-    const faultRanking = policy.faultAvoidance.newRanking(views, health, this.#nowMs);
-    return { serviceName, views, context: { policy, interference, faultRanking } };
-  }
-}
-
-/** What stands against each worker for a task that waits; workers that would take it are left out. */
-export const obstaclesOf = (
-  task: TaskRecord,
-  input: RoundInput,
-  nowMs: number,
-): ReadonlyMap<PlacementObstacle, number> => {
-  const counts = new Map<PlacementObstacle, number>();
-  const { configuration } = input.operator;
-  if (configuration === undefined) return counts;
-  const { serviceName, context } = new UsableWorkers(input, nowMs).poolOf(task, configuration);
-  const mayBeSlow = allowsReducedPace(task, nowMs);
-  const obstacleOf = (view: FleetWorkerView): PlacementObstacle | undefined => {
-    const obstacle = useObstacle(view, input, nowMs);
-    if (obstacle !== undefined) return obstacle;
-    if (view.entry.serviceName !== serviceName) return PlacementObstacle.OtherService;
-    const rating = rateWorker(task, view, mayBeSlow, context, nowMs);
-    return isObstacle(rating) ? rating : undefined;
-  };
-  input.views.forEach((view) => {
-    const obstacle = obstacleOf(view);
-    if (obstacle !== undefined) counts.set(obstacle, (counts.get(obstacle) ?? 0) + 1);
-  });
-  return counts;
-};
-
 class Round {
   readonly #input: RoundInput;
 
--- a/src/scheduler/common/fleet/fleetScheduler.ts
+++ b/src/scheduler/common/fleet/fleetScheduler.ts
@@ -38,7 +38,7 @@
 import { StopReason } from './fleetNotes.js';
 import { FleetOwnership } from './fleetOwnership.js';
 import { DrainMoves } from './drainMoves.js';
-import { obstaclesOf, placeWaiting } from './fleetRound.js';
+import { placeWaiting } from './fleetRound.js';
 import {
   loseLapsed,
   newTenure,
@@ -51,13 +51,13 @@
   type Tenure,
 } from './fleetTenure.js';
 import type { FleetPolicy } from './fleetPolicy.js';
-import type { RoundInput } from './fleetRound.js';
 import type { FleetTiming } from './fleetTiming.js';
 import { NEXT_HOLD_AFTER_FAILURE_MS } from './holdPace.js';
 import { runKey } from './fleetWorkerView.js';
 import { splitRecorded } from './runStarts.js';
 import { OwnerLoad } from './ownerLoad.js';
 import { RunState, type TaskRun } from './taskRecords.js';
+import { obstaclesOf, type RoundInput } from './usableWorkers.js';
 import type { ObstaclesOf } from './waitReport.js';
 
 export class FleetScheduler {
--- a/src/scheduler/common/fleet/fleetTenure.ts
+++ b/src/scheduler/common/fleet/fleetTenure.ts
@@ -14,7 +14,6 @@
 import { WorkerHealth } from '../workerHealth.js';
 import type { FleetTiming } from './fleetTiming.js';
 import { FleetWorkerView } from './fleetWorkerView.js';
-import type { RoundInput } from './fleetRound.js';
 import { FleetNotes, StopReason } from './fleetNotes.js';
 import type { FleetPolicy } from './fleetPolicy.js';
 import type { InterferenceControl } from './interferenceControl.js';
@@ -25,6 +24,7 @@
 import { RunKeeper } from './runKeeper.js';
 import { SubmissionBook } from './submissionBook.js';
 import { NO_ASSIGNMENTS } from './taskRecords.js';
+import type { RoundInput } from './usableWorkers.js';
 
 /** A submission or a cancellation as read from the table. */
 export type SubmissionChange =
--- a/src/scheduler/common/fleet/runStarts.ts
+++ b/src/scheduler/common/fleet/runStarts.ts
@@ -1,6 +1,6 @@
 /** Which runs may start now that their assignments are stored. */
-import { isUsable, type RoundInput } from './fleetRound.js';
 import { RunState, stepName, type TaskRun } from './taskRecords.js';
+import { isUsable, type RoundInput } from './usableWorkers.js';
 
 export interface RecordedRuns {
   readonly startable: readonly TaskRun[];
