--- a/src/scheduler/common/fleet/sizeBalance.ts
+++ b/src/scheduler/common/fleet/sizeBalance.ts
@@ -1,5 +1,5 @@
 /**
- * Whether large submissions of one queue are served as other submissions are. An order by value for
+ * Whether large submissions of one queue are served nearly as often as others. An order by value for
  * each unit of work puts them behind all smaller ones for as long as a backlog lasts.
  */
 
--- a/src/scheduler/common/fleet/taskRecords.ts
+++ b/src/scheduler/common/fleet/taskRecords.ts
@@ -203,6 +203,7 @@
   };
 };
 
+/** Counts the submission in its queue's balance of sizes. */
 export const countOnce = (record: SubmissionRecord): void => {
   if (record.isCounted) return;
   record.isCounted = true;
