Log why submissions end late

The log told which tasks wait, by kind and for the oldest one, but not what became of a submission: whether it waited for the owner, for room, for its turn or ran late. `submissions-delayed` now has, for each submission that ends after its objective or still waits at three times of it: the objective, the time since its acceptance and since this owner learnt of it, the time that it waited by cause, its runs, the tasks that ranked higher, and what kept its first task off the workers. `room-short` tells once a second which work holds the processors while tasks find no room. Refusals are told by `submission-refused`, as before. No decision is changed.

`decisionLog.test.ts` has the case of a submission behind a full worker.

--- a/src/scheduler/common/fleet/decisionLog.ts
+++ b/src/scheduler/common/fleet/decisionLog.ts
@@ -5,8 +5,10 @@
 import type { FleetWorkerView } from './fleetWorkerView.js';
 import type { PaceChange } from './interferenceControl.js';
 import type { WorkerEvidence } from './runEvidence.js';
+import { RoomReport } from './roomReport.js';
 import type { TaskRecord, TaskRun } from './taskRecords.js';
-import { type ObstaclesOf, type WaitCounts, WaitReport } from './waitReport.js';
+import type { WaitCounts } from './waitReason.js';
+import { type ObstaclesOf, WaitReport } from './waitReport.js';
 
 export interface DecisionLogEntry {
   readonly event: LogEvent;
@@ -50,6 +52,8 @@
 export class DecisionLog {
   readonly #waitReport = new WaitReport();
 
+  readonly #roomReport = new RoomReport();
+
   #entries: DecisionLogEntry[] = [];
 
   #starts: string[] = [];
@@ -131,6 +135,18 @@
       .forEach((fields) => this.add('tasks-waiting', fields));
   }
 
+  /** Records what holds the room of the workers that tasks may start on. */
+  addRoom(views: readonly FleetWorkerView[], nowMs: number): void {
+    const fields = this.#roomReport.fields(views, nowMs);
+    if (fields !== undefined) this.add('room-short', fields);
+  }
+
+  addDelays(descriptions: readonly string[]): void {
+    if (descriptions.length === 0) return;
+    const [count, submissions] = [descriptions.length, descriptions.join('; ')];
+    this.add('submissions-delayed', { count, submissions });
+  }
+
   /**
    * Records the workers that have not answered this owner and may still run former owners' tasks.
    */
--- a/src/scheduler/common/fleet/fleetOrder.ts
+++ b/src/scheduler/common/fleet/fleetOrder.ts
@@ -13,7 +13,7 @@
 import type { TaskGroup } from './waitingTasks.js';
 
 /** A result that takes longer than this many times the objective is worthless to its caller. */
-const WORTHLESS_FACTOR = 3;
+export const WORTHLESS_FACTOR = 3;
 /** The share of a submission's value that does not depend on its amount of work. */
 const FIXED_VALUE_SHARE = 0.3;
 /** A task that has waited for this share of its slack is considered held up by a backlog. */
@@ -48,6 +48,15 @@
 export const chainEstimateMs = (submission: Submission): number =>
   Math.max(0, ...chainsMsOf(submission));
 
+/** How long callers want the submission to take, from its acceptance to its end. */
+export const objectiveMsOf = (
+  submission: Submission,
+  configuration: FleetConfiguration,
+): number => {
+  const queue = findQueueByName(configuration, submission.queueName);
+  return (queue?.objectiveStretch ?? 1) * chainEstimateMs(submission) + (queue?.objectiveMs ?? 0);
+};
+
 /** How useful the result of a task that starts now is to its caller. */
 const Usefulness = { InTime: 0, Late: 1, None: 2 } as const;
 type Usefulness = (typeof Usefulness)[keyof typeof Usefulness];
@@ -111,7 +120,7 @@
   const { submission } = task.submission;
   const queue = findQueueByName(configuration, submission.queueName);
   const chainMs = chainEstimateMs(submission);
-  const objectiveMs = (queue?.objectiveStretch ?? 1) * chainMs + (queue?.objectiveMs ?? 0);
+  const objectiveMs = objectiveMsOf(submission, configuration);
   return {
     usefulness: usefulnessOf(task, objectiveMs, nowMs),
     priority: queue?.priority ?? 0,
--- a/src/scheduler/common/fleet/fleetRound.ts
+++ b/src/scheduler/common/fleet/fleetRound.ts
@@ -1,10 +1,13 @@
 /** Places waiting tasks on workers. */
 import type { FleetConfiguration } from '../../../services/fleet/common/fleetConfiguration.js';
+import { chainEstimateMs, objectiveMsOf } from './fleetOrder.js';
+import type { FleetWorkerView } from './fleetWorkerView.js';
 import { newRun } from './runTracker.js';
 import { isInterrupted, type TaskRecord, type TaskRun } from './taskRecords.js';
-import { type RoundInput, UsableWorkers } from './usableWorkers.js';
+import { obstaclesOf, type RoundInput, UsableWorkers } from './usableWorkers.js';
 import type { TaskGroup } from './waitingTasks.js';
-import { type WaitCounts, WaitReason } from './waitReport.js';
+import { DelayCause, type WaitCounts, WaitReason } from './waitReason.js';
+import { waitingKindOf } from './waitReport.js';
 import { type PlacementChoice, WorkerSearch } from './workerSearch.js';
 
 /** How many run numbers of a task one epoch can use before they overlap with the next epoch's. */
@@ -25,9 +28,16 @@
   readonly waits: WaitCounts;
   readonly startCount: number;
   readonly ratingCount: number;
+  /** The workers that tasks might have started on. */
+  readonly usableViews: readonly FleetWorkerView[];
 }
 
-const NOTHING_PLACED: RoundOutcome = { waits: new Map(), startCount: 0, ratingCount: 0 };
+const NOTHING_PLACED: RoundOutcome = {
+  waits: new Map(),
+  startCount: 0,
+  ratingCount: 0,
+  usableViews: [],
+};
 
 /**
  * Returns a run number that is higher than any that this or a former owner has used for the tasks.
@@ -72,6 +82,12 @@
 
   ratingCount = 0;
 
+  /** The number of tasks of the groups so far, by kind. */
+  readonly #rankedCounts = new Map<string, number>();
+
+  /** Counting the obstacles rates all workers, so a round does it for one submission at most. */
+  #hasCountedObstacles = false;
+
   constructor(
     input: RoundInput,
     configuration: FleetConfiguration,
@@ -87,19 +103,48 @@
   }
 
   place(group: TaskGroup): void {
+    const [first] = group.tasks;
+    if (first === undefined) return;
+    const { size } = group.tasks;
+    const { waitingSinceMs } = first;
+    const cause = this.#place(group);
+    first.submission.delays.note(cause, waitingSinceMs, this.#nowMs);
+    if (cause === DelayCause.NoRoom || cause === DelayCause.RoundFull) this.#noteMiss(first, cause);
+    const kind = waitingKindOf(first);
+    this.#rankedCounts.set(kind, (this.#rankedCounts.get(kind) ?? 0) + size);
+  }
+
+  /** Places the tasks of the group that are due. Returns what the group waits or waited for. */
+  #place(group: TaskGroup): DelayCause {
     if (this.#isRoundFull) {
       this.#addWaits(WaitReason.RoundFull, group.tasks.size);
-      return;
+      return WaitReason.RoundFull;
     }
     const due = [...group.tasks].filter(({ notBeforeMs }) => notBeforeMs <= this.#nowMs);
     const [first] = due;
-    if (first === undefined) return;
+    if (first === undefined) return DelayCause.Retry;
     const unplacedCount = first.step.isGang
       ? this.#placeGang(first, group.key, due.length)
       : this.#placeEach(due, group.key);
-    if (unplacedCount === 0) return;
+    if (unplacedCount === 0) return DelayCause.NextRound;
     const reason = this.#isRoundFull ? WaitReason.RoundFull : WaitReason.NoRoom;
     this.#addWaits(reason, unplacedCount);
+    return reason;
+  }
+
+  /** Records what is ahead of the submission, and once what keeps its task off the workers. */
+  #noteMiss(task: TaskRecord, cause: WaitReason): void {
+    const { submission, delays } = task.submission;
+    delays.ahead = new Map(this.#rankedCounts);
+    if (cause !== WaitReason.NoRoom || delays.obstacles !== undefined) return;
+    const slackMs = objectiveMsOf(submission, this.#configuration) - chainEstimateMs(submission);
+    if (this.#hasCountedObstacles || delays.totalWaitedMs < slackMs) return;
+    this.#hasCountedObstacles = true;
+    delays.obstacles = obstaclesOf(task, this.#input, this.#nowMs);
+  }
+
+  get usableViews(): readonly FleetWorkerView[] {
+    return this.#usable.all;
   }
 
   get #isRoundFull(): boolean {
@@ -222,6 +267,6 @@
   groups.slice(0, interruptedCount).forEach((group) => round.place(group));
   afterInterrupted();
   groups.slice(interruptedCount).forEach((group) => round.place(group));
-  const { waits, ratingCount, placed } = round;
-  return { waits, ratingCount, startCount: placed.length };
+  const { waits, ratingCount, placed, usableViews } = round;
+  return { waits, ratingCount, startCount: placed.length, usableViews };
 };
--- a/src/scheduler/common/fleet/fleetScheduler.ts
+++ b/src/scheduler/common/fleet/fleetScheduler.ts
@@ -65,6 +65,7 @@
 import { OwnerLoadLimiter } from './ownerLoadLimiter.js';
 import { RunState, type TaskRun } from './taskRecords.js';
 import { obstaclesOf, type RoundInput } from './usableWorkers.js';
+import { DelayCause, WaitReason } from './waitReason.js';
 import type { ObstaclesOf } from './waitReport.js';
 
 export class FleetScheduler {
@@ -320,6 +321,12 @@
     effects.push(...this.#pacing.effects(state, nowMs));
     this.#commit(state, effects, nowMs);
     state.decisionLog.addAwaited(state.views.values(), nowMs);
+    const { configuration } = this.#operator;
+    if (configuration !== undefined) {
+      const { delayReport, registry } = state;
+      const delays = delayReport.collect(registry, configuration, wallNowMs, nowMs);
+      state.decisionLog.addDelays(delays);
+    }
     state.decisionLog
       .drain(state.epoch, nowMs)
       .forEach((entry) => effects.push({ kind: 'log', ...entry }));
@@ -376,7 +383,10 @@
   }
 
   #placeWaiting(state: FleetState, nowMs: number): void {
-    if (!this.#mayStart(state, nowMs)) return;
+    if (!this.#mayStart(state, nowMs)) {
+      state.registry.noteDelay(DelayCause.StartsPaused, nowMs);
+      return;
+    }
     const limits = this.#loadLimiter.roundLimits(nowMs);
     const input = this.#roundInput(state);
     this.#moves.placeMoved(input, nowMs);
@@ -397,6 +407,7 @@
     this.#loadLimiter.noteRound(outcome);
     const obstacles: ObstaclesOf = (task) => obstaclesOf(task, input, nowMs);
     state.decisionLog.addWaits(state.registry.waiting, outcome.waits, obstacles, nowMs);
+    if (outcome.waits.has(WaitReason.NoRoom)) state.decisionLog.addRoom(outcome.usableViews, nowMs);
   }
 
   #startRecorded(
--- a/src/scheduler/common/fleet/fleetState.ts
+++ b/src/scheduler/common/fleet/fleetState.ts
@@ -17,6 +17,7 @@
 import type { FleetTiming } from './fleetTiming.js';
 import { FleetWorkerView } from './fleetWorkerView.js';
 import { DecisionLog, StopReason } from './decisionLog.js';
+import { DelayReport } from './delayReport.js';
 import type { FleetPolicy } from './fleetPolicy.js';
 import type { InterferenceControl } from './interferenceControl.js';
 import { ProgressCommits } from './progressCommits.js';
@@ -56,6 +57,7 @@
   readonly roster: Roster;
   readonly interference: InterferenceControl;
   readonly decisionLog: DecisionLog;
+  readonly delayReport: DelayReport;
   readonly misses: RoomMisses;
   /** When all submissions and cancellations of callers were last known. */
   caughtUpAtMs: number;
@@ -160,6 +162,7 @@
       decisionLog,
       fenceRaises,
     },
+    delayReport: new DelayReport(),
     misses: new RoomMisses(),
     unknownRuns: new Map(),
     caughtUpAtMs: Number.NEGATIVE_INFINITY,
--- a/src/scheduler/common/fleet/submissionRegistry.ts
+++ b/src/scheduler/common/fleet/submissionRegistry.ts
@@ -26,6 +26,7 @@
   type TaskRun,
 } from './taskRecords.js';
 import { WaitingTasks } from './waitingTasks.js';
+import type { DelayCause } from './waitReason.js';
 
 /** Delay before a failed task is retried, so that a faulty worker does not use up its attempts. */
 const FAILED_RETRY_DELAY_MS = 200;
@@ -70,6 +71,9 @@
 
   readonly #queueWorks = new Map<string, QueueWork>();
 
+  /** Submissions that have ended and that `takeEnded` has yet to return. */
+  #ended: SubmissionRecord[] = [];
+
   #order = 0;
 
   get waiting(): WaitingTasks {
@@ -165,6 +169,7 @@
     const { task } = run;
     task.runs.push(run);
     task.lastRun = Math.max(task.lastRun, run.run);
+    task.submission.delays.runCount += 1;
     this.#waiting.delete(task);
   }
 
@@ -175,6 +180,21 @@
     return taken;
   }
 
+  /** Records what all submissions with waiting tasks wait for. */
+  noteDelay(cause: DelayCause, nowMs: number): void {
+    this.#waiting.groups.forEach(({ tasks }) => {
+      const [first] = tasks;
+      first?.submission.delays.note(cause, first.waitingSinceMs, nowMs);
+    });
+  }
+
+  /** Returns and clears the submissions that have ended since the last call. */
+  takeEnded(): readonly SubmissionRecord[] {
+    const taken = this.#ended;
+    this.#ended = [];
+    return taken;
+  }
+
   /** Marks a submission as running when its first task is known to have started. */
   noteStarted(record: SubmissionRecord): void {
     if (record.hasStarted) return;
@@ -318,6 +338,7 @@
 
   #end(record: SubmissionRecord, state: SubmissionState): readonly TaskRun[] {
     record.state = state;
+    this.#ended.push(record);
     recordEndInSizeBalance(record);
     this.#dirtyProgress.add(record);
     this.#dirtyAssignments.delete(record);
--- a/src/scheduler/common/fleet/taskRecords.ts
+++ b/src/scheduler/common/fleet/taskRecords.ts
@@ -9,6 +9,7 @@
 import type { Assignments, Progress } from '../../../services/submissions/common/submissionRows.js';
 import type { Resources } from '../../../services/worker/common/resources.js';
 import type { SizeBalance, SizeClass } from './sizeBalance.js';
+import { SubmissionDelays } from './submissionDelays.js';
 
 export const RunState = {
   /** Capacity on the worker is taken; the start is sent once the assignment is stored. */
@@ -114,6 +115,7 @@
   isInSizeBalance: boolean;
   /** Whether it comes first in its queue because too few submissions of its size are served. */
   isReserved: boolean;
+  readonly delays: SubmissionDelays;
 }
 
 export const taskName = (
@@ -201,6 +203,7 @@
     sizeClass: queueWork.balance.classify(processorMs),
     isInSizeBalance: false,
     isReserved: false,
+    delays: new SubmissionDelays(),
   };
 };
 
--- a/src/scheduler/common/fleet/waitReport.ts
+++ b/src/scheduler/common/fleet/waitReport.ts
@@ -3,17 +3,7 @@
 import type { FleetWorkerView } from './fleetWorkerView.js';
 import type { PlacementObstacle } from './placementObstacle.js';
 import { isInterrupted, type TaskRecord } from './taskRecords.js';
-
-/** Why a task that is due was not placed in a round. */
-export const WaitReason = {
-  /** No usable worker has enough free capacity. */
-  NoRoom: 'no-room',
-  /** The round reached its limit of starts before the task's turn. */
-  RoundFull: 'round-full',
-} as const;
-export type WaitReason = (typeof WaitReason)[keyof typeof WaitReason];
-
-export type WaitCounts = ReadonlyMap<WaitReason, number>;
+import type { WaitCounts } from './waitReason.js';
 
 const REPORT_INTERVAL_MS = 1_000;
 /** Shorter waits are logged when the task starts. */
@@ -35,7 +25,7 @@
 /** Returns, for each obstacle to placing a task, the number of workers that it affects. */
 export type ObstaclesOf = (task: TaskRecord) => ReadonlyMap<PlacementObstacle, number>;
 
-const kindOf = (task: TaskRecord): WaitingKind => {
+export const waitingKindOf = (task: TaskRecord): WaitingKind => {
   if (isInterrupted(task)) return WaitingKind.Interrupted;
   if (task.step.isPersistent) return WaitingKind.Persistent;
   return task.step.isFiller ? WaitingKind.Filler : WaitingKind.Batch;
@@ -50,7 +40,7 @@
 const waitingByKind = (tasks: Iterable<TaskRecord>): ReadonlyMap<WaitingKind, Waiting> => {
   const byKind = new Map<WaitingKind, Waiting>();
   [...tasks].forEach((task) => {
-    const kind = kindOf(task);
+    const kind = waitingKindOf(task);
     const known = byKind.get(kind);
     const isOlder = known === undefined || task.waitingSinceMs < known.oldest.waitingSinceMs;
     byKind.set(kind, { oldest: isOlder ? task : known.oldest, count: (known?.count ?? 0) + 1 });
--- a/src/scheduler/test/fleet/decisionLog.test.ts
+++ b/src/scheduler/test/fleet/decisionLog.test.ts
@@ -4,7 +4,7 @@
 import { type DecisionLogEntry, DecisionLog } from '../../common/fleet/decisionLog.js';
 import type { TaskRecord } from '../../common/fleet/taskRecords.js';
 import { PlacementObstacle } from '../../common/fleet/placementObstacle.js';
-import { WaitReason } from '../../common/fleet/waitReport.js';
+import { WaitReason } from '../../common/fleet/waitReason.js';
 import { STEP, submissionOf, WORKER_CAPACITY } from './fleetFixtures.js';
 import { FleetWorld } from './fleetWorld.js';
 
@@ -90,3 +90,24 @@
     expect(lost?.fields.leasesLeftMs).toBeLessThanOrEqual(0);
   });
 });
+
+describe('the log of delayed submissions', () => {
+  it('tells for how long a late submission lacked room, behind what, and for want of what', async () => {
+    const blocker = '00000000000000b1';
+    const world = new FleetWorld(3, (taskName) => ({
+      ...{ workMs: taskName.startsWith(blocker) ? 4_000 : 500, end: RunEnd.Done },
+    }));
+    world.addWorker('worker-0');
+    world.addScheduler();
+    await world.runFor(1_500);
+    world.submit(submissionOf(blocker, [{ ...STEP, size: WORKER_CAPACITY, estimateMs: 4_000 }]));
+    await world.runFor(200);
+    world.submit(submissionOf(ID, [STEP]));
+    await world.runFor(6_000);
+    const [delayed] = world.logged.filter(({ event }) => event === 'submissions-delayed');
+    const [, waitedMs] = /no-room:(\d+)/u.exec(String(delayed?.fields.submissions)) ?? [];
+    expect(delayed?.fields.submissions).toContain(`${ID} queue=queue state=complete`);
+    expect(Number(waitedMs)).toBeGreaterThan(3_500);
+    expect(delayed?.fields.submissions).toContain('runs=1/1 ahead=none obstacles=no-processors:1');
+  });
+});
--- a/src/services/log/common/logEvents.ts
+++ b/src/services/log/common/logEvents.ts
@@ -24,9 +24,13 @@
   'submission-unresolved': 'It is unknown whether a submission was stored; its caller was told so.',
   'submission-cancelled': 'A cancellation is stored.',
   'submission-ended': 'A submission has reached its final state because the named task ended.',
+  'submissions-delayed':
+    'Submissions ended later than their objective, or are still waiting at three times their objective; for each, the line gives the time that it waited by cause, the tasks that ranked higher and the obstacles on workers.',
   'tasks-started': 'Tasks were placed on workers and their starts sent, as TASK#RUN@WORKER+WAIT.',
   'tasks-waiting':
     'Tasks of a kind have waited for over a second; the line names the oldest one and counts the reasons why tasks were not placed and why workers cannot run the oldest one; a worker that could run it is not counted.',
+  'room-short':
+    'Tasks found no room; the line gives the processors of the workers that tasks may start on, by what holds them.',
   'workers-awaited':
     'Workers that may still run tasks of a former owner have not answered the new owner yet.',
   'tasks-ended':
@@ -63,6 +67,7 @@
   'submission-unresolved',
   'submission-cancelled',
   'submission-ended',
+  'submissions-delayed',
   'tasks-started',
   'tasks-ended',
   'tasks-waiting',
--- a/src/services/log/test/logEvents.test.ts
+++ b/src/services/log/test/logEvents.test.ts
@@ -30,6 +30,7 @@
   'worker-reborn': 'one process of a worker to another',
   'worker-unlisted': 'listed to unlisted',
   'workers-awaited': 'a new owner is still waiting for workers, once a second at most',
+  'room-short': 'tasks find no room, once a second at most',
   'log-lines-left-out': 'a limit was reached, once a second at most',
   'row-unreadable': 'a row is skipped, once for each read',
 };
@@ -41,6 +42,7 @@
   'submission-unresolved': 'unknown whether stored, abandoned',
   'submission-cancelled': 'a cancellation stored',
   'submission-ended': 'complete or failed, because its last task ended',
+  'submissions-delayed': 'late or worthless; once a submission, one line a fifth of a second',
   'tasks-started': 'placed; one line for all starts within a fifth of a second',
   'tasks-ended': 'ends accepted; one line for all ends within a fifth of a second',
   'tasks-waiting': 'not placed, with counts by reason; once a second at most',
