Keep the lines on delayed submissions short, and write all of them

A line has ten submissions now, and is written like other changes of state: each submission is in one line at most.

--- a/src/scheduler/common/fleet/decisionLog.ts
+++ b/src/scheduler/common/fleet/decisionLog.ts
@@ -48,6 +48,8 @@
  * about submissions.
  */
 const BATCH_MS = 200;
+/** Keeps the lines short enough for log collectors, which truncate lines of some kilobytes. */
+const MAXIMUM_DELAYS_PER_LINE = 10;
 
 export class DecisionLog {
   readonly #waitReport = new WaitReport();
@@ -142,9 +144,10 @@
   }
 
   addDelays(descriptions: readonly string[]): void {
-    if (descriptions.length === 0) return;
-    const [count, submissions] = [descriptions.length, descriptions.join('; ')];
-    this.add('submissions-delayed', { count, submissions });
+    for (let from = 0; from < descriptions.length; from += MAXIMUM_DELAYS_PER_LINE) {
+      const submissions = descriptions.slice(from, from + MAXIMUM_DELAYS_PER_LINE).join('; ');
+      this.add('submissions-delayed', { submissions });
+    }
   }
 
   /**
--- a/src/services/log/common/logEvents.ts
+++ b/src/services/log/common/logEvents.ts
@@ -67,7 +67,6 @@
   'submission-unresolved',
   'submission-cancelled',
   'submission-ended',
-  'submissions-delayed',
   'tasks-started',
   'tasks-ended',
   'tasks-waiting',
