Tell apart the two limits of a placement round in the log

`round-full` counted tasks that waited for the limit of starts as well as those that waited for the limit of rated workers. These have different causes, and the second can hold urgent tasks up although workers have room for them. The log says `start-limit` or `rating-limit` now.

--- a/src/scheduler/common/fleet/fleetRound.ts
+++ b/src/scheduler/common/fleet/fleetRound.ts
@@ -109,16 +109,17 @@
     const { waitingSinceMs } = first;
     const cause = this.#place(group);
     first.submission.delays.note(cause, waitingSinceMs, this.#nowMs);
-    if (cause === DelayCause.NoRoom || cause === DelayCause.RoundFull) this.#noteMiss(first, cause);
+    if (cause !== DelayCause.NextRound) this.#noteMiss(first, cause);
     const kind = waitingKindOf(first);
     this.#rankedCounts.set(kind, (this.#rankedCounts.get(kind) ?? 0) + size);
   }
 
   /** Places the tasks of the group that are due. Returns what the group waits or waited for. */
   #place(group: TaskGroup): DelayCause {
-    if (this.#isRoundFull) {
-      this.#addWaits(WaitReason.RoundFull, group.tasks.size);
-      return WaitReason.RoundFull;
+    const limit = this.#limitReached;
+    if (limit !== undefined) {
+      this.#addWaits(limit, group.tasks.size);
+      return limit;
     }
     const due = [...group.tasks].filter(({ notBeforeMs }) => notBeforeMs <= this.#nowMs);
     const [first] = due;
@@ -127,13 +128,13 @@
       ? this.#placeGang(first, group.key, due.length)
       : this.#placeEach(due, group.key);
     if (unplacedCount === 0) return DelayCause.NextRound;
-    const reason = this.#isRoundFull ? WaitReason.RoundFull : WaitReason.NoRoom;
+    const reason = this.#limitReached ?? WaitReason.NoRoom;
     this.#addWaits(reason, unplacedCount);
     return reason;
   }
 
   /** Records what is ahead of the submission, and once what keeps its task off the workers. */
-  #noteMiss(task: TaskRecord, cause: WaitReason): void {
+  #noteMiss(task: TaskRecord, cause: DelayCause): void {
     const { submission, delays } = task.submission;
     delays.ahead = new Map(this.#rankedCounts);
     if (cause !== WaitReason.NoRoom || delays.obstacles !== undefined) return;
@@ -147,8 +148,9 @@
     return this.#usable.all;
   }
 
-  get #isRoundFull(): boolean {
-    return this.#isStartLimitReached || this.ratingCount >= this.#limits.ratingCount;
+  get #limitReached(): WaitReason | undefined {
+    if (this.#isStartLimitReached) return WaitReason.StartLimit;
+    return this.ratingCount >= this.#limits.ratingCount ? WaitReason.RatingLimit : undefined;
   }
 
   get #isStartLimitReached(): boolean {
--- a/src/scheduler/common/fleet/waitReason.ts
+++ b/src/scheduler/common/fleet/waitReason.ts
@@ -5,7 +5,9 @@
   /** No usable worker has enough free capacity. */
   NoRoom: 'no-room',
   /** The round reached its limit of starts before the task's turn. */
-  RoundFull: 'round-full',
+  StartLimit: 'start-limit',
+  /** The round reached its limit of rated workers before the task's turn. */
+  RatingLimit: 'rating-limit',
 } as const;
 export type WaitReason = (typeof WaitReason)[keyof typeof WaitReason];
 
