--- a/src/scheduler/common/fleet/delayReport.ts
+++ b/src/scheduler/common/fleet/delayReport.ts
@@ -6,6 +6,8 @@
 import type { SubmissionRecord } from './taskRecords.js';
 
 const INTERVAL_MS = 200;
+/** The interval of the search among waiting submissions, which can be thousands. */
+const WAITING_INTERVAL_MS = 1_000;
 
 const describeCounts = (counts: ReadonlyMap<string, number>): string =>
   [...counts].map(([name, count]) => `${name}:${Math.round(count)}`).join('+') || 'none';
@@ -29,7 +31,7 @@
     `waitedMs=${describeCounts(delays.waitedMs)}`,
     `runningMs=${Math.round(knownMs - delays.totalWaitedMs)}`,
     `runs=${delays.runCount}/${taskCount}`,
-    `ahead=${describeCounts(delays.ahead)}`,
+    `ahead=${describeCounts(delays.ahead ?? new Map())}`,
     `obstacles=${describeCounts(delays.obstacles ?? new Map())}`,
   ].join(' ');
 };
@@ -38,9 +40,17 @@
 const hasObjective = ({ submission }: SubmissionRecord): boolean =>
   submission.occurrenceCount === 0 && submission.steps.every(({ isPersistent }) => !isPersistent);
 
+/** A submission that is described if its age exceeds its objective by the factor. */
+interface Candidate {
+  readonly record: SubmissionRecord;
+  readonly factor: number;
+}
+
 export class DelayReport {
   #nextAtMs = Number.NEGATIVE_INFINITY;
 
+  #nextWaitingAtMs = Number.NEGATIVE_INFINITY;
+
   /** Returns a description of each submission that was found to be late since the last call. */
   collect(
     registry: SubmissionRegistry,
@@ -54,11 +64,7 @@
       .takeEnded()
       .filter(({ state }) => state !== SubmissionState.Cancelled)
       .map((record) => ({ record, factor: 1 }));
-    const waiting = registry.waiting.groups.flatMap(({ tasks }) => {
-      const [first] = tasks;
-      return first === undefined ? [] : [{ record: first.submission, factor: WORTHLESS_FACTOR }];
-    });
-    return [...ended, ...waiting].flatMap(({ record, factor }) => {
+    return [...ended, ...this.#waiting(registry, nowMs)].flatMap(({ record, factor }) => {
       const objectiveMs = objectiveMsOf(record.submission, configuration);
       const isLate = nowMs - record.learntAtMs > factor * objectiveMs;
       if (!isLate || record.delays.isReported || !hasObjective(record)) return [];
@@ -66,4 +72,13 @@
       return [describe(record, objectiveMs, wallNowMs, nowMs)];
     });
   }
+
+  #waiting(registry: SubmissionRegistry, nowMs: number): readonly Candidate[] {
+    if (nowMs < this.#nextWaitingAtMs) return [];
+    this.#nextWaitingAtMs = nowMs + WAITING_INTERVAL_MS;
+    return registry.waiting.groups.flatMap(({ tasks }) => {
+      const [first] = tasks;
+      return first === undefined ? [] : [{ record: first.submission, factor: WORTHLESS_FACTOR }];
+    });
+  }
 }
--- a/src/scheduler/common/fleet/fleetRound.ts
+++ b/src/scheduler/common/fleet/fleetRound.ts
@@ -133,13 +133,14 @@
     return reason;
   }
 
-  /** Records what is ahead of the submission, and once what keeps its task off the workers. */
+  /** Records what keeps a submission waiting at the time at which its slack is used up. */
   #noteMiss(task: TaskRecord, cause: DelayCause): void {
     const { submission, delays } = task.submission;
-    delays.ahead = new Map(this.#rankedCounts);
-    if (cause !== WaitReason.NoRoom || delays.obstacles !== undefined) return;
+    if (delays.ahead !== undefined) return;
     const slackMs = objectiveMsOf(submission, this.#configuration) - chainEstimateMs(submission);
-    if (this.#hasCountedObstacles || delays.totalWaitedMs < slackMs) return;
+    if (delays.totalWaitedMs < slackMs) return;
+    delays.ahead = new Map(this.#rankedCounts);
+    if (cause !== WaitReason.NoRoom || this.#hasCountedObstacles) return;
     this.#hasCountedObstacles = true;
     delays.obstacles = obstaclesOf(task, this.#input, this.#nowMs);
   }
--- a/src/scheduler/common/fleet/submissionDelays.ts
+++ b/src/scheduler/common/fleet/submissionDelays.ts
@@ -13,24 +13,23 @@
   /** Whether the log has explained the delay. */
   isReported = false;
 
-  /** The number of tasks by kind that ranked higher when the submission last found no room. */
-  ahead: ReadonlyMap<string, number> = new Map();
+  totalWaitedMs = 0;
 
-  /** The number of workers by obstacle when the submission had waited for long. */
+  /** The number of tasks by kind that ranked higher when the submission had used up its slack. */
+  ahead: ReadonlyMap<string, number> | undefined;
+
+  /** The number of workers by obstacle when the submission had used up its slack. */
   obstacles: ReadonlyMap<PlacementObstacle, number> | undefined;
 
   get waitedMs(): ReadonlyMap<DelayCause, number> {
     return this.#waitedMs;
   }
 
-  get totalWaitedMs(): number {
-    return [...this.#waitedMs.values()].reduce((sum, waitedMs) => sum + waitedMs, 0);
-  }
-
   /** Adds the time since the last call, or since the tasks became due if that was later. */
   note(cause: DelayCause, waitingSinceMs: number, nowMs: number): void {
-    const waitedMs = nowMs - Math.max(this.#notedAtMs, waitingSinceMs);
+    const waitedMs = Math.max(0, nowMs - Math.max(this.#notedAtMs, waitingSinceMs));
     this.#notedAtMs = nowMs;
-    this.#waitedMs.set(cause, (this.#waitedMs.get(cause) ?? 0) + Math.max(0, waitedMs));
+    this.totalWaitedMs += waitedMs;
+    this.#waitedMs.set(cause, (this.#waitedMs.get(cause) ?? 0) + waitedMs);
   }
 }
