Fix ends of submissions that are shown late under load

Callers of all kinds saw their submissions as running for up to a second after the last task had ended, while the owner was busy.

Each transaction took the submissions with new progress first come, first served, ten to fourteen at a time, as it counted two rows for each, though only one that has ended has two. Every end of a task marks its submission, so that the last end of a short submission waited behind partial progress of long ones.

Submissions that have ended are stored first now, rows are counted as they are, and a transaction has up to 46 instead of 40; with the conditions, the rows of the owner and the owner's condition that makes the hundred entries that the table accepts.

progressCommits.test.ts: the end of a submission was not in the transaction behind the progress of 100 others, and is now.

--- a/src/scheduler/common/fleet/progressCommits.ts
+++ b/src/scheduler/common/fleet/progressCommits.ts
@@ -34,12 +34,13 @@
   toProgress,
 } from './taskRecords.js';
 
-/** The table accepts a hundred entries per call, conditions and writes together. */
-const MAXIMUM_ROWS_PER_TRANSACTION = 40;
+/**
+ * The table accepts a hundred entries per call, conditions and writes together. This leaves entries
+ * for the rows that don't belong to a single submission and for the owner row's condition.
+ */
+const MAXIMUM_ROWS_PER_TRANSACTION = 46;
 /** Leaves space in a transaction for the progress of other submissions. */
 const MAXIMUM_ASSIGNMENT_ROWS = 12;
-/** A submission that has ended writes its progress row and deletes its assignments row. */
-const ROWS_PER_PROGRESS = 2;
 /** Minimum interval between writes of learnt interference; a new owner may miss the last one. */
 const INTERFERENCE_INTERVAL_MS = 3_000;
 /** Minimum interval between writes of the counts of waiting submissions. */
@@ -153,7 +154,7 @@
       MAXIMUM_ROWS_PER_TRANSACTION - assigned.length - assignedProgress.length;
     const records = [
       ...assignedProgress,
-      ...registry.takeDirtyProgress(Math.floor(remainingRowCount / ROWS_PER_PROGRESS)),
+      ...registry.takeDirtyProgress(remainingRowCount, (record) => this.#progressRowCount(record)),
     ];
     const writes = [
       ...assigned.map((record) => ({
@@ -248,9 +249,18 @@
   #progressWrites(record: SubmissionRecord): readonly RowWrite[] {
     const { id } = record.submission;
     const progress = { key: progressKey(id), value: toProgress(record) };
-    const key = assignmentsKey(id);
-    const hasAssignments = (this.#versions.get(key) ?? ABSENT_VERSION) !== ABSENT_VERSION;
-    return isOpen(record) || !hasAssignments ? [progress] : [progress, { key, value: null }];
+    return this.#deletesAssignments(record)
+      ? [progress, { key: assignmentsKey(id), value: null }]
+      : [progress];
+  }
+
+  #progressRowCount(record: SubmissionRecord): number {
+    return this.#deletesAssignments(record) ? 2 : 1;
+  }
+
+  #deletesAssignments(record: SubmissionRecord): boolean {
+    const version = this.#versions.get(assignmentsKey(record.submission.id)) ?? ABSENT_VERSION;
+    return !isOpen(record) && version !== ABSENT_VERSION;
   }
 
   #dueInterference(interference: InterferenceControl, nowMs: number): JsonValue | undefined {
--- a/src/scheduler/common/fleet/submissionRegistry.ts
+++ b/src/scheduler/common/fleet/submissionRegistry.ts
@@ -223,9 +223,22 @@
     return [];
   }
 
-  /** Returns and unmarks up to `limit` submissions whose progress is yet to be stored. */
-  takeDirtyProgress(limit: number): readonly SubmissionRecord[] {
-    const taken = [...this.#dirtyProgress].slice(0, limit);
+  /**
+   * Returns and unmarks submissions whose progress is yet to be stored, until `rowsOf` them add up to
+   * `rowLimit`. Those that have ended come first, because their callers wait for that.
+   */
+  takeDirtyProgress(
+    rowLimit: number,
+    rowsOf: (record: SubmissionRecord) => number,
+  ): readonly SubmissionRecord[] {
+    const dirty = [...this.#dirtyProgress];
+    const ordered = [...dirty.filter((record) => !isOpen(record)), ...dirty.filter(isOpen)];
+    let rowCount = 0;
+    const taken = ordered.filter((record) => {
+      if (rowCount + rowsOf(record) > rowLimit) return false;
+      rowCount += rowsOf(record);
+      return true;
+    });
     taken.forEach((record) => this.#dirtyProgress.delete(record));
     return taken;
   }
--- a/src/scheduler/test/fleet/progressCommits.test.ts
+++ b/src/scheduler/test/fleet/progressCommits.test.ts
@@ -12,7 +12,7 @@
 import { Roster } from '../../common/fleet/roster.js';
 import { newRun } from '../../common/fleet/runTracker.js';
 import { SubmissionRegistry } from '../../common/fleet/submissionRegistry.js';
-import { NO_ASSIGNMENTS } from '../../common/fleet/taskRecords.js';
+import { NO_ASSIGNMENTS, type TaskRecord } from '../../common/fleet/taskRecords.js';
 import { STEP, submissionOf } from './fleetFixtures.js';
 
 const idOf = (index: number): string => index.toString(16).padStart(16, '0');
@@ -91,3 +91,23 @@
     }
   });
 });
+
+describe('the end of a submission', () => {
+  it('is stored before the progress of submissions that are still running', () => {
+    const registry = registryOf(0, 0);
+    const addWithEnd = (index: number, taskCount: number): void => {
+      const submission = submissionOf(idOf(index), [{ ...STEP, taskCount }]);
+      registry.add(submission, undefined, NO_ASSIGNMENTS, 0);
+      const task = registry.find(`${submission.id}.0.0.0`) as TaskRecord;
+      registry.addRun(newRun(task, 1, 'worker', 0));
+      registry.noteEnd(task, 1, RunEnd.Done, 10);
+    };
+    for (let index = 0; index < 100; index += 1) addWithEnd(index, 2);
+    addWithEnd(100, 1);
+    const keys =
+      commitsOf(registry)
+        .next(20)
+        ?.writes.map(({ key }) => key) ?? [];
+    expect(keys).toContain(progressKey(idOf(100)));
+  });
+});
