Fix ends that are never acknowledged under load

While more progress came in than one transaction held, no end of any worker was acknowledged, however long that lasted.

Ends were acknowledged only by a transaction that left no progress unstored. Now the owner notes what is unstored and how far each worker's ends are handled, and acknowledges up to there once the noted submissions are stored, whatever came in since. A transaction that fails or gets no answer starts that anew, as its submissions are unstored again. An acknowledgement never goes back.

progressCommits.test.ts: after ten transactions, with 60 new ends for each, nothing was acknowledged; now the first 120 ends are, and not the last ones.

--- a/src/scheduler/common/fleet/progressCommits.ts
+++ b/src/scheduler/common/fleet/progressCommits.ts
@@ -70,6 +70,12 @@
   readonly runs: readonly TaskRun[];
 }
 
+/** Ends of runs that can be acknowledged once the progress of these submissions is stored. */
+interface AwaitedEnds {
+  readonly sequences: readonly RecordedSequence[];
+  readonly records: Set<SubmissionRecord>;
+}
+
 /** The state that a commit is built from. */
 export interface CommitInput {
   readonly registry: SubmissionRegistry;
@@ -111,6 +117,12 @@
 
   #pending: PendingCommit | undefined;
 
+  /**
+   * The ends that are acknowledged next. Under load there is always progress that is not stored yet,
+   * so that acknowledgements must not wait until there is none.
+   */
+  #awaited: AwaitedEnds | undefined;
+
   #status: CommitStatus = CommitStatus.Idle;
 
   #nextCommitAtMs = 0;
@@ -146,6 +158,10 @@
       });
       return undefined;
     }
+    this.#awaited ??= {
+      sequences: views.map(toSequence),
+      records: new Set(registry.dirtyProgress),
+    };
     const assigned = registry.takeDirtyAssignments(MAXIMUM_ASSIGNMENT_ROWS);
     // Assignments don't list runs that have ended, so they are stored together with the run ends.
     // A new owner that read the assignments without the ends would start those tasks again.
@@ -167,11 +183,10 @@
     this.#operationCount += 1;
     this.#status = CommitStatus.InFlight;
     this.#nextCommitAtMs = nowMs + input.intervalMs;
-    const includesAllProgress = registry.dirtyProgress.size === 0;
     this.#pending = {
       records,
       writes,
-      sequences: includesAllProgress ? views.map(toSequence) : [],
+      sequences: this.#takeRecordable(records, registry.dirtyProgress.size === 0, views),
       hasRoster: sharedWrites.some(({ key }) => key === ROSTER_KEY),
       assigned,
       runs: runsToStart(assigned),
@@ -200,7 +215,8 @@
         this.#versions.set(key, value === null ? ABSENT_VERSION : version),
       );
       pending.sequences.forEach(({ view, incarnation, sequence }) => {
-        if (view.incarnation === incarnation) view.recordedSequence = sequence;
+        if (view.incarnation !== incarnation) return;
+        view.recordedSequence = Math.max(view.recordedSequence, sequence);
       });
       if (pending.hasRoster) roster.noteStored();
       this.#status = CommitStatus.Idle;
@@ -209,6 +225,7 @@
     }
     pending.records.forEach((record) => registry.markProgressDirty(record));
     pending.assigned.forEach((record) => registry.markAssignmentsDirty(record));
+    this.#awaited = undefined;
     this.#writtenCounts = '';
     this.#writtenInterference = '';
     this.#status = CommitStatus.InDoubt;
@@ -231,6 +248,19 @@
     return true;
   }
 
+  /** Returns the ends that can be acknowledged once the progress of the records is stored. */
+  #takeRecordable(
+    records: readonly SubmissionRecord[],
+    isAllProgress: boolean,
+    views: readonly FleetWorkerView[],
+  ): readonly RecordedSequence[] {
+    const awaited = this.#awaited;
+    records.forEach((record) => awaited?.records.delete(record));
+    if (!isAllProgress && awaited?.records.size !== 0) return [];
+    this.#awaited = undefined;
+    return isAllProgress ? views.map(toSequence) : (awaited?.sequences ?? []);
+  }
+
   /** Returns the writes of rows that don't belong to a single submission. */
   #sharedWrites(
     { registry, owner, interference, roster, toTableMs }: CommitInput,
--- a/src/scheduler/test/fleet/progressCommits.test.ts
+++ b/src/scheduler/test/fleet/progressCommits.test.ts
@@ -7,13 +7,14 @@
   progressKey,
 } from '../../../services/submissions/common/submissionRows.js';
 import { type Transaction, TransactionOutcome } from '../../../services/table/common/table.js';
+import { FleetWorkerView } from '../../common/fleet/fleetWorkerView.js';
 import { LearningInterferenceControl } from '../../common/fleet/learningInterferenceControl.js';
 import { ProgressCommits } from '../../common/fleet/progressCommits.js';
 import { Roster } from '../../common/fleet/roster.js';
 import { newRun } from '../../common/fleet/runTracker.js';
 import { SubmissionRegistry } from '../../common/fleet/submissionRegistry.js';
 import { NO_ASSIGNMENTS, type TaskRecord } from '../../common/fleet/taskRecords.js';
-import { STEP, submissionOf } from './fleetFixtures.js';
+import { entryOf, STEP, submissionOf } from './fleetFixtures.js';
 
 const idOf = (index: number): string => index.toString(16).padStart(16, '0');
 
@@ -31,13 +32,13 @@
   return registry;
 };
 
-const commitsOf = (registry: SubmissionRegistry) => {
+const commitsOf = (registry: SubmissionRegistry, views: readonly FleetWorkerView[] = []) => {
   const commits = new ProgressCommits();
   const roster = new Roster(1);
   const owner = { condition: { key: 'owner', version: 1 }, id: 'self', epoch: 1 };
   const input = {
     registry,
-    views: [],
+    views,
     owner,
     interference: new LearningInterferenceControl(),
     roster,
@@ -92,18 +93,20 @@
   });
 });
 
+/** Adds a submission of which the first task has ended. */
+const addWithEnd = (registry: SubmissionRegistry, index: number, taskCount: number): void => {
+  const submission = submissionOf(idOf(index), [{ ...STEP, taskCount }]);
+  registry.add(submission, undefined, NO_ASSIGNMENTS, 0);
+  const task = registry.find(`${submission.id}.0.0.0`) as TaskRecord;
+  registry.addRun(newRun(task, 1, 'worker', 0));
+  registry.noteEnd(task, 1, RunEnd.Done, 10);
+};
+
 describe('the end of a submission', () => {
   it('is stored before the progress of submissions that are still running', () => {
     const registry = registryOf(0, 0);
-    const addWithEnd = (index: number, taskCount: number): void => {
-      const submission = submissionOf(idOf(index), [{ ...STEP, taskCount }]);
-      registry.add(submission, undefined, NO_ASSIGNMENTS, 0);
-      const task = registry.find(`${submission.id}.0.0.0`) as TaskRecord;
-      registry.addRun(newRun(task, 1, 'worker', 0));
-      registry.noteEnd(task, 1, RunEnd.Done, 10);
-    };
-    for (let index = 0; index < 100; index += 1) addWithEnd(index, 2);
-    addWithEnd(100, 1);
+    for (let index = 0; index < 100; index += 1) addWithEnd(registry, index, 2);
+    addWithEnd(registry, 100, 1);
     const keys =
       commitsOf(registry)
         .next(20)
@@ -111,3 +114,27 @@
     expect(keys).toContain(progressKey(idOf(100)));
   });
 });
+
+/** More than fit into a transaction. */
+const ENDS_PER_ROUND = 60;
+
+describe('the ends that a worker lists', () => {
+  it('are acknowledged even if there is always more progress than fits into a transaction', () => {
+    const registry = registryOf(0, 0);
+    const view = new FleetWorkerView(entryOf('worker', false, 1), 0, 0);
+    const { next, commit } = commitsOf(registry, [view]);
+    for (let index = 0; index < 2 * ENDS_PER_ROUND; index += 1) addWithEnd(registry, index, 2);
+    view.handledSequence = 2 * ENDS_PER_ROUND;
+    for (let round = 1; round <= 10; round += 1) {
+      next(round * 1_000);
+      for (let index = 0; index < ENDS_PER_ROUND; index += 1) {
+        addWithEnd(registry, (round + 1) * ENDS_PER_ROUND + index, 2);
+      }
+      view.handledSequence += ENDS_PER_ROUND;
+      commit(round);
+    }
+    expect(registry.dirtyProgress.size).toBeGreaterThan(0);
+    expect(view.recordedSequence).toBeGreaterThanOrEqual(2 * ENDS_PER_ROUND);
+    expect(view.recordedSequence).toBeLessThan(view.handledSequence);
+  });
+});
