Move acknowledgements of ends out of the transactions

ProgressCommits had grown by a second task: besides what is stored next, it kept which ends of runs may be acknowledged. That is a class of its own now, EndAcknowledgements, and takeDirtyProgress no longer filters with a side effect.

No behaviour changes.

--- a/src/scheduler/common/fleet/progressCommits.ts
+++ b/src/scheduler/common/fleet/progressCommits.ts
@@ -21,6 +21,7 @@
   TransactionOutcome,
   type TransactionResult,
 } from '../../../services/table/common/table.js';
+import { EndAcknowledgements, type RecordedSequence } from './endAcknowledgements.js';
 import type { FleetWorkerView } from './fleetWorkerView.js';
 import type { InterferenceControl } from './interferenceControl.js';
 import type { Roster, ToTableMs } from './roster.js';
@@ -46,18 +47,6 @@
 /** Minimum interval between writes of the counts of waiting submissions. */
 const COUNTS_INTERVAL_MS = 500;
 
-interface RecordedSequence {
-  readonly view: FleetWorkerView;
-  readonly incarnation: number;
-  readonly sequence: number;
-}
-
-const toSequence = (view: FleetWorkerView): RecordedSequence => ({
-  view,
-  incarnation: view.incarnation,
-  sequence: view.handledSequence,
-});
-
 interface PendingCommit {
   readonly records: readonly SubmissionRecord[];
   readonly writes: readonly RowWrite[];
@@ -70,12 +59,6 @@
   readonly runs: readonly TaskRun[];
 }
 
-/** Ends of runs that can be acknowledged once the progress of these submissions is stored. */
-interface AwaitedEnds {
-  readonly sequences: readonly RecordedSequence[];
-  readonly records: Set<SubmissionRecord>;
-}
-
 /** The state that a commit is built from. */
 export interface CommitInput {
   readonly registry: SubmissionRegistry;
@@ -117,11 +100,7 @@
 
   #pending: PendingCommit | undefined;
 
-  /**
-   * The ends that are acknowledged next. Under load there is always progress that is not stored yet,
-   * so that acknowledgements must not wait until there is none.
-   */
-  #awaited: AwaitedEnds | undefined;
+  readonly #acknowledgements = new EndAcknowledgements();
 
   #status: CommitStatus = CommitStatus.Idle;
 
@@ -158,10 +137,7 @@
       });
       return undefined;
     }
-    this.#awaited ??= {
-      sequences: views.map(toSequence),
-      records: new Set(registry.dirtyProgress),
-    };
+    this.#acknowledgements.begin(views, registry.dirtyProgress);
     const assigned = registry.takeDirtyAssignments(MAXIMUM_ASSIGNMENT_ROWS);
     // Assignments don't list runs that have ended, so they are stored together with the run ends.
     // A new owner that read the assignments without the ends would start those tasks again.
@@ -186,7 +162,7 @@
     this.#pending = {
       records,
       writes,
-      sequences: this.#takeRecordable(records, registry.dirtyProgress.size === 0, views),
+      sequences: this.#acknowledgements.takeRecorded(records, registry.dirtyProgress, views),
       hasRoster: sharedWrites.some(({ key }) => key === ROSTER_KEY),
       assigned,
       runs: runsToStart(assigned),
@@ -214,10 +190,7 @@
       pending.writes.forEach(({ key, value }) =>
         this.#versions.set(key, value === null ? ABSENT_VERSION : version),
       );
-      pending.sequences.forEach(({ view, incarnation, sequence }) => {
-        if (view.incarnation !== incarnation) return;
-        view.recordedSequence = Math.max(view.recordedSequence, sequence);
-      });
+      EndAcknowledgements.record(pending.sequences);
       if (pending.hasRoster) roster.noteStored();
       this.#status = CommitStatus.Idle;
       this.#pending = undefined;
@@ -225,7 +198,7 @@
     }
     pending.records.forEach((record) => registry.markProgressDirty(record));
     pending.assigned.forEach((record) => registry.markAssignmentsDirty(record));
-    this.#awaited = undefined;
+    this.#acknowledgements.reset();
     this.#writtenCounts = '';
     this.#writtenInterference = '';
     this.#status = CommitStatus.InDoubt;
@@ -248,19 +221,6 @@
     return true;
   }
 
-  /** Returns the ends that can be acknowledged once the progress of the records is stored. */
-  #takeRecordable(
-    records: readonly SubmissionRecord[],
-    isAllProgress: boolean,
-    views: readonly FleetWorkerView[],
-  ): readonly RecordedSequence[] {
-    const awaited = this.#awaited;
-    records.forEach((record) => awaited?.records.delete(record));
-    if (!isAllProgress && awaited?.records.size !== 0) return [];
-    this.#awaited = undefined;
-    return isAllProgress ? views.map(toSequence) : (awaited?.sequences ?? []);
-  }
-
   /** Returns the writes of rows that don't belong to a single submission. */
   #sharedWrites(
     { registry, owner, interference, roster, toTableMs }: CommitInput,
--- a/src/scheduler/common/fleet/submissionRegistry.ts
+++ b/src/scheduler/common/fleet/submissionRegistry.ts
@@ -233,13 +233,15 @@
   ): readonly SubmissionRecord[] {
     const dirty = [...this.#dirtyProgress];
     const ordered = [...dirty.filter((record) => !isOpen(record)), ...dirty.filter(isOpen)];
-    let rowCount = 0;
-    const taken = ordered.filter((record) => {
-      if (rowCount + rowsOf(record) > rowLimit) return false;
-      rowCount += rowsOf(record);
-      return true;
+    const taken: SubmissionRecord[] = [];
+    let remainingCount = rowLimit;
+    ordered.forEach((record) => {
+      const rowCount = rowsOf(record);
+      if (rowCount > remainingCount) return;
+      remainingCount -= rowCount;
+      taken.push(record);
+      this.#dirtyProgress.delete(record);
     });
-    taken.forEach((record) => this.#dirtyProgress.delete(record));
     return taken;
   }
 
