Log from which save a task resumes, or why from none

When a task that saves its progress was started again, no log line had its checkpoint, so that a repeated run could not be told from one that had saved nothing. tasks-resumed names the checkpoint, where the owner has it from and for how long, or the reason why there is none.

New tests in decisionLog.test.ts; the decisions are unchanged.

--- a/src/scheduler/common/fleet/decisionLog.ts
+++ b/src/scheduler/common/fleet/decisionLog.ts
@@ -5,6 +5,7 @@
 import type { FleetWorkerView } from './fleetWorkerView.js';
 import type { PaceChange } from './interferenceControl.js';
 import type { WorkerEvidence } from './runEvidence.js';
+import { describeResumption } from './resumption.js';
 import { RoomReport } from './roomReport.js';
 import type { TaskRecord, TaskRun } from './taskRecords.js';
 import type { WaitCounts } from './waitReason.js';
@@ -62,6 +63,8 @@
 
   #longestWaitMs = 0;
 
+  #resumptions: string[] = [];
+
   #ends: string[] = [];
 
   /** When the oldest start or end that is not yet logged was added. */
@@ -71,7 +74,7 @@
     this.#entries.push({ event, fields });
   }
 
-  addStarts(runs: readonly TaskRun[], nowMs: number): void {
+  addStarts(runs: readonly TaskRun[], epoch: number, nowMs: number): void {
     if (runs.length === 0) return;
     this.#batchedSinceMs ??= nowMs;
     runs.forEach((run) => {
@@ -79,6 +82,10 @@
       this.#longestWaitMs = Math.max(this.#longestWaitMs, waitedMs);
       this.#starts.push(`${describeRun(run)}+${waitedMs}ms`);
     });
+    const resumed = runs.filter(
+      ({ task, previousRun }) => task.step.savesProgress && previousRun > 0,
+    );
+    resumed.forEach((run) => this.#resumptions.push(describeResumption(run, epoch, nowMs)));
   }
 
   addEnds(workerId: string, ended: readonly FinishedRun[], nowMs: number): void {
@@ -172,8 +179,12 @@
       const runs = this.#starts.join(' ');
       this.add('tasks-started', { epoch, waitedMs: this.#longestWaitMs, runs });
     }
+    if (this.#resumptions.length > 0) {
+      this.add('tasks-resumed', { epoch, runs: this.#resumptions.join(' ') });
+    }
     if (this.#ends.length > 0) this.add('tasks-ended', { epoch, ends: this.#ends.join(' ') });
     this.#starts = [];
+    this.#resumptions = [];
     this.#ends = [];
     this.#longestWaitMs = 0;
     this.#batchedSinceMs = undefined;
--- a/src/scheduler/common/fleet/drainMoves.ts
+++ b/src/scheduler/common/fleet/drainMoves.ts
@@ -1,6 +1,7 @@
 /** Moves runs off workers that are about to leave, into room reserved for their tasks. */
 import type { FleetConfiguration } from '../../../services/fleet/common/fleetConfiguration.js';
-import { assignRun, nextRunNumber } from './fleetRound.js';
+import { assignRun } from './fleetRound.js';
+import { nextRunNumber } from './runNumbers.js';
 import type { FleetTiming } from './fleetTiming.js';
 import type { FleetWorkerView } from './fleetWorkerView.js';
 import { likelyRemainingMs } from './runForecast.js';
--- a/src/scheduler/common/fleet/fleetCalls.ts
+++ b/src/scheduler/common/fleet/fleetCalls.ts
@@ -55,7 +55,7 @@
     ...toReference(run, view, epoch),
     spec: run.task.submission.submission.spec,
     leaseEndWorkerMs,
-    checkpoint: run.task.checkpoint,
+    checkpoint: run.task.saved.checkpoint,
   };
   return { kind: 'start', epoch, request };
 };
--- a/src/scheduler/common/fleet/fleetRound.ts
+++ b/src/scheduler/common/fleet/fleetRound.ts
@@ -2,6 +2,7 @@
 import type { FleetConfiguration } from '../../../services/fleet/common/fleetConfiguration.js';
 import { chainEstimateMs, objectiveMsOf } from './fleetOrder.js';
 import type { FleetWorkerView } from './fleetWorkerView.js';
+import { nextRunNumber } from './runNumbers.js';
 import { newRun } from './runTracker.js';
 import { isInterrupted, type TaskRecord, type TaskRun } from './taskRecords.js';
 import { obstaclesOf, type RoundInput, UsableWorkers } from './usableWorkers.js';
@@ -10,8 +11,6 @@
 import { waitingKindOf } from './waitReport.js';
 import { type PlacementChoice, WorkerSearch } from './workerSearch.js';
 
-/** How many run numbers of a task one epoch can use before they overlap with the next epoch's. */
-const RUNS_PER_EPOCH = 1_000;
 /**
  * The maximum number of starts in one round. More would delay the answers that come in meanwhile.
  */
@@ -39,14 +38,6 @@
   usableViews: [],
 };
 
-/**
- * Returns a run number that is higher than any that this or a former owner has used for the tasks.
- * A worker refuses a run whose number is not higher than that of a run it has stopped or ended, and
- * an owner does not know which numbers its predecessor used on workers that it cannot reach.
- */
-export const nextRunNumber = (tasks: readonly TaskRecord[], epoch: number): number =>
-  Math.max((epoch - 1) * RUNS_PER_EPOCH, ...tasks.map(({ lastRun }) => lastRun)) + 1;
-
 /**
  * Assigns a task to a worker and takes its room there. The start is sent after the assignment is
  * stored.
--- a/src/scheduler/common/fleet/fleetScheduler.ts
+++ b/src/scheduler/common/fleet/fleetScheduler.ts
@@ -419,7 +419,7 @@
     const mayStart = this.#mayStart(state, nowMs);
     const { startable, blocked } = splitRecorded(recorded, input, mayStart, nowMs);
     blocked.forEach((run) => state.runTracker.withdraw(run, nowMs));
-    state.decisionLog.addStarts(startable, nowMs);
+    state.decisionLog.addStarts(startable, state.epoch, nowMs);
     return startable.flatMap((run) => this.#sendStart(state, run, nowMs));
   }
 
--- a/src/scheduler/common/fleet/runTracker.ts
+++ b/src/scheduler/common/fleet/runTracker.ts
@@ -43,6 +43,7 @@
 ): TaskRun => ({
   task,
   run,
+  previousRun: task.lastRun,
   workerId,
   state: RunState.Assigned,
   settledAtMs: Number.POSITIVE_INFINITY,
@@ -233,7 +234,7 @@
     if (task === undefined) return false;
     const wasOpen = isOpen(task.submission);
     task.lastRun = Math.max(task.lastRun, finished.run);
-    if (finished.checkpoint !== '') task.checkpoint = finished.checkpoint;
+    task.saved.noteListed(finished.checkpoint, nowMs);
     this.#updateHealth(view, finished, task, nowMs);
     const others = this.#registry.noteEnd(task, finished.run, finished.end, nowMs);
     const run = view.runs.get(runKey(finished.taskName, finished.run));
@@ -286,7 +287,7 @@
     const run = known ?? this.#addLateRun(view, running, nowMs);
     if (run === undefined) return false;
     const { task } = run;
-    if (running.checkpoint !== '') task.checkpoint = running.checkpoint;
+    task.saved.noteListed(running.checkpoint, nowMs);
     run.firstListed ??= { percent: running.workedPercent, atMs: nowMs };
     if (running.workedPercent !== run.workedPercent) {
       run.workedPercent = running.workedPercent;
--- a/src/scheduler/common/fleet/taskRecords.ts
+++ b/src/scheduler/common/fleet/taskRecords.ts
@@ -8,6 +8,7 @@
 } from '../../../services/submissions/common/submission.js';
 import type { Assignments, Progress } from '../../../services/submissions/common/submissionRows.js';
 import type { Resources } from '../../../services/worker/common/resources.js';
+import { SavedProgress } from './savedProgress.js';
 import type { SizeBalance, SizeClass } from './sizeBalance.js';
 import { SubmissionDelays } from './submissionDelays.js';
 
@@ -28,6 +29,8 @@
 export interface TaskRun {
   readonly task: TaskRecord;
   readonly run: number;
+  /** The last run of the task before this one; 0 if there was none. */
+  readonly previousRun: number;
   readonly workerId: string;
   state: RunState;
   /** When the last order about the run was answered; a list requested earlier may lack the run. */
@@ -65,7 +68,7 @@
   readonly runs: TaskRun[];
   lastRun: number;
   readonly failedRuns: number[];
-  checkpoint: string;
+  readonly saved: SavedProgress;
   notBeforeMs: number;
   waitingSinceMs: number;
 }
@@ -249,7 +252,7 @@
         runs: [],
         lastRun: 0,
         failedRuns: [...(initialProgress.failedRuns[position] ?? [])],
-        checkpoint: '',
+        saved: new SavedProgress(),
         notBeforeMs: nowMs,
         waitingSinceMs: nowMs,
       };
--- a/src/scheduler/test/fleet/decisionLog.test.ts
+++ b/src/scheduler/test/fleet/decisionLog.test.ts
@@ -91,6 +91,39 @@
   });
 });
 
+describe('the log of resumed tasks', () => {
+  /** Returns the lines after the worker of a task is lost, and the owner with it if asked for. */
+  const resumptions = async (
+    savesProgress: boolean,
+    doesOwnerChange: boolean,
+  ): Promise<readonly string[]> => {
+    const saves = savesProgress ? { saveIntervalMs: 500 } : {};
+    const world = new FleetWorld(3, () => ({ workMs: 20_000, end: RunEnd.Done, ...saves }));
+    ['worker-0', 'worker-1'].forEach((id) => world.addWorker(id));
+    [0, 1].forEach(() => world.addScheduler());
+    await world.runFor(1_500);
+    world.submit(submissionOf(ID, [{ ...STEP, savesProgress: true }]));
+    await world.runFor(4_000);
+    world.removeWorker(world.workersRunning(`${ID}.0.0.0`)[0] as string);
+    if (doesOwnerChange) {
+      world.killScheduler(world.schedulerSlots.findIndex(({ scheduler }) => scheduler?.epoch));
+    }
+    await world.runFor(12_000);
+    const lines = world.logged.filter(({ event }) => event === 'tasks-resumed');
+    return lines.map(({ fields }) => String(fields.runs));
+  };
+
+  it('names the checkpoint that a worker listed, and its age', async () => {
+    const [line] = await resumptions(true, false);
+    expect(line).toMatch(/^00000000000000a2\.0\.0\.0#2=listed:[1-9]\d{3}\+\d{4}ms$/u);
+  });
+
+  it('tells a task that has saved nothing from one whose saved work the owner does not know', async () => {
+    expect(await resumptions(false, false)).toEqual([`${ID}.0.0.0#2=none:not-listed`]);
+    expect(await resumptions(false, true)).toEqual([`${ID}.0.0.0#1001=none:not-inherited`]);
+  });
+});
+
 describe('the log of delayed submissions', () => {
   it('tells for how long a late submission lacked room, behind what, and for want of what', async () => {
     const blocker = '00000000000000b1';
--- a/src/services/log/common/logEvents.ts
+++ b/src/services/log/common/logEvents.ts
@@ -27,6 +27,8 @@
   'submissions-delayed':
     'Submissions ended later than their objective, or are still waiting at three times their objective; for each, the line gives the time that it waited by cause, the tasks that ranked higher and the obstacles on workers.',
   'tasks-started': 'Tasks were placed on workers and their starts sent, as TASK#RUN@WORKER+WAIT.',
+  'tasks-resumed':
+    'Tasks that save their progress and have run before were started again, as TASK#RUN=SOURCE:CHECKPOINT+AGE or TASK#RUN=none:REASON; the age is the time since the owner learnt of the checkpoint.',
   'tasks-waiting':
     'Tasks of a kind have waited for over a second; the line names the oldest one and counts the reasons why tasks were not placed and why workers cannot run the oldest one; a worker that could run it is not counted.',
   'room-short':
@@ -69,6 +71,7 @@
   'submission-ended',
   'tasks-started',
   'tasks-ended',
+  'tasks-resumed',
   'tasks-waiting',
   'runs-stopped',
   'runs-lost',
--- a/src/services/log/test/logEvents.test.ts
+++ b/src/services/log/test/logEvents.test.ts
@@ -45,6 +45,8 @@
   'submission-ended': 'complete or failed, because its last task ended',
   'tasks-started': 'placed; one line for all starts within a fifth of a second',
   'tasks-ended': 'ends accepted; one line for all ends within a fifth of a second',
+  'tasks-resumed':
+    'started again with or without saved work; one line for all within a fifth of a second',
   'tasks-waiting': 'not placed, with counts by reason; once a second at most',
   'runs-stopped': 'stopped; one line for all runs stopped for the same reason',
   'runs-lost': 'over for certain without a reported end; one line a worker',
