Fix members of a gang that resume from different checkpoints

Callers with a gang that saves its progress could see it started again with members at different points: each member kept the checkpoint that its own worker had listed last, and workers answer at different times. The platform asks that all members carry the same value, and takes the value of any member for all of them.

The members share one SavedProgress now, so that there is one value to resume from, and one to store once checkpoints are stored.

--- a/src/scheduler/common/fleet/savedProgress.ts
+++ b/src/scheduler/common/fleet/savedProgress.ts
@@ -1,4 +1,4 @@
-/** The newest saved progress of a task, from which its next run resumes. */
+/** The newest saved progress of a task or of a gang, from which the next run resumes. */
 export class SavedProgress {
   #checkpoint = '';
 
--- a/src/scheduler/common/fleet/taskRecords.ts
+++ b/src/scheduler/common/fleet/taskRecords.ts
@@ -238,8 +238,10 @@
   const { submission, initialProgress } = record;
   const done = new Set(initialProgress.done);
   let position = occurrence * tasksOfOccurrence(submission);
-  const tasks = submission.steps.map((step, stepIndex) =>
-    Array.from({ length: step.taskCount }, (_, index): TaskRecord => {
+  const tasks = submission.steps.map((step, stepIndex) => {
+    // All members of a gang have to resume from the same checkpoint.
+    const savedOfGang = step.isGang ? new SavedProgress() : undefined;
+    return Array.from({ length: step.taskCount }, (_, index): TaskRecord => {
       const task: TaskRecord = {
         submission: record,
         occurrence,
@@ -252,14 +254,14 @@
         runs: [],
         lastRun: 0,
         failedRuns: [...(initialProgress.failedRuns[position] ?? [])],
-        saved: new SavedProgress(),
+        saved: savedOfGang ?? new SavedProgress(),
         notBeforeMs: nowMs,
         waitingSinceMs: nowMs,
       };
       position += 1;
       return task;
-    }),
-  );
+    });
+  });
   const openCounts = tasks.map((step) => step.filter(({ isDone }) => !isDone).length);
   const opened = { occurrence, tasks, openCounts };
   record.occurrences.set(occurrence, opened);
