Fix saved work that is repeated after an owner change

Callers saw a batch task that saves its progress start again from nothing, although its run had saved most of it: its worker was lost, and the owner of the fleet was stopped or killed before the task started elsewhere.

Cause: the checkpoints that workers list were in the memory of the owner only. A successor read assignments and progress, and neither has them. Evidence: tasks-resumed of the successor says none:not-inherited, for a stop and for a kill; with the same owner it says listed:5000.

A page has the checkpoints of many tasks and is written as a whole, in the owner's ordinary transactions: at most four pages of 16 KB every 500 ms, those first whose loss would repeat the most processor time. A task whose end is known leaves its page. A successor reads the pages with its other rows and keeps to their layout; what a living worker lists goes before what is stored.

--- a/src/scheduler/common/fleet/fleetState.ts
+++ b/src/scheduler/common/fleet/fleetState.ts
@@ -10,6 +10,7 @@
   type Progress,
   type RosterEntry,
   type RosterRow,
+  type StoredCheckpoints,
   toRosterEntries,
 } from '../../../services/submissions/common/submissionRows.js';
 import { NO_RESOURCES } from '../../../services/worker/common/resources.js';
@@ -39,6 +40,8 @@
   readonly changes: readonly SubmissionChange[];
   readonly progress: ReadonlyMap<string, Progress>;
   readonly assignments: ReadonlyMap<string, Assignments>;
+  /** Pages of checkpoints, in the order in which they were written. */
+  readonly checkpoints: readonly StoredCheckpoints[];
   /** Versions of the rows that only the owner writes, by key. */
   readonly versions: ReadonlyMap<string, number>;
   /** Workers to which former owners have granted leases. */
@@ -167,6 +170,7 @@
     unknownRuns: new Map(),
     caughtUpAtMs: Number.NEGATIVE_INFINITY,
   };
+  registry.checkpoints.inherit(stored.checkpoints);
   applyChanges(state, stored.changes, stored, nowMs);
   return state;
 };
--- a/src/scheduler/common/fleet/progressCommits.ts
+++ b/src/scheduler/common/fleet/progressCommits.ts
@@ -126,10 +126,13 @@
     const { registry, owner } = input;
     const views = [...input.views];
     const sharedWrites = this.#sharedWrites(input, views, nowMs);
+    const isStored = (key: string): boolean => this.#versionOf(key) !== ABSENT_VERSION;
+    const checkpointWrites = registry.checkpoints.takeDueWrites(isStored, nowMs);
     if (
       registry.dirtyProgress.size === 0 &&
       registry.dirtyAssignments.size === 0 &&
-      sharedWrites.length === 0
+      sharedWrites.length === 0 &&
+      checkpointWrites.length === 0
     ) {
       // Ends of runs of persistent tasks or of unknown submissions change nothing that is stored.
       views.forEach((view) => {
@@ -143,7 +146,10 @@
     // A new owner that read the assignments without the ends would start those tasks again.
     const assignedProgress = registry.takeDirtyProgressOf(assigned);
     const remainingRowCount =
-      MAXIMUM_ROWS_PER_TRANSACTION - assigned.length - assignedProgress.length;
+      MAXIMUM_ROWS_PER_TRANSACTION -
+      checkpointWrites.length -
+      assigned.length -
+      assignedProgress.length;
     const records = [
       ...assignedProgress,
       ...registry.takeDirtyProgress(remainingRowCount, (record) => this.#progressRowCount(record)),
@@ -154,6 +160,7 @@
         value: toAssignments(record),
       })),
       ...records.flatMap((record) => this.#progressWrites(record)),
+      ...checkpointWrites,
       ...sharedWrites,
     ];
     this.#operationCount += 1;
@@ -171,7 +178,7 @@
       operationId: `${owner.id}:${owner.epoch}:${this.#operationCount}`,
       conditions: [
         owner.condition,
-        ...writes.map(({ key }) => ({ key, version: this.#versions.get(key) ?? ABSENT_VERSION })),
+        ...writes.map(({ key }) => ({ key, version: this.#versionOf(key) })),
       ],
       writes,
     };
@@ -192,6 +199,7 @@
       );
       EndAcknowledgements.record(pending.sequences);
       if (pending.hasRoster) roster.noteStored();
+      registry.checkpoints.noteCommitted();
       this.#status = CommitStatus.Idle;
       this.#pending = undefined;
       return { recorded: pending.runs };
@@ -249,10 +257,15 @@
   }
 
   #deletesAssignments(record: SubmissionRecord): boolean {
-    const version = this.#versions.get(assignmentsKey(record.submission.id)) ?? ABSENT_VERSION;
+    const version = this.#versionOf(assignmentsKey(record.submission.id));
     return !isOpen(record) && version !== ABSENT_VERSION;
   }
 
+  /** The last known version of a row. */
+  #versionOf(key: string): number {
+    return this.#versions.get(key) ?? ABSENT_VERSION;
+  }
+
   #dueInterference(interference: InterferenceControl, nowMs: number): JsonValue | undefined {
     if (nowMs < this.#nextInterferenceAtMs) return undefined;
     this.#nextInterferenceAtMs = nowMs + INTERFERENCE_INTERVAL_MS;
--- a/src/scheduler/common/fleet/resumption.ts
+++ b/src/scheduler/common/fleet/resumption.ts
@@ -18,11 +18,11 @@
   epoch: number,
   nowMs: number,
 ): string => {
-  const { checkpoint, learntAtMs } = task.saved;
+  const { checkpoint, source, learntAtMs } = task.saved;
   if (checkpoint === '') {
     const { NotListed, NotInherited } = NoCheckpointReason;
     return `${task.name}#${run}=none:${isRunSince(previousRun, epoch) ? NotListed : NotInherited}`;
   }
   const shown = checkpoint.slice(0, MAXIMUM_CHECKPOINT_LENGTH);
-  return `${task.name}#${run}=listed:${shown}+${Math.round(nowMs - learntAtMs)}ms`;
+  return `${task.name}#${run}=${source}:${shown}+${Math.round(nowMs - learntAtMs)}ms`;
 };
--- a/src/scheduler/common/fleet/runTracker.ts
+++ b/src/scheduler/common/fleet/runTracker.ts
@@ -234,10 +234,10 @@
     if (task === undefined) return false;
     const wasOpen = isOpen(task.submission);
     task.lastRun = Math.max(task.lastRun, finished.run);
-    task.saved.noteListed(finished.checkpoint, nowMs);
+    const run = view.runs.get(runKey(finished.taskName, finished.run));
+    this.#noteCheckpoint(task, finished.checkpoint, run?.startedAtMs ?? nowMs, nowMs);
     this.#updateHealth(view, finished, task, nowMs);
     const others = this.#registry.noteEnd(task, finished.run, finished.end, nowMs);
-    const run = view.runs.get(runKey(finished.taskName, finished.run));
     this.requestStops(
       others.filter((other) => other !== run),
       StopReason.NotWanted,
@@ -287,7 +287,7 @@
     const run = known ?? this.#addLateRun(view, running, nowMs);
     if (run === undefined) return false;
     const { task } = run;
-    task.saved.noteListed(running.checkpoint, nowMs);
+    this.#noteCheckpoint(task, running.checkpoint, run.startedAtMs, nowMs);
     run.firstListed ??= { percent: running.workedPercent, atMs: nowMs };
     if (running.workedPercent !== run.workedPercent) {
       run.workedPercent = running.workedPercent;
@@ -304,6 +304,11 @@
     return true;
   }
 
+  #noteCheckpoint(task: TaskRecord, checkpoint: string, startedAtMs: number, nowMs: number): void {
+    if (!isOpen(task.submission)) return;
+    this.#registry.checkpoints.noteListed(task, checkpoint, startedAtMs, nowMs);
+  }
+
   /** Adds a run that this owner gave up and that the worker started late. */
   #addLateRun(view: FleetWorkerView, running: RunningTask, nowMs: number): TaskRun | undefined {
     const task = this.#registry.find(running.taskName);
--- a/src/scheduler/common/fleet/submissionRegistry.ts
+++ b/src/scheduler/common/fleet/submissionRegistry.ts
@@ -6,6 +6,7 @@
   SubmissionState,
 } from '../../../services/submissions/common/submission.js';
 import type { Assignments, Progress } from '../../../services/submissions/common/submissionRows.js';
+import { CheckpointPages } from './checkpointPages.js';
 import { SizeBalance } from './sizeBalance.js';
 import {
   allOccurrencesDone,
@@ -57,6 +58,8 @@
 
   readonly #waiting = new WaitingTasks();
 
+  readonly #checkpoints = new CheckpointPages();
+
   /** Submissions whose progress is yet to be stored. */
   readonly #dirtyProgress = new Set<SubmissionRecord>();
 
@@ -80,6 +83,11 @@
     return this.#waiting;
   }
 
+  /** The checkpoints of the tasks that may start again. */
+  get checkpoints(): CheckpointPages {
+    return this.#checkpoints;
+  }
+
   get dirtyProgress(): ReadonlySet<SubmissionRecord> {
     return this.#dirtyProgress;
   }
@@ -282,7 +290,10 @@
 
   #openOccurrence(record: SubmissionRecord, occurrence: number, nowMs: number): void {
     const opened = openOccurrence(record, occurrence, nowMs);
-    opened.tasks.flat().forEach((task) => this.#noteInherited(task));
+    opened.tasks.flat().forEach((task) => {
+      this.#checkpoints.restore(task, nowMs);
+      this.#noteInherited(task);
+    });
     opened.tasks.forEach((_, stepIndex) => this.#enqueueStep(opened, stepIndex, nowMs));
     this.#finishOccurrence(record, opened);
   }
@@ -328,6 +339,7 @@
     if (task.isDone) return [];
     task.isDone = true;
     this.#waiting.delete(task);
+    this.#checkpoints.remove(task);
     if (opened !== undefined) {
       opened.openCounts[task.stepIndex] = (opened.openCounts[task.stepIndex] ?? 1) - 1;
     }
@@ -359,7 +371,10 @@
     this.#dirtyAssignments.delete(record);
     this.#recurring.delete(record);
     const tasks = [...record.occurrences.values()].flatMap((opened) => opened.tasks.flat());
-    tasks.forEach((task) => this.#waiting.delete(task));
+    tasks.forEach((task) => {
+      this.#waiting.delete(task);
+      this.#checkpoints.remove(task);
+    });
     return tasks.flatMap((task) => task.runs);
   }
 }
--- a/src/scheduler/node/storedStateReader.ts
+++ b/src/scheduler/node/storedStateReader.ts
@@ -7,6 +7,8 @@
   ASSIGNMENT_PREFIX,
   type Assignments,
   assignmentsSchema,
+  CHECKPOINT_PREFIX,
+  checkpointPageSchema,
   INTERFERENCE_KEY,
   type LearntInterference,
   learntInterferenceSchema,
@@ -17,6 +19,7 @@
   ROSTER_KEY,
   type RosterRow,
   rosterSchema,
+  type StoredCheckpoints,
   submissionSchema,
   SUBMISSIONS_PREFIX,
   WAITING_COUNTS_KEY,
@@ -58,7 +61,7 @@
       this.#table.read({ keys: [], prefixes: [ASSIGNMENT_PREFIX] })(),
       this.#table.read({
         keys: [ROSTER_KEY, WAITING_COUNTS_KEY, INTERFERENCE_KEY],
-        prefixes: [],
+        prefixes: [CHECKPOINT_PREFIX],
       })(),
       this.#directory.workers()(),
     ]);
@@ -77,6 +80,7 @@
         changes: submissions.changes,
         progress: this.#toProgress(progressRows.right.rows),
         assignments: this.#toAssignments(assignmentRows.right.rows),
+        checkpoints: this.#toCheckpoints(ownerRows.right.rows),
         versions: new Map(rows.map(({ key, version }) => [key, version])),
         roster: this.#toRoster(ownerRows.right.rows),
         interference: this.#toInterference(ownerRows.right.rows),
@@ -135,6 +139,19 @@
     return assignments;
   }
 
+  /** Returns the pages in the order in which they were written. */
+  #toCheckpoints(rows: readonly TableRow[]): readonly StoredCheckpoints[] {
+    const pages = rows.filter(({ key }) => key.startsWith(CHECKPOINT_PREFIX));
+    const ordered = pages.sort((left, right) => left.version - right.version);
+    return ordered.flatMap((row) => {
+      const index = Number(row.key.slice(CHECKPOINT_PREFIX.length));
+      const parsed = checkpointPageSchema.safeParse(row.value);
+      if (Number.isSafeInteger(index) && parsed.success) return [{ index, page: parsed.data }];
+      this.#log.warn('row-unreadable', { key: row.key });
+      return [];
+    });
+  }
+
   #toInterference(rows: readonly TableRow[]): LearntInterference {
     const row = rows.find(({ key }) => key === INTERFERENCE_KEY);
     if (row === undefined) return [];
--- a/src/services/submissions/common/submissionRows.ts
+++ b/src/services/submissions/common/submissionRows.ts
@@ -1,7 +1,7 @@
 /**
  * The table rows of submissions. An entry instance adds `submissions/ID/spec` and
- * `submissions/ID/cancel`; only the scheduler writes `progress/ID` and `assignments/ID`. The
- * scheduler's rows are in tables of their own, so that the feed of the callers' changes, which the
+ * `submissions/ID/cancel`; only the scheduler writes `progress/ID`, `assignments/ID` and
+ * `checkpoints/INDEX`. The scheduler's rows are in tables of their own, so that the feed of the callers' changes, which the
  * scheduler follows, does not contain its own writes.
  */
 import { z } from 'zod';
@@ -65,6 +65,23 @@
 export const assignmentsSchema = z.record(z.string(), z.array(wholeNumberSchema));
 export type Assignments = z.infer<typeof assignmentsSchema>;
 
+/**
+ * Checkpoints of tasks for the next owner, in pairs of task index and checkpoint by submission. The
+ * index is that of the task among all tasks of the submission; for a gang, that of its first member.
+ * The page may still contain tasks that have ended.
+ */
+export const checkpointPageSchema = z.record(
+  z.string(),
+  z.array(z.tuple([wholeNumberSchema, z.string()])),
+);
+export type CheckpointPage = z.infer<typeof checkpointPageSchema>;
+
+/** A page of checkpoints with the index from its key. */
+export interface StoredCheckpoints {
+  readonly index: number;
+  readonly page: CheckpointPage;
+}
+
 /** The number of submissions of each queue that wait for their first start. */
 export const waitingCountsSchema = z.strictObject({
   /** The epoch of the scheduler that wrote the row. */
@@ -76,12 +93,14 @@
 export const SUBMISSION_TABLE = 'submissions';
 export const PROGRESS_TABLE = 'progress';
 export const ASSIGNMENT_TABLE = 'assignments';
+export const CHECKPOINT_TABLE = 'checkpoints';
 const SPEC_SUFFIX = '/spec';
 const CANCEL_SUFFIX = '/cancel';
 
 export const SUBMISSIONS_PREFIX = `${SUBMISSION_TABLE}/`;
 export const PROGRESS_PREFIX = `${PROGRESS_TABLE}/`;
 export const ASSIGNMENT_PREFIX = `${ASSIGNMENT_TABLE}/`;
+export const CHECKPOINT_PREFIX = `${CHECKPOINT_TABLE}/`;
 export const WAITING_COUNTS_KEY = 'scheduling/waiting-counts';
 /** The learnt interference between images, stored for the next owner. */
 export const INTERFERENCE_KEY = 'scheduling/interference';
@@ -135,6 +154,7 @@
 export const cancelKey = (id: string): string => `${SUBMISSIONS_PREFIX}${id}${CANCEL_SUFFIX}`;
 export const progressKey = (id: string): string => `${PROGRESS_PREFIX}${id}`;
 export const assignmentsKey = (id: string): string => `${ASSIGNMENT_PREFIX}${id}`;
+export const checkpointPageKey = (index: number): string => `${CHECKPOINT_PREFIX}${index}`;
 
 /** Returns the id and the kind of a row of the submission table. */
 export const parseSubmissionKey = (
