Fix checkpoints of a small page that are not stored while others are full

The last page of a large fleet may have few tasks. The order is by that work for each byte of the page now, so that all tasks of the same size wait alike.

--- a/src/scheduler/common/fleet/checkpointPages.ts
+++ b/src/scheduler/common/fleet/checkpointPages.ts
@@ -1,8 +1,8 @@
 /**
  * Chooses which checkpoints are stored for the next owner. A page is one row with the checkpoints of
  * many tasks, and a page is written as a whole, because most tasks of a page have saved again since
- * it was written last. Intervals and sizes are bounded. The pages whose loss would repeat the most
- * work are written first.
+ * it was written last. Intervals and sizes are bounded. Pages come first if the most work for their
+ * size would be repeated without them.
  */
 import {
   checkpointPageKey,
@@ -141,9 +141,9 @@
       ({ isEmpty, index }) => isEmpty && isStored(checkpointPageKey(index)),
     );
     const changed = this.#pages
-      .map((page) => ({ page, unstoredMs: page.unstoredProcessorMs(nowMs) }))
-      .filter(({ unstoredMs }) => unstoredMs > 0)
-      .sort((left, right) => right.unstoredMs - left.unstoredMs)
+      .map((page) => ({ page, unstoredMsPerByte: page.unstoredProcessorMs(nowMs) / page.bytes }))
+      .filter(({ unstoredMsPerByte }) => unstoredMsPerByte > 0)
+      .sort((left, right) => right.unstoredMsPerByte - left.unstoredMsPerByte)
       .map(({ page }) => page);
     return [...changed, ...obsolete].slice(0, MAXIMUM_PAGES_PER_WRITE);
   }
