Keep the checkpoints of a submission in one page where there is room

A page names each submission once, so that a submission that is spread over many pages costs its id in each of them, in bytes and in what a new owner has to decode.

--- a/src/scheduler/common/fleet/checkpointPage.ts
+++ b/src/scheduler/common/fleet/checkpointPage.ts
@@ -39,10 +39,14 @@
     return [...this.#bySubmission.values()].flatMap((entries) => [...entries]);
   }
 
+  has(submissionId: string): boolean {
+    return this.#bySubmission.has(submissionId);
+  }
+
   /** The size of the page with the entry. */
   bytesWith({ submissionId, bytes }: CheckpointEntry): number {
-    const isKnown = this.#bySubmission.has(submissionId);
-    return this.#bytes + bytes + (isKnown ? 0 : StoredPage.#overheadBytes(submissionId));
+    const overheadBytes = this.has(submissionId) ? 0 : StoredPage.#overheadBytes(submissionId);
+    return this.#bytes + bytes + overheadBytes;
   }
 
   add(entry: CheckpointEntry): void {
--- a/src/scheduler/common/fleet/checkpointPages.ts
+++ b/src/scheduler/common/fleet/checkpointPages.ts
@@ -173,12 +173,17 @@
     else this.#place(entry);
   }
 
-  /** Adds the entry to the first page that has room. A checkpoint larger than a page is left out. */
+  /**
+   * Adds the entry to a page that has room, if possible one with the id of its submission. A
+   * checkpoint larger than a page is left out.
+   */
   #place(entry: CheckpointEntry): void {
     const hasRoom = (page: StoredPage): boolean => page.bytesWith(entry) <= MAXIMUM_PAGE_BYTES;
-    const page = this.#pages.find(hasRoom) ?? new StoredPage(this.#pages.length);
-    if (!hasRoom(page)) return;
-    this.#addTo(this.#pageAt(page.index), entry);
+    const page =
+      this.#pages.find((known) => known.has(entry.submissionId) && hasRoom(known)) ??
+      this.#pages.find(hasRoom) ??
+      new StoredPage(this.#pages.length);
+    if (hasRoom(page)) this.#addTo(this.#pageAt(page.index), entry);
   }
 
   #pageAt(index: number): StoredPage {
