Keep checkpoint pages by index, and each entry's page with the entry

A row whose key had a large index would have made the owner create all pages below it, and a checkpoint too large for a page a new empty page at each change of its size. Pages are found by index, the lowest unused index is taken for a new one, and what no page can hold is left out first. An entry refers to its page, which took a second map.

The test of large checkpoints now plays several sizes and expects one page.

--- a/src/scheduler/common/fleet/checkpointPage.ts
+++ b/src/scheduler/common/fleet/checkpointPage.ts
@@ -8,7 +8,9 @@
   /** The position of the task, or of the first member of the gang. */
   readonly position: number;
   readonly saved: SavedProgress;
-  /** The processors that repeat the work since the stored checkpoint if it is the newest known. */
+  /** Undefined if the checkpoint is too large to be stored. */
+  page: StoredPage | undefined;
+  /** The processors of the task, or of all members of the gang. */
   readonly processorMillis: number;
   /** An upper bound of the size in the stored row. */
   bytes: number;
@@ -54,12 +56,14 @@
     this.#bytes = this.bytesWith(entry);
     const entries = this.#bySubmission.get(submissionId) ?? new Set();
     this.#bySubmission.set(submissionId, entries.add(entry));
+    entry.page = this;
   }
 
   remove(entry: CheckpointEntry): void {
     const { submissionId } = entry;
     const entries = this.#bySubmission.get(submissionId);
     if (entries?.delete(entry) !== true) return;
+    entry.page = undefined;
     this.#bytes -= entry.bytes;
     if (entries.size > 0) return;
     this.#bySubmission.delete(submissionId);
--- a/src/scheduler/common/fleet/checkpointPages.ts
+++ b/src/scheduler/common/fleet/checkpointPages.ts
@@ -35,6 +35,9 @@
 const processorMillisOf = ({ step }: TaskRecord): number =>
   step.size.processorMillis * (step.isGang ? step.taskCount : 1);
 
+const hasRoom = (page: StoredPage, entry: CheckpointEntry): boolean =>
+  page.bytesWith(entry) <= MAXIMUM_PAGE_BYTES;
+
 /** A page in a transaction without an answer, with the checkpoints that it contains. */
 interface WrittenPage {
   readonly checkpoints: ReadonlyMap<CheckpointEntry, string>;
@@ -47,20 +50,18 @@
 }
 
 export class CheckpointPages {
-  readonly #pages: StoredPage[] = [];
+  readonly #pages = new Map<number, StoredPage>();
 
   readonly #entries = new Map<SavedProgress, CheckpointEntry>();
 
-  readonly #pageOf = new Map<CheckpointEntry, StoredPage>();
-
-  /** Stored checkpoints of tasks that `restore` has yet to ask for, by submission and position. */
+  /** The checkpoints that former owners stored, by submission and position. */
   readonly #inherited = new Map<string, Map<number, InheritedCheckpoint>>();
 
   #written: readonly WrittenPage[] = [];
 
   #nextWriteAtMs = 0;
 
-  /** Whether anything may have changed since no page had to be written. */
+  /** False if nothing has changed since there was no page to write. */
   #mayHaveChanges = true;
 
   /** Takes over the pages of former owners, in the order in which they were written. */
@@ -86,7 +87,7 @@
     task.saved.inherit(checkpoint, nowMs);
     const entry = this.#newEntry(task, nowMs);
     entry.storedCheckpoint = checkpoint;
-    this.#addTo(page, entry);
+    page.add(entry);
   }
 
   /** Records the checkpoint that a worker lists for a run that was started at `startedAtMs`. */
@@ -104,10 +105,10 @@
     if (entry === undefined) return;
     this.#mayHaveChanges = true;
     this.#entries.delete(saved);
-    this.#removeFromPage(entry);
+    entry.page?.remove(entry);
   }
 
-  /** Returns the rows to write now; `isStored` tells whether the table has a row. */
+  /** Returns the rows to write now; `isStored` returns whether the table has a row. */
   takeDueWrites(isStored: (key: string) => boolean, nowMs: number): readonly RowWrite[] {
     this.#written = [];
     if (!this.#mayHaveChanges || nowMs < this.#nextWriteAtMs) return [];
@@ -137,10 +138,11 @@
   }
 
   #pagesToWrite(isStored: (key: string) => boolean, nowMs: number): readonly StoredPage[] {
-    const obsolete = this.#pages.filter(
+    const pages = [...this.#pages.values()];
+    const obsolete = pages.filter(
       ({ isEmpty, index }) => isEmpty && isStored(checkpointPageKey(index)),
     );
-    const changed = this.#pages
+    const changed = pages
       .map((page) => ({ page, unstoredMsPerByte: page.unstoredProcessorMs(nowMs) / page.bytes }))
       .filter(({ unstoredMsPerByte }) => unstoredMsPerByte > 0)
       .sort((left, right) => right.unstoredMsPerByte - left.unstoredMsPerByte)
@@ -150,10 +152,11 @@
 
   #newEntry(task: TaskRecord, storedAtMs: number): CheckpointEntry {
     const { saved } = task;
-    const entry = {
+    const entry: CheckpointEntry = {
       submissionId: task.submission.submission.id,
       position: positionOf(task),
       saved,
+      page: undefined,
       processorMillis: processorMillisOf(task),
       bytes: entryBytes(saved.checkpoint),
       storedCheckpoint: '',
@@ -166,10 +169,10 @@
   #resize(entry: CheckpointEntry): void {
     const bytes = entryBytes(entry.saved.checkpoint);
     if (bytes === entry.bytes) return;
-    const page = this.#pageOf.get(entry);
-    this.#removeFromPage(entry);
+    const { page } = entry;
+    entry.page?.remove(entry);
     entry.bytes = bytes;
-    if (page !== undefined && page.bytesWith(entry) <= MAXIMUM_PAGE_BYTES) this.#addTo(page, entry);
+    if (page !== undefined && hasRoom(page, entry)) page.add(entry);
     else this.#place(entry);
   }
 
@@ -178,26 +181,22 @@
    * checkpoint larger than a page is left out.
    */
   #place(entry: CheckpointEntry): void {
-    const hasRoom = (page: StoredPage): boolean => page.bytesWith(entry) <= MAXIMUM_PAGE_BYTES;
-    const page =
-      this.#pages.find((known) => known.has(entry.submissionId) && hasRoom(known)) ??
-      this.#pages.find(hasRoom) ??
-      new StoredPage(this.#pages.length);
-    if (hasRoom(page)) this.#addTo(this.#pageAt(page.index), entry);
-  }
-
-  #pageAt(index: number): StoredPage {
-    while (this.#pages.length <= index) this.#pages.push(new StoredPage(this.#pages.length));
-    return this.#pages[index] as StoredPage;
+    if (!hasRoom(new StoredPage(0), entry)) return;
+    const pages = [...this.#pages.values()].filter((page) => hasRoom(page, entry));
+    const ofSubmission = pages.find((page) => page.has(entry.submissionId));
+    const page = ofSubmission ?? pages[0] ?? this.#pageAt(this.#unusedIndex());
+    page.add(entry);
   }
 
-  #addTo(page: StoredPage, entry: CheckpointEntry): void {
-    page.add(entry);
-    this.#pageOf.set(entry, page);
+  #unusedIndex(): number {
+    let index = 0;
+    while (this.#pages.has(index)) index += 1;
+    return index;
   }
 
-  #removeFromPage(entry: CheckpointEntry): void {
-    this.#pageOf.get(entry)?.remove(entry);
-    this.#pageOf.delete(entry);
+  #pageAt(index: number): StoredPage {
+    const page = this.#pages.get(index) ?? new StoredPage(index);
+    this.#pages.set(index, page);
+    return page;
   }
 }
--- a/src/scheduler/test/fleet/checkpointPages.test.ts
+++ b/src/scheduler/test/fleet/checkpointPages.test.ts
@@ -3,6 +3,7 @@
 import { SubmissionState } from '../../../services/submissions/common/submission.js';
 import {
   type CheckpointPage,
+  checkpointPageKey,
   checkpointPageSchema,
 } from '../../../services/submissions/common/submissionRows.js';
 import type { RowWrite } from '../../../services/table/common/table.js';
@@ -127,10 +128,13 @@
     const fleet = newFleet(2, 1);
     const [first, second] = fleet.tasks as [TaskRecord, TaskRecord];
     const table = new PageTable();
-    listAll({ ...fleet, tasks: [first] }, 'a'.repeat(100_000), 0);
-    listAll({ ...fleet, tasks: [second] }, checkpointOf(1), 0);
-    table.commit(fleet.registry, 0);
-    expect(table.checkpoints).toEqual([checkpointOf(1)]);
+    for (let nowMs = 0; nowMs < 5_000; nowMs += 500) {
+      listAll({ ...fleet, tasks: [first] }, 'a'.repeat(100_000 + nowMs), nowMs);
+      listAll({ ...fleet, tasks: [second] }, checkpointOf(nowMs), nowMs);
+      table.commit(fleet.registry, nowMs);
+    }
+    expect([...table.rows.keys()]).toEqual([checkpointPageKey(0)]);
+    expect(table.checkpoints).toEqual([checkpointOf(4_500)]);
   });
 
   it('are removed with the submissions whose checkpoints they have', () => {
