Log by which version, and of which age, counts are answered or refused

Answers to counts left no line, and operator-state-in-force did not tell how long after its acknowledgement a change came into force. The follower notes when the last answered call was sent, since only that is certain to be before everything the answer does not show. count-answered and queue-not-found give the version and the time since then, operator-state-in-force gives the feed's position and the longest time for which the change can have been stored. Nothing is decided by it yet.

--- a/src/services/fleet/common/fleetConfiguration.ts
+++ b/src/services/fleet/common/fleetConfiguration.ts
@@ -51,6 +51,13 @@
   withdrawnZones: new Set(),
 };
 
+/** The operator state as far as the store's answers have shown it. */
+export interface KnownOperatorState {
+  readonly state: OperatorState;
+  /** The state was in force at this time or later; minus infinity before the first answer. */
+  readonly confirmedAtMs: number;
+}
+
 /** Finds the queue of a request: the host's queue with the longest matching path prefix. */
 export const findQueue = (
   configuration: FleetConfiguration,
--- a/src/services/fleet/node/operatorFollower.ts
+++ b/src/services/fleet/node/operatorFollower.ts
@@ -5,7 +5,11 @@
 import { Emitter } from '../../../base/common/event.js';
 import type { Disposable } from '../../../base/common/lifecycle.js';
 import type { Log } from '../../log/common/log.js';
-import { NO_OPERATOR_STATE, type OperatorState } from '../common/fleetConfiguration.js';
+import {
+  type KnownOperatorState,
+  NO_OPERATOR_STATE,
+  type OperatorState,
+} from '../common/fleetConfiguration.js';
 import {
   type FleetDirectory,
   type OperatorChanges,
@@ -22,7 +26,7 @@
 /** The store counts as unreachable after this long without an answer, even if no call fails. */
 const SILENCE_MS = 3_500;
 
-export class OperatorFollower implements Disposable {
+export class OperatorFollower implements KnownOperatorState, Disposable {
   readonly #directory: FleetDirectory;
 
   readonly #clock: Clock;
@@ -41,6 +45,9 @@
 
   #lastAnswerAtMs = Number.NEGATIVE_INFINITY;
 
+  /** When the last answered call was sent. The answer itself may have been under way for long. */
+  #confirmedAtMs = Number.NEGATIVE_INFINITY;
+
   #timer: NodeJS.Timeout | undefined;
 
   #isDisposed = false;
@@ -56,6 +63,10 @@
     return this.#state;
   }
 
+  get confirmedAtMs(): number {
+    return this.#confirmedAtMs;
+  }
+
   /** Whether the last call to the store succeeded and its answer is recent. */
   isStoreReachable(nowMs: number): boolean {
     return this.#isReachable && nowMs - this.#lastAnswerAtMs < SILENCE_MS;
@@ -73,6 +84,7 @@
 
   async #follow(): Promise<void> {
     if (this.#isDisposed) return;
+    const sentAtMs = this.#clock.nowMs();
     const result = await this.#directory.operatorChanges(this.#position, WAIT_MS)();
     if (this.#isDisposed) return;
     if (isLeft(result)) {
@@ -85,6 +97,7 @@
     this.#isReachable = true;
     this.#lastAnswerAtMs = this.#clock.nowMs();
     this.#apply(result.right);
+    this.#confirmedAtMs = sentAtMs;
     this.#timer = setTimeout(() => void this.#follow(), 0);
   }
 
@@ -97,6 +110,8 @@
     this.#state = withOperatorChanges(this.#state, update);
     this.#log.info('operator-state-in-force', {
       version: this.#state.configuration?.version ?? 0,
+      position: update.position,
+      ageLimitMs: Math.round(this.#clock.nowMs() - this.#confirmedAtMs),
       withdrawnZones: [...this.#state.withdrawnZones].join(','),
     });
     this.#didChange.fire(this.#state);
--- a/src/services/log/common/logEvents.ts
+++ b/src/services/log/common/logEvents.ts
@@ -19,6 +19,11 @@
     'The owner is short of processor time; it starts fewer tasks until its steps are on time again.',
   'lease-renewed-late':
     'The owner renewed its lease late because its process was delayed or the table was slow.',
+  'count-answered':
+    'The number of waiting submissions of a queue was answered, by a version of the configuration that was in force at least until `ageMs` before.',
+  'queue-not-found':
+    'A request was refused because no queue has its host and path, by a version of the configuration that was in force at least until `ageMs` before.',
+  'configuration-missing': 'A request was refused because no configuration is known yet.',
   'submission-accepted': 'A submission is stored and will run.',
   'submission-refused': 'A submission was not stored and never runs; the line gives the reason.',
   'submission-unresolved': 'It is unknown whether a submission was stored; its caller was told so.',
@@ -56,7 +61,7 @@
   'store-lost': 'Calls to the store fail; the daemon is not ready until one succeeds.',
   'store-regained': 'The store answers again.',
   'operator-state-in-force':
-    'A new operator configuration or zone withdrawal is in force on this daemon.',
+    "A new operator configuration or zone withdrawal is in force on this daemon, as of the given position of the store's feed. It was stored at most `ageLimitMs` ago: the last call that did not show it was sent then.",
   'cell-lost': 'Another daemon schedules the availability zone from now on.',
 } as const;
 
@@ -64,6 +69,9 @@
 
 /** Events about decisions on requests; some of their lines are dropped under load. */
 export const DECISION_EVENTS: ReadonlySet<LogEvent> = new Set([
+  'count-answered',
+  'queue-not-found',
+  'configuration-missing',
   'submission-accepted',
   'submission-refused',
   'submission-unresolved',
