--- a/soak/test/platform/daemonInstance.ts
+++ b/soak/test/platform/daemonInstance.ts
@@ -12,7 +12,7 @@
 import { MAXIMUM_LEASE_MS, REPORT_INTERVAL_MS, STOP_MS } from './fleetWorkerOptions.js';
 import type { Zone } from './soakTypes.js';
 
-const PROGRAM_ARGUMENTS = [
+const BUNDLED_PROGRAM = [
   '--max-old-space-size=160',
   '--max-semi-space-size=4',
   'target/snipethread.cjs',
@@ -31,6 +31,8 @@
   /** The address of the instance's store relay. The store's port must be free at this address. */
   readonly relayHost: string;
   readonly onUnexpectedExit: (text: string) => void;
+  /** The arguments of Node.js that start the daemon; by default, those of the bundle. */
+  readonly program?: readonly string[];
 }
 
 interface DaemonProcess {
@@ -106,7 +108,8 @@
     this.isFrozen = false;
     const logPath = join(this.#options.folder, `${this.id}-${this.#startCount}.log`);
     const log = createWriteStream(logPath);
-    const child = spawn(process.execPath, [...PROGRAM_ARGUMENTS, this.#settingsPath], {
+    const { program = BUNDLED_PROGRAM } = this.#options;
+    const child = spawn(process.execPath, [...program, this.#settingsPath], {
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     const exited = once(child, 'exit').then(([code, signal]) => {
--- a/src/services/log/test/logEvents.test.ts
+++ b/src/services/log/test/logEvents.test.ts
@@ -38,6 +38,9 @@
 
 /** Events that each log one decision on a request, with the request's id and the outcome. */
 const DECISIONS: Readonly<Record<string, string>> = {
+  'count-answered': 'a count answered; one line an answer',
+  'queue-not-found': 'refused, by the version and age that the line gives',
+  'configuration-missing': 'refused, because no configuration is known',
   'submission-accepted': 'stored, acknowledged',
   'submission-refused': 'not stored, refused',
   'submission-unresolved': 'unknown whether stored, abandoned',
