Fix counts answered by a configuration that is older than its bound

Callers saw counts of queues that had been removed, and 404 for queues that had been added, more than the allowed 2 s after the change was stored.

Cause: an entry answered by the configuration that it had, of whatever age. Changes come by one call that waited 2 s, with a time limit of 3 s and a pause of 400 ms after a failure. On a connection that turned silent without a reset nothing was learnt for that long, while the answers went on.

Change: the follower notes when its last answered call was sent; before that moment every stored change is known.

--- a/soak/test/platform/configurationAge.test.ts
+++ b/soak/test/platform/configurationAge.test.ts
@@ -8,12 +8,13 @@
 import { StoreServer } from '../../../platform/test/storeServer.js';
 import { Silence } from '../../../standIns/relay/silentRelay.js';
 import { DaemonInstance } from './daemonInstance.js';
+import { CONFIGURATION_BOUND_MS } from './fleetWorkerOptions.js';
 
 const HOST = 'queues.example';
-const CONFIGURATION_BOUND_MS = 2_000;
 const ASK_INTERVAL_MS = 20;
 /** Within this time after a change the instance has sent its next feed call. */
 const FEED_CALL_MS = 100;
+const FAULT_MS = 4_000;
 const OK = 200;
 const NOT_FOUND = 404;
 
@@ -86,11 +87,35 @@
     return found;
   };
 
-  it('is not older than its bound while the connections to the store are silent', async () => {
+  const silenceConnections = (): void => {
+    instance.storeRelay.silenceAll(Silence.Both);
+  };
+
+  const loseHistoryToo = (): void => {
+    silenceConnections();
+    store.forgottenUpTo = store.version + 1;
+  };
+
+  const silenceStore = (): void => {
+    const heal = instance.storeRelay.cut(false);
+    void delay(FAULT_MS).then(heal);
+  };
+
+  const freeze = (): void => {
+    instance.freeze();
+    void delay(FAULT_MS).then(() => instance.resume());
+  };
+
+  it.each([
+    ['while the connections to the store are silent', silenceConnections],
+    ['while the history is lost and the connections to the store are silent', loseHistoryToo],
+    ['while the store does not answer', silenceStore],
+    ['after the process was frozen', freeze],
+  ])('is not older than its bound %s', async (_when, disturb) => {
     await expect.poll(() => askCount('removed')).toBe(OK);
     store.put('op', 'config', configurationOf(2, ['removed']));
     await delay(FEED_CALL_MS);
-    instance.storeRelay.silenceAll(Silence.Both);
+    disturb();
     store.put('op', 'config', configurationOf(3, ['added']));
     expect(await lateOldAnswers(performance.now())).toEqual([]);
   });
--- a/soak/test/platform/daemonInstance.ts
+++ b/soak/test/platform/daemonInstance.ts
@@ -9,7 +9,12 @@
 import { Pool } from 'undici';
 
 import { SilentRelay } from '../../../standIns/relay/silentRelay.js';
-import { MAXIMUM_LEASE_MS, REPORT_INTERVAL_MS, STOP_MS } from './fleetWorkerOptions.js';
+import {
+  CONFIGURATION_BOUND_MS,
+  MAXIMUM_LEASE_MS,
+  REPORT_INTERVAL_MS,
+  STOP_MS,
+} from './fleetWorkerOptions.js';
 import type { Zone } from './soakTypes.js';
 
 const BUNDLED_PROGRAM = [
@@ -96,6 +101,7 @@
       maximumLeaseMs: MAXIMUM_LEASE_MS,
       workerReportIntervalMs: REPORT_INTERVAL_MS,
       workerStopMs: STOP_MS,
+      configurationBoundMs: CONFIGURATION_BOUND_MS,
       graceSeconds: GRACE_SECONDS,
       processor: { share: 1, speed: 1 },
     };
--- a/soak/test/platform/fleetWorkerOptions.ts
+++ b/soak/test/platform/fleetWorkerOptions.ts
@@ -9,6 +9,8 @@
 export const MAXIMUM_LEASE_MS = 6_000;
 /** The time that a worker takes to stop a task. */
 export const STOP_MS = 400;
+/** The time within which a change of the configuration must be in force. */
+export const CONFIGURATION_BOUND_MS = 2_000;
 /** The interval at which real workers write their entries. Soak workers write only changes. */
 export const REPORT_INTERVAL_MS = 1_100;
 
--- a/src/daemon/test/fleetSettings.test.ts
+++ b/src/daemon/test/fleetSettings.test.ts
@@ -10,6 +10,7 @@
   maximumLeaseMs: 6_000,
   workerReportIntervalMs: 1_500,
   workerStopMs: 900,
+  configurationBoundMs: 2_000,
   graceSeconds: 6,
   processor: { share: 0.27, speed: 1 },
 };
--- a/src/scheduler/test/fleet/busyFleet.ts
+++ b/src/scheduler/test/fleet/busyFleet.ts
@@ -14,6 +14,7 @@
   OrderOutcome,
   RunEnd,
 } from '../../../services/fleet/common/fleetWorker.js';
+import { operatorTiming } from '../../../services/fleet/common/operatorTiming.js';
 import { OperatorFollower } from '../../../services/fleet/node/operatorFollower.js';
 import { type Log, type LogFields, silentLog } from '../../../services/log/common/log.js';
 import type { LogEvent } from '../../../services/log/common/logEvents.js';
@@ -32,6 +33,7 @@
 import { CONFIGURATION, STOP_MS, TIMING, WORKER_CAPACITY } from './fleetFixtures.js';
 import { EventLoopSimulator, type SimulatedEventLoop } from './eventLoopSimulator.js';
 
+const OPERATOR_TIMING = operatorTiming(2_000);
 const ONE_WAY_MS = 1;
 const TABLE_LATENCY_MS = 4;
 const POLL_INTERVAL_MS = 20;
@@ -127,7 +129,7 @@
       metrics: new PrometheusMetrics(),
     };
     const task = this.simulator.runOn(loop, () => {
-      const operator = new OperatorFollower(services.directory, loop, silentLog);
+      const operator = new OperatorFollower(services.directory, loop, silentLog, OPERATOR_TIMING);
       return new FleetTask({ ...services, operator }, name, TIMING, acquireDelayMs);
     });
     return { loop, task };
@@ -260,7 +262,7 @@
 
   #directoryFor(loop: SimulatedEventLoop, costs: Costs): FleetDirectory {
     return {
-      operatorChanges: (afterPosition) =>
+      operatorChanges: (afterPosition, waitMs) =>
         this.#call(
           loop,
           () => 0,
@@ -269,7 +271,7 @@
             const changes = isSnapshot
               ? [{ kind: 'configuration' as const, configuration: this.#configuration }]
               : [];
-            this.simulator.outside.after(isSnapshot ? 0 : 2_000, () =>
+            this.simulator.outside.after(isSnapshot ? 0 : waitMs, () =>
               reply({ isSnapshot, changes, position: 1 }),
             );
           },
--- a/src/services/fleet/common/fleetDirectory.ts
+++ b/src/services/fleet/common/fleetDirectory.ts
@@ -21,11 +21,13 @@
 export interface FleetDirectory {
   /**
    * Returns everything in force if no position is given. With a position, returns the changes since
-   * then, or everything again if the store no longer has them. Waits up to `waitMs` for a change.
+   * then, or everything again if the store no longer has them. Waits up to `waitMs` for a change
+   * and fails if the whole answer takes longer than `timeoutMs`.
    */
   operatorChanges(
     afterPosition: number | undefined,
     waitMs: number,
+    timeoutMs: number,
   ): TaskEither<Failure, OperatorChanges>;
   /** Lists the workers; entries that cannot be parsed are left out. */
   workers(): TaskEither<Failure, readonly FleetWorkerEntry[]>;
--- a/src/services/fleet/node/operatorFollower.ts
+++ b/src/services/fleet/node/operatorFollower.ts
@@ -5,6 +5,7 @@
 import { Emitter } from '../../../base/common/event.js';
 import type { Disposable } from '../../../base/common/lifecycle.js';
 import type { Log } from '../../log/common/log.js';
+import type { OperatorTiming } from '../common/operatorTiming.js';
 import {
   type KnownOperatorState,
   NO_OPERATOR_STATE,
@@ -16,15 +17,8 @@
   withOperatorChanges,
 } from '../common/fleetDirectory.js';
 
-/**
- * How long the store may delay its answer while nothing changes. The regular answer also shows that
- * the store is reachable. The store answers immediately when there is a change.
- */
-const WAIT_MS = 2_000;
-/** The retry delay after a failure: a quarter of the time in which a change must be in force. */
+/** The interval between two calls that fail at once. */
 const RETRY_MS = 400;
-/** The store counts as unreachable after this long without an answer, even if no call fails. */
-const SILENCE_MS = 3_500;
 
 export class OperatorFollower implements KnownOperatorState, Disposable {
   readonly #directory: FleetDirectory;
@@ -33,6 +27,8 @@
 
   readonly #log: Log;
 
+  readonly #timing: OperatorTiming;
+
   readonly #didChange = new Emitter<OperatorState>();
 
   readonly onDidChange = this.#didChange.event;
@@ -43,8 +39,6 @@
 
   #isReachable = false;
 
-  #lastAnswerAtMs = Number.NEGATIVE_INFINITY;
-
   /** When the last answered call was sent. The answer itself may have been under way for long. */
   #confirmedAtMs = Number.NEGATIVE_INFINITY;
 
@@ -52,10 +46,11 @@
 
   #isDisposed = false;
 
-  constructor(directory: FleetDirectory, clock: Clock, log: Log) {
+  constructor(directory: FleetDirectory, clock: Clock, log: Log, timing: OperatorTiming) {
     this.#directory = directory;
     this.#clock = clock;
     this.#log = log;
+    this.#timing = timing;
     void this.#follow();
   }
 
@@ -67,14 +62,14 @@
     return this.#confirmedAtMs;
   }
 
-  /** Whether the last call to the store succeeded and its answer is recent. */
+  /** Whether the last call to the store succeeded and the state is recent enough to go by. */
   isStoreReachable(nowMs: number): boolean {
-    return this.#isReachable && nowMs - this.#lastAnswerAtMs < SILENCE_MS;
+    return this.#isReachable && this.ageMs(nowMs) <= this.#timing.maximumAgeMs;
   }
 
-  /** The time since the store last answered. */
-  silenceMs(nowMs: number): number {
-    return nowMs - this.#lastAnswerAtMs;
+  /** The longest time for which the state may have been out of date. */
+  ageMs(nowMs: number): number {
+    return nowMs - this.#confirmedAtMs;
   }
 
   dispose(): void {
@@ -84,18 +79,24 @@
 
   async #follow(): Promise<void> {
     if (this.#isDisposed) return;
+    const { waitMs, callTimeoutMs } = this.#timing;
     const sentAtMs = this.#clock.nowMs();
-    const result = await this.#directory.operatorChanges(this.#position, WAIT_MS)();
+    // The first call after a failure does not wait, so that its answer confirms the state at once.
+    const result = await this.#directory.operatorChanges(
+      this.#position,
+      this.#isReachable ? waitMs : 0,
+      callTimeoutMs,
+    )();
     if (this.#isDisposed) return;
     if (isLeft(result)) {
       if (this.#isReachable) this.#log.warn('store-lost', { message: result.left.message });
       this.#isReachable = false;
-      this.#timer = setTimeout(() => void this.#follow(), RETRY_MS);
+      const tookMs = this.#clock.nowMs() - sentAtMs;
+      this.#timer = setTimeout(() => void this.#follow(), Math.max(0, RETRY_MS - tookMs));
       return;
     }
     if (!this.#isReachable) this.#log.info('store-regained');
     this.#isReachable = true;
-    this.#lastAnswerAtMs = this.#clock.nowMs();
     this.#apply(result.right);
     this.#confirmedAtMs = sentAtMs;
     this.#timer = setTimeout(() => void this.#follow(), 0);
@@ -111,7 +112,7 @@
     this.#log.info('operator-state-in-force', {
       version: this.#state.configuration?.version ?? 0,
       position: update.position,
-      ageLimitMs: Math.round(this.#clock.nowMs() - this.#confirmedAtMs),
+      ageLimitMs: Math.round(this.ageMs(this.#clock.nowMs())),
       withdrawnZones: [...this.#state.withdrawnZones].join(','),
     });
     this.#didChange.fire(this.#state);
--- a/src/services/log/common/logEvents.ts
+++ b/src/services/log/common/logEvents.ts
@@ -23,7 +23,8 @@
     'The number of waiting submissions of a queue was answered, by a version of the configuration that was in force at least until `ageMs` before.',
   'queue-not-found':
     'A request was refused because no queue has its host and path, by a version of the configuration that was in force at least until `ageMs` before.',
-  'configuration-missing': 'A request was refused because no configuration is known yet.',
+  'configuration-unconfirmed':
+    'A request was refused because no configuration is known, or because the known one was last confirmed `ageMs` before and may have changed.',
   'submission-accepted': 'A submission is stored and will run.',
   'submission-refused': 'A submission was not stored and never runs; the line gives the reason.',
   'submission-unresolved': 'It is unknown whether a submission was stored; its caller was told so.',
@@ -71,7 +72,7 @@
 export const DECISION_EVENTS: ReadonlySet<LogEvent> = new Set([
   'count-answered',
   'queue-not-found',
-  'configuration-missing',
+  'configuration-unconfirmed',
   'submission-accepted',
   'submission-refused',
   'submission-unresolved',
--- a/src/services/log/test/logEvents.test.ts
+++ b/src/services/log/test/logEvents.test.ts
@@ -40,7 +40,7 @@
 const DECISIONS: Readonly<Record<string, string>> = {
   'count-answered': 'a count answered; one line an answer',
   'queue-not-found': 'refused, by the version and age that the line gives',
-  'configuration-missing': 'refused, because no configuration is known',
+  'configuration-unconfirmed': 'refused, because the configuration may have changed',
   'submission-accepted': 'stored, acknowledged',
   'submission-refused': 'not stored, refused',
   'submission-unresolved': 'unknown whether stored, abandoned',
--- a/src/services/metrics/common/metricList.ts
+++ b/src/services/metrics/common/metricList.ts
@@ -140,7 +140,7 @@
     "Between two renewals of the owner's lease, as sent; the lease is lost where it is over by then.",
   ),
   event_loop_delay: duration('How late a timer of the daemon fired; ten of them in a second.'),
-  store_silence_ms: gauge('How long ago the store last answered what operators wrote.'),
+  store_silence_ms: gauge('How long ago the last answered call for what operators wrote was sent.'),
 };
 
 export const METRICS: Readonly<Record<string, MetricDescription>> = {
