Fix tasks started in zones whose withdrawal the owner may not know

They come by the call that a silent connection holds up, while commits and starts go over others.

It now starts nothing while the operators' state was last confirmed longer ago than 0.9 of the bound for evacuations, 5 s, which the settings give. The follower tells the time of each confirmation.

The test in virtual time starts one task without the check and none with it.

--- a/bench/fleet/fleetDriver.ts
+++ b/bench/fleet/fleetDriver.ts
@@ -52,6 +52,7 @@
   workerLeaseLimitMs: 6_000,
   workerReportIntervalMs: 1_500,
   workerStopMs: STOP_MS,
+  operatorFreshnessMs: 4_500,
 };
 
 /** A hold request that the worker answers when it has news, or at `untilMs`. */
@@ -296,6 +297,7 @@
     this.#lastStepAtMs = nowMs;
     const { epoch } = this.#scheduler;
     if (epoch !== undefined) this.#scheduler.handleCaughtUp(epoch, nowMs);
+    this.#scheduler.handleOperatorConfirmed(nowMs);
     this.counts.stepCount += 1;
     const startedAtMs = performance.now();
     const effects = this.#runTimed(() => this.#scheduler.step(nowMs, nowMs));
--- a/soak/test/platform/daemonInstance.ts
+++ b/soak/test/platform/daemonInstance.ts
@@ -14,6 +14,7 @@
   MAXIMUM_LEASE_MS,
   REPORT_INTERVAL_MS,
   STOP_MS,
+  WITHDRAWAL_BOUND_MS,
 } from './fleetWorkerOptions.js';
 import type { Zone } from './soakTypes.js';
 
@@ -102,6 +103,7 @@
       workerReportIntervalMs: REPORT_INTERVAL_MS,
       workerStopMs: STOP_MS,
       configurationBoundMs: CONFIGURATION_BOUND_MS,
+      withdrawalBoundMs: WITHDRAWAL_BOUND_MS,
       graceSeconds: GRACE_SECONDS,
       processor: { share: 1, speed: 1 },
     };
--- a/src/daemon/common/fleetSettings.ts
+++ b/src/daemon/common/fleetSettings.ts
@@ -32,6 +32,8 @@
   workerStopMs: durationMs,
   /** The longest time in which a stored change of the configuration must be in force. */
   configurationBoundMs: durationMs,
+  /** The longest time in which the withdrawal of a zone must be in force. */
+  withdrawalBoundMs: durationMs,
   /** The time from the request to shut down until the process is killed. */
   graceSeconds: z.number().positive(),
   /** The daemon's share of a processor, and the speed of that processor relative to one core. */
--- a/src/daemon/test/fleetSettings.test.ts
+++ b/src/daemon/test/fleetSettings.test.ts
@@ -11,6 +11,7 @@
   workerReportIntervalMs: 1_500,
   workerStopMs: 900,
   configurationBoundMs: 2_000,
+  withdrawalBoundMs: 5_000,
   graceSeconds: 6,
   processor: { share: 0.27, speed: 1 },
 };
--- a/src/scheduler/common/fleet/fleetScheduler.ts
+++ b/src/scheduler/common/fleet/fleetScheduler.ts
@@ -77,6 +77,8 @@
 
   #operator: OperatorState = NO_OPERATOR_STATE;
 
+  #operatorConfirmedAtMs = Number.NEGATIVE_INFINITY;
+
   #state: FleetState | undefined;
 
   #loadingEpoch = 0;
@@ -126,6 +128,11 @@
     this.#operator = operator;
   }
 
+  /** Every change that operators made before `confirmedAtMs` has been handled. */
+  handleOperatorConfirmed(confirmedAtMs: number): void {
+    this.#operatorConfirmedAtMs = confirmedAtMs;
+  }
+
   handleLeaseRead(result: Either<Failure, ReadResult>, sentAtMs: number, nowMs: number): void {
     this.#ownership.handleRead(result, sentAtMs, nowMs);
     this.#dropEndedState();
@@ -376,10 +383,15 @@
     return roundInput(state, this.#operator, this.#policy, this.#timing);
   }
 
-  /** Callers are promised that a submission starts nothing some seconds after its cancellation. */
+  /**
+   * Callers are promised that a submission starts nothing some seconds after its cancellation,
+   * operators that nothing starts in a zone some seconds after its withdrawal.
+   */
   #mayStart(state: FleetState, nowMs: number): boolean {
-    const isCaughtUp = nowMs - state.caughtUpAtMs <= this.#timing.feedFreshnessMs;
-    return isCaughtUp && this.#ownership.mayGrant(nowMs);
+    const { feedFreshnessMs, operatorFreshnessMs } = this.#timing;
+    const isCaughtUp = nowMs - state.caughtUpAtMs <= feedFreshnessMs;
+    const isOperatorKnown = nowMs - this.#operatorConfirmedAtMs <= operatorFreshnessMs;
+    return isCaughtUp && isOperatorKnown && this.#ownership.mayGrant(nowMs);
   }
 
   #placeWaiting(state: FleetState, nowMs: number): void {
--- a/src/scheduler/node/fleetTask.ts
+++ b/src/scheduler/node/fleetTask.ts
@@ -97,6 +97,9 @@
         this.#scheduleStep();
       }),
     );
+    this.#disposables.add(
+      operator.onDidConfirm((atMs) => this.#scheduler.handleOperatorConfirmed(atMs)),
+    );
     this.#disposables.add(new PeriodicTimer(TICK_MS, () => this.#scheduleStep()));
     this.#disposables.add(new PeriodicTimer(WORKERS_INTERVAL_MS, () => this.#readWorkers()));
   }
--- a/src/scheduler/test/fleet/fleetFixtures.ts
+++ b/src/scheduler/test/fleet/fleetFixtures.ts
@@ -69,6 +69,7 @@
   workerLeaseLimitMs: 12_000,
   workerReportIntervalMs: 1_500,
   workerStopMs: STOP_MS,
+  operatorFreshnessMs: 4_500,
 };
 
 export const WORKER_CAPACITY = {
--- a/src/scheduler/test/fleet/fleetWorld.ts
+++ b/src/scheduler/test/fleet/fleetWorld.ts
@@ -225,6 +225,9 @@
     ) {
       scheduler.handleWorkers(scheduler.epoch, this.#entries(), this.nowMs, this.nowMs);
     }
+    if (this.#reachesTable(slot) && !this.faults.isOperatorSilent) {
+      scheduler.handleOperatorConfirmed(this.nowMs);
+    }
     scheduler.step(this.nowMs, this.nowMs).forEach((effect) => this.#perform(index, effect));
   }
 
--- a/src/scheduler/test/fleet/ownerChanges.test.ts
+++ b/src/scheduler/test/fleet/ownerChanges.test.ts
@@ -96,6 +96,20 @@
   });
 });
 
+describe('an owner that has not received the changes of operators for long', () => {
+  it('starts no task in a zone that was withdrawn meanwhile', async () => {
+    const world = await worldOf(2, 1);
+    world.faults.isOperatorSilent = true;
+    await world.runFor(TIMING.operatorFreshnessMs);
+    world.submit(submissionOf(ID, [STEP]));
+    await world.runFor(2_000);
+    expect(world.invariants.startCounts.get(TASK)).toBeUndefined();
+    world.faults.isOperatorSilent = false;
+    await world.runFor(1_000);
+    expect(world.invariants.startCounts.get(TASK)).toBe(1);
+  });
+});
+
 describe('an owner whose order is refused', () => {
   it('stays the owner if it sent the order before it raised the fence of the worker', async () => {
     const world = await worldOf(2, 1);
--- a/src/scheduler/test/fleet/worldFaults.ts
+++ b/src/scheduler/test/fleet/worldFaults.ts
@@ -30,6 +30,8 @@
   isTableDown: boolean;
   /** The feed tells owners nothing of what callers do after the owners read the stored state. */
   isFeedSilent: boolean;
+  /** Schedulers are told nothing of what operators do. */
+  isOperatorSilent: boolean;
   /** How long each transaction takes until it is answered. */
   transactionMs: number;
   /** Calls to workers that are cut off are refused at once, as if no process listened there. */
@@ -60,6 +62,7 @@
   lostAnswerShare: 0,
   isTableDown: false,
   isFeedSilent: false,
+  isOperatorSilent: false,
   transactionMs: CALL_MS,
   doCutsRefuse: false,
   doHeldCallsHang: false,
--- a/src/services/fleet/common/operatorTiming.ts
+++ b/src/services/fleet/common/operatorTiming.ts
@@ -5,6 +5,9 @@
 /** The rest of the bound covers clocks that are slow. */
 const AGE_SHARE = 0.9;
 
+/** The greatest age of a state that is used where its changes must be in force within a bound. */
+export const usableAgeMs = (boundMs: number): number => Math.floor(boundMs * AGE_SHARE);
+
 export interface OperatorTiming {
   /** How long the store may delay its answer while nothing changes. */
   readonly waitMs: number;
@@ -22,5 +25,5 @@
 export const operatorTiming = (configurationBoundMs: number): OperatorTiming => ({
   waitMs: Math.floor(configurationBoundMs * CALL_SHARE),
   callTimeoutMs: Math.floor(configurationBoundMs * 2 * CALL_SHARE),
-  maximumAgeMs: Math.floor(configurationBoundMs * AGE_SHARE),
+  maximumAgeMs: usableAgeMs(configurationBoundMs),
 });
--- a/src/services/fleet/node/operatorFollower.ts
+++ b/src/services/fleet/node/operatorFollower.ts
@@ -33,6 +33,11 @@
 
   readonly onDidChange = this.#didChange.event;
 
+  readonly #didConfirm = new Emitter<number>();
+
+  /** Fires with each answer, after `onDidChange`, with the time at which its call was sent. */
+  readonly onDidConfirm = this.#didConfirm.event;
+
   #state = NO_OPERATOR_STATE;
 
   #position: number | undefined;
@@ -99,6 +104,7 @@
     this.#isReachable = true;
     this.#apply(result.right);
     this.#confirmedAtMs = sentAtMs;
+    this.#didConfirm.fire(sentAtMs);
     this.#timer = setTimeout(() => void this.#follow(), 0);
   }
 
