Fix tasks started by a list of workers that may be out of date

A worker that has reported that it drains may get no task after DrainMs; the list is read each second over connections that may be silent.

The owner now starts nothing while its list was requested longer ago than 0.9 of that bound, which the settings give. A failed read is repeated once without waiting for the interval, and after a load that took over a second the list is read again at once.

--- a/bench/fleet/fleetDriver.ts
+++ b/bench/fleet/fleetDriver.ts
@@ -52,6 +52,7 @@
   workerLeaseLimitMs: 6_000,
   workerReportIntervalMs: 1_500,
   workerStopMs: STOP_MS,
+  workerListFreshnessMs: 1_800,
   operatorFreshnessMs: 4_500,
 };
 
@@ -396,11 +397,12 @@
   }
 
   #load(epoch: number): void {
+    const sentAtMs = this.time.nowMs;
     const reader = newStoredStateReader(this.table, () => this.#listedWorkers());
     this.#loading = reader.readAll().then((loaded) => {
       this.#loading = undefined;
       this.#runOnOwnerAfter(TABLE_DELAY_MS, () =>
-        this.#scheduler.handleLoaded(epoch, loaded?.stored, this.time.nowMs),
+        this.#scheduler.handleLoaded(epoch, loaded?.stored, sentAtMs, this.time.nowMs),
       );
     });
   }
--- a/soak/test/platform/daemonInstance.ts
+++ b/soak/test/platform/daemonInstance.ts
@@ -11,6 +11,7 @@
 import { SilentRelay } from '../../../standIns/relay/silentRelay.js';
 import {
   CONFIGURATION_BOUND_MS,
+  DRAIN_BOUND_MS,
   MAXIMUM_LEASE_MS,
   REPORT_INTERVAL_MS,
   STOP_MS,
@@ -104,6 +105,7 @@
       workerStopMs: STOP_MS,
       configurationBoundMs: CONFIGURATION_BOUND_MS,
       withdrawalBoundMs: WITHDRAWAL_BOUND_MS,
+      drainBoundMs: DRAIN_BOUND_MS,
       graceSeconds: GRACE_SECONDS,
       processor: { share: 1, speed: 1 },
     };
--- a/soak/test/platform/fleetWorkerOptions.ts
+++ b/soak/test/platform/fleetWorkerOptions.ts
@@ -13,6 +13,8 @@
 export const CONFIGURATION_BOUND_MS = 2_000;
 /** The time within which the withdrawal of a zone must be in force. */
 export const WITHDRAWAL_BOUND_MS = 5_000;
+/** The longest time for which tasks may start on a draining worker. */
+export const DRAIN_BOUND_MS = 2_000;
 /** The interval at which real workers write their entries. Soak workers write only changes. */
 export const REPORT_INTERVAL_MS = 1_100;
 
--- a/src/daemon/common/fleetSettings.ts
+++ b/src/daemon/common/fleetSettings.ts
@@ -34,6 +34,8 @@
   configurationBoundMs: durationMs,
   /** The longest time in which the withdrawal of a zone must be in force. */
   withdrawalBoundMs: durationMs,
+  /** The longest time for which tasks may start on a worker after it has reported that it drains. */
+  drainBoundMs: durationMs,
   /** The time from the request to shut down until the process is killed. */
   graceSeconds: z.number().positive(),
   /** The daemon's share of a processor, and the speed of that processor relative to one core. */
--- a/src/daemon/test/fleetSettings.test.ts
+++ b/src/daemon/test/fleetSettings.test.ts
@@ -12,6 +12,7 @@
   workerStopMs: 900,
   configurationBoundMs: 2_000,
   withdrawalBoundMs: 5_000,
+  drainBoundMs: 2_000,
   graceSeconds: 6,
   processor: { share: 0.27, speed: 1 },
 };
--- a/src/scheduler/common/fleet/fleetScheduler.ts
+++ b/src/scheduler/common/fleet/fleetScheduler.ts
@@ -149,9 +149,15 @@
   }
 
   /**
-   * Takes over the stored state. If it is undefined, reading failed and `step` requests a new load.
+   * Takes over the stored state, which was requested at `sentAtMs`. If it is undefined, reading
+   * failed and `step` requests a new load.
    */
-  handleLoaded(epoch: number, stored: StoredState | undefined, nowMs: number): void {
+  handleLoaded(
+    epoch: number,
+    stored: StoredState | undefined,
+    sentAtMs: number,
+    nowMs: number,
+  ): void {
     if (this.#loadingEpoch !== epoch) return;
     this.#loadingEpoch = 0;
     if (stored === undefined || !this.isOwner || this.#ownership.epoch !== epoch) return;
@@ -159,6 +165,7 @@
       this.#ownership.formerLeasesOverAtMs(entry, stored.roster.epoch, nowMs);
     const operator = (): OperatorState => this.#operator;
     this.#state = newFleetState(epoch, stored, leasesOverAtMs, operator, this.#policy, nowMs);
+    this.#state.workersReadAtMs = sentAtMs;
   }
 
   handleChanges(epoch: number, changes: readonly SubmissionChange[], nowMs: number): void {
@@ -385,13 +392,15 @@
 
   /**
    * Callers are promised that a submission starts nothing some seconds after its cancellation,
-   * operators that nothing starts in a zone some seconds after its withdrawal.
+   * operators that nothing starts in a zone some seconds after its withdrawal, and workers that
+   * nothing starts some seconds after they report that they drain.
    */
   #mayStart(state: FleetState, nowMs: number): boolean {
-    const { feedFreshnessMs, operatorFreshnessMs } = this.#timing;
+    const { feedFreshnessMs, operatorFreshnessMs, workerListFreshnessMs } = this.#timing;
     const isCaughtUp = nowMs - state.caughtUpAtMs <= feedFreshnessMs;
+    const areWorkersKnown = nowMs - state.workersReadAtMs <= workerListFreshnessMs;
     const isOperatorKnown = nowMs - this.#operatorConfirmedAtMs <= operatorFreshnessMs;
-    return isCaughtUp && isOperatorKnown && this.#ownership.mayGrant(nowMs);
+    return isCaughtUp && areWorkersKnown && isOperatorKnown && this.#ownership.mayGrant(nowMs);
   }
 
   #placeWaiting(state: FleetState, nowMs: number): void {
--- a/src/scheduler/common/fleet/fleetState.ts
+++ b/src/scheduler/common/fleet/fleetState.ts
@@ -64,6 +64,8 @@
   readonly misses: RoomMisses;
   /** When all submissions and cancellations of callers were last known. */
   caughtUpAtMs: number;
+  /** When the latest list of workers was requested. */
+  workersReadAtMs: number;
   /**
    * How often the fence has to be raised for a worker that was forgotten and comes back. Its
    * process may have seen the previous fence, or may be a different process.
@@ -169,6 +171,7 @@
     misses: new RoomMisses(),
     unknownRuns: new Map(),
     caughtUpAtMs: Number.NEGATIVE_INFINITY,
+    workersReadAtMs: Number.NEGATIVE_INFINITY,
   };
   registry.checkpoints.inherit(stored.checkpoints);
   applyChanges(state, stored.changes, stored, nowMs);
@@ -185,6 +188,7 @@
   readAtMs: number,
   nowMs: number,
 ): void => {
+  state.workersReadAtMs = Math.max(state.workersReadAtMs, readAtMs);
   const listed = new Set(entries.map(({ id }) => id));
   entries.forEach((entry) =>
     updateListedWorker(state, entry, nowMs).noteEntry(entry, timing, readAtMs),
--- a/src/scheduler/common/fleet/fleetTiming.ts
+++ b/src/scheduler/common/fleet/fleetTiming.ts
@@ -16,6 +16,8 @@
   readonly answerFreshnessMs: number;
   /** An owner that has not received the callers' changes for this long starts no tasks. */
   readonly feedFreshnessMs: number;
+  /** An owner that asked for its latest list of workers longer ago than this starts no tasks. */
+  readonly workerListFreshnessMs: number;
   /** An owner to which the operators' state was not confirmed for this long starts no tasks. */
   readonly operatorFreshnessMs: number;
   /** The minimum time between two commits. The ends of runs in between are committed together. */
--- a/src/scheduler/node/fleetTask.ts
+++ b/src/scheduler/node/fleetTask.ts
@@ -29,7 +29,10 @@
 
 /** The interval between steps when no events come in. */
 const TICK_MS = 50;
-/** The interval at which the owner reads the list of workers. Workers drain in twice this time. */
+/**
+ * The interval at which the owner reads the list of workers. Workers drain in twice this time, so a
+ * failed read is repeated once without waiting for the interval.
+ */
 const WORKERS_INTERVAL_MS = 1_000;
 /** How long a feed call waits for a change. This also limits the delay by a dead connection. */
 const FEED_WAIT_MS = 1_000;
@@ -262,9 +265,10 @@
 
   async #load(epoch: number): Promise<void> {
     const { clock, log } = this.#services;
+    const sentAtMs = clock.nowMs();
     const loaded = await this.#reader.readAll();
     if (loaded === undefined) await this.#pause(RETRY_MS);
-    this.#scheduler.handleLoaded(epoch, loaded?.stored, clock.nowMs());
+    this.#scheduler.handleLoaded(epoch, loaded?.stored, sentAtMs, clock.nowMs());
     if (loaded === undefined || this.#scheduler.epoch !== epoch) return;
     const { changes, workers, roster } = loaded.stored;
     log.info('fleet-acquired', {
@@ -275,6 +279,8 @@
       predecessorQuietMs: Math.round(this.#scheduler.predecessorQuietMs(clock.nowMs())),
     });
     void this.#followChanges(epoch, loaded.position);
+    // After a load that took long, its list of workers may be too old for starts.
+    if (clock.nowMs() - sentAtMs > WORKERS_INTERVAL_MS) void this.#readWorkers();
   }
 
   async #resolve(effect: Extract<FleetEffect, { kind: 'resolve' }>): Promise<void> {
@@ -319,8 +325,13 @@
     const { epoch } = this.#scheduler;
     if (epoch === undefined) return;
     const { directory, clock } = this.#services;
-    const sentAtMs = clock.nowMs();
-    const result = await directory.workers()();
+    let sentAtMs = clock.nowMs();
+    let result = await directory.workers()();
+    if (isLeft(result)) {
+      await this.#pause(Math.max(0, RETRY_MS - (clock.nowMs() - sentAtMs)));
+      sentAtMs = clock.nowMs();
+      result = await directory.workers()();
+    }
     if (isLeft(result)) return;
     this.#scheduler.handleWorkers(epoch, result.right, sentAtMs, clock.nowMs());
     this.#scheduleStep();
--- a/src/scheduler/test/fleet/fleetFixtures.ts
+++ b/src/scheduler/test/fleet/fleetFixtures.ts
@@ -69,6 +69,7 @@
   workerLeaseLimitMs: 12_000,
   workerReportIntervalMs: 1_500,
   workerStopMs: STOP_MS,
+  workerListFreshnessMs: 1_800,
   operatorFreshnessMs: 4_500,
 };
 
--- a/src/scheduler/test/fleet/fleetWorld.ts
+++ b/src/scheduler/test/fleet/fleetWorld.ts
@@ -219,6 +219,7 @@
     const { scheduler } = slot;
     if (scheduler === undefined) return;
     if (
+      !this.faults.isWorkerListSilent &&
       this.nowMs % WORKER_LIST_INTERVAL_MS === 0 &&
       scheduler.epoch !== undefined &&
       this.#reachesTable(slot)
@@ -384,7 +385,7 @@
     this.time.later(CALL_MS, async () => {
       const loaded = await reader.readAll();
       if (slot.generation !== generation) return;
-      slot.scheduler?.handleLoaded(epoch, loaded?.stored, this.nowMs);
+      slot.scheduler?.handleLoaded(epoch, loaded?.stored, this.nowMs - CALL_MS, this.nowMs);
     });
   }
 
--- a/src/scheduler/test/fleet/ownerChanges.test.ts
+++ b/src/scheduler/test/fleet/ownerChanges.test.ts
@@ -110,6 +110,29 @@
   });
 });
 
+describe('an owner that has not received the list of workers for long', () => {
+  it('starts no task on a worker that began to drain meanwhile', async () => {
+    const world = await worldOf(1, 1);
+    world.faults.isWorkerListSilent = true;
+    world.drainingWorkers.add('worker-0');
+    await world.runFor(TIMING.workerListFreshnessMs);
+    world.submit(submissionOf(ID, [STEP]));
+    await world.runFor(1_000);
+    expect(world.invariants.startCounts.get(TASK)).toBeUndefined();
+  });
+
+  it('starts tasks again once it has received the list', async () => {
+    const world = await worldOf(1, 1);
+    world.faults.isWorkerListSilent = true;
+    await world.runFor(TIMING.workerListFreshnessMs);
+    world.submit(submissionOf(ID, [STEP]));
+    await world.runFor(1_000);
+    world.faults.isWorkerListSilent = false;
+    await world.runFor(1_500);
+    expect(world.invariants.startCounts.get(TASK)).toBe(1);
+  });
+});
+
 describe('an owner whose order is refused', () => {
   it('stays the owner if it sent the order before it raised the fence of the worker', async () => {
     const world = await worldOf(2, 1);
--- a/src/scheduler/test/fleet/worldFaults.ts
+++ b/src/scheduler/test/fleet/worldFaults.ts
@@ -32,6 +32,8 @@
   isFeedSilent: boolean;
   /** Schedulers are told nothing of what operators do. */
   isOperatorSilent: boolean;
+  /** Owners are not told which workers the table lists. */
+  isWorkerListSilent: boolean;
   /** How long each transaction takes until it is answered. */
   transactionMs: number;
   /** Calls to workers that are cut off are refused at once, as if no process listened there. */
@@ -63,6 +65,7 @@
   isTableDown: false,
   isFeedSilent: false,
   isOperatorSilent: false,
+  isWorkerListSilent: false,
   transactionMs: CALL_MS,
   doCutsRefuse: false,
   doHeldCallsHang: false,
