--- a/tools/release/codeCache.cjs
+++ b/tools/release/codeCache.cjs
@@ -16,6 +16,9 @@
   maximumLeaseMs: 6_000,
   workerReportIntervalMs: 1_500,
   workerStopMs: 500,
+  configurationBoundMs: 2000,
+  withdrawalBoundMs: 5000,
+  drainBoundMs: 2000,
   graceSeconds: 6,
   processor: { share: 1, speed: 1 },
 };
