Test changes of the configuration in series in the platform's soak

The soak wrote the configuration once and asked for no counts, so that it could not show an old one. It now adds, removes and adds queues again in series beside its faults, and asks each instance for the count of each of them. The silent connections that the faults already had are what it takes to find an old answer.

--- a/soak/test/platform/daemonInstance.ts
+++ b/soak/test/platform/daemonInstance.ts
@@ -87,6 +87,11 @@
     return this.pool !== undefined && this.#process?.isEndRequested === false && !this.isFrozen;
   }
 
+  /** How often the process was started. */
+  get startCount(): number {
+    return this.#startCount;
+  }
+
   get storeRelay(): SilentRelay {
     return this.#storeRelay;
   }
--- a/soak/test/platform/platformRun.ts
+++ b/soak/test/platform/platformRun.ts
@@ -6,13 +6,13 @@
 
 import { SeededRandom } from '../../../src/base/common/random.js';
 import { type Row, StoreServer } from '../../../platform/test/storeServer.js';
+import { ConfigurationChanges } from './configurationChanges.js';
 import { DaemonInstance } from './daemonInstance.js';
 import { drawPlan, type Scenario } from './faultPlan.js';
 import { FaultWindows } from './faultWindows.js';
 import { FleetWorker } from './fleetWorker.js';
-import { SERVICE } from './fleetWorkerOptions.js';
 import { PlatformJudge } from './platformJudge.js';
-import { QUEUE_HOST, QUEUE_PREFIX, SoakClients } from './soakClients.js';
+import { SoakClients } from './soakClients.js';
 import { SoakFaults } from './soakFaults.js';
 import { type WriteLog, type Zone, ZONE_HOSTS, ZONES } from './soakTypes.js';
 import { StoreFaults } from './storeFaults.js';
@@ -27,6 +27,9 @@
 /** A worker's clock may run up to two per cent slow. */
 const CLOCK_RATE_SPREAD = 0.02;
 
+/** Keeps the draws of the configuration apart from those of the faults. */
+const CONFIGURATION_SEED_OFFSET = 2;
+
 const zoneAt = (index: number): Zone => ZONES[index % ZONES.length] ?? 'zone-a';
 
 /** Replaces the address in a worker's entry by the one through which the zone's instances call it. */
@@ -36,12 +39,6 @@
   return { ...row, Value: Buffer.from(zoneText).toString('base64') };
 };
 
-const CONFIGURATION = {
-  Version: 1,
-  Services: [{ Name: SERVICE }],
-  Routes: [{ Name: 'soak', Host: QUEUE_HOST, Prefix: QUEUE_PREFIX, Service: SERVICE, Attempts: 3 }],
-};
-
 export interface PlatformRunOptions {
   readonly seed: number;
   readonly scenario: Scenario;
@@ -75,6 +72,8 @@
 
   #clients: SoakClients | undefined;
 
+  readonly #configurationChanges: ConfigurationChanges;
+
   #log = createWriteStream('/dev/null');
 
   #loggedFindings = 0;
@@ -87,6 +86,14 @@
   constructor(options: PlatformRunOptions) {
     this.#options = options;
     this.#random = new SeededRandom(options.seed);
+    this.#configurationChanges = new ConfigurationChanges({
+      random: new SeededRandom(options.seed + CONFIGURATION_SEED_OFFSET),
+      store: this.#store,
+      instances: this.#instances,
+      nowMs: () => this.#nowMs(),
+      log: this.#writeLog,
+      addFinding: (text) => this.#noteUnexpected(text),
+    });
   }
 
   async run(): Promise<PlatformRunResult> {
@@ -110,7 +117,8 @@
     const { persistentTasks, counts, findings } = this.#judge;
     const unanswered = this.#clients?.unansweredCount ?? 0;
     const longestWaitMs = Math.round(persistentTasks.longestWaitMs);
-    return { findings, figures: { ...counts, unanswered, longestWaitMs, faults: plan.length } };
+    const figures = { ...counts, unanswered, longestWaitMs, faults: plan.length };
+    return { findings, figures: { ...figures, ...this.#configurationChanges.counts } };
   }
 
   #nowMs(): number {
@@ -119,7 +127,7 @@
 
   async #start(): Promise<void> {
     const storePort = Number((await this.#store.listen()).split(':')[1]);
-    this.#store.put('op', 'config', CONFIGURATION);
+    this.#configurationChanges.store();
     const { instanceCount, workerCount, folder, seed } = this.#options;
     for (let index = 0; index < instanceCount; index += 1) {
       const zone = zoneAt(index);
@@ -168,6 +176,8 @@
     if (clients === undefined) return;
     const submitting = clients.submitUntilStopped();
     const reading = clients.readUntilStopped();
+    const changing = this.#configurationChanges.changeUntilStopped();
+    const counting = this.#configurationChanges.askUntilStopped();
     const storeFaults = new StoreFaults(this.#random);
     this.#store.treat = (host) => storeFaults.treat(host);
     const faults = new SoakFaults({
@@ -190,7 +200,8 @@
     this.#writeLog('faults-ended', {});
     await delay(AFTER_FAULTS_MS);
     clients.stopSubmitting();
-    await submitting;
+    this.#configurationChanges.stop();
+    await Promise.all([submitting, changing, counting]);
     await this.#settle(clients);
     clients.stopReading();
     await reading;
