--- a/src/services/http/node/callTimeout.ts
+++ b/src/services/http/node/callTimeout.ts
@@ -4,7 +4,7 @@
 /**
  * Aborts its signal after the given time. In a process that is late, the answer may have arrived by
  * then without having been read. So the signal is aborted only after the sockets have been read once
- * more. The timeouts of undici may be late by up to a second.
+ * more. The timeouts of undici may be late by half a second.
  */
 export class CallTimeout implements Disposable {
   readonly #controller = new AbortController();
