Fix calls that wait though the state is nearly too old to go by

A call now waits only if the state would outlive its failure. The test in virtual time failed before.

--- a/src/services/fleet/node/operatorFollower.ts
+++ b/src/services/fleet/node/operatorFollower.ts
@@ -84,13 +84,11 @@
 
   async #follow(): Promise<void> {
     if (this.#isDisposed) return;
-    const { waitMs, callTimeoutMs } = this.#timing;
     const sentAtMs = this.#clock.nowMs();
-    // The first call after a failure does not wait, so that its answer confirms the state at once.
     const result = await this.#directory.operatorChanges(
       this.#position,
-      this.#isReachable ? waitMs : 0,
-      callTimeoutMs,
+      this.#waitMs(sentAtMs),
+      this.#timing.callTimeoutMs,
     )();
     if (this.#isDisposed) return;
     if (isLeft(result)) {
@@ -108,6 +106,16 @@
     this.#timer = setTimeout(() => void this.#follow(), 0);
   }
 
+  /**
+   * How long a call sent now may wait for a change. It does not wait after a failure, nor if the
+   * state would be too old once the call had failed, so that its answer confirms the state at once.
+   */
+  #waitMs(nowMs: number): number {
+    const { waitMs, callTimeoutMs, maximumAgeMs } = this.#timing;
+    const mayFail = this.ageMs(nowMs) + callTimeoutMs <= maximumAgeMs;
+    return this.#isReachable && mayFail ? waitMs : 0;
+  }
+
   #apply(update: OperatorChanges): void {
     this.#position = update.position;
     if (!update.isSnapshot && update.changes.length === 0) return;
--- a/src/services/fleet/test/operatorFollower.test.ts
+++ b/src/services/fleet/test/operatorFollower.test.ts
@@ -39,6 +39,8 @@
 class SilenceableDirectory implements FleetDirectory {
   readonly waitsMs: number[] = [];
 
+  latencyMs = LATENCY_MS;
+
   readonly #inFlight = new Set<{ isSilent: boolean }>();
 
   silenceConnections(): void {
@@ -51,7 +53,7 @@
       const call = { isSilent: false };
       this.#inFlight.add(call);
       const isSnapshot = afterPosition === undefined;
-      const answerMs = LATENCY_MS + (isSnapshot ? 0 : waitMs);
+      const answerMs = this.latencyMs + (isSnapshot ? 0 : waitMs);
       await delay(answerMs);
       if (call.isSilent) await delay(timeoutMs - answerMs);
       this.#inFlight.delete(call);
@@ -107,6 +109,14 @@
     expect(follower.ageMs(nowMs())).toBe(LATENCY_MS + 1);
   });
 
+  it('does not wait in the call after one whose answer came late', async () => {
+    await vi.advanceTimersByTimeAsync(1_000);
+    directory.latencyMs = 400;
+    const callCount = directory.waitsMs.length;
+    await vi.advanceTimersByTimeAsync(2_000);
+    expect(directory.waitsMs.slice(callCount)).toContain(0);
+  });
+
   it('does not wait in the call after a failure, whose answer confirms the state', async () => {
     await vi.advanceTimersByTimeAsync(1_000);
     const callCount = directory.waitsMs.length;
