Fix the age of the callers' changes, which counted from the answer

An owner starts nothing while it may not know the callers' cancellations, but counted their age from when it handled an answer. An answer that was under way for long, or had waited for a frozen process, made old changes recent. The age now counts from the sending of the call, as that of the other states. A call waits 500 ms in place of 1,000, one more a second, by the owner alone.

Found by reading; the test in virtual time starts a task by answers that are older than the limit before, and none since.

--- a/src/scheduler/common/fleet/fleetScheduler.ts
+++ b/src/scheduler/common/fleet/fleetScheduler.ts
@@ -173,9 +173,9 @@
     applyChanges(this.#state, changes, NOTHING_STORED, nowMs);
   }
 
-  /** All submissions and cancellations that callers made before `nowMs` have been handled. */
-  handleCaughtUp(epoch: number, nowMs: number): void {
-    if (this.#state?.epoch === epoch) this.#state.caughtUpAtMs = nowMs;
+  /** All submissions and cancellations that callers made before `sentAtMs` have been handled. */
+  handleCaughtUp(epoch: number, sentAtMs: number): void {
+    if (this.#state?.epoch === epoch) this.#state.caughtUpAtMs = sentAtMs;
   }
 
   /** Handles the list of workers in the table, which was requested at `sentAtMs`. */
--- a/src/scheduler/common/fleet/fleetState.ts
+++ b/src/scheduler/common/fleet/fleetState.ts
@@ -62,7 +62,7 @@
   readonly decisionLog: DecisionLog;
   readonly delayReport: DelayReport;
   readonly misses: RoomMisses;
-  /** When all submissions and cancellations of callers were last known. */
+  /** When the latest answered call for the changes of callers was sent. */
   caughtUpAtMs: number;
   /** When the latest list of workers was requested. */
   workersReadAtMs: number;
--- a/src/scheduler/common/fleet/fleetTiming.ts
+++ b/src/scheduler/common/fleet/fleetTiming.ts
@@ -14,7 +14,7 @@
   readonly holdWaitMs: number;
   /** A worker that has not answered for this long gets no new tasks. */
   readonly answerFreshnessMs: number;
-  /** An owner that has not received the callers' changes for this long starts no tasks. */
+  /** An owner whose last answered call for the callers' changes is older than this starts no tasks. */
   readonly feedFreshnessMs: number;
   /** An owner that asked for its latest list of workers longer ago than this starts no tasks. */
   readonly workerListFreshnessMs: number;
--- a/src/scheduler/node/fleetTask.ts
+++ b/src/scheduler/node/fleetTask.ts
@@ -35,7 +35,7 @@
  */
 const WORKERS_INTERVAL_MS = 1_000;
 /** How long a feed call waits for a change. This also limits the delay by a dead connection. */
-const FEED_WAIT_MS = 1_000;
+const FEED_WAIT_MS = 500;
 const RETRY_MS = 200;
 /** The maximum number of concurrent first holds, and how long each counts towards it. */
 const MAXIMUM_FIRST_HOLDS = 24;
@@ -297,6 +297,7 @@
     // Does not wait at first: callers may have cancelled during the load, which can take seconds.
     let waitMs = 0;
     while (this.#scheduler.epoch === epoch && !this.#disposables.isDisposed) {
+      const sentAtMs = clock.nowMs();
       // Calls run one after the other, because each continues where the last one ended.
       // eslint-disable-next-line no-await-in-loop
       const page = await feed.follow(SUBMISSION_TABLE, position, waitMs)();
@@ -314,7 +315,7 @@
         position = page.right.position;
         const changes = this.#reader.toChanges(page.right.rows);
         if (changes.length > 0) this.#scheduler.handleChanges(epoch, changes, clock.nowMs());
-        this.#scheduler.handleCaughtUp(epoch, clock.nowMs());
+        this.#scheduler.handleCaughtUp(epoch, sentAtMs);
         waitMs = FEED_WAIT_MS;
       }
       this.#scheduleStep();
--- a/src/scheduler/test/fleet/busyFleet.ts
+++ b/src/scheduler/test/fleet/busyFleet.ts
@@ -26,7 +26,11 @@
 } from '../../../services/submissions/common/submissionRows.js';
 import type { Submission } from '../../../services/submissions/common/submission.js';
 import type { TableService, Transaction } from '../../../services/table/common/table.js';
-import { FeedKind, type TableFeed } from '../../../services/table/common/tableFeed.js';
+import {
+  FeedKind,
+  type FeedPage,
+  type TableFeed,
+} from '../../../services/table/common/tableFeed.js';
 import { WorkerModel } from '../../../../standIns/fleet/workerModel.js';
 import { TableStandIn } from '../../../../standIns/platform/tableStandIn.js';
 import { FleetTask } from '../../node/fleetTask.js';
@@ -91,6 +95,9 @@
   /** Selects the transactions that never reach the table and get no answer. */
   isTransactionLost = NO_TRANSACTION_LOST;
 
+  /** How long the answers of the feed are under way. */
+  feedDelayMs = 0;
+
   readonly #submissions: Submission[] = [];
 
   readonly #workMs: (taskName: string) => number;
@@ -252,7 +259,12 @@
                 value: submission as unknown as JsonValue,
                 operationId: submission.id,
               }));
-              reply({ kind: FeedKind.Changes, rows, position: this.#submissions.length });
+              const page: FeedPage = {
+                kind: FeedKind.Changes,
+                rows,
+                position: this.#submissions.length,
+              };
+              this.simulator.outside.after(this.feedDelayMs, () => reply(page));
             };
             poll();
           },
--- a/src/scheduler/test/fleet/busyOwner.test.ts
+++ b/src/scheduler/test/fleet/busyOwner.test.ts
@@ -1,13 +1,14 @@
 import { afterEach, describe, expect, it, vi } from 'vitest';
 
 import { BusyFleet, type Costs } from './busyFleet.js';
-import { STEP, submissionOf } from './fleetFixtures.js';
+import { STEP, submissionOf, TIMING } from './fleetFixtures.js';
 
 /** The costs on a fifth of a core. */
 const WEAK: Costs = { sendMs: 1, answerMs: 1, connectMs: 1.7, stepMs: 60, rowMs: 0.4 };
 const STRONG: Costs = { sendMs: 0.15, answerMs: 0.15, connectMs: 0.3, stepMs: 8, rowMs: 0.05 };
 const FREE: Costs = { sendMs: 0, answerMs: 0, connectMs: 0, stepMs: 0, rowMs: 0 };
 const WORKERS = 300;
+const ID = '00000000000000d4';
 
 /** Submits tasks at a steady rate, twenty at a time. */
 const submitFor = async (fleet: BusyFleet, seconds: number, tasksPerS: number): Promise<void> => {
@@ -65,3 +66,22 @@
     expect(ownersOf(fleet)).toEqual(['first', 'weak']);
   });
 });
+
+describe('an owner to which the answers of the feed come late', () => {
+  afterEach(() => {
+    vi.unstubAllGlobals();
+  });
+
+  it.each([
+    ['starts no task if they are older than it may go by', TIMING.feedFreshnessMs, 0],
+    ['starts tasks if they are recent enough', TIMING.feedFreshnessMs / 2, 1],
+  ])('%s', async (_what, delayMs, startCount) => {
+    const fleet = new BusyFleet(2, () => 500);
+    fleet.simulator.stubTimers();
+    fleet.feedDelayMs = delayMs;
+    fleet.submit(submissionOf(ID, [STEP]));
+    fleet.addDaemon('owner', FREE);
+    await fleet.simulator.runUntil(8_000);
+    expect(fleet.startCounts.get(`${ID}.0.0.0`) ?? 0).toBe(startCount);
+  });
+});
