Fix a list of workers that replaces one that was requested later

A list that was requested before the latest one is ignored. Its test started a task on a draining worker before.

--- a/src/scheduler/common/fleet/fleetScheduler.ts
+++ b/src/scheduler/common/fleet/fleetScheduler.ts
@@ -186,7 +186,7 @@
     nowMs: number,
   ): void {
     const state = this.#state;
-    if (state?.epoch !== epoch) return;
+    if (state?.epoch !== epoch || sentAtMs < state.workersReadAtMs) return;
     updateWorkers(state, entries, this.#timing, sentAtMs, nowMs);
   }
 
--- a/src/scheduler/common/fleet/fleetState.ts
+++ b/src/scheduler/common/fleet/fleetState.ts
@@ -188,7 +188,7 @@
   readAtMs: number,
   nowMs: number,
 ): void => {
-  state.workersReadAtMs = Math.max(state.workersReadAtMs, readAtMs);
+  state.workersReadAtMs = readAtMs;
   const listed = new Set(entries.map(({ id }) => id));
   entries.forEach((entry) =>
     updateListedWorker(state, entry, nowMs).noteEntry(entry, timing, readAtMs),
--- a/src/scheduler/test/fleet/ownerChanges.test.ts
+++ b/src/scheduler/test/fleet/ownerChanges.test.ts
@@ -121,6 +121,25 @@
     expect(world.invariants.startCounts.get(TASK)).toBeUndefined();
   });
 
+  it('does not go by a list that was requested before the latest one', async () => {
+    const world = await worldOf(1, 1);
+    const scheduler = world.schedulerSlots[0]?.scheduler as FleetScheduler;
+    const entry = { ...ENTRY, id: 'worker-0', address: 'worker-0', incarnation: 0 };
+    const deliver = (isDraining: boolean, sentAtMs: number): void =>
+      scheduler.handleWorkers(
+        scheduler.epoch as number,
+        [{ ...entry, isDraining }],
+        sentAtMs,
+        world.nowMs,
+      );
+    world.faults.isWorkerListSilent = true;
+    deliver(true, world.nowMs);
+    deliver(false, world.nowMs - 1);
+    world.submit(submissionOf(ID, [STEP]));
+    await world.runFor(1_000);
+    expect(world.invariants.startCounts.get(TASK)).toBeUndefined();
+  });
+
   it('starts tasks again once it has received the list', async () => {
     const world = await worldOf(1, 1);
     world.faults.isWorkerListSilent = true;
