--- a/src/scheduler/test/fleet/busyFleet.ts
+++ b/src/scheduler/test/fleet/busyFleet.ts
@@ -264,7 +264,8 @@
                 rows,
                 position: this.#submissions.length,
               };
-              this.simulator.outside.after(this.feedDelayMs, () => reply(page));
+              if (this.feedDelayMs === 0) reply(page);
+              else this.simulator.outside.after(this.feedDelayMs, () => reply(page));
             };
             poll();
           },
