--- a/soak/test/platform/main.ts
+++ b/soak/test/platform/main.ts
@@ -67,7 +67,8 @@
         await rm(folder, { recursive: true });
       }
     }
-    process.exitCode = failedCount === 0 ? 0 : 1;
+    // A socket that a run has left open must not keep the process alive.
+    process.exit(failedCount === 0 ? 0 : 1);
   },
 });
 
