--- a/src/scheduler/test/fleet/worldFaults.ts
+++ b/src/scheduler/test/fleet/worldFaults.ts
@@ -30,9 +30,9 @@
   isTableDown: boolean;
   /** The feed tells owners nothing of what callers do after the owners read the stored state. */
   isFeedSilent: boolean;
-  /** Schedulers are told nothing of what operators do. */
+  /** Schedulers receive neither changes nor confirmations of the operator state. */
   isOperatorSilent: boolean;
-  /** Owners are not told which workers the table lists. */
+  /** Owners receive no lists of workers after the load. */
   isWorkerListSilent: boolean;
   /** How long each transaction takes until it is answered. */
   transactionMs: number;
