Log an exception that ends the process as a structured line

Cause: neither daemon had a handler for uncaught exceptions, so Node.js printed its default text. The process still ends, because its state may be inconsistent, but first it writes `process-failed` with the origin, the message and the stack, synchronously to standard error.

--- a/src/daemon/node/daemonProgram.ts
+++ b/src/daemon/node/daemonProgram.ts
@@ -3,6 +3,7 @@
 import { isLeft } from 'fp-ts/lib/Either.js';
 
 import { runProgram } from '../../services/commandLine/node/runProgram.js';
+import { exitOnFatalError } from '../../services/log/node/fatalErrors.js';
 import { SettingsError, StartError } from '../../services/errors/node/snipethreadError.js';
 import { readSettingsFile } from '../../services/settings/node/settingsFile.js';
 import { Daemon } from './daemon.js';
@@ -28,6 +29,7 @@
       const error: Error = new SettingsError(lines.join('\n'));
       throw error;
     }
+    exitOnFatalError(settings.right.instanceId);
     const daemon = new Daemon(settings.right);
     const youngGeneration = new YoungGeneration();
     const handleSignal = (): void => {
