Fix the end of the process when one call of the fleet's scheduler throws

Callers of every queue waited while one exception in one call to one worker, to the store or to the operators' rows ended the whole process, and the next owner met the same exception.

Cause: `FleetTask` performs its effects without awaiting them and `OperatorFollower` its reads; nothing handled their rejections. Had they only been swallowed, the scheduler would have waited for an answer that never comes: the worker's hold counts as in flight, the lease read as pending.

Change: each call goes through `CallGuard`. An exception becomes a failure of that call with an unknown work outcome, so that each state machine repeats the call or resolves it as after a lost answer. The defect is not hidden: each is counted in `calls_thrown`, and `call-thrown` gives the stack, once a second at most. An exception in a decision (a step, the handling of an answer) still ends the process with `process-failed`, because its state can no longer be trusted and a successor loads it again.

--- a/src/scheduler/node/fleetTask.ts
+++ b/src/scheduler/node/fleetTask.ts
@@ -1,9 +1,10 @@
 /** Runs the fleet's scheduler. Owns its timers, its table calls and its calls to workers. */
-import { type Either, isLeft, isRight } from 'fp-ts/lib/Either.js';
+import { type Either, isLeft, isRight, right } from 'fp-ts/lib/Either.js';
 
 import type { Clock } from '../../base/common/clock.js';
 import { type Disposable, DisposableStore } from '../../base/common/lifecycle.js';
 import { PeriodicTimer } from '../../base/node/periodicTimer.js';
+import { CallGuard } from '../../services/errors/common/callGuard.js';
 import type { Failure } from '../../services/errors/common/errorKinds.js';
 import type { FleetDirectory } from '../../services/fleet/common/fleetDirectory.js';
 import {
@@ -68,6 +69,8 @@
 
   readonly #renewalMonitor: RenewalMonitor;
 
+  readonly #guard: CallGuard;
+
   readonly #stepThrottle = new StepThrottle();
 
   readonly #firstHoldLimiter = new ConcurrencyLimiter(
@@ -86,6 +89,7 @@
     this.#services = services;
     const { clock, operator, table, directory, log } = services;
     this.#reader = new StoredStateReader(table, directory, log);
+    this.#guard = new CallGuard(services);
     this.#renewalMonitor = new RenewalMonitor(timing.leaseMs, log, services.metrics);
     this.#scheduler = new FleetScheduler(
       selfId,
@@ -129,12 +133,13 @@
     if (transaction === undefined) return;
     const { table, clock, log } = this.#services;
     const untilMs = clock.nowMs() + retryForMs;
-    let result = await table.transact(transaction)();
+    const write = () => this.#guard.run('release', () => table.transact(transaction)());
+    let result = await write();
     while (isLeft(result) && clock.nowMs() < untilMs) {
       // eslint-disable-next-line no-await-in-loop -- each attempt repeats the last one
       await this.#pause(RETRY_MS);
       // eslint-disable-next-line no-await-in-loop
-      result = await table.transact(transaction)();
+      result = await write();
     }
     const message = isLeft(result) ? result.left.message : result.right.outcome;
     log.info('fleet-lost', { message });
@@ -179,15 +184,16 @@
   async #performOne(effect: FleetEffect): Promise<void> {
     const { table, client, clock } = this.#services;
     const scheduler = this.#scheduler;
+    const guard = this.#guard;
     const sentAtMs = clock.nowMs();
     switch (effect.kind) {
       case 'lease-read': {
-        const result = await table.read(effect.request)();
+        const result = await guard.run(effect.kind, () => table.read(effect.request)());
         scheduler.handleLeaseRead(result, sentAtMs, clock.nowMs());
         break;
       }
       case 'lease-write': {
-        const result = await table.transact(effect.transaction)();
+        const result = await guard.run(effect.kind, () => table.transact(effect.transaction)());
         this.#renewalMonitor.note(effect.step, sentAtMs, clock.nowMs());
         scheduler.handleLeaseWritten(effect.step, result, sentAtMs, clock.nowMs());
         break;
@@ -196,7 +202,7 @@
         await this.#load(effect.epoch);
         break;
       case 'commit': {
-        const result = await table.transact(effect.transaction)();
+        const result = await guard.run(effect.kind, () => table.transact(effect.transaction)());
         this.#perform(scheduler.handleCommitted(effect.epoch, result, clock.nowMs()));
         break;
       }
@@ -207,19 +213,19 @@
         await this.#hold(effect);
         break;
       case 'start': {
-        const result = await client.start(effect.request)();
+        const result = await guard.run(effect.kind, () => client.start(effect.request)());
         this.#logStart(effect.request, result);
         scheduler.handleStarted(effect.epoch, effect.request, result, clock.nowMs());
         break;
       }
       case 'stop': {
-        const result = await client.stop(effect.reference)();
+        const result = await guard.run(effect.kind, () => client.stop(effect.reference)());
         scheduler.handleStopped(effect.epoch, effect.reference, result, clock.nowMs());
         break;
       }
       case 'pace': {
         const { epoch, reference, percent } = effect;
-        const result = await client.pace(reference, percent)();
+        const result = await guard.run(effect.kind, () => client.pace(reference, percent)());
         scheduler.handlePaced(epoch, reference, percent, result, clock.nowMs());
         break;
       }
@@ -257,7 +263,7 @@
     const releaseSlot = isFirstHold(request) ? await this.#firstHoldLimiter.acquire() : undefined;
     if (this.#scheduler.epoch === epoch) {
       const sentAtMs = clock.nowMs();
-      const result = await client.hold(request)();
+      const result = await this.#guard.run('hold', () => client.hold(request)());
       this.#scheduler.handleHeld(epoch, workerId, result, sentAtMs, clock.nowMs());
     }
     releaseSlot?.();
@@ -266,7 +272,8 @@
   async #load(epoch: number): Promise<void> {
     const { clock, log } = this.#services;
     const sentAtMs = clock.nowMs();
-    const loaded = await this.#reader.readAll();
+    const read = await this.#guard.run('load', async () => right(await this.#reader.readAll()));
+    const loaded = isRight(read) ? read.right : undefined;
     if (loaded === undefined) await this.#pause(RETRY_MS);
     this.#scheduler.handleLoaded(epoch, loaded?.stored, sentAtMs, clock.nowMs());
     if (loaded === undefined || this.#scheduler.epoch !== epoch) return;
@@ -284,7 +291,8 @@
   }
 
   async #resolve(effect: Extract<FleetEffect, { kind: 'resolve' }>): Promise<void> {
-    const result = await this.#services.table.read(effect.request)();
+    const { table } = this.#services;
+    const result = await this.#guard.run(effect.kind, () => table.read(effect.request)());
     if (this.#scheduler.handleResolved(effect.epoch, result)) return;
     await this.#pause(RETRY_MS);
     if (!this.#disposables.isDisposed) this.#perform([effect]);
@@ -296,20 +304,24 @@
     let position = fromPosition;
     // Does not wait at first: callers may have cancelled during the load, which can take seconds.
     let waitMs = 0;
+    const readPage = () =>
+      this.#guard.run('follow', () => feed.follow(SUBMISSION_TABLE, position, waitMs)());
+    const readAgain = () =>
+      this.#guard.run('read-submissions', async () => right(await this.#reader.readSubmissions()));
     while (this.#scheduler.epoch === epoch && !this.#disposables.isDisposed) {
       const sentAtMs = clock.nowMs();
       // Calls run one after the other, because each continues where the last one ended.
       // eslint-disable-next-line no-await-in-loop
-      const page = await feed.follow(SUBMISSION_TABLE, position, waitMs)();
+      const page = await readPage();
       if (isLeft(page)) {
         // eslint-disable-next-line no-await-in-loop
         await this.#pause(RETRY_MS);
       } else if (page.right.kind === FeedKind.HistoryLost) {
         // eslint-disable-next-line no-await-in-loop
-        const read = await this.#reader.readSubmissions();
-        if (read !== undefined) {
-          position = read.position;
-          this.#scheduler.handleChanges(epoch, read.changes, clock.nowMs());
+        const read = await readAgain();
+        if (isRight(read) && read.right !== undefined) {
+          position = read.right.position;
+          this.#scheduler.handleChanges(epoch, read.right.changes, clock.nowMs());
         }
       } else {
         position = page.right.position;
@@ -326,12 +338,13 @@
     const { epoch } = this.#scheduler;
     if (epoch === undefined) return;
     const { directory, clock } = this.#services;
+    const read = () => this.#guard.run('workers', () => directory.workers()());
     let sentAtMs = clock.nowMs();
-    let result = await directory.workers()();
+    let result = await read();
     if (isLeft(result)) {
       await this.#pause(Math.max(0, RETRY_MS - (clock.nowMs() - sentAtMs)));
       sentAtMs = clock.nowMs();
-      result = await directory.workers()();
+      result = await read();
     }
     if (isLeft(result)) return;
     this.#scheduler.handleWorkers(epoch, result.right, sentAtMs, clock.nowMs());
--- a/src/scheduler/test/fleet/busyFleet.ts
+++ b/src/scheduler/test/fleet/busyFleet.ts
@@ -3,6 +3,7 @@
 import type { TaskEither } from 'fp-ts/lib/TaskEither.js';
 
 import type { JsonValue } from '../../../base/common/json.js';
+import { CallGuard } from '../../../services/errors/common/callGuard.js';
 import { ErrorKind, failure, type Failure } from '../../../services/errors/common/errorKinds.js';
 import type { FleetConfiguration } from '../../../services/fleet/common/fleetConfiguration.js';
 import type { FleetDirectory } from '../../../services/fleet/common/fleetDirectory.js';
@@ -64,6 +65,8 @@
 
 const NO_TRANSACTION_LOST: IsTransactionLost = () => false;
 
+const NO_CALL_THROWN = (_call: string): boolean => false;
+
 /** A call to the table that gets no answer and fails at its timeout. */
 const noAnswer =
   (loop: SimulatedEventLoop): TaskEither<Failure, never> =>
@@ -98,6 +101,9 @@
   /** How long the answers of the feed are under way. */
   feedDelayMs = 0;
 
+  /** Whether this call of a daemon throws. */
+  isCallThrown = NO_CALL_THROWN;
+
   readonly #submissions: Submission[] = [];
 
   readonly #workMs: (taskName: string) => number;
@@ -121,10 +127,10 @@
   ): { loop: SimulatedEventLoop; task: FleetTask } {
     const loop = this.simulator.newLoop();
     const services = {
-      table: this.#tableFor(loop, costs),
-      feed: this.#feedFor(loop),
-      directory: this.#directoryFor(loop, costs),
-      client: this.#clientFor(loop, costs),
+      table: this.#withExceptions(this.#tableFor(loop, costs)),
+      feed: this.#withExceptions(this.#feedFor(loop)),
+      directory: this.#withExceptions(this.#directoryFor(loop, costs)),
+      client: this.#withExceptions(this.#clientFor(loop, costs)),
       clock: loop,
       wallNowMs: () => {
         // Each step of the daemon reads the wall clock once, so the time of the step is spent here.
@@ -136,7 +142,9 @@
       metrics: new PrometheusMetrics(),
     };
     const task = this.simulator.runOn(loop, () => {
-      const operator = new OperatorFollower(services.directory, loop, silentLog, OPERATOR_TIMING);
+      const guard = new CallGuard(services);
+      const { directory } = services;
+      const operator = new OperatorFollower(directory, loop, silentLog, OPERATOR_TIMING, guard);
       return new FleetTask({ ...services, operator }, name, TIMING, acquireDelayMs);
     });
     return { loop, task };
@@ -177,6 +185,15 @@
     this.workers.set(id, model);
   }
 
+  #withExceptions<Service extends object>(service: Service): Service {
+    return new Proxy(service, {
+      get: (target, name) => {
+        if (this.isCallThrown(String(name))) throw new TypeError(`${String(name)} threw`);
+        return Reflect.get(target, name) as unknown;
+      },
+    });
+  }
+
   #logOf(daemon: string, loop: SimulatedEventLoop): Log {
     const note = (event: LogEvent, fields: LogFields = {}): void => {
       if (event !== 'fleet-acquired') return;
--- a/src/services/fleet/node/operatorFollower.ts
+++ b/src/services/fleet/node/operatorFollower.ts
@@ -4,6 +4,7 @@
 import type { Clock } from '../../../base/common/clock.js';
 import { Emitter } from '../../../base/common/event.js';
 import type { Disposable } from '../../../base/common/lifecycle.js';
+import type { CallGuard } from '../../errors/common/callGuard.js';
 import type { Log } from '../../log/common/log.js';
 import type { OperatorTiming } from '../common/operatorTiming.js';
 import {
@@ -29,6 +30,8 @@
 
   readonly #timing: OperatorTiming;
 
+  readonly #guard: CallGuard;
+
   readonly #didChange = new Emitter<OperatorState>();
 
   readonly onDidChange = this.#didChange.event;
@@ -51,11 +54,18 @@
 
   #isDisposed = false;
 
-  constructor(directory: FleetDirectory, clock: Clock, log: Log, timing: OperatorTiming) {
+  constructor(
+    directory: FleetDirectory,
+    clock: Clock,
+    log: Log,
+    timing: OperatorTiming,
+    guard: CallGuard,
+  ) {
     this.#directory = directory;
     this.#clock = clock;
     this.#log = log;
     this.#timing = timing;
+    this.#guard = guard;
     void this.#follow();
   }
 
@@ -85,11 +95,11 @@
   async #follow(): Promise<void> {
     if (this.#isDisposed) return;
     const sentAtMs = this.#clock.nowMs();
-    const result = await this.#directory.operatorChanges(
-      this.#position,
-      this.#waitMs(sentAtMs),
-      this.#timing.callTimeoutMs,
-    )();
+    const waitMs = this.#waitMs(sentAtMs);
+    const { callTimeoutMs } = this.#timing;
+    const result = await this.#guard.run('operator-changes', () =>
+      this.#directory.operatorChanges(this.#position, waitMs, callTimeoutMs)(),
+    );
     if (this.#isDisposed) return;
     if (isLeft(result)) {
       if (this.#isReachable) this.#log.warn('store-lost', { message: result.left.message });
--- a/src/services/fleet/test/operatorFollower.test.ts
+++ b/src/services/fleet/test/operatorFollower.test.ts
@@ -1,8 +1,10 @@
 import { isLeft, left, right } from 'fp-ts/lib/Either.js';
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest';
 
+import { CallGuard } from '../../errors/common/callGuard.js';
 import { ErrorKind, failure } from '../../errors/common/errorKinds.js';
 import { silentLog } from '../../log/common/log.js';
+import { silentMetrics } from '../../metrics/common/metrics.js';
 import { type FleetConfiguration, NO_OPERATOR_STATE } from '../common/fleetConfiguration.js';
 import type { FleetDirectory, OperatorChanges } from '../common/fleetDirectory.js';
 import { operatorTiming } from '../common/operatorTiming.js';
@@ -75,7 +77,9 @@
   beforeEach(() => {
     vi.useFakeTimers();
     directory = new SilenceableDirectory();
-    follower = new OperatorFollower(directory, { nowMs }, silentLog, TIMING);
+    const clock = { nowMs };
+    const guard = new CallGuard({ clock, log: silentLog, metrics: silentMetrics });
+    follower = new OperatorFollower(directory, clock, silentLog, TIMING, guard);
   });
 
   afterEach(() => {
--- a/src/services/log/common/logEvents.ts
+++ b/src/services/log/common/logEvents.ts
@@ -54,6 +54,8 @@
   'worker-unlisted': 'The table no longer lists a worker that the scheduler knew.',
   'log-lines-left-out':
     'The rate limit dropped the given number of lines about requests in the last second.',
+  'call-thrown':
+    'A call to the store or to a worker threw instead of returning a failure, and counts as failed. This is a fault of the program; the line gives the stack.',
   'process-failed':
     'An exception that nothing handles ends the process. This is a fault of the program; the line gives the stack.',
   'row-unreadable': 'A row of the table is malformed and is skipped.',
--- a/src/services/log/test/logEvents.test.ts
+++ b/src/services/log/test/logEvents.test.ts
@@ -33,6 +33,7 @@
   'submissions-delayed': 'in time to late, once a submission; a line for up to ten of them',
   'room-short': 'tasks find no room, once a second at most',
   'log-lines-left-out': 'a limit was reached, once a second at most',
+  'call-thrown': 'a call throws, once a second at most',
   'process-failed': 'the process ends for an exception, once',
   'row-unreadable': 'a row is skipped, once for each read',
 };
--- a/src/services/metrics/common/metricList.ts
+++ b/src/services/metrics/common/metricList.ts
@@ -127,6 +127,7 @@
 const FLEET_METRICS = {
   submissions: counter('Submissions of callers, by outcome: accepted, refused or unresolved.'),
   submission_store_duration: duration('From the arrival of a submission to its record.'),
+  calls_thrown: counter('Calls that threw instead of returning a failure, by call; a fault.'),
   table_calls: counter('Calls to the table, by kind and outcome.'),
   table_call_duration: duration('From a call to the table to its answer, by kind.'),
   fleet_decisions: counter('Lines of the log on decisions of the scheduler, by event.'),
