Fix the decoder of worker entries that accepts what no call can be sent to

Callers lost their work to an entry of another writer because the decoder took its texts as they were: `^[\d.]+:\d+$` also matches ports over 65535, five numbers, or none between the dots; an empty service, amounts whose bytes are beyond safe integers or infinite, and ids that no header can carry were accepted too. Operators saw only the key of a skipped row, not what was wrong with it, one line for each of any number of entries, in a set of keys that never shrank.

Cause: the schema described the usual entry, not the values that the code behind it can use.

Change: an address is IP:PORT with a port to connect to, an id printable ASCII, a service not empty, amounts safe integers in the unit in which they are kept. `row-unreadable` gives it, once for each entry and for ten a read at most; `worker_entries_unreadable` shows the number. Only the entries of the last read are remembered.

--- a/src/services/log/common/logEvents.ts
+++ b/src/services/log/common/logEvents.ts
@@ -58,7 +58,8 @@
     'A call to the store or to a worker threw instead of returning a failure, and counts as failed. This is a fault of the program; the line gives the stack.',
   'process-failed':
     'An exception that nothing handles ends the process. This is a fault of the program; the line gives the stack.',
-  'row-unreadable': 'A row of the table is malformed and is skipped.',
+  'row-unreadable':
+    'A row of the table is malformed and is skipped; for an entry of a worker, the line gives the reason, once and for ten entries a read at most.',
   'metrics-not-served':
     'The daemon cannot listen on the metrics address; everything else continues.',
   'settings-changed':
--- a/src/services/metrics/common/metricList.ts
+++ b/src/services/metrics/common/metricList.ts
@@ -135,6 +135,7 @@
     'Longest wait for room among tasks started together within a fifth of a second.',
   ),
   task_starts: counter('Starts sent to workers, by what the worker answered.'),
+  worker_entries_unreadable: gauge('Entries of the last list of workers that name no worker.'),
   fleet_scheduling: gauge('One on the instance that schedules the workers, else nought.'),
   start_limit: gauge('Starts a second that the processor of this instance is taken to carry.'),
   lease_renewal_gap: duration(
