Fix the owner calling and storing workers that no configuration names

Cause: a view was made for each decoded entry, whatever its service.

Change: the list of workers is applied only as far as something can run there: services and queues' services of the configuration in force, and the services that open submissions were accepted for. Everything else counts as unlisted. So a service that leaves the configuration keeps its workers until the accepted work has ended and its ends are acknowledged; then they get no more calls, and are forgotten once their leases are over. The next owner finds them through the open submissions and through the roster, whose workers are called until they have answered. When the service is named again, its workers are used with the next step, from the list that is kept.

--- a/src/scheduler/common/fleet/fleetScheduler.ts
+++ b/src/scheduler/common/fleet/fleetScheduler.ts
@@ -48,6 +48,7 @@
 import { placeWaiting } from './fleetRound.js';
 import {
   dropExpiredRuns,
+  followConfiguration,
   newFleetState,
   NOTHING_STORED,
   updateWorkers,
@@ -326,6 +327,7 @@
     this.#followOwnership(effects);
     const state = this.#state;
     if (state === undefined) return effects;
+    followConfiguration(state, this.#operator.configuration, this.#timing, nowMs);
     dropExpiredRuns(state, this.#timing, nowMs);
     state.registry.openDueOccurrences(wallNowMs, nowMs);
     state.runTracker.inherit(state.registry.takeInherited(), nowMs);
--- a/src/scheduler/common/fleet/fleetState.ts
+++ b/src/scheduler/common/fleet/fleetState.ts
@@ -1,7 +1,10 @@
 /**
  * The state of the fleet that a daemon keeps while it is the owner and has loaded the stored state.
  */
-import type { OperatorState } from '../../../services/fleet/common/fleetConfiguration.js';
+import type {
+  FleetConfiguration,
+  OperatorState,
+} from '../../../services/fleet/common/fleetConfiguration.js';
 import type { FleetWorkerEntry, RunReference } from '../../../services/fleet/common/fleetWorker.js';
 import type { Submission } from '../../../services/submissions/common/submission.js';
 import {
@@ -66,6 +69,9 @@
   caughtUpAtMs: number;
   /** When the latest list of workers was requested. */
   workersReadAtMs: number;
+  /** The latest list of workers, and the configuration with which it was last applied. */
+  workerEntries: readonly FleetWorkerEntry[];
+  appliedConfiguration: FleetConfiguration | undefined;
   /**
    * How often the fence has to be raised for a worker that was forgotten and comes back. Its
    * process may have seen the previous fence, or may be a different process.
@@ -88,6 +94,25 @@
   incarnation: 0,
 });
 
+/** Whether the worker has runs, or ends that it may forget only after the next hold. */
+const hasOpenRuns = (view: FleetWorkerView | undefined): boolean =>
+  view !== undefined && (view.runs.size > 0 || view.acknowledgingSequence < view.handledSequence);
+
+/**
+ * The listed workers on which tasks run or may be started: those of services that the configuration
+ * names or that open submissions were accepted for. Any other entry may come from another writer.
+ * The owner treats it as unlisted, so it calls such a worker only for leases of former owners.
+ */
+const entriesInUse = (state: FleetState): readonly FleetWorkerEntry[] => {
+  const { appliedConfiguration, registry, views, workerEntries } = state;
+  const names = registry.openServiceNames();
+  appliedConfiguration?.services.forEach(({ name }) => names.add(name));
+  appliedConfiguration?.queues.forEach(({ serviceName }) => names.add(serviceName));
+  return workerEntries.filter(
+    ({ id, serviceName }) => names.has(serviceName) || hasOpenRuns(views.get(id)),
+  );
+};
+
 const updateListedWorker = (
   { views, fenceRaises }: Pick<FleetState, 'views' | 'fenceRaises'>,
   entry: FleetWorkerEntry,
@@ -150,8 +175,6 @@
     view.isListed = false;
     views.set(known.id, view);
   });
-  const fenceRaises = new Map<string, number>();
-  stored.workers.forEach((entry) => updateListedWorker({ views, fenceRaises }, entry, nowMs));
   const interference = policy.newInterferenceControl();
   interference.inherit(stored.interference, nowMs);
   const roster = new Roster(epoch);
@@ -165,19 +188,36 @@
       roster,
       interference,
       decisionLog,
-      fenceRaises,
     },
+    fenceRaises: new Map(),
     delayReport: new DelayReport(),
     misses: new RoomMisses(),
     unknownRuns: new Map(),
     caughtUpAtMs: Number.NEGATIVE_INFINITY,
     workersReadAtMs: Number.NEGATIVE_INFINITY,
+    workerEntries: stored.workers,
+    appliedConfiguration: operator().configuration,
   };
   registry.checkpoints.inherit(stored.checkpoints);
   applyChanges(state, stored.changes, stored, nowMs);
+  entriesInUse(state).forEach((entry) => updateListedWorker(state, entry, nowMs));
   return state;
 };
 
+/** Applies the list of workers to the views. */
+const applyWorkers = (state: FleetState, timing: FleetTiming, nowMs: number): void => {
+  const entries = entriesInUse(state);
+  const listed = new Set(entries.map(({ id }) => id));
+  entries.forEach((entry) =>
+    updateListedWorker(state, entry, nowMs).noteEntry(entry, timing, state.workersReadAtMs),
+  );
+  state.views.forEach((view, id) => {
+    if (listed.has(id)) return;
+    if (view.isListed) state.decisionLog.addUnlisted(view, nowMs);
+    view.isListed = false;
+  });
+};
+
 /**
  * Updates the views with the table's list of workers, which was read no earlier than `readAtMs`.
  */
@@ -189,15 +229,20 @@
   nowMs: number,
 ): void => {
   state.workersReadAtMs = readAtMs;
-  const listed = new Set(entries.map(({ id }) => id));
-  entries.forEach((entry) =>
-    updateListedWorker(state, entry, nowMs).noteEntry(entry, timing, readAtMs),
-  );
-  state.views.forEach((view, id) => {
-    if (listed.has(id)) return;
-    if (view.isListed) state.decisionLog.addUnlisted(view, nowMs);
-    view.isListed = false;
-  });
+  state.workerEntries = entries;
+  applyWorkers(state, timing, nowMs);
+};
+
+/** Applies a new configuration to the list of workers, which may have workers of its services. */
+export const followConfiguration = (
+  state: FleetState,
+  configuration: FleetConfiguration | undefined,
+  timing: FleetTiming,
+  nowMs: number,
+): void => {
+  if (state.appliedConfiguration === configuration) return;
+  state.appliedConfiguration = configuration;
+  applyWorkers(state, timing, nowMs);
 };
 
 /** The input of a placement round. */
--- a/src/scheduler/common/fleet/submissionRegistry.ts
+++ b/src/scheduler/common/fleet/submissionRegistry.ts
@@ -283,6 +283,15 @@
     return counts;
   }
 
+  /** The services that open submissions were accepted for. */
+  openServiceNames(): Set<string> {
+    const names = new Set<string>();
+    this.#records.forEach((record) => {
+      if (isOpen(record)) names.add(record.submission.serviceName);
+    });
+    return names;
+  }
+
   /** Fails a submission after a task has used up its attempts. Returns the runs to stop. */
   fail(record: SubmissionRecord): readonly TaskRun[] {
     return isOpen(record) ? this.#end(record, SubmissionState.Failed) : [];
--- a/src/scheduler/test/fleet/fleetWorld.ts
+++ b/src/scheduler/test/fleet/fleetWorld.ts
@@ -7,6 +7,10 @@
 import type { JsonValue } from '../../../base/common/json.js';
 import { SeededRandom } from '../../../base/common/random.js';
 import { ErrorKind, failure, type Failure } from '../../../services/errors/common/errorKinds.js';
+import type {
+  FleetConfiguration,
+  OperatorState,
+} from '../../../services/fleet/common/fleetConfiguration.js';
 import type { FleetWorkerEntry } from '../../../services/fleet/common/fleetWorker.js';
 import { silentLog } from '../../../services/log/common/log.js';
 import type { Submission } from '../../../services/submissions/common/submission.js';
@@ -61,6 +65,12 @@
   /** The capacity that a worker lists, if it differs from `WORKER_CAPACITY`. */
   readonly capacities = new Map<string, Resources>();
 
+  /** Entries in the table of workers that are not written by workers. */
+  readonly foreignEntries: FleetWorkerEntry[] = [];
+
+  /** The workers that holds were sent to. */
+  readonly heldWorkers = new Set<string>();
+
   readonly time = new VirtualTime();
 
   readonly #random: SeededRandom;
@@ -73,6 +83,8 @@
 
   readonly #links: WorkerLinks;
 
+  #operator: OperatorState = { configuration: CONFIGURATION, withdrawnZones: new Set() };
+
   #deliveredChangeCount = 0;
 
   readonly #changes: { readonly id: string; readonly isCancellation: boolean }[] = [];
@@ -144,10 +156,13 @@
     slot.generation += 1;
     const selfId = `daemon-${index}#${slot.generation}`;
     slot.scheduler = new FleetScheduler(selfId, TIMING, 0, DEFAULT_FLEET_POLICY, this.nowMs);
-    slot.scheduler.handleOperatorState({
-      configuration: CONFIGURATION,
-      withdrawnZones: new Set(),
-    });
+    slot.scheduler.handleOperatorState(this.#operator);
+  }
+
+  /** Brings a configuration into force on all schedulers. */
+  configure(configuration: FleetConfiguration): void {
+    this.#operator = { ...this.#operator, configuration };
+    this.schedulerSlots.forEach(({ scheduler }) => scheduler?.handleOperatorState(this.#operator));
   }
 
   /** Kills a scheduler process; calls that it has sent still arrive. */
@@ -237,11 +252,12 @@
   }
 
   #entries(): readonly FleetWorkerEntry[] {
-    return [...this.listedWorkers].map((id) => ({
+    const listed = [...this.listedWorkers].map((id) => ({
       ...entryOf(id, this.drainingWorkers.has(id), this.workers.get(id)?.incarnation ?? 0),
       capacity: this.capacities.get(id) ?? WORKER_CAPACITY,
       ...this.#remainingOf(id),
     }));
+    return [...this.foreignEntries, ...listed];
   }
 
   /** The remaining time that the worker reported at its last check-in. */
@@ -318,6 +334,7 @@
         );
         break;
       case 'hold':
+        this.heldWorkers.add(effect.request.workerId);
         this.#links.hold(index, effect.epoch, effect.request);
         break;
       case 'start':
--- a/src/services/log/common/logEvents.ts
+++ b/src/services/log/common/logEvents.ts
@@ -51,7 +51,8 @@
   'start-unanswered':
     'A start was not answered; its run is stopped before the task starts elsewhere.',
   'worker-reborn': 'A worker has restarted as a new process; all its previous runs are over.',
-  'worker-unlisted': 'The table no longer lists a worker that the scheduler knew.',
+  'worker-unlisted':
+    'The table no longer lists a worker that the scheduler knew, or no task can run on its service any more.',
   'log-lines-left-out':
     'The rate limit dropped the given number of lines about requests in the last second.',
   'call-thrown':
