Fix the end of the daemon at a peer's line that is no JSON object

Cause: `readLines` passed on whatever JSON it parsed. `JSONRPCServer.receive` throws for an array with null, unawaited in `PeerService`; `null` alone ended the stream of lines silently, and other values left the call unanswered until its timeout.

Change: a line that is not a JSON object closes its connection, as one that is no JSON or too long already did. Daemons send each other no batches.

--- a/src/peers/node/jsonLines.ts
+++ b/src/peers/node/jsonLines.ts
@@ -6,13 +6,23 @@
 import type { Metrics } from '../../services/metrics/common/metrics.js';
 import { MAXIMUM_LINE_BYTES } from '../common/peerMessages.js';
 
-/** Calls `handle` for each line. A line that is too long or not JSON closes the connection. */
+const isObject = (value: unknown): boolean =>
+  typeof value === 'object' && value !== null && !Array.isArray(value);
+
+/**
+ * Calls `handle` for each line. A line that is too long or not a JSON object closes the connection:
+ * daemons send each other no batches, and the JSON-RPC library throws for values such as `[null]`.
+ */
 export const readLines = <Message>(
   socket: Socket,
   metrics: Metrics,
   handle: (message: Message) => void,
 ): void => {
-  const parse = (line: string): Message => JSON.parse(line) as Message;
+  const parse = (line: string): Message => {
+    const message: unknown = JSON.parse(line);
+    if (!isObject(message)) throw new TypeError('the line is not a JSON object');
+    return message as Message;
+  };
   socket.on('data', (chunk: Buffer) => metrics.count('peer_bytes_received', {}, chunk.length));
   socket
     .pipe(split(parse, { maxLength: MAXIMUM_LINE_BYTES }))
