Fix requests left without a true answer when a backend's address is no address

Callers of the product's own daemon got 500 with an unknown outcome for a request that had never been sent, and the permits it held stayed taken: an instance in the platform's list whose host cannot be part of a URL, or is an IPv6 address. Where the attempt followed another one's end, the exception was a rejection that nothing handled, which ends the process.

`BackendConnections` builds undici's `Pool` from a text of the instance list outside of any handler, and `toOrigin` wrote IPv6 addresses without brackets.

Change: an attempt to a server whose origin is no origin ends as not run, so that the request goes to another server or is refused as such; counted in `server_addresses_unusable`. `toOrigin` writes the brackets.

--- a/src/entry/node/backendConnections.ts
+++ b/src/entry/node/backendConnections.ts
@@ -24,6 +24,13 @@
   readonly connectTimeoutMs: number;
 }
 
+/** Whether the text is an origin; undici throws for any other. */
+const isCallable = (origin: string): boolean => {
+  if (!URL.canParse(origin)) return false;
+  const { pathname, search, hash } = new URL(origin);
+  return pathname === '/' && search === '' && hash === '';
+};
+
 /** The connections to one server, with the number of open ones. */
 interface ServerConnections {
   readonly pool: Pool;
@@ -65,6 +72,11 @@
   attempt(request: AttemptRequest): AttemptRun {
     const connections = this.#connections(request.server);
     const run = new AttemptRun(request.method, this.#settings.maximumBodyBytes, this.#metrics);
+    if (connections === undefined) {
+      this.#metrics.count('server_addresses_unusable');
+      run.cancel();
+      return run;
+    }
     if (connections.inFlightCount >= connections.share) {
       this.#metrics.count('invariant_connection_share_used_up');
       run.cancel();
@@ -100,9 +112,11 @@
     void connections.pool.destroy();
   }
 
-  #connections(server: BackendServer): ServerConnections {
+  /** Returns undefined if no connection can be opened to the server's origin. */
+  #connections(server: BackendServer): ServerConnections | undefined {
     const known = this.#servers.get(server.origin);
     if (known !== undefined) return known;
+    if (!isCallable(server.origin)) return undefined;
     const share = connectionShare(server, this.#settings.maximumEntryCount);
     const pool = new Pool(server.origin, {
       ...this.#clientOptions(),
--- a/src/entry/test/notRun.test.ts
+++ b/src/entry/test/notRun.test.ts
@@ -50,6 +50,21 @@
     expect([answer.statusCode, workOutcome(answer)]).toEqual([503, 'not-run']);
   });
 
+  // The address of one instance ended the process, or left its request without a true answer.
+  it.each(['http://a b:80', 'http://10.0.0.1:80/x', 'http://:80', 'http://[::1:80', ''])(
+    'is reported when the only backend server is at %j',
+    async (origin) => {
+      const entry = await startEntry([]);
+      entry.route('s', [{ ...backendServer(1), origin }]);
+      const answers = await Promise.all(
+        ['/a', '/b', '/c'].map((path) => entry.call(path, {}, 'POST', 'order')),
+      );
+      expect(answers.map((answer) => [answer.statusCode, workOutcome(answer)])).toEqual(
+        answers.map(() => [503, 'not-run']),
+      );
+    },
+  );
+
   it('is reported when the backend server says so by its header', async () => {
     const [backend, port] = await startBackend(refuse);
     const entry = await startEntry([port]);
--- a/src/services/instanceList/common/instanceList.ts
+++ b/src/services/instanceList/common/instanceList.ts
@@ -69,6 +69,8 @@
 export const isWorker = (instance: Instance): instance is WorkerInstance =>
   instance.kind === 'worker';
 
-/** Formats the address as an HTTP origin. */
-export const toOrigin = (address: InstanceAddress): string =>
-  `http://${address.host}:${address.port}`;
+/** Formats the address as an HTTP origin, in which the colons of an IPv6 address need brackets. */
+export const toOrigin = ({ host, port }: InstanceAddress): string =>
+  host.includes(':') && !host.startsWith('[')
+    ? `http://[${host}]:${port}`
+    : `http://${host}:${port}`;
--- a/src/services/metrics/common/metricList.ts
+++ b/src/services/metrics/common/metricList.ts
@@ -35,6 +35,9 @@
   second_attempts_won: counter('Second attempts that were answered first, by reason.'),
   connections_overtaken: counter('Connections closed without a byte: the second attempt won.'),
   servers_set_aside: counter('Times a backend server was set aside because it failed.'),
+  server_addresses_unusable: counter(
+    'Attempts not made because the address of the backend server is not one.',
+  ),
   servers_said_leaving: counter('Answers in which a backend server said that it is leaving.'),
   answers_cut: counter('Answers that began and did not come whole.'),
   answers_too_large: counter('Answers larger than entry.maximumBodyBytes.'),
