Fix the end of the daemon when one call of a cell's scheduler throws

Cause: `CellTask` performs its effects without awaiting them. Had the exception only been swallowed, the cell would have waited for that answer for good.

Change: its calls go through `CallGuard`, as those of the fleet's scheduler do: the state machine gets a failure with an unknown outcome, and the exception is logged and counted.

--- a/src/scheduler/node/cellTask.ts
+++ b/src/scheduler/node/cellTask.ts
@@ -3,6 +3,7 @@
 import { type Disposable, DisposableStore } from '../../base/common/lifecycle.js';
 import { PeriodicTimer } from '../../base/node/periodicTimer.js';
 import type { ConfigurationService } from '../../services/configuration/common/configurationService.js';
+import { CallGuard } from '../../services/errors/common/callGuard.js';
 import type { InstanceDirectory } from '../../services/instanceList/common/instanceDirectory.js';
 import { isWorker, toOrigin } from '../../services/instanceList/common/instanceList.js';
 import type { Log } from '../../services/log/common/log.js';
@@ -46,6 +47,8 @@
 
   readonly #clients: WorkerClients;
 
+  readonly #guard: CallGuard;
+
   #state: CellState;
 
   constructor(services: CellTaskServices, options: CellTaskOptions, policy: PlacementPolicy) {
@@ -53,6 +56,7 @@
     this.#options = options;
     this.#policy = policy;
     this.#clients = new WorkerClients(options.workerTimeoutMs, services.tracing);
+    this.#guard = new CallGuard(services);
     const nowMs = services.clock.nowMs();
     this.#state = initialCellState(options.cell, options.selfId, options.timing, nowMs);
     this.#disposables.add(services.directory.onDidChange(() => this.#handleInstances()));
@@ -103,16 +107,23 @@
 
   async #perform(effect: CellEffect): Promise<void> {
     const { table, clock } = this.#services;
+    const guard = this.#guard;
     const call = toCellCall(effect, clock.nowMs());
     switch (call?.kind) {
       case 'read':
-        this.#handle(call.toEvent(await table.read(call.request)()));
+        this.#handle(call.toEvent(await guard.run('read', () => table.read(call.request)())));
         break;
       case 'transact':
-        this.#handle(call.toEvent(await table.transact(call.transaction)()));
+        this.#handle(
+          call.toEvent(await guard.run('transact', () => table.transact(call.transaction)())),
+        );
         break;
       case 'command':
-        this.#handle(call.toEvent(await this.#client(call.workerId).command(call.command)()));
+        this.#handle(
+          call.toEvent(
+            await guard.run('command', () => this.#client(call.workerId).command(call.command)()),
+          ),
+        );
         break;
       default:
         this.#record(effect);
