--- a/src/intake/node/submissionIntake.ts
+++ b/src/intake/node/submissionIntake.ts
@@ -153,7 +153,8 @@
     if (!counts.success || counts.data.epoch !== liveEpoch()) {
       return left(failure(ErrorKind.StoreUnavailable, 'nobody has counted lately'));
     }
-    return right(counts.data.byQueue[queueName] ?? 0);
+    const { byQueue } = counts.data;
+    return right(Object.hasOwn(byQueue, queueName) ? (byQueue[queueName] ?? 0) : 0);
   }
 
   #recordCallResult(result: Either<Failure, unknown>): void {
--- a/src/scheduler/common/fleet/submissionRegistry.ts
+++ b/src/scheduler/common/fleet/submissionRegistry.ts
@@ -274,13 +274,13 @@
 
   /** Counts the submissions that wait for their first start, by queue. */
   waitingCounts(): Readonly<Record<string, number>> {
-    const counts: Record<string, number> = {};
+    const counts = new Map<string, number>();
     this.#records.forEach((record) => {
       if (record.hasStarted || !isOpen(record)) return;
       const { queueName } = record.submission;
-      counts[queueName] = (counts[queueName] ?? 0) + 1;
+      counts.set(queueName, (counts.get(queueName) ?? 0) + 1);
     });
-    return counts;
+    return Object.fromEntries(counts);
   }
 
   /** The services that open submissions were accepted for. */
--- a/src/scheduler/common/fleet/taskRecords.ts
+++ b/src/scheduler/common/fleet/taskRecords.ts
@@ -313,9 +313,11 @@
 
 /** Returns the assignments in their stored form. */
 export const toAssignments = (record: SubmissionRecord): Assignments => {
-  const assignments: Record<string, number[]> = {};
+  const assignments = new Map<string, number[]>();
   const add = (workerId: string, { position }: TaskRecord, run: number): void => {
-    assignments[workerId] = [...(assignments[workerId] ?? []), position, run];
+    const known = assignments.get(workerId);
+    if (known === undefined) assignments.set(workerId, [position, run]);
+    else known.push(position, run);
   };
   record.occurrences.forEach(({ tasks }) =>
     tasks.flat().forEach((task) => {
@@ -323,7 +325,7 @@
       if (isInterrupted(task)) add(NO_WORKER_ID, task, task.lastRun);
     }),
   );
-  return assignments;
+  return Object.fromEntries(assignments);
 };
 
 /** Counts the failed runs of a task, or of its whole gang if it belongs to one. */
