Add entries of other writers to the soak of the platform's daemon

Beside the other faults, series of up to sixty entries now come and go: documents with any fields of any type and any text, bytes that are no JSON, and valid entries of a service that nothing uses, at an address that answers and must not be called. They are drawn by the generators of the decoder's tests from a seed of their own, so the plans of the known seeds stay the same.

--- a/soak/test/platform/platformRun.ts
+++ b/soak/test/platform/platformRun.ts
@@ -11,6 +11,7 @@
 import { drawPlan, type Scenario } from './faultPlan.js';
 import { FaultWindows } from './faultWindows.js';
 import { FleetWorker } from './fleetWorker.js';
+import { ForeignEntries } from './foreignEntries.js';
 import { PlatformJudge } from './platformJudge.js';
 import { SoakClients } from './soakClients.js';
 import { SoakFaults } from './soakFaults.js';
@@ -27,8 +28,9 @@
 /** A worker's clock may run up to two per cent slow. */
 const CLOCK_RATE_SPREAD = 0.02;
 
-/** Keeps the draws of the configuration apart from those of the faults. */
+/** Keep the draws of the configuration and of other writers apart from those of the faults. */
 const CONFIGURATION_SEED_OFFSET = 2;
+const FOREIGN_ENTRIES_SEED_OFFSET = 3;
 
 const zoneAt = (index: number): Zone => ZONES[index % ZONES.length] ?? 'zone-a';
 
@@ -74,6 +76,8 @@
 
   readonly #configurationChanges: ConfigurationChanges;
 
+  readonly #foreignEntries: ForeignEntries;
+
   #log = createWriteStream('/dev/null');
 
   #loggedFindings = 0;
@@ -94,6 +98,12 @@
       log: this.#writeLog,
       addFinding: (text) => this.#noteUnexpected(text),
     });
+    this.#foreignEntries = new ForeignEntries({
+      random: new SeededRandom(options.seed + FOREIGN_ENTRIES_SEED_OFFSET),
+      store: this.#store,
+      log: this.#writeLog,
+      addFinding: (text) => this.#noteUnexpected(text),
+    });
   }
 
   async run(): Promise<PlatformRunResult> {
@@ -118,7 +128,8 @@
     const unanswered = this.#clients?.unansweredCount ?? 0;
     const longestWaitMs = Math.round(persistentTasks.longestWaitMs);
     const figures = { ...counts, unanswered, longestWaitMs, faults: plan.length };
-    return { findings, figures: { ...figures, ...this.#configurationChanges.counts } };
+    const series = { ...this.#configurationChanges.counts, ...this.#foreignEntries.counts };
+    return { findings, figures: { ...figures, ...series } };
   }
 
   #nowMs(): number {
@@ -178,6 +189,7 @@
     const reading = clients.readUntilStopped();
     const changing = this.#configurationChanges.changeUntilStopped();
     const counting = this.#configurationChanges.askUntilStopped();
+    const writing = this.#foreignEntries.writeUntilStopped();
     const storeFaults = new StoreFaults(this.#random);
     this.#store.treat = (host) => storeFaults.treat(host);
     const faults = new SoakFaults({
@@ -201,7 +213,8 @@
     await delay(AFTER_FAULTS_MS);
     clients.stopSubmitting();
     this.#configurationChanges.stop();
-    await Promise.all([submitting, changing, counting]);
+    this.#foreignEntries.stop();
+    await Promise.all([submitting, changing, counting, writing]);
     await this.#settle(clients);
     clients.stopReading();
     await reading;
@@ -241,6 +254,7 @@
     await Promise.all(this.#instances.map((instance) => instance.close()));
     await Promise.all(this.#workers.map((worker) => worker.close()));
     await this.#store.close();
+    this.#foreignEntries.close();
     this.#log.end();
   }
 }
