Log requests whose handling throws

Change: `request-thrown` gives method, message and stack, within the rate limit of lines about requests.

--- a/src/services/log/common/logEvents.ts
+++ b/src/services/log/common/logEvents.ts
@@ -57,6 +57,8 @@
     'The rate limit dropped the given number of lines about requests in the last second.',
   'call-thrown':
     'A call to the store or to a worker threw instead of returning a failure, and counts as failed. This is a fault of the program; the line gives the stack.',
+  'request-thrown':
+    'The handling of a request threw, and its caller got an error of unknown outcome. This is a fault of the program; the line gives the stack.',
   'process-failed':
     'An exception that nothing handles ends the process. This is a fault of the program; the line gives the stack.',
   'row-unreadable':
@@ -78,6 +80,7 @@
 export const DECISION_EVENTS: ReadonlySet<LogEvent> = new Set([
   'count-answered',
   'queue-not-found',
+  'request-thrown',
   'configuration-unconfirmed',
   'submission-accepted',
   'submission-refused',
--- a/src/services/log/test/logEvents.test.ts
+++ b/src/services/log/test/logEvents.test.ts
@@ -41,6 +41,7 @@
 /** Events that each log one decision on a request, with the request's id and the outcome. */
 const DECISIONS: Readonly<Record<string, string>> = {
   'count-answered': 'a count answered; one line an answer',
+  'request-thrown': 'answered as an internal error, because its handling threw',
   'queue-not-found': 'refused, by the version and age that the line gives',
   'configuration-unconfirmed': 'refused, because the configuration may have changed',
   'submission-accepted': 'stored, acknowledged',
