Fix settings with a store address to which no connection can be opened

An instance whose settings name such a store (`10.200.1.7:70000`) ended with a stack trace in place of a line that names the setting, and exit code 1 in place of 2, so that it looked like a fault of the program.

Cause: the pattern of the address that the decoder of worker entries had, used once more; undici throws for such a text when the store's client is built.

Change: the settings read addresses with `parseSocketAddress`. Addresses to listen at may still leave the port to the system.

Measured: three new cases failed before (the settings were accepted), all pass.

--- a/src/daemon/common/fleetSettings.ts
+++ b/src/daemon/common/fleetSettings.ts
@@ -1,16 +1,18 @@
 /** Settings of a daemon on the platform, read from JSON. */
 import { z } from 'zod';
 
-const PORT_LIMIT = 65_535;
+import {
+  isConnectable,
+  parseSocketAddress,
+  type SocketAddress,
+} from '../../base/common/socketAddress.js';
 
-const addressSchema = z
-  .string()
-  .regex(/^[\d.]+:\d+$/u, 'an address is IP:PORT')
-  .transform((text) => {
-    const [host = '', port = ''] = text.split(':');
-    return { host, port: Number(port) };
-  })
-  .refine(({ port }) => port <= PORT_LIMIT, 'a port is at most 65535');
+const addressSchema = z.string().transform((text, context): SocketAddress => {
+  const address = parseSocketAddress(text);
+  if (address !== undefined) return address;
+  context.addIssue({ code: 'custom', message: 'an address is IP:PORT' });
+  return z.NEVER;
+});
 
 const durationMs = z.number().positive();
 
@@ -23,7 +25,7 @@
     metrics: addressSchema,
   }),
   /** IP:PORT of the platform's store. */
-  storeAddress: z.string().regex(/^[\d.]+:\d+$/u),
+  storeAddress: z.string().refine(isConnectable, 'an address is IP:PORT'),
   /** The longest lease that workers grant. */
   maximumLeaseMs: durationMs,
   /** The interval at which a worker writes its entry to the store. */
--- a/src/daemon/test/fleetSettings.test.ts
+++ b/src/daemon/test/fleetSettings.test.ts
@@ -27,6 +27,9 @@
 
   it.each([
     ['a host name in place of an IP address', { storeAddress: 'store.example:80' }, 'storeAddress'],
+    ['a store whose port is too high', { storeAddress: '10.200.1.7:70000' }, 'storeAddress'],
+    ['a store at no port', { storeAddress: '10.200.1.7:0' }, 'storeAddress'],
+    ['a store at five numbers', { storeAddress: '10.200.1.7.9:8169' }, 'storeAddress'],
     [
       'a port above 65535',
       { listen: { ...SETTINGS.listen, callers: '1.2.3.4:99999' } },
