--- a/src/scheduler/common/fleet/fleetState.ts
+++ b/src/scheduler/common/fleet/fleetState.ts
@@ -101,7 +101,8 @@
 /**
  * The listed workers on which tasks run or may be started: those of services that the configuration
  * names or that open submissions were accepted for. Any other entry may come from another writer.
- * The owner treats it as unlisted, so it calls such a worker only for leases of former owners.
+ * The owner treats it as unlisted: it calls such a worker only if a former owner may have granted it
+ * leases, and only until it has answered.
  */
 const entriesInUse = (state: FleetState): readonly FleetWorkerEntry[] => {
   const { appliedConfiguration, registry, views, workerEntries } = state;
