--- a/review/harness-2/store.mjs
+++ b/review/harness-2/store.mjs
@@ -11,7 +11,8 @@
 const MAXIMUM_ENTRIES = 100;
 const MAXIMUM_KEY_BYTES = 200;
 const PAGE_ROWS = 500;
-const ANSWER_MS = 4;
+/** What the store takes for an answer, by the users' pages. */
+export const ANSWER_MS = 4;
 
 const nameOf = ({ Table, part = '', Key }) => `${Table}\n${part}\n${Key}`;
 
@@ -37,6 +38,8 @@
 
   writeCount = 0;
 
+  answerMs = ANSWER_MS;
+
   async listen() {
     await new Promise((resolve) => {
       this.#server.listen(0, '127.0.0.1', resolve);
@@ -96,7 +99,7 @@
     const body = await readBody(request);
     const url = new URL(request.url, 'http://store');
     await new Promise((resolve) => {
-      setTimeout(resolve, ANSWER_MS);
+      setTimeout(resolve, this.answerMs);
     });
     const send = (status, document) => {
       response.writeHead(status, { 'content-type': 'application/json' });
--- a/review/harness-2/worker.mjs
+++ b/review/harness-2/worker.mjs
@@ -37,6 +37,8 @@
 
   #timer;
 
+  #port = 0;
+
   #reportCount = 0;
 
   state = 'ready';
@@ -69,6 +71,7 @@
     await new Promise((resolve) => {
       this.#server.listen(0, '127.0.0.1', resolve);
     });
+    this.#port = this.#server.address().port;
     this.report();
     this.#timer = setInterval(() => this.report(), HEARTBEAT_MS);
   }
@@ -80,13 +83,43 @@
     this.#server.close();
   }
 
+  /** Ends the process and all that runs on it, without notice. It is unreachable until `restart`. */
+  crash() {
+    this.isUp = false;
+    this.runs.forEach(({ run }, task) =>
+      this.#options.note('end', { worker: this.id, task, run, how: 'crashed' }),
+    );
+    this.runs.clear();
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  /** Starts the process again under its id; it knows nothing of before. */
+  restart() {
+    this.#finished = [];
+    this.#refusedUpTo.clear();
+    this.#sequence = 0;
+    this.#fence = 0;
+    this.#leaseEndMs = 0;
+    this.#bootedAtMs = performance.now();
+    this.born = Date.now();
+    return new Promise((resolve) => {
+      this.#server.listen(this.#port, '127.0.0.1', () => {
+        this.isUp = true;
+        this.report();
+        resolve();
+      });
+    });
+  }
+
   /** Writes the worker's entry into the store. */
   report() {
+    if (!this.isUp) return;
     const { id, zone, rack, kind, service, capacity, store } = this.#options;
     this.#reportCount += 1;
     store.put('servers', id, {
       Service: service,
-      Address: `127.0.0.1:${this.#server.address().port}`,
+      Address: `127.0.0.1:${this.#port}`,
       Zone: zone,
       Version: 'v1',
       Slots: 8,
@@ -207,6 +240,7 @@
 
   /** Ends the runs that are due, and all runs once the lease has expired. */
   advance() {
+    if (!this.isUp) return;
     const nowMs = performance.now();
     const isLapsed = this.#leaseEndMs <= this.clockMs;
     this.runs.forEach((run, task) => {
--- a/review/harness-2/world.mjs
+++ b/review/harness-2/world.mjs
@@ -86,7 +86,7 @@
 
   /** Records an event; `isQuiet` events are kept for the check but not written. */
   note = (event, fields = {}, isQuiet = false) => {
-    const entry = { atMs: this.nowMs, event, ...fields };
+    const entry = { event, atMs: this.nowMs, ...fields };
     this.events.push(entry);
     if (!isQuiet) this.#record.write(`${JSON.stringify(entry)}\n`);
   };
@@ -274,6 +274,8 @@
     const spans = new Map(ids.map((id) => [id, { sinceMs: fromMs, longestMs: 0 }]));
     let peakShare = 0;
     while (this.nowMs < fromMs + forMs) {
+      // Workers that nobody calls end their runs as well, when their leases expire.
+      this.workers.forEach((worker) => worker.advance());
       const running = this.workers.flatMap(({ runs }) => [...runs]);
       const atWork = new Set(running.map(([task]) => task.split('.')[0]));
       const { nowMs } = this;
