Log what a worker's former and new process may have mixed up

'worker-reborn' gave the new incarnation only. The line now has the former incarnation, the last acknowledged end, the number of runs and ends that the new process lists, and the runs whose starts either process may have received.

--- a/src/scheduler/common/fleet/decisionLog.ts
+++ b/src/scheduler/common/fleet/decisionLog.ts
@@ -1,5 +1,5 @@
 /** Collects what the scheduler decides and observes as records for the log. */
-import type { FinishedRun } from '../../../services/fleet/common/fleetWorker.js';
+import type { FinishedRun, HoldAnswer } from '../../../services/fleet/common/fleetWorker.js';
 import type { LogFields } from '../../../services/log/common/log.js';
 import type { LogEvent } from '../../../services/log/common/logEvents.js';
 import type { FleetWorkerView } from './fleetWorkerView.js';
@@ -117,6 +117,20 @@
     });
   }
 
+  /** Records that a process which the owner does not know has answered for the worker. */
+  addNewProcess(view: FleetWorkerView, { incarnation, running, finished }: HoldAnswer): void {
+    this.add('worker-reborn', {
+      workerId: view.id,
+      incarnation,
+      formerIncarnation: view.incarnation,
+      // Ends of the new process up to this number may be lost; zero if none was acknowledged.
+      acknowledgedSequence: view.acknowledgingSequence,
+      listed: running.length + finished.length,
+      // Runs whose starts either process may have received.
+      runs: describeRuns([...view.runs.values()]),
+    });
+  }
+
   /** Records that the table no longer lists the worker. */
   addUnlisted({ id, runs, staysUntilMs }: FleetWorkerView, nowMs: number): void {
     this.add('worker-unlisted', {
--- a/src/scheduler/common/fleet/runTracker.ts
+++ b/src/scheduler/common/fleet/runTracker.ts
@@ -106,10 +106,7 @@
   ): readonly RunningTask[] {
     if (!view.hasAnswered) view.incarnation = answer.incarnation;
     if (answer.incarnation !== view.incarnation) {
-      this.#decisionLog.add('worker-reborn', {
-        workerId: view.id,
-        incarnation: answer.incarnation,
-      });
+      this.#decisionLog.addNewProcess(view, answer);
       view.noteIncarnation(answer.incarnation, nowMs);
     }
     // Until the new process has seen the raised fence, it may still execute a start to the old one.
