Fix the waiting time of gang members that found room for a moment

A round places the members of a gang one by one and takes all of them back if one finds no room. Those taken back counted as waiting since that round, so that whatever depends on how long a task has waited never came due for them, and the log gave 30 ms for a gang that had waited five seconds. The waiting time is kept now. gangWaits.test.ts fails before (30 ms) and passes.

--- a/src/scheduler/common/fleet/fleetRound.ts
+++ b/src/scheduler/common/fleet/fleetRound.ts
@@ -227,8 +227,11 @@
   }
 
   #unassign(run: TaskRun): void {
-    this.#input.views.get(run.workerId)?.removeRun(run);
+    const { task, workerId } = run;
+    const { waitingSinceMs } = task;
+    this.#input.views.get(workerId)?.removeRun(run);
     this.#input.registry.removeRun(run, this.#nowMs);
+    task.waitingSinceMs = waitingSinceMs;
     this.placed.splice(this.placed.indexOf(run), 1);
   }
 }
