Fix retries and gangs that wait for tripped workers for good

Cause: a worker on which the jobs of two submissions have failed gets probes only, and neither a retry nor a gang was ever a probe. Where all workers that such a task may use are tripped, by its label, its gang or since all others are full, nothing started until the streak of failures was a minute old.

A retry that has found no other worker for eight seconds is a probe now, a gang's first attempt after two. They rank behind all other workers, the members of a gang are one probe, and probes of a worker come one at a time as before.

The faulty workers of faultyWorkers.test.ts are a module now, unchanged.

--- a/src/scheduler/common/fleet/faultAvoidance.ts
+++ b/src/scheduler/common/fleet/faultAvoidance.ts
@@ -1,12 +1,18 @@
 /** Keeps tasks away from workers that fail the tasks they start. */
 import type { WorkerHealth } from '../workerHealth.js';
 import type { FleetWorkerView } from './fleetWorkerView.js';
-import { failureCount, type TaskRecord } from './taskRecords.js';
+import { failureCount, isSameStep, type TaskRecord } from './taskRecords.js';
 
 /** How long a retry waits for room on a healthy worker before it accepts a failing one. */
 const RETRY_WAIT_MS = 1_500;
 /** How long a persistent task waits before it accepts a worker that is limited to probes. */
 const PERSISTENT_WAIT_MS = 1_500;
+/**
+ * How long a gang waits for any other worker before it accepts one that is limited to probes, and
+ * how long a retry does, whose next failure may be the last one that its submission is allowed.
+ */
+const GANG_PROBE_WAIT_MS = 2_000;
+const RETRY_PROBE_WAIT_MS = 8_000;
 /**
  * If more than one worker and more than this share of the workers are tripped, the cause of the
  * failures is likely not in the workers.
@@ -18,10 +24,17 @@
 /** Whether the task has failed before, so another failure may fail its submission. */
 const isRetry = (task: TaskRecord): boolean => !task.step.isPersistent && failureCount(task) > 0;
 
-const lastStartMs = (view: FleetWorkerView): number => {
+const probeWaitMs = (task: TaskRecord): number => {
+  if (isRetry(task)) return RETRY_PROBE_WAIT_MS;
+  return task.step.isGang ? GANG_PROBE_WAIT_MS : 0;
+};
+
+/** The latest start on the worker. All members of the task's gang are one probe. */
+const lastStartMs = (view: FleetWorkerView, task: TaskRecord): number => {
   let lastMs = Number.NEGATIVE_INFINITY;
-  view.runs.forEach(({ startedAtMs }) => {
-    lastMs = Math.max(lastMs, startedAtMs);
+  view.runs.forEach((run) => {
+    if (task.step.isGang && isSameStep(run.task, task)) return;
+    lastMs = Math.max(lastMs, run.startedAtMs);
   });
   return lastMs;
 };
@@ -46,9 +59,9 @@
 const FIRST_ATTEMPT_RANK = { Normal: 0, FailedBefore: 1, Probe: 2 } as const;
 /**
  * Ranks for retries: a healthy worker on which the submission has not failed, a healthy worker on
- * which it has, and a failing worker.
+ * which it has, a failing worker, and a tripped worker that is due for a probe.
  */
-const RETRY_RANK = { Healthy: 0, FailedBefore: 1, Failing: 2 } as const;
+const RETRY_RANK = { Healthy: 0, FailedBefore: 1, Failing: 2, Probe: 3 } as const;
 
 class CircuitBreakerRanking implements FaultRanking {
   readonly #health: WorkerHealth;
@@ -80,7 +93,8 @@
   rankOf(task: TaskRecord, view: FleetWorkerView): number | undefined {
     const isProbeOnly = this.#limitsToProbes && this.#tripped.has(view);
     if (isRetry(task) || task.step.isGang) {
-      return isProbeOnly ? undefined : this.#retryRank(task, view);
+      if (!isProbeOnly) return this.#retryRank(task, view);
+      return this.#mayProbe(task, view) ? RETRY_RANK.Probe : undefined;
     }
     if (isProbeOnly) return this.#mayProbe(task, view) ? FIRST_ATTEMPT_RANK.Probe : undefined;
     return this.#failing.has(view) && this.#hasFailedOn(task, view)
@@ -99,7 +113,8 @@
   #mayProbe(task: TaskRecord, view: FleetWorkerView): boolean {
     const waitedMs = this.#nowMs - task.waitingSinceMs;
     if (task.step.isPersistent && waitedMs >= PERSISTENT_WAIT_MS) return true;
-    return this.#health.isProbeDue(view.id, lastStartMs(view), this.#nowMs);
+    if (waitedMs < probeWaitMs(task)) return false;
+    return this.#health.isProbeDue(view.id, lastStartMs(view, task), this.#nowMs);
   }
 
   #hasFailedOn(task: TaskRecord, view: FleetWorkerView): boolean {
@@ -112,7 +127,9 @@
  * full fleet would give them every waiting task. Once jobs of two submissions have failed on such a
  * worker, it gets one first attempt at a time, with growing delays in between. A retry prefers a
  * healthy worker and waits briefly for room there, because a failure on a second faulty worker
- * would use up the task's last attempt.
+ * would use up the task's last attempt. A gang prefers one too, because each member that fails ends
+ * the attempt of all. Neither waits for good: all workers that it may use can be tripped, and the
+ * workers are known to be sound again only after something has started there.
  */
 export class CircuitBreakerAvoidance implements FaultAvoidance {
   newRanking(views: Views, health: WorkerHealth, nowMs: number): FaultRanking {
--- a/src/scheduler/common/fleet/fleetPlacement.ts
+++ b/src/scheduler/common/fleet/fleetPlacement.ts
@@ -7,7 +7,7 @@
 import type { InterferenceControl } from './interferenceControl.js';
 import { isServing } from './headroom.js';
 import { PlacementObstacle } from './placementObstacle.js';
-import type { SubmissionRecord, TaskRecord } from './taskRecords.js';
+import { isSameStep, type SubmissionRecord, type TaskRecord } from './taskRecords.js';
 
 /**
  * The share of its requested processors that a serving task is assumed to use. This is a prior:
@@ -86,11 +86,6 @@
   return occupancy;
 };
 
-const isSameStep = (one: TaskRecord, other: TaskRecord): boolean =>
-  one.submission === other.submission &&
-  one.stepIndex === other.stepIndex &&
-  one.occurrence === other.occurrence;
-
 /** The number of the step's tasks that run on the worker or have room reserved there. */
 const sameStepCount = (view: FleetWorkerView, task: TaskRecord): number => {
   let count = 0;
--- a/src/scheduler/common/fleet/taskRecords.ts
+++ b/src/scheduler/common/fleet/taskRecords.ts
@@ -132,6 +132,12 @@
 export const stepName = ({ submission, occurrence, stepIndex }: TaskRecord): string =>
   `${submission.submission.id}.${occurrence}.${stepIndex}`;
 
+/** Whether both are tasks of one step in one occurrence of a submission. */
+export const isSameStep = (one: TaskRecord, other: TaskRecord): boolean =>
+  one.submission === other.submission &&
+  one.stepIndex === other.stepIndex &&
+  one.occurrence === other.occurrence;
+
 export interface TaskAddress {
   readonly id: string;
   readonly occurrence: number;
--- a/src/scheduler/test/fleet/faultyWorkers.test.ts
+++ b/src/scheduler/test/fleet/faultyWorkers.test.ts
@@ -2,53 +2,35 @@
 
 import { RunEnd } from '../../../services/fleet/common/fleetWorker.js';
 import { WorkerHealth } from '../../common/workerHealth.js';
+import { FaultyWorkers } from './faultyWorkers.js';
 import { STEP, submissionOf, WORKER_CAPACITY } from './fleetFixtures.js';
 import { FleetWorld } from './fleetWorld.js';
 
-const TICK_MS = 10;
-/** A faulty worker fails each run after this time. */
-const FAILS_AFTER_MS = 100;
 const WORK_MS = 800;
 
-interface FailedRun {
-  readonly taskName: string;
-  readonly workerId: string;
-}
-
 /** A world in which some workers fail every run that starts on them. */
 class FaultyWorld {
   readonly world: FleetWorld;
 
-  readonly faultyIds = new Set<string>();
-
-  /** Runs that started on a faulty worker. */
-  readonly failed: FailedRun[] = [];
-
-  readonly #handledRuns = new Set<string>();
+  readonly #faulty: FaultyWorkers;
 
   constructor(workerCount: number, task = { workMs: WORK_MS, end: RunEnd.Done as RunEnd }) {
     this.world = new FleetWorld(1, () => task);
+    this.#faulty = new FaultyWorkers(this.world);
     for (let index = 0; index < workerCount; index += 1) this.world.addWorker(`worker-${index}`);
     this.world.addScheduler();
   }
 
-  async runFor(durationMs: number): Promise<void> {
-    const untilMs = this.world.nowMs + durationMs;
-    while (this.world.nowMs < untilMs) {
-      // eslint-disable-next-line no-await-in-loop -- virtual time advances step by step
-      await this.world.runFor(TICK_MS);
-      this.faultyIds.forEach((id) => this.#failNew(id));
-    }
+  get faultyIds(): Set<string> {
+    return this.#faulty.ids;
   }
 
-  #failNew(workerId: string): void {
-    this.world.workers.get(workerId)?.runs.forEach((run) => {
-      const key = `${run.taskName}#${run.run}`;
-      if (this.#handledRuns.has(key) || run.startedAtMs < this.world.nowMs - TICK_MS) return;
-      this.#handledRuns.add(key);
-      this.failed.push({ taskName: run.taskName, workerId });
-      Object.assign(run, { end: RunEnd.Failed, endsAtMs: run.startedAtMs + FAILS_AFTER_MS });
-    });
+  get failed(): FaultyWorkers['failed'] {
+    return this.#faulty.failed;
+  }
+
+  runFor(durationMs: number): Promise<void> {
+    return this.#faulty.runFor(durationMs);
   }
 }
 
--- a/src/scheduler/test/fleet/fleetWorld.ts
+++ b/src/scheduler/test/fleet/fleetWorld.ts
@@ -65,6 +65,9 @@
   /** The capacity that a worker lists, if it differs from `WORKER_CAPACITY`. */
   readonly capacities = new Map<string, Resources>();
 
+  /** The labels that a worker lists; none by default. */
+  readonly labels = new Map<string, readonly string[]>();
+
   /** Entries in the table of workers that are not written by workers. */
   readonly foreignEntries: FleetWorkerEntry[] = [];
 
@@ -255,6 +258,7 @@
     const listed = [...this.listedWorkers].map((id) => ({
       ...entryOf(id, this.drainingWorkers.has(id), this.workers.get(id)?.incarnation ?? 0),
       capacity: this.capacities.get(id) ?? WORKER_CAPACITY,
+      labels: this.labels.get(id) ?? [],
       ...this.#remainingOf(id),
     }));
     return [...this.foreignEntries, ...listed];
