Fix tasks that start beyond their attempts while their queue is missing

Cause: the limit was looked up in the configuration in force, and a queue that is not there counted as no limit, while placement went on with the service of the acceptance. Priority and objective were lost in the same way.

A submission is now stored with the terms of its queue. queueTermsOf gives the terms in force, or else the stored ones, to all that need them. The limit is also enforced when a configuration comes into force and when an owner takes over, for waiting tasks whose last end was counted by another one.

Rows of older builds have no terms: while their queue is missing they have one attempt.

--- a/src/scheduler/common/fleet/decisionLog.ts
+++ b/src/scheduler/common/fleet/decisionLog.ts
@@ -91,6 +91,11 @@
     });
   }
 
+  /** Records that the submission has ended with the end of the task, or for want of attempts. */
+  addSubmissionEnd({ name: taskName, submission: { submission, state } }: TaskRecord): void {
+    this.add('submission-ended', { id: submission.id, state, taskName });
+  }
+
   addStops(runs: readonly TaskRun[], reason: StopReason): void {
     if (runs.length > 0) this.add('runs-stopped', { reason, runs: describeRuns(runs) });
   }
--- a/src/scheduler/common/fleet/fleetOrder.ts
+++ b/src/scheduler/common/fleet/fleetOrder.ts
@@ -1,9 +1,7 @@
 /** Determines the order in which waiting tasks are placed. */
-import {
-  findQueueByName,
-  type FleetConfiguration,
-} from '../../../services/fleet/common/fleetConfiguration.js';
+import type { FleetConfiguration } from '../../../services/fleet/common/fleetConfiguration.js';
 import type { Step, Submission } from '../../../services/submissions/common/submission.js';
+import { queueTermsOf } from './queueTerms.js';
 import {
   countInSizeBalance,
   isInterrupted,
@@ -53,8 +51,8 @@
   submission: Submission,
   configuration: FleetConfiguration,
 ): number => {
-  const queue = findQueueByName(configuration, submission.queueName);
-  return (queue?.objectiveStretch ?? 1) * chainEstimateMs(submission) + (queue?.objectiveMs ?? 0);
+  const { objectiveStretch, objectiveMs } = queueTermsOf(submission, configuration);
+  return objectiveStretch * chainEstimateMs(submission) + objectiveMs;
 };
 
 /** How useful the result of a task that starts now is to its caller. */
@@ -118,12 +116,12 @@
 
 const toRank = (task: TaskRecord, configuration: FleetConfiguration, nowMs: number): Rank => {
   const { submission } = task.submission;
-  const queue = findQueueByName(configuration, submission.queueName);
+  const { priority } = queueTermsOf(submission, configuration);
   const chainMs = chainEstimateMs(submission);
   const objectiveMs = objectiveMsOf(submission, configuration);
   return {
     usefulness: usefulnessOf(task, objectiveMs, nowMs),
-    priority: queue?.priority ?? 0,
+    priority,
     taskClass: taskClassOf(task),
     isHeldUp: nowMs - task.waitingSinceMs >= heldUpAfterMs(chainMs, objectiveMs),
     isReserved: task.submission.isReserved,
--- a/src/scheduler/common/fleet/fleetState.ts
+++ b/src/scheduler/common/fleet/fleetState.ts
@@ -202,6 +202,7 @@
   registry.checkpoints.inherit(stored.checkpoints);
   applyChanges(state, stored.changes, stored, nowMs);
   entriesInUse(state).forEach((entry) => updateListedWorker(state, entry, nowMs));
+  runTracker.failOutOfAttempts(nowMs);
   return state;
 };
 
@@ -234,7 +235,10 @@
   applyWorkers(state, timing, nowMs);
 };
 
-/** Applies a new configuration to the list of workers, which may have workers of its services. */
+/**
+ * Applies a new configuration to the list of workers, which may have workers of its services, and to
+ * the tasks that wait for another attempt.
+ */
 export const followConfiguration = (
   state: FleetState,
   configuration: FleetConfiguration | undefined,
@@ -244,6 +248,7 @@
   if (state.appliedConfiguration === configuration) return;
   state.appliedConfiguration = configuration;
   applyWorkers(state, timing, nowMs);
+  state.runTracker.failOutOfAttempts(nowMs);
 };
 
 /** The input of a placement round. */
--- a/src/scheduler/common/fleet/runTracker.ts
+++ b/src/scheduler/common/fleet/runTracker.ts
@@ -2,10 +2,7 @@
 import { type Either, isLeft } from 'fp-ts/lib/Either.js';
 
 import { type Failure, WorkOutcome } from '../../../services/errors/common/errorKinds.js';
-import {
-  findQueueByName,
-  type OperatorState,
-} from '../../../services/fleet/common/fleetConfiguration.js';
+import type { OperatorState } from '../../../services/fleet/common/fleetConfiguration.js';
 import {
   type FinishedRun,
   type HoldAnswer,
@@ -17,6 +14,7 @@
 import type { WorkerHealth } from '../workerHealth.js';
 import { type DecisionLog, StopReason } from './decisionLog.js';
 import { runKey, type FleetWorkerView } from './fleetWorkerView.js';
+import { queueTermsOf } from './queueTerms.js';
 import { EvidenceKind, isRunOver, type RunEvidence, type WorkerEvidence } from './runEvidence.js';
 import type { InheritedTask, SubmissionRegistry } from './submissionRegistry.js';
 import { failureCount, isOpen, RunState, type TaskRecord, type TaskRun } from './taskRecords.js';
@@ -232,10 +230,7 @@
     );
     this.#failIfOutOfAttempts(task, nowMs);
     if (run !== undefined) this.#drop(view, run, { kind: EvidenceKind.EndListed }, nowMs);
-    if (wasOpen && !isOpen(task.submission)) {
-      const { submission, state } = task.submission;
-      this.#decisionLog.add('submission-ended', { id: submission.id, state, taskName: task.name });
-    }
+    if (wasOpen && !isOpen(task.submission)) this.#decisionLog.addSubmissionEnd(task);
     return true;
   }
 
@@ -259,12 +254,23 @@
     this.#health = this.#health.withFailure(view.id, id, this.#views.size, nowMs, startedAtMs);
   }
 
+  /**
+   * Fails the submissions of waiting tasks that have no attempts left by the configuration in force,
+   * which may be another one than when their last attempt failed.
+   */
+  failOutOfAttempts(nowMs: number): void {
+    [...this.#registry.waiting].forEach((task) => {
+      if (!isOpen(task.submission)) return;
+      this.#failIfOutOfAttempts(task, nowMs);
+      if (!isOpen(task.submission)) this.#decisionLog.addSubmissionEnd(task);
+    });
+  }
+
   #failIfOutOfAttempts(task: TaskRecord, nowMs: number): void {
     if (task.step.isPersistent || !isOpen(task.submission)) return;
-    const { configuration } = this.#operator();
-    const { queueName } = task.submission.submission;
-    const queue = configuration && findQueueByName(configuration, queueName);
-    if (queue === undefined || failureCount(task) < Math.max(1, queue.maximumAttempts)) return;
+    const { submission } = task.submission;
+    const { maximumAttempts } = queueTermsOf(submission, this.#operator().configuration);
+    if (failureCount(task) < Math.max(1, maximumAttempts)) return;
     this.requestStops(this.#registry.fail(task.submission), StopReason.Failed, nowMs);
   }
 
--- a/src/scheduler/test/fleet/fleetFixtures.ts
+++ b/src/scheduler/test/fleet/fleetFixtures.ts
@@ -1,7 +1,11 @@
 /** Fixtures for tests of the fleet scheduler: a configuration, steps, timing, worker entries. */
 import type { FleetConfiguration } from '../../../services/fleet/common/fleetConfiguration.js';
 import { type FleetWorkerEntry, RunEnd } from '../../../services/fleet/common/fleetWorker.js';
-import type { Step, Submission } from '../../../services/submissions/common/submission.js';
+import type {
+  QueueTerms,
+  Step,
+  Submission,
+} from '../../../services/submissions/common/submission.js';
 import type { ModelTask } from '../../../../standIns/fleet/workerModel.js';
 import { FLEET_TIMING, type FleetTiming } from '../../common/fleet/fleetTiming.js';
 
@@ -24,10 +28,18 @@
   toleratedAwayCount: 0,
 };
 
+const TERMS: QueueTerms = {
+  priority: 0,
+  maximumAttempts: 3,
+  objectiveStretch: 2,
+  objectiveMs: 1_000,
+};
+
 export const submissionOf = (id: string, steps: readonly Step[]): Submission => ({
   id,
   queueName: 'queue',
   serviceName: 'service',
+  queueTerms: TERMS,
   spec: `spec of ${id}`,
   steps: [...steps],
   occurrenceCount: 0,
@@ -44,10 +56,7 @@
       host: 'host',
       pathPrefix: '/queue/',
       serviceName: 'service',
-      priority: 0,
-      maximumAttempts: 3,
-      objectiveStretch: 2,
-      objectiveMs: 1_000,
+      ...TERMS,
       timeoutMs: 3_000,
     },
   ],
--- a/src/services/fleet/common/fleetConfiguration.ts
+++ b/src/services/fleet/common/fleetConfiguration.ts
@@ -1,6 +1,7 @@
 /** The operators' configuration of queues, services and zones, stored by the users' platform. */
+import type { QueueTerms } from '../../submissions/common/submission.js';
 
-export interface Queue {
+export interface Queue extends QueueTerms {
   readonly name: string;
   /** Lower case, without a port. */
   readonly host: string;
@@ -16,6 +17,13 @@
   readonly timeoutMs: number;
 }
 
+export const toQueueTerms = ({
+  priority,
+  maximumAttempts,
+  objectiveStretch,
+  objectiveMs,
+}: QueueTerms): QueueTerms => ({ priority, maximumAttempts, objectiveStretch, objectiveMs });
+
 export interface FleetService {
   readonly name: string;
   /**
--- a/src/services/submissions/common/submission.ts
+++ b/src/services/submissions/common/submission.ts
@@ -35,12 +35,25 @@
   readonly toleratedAwayCount: number;
 }
 
+/** What operators set for the submissions of a queue; see `Queue`. */
+export interface QueueTerms {
+  readonly priority: number;
+  readonly maximumAttempts: number;
+  readonly objectiveStretch: number;
+  readonly objectiveMs: number;
+}
+
 export interface Submission {
   /** Chosen by the caller; a request with a known id repeats the same submission. */
   readonly id: string;
   readonly queueName: string;
   /** The service of the queue when the submission was accepted. */
   readonly serviceName: string;
+  /**
+   * The terms of the queue when the submission was accepted, which apply while the configuration
+   * does not name the queue. Rows of older builds have none.
+   */
+  readonly queueTerms?: QueueTerms | undefined;
   /** Passed on to the workers unchanged. */
   readonly spec: string;
   readonly steps: readonly Step[];
--- a/src/services/submissions/common/submissionRows.ts
+++ b/src/services/submissions/common/submissionRows.ts
@@ -30,10 +30,18 @@
   toleratedAwayCount: wholeNumberSchema,
 });
 
+const queueTermsSchema = z.strictObject({
+  priority: z.number(),
+  maximumAttempts: z.number(),
+  objectiveStretch: z.number(),
+  objectiveMs: z.number(),
+});
+
 export const submissionSchema = z.strictObject({
   id: z.string(),
   queueName: z.string(),
   serviceName: z.string(),
+  queueTerms: queueTermsSchema.optional(),
   spec: z.string(),
   steps: z.array(stepSchema),
   occurrenceCount: wholeNumberSchema,
