Fix loads that one deeply nested row makes fail

But a row of the scheduler's own tables that is nested 5,000 deep made each read of it throw, so that no instance could load the fleet's state. Cause: the value was checked with z.json(), which descends into it, although JSON.parse had returned it. Readers check it against the form they need anyway, so the check is gone, also from the messages of the product's own table.

--- a/src/services/table/common/tableWire.ts
+++ b/src/services/table/common/tableWire.ts
@@ -4,7 +4,8 @@
 import type { JsonValue } from '../../../base/common/json.js';
 import { TransactionOutcome } from './table.js';
 
-const jsonSchema = z.json() as unknown as z.ZodType<JsonValue>;
+/** A parsed value is JSON. To check that again would exhaust the stack for a deeply nested one. */
+const jsonSchema = z.custom<JsonValue>((value) => value !== undefined);
 
 export const readRequestSchema = z.strictObject({
   keys: z.array(z.string()),
@@ -16,7 +17,7 @@
     z.strictObject({
       key: z.string(),
       version: z.number().int().positive(),
-      value: z.custom<JsonValue>((value) => value !== undefined),
+      value: jsonSchema,
       operationId: z.string(),
     }),
   ),
