Restart the soak's workers quickly beside a slow store

The new fault restarts all steady workers up to four times while the store is slow; tasks take 50 ms at least.

--- a/soak/test/platform/faultPlan.ts
+++ b/soak/test/platform/faultPlan.ts
@@ -11,6 +11,8 @@
   CrashWorkers: 'crash-workers',
   /** Worker processes crash and restart several times, each time within about a second. */
   RestartWorkers: 'restart-workers',
+  /** Worker processes restart within a tenth of a second while the store is slow. */
+  RestartBesideSlowStore: 'restart-beside-slow-store',
   LoseWorkers: 'lose-workers',
   CutWorkers: 'cut-workers',
   /** All instances are killed while some running workers are unreachable. */
--- a/soak/test/platform/soakFaults.ts
+++ b/soak/test/platform/soakFaults.ts
@@ -23,6 +23,7 @@
 const RESTART_COUNT = 4;
 /** The upper bound of both the downtime and the uptime in repeated restarts. */
 const RESTART_SPREAD_MS = 1_200;
+const QUICK_RESTART_SPREAD_MS = 100;
 const SLOW_STORE_MS = 400;
 const LOST_ANSWER_RATIO = 0.3;
 const AFFECTED_RATIO = 0.4;
@@ -76,7 +77,13 @@
       case FaultKind.CrashWorkers:
         return this.#crash(chosenWorkers, absence, durationMs);
       case FaultKind.RestartWorkers:
-        return this.#restartAll(chosenWorkers, absence, random);
+        return this.#restartAll(chosenWorkers, absence, RESTART_SPREAD_MS, random);
+      case FaultKind.RestartBesideSlowStore: {
+        const slow = this.#disturbStore(FaultKind.StoreSlow, durationMs, random);
+        const steady = this.#steadyWorkers();
+        await this.#restartAll(steady, Absence.Refusing, QUICK_RESTART_SPREAD_MS, random);
+        return slow;
+      }
       case FaultKind.LoseWorkers:
         return this.#lose(chosenWorkers, absence);
       case FaultKind.CutWorkers:
@@ -178,12 +185,14 @@
   async #restartAll(
     workers: readonly FleetWorker[],
     absence: Absence,
+    downSpreadMs: number,
     random: RandomSource,
   ): Promise<void> {
     const restarts = workers.map((worker) => {
-      const draws = Array.from({ length: 2 * RESTART_COUNT }, () =>
+      const draws = Array.from({ length: RESTART_COUNT }, () => [
+        random.nextIndex(downSpreadMs),
         random.nextIndex(RESTART_SPREAD_MS),
-      );
+      ]).flat();
       return this.#restart(worker, absence, draws);
     });
     await Promise.all(restarts);
--- a/soak/test/platform/soakSubmissions.ts
+++ b/soak/test/platform/soakSubmissions.ts
@@ -6,7 +6,7 @@
 const SIZE = { processorMillis: 1_000, memoryMegabytes: 500 };
 const MAXIMUM_STEP_COUNT = 3;
 const MAXIMUM_TASK_COUNT = 5;
-const WORK_MS = { least: 200, spread: 1_500 };
+const WORK_MS = { least: 50, spread: 1_650 };
 
 const drawId = (random: RandomSource): string =>
   Array.from({ length: ID_DIGITS }, () => random.nextIndex(16).toString(16)).join('');
