--- a/src/services/fleet/common/fleetConfiguration.ts
+++ b/src/services/fleet/common/fleetConfiguration.ts
@@ -7,13 +7,6 @@
   readonly host: string;
   readonly pathPrefix: string;
   readonly serviceName: string;
-  /** Zero is the highest priority. */
-  readonly priority: number;
-  /** A submission fails when one of its tasks has had this many failed runs. */
-  readonly maximumAttempts: number;
-  /** The completion objective is this factor times the longest chain of work plus `objectiveMs`. */
-  readonly objectiveStretch: number;
-  readonly objectiveMs: number;
   readonly timeoutMs: number;
 }
 
--- a/src/services/fleet/common/fleetWorker.ts
+++ b/src/services/fleet/common/fleetWorker.ts
@@ -72,7 +72,7 @@
   readonly fence: number;
   /**
    * Ends of the process `incarnation` up to this sequence number are recorded, and it may forget
-   * them. Any other process of the worker numbers other ends so and must not be told.
+   * them. Any other process of the worker counts ends of its own from one and must not be told.
    */
   readonly acknowledgedSequence: number;
   readonly incarnation: number;
--- a/src/services/submissions/common/submission.ts
+++ b/src/services/submissions/common/submission.ts
@@ -35,10 +35,13 @@
   readonly toleratedAwayCount: number;
 }
 
-/** What operators set for the submissions of a queue; see `Queue`. */
+/** What operators set for the submissions of a queue. */
 export interface QueueTerms {
+  /** Zero is the highest priority. */
   readonly priority: number;
+  /** A submission fails when one of its tasks has had this many failed runs. */
   readonly maximumAttempts: number;
+  /** The completion objective is this factor times the longest chain of work plus `objectiveMs`. */
   readonly objectiveStretch: number;
   readonly objectiveMs: number;
 }
