Submit failing tasks to the soak's queues that are removed

After each change of the configuration a task that always fails is now submitted to a queue that is present, which one of the next changes may remove, and a start after three acknowledged failures is a finding.

The new test of the judge covers the check.

The records of ends serve both kinds of ends, so their names say no more than that.

--- a/soak/test/platform/configurationChanges.ts
+++ b/soak/test/platform/configurationChanges.ts
@@ -6,7 +6,9 @@
 import { ConfigurationJudge } from './configurationJudge.js';
 import type { DaemonInstance } from './daemonInstance.js';
 import { SERVICE } from './fleetWorkerOptions.js';
+import { MAXIMUM_ATTEMPTS, type PlatformJudge } from './platformJudge.js';
 import { QUEUE_HOST, QUEUE_PREFIX } from './soakClients.js';
+import { drawFailing, toBody } from './soakSubmissions.js';
 import type { WriteLog } from './soakTypes.js';
 
 const QUEUE_NAMES = ['extra-0', 'extra-1', 'extra-2', 'extra-3'] as const;
@@ -23,13 +25,15 @@
   readonly random: RandomSource;
   readonly store: StoreServer;
   readonly instances: readonly DaemonInstance[];
+  readonly judge: PlatformJudge;
   readonly nowMs: () => number;
   readonly log: WriteLog;
   readonly addFinding: (text: string) => void;
 }
 
 const routeOf = (name: string, prefix: string): Readonly<Record<string, unknown>> => ({
-  ...{ Name: name, Host: QUEUE_HOST, Prefix: prefix, Service: SERVICE, Attempts: 3 },
+  ...{ Name: name, Host: QUEUE_HOST, Prefix: prefix, Service: SERVICE },
+  Attempts: MAXIMUM_ATTEMPTS,
 });
 
 export class ConfigurationChanges {
@@ -43,7 +47,7 @@
 
   #isRunning = true;
 
-  readonly counts = { versions: 0, counted: 0, missing: 0, unconfirmed: 0 };
+  readonly counts = { versions: 0, counted: 0, missing: 0, unconfirmed: 0, failing: 0 };
 
   constructor(services: ConfigurationChangeServices) {
     this.#services = services;
@@ -66,18 +70,43 @@
 
   async changeUntilStopped(): Promise<void> {
     const { random } = this.#services;
+    const submitted: Promise<void>[] = [];
     while (this.#isRunning) {
       const changeCount = SERIES.leastChanges + random.nextIndex(SERIES.moreChanges);
       for (let change = 0; change < changeCount; change += 1) {
         const name = QUEUE_NAMES[random.nextIndex(QUEUE_NAMES.length)] ?? QUEUE_NAMES[0];
         if (!this.#present.delete(name)) this.#present.add(name);
         this.store();
+        submitted.push(this.#submitFailing());
         // eslint-disable-next-line no-await-in-loop -- one after the other
         await delay(random.nextIndex(SERIES.gapMs));
       }
       // eslint-disable-next-line no-await-in-loop
       await delay(random.nextIndex(SERIES.pauseMs));
     }
+    await Promise.all(submitted);
+  }
+
+  /** Submits a task that always fails to a queue that is present and may soon be removed. */
+  async #submitFailing(): Promise<void> {
+    const { random, judge, instances, nowMs } = this.#services;
+    const queue = [...this.#present][random.nextIndex(Math.max(1, this.#present.size))];
+    const running = instances.filter(({ pool }) => pool !== undefined);
+    const pool = running[random.nextIndex(Math.max(1, running.length))]?.pool;
+    if (queue === undefined || pool === undefined) return;
+    const submission = drawFailing(random);
+    judge.noteSubmission(submission);
+    const answer = await pool
+      .request({
+        ...{ method: 'POST', path: `/${queue}/${submission.id}`, headers: { host: QUEUE_HOST } },
+        body: JSON.stringify(toBody(submission)),
+        ...{ headersTimeout: ANSWER_TIMEOUT_MS, bodyTimeout: ANSWER_TIMEOUT_MS },
+      })
+      .catch(() => undefined);
+    await answer?.body.dump().catch(() => undefined);
+    if (answer?.statusCode !== OK) return;
+    judge.noteAccepted(submission.id, nowMs());
+    this.counts.failing += 1;
   }
 
   /** Asks every instance for every queue, whether it is present or not. */
--- a/soak/test/platform/fleetWorker.ts
+++ b/soak/test/platform/fleetWorker.ts
@@ -5,6 +5,7 @@
 
 import {
   OrderOutcome,
+  RunEnd,
   type RunningTask,
   StartOutcome,
 } from '../../../src/services/fleet/common/fleetWorker.js';
@@ -30,6 +31,10 @@
 import { SilentPort } from './silentPort.js';
 import { RunOutcome, type Zone, ZONE_HOSTS, ZONES } from './soakTypes.js';
 
+const OUTCOMES: ReadonlyMap<RunEnd, RunOutcome> = new Map([
+  [RunEnd.Done, RunOutcome.Done],
+  [RunEnd.Failed, RunOutcome.Failed],
+]);
 const HOLD_POLL_MS = 20;
 const BYTES_PER_MEGABYTE = 1024 * 1024;
 /** The platform removes a worker's entry after this time without a write. */
@@ -186,7 +191,7 @@
       if (this.#model.runs.get(taskName) === run) return;
       this.#running.delete(taskName);
       const isOwnEnd = run.endsAtMs <= leaseEndsAtMs;
-      const outcome = isOwnEnd && run.end === 'done' ? RunOutcome.Done : RunOutcome.Other;
+      const outcome = isOwnEnd ? (OUTCOMES.get(run.end) ?? RunOutcome.Other) : RunOutcome.Other;
       const endedAtMs = Math.min(run.endsAtMs, leaseEndsAtMs);
       this.#noteEnd(taskName, outcome, endedAtMs);
     });
--- a/soak/test/platform/platformJudge.test.ts
+++ b/soak/test/platform/platformJudge.test.ts
@@ -67,6 +67,19 @@
     expect(judge.findings).toEqual([]);
   });
 
+  // A task whose queue was removed started without end.
+  it('reports a task that starts after all its attempts have failed', () => {
+    [1, 2, 3].forEach((run) => {
+      start(FIRST_TASK, 'w1', run * 200, run);
+      judge.noteEnd('w1', FIRST_TASK, RunOutcome.Failed, run * 200 + 100);
+      judge.noteListed('w1', run, FIRST_TASK);
+      judge.noteAcknowledged('w1', run, run * 200 + 150);
+    });
+    expect(judge.findings).toEqual([]);
+    start(FIRST_TASK, 'w1', 900, 4);
+    expectFinding('all its attempts have failed');
+  });
+
   it('reports a task that runs twice at the same time', () => {
     start(FIRST_TASK, 'w1', 100);
     start(FIRST_TASK, 'w2', 150, 2);
--- a/soak/test/platform/platformJudge.ts
+++ b/soak/test/platform/platformJudge.ts
@@ -16,6 +16,8 @@
 import { PersistentTasks } from './persistentTasks.js';
 import { WorkerTracker } from './workerTracker.js';
 
+/** The failed runs that each queue of the soak allows a task. */
+export const MAXIMUM_ATTEMPTS = 3;
 const CANCEL_BOUND_MS = 3_000;
 const VISIBLE_BOUND_MS = 3_000;
 /** The longest time in which a task may still start after its submission is shown as complete. */
@@ -44,8 +46,11 @@
 
   readonly #workers = new WorkerTracker();
 
+  /** Ends as done. */
   readonly #ends = new EndRecords();
 
+  readonly #failedEnds = new EndRecords();
+
   readonly #lastStartsMs = new Map<string, number>();
 
   readonly #drainingSinceMs = new Map<string, number>();
@@ -130,7 +135,7 @@
     }
     if (state !== 'complete') return;
     record.completeAtMs ??= nowMs;
-    const openTasks = record.allTaskNames().filter((name) => !this.#ends.isDone(name));
+    const openTasks = record.allTaskNames().filter((name) => !this.#ends.has(name));
     if (openTasks.length > 0)
       this.#addFinding(`${id} is shown as complete without ${openTasks[0]}`, nowMs);
   }
@@ -152,8 +157,10 @@
     this.#workers.start(incarnationKey, taskName, step.size);
     if (this.#workers.isOverCapacity(incarnationKey))
       this.#addFinding(`${label}: is over capacity`, nowMs);
-    if (this.#ends.hasAcknowledgedDone(taskName))
+    if (this.#ends.acknowledgedCount(taskName) > 0)
       this.#addFinding(`${label}: its end is recorded`, nowMs);
+    if (!step.isPersistent && this.#failedEnds.acknowledgedCount(taskName) >= MAXIMUM_ATTEMPTS)
+      this.#addFinding(`${label}: all its attempts have failed`, nowMs);
     this.#lastStartsMs.set(taskName, nowMs);
     this.persistentTasks.noteStart(taskName, nowMs);
     this.#checkOrder(record.submission, step.after, label, nowMs);
@@ -164,20 +171,24 @@
   noteEnd(incarnationKey: string, taskName: string, outcome: RunOutcome, nowMs: number): void {
     this.counts.ends += 1;
     this.#workers.end(incarnationKey, taskName);
-    if (outcome === RunOutcome.Done) this.#ends.noteDone(incarnationKey, taskName, nowMs);
+    if (outcome === RunOutcome.Done) this.#ends.noteEnd(incarnationKey, taskName, nowMs);
+    if (outcome === RunOutcome.Failed) this.#failedEnds.noteEnd(incarnationKey, taskName, nowMs);
     this.persistentTasks.noteEnd(taskName, nowMs);
   }
 
   noteListed(incarnationKey: string, sequence: number, taskName: string): void {
     this.#ends.noteListed(incarnationKey, sequence, taskName);
+    this.#failedEnds.noteListed(incarnationKey, sequence, taskName);
   }
 
   /** Ends that were not recorded before the worker's lease lapsed may be repeated. */
   noteLeaseLapsed(incarnationKey: string): void {
     this.#ends.noteLeaseLapsed(incarnationKey);
+    this.#failedEnds.noteLeaseLapsed(incarnationKey);
   }
 
   noteAcknowledged(incarnationKey: string, sequence: number, nowMs: number): void {
+    this.#failedEnds.acknowledge(incarnationKey, sequence);
     this.#ends
       .acknowledge(incarnationKey, sequence)
       .forEach(({ taskName, endedAtMs }: EndRecord) => {
@@ -233,7 +244,7 @@
   ): void {
     const openTasks = after
       .flatMap((stepIndex) => taskNames(submission, stepIndex))
-      .filter((earlier) => !this.#ends.isDone(earlier));
+      .filter((earlier) => !this.#ends.has(earlier));
     if (openTasks.length > 0)
       this.#addFinding(`${name}: starts before ${openTasks[0]} is done`, nowMs);
   }
--- a/soak/test/platform/platformRun.ts
+++ b/soak/test/platform/platformRun.ts
@@ -94,6 +94,7 @@
       random: new SeededRandom(options.seed + CONFIGURATION_SEED_OFFSET),
       store: this.#store,
       instances: this.#instances,
+      judge: this.#judge,
       nowMs: () => this.#nowMs(),
       log: this.#writeLog,
       addFinding: (text) => this.#noteUnexpected(text),
--- a/soak/test/platform/soakClients.ts
+++ b/soak/test/platform/soakClients.ts
@@ -76,7 +76,10 @@
   /** Returns how a started task behaves: how long it works and how it ends. */
   taskOf(taskName: string): ModelTask {
     const step = this.#judge.stepOf(taskName);
-    if (step?.isPersistent !== true) return { workMs: step?.workMs ?? 0, end: RunEnd.Done };
+    if (step?.isPersistent !== true) {
+      const end = step?.isFailing === true ? RunEnd.Failed : RunEnd.Done;
+      return { workMs: step?.workMs ?? 0, end };
+    }
     const isFailing = this.#random.nextFraction() < FAILING.ratio;
     const failsAfterMs = FAILING.leastMs + this.#random.nextIndex(FAILING.withinMs);
     return { workMs: isFailing ? failsAfterMs : NEVER_MS, end: RunEnd.Failed };
--- a/soak/test/platform/soakSubmissions.ts
+++ b/soak/test/platform/soakSubmissions.ts
@@ -27,6 +27,12 @@
   return { id: drawId(random), steps };
 };
 
+/** A submission of one task that fails whenever it runs. */
+export const drawFailing = (random: RandomSource): SoakSubmission => ({
+  id: drawId(random),
+  steps: [{ ...drawStep(random, 0, false), taskCount: 1, isFailing: true }],
+});
+
 /** Converts a submission to its JSON body. */
 export const toBody = ({ id, steps }: SoakSubmission): unknown => ({
   Spec: `spec of ${id}`,
--- a/soak/test/platform/soakTypes.ts
+++ b/soak/test/platform/soakTypes.ts
@@ -20,6 +20,8 @@
   readonly after: readonly number[];
   readonly workMs: number;
   readonly isPersistent: boolean;
+  /** Whether each run of its tasks ends as failed. */
+  readonly isFailing?: boolean;
 }
 
 export interface SoakSubmission {
--- a/soak/test/platform/submissionRecord.ts
+++ b/soak/test/platform/submissionRecord.ts
@@ -23,7 +23,8 @@
   }
 
   get isExpectedToComplete(): boolean {
-    return this.acceptedAtMs !== undefined && !this.isCancelSent;
+    const isFailing = this.submission.steps.some((step) => step.isFailing);
+    return this.acceptedAtMs !== undefined && !this.isCancelSent && !isFailing;
   }
 
   allTaskNames(): readonly string[] {
--- a/src/scheduler/test/fleet/invariantChecker.ts
+++ b/src/scheduler/test/fleet/invariantChecker.ts
@@ -52,7 +52,7 @@
     }
     if (progress?.state === 'complete')
       this.broken.push(`${description}: started after it was complete`);
-    if (this.#ends.hasAcknowledgedDone(taskName)) {
+    if (this.#ends.acknowledgedCount(taskName) > 0) {
       this.broken.push(`${description}: started after its end was acknowledged`);
     }
     this.#lastStartAtMs.set(taskName, nowMs);
@@ -61,7 +61,7 @@
   /** Records that a run has ended; `processKey` identifies the process of the worker. */
   noteEnd(processKey: string, { taskName, sequence, end }: FinishedRun, endedAtMs: number): void {
     if (end !== RunEnd.Done) return;
-    this.#ends.noteDone(processKey, taskName, endedAtMs);
+    this.#ends.noteEnd(processKey, taskName, endedAtMs);
     this.#ends.noteListed(processKey, sequence, taskName);
   }
 
--- a/standIns/fleet/endRecords.ts
+++ b/standIns/fleet/endRecords.ts
@@ -1,4 +1,4 @@
-/** A task run that ended as done, and whether a scheduler has acknowledged the end. */
+/** A task run that ended in one way, and whether a scheduler has acknowledged the end. */
 export interface EndRecord {
   readonly incarnationKey: string;
   readonly taskName: string;
@@ -15,7 +15,7 @@
   /** Ends that are not acknowledged yet, by worker incarnation. */
   readonly #open = new Map<string, EndRecord[]>();
 
-  noteDone(incarnationKey: string, taskName: string, endedAtMs: number): void {
+  noteEnd(incarnationKey: string, taskName: string, endedAtMs: number): void {
     const flags = { sequence: undefined, isAcknowledged: false, isLapsed: false };
     const end = { incarnationKey, taskName, endedAtMs, ...flags };
     this.#byTask.set(taskName, [...(this.#byTask.get(taskName) ?? []), end]);
@@ -44,11 +44,12 @@
     return reached;
   }
 
-  isDone(taskName: string): boolean {
+  has(taskName: string): boolean {
     return this.#byTask.has(taskName);
   }
 
-  hasAcknowledgedDone(taskName: string): boolean {
-    return (this.#byTask.get(taskName) ?? []).some(({ isAcknowledged }) => isAcknowledged);
+  acknowledgedCount(taskName: string): number {
+    const ends = this.#byTask.get(taskName) ?? [];
+    return ends.filter(({ isAcknowledged }) => isAcknowledged).length;
   }
 }
