--- a/src/scheduler/common/fleet/faultAvoidance.ts
+++ b/src/scheduler/common/fleet/faultAvoidance.ts
@@ -7,11 +7,9 @@
 const RETRY_WAIT_MS = 1_500;
 /** How long a persistent task waits before it accepts a worker that is limited to probes. */
 const PERSISTENT_WAIT_MS = 1_500;
-/**
- * How long a gang waits for any other worker before it accepts one that is limited to probes, and
- * how long a retry does, whose next failure may be the last one that its submission is allowed.
- */
+/** How long the first attempt of a gang waits for other workers before it may be a probe. */
 const GANG_PROBE_WAIT_MS = 2_000;
+/** The same for a retry, whose failure may be the last one that its submission is allowed. */
 const RETRY_PROBE_WAIT_MS = 8_000;
 /**
  * If more than one worker and more than this share of the workers are tripped, the cause of the
@@ -24,6 +22,7 @@
 /** Whether the task has failed before, so another failure may fail its submission. */
 const isRetry = (task: TaskRecord): boolean => !task.step.isPersistent && failureCount(task) > 0;
 
+/** How long the task waits for other workers before it may be a probe. */
 const probeWaitMs = (task: TaskRecord): number => {
   if (isRetry(task)) return RETRY_PROBE_WAIT_MS;
   return task.step.isGang ? GANG_PROBE_WAIT_MS : 0;
