--- a/src/scheduler/common/fleet/faultAvoidance.ts
+++ b/src/scheduler/common/fleet/faultAvoidance.ts
@@ -126,9 +126,9 @@
  * full fleet would give them every waiting task. Once jobs of two submissions have failed on such a
  * worker, it gets one first attempt at a time, with growing delays in between. A retry prefers a
  * healthy worker and waits briefly for room there, because a failure on a second faulty worker
- * would use up the task's last attempt. A gang prefers one too, because each member that fails ends
- * the attempt of all. Neither waits for good: all workers that it may use can be tripped, and the
- * workers are known to be sound again only after something has started there.
+ * would use up the task's last attempt. A gang prefers one too, because the failure of one member
+ * fails the whole attempt. Both waits are bounded: all workers that a task may use can be tripped,
+ * and only the success of a probe closes a worker's circuit breaker early.
  */
 export class CircuitBreakerAvoidance implements FaultAvoidance {
   newRanking(views: Views, health: WorkerHealth, nowMs: number): FaultRanking {
--- a/src/scheduler/test/fleet/randomCuts.test.ts
+++ b/src/scheduler/test/fleet/randomCuts.test.ts
@@ -4,7 +4,7 @@
 
 /** Seeds that failed when the scheduler took unreachable workers for gone. */
 const SEEDS = [2, 4, 7, 9, 11, 17, 29, 37];
-/** Seeds that failed when a worker's new process was told to forget the former one's ends. */
+/** Seeds that failed when a new process received acknowledgements meant for the former one. */
 const RESTART_SEEDS = [132];
 
 describe('a fleet under random network cuts between zones', () => {
--- a/src/services/fleet/common/fleetWorker.ts
+++ b/src/services/fleet/common/fleetWorker.ts
@@ -72,7 +72,7 @@
   readonly fence: number;
   /**
    * Ends of the process `incarnation` up to this sequence number are recorded, and it may forget
-   * them. Any other process of the worker counts ends of its own from one and must not be told.
+   * them. Each process numbers its ends from one, so no other process may receive this number.
    */
   readonly acknowledgedSequence: number;
   readonly incarnation: number;
