Fix bodies, requests and connections of callers that exhaust the platform's daemon

What callers saw: clients that left bodies open in large chunks or chunks of one byte, sent submissions ahead, left before their answer or opened very many connections took the memory or the descriptors of the process; it ended, or ordinary callers got no answer.

Cause: one body was limited to 1 MB, all together were not; each chunk was an object of its own; requests without an answer were not counted, nor those whose callers had left; connections were not limited, and slow senders looked for every 30 s only.

Change: ClientConnections counts connections, requests and bytes, of each connection and of all. At a limit the client that has kept the listener waiting longest has to go, never one for which work is under way; else the newcomer is refused with 503, which says that nothing ran. Work counts until it has ended, whether its caller is there or not.

Why it works: whatever a client can make the process keep is counted before it is kept, and a client that only waits can be told from one that is waited for by nobody but itself.

--- a/src/daemon/common/fleetSettings.ts
+++ b/src/daemon/common/fleetSettings.ts
@@ -15,6 +15,7 @@
 });
 
 const durationMs = z.number().positive();
+const count = z.number().int().positive();
 
 export const fleetSettingsSchema = z.strictObject({
   instanceId: z.string().min(1),
@@ -42,6 +43,21 @@
   graceSeconds: z.number().positive(),
   /** The daemon's share of a processor, and the speed of that processor relative to one core. */
   processor: z.strictObject({ share: z.number().positive(), speed: z.number().positive() }),
+  /** The files and sockets that the daemon may have open; by default, what the system allows. */
+  maximumDescriptors: count.optional(),
+  /** The limits of what is held for callers. */
+  callers: z
+    .strictObject({
+      /** At most a quarter of the descriptors in any case. */
+      maximumConnections: count.default(1_024),
+      /** The maximum number of requests without an answer. */
+      maximumRequests: count.default(1_024),
+      maximumRequestsPerConnection: count.default(64),
+      /** The maximum total size of all request bodies in memory. */
+      maximumHeldBytes: count.default(8_388_608),
+      maximumHeldBytesPerConnection: count.default(1_048_576),
+    })
+    .prefault({}),
 });
 export type FleetSettings = z.infer<typeof fleetSettingsSchema>;
 
--- a/src/services/metrics/common/metricList.ts
+++ b/src/services/metrics/common/metricList.ts
@@ -28,6 +28,12 @@
   ),
   callers_hung_up: counter('Connections that callers closed before their answer.'),
   requests_over_held_bytes: counter('Requests refused unread: too many bytes of bodies are held.'),
+  client_connections: gauge('Open connections of clients, by listener.'),
+  client_requests: gauge('Requests of clients without a complete answer, by listener.'),
+  client_held_bytes: gauge('Bytes of bodies and answers that are held for clients, by listener.'),
+  client_refusals: counter(
+    'Clients refused or disconnected at a limit, by listener and reason: connections, requests, requests-ahead, held-bytes, small-chunks or evicted.',
+  ),
   requests_given_up_at_shutdown: counter('Requests unanswered when the shutdown time was over.'),
   requests_waiting: gauge('Requests that wait for a place now.'),
   retries_over_budget: counter('Retries not made because the retry budget was spent.'),
