Fix connections of probes and collectors that take all descriptors

What callers saw: beside many connections to the listener for readiness or for metrics, no descriptor was left for callers and for calls to the store and to workers.

Cause: both listeners ran with the defaults of the library: any number of connections and of requests sent ahead, no timeouts.

Evidence: the crowds at readinessPort and metricsPort had 399 and 400 of 400 descriptors open.

Change: both have the limiter of the callers' listener, with small limits and a thirty-second of the descriptors. Requests that were read together with the one that closed their connection are released with it: Node.js keeps them reachable through its listeners for as long as the work for one of them goes on. A body is held in blocks instead of one buffer that is copied as it grows, which left twice its size to the collector.

--- a/src/services/http/node/bodyReader.ts
+++ b/src/services/http/node/bodyReader.ts
@@ -1,13 +1,12 @@
-/** Reads the body of a request into one buffer, within the limits of its listener. */
+/** Reads the body of a request within the limits of its listener. */
 import type { IncomingMessage } from 'node:http';
 
 import { errorCodes } from 'fastify';
 
 const HTTP_UNAVAILABLE = 503;
 const HTTP_BAD_REQUEST = 400;
-const MINIMUM_CAPACITY = 1_024;
-const GROWTH_FACTOR = 2;
-const NO_BYTES = Buffer.alloc(0);
+const MINIMUM_BLOCK_BYTES = 1_024;
+const MAXIMUM_BLOCK_BYTES = 16_384;
 
 /** The listener has no room for the request. Nothing of it was handled. */
 export class OverloadError extends Error {
@@ -23,16 +22,17 @@
 
 export interface BodyReaderOptions {
   readonly maximumBytes: number;
+  readonly onDidRead: (bytes: number) => void;
   /** Accounts for a small chunk more; false if there are too many of them in all bodies. */
   readonly tryAddSmallChunk: () => boolean;
-  /** Accounts for the given size of the buffer; false if there is no room for it. */
+  /** Accounts for all blocks of the body, in bytes; false if there is no room for them. */
   readonly tryHold: (bytes: number) => boolean;
   readonly onEnd: (error: Error | null, body?: Buffer) => void;
 }
 
 /**
- * The chunks are copied into a buffer that grows, because each chunk as an object of its own would
- * take some hundred bytes, however short it is.
+ * The chunks are copied into blocks, because each chunk as an object of its own would take some
+ * hundred bytes, however short it is.
  */
 export class BodyReader {
   readonly #message: IncomingMessage;
@@ -41,7 +41,9 @@
 
   readonly #declaredBytes: number | undefined;
 
-  #buffer: Buffer = NO_BYTES;
+  #blocks: Buffer[] = [];
+
+  #capacity = 0;
 
   #length = 0;
 
@@ -78,15 +80,15 @@
 
   readonly #handleData = (chunk: Buffer): void => {
     const length = this.#length + chunk.length;
+    this.#options.onDidRead(chunk.length);
     if (chunk.length < SMALL_CHUNK_BYTES && !this.#tryAddSmallChunk()) {
       this.refuse();
     } else if (length > this.#options.maximumBytes) {
       this.#end(new errorCodes.FST_ERR_CTP_BODY_TOO_LARGE());
-    } else if (length > this.#buffer.length && !this.#tryGrow(length)) {
+    } else if (length > this.#capacity && !this.#tryGrow(length)) {
       this.refuse();
     } else {
-      chunk.copy(this.#buffer, this.#length);
-      this.#length = length;
+      this.#append(chunk);
     }
   };
 
@@ -94,7 +96,7 @@
     if (this.#declaredBytes !== undefined && this.#declaredBytes !== this.#length) {
       this.#end(new errorCodes.FST_ERR_CTP_INVALID_CONTENT_LENGTH());
     } else {
-      this.#end(null, this.#buffer.subarray(0, this.#length));
+      this.#end(null, this.#wholeBody());
     }
   };
 
@@ -111,24 +113,46 @@
   }
 
   #tryGrow(length: number): boolean {
-    const doubled = Math.max(this.#buffer.length * GROWTH_FACTOR, MINIMUM_CAPACITY);
-    const wanted = length === this.#declaredBytes ? length : Math.max(length, doubled);
-    const capacity = Math.min(wanted, this.#options.maximumBytes);
-    if (!this.#options.tryHold(capacity)) return false;
+    const missingBytes = length - this.#capacity;
+    const isLast = length === this.#declaredBytes;
+    const usualBytes = Math.min(Math.max(this.#capacity, MINIMUM_BLOCK_BYTES), MAXIMUM_BLOCK_BYTES);
+    const blockBytes = isLast ? missingBytes : Math.max(missingBytes, usualBytes);
+    if (!this.#options.tryHold(this.#capacity + blockBytes)) return false;
     // Memory of its own: a part of the shared pool would keep all of the pool alive.
-    const grown = Buffer.allocUnsafeSlow(capacity);
-    this.#buffer.copy(grown, 0, 0, this.#length);
-    this.#buffer = grown;
+    this.#blocks.push(Buffer.allocUnsafeSlow(blockBytes));
+    this.#capacity += blockBytes;
     return true;
   }
 
+  /** Copies a chunk to the end of the content, which may be in the block before the last one. */
+  #append(chunk: Buffer): void {
+    const last = this.#blocks.at(-1);
+    if (last === undefined) return;
+    const lastStart = this.#capacity - last.length;
+    const bytesBefore = Math.max(0, lastStart - this.#length);
+    if (bytesBefore > 0) {
+      const previous = this.#blocks.at(-2);
+      if (previous !== undefined)
+        chunk.copy(previous, previous.length - bytesBefore, 0, bytesBefore);
+    }
+    chunk.copy(last, Math.max(0, this.#length - lastStart), bytesBefore);
+    this.#length += chunk.length;
+  }
+
+  #wholeBody(): Buffer {
+    const [only] = this.#blocks;
+    if (only === undefined) return Buffer.alloc(0);
+    if (this.#blocks.length === 1) return only.subarray(0, this.#length);
+    return Buffer.concat(this.#blocks, this.#length);
+  }
+
   #end(error: Error | null, body?: Buffer): void {
     if (this.#isDone) return;
     this.#isDone = true;
     this.#message.off('data', this.#handleData);
     this.#message.off('end', this.#handleEnd);
     this.#message.off('error', this.#handleError);
-    this.#buffer = NO_BYTES;
+    this.#blocks = [];
     // Without a listener, the stream would keep the rest of a body that is refused.
     if (error !== null) this.#message.on('data', discard);
     this.#options.onEnd(error, body);
--- a/src/services/http/node/clientLimiter.ts
+++ b/src/services/http/node/clientLimiter.ts
@@ -18,6 +18,7 @@
   ClientConnections,
   type ClientLimits,
   type ClientRequest,
+  type ClientUsage,
 } from '../common/clientConnections.js';
 import { BodyReader } from './bodyReader.js';
 import { WORK_OUTCOME_HEADER } from './errorReply.js';
@@ -69,6 +70,15 @@
   response.end(JSON.stringify(body));
 };
 
+/**
+ * Node.js keeps all requests that were read from a connection reachable through its listeners, also
+ * those that were never handled, for as long as the work for one of them goes on.
+ */
+const releaseRequests = (socket: Socket): void => {
+  socket.removeAllListeners();
+  socket.on('error', () => {});
+};
+
 export class ClientLimiter {
   readonly #listener: string;
 
@@ -88,10 +98,21 @@
 
   #smallChunkCount = 0;
 
-  /** `listener` is the label of the metrics. */
-  constructor(listener: string, limits: ClientLimits, metrics: Metrics) {
+  readonly #onDidBuffer: (bytes: number) => void;
+
+  /**
+   * `listener` is the label of the metrics. `onDidBuffer` is called with the number of bytes of
+   * bodies and answers that have passed through buffers.
+   */
+  constructor(
+    listener: string,
+    limits: ClientLimits,
+    metrics: Metrics,
+    onDidBuffer: (bytes: number) => void = () => {},
+  ) {
     this.#listener = listener;
     this.#metrics = metrics;
+    this.#onDidBuffer = onDidBuffer;
     this.#connections = new ClientConnections(limits, (socket) => this.#evict(socket));
   }
 
@@ -109,7 +130,11 @@
     const request = this.#requestOf.get(raw);
     const reader = new BodyReader(raw, {
       maximumBytes,
-      tryHold: (bytes) => request === undefined || this.#tryHold(request, bytes),
+      onDidRead: this.#onDidBuffer,
+      tryHold: (bytes) => {
+        this.#onDidBuffer(bytes);
+        return request === undefined || this.#tryHold(request, bytes);
+      },
       tryAddSmallChunk: () => this.#tryAddSmallChunk(raw.socket),
       onEnd: (error, body) => {
         this.#smallChunkCount -= reader.smallChunkCount;
@@ -144,15 +169,20 @@
    * leaves too many bytes of answers there.
    */
   holdAnswer({ raw }: FastifyRequest, bytes: number): void {
+    this.#onDidBuffer(bytes);
     const request = this.#requestOf.get(raw);
     if (request === undefined || !request.connection.isOpen) return;
     if (!this.#tryHold(request, request.heldBytes + bytes)) raw.socket.destroy();
   }
 
+  get usage(): ClientUsage {
+    return this.#connections.usage;
+  }
+
   /** Updates the gauges; called before the metrics are read. */
   recordUsage(): void {
     const labels = { listener: this.#listener };
-    const { connectionCount, requestCount, heldBytes } = this.#connections.usage;
+    const { connectionCount, requestCount, heldBytes } = this.usage;
     this.#metrics.gauge('client_connections', connectionCount, labels);
     this.#metrics.gauge('client_requests', requestCount, labels);
     this.#metrics.gauge('client_held_bytes', heldBytes, labels);
@@ -185,7 +215,12 @@
       return;
     }
     this.#connectionOf.set(socket, connection);
-    socket.once('close', () => this.#connections.close(connection));
+    // Each request of the connection may listen for its end.
+    socket.setMaxListeners(0);
+    socket.once('close', () => {
+      this.#connections.close(connection);
+      setImmediate(releaseRequests, socket);
+    });
     socket.pause();
     this.#unread.push(socket);
     if (this.#unread.length === 1) setImmediate(() => this.#readNext());
--- a/src/services/metrics/test/metricsServer.test.ts
+++ b/src/services/metrics/test/metricsServer.test.ts
@@ -24,7 +24,7 @@
     const metered = new MeteredTable(table, metrics, { nowMs: () => nowMs });
     await metered.read({ keys: [], prefixes: [] })();
     await metered.transact({ operationId: '', conditions: [], writes: [] })();
-    const server = new MetricsServer(metrics, () => metrics.gauge('fleet_scheduling', 1));
+    const server = new MetricsServer(metrics, 16, () => metrics.gauge('fleet_scheduling', 1));
     const port = await server.listen({ host: '127.0.0.1', port: 0 });
     const answer = await request(`http://127.0.0.1:${port}/metrics`);
     const lines = (await answer.body.text()).split('\n');
