Fix submissions that no row can hold

What callers saw: a submission whose row the store does not take was answered 503 with a time to return, for ever, and a hundred of them at once ended the process.

Cause: a body of 120 KB with 9,000 steps becomes a row of over 4 MB as base64. It was kept through the wait for the store, which refuses it for its size (64 KB), and that refusal was taken for one that may pass.

Change: a submission whose JSON is longer than RowBytes is refused with 413 at once, before anything is sent; the settings name RowBytes.

--- a/src/daemon/common/fleetSettings.ts
+++ b/src/daemon/common/fleetSettings.ts
@@ -27,6 +27,8 @@
   }),
   /** IP:PORT of the platform's store. */
   storeAddress: z.string().refine(isConnectable, 'an address is IP:PORT'),
+  /** The largest row that the store takes. */
+  maximumRowBytes: count.default(65_536),
   /** The longest lease that workers grant. */
   maximumLeaseMs: durationMs,
   /** The interval at which a worker writes its entry to the store. */
--- a/src/intake/node/submissionIntake.ts
+++ b/src/intake/node/submissionIntake.ts
@@ -43,6 +43,8 @@
   readonly log: Log;
   readonly metrics: Metrics;
   readonly newOperationId: () => string;
+  /** The maximum size of a row of the table. */
+  readonly maximumRowBytes: number;
   /** The epoch of the scheduler whose heartbeat advances; undefined if none is seen here. */
   readonly liveEpoch: () => number | undefined;
 }
@@ -74,7 +76,11 @@
   }
 
   async #store(submission: Submission, timeoutMs: number): Promise<Either<Failure, undefined>> {
-    const { table, clock, newOperationId } = this.#services;
+    const { table, clock, maximumRowBytes, newOperationId } = this.#services;
+    if (JSON.stringify(submission).length > maximumRowBytes) {
+      const cause = failure(ErrorKind.BodyTooLarge, 'the table cannot store the submission');
+      return this.#refused(submission, cause);
+    }
     const resolveUntilMs = clock.nowMs() + timeoutMs * RESOLVE_TIMEOUT_SHARE;
     if (!this.#circuitBreaker.allowCall(clock.nowMs())) {
       const cause = failure(ErrorKind.StoreUnavailable, 'the store does not answer');
--- a/src/intake/test/waitingCount.test.ts
+++ b/src/intake/test/waitingCount.test.ts
@@ -19,6 +19,7 @@
       },
       ...{ clock: systemClock, log: silentLog, metrics: silentMetrics },
       newOperationId: () => 'operation',
+      maximumRowBytes: 65_536,
       liveEpoch: () => 1,
     });
     expect(await intake.waitingCount(name)).toEqual(right(0));
--- a/src/services/submissions/common/submissionChecks.ts
+++ b/src/services/submissions/common/submissionChecks.ts
@@ -3,7 +3,7 @@
 
 const MAXIMUM_SPEC_BYTES = 4_000;
 /** Far above any real submission; bounds the memory that one request takes on the scheduler. */
-const MAXIMUM_TASKS = 10_000;
+export const MAXIMUM_TASKS = 10_000;
 
 const isWholeNumber = (value: number): boolean => Number.isSafeInteger(value) && value >= 0;
 
--- a/standIns/crowds/test/platformCrowds.test.ts
+++ b/standIns/crowds/test/platformCrowds.test.ts
@@ -98,6 +98,17 @@
     await expectOrdinaryService();
   });
 
+  // Rows of several megabytes, which no store takes, waited for their turn at the store.
+  it('survives submissions whose steps no row can hold', async () => {
+    instance.store.treat = () => ({ delayMs: 400, outcome: 'serve' });
+    const body = JSON.stringify({ Steps: Array.from({ length: 9_000 }, () => ({ Count: 1 })) });
+    await crowdAt(instance.callersPort).join(100, (index) => [
+      finishedRequest(pathOf(index + 1), body, 50_000),
+    ]);
+    instance.store.treat = () => ({ delayMs: 0, outcome: 'serve' });
+    await expectOrdinaryService();
+  });
+
   // Requests whose callers had left were no longer counted, but still held in memory.
   it('survives callers that leave before a slow store has answered', async () => {
     instance.store.treat = () => ({ delayMs: 400, outcome: 'serve' });
