Fix callers of snipethreadd that keep others from being served

What callers saw: while a few clients left bodies open, every other request with a body was refused for ten seconds; after some connections with requests sent ahead had closed, for ever. Idle connections kept new ones out.

Cause: the entry reserved 1 MB for a body without a length and gave it back when the response closed, which a response that waits behind another one on a closed connection never does. What was received, begun or answered was not counted. Writes of idempotency keys, for which no caller waits, had no limit.

Change: the entry has the limiter of the platform's daemon, with bytes that were received and answers that are not taken in place of reservations. Requests that are not handled count until their neighbours are over, and requests sent ahead may be half of all. A key is refused while 1,000 writes wait. The metric requests_over_held_bytes became client_refusals{reason="held-bytes"}. Tried and dropped: releasing the listeners of closed connections and of their responses; other references remain.

--- a/src/daemon/node/daemon.ts
+++ b/src/daemon/node/daemon.ts
@@ -32,6 +32,7 @@
 import { OpenTelemetryTracing } from '../../services/tracing/node/openTelemetryTracing.js';
 import type { LatencySampleSource } from '../../services/worker/common/latencySamples.js';
 import { CellTasks } from '../../scheduler/node/cellTasks.js';
+import { BufferCollector } from './bufferCollector.js';
 
 const SEED_LIMIT = 2 ** 31;
 /** The longest time that operator calls in progress can delay the end of a shutdown. */
@@ -116,7 +117,8 @@
         new RequestHandler({ ...services, clock, metrics, tracing, wallNowMs: Date.now }, entry),
       );
       this.#handler = handler;
-      this.#callerServer = new CallerServer(handler, entry, metrics);
+      const { add: collectBuffers } = new BufferCollector();
+      this.#callerServer = new CallerServer(handler, entry, metrics, collectBuffers);
     }
     if (roles.includes(Role.Scheduler)) {
       const services = { table, configuration, directory, clock, log, metrics, tracing };
@@ -157,6 +159,7 @@
         configuration,
         metrics,
         spans: tracing.ring,
+        onWillCollect: () => this.#callerServer?.recordUsage(),
         isReady: () => this.#draining === undefined && isServable(configuration.health),
       },
       settings.operator,
--- a/src/daemon/node/memoryFlags.ts
+++ b/src/daemon/node/memoryFlags.ts
@@ -23,7 +23,7 @@
  * the limit of the old generation does not depend on the live objects, and the garbage from loading
  * the modules stays in memory.
  */
-export const collectGarbage = runInNewContext('gc') as () => void;
+export const collectGarbage = runInNewContext('gc') as (options?: { type: 'minor' }) => void;
 
 /**
  * undici reads the global `Headers` while it loads, which makes Node.js load its bundled copy of
--- a/src/entry/node/callerServer.ts
+++ b/src/entry/node/callerServer.ts
@@ -11,6 +11,8 @@
   failure,
   type Failure,
 } from '../../services/errors/common/errorKinds.js';
+import type { ClientUsage } from '../../services/http/common/clientConnections.js';
+import { ClientLimiter } from '../../services/http/node/clientLimiter.js';
 import { replyWithFailure, WORK_OUTCOME_HEADER } from '../../services/http/node/errorReply.js';
 import { listeningPort } from '../../services/http/node/listening.js';
 import type { Metrics } from '../../services/metrics/common/metrics.js';
@@ -23,11 +25,14 @@
 const BODY_TOO_LARGE_CODE = 'FST_ERR_CTP_BODY_TOO_LARGE';
 const REQUEST_TIMEOUT_CODE = 'ERR_HTTP_REQUEST_TIMEOUT';
 const FIRST_SERVER_ERROR = 500;
-/** The interval at which connections are checked for callers that send too slowly. */
-const SLOW_SENDER_CHECK_INTERVAL_MS = 1_000;
+const HTTP_UNAVAILABLE = 503;
+const IDLE_TIMEOUT_MS = 72_000;
+/** Bodies of the largest size that one connection may have in memory, answers included. */
+const LARGEST_BODIES_PER_CONNECTION = 4;
 
 const toFailure = (error: { code?: string; statusCode?: number; message: string }): Failure => {
   if (error.code === BODY_TOO_LARGE_CODE) return failure(ErrorKind.BodyTooLarge, error.message);
+  if (error.statusCode === HTTP_UNAVAILABLE) return failure(ErrorKind.Saturated, error.message);
   const isFault = (error.statusCode ?? FIRST_SERVER_ERROR) >= FIRST_SERVER_ERROR;
   return failure(isFault ? ErrorKind.Internal : ErrorKind.BadRequest, error.message);
 };
@@ -58,12 +63,6 @@
   );
 };
 
-/**
- * Limits memory when many callers send slowly or send large bodies at once. The total size of the
- * bodies held at a time is limited before they are read, a body without a declared length counts
- * with the maximum size, and the number of connections is limited. Without these limits an entry
- * with 128 MB runs out of memory and cuts off the requests of all callers.
- */
 export class CallerServer {
   readonly #server: FastifyInstance;
 
@@ -73,21 +72,36 @@
 
   readonly #metrics: Metrics;
 
-  #heldBytes = 0;
+  readonly #limiter: ClientLimiter;
 
   #isDraining = false;
 
-  constructor(handler: RequestHandler, settings: Settings['entry'], metrics: Metrics) {
+  /** `onDidBuffer` is called with the number of bytes that have passed through buffers. */
+  constructor(
+    handler: RequestHandler,
+    settings: Settings['entry'],
+    metrics: Metrics,
+    onDidBuffer?: (bytes: number) => void,
+  ) {
     this.#handler = handler;
     this.#settings = settings;
     this.#metrics = metrics;
+    const { maximumBodyBytes, maximumDeadlineMs, receiveTimeoutMs } = settings;
+    const limits = {
+      maximumConnections: settings.maximumCallerConnections,
+      maximumRequests: settings.maximumRequests,
+      maximumRequestsPerConnection: settings.maximumRequestsPerConnection,
+      maximumHeldBytes: settings.maximumHeldBytes,
+      maximumHeldBytesPerConnection: maximumBodyBytes * LARGEST_BODIES_PER_CONNECTION,
+    };
+    this.#limiter = new ClientLimiter('callers', limits, metrics, onDidBuffer);
+    const timeouts = {
+      receiveMs: receiveTimeoutMs,
+      idleMs: IDLE_TIMEOUT_MS,
+      silenceMs: maximumDeadlineMs + receiveTimeoutMs,
+    };
     this.#server = Fastify({
-      bodyLimit: settings.maximumBodyBytes,
-      requestTimeout: settings.receiveTimeoutMs,
-      http: {
-        connectionsCheckingInterval: SLOW_SENDER_CHECK_INTERVAL_MS,
-        headersTimeout: settings.receiveTimeoutMs,
-      },
+      serverFactory: this.#limiter.serverFactory(timeouts),
       exposeHeadRoutes: false,
       // Requests on kept-alive connections are still served during a shutdown.
       return503OnClosing: false,
@@ -96,9 +110,10 @@
         answerMalformed(error, socket);
       },
     });
-    this.#server.server.maxConnections = settings.maximumCallerConnections;
     this.#addHooks();
-    this.#server.all('/services/*', (request, reply) => this.#handle(request, reply));
+    this.#server.all('/services/*', (request, reply) =>
+      this.#limiter.whileWorking(request, () => this.#handle(request, reply)),
+    );
   }
 
   /** Starts listening and returns the port, which the system may have chosen. */
@@ -124,12 +139,12 @@
 
   #addHooks(): void {
     this.#server.removeAllContentTypeParsers();
-    this.#server.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) =>
-      done(null, body),
+    this.#server.addContentTypeParser('*', (request, _payload, done) =>
+      this.#limiter.readBody(request, this.#settings.maximumBodyBytes, done),
     );
-    this.#server.addHook('onRequest', (request, reply, done) => {
+    this.#server.addHook('onRequest', (_request, reply, done) => {
       if (this.#isDraining) void reply.header('connection', 'close');
-      if (this.#tryReserveBody(request, reply)) done();
+      done();
     });
     this.#server.setErrorHandler((error, _request, reply) =>
       replyWithFailure(reply, toFailure(error as Error)),
@@ -139,25 +154,14 @@
     );
   }
 
-  /** Reserves memory for the body, or refuses the request before its body is read. */
-  #tryReserveBody(request: FastifyRequest, reply: FastifyReply): boolean {
-    const { 'content-length': length, 'transfer-encoding': encoding } = request.headers;
-    if (length === undefined && encoding === undefined) return true;
-    const { maximumBodyBytes, maximumHeldBytes } = this.#settings;
-    const bytes = encoding === undefined ? Number(length) : maximumBodyBytes;
-    // The body limit refuses longer bodies with an error kind of its own.
-    if (bytes > maximumBodyBytes) return true;
-    if (this.#heldBytes + bytes > maximumHeldBytes) {
-      this.#metrics.count('requests_over_held_bytes');
-      void reply.header('connection', 'close');
-      void replyWithFailure(reply, failure(ErrorKind.Saturated, 'too much is being sent'));
-      return false;
-    }
-    this.#heldBytes += bytes;
-    reply.raw.once('close', () => {
-      this.#heldBytes -= bytes;
-    });
-    return true;
+  /** What is held for callers now. */
+  get clientUsage(): ClientUsage {
+    return this.#limiter.usage;
+  }
+
+  /** Updates the gauges of what is held for callers. */
+  recordUsage(): void {
+    this.#limiter.recordUsage();
   }
 
   /**
@@ -201,6 +205,7 @@
     if (this.#isDraining) void reply.header('connection', 'close');
     if (isLeft(result)) return replyWithFailure(reply, result.left);
     const { statusCode, headers, body } = result.right;
+    this.#limiter.holdAnswer(request, body.length);
     return reply.code(statusCode).headers(endToEndHeaders(headers)).send(body);
   }
 }
--- a/src/entry/node/claimManager.ts
+++ b/src/entry/node/claimManager.ts
@@ -53,6 +53,8 @@
 const STORE_RETRY_AFTER_MS = 2_000;
 const WITHDRAWAL_INTERVAL_MS = 200;
 const MAXIMUM_ABANDONED_CLAIMS = 1_000;
+/** Callers do not wait for these writes, so nothing else limits their number. */
+const MAXIMUM_PENDING_WRITES = 1_000;
 
 const storeUnavailable = (): Failure => ({
   ...failure(ErrorKind.StoreUnavailable, 'the store that keeps idempotency keys is out'),
@@ -116,6 +118,7 @@
     wallMs: number,
     span?: TraceSpan,
   ): Promise<Either<Failure, ClaimResult>> {
+    if (this.#writes.size >= MAXIMUM_PENDING_WRITES) return this.#refuseUnavailable();
     const startedAtMs = this.#clock.nowMs();
     const claimed = await this.#claim(request, idempotencyKey, wallMs, span);
     const isAnswered = !isLeft(claimed) || claimed.left.kind !== ErrorKind.StoreUnavailable;
--- a/src/entry/test/entryHarness.ts
+++ b/src/entry/test/entryHarness.ts
@@ -1,5 +1,7 @@
 /** One entry with routes and table in memory, and real sockets to callers and servers. */
 import { left, right } from 'fp-ts/lib/Either.js';
+import { createConnection, type Socket } from 'node:net';
+
 import { request } from 'undici';
 
 import { TableStandIn } from '../../../standIns/platform/tableStandIn.js';
@@ -8,6 +10,7 @@
 import { systemClock } from '../../base/node/systemClock.js';
 import { ErrorKind, failure } from '../../services/errors/common/errorKinds.js';
 import type { Metrics } from '../../services/metrics/common/metrics.js';
+import type { ClientUsage } from '../../services/http/common/clientConnections.js';
 import { type Settings, settingsSchema } from '../../services/settings/common/settings.js';
 import type { TableService } from '../../services/table/common/table.js';
 import { silentTracing } from '../../services/tracing/common/tracing.js';
@@ -153,6 +156,15 @@
     this.origin = `http://127.0.0.1:${await this.callerServer.listen('127.0.0.1', 0)}`;
   }
 
+  /** What the entry holds for its callers now. */
+  clientUsage(): ClientUsage {
+    return this.callerServer.clientUsage;
+  }
+
+  connect(): Socket {
+    return createConnection(Number(new URL(this.origin).port), '127.0.0.1');
+  }
+
   /** Sends a request to the service `s` and reads the whole answer. */
   async call(
     path: string,
--- a/src/operator/node/operatorServer.ts
+++ b/src/operator/node/operatorServer.ts
@@ -30,6 +30,8 @@
   readonly configuration: ConfigurationService & { readonly health: ConfigurationHealth };
   readonly metrics: PrometheusMetrics;
   readonly spans: SpanRing;
+  /** Called before metrics are collected, to update gauges. */
+  readonly onWillCollect: () => void;
   /** Whether the daemon is ready for traffic from the load balancer. */
   readonly isReady: () => boolean;
 }
@@ -99,7 +101,7 @@
   }
 
   #addHealthRoutes(): void {
-    const { metrics, isReady } = this.#services;
+    const { metrics, isReady, onWillCollect } = this.#services;
     this.#server.get('/healthz', () => ({ status: 'ok' }));
     this.#server.get('/readyz', (_request, reply) => {
       const { health } = this.#services.configuration;
@@ -107,9 +109,10 @@
       const status = isReady() ? 'ready' : 'not ready';
       return reply.code(statusCode).send({ status, configuration: health });
     });
-    this.#server.get('/metrics', async (_request, reply) =>
-      reply.type(EXPOSITION_TYPE).send(await metrics.exposition()),
-    );
+    this.#server.get('/metrics', async (_request, reply) => {
+      onWillCollect();
+      return reply.type(EXPOSITION_TYPE).send(await metrics.exposition());
+    });
   }
 
   #addPlanRoutes(): void {
--- a/src/operator/test/operatorServerHarness.ts
+++ b/src/operator/test/operatorServerHarness.ts
@@ -148,6 +148,7 @@
         configuration,
         metrics: new PrometheusMetrics(),
         spans: { find: () => [] } as never,
+        onWillCollect: () => {},
         isReady: () => true,
       },
       operator,
--- a/src/services/http/common/clientConnections.ts
+++ b/src/services/http/common/clientConnections.ts
@@ -6,7 +6,7 @@
 
 export interface ClientLimits {
   readonly maximumConnections: number;
-  /** Requests without a complete answer. */
+  /** Requests without a complete answer. Those sent ahead of an answer may be half of them. */
   readonly maximumRequests: number;
   readonly maximumRequestsPerConnection: number;
   /** Bytes of bodies and answers. */
@@ -38,6 +38,8 @@
   readonly handle: Handle;
   /** Requests that are not over, in the order in which they came. */
   readonly requests: RequestState<Handle>[];
+  /** Requests that are not handled, but stay in memory until the others are over. */
+  ignoredCount: number;
   heldBytes: number;
   isOpen: boolean;
 }
@@ -97,7 +99,7 @@
       this.#evictConnection(displaced);
       this.close(displaced);
     }
-    const connection = { handle, requests: [], heldBytes: 0, isOpen: true };
+    const connection = { handle, requests: [], ignoredCount: 0, heldBytes: 0, isOpen: true };
     this.#connectionCount += 1;
     this.#waiting.add(connection);
     return connection;
@@ -126,7 +128,9 @@
     const connection = of as ConnectionState<Handle>;
     const { maximumRequests, maximumRequestsPerConnection } = this.#limits;
     if (connection.requests.length >= maximumRequestsPerConnection) return undefined;
-    const isRefused = this.#requestCount >= maximumRequests && !this.#evictForRequest(connection);
+    const isAhead = connection.requests.length > 0;
+    const maximumCount = isAhead ? maximumRequests / 2 : maximumRequests;
+    const isRefused = this.#requestCount >= maximumCount && !this.#evictForRequest(connection);
     const request = {
       connection,
       phase: isRefused ? RequestPhase.Answered : RequestPhase.Receiving,
@@ -141,6 +145,14 @@
     return request;
   }
 
+  /** Counts a request that came after the connection had to be closed and is not handled. */
+  ignore(of: ClientConnection<Handle>): void {
+    const connection = of as ConnectionState<Handle>;
+    if (connection.requests.length === 0) return;
+    connection.ignoredCount += 1;
+    this.#requestCount += 1;
+  }
+
   /**
    * Sets the number of bytes that are held for a request. Evicts connections that wait for their
    * client if all bytes would exceed the limit. False if there is no room; the number is unchanged.
@@ -193,6 +205,10 @@
     if (index < 0) return;
     connection.requests.splice(index, 1);
     this.#release(request);
+    if (connection.requests.length === 0) {
+      this.#requestCount -= connection.ignoredCount;
+      connection.ignoredCount = 0;
+    }
     if (index === 0) this.#updateWaiting(connection);
   }
 
--- a/src/services/http/node/clientLimiter.ts
+++ b/src/services/http/node/clientLimiter.ts
@@ -70,15 +70,6 @@
   response.end(JSON.stringify(body));
 };
 
-/**
- * Node.js keeps all requests that were read from a connection reachable through its listeners, also
- * those that were never handled, for as long as the work for one of them goes on.
- */
-const releaseRequests = (socket: Socket): void => {
-  socket.removeAllListeners();
-  socket.on('error', () => {});
-};
-
 export class ClientLimiter {
   readonly #listener: string;
 
@@ -217,10 +208,7 @@
     this.#connectionOf.set(socket, connection);
     // Each request of the connection may listen for its end.
     socket.setMaxListeners(0);
-    socket.once('close', () => {
-      this.#connections.close(connection);
-      setImmediate(releaseRequests, socket);
-    });
+    socket.once('close', () => this.#connections.close(connection));
     socket.pause();
     this.#unread.push(socket);
     if (this.#unread.length === 1) setImmediate(() => this.#readNext());
@@ -234,8 +222,12 @@
 
   #handle(message: IncomingMessage, response: ServerResponse, handler: RequestListener): void {
     const connection = this.#connectionOf.get(message.socket);
-    // Requests that were read together with the one that closed the connection follow here.
-    if (connection?.isOpen !== true || message.socket.destroyed) return;
+    if (connection === undefined) return;
+    if (message.socket.destroyed) {
+      // It was read together with the request for which the connection was closed.
+      this.#connections.ignore(connection);
+      return;
+    }
     const request = this.#connections.begin(connection);
     if (request === undefined) {
       this.#count(Refusal.RequestsAhead);
--- a/src/services/metrics/common/metricList.ts
+++ b/src/services/metrics/common/metricList.ts
@@ -27,7 +27,6 @@
     'Requests whose caller hung up before the answer, by what became of it.',
   ),
   callers_hung_up: counter('Connections that callers closed before their answer.'),
-  requests_over_held_bytes: counter('Requests refused unread: too many bytes of bodies are held.'),
   client_connections: gauge('Open connections of clients, by listener.'),
   client_requests: gauge('Requests of clients without a complete answer, by listener.'),
   client_held_bytes: gauge('Bytes of bodies and answers that are held for clients, by listener.'),
--- a/src/services/settings/common/settings.ts
+++ b/src/services/settings/common/settings.ts
@@ -33,9 +33,13 @@
 const entrySchema = z.strictObject({
   /** The maximum size of the body of a request or an answer. */
   maximumBodyBytes: positiveCount.default(1_048_576),
-  /** The maximum total size of all request bodies in memory. */
+  /** The maximum total size of all bodies of requests and answers in memory. */
   maximumHeldBytes: positiveCount.default(33_554_432),
   maximumCallerConnections: positiveCount.default(2_000),
+  /** The maximum number of requests without a complete answer. */
+  maximumRequests: positiveCount.default(1_000),
+  /** The maximum number of such requests of one connection. */
+  maximumRequestsPerConnection: positiveCount.default(32),
   /** How long a caller may take to send its request. */
   receiveTimeoutMs: positiveMs.default(10_000),
   defaultDeadlineMs: positiveMs.default(5_000),
