Fix clients of the operators' interface that take memory and descriptors

What callers saw: beside many connections to the operators' port no descriptor was left for callers, and bodies without a token that were left open took more than the daemon's 128 MB.

Cause: the listener ran with the defaults of the library, and the token was checked in the handler, after up to 1 MB of body had been read.

Change: the listener has the limiter with small limits; the token is checked before the body is read and the connection of a caller without the role is closed. The only answer of a connection may have any size, so that long lists still come whole.

--- a/src/operator/node/operatorServer.ts
+++ b/src/operator/node/operatorServer.ts
@@ -9,6 +9,11 @@
   ConfigurationService,
 } from '../../services/configuration/common/configurationService.js';
 import { ErrorKind, failure, type Failure } from '../../services/errors/common/errorKinds.js';
+import {
+  SMALL_LISTENER_TIMEOUTS,
+  smallListenerLimits,
+} from '../../services/http/common/smallListener.js';
+import { ClientLimiter } from '../../services/http/node/clientLimiter.js';
 import { replyWithFailure } from '../../services/http/node/errorReply.js';
 import { listeningPort } from '../../services/http/node/listening.js';
 import {
@@ -46,6 +51,9 @@
 const idParamsSchema = z.object({ id: z.string().min(1) });
 const JSON_TYPE = 'application/json; charset=utf-8';
 const HTTP_OK = 200;
+/** Bodies and answers of the largest size that may be in memory. */
+const LARGEST_INTENTS = 8;
+const LARGEST_INTENTS_PER_CONNECTION = 4;
 const HTTP_UNAVAILABLE = 503;
 const FIRST_SERVER_ERROR = 500;
 
@@ -59,6 +67,7 @@
 const toFailure = (error: { statusCode?: number; message: string }): Failure => {
   const statusCode = error.statusCode ?? FIRST_SERVER_ERROR;
   if (statusCode === 413) return failure(ErrorKind.BodyTooLarge, error.message);
+  if (statusCode === HTTP_UNAVAILABLE) return failure(ErrorKind.Saturated, error.message);
   const isFault = statusCode >= FIRST_SERVER_ERROR;
   return failure(isFault ? ErrorKind.Internal : ErrorKind.BadRequest, error.message);
 };
@@ -68,17 +77,28 @@
 
   readonly #access: OperatorAccess;
 
+  readonly #limiter: ClientLimiter;
+
   readonly #server: FastifyInstance;
 
   /** Adds the routes to `server`; the generator of the OpenAPI description passes its own. */
   constructor(
     services: OperatorServerServices,
     settings: Settings['operator'],
-    server: FastifyInstance = Fastify({ bodyLimit: settings.maximumIntentBytes }),
+    server?: FastifyInstance,
   ) {
     this.#services = services;
     this.#access = new OperatorAccess(settings.tokens);
-    this.#server = server;
+    const { maximumIntentBytes } = settings;
+    const limits = {
+      ...smallListenerLimits(),
+      maximumHeldBytes: maximumIntentBytes * LARGEST_INTENTS,
+      maximumHeldBytesPerConnection: maximumIntentBytes * LARGEST_INTENTS_PER_CONNECTION,
+    };
+    this.#limiter = new ClientLimiter('operators', limits, services.metrics);
+    this.#server =
+      server ?? Fastify({ serverFactory: this.#limiter.serverFactory(SMALL_LISTENER_TIMEOUTS) });
+    this.#readIntents(maximumIntentBytes);
     this.#server.setErrorHandler((error, _request, reply) =>
       replyWithFailure(reply, toFailure(error as Error)),
     );
@@ -100,6 +120,18 @@
     await this.#server.close();
   }
 
+  /** Bodies are JSON, as by default, but are read within the limits of the listener. */
+  #readIntents(maximumBytes: number): void {
+    const parseJson = this.#server.getDefaultJsonParser('error', 'error');
+    this.#server.removeAllContentTypeParsers();
+    this.#server.addContentTypeParser('application/json', (request, _payload, done) =>
+      this.#limiter.readBody(request, maximumBytes, (error, body) => {
+        if (error === null) void parseJson(request, body?.toString('utf8') ?? '', done);
+        else done(error);
+      }),
+    );
+  }
+
   #addHealthRoutes(): void {
     const { metrics, isReady, onWillCollect } = this.#services;
     this.#server.get('/healthz', () => ({ status: 'ok' }));
@@ -111,6 +143,7 @@
     });
     this.#server.get('/metrics', async (_request, reply) => {
       onWillCollect();
+      this.#limiter.recordUsage();
       return reply.type(EXPOSITION_TYPE).send(await metrics.exposition());
     });
   }
@@ -164,14 +197,32 @@
     this.#server.route({
       method,
       url,
-      handler: async (request, reply): Promise<FastifyReply> => {
+      // The body of a caller without the role must not be read.
+      onRequest: async (request, reply): Promise<FastifyReply | undefined> => {
         const author = this.#access.check(request.headers.authorization, role);
-        if (isLeft(author)) return replyWithFailure(reply, author.left);
-        const result = await handler(request, author.right);
-        if (!isLeft(result)) return reply.type(JSON_TYPE).send(await jsonText(result.right));
-        const { newPlan } = result.left;
-        return replyWithFailure(reply, result.left, newPlan === undefined ? {} : { newPlan });
+        if (!isLeft(author)) return undefined;
+        return replyWithFailure(reply.header('connection', 'close'), author.left);
       },
+      handler: (request, reply) =>
+        this.#limiter.whileWorking(request, () => this.#answer(request, reply, role, handler)),
     });
   }
+
+  async #answer(
+    request: FastifyRequest,
+    reply: FastifyReply,
+    role: OperatorRole,
+    handler: Handler,
+  ): Promise<FastifyReply> {
+    const author = this.#access.check(request.headers.authorization, role);
+    if (isLeft(author)) return replyWithFailure(reply, author.left);
+    const result = await handler(request, author.right);
+    if (isLeft(result)) {
+      const { newPlan } = result.left;
+      return replyWithFailure(reply, result.left, newPlan === undefined ? {} : { newPlan });
+    }
+    const text = await jsonText(result.right);
+    this.#limiter.holdAnswer(request, text.length);
+    return reply.type(JSON_TYPE).send(text);
+  }
 }
--- a/src/services/http/common/clientConnections.ts
+++ b/src/services/http/common/clientConnections.ts
@@ -164,14 +164,24 @@
     const { maximumHeldBytes, maximumHeldBytesPerConnection } = this.#limits;
     if (request.isRefused) return false;
     if (connection.heldBytes + addedBytes > maximumHeldBytesPerConnection) return false;
-    while (this.#heldBytes + addedBytes > maximumHeldBytes) {
-      const victim = this.#longestWaiting(({ heldBytes }) => heldBytes > 0);
-      if (victim === undefined || victim === connection) return false;
-      this.#evictConnection(victim);
-    }
-    request.heldBytes = bytes;
-    connection.heldBytes += addedBytes;
-    this.#heldBytes += addedBytes;
+    if (!this.#makeRoom(addedBytes, maximumHeldBytes, connection)) return false;
+    this.#addHeldBytes(request, addedBytes);
+    return true;
+  }
+
+  /**
+   * Adds the bytes of an answer. Evicts connections like `hold`. False if the connection has to be
+   * closed: its other requests hold too much. The only answer of a connection may have any size.
+   */
+  holdAnswer(of: ClientRequest<Handle>, bytes: number): boolean {
+    const request = of as RequestState<Handle>;
+    const { connection } = request;
+    const { maximumHeldBytes, maximumHeldBytesPerConnection } = this.#limits;
+    const isOnly = connection.requests.length === 1;
+    if (!isOnly && connection.heldBytes + bytes > maximumHeldBytesPerConnection) return false;
+    const hasRoom = this.#makeRoom(bytes, maximumHeldBytes, connection);
+    if (!hasRoom && !isOnly) return false;
+    this.#addHeldBytes(request, bytes);
     return true;
   }
 
@@ -232,6 +242,22 @@
     return undefined;
   }
 
+  #makeRoom(bytes: number, maximumBytes: number, connection: ConnectionState<Handle>): boolean {
+    while (this.#heldBytes + bytes > maximumBytes) {
+      const victim = this.#longestWaiting(({ heldBytes }) => heldBytes > 0);
+      if (victim === undefined || victim === connection) return false;
+      this.#evictConnection(victim);
+    }
+    return true;
+  }
+
+  #addHeldBytes(request: RequestState<Handle>, bytes: number): void {
+    const { connection } = request;
+    request.heldBytes += bytes;
+    connection.heldBytes += bytes;
+    this.#heldBytes += bytes;
+  }
+
   #evictForRequest(connection: ConnectionState<Handle>): boolean {
     const victim = this.#longestWaiting(({ requests }) => requests.some((it) => it.isCounted));
     if (victim === undefined || victim === connection) return false;
--- a/src/services/http/node/clientLimiter.ts
+++ b/src/services/http/node/clientLimiter.ts
@@ -163,7 +163,9 @@
     this.#onDidBuffer(bytes);
     const request = this.#requestOf.get(raw);
     if (request === undefined || !request.connection.isOpen) return;
-    if (!this.#tryHold(request, request.heldBytes + bytes)) raw.socket.destroy();
+    if (this.#connections.holdAnswer(request, bytes)) return;
+    this.#count(Refusal.HeldBytes);
+    raw.socket.destroy();
   }
 
   get usage(): ClientUsage {
--- a/src/services/http/test/clientConnections.test.ts
+++ b/src/services/http/test/clientConnections.test.ts
@@ -136,6 +136,21 @@
     expect(connections.hold(second, 40)).toBe(true);
   });
 
+  // A large answer that somebody asked for must come whole; many that nobody takes must not.
+  it('may have one answer of any size, or several within their limit', () => {
+    const { connections, open, begin } = withEvictions();
+    const connection = open('a');
+    const head = begin(connection);
+    connections.startWork(head);
+    expect(connections.holdAnswer(head, 1_000)).toBe(true);
+    const next = begin(connection);
+    connections.startWork(next);
+    expect(connections.holdAnswer(next, 1)).toBe(false);
+    connections.endWork(head);
+    connections.finish(head);
+    expect(connections.holdAnswer(next, 1_000)).toBe(true);
+  });
+
   // Requests that never come whole kept all others from being handled.
   it('make room for a request by the client that has kept one waiting longest', () => {
     const { connections, evicted, open, begin } = withEvictions();
