Fix peers that take the memory of a daemon

What callers saw: the daemon ended when somebody sent heartbeats and read no answer, or named a new instance in each; beside many connections to the peers' port no descriptor was left.

Cause: answers were written however many were unread; each heartbeat could name an instance of up to 64 KB, which was remembered until the next round; connections were not limited. A message that is no heartbeat was reported on standard output with its stack, one for each.

--- a/src/peers/node/peerService.ts
+++ b/src/peers/node/peerService.ts
@@ -7,13 +7,23 @@
 import { Emitter } from '../../base/common/event.js';
 import type { Disposable } from '../../base/common/lifecycle.js';
 import { PeriodicTimer } from '../../base/node/periodicTimer.js';
+import {
+  type ClientConnection,
+  ClientConnections,
+} from '../../services/http/common/clientConnections.js';
+import { smallListenerLimits } from '../../services/http/common/smallListener.js';
 import type { ConfigurationService } from '../../services/configuration/common/configurationService.js';
 import type { InstanceDirectory } from '../../services/instanceList/common/instanceDirectory.js';
 import { type DaemonInstance, isDaemon } from '../../services/instanceList/common/instanceList.js';
 import type { Metrics } from '../../services/metrics/common/metrics.js';
 import type { Settings } from '../../services/settings/common/settings.js';
 import { Hop, type TraceSpan, type Tracing } from '../../services/tracing/common/tracing.js';
-import { type Heartbeat, HEARTBEAT_METHOD, heartbeatSchema } from '../common/peerMessages.js';
+import {
+  type Heartbeat,
+  HEARTBEAT_METHOD,
+  heartbeatSchema,
+  MAXIMUM_LINE_BYTES,
+} from '../common/peerMessages.js';
 import {
   selectPeers,
   memberStates,
@@ -30,6 +40,10 @@
 
 /** A configuration change is announced immediately, but in a burst at most once per interval. */
 const MINIMUM_HEARTBEAT_SPACING_MS = 200;
+/** Instances that were heard, many more than a deployment has daemons. */
+const MAXIMUM_OBSERVATIONS = 512;
+/** Answers of two lines are in memory when a peer reads none of them. */
+const MAXIMUM_UNREAD_BYTES = 2 * MAXIMUM_LINE_BYTES;
 
 export class PeerService implements Disposable {
   readonly #settings: Settings;
@@ -44,12 +58,14 @@
 
   readonly #tracing: Tracing;
 
-  readonly #rpc = new JSONRPCServer();
+  readonly #rpc: JSONRPCServer;
 
   readonly #server: Server;
 
   readonly #sockets = new Set<Socket>();
 
+  readonly #connections: ClientConnections<Socket>;
+
   readonly #links = new Map<string, PeerLink>();
 
   readonly #linkedPeers = new Map<string, DaemonInstance>();
@@ -82,6 +98,9 @@
     this.#clock = clock;
     this.#metrics = metrics;
     this.#tracing = tracing;
+    this.#rpc = new JSONRPCServer({
+      errorListener: () => metrics.count('peer_messages_refused'),
+    });
     this.#rpc.addMethod(HEARTBEAT_METHOD, (parameters: unknown) => {
       const heartbeat = heartbeatSchema.parse(parameters);
       const span = this.#startAnswerSpan(heartbeat);
@@ -89,6 +108,10 @@
       span?.end({ outcome: 'answered' });
       return this.#ownHeartbeat();
     });
+    this.#connections = new ClientConnections(smallListenerLimits(), (socket) => {
+      metrics.count('client_refusals', { listener: 'peers', reason: 'evicted' });
+      socket.destroy();
+    });
     this.#server = createServer((socket) => this.#handleConnection(socket));
     this.#subscription = configuration.onDidChange(() => this.#announceConfiguration());
   }
@@ -221,6 +244,8 @@
 
   #handleHeartbeat(heartbeat: Heartbeat): void {
     const { instanceId, isLeaving } = heartbeat;
+    const isNew = !this.#observations.has(instanceId);
+    if (isNew && this.#observations.size >= MAXIMUM_OBSERVATIONS) return;
     const isNewlyLeaving = isLeaving && this.#observations.get(instanceId)?.isLeaving !== true;
     this.#observations.set(instanceId, { heardAtMs: this.#clock.nowMs(), isLeaving });
     if (isNewlyLeaving) this.#updateMembers();
@@ -230,15 +255,36 @@
   }
 
   #handleConnection(socket: Socket): void {
-    this.#sockets.add(socket);
     socket.on('error', () => {});
-    socket.on('close', () => this.#sockets.delete(socket));
+    const connection = this.#connections.open(socket);
+    if (connection === undefined) {
+      socket.destroy();
+      return;
+    }
+    this.#sockets.add(socket);
+    socket.on('close', () => {
+      this.#sockets.delete(socket);
+      this.#connections.close(connection);
+    });
     socket.setTimeout(this.#settings.peers.silenceTimeoutMs * 2, () => socket.destroy());
-    readLines<JSONRPCRequest>(socket, this.#metrics, (line) => void this.#answer(socket, line));
+    readLines<JSONRPCRequest>(
+      socket,
+      this.#metrics,
+      (line) => void this.#answer(socket, connection, line),
+    );
   }
 
-  async #answer(socket: Socket, request: JSONRPCRequest): Promise<void> {
+  /** Answers a message. A peer that does not read its answers is disconnected. */
+  async #answer(
+    socket: Socket,
+    connection: ClientConnection<Socket>,
+    request: JSONRPCRequest,
+  ): Promise<void> {
+    if (socket.destroyed) return;
     const response = await this.#rpc.receive(request);
-    if (response !== null && !socket.destroyed) writeLine(socket, this.#metrics, response);
+    if (response === null || socket.destroyed) return;
+    this.#connections.touch(connection);
+    writeLine(socket, this.#metrics, response);
+    if (socket.writableLength > MAXIMUM_UNREAD_BYTES) socket.destroy();
   }
 }
--- a/src/services/metrics/common/metricList.ts
+++ b/src/services/metrics/common/metricList.ts
@@ -69,6 +69,7 @@
     'Requests that would have gone to a server that said it is leaving; stays at 0.',
   ),
   plans_removed: counter('Plans removed past their retention.'),
+  peer_messages_refused: counter('Messages of peers that are no valid heartbeats.'),
   peer_heartbeat_failed: counter('Heartbeats to other daemons that got no answer.'),
   peer_bytes_sent: counter('Bytes of heartbeats and their answers sent, as TCP payload.'),
   peer_bytes_received: counter('Bytes of heartbeats and their answers received.'),
--- a/src/services/settings/common/settings.ts
+++ b/src/services/settings/common/settings.ts
@@ -6,6 +6,9 @@
 const positiveMs = z.number().int().positive();
 const positiveCount = z.number().int().positive();
 
+/** Peers take no longer ids. */
+const MAXIMUM_ID_LENGTH = 256;
+
 /** Port zero lets the system choose a port; the `listening` line of the log names it. */
 const listenSchema = z.strictObject({
   host: z.string().min(1),
@@ -178,7 +181,7 @@
 const fieldsSchema = z.strictObject({
   /** The JSON Schema that editors use to check the file; the daemon ignores it. */
   $schema: z.string().optional(),
-  instanceId: z.string().min(1),
+  instanceId: z.string().min(1).max(MAXIMUM_ID_LENGTH),
   availabilityZone: z.string().min(1),
   roles: z
     .array(z.enum([Role.Entry, Role.Scheduler, Role.Operator]))
