--- a/soak/test/platform/daemonInstance.ts
+++ b/soak/test/platform/daemonInstance.ts
@@ -67,6 +67,9 @@
   /** The relay between the clients and the current process. */
   callerRelay: SilentRelay | undefined;
 
+  /** The port for callers of the current process, past the relay. Undefined if none runs. */
+  callersPort: number | undefined;
+
   isFrozen = false;
 
   constructor(options: InstanceOptions) {
@@ -138,6 +141,7 @@
         log.write(`${line}\n`);
         if (this.callerRelay !== undefined || !line.includes('"listening"')) return;
         const { callersPort } = JSON.parse(line) as { readonly callersPort: number };
+        this.callersPort = callersPort;
         void this.#openToClients(callersPort).then(resolve);
       });
     });
@@ -210,6 +214,7 @@
     daemonProcess?.log.end();
     void this.pool?.destroy();
     this.pool = undefined;
+    this.callersPort = undefined;
     this.callerRelay?.close();
     this.callerRelay = undefined;
     this.#process = undefined;
--- a/soak/test/platform/platformRun.ts
+++ b/soak/test/platform/platformRun.ts
@@ -17,6 +17,7 @@
 import { SoakFaults } from './soakFaults.js';
 import { type WriteLog, type Zone, ZONE_HOSTS, ZONES } from './soakTypes.js';
 import { StoreFaults } from './storeFaults.js';
+import { UnrulyClients } from './unrulyClients.js';
 
 const WORKERS_PER_RACK = 8;
 const TICK_MS = 20;
@@ -31,6 +32,7 @@
 /** Keep the draws of the configuration and of other writers apart from those of the faults. */
 const CONFIGURATION_SEED_OFFSET = 2;
 const FOREIGN_ENTRIES_SEED_OFFSET = 3;
+const UNRULY_CLIENTS_SEED_OFFSET = 4;
 
 const zoneAt = (index: number): Zone => ZONES[index % ZONES.length] ?? 'zone-a';
 
@@ -78,6 +80,8 @@
 
   readonly #foreignEntries: ForeignEntries;
 
+  readonly #unrulyClients: UnrulyClients;
+
   #log = createWriteStream('/dev/null');
 
   #loggedFindings = 0;
@@ -105,6 +109,11 @@
       log: this.#writeLog,
       addFinding: (text) => this.#noteUnexpected(text),
     });
+    this.#unrulyClients = new UnrulyClients({
+      random: new SeededRandom(options.seed + UNRULY_CLIENTS_SEED_OFFSET),
+      instances: () => this.#instances,
+      log: this.#writeLog,
+    });
   }
 
   async run(): Promise<PlatformRunResult> {
@@ -129,7 +138,11 @@
     const unanswered = this.#clients?.unansweredCount ?? 0;
     const longestWaitMs = Math.round(persistentTasks.longestWaitMs);
     const figures = { ...counts, unanswered, longestWaitMs, faults: plan.length };
-    const series = { ...this.#configurationChanges.counts, ...this.#foreignEntries.counts };
+    const series = {
+      ...this.#configurationChanges.counts,
+      ...this.#foreignEntries.counts,
+      ...this.#unrulyClients.counts,
+    };
     return { findings, figures: { ...figures, ...series } };
   }
 
@@ -191,6 +204,7 @@
     const changing = this.#configurationChanges.changeUntilStopped();
     const counting = this.#configurationChanges.askUntilStopped();
     const writing = this.#foreignEntries.writeUntilStopped();
+    const crowding = this.#unrulyClients.sendUntilStopped();
     const storeFaults = new StoreFaults(this.#random);
     this.#store.treat = (host) => storeFaults.treat(host);
     const faults = new SoakFaults({
@@ -215,7 +229,8 @@
     clients.stopSubmitting();
     this.#configurationChanges.stop();
     this.#foreignEntries.stop();
-    await Promise.all([submitting, changing, counting, writing]);
+    this.#unrulyClients.stop();
+    await Promise.all([submitting, changing, counting, writing, crowding]);
     await this.#settle(clients);
     clients.stopReading();
     await reading;
