--- a/src/entry/test/limits.test.ts
+++ b/src/entry/test/limits.test.ts
@@ -119,7 +119,7 @@
     expect(backend.requests).toHaveLength(1);
   });
 
-  // Bodies that are being worked on are not given up for others: the newcomer is refused before its
+  // Requests that are being handled are not evicted for others: the newcomer is refused before its
   // body is read. The memory is free again when the answers are sent.
   it('is refused when bodies that are being worked on fill the limit', async () => {
     const answers: (() => void)[] = [];
--- a/src/peers/node/peerService.ts
+++ b/src/peers/node/peerService.ts
@@ -40,9 +40,9 @@
 
 /** A configuration change is announced immediately, but in a burst at most once per interval. */
 const MINIMUM_HEARTBEAT_SPACING_MS = 200;
-/** Instances that were heard, many more than a deployment has daemons. */
+/** Limit of observed instances, above the number of daemons of any deployment. */
 const MAXIMUM_OBSERVATIONS = 512;
-/** Answers of two lines are in memory when a peer reads none of them. */
+/** A peer with more bytes of unread answers is disconnected. */
 const MAXIMUM_UNREAD_BYTES = 2 * MAXIMUM_LINE_BYTES;
 
 export class PeerService implements Disposable {
--- a/src/services/http/node/clientLimiter.ts
+++ b/src/services/http/node/clientLimiter.ts
@@ -4,7 +4,6 @@
   type IncomingMessage,
   type RequestListener,
   type Server,
-  type ServerOptions,
   type ServerResponse,
 } from 'node:http';
 import type { Socket } from 'node:net';
@@ -108,8 +107,8 @@
   }
 
   /** A factory for Fastify's option `serverFactory`. */
-  serverFactory(timeouts: ClientTimeouts, options: ServerOptions = {}): FastifyServerFactory {
-    return (handler) => this.#createServer(handler, timeouts, options);
+  serverFactory(timeouts: ClientTimeouts): FastifyServerFactory {
+    return (handler) => this.#createServer(handler, timeouts);
   }
 
   /** Reads the body of a request, as a content type parser of Fastify does. */
@@ -184,15 +183,14 @@
   #createServer(
     handler: RequestListener,
     { receiveMs, idleMs, silenceMs }: ClientTimeouts,
-    options: ServerOptions,
   ): Server {
-    const limits = {
+    const options = {
       requestTimeout: receiveMs,
       headersTimeout: receiveMs,
       keepAliveTimeout: idleMs,
       connectionsCheckingInterval: SLOW_SENDER_CHECK_MS,
     };
-    const server = createServer({ ...limits, ...options }, (message, response) =>
+    const server = createServer(options, (message, response) =>
       this.#handle(message, response, handler),
     );
     server.setTimeout(silenceMs);
