Fix settings that a platform's missing fields make invalid

A field that the platform does not name is rendered as nothing, and the daemon exited with 2.

Both are rendered into texts, and an empty one or 'undefined' stands for the default. Unit tests for each form; a text that is no number is still a fault.

--- a/src/daemon/common/fleetSettings.ts
+++ b/src/daemon/common/fleetSettings.ts
@@ -17,6 +17,16 @@
 const durationMs = z.number().positive();
 const count = z.number().int().positive();
 
+/** A count in a template, which renders a missing value as an empty text or as `undefined`. */
+const renderedCount = z.union([
+  count,
+  z
+    .string()
+    .regex(/^(?:[1-9]\d*|undefined)?$/u, 'must be a number')
+    .transform((text) => (/^\d/u.test(text) ? Number(text) : undefined)),
+]);
+const DEFAULT_MAXIMUM_ROW_BYTES = 65_536;
+
 export const fleetSettingsSchema = z.strictObject({
   instanceId: z.string().min(1),
   availabilityZone: z.string().min(1),
@@ -28,7 +38,9 @@
   /** IP:PORT of the platform's store. */
   storeAddress: z.string().refine(isConnectable, 'an address is IP:PORT'),
   /** The largest row that the store takes. */
-  maximumRowBytes: count.default(65_536),
+  maximumRowBytes: renderedCount
+    .optional()
+    .transform((bytes) => bytes ?? DEFAULT_MAXIMUM_ROW_BYTES),
   /** The longest lease that workers grant. */
   maximumLeaseMs: durationMs,
   /** The interval at which a worker writes its entry to the store. */
@@ -46,7 +58,7 @@
   /** The daemon's share of a processor, and the speed of that processor relative to one core. */
   processor: z.strictObject({ share: z.number().positive(), speed: z.number().positive() }),
   /** The files and sockets that the daemon may have open; by default, what the system allows. */
-  maximumDescriptors: count.optional(),
+  maximumDescriptors: renderedCount.optional(),
   /** The limits of what is held for callers. */
   callers: z
     .strictObject({
--- a/src/daemon/test/fleetSettings.test.ts
+++ b/src/daemon/test/fleetSettings.test.ts
@@ -25,6 +25,21 @@
     });
   });
 
+  // A field that the platform does not name must not keep the daemon from starting.
+  it.each([
+    ['65536', 65_536],
+    ['131072', 131_072],
+    ['', 65_536],
+    ['undefined', 65_536],
+    [undefined, 65_536],
+    [4_096, 4_096],
+  ])('have the row size of the platform or the default: %s', (maximumRowBytes, expected) => {
+    expect(checkFleetSettings({ ...SETTINGS, maximumRowBytes })).toMatchObject({
+      faults: [],
+      settings: { maximumRowBytes: expected },
+    });
+  });
+
   it.each([
     ['a host name in place of an IP address', { storeAddress: 'store.example:80' }, 'storeAddress'],
     ['a store whose port is too high', { storeAddress: '10.200.1.7:70000' }, 'storeAddress'],
@@ -37,6 +52,7 @@
     ],
     ['a lease of zero length', { maximumLeaseMs: 0 }, 'maximumLeaseMs'],
     ['a processor share of zero', { processor: { share: 0, speed: 1 } }, 'processor.share'],
+    ['a row size that is no number', { maximumRowBytes: '64 KB' }, 'maximumRowBytes'],
     ['an unknown member', { grace: 1 }, ''],
   ])('are rejected with the path of the error for %s', (_what, change, path) => {
     const { settings, faults } = checkFleetSettings({ ...SETTINGS, ...change });
