Fix requests that are counted for ever after their connection has made room

What callers saw: nothing yet; found by reading the change. A connection that gives its place to another one while it sends a body is refused politely and counted as closed at once. Requests that followed on it were counted, and nothing ended that; a crowd could use up the places of all requests. Besides, a client that left between its request and the work for it had work that was not counted.

Change: a request on a connection that is counted as closed is ignored and its socket closed; work that begins counts again.

Tests: clientLimiter.test.ts on real connections, and one for ClientConnections.

--- a/src/services/http/common/clientConnections.ts
+++ b/src/services/http/common/clientConnections.ts
@@ -185,9 +185,15 @@
     return true;
   }
 
-  /** The request is complete and work for it begins. */
+  /** The request is complete and work for it begins, also if its client has just left. */
   startWork(of: ClientRequest<Handle>): void {
-    this.#setPhase(of as RequestState<Handle>, RequestPhase.Working);
+    const request = of as RequestState<Handle>;
+    if (request.isClosed) {
+      request.connection.requests.push(request);
+      request.isCounted = true;
+      this.#requestCount += 1;
+    }
+    this.#setPhase(request, RequestPhase.Working);
   }
 
   /** The work has ended, and its answer is being sent if the connection is still open. */
--- a/src/services/http/node/clientLimiter.ts
+++ b/src/services/http/node/clientLimiter.ts
@@ -223,9 +223,10 @@
   #handle(message: IncomingMessage, response: ServerResponse, handler: RequestListener): void {
     const connection = this.#connectionOf.get(message.socket);
     if (connection === undefined) return;
-    if (message.socket.destroyed) {
-      // It was read together with the request for which the connection was closed.
+    if (message.socket.destroyed || !connection.isOpen) {
+      // It was read together with, or after, the request for which the connection was closed.
       this.#connections.ignore(connection);
+      message.socket.destroy();
       return;
     }
     const request = this.#connections.begin(connection);
--- a/src/services/http/test/clientConnections.test.ts
+++ b/src/services/http/test/clientConnections.test.ts
@@ -96,6 +96,19 @@
     expect(connections.usage).toEqual({ connectionCount: 0, requestCount: 0, heldBytes: 0 });
   });
 
+  // A client that leaves between its request and the work for it would have work that nobody counts.
+  it('count work that begins after they have closed', () => {
+    const { connections, open, begin } = withEvictions();
+    const connection = open('a');
+    const request = begin(connection);
+    connections.close(connection);
+    expect(connections.usage.requestCount).toBe(0);
+    connections.startWork(request);
+    expect(connections.usage.requestCount).toBe(1);
+    connections.endWork(request);
+    expect(connections.usage.requestCount).toBe(0);
+  });
+
   // Space of requests that waited behind others on a closed connection was never returned.
   it('return what requests hold that wait behind others when they close', () => {
     const { connections, open, begin } = withEvictions();
