--- a/review/harness-3/fleet.mjs
+++ b/review/harness-3/fleet.mjs
@@ -265,9 +265,9 @@
 
   #beatAll() {
     this.#beat += 1;
-    this.workers.forEach((worker) =>
-      this.store.put('servers', worker.id, worker.entry(this.#beat)),
-    );
+    this.workers
+      .filter(({ isLost }) => !isLost)
+      .forEach((worker) => this.store.put('servers', worker.id, worker.entry(this.#beat)));
   }
 
   /** The next daemon that runs, as the platform's address forwards a client's channels. */
--- a/review/harness-3/judge.mjs
+++ b/review/harness-3/judge.mjs
@@ -10,7 +10,7 @@
 const FINAL_STATES = ['complete', 'failed', 'cancelled'];
 
 /** Whether the workers have room for two more tasks of the size, and use less than half of theirs. */
-const hasCapacity = ({ workers }, cpu) => {
+export const hasCapacity = ({ workers }, cpu) => {
   const free = workers.map((worker) => worker.cpu - worker.usedCpu);
   const used = workers.reduce((sum, worker) => sum + worker.usedCpu, 0);
   const whole = workers.reduce((sum, worker) => sum + worker.cpu, 0);
--- a/review/harness-3/worker.mjs
+++ b/review/harness-3/worker.mjs
@@ -61,6 +61,12 @@
    */
   lateShare = 0;
 
+  /** Whether the worker is lost for good, without a sign: it answers nothing and runs nothing. */
+  isLost = false;
+
+  /** Whether the worker answers each start with 503, as an unhealthy one does. */
+  isUnhealthy = false;
+
   /** Channels that the worker has seen no end of. It resets those that exceed `CHANNELS`. */
   #channelCount = 0;
 
@@ -92,6 +98,12 @@
     this.address = `127.0.0.1:${await listen(this.#server)}`;
   }
 
+  /** Ends everything that runs here, without a word to anybody. */
+  lose() {
+    this.isLost = true;
+    this.runs.clear();
+  }
+
   stop() {
     clearInterval(this.#ticker);
     this.#server.closeAllConnections();
@@ -220,6 +232,7 @@
   }
 
   async #serve(request, response) {
+    if (this.isLost) return;
     const body = parse((await readBody(request)).toString('utf8'));
     if (request.headers['snipethread-target-instance'] !== this.id) {
       reply(response, 421, { ClockMs: this.#clockMs() });
@@ -230,7 +243,12 @@
       setTimeout(() => void this.#carryOut(request.url, body, true), lateMs).unref();
       return;
     }
+    if (request.url === '/api/run-start' && this.isUnhealthy) {
+      reply(response, 503, { ClockMs: this.#clockMs() });
+      return;
+    }
     const [statusCode, answer] = await this.#carryOut(request.url, body, false);
+    if (this.isLost) return;
     reply(response, statusCode, answer);
   }
 
