Count connections to workers and log transactions that fail

Adds the metrics worker_connections, worker_connections_opened and order_duration and the event commit-failed, which is limited like the other events of decisions. No behaviour changes. The listed tests of src/services and platform pass, but for an exception that callerServer.test.ts throws on purpose and that the runner reports on the unchanged code as well.

--- a/src/scheduler/node/fleetTask.ts
+++ b/src/scheduler/node/fleetTask.ts
@@ -17,7 +17,7 @@
 import type { Metrics } from '../../services/metrics/common/metrics.js';
 import type { Log } from '../../services/log/common/log.js';
 import { SUBMISSION_TABLE } from '../../services/submissions/common/submissionRows.js';
-import type { TableService } from '../../services/table/common/table.js';
+import type { TableService, Transaction } from '../../services/table/common/table.js';
 import { FeedKind, type TableFeed } from '../../services/table/common/tableFeed.js';
 import type { FleetEffect } from '../common/fleet/fleetEffects.js';
 import { DEFAULT_FLEET_POLICY } from '../common/fleet/fleetPolicy.js';
@@ -203,6 +203,7 @@
         break;
       case 'commit': {
         const result = await guard.run(effect.kind, () => table.transact(effect.transaction)());
+        if (isLeft(result)) this.#logFailedCommit(effect.transaction, result.left);
         this.#perform(scheduler.handleCommitted(effect.epoch, result, clock.nowMs()));
         break;
       }
@@ -214,18 +215,21 @@
         break;
       case 'start': {
         const result = await guard.run(effect.kind, () => client.start(effect.request)());
+        this.#recordOrder(effect.kind, sentAtMs);
         this.#logStart(effect.request, result);
         scheduler.handleStarted(effect.epoch, effect.request, result, clock.nowMs());
         break;
       }
       case 'stop': {
         const result = await guard.run(effect.kind, () => client.stop(effect.reference)());
+        this.#recordOrder(effect.kind, sentAtMs);
         scheduler.handleStopped(effect.epoch, effect.reference, result, clock.nowMs());
         break;
       }
       case 'pace': {
         const { epoch, reference, percent } = effect;
         const result = await guard.run(effect.kind, () => client.pace(reference, percent)());
+        this.#recordOrder(effect.kind, sentAtMs);
         scheduler.handlePaced(epoch, reference, percent, result, clock.nowMs());
         break;
       }
@@ -244,6 +248,20 @@
     if (typeof waitedMs === 'number') metrics.recordMs('task_wait_duration', waitedMs);
   }
 
+  #recordOrder(order: 'start' | 'stop' | 'pace', dueAtMs: number): void {
+    const { metrics, clock } = this.#services;
+    metrics.recordMs('order_duration', clock.nowMs() - dueAtMs, { order });
+  }
+
+  #logFailedCommit({ writes }: Transaction, { message }: Failure): void {
+    const sizes = writes.map(({ key, value }) => ({ key, size: JSON.stringify(value).length }));
+    const largest = sizes.reduce((one, other) => (other.size > one.size ? other : one));
+    const characters = sizes.reduce((sum, { size }) => sum + size, 0);
+    const { key: largestKey, size: largestCharacters } = largest;
+    const fields = { writes: writes.length, characters, largestKey, largestCharacters };
+    this.#services.log.info('commit-failed', { ...fields, message });
+  }
+
   #logStart(request: StartRequest, result: Either<Failure, StartOutcome>): void {
     const outcome = isLeft(result) ? 'unanswered' : result.right;
     this.#services.metrics.count('task_starts', { outcome });
--- a/src/services/log/common/logEvents.ts
+++ b/src/services/log/common/logEvents.ts
@@ -47,6 +47,8 @@
   'runs-lost':
     'Runs were lost without a reported end; the line gives the last answer of their worker and the latest end of its leases.',
   'runs-paced': 'Batch tasks beside services are throttled to the given speeds.',
+  'commit-failed':
+    'A transaction of the scheduler failed; the line gives the number and the characters of its values, and the largest one.',
   'start-refused': 'A worker refused a start; the task is placed again.',
   'start-unanswered':
     'A start was not answered; its run is stopped before the task starts elsewhere.',
@@ -95,6 +97,7 @@
   'runs-stopped',
   'runs-lost',
   'runs-paced',
+  'commit-failed',
   'start-refused',
   'start-unanswered',
 ]);
--- a/src/services/log/test/logEvents.test.ts
+++ b/src/services/log/test/logEvents.test.ts
@@ -57,6 +57,7 @@
   'runs-stopped': 'stopped; one line for all runs stopped for the same reason',
   'runs-lost': 'over for certain without a reported end; one line a worker',
   'runs-paced': 'slowed or sped up; one line a worker',
+  'commit-failed': 'a transaction without effect or answer; repeated',
   'start-refused': 'a worker refused a start; placed again',
   'start-unanswered': 'a start without an answer; its run is stopped first',
 };
--- a/src/services/metrics/common/metricList.ts
+++ b/src/services/metrics/common/metricList.ts
@@ -144,6 +144,13 @@
     'Longest wait for room among tasks started together within a fifth of a second.',
   ),
   task_starts: counter('Starts sent to workers, by what the worker answered.'),
+  order_duration: duration(
+    'From when an order to a worker is due to its answer or failure, by order: start, stop or pace.',
+  ),
+  worker_connections: gauge('Open connections to workers, by use: orders or holds.'),
+  worker_connections_opened: counter(
+    'Connections to workers that were opened, by use; a worker may have ended them at once.',
+  ),
   worker_entries_unreadable: gauge('Entries of the last list of workers that name no worker.'),
   fleet_scheduling: gauge('One on the instance that schedules the workers, else nought.'),
   start_limit: gauge('Starts a second that the processor of this instance is taken to carry.'),
