Fix connections of lost owners that fill the workers

Cause: an owner kept five connections for orders and one for holds at each worker for a minute after their last use. A worker gets no sign that the machine at the other end of an idle connection is gone, so with each loss of power six of the 64 that it accepts were gone for good. Former owners that live on kept theirs for a minute as well.

Evidence: the record of the case counts exactly six connections more at each worker with each loss, also in the quiet. The next owner's attempts are reset and take none, which rules out the reconnections.

An owner whose epoch has ended closes all of them.

--- a/bench/fleet/fleetDriver.ts
+++ b/bench/fleet/fleetDriver.ts
@@ -363,6 +363,8 @@
           },
         );
         break;
+      case 'disconnect':
+        break;
       default:
         countLoggedDecision(this.counts, effect);
         this.#runTimed(() => this.log.info(effect.event, effect.fields));
--- a/src/scheduler/common/fleet/fleetEffects.ts
+++ b/src/scheduler/common/fleet/fleetEffects.ts
@@ -30,4 +30,6 @@
       readonly reference: RunReference;
       readonly percent: number;
     }
+  /** Leave the workers' connections to the next owner. */
+  | { readonly kind: 'disconnect' }
   | { readonly kind: 'log'; readonly event: LogEvent; readonly fields: LogFields };
--- a/src/scheduler/common/fleet/fleetScheduler.ts
+++ b/src/scheduler/common/fleet/fleetScheduler.ts
@@ -351,6 +351,7 @@
 
   #followOwnership(effects: FleetEffect[]): void {
     const { isOwner, epoch } = this.#ownership;
+    if (this.#endedEpochs.length > 0) effects.push({ kind: 'disconnect' });
     this.#endedEpochs.forEach((ended) =>
       effects.push({ kind: 'log', event: 'fleet-lost', fields: { epoch: ended } }),
     );
--- a/src/scheduler/node/fleetTask.ts
+++ b/src/scheduler/node/fleetTask.ts
@@ -233,6 +233,9 @@
         scheduler.handlePaced(epoch, reference, percent, result, clock.nowMs());
         break;
       }
+      case 'disconnect':
+        client.disconnect();
+        return;
       default:
         this.#logDecision(effect);
         return;
--- a/src/scheduler/test/fleet/busyFleet.ts
+++ b/src/scheduler/test/fleet/busyFleet.ts
@@ -341,6 +341,7 @@
           worker.stop(reference, this.simulator.outside.nowMs()),
         ),
       pace: (reference) => order(reference.workerId, () => OrderOutcome.Accepted),
+      disconnect: () => connected.clear(),
     };
   }
 
--- a/src/scheduler/test/fleet/fleetWorld.ts
+++ b/src/scheduler/test/fleet/fleetWorld.ts
@@ -74,6 +74,9 @@
   /** The workers that holds were sent to. */
   readonly heldWorkers = new Set<string>();
 
+  /** The schedulers that have closed their connections to workers, in that order. */
+  readonly disconnectedSlots: number[] = [];
+
   readonly time = new VirtualTime();
 
   readonly #random: SeededRandom;
@@ -347,6 +350,9 @@
       case 'stop':
         this.#links.stop(index, effect.epoch, effect.reference);
         break;
+      case 'disconnect':
+        this.disconnectedSlots.push(index);
+        break;
       case 'log':
         this.logged.push(effect);
         break;
--- a/src/services/fleet/common/fleetWorker.ts
+++ b/src/services/fleet/common/fleetWorker.ts
@@ -130,4 +130,6 @@
   stop(reference: RunReference): TaskEither<Failure, OrderOutcome>;
   /** Throttles a task to `percent` of its speed. */
   pace(reference: RunReference, percent: number): TaskEither<Failure, OrderOutcome>;
+  /** Closes all connections, as workers accept few; calls that are under way fail. */
+  disconnect(): void;
 }
