--- a/bench/fleet/ownerCalls.ts
+++ b/bench/fleet/ownerCalls.ts
@@ -3,6 +3,7 @@
  * platform's adapter, to a process that answers over loopback. The time includes connections, JSON
  * and the validation of answers.
  */
+import { systemClock } from '../../src/base/node/systemClock.js';
 import { type ChildProcess, fork } from 'node:child_process';
 import { once } from 'node:events';
 import { fileURLToPath } from 'node:url';
@@ -159,7 +160,7 @@
   print: (text: string) => void,
 ): Promise<void> => {
   const { child, ports } = await startServers(options);
-  const workers = new WorkerCalls();
+  const workers = new WorkerCalls(systemClock);
   const store = new StoreClient(`127.0.0.1:${ports[0]}`);
   const phases = phasesOf(ports, options, workers, store);
   print(`calls to ${options.workerCount} workers, ${options.runCount} runs in each list:`);
