Fix starts that are sent after what permitted them has ended

Cause: what permits a start was checked when its assignment was stored. Then the order waited for one of five connections to its worker, where nothing checked it again, together with the stops of the same worker. Stored assignments, the feed and the cancellation were in time (the run was being stopped when its start was sent).

Change: orders wait for their turn at the scheduler (OrderTurns) and not for a connection. While a worker answers within 50 ms one order after the other is sent; each without an answer by then lets another one pass, up to four starts and four other orders, so that starts don't keep stops waiting and no order waits for a connection. When the turn of a start comes, the scheduler is asked once more (isStartDue): the epoch, the run, the age of the feed, the list of workers and the operators' state, the worker's readiness. A start that is withheld is known not to have run, has a log event and an outcome of its own, and a gang with such a member is stopped. A start that waited for half a second is placed again, and placement leaves out workers at which four starts are late.

--- a/src/scheduler/common/fleet/fleetScheduler.ts
+++ b/src/scheduler/common/fleet/fleetScheduler.ts
@@ -61,8 +61,8 @@
 import type { FleetPolicy } from './fleetPolicy.js';
 import type { FleetTiming } from './fleetTiming.js';
 import { HOLD_RETRY_MS } from './holdTiming.js';
-import { runKey } from './fleetWorkerView.js';
-import { splitRecorded } from './runStarts.js';
+import { isStartDue, NOT_SENT, otherRunsOfGang, splitRecorded } from './runStarts.js';
+import { StartsInFlight } from './startsInFlight.js';
 import { OwnerLoadLimiter } from './ownerLoadLimiter.js';
 import { RunState, type TaskRun } from './taskRecords.js';
 import { obstaclesOf, type RoundInput } from './usableWorkers.js';
@@ -87,7 +87,7 @@
   /** Epochs that have ended and whose end has not been logged yet. */
   #endedEpochs: number[] = [];
 
-  readonly #startsInFlight = new Map<string, TaskRun>();
+  readonly #startsInFlight = new StartsInFlight();
 
   readonly #pacing = new FillerPacing();
 
@@ -227,9 +227,8 @@
     result: Either<Failure, StartOutcome>,
     nowMs: number,
   ): void {
-    const key = runKey(reference.taskName, reference.run);
-    const run = this.#startsInFlight.get(key);
-    if (this.#startsInFlight.delete(key)) this.#loadLimiter.noteStartAnswered();
+    const run = this.#startsInFlight.find(reference);
+    if (this.#startsInFlight.delete(reference)) this.#loadLimiter.noteStartAnswered();
     if (this.#state?.epoch !== epoch || run === undefined) return;
     const isFenced = isRight(result) && result.right === StartOutcome.Fenced;
     if (isFenced && this.#isSuperseded(reference, epoch)) this.#giveUpFleet(nowMs);
@@ -239,6 +238,23 @@
     }
   }
 
+  /** Whether a start that has waited for its turn may be sent now. */
+  isStartDue(epoch: number, reference: RunReference, nowMs: number): boolean {
+    const state = this.#state;
+    const run = this.#startsInFlight.find(reference);
+    if (state?.epoch !== epoch || run === undefined || !this.#mayStart(state, nowMs)) return false;
+    const terms = { timing: this.#timing, roster: state.roster, operator: this.#operator };
+    return isStartDue(run, state.views.get(run.workerId), terms, nowMs);
+  }
+
+  /** Handles a start that was not sent. A gang whose member is withheld does not start. */
+  handleWithheld(epoch: number, reference: RunReference, nowMs: number): void {
+    const run = this.#startsInFlight.find(reference);
+    this.handleStarted(epoch, reference, NOT_SENT, nowMs);
+    if (this.#state?.epoch !== epoch || run === undefined) return;
+    this.#state.runTracker.requestStops(otherRunsOfGang(run), StopReason.NotWanted, nowMs);
+  }
+
   handleStopped(
     epoch: number,
     reference: RunReference,
@@ -252,7 +268,7 @@
       return;
     }
     const view = this.#state.views.get(reference.workerId);
-    const run = view?.runs.get(runKey(reference.taskName, reference.run));
+    const run = view?.findRun(reference);
     if (run !== undefined) this.#state.runTracker.handleStopped(run, result, nowMs);
   }
 
@@ -264,7 +280,7 @@
     nowMs: number,
   ): void {
     const view = this.#state?.views.get(reference.workerId);
-    const run = view?.runs.get(runKey(reference.taskName, reference.run));
+    const run = view?.findRun(reference);
     if (run === undefined || this.#state?.epoch !== epoch) return;
     this.#pacing.handleAnswered(run);
     if (isLeft(result)) return;
@@ -389,8 +405,9 @@
     this.#moves.clear();
   }
 
-  #roundInput(state: FleetState): RoundInput {
-    return roundInput(state, this.#operator, this.#policy, this.#timing);
+  #roundInput(state: FleetState, nowMs: number): RoundInput {
+    const congestedWorkers = this.#startsInFlight.congestedWorkers(nowMs);
+    return roundInput(state, this.#operator, this.#policy, this.#timing, congestedWorkers);
   }
 
   /**
@@ -412,7 +429,7 @@
       return;
     }
     const limits = this.#loadLimiter.roundLimits(nowMs);
-    const input = this.#roundInput(state);
+    const input = this.#roundInput(state, nowMs);
     this.#moves.placeMoved(input, nowMs);
     const { runTracker } = state;
     const outcome = placeWaiting(
@@ -439,7 +456,7 @@
     recorded: readonly TaskRun[],
     nowMs: number,
   ): readonly FleetEffect[] {
-    const input = this.#roundInput(state);
+    const input = this.#roundInput(state, nowMs);
     const mayStart = this.#mayStart(state, nowMs);
     const { startable, blocked } = splitRecorded(recorded, input, mayStart, nowMs);
     blocked.forEach((run) => state.runTracker.withdraw(run, nowMs));
@@ -457,7 +474,7 @@
     }
     run.state = RunState.Starting;
     run.startedAtMs = nowMs;
-    this.#startsInFlight.set(runKey(run.task.name, run.run), run);
+    this.#startsInFlight.add(run);
     return [startEffect(state, view, run, leaseEndWorkerMs)];
   }
 
--- a/src/scheduler/common/fleet/fleetState.ts
+++ b/src/scheduler/common/fleet/fleetState.ts
@@ -257,11 +257,13 @@
   operator: OperatorState,
   policy: FleetPolicy,
   timing: FleetTiming,
+  congestedWorkers: ReadonlySet<string>,
 ): RoundInput => {
   const { registry, views, epoch, interference, runTracker, roster, misses } = state;
   const { health } = runTracker;
   return {
     ...{ registry, views, epoch, interference, operator, policy, timing, health, roster, misses },
+    congestedWorkers,
   };
 };
 
--- a/src/scheduler/common/fleet/fleetWorkerView.ts
+++ b/src/scheduler/common/fleet/fleetWorkerView.ts
@@ -1,5 +1,9 @@
 /** The scheduler's view of one worker: its free capacity, runs, clock and leases. */
-import type { FleetWorkerEntry, HoldAnswer } from '../../../services/fleet/common/fleetWorker.js';
+import type {
+  FleetWorkerEntry,
+  HoldAnswer,
+  RunReference,
+} from '../../../services/fleet/common/fleetWorker.js';
 import {
   addResources,
   NO_RESOURCES,
@@ -166,6 +170,10 @@
     return this.#reservedTasks;
   }
 
+  findRun({ taskName, run }: Pick<RunReference, 'taskName' | 'run'>): TaskRun | undefined {
+    return this.runs.get(runKey(taskName, run));
+  }
+
   hasRun(run: TaskRun): boolean {
     return this.runs.get(runKey(run.task.name, run.run)) === run;
   }
--- a/src/scheduler/common/fleet/placementObstacle.ts
+++ b/src/scheduler/common/fleet/placementObstacle.ts
@@ -8,6 +8,8 @@
   Unanswered: 'unanswered',
   /** The worker lists runs that are not wanted any more. */
   Unsettled: 'unsettled',
+  /** Starts wait for answers of the worker, so that a further one would not be sent at once. */
+  Congested: 'congested',
   /** The stored roster does not yet allow leases without a limit to the worker. */
   LeasesLimited: 'leases-limited',
   ZoneWithdrawn: 'zone-withdrawn',
--- a/src/scheduler/common/fleet/usableWorkers.ts
+++ b/src/scheduler/common/fleet/usableWorkers.ts
@@ -28,12 +28,17 @@
   readonly epoch: number;
   readonly roster: Roster;
   readonly misses: RoomMisses;
+  /** Workers at which a further start would wait to be sent. */
+  readonly congestedWorkers: ReadonlySet<string>;
 }
 
+/** What decides whether tasks may start on a worker. */
+export type WorkerTerms = Pick<RoundInput, 'timing' | 'roster' | 'operator'>;
+
 /** Returns why no task may start on the worker now, or undefined if tasks may. */
 const findWorkerObstacle = (
   view: FleetWorkerView,
-  { timing, roster, operator }: RoundInput,
+  { timing, roster, operator }: WorkerTerms,
   nowMs: number,
 ): PlacementObstacle | undefined => {
   if (!view.isListed || !view.isEntryCurrent) return PlacementObstacle.Unlisted;
@@ -48,8 +53,17 @@
 };
 
 /** Whether tasks may start on the worker now. */
-export const isUsable = (view: FleetWorkerView, input: RoundInput, nowMs: number): boolean =>
-  findWorkerObstacle(view, input, nowMs) === undefined;
+export const isUsable = (view: FleetWorkerView, terms: WorkerTerms, nowMs: number): boolean =>
+  findWorkerObstacle(view, terms, nowMs) === undefined;
+
+/** Returns why no further task may be placed on the worker now, or undefined if tasks may. */
+const findPlacementObstacle = (
+  view: FleetWorkerView,
+  input: RoundInput,
+  nowMs: number,
+): PlacementObstacle | undefined =>
+  findWorkerObstacle(view, input, nowMs) ??
+  (input.congestedWorkers.has(view.id) ? PlacementObstacle.Congested : undefined);
 
 /** The usable workers of one service. */
 export interface ServicePool {
@@ -73,7 +87,9 @@
   constructor(input: RoundInput, nowMs: number) {
     this.#input = input;
     this.#nowMs = nowMs;
-    this.all = [...input.views.values()].filter((view) => isUsable(view, input, nowMs));
+    this.all = [...input.views.values()].filter(
+      (view) => findPlacementObstacle(view, input, nowMs) === undefined,
+    );
     this.all.forEach((view) => {
       const { serviceName } = view.entry;
       const known = this.#viewsByService.get(serviceName);
@@ -114,7 +130,7 @@
   const { serviceName, context } = new UsableWorkers(input, nowMs).poolOf(task, configuration);
   const allowsSlowStart = allowsReducedPace(task, nowMs);
   const obstacleOf = (view: FleetWorkerView): PlacementObstacle | undefined => {
-    const obstacle = findWorkerObstacle(view, input, nowMs);
+    const obstacle = findPlacementObstacle(view, input, nowMs);
     if (obstacle !== undefined) return obstacle;
     if (view.entry.serviceName !== serviceName) return PlacementObstacle.OtherService;
     const rating = rateWorker(task, view, allowsSlowStart, context, nowMs);
--- a/src/scheduler/node/fleetTask.ts
+++ b/src/scheduler/node/fleetTask.ts
@@ -1,5 +1,6 @@
 /** Runs the fleet's scheduler. Owns its timers, its table calls and its calls to workers. */
 import { type Either, isLeft, isRight, right } from 'fp-ts/lib/Either.js';
+import type { TaskEither } from 'fp-ts/lib/TaskEither.js';
 
 import type { Clock } from '../../base/common/clock.js';
 import { type Disposable, DisposableStore } from '../../base/common/lifecycle.js';
@@ -10,6 +11,8 @@
 import {
   type FleetClient,
   type HoldRequest,
+  type OrderOutcome,
+  type RunReference,
   StartOutcome,
   type StartRequest,
 } from '../../services/fleet/common/fleetWorker.js';
@@ -25,6 +28,7 @@
 import { StepThrottle } from '../common/fleet/stepThrottle.js';
 import type { FleetTiming } from '../common/fleet/fleetTiming.js';
 import { ConcurrencyLimiter } from './concurrencyLimiter.js';
+import { OrderKind, OrderTurns } from './orderTurns.js';
 import { RenewalMonitor } from './renewalMonitor.js';
 import { StoredStateReader } from './storedStateReader.js';
 
@@ -78,6 +82,8 @@
     FIRST_HOLD_SLOT_TIMEOUT_MS,
   );
 
+  readonly #orderTurns = new OrderTurns();
+
   #isStepScheduled = false;
 
   constructor(
@@ -213,23 +219,18 @@
       case 'hold':
         await this.#hold(effect);
         break;
-      case 'start': {
-        const result = await guard.run(effect.kind, () => client.start(effect.request)());
-        this.#recordOrder(effect.kind, sentAtMs);
-        this.#logStart(effect.request, result);
-        scheduler.handleStarted(effect.epoch, effect.request, result, clock.nowMs());
+      case 'start':
+        await this.#start(effect);
         break;
-      }
       case 'stop': {
-        const result = await guard.run(effect.kind, () => client.stop(effect.reference)());
-        this.#recordOrder(effect.kind, sentAtMs);
-        scheduler.handleStopped(effect.epoch, effect.reference, result, clock.nowMs());
+        const { reference } = effect;
+        const result = await this.#order(effect.kind, reference, client.stop(reference));
+        scheduler.handleStopped(effect.epoch, reference, result, clock.nowMs());
         break;
       }
       case 'pace': {
         const { epoch, reference, percent } = effect;
-        const result = await guard.run(effect.kind, () => client.pace(reference, percent)());
-        this.#recordOrder(effect.kind, sentAtMs);
+        const result = await this.#order(effect.kind, reference, client.pace(reference, percent));
         scheduler.handlePaced(epoch, reference, percent, result, clock.nowMs());
         break;
       }
@@ -251,9 +252,34 @@
     if (typeof waitedMs === 'number') metrics.recordMs('task_wait_duration', waitedMs);
   }
 
-  #recordOrder(order: 'start' | 'stop' | 'pace', dueAtMs: number): void {
+  async #start({ epoch, request }: Extract<FleetEffect, { kind: 'start' }>): Promise<void> {
+    const { client, clock, metrics } = this.#services;
+    const dueAtMs = clock.nowMs();
+    const release = await this.#orderTurns.acquire(request.workerId, OrderKind.Start);
+    if (this.#scheduler.isStartDue(epoch, request, clock.nowMs())) {
+      const result = await this.#guard.run('start', () => client.start(request)());
+      this.#logStart(request, result);
+      this.#scheduler.handleStarted(epoch, request, result, clock.nowMs());
+      metrics.recordMs('order_duration', clock.nowMs() - dueAtMs, { order: 'start' });
+    } else {
+      this.#logWithheld(request, clock.nowMs() - dueAtMs);
+      this.#scheduler.handleWithheld(epoch, request, clock.nowMs());
+    }
+    release();
+  }
+
+  async #order(
+    order: 'stop' | 'pace',
+    { workerId }: RunReference,
+    task: TaskEither<Failure, OrderOutcome>,
+  ): Promise<Either<Failure, OrderOutcome>> {
     const { metrics, clock } = this.#services;
+    const dueAtMs = clock.nowMs();
+    const release = await this.#orderTurns.acquire(workerId, OrderKind.Other);
+    const result = await this.#guard.run(order, task);
+    release();
     metrics.recordMs('order_duration', clock.nowMs() - dueAtMs, { order });
+    return result;
   }
 
   #logFailedCommit({ writes }: Transaction, { message }: Failure): void {
@@ -265,6 +291,12 @@
     this.#services.log.info('commit-failed', { ...fields, message });
   }
 
+  #logWithheld({ taskName, run, workerId }: StartRequest, waitedMs: number): void {
+    this.#services.metrics.count('task_starts', { outcome: 'withheld' });
+    const fields = { taskName, run, workerId, turnMs: Math.round(waitedMs) };
+    this.#services.log.info('start-withheld', fields);
+  }
+
   #logStart(request: StartRequest, result: Either<Failure, StartOutcome>): void {
     const outcome = isLeft(result) ? 'unanswered' : result.right;
     this.#services.metrics.count('task_starts', { outcome });
--- /dev/null
+++ b/src/scheduler/node/orderTurns.ts
@@ -0,0 +1,33 @@
+/**
+ * Decides when each order to a worker is sent. Orders are held back here rather than in the queue of
+ * a connection, as one that has not been sent can still be withheld. While a worker answers at once,
+ * one order after the other needs one connection; orders without an answer let others pass. Starts
+ * do not keep stops waiting.
+ */
+import { ConcurrencyLimiter } from './concurrencyLimiter.js';
+
+const PROMPT_ANSWER_MS = 50;
+const ORDERS_AT_A_TIME = 1;
+/** The client has a connection for each order of both kinds that may be under way. */
+const MAXIMUM_ORDERS_UNDER_WAY = 4;
+
+export const OrderKind = { Start: 'start', Other: 'other' } as const;
+export type OrderKind = (typeof OrderKind)[keyof typeof OrderKind];
+
+export class OrderTurns {
+  readonly #limiters = new Map<string, ConcurrencyLimiter>();
+
+  /** Resolves with a release function when the order may be sent. Invoke it when it is over. */
+  async acquire(workerId: string, kind: OrderKind): Promise<() => void> {
+    const key = `${kind} ${workerId}`;
+    const limiter =
+      this.#limiters.get(key) ??
+      new ConcurrencyLimiter(ORDERS_AT_A_TIME, PROMPT_ANSWER_MS, MAXIMUM_ORDERS_UNDER_WAY);
+    this.#limiters.set(key, limiter);
+    const release = await limiter.acquire();
+    return () => {
+      release();
+      if (limiter.isIdle) this.#limiters.delete(key);
+    };
+  }
+}
--- a/src/scheduler/test/fleet/busyFleet.ts
+++ b/src/scheduler/test/fleet/busyFleet.ts
@@ -1,5 +1,5 @@
 /** Simulates daemons whose work takes time on their processors, with a table and workers. */
-import { left, right } from 'fp-ts/lib/Either.js';
+import { type Either, left, right } from 'fp-ts/lib/Either.js';
 import type { TaskEither } from 'fp-ts/lib/TaskEither.js';
 
 import type { JsonValue } from '../../../base/common/json.js';
@@ -21,12 +21,13 @@
 import type { LogEvent } from '../../../services/log/common/logEvents.js';
 import { PrometheusMetrics } from '../../../services/metrics/node/prometheusMetrics.js';
 import {
+  cancelKey,
   type Progress,
   progressKey,
   specKey,
 } from '../../../services/submissions/common/submissionRows.js';
 import type { Submission } from '../../../services/submissions/common/submission.js';
-import type { TableService, Transaction } from '../../../services/table/common/table.js';
+import type { TableRow, TableService, Transaction } from '../../../services/table/common/table.js';
 import {
   FeedKind,
   type FeedPage,
@@ -34,6 +35,7 @@
 } from '../../../services/table/common/tableFeed.js';
 import { WorkerModel } from '../../../../standIns/fleet/workerModel.js';
 import { TableStandIn } from '../../../../standIns/platform/tableStandIn.js';
+import { ConcurrencyLimiter } from '../../node/concurrencyLimiter.js';
 import { FleetTask } from '../../node/fleetTask.js';
 import { CONFIGURATION, STOP_MS, TIMING, WORKER_CAPACITY } from './fleetFixtures.js';
 import { EventLoopSimulator, type SimulatedEventLoop } from './eventLoopSimulator.js';
@@ -44,6 +46,8 @@
 const POLL_INTERVAL_MS = 20;
 /** How long a daemon waits for an answer from the table. */
 const TABLE_TIMEOUT_MS = 700;
+/** Longer than any simulation. */
+const NEVER_MS = 1_000_000_000;
 
 /** Time that work takes on a daemon's processor. */
 export interface Costs {
@@ -104,7 +108,17 @@
   /** Whether this call of a daemon throws. */
   isCallThrown = NO_CALL_THROWN;
 
-  readonly #submissions: Submission[] = [];
+  /** How long workers take to answer an order. */
+  orderAnswerMs = 0;
+
+  /** Connections of a daemon for orders to one worker, on each of which one order is under way. */
+  orderConnections = Number.POSITIVE_INFINITY;
+
+  /** When each start reached its worker, with the name of the task. */
+  readonly starts: { readonly taskName: string; readonly atMs: number }[] = [];
+
+  /** The rows of callers' submissions and cancellations. */
+  readonly #changes: TableRow[] = [];
 
   readonly #workMs: (taskName: string) => number;
 
@@ -151,13 +165,16 @@
   }
 
   submit(submission: Submission): void {
-    this.#submissions.push(submission);
-    const value = submission as unknown as JsonValue;
-    this.table.transact({
-      operationId: submission.id,
-      conditions: [],
-      writes: [{ key: specKey(submission.id), value }],
-    });
+    this.#writeChange(specKey(submission.id), submission as unknown as JsonValue);
+  }
+
+  cancel(id: string): void {
+    this.#writeChange(cancelKey(id), {});
+  }
+
+  #writeChange(key: string, value: JsonValue): void {
+    this.#changes.push({ key, version: 1, value, operationId: key });
+    this.table.transact({ operationId: key, conditions: [], writes: [{ key, value }] });
   }
 
   progress(id: string): Progress | undefined {
@@ -174,8 +191,10 @@
         stopMs: STOP_MS,
         clockRate: 1,
         taskOf: (taskName) => ({ workMs: this.#workMs(taskName), end: RunEnd.Done }),
-        onStart: (taskName) =>
-          this.startCounts.set(taskName, (this.startCounts.get(taskName) ?? 0) + 1),
+        onStart: (taskName) => {
+          this.startCounts.set(taskName, (this.startCounts.get(taskName) ?? 0) + 1);
+          this.starts.push({ taskName, atMs: this.simulator.outside.nowMs() });
+        },
         onEnd: ({ end }) => {
           if (end === RunEnd.Lapsed) this.lapseCount += 1;
         },
@@ -238,7 +257,7 @@
     const withTableTime = <Answer extends object>(answer: Answer) => ({
       ...answer,
       tableNowMs: this.simulator.outside.nowMs(),
-      position: this.#submissions.length,
+      position: this.#changes.length,
     });
     return {
       read: (request) =>
@@ -265,21 +284,16 @@
           (reply) => {
             const untilMs = this.simulator.outside.nowMs() + waitMs;
             const poll = (): void => {
-              const isDue = this.#submissions.length > afterPosition;
+              const isDue = this.#changes.length > afterPosition;
               if (!isDue && this.simulator.outside.nowMs() < untilMs) {
                 this.simulator.outside.after(POLL_INTERVAL_MS, poll);
                 return;
               }
-              const rows = this.#submissions.slice(afterPosition).map((submission) => ({
-                key: specKey(submission.id),
-                version: 1,
-                value: submission as unknown as JsonValue,
-                operationId: submission.id,
-              }));
+              const rows = this.#changes.slice(afterPosition);
               const page: FeedPage = {
                 kind: FeedKind.Changes,
                 rows,
-                position: this.#submissions.length,
+                position: this.#changes.length,
               };
               if (this.feedDelayMs === 0) reply(page);
               else this.simulator.outside.after(this.feedDelayMs, () => reply(page));
@@ -330,8 +344,25 @@
       loop.spend(costs.sendMs + connectMs);
       return this.#call<Answer>(loop, () => costs.answerMs + connectMs, serve);
     };
-    const order = <Answer>(workerId: string, carryOut: (worker: WorkerModel) => Answer) =>
-      call<Answer>(workerId, (reply) => reply(carryOut(this.workers.get(workerId) as WorkerModel)));
+    const connections = new Map<string, ConcurrencyLimiter>();
+    const connectionsTo = (workerId: string): ConcurrencyLimiter => {
+      const known =
+        connections.get(workerId) ?? new ConcurrencyLimiter(this.orderConnections, NEVER_MS);
+      connections.set(workerId, known);
+      return known;
+    };
+    const order =
+      <Answer>(workerId: string, carryOut: (worker: WorkerModel) => Answer) =>
+      async (): Promise<Either<Failure, Answer>> => {
+        const release = await connectionsTo(workerId).acquire();
+        const answer = await call<Answer>(workerId, (reply) => {
+          const carriedOut = carryOut(this.workers.get(workerId) as WorkerModel);
+          if (this.orderAnswerMs === 0) reply(carriedOut);
+          else this.simulator.outside.after(this.orderAnswerMs, () => reply(carriedOut));
+        })();
+        release();
+        return answer;
+      };
     return {
       hold: (request) => call<HoldOutcome>(request.workerId, (reply) => this.#hold(request, reply)),
       start: (request) =>
--- a/src/services/log/common/logEvents.ts
+++ b/src/services/log/common/logEvents.ts
@@ -50,6 +50,8 @@
   'commit-failed':
     'A transaction of the scheduler failed; the line gives the number and the characters of its values, and the largest one.',
   'start-refused': 'A worker refused a start; the task is placed again.',
+  'start-withheld':
+    'A start was not sent after it had waited for its turn; its submission, its worker or the ownership had changed, or the wait was too long. The task is placed again if it is still wanted.',
   'start-unanswered':
     'A start was not answered; its run is stopped before the task starts elsewhere.',
   'worker-reborn':
@@ -99,5 +101,6 @@
   'runs-paced',
   'commit-failed',
   'start-refused',
+  'start-withheld',
   'start-unanswered',
 ]);
--- a/src/services/metrics/common/metricList.ts
+++ b/src/services/metrics/common/metricList.ts
@@ -143,7 +143,9 @@
   task_wait_duration: duration(
     'Longest wait for room among tasks started together within a fifth of a second.',
   ),
-  task_starts: counter('Starts sent to workers, by what the worker answered.'),
+  task_starts: counter(
+    'Starts of tasks, by what the worker answered; withheld ones were never sent.',
+  ),
   order_duration: duration(
     'From when an order to a worker is due to its answer or failure, by order: start, stop or pace.',
   ),
