Fix one submission's large row that keeps all others from being stored

In the users' trials the same happened with tasks that each fail once, and a successor did not help.

Cause: the assignments of all runs of a submission stand in one row, and so do its failed attempts; nothing limits either. From some 9,400 runs on the store refuses the row and with it the whole transaction, with 400. The owner took that for an outage and sent the same rows again without end. Run numbers grow with the epochs, so that later owners reach the limit sooner.

Change: - A submission whose tasks may not fit into one row is divided into pages of tasks (submissionParts.ts). A page has both the progress and the assignments of its tasks, so that a successor sees one moment of each task, whatever the transactions were. Parts take the place of whole submissions in what is yet to be stored and in what the acknowledgement of ends waits for. A row that turns out too large is divided as well.

Rolling updates: the pages take effect in the transaction that adds tasksPerPage to the submission's row, which the former build can't read. So it neither takes the empty progress row for the whole nor starts anything of it; such a submission waits for an owner of the new build. Everything else is stored as before, and rows of the former build are read and divided when they are large.

--- a/src/intake/node/submissionIntake.ts
+++ b/src/intake/node/submissionIntake.ts
@@ -37,6 +37,14 @@
  */
 const RESOLVE_TIMEOUT_SHARE = 0.45;
 
+/** What the table stores beside the submission: the operation id, and the size of its pages. */
+const ROW_OVERHEAD_BYTES = 200;
+/** The kinds of failures of transactions that had no effect. */
+const EFFECTLESS_KINDS: ReadonlySet<ErrorKind> = new Set([
+  ErrorKind.StoreUnavailable,
+  ErrorKind.BodyTooLarge,
+]);
+
 export interface SubmissionIntakeServices {
   readonly table: TableService;
   readonly clock: Clock;
@@ -77,7 +85,8 @@
 
   async #store(submission: Submission, timeoutMs: number): Promise<Either<Failure, undefined>> {
     const { table, clock, maximumRowBytes, newOperationId } = this.#services;
-    if (JSON.stringify(submission).length > maximumRowBytes) {
+    const rowBytes = Buffer.byteLength(JSON.stringify(submission)) + ROW_OVERHEAD_BYTES;
+    if (rowBytes > maximumRowBytes) {
       const cause = failure(ErrorKind.BodyTooLarge, 'the table cannot store the submission');
       return this.#refused(submission, cause);
     }
@@ -94,7 +103,7 @@
       const result = await table.transact(transaction)();
       this.#recordCallResult(result);
       if (isLeft(result)) {
-        mayBeStored ||= result.left.kind !== ErrorKind.StoreUnavailable;
+        mayBeStored ||= !EFFECTLESS_KINDS.has(result.left.kind);
         if (!mayBeStored) return this.#refused(submission, result.left);
         // eslint-disable-next-line no-await-in-loop
         await delay(RESOLVE_RETRY_MS);
--- a/src/scheduler/common/fleet/decisionLog.ts
+++ b/src/scheduler/common/fleet/decisionLog.ts
@@ -7,6 +7,7 @@
 import type { WorkerEvidence } from './runEvidence.js';
 import { describeResumption } from './resumption.js';
 import { RoomReport } from './roomReport.js';
+import type { RowSize } from './storeLimits.js';
 import type { TaskRecord, TaskRun } from './taskRecords.js';
 import type { WaitCounts } from './waitReason.js';
 import { type ObstaclesOf, WaitReport } from './waitReport.js';
@@ -141,6 +142,10 @@
     });
   }
 
+  addTooLarge(rows: readonly RowSize[]): void {
+    rows.forEach(({ key, bytes }) => this.add('row-too-large', { key, bytes }));
+  }
+
   addPaces(changes: readonly PaceChange[]): void {
     if (changes.length === 0) return;
     const paces = changes.map(({ run, percent }) => `${describeRun(run)}=${percent}%`).join(' ');
--- a/src/scheduler/common/fleet/endAcknowledgements.ts
+++ b/src/scheduler/common/fleet/endAcknowledgements.ts
@@ -1,6 +1,6 @@
 /** Decides up to which ends of runs the workers may be told that they are recorded. */
 import type { FleetWorkerView } from './fleetWorkerView.js';
-import type { SubmissionRecord } from './taskRecords.js';
+import type { SubmissionPart } from './submissionParts.js';
 
 /** Ends of one process of a worker, up to a sequence number. */
 export interface RecordedSequence {
@@ -15,10 +15,10 @@
   sequence: view.handledSequence,
 });
 
-/** Ends that are recorded once the progress of these submissions is stored. */
+/** Ends that are recorded once the progress of these parts is stored. */
 interface AwaitedEnds {
   readonly sequences: readonly RecordedSequence[];
-  readonly records: Set<SubmissionRecord>;
+  readonly parts: Set<SubmissionPart>;
 }
 
 /**
@@ -29,26 +29,26 @@
   #awaited: AwaitedEnds | undefined;
 
   /** Notes the ends handled so far, unless ends that were noted before are still awaited. */
-  begin(views: readonly FleetWorkerView[], unstored: ReadonlySet<SubmissionRecord>): void {
-    this.#awaited ??= { sequences: views.map(toSequence), records: new Set(unstored) };
+  begin(views: readonly FleetWorkerView[], unstored: ReadonlySet<SubmissionPart>): void {
+    this.#awaited ??= { sequences: views.map(toSequence), parts: new Set(unstored) };
   }
 
   /**
-   * Returns the ends that are recorded once a transaction has stored the progress of `records`.
+   * Returns the ends that are recorded once a transaction has stored the progress of `parts`.
    * `unstored` is the progress that the transaction leaves.
    */
   takeRecorded(
-    records: readonly SubmissionRecord[],
-    unstored: ReadonlySet<SubmissionRecord>,
+    parts: readonly SubmissionPart[],
+    unstored: ReadonlySet<SubmissionPart>,
     views: readonly FleetWorkerView[],
   ): readonly RecordedSequence[] {
     const awaited = this.#awaited;
-    records.forEach((record) => awaited?.records.delete(record));
+    parts.forEach((part) => awaited?.parts.delete(part));
     if (unstored.size === 0) {
       this.#awaited = undefined;
       return views.map(toSequence);
     }
-    if (awaited === undefined || awaited.records.size > 0) return [];
+    if (awaited === undefined || awaited.parts.size > 0) return [];
     this.#awaited = undefined;
     return awaited.sequences;
   }
--- a/src/scheduler/common/fleet/fleetPolicy.ts
+++ b/src/scheduler/common/fleet/fleetPolicy.ts
@@ -5,8 +5,10 @@
 import { ImageAffinityPlacement, type ServingPlacement } from './fleetPlacement.js';
 import type { InterferenceControl } from './interferenceControl.js';
 import { LearningInterferenceControl } from './learningInterferenceControl.js';
+import { DEFAULT_STORE_LIMITS, type StoreLimits } from './storeLimits.js';
 
 export interface FleetPolicy {
+  readonly storeLimits: StoreLimits;
   readonly order: QueueOrder;
   readonly faultAvoidance: FaultAvoidance;
   /** For serving tasks. */
@@ -18,6 +20,7 @@
 }
 
 export const DEFAULT_FLEET_POLICY: FleetPolicy = {
+  storeLimits: DEFAULT_STORE_LIMITS,
   order: new UtilityOrder(),
   faultAvoidance: new CircuitBreakerAvoidance(),
   servingPlacement: new ImageAffinityPlacement(),
--- a/src/scheduler/common/fleet/fleetRound.ts
+++ b/src/scheduler/common/fleet/fleetRound.ts
@@ -52,7 +52,7 @@
   const run = newRun(task, number, view.id, nowMs, percent);
   view.addRun(run);
   registry.addRun(run);
-  registry.markAssignmentsDirty(task.submission);
+  registry.markAssignmentsDirty(task);
   return run;
 };
 
--- a/src/scheduler/common/fleet/fleetScheduler.ts
+++ b/src/scheduler/common/fleet/fleetScheduler.ts
@@ -298,7 +298,7 @@
     const state = this.#state;
     if (state?.epoch !== epoch) return [];
     const { commits, registry, roster } = state;
-    const { request, recorded } = commits.handleCommitted(result, registry, roster);
+    const { request, recorded } = commits.handleCommitted(result, registry, roster, nowMs);
     if (request !== undefined) return [{ kind: 'resolve', epoch, request }];
     const effects = [...this.#startRecorded(state, recorded, nowMs)];
     // Commits the changes that came in meanwhile at once, because the next step may be far off.
@@ -359,9 +359,8 @@
       const delays = delayReport.collect(registry, configuration, wallNowMs, nowMs);
       state.decisionLog.addDelays(delays);
     }
-    state.decisionLog
-      .drain(state.epoch, nowMs)
-      .forEach((entry) => effects.push({ kind: 'log', ...entry }));
+    const entries = state.decisionLog.drain(state.epoch, nowMs);
+    entries.forEach((entry) => effects.push({ kind: 'log', ...entry }));
     return effects;
   }
 
@@ -485,9 +484,10 @@
       ...{ registry, views: views.values(), roster, interference },
       owner: { condition, id, epoch },
       toTableMs: (atMs: number) => this.#ownership.toTableMs(atMs),
-      intervalMs: this.#timing.commitIntervalMs,
+      ...{ intervalMs: this.#timing.commitIntervalMs, limits: this.#policy.storeLimits },
     };
     const transaction = commits.next(input, nowMs);
+    state.decisionLog.addTooLarge(commits.takeTooLarge());
     if (transaction !== undefined) effects.push({ kind: 'commit', epoch, transaction });
   }
 }
--- a/src/scheduler/common/fleet/fleetState.ts
+++ b/src/scheduler/common/fleet/fleetState.ts
@@ -13,9 +13,11 @@
   type Progress,
   type RosterEntry,
   type RosterRow,
+  specKey,
   type StoredCheckpoints,
   toRosterEntries,
 } from '../../../services/submissions/common/submissionRows.js';
+import { ABSENT_VERSION } from '../../../services/table/common/table.js';
 import { NO_RESOURCES } from '../../../services/worker/common/resources.js';
 import { WorkerHealth } from '../workerHealth.js';
 import type { FleetTiming } from './fleetTiming.js';
@@ -27,6 +29,7 @@
 import { ProgressCommits } from './progressCommits.js';
 import { RoomMisses } from './roomMisses.js';
 import { Roster } from './roster.js';
+import type { StoreLimits } from './storeLimits.js';
 import { EvidenceKind } from './runEvidence.js';
 import { RunTracker } from './runTracker.js';
 import { SubmissionRegistry } from './submissionRegistry.js';
@@ -35,7 +38,12 @@
 
 /** A submission or a cancellation that was read from the table. */
 export type SubmissionChange =
-  | { readonly kind: 'submission'; readonly submission: Submission }
+  | {
+      readonly kind: 'submission';
+      readonly submission: Submission;
+      /** The version of its row, if known. */
+      readonly version?: number;
+    }
   | { readonly kind: 'cancellation'; readonly id: string };
 
 /** The state that a new owner reads from the table before it schedules. */
@@ -43,6 +51,8 @@
   readonly changes: readonly SubmissionChange[];
   readonly progress: ReadonlyMap<string, Progress>;
   readonly assignments: ReadonlyMap<string, Assignments>;
+  /** Indexes of the stored pages of tasks, by submission. */
+  readonly taskPages?: ReadonlyMap<string, readonly number[]>;
   /** Pages of checkpoints, in the order in which they were written. */
   readonly checkpoints: readonly StoredCheckpoints[];
   /** Versions of the rows that only the owner writes, by key. */
@@ -60,6 +70,7 @@
   readonly views: Map<string, FleetWorkerView>;
   readonly runTracker: RunTracker;
   readonly commits: ProgressCommits;
+  readonly limits: StoreLimits;
   readonly roster: Roster;
   readonly interference: InterferenceControl;
   readonly decisionLog: DecisionLog;
@@ -130,7 +141,9 @@
 };
 
 /** Nothing is stored yet for submissions that have just come in. */
-export const NOTHING_STORED: Pick<StoredState, 'progress' | 'assignments'> = {
+type StoredTasks = Pick<StoredState, 'progress' | 'assignments' | 'taskPages'>;
+
+export const NOTHING_STORED: StoredTasks = {
   progress: new Map(),
   assignments: new Map(),
 };
@@ -138,7 +151,7 @@
 export const applyChanges = (
   state: FleetState,
   changes: readonly SubmissionChange[],
-  stored: Pick<StoredState, 'progress' | 'assignments'>,
+  stored: StoredTasks,
   nowMs: number,
 ): void => {
   changes.forEach((change) => {
@@ -149,7 +162,13 @@
     const { submission } = change;
     const { id } = submission;
     const assignments = stored.assignments.get(id) ?? NO_ASSIGNMENTS;
-    state.registry.add(submission, stored.progress.get(id), assignments, nowMs);
+    const pages = stored.taskPages?.get(id);
+    const { registry, commits, limits } = state;
+    const isPaged = registry.add(submission, stored.progress.get(id), assignments, nowMs, {
+      storedPages: pages ?? [],
+      limits,
+    });
+    if (isPaged) commits.noteVersion(specKey(id), change.version ?? ABSENT_VERSION);
   });
 };
 
@@ -190,6 +209,7 @@
       interference,
       decisionLog,
     },
+    limits: policy.storeLimits,
     fenceRaises: new Map(),
     delayReport: new DelayReport(),
     misses: new RoomMisses(),
--- a/src/scheduler/common/fleet/runTracker.ts
+++ b/src/scheduler/common/fleet/runTracker.ts
@@ -308,7 +308,7 @@
     if (task === undefined) return undefined;
     const isWanted = isOpen(task.submission) && !task.isDone && task.runs.length === 0;
     const run = this.#addListed(view, task, running.run, nowMs);
-    this.#registry.markAssignmentsDirty(task.submission);
+    this.#registry.markAssignmentsDirty(task);
     if (isWanted) this.#registry.noteStarted(task.submission);
     else this.requestStops([run], StopReason.NotWanted, nowMs);
     return run;
--- a/src/scheduler/common/fleet/submissionRegistry.ts
+++ b/src/scheduler/common/fleet/submissionRegistry.ts
@@ -8,6 +8,12 @@
 import type { Assignments, Progress } from '../../../services/submissions/common/submissionRows.js';
 import { CheckpointPages } from './checkpointPages.js';
 import { SizeBalance } from './sizeBalance.js';
+import {
+  DEFAULT_STORE_LIMITS,
+  type StoreLimits,
+  tasksInOnePage,
+  tasksInOneRow,
+} from './storeLimits.js';
 import {
   allOccurrencesDone,
   countInSizeBalance,
@@ -22,10 +28,19 @@
   parseTaskName,
   type QueueWork,
   startedOccurrenceCount,
+  tasksOfOccurrence,
   type SubmissionRecord,
   type TaskRecord,
   type TaskRun,
 } from './taskRecords.js';
+import {
+  allParts,
+  HEAD,
+  headOf,
+  isPagingPending,
+  partOf,
+  type SubmissionPart,
+} from './submissionParts.js';
 import { WaitingTasks } from './waitingTasks.js';
 import type { DelayCause } from './waitReason.js';
 
@@ -38,6 +53,14 @@
   readonly inherited: InheritedRun;
 }
 
+export interface PagingInput {
+  /** Indexes of the pages of the submission that are in the table. */
+  readonly storedPages: readonly number[];
+  readonly limits: StoreLimits;
+}
+
+const NOT_PAGED: PagingInput = { storedPages: [], limits: DEFAULT_STORE_LIMITS };
+
 const newQueueWork = (): QueueWork => ({
   ...{ count: 0, processorMs: 0 },
   balance: new SizeBalance(),
@@ -60,11 +83,11 @@
 
   readonly #checkpoints = new CheckpointPages();
 
-  /** Submissions whose progress is yet to be stored. */
-  readonly #dirtyProgress = new Set<SubmissionRecord>();
+  /** Parts of submissions whose progress is yet to be stored. */
+  readonly #dirtyProgress = new Set<SubmissionPart>();
 
-  /** Submissions with runs that are not yet in their stored assignments. */
-  readonly #dirtyAssignments = new Set<SubmissionRecord>();
+  /** Parts of submissions with runs that are not yet in their stored assignments. */
+  readonly #dirtyAssignments = new Set<SubmissionPart>();
 
   /** Tasks that former owners assigned to workers and that `takeInherited` has yet to return. */
   #inherited: InheritedTask[] = [];
@@ -88,11 +111,11 @@
     return this.#checkpoints;
   }
 
-  get dirtyProgress(): ReadonlySet<SubmissionRecord> {
+  get dirtyProgress(): ReadonlySet<SubmissionPart> {
     return this.#dirtyProgress;
   }
 
-  get dirtyAssignments(): ReadonlySet<SubmissionRecord> {
+  get dirtyAssignments(): ReadonlySet<SubmissionPart> {
     return this.#dirtyAssignments;
   }
 
@@ -100,14 +123,18 @@
     return this.#records.has(id);
   }
 
-  /** Adds a stored submission; does nothing if it is already known. */
+  /**
+   * Adds a stored submission; does nothing if it is already known. Returns whether its state is to
+   * be divided into pages.
+   */
   add(
     submission: Submission,
     progress: Progress | undefined,
     assignments: Assignments,
     nowMs: number,
-  ): void {
-    if (this.#records.has(submission.id)) return;
+    { storedPages, limits }: PagingInput = NOT_PAGED,
+  ): boolean {
+    if (this.#records.has(submission.id)) return false;
     this.#order += 1;
     const stored = progress ?? NO_PROGRESS;
     const queueWork = this.#queueWorks.get(submission.queueName) ?? newQueueWork();
@@ -119,16 +146,23 @@
     queueWork.count += 1;
     queueWork.processorMs += record.processorMs;
     this.#records.set(submission.id, record);
+    storedPages.forEach((index) => record.storedPages.add(index));
     if (!isOpen(record)) {
       recordEndInSizeBalance(record);
-      return;
+      // Its pages are still to be removed.
+      if (record.storedPages.size > 0) this.#dirtyProgress.add(headOf(record));
+      return false;
     }
     if (this.#cancelledIds.has(submission.id)) {
       this.#end(record, SubmissionState.Cancelled);
-      return;
+      return false;
     }
     if (submission.occurrenceCount === 0) this.#openOccurrence(record, 0, nowMs);
     else this.#addRecurring(record, nowMs);
+    const taskCount = tasksOfOccurrence(submission) * stepRunCount(submission);
+    const isTooLarge = record.tasksPerPage === undefined && taskCount > tasksInOneRow(limits);
+    if (isTooLarge && isOpen(record)) this.startPaging(record, tasksInOnePage(limits));
+    return isPagingPending(record);
   }
 
   /** Opens occurrences that a former owner has started, even if not due by this process's clock. */
@@ -209,7 +243,7 @@
     record.hasStarted = true;
     if (!isOpen(record)) return;
     record.state = SubmissionState.Running;
-    this.#dirtyProgress.add(record);
+    this.#dirtyProgress.add(headOf(record));
   }
 
   /** Removes a run that is over. Its task waits again unless it is done or its submission ended. */
@@ -232,44 +266,56 @@
   }
 
   /**
-   * Returns and unmarks submissions whose progress is yet to be stored, until `rowsOf` them add up to
-   * `rowLimit`. Those that have ended come first, because their callers wait for that.
+   * Returns and unmarks the parts whose progress is yet to be stored. Those of submissions that have
+   * ended come first, because their callers wait for that. A head that makes the pages of its
+   * submission valid comes after them.
    */
-  takeDirtyProgress(
-    rowLimit: number,
-    rowsOf: (record: SubmissionRecord) => number,
-  ): readonly SubmissionRecord[] {
-    const dirty = [...this.#dirtyProgress];
-    const ordered = [...dirty.filter((record) => !isOpen(record)), ...dirty.filter(isOpen)];
-    const taken: SubmissionRecord[] = [];
-    let remainingCount = rowLimit;
-    ordered.forEach((record) => {
-      const rowCount = rowsOf(record);
-      if (rowCount > remainingCount) return;
-      remainingCount -= rowCount;
-      taken.push(record);
-      this.#dirtyProgress.delete(record);
-    });
+  takeDirtyProgress(): readonly SubmissionPart[] {
+    const rankOf = ({ record, index }: SubmissionPart): number => {
+      if (!isOpen(record)) return index === HEAD ? 0 : 1;
+      return index === HEAD && isPagingPending(record) ? 3 : 2;
+    };
+    const taken = [...this.#dirtyProgress].sort((one, other) => rankOf(one) - rankOf(other));
+    this.#dirtyProgress.clear();
     return taken;
   }
 
-  /** Returns and unmarks those of `records` whose progress is yet to be stored. */
-  takeDirtyProgressOf(records: readonly SubmissionRecord[]): readonly SubmissionRecord[] {
-    return records.filter((record) => this.#dirtyProgress.delete(record));
+  /** Returns and unmarks those of `parts` whose progress is yet to be stored. */
+  takeDirtyProgressOf(parts: readonly SubmissionPart[]): readonly SubmissionPart[] {
+    return parts.filter((part) => this.#dirtyProgress.delete(part));
   }
 
-  markProgressDirty(record: SubmissionRecord): void {
-    this.#dirtyProgress.add(record);
+  markProgressDirty(part: SubmissionPart): void {
+    this.#dirtyProgress.add(part);
   }
 
-  takeDirtyAssignments(limit: number): readonly SubmissionRecord[] {
-    const taken = [...this.#dirtyAssignments].slice(0, limit);
-    taken.forEach((record) => this.#dirtyAssignments.delete(record));
+  /** Returns and unmarks parts with runs that are not yet in their stored assignments. */
+  takeDirtyAssignments(limit: number): readonly SubmissionPart[] {
+    // A run is started only once the next owner would find its assignment.
+    const taken = [...this.#dirtyAssignments]
+      .filter(({ record }) => !isPagingPending(record))
+      .slice(0, limit);
+    taken.forEach((part) => this.#dirtyAssignments.delete(part));
     return taken;
   }
 
-  markAssignmentsDirty(record: SubmissionRecord): void {
-    if (isOpen(record)) this.#dirtyAssignments.add(record);
+  markAssignmentsDirty(task: TaskRecord): void {
+    this.markPartAssigned(partOf(task));
+  }
+
+  markPartAssigned(part: SubmissionPart): void {
+    if (isOpen(part.record)) this.#dirtyAssignments.add(part);
+  }
+
+  /** Stores the state of a submission in pages from now on. */
+  startPaging(record: SubmissionRecord, tasksPerPage: number): void {
+    Object.assign(record, { tasksPerPage, isPagingStored: false });
+    const head = headOf(record);
+    const hasNewRuns = this.#dirtyAssignments.delete(head);
+    allParts(record).forEach((part) => {
+      this.#dirtyProgress.add(part);
+      if (hasNewRuns && part !== head) this.#dirtyAssignments.add(part);
+    });
   }
 
   /** Counts the submissions that wait for their first start, by queue. */
@@ -335,7 +381,7 @@
     const opened = task.submission.occurrences.get(task.occurrence);
     const tasks = task.step.isGang ? (opened?.tasks[task.stepIndex] ?? []) : [task];
     const remainingRuns = tasks.flatMap((member) => this.#markDone(member, opened));
-    this.#dirtyProgress.add(task.submission);
+    tasks.forEach((member) => this.#dirtyProgress.add(partOf(member)));
     if (opened !== undefined && opened.openCounts[task.stepIndex] === 0) {
       opened.tasks.forEach((_, stepIndex) => this.#enqueueStep(opened, stepIndex, nowMs));
       this.#finishOccurrence(task.submission, opened);
@@ -368,7 +414,7 @@
     if (members.some(({ failedRuns }) => failedRuns.includes(run))) return [];
     task.failedRuns.push(run);
     task.notBeforeMs = nowMs + FAILED_RETRY_DELAY_MS;
-    this.#dirtyProgress.add(task.submission);
+    this.#dirtyProgress.add(partOf(task));
     return [];
   }
 
@@ -376,8 +422,8 @@
     record.state = state;
     this.#ended.push(record);
     recordEndInSizeBalance(record);
-    this.#dirtyProgress.add(record);
-    this.#dirtyAssignments.delete(record);
+    record.parts.forEach((part) => this.#dirtyAssignments.delete(part));
+    this.#dirtyProgress.add(headOf(record));
     this.#recurring.delete(record);
     const tasks = [...record.occurrences.values()].flatMap((opened) => opened.tasks.flat());
     tasks.forEach((task) => {
--- a/src/scheduler/common/fleet/taskRecords.ts
+++ b/src/scheduler/common/fleet/taskRecords.ts
@@ -9,6 +9,7 @@
 import type { Assignments, Progress } from '../../../services/submissions/common/submissionRows.js';
 import type { Resources } from '../../../services/worker/common/resources.js';
 import { SavedProgress } from './savedProgress.js';
+import type { SubmissionPart } from './submissionParts.js';
 import type { SizeBalance, SizeClass } from './sizeBalance.js';
 import { SubmissionDelays } from './submissionDelays.js';
 
@@ -119,6 +120,14 @@
   /** Whether it comes first in its queue because too few submissions of its size are served. */
   isReserved: boolean;
   readonly delays: SubmissionDelays;
+  /** How many tasks one stored page describes; undefined while one row describes all of them. */
+  tasksPerPage: number | undefined;
+  /** Whether a reader finds `tasksPerPage` with the submission. Until then pages have no effect. */
+  isPagingStored: boolean;
+  /** The parts in which its state is stored, by index. */
+  readonly parts: Map<number, SubmissionPart>;
+  /** Indexes of the pages that are in the table. */
+  readonly storedPages: Set<number>;
 }
 
 export const taskName = (
@@ -213,6 +222,10 @@
     isInSizeBalance: false,
     isReserved: false,
     delays: new SubmissionDelays(),
+    tasksPerPage: submission.tasksPerPage,
+    isPagingStored: submission.tasksPerPage !== undefined,
+    parts: new Map(),
+    storedPages: new Set(),
   };
 };
 
@@ -223,7 +236,7 @@
   record.queueWork.balance.count(record.sizeClass);
 };
 
-const tasksOfOccurrence = (submission: Submission): number =>
+export const tasksOfOccurrence = (submission: Submission): number =>
   submission.steps.reduce((sum, step) => sum + step.taskCount, 0);
 
 /** Counts the occurrences up to the last one with a task in the stored progress or assignments. */
@@ -289,27 +302,36 @@
 export const countedSize = (step: Step): Resources =>
   step.isFiller ? { ...step.size, processorMillis: 0 } : step.size;
 
-/** Returns the progress in its stored form. */
-export const toProgress = (record: SubmissionRecord): Progress => {
-  const done = new Set(record.initialProgress.done);
+/** Returns what is stored of the progress of the tasks. */
+export const toProgressOf = (
+  tasks: readonly TaskRecord[],
+): Pick<Progress, 'done' | 'failedRuns'> => {
+  const done: number[] = [];
   const failedRuns: Record<string, number[]> = {};
-  Object.entries(record.initialProgress.failedRuns).forEach(([position, runs]) => {
-    failedRuns[position] = [...runs];
+  tasks.forEach((task) => {
+    if (task.isDone) done.push(task.position);
+    else if (task.failedRuns.length > 0 && !task.step.isPersistent) {
+      failedRuns[task.position] = task.failedRuns;
+    }
   });
-  record.occurrences.forEach(({ tasks }) =>
-    tasks.flat().forEach((task) => {
-      if (task.isDone) done.add(task.position);
-      if (task.failedRuns.length > 0 && !task.step.isPersistent) {
-        failedRuns[task.position] = task.failedRuns;
-      }
-    }),
-  );
+  return { done, failedRuns };
+};
+
+/** Returns the progress of a submission that one row describes in its stored form. */
+export const toProgress = (record: SubmissionRecord): Progress => {
+  const { state, initialProgress } = record;
   // For a submission that has ended, the state is enough; its tasks are not listed.
-  const isFinal = isFinalState(record.state);
+  if (isFinalState(state)) return { state, done: [], failedRuns: {} };
+  const opened = [...record.occurrences.values()].flatMap(({ tasks }) => tasks.flat());
+  const progress = toProgressOf(opened);
+  const done = new Set([...initialProgress.done, ...progress.done]);
+  const failedRuns = { ...initialProgress.failedRuns, ...progress.failedRuns };
+  // The failed attempts of a task that is done decide nothing any more.
+  const open = Object.entries(failedRuns).filter(([position]) => !done.has(Number(position)));
   return {
-    state: record.state,
-    done: isFinal ? [] : [...done].sort((left, right) => left - right),
-    failedRuns: isFinal ? {} : failedRuns,
+    state,
+    done: [...done].sort((left, right) => left - right),
+    failedRuns: Object.fromEntries(open),
   };
 };
 
@@ -317,23 +339,24 @@
 export const isInterrupted = ({ step, runs, lastRun }: TaskRecord): boolean =>
   step.isPersistent && runs.length === 0 && lastRun > 0;
 
-/** Returns the assignments in their stored form. */
-export const toAssignments = (record: SubmissionRecord): Assignments => {
+/** Returns the assignments of the tasks in their stored form. */
+export const toAssignmentsOf = (tasks: readonly TaskRecord[]): Assignments => {
   const assignments = new Map<string, number[]>();
   const add = (workerId: string, { position }: TaskRecord, run: number): void => {
     const known = assignments.get(workerId);
     if (known === undefined) assignments.set(workerId, [position, run]);
     else known.push(position, run);
   };
-  record.occurrences.forEach(({ tasks }) =>
-    tasks.flat().forEach((task) => {
-      task.runs.forEach(({ workerId, run }) => add(workerId, task, run));
-      if (isInterrupted(task)) add(NO_WORKER_ID, task, task.lastRun);
-    }),
-  );
+  tasks.forEach((task) => {
+    task.runs.forEach(({ workerId, run }) => add(workerId, task, run));
+    if (isInterrupted(task)) add(NO_WORKER_ID, task, task.lastRun);
+  });
   return Object.fromEntries(assignments);
 };
 
+export const toAssignments = (record: SubmissionRecord): Assignments =>
+  toAssignmentsOf([...record.occurrences.values()].flatMap(({ tasks }) => tasks.flat()));
+
 /** Counts the failed runs of a task, or of its whole gang if it belongs to one. */
 export const failureCount = (task: TaskRecord): number => {
   if (!task.step.isGang) return task.failedRuns.length;
--- a/src/scheduler/node/fleetTask.ts
+++ b/src/scheduler/node/fleetTask.ts
@@ -25,6 +25,7 @@
 import type { FleetEffect } from '../common/fleet/fleetEffects.js';
 import { DEFAULT_FLEET_POLICY } from '../common/fleet/fleetPolicy.js';
 import { FleetScheduler } from '../common/fleet/fleetScheduler.js';
+import { DEFAULT_STORE_LIMITS } from '../common/fleet/storeLimits.js';
 import { StepThrottle } from '../common/fleet/stepThrottle.js';
 import type { FleetTiming } from '../common/fleet/fleetTiming.js';
 import { ConcurrencyLimiter } from './concurrencyLimiter.js';
@@ -91,6 +92,7 @@
     selfId: string,
     timing: FleetTiming,
     acquireDelayMs: number,
+    storeLimits = DEFAULT_STORE_LIMITS,
   ) {
     this.#services = services;
     const { clock, operator, table, directory, log } = services;
@@ -101,7 +103,7 @@
       selfId,
       timing,
       acquireDelayMs,
-      DEFAULT_FLEET_POLICY,
+      { ...DEFAULT_FLEET_POLICY, storeLimits },
       clock.nowMs(),
     );
     this.#disposables.add(
--- a/src/scheduler/node/storedStateReader.ts
+++ b/src/scheduler/node/storedStateReader.ts
@@ -13,6 +13,7 @@
   type LearntInterference,
   learntInterferenceSchema,
   parseSubmissionKey,
+  parseTaskPageKey,
   type Progress,
   PROGRESS_PREFIX,
   progressSchema,
@@ -22,10 +23,14 @@
   type StoredCheckpoints,
   submissionSchema,
   SUBMISSIONS_PREFIX,
+  TASK_PAGE_PREFIX,
+  type TaskPage,
+  taskPageSchema,
   WAITING_COUNTS_KEY,
 } from '../../services/submissions/common/submissionRows.js';
 import type { TableRow, TableService } from '../../services/table/common/table.js';
 import type { StoredState, SubmissionChange } from '../common/fleet/fleetState.js';
+import { joinPages } from '../common/fleet/submissionParts.js';
 
 const NO_ROSTER: RosterRow = { epoch: 0, workers: [] };
 
@@ -55,31 +60,39 @@
 
   /** Reads the stored state. Returns undefined if any part of it could not be read. */
   async readAll(): Promise<LoadedState | undefined> {
-    const [submissions, progressRows, assignmentRows, ownerRows, workers] = await Promise.all([
+    const [submissions, progressRows, taskRows, ownerRows, workers] = await Promise.all([
       this.readSubmissions(),
       this.#table.read({ keys: [], prefixes: [PROGRESS_PREFIX] })(),
-      this.#table.read({ keys: [], prefixes: [ASSIGNMENT_PREFIX] })(),
+      this.#table.read({ keys: [], prefixes: [ASSIGNMENT_PREFIX, TASK_PAGE_PREFIX] })(),
       this.#table.read({
         keys: [ROSTER_KEY, WAITING_COUNTS_KEY, INTERFERENCE_KEY],
         prefixes: [CHECKPOINT_PREFIX],
       })(),
       this.#directory.workers()(),
     ]);
-    if (submissions === undefined || isLeft(progressRows) || isLeft(assignmentRows)) {
+    if (submissions === undefined || isLeft(progressRows) || isLeft(taskRows)) {
       return undefined;
     }
     if (isLeft(ownerRows) || isLeft(workers)) return undefined;
-    const rows = [
-      ...progressRows.right.rows,
-      ...assignmentRows.right.rows,
-      ...ownerRows.right.rows,
-    ];
+    const rows = [...progressRows.right.rows, ...taskRows.right.rows, ...ownerRows.right.rows];
+    const pages = this.#toTaskPages(taskRows.right.rows);
+    const progress = this.#toProgress(progressRows.right.rows);
+    const assignments = this.#toAssignments(taskRows.right.rows);
+    submissions.changes.forEach((change) => {
+      // Pages of a submission that doesn't name them are not complete yet.
+      if (change.kind !== 'submission' || change.submission.tasksPerPage === undefined) return;
+      const { id } = change.submission;
+      const joined = joinPages(progress.get(id), [...(pages.get(id)?.values() ?? [])]);
+      if (joined.progress !== undefined) progress.set(id, joined.progress);
+      assignments.set(id, joined.assignments);
+    });
     return {
       position: submissions.position,
       stored: {
         changes: submissions.changes,
-        progress: this.#toProgress(progressRows.right.rows),
-        assignments: this.#toAssignments(assignmentRows.right.rows),
+        progress,
+        assignments,
+        taskPages: new Map([...pages].map(([id, byIndex]) => [id, [...byIndex.keys()]])),
         checkpoints: this.#toCheckpoints(ownerRows.right.rows),
         versions: new Map(rows.map(({ key, version }) => [key, version])),
         roster: this.#toRoster(ownerRows.right.rows),
@@ -113,13 +126,13 @@
     if (parts?.isCancellation === true) return [{ kind: 'cancellation', id: parts.id }];
     const parsed = submissionSchema.safeParse(row.value);
     if (parts !== undefined && parsed.success) {
-      return [{ kind: 'submission', submission: parsed.data }];
+      return [{ kind: 'submission', submission: parsed.data, version: row.version }];
     }
     this.#log.warn('row-unreadable', { key: row.key });
     return [];
   }
 
-  #toProgress(rows: readonly TableRow[]): ReadonlyMap<string, Progress> {
+  #toProgress(rows: readonly TableRow[]): Map<string, Progress> {
     const progress = new Map<string, Progress>();
     rows.forEach((row) => {
       const parsed = progressSchema.safeParse(row.value);
@@ -129,9 +142,10 @@
     return progress;
   }
 
-  #toAssignments(rows: readonly TableRow[]): ReadonlyMap<string, Assignments> {
+  #toAssignments(rows: readonly TableRow[]): Map<string, Assignments> {
     const assignments = new Map<string, Assignments>();
-    rows.forEach((row) => {
+    const ownRows = rows.filter(({ key }) => key.startsWith(ASSIGNMENT_PREFIX));
+    ownRows.forEach((row) => {
       const parsed = assignmentsSchema.safeParse(row.value);
       if (parsed.success) assignments.set(row.key.slice(ASSIGNMENT_PREFIX.length), parsed.data);
       else this.#log.warn('row-unreadable', { key: row.key });
@@ -139,6 +153,23 @@
     return assignments;
   }
 
+  /** Returns the pages of tasks by submission and index. */
+  #toTaskPages(rows: readonly TableRow[]): ReadonlyMap<string, ReadonlyMap<number, TaskPage>> {
+    const pages = new Map<string, Map<number, TaskPage>>();
+    const ownRows = rows.filter(({ key }) => key.startsWith(TASK_PAGE_PREFIX));
+    ownRows.forEach((row) => {
+      const address = parseTaskPageKey(row.key);
+      const parsed = taskPageSchema.safeParse(row.value);
+      if (address === undefined || !parsed.success) {
+        this.#log.warn('row-unreadable', { key: row.key });
+        return;
+      }
+      const known = pages.get(address.id) ?? new Map<number, TaskPage>();
+      pages.set(address.id, known.set(address.index, parsed.data));
+    });
+    return pages;
+  }
+
   /** Returns the pages in the order in which they were written. */
   #toCheckpoints(rows: readonly TableRow[]): readonly StoredCheckpoints[] {
     const pages = rows.filter(({ key }) => key.startsWith(CHECKPOINT_PREFIX));
--- a/src/scheduler/test/fleet/fleetWorld.ts
+++ b/src/scheduler/test/fleet/fleetWorld.ts
@@ -19,15 +19,23 @@
   type Progress,
   progressKey,
   specKey,
+  TASK_PAGE_PREFIX,
+  type TaskPage,
 } from '../../../services/submissions/common/submissionRows.js';
-import type { TableService, Transaction } from '../../../services/table/common/table.js';
+import {
+  rowsByKey,
+  type TableService,
+  type Transaction,
+} from '../../../services/table/common/table.js';
 import type { Resources } from '../../../services/worker/common/resources.js';
+import { exceedsLimits } from '../../../../standIns/platform/tableLimits.js';
 import { TableStandIn } from '../../../../standIns/platform/tableStandIn.js';
 import { type ModelTask, WorkerModel } from '../../../../standIns/fleet/workerModel.js';
 import type { FleetEffect } from '../../common/fleet/fleetEffects.js';
 import type { DecisionLogEntry } from '../../common/fleet/decisionLog.js';
 import { FleetScheduler } from '../../common/fleet/fleetScheduler.js';
 import { DEFAULT_FLEET_POLICY } from '../../common/fleet/fleetPolicy.js';
+import { joinPages } from '../../common/fleet/submissionParts.js';
 import { StoredStateReader } from '../../node/storedStateReader.js';
 import { CONFIGURATION, entryOf, STOP_MS, TIMING, WORKER_CAPACITY } from './fleetFixtures.js';
 import { InvariantChecker } from './invariantChecker.js';
@@ -55,6 +63,8 @@
 
   readonly faults = noFaults();
 
+  policy = DEFAULT_FLEET_POLICY;
+
   readonly listedWorkers = new Set<string>();
 
   readonly drainingWorkers = new Set<string>();
@@ -74,6 +84,9 @@
   /** The workers that holds were sent to. */
   readonly heldWorkers = new Set<string>();
 
+  /** Transactions that the table refused because of their size. */
+  refusedTransactionCount = 0;
+
   /** The schedulers that have closed their connections to workers, in that order. */
   readonly disconnectedSlots: number[] = [];
 
@@ -161,7 +174,7 @@
     const slot = this.schedulerSlots[index] as SchedulerSlot;
     slot.generation += 1;
     const selfId = `daemon-${index}#${slot.generation}`;
-    slot.scheduler = new FleetScheduler(selfId, TIMING, 0, DEFAULT_FLEET_POLICY, this.nowMs);
+    slot.scheduler = new FleetScheduler(selfId, TIMING, 0, this.policy, this.nowMs);
     slot.scheduler.handleOperatorState(this.#operator);
   }
 
@@ -213,8 +226,16 @@
   }
 
   progress(id: string): Progress | undefined {
-    const row = this.table.read({ keys: [progressKey(id)], prefixes: [] }).rows[0];
-    return row === undefined ? undefined : (row.value as unknown as Progress);
+    const keys = [progressKey(id), specKey(id)];
+    const rows = rowsByKey(this.table.read({ keys, prefixes: [] }).rows);
+    const progress = rows.get(progressKey(id))?.value as unknown as Progress | undefined;
+    const submission = rows.get(specKey(id))?.value as unknown as Submission | undefined;
+    if (submission?.tasksPerPage === undefined) return progress;
+    const pages = this.table.read({ keys: [], prefixes: [`${TASK_PAGE_PREFIX}${id}/`] }).rows;
+    return joinPages(
+      progress,
+      pages.map(({ value }) => value as unknown as TaskPage),
+    ).progress;
   }
 
   workersRunning(taskName: string): readonly string[] {
@@ -392,6 +413,12 @@
       return;
     }
     const delayMs = this.faults.transactionMs;
+    if (isReached && exceedsLimits(transaction, this.policy.storeLimits)) {
+      this.refusedTransactionCount += 1;
+      const refusal = left(failure(ErrorKind.BodyTooLarge, 'larger than the table accepts'));
+      this.#reply(index, delayMs, (scheduler) => reply(refusal, scheduler));
+      return;
+    }
     this.#tableCall(index, () => this.table.transact(transaction), reply, delayMs);
   }
 
--- a/src/scheduler/test/fleet/progressCommits.test.ts
+++ b/src/scheduler/test/fleet/progressCommits.test.ts
@@ -12,6 +12,7 @@
 import { ProgressCommits } from '../../common/fleet/progressCommits.js';
 import { Roster } from '../../common/fleet/roster.js';
 import { newRun } from '../../common/fleet/runTracker.js';
+import { DEFAULT_STORE_LIMITS } from '../../common/fleet/storeLimits.js';
 import { SubmissionRegistry } from '../../common/fleet/submissionRegistry.js';
 import { NO_ASSIGNMENTS, type TaskRecord } from '../../common/fleet/taskRecords.js';
 import { entryOf, STEP, submissionOf } from './fleetFixtures.js';
@@ -26,7 +27,7 @@
   }
   [...registry.waiting].forEach((task) => {
     registry.addRun(newRun(task, 1, 'worker', 0));
-    registry.markAssignmentsDirty(task.submission);
+    registry.markAssignmentsDirty(task);
   });
   for (let index = 0; index < cancelledCount; index += 1) registry.cancel(idOf(index));
   return registry;
@@ -43,12 +44,13 @@
     interference: new LearningInterferenceControl(),
     roster,
     intervalMs: 30,
+    limits: DEFAULT_STORE_LIMITS,
   };
   const next = (nowMs: number): Transaction | undefined =>
     commits.next({ ...input, toTableMs: (atMs) => atMs }, nowMs);
   const commit = (version: number): number => {
     const result = right({ outcome: TransactionOutcome.Committed, version });
-    return commits.handleCommitted(result, registry, roster).recorded.length;
+    return commits.handleCommitted(result, registry, roster, 0).recorded.length;
   };
   return { next, commit };
 };
@@ -73,7 +75,7 @@
     registry.noteEnd(ended, 1, RunEnd.Done, 10);
     registry.removeRun(run, 10);
     registry.addRun(newRun(retried, 2, 'worker', 20));
-    registry.markAssignmentsDirty(retried.submission);
+    registry.markAssignmentsDirty(retried);
     const keys =
       commitsOf(registry)
         .next(30)
--- a/src/services/log/common/logEvents.ts
+++ b/src/services/log/common/logEvents.ts
@@ -50,6 +50,8 @@
   'commit-failed':
     'A transaction of the scheduler failed; the line gives the number and the characters of its values, and the largest one.',
   'start-refused': 'A worker refused a start; the task is placed again.',
+  'row-too-large':
+    'The scheduler left out a row that is larger than the table stores. The state of a submission is divided into pages after that; any other row stays as it was stored last.',
   'start-withheld':
     'A start was not sent after it had waited for its turn; its submission, its worker or the ownership had changed, or the wait was too long. The task is placed again if it is still wanted.',
   'start-unanswered':
@@ -100,6 +102,7 @@
   'runs-lost',
   'runs-paced',
   'commit-failed',
+  'row-too-large',
   'start-refused',
   'start-withheld',
   'start-unanswered',
--- a/src/services/log/test/logEvents.test.ts
+++ b/src/services/log/test/logEvents.test.ts
@@ -59,6 +59,7 @@
   'runs-paced': 'slowed or sped up; one line a worker',
   'commit-failed': 'a transaction without effect or answer; repeated',
   'start-refused': 'a worker refused a start; placed again',
+  'row-too-large': 'a row left out of a transaction',
   'start-withheld': 'a start known not to have been sent',
   'start-unanswered': 'a start without an answer; its run is stopped first',
 };
--- a/src/services/submissions/common/submission.ts
+++ b/src/services/submissions/common/submission.ts
@@ -67,6 +67,11 @@
   readonly occurrenceIntervalMs: number;
   /** When an instance accepted the submission, in Unix milliseconds on that instance's clock. */
   readonly acceptedWallMs: number;
+  /**
+   * How many tasks one stored page describes; undefined while one row describes all of them. Set by
+   * the scheduler.
+   */
+  readonly tasksPerPage?: number | undefined;
 }
 
 export const SubmissionState = {
--- a/src/services/submissions/common/submissionRows.ts
+++ b/src/services/submissions/common/submissionRows.ts
@@ -48,6 +48,7 @@
   firstDueWallMs: z.number(),
   occurrenceIntervalMs: z.number().nonnegative(),
   acceptedWallMs: z.number(),
+  tasksPerPage: z.number().int().positive().optional(),
 });
 
 /**
@@ -73,6 +74,18 @@
 export const assignmentsSchema = z.record(z.string(), z.array(wholeNumberSchema));
 export type Assignments = z.infer<typeof assignmentsSchema>;
 
+/**
+ * Progress and assignments of a range of the tasks of a submission that is too large for one row;
+ * its `progress` row has the state only. Builds that don't know such pages must not take that row
+ * for the whole progress. They can't read the submission, as `tasksPerPage` is set there.
+ */
+export const taskPageSchema = z.strictObject({
+  done: z.array(wholeNumberSchema),
+  failedRuns: z.record(z.string(), z.array(wholeNumberSchema)),
+  assignments: assignmentsSchema,
+});
+export type TaskPage = z.infer<typeof taskPageSchema>;
+
 /**
  * Checkpoints of tasks for the next owner, in pairs of task index and checkpoint by submission. The
  * index is that of the task among all tasks of the submission; for a gang, that of its first member.
@@ -102,6 +115,7 @@
 export const PROGRESS_TABLE = 'progress';
 export const ASSIGNMENT_TABLE = 'assignments';
 export const CHECKPOINT_TABLE = 'checkpoints';
+export const TASK_PAGE_TABLE = 'task-pages';
 const SPEC_SUFFIX = '/spec';
 const CANCEL_SUFFIX = '/cancel';
 
@@ -109,6 +123,7 @@
 export const PROGRESS_PREFIX = `${PROGRESS_TABLE}/`;
 export const ASSIGNMENT_PREFIX = `${ASSIGNMENT_TABLE}/`;
 export const CHECKPOINT_PREFIX = `${CHECKPOINT_TABLE}/`;
+export const TASK_PAGE_PREFIX = `${TASK_PAGE_TABLE}/`;
 export const WAITING_COUNTS_KEY = 'scheduling/waiting-counts';
 /** The learnt interference between images, stored for the next owner. */
 export const INTERFERENCE_KEY = 'scheduling/interference';
@@ -163,6 +178,17 @@
 export const progressKey = (id: string): string => `${PROGRESS_PREFIX}${id}`;
 export const assignmentsKey = (id: string): string => `${ASSIGNMENT_PREFIX}${id}`;
 export const checkpointPageKey = (index: number): string => `${CHECKPOINT_PREFIX}${index}`;
+export const taskPageKey = (id: string, index: number): string =>
+  `${TASK_PAGE_PREFIX}${id}/${index}`;
+
+/** Returns the submission and the index of a page of tasks. */
+export const parseTaskPageKey = (
+  key: string,
+): { readonly id: string; readonly index: number } | undefined => {
+  const [id = '', index = ''] = key.slice(TASK_PAGE_PREFIX.length).split('/');
+  const isPage = key.startsWith(TASK_PAGE_PREFIX) && id !== '' && /^\d+$/u.test(index);
+  return isPage ? { id, index: Number(index) } : undefined;
+};
 
 /** Returns the id and the kind of a row of the submission table. */
 export const parseSubmissionKey = (
