--- a/src/scheduler/node/orderTurns.ts
+++ b/src/scheduler/node/orderTurns.ts
@@ -26,8 +26,11 @@
     this.#limiters.set(key, limiter);
     const release = await limiter.acquire();
     return () => {
-      release();
-      if (limiter.isIdle) this.#limiters.delete(key);
+      // The connection of an answered order is free only in the next phase of the event loop.
+      setImmediate(() => {
+        release();
+        if (limiter.isIdle) this.#limiters.delete(key);
+      });
     };
   }
 }
