Soak: power losses, slow orders and submissions that no row holds

Workers now accept 64 connections and don't see the end of those of an instance that loses its power, answer orders after a quarter of a second for a while, and one submission in a hundred has 1,100 tasks. The store refuses what the users' store refuses, and each such refusal is a finding.

--- a/soak/test/platform/faultPlan.ts
+++ b/soak/test/platform/faultPlan.ts
@@ -5,6 +5,8 @@
   StopInTurn: 'stop-in-turn',
   StopOne: 'stop-one',
   KillInstances: 'kill-instances',
+  /** An instance ends, and workers see no end of its connections. */
+  LosePower: 'lose-power',
   FreezeInstance: 'freeze-instance',
   WorkersLeave: 'workers-leave',
   AddWorkers: 'add-workers',
@@ -14,6 +16,8 @@
   /** Worker processes restart within a tenth of a second while the store is slow. */
   RestartBesideSlowStore: 'restart-beside-slow-store',
   LoseWorkers: 'lose-workers',
+  /** Workers answer orders slowly, but holds at once. */
+  SlowOrders: 'slow-orders',
   CutWorkers: 'cut-workers',
   /** All instances are killed while some running workers are unreachable. */
   KillBesideCut: 'kill-beside-cut',
--- a/soak/test/platform/fleetWorker.ts
+++ b/soak/test/platform/fleetWorker.ts
@@ -1,4 +1,5 @@
 /** A fleet worker that serves HTTP behind relays and can drain, leave, crash and restart. */
+import type { Socket } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
 
 import Fastify, { type FastifyInstance, type FastifyReply, type FastifyRequest } from 'fastify';
@@ -37,6 +38,8 @@
 ]);
 const HOLD_POLL_MS = 20;
 const BYTES_PER_MEGABYTE = 1024 * 1024;
+const HOLD_PATH = '/api/hold';
+const MAXIMUM_CONNECTIONS = 64;
 /** The platform removes a worker's entry after this time without a write. */
 const ENTRY_EXPIRY_MS = 3_300;
 
@@ -61,6 +64,15 @@
   /** The number of active cuts that keep the worker from the store. */
   #cutCount = 0;
 
+  /** Whether the machine at the other end of the connections that end now has lost its power. */
+  areEndsUnseen = false;
+
+  /** How long orders wait before they are carried out. */
+  orderDelayMs = 0;
+
+  /** Connections whose end the worker has not seen. */
+  readonly #connections = new Set<Socket>();
+
   isUp = false;
 
   isDraining = false;
@@ -92,7 +104,8 @@
       },
       options.nowMs(),
     );
-    this.#serve('/api/hold', (order, reply) => this.#hold(order, reply));
+    this.#server.server.on('connection', (socket) => this.#limitConnections(socket));
+    this.#serve(HOLD_PATH, (order, reply) => this.#hold(order, reply));
     this.#serve('/api/run-start', (order, reply) => this.#start(order, reply));
     this.#serve('/api/run-stop', (order, reply) => this.#stop(order, reply));
   }
@@ -224,6 +237,7 @@
     this.#running.clear();
     this.#options.judge.noteWorkerGone(this.incarnationKey);
     this.#model.crash();
+    this.#connections.clear();
     if (absence === Absence.Refusing) {
       this.#relays.forEach(([, relay]) => relay.close());
       return;
@@ -252,12 +266,24 @@
     });
   }
 
+  #limitConnections(socket: Socket): void {
+    if (this.#connections.size >= MAXIMUM_CONNECTIONS) {
+      socket.resetAndDestroy();
+      return;
+    }
+    this.#connections.add(socket);
+    socket.once('close', () => {
+      if (!this.areEndsUnseen) this.#connections.delete(socket);
+    });
+  }
+
   #serve(path: string, handle: (order: Order, reply: FastifyReply) => Promise<FastifyReply>): void {
     this.#server.post(path, async (request: FastifyRequest, reply) => {
       if (request.headers[INSTANCE_HEADER] !== this.id) {
         return reply.code(STATUS_OTHER_WORKER).send({});
       }
       if (!this.isUp) return reply.hijack();
+      if (this.orderDelayMs > 0 && path !== HOLD_PATH) await delay(this.orderDelayMs);
       this.#options.advanceAll();
       return handle(request.body as Order, reply);
     });
--- a/soak/test/platform/platformRun.ts
+++ b/soak/test/platform/platformRun.ts
@@ -128,6 +128,10 @@
       await this.#start();
       await this.#play(plan);
       this.#judge.noteUnfinished(this.#nowMs());
+      const { tooLargeCount } = this.#store;
+      if (tooLargeCount > 0) {
+        this.#noteUnexpected(`${tooLargeCount} transactions are larger than the store accepts`);
+      }
       this.#tick();
     } finally {
       clearInterval(ticker);
--- a/soak/test/platform/soakFaults.ts
+++ b/soak/test/platform/soakFaults.ts
@@ -25,6 +25,7 @@
 const RESTART_SPREAD_MS = 1_200;
 const QUICK_RESTART_SPREAD_MS = 100;
 const SLOW_STORE_MS = 400;
+const SLOW_ORDER_MS = 250;
 const LOST_ANSWER_RATIO = 0.3;
 const AFFECTED_RATIO = 0.4;
 const ALL_CALLS_RATIO = 1;
@@ -68,6 +69,8 @@
         return this.#stopInTurn(1);
       case FaultKind.KillInstances:
         return this.#killInstances(shuffled(this.#steadyInstances(), random).slice(0, count));
+      case FaultKind.LosePower:
+        return this.#losePower(shuffled(this.#steadyInstances(), random)[0]);
       case FaultKind.FreezeInstance:
         return this.#freeze(shuffled(this.#steadyInstances(), random)[0], durationMs);
       case FaultKind.WorkersLeave:
@@ -86,6 +89,8 @@
       }
       case FaultKind.LoseWorkers:
         return this.#lose(chosenWorkers, absence);
+      case FaultKind.SlowOrders:
+        return this.#slowOrders(chosenWorkers, durationMs);
       case FaultKind.CutWorkers:
         return this.#cut(chosenWorkers, absence, durationMs);
       case FaultKind.CutZone:
@@ -175,6 +180,23 @@
     await Promise.all(Array.from({ length: count }, () => this.#targets.addWorker()));
   }
 
+  async #losePower(instance: DaemonInstance | undefined): Promise<void> {
+    if (instance === undefined) return;
+    const workers = this.#targets.workers();
+    workers.forEach((worker) => Object.assign(worker, { areEndsUnseen: true }));
+    await this.#killInstances([instance]);
+    workers.forEach((worker) => Object.assign(worker, { areEndsUnseen: false }));
+  }
+
+  async #slowOrders(workers: readonly FleetWorker[], durationMs: number): Promise<void> {
+    this.#addFaultWindow(FaultScope.Unplanned, durationMs);
+    const setDelay = (orderDelayMs: number): void =>
+      workers.forEach((worker) => Object.assign(worker, { orderDelayMs }));
+    setDelay(SLOW_ORDER_MS);
+    await delay(durationMs);
+    setDelay(0);
+  }
+
   async #crash(workers: readonly FleetWorker[], absence: Absence, backMs: number): Promise<void> {
     this.#addFaultWindow(FaultScope.Unplanned, backMs);
     const ids = workers.map(({ id }) => id);
--- a/soak/test/platform/soakSubmissions.ts
+++ b/soak/test/platform/soakSubmissions.ts
@@ -19,7 +19,17 @@
   isPersistent,
 });
 
+/** More tasks than one row of the store describes. */
+const LARGE_STEP = {
+  ...{ taskCount: 1_100, size: { processorMillis: 5, memoryMegabytes: 1 }, after: [] },
+  ...{ workMs: 300, isPersistent: false },
+};
+const LARGE_RATIO = 0.01;
+
 export const drawSubmission = (random: RandomSource, isPersistent: boolean): SoakSubmission => {
+  if (!isPersistent && random.nextFraction() < LARGE_RATIO) {
+    return { id: drawId(random), steps: [LARGE_STEP] };
+  }
   const stepCount = isPersistent ? 1 : 1 + random.nextIndex(MAXIMUM_STEP_COUNT);
   const steps = Array.from({ length: stepCount }, (_, index) =>
     drawStep(random, index, isPersistent),
