--- a/src/scheduler/common/fleet/progressCommits.ts
+++ b/src/scheduler/common/fleet/progressCommits.ts
@@ -4,13 +4,8 @@
 import type { JsonValue } from '../../../base/common/json.js';
 import { ErrorKind, type Failure } from '../../../services/errors/common/errorKinds.js';
 import {
-  assignmentsKey,
   INTERFERENCE_KEY,
-  parseTaskPageKey,
-  progressKey,
   ROSTER_KEY,
-  specKey,
-  taskPageKey,
   WAITING_COUNTS_KEY,
 } from '../../../services/submissions/common/submissionRows.js';
 import {
@@ -27,6 +22,13 @@
 import { EndAcknowledgements, type RecordedSequence } from './endAcknowledgements.js';
 import type { FleetWorkerView } from './fleetWorkerView.js';
 import type { InterferenceControl } from './interferenceControl.js';
+import {
+  awaitsOtherParts,
+  markDirty,
+  noteStored,
+  type PartWrites,
+  writesOf,
+} from './partWrites.js';
 import type { Roster, ToTableMs } from './roster.js';
 import {
   Fit,
@@ -35,30 +37,12 @@
   tasksInOnePage,
   TransactionBudget,
 } from './storeLimits.js';
-import {
-  HEAD,
-  headOf,
-  isPagingPending,
-  type SubmissionPart,
-  tasksOfPart,
-  toHead,
-  toPagedSpec,
-  toTaskPage,
-} from './submissionParts.js';
+import { type SubmissionPart, tasksOfPart } from './submissionParts.js';
 import type { SubmissionRegistry } from './submissionRegistry.js';
-import {
-  isOpen,
-  RunState,
-  type SubmissionRecord,
-  type TaskRun,
-  toAssignments,
-  toProgress,
-} from './taskRecords.js';
+import { RunState, type TaskRun } from './taskRecords.js';
 
 /** Leaves space in a transaction for the progress of other submissions. */
 const MAXIMUM_ASSIGNMENT_ROWS = 12;
-/** How many pages of a submission that has ended are removed in one transaction. */
-const MAXIMUM_REMOVED_PAGES = 20;
 /** How long a part waits whose rows the table has refused on their own. */
 const REFUSED_RETRY_MS = 5_000;
 /** Minimum interval between writes of learnt interference; a new owner may miss the last one. */
@@ -66,19 +50,6 @@
 /** Minimum interval between writes of the counts of waiting submissions. */
 const COUNTS_INTERVAL_MS = 500;
 
-/** A part of which something is yet to be stored. */
-interface DirtyPart {
-  readonly part: SubmissionPart;
-  /** Whether runs of the part may start once it is stored. */
-  readonly isAssigned: boolean;
-  readonly hasProgress: boolean;
-}
-
-/** The rows of a part that are written in one transaction. */
-interface PartWrites extends DirtyPart {
-  readonly writes: readonly RowWrite[];
-}
-
 interface PendingCommit {
   readonly parts: readonly PartWrites[];
   readonly writes: readonly RowWrite[];
@@ -170,7 +141,7 @@
     const addShared = (writes: readonly RowWrite[]): readonly RowWrite[] =>
       writes.filter((write) => budget.add([write]) === Fit.Fits);
     const sharedWrites = addShared(this.#sharedWrites(input, views, nowMs));
-    const isStored = (key: string): boolean => this.#versionOf(key) !== ABSENT_VERSION;
+    const isStored = (key: string): boolean => this.#isStored(key);
     const checkpointWrites = addShared(registry.checkpoints.takeDueWrites(isStored, nowMs));
     this.#acknowledgements.begin(views, registry.dirtyProgress);
     const parts = this.#takeParts(input, budget, nowMs);
@@ -229,7 +200,7 @@
       pending.writes.forEach(({ key, value }) =>
         this.#versions.set(key, value === null ? ABSENT_VERSION : version),
       );
-      pending.parts.forEach((taken) => ProgressCommits.#noteStored(taken, registry));
+      pending.parts.forEach((taken) => noteStored(taken, registry));
       EndAcknowledgements.record(pending.sequences);
       if (pending.hasRoster) roster.noteStored();
       registry.checkpoints.noteCommitted();
@@ -238,7 +209,7 @@
       this.#pending = undefined;
       return { recorded: pending.runs };
     }
-    pending.parts.forEach((taken) => ProgressCommits.#markDirty(taken, registry));
+    pending.parts.forEach((taken) => markDirty(taken, registry));
     if (isRefusedForGood(result)) this.#isolate(pending, nowMs);
     this.#acknowledgements.reset();
     this.#writtenCounts = '';
@@ -280,6 +251,7 @@
   /** Takes the parts whose rows fit into the transaction, and leaves the others for later ones. */
   #takeParts(input: CommitInput, budget: TransactionBudget, nowMs: number): readonly PartWrites[] {
     const { registry } = input;
+    const isStored = (key: string): boolean => this.#isStored(key);
     const assigned = registry.takeDirtyAssignments(MAXIMUM_ASSIGNMENT_ROWS);
     // Assignments don't list runs that have ended, so they are stored together with the run ends.
     // A new owner that read the assignments without the ends would start those tasks again.
@@ -299,34 +271,19 @@
       const { part } = candidate;
       isFull ||= taken.length >= this.#maximumParts;
       const isSetAside = nowMs < (this.#refusedUntilMs.get(part) ?? nowMs);
-      const writes = isFull || isSetAside ? undefined : this.#writesOf(candidate);
+      const writes = isFull || isSetAside ? undefined : writesOf(candidate, isStored);
       const fit = writes === undefined ? Fit.Full : budget.add(writes);
-      if (
-        writes !== undefined &&
-        fit === Fit.Fits &&
-        !ProgressCommits.#isIncomplete(part, registry)
-      ) {
+      if (writes !== undefined && fit === Fit.Fits && !awaitsOtherParts(part, registry)) {
         taken.push({ ...candidate, writes });
         return;
       }
-      ProgressCommits.#markDirty(candidate, registry);
+      markDirty(candidate, registry);
       if (fit === Fit.TooLarge) this.#divide(part, input, nowMs);
       else isFull ||= writes !== undefined && fit === Fit.Full;
     });
     return taken;
   }
 
-  /**
-   * Whether other parts of the submission have to be stored before this one: pages before the head
-   * that makes them valid, and a final state before its pages need not be stored any more.
-   */
-  static #isIncomplete(part: SubmissionPart, { dirtyProgress }: SubmissionRegistry): boolean {
-    const { record, index } = part;
-    if (!isOpen(record)) return index !== HEAD && dirtyProgress.has(headOf(record));
-    if (index !== HEAD || !isPagingPending(record)) return false;
-    return [...dirtyProgress].some((other) => other.record === record);
-  }
-
   /** Divides the state of a submission into pages once a row for all of it would be too large. */
   #divide(part: SubmissionPart, { registry, limits }: CommitInput, nowMs: number): void {
     const { record } = part;
@@ -334,67 +291,6 @@
     else this.#refusedUntilMs.set(part, nowMs + REFUSED_RETRY_MS);
   }
 
-  #writesOf({ part, isAssigned, hasProgress }: DirtyPart): readonly RowWrite[] {
-    const { record, index } = part;
-    const { id } = record.submission;
-    if (index !== HEAD) {
-      return isOpen(record) ? [{ key: taskPageKey(id, index), value: toTaskPage(part) }] : [];
-    }
-    const writes: RowWrite[] = [];
-    if (isAssigned) writes.push({ key: assignmentsKey(id), value: toAssignments(record) });
-    if (hasProgress) writes.push(...this.#headWrites(record));
-    return writes;
-  }
-
-  /**
-   * Returns the writes of the progress row and of what depends on it. The assignments and the pages
-   * of a submission that has ended are deleted.
-   */
-  #headWrites(record: SubmissionRecord): readonly RowWrite[] {
-    const { submission, tasksPerPage } = record;
-    const { id } = submission;
-    const isPaged = tasksPerPage !== undefined;
-    const writes: RowWrite[] = [
-      { key: progressKey(id), value: isPaged ? toHead(record) : toProgress(record) },
-    ];
-    const isPagingDue = isOpen(record) && isPagingPending(record);
-    const hasAssignments = this.#versionOf(assignmentsKey(id)) !== ABSENT_VERSION;
-    if (hasAssignments && (isPagingDue || !isOpen(record))) {
-      writes.push({ key: assignmentsKey(id), value: null });
-    }
-    if (isPagingDue) writes.push({ key: specKey(id), value: toPagedSpec(record) });
-    if (!isOpen(record)) {
-      [...record.storedPages]
-        .slice(0, MAXIMUM_REMOVED_PAGES)
-        .forEach((index) => writes.push({ key: taskPageKey(id, index), value: null }));
-    }
-    return writes;
-  }
-
-  static #markDirty(
-    { part, isAssigned, hasProgress }: DirtyPart,
-    registry: SubmissionRegistry,
-  ): void {
-    if (hasProgress) registry.markProgressDirty(part);
-    if (isAssigned) registry.markPartAssigned(part);
-  }
-
-  static #noteStored({ part, writes }: PartWrites, registry: SubmissionRegistry): void {
-    const { record, index } = part;
-    writes.forEach(({ key, value }) => {
-      const page = parseTaskPageKey(key);
-      if (page === undefined) return;
-      if (value === null) record.storedPages.delete(page.index);
-      else record.storedPages.add(page.index);
-    });
-    if (index !== HEAD) return;
-    if (writes.some(({ key }) => key === specKey(record.submission.id))) {
-      record.isPagingStored = true;
-    }
-    // The rest of the pages of a submission that has ended is deleted by the next transactions.
-    if (!isOpen(record) && record.storedPages.size > 0) registry.markProgressDirty(part);
-  }
-
   /**
    * Makes the next transactions smaller, until the one part is found that the table refuses. It is
    * set aside for a while, so that all others are stored.
@@ -407,6 +303,10 @@
     } else this.#maximumParts = Math.max(1, Math.floor(parts.length / 2));
   }
 
+  #isStored(key: string): boolean {
+    return this.#versionOf(key) !== ABSENT_VERSION;
+  }
+
   /** The last known version of a row. */
   #versionOf(key: string): number {
     return this.#versions.get(key) ?? ABSENT_VERSION;
