--- a/src/scheduler/node/orderTurns.ts
+++ b/src/scheduler/node/orderTurns.ts
@@ -1,13 +1,13 @@
 /**
  * Decides when each order to a worker is sent. Orders are held back here rather than in the queue of
- * a connection, as one that has not been sent can still be withheld. While a worker answers at once,
- * one order after the other needs one connection; orders without an answer let others pass. Starts
- * do not keep stops waiting.
+ * a connection, as one that has not been sent can still be withheld. A few are under way at a time,
+ * which needs as many connections, and each that has no answer for a while lets another one pass.
+ * Starts do not keep stops waiting.
  */
 import { ConcurrencyLimiter } from './concurrencyLimiter.js';
 
 const PROMPT_ANSWER_MS = 50;
-const ORDERS_AT_A_TIME = 1;
+const ORDERS_AT_A_TIME = 3;
 /** The client has a connection for each order of both kinds that may be under way. */
 const MAXIMUM_ORDERS_UNDER_WAY = 4;
 
