--- a/src/scheduler/test/fleet/largeRows.test.ts
+++ b/src/scheduler/test/fleet/largeRows.test.ts
@@ -136,7 +136,7 @@
   it('is taken over from a build that has stored it in one row', async () => {
     const large = largeSubmission();
     world.submit(large);
-    // Nothing tells this build that the submission is large until a row of it is.
+    // With this limit the submission is small enough for one row.
     world.policy = { ...world.policy, storeLimits: { maximumRowBytes: 64_000 } };
     [0, 1].forEach((index) => {
       world.killScheduler(index);
